--- /dev/null
+++ b/cmd/internal/cli/configcmd/diff.go
@@ -0,0 +1,128 @@
+package configcmd
+
+import (
+	"strconv"
+
+	"github.com/spf13/cobra"
+
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/common"
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/document"
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/exit"
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/operator"
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/output"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/revision"
+)
+
+// difference is one differing item; an item that is missing is null.
+type difference struct {
+	Action string    `json:"action"`
+	Kind   live.Kind `json:"kind"`
+	Name   string    `json:"name"`
+	From   any       `json:"from"`
+	To     any       `json:"to"`
+}
+
+// diffAnswer is the JSON result of diff.
+type diffAnswer struct {
+	From        string       `json:"from"`
+	To          string       `json:"to"`
+	Differences []difference `json:"differences"`
+}
+
+func diffCommand(opts *common.Options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "diff FROM [TO]",
+		Short: "Compare revisions and files",
+		Long: `Compare two configurations item by item. FROM and TO are each a revision, or a
+file; TO is the newest revision if it is left out.`,
+		Example: `  samphirequay config diff 16 17
+  samphirequay config diff fleet.hujson`,
+		Args: common.Args(cobra.RangeArgs(1, 2)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if len(args) == 1 {
+				args = append(args, "0")
+			}
+			answer, err := diff(cmd, opts, args[0], args[1])
+			if err != nil {
+				return err
+			}
+			return printDiff(cmd, opts, answer)
+		},
+	}
+}
+
+func diff(cmd *cobra.Command, opts *common.Options, from, to string) (diffAnswer, error) {
+	answer := diffAnswer{From: from, To: to, Differences: []difference{}}
+	before, err := load(cmd, opts, from)
+	if err != nil {
+		return answer, err
+	}
+	after, err := load(cmd, opts, to)
+	if err != nil {
+		return answer, err
+	}
+	if after.Revision > 0 {
+		answer.To = strconv.FormatUint(after.Revision, 10)
+	}
+	for _, d := range revision.Diff(before, after) {
+		answer.Differences = append(answer.Differences, difference{
+			Action: d.Action, Kind: d.Kind, Name: d.Name,
+			From: itemOf(before, d), To: itemOf(after, d),
+		})
+	}
+	return answer, nil
+}
+
+func itemOf(doc *live.Document, d revision.Difference) any {
+	item, found := document.Find(doc, d.Kind, d.Name)
+	if !found {
+		return nil
+	}
+	return item.Value
+}
+
+// load reads a configuration with its defaults, by revision or from a file.
+func load(cmd *cobra.Command, opts *common.Options, what string) (*live.Document, error) {
+	rev, err := strconv.ParseUint(what, 10, 64)
+	if err != nil {
+		doc, err := readPart(cmd, what)
+		if err != nil {
+			return nil, err
+		}
+		return live.Normalize(doc), nil
+	}
+	client, err := opts.Client()
+	if err != nil {
+		return nil, err
+	}
+	return fetch(cmd, client, rev)
+}
+
+func fetch(cmd *cobra.Command, client *operator.Client, rev uint64) (*live.Document, error) {
+	doc, err := client.Config(cmd.Context(), rev)
+	if err != nil {
+		return nil, err
+	}
+	if rev > 0 && doc.Revision != rev {
+		return nil, exit.Errorf(exit.Failed, "revision %d is not kept; the daemon answered with %d", rev, doc.Revision)
+	}
+	return live.Normalize(doc), nil
+}
+
+func printDiff(cmd *cobra.Command, opts *common.Options, answer diffAnswer) error {
+	rows := output.Rows{}
+	for _, d := range answer.Differences {
+		rows.Add(d.Action + " " + string(d.Kind) + " " + d.Name)
+		if d.From != nil {
+			rows.Add("  - " + compactItem(d.From))
+		}
+		if d.To != nil {
+			rows.Add("  + " + compactItem(d.To))
+		}
+	}
+	if len(answer.Differences) == 0 {
+		rows.Add("no difference")
+	}
+	return output.Print(cmd.OutOrStdout(), opts.Output, answer, rows)
+}
--- /dev/null
+++ b/cmd/internal/cli/daemoncmd/daemon.go
@@ -0,0 +1,109 @@
+// Package daemoncmd holds the command line of the daemon.
+package daemoncmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/common"
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/exit"
+	"github.com/samphirequay/samphirequay/cmd/internal/version"
+	"github.com/samphirequay/samphirequay/daemon/app"
+	"github.com/samphirequay/samphirequay/daemon/settings"
+)
+
+// New returns the daemon's command.
+func New() *cobra.Command {
+	var path string
+	var check bool
+	cmd := &cobra.Command{
+		Use:   "samphirequayd --settings FILE",
+		Short: "The samphirequay daemon",
+		Long: `The daemon that every entry host runs. SIGTERM or an interrupt begins a planned
+stop, which interrupts no request; a second one ends the process at once.
+
+Exit codes:
+  0  stopped as planned, or the settings are right
+  1  failed
+  2  wrong usage
+  5  the settings have faults`,
+		Example: `  samphirequayd --settings /etc/samphirequay/daemon.hujson
+  samphirequayd --settings daemon.hujson --check`,
+		Version:       strings.TrimPrefix(version.Read().Line("samphirequayd"), "samphirequayd "),
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          common.Args(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if path == "" {
+				return exit.Errorf(exit.Usage, "--settings FILE is missing")
+			}
+			s, faults := settings.Load(path)
+			if err := report(cmd.ErrOrStderr(), faults); err != nil {
+				return err
+			}
+			if check {
+				_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s: ok\n", path)
+				return err
+			}
+			return run(cmd, s)
+		},
+	}
+	cmd.SetVersionTemplate("samphirequayd {{.Version}}\n")
+	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return exit.Wrap(exit.Usage, err) })
+	cmd.Flags().StringVar(&path, "settings", "", "file with the settings, JSON with comments")
+	cmd.Flags().BoolVar(&check, "check", false, "check the settings and end")
+	return cmd
+}
+
+// report prints every fault but the last, which becomes the error.
+func report(w io.Writer, faults settings.Faults) error {
+	if len(faults) == 0 {
+		return nil
+	}
+	for _, f := range faults[:len(faults)-1] {
+		fmt.Fprintf(w, "samphirequayd: %s\n", f.Error())
+	}
+	return exit.Wrap(exit.Faults, faults[len(faults)-1])
+}
+
+// run runs the daemon until it is told to stop, by a signal or by an operator.
+func run(cmd *cobra.Command, s *settings.Settings) error {
+	daemon, err := app.New(s, app.Options{})
+	if err != nil {
+		return err
+	}
+	if err := daemon.Start(); err != nil {
+		return err
+	}
+	select {
+	case <-cmd.Context().Done():
+	case <-daemon.Done():
+		return nil
+	}
+	// The drain has a bound of its own in the settings.
+	return daemon.Stop(context.Background())
+}
+
+// Main runs the command and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	// After the first signal the next one ends the process at once.
+	context.AfterFunc(ctx, stop)
+	cmd := New()
+	cmd.SetArgs(args)
+	cmd.SetOut(stdout)
+	cmd.SetErr(stderr)
+	err := cmd.ExecuteContext(ctx)
+	if err != nil {
+		fmt.Fprintf(stderr, "samphirequayd: %s\n", strings.Join(strings.Fields(err.Error()), " "))
+	}
+	return exit.Code(err)
+}
--- /dev/null
+++ b/cmd/internal/cli/fleetcmd/explain.go
@@ -0,0 +1,54 @@
+package fleetcmd
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/common"
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/exit"
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/output"
+)
+
+// explainable are the kinds of things whose decisions are recorded.
+var explainable = []string{"request", "endpoint", "placement", "change"}
+
+// Explain returns the command that shows the decisions about one thing.
+func Explain(opts *common.Options) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "explain request|endpoint|placement|change ID",
+		Short: "Show the recorded decisions about one thing",
+		Long: `Show, oldest first, the decisions that were recorded about a request (by the
+id in the Samphirequay-Request header), an endpoint, the placement of an
+endpoint, or a change.`,
+		Example: `  samphirequay explain request 01J9ZQ4T5X3M8C0V7B2N6K1D4F
+  samphirequay explain placement summariser-03`,
+		ValidArgs: explainable,
+		Args:      common.Args(cobra.ExactArgs(2)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if !slices.Contains(explainable, args[0]) {
+				return exit.Errorf(exit.Usage, "can't explain %q: known are %s", args[0], strings.Join(explainable, ", "))
+			}
+			client, err := opts.Client()
+			if err != nil {
+				return err
+			}
+			e, err := client.Explain(cmd.Context(), args[0], args[1])
+			if err != nil {
+				return err
+			}
+			if len(e.Lines) == 0 && opts.Output == output.Table {
+				return exit.Errorf(exit.Failed, "nothing is recorded about %s %q", args[0], args[1])
+			}
+			rows := output.Rows{Header: []string{"AT", "DAEMON", "EVENT", "TEXT"}}
+			for _, l := range e.Lines {
+				rows.Add(l.At.UTC().Format(time.RFC3339Nano), string(l.Daemon), l.Event, l.Text)
+			}
+			return output.Print(cmd.OutOrStdout(), opts.Output, e, rows)
+		},
+	}
+	opts.ConnectionFlags(cmd.Flags())
+	return cmd
+}
--- /dev/null
+++ b/cmd/internal/cli/itemcmd/table.go
@@ -0,0 +1,54 @@
+package itemcmd
+
+import (
+	"strconv"
+
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/common"
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/document"
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/output"
+	"github.com/samphirequay/samphirequay/core/live"
+)
+
+// headers are the columns of each kind.
+var headers = map[live.Kind][]string{
+	live.KindTeam:     {"NAME", "WEIGHT", "IN-FLIGHT", "KEYS", "LABELS"},
+	live.KindService:  {"NAME", "TYPE", "POOL", "FIRST-MS", "PACE-MS", "TEAMS", "LABELS"},
+	live.KindPool:     {"NAME", "MODEL", "ENDPOINTS", "MIN-PREFILL", "MIN-DECODE", "LABELS"},
+	live.KindEndpoint: {"NAME", "ADDRESS", "DOMAIN", "SLOTS", "FENCING", "LABELS"},
+	live.KindLink:     {"NAME", "FROM", "TO", "MB/S"},
+}
+
+// table lays out items of one kind.
+func table(kind live.Kind, items []document.Item) output.Rows {
+	rows := output.Rows{Header: headers[kind]}
+	for _, item := range items {
+		rows.Add(cells(item.Value)...)
+	}
+	return rows
+}
+
+func cells(value any) []string {
+	switch v := value.(type) {
+	case *live.Team:
+		return []string{string(v.Name), number(v.Weight), strconv.Itoa(v.MaxInFlight), strconv.Itoa(len(v.KeyHashes)), common.LabelText(v.Labels)}
+	case *live.Service:
+		return []string{string(v.Name), string(v.Type), string(v.Pool), strconv.Itoa(v.FirstTokenTargetMS), strconv.Itoa(v.TokenPaceTargetMS), orDash(v.TeamSelector), common.LabelText(v.Labels)}
+	case *live.Pool:
+		return []string{string(v.Name), orDash(v.Model), v.EndpointSelector, strconv.Itoa(v.MinPrefill), strconv.Itoa(v.MinDecode), common.LabelText(v.Labels)}
+	case *live.Endpoint:
+		return []string{string(v.Name), v.Address, string(v.Domain), strconv.Itoa(v.Slots), strconv.FormatBool(v.ChecksFencing), common.LabelText(v.Labels)}
+	case *live.Link:
+		return []string{v.Name, string(v.From), string(v.To), number(v.BytesPerSecond / 1e6)}
+	default:
+		return nil
+	}
+}
+
+func number(v float64) string { return strconv.FormatFloat(v, 'g', 6, 64) }
+
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
--- /dev/null
+++ b/cmd/internal/cli/localcmd/local.go
@@ -0,0 +1,205 @@
+// Package localcmd holds the command that runs a small fleet in one process
+// for newcomers.
+package localcmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/schollz/progressbar/v3"
+	"github.com/spf13/cobra"
+	"golang.org/x/term"
+
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/common"
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/exit"
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/output"
+	"github.com/samphirequay/samphirequay/cmd/internal/experiment"
+	"github.com/samphirequay/samphirequay/cmd/internal/fleet"
+	"github.com/samphirequay/samphirequay/cmd/internal/load"
+)
+
+// both is the value of --deployment for all deployments.
+const both = "both"
+
+// The load of a local run. It is light, and its prompts are bounded, so that
+// every request can be answered within its targets.
+const (
+	ratePerDeployment = 20
+	maxPromptTokens   = 3500
+	maxAttempts       = 30
+)
+
+// flags of the command.
+type flags struct {
+	requests   int
+	deployment string
+	seed       uint64
+	daemons    int
+}
+
+// Command returns the command.
+func Command(opts *common.Options) *cobra.Command {
+	var f flags
+	cmd := &cobra.Command{
+		Use:   "local",
+		Short: "Run a small fleet in this process and send it requests",
+		Long: `Start daemons and stand-ins of the platform in this process, on free ports of
+the loopback interface. With --requests, send that many requests, check every
+answer and end with one line; the exit code is 0 if all were answered, else 5.
+Without, stay up until interrupted and print a curl line that works.`,
+		Example: `  samphirequay local --requests 200
+  samphirequay local --deployment bunker`,
+		Args: common.Args(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			deployments, err := chosen(f.deployment)
+			if err != nil {
+				return err
+			}
+			if f.requests < 0 || f.daemons < 1 {
+				return exit.Errorf(exit.Usage, "--requests must not be negative and --daemons must be above 0")
+			}
+			return run(cmd, opts, f, deployments)
+		},
+	}
+	fs := cmd.Flags()
+	fs.IntVar(&f.requests, "requests", 0, "send so many requests and end; 0 stays up")
+	fs.StringVar(&f.deployment, "deployment", both, "bunker, companeros or both")
+	fs.Uint64Var(&f.seed, "seed", 1, "seed of arrivals and prompts")
+	fs.IntVar(&f.daemons, "daemons", 1, "how many daemons to start")
+	return cmd
+}
+
+// chosen returns the deployments that a name stands for.
+func chosen(name string) ([]experiment.Deployment, error) {
+	switch name {
+	case load.ProfileBunker:
+		return []experiment.Deployment{experiment.Bunker()}, nil
+	case load.ProfileCompaneros:
+		return []experiment.Deployment{experiment.Companeros()}, nil
+	case both:
+		return experiment.Deployments(), nil
+	default:
+		return nil, exit.Errorf(exit.Usage, "unknown deployment %q: known are bunker, companeros and both", name)
+	}
+}
+
+func run(cmd *cobra.Command, opts *common.Options, f flags, deployments []experiment.Deployment) error {
+	config := fleet.Config{Daemons: f.daemons}
+	var teams []load.Team
+	for _, d := range deployments {
+		config.Sites = append(config.Sites, d.Site)
+		ofFleet, ofLoad := d.Teams(1)
+		config.Teams = append(config.Teams, ofFleet...)
+		teams = append(teams, ofLoad...)
+	}
+	fl, err := fleet.Start(cmd.Context(), config)
+	if err != nil {
+		return err
+	}
+	defer fl.Close()
+	if f.requests == 0 {
+		return stay(cmd, fl, teams)
+	}
+	res, err := send(cmd, fl, teams, f)
+	if err != nil {
+		return err
+	}
+	return report(cmd, opts, res, fl.Work())
+}
+
+// stay prints how to send a request and waits for an interrupt.
+func stay(cmd *cobra.Command, fl *fleet.Fleet, teams []load.Team) error {
+	out := cmd.OutOrStdout()
+	address := fl.CallerAddresses()[0]
+	for _, t := range teams {
+		fmt.Fprintln(out, curlLine(address, t))
+	}
+	fmt.Fprintf(out, "SAMPHIREQUAY_OPERATOR_KEY=%s samphirequay status --operators %s\n", fl.OperatorKey(), fl.OperatorAddresses()[0])
+	<-cmd.Context().Done()
+	return nil
+}
+
+// curlLine is a line for a shell that asks for a streamed completion.
+func curlLine(address string, t load.Team) string {
+	return fmt.Sprintf(`curl -sN http://%s/v1/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' `+
+		`-d '{"model":"%s","prompt":"Nomination: MT Karagiye at Aktau berth 4, 400 mt VLSFO.","max_tokens":8,"stream":true}'`,
+		address, t.Key, t.Profile.Model)
+}
+
+// send sends the requests, with a progress bar on a terminal.
+func send(cmd *cobra.Command, fl *fleet.Fleet, teams []load.Team, f flags) (*load.Result, error) {
+	for i := range teams {
+		teams[i].Profile.MaxPromptTokens = maxPromptTokens
+	}
+	bar := progress(cmd.ErrOrStderr(), f.requests)
+	defer bar.close()
+	return load.Run(cmd.Context(), load.Spec{
+		Entry: fl.CallerAddresses(), Teams: teams, Seed: f.seed,
+		Rate: float64(ratePerDeployment * len(teams)), Requests: f.requests, MaxAttempts: maxAttempts,
+		Expect: experiment.Expected, PlainRuns: fl.PlainRuns, OnDone: bar.add,
+	})
+}
+
+// answer is the JSON result.
+type answer struct {
+	Result *load.Result `json:"result"`
+	Work   fleet.Work   `json:"work"`
+}
+
+// report prints the line and turns missing answers into an exit code.
+func report(cmd *cobra.Command, opts *common.Options, res *load.Result, work fleet.Work) error {
+	t := res.Total
+	rows := output.Rows{}
+	rows.Add(fmt.Sprintf("requests=%d answered=%d lost=%d doubled=%d wasted_prefill=%.1f%% ttft_p95=%.0fms pace_p95=%.0fms",
+		t.Requests, t.Answered, t.Lost, t.Doubled, 100*work.WastedShare(), t.TTFT.P95MS, t.Pace.P95MS))
+	if err := output.Print(cmd.OutOrStdout(), opts.Output, answer{res, work}, rows); err != nil {
+		return err
+	}
+	if err := context.Cause(cmd.Context()); err != nil {
+		return exit.Errorf(exit.Failed, "interrupted")
+	}
+	if res.Unanswered() > 0 || res.Faults() > 0 {
+		return exit.Errorf(exit.Faults, "%d requests were not answered, %d answers were lost, doubled or wrong: %s",
+			res.Unanswered(), res.Faults(), res.Line())
+	}
+	return nil
+}
+
+// bar is a progress bar, or nothing where there is no terminal.
+type bar struct{ shown *progressbar.ProgressBar }
+
+// progress returns a bar if w is a terminal.
+func progress(w io.Writer, total int) bar {
+	file, ok := w.(*os.File)
+	if !ok || !term.IsTerminal(int(file.Fd())) {
+		return bar{}
+	}
+	return bar{progressbar.NewOptions(total,
+		progressbar.OptionSetWriter(file),
+		progressbar.OptionSetDescription("requests"),
+		progressbar.OptionShowCount(),
+		progressbar.OptionThrottle(barPause),
+		progressbar.OptionClearOnFinish(),
+	)}
+}
+
+// barPause is the time between two drawings of the bar.
+const barPause = 65 * time.Millisecond
+
+// add counts one request.
+func (b bar) add() {
+	if b.shown != nil {
+		// A bar that can't be drawn must not end the run.
+		_ = b.shown.Add(1)
+	}
+}
+
+// close ends the bar.
+func (b bar) close() {
+	if b.shown != nil {
+		_ = b.shown.Finish()
+	}
+}
--- /dev/null
+++ b/cmd/internal/cli/operator/client.go
@@ -0,0 +1,199 @@
+// Package operator is the client of the operators' interface. It tries several
+// daemons in turn: every answer can come from any of them, and a change is
+// safe to send again because it carries an id of its own.
+package operator
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/exit"
+	"github.com/samphirequay/samphirequay/daemon/opapi"
+)
+
+// Bounds of the client.
+const (
+	requestTimeout = 10 * time.Second
+	maxAnswerBytes = 64 << 20
+	rounds         = 3
+	firstPause     = 200 * time.Millisecond
+	maxPause       = 2 * time.Second
+)
+
+// Config says how to reach the daemons.
+type Config struct {
+	// Addresses are host:port addresses of the operators' interface.
+	Addresses []string
+	// Key is the operator's bearer key.
+	Key string
+	// CAFile is a PEM file with the authorities of the daemons' certificates;
+	// if set, the connection uses TLS.
+	CAFile string
+}
+
+// Client talks to the daemons.
+type Client struct {
+	config Config
+	scheme string
+	http   *http.Client
+}
+
+// New returns a client.
+func New(config Config) (*Client, error) {
+	if len(config.Addresses) == 0 {
+		return nil, exit.Errorf(exit.Usage, "no daemon given: use --operators ADDRESS[,ADDRESS]")
+	}
+	transport := &http.Transport{}
+	client := &Client{config: config, scheme: "http", http: &http.Client{Transport: transport, Timeout: requestTimeout}}
+	if config.CAFile == "" {
+		return client, nil
+	}
+	roots, err := readCA(config.CAFile)
+	if err != nil {
+		return nil, err
+	}
+	transport.TLSClientConfig = &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS13}
+	client.scheme = "https"
+	return client, nil
+}
+
+func readCA(path string) (*x509.CertPool, error) {
+	pem, err := os.ReadFile(path)
+	if err != nil {
+		return nil, exit.Errorf(exit.Usage, "--ca: %w", err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return nil, exit.Errorf(exit.Usage, "--ca %s: no certificate in it", path)
+	}
+	return roots, nil
+}
+
+// Get reads path into answer.
+func (c *Client) Get(ctx context.Context, path string, query url.Values, answer any) error {
+	if len(query) > 0 {
+		path += "?" + query.Encode()
+	}
+	return c.call(ctx, http.MethodGet, path, nil, answer)
+}
+
+// Post sends body to path and reads the answer. The body must be safe to send
+// to several daemons.
+func (c *Client) Post(ctx context.Context, path string, body, answer any) error {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return fmt.Errorf("encode request: %w", err)
+	}
+	return c.call(ctx, http.MethodPost, path, raw, answer)
+}
+
+// call goes round the addresses until one answers with more than "unavailable".
+func (c *Client) call(ctx context.Context, method, path string, body []byte, answer any) error {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = firstPause
+	pause.MaxInterval = maxPause
+	var last error
+	for round := range rounds {
+		if round > 0 && !wait(ctx, pause.NextBackOff()) {
+			break
+		}
+		for _, address := range c.config.Addresses {
+			err := c.once(ctx, address, method, path, body, answer)
+			if exit.Code(err) != exit.Unavailable {
+				return err
+			}
+			last = err
+		}
+	}
+	if last == nil {
+		last = exit.Wrap(exit.Unavailable, ctx.Err())
+	}
+	return last
+}
+
+// once asks one daemon.
+func (c *Client) once(ctx context.Context, address, method, path string, body []byte, answer any) error {
+	req, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return exit.Errorf(exit.Usage, "address %q: %w", address, err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if c.config.Key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.config.Key)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return exit.Errorf(exit.Unavailable, "daemon %s: %w", address, unwrapURL(err))
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return exit.Errorf(exit.Unavailable, "daemon %s: answer cut: %w", address, err)
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return refusal(address, resp.StatusCode, raw)
+	}
+	if answer == nil || len(raw) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(raw, answer); err != nil {
+		return exit.Errorf(exit.Failed, "daemon %s: answer not understood: %w", address, err)
+	}
+	return nil
+}
+
+// refusal turns an error answer into an error with an exit code.
+func refusal(address string, status int, raw []byte) error {
+	var body opapi.ErrorBody
+	message := ""
+	if json.Unmarshal(raw, &body) == nil {
+		message = body.Error.Message
+	}
+	if message == "" {
+		message = strings.ToLower(http.StatusText(status))
+	}
+	code := exit.Failed
+	switch status {
+	case http.StatusConflict:
+		code = exit.Conflict
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout, http.StatusTooManyRequests:
+		code = exit.Unavailable
+	}
+	return exit.Errorf(code, "daemon %s: %s", address, message)
+}
+
+// unwrapURL takes off the method and the URL that net/http adds.
+func unwrapURL(err error) error {
+	var wrapped *url.Error
+	if errors.As(err, &wrapped) {
+		return wrapped.Err
+	}
+	return err
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Address is the first daemon's address.
+func (c *Client) Address() string { return c.config.Addresses[0] }
--- /dev/null
+++ b/cmd/internal/experiment/deployment.go
@@ -0,0 +1,80 @@
+package experiment
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/samphirequay/samphirequay/cmd/internal/fleet"
+	"github.com/samphirequay/samphirequay/cmd/internal/load"
+	"github.com/samphirequay/samphirequay/platform/standin"
+)
+
+// Deployment is a site with the profile of its load and its targets.
+type Deployment struct {
+	Name       string
+	Site       standin.PlatformConfig
+	Profile    load.Profile
+	FirstToken time.Duration
+	Pace       time.Duration
+}
+
+// Bunker is the order desk.
+func Bunker() Deployment {
+	return Deployment{
+		Name: load.ProfileBunker, Site: standin.Bunker(), Profile: load.Bunker(),
+		FirstToken: load.DefaultFirstTokenTarget, Pace: load.DefaultPaceTarget,
+	}
+}
+
+// Companeros is the matching service, whose notes can wait a little.
+func Companeros() Deployment {
+	site := standin.Companeros()
+	return Deployment{
+		Name: load.ProfileCompaneros, Site: site, Profile: load.Companeros(),
+		FirstToken: time.Duration(site.PatienceMS) * time.Millisecond, Pace: load.DefaultPaceTarget,
+	}
+}
+
+// Deployments are both.
+func Deployments() []Deployment { return []Deployment{Bunker(), Companeros()} }
+
+// Expected is the answer of the stand-in engines.
+func Expected(_, prompt string, maxTokens int) string {
+	return standin.Answer(prompt, maxTokens)
+}
+
+// Teams returns n teams of a deployment, for the fleet and for the load.
+func (d Deployment) Teams(n int) ([]fleet.Team, []load.Team) {
+	var ofFleet []fleet.Team
+	var ofLoad []load.Team
+	for i := range n {
+		name := fmt.Sprintf("%s-team-%d", d.Name, i+1)
+		key := "key-of-" + name
+		ofFleet = append(ofFleet, fleet.Team{Name: name, Key: key})
+		ofLoad = append(ofLoad, load.Team{Name: name, Key: key, Profile: d.Profile})
+	}
+	return ofFleet, ofLoad
+}
+
+// spec is a run of load against a fleet.
+func (d Deployment) spec(env Env, f *fleet.Fleet, teams []load.Team, rate float64) load.Spec {
+	return load.Spec{
+		Entry: f.CallerAddresses(), Teams: teams, Rate: rate, Seed: env.Seed,
+		Duration: env.Warmup + env.Duration, Warmup: env.Warmup,
+		FirstTokenTarget: d.FirstToken, PaceTarget: d.Pace,
+		// A caller that tries again after the targets have passed adds nothing
+		// to goodput; one try keeps the offered rate what it says.
+		MaxAttempts: 1,
+		Expect:      Expected, PlainRuns: f.PlainRuns,
+	}
+}
+
+// faults notes what must never happen.
+func (r *Report) faults(run string, res *load.Result, work fleet.Work) {
+	if n := res.Faults(); n > 0 {
+		r.fault("%s: lost=%d doubled=%d wrong=%d", run, res.Total.Lost, res.Total.Doubled, res.Total.Wrong)
+	}
+	if work.RanTwice > 0 {
+		r.fault("%s: ran_twice=%d", run, work.RanTwice)
+	}
+}
--- /dev/null
+++ b/cmd/internal/experiment/experiment.go
@@ -0,0 +1,105 @@
+// Package experiment holds the named experiments that measure the system, and
+// the frame that they share.
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Env is what an experiment gets.
+type Env struct {
+	// Seed of all arrivals, prompts and faults.
+	Seed uint64
+	// Duration is how long each run measures, after the warm-up.
+	Duration time.Duration
+	// Warmup is left out of every account.
+	Warmup time.Duration
+	// Parallel is how many runs go on at once.
+	Parallel int
+	// Daemons is the size of each fleet.
+	Daemons int
+	// Log takes lines about the progress.
+	Log io.Writer
+}
+
+// Defaults of Env.
+const (
+	DefaultDuration = 6 * time.Second
+	DefaultWarmup   = 2 * time.Second
+	DefaultParallel = 4
+	DefaultDaemons  = 3
+)
+
+// Report is the result of an experiment.
+type Report struct {
+	Experiment string `json:"experiment"`
+	Seed       uint64 `json:"seed"`
+	// Lines are key=value lines, one for each run or comparison.
+	Lines []string `json:"lines"`
+	// Data holds the full figures.
+	Data any `json:"data"`
+	// Figures are drawn as plots.
+	Figures []Figure `json:"figures"`
+	// Faults lists what must not happen and did.
+	Faults []string `json:"faults"`
+}
+
+// add appends a line of key=value pairs.
+func (r *Report) add(format string, args ...any) {
+	r.Lines = append(r.Lines, fmt.Sprintf(format, args...))
+}
+
+// fault appends a fault.
+func (r *Report) fault(format string, args ...any) {
+	r.Faults = append(r.Faults, fmt.Sprintf(format, args...))
+}
+
+// Experiment is one named experiment.
+type Experiment struct {
+	Name string
+	// Short says in one line what it measures.
+	Short string
+	// Run measures. It returns early with an error when ctx ends.
+	Run func(ctx context.Context, env Env) (*Report, error)
+}
+
+// registry holds the experiments in the order of their names.
+var registry = []Experiment{
+	{Name: "fairness", Short: "goodput of other teams beside one that floods, cancels at once or retries forever", Run: runFairness},
+	{Name: "overhead", Short: "time and processor that the router adds to a call, against the same stand-in called directly", Run: runOverhead},
+	{Name: "routing", Short: "goodput and wasted prefill of each policy at 0.7, 0.9 and 1.1 of capacity", Run: runRouting},
+}
+
+// All lists the experiments.
+func All() []Experiment { return slices.Clone(registry) }
+
+// Find returns the experiment with a name.
+func Find(name string) (Experiment, error) {
+	for _, e := range registry {
+		if e.Name == name {
+			return e, nil
+		}
+	}
+	return Experiment{}, fmt.Errorf("unknown experiment %q: known are %s", name, strings.Join(Names(), ", "))
+}
+
+// Names lists the names of the experiments.
+func Names() []string {
+	names := make([]string, len(registry))
+	for i, e := range registry {
+		names[i] = e.Name
+	}
+	return names
+}
+
+// logf writes a line about the progress.
+func (e Env) logf(format string, args ...any) {
+	if e.Log != nil {
+		fmt.Fprintf(e.Log, format+"\n", args...)
+	}
+}
--- /dev/null
+++ b/cmd/internal/fleet/counters.go
@@ -0,0 +1,60 @@
+package fleet
+
+// Work sums up the prefill work of a fleet's engines.
+type Work struct {
+	PrefillTokens int64 `json:"prefill_tokens"`
+	WastedTokens  int64 `json:"wasted_tokens"`
+	// RanTwice counts decodes of a request that an engine had decoded before.
+	RanTwice int64 `json:"ran_twice"`
+	// HeldAfterCancel counts decode slots that cancelled requests hold now.
+	HeldAfterCancel int `json:"held_after_cancel"`
+	// Running and KVHeld are what engines hold now.
+	Running int `json:"running"`
+	KVHeld  int `json:"kv_held"`
+}
+
+// Work returns the sums so far.
+func (f *Fleet) Work() Work {
+	var w Work
+	for _, p := range f.platforms {
+		for _, e := range p.Engines {
+			c := e.Counters()
+			w.PrefillTokens += c.PrefillTokens
+			w.WastedTokens += c.PrefillTokensWasted
+			w.RanTwice += c.RanTwice
+			w.HeldAfterCancel += c.HeldAfterCancel
+			w.Running += c.Running
+			w.KVHeld += c.KVHeld
+		}
+	}
+	return w
+}
+
+// Since returns the work done after an earlier sum.
+func (w Work) Since(earlier Work) Work {
+	w.PrefillTokens -= earlier.PrefillTokens
+	w.WastedTokens -= earlier.WastedTokens
+	w.RanTwice -= earlier.RanTwice
+	return w
+}
+
+// WastedShare is the share of the prefill work that was wasted, 0 to 1.
+func (w Work) WastedShare() float64 {
+	if w.PrefillTokens == 0 {
+		return 0
+	}
+	return float64(w.WastedTokens) / float64(w.PrefillTokens)
+}
+
+// PlainRuns tells how often the plain services ran each idempotency key.
+func (f *Fleet) PlainRuns() map[string]int {
+	runs := map[string]int{}
+	for _, p := range f.platforms {
+		for _, s := range p.Plains {
+			for _, k := range s.Counters().Keys {
+				runs[k.Name] += k.Runs
+			}
+		}
+	}
+	return runs
+}
--- /dev/null
+++ b/cmd/internal/fleet/member.go
@@ -0,0 +1,125 @@
+package fleet
+
+import (
+	"context"
+	"io"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/daemon/app"
+	"github.com/samphirequay/samphirequay/daemon/keys"
+	"github.com/samphirequay/samphirequay/daemon/settings"
+)
+
+// anyPort takes a free port of the loopback interface. Ports are taken by
+// listening, never found beforehand, so that fleets may start side by side.
+const anyPort = "127.0.0.1:0"
+
+// member is one place in the fleet and the daemon that runs there, if one does.
+type member struct {
+	name   id.Daemon
+	domain id.Domain
+	daemon *app.Daemon
+}
+
+// startMember starts a daemon at a place. Its seeds are the daemons that run;
+// those that start later find it by theirs.
+func (f *Fleet) startMember(m *member) error {
+	s := f.settings(m)
+	if f.config.Tune != nil {
+		f.config.Tune(s)
+	}
+	material, err := f.ca.Peer(m.name)
+	if err != nil {
+		return eris.Wrapf(err, "daemon %s", m.name)
+	}
+	log := f.config.Log
+	if log == nil {
+		log = io.Discard
+	}
+	daemon, err := app.New(s, app.Options{PeerKeys: keys.Fixed(material), Log: log})
+	if err != nil {
+		return eris.Wrapf(err, "daemon %s", m.name)
+	}
+	if err := daemon.Start(); err != nil {
+		return eris.Wrapf(err, "daemon %s", m.name)
+	}
+	f.mu.Lock()
+	m.daemon = daemon
+	f.mu.Unlock()
+	return nil
+}
+
+// settings are the start-up settings of a daemon.
+func (f *Fleet) settings(m *member) *settings.Settings {
+	s := settings.Defaults()
+	s.Daemon = m.name
+	s.Domain = m.domain
+	s.Listen = settings.Listen{Callers: anyPort, Operators: anyPort, Peers: anyPort, Debug: anyPort}
+	for _, other := range f.hosts() {
+		s.SeedPeers = append(s.SeedPeers, settings.Peer{Name: id.Daemon(other.Name), Address: other.Address})
+	}
+	s.InsecureCallers = true
+	s.ResumeKeys = []settings.ResumeKey{{ID: 1, SecretHex: f.secret}}
+	s.OperatorKeyHashes = []string{keys.Hash(operatorKey)}
+	at := f.Platform().Addresses()
+	s.Platform = settings.Platform{Table: at.Table, Objects: at.Objects, Hosts: at.Hosts, Weights: at.Weights}
+	if f.config.Policy != "" {
+		s.Policy = f.config.Policy
+	}
+	s.Timings.EntryLifetimeMS = entryLifetime
+	s.Timings.DrainMS = drainTime
+	return s
+}
+
+// Daemon is the daemon at a place, or nil.
+func (f *Fleet) Daemon(i int) *app.Daemon {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members[i].daemon
+}
+
+// take returns the daemon at a place and leaves the place empty.
+func (f *Fleet) take(i int) *app.Daemon {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	daemon := f.members[i].daemon
+	f.members[i].daemon = nil
+	return daemon
+}
+
+// Kill ends a daemon abruptly, as a process that dies does.
+func (f *Fleet) Kill(i int) {
+	if daemon := f.take(i); daemon != nil {
+		daemon.Kill()
+	}
+}
+
+// Stop ends a daemon by a planned stop.
+func (f *Fleet) Stop(ctx context.Context, i int) error {
+	daemon := f.take(i)
+	if daemon == nil {
+		return eris.Errorf("no daemon runs at place %d", i)
+	}
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	return daemon.Stop(ctx)
+}
+
+// Replace starts a new daemon with the same name, on sockets of its own, where
+// one was killed or stopped, and corrects the host list.
+func (f *Fleet) Replace(i int) error {
+	f.mu.Lock()
+	m := f.members[i]
+	taken := m.daemon != nil
+	f.mu.Unlock()
+	if taken {
+		return eris.Errorf("a daemon runs at place %d", i)
+	}
+	if err := f.startMember(m); err != nil {
+		return err
+	}
+	f.Platform().Hosts.Set(f.hosts())
+	return nil
+}
--- /dev/null
+++ b/cmd/internal/load/caller_test.go
@@ -0,0 +1,110 @@
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func completeOnce(t *testing.T, f *fake, seeds ...string) Record {
+	t.Helper()
+	client := NewClient()
+	t.Cleanup(client.CloseIdleConnections)
+	spec := Spec{Entry: append(seeds, f.address()), Expect: fakeExpect}
+	team := Team{Name: "aktau", Key: "k", Profile: Bunker()}
+	c := NewCaller(spec, team, client, rand.New(rand.NewPCG(1, 1)))
+	return c.Complete(context.Background(), "a prompt", 5)
+}
+
+func TestWholeAnswer(t *testing.T) {
+	is := is.New(t)
+	rec := completeOnce(t, newFake(t))
+	is.Equal(rec.Outcome, OutcomeAnswered)
+	is.Equal(rec.Fault, FaultNone)
+	is.Equal(rec.OutputTokens, 5)
+	is.Equal(len(rec.Gaps), 4)
+}
+
+func TestFaultsAreTold(t *testing.T) {
+	cases := []struct {
+		name string
+		set  func(*fake)
+		want Fault
+	}{
+		{"event repeated under its id", func(f *fake) { f.order = []int{0, 1, 1, 2, 3, 4}; f.sameIDs = true }, FaultDoubled},
+		{"text repeated under a new id", func(f *fake) { f.order = []int{0, 1, 1, 2, 3, 4} }, FaultDoubled},
+		{"whole answer twice", func(f *fake) { f.order = []int{0, 1, 2, 3, 4, 0, 1, 2, 3, 4} }, FaultDoubled},
+		{"two ends", func(f *fake) { f.twoEnds = true }, FaultDoubled},
+		{"hole", func(f *fake) { f.order = []int{0, 1, 3, 4} }, FaultLost},
+		{"short", func(f *fake) { f.order = []int{0, 1, 2} }, FaultLost},
+		{"out of order", func(f *fake) { f.order = []int{0, 2, 1, 3, 4} }, FaultWrong},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFake(t)
+			c.set(f)
+			is.Equal(completeOnce(t, f).Fault, c.want)
+		})
+	}
+}
+
+func TestCutStreamIsResumed(t *testing.T) {
+	is := is.New(t)
+	f := newFake(t)
+	f.cutAfter = 2
+	rec := completeOnce(t, f)
+	is.Equal(rec.Outcome, OutcomeAnswered)
+	is.Equal(rec.Fault, FaultNone)
+	is.Equal(rec.Resumes, 1)
+	is.Equal(f.resumed.Load(), "2")
+}
+
+func TestDeadAddressIsLeft(t *testing.T) {
+	is := is.New(t)
+	f := newFake(t)
+	f.others = []string{closedAddress(t), closedAddress(t)}
+	rec := completeOnce(t, f, closedAddress(t))
+	is.Equal(rec.Outcome, OutcomeAnswered)
+	is.Equal(f.bodies.Load(), int32(1))
+}
+
+func TestRetryAfterIsHonoured(t *testing.T) {
+	is := is.New(t)
+	f := newFake(t)
+	f.refusals.Store(2)
+	rec := completeOnce(t, f)
+	is.Equal(rec.Outcome, OutcomeAnswered)
+	is.Equal(rec.Attempts, 3)
+}
+
+func TestRefusedIsNotLost(t *testing.T) {
+	is := is.New(t)
+	f := newFake(t)
+	f.refusals.Store(1000)
+	rec := completeOnce(t, f)
+	is.Equal(rec.Outcome, OutcomeRefused)
+	is.Equal(rec.Fault, FaultNone)
+	is.Equal(rec.Attempts, DefaultMaxAttempts)
+}
+
+func TestUnendedAnswerIsLost(t *testing.T) {
+	is := is.New(t)
+	a := newAnswer()
+	a.add("1", "alpha ")
+	is.Equal(a.fault("", false), FaultLost)
+}
+
+// closedAddress returns an address at which nothing listens.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
--- /dev/null
+++ b/cmd/internal/load/entry.go
@@ -0,0 +1,160 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirequay/samphirequay/daemon/opapi"
+)
+
+// Bounds of the entry answer.
+const (
+	entryTimeout    = 2 * time.Second
+	maxEntryBytes   = 1 << 20
+	entryRetryPause = 100 * time.Millisecond
+)
+
+// entryCache keeps an entry answer for its lifetime, as callers do. An address
+// whose connection broke is not used again until the answer is renewed.
+type entryCache struct {
+	client *http.Client
+	seeds  []string
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	answer  opapi.EntryAnswer
+	expires time.Time
+	bad     map[string]bool
+	asked   int
+}
+
+func newEntryCache(client *http.Client, seeds []string, rng *rand.Rand) *entryCache {
+	return &entryCache{client: client, seeds: seeds, rng: rng, bad: map[string]bool{}}
+}
+
+// pick returns the address to use for a new connection.
+func (c *entryCache) pick(ctx context.Context) (string, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Now().After(c.expires) || c.allBad() {
+		if err := c.renew(ctx); err != nil {
+			return "", err
+		}
+	}
+	return c.choose(), nil
+}
+
+// broken notes that a connection to an address failed or broke.
+func (c *entryCache) broken(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bad[address] = true
+}
+
+func (c *entryCache) allBad() bool {
+	for _, a := range c.answer.Addresses {
+		if !c.bad[a.Address] {
+			return false
+		}
+	}
+	return true
+}
+
+// choose draws an address by weight among those that are not bad.
+func (c *entryCache) choose() string {
+	total := 0
+	for _, a := range c.answer.Addresses {
+		if !c.bad[a.Address] {
+			total += max(a.Weight, 1)
+		}
+	}
+	left := c.rng.IntN(total)
+	for _, a := range c.answer.Addresses {
+		if c.bad[a.Address] {
+			continue
+		}
+		left -= max(a.Weight, 1)
+		if left < 0 {
+			return a.Address
+		}
+	}
+	return ""
+}
+
+// renew asks the known addresses, in random order, until one answers.
+func (c *entryCache) renew(ctx context.Context) error {
+	var last error
+	for _, address := range c.known() {
+		answer, err := c.ask(ctx, address)
+		if err != nil {
+			last = err
+			continue
+		}
+		c.answer = answer
+		c.expires = time.Now().Add(time.Duration(answer.LifetimeMS) * time.Millisecond)
+		c.bad = map[string]bool{}
+		c.asked++
+		return nil
+	}
+	return eris.Wrap(last, "no address gave an entry answer")
+}
+
+// known lists the addresses of the last answer and the first ones, shuffled,
+// those that did not break before the others.
+func (c *entryCache) known() []string {
+	var good, rest []string
+	seen := map[string]bool{}
+	add := func(address string) {
+		if seen[address] {
+			return
+		}
+		seen[address] = true
+		if c.bad[address] {
+			rest = append(rest, address)
+		} else {
+			good = append(good, address)
+		}
+	}
+	for _, a := range c.answer.Addresses {
+		add(a.Address)
+	}
+	for _, s := range c.seeds {
+		add(s)
+	}
+	c.rng.Shuffle(len(good), func(i, j int) { good[i], good[j] = good[j], good[i] })
+	c.rng.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	return append(good, rest...)
+}
+
+// ask gets the entry answer from one address.
+func (c *entryCache) ask(ctx context.Context, address string) (opapi.EntryAnswer, error) {
+	var answer opapi.EntryAnswer
+	ctx, cancel := context.WithTimeout(ctx, entryTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+opapi.PathEntry, nil)
+	if err != nil {
+		return answer, eris.Wrapf(err, "entry answer of %s", address)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return answer, eris.Wrapf(err, "entry answer of %s", address)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return answer, eris.Errorf("entry answer of %s: status %d", address, resp.StatusCode)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxEntryBytes)).Decode(&answer); err != nil {
+		return answer, eris.Wrapf(err, "entry answer of %s", address)
+	}
+	if len(answer.Addresses) == 0 {
+		return answer, eris.Errorf("entry answer of %s: no address", address)
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/cmd/internal/load/fake_test.go
@@ -0,0 +1,124 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/opapi"
+)
+
+// fakeWords are the tokens of every answer of the fake.
+var fakeWords = []string{"alpha ", "bravo ", "charlie ", "delta ", "echo "}
+
+func fakeExpect(string, string, int) string { return strings.Join(fakeWords, "") }
+
+// fake is a system that misbehaves on purpose.
+type fake struct {
+	*httptest.Server
+	// order lists the indices of the tokens to send; nil sends each once.
+	order []int
+	// sameIDs gives a repeated token the id it had before.
+	sameIDs bool
+	// cutAfter breaks the first connection behind so many events; 0 never.
+	cutAfter int
+	// twoEnds sends the end twice.
+	twoEnds bool
+	// refusals is how many requests are refused before one is taken.
+	refusals atomic.Int32
+	// others are the addresses of the entry answer besides its own.
+	others []string
+	// resumed holds the Last-Event-ID of the last resume.
+	resumed atomic.Value
+	bodies  atomic.Int32
+	runs    atomic.Int32
+}
+
+func newFake(t *testing.T) *fake {
+	t.Helper()
+	f := &fake{}
+	mux := http.NewServeMux()
+	mux.HandleFunc(opapi.PathEntry, f.entry)
+	mux.HandleFunc(opapi.PathCompletions, f.complete)
+	mux.HandleFunc(opapi.PathServices, f.plain)
+	f.Server = httptest.NewServer(mux)
+	t.Cleanup(f.Close)
+	return f
+}
+
+func (f *fake) address() string { return f.Listener.Addr().String() }
+
+func (f *fake) entry(w http.ResponseWriter, _ *http.Request) {
+	answer := opapi.EntryAnswer{LifetimeMS: 60000}
+	for _, a := range append(f.others, f.address()) {
+		answer.Addresses = append(answer.Addresses, opapi.EntryAddress{Address: a, Weight: 1})
+	}
+	writeJSON(w, answer)
+}
+
+func (f *fake) complete(w http.ResponseWriter, r *http.Request) {
+	f.bodies.Add(1)
+	if f.refusals.Add(-1) >= 0 {
+		refuse(w)
+		return
+	}
+	from := 0
+	if id := r.Header.Get(opapi.HeaderLastEventID); id != "" {
+		f.resumed.Store(id)
+		from, _ = strconv.Atoi(id)
+	}
+	f.send(w, from)
+}
+
+func (f *fake) send(w http.ResponseWriter, from int) {
+	order := f.order
+	if order == nil {
+		for i := range fakeWords {
+			order = append(order, i)
+		}
+	}
+	for n, i := range order[from:] {
+		if f.cutAfter > 0 && from == 0 && n == f.cutAfter {
+			panic(http.ErrAbortHandler)
+		}
+		id := from + n + 1
+		if f.sameIDs {
+			id = i + 1
+		}
+		sendEvent(w, strconv.Itoa(id), fakeWords[i])
+	}
+	fmt.Fprint(w, "data: [DONE]\n\n")
+	if f.twoEnds {
+		fmt.Fprint(w, "data: [DONE]\n\n")
+	}
+}
+
+func sendEvent(w http.ResponseWriter, id, text string) {
+	data, _ := json.Marshal(opapi.Completion{Choices: []opapi.Choice{{Text: text}}})
+	fmt.Fprintf(w, ": heartbeat\n\nid: %s\ndata: %s\n\n", id, data)
+	w.(http.Flusher).Flush()
+}
+
+func (f *fake) plain(w http.ResponseWriter, _ *http.Request) {
+	f.runs.Add(1)
+	writeJSON(w, map[string]bool{"ok": true})
+}
+
+func refuse(w http.ResponseWriter) {
+	w.Header().Set(opapi.HeaderVerdict, verdict.NotRun.String())
+	w.Header().Set("Retry-After", "0.01")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	writeJSON(w, opapi.ErrorBody{Error: opapi.ErrorDetail{Code: verdict.CodeOverloaded, Verdict: verdict.NotRun.String()}})
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		panic(err)
+	}
+}
--- /dev/null
+++ b/cmd/internal/load/run.go
@@ -0,0 +1,136 @@
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// callersPerTeam is how many callers, each with its own entry answer, a team has.
+const callersPerTeam = 4
+
+// Bounds of the HTTP clients.
+const (
+	dialTimeout      = 2 * time.Second
+	idleConnections  = 512
+	maxCancelDelay   = 40 * time.Millisecond
+	plainCallTokens  = 60
+	callerSeedStream = 1 << 32
+)
+
+// NewClient returns the HTTP client that the callers of a run share.
+func NewClient() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConns:        0,
+		MaxIdleConnsPerHost: idleConnections,
+		DisableCompression:  true,
+	}}
+}
+
+// runner holds what the requests of a run share.
+type runner struct {
+	spec    Spec
+	prompts *Prompts
+	callers [][]*Caller
+	account *account
+	runCtx  context.Context
+}
+
+// Run sends the load of a spec and returns the account. It ends early, with
+// what was measured so far, when ctx is cancelled.
+func Run(ctx context.Context, spec Spec) (*Result, error) {
+	if err := spec.Validate(); err != nil {
+		return nil, err
+	}
+	spec = spec.withDefaults()
+	arrivals := Schedule(spec)
+	client := NewClient()
+	defer client.CloseIdleConnections()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r := &runner{spec: spec, prompts: NewPrompts(spec.Seed, spec.Teams), account: newAccount(spec), runCtx: ctx}
+	r.callers = makeCallers(spec, client)
+	started := time.Now()
+	r.sendAll(ctx, started, arrivals)
+	if spec.PlainRuns != nil {
+		r.account.checkRuns(spec.PlainRuns())
+	}
+	return r.account.result(time.Since(started)), nil
+}
+
+// makeCallers returns the callers of each team.
+func makeCallers(spec Spec, client *http.Client) [][]*Caller {
+	all := make([][]*Caller, len(spec.Teams))
+	for i, team := range spec.Teams {
+		for n := range callersPerTeam {
+			rng := rand.New(rand.NewPCG(spec.Seed, callerSeedStream+uint64(i*callersPerTeam+n)))
+			all[i] = append(all[i], NewCaller(spec, team, client, rng))
+		}
+	}
+	return all
+}
+
+// sendAll sends each arrival at its time, whether or not earlier ones have
+// been answered (open loop), and waits for the answers.
+func (r *runner) sendAll(ctx context.Context, started time.Time, arrivals []Arrival) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for _, a := range arrivals {
+		if !sleep(ctx, time.Until(started.Add(a.At))) {
+			return
+		}
+		wg.Go(func() { r.send(a) })
+	}
+}
+
+// send sends one request and books it.
+func (r *runner) send(a Arrival) {
+	team := r.spec.Teams[a.Team]
+	caller := r.callers[a.Team][a.Number%callersPerTeam]
+	ctx, cancel := context.WithCancel(r.runCtx)
+	defer cancel()
+	if team.Behaviour == BehaviourCancel {
+		timer := time.AfterFunc(cancelDelay(a), cancel)
+		defer timer.Stop()
+	}
+	rec := r.sendBy(ctx, caller, a, team)
+	if ctx.Err() != nil && rec.Outcome != OutcomeAnswered {
+		rec = cancelled(rec)
+	}
+	rec.Team = a.Team
+	rec.At = a.At
+	r.account.add(rec)
+	if r.spec.OnDone != nil {
+		r.spec.OnDone()
+	}
+}
+
+// sendBy sends a completion or a plain call.
+func (r *runner) sendBy(ctx context.Context, caller *Caller, a Arrival, team Team) Record {
+	if !a.Plain {
+		return caller.Complete(ctx, r.prompts.Prompt(a), team.Profile.OutputTokens)
+	}
+	rng := rand.New(rand.NewPCG(a.TextSeed, uint64(a.Number)))
+	return caller.Call(ctx, a.Number, team.Profile.Text.write(rng, plainCallTokens), a.Key)
+}
+
+// cancelDelay is how long a team that cancels waits before it hangs up.
+func cancelDelay(a Arrival) time.Duration {
+	rng := rand.New(rand.NewPCG(a.TextSeed, 1))
+	return time.Duration(rng.Int64N(int64(maxCancelDelay)))
+}
+
+// cancelled books a request whose caller hung up: it is owed no answer, but
+// what came of it must still be neither doubled nor wrong.
+func cancelled(rec Record) Record {
+	rec.Outcome = OutcomeCancelled
+	if rec.Fault == FaultLost {
+		rec.Fault = FaultNone
+	}
+	return rec
+}
--- /dev/null
+++ b/cmd/internal/load/stream.go
@@ -0,0 +1,193 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/opapi"
+)
+
+// doneData is the data line that ends a stream.
+const doneData = "[DONE]"
+
+// eventError is the name of the event that carries an error within a stream.
+const eventError = "error"
+
+// stream is one streamed completion of a caller, over all its connections.
+type stream struct {
+	caller *Caller
+	// request is the body; a resume adds the text that came so far.
+	request opapi.CompletionRequest
+	answer  *answer
+	rec     *Record
+	begun   time.Time
+	last    time.Time
+	// accepted tells that the system took the request: an answer is owed.
+	accepted bool
+	// ended tells that the end of the answer came.
+	ended bool
+}
+
+// Complete sends one streamed completion and follows it to its end.
+func (c *Caller) Complete(ctx context.Context, prompt string, maxTokens int) Record {
+	rec := Record{Outcome: OutcomeUnreachable, PromptTokens: CountTokens(prompt)}
+	request := opapi.CompletionRequest{
+		Model: c.team.Profile.Model, Prompt: prompt, MaxTokens: maxTokens, Stream: true,
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.spec.Patience)
+	defer cancel()
+	s := &stream{caller: c, request: request, answer: newAnswer(), rec: &rec, begun: time.Now()}
+	c.loop(ctx, &rec, s.try)
+	s.conclude(prompt, maxTokens)
+	return rec
+}
+
+// try sends the request once, or resumes it, and reads until the end or a break.
+func (s *stream) try(ctx context.Context, address string) attempt {
+	s.request.Delivered = s.answer.text()
+	body, err := json.Marshal(s.request)
+	if err != nil {
+		return attempt{done: true}
+	}
+	req, err := s.caller.request(ctx, address, opapi.PathCompletions, body)
+	if err != nil {
+		return attempt{broke: true}
+	}
+	if s.answer.lastID != "" {
+		req.Header.Set(opapi.HeaderLastEventID, s.answer.lastID)
+		s.rec.Resumes++
+	}
+	resp, err := s.caller.client.Do(req)
+	if err != nil {
+		return attempt{broke: !hungUp(ctx, err)}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return s.caller.refused(resp, s.rec)
+	}
+	s.accepted = true
+	return s.read(ctx, resp.Body)
+}
+
+// read takes events until the end of the answer, an error or a break.
+func (s *stream) read(ctx context.Context, body io.Reader) attempt {
+	events := newEventReader(body)
+	for {
+		e, err := events.next()
+		if errors.Is(err, io.EOF) && s.ended {
+			return attempt{done: true}
+		}
+		if err != nil {
+			return attempt{broke: !hungUp(ctx, err), done: s.ended}
+		}
+		if e.name == eventError {
+			return s.streamError(e)
+		}
+		s.take(e)
+	}
+}
+
+// streamError handles an error event. An answer that was begun is resumed
+// where the system says that it is worth it.
+func (s *stream) streamError(e event) attempt {
+	var body opapi.ErrorBody
+	if err := json.Unmarshal([]byte(e.data), &body); err != nil {
+		return attempt{broke: true}
+	}
+	result := s.caller.failed(body.Error, s.rec)
+	if result.done && s.rec.OutputTokens > 0 && resumable(body.Error) {
+		return attempt{wait: resumePause}
+	}
+	return result
+}
+
+// resumePause is the wait before an answer that broke off with an error is resumed.
+const resumePause = 50 * time.Millisecond
+
+// resumable tells whether an error within a stream leaves the answer to be
+// had at another address or a little later.
+func resumable(detail opapi.ErrorDetail) bool {
+	switch detail.Code {
+	case verdict.CodeLeaving, verdict.CodeUnavailable, verdict.CodeEndpointFailed:
+		return true
+	default:
+		return detail.RetryAfterMS > 0
+	}
+}
+
+// take books one event.
+func (s *stream) take(e event) {
+	if e.data == doneData {
+		s.answer.finish()
+		s.ended = true
+		return
+	}
+	var c opapi.Completion
+	if err := json.Unmarshal([]byte(e.data), &c); err != nil || len(c.Choices) == 0 {
+		return
+	}
+	text := c.Choices[0].Text
+	if !s.answer.add(e.id, text) || text == "" {
+		return
+	}
+	s.clock(time.Now())
+}
+
+// clock books the time of an output.
+func (s *stream) clock(now time.Time) {
+	s.rec.OutputTokens++
+	if s.rec.OutputTokens == 1 {
+		s.rec.FirstToken = now.Sub(s.begun)
+	} else {
+		s.rec.Gaps = append(s.rec.Gaps, now.Sub(s.last))
+	}
+	s.last = now
+}
+
+// conclude fills in the outcome and the faults of the answer.
+func (s *stream) conclude(prompt string, maxTokens int) {
+	s.rec.Total = time.Since(s.begun)
+	s.rec.Pace = mean(s.rec.Gaps)
+	if s.ended {
+		s.rec.Outcome = OutcomeAnswered
+	} else if s.owed() {
+		s.rec.Outcome = OutcomeLost
+	}
+	var expected string
+	known := s.caller.spec.Expect != nil
+	if known {
+		expected = s.caller.spec.Expect(s.caller.team.Profile.Model, prompt, maxTokens)
+	}
+	s.rec.Fault = s.conclusion(expected, known)
+}
+
+// owed tells whether an answer was begun, or accepted with no error since.
+func (s *stream) owed() bool {
+	return s.rec.OutputTokens > 0 || (s.accepted && s.rec.Code == "")
+}
+
+// conclusion names the fault of the answer. A part of an answer that ended in
+// an error is checked too: it may be short, not doubled or wrong.
+func (s *stream) conclusion(expected string, known bool) Fault {
+	fault := s.answer.fault(expected, known)
+	if fault == FaultLost && !s.ended && !s.owed() {
+		return FaultNone
+	}
+	return fault
+}
+
+func mean(ds []time.Duration) time.Duration {
+	if len(ds) == 0 {
+		return 0
+	}
+	var sum time.Duration
+	for _, d := range ds {
+		sum += d
+	}
+	return sum / time.Duration(len(ds))
+}
--- a/cmd/samphirequay/main.go
+++ b/cmd/samphirequay/main.go
@@ -1,4 +1,12 @@
 // Command samphirequay is for people: operators, newcomers and experiments.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/root"
+)
+
+func main() {
+	os.Exit(root.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
--- a/cmd/samphirequayd/main.go
+++ b/cmd/samphirequayd/main.go
@@ -1,4 +1,12 @@
 // Command samphirequayd is the daemon that every entry host runs.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/daemoncmd"
+)
+
+func main() {
+	os.Exit(daemoncmd.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/core/claim/commit.go
@@ -0,0 +1,235 @@
+package claim
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// maxCommitBytes bounds the values of one transaction.
+	maxCommitBytes = 1 << 20
+	// backoffMin and backoffMax bound the wait after a failed call.
+	backoffMin = 10 * time.Millisecond
+	backoffMax = time.Second
+)
+
+// committer gathers writes for group commits.
+type committer struct {
+	waiting []*op
+	// since is when the first of waiting came.
+	since time.Duration
+	// urgent is set when a transaction failed for some of its rows: the rest
+	// has waited already.
+	urgent   bool
+	inFlight int
+	// notBefore keeps the Gap.
+	notBefore time.Duration
+	// retryAt holds all calls back after a failed one.
+	retryAt  time.Duration
+	failures int
+}
+
+// reader gathers reads.
+type reader struct {
+	waiting  []*op
+	inFlight int
+}
+
+// call is one transaction or read in flight.
+type call struct {
+	ops  []*op
+	read bool
+}
+
+func (c *Claims) wantWrite(o *op) {
+	if len(c.commit.waiting) == 0 {
+		c.commit.since = c.now
+	}
+	o.phase = phaseWrite
+	c.commit.waiting = append(c.commit.waiting, o)
+}
+
+func (c *Claims) wantRead(o *op) {
+	o.phase = phaseRead
+	c.reads.waiting = append(c.reads.waiting, o)
+}
+
+// readLater reads again after a pause: the last read was stale.
+func (c *Claims) readLater(o *op) {
+	o.phase = phasePause
+	c.after(readPause, timer{kind: timerAgain, op: o})
+}
+
+// commitAt is when the waiting writes or reads may go.
+func (c *Claims) commitAt() time.Duration {
+	at := Never
+	if len(c.commit.waiting) > 0 && c.commit.inFlight < c.cfg.MaxInFlight {
+		at = max(c.windowEnd(), c.commit.notBefore, c.commit.retryAt)
+	}
+	if len(c.reads.waiting) > 0 && c.reads.inFlight < c.cfg.MaxInFlight {
+		at = min(at, c.commit.retryAt)
+	}
+	return at
+}
+
+func (c *Claims) windowEnd() time.Duration {
+	if c.commit.urgent || len(c.commit.waiting) >= c.cfg.MaxBatch {
+		return c.now
+	}
+	return c.commit.since + c.cfg.Window
+}
+
+// flush sends what may go and returns all actions of the event.
+func (c *Claims) flush() []Action {
+	c.commit.waiting = dropGone(c.commit.waiting, phaseWrite)
+	c.reads.waiting = dropGone(c.reads.waiting, phaseRead)
+	for c.commitAt() <= c.now {
+		if c.writeDue() {
+			c.sendCommit()
+		} else {
+			c.sendRead()
+		}
+	}
+	out := c.out
+	c.out = nil
+	return out
+}
+
+func (c *Claims) writeDue() bool {
+	due := max(c.windowEnd(), c.commit.notBefore, c.commit.retryAt)
+	return len(c.commit.waiting) > 0 && c.commit.inFlight < c.cfg.MaxInFlight && due <= c.now
+}
+
+// dropGone removes ops that no longer wait in that phase.
+func dropGone(ops []*op, want phase) []*op {
+	return slices.DeleteFunc(ops, func(o *op) bool { return o.phase != want })
+}
+
+func (c *Claims) sendCommit() {
+	var t Transaction
+	var ops []*op
+	size := 0
+	for _, o := range c.commit.waiting {
+		if len(ops) == c.cfg.MaxBatch || size >= maxCommitBytes {
+			break
+		}
+		value := c.encode(o)
+		size += len(value)
+		t.Conditions = append(t.Conditions, Condition{Key: o.row, Version: o.cond})
+		t.Puts = append(t.Puts, Put{Key: o.row, Value: value})
+		ops = append(ops, o)
+	}
+	c.commit.waiting = slices.Delete(c.commit.waiting, 0, len(ops))
+	c.commit.since = c.now
+	c.commit.urgent = false
+	c.commit.inFlight++
+	c.commit.notBefore = c.now + c.cfg.Gap
+	c.stats.Transactions++
+	c.stats.Rows += uint64(len(ops))
+	c.emit(Action{Transact: &Transact{ID: c.newCall(&call{ops: ops}), Transaction: t}})
+}
+
+func (c *Claims) encode(o *op) []byte {
+	row := o.value(c.cfg.Retention)
+	o.sent = row.State
+	o.phase = phaseWriting
+	value, err := EncodeRow(row)
+	if err != nil {
+		panic(err) // every field of a Row can be encoded: a fault of the build
+	}
+	return value
+}
+
+func (c *Claims) sendRead() {
+	n := min(len(c.reads.waiting), c.cfg.MaxBatch)
+	ops := slices.Clone(c.reads.waiting[:n])
+	c.reads.waiting = slices.Delete(c.reads.waiting, 0, n)
+	keys := make([]string, 0, n)
+	for _, o := range ops {
+		o.phase = phaseReading
+		keys = append(keys, o.row)
+	}
+	c.reads.inFlight++
+	c.stats.Reads++
+	c.emit(Action{Read: &Read{ID: c.newCall(&call{ops: ops, read: true}), Keys: keys}})
+}
+
+func (c *Claims) newCall(k *call) CallID {
+	c.lastID++
+	c.calls[c.lastID] = k
+	c.after(c.cfg.CallTimeout, timer{kind: timerCall, call: c.lastID})
+	return c.lastID
+}
+
+// endCall takes a call out of flight; nil when it was given up before.
+func (c *Claims) endCall(id CallID) *call {
+	k, ok := c.calls[id]
+	if !ok {
+		return nil
+	}
+	delete(c.calls, id)
+	if k.read {
+		c.reads.inFlight--
+	} else {
+		c.commit.inFlight--
+	}
+	return k
+}
+
+// StoreFailed tells that a call to the store gave no reply.
+func (c *Claims) StoreFailed(now time.Duration, id CallID, f StoreFailure) []Action {
+	c.advance(now)
+	c.storeFailed(id, f)
+	return c.flush()
+}
+
+func (c *Claims) storeFailed(id CallID, f StoreFailure) {
+	k := c.endCall(id)
+	if k == nil {
+		return
+	}
+	c.backOff()
+	if k.read {
+		c.requeueReads(k.ops)
+		return
+	}
+	if f == OutcomeUnknown {
+		c.stats.Unknowns++
+		markUnsure(k.ops)
+	}
+	c.requeueWrites(k.ops)
+}
+
+func markUnsure(ops []*op) {
+	for _, o := range ops {
+		o.unsure = true
+	}
+}
+
+func (c *Claims) backOff() {
+	c.commit.failures++
+	wait := float64(backoffMin) * math.Pow(2, float64(c.commit.failures-1))
+	c.commit.retryAt = c.now + time.Duration(min(wait, float64(backoffMax)))
+}
+
+func (c *Claims) storeWorks() {
+	c.commit.failures = 0
+	c.commit.retryAt = 0
+}
+
+// requeueWrites puts ops back in front, without a new window.
+func (c *Claims) requeueWrites(ops []*op) {
+	ops = dropGone(slices.Clone(ops), phaseWriting)
+	for _, o := range ops {
+		o.phase = phaseWrite
+	}
+	c.commit.waiting = append(ops, c.commit.waiting...)
+	c.commit.urgent = len(c.commit.waiting) > 0
+}
+
+func (c *Claims) requeueReads(ops []*op) {
+	for _, o := range dropGone(slices.Clone(ops), phaseReading) {
+		c.wantRead(o)
+	}
+}
--- /dev/null
+++ b/core/claim/decide.go
@@ -0,0 +1,249 @@
+package claim
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+// StoreReply takes the store's reply to a transaction.
+func (c *Claims) StoreReply(now time.Duration, id CallID, r Result) []Action {
+	c.advance(now)
+	k := c.endCall(id)
+	if k == nil {
+		return c.flush()
+	}
+	c.storeWorks()
+	if r.Applied {
+		c.applied(k.ops, r.Versions)
+	} else {
+		c.notApplied(k.ops, r.Failed)
+	}
+	return c.flush()
+}
+
+func (c *Claims) applied(ops []*op, versions []uint64) {
+	for i, o := range ops {
+		if o.phase != phaseWriting {
+			continue
+		}
+		if i >= len(versions) {
+			o.unsure = true
+			c.wantRead(o)
+			continue
+		}
+		c.written(o, versions[i])
+	}
+}
+
+// written handles a write that took effect.
+func (c *Claims) written(o *op, version uint64) {
+	switch {
+	case o.kind == opBegin:
+		c.proceed(o, version)
+	case o.sent == StateClaimed:
+		// The Begin was given up while its write was in flight.
+		o.cond = version
+		c.wantWrite(o)
+	default:
+		c.finished(o)
+	}
+}
+
+func (c *Claims) proceed(o *op, version uint64) {
+	c.stats.Proceeds++
+	c.recent.Add(o.row, struct{}{})
+	c.emit(Action{Proceed: &Proceed{Claim: o.claim(version)}})
+	c.done(o)
+}
+
+// finished ends a Finish or Release whose row is as it wants it.
+func (c *Claims) finished(o *op) {
+	if o.kind == opRelease {
+		c.stats.Releases++
+		c.recent.Remove(o.row)
+	}
+	c.settle(o, true)
+	c.done(o)
+}
+
+// notApplied reads the rows whose condition failed and sends the rest again.
+func (c *Claims) notApplied(ops []*op, failed []string) {
+	var rest []*op
+	for _, o := range ops {
+		switch {
+		case o.phase != phaseWriting:
+		case slices.Contains(failed, o.row):
+			c.conditionFailed(o)
+		default:
+			rest = append(rest, o)
+		}
+	}
+	if len(rest) == len(ops) {
+		// The store did not say whose condition failed.
+		for _, o := range rest {
+			c.conditionFailed(o)
+		}
+		return
+	}
+	c.requeueWrites(rest)
+}
+
+func (c *Claims) conditionFailed(o *op) {
+	o.seen = max(o.seen, o.cond)
+	c.wantRead(o)
+}
+
+// ReadReply takes the rows of a read. Rows that it lacks do not exist.
+func (c *Claims) ReadReply(now time.Duration, id CallID, rows []StoredRow) []Action {
+	c.advance(now)
+	k := c.endCall(id)
+	if k == nil {
+		return c.flush()
+	}
+	c.storeWorks()
+	byKey := make(map[string]StoredRow, len(rows))
+	for _, r := range rows {
+		byKey[r.Key] = r
+	}
+	for _, o := range k.ops {
+		if o.phase == phaseReading {
+			c.read(o, byKey[o.row])
+		}
+	}
+	return c.flush()
+}
+
+// read decides on a row as read; the read may be stale.
+func (c *Claims) read(o *op, stored StoredRow) {
+	if stored.Version == 0 {
+		c.absent(o)
+		return
+	}
+	if o.stale(stored.Version) {
+		c.readLater(o)
+		return
+	}
+	row, err := DecodeRow(stored.Value)
+	if err != nil {
+		c.unreadable(o, err)
+		return
+	}
+	switch o.kind {
+	case opBegin:
+		c.decideBegin(o, row, stored.Version)
+	case opFinish:
+		c.decideFinish(o, row, stored.Version)
+	case opRelease:
+		c.decideRelease(o, row, stored.Version)
+	}
+}
+
+// absent handles a read without a row. Only a write that expects no row can
+// tell whether the read was stale.
+func (c *Claims) absent(o *op) {
+	if o.kind == opFinish {
+		c.readLater(o)
+		return
+	}
+	o.cond = 0
+	c.wantWrite(o)
+}
+
+func (c *Claims) unreadable(o *op, err error) {
+	if o.kind == opBegin {
+		c.refuse(o, verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "the claim row can't be read").WithCause(err))
+	} else {
+		c.settle(o, false)
+	}
+	c.done(o)
+}
+
+func (c *Claims) decideBegin(o *op, row Row, version uint64) {
+	switch {
+	case row.Token == o.token && row.State == StateClaimed:
+		c.proceed(o, version)
+	case row.Token == o.token && row.State == StateReleased:
+		c.refuse(o, verdict.New(verdict.NotRun, verdict.CodeSuperseded, "the owner has given this claim up"))
+		c.done(o)
+	case c.free(row):
+		o.cond = version
+		c.wantWrite(o)
+	case row.RequestHash != o.hash || row.State == StateClaimed:
+		c.recent.Add(o.row, struct{}{})
+		c.refuse(o, refusal(row.RequestHash == o.hash, c.cfg.OwnerAlive(row.Owner)))
+		c.done(o)
+	default:
+		c.recent.Add(o.row, struct{}{})
+		c.answerOutcome(o, row.Outcome)
+		c.done(o)
+	}
+}
+
+// free says whether a row may be overwritten by a new claim.
+func (c *Claims) free(row Row) bool {
+	if row.State == StateReleased {
+		return true
+	}
+	if !c.clockTrusted() || !row.Expired(c.wall) {
+		return false
+	}
+	return row.State == StateFinished || !c.cfg.OwnerAlive(row.Owner)
+}
+
+func (c *Claims) answerOutcome(o *op, out Outcome) {
+	if out.Answer != nil {
+		c.stats.Replays++
+		c.emit(Action{Replay: &Replay{Token: o.token, Answer: *out.Answer}})
+		return
+	}
+	f := out.Failure
+	if f == nil {
+		f = &Failure{Verdict: verdict.MayHaveRun, Code: verdict.CodeInternal, Message: "the stored outcome is empty"}
+	}
+	c.refuse(o, verdict.New(f.Verdict, f.Code, "an earlier call under this key failed: %s", f.Message))
+}
+
+func (c *Claims) decideFinish(o *op, row Row, version uint64) {
+	switch {
+	case row.Token == o.token && row.State == StateFinished:
+		c.finished(o)
+	case row.Token == o.token && row.State == StateClaimed:
+		o.cond = version
+		c.wantWrite(o)
+	default:
+		c.settle(o, false)
+		c.done(o)
+	}
+}
+
+// decideRelease frees a row of its own. It also overwrites a free row, so that
+// a claim write of its own which is still under way can't take effect later.
+func (c *Claims) decideRelease(o *op, row Row, version uint64) {
+	own := row.Token == o.token
+	switch {
+	case own && row.State == StateReleased:
+		c.finished(o)
+	case own && row.State == StateClaimed, !own && c.free(row):
+		o.cond = version
+		c.wantWrite(o)
+	default:
+		c.settle(o, true)
+		c.done(o)
+	}
+}
+
+// refusal tells why a call does not run while another holds its key.
+func refusal(sameRequest, ownerAlive bool) *verdict.Error {
+	if !sameRequest {
+		return verdict.New(verdict.NotRun, verdict.CodeConflict,
+			"the idempotency key was used for another request")
+	}
+	if !ownerAlive {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeClaimed,
+			"an earlier call under this key was lost with its daemon and may have run")
+	}
+	return verdict.New(verdict.MayHaveRun, verdict.CodeClaimed,
+		"a call under this key is running").WithRetryAfter(retryAfterLive)
+}
--- /dev/null
+++ b/core/claim/main_test.go
@@ -0,0 +1,18 @@
+package claim
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the randomised tests, so that each run has the
+// same verdict; -rapid.seed and -rapid.checks on the command line go first.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "500", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/core/claim/messages.go
@@ -0,0 +1,223 @@
+// Package claim runs non-idempotent calls at most once: before such a call is
+// dispatched, a row of the platform's table claims its idempotency key. The
+// package decides what to write, read and answer; it does no I/O. See
+// docs/design/claims.md.
+package claim
+
+import (
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+// Token is unique to one attempt; a row that holds it was written for that attempt.
+type Token string
+
+// Hash is a SHA-256 hash of a request's method, path and body.
+type Hash [32]byte
+
+// Begin asks to claim a call.
+type Begin struct {
+	Team    id.Team    `cbor:"1,keyasint"`
+	Service id.Service `cbor:"2,keyasint"`
+	// Key is the caller's idempotency key.
+	Key string `cbor:"3,keyasint"`
+	// RequestHash tells a repeat from another call under the same key.
+	RequestHash Hash `cbor:"4,keyasint"`
+	// Token is unique to this attempt.
+	Token Token `cbor:"5,keyasint"`
+	// Owner is the process that will dispatch the call.
+	Owner id.Process `cbor:"6,keyasint"`
+}
+
+// Claim is a held claim. Its owner keeps it until Finish or Release.
+type Claim struct {
+	// Row is the key of the row; see RowKey.
+	Row         string     `cbor:"1,keyasint"`
+	RequestHash Hash       `cbor:"2,keyasint"`
+	Token       Token      `cbor:"3,keyasint"`
+	Owner       id.Process `cbor:"4,keyasint"`
+	// Version of the row; 0 if unknown.
+	Version uint64 `cbor:"5,keyasint"`
+	// ClaimedUnixMS is the wall time of the claim, in milliseconds since 1970.
+	ClaimedUnixMS int64 `cbor:"6,keyasint"`
+}
+
+// Answer is the whole answer of a finished call.
+type Answer struct {
+	Status      int    `cbor:"1,keyasint"`
+	ContentType string `cbor:"2,keyasint,omitempty"`
+	// Body is empty when the body lies in the object store.
+	Body []byte `cbor:"3,keyasint,omitempty"`
+	// Object names the body in the object store.
+	Object string `cbor:"4,keyasint,omitempty"`
+	// ObjectBytes is the size of that object, in bytes.
+	ObjectBytes int `cbor:"5,keyasint,omitempty"`
+}
+
+// Failure is how a call ended without an answer.
+type Failure struct {
+	Verdict verdict.Verdict `cbor:"1,keyasint"`
+	Code    verdict.Code    `cbor:"2,keyasint"`
+	Message string          `cbor:"3,keyasint,omitempty"`
+}
+
+// Outcome ends a claim: an answer or a failure. A failure that is not run
+// frees the key.
+type Outcome struct {
+	Answer  *Answer  `cbor:"1,keyasint,omitempty"`
+	Failure *Failure `cbor:"2,keyasint,omitempty"`
+}
+
+// CallID numbers a call to the store within one Claims.
+type CallID uint64
+
+// Condition guards a transaction: the version a row must have, 0 for none.
+type Condition struct {
+	Key     string
+	Version uint64
+}
+
+// Put writes a row, or deletes it.
+type Put struct {
+	Key    string
+	Value  []byte
+	Delete bool
+}
+
+// Transaction applies all puts if all conditions hold, else none.
+type Transaction struct {
+	Conditions []Condition
+	Puts       []Put
+}
+
+// Result is the store's reply to a transaction.
+type Result struct {
+	Applied bool
+	// Failed lists the keys whose condition did not hold.
+	Failed []string
+	// Versions of the written rows, in the order of the puts.
+	Versions []uint64
+}
+
+// StoredRow is a row as read; Version 0 means that it does not exist.
+type StoredRow struct {
+	Key     string
+	Value   []byte
+	Version uint64
+}
+
+// Action is one thing that the caller of Claims shall do. Exactly one field is set.
+type Action struct {
+	// Transact asks for a transaction; the reply goes to StoreReply or StoreFailed.
+	Transact *Transact
+	// Read asks for rows; the reply goes to ReadReply or StoreFailed.
+	Read *Read
+	// StoreObject asks to keep a large body; the reply goes to ObjectReply.
+	StoreObject *StoreObject
+	// Proceed allows the dispatch.
+	Proceed *Proceed
+	// Refuse answers the call with an error.
+	Refuse *Refuse
+	// Replay answers the call with the stored answer.
+	Replay *Replay
+	// Settled says that a Finish or Release is done with.
+	Settled *Settled
+}
+
+// Transact is one group commit. It must be sent once: a client that repeats it
+// by itself is a fault.
+type Transact struct {
+	ID          CallID
+	Transaction Transaction
+}
+
+// Read reads rows by key.
+type Read struct {
+	ID   CallID
+	Keys []string
+}
+
+// StoreObject keeps a body in the object store under a name of its own.
+type StoreObject struct {
+	// Row goes back with ObjectReply.
+	Row  string
+	Name string
+	Body []byte
+}
+
+// Proceed tells the owner that it holds the claim.
+type Proceed struct {
+	Claim Claim
+}
+
+// Refuse tells a caller why its call is not dispatched.
+type Refuse struct {
+	Token Token
+	Err   *verdict.Error
+}
+
+// Replay answers a call from the store.
+type Replay struct {
+	Token  Token
+	Answer Answer
+}
+
+// Settled ends a Finish or a Release. Stored is false when the row could not
+// be written in time; later calls then hear that the call may have run.
+type Settled struct {
+	Token  Token
+	Stored bool
+}
+
+// StoreFailure says what is known of a call to the store that gave no reply.
+type StoreFailure uint8
+
+// The kinds of StoreFailure.
+const (
+	// OutcomeUnknown: the write may have taken effect, or still will.
+	OutcomeUnknown StoreFailure = iota + 1
+	// CertainlyNotRun: the store did not take the call and never will.
+	CertainlyNotRun
+)
+
+// Config sets the bounds of Claims; zero fields take the defaults.
+type Config struct {
+	// Window is how long a write waits for others. Default 5 ms.
+	Window time.Duration
+	// Gap is the least time between the starts of two transactions; it shares
+	// the store's write rate among the writers. Default 0.
+	Gap time.Duration
+	// MaxBatch bounds the rows of a transaction or read. Default 64.
+	MaxBatch int
+	// MaxInFlight bounds the transactions and, apart, the reads sent at once. Default 2.
+	MaxInFlight int
+	// MaxWait bounds how long a Begin waits for the store. Default 300 ms.
+	MaxWait time.Duration
+	// CallTimeout is when a call to the store counts as unknown. Default 2 s.
+	CallTimeout time.Duration
+	// FinishPatience bounds how long a Finish or Release is tried. Default 10 min.
+	FinishPatience time.Duration
+	// Retention is how long a key is kept, in wall time. Default 24 h.
+	Retention time.Duration
+	// MaxInline bounds an answer's body within a row, in bytes. Default 64 KiB.
+	MaxInline int
+	// MaxOps bounds the Begins, Finishes and Releases at work. Default 8192.
+	MaxOps int
+	// OwnerAlive says whether a process is alive, by the membership. Required.
+	OwnerAlive func(id.Process) bool
+}
+
+// Defaults of Config.
+const (
+	DefaultWindow         = 5 * time.Millisecond
+	DefaultMaxBatch       = 64
+	DefaultMaxInFlight    = 2
+	DefaultMaxWait        = 300 * time.Millisecond
+	DefaultCallTimeout    = 2 * time.Second
+	DefaultFinishPatience = 10 * time.Minute
+	DefaultRetention      = 24 * time.Hour
+	DefaultMaxInline      = 64 << 10
+	DefaultMaxOps         = 8192
+)
--- /dev/null
+++ b/core/claim/model_test.go
@@ -0,0 +1,322 @@
+package claim
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+// table models the platform's table with all its faults.
+type table struct {
+	rows    map[string]StoredRow
+	history map[string][]StoredRow
+	version uint64
+}
+
+func (t *table) transact(tx Transaction) Result {
+	var r Result
+	for _, c := range tx.Conditions {
+		if t.rows[c.Key].Version != c.Version {
+			r.Failed = append(r.Failed, c.Key)
+		}
+	}
+	if len(r.Failed) > 0 {
+		return r
+	}
+	r.Applied = true
+	for _, p := range tx.Puts {
+		t.version++
+		row := StoredRow{Key: p.Key, Value: p.Value, Version: t.version}
+		t.rows[p.Key] = row
+		t.history[p.Key] = append(t.history[p.Key], row)
+		r.Versions = append(r.Versions, t.version)
+	}
+	return r
+}
+
+// read gives a row, or a stale copy of it.
+func (t *table) read(key string, stale bool, rng *rand.Rand) StoredRow {
+	if old := t.history[key]; stale && len(old) > 0 {
+		if at := rng.IntN(len(old) + 1); at < len(old) {
+			return old[at]
+		}
+		return StoredRow{Key: key}
+	}
+	return t.rows[key]
+}
+
+type event struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+type faults struct {
+	lost, stale, slow, down, silent, dropped, death float64
+}
+
+// daemon is one process: it serves callers and writes claims.
+type daemon struct {
+	process id.Process
+	claims  *Claims
+}
+
+// attempt is one call as its caller sees it.
+type attempt struct {
+	key      string
+	owner    *daemon
+	awaited  bool
+	replies  []string
+	dispatch int
+	told     verdict.Verdict
+}
+
+type simulation struct {
+	rng      *rand.Rand
+	faults   faults
+	now      time.Duration
+	queue    events
+	order    int
+	table    *table
+	daemons  []*daemon
+	attempts map[Token]*attempt
+	tokens   []Token
+	runs     map[string]int
+	answers  map[string]string
+	ended    map[string]verdict.Verdict
+	deaths   int
+	dropped  int
+	downTill time.Duration
+	broken   []string
+}
+
+func newSimulation(seed uint64, f faults) *simulation {
+	s := &simulation{
+		rng: rand.New(rand.NewPCG(seed, 1)), faults: f,
+		table:    &table{rows: map[string]StoredRow{}, history: map[string][]StoredRow{}},
+		attempts: map[Token]*attempt{}, runs: map[string]int{},
+		answers: map[string]string{}, ended: map[string]verdict.Verdict{},
+	}
+	for i := range 3 {
+		s.daemons = append(s.daemons, s.start(id.Process{Daemon: id.Daemon(fmt.Sprint("d", i)), Incarnation: 1}))
+	}
+	return s
+}
+
+func (s *simulation) start(p id.Process) *daemon {
+	return &daemon{process: p, claims: New(Config{OwnerAlive: s.alive, MaxBatch: 4, CallTimeout: 100 * time.Millisecond})}
+}
+
+func (s *simulation) alive(p id.Process) bool {
+	for _, d := range s.daemons {
+		if d.process == p {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *simulation) wall() time.Time { return time.Unix(1_000_000, 0).Add(s.now) }
+
+func (s *simulation) chance(p float64) bool { return s.rng.Float64() < p }
+
+func (s *simulation) in(d time.Duration, run func()) {
+	s.order++
+	heap.Push(&s.queue, event{at: s.now + d, order: s.order, run: run})
+}
+
+// to runs an event at a daemon unless its process has died, and does the actions.
+func (s *simulation) to(d *daemon, run func(c *Claims) []Action) {
+	if !s.alive(d.process) {
+		return
+	}
+	for _, a := range run(d.claims) {
+		s.act(d, a)
+	}
+	if at := d.claims.Next(); at != Never {
+		s.in(max(at-s.now, 0)+time.Microsecond, func() {
+			if d.claims.Next() <= s.now {
+				s.to(d, func(c *Claims) []Action { return c.Tick(s.now, s.wall()) })
+			}
+		})
+	}
+}
+
+func (s *simulation) latency() time.Duration {
+	if s.chance(s.faults.slow) {
+		return time.Duration(s.rng.IntN(1500)) * time.Millisecond
+	}
+	return time.Duration(s.rng.IntN(5000)) * time.Microsecond
+}
+
+func (s *simulation) act(d *daemon, a Action) {
+	switch {
+	case a.Transact != nil:
+		s.transact(d, a.Transact)
+	case a.Read != nil:
+		s.read(d, a.Read)
+	case a.StoreObject != nil:
+		s.in(s.latency(), func() {
+			s.to(d, func(c *Claims) []Action { return c.ObjectReply(s.now, a.StoreObject.Row, !s.chance(s.faults.lost)) })
+		})
+	case a.Proceed != nil:
+		s.reply(a.Proceed.Claim.Token, "proceed", func(at *attempt) { s.dispatch(at, a.Proceed.Claim) })
+	case a.Refuse != nil:
+		s.reply(a.Refuse.Token, "refuse", func(at *attempt) { at.told = a.Refuse.Err.Verdict })
+	case a.Replay != nil:
+		s.reply(a.Replay.Token, "replay", func(at *attempt) { s.checkReplay(at, a.Replay.Answer) })
+	}
+}
+
+func (s *simulation) transact(d *daemon, t *Transact) {
+	fail := func(after time.Duration, f StoreFailure) {
+		s.in(after, func() { s.to(d, func(c *Claims) []Action { return c.StoreFailed(s.now, t.ID, f) }) })
+	}
+	if s.now < s.downTill {
+		if !s.chance(s.faults.silent) {
+			fail(time.Millisecond, CertainlyNotRun)
+		}
+		return
+	}
+	lost := s.chance(s.faults.lost)
+	if lost {
+		fail(s.latency(), OutcomeUnknown) // perhaps before the write takes effect
+	}
+	s.in(s.latency(), func() {
+		r := s.table.transact(t.Transaction)
+		if !lost {
+			s.to(d, func(c *Claims) []Action { return c.StoreReply(s.now, t.ID, r) })
+		}
+	})
+}
+
+func (s *simulation) read(d *daemon, r *Read) {
+	if s.now < s.downTill {
+		s.in(time.Millisecond, func() {
+			s.to(d, func(c *Claims) []Action { return c.StoreFailed(s.now, r.ID, OutcomeUnknown) })
+		})
+		return
+	}
+	s.in(s.latency(), func() {
+		var rows []StoredRow
+		for _, key := range r.Keys {
+			rows = append(rows, s.table.read(key, s.chance(s.faults.stale), s.rng))
+		}
+		s.to(d, func(c *Claims) []Action { return c.ReadReply(s.now, r.ID, rows) })
+	})
+}
+
+// reply carries a decision from the writer to the owner, or loses it.
+func (s *simulation) reply(t Token, what string, then func(*attempt)) {
+	at := s.attempts[t]
+	at.replies = append(at.replies, what)
+	if s.chance(s.faults.dropped) {
+		s.dropped++
+		return
+	}
+	s.in(time.Millisecond, func() {
+		if s.alive(at.owner.process) && at.awaited {
+			at.awaited = false
+			then(at)
+		} else if what == "proceed" {
+			s.release(at, t)
+		}
+	})
+}
+
+func (s *simulation) release(at *attempt, t Token) {
+	if !s.alive(at.owner.process) {
+		return
+	}
+	writer := s.daemons[s.rng.IntN(len(s.daemons))]
+	s.to(writer, func(c *Claims) []Action {
+		return c.Release(s.now, Claim{Row: RowKey("team", "seats", at.key), Token: t, Owner: at.owner.process})
+	})
+}
+
+// call is one call through an owner and a writer, which may be the same.
+func (s *simulation) call(key string) Token {
+	owner := s.daemons[s.rng.IntN(len(s.daemons))]
+	writer := s.daemons[s.rng.IntN(len(s.daemons))]
+	t := Token(fmt.Sprint("t", len(s.tokens)))
+	at := &attempt{key: key, owner: owner, awaited: true}
+	s.attempts[t] = at
+	s.tokens = append(s.tokens, t)
+	s.to(writer, func(c *Claims) []Action {
+		return c.Begin(s.now, s.wall(), Begin{
+			Team: "team", Service: "seats", Key: key, Token: t, Owner: owner.process,
+			RequestHash: HashRequest("POST", "/hold", []byte(key)),
+		})
+	})
+	s.in(400*time.Millisecond, func() {
+		if at.awaited {
+			at.awaited = false
+			at.told = verdict.NotRun
+			s.release(at, t)
+		}
+	})
+	return t
+}
+
+func (s *simulation) dispatch(at *attempt, claim Claim) {
+	at.dispatch++
+	refused := s.chance(0.3)
+	if !refused {
+		s.runs[at.key]++
+	}
+	s.in(time.Duration(s.rng.IntN(50))*time.Millisecond, func() {
+		out := Outcome{Answer: &Answer{Status: 200, Body: []byte(fmt.Sprint(at.key, " by ", claim.Token))}}
+		switch {
+		case refused:
+			out = Outcome{Failure: &Failure{Verdict: verdict.NotRun}}
+		case s.chance(0.1):
+			out = Outcome{Failure: &Failure{Verdict: verdict.MayHaveRun, Code: verdict.CodeEndpointFailed}}
+			s.ended[at.key] = verdict.MayHaveRun
+		case s.alive(at.owner.process):
+			s.answers[at.key] = string(out.Answer.Body)
+		}
+		s.to(at.owner, func(c *Claims) []Action { return c.Finish(s.now, claim, out) })
+	})
+}
+
+func (s *simulation) checkReplay(at *attempt, a Answer) {
+	if string(a.Body) != s.answers[at.key] {
+		s.broken = append(s.broken, fmt.Sprintf("replay of %s gives %q, want %q", at.key, a.Body, s.answers[at.key]))
+	}
+}
+
+func (s *simulation) run(until time.Duration) {
+	for len(s.queue) > 0 && s.queue[0].at <= until {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.run()
+	}
+	s.now = until
+}
+
+// kill ends a process; another one of the same daemon starts.
+func (s *simulation) kill(i int) {
+	s.deaths++
+	p := s.daemons[i].process
+	p.Incarnation++
+	s.daemons[i] = s.start(p)
+}
--- /dev/null
+++ b/core/claim/sweep.go
@@ -0,0 +1,42 @@
+package claim
+
+import (
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+)
+
+// SweepGrace is how long past its expiry a row stays: no write of its time can
+// still be under way when it is deleted.
+const SweepGrace = time.Hour
+
+// Sweep returns the transaction that deletes those of the rows whose time is
+// over, at most DefaultMaxBatch, and the names of the bodies to delete after
+// it was applied. The sweeping daemon pages through RowPrefix with it. A
+// claimed row of a live owner stays.
+func Sweep(wall time.Time, rows []StoredRow, ownerAlive func(id.Process) bool) (Transaction, []string) {
+	var t Transaction
+	var objects []string
+	for _, stored := range rows {
+		if len(t.Puts) == DefaultMaxBatch {
+			break
+		}
+		row, err := DecodeRow(stored.Value)
+		if err != nil || !sweepable(row, wall, ownerAlive) {
+			continue
+		}
+		t.Conditions = append(t.Conditions, Condition{Key: stored.Key, Version: stored.Version})
+		t.Puts = append(t.Puts, Put{Key: stored.Key, Delete: true})
+		if a := row.Outcome.Answer; a != nil && a.Object != "" {
+			objects = append(objects, a.Object)
+		}
+	}
+	return t, objects
+}
+
+func sweepable(row Row, wall time.Time, ownerAlive func(id.Process) bool) bool {
+	if !row.Expired(wall.Add(-SweepGrace)) {
+		return false
+	}
+	return row.State != StateClaimed || !ownerAlive(row.Owner)
+}
--- /dev/null
+++ b/core/claim/timers.go
@@ -0,0 +1,74 @@
+package claim
+
+import (
+	"container/heap"
+	"time"
+)
+
+// timer wakes an op, or ends the wait for a call.
+type timer struct {
+	at    time.Duration
+	order uint64
+	op    *op
+	call  CallID
+	kind  timerKind
+}
+
+type timerKind uint8
+
+const (
+	// timerDeadline ends the patience with an op.
+	timerDeadline timerKind = iota + 1
+	// timerAgain ends an op's pause.
+	timerAgain
+	// timerCall gives a call to the store up.
+	timerCall
+)
+
+// timers is a heap ordered by time, then by order of creation.
+type timers []timer
+
+func (t timers) Len() int { return len(t) }
+
+func (t timers) Less(i, j int) bool {
+	if t[i].at != t[j].at {
+		return t[i].at < t[j].at
+	}
+	return t[i].order < t[j].order
+}
+
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+
+// Push implements heap.Interface.
+func (t *timers) Push(x any) { *t = append(*t, x.(timer)) }
+
+// Pop implements heap.Interface.
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	x := (*t)[last]
+	(*t)[last] = timer{}
+	*t = (*t)[:last]
+	return x
+}
+
+func (c *Claims) after(d time.Duration, t timer) {
+	c.timerOrder++
+	t.at = c.now + d
+	t.order = c.timerOrder
+	heap.Push(&c.timers, t)
+}
+
+// fire handles the timers that are due.
+func (c *Claims) fire() {
+	for len(c.timers) > 0 && c.timers[0].at <= c.now {
+		t := heap.Pop(&c.timers).(timer)
+		switch t.kind {
+		case timerDeadline:
+			c.expire(t.op)
+		case timerAgain:
+			c.again(t.op)
+		case timerCall:
+			c.storeFailed(t.call, OutcomeUnknown)
+		}
+	}
+}
--- /dev/null
+++ b/core/health/detector.go
@@ -0,0 +1,254 @@
+package health
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+)
+
+// Never is what Next returns when nothing is due.
+const Never = time.Duration(math.MaxInt64)
+
+// stuckChecks is how often within StuckAfter work in flight is looked at.
+const stuckChecks = 4
+
+// group is a set of endpoints that are compared and ejected together.
+type group struct {
+	pool id.Pool
+	role live.Role
+}
+
+// Detector judges the endpoints. It is not safe for concurrent use.
+type Detector struct {
+	cfg       Config
+	endpoints map[id.Endpoint]*endpoint
+	groups    map[group][]*endpoint
+	next      time.Duration
+}
+
+// New returns a Detector without endpoints.
+func New(cfg Config) *Detector {
+	return &Detector{
+		cfg:       cfg.withDefaults(),
+		endpoints: map[id.Endpoint]*endpoint{},
+		groups:    map[group][]*endpoint{},
+	}
+}
+
+// Configure takes the endpoints of a new configuration. What is known of those
+// that stay in their group is kept.
+func (d *Detector) Configure(now time.Duration, members []Member) {
+	old := d.endpoints
+	d.endpoints = make(map[id.Endpoint]*endpoint, len(members))
+	d.groups = map[group][]*endpoint{}
+	for _, m := range members {
+		e := old[m.Endpoint]
+		if e == nil || e.Member != m {
+			e = &endpoint{Member: m, state: Healthy, healthy: now, countedAt: now, progress: now, inFlight: map[id.Request]time.Duration{}}
+		}
+		d.endpoints[m.Endpoint] = e
+		g := group{pool: m.Pool, role: m.Role}
+		d.groups[g] = append(d.groups[g], e)
+	}
+}
+
+// Allowed says whether the endpoint may get a request now. An endpoint that is
+// not known may: the detector has nothing against it.
+func (d *Detector) Allowed(name id.Endpoint) bool {
+	e, ok := d.endpoints[name]
+	if !ok {
+		return true
+	}
+	switch e.state {
+	case Ejected:
+		return false
+	case Probing:
+		return len(e.inFlight) == 0
+	default:
+		return true
+	}
+}
+
+// State returns the state of an endpoint; Healthy if it is not known.
+func (d *Detector) State(name id.Endpoint) State {
+	if e, ok := d.endpoints[name]; ok {
+		return e.state
+	}
+	return Healthy
+}
+
+// Began tells that the endpoint was given a request whose first output is
+// expected after that time. It is overdue after SlowFactor times as long, and
+// StuckAfter at least.
+func (d *Detector) Began(now time.Duration, name id.Endpoint, r id.Request, expected time.Duration) {
+	e, ok := d.endpoints[name]
+	if !ok || len(e.inFlight) >= d.cfg.MaxInFlight {
+		return
+	}
+	patience := time.Duration(d.cfg.SlowFactor * float64(expected))
+	e.inFlight[r] = now + max(patience, d.cfg.StuckAfter)
+}
+
+// Progress tells that a request gave output.
+func (d *Detector) Progress(now time.Duration, name id.Endpoint) {
+	if e, ok := d.endpoints[name]; ok {
+		e.progress = now
+	}
+}
+
+// Outcome takes the end of a piece of work.
+func (d *Detector) Outcome(now time.Duration, name id.Endpoint, r Result) []Change {
+	e, ok := d.endpoints[name]
+	if !ok {
+		return nil
+	}
+	delete(e.inFlight, r.Request)
+	if r.Kind == Withdrawn {
+		return nil
+	}
+	d.count(now, e, r)
+	switch e.state {
+	case Healthy:
+		return d.judge(now, e, r)
+	case Probing:
+		return d.judgeProbe(now, e, r)
+	default:
+		return nil
+	}
+}
+
+func (d *Detector) count(now time.Duration, e *endpoint, r Result) {
+	e.decay(now, d.cfg.HalfLife)
+	if r.Kind != OK {
+		e.bad++
+		return
+	}
+	e.good++
+	e.progress = now
+	e.addLatency(r.Latency)
+}
+
+func (d *Detector) judge(now time.Duration, e *endpoint, r Result) []Change {
+	total := e.good + e.bad
+	switch {
+	case r.Kind == Crashed:
+		return d.eject(now, e, ReasonCrashed)
+	case total >= d.cfg.MinOutcomes && e.bad/total >= d.cfg.ErrorRatio:
+		return d.eject(now, e, ReasonErrors)
+	case total >= d.cfg.MinOutcomes && d.slow(e, e.latency):
+		return d.eject(now, e, ReasonSlow)
+	default:
+		return nil
+	}
+}
+
+func (d *Detector) judgeProbe(now time.Duration, e *endpoint, r Result) []Change {
+	if r.Kind != OK || d.slow(e, float64(r.Latency)) {
+		return d.eject(now, e, ReasonProbe)
+	}
+	e.probes++
+	if e.probes < d.cfg.ProbeSuccesses {
+		return nil
+	}
+	e.state = Healthy
+	e.healthy = now
+	return []Change{{Endpoint: e.Endpoint, State: Healthy, Reason: ReasonRecovered}}
+}
+
+// slow compares a latency with the median of the healthy peers.
+func (d *Detector) slow(e *endpoint, latency float64) bool {
+	var peers []float64
+	for _, p := range d.groups[group{pool: e.Pool, role: e.Role}] {
+		if p != e && p.state == Healthy && p.samples > 0 {
+			peers = append(peers, p.latency)
+		}
+	}
+	if len(peers) < d.cfg.MinPeers || latency == 0 {
+		return false
+	}
+	slices.Sort(peers)
+	return latency > d.cfg.SlowFactor*peers[len(peers)/2]
+}
+
+// eject takes an endpoint out, unless too many of its group are out already.
+// One that fails its probe was out before and stays so.
+func (d *Detector) eject(now time.Duration, e *endpoint, reason Reason) []Change {
+	if e.state == Healthy && !d.room(e) {
+		return nil
+	}
+	d.forgive(now, e)
+	duration := float64(d.cfg.EjectMin) * math.Pow(2, float64(e.ejections))
+	length := time.Duration(min(duration, float64(d.cfg.EjectMax)))
+	e.ejections++
+	e.state = Ejected
+	e.until = now + length
+	e.forget()
+	return []Change{{Endpoint: e.Endpoint, State: Ejected, Reason: reason, For: length}}
+}
+
+// forgive halves the next ejection for each ForgetAfter spent in health.
+func (d *Detector) forgive(now time.Duration, e *endpoint) {
+	if e.state == Healthy {
+		e.ejections = max(0, e.ejections-int((now-e.healthy)/d.cfg.ForgetAfter))
+	}
+}
+
+// room says whether the group can spare the endpoint.
+func (d *Detector) room(e *endpoint) bool {
+	members := d.groups[group{pool: e.Pool, role: e.Role}]
+	out := 0
+	for _, p := range members {
+		if p.state != Healthy {
+			out++
+		}
+	}
+	most := max(1, int(d.cfg.MaxEjected*float64(len(members))))
+	return out < min(most, len(members)-1)
+}
+
+// Tick ends ejections and finds stuck work; call it at Next or earlier.
+func (d *Detector) Tick(now time.Duration) []Change {
+	var out []Change
+	for _, e := range d.sorted() {
+		out = append(out, d.tick(now, e)...)
+	}
+	d.next = now + d.cfg.StuckAfter/stuckChecks
+	return out
+}
+
+func (d *Detector) tick(now time.Duration, e *endpoint) []Change {
+	stuck := e.stuck(now, d.cfg.StuckAfter)
+	switch {
+	case e.state == Ejected && now >= e.until:
+		e.state = Probing
+		clear(e.inFlight)
+		return []Change{{Endpoint: e.Endpoint, State: Probing, Reason: ReasonElapsed}}
+	case e.state == Probing && stuck:
+		return d.eject(now, e, ReasonProbe)
+	case e.state == Healthy && stuck:
+		return d.eject(now, e, ReasonStuck)
+	default:
+		return nil
+	}
+}
+
+func (d *Detector) sorted() []*endpoint {
+	out := make([]*endpoint, 0, len(d.endpoints))
+	for _, e := range d.endpoints {
+		out = append(out, e)
+	}
+	slices.SortFunc(out, func(a, b *endpoint) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return out
+}
+
+// Next is when Tick is due; Never without endpoints.
+func (d *Detector) Next() time.Duration {
+	if len(d.endpoints) == 0 {
+		return Never
+	}
+	return d.next
+}
--- /dev/null
+++ b/core/lease/reply.go
@@ -0,0 +1,151 @@
+package lease
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/revision/table"
+)
+
+// Handle takes the table's reply to the last request; others are ignored.
+func (l *Lease) Handle(now time.Duration, r table.Reply) []Action {
+	if r.Seq != l.seq {
+		return nil
+	}
+	switch l.phase {
+	case phaseRead:
+		return l.onRead(now, r)
+	case phaseTake, phaseRenew:
+		return l.onWrite(now, r)
+	case phaseRelease:
+		return l.onRelease(now, r)
+	default:
+		return nil
+	}
+}
+
+// onWrite takes the reply to a take or a renewal. One in doubt, or refused
+// because the row changed, is resolved by reading the row.
+func (l *Lease) onWrite(now time.Duration, r table.Reply) []Action {
+	switch {
+	case r.Status == table.Done && r.Applied && len(r.Versions) > 0:
+		l.seen, l.version, l.since = l.wanted, r.Versions[0], now
+		l.watched = true
+		return l.written(now)
+	case r.Status == table.NotRun:
+		l.retryLater(now)
+		return nil
+	default:
+		l.doubt = r.Status == table.Unknown || r.Applied
+		return []Action{l.read()}
+	}
+}
+
+// written goes on after a take or renewal took effect, at l.wroteAt or later.
+func (l *Lease) written(now time.Duration) []Action {
+	l.doubt = false
+	if l.stopping {
+		return []Action{l.release(now)}
+	}
+	trust := l.wroteAt + time.Duration(l.cfg.Safety*float64(l.cfg.TTL))
+	l.wait(now, l.cfg.RenewEvery)
+	if l.held != 0 {
+		l.until = max(l.until, trust)
+		return nil
+	}
+	if l.taking == 0 || trust <= now {
+		// A renewal for a lease that was given up meanwhile, or known too late.
+		return nil
+	}
+	l.held, l.until = l.seen.Fence, trust
+	acquired := &Acquired{Fence: l.held, Previous: l.previous, Released: l.previous == (id.Process{})}
+	return []Action{{Acquired: acquired}}
+}
+
+// onRead takes the row. A read may be stale: a version below the newest seen
+// is ignored.
+func (l *Lease) onRead(now time.Duration, r table.Reply) []Action {
+	row := r.Row(Key(l.duty))
+	var value Row
+	bad := row.Version != 0 && json.Unmarshal(row.Value, &value) != nil
+	if r.Status != table.Done || bad || (l.watched && row.Version < l.version) {
+		l.retryLater(now)
+		return nil
+	}
+	if !l.watched || row.Version > l.version {
+		// The row may have changed right up to the reply.
+		l.watched, l.since = true, now
+		l.seen, l.version = value, row.Version
+	}
+	switch {
+	case l.doubt && l.seen == l.wanted:
+		return l.written(now)
+	case l.stopping:
+		return l.settleStop(now)
+	case l.held != 0:
+		return l.checkHeld(now)
+	case l.free(now):
+		return []Action{l.take(now)}
+	default:
+		l.wait(now, l.watchPause(now))
+		return nil
+	}
+}
+
+// checkHeld goes on after a renewal did not take effect as far as this read
+// tells: if the row is still this holder's, it renews again.
+func (l *Lease) checkHeld(now time.Duration) []Action {
+	if l.seen.Holder == l.self && l.seen.Fence == l.held {
+		l.wait(now, l.cfg.RenewEvery/4)
+		return nil
+	}
+	l.wait(now, l.cfg.WatchEvery)
+	return []Action{l.lose("another process holds the row")}
+}
+
+// free tells whether the duty may be taken: never held, released, this
+// process's own, or unchanged for the whole lease by its own clock.
+func (l *Lease) free(now time.Duration) bool {
+	if l.seen.Holder == (id.Process{}) || l.seen.Holder == l.self {
+		return true
+	}
+	return now-l.since >= l.seen.TTL+l.cfg.Margin
+}
+
+// watchPause reads again soon enough to take a lapsed lease without delay.
+func (l *Lease) watchPause(now time.Duration) time.Duration {
+	left := l.since + l.seen.TTL + l.cfg.Margin - now
+	return max(min(l.cfg.WatchEvery, left), l.cfg.WatchEvery/8)
+}
+
+// settleStop releases the row if it is this process's, else stops.
+func (l *Lease) settleStop(now time.Duration) []Action {
+	if l.seen.Holder == l.self {
+		return []Action{l.release(now)}
+	}
+	l.phase = phaseStopped
+	return nil
+}
+
+func (l *Lease) onRelease(now time.Duration, r table.Reply) []Action {
+	switch {
+	case r.Status == table.Done && r.Applied:
+		l.seen = l.wanted
+		l.phase = phaseStopped
+		return nil
+	case r.Status == table.NotRun:
+		l.retryLater(now)
+		return nil
+	default:
+		return []Action{l.read()}
+	}
+}
+
+// retryLater backs off; a holder, or one that stops, tries again sooner.
+func (l *Lease) retryLater(now time.Duration) {
+	l.backOff(now)
+	if l.held != 0 || l.stopping {
+		l.due = min(l.due, now+l.cfg.RenewEvery/4)
+	}
+}
--- /dev/null
+++ b/core/live/index.go
@@ -0,0 +1,215 @@
+package live
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"slices"
+	"strings"
+
+	"k8s.io/apimachinery/pkg/labels"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+// keyHash is the SHA-256 hash of a bearer key.
+type keyHash [sha256.Size]byte
+
+// Index answers look-ups in one Document. It is built once per Document and
+// never changes, so any number of readers may share it.
+type Index struct {
+	doc       *Document
+	keys      map[keyHash]keyOwner
+	teams     map[id.Team]*Team
+	services  map[id.Service]serviceRule
+	pools     map[id.Pool]*Pool
+	endpoints map[id.Endpoint]*Endpoint
+	members   map[id.Pool][]*Endpoint
+	links     map[linkEnds]*Link
+}
+
+type keyOwner struct {
+	hash keyHash
+	team *Team
+}
+
+type serviceRule struct {
+	service *Service
+	teams   labels.Selector
+}
+
+type linkEnds struct{ from, to id.Domain }
+
+// HashKey returns the hash that Team.KeyHashes holds for a bearer key.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// NewIndex builds the index of a normalized document without faults. A
+// selector that cannot be parsed matches nothing.
+func NewIndex(doc *Document) *Index {
+	x := &Index{
+		doc:       doc,
+		keys:      map[keyHash]keyOwner{},
+		teams:     map[id.Team]*Team{},
+		services:  map[id.Service]serviceRule{},
+		pools:     map[id.Pool]*Pool{},
+		endpoints: map[id.Endpoint]*Endpoint{},
+		members:   map[id.Pool][]*Endpoint{},
+		links:     map[linkEnds]*Link{},
+	}
+	x.addTeams()
+	x.addServices()
+	x.addEndpoints()
+	x.addPools()
+	for i := range doc.Links {
+		l := &doc.Links[i]
+		x.links[linkEnds{l.From, l.To}] = l
+	}
+	return x
+}
+
+func (x *Index) addTeams() {
+	for i := range x.doc.Teams {
+		t := &x.doc.Teams[i]
+		x.teams[t.Name] = t
+		for _, text := range t.KeyHashes {
+			raw, err := hex.DecodeString(text)
+			if err != nil || len(raw) != sha256.Size {
+				continue
+			}
+			h := keyHash(raw)
+			x.keys[h] = keyOwner{hash: h, team: t}
+		}
+	}
+}
+
+func (x *Index) addServices() {
+	for i := range x.doc.Services {
+		s := &x.doc.Services[i]
+		x.services[s.Name] = serviceRule{service: s, teams: parseSelector(s.TeamSelector)}
+	}
+}
+
+func (x *Index) addEndpoints() {
+	for i := range x.doc.Endpoints {
+		e := &x.doc.Endpoints[i]
+		x.endpoints[e.Name] = e
+	}
+}
+
+func (x *Index) addPools() {
+	sets := make([]labels.Set, len(x.doc.Endpoints))
+	for i := range x.doc.Endpoints {
+		sets[i] = EndpointLabels(&x.doc.Endpoints[i])
+	}
+	for i := range x.doc.Pools {
+		p := &x.doc.Pools[i]
+		x.pools[p.Name] = p
+		selector := parseSelector(p.EndpointSelector)
+		var found []*Endpoint
+		for j := range x.doc.Endpoints {
+			if selector.Matches(sets[j]) {
+				found = append(found, &x.doc.Endpoints[j])
+			}
+		}
+		slices.SortFunc(found, func(a, b *Endpoint) int { return strings.Compare(string(a.Name), string(b.Name)) })
+		x.members[p.Name] = found
+	}
+}
+
+func parseSelector(text string) labels.Selector {
+	s, err := labels.Parse(text)
+	if err != nil {
+		return labels.Nothing()
+	}
+	return s
+}
+
+// EndpointLabels returns what selectors see of an endpoint: its labels, and
+// its failure domain as LabelDomain where no label says otherwise.
+func EndpointLabels(e *Endpoint) labels.Set {
+	set := make(labels.Set, len(e.Labels)+1)
+	set[LabelDomain] = string(e.Domain)
+	for k, v := range e.Labels {
+		set[k] = v
+	}
+	return set
+}
+
+// Document returns the document that the index was built from.
+func (x *Index) Document() *Document { return x.doc }
+
+// TeamByKey returns the team that a presented bearer key belongs to. The time
+// it takes depends only on the hash of the key, which a caller can't steer
+// towards a stored one.
+func (x *Index) TeamByKey(key string) (*Team, bool) {
+	h := keyHash(sha256.Sum256([]byte(key)))
+	owner, ok := x.keys[h]
+	if !ok || subtle.ConstantTimeCompare(owner.hash[:], h[:]) != 1 {
+		return nil, false
+	}
+	return owner.team, true
+}
+
+// Team returns a team by name.
+func (x *Index) Team(name id.Team) (*Team, bool) {
+	t, ok := x.teams[name]
+	return t, ok
+}
+
+// ServiceFor returns the service that team asks for by name. A service that
+// does not exist and one that the team may not use give the same error, so
+// that the answer shows nothing of other teams.
+func (x *Index) ServiceFor(team *Team, name id.Service) (*Service, *verdict.Error) {
+	rule, ok := x.services[name]
+	if !ok || !rule.teams.Matches(labels.Set(team.Labels)) {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnknownService, "the team may use no service named %.64q", string(name))
+	}
+	return rule.service, nil
+}
+
+// ServicesFor lists the services that team may use, in the document's order.
+func (x *Index) ServicesFor(team *Team) []*Service {
+	var out []*Service
+	for i := range x.doc.Services {
+		if s, err := x.ServiceFor(team, x.doc.Services[i].Name); err == nil {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Service returns a service by name, for operators and duties.
+func (x *Index) Service(name id.Service) (*Service, bool) {
+	rule, ok := x.services[name]
+	return rule.service, ok
+}
+
+// Pool returns a pool by name.
+func (x *Index) Pool(name id.Pool) (*Pool, bool) {
+	p, ok := x.pools[name]
+	return p, ok
+}
+
+// Endpoint returns an endpoint by name.
+func (x *Index) Endpoint(name id.Endpoint) (*Endpoint, bool) {
+	e, ok := x.endpoints[name]
+	return e, ok
+}
+
+// Endpoints returns the endpoints of a pool in the order of their names. The
+// caller must not change the slice.
+func (x *Index) Endpoints(pool id.Pool) []*Endpoint { return x.members[pool] }
+
+// Link returns the link between two failure domains; the last listed one
+// applies. Without one the path is not limited.
+func (x *Index) Link(from, to id.Domain) (*Link, bool) {
+	l, ok := x.links[linkEnds{from, to}]
+	return l, ok
+}
+
+// IsLeaving tells whether the endpoint's label drains it.
+func IsLeaving(e *Endpoint) bool { return e.Labels[LabelLeaving] == "true" }
--- /dev/null
+++ b/core/member/config.go
@@ -0,0 +1,79 @@
+package member
+
+import "time"
+
+// Mode chooses how the membership is kept up.
+type Mode string
+
+const (
+	// Mesh sends a heartbeat to every daemon each period: fastest and
+	// simplest, at a cost that grows with the fleet.
+	Mesh Mode = "mesh"
+	// Partial probes one daemon each period and spreads changes with the
+	// probes: the cost of a daemon does not grow with the fleet.
+	Partial Mode = "partial"
+)
+
+// Config sets the membership's pace and bounds.
+type Config struct {
+	Mode Mode
+	// Period is the time between heartbeats, or probes.
+	Period time.Duration
+	// SuspectAfter and DeadAfter are how long a daemon may be silent.
+	SuspectAfter time.Duration
+	DeadAfter    time.Duration
+	// PartitionedFor is how long a silent daemon may stay partitioned before
+	// it is dead after all.
+	PartitionedFor time.Duration
+	// Forget is how long a dead daemon that the host list lacks is kept.
+	Forget time.Duration
+	// StallAfter is how late a Tick may come before this daemon takes itself
+	// for stalled.
+	StallAfter time.Duration
+	// DomainShare is the share of a failure domain that must be silent
+	// together to take it for cut off.
+	DomainShare float64
+	// ReviveEvery is the time between messages to a dead daemon.
+	ReviveEvery time.Duration
+	// Indirect is how many peers are asked about a silent daemon.
+	Indirect int
+	// ProbeTimeout is the wait for an Ack before peers are asked; Partial only.
+	ProbeTimeout time.Duration
+	// IndirectTimeout is the wait for their Report; Partial only.
+	IndirectTimeout time.Duration
+	// Updates bounds the entries on one message.
+	Updates int
+	// SampleEvery is the number of periods between heartbeats that carry a
+	// sample of others; Mesh only.
+	SampleEvery uint64
+	// ShuffleEvery, ShuffleSize and ViewSize set the exchange of samples; Partial only.
+	ShuffleEvery time.Duration
+	ShuffleSize  int
+	ViewSize     int
+	// MaxMembers bounds the daemons that are kept.
+	MaxMembers int
+}
+
+// DefaultConfig returns the defaults of a mode.
+func DefaultConfig(mode Mode) Config {
+	return Config{
+		Mode:            mode,
+		Period:          250 * time.Millisecond,
+		SuspectAfter:    time.Second,
+		DeadAfter:       2500 * time.Millisecond,
+		PartitionedFor:  time.Minute,
+		Forget:          10 * time.Minute,
+		StallAfter:      500 * time.Millisecond,
+		DomainShare:     0.75,
+		ReviveEvery:     2 * time.Second,
+		Indirect:        3,
+		ProbeTimeout:    150 * time.Millisecond,
+		IndirectTimeout: 300 * time.Millisecond,
+		Updates:         6,
+		SampleEvery:     4,
+		ShuffleEvery:    2 * time.Second,
+		ShuffleSize:     4,
+		ViewSize:        16,
+		MaxMembers:      4096,
+	}
+}
--- /dev/null
+++ b/core/member/member.go
@@ -0,0 +1,323 @@
+package member
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+)
+
+// Membership is one daemon's view of the fleet. It is not safe for concurrent use.
+type Membership struct {
+	cfg  Config
+	rng  *rand.Rand
+	self Entry
+	// halted is set from DeclaredDead until Resume.
+	halted  bool
+	leaving bool
+
+	peers map[id.Daemon]*peer
+	// order holds the names of peers, sorted, so that nothing depends on the
+	// order of a map.
+	order []id.Daemon
+
+	due      time.Duration
+	isolated bool
+	relays   map[uint64]relay
+	seq      uint64
+	out      []Action
+
+	partial partial
+}
+
+// peer is what is known of one other daemon.
+type peer struct {
+	entry Entry
+	// met is set once the daemon was heard of by a message.
+	met bool
+	// heard is when the newest evidence of its running came; direct is when
+	// it came from the daemon itself.
+	heard  time.Duration
+	direct time.Duration
+	// since is when entry.State was set.
+	since time.Duration
+	// said is set once the daemon itself, in this incarnation, said that it leaves.
+	said bool
+	// listed and listedLeaving are the host list's word.
+	listed        bool
+	listedLeaving bool
+	// shown is the state that was last reported.
+	shown State
+	// revive is when a dead daemon is sent a message again; asked when peers
+	// were last asked about it.
+	revive time.Duration
+	asked  time.Duration
+	// mine is set, in Partial mode, on a daemon that this one's own probes
+	// made suspect: this one probes on, and judges it.
+	mine bool
+}
+
+// relay remembers for whom a probe was sent on.
+type relay struct {
+	asker id.Daemon
+	seq   uint64
+	about id.Daemon
+	ends  time.Duration
+}
+
+// New returns the membership of the daemon self, of which Process, Domain and
+// the addresses count.
+func New(cfg Config, self Entry, now time.Duration, rng *rand.Rand) *Membership {
+	self.State = Alive
+	return &Membership{
+		cfg:     cfg,
+		rng:     rng,
+		self:    self,
+		peers:   map[id.Daemon]*peer{},
+		due:     now,
+		relays:  map[uint64]relay{},
+		partial: newPartial(now),
+	}
+}
+
+// Local is what a daemon tells the others of itself.
+type Local struct {
+	Revision uint64
+	InFlight int
+	Settings uint64
+}
+
+// SetLocal sets what the next messages say.
+func (m *Membership) SetLocal(l Local) {
+	m.self.Revision = l.Revision
+	m.self.InFlight = l.InFlight
+	m.self.Settings = l.Settings
+}
+
+// Leave says that this daemon stops soon.
+func (m *Membership) Leave(now time.Duration) []Action {
+	m.leaving = true
+	if !m.halted {
+		m.self.State = Leaving
+	}
+	m.enqueue(m.self)
+	return m.flush()
+}
+
+// Resume says that this daemon has stopped acting on what it held before
+// DeclaredDead. Others take it back from the next message on.
+func (m *Membership) Resume(now time.Duration) []Action {
+	if !m.halted {
+		return nil
+	}
+	m.halted = false
+	m.self.Epoch++
+	m.self.State = Alive
+	if m.leaving {
+		m.self.State = Leaving
+	}
+	m.enqueue(m.self)
+	return m.flush()
+}
+
+// Halted tells whether this daemon must not act, between DeclaredDead and Resume.
+func (m *Membership) Halted() bool { return m.halted }
+
+// Isolated tells whether this daemon has lost most of the fleet at once.
+func (m *Membership) Isolated() bool { return m.isolated }
+
+// Next is when Tick is due.
+func (m *Membership) Next() time.Duration {
+	if m.cfg.Mode == Partial {
+		return min(m.due, m.partial.next())
+	}
+	return m.due
+}
+
+// Tick does what is due: send, judge the silent, ask about them.
+func (m *Membership) Tick(now time.Duration) []Action {
+	m.noteStall(now)
+	if now >= m.due {
+		m.due = now + m.cfg.Period
+		m.self.Beat++
+		m.dropRelays(now)
+		m.period(now)
+	}
+	if m.cfg.Mode == Partial {
+		m.expireProbes(now)
+	}
+	m.judge(now)
+	return m.flush()
+}
+
+func (m *Membership) period(now time.Duration) {
+	if m.cfg.Mode == Partial {
+		m.syncNext(now)
+		m.probeSuspects(now)
+		m.probeNext(now)
+		m.shuffleNext(now)
+		m.reviveOne(now)
+		return
+	}
+	m.beat(now)
+}
+
+// noteStall moves every wait by the time that this daemon was not run, so
+// that nobody is suspected for it. After a stall in which others may have
+// declared it dead, it takes that for done.
+func (m *Membership) noteStall(now time.Duration) {
+	late := now - m.due
+	if late < m.cfg.StallAfter {
+		return
+	}
+	for _, name := range m.order {
+		p := m.peers[name]
+		p.heard += late
+		p.direct += late
+		p.since += late
+	}
+	m.partial.shift(late)
+	m.emit(Action{Stalled: &Stalled{Late: late}})
+	if late+2*m.cfg.Period >= m.cfg.DeadAfter {
+		m.halt(m.self.Process.Daemon, false)
+	}
+}
+
+func (m *Membership) halt(by id.Daemon, superseded bool) {
+	if m.halted && !superseded {
+		return
+	}
+	m.halted = true
+	m.self.State = Paused
+	m.emit(Action{DeclaredDead: &DeclaredDead{By: by, Superseded: superseded}})
+}
+
+func (m *Membership) emit(a Action) { m.out = append(m.out, a) }
+
+func (m *Membership) flush() []Action {
+	out := m.out
+	m.out = nil
+	return out
+}
+
+// send passes a message to a peer; one that this daemon does not hold for
+// alive is told so.
+func (m *Membership) send(p *peer, msg Message) {
+	if p.entry.Address == "" {
+		return
+	}
+	msg.From = m.self
+	if p.met && m.tells(p) {
+		told := p.entry
+		if told.State == Paused {
+			// It has yet to answer to its death with a new epoch.
+			told.State = Dead
+		}
+		msg.Entries = append(msg.Entries, told)
+	}
+	m.emit(Action{Send: &Send{To: p.entry.Process.Daemon, Address: p.entry.Address, Message: msg}})
+}
+
+// tells decides whether a peer must hear what this daemon holds of it.
+func (m *Membership) tells(p *peer) bool {
+	switch p.entry.State {
+	case Dead, Paused:
+		return true
+	case Suspect, Partitioned:
+		return m.cfg.Mode == Partial
+	default:
+		return false
+	}
+}
+
+// peerNamed returns the peer of that name, making it if there is room.
+func (m *Membership) peerNamed(now time.Duration, name id.Daemon) *peer {
+	if p, ok := m.peers[name]; ok {
+		return p
+	}
+	if len(m.peers) >= m.cfg.MaxMembers || name == "" {
+		return nil
+	}
+	p := &peer{heard: now, direct: now - m.cfg.DeadAfter, since: now, revive: now, asked: now - m.cfg.DeadAfter}
+	p.entry = Entry{Process: id.Process{Daemon: name}, State: Suspect}
+	m.peers[name] = p
+	at, _ := slices.BinarySearch(m.order, name)
+	m.order = slices.Insert(m.order, at, name)
+	return p
+}
+
+func (m *Membership) forget(name id.Daemon) {
+	delete(m.peers, name)
+	if at, ok := slices.BinarySearch(m.order, name); ok {
+		m.order = slices.Delete(m.order, at, at+1)
+	}
+}
+
+// Hosts merges the host list. A host that it calls leaving is leaving; one
+// that it lacks is not dead for that alone.
+func (m *Membership) Hosts(now time.Duration, hosts []Host) []Action {
+	for _, name := range m.order {
+		p := m.peers[name]
+		p.listed, p.listedLeaving = false, false
+	}
+	for _, h := range hosts {
+		if h.Name == m.self.Process.Daemon {
+			continue
+		}
+		p := m.peerNamed(now, h.Name)
+		if p == nil {
+			continue
+		}
+		p.listed, p.listedLeaving = true, h.Leaving
+		if !p.met {
+			p.entry.Domain, p.entry.Address = h.Domain, h.Address
+		}
+	}
+	for _, name := range m.order {
+		m.show(m.peers[name], "host list")
+	}
+	return m.flush()
+}
+
+// state is a peer's state with its leaving taken in.
+func (p *peer) state() State {
+	leaving := p.said || p.listedLeaving
+	if leaving && p.entry.State != Dead && p.entry.State != Partitioned {
+		return Leaving
+	}
+	return p.entry.State
+}
+
+// show reports a peer's state if it changed.
+func (m *Membership) show(p *peer, reason string) {
+	to := p.state()
+	if to == p.shown {
+		return
+	}
+	from := p.shown
+	p.shown = to
+	if !p.met && from == 0 && to == Suspect {
+		return
+	}
+	m.emit(Action{Changed: &Changed{Process: p.entry.Process, Domain: p.entry.Domain, From: from, To: to, Reason: reason}})
+}
+
+// set changes a peer's own state and spreads the news.
+func (m *Membership) set(now time.Duration, p *peer, s State, reason string) {
+	if p.entry.State != s {
+		p.entry.State = s
+		p.since = now
+		p.mine = false
+		if p.met {
+			m.enqueue(p.entry)
+		}
+	}
+	m.show(p, reason)
+}
+
+// compareNames orders entries by daemon.
+func compareNames(a, b Entry) int {
+	return strings.Compare(string(a.Process.Daemon), string(b.Process.Daemon))
+}
--- /dev/null
+++ b/core/member/member_test.go
@@ -0,0 +1,250 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/id"
+)
+
+// sizes of the fleets that the failures are tried on.
+var sizes = map[Mode][]int{Mesh: {9}, Partial: {9, 60}}
+
+// each runs a test on a steady fleet of each mode, size and some seeds.
+func each(t *testing.T, run func(*testing.T, *is.I, *fleet)) {
+	for mode, counts := range sizes {
+		for _, n := range counts {
+			for seed := range uint64(4) {
+				t.Run(string(mode), func(t *testing.T) {
+					is := is.New(t)
+					f := newFleet(mode, n, 4, seed)
+					_, ok := f.until(20*time.Second, f.steady)
+					is.True(ok) // the fleet finds itself
+					run(t, is, f)
+				})
+			}
+		}
+	}
+}
+
+func TestNobodyIsDeadInAQuietFleet(t *testing.T) {
+	each(t, func(t *testing.T, is *is.I, f *fleet) {
+		f.loss = 0.02
+		f.run(30 * time.Second)
+		for _, name := range f.names {
+			is.Equal(f.deaths(name), 0)
+			is.Equal(f.declared[name], 0)
+		}
+	})
+}
+
+func TestKilledDaemonIsDeadSoonAndItsSuccessorAlive(t *testing.T) {
+	each(t, func(t *testing.T, is *is.I, f *fleet) {
+		f.stopped["host-003"] = true
+		took, ok := f.until(10*time.Second, func() bool { return f.everyone("host-003", Dead) })
+		is.True(ok)
+		is.True(took >= f.cfg.SuspectAfter && took <= 6*time.Second)
+		f.start("host-003", 2)
+		_, ok = f.until(20*time.Second, f.steady)
+		is.True(ok)
+		is.Equal(f.declared["host-003"], 0) // a new process has nothing to stop
+		e, _ := f.members["host-000"].Get("host-003")
+		is.Equal(e.Process.Incarnation, id.Incarnation(2))
+	})
+}
+
+func TestPausedDaemonLearnsOfItsDeathBeforeItIsLive(t *testing.T) {
+	each(t, func(t *testing.T, is *is.I, f *fleet) {
+		f.resume = false
+		f.paused["host-003"] = true
+		_, ok := f.until(10*time.Second, func() bool { return f.everyone("host-003", Dead) })
+		is.True(ok)
+		delete(f.paused, "host-003")
+		f.run(8 * time.Second)
+		is.Equal(f.declared["host-003"], 1)
+		is.True(f.members["host-003"].Halted())
+		for _, name := range f.names {
+			for _, live := range f.members[name].Live() {
+				is.True(live != "host-003") // not live before it has stopped acting
+			}
+		}
+		f.act("host-003", f.members["host-003"].Resume(f.now))
+		_, ok = f.until(20*time.Second, f.steady)
+		is.True(ok)
+	})
+}
+
+func TestClockThatHidesThePauseStillLearns(t *testing.T) {
+	// A suspended host's monotonic clock may stand still: only the others can tell.
+	is := is.New(t)
+	f := newFleet(Mesh, 9, 4, 1)
+	f.until(5*time.Second, f.steady)
+	f.stopped["host-003"] = true
+	f.until(10*time.Second, func() bool { return f.everyone("host-003", Dead) })
+	m := f.members["host-003"]
+	delete(f.stopped, "host-003")
+	m.due = f.now // no lateness is seen
+	for _, p := range m.peers {
+		p.heard = f.now
+	}
+	f.run(3 * time.Second)
+	is.Equal(f.declared["host-003"], 1)
+	_, ok := f.until(5*time.Second, f.steady)
+	is.True(ok)
+}
+
+func TestLateTicksSuspectNobody(t *testing.T) {
+	each(t, func(t *testing.T, is *is.I, f *fleet) {
+		f.paused["host-002"] = true
+		f.run(1500 * time.Millisecond) // shorter than DeadAfter
+		delete(f.paused, "host-002")
+		f.run(5 * time.Second)
+		for _, c := range f.changed["host-002"] {
+			is.True(c.To != Dead && c.To != Partitioned)
+		}
+		is.Equal(f.deaths("host-002"), 0)
+	})
+}
+
+func TestOneWayLossKillsNobody(t *testing.T) {
+	each(t, func(t *testing.T, is *is.I, f *fleet) {
+		f.lost = func(from, to id.Daemon) bool { return from == "host-001" && to == "host-002" }
+		f.run(20 * time.Second)
+		is.Equal(f.deaths("host-001"), 0)
+		is.Equal(f.deaths("host-002"), 0)
+	})
+}
+
+func TestCutOffDomainIsPartitionedAndComesBack(t *testing.T) {
+	each(t, func(t *testing.T, is *is.I, f *fleet) {
+		cut := f.domains["host-001"]
+		f.lost = func(from, to id.Daemon) bool { return (f.domains[from] == cut) != (f.domains[to] == cut) }
+		f.run(15 * time.Second)
+		partitioned, dead := 0, 0
+		for _, name := range f.names {
+			if f.domains[name] == cut {
+				continue
+			}
+			for _, other := range f.names {
+				e, _ := f.members[name].Get(other)
+				if f.domains[other] == cut && e.State == Partitioned {
+					partitioned++
+				}
+				if f.domains[other] == cut && e.State == Dead {
+					dead++
+				}
+			}
+		}
+		is.True(partitioned > 4*dead)       // the rest sees a partition
+		is.True(f.isolated["host-001"] > 0) // the cut-off side knows that it is alone
+		for _, name := range f.names {
+			e, _ := f.members["host-001"].Get(name)
+			is.True(e.State != Dead) // and calls nobody dead
+		}
+		f.lost = nil
+		_, ok := f.until(60*time.Second, f.steady)
+		is.True(ok)
+	})
+}
+
+func TestLeavingIsSeenAndNeverRevived(t *testing.T) {
+	each(t, func(t *testing.T, is *is.I, f *fleet) {
+		f.act("host-004", f.members["host-004"].Leave(f.now))
+		took, ok := f.until(10*time.Second, func() bool { return f.everyone("host-004", Leaving) })
+		is.True(ok)
+		is.True(took <= 4*time.Second)
+		old := Entry{Process: id.Process{Daemon: "host-004", Incarnation: 1}, State: Alive, Beat: 1 << 40, Epoch: 0}
+		f.act("host-000", f.members["host-000"].Receive(f.now, Message{Kind: Heartbeat, From: f.members["host-001"].Self(), Entries: []Entry{old}}))
+		is.True(f.everyone("host-004", Leaving))
+	})
+}
+
+func TestHostListMerges(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(Mesh, 9, 4, 3)
+	f.until(5*time.Second, f.steady)
+	list := f.hosts()
+	list[5].Leaving = true
+	list = append(list[:6], list[7:]...) // host-006 is absent
+	f.act("host-000", f.members["host-000"].Hosts(f.now, list))
+	e, _ := f.members["host-000"].Get("host-005")
+	is.Equal(e.State, Leaving)
+	e, _ = f.members["host-000"].Get("host-006")
+	is.Equal(e.State, Alive) // absent is not dead
+	f.run(3 * time.Second)
+	is.Equal(f.deaths("host-006"), 0)
+}
+
+func TestLaterIncarnationEndsTheOld(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(Mesh, 9, 4, 3)
+	f.until(5*time.Second, f.steady)
+	old := f.members["host-007"]
+	f.start("host-007", 2)
+	f.run(2 * time.Second)
+	f.act("host-000", f.members["host-000"].Receive(f.now, Message{Kind: Heartbeat, From: old.Self()}))
+	var told bool
+	for _, s := range f.wire {
+		if s.To != "host-007" || s.Message.Kind != Ack {
+			continue
+		}
+		for _, a := range old.Receive(f.now, s.Message) {
+			told = told || (a.DeclaredDead != nil && a.DeclaredDead.Superseded)
+		}
+	}
+	is.True(told)
+}
+
+// TestRandomFaults brings kills, pauses, cuts and loss about at random and
+// asserts that a daemon which others took for dead is never live again in its
+// old epoch, and that the fleet finds itself when the faults end.
+func TestRandomFaults(t *testing.T) {
+	for _, mode := range []Mode{Mesh, Partial} {
+		for seed := range uint64(30) {
+			is := is.New(t)
+			f := newFleet(mode, 9, 4, seed)
+			f.loss = 0.05
+			for range 12 {
+				name := f.names[f.rng.IntN(len(f.names))]
+				switch f.rng.IntN(4) {
+				case 0:
+					f.stopped[name] = true
+				case 1:
+					f.paused[name] = true
+				case 2:
+					f.lost = func(from, to id.Daemon) bool { return from == name }
+				default:
+					f.lost = nil
+				}
+				f.run(time.Duration(f.rng.Int64N(int64(5 * time.Second))))
+				if f.stopped[name] {
+					inc := f.members[name].Self().Process.Incarnation
+					f.start(name, inc+1)
+				}
+				delete(f.paused, name)
+			}
+			f.lost, f.loss = nil, 0
+			_, ok := f.until(90*time.Second, f.steady)
+			if !ok {
+				for _, n := range f.names {
+					t.Log(mode, seed, n, f.states(n), f.members[n].Self(), f.members[n].Halted())
+				}
+			}
+			is.True(ok)
+			for _, name := range f.names {
+				checkEpochs(t, f.changed[name])
+			}
+		}
+	}
+}
+
+// checkEpochs wants that nobody went straight from dead to live.
+func checkEpochs(t *testing.T, changes []Changed) {
+	for _, c := range changes {
+		if c.From == Dead && c.To == Alive && c.Reason != "a new epoch" {
+			t.Fatalf("%s came back without a new epoch: %+v", c.Process, c)
+		}
+	}
+}
--- /dev/null
+++ b/core/member/mesh.go
@@ -0,0 +1,104 @@
+package member
+
+import "time"
+
+// beat sends a heartbeat to every daemon that is not dead, and now and then
+// one to the dead, so that they learn it when they come back.
+func (m *Membership) beat(now time.Duration) {
+	var sample []Entry
+	if m.cfg.SampleEvery > 0 && m.self.Beat%m.cfg.SampleEvery == 0 {
+		sample = m.sample(1)
+	}
+	for _, name := range m.order {
+		p := m.peers[name]
+		if p.entry.State == Dead && now < p.revive {
+			continue
+		}
+		p.revive = now + m.cfg.ReviveEvery
+		m.send(p, Message{Kind: Heartbeat, Entries: append([]Entry(nil), sample...)})
+	}
+}
+
+// askAbout asks a few peers about a silent daemon, once a period: where only
+// one direction of one path is lost, they have heard it.
+func (m *Membership) askAbout(now time.Duration, p *peer) {
+	if now-p.asked < m.cfg.Period || !p.met {
+		return
+	}
+	p.asked = now
+	for _, helper := range m.helpers(p, m.cfg.Indirect) {
+		m.seq++
+		m.send(helper, Message{Kind: ProbeRequest, Seq: m.seq, About: p.entry.Process.Daemon})
+	}
+}
+
+// helpers chooses up to n alive peers other than p at random.
+func (m *Membership) helpers(p *peer, n int) []*peer {
+	var alive []*peer
+	for _, name := range m.order {
+		q := m.peers[name]
+		if q != p && q.met && q.entry.State == Alive {
+			alive = append(alive, q)
+		}
+	}
+	m.rng.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	return alive[:min(n, len(alive))]
+}
+
+// sample chooses up to n entries of daemons that are heard from.
+func (m *Membership) sample(n int) []Entry {
+	var out []Entry
+	for range min(3*n, len(m.order)) {
+		p := m.peers[m.order[m.rng.IntN(len(m.order))]]
+		if p.met && p.entry.State == Alive && len(out) < n {
+			out = append(out, p.entry)
+		}
+	}
+	return out
+}
+
+// onProbeRequest answers with fresh evidence, or probes on the asker's behalf.
+func (m *Membership) onProbeRequest(now time.Duration, asker *peer, msg Message) {
+	p, ok := m.peers[msg.About]
+	if !ok || !p.met {
+		return
+	}
+	if now-p.direct <= 2*m.cfg.Period {
+		m.send(asker, Message{Kind: Report, Seq: msg.Seq, About: msg.About, Entries: []Entry{p.entry}})
+		return
+	}
+	m.seq++
+	m.relays[m.seq] = relay{asker: asker.entry.Process.Daemon, seq: msg.Seq, about: msg.About, ends: now + m.cfg.DeadAfter}
+	m.send(p, Message{Kind: Probe, Seq: m.seq})
+}
+
+// relayAck passes an Ack on to the daemon that asked for the probe.
+func (m *Membership) relayAck(p *peer, msg Message) bool {
+	r, ok := m.relays[msg.Seq]
+	if !ok || r.about != p.entry.Process.Daemon {
+		return false
+	}
+	delete(m.relays, msg.Seq)
+	if asker, known := m.peers[r.asker]; known {
+		m.send(asker, Message{Kind: Report, Seq: r.seq, About: r.about, Entries: []Entry{p.entry}})
+	}
+	return true
+}
+
+func (m *Membership) dropRelays(now time.Duration) {
+	for seq, r := range m.relays {
+		if now >= r.ends {
+			delete(m.relays, seq)
+		}
+	}
+}
+
+// onAck takes the answer to a probe.
+func (m *Membership) onAck(now time.Duration, p *peer, msg Message) {
+	if m.relayAck(p, msg) {
+		return
+	}
+	if m.cfg.Mode == Partial {
+		m.partial.acked(p.entry.Process.Daemon, msg.Seq)
+	}
+}
--- /dev/null
+++ b/core/member/partial.go
@@ -0,0 +1,238 @@
+package member
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+)
+
+// Bounds of the Partial mode.
+const (
+	// resultWindow is how many of this daemon's own probes tell whether it is
+	// cut off itself.
+	resultWindow = 8
+	// spreadFactor times the logarithm of the fleet's size is how often an
+	// update is sent on.
+	spreadFactor = 3
+	// maxUpdates bounds the updates that wait to be sent on.
+	maxUpdates = 1024
+)
+
+// partial is the state that only the Partial mode has.
+type partial struct {
+	// round holds the daemons still to be probed in this round, shuffled.
+	round  []id.Daemon
+	probes []probe
+	// results holds the newest probes' success.
+	results []bool
+	queue   []update
+	view    []neighbour
+	sent    []id.Daemon
+	shuffle time.Duration
+	revive  time.Duration
+	sync    time.Duration
+}
+
+// probe is one probe in flight.
+type probe struct {
+	seq    uint64
+	target id.Daemon
+	// indirect is set once peers were asked.
+	indirect bool
+	ends     time.Duration
+}
+
+// update is news to be sent on with other messages.
+type update struct {
+	entry Entry
+	sent  int
+}
+
+// neighbour is one slot of the sample that shuffles exchange.
+type neighbour struct {
+	name id.Daemon
+	age  int
+}
+
+func newPartial(now time.Duration) partial { return partial{shuffle: now, revive: now, sync: now} }
+
+func (s *partial) next() time.Duration {
+	next := time.Duration(1<<63 - 1)
+	for _, p := range s.probes {
+		next = min(next, p.ends)
+	}
+	return next
+}
+
+func (s *partial) shift(late time.Duration) {
+	for i := range s.probes {
+		s.probes[i].ends += late
+	}
+}
+
+// acked ends a probe well.
+func (s *partial) acked(name id.Daemon, seq uint64) {
+	for i, p := range s.probes {
+		if p.seq == seq && p.target == name {
+			s.probes = slices.Delete(s.probes, i, i+1)
+			s.result(true)
+			return
+		}
+	}
+}
+
+func (s *partial) result(ok bool) {
+	s.results = append(s.results, ok)
+	if over := len(s.results) - resultWindow; over > 0 {
+		s.results = slices.Delete(s.results, 0, over)
+	}
+}
+
+// failing tells whether most of this daemon's newest probes failed.
+func (s *partial) failing() bool {
+	failed := 0
+	for _, ok := range s.results {
+		if !ok {
+			failed++
+		}
+	}
+	return failed >= minGroup && 2*failed > len(s.results)
+}
+
+// probeNext probes the next daemon of a shuffled round over all that are not dead.
+func (m *Membership) probeNext(now time.Duration) {
+	p := m.nextTarget()
+	if p == nil {
+		return
+	}
+	m.seq++
+	ends := now + m.cfg.ProbeTimeout
+	m.partial.probes = append(m.partial.probes, probe{seq: m.seq, target: p.entry.Process.Daemon, ends: ends})
+	m.send(p, Message{Kind: Probe, Seq: m.seq, Entries: m.updates()})
+}
+
+func (m *Membership) nextTarget() *peer {
+	s := &m.partial
+	if len(s.round) == 0 {
+		s.round = slices.Clone(m.order)
+		m.rng.Shuffle(len(s.round), func(i, j int) { s.round[i], s.round[j] = s.round[j], s.round[i] })
+	}
+	for len(s.round) > 0 {
+		p := m.peers[s.round[0]]
+		s.round = s.round[1:]
+		if p != nil && p.entry.State != Dead {
+			return p
+		}
+	}
+	return nil
+}
+
+// reviveOne sends a probe to one dead daemon now and then.
+func (m *Membership) reviveOne(now time.Duration) {
+	if now < m.partial.revive {
+		return
+	}
+	m.partial.revive = now + m.cfg.ReviveEvery
+	var dead []*peer
+	for _, name := range m.order {
+		if p := m.peers[name]; p.entry.State == Dead {
+			dead = append(dead, p)
+		}
+	}
+	if len(dead) > 0 {
+		m.send(dead[m.rng.IntN(len(dead))], Message{Kind: Probe})
+	}
+}
+
+// expireProbes asks peers about daemons that did not answer, then suspects them.
+func (m *Membership) expireProbes(now time.Duration) {
+	s := &m.partial
+	pending := s.probes
+	s.probes = nil
+	for _, pr := range pending {
+		p := m.peers[pr.target]
+		switch {
+		case p == nil:
+		case now < pr.ends:
+			s.probes = append(s.probes, pr)
+		case !pr.indirect:
+			m.askAbout(now, p)
+			pr.indirect = true
+			pr.ends = now + m.cfg.IndirectTimeout
+			s.probes = append(s.probes, pr)
+		default:
+			m.probeFailed(now, p)
+		}
+	}
+}
+
+// probeFailed ends a probe without an Ack; a Report may have come meanwhile.
+func (m *Membership) probeFailed(now time.Duration, p *peer) {
+	wait := m.cfg.ProbeTimeout + m.cfg.IndirectTimeout
+	if p.met && now-p.heard < wait {
+		m.partial.result(true)
+		return
+	}
+	if !p.met {
+		m.set(now, p, Dead, "listed and never heard")
+		return
+	}
+	m.partial.result(false)
+	if p.entry.State == Alive || p.entry.State == Paused {
+		m.set(now, p, Suspect, "no answer")
+		p.mine = true
+	}
+}
+
+// probeSuspects probes, each period, whom this daemon has made suspect, and
+// one more of the same failure domain: so a short pause ends the suspicion,
+// and a domain that is cut off is told from a dead daemon.
+func (m *Membership) probeSuspects(now time.Duration) {
+	for _, name := range m.order {
+		p := m.peers[name]
+		if !p.mine || p.entry.State != Suspect {
+			continue
+		}
+		m.send(p, Message{Kind: Probe})
+		if others := m.neighboursOf(p); len(others) > 0 {
+			m.send(others[m.rng.IntN(len(others))], Message{Kind: Probe})
+		}
+	}
+}
+
+// enqueue has news sent on with the next messages.
+func (m *Membership) enqueue(e Entry) {
+	if m.cfg.Mode != Partial {
+		return
+	}
+	s := &m.partial
+	at := slices.IndexFunc(s.queue, func(u update) bool { return u.entry.Process.Daemon == e.Process.Daemon })
+	if at >= 0 {
+		s.queue = slices.Delete(s.queue, at, at+1)
+	}
+	if len(s.queue) < maxUpdates {
+		s.queue = append(s.queue, update{entry: e})
+	}
+}
+
+// updates takes the news that was sent least often, and drops what was sent
+// often enough for all to have heard of it.
+func (m *Membership) updates() []Entry {
+	s := &m.partial
+	if len(s.queue) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(s.queue, func(a, b update) int { return cmp.Compare(a.sent, b.sent) })
+	n := min(m.cfg.Updates, len(s.queue))
+	out := make([]Entry, 0, n+1)
+	for i := range n {
+		s.queue[i].sent++
+		out = append(out, s.queue[i].entry)
+	}
+	limit := spreadFactor * bits.Len(uint(len(m.order)+1))
+	s.queue = slices.DeleteFunc(s.queue, func(u update) bool { return u.sent >= limit })
+	return out
+}
--- /dev/null
+++ b/core/member/receive.go
@@ -0,0 +1,201 @@
+package member
+
+import (
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+)
+
+// Receive takes a message that arrived from another daemon.
+func (m *Membership) Receive(now time.Duration, msg Message) []Action {
+	from := msg.From.Process.Daemon
+	if from == "" || from == m.self.Process.Daemon {
+		m.aboutSelf(msg.From, from)
+		return m.flush()
+	}
+	current := m.merge(now, msg.From, true)
+	for _, e := range msg.Entries {
+		if e.Process.Daemon == m.self.Process.Daemon {
+			m.aboutSelf(e, from)
+			continue
+		}
+		m.merge(now, e, false)
+	}
+	if p := m.peers[from]; p != nil {
+		m.answer(now, p, msg, current)
+	}
+	return m.flush()
+}
+
+// answer does what the kind of message asks for.
+func (m *Membership) answer(now time.Duration, p *peer, msg Message, current bool) {
+	if !current {
+		// An old incarnation still runs: it must learn that it is superseded.
+		m.tellStale(p, msg)
+		return
+	}
+	switch msg.Kind {
+	case Heartbeat:
+		if m.tells(p) && p.entry.State != Suspect {
+			m.send(p, Message{Kind: Ack})
+		}
+	case Probe:
+		m.send(p, Message{Kind: Ack, Seq: msg.Seq, Entries: m.updates()})
+	case Ack:
+		m.onAck(now, p, msg)
+	case ProbeRequest:
+		m.onProbeRequest(now, p, msg)
+	case Sync:
+		m.onSync(p)
+	case Shuffle:
+		m.onShuffle(now, p, msg)
+	case ShuffleReply:
+		m.onShuffleReply(msg)
+	}
+}
+
+// tellStale answers a process that a later incarnation has replaced.
+func (m *Membership) tellStale(p *peer, msg Message) {
+	reply := Message{Kind: Ack, From: m.self, Entries: []Entry{p.entry}}
+	m.emit(Action{Send: &Send{To: p.entry.Process.Daemon, Address: msg.From.Address, Message: reply}})
+}
+
+// aboutSelf meets what another daemon holds of this one.
+func (m *Membership) aboutSelf(e Entry, by id.Daemon) {
+	if e.Process.Daemon != m.self.Process.Daemon {
+		return
+	}
+	if e.Process.Incarnation > m.self.Process.Incarnation {
+		m.halt(by, true)
+		return
+	}
+	if e.Process.Incarnation < m.self.Process.Incarnation || e.Epoch < m.self.Epoch {
+		return
+	}
+	switch e.State {
+	case Dead:
+		m.self.Epoch = e.Epoch
+		m.halt(by, false)
+	case Suspect, Partitioned:
+		if m.cfg.Mode == Partial && !m.halted {
+			m.self.Epoch = e.Epoch + 1
+			m.enqueue(m.self)
+		}
+	}
+}
+
+// merge takes one entry about another daemon; direct entries come from the
+// daemon itself. It tells whether the entry is of its newest incarnation.
+func (m *Membership) merge(now time.Duration, e Entry, direct bool) bool {
+	p := m.peerNamed(now, e.Process.Daemon)
+	if p == nil || e.State < Alive || e.State > Dead {
+		return true
+	}
+	if e.Process.Incarnation < p.entry.Process.Incarnation {
+		return false
+	}
+	if !p.met || e.Process.Incarnation > p.entry.Process.Incarnation {
+		m.replace(now, p, e, direct)
+		return true
+	}
+	fresh := e.Beat > p.entry.Beat
+	if fresh {
+		takeReport(&p.entry, e)
+	}
+	if direct {
+		p.direct = now
+	}
+	if e.State == Leaving && !p.said {
+		p.said = true
+		m.enqueue(e)
+	}
+	m.mergeState(now, p, e, direct, fresh)
+	return true
+}
+
+// takeReport copies what a daemon says of itself, but for state and epoch.
+func takeReport(to *Entry, e Entry) {
+	to.Beat = e.Beat
+	to.Domain, to.Address, to.CallerAddress = e.Domain, e.Address, e.CallerAddress
+	to.Revision, to.InFlight, to.Settings = e.Revision, e.InFlight, e.Settings
+}
+
+// replace starts afresh with a new incarnation, or one that was only listed.
+func (m *Membership) replace(now time.Duration, p *peer, e Entry, direct bool) {
+	if p.met && p.entry.State != Dead {
+		p.entry.State = Dead
+		p.said, p.listedLeaving = false, false
+		m.show(p, "a later incarnation started")
+	}
+	p.met = true
+	p.entry = e
+	p.said = e.State == Leaving
+	if p.said {
+		p.entry.State = Alive
+	}
+	p.heard, p.since = now, now
+	if direct {
+		p.direct = now
+	}
+	p.shown = 0
+	m.enqueue(e)
+	m.show(p, "first heard")
+}
+
+// mergeState decides the state after an entry of the same incarnation.
+func (m *Membership) mergeState(now time.Duration, p *peer, e Entry, direct, fresh bool) {
+	said := e.State
+	if said == Leaving {
+		said = Alive
+	}
+	newer := e.Epoch > p.entry.Epoch
+	if newer {
+		p.entry.Epoch = e.Epoch
+		p.heard = now
+		m.set(now, p, said, "a new epoch")
+		return
+	}
+	if e.Epoch < p.entry.Epoch {
+		return
+	}
+	if fresh || direct {
+		m.evidence(now, p, e, direct)
+	}
+	if !direct && m.adopts(p, e, said) {
+		m.set(now, p, said, "reported by a peer")
+	}
+}
+
+// adopts decides whether to take a peer's word about another daemon. A death
+// counts, unless this daemon is cut off, so that the daemon learns of it
+// wherever it turns; a suspicion counts unless this one has newer evidence.
+func (m *Membership) adopts(p *peer, e Entry, said State) bool {
+	if m.cfg.Mode != Partial || said <= p.entry.State {
+		return false
+	}
+	if said == Dead {
+		return !m.isolated
+	}
+	return e.Beat >= p.entry.Beat
+}
+
+// evidence takes proof that the process ran. A dead one must first learn that
+// it was declared dead: it is paused until it answers with a new epoch.
+func (m *Membership) evidence(now time.Duration, p *peer, e Entry, direct bool) {
+	switch p.entry.State {
+	case Dead:
+		if direct {
+			p.heard = now
+			m.set(now, p, Paused, "it came back")
+		}
+	case Paused:
+		p.heard = now
+	default:
+		p.heard = now
+		to := Alive
+		if direct && e.State == Paused {
+			to = Paused
+		}
+		m.set(now, p, to, "heard")
+	}
+}
--- /dev/null
+++ b/core/member/shuffle.go
@@ -0,0 +1,108 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+)
+
+// shuffleNext, now and then, exchanges a few entries with the neighbour that
+// has been in the view longest, so that daemons which the host list lacks are
+// found and stale entries fade out.
+func (m *Membership) shuffleNext(now time.Duration) {
+	s := &m.partial
+	if now < s.shuffle {
+		return
+	}
+	s.shuffle = now + m.cfg.ShuffleEvery
+	m.fillView()
+	if len(s.view) == 0 {
+		return
+	}
+	for i := range s.view {
+		s.view[i].age++
+	}
+	oldest := slices.MaxFunc(s.view, func(a, b neighbour) int { return cmp.Compare(a.age, b.age) })
+	s.view = slices.DeleteFunc(s.view, func(n neighbour) bool { return n.name == oldest.name })
+	entries := m.viewSample(oldest.name)
+	s.sent = names(entries)
+	m.send(m.peers[oldest.name], Message{Kind: Shuffle, Entries: entries})
+}
+
+// fillView drops neighbours that are gone and fills an empty view from all
+// that is known.
+func (m *Membership) fillView() {
+	s := &m.partial
+	s.view = slices.DeleteFunc(s.view, func(n neighbour) bool { return !m.present(n.name) })
+	if len(s.view) > 0 {
+		return
+	}
+	candidates := slices.Clone(m.order)
+	m.rng.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	for _, name := range candidates {
+		if len(s.view) < m.cfg.ViewSize && m.present(name) {
+			s.view = append(s.view, neighbour{name: name})
+		}
+	}
+}
+
+func (m *Membership) present(name id.Daemon) bool {
+	p, ok := m.peers[name]
+	return ok && p.entry.State != Dead
+}
+
+// viewSample chooses entries of neighbours at random, but for one name.
+func (m *Membership) viewSample(without id.Daemon) []Entry {
+	var out []Entry
+	for _, i := range m.rng.Perm(len(m.partial.view)) {
+		name := m.partial.view[i].name
+		p, ok := m.peers[name]
+		if ok && name != without && p.met && len(out) < m.cfg.ShuffleSize {
+			out = append(out, p.entry)
+		}
+	}
+	return out
+}
+
+func (m *Membership) onShuffle(now time.Duration, p *peer, msg Message) {
+	m.fillView()
+	reply := m.viewSample(p.entry.Process.Daemon)
+	m.send(p, Message{Kind: ShuffleReply, Seq: msg.Seq, Entries: reply})
+	// The asker itself comes into the view fresh, beside what it offered.
+	m.takeNeighbours(append([]id.Daemon{p.entry.Process.Daemon}, names(msg.Entries)...), names(reply))
+}
+
+func (m *Membership) onShuffleReply(msg Message) {
+	m.takeNeighbours(names(msg.Entries), m.partial.sent)
+	m.partial.sent = nil
+}
+
+// takeNeighbours puts names into the view: into free slots first, then in
+// place of those that were sent away.
+func (m *Membership) takeNeighbours(got, sent []id.Daemon) {
+	s := &m.partial
+	for _, name := range got {
+		inView := slices.ContainsFunc(s.view, func(n neighbour) bool { return n.name == name })
+		if inView || name == m.self.Process.Daemon || !m.present(name) {
+			continue
+		}
+		if len(s.view) >= m.cfg.ViewSize {
+			at := slices.IndexFunc(s.view, func(n neighbour) bool { return slices.Contains(sent, n.name) })
+			if at < 0 {
+				return
+			}
+			s.view = slices.Delete(s.view, at, at+1)
+		}
+		s.view = append(s.view, neighbour{name: name})
+	}
+}
+
+func names(entries []Entry) []id.Daemon {
+	out := make([]id.Daemon, len(entries))
+	for i, e := range entries {
+		out[i] = e.Process.Daemon
+	}
+	return out
+}
--- /dev/null
+++ b/core/member/view.go
@@ -0,0 +1,74 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+)
+
+// Self returns this daemon's own entry.
+func (m *Membership) Self() Entry { return m.self }
+
+// View lists all known daemons, this one among them, by name; each with its
+// state as this daemon sees it.
+func (m *Membership) View() []Entry {
+	out := []Entry{m.self}
+	for _, name := range m.order {
+		p := m.peers[name]
+		e := p.entry
+		e.State = p.state()
+		out = append(out, e)
+	}
+	slices.SortFunc(out, compareNames)
+	return out
+}
+
+// Live lists, by name, the daemons that duties are shared among: the alive
+// and the suspect, which would else flap; this daemon unless it leaves or is
+// halted.
+func (m *Membership) Live() []id.Daemon {
+	var out []id.Daemon
+	for _, e := range m.View() {
+		own := e.Process.Daemon == m.self.Process.Daemon
+		met := own || m.peers[e.Process.Daemon].met
+		if met && (e.State == Alive || e.State == Suspect) {
+			out = append(out, e.Process.Daemon)
+		}
+	}
+	return out
+}
+
+// Get returns a daemon's entry as this daemon sees it.
+func (m *Membership) Get(name id.Daemon) (Entry, bool) {
+	if name == m.self.Process.Daemon {
+		return m.self, true
+	}
+	p, ok := m.peers[name]
+	if !ok {
+		return Entry{}, false
+	}
+	e := p.entry
+	e.State = p.state()
+	return e, true
+}
+
+// Silence is how long ago the daemon itself was last heard, directly; paths
+// where one direction is lost show here though the daemon is alive.
+func (m *Membership) Silence(now time.Duration, name id.Daemon) time.Duration {
+	p, ok := m.peers[name]
+	if !ok {
+		return m.cfg.Forget
+	}
+	return now - p.direct
+}
+
+// Revision returns the highest configuration revision that any daemon has in
+// force, as far as this one knows.
+func (m *Membership) Revision() uint64 {
+	rev := m.self.Revision
+	for _, name := range m.order {
+		rev = max(rev, m.peers[name].entry.Revision)
+	}
+	return rev
+}
--- /dev/null
+++ b/core/naive/compare_test.go
@@ -0,0 +1,119 @@
+package naive_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/naive"
+	"github.com/samphirequay/samphirequay/core/sched"
+)
+
+// fullRate is the rate at which the model's 22 decode slots are all in use,
+// in requests a second: each is held for about 0.52 s.
+const fullRate = 42.0
+
+// policy is one of the compared ways.
+type policy struct {
+	name        string
+	shared      bool
+	wasteWeight float64
+	make        func(o sched.Options) sched.Scheduler
+	reservation sched.Reservation
+}
+
+// policies are the compared ways.
+var policies = []policy{
+	{name: "naive", shared: true, make: naive.New},
+	{name: "optimistic", make: sched.NewOptimistic},
+	{name: "ledger early 0.2", shared: true, wasteWeight: 0.2, make: sched.NewLedger, reservation: sched.Early},
+	{name: "ledger in time 0.0", shared: true, wasteWeight: 0, make: sched.NewLedger},
+	{name: "ledger in time 0.2", shared: true, wasteWeight: 0.2, make: sched.NewLedger},
+	{name: "ledger in time 0.5", shared: true, wasteWeight: 0.5, make: sched.NewLedger},
+	{name: "ledger in time 0.8", shared: true, wasteWeight: 0.8, make: sched.NewLedger},
+	{name: "ledger in time 1.0", shared: true, wasteWeight: 1, make: sched.NewLedger},
+}
+
+// run measures a policy at a rate.
+func (p policy) run(t *testing.T, seed uint64, count int, rate float64, patience time.Duration) result {
+	t.Helper()
+	number := uint64(0)
+	m := newModel(document(p.wasteWeight, patience), seed, p.shared, func() sched.Scheduler {
+		number++
+		return p.make(sched.Options{
+			Pool:        pool,
+			Self:        id.Process{Daemon: "d", Incarnation: id.Incarnation(number)},
+			Seed:        seed*100 + number,
+			Reservation: p.reservation,
+			Violation:   func(name, detail string) { t.Errorf("%s: %s: %s", p.name, name, detail) },
+		})
+	})
+	return m.run(count, rate)
+}
+
+// TestLedgerAndNaiveAnswerTheSame is the differential test: without faults
+// and within capacity both answer every request, each once.
+func TestLedgerAndNaiveAnswerTheSame(t *testing.T) {
+	const count = 2000
+	for _, p := range policies {
+		for seed := range uint64(3) {
+			is := is.New(t)
+			r := p.run(t, seed, count, fullRate/8, time.Minute)
+			t.Logf("%s, seed %d: %+v", p.name, seed, r)
+			is.Equal(r.asked, count)
+			is.Equal(r.answered, count) // all are answered
+			is.Equal(r.twice, 0)        // each once
+			is.Equal(r.refused, 0)
+		}
+	}
+}
+
+// TestPoliciesCompared measures goodput and wasted prefill near and past the
+// pool's capacity, with a patience of one second.
+func TestPoliciesCompared(t *testing.T) {
+	const count = 3000
+	for _, load := range []float64{0.7, 0.95, 1.2} {
+		results := map[string]result{}
+		for _, p := range policies {
+			var sum result
+			for seed := range uint64(3) {
+				sum = sum.plus(p.run(t, seed, count, load*fullRate, time.Second))
+			}
+			results[p.name] = sum
+			t.Logf("load %.2f, %-18s in time %5.1f%%, refused %5.1f%%, failed %4.1f%%, wasted prefills %5.2f%%",
+				load, p.name, share(sum.inTime, sum.asked), share(sum.refused, sum.asked),
+				share(sum.failed, sum.asked), share(sum.wasted, sum.prefills))
+		}
+		is := is.New(t)
+		base := results["optimistic"]
+		for _, p := range policies {
+			if !p.shared {
+				continue
+			}
+			r := results[p.name]
+			is.Equal(r.twice, 0)
+			is.True(r.inTime > base.inTime)                                         // more goodput than choosing apart
+			is.True(r.wasted*base.prefills <= base.wasted*r.prefills)               // and no more waste
+			is.True(share(r.failed, r.asked) < 1)                                   // refusals come before the work
+			is.True(results["ledger in time 1.0"].wasted <= results[p.name].wasted) // full weight wastes least
+		}
+	}
+}
+
+// plus adds up two runs.
+func (r result) plus(o result) result {
+	r.asked += o.asked
+	r.answered += o.answered
+	r.inTime += o.inTime
+	r.refused += o.refused
+	r.failed += o.failed
+	r.prefills += o.prefills
+	r.wasted += o.wasted
+	r.twice += o.twice
+	return r
+}
+
+// share is a part in per cent.
+func share(part, whole int) float64 { return 100 * float64(part) / float64(max(1, whole)) }
--- /dev/null
+++ b/core/pairing/asker.go
@@ -0,0 +1,282 @@
+// Package pairing is the asking side of scheduling: the state that a daemon
+// keeps of each request that it wants endpoints for. It sends the Want to the
+// pool's owner, sends it again when no answer comes or the owner changes, hands
+// grants in use to a new owner, and gives up in time. It is deterministic.
+package pairing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/rendezvous"
+	"github.com/samphirequay/samphirequay/core/sched"
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+const (
+	// DefaultResend is how long an unanswered Want waits before it is sent again.
+	DefaultResend = 250 * time.Millisecond
+	// DefaultMargin is added to a request's patience before the asker gives up
+	// on its owner by itself.
+	DefaultMargin = 100 * time.Millisecond
+	// unreachableRetryAfter is advised when a pool's owner gave no answer.
+	unreachableRetryAfter = time.Second
+)
+
+// Message is what the asker wants sent to a pool's owner. One field is set.
+type Message struct {
+	To       id.Daemon
+	Want     *sched.Want
+	Withdraw *Withdrawal
+	Progress *PoolProgress
+	Adopt    *sched.Adopt
+}
+
+// Withdrawal drops a request that waits or was granted and not begun.
+type Withdrawal struct {
+	Pool    id.Pool    `cbor:"1,keyasint"`
+	Request id.Request `cbor:"2,keyasint"`
+}
+
+// PoolProgress is a Progress with the pool it belongs to.
+type PoolProgress struct {
+	Pool     id.Pool        `cbor:"1,keyasint"`
+	Progress sched.Progress `cbor:"2,keyasint"`
+}
+
+// Answer ends an Ask: a grant, or an error whose verdict is not run.
+type Answer struct {
+	Request id.Request
+	Grant   *sched.Grant
+	Err     *verdict.Error
+}
+
+// Output is what an event caused: messages to send and answers to deliver.
+type Output struct {
+	Messages []Message
+	Answers  []Answer
+}
+
+// Options tune an Asker; zero values mean the defaults.
+type Options struct {
+	// Local keeps every pool on this daemon: for policies without an owner.
+	Local bool
+	// Resend is the wait before an unanswered Want is sent again.
+	Resend time.Duration
+	// Margin is added to a request's patience before giving up.
+	Margin time.Duration
+}
+
+type entry struct {
+	want    sched.Want
+	askedAt time.Duration
+	sentAt  time.Duration
+	giveUp  time.Duration
+	owner   id.Daemon
+	grant   *sched.Grant
+	phase   sched.Phase
+}
+
+// Asker holds the requests of one daemon that want endpoints or hold a grant.
+type Asker struct {
+	self    id.Process
+	opts    Options
+	members []id.Daemon
+	entries map[id.Request]*entry
+}
+
+// New returns an Asker whose only known member is this daemon.
+func New(self id.Process, opts Options) *Asker {
+	if opts.Resend == 0 {
+		opts.Resend = DefaultResend
+	}
+	if opts.Margin == 0 {
+		opts.Margin = DefaultMargin
+	}
+	return &Asker{
+		self:    self,
+		opts:    opts,
+		members: []id.Daemon{self.Daemon},
+		entries: make(map[id.Request]*entry),
+	}
+}
+
+// Len is how many requests wait or hold a grant.
+func (a *Asker) Len() int { return len(a.entries) }
+
+// Owner returns the daemon that schedules pool.
+func (a *Asker) Owner(pool id.Pool) id.Daemon {
+	if a.opts.Local || len(a.members) == 0 {
+		return a.self.Daemon
+	}
+	return rendezvous.Owner(string(pool), a.members)
+}
+
+// Ask sends a Want; patience is how long from now the caller can wait.
+func (a *Asker) Ask(now time.Duration, w sched.Want, patience time.Duration) Output {
+	e := &entry{want: w, askedAt: now, giveUp: now + patience + a.opts.Margin}
+	a.entries[w.Request] = e
+	return a.sendWant(now, e)
+}
+
+func (a *Asker) sendWant(now time.Duration, e *entry) Output {
+	e.owner = a.Owner(e.want.Pool)
+	e.sentAt = now
+	w := e.want
+	w.Age += now - e.askedAt
+	return Output{Messages: []Message{{To: e.owner, Want: &w}}}
+}
+
+// Resume registers a request that another process had a grant for: its caller
+// came back through this daemon while the engine still writes the answer.
+func (a *Asker) Resume(now time.Duration, w sched.Want, g sched.Grant) Output {
+	e := &entry{want: w, askedAt: now, sentAt: now, grant: &g, phase: sched.PhaseDecoding}
+	e.owner = a.Owner(w.Pool)
+	a.entries[w.Request] = e
+	return Output{Messages: []Message{adoptMessage(e)}}
+}
+
+// Withdraw forgets a request and tells its owner.
+func (a *Asker) Withdraw(r id.Request) Output {
+	e, ok := a.entries[r]
+	if !ok {
+		return Output{}
+	}
+	delete(a.entries, r)
+	m := Message{To: e.owner, Withdraw: &Withdrawal{Pool: e.want.Pool, Request: r}}
+	return Output{Messages: []Message{m}}
+}
+
+// Progress passes on how a granted request fares; a final phase forgets it.
+func (a *Asker) Progress(p sched.Progress) Output {
+	e, ok := a.entries[p.Request]
+	if !ok || e.grant == nil {
+		return Output{}
+	}
+	e.phase = p.Phase
+	p.Reservation = e.grant.Reservation
+	if final(p.Phase) {
+		delete(a.entries, p.Request)
+	}
+	return Output{Messages: []Message{progressMessage(e.owner, e.want.Pool, p)}}
+}
+
+func progressMessage(to id.Daemon, pool id.Pool, p sched.Progress) Message {
+	return Message{To: to, Progress: &PoolProgress{Pool: pool, Progress: p}}
+}
+
+func final(p sched.Phase) bool {
+	return p == sched.PhaseDone || p == sched.PhaseFailed || p == sched.PhaseCancelled
+}
+
+// Granted takes a grant. One that nobody waits for is given back at once, so
+// that its slot is not held until it expires.
+func (a *Asker) Granted(pool id.Pool, g sched.Grant) Output {
+	e, ok := a.entries[g.Request]
+	if !ok {
+		release := sched.Progress{Request: g.Request, Reservation: g.Reservation, Phase: sched.PhaseCancelled}
+		return Output{Messages: []Message{progressMessage(g.Owner.Daemon, pool, release)}}
+	}
+	if e.grant != nil {
+		return a.secondGrant(e, g)
+	}
+	e.grant = &g
+	return Output{Answers: []Answer{{Request: g.Request, Grant: &g}}}
+}
+
+// secondGrant handles a grant for a request that has one: a former owner's and
+// a new owner's may both arrive. The first stays in use; another owner's is
+// given back, and the present owner learns of the one in use.
+func (a *Asker) secondGrant(e *entry, g sched.Grant) Output {
+	if g.Owner == e.grant.Owner {
+		return Output{}
+	}
+	release := sched.Progress{Request: g.Request, Reservation: g.Reservation, Phase: sched.PhaseCancelled}
+	out := Output{Messages: []Message{progressMessage(g.Owner.Daemon, e.want.Pool, release)}}
+	if g.Owner.Daemon == e.owner {
+		out.Messages = append(out.Messages, adoptMessage(e))
+	}
+	return out
+}
+
+func adoptMessage(e *entry) Message {
+	phase := e.phase
+	return Message{To: e.owner, Adopt: &sched.Adopt{Want: e.want, Grant: *e.grant, Phase: phase}}
+}
+
+// Refused takes a refusal from a pool's owner. One from a daemon that no longer
+// owns the pool is ignored: the present owner will answer.
+func (a *Asker) Refused(from id.Daemon, r sched.Refusal) Output {
+	e, ok := a.entries[r.Request]
+	if !ok || e.grant != nil || from != e.owner {
+		return Output{}
+	}
+	delete(a.entries, r.Request)
+	err := verdict.New(verdict.NotRun, r.Code, "%s", r.Reason).WithRetryAfter(r.RetryAfter)
+	return Output{Answers: []Answer{{Request: r.Request, Err: err}}}
+}
+
+// Members takes the live daemons. Requests of pools whose owner changed go to
+// the new one: waiting ones as Wants, granted ones as Adopts.
+func (a *Asker) Members(now time.Duration, members []id.Daemon) Output {
+	a.members = slices.Clone(members)
+	var out Output
+	for _, r := range a.sorted() {
+		e := a.entries[r]
+		if a.Owner(e.want.Pool) == e.owner {
+			continue
+		}
+		out.append(a.moved(now, e))
+	}
+	return out
+}
+
+func (a *Asker) moved(now time.Duration, e *entry) Output {
+	if e.grant == nil {
+		return a.sendWant(now, e)
+	}
+	e.owner = a.Owner(e.want.Pool)
+	return Output{Messages: []Message{adoptMessage(e)}}
+}
+
+// Tick sends unanswered Wants again and gives up on those out of patience.
+func (a *Asker) Tick(now time.Duration) Output {
+	var out Output
+	for _, r := range a.sorted() {
+		e := a.entries[r]
+		if e.grant != nil {
+			continue
+		}
+		if now >= e.giveUp {
+			out.append(a.abandon(e))
+			continue
+		}
+		if now-e.sentAt >= a.opts.Resend {
+			out.append(a.sendWant(now, e))
+		}
+	}
+	return out
+}
+
+func (a *Asker) abandon(e *entry) Output {
+	out := a.Withdraw(e.want.Request)
+	err := verdict.New(verdict.NotRun, verdict.CodeUnavailable,
+		"no answer from %s, which schedules pool %s", e.owner, e.want.Pool)
+	out.Answers = append(out.Answers, Answer{Request: e.want.Request, Err: err.WithRetryAfter(unreachableRetryAfter)})
+	return out
+}
+
+func (a *Asker) sorted() []id.Request {
+	rs := make([]id.Request, 0, len(a.entries))
+	for r := range a.entries {
+		rs = append(rs, r)
+	}
+	slices.Sort(rs)
+	return rs
+}
+
+func (o *Output) append(other Output) {
+	o.Messages = append(o.Messages, other.Messages...)
+	o.Answers = append(o.Answers, other.Answers...)
+}
--- /dev/null
+++ b/core/placement/advance.go
@@ -0,0 +1,145 @@
+package placement
+
+import (
+	"fmt"
+	"time"
+)
+
+// advance takes an endpoint's next step towards its desired setup.
+func (p *Placement) advance(now time.Duration, g *group, e *engine) {
+	if !e.decided {
+		return
+	}
+	if e.leaving() {
+		p.cancel(e, "the endpoint is leaving")
+		return
+	}
+	if !p.usable(now, e) {
+		// It may come back as it was: its steps go on from there.
+		return
+	}
+	switch e.step {
+	case stepSettled:
+		p.start(now, g, e)
+	case stepDraining:
+		p.drain(now, e)
+	case stepGranting:
+		p.grant(now, e)
+	case stepOrdered:
+		p.await(now, e)
+	}
+}
+
+// start begins a change where the observed setup differs from the desired
+// one: for a new wish, or to repair what somebody else's late order did.
+func (p *Placement) start(now time.Duration, g *group, e *engine) {
+	o := e.observed
+	if o.Setup == e.desired {
+		e.held = ""
+		return
+	}
+	if now < e.again {
+		return
+	}
+	role := o.Setup.Role
+	if p.warm(now, e, role) && p.warmCount(now, g, role) <= least(g.pool, role) {
+		p.putOff(e, fmt.Sprintf("it is one of the last %d warm %s endpoints", least(g.pool, role), role))
+		return
+	}
+	if !o.Setup.sameWeights(e.desired) && p.loads() >= p.cfg.MaxLoads {
+		p.putOff(e, "as many loads run as may")
+		return
+	}
+	e.held = ""
+	e.step, e.since = stepDraining, now
+	reason := fmt.Sprintf("it has %s and should have %s", o.Setup, e.desired)
+	p.say(e, "change", reason)
+	p.out = append(p.out, Action{Drain: &Drain{Endpoint: e.name, Pool: e.pool.Name, On: true, Reason: reason}})
+}
+
+// putOff logs once why a change waits.
+func (p *Placement) putOff(e *engine, reason string) {
+	if e.held != reason {
+		e.held = reason
+		p.say(e, "held back", reason)
+	}
+}
+
+// loads counts the endpoints that load, or are about to.
+func (p *Placement) loads() int {
+	n := 0
+	for _, e := range p.engines {
+		if e.step != stepSettled && !e.observed.Setup.sameWeights(e.desired) {
+			n++
+		}
+	}
+	return n
+}
+
+// drain waits until the endpoint is empty, seen so after the drain began.
+func (p *Placement) drain(now time.Duration, e *engine) {
+	switch {
+	case e.observed.Setup == e.desired && e.observed.Ready:
+		p.settle(e, "it has the desired setup after all")
+	case e.at > e.since && e.observed.Busy == 0:
+		p.emptied(now, e)
+	case now-e.since >= p.cfg.DrainLimit:
+		e.again = now + p.cfg.DrainLimit
+		p.settle(e, "it did not become empty in time; the change is put off")
+	}
+}
+
+func (p *Placement) emptied(now time.Duration, e *engine) {
+	if e.observed.Setup.sameWeights(e.desired) {
+		p.order(now, e, "it is empty and needs no load")
+		return
+	}
+	e.step, e.since, e.again = stepGranting, now, now
+	p.grant(now, e)
+}
+
+// grant asks the weight store, and again when it is due.
+func (p *Placement) grant(now time.Duration, e *engine) {
+	if now < e.again {
+		return
+	}
+	e.again = now + p.cfg.GrantTimeout
+	p.out = append(p.out, Action{Grant: &GrantRequest{Endpoint: e.name, Model: e.desired.Model}})
+}
+
+// order sends the desired setup.
+func (p *Placement) order(now time.Duration, e *engine, reason string) {
+	e.step = stepOrdered
+	e.again = now + p.cfg.OrderRepeat
+	p.out = append(p.out, Action{Order: &Order{
+		Endpoint:      e.name,
+		Setup:         e.desired,
+		ChecksFencing: e.config.ChecksFencing,
+		Reason:        reason,
+	}})
+}
+
+// await repeats the order until the endpoint is ready with it.
+func (p *Placement) await(now time.Duration, e *engine) {
+	if e.observed.Setup == e.desired && e.observed.Ready {
+		p.settle(e, "it is ready as desired")
+		return
+	}
+	if now >= e.again {
+		p.order(now, e, "the order is not carried out yet")
+	}
+}
+
+// settle ends a change and lets new work in again.
+func (p *Placement) settle(e *engine, reason string) {
+	e.step = stepSettled
+	p.say(e, "settled", reason)
+	p.out = append(p.out, Action{Drain: &Drain{Endpoint: e.name, Pool: e.pool.Name, Reason: reason}})
+}
+
+// cancel ends a change that must not go on.
+func (p *Placement) cancel(e *engine, reason string) {
+	if e.step != stepSettled {
+		p.settle(e, reason)
+	}
+}
--- /dev/null
+++ b/core/placement/decide.go
@@ -0,0 +1,182 @@
+package placement
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/live"
+)
+
+// leaving tells whether an endpoint is skipped.
+func (e *engine) leaving() bool { return live.IsLeaving(e.config) || e.observed.Leaving }
+
+// usable tells whether the endpoint's state is known well enough to act on.
+func (p *Placement) usable(now time.Duration, e *engine) bool {
+	return e.seen && e.observed.Reachable && now-e.at <= p.cfg.Fresh
+}
+
+// warm tells whether the endpoint serves its pool's model in a role now, and
+// will go on doing so.
+func (p *Placement) warm(now time.Duration, e *engine, role live.Role) bool {
+	return p.usable(now, e) && !e.leaving() && e.step == stepSettled &&
+		e.observed.Ready && e.observed.Setup.Role == role && e.observed.Setup.Model == e.pool.Model
+}
+
+func (p *Placement) warmCount(now time.Duration, g *group, role live.Role) int {
+	n := 0
+	for _, e := range g.members {
+		if p.warm(now, e, role) {
+			n++
+		}
+	}
+	return n
+}
+
+// least is the fewest warm endpoints of a role that must stay; never none.
+func least(pool *live.Pool, role live.Role) int {
+	if role == live.RolePrefill {
+		return max(1, pool.MinPrefill)
+	}
+	return max(1, pool.MinDecode)
+}
+
+// decide sets the desired setup of each endpoint of a pool.
+func (p *Placement) decide(now time.Duration, g *group) {
+	for _, e := range g.members {
+		if e.leaving() || !e.seen {
+			continue
+		}
+		role := p.decideRole(g, e)
+		setup := Setup{Model: g.pool.Model, Adapter: g.pool.Adapter, Version: g.pool.Version, Role: role}
+		if m := e.config.Labels[live.LabelModel]; m != "" {
+			setup.Model = m
+		}
+		if e.decided && setup == e.desired {
+			continue
+		}
+		before := e.desired
+		first := !e.decided
+		e.desired, e.decided = setup, true
+		if !first {
+			p.say(e, "desired", fmt.Sprintf("from %s to %s", before, setup))
+		}
+	}
+}
+
+// decideRole keeps the role unless a label says otherwise: a label that is
+// new, or any label in a pool of fixed roles.
+func (p *Placement) decideRole(g *group, e *engine) live.Role {
+	label := e.config.Labels[live.LabelRole]
+	relabelled := e.decided && label != e.label && label != ""
+	first := !e.decided
+	e.label = label
+	if label != "" && (g.pool.FixedRoles || relabelled) {
+		return live.Role(label)
+	}
+	if !first {
+		return e.desired.Role
+	}
+	if r := e.observed.Setup.Role; e.observed.Ready && (r == live.RolePrefill || r == live.RoleDecode) {
+		return r
+	}
+	if label != "" {
+		return live.Role(label)
+	}
+	return firstRole(g)
+}
+
+// firstRole gives a new endpoint the role that the pool lacks most.
+func firstRole(g *group) live.Role {
+	prefill, decode := 0, 0
+	for _, e := range g.members {
+		switch {
+		case !e.decided || e.leaving():
+		case e.desired.Role == live.RolePrefill:
+			prefill++
+		default:
+			decode++
+		}
+	}
+	lackPrefill := least(g.pool, live.RolePrefill) - prefill
+	lackDecode := least(g.pool, live.RoleDecode) - decode
+	if lackPrefill > lackDecode || (lackPrefill == lackDecode && prefill < decode) {
+		return live.RolePrefill
+	}
+	return live.RoleDecode
+}
+
+// String gives the setup as it stands in reasons.
+func (s Setup) String() string {
+	return fmt.Sprintf("%s/%s/%s/%s", s.Model, s.Adapter, s.Version, s.Role)
+}
+
+// rebalance moves at most one endpoint of a pool to the role that is short,
+// once demand has asked for it long enough.
+func (p *Placement) rebalance(now time.Duration, g *group) {
+	wish := p.wish(g)
+	if wish != g.wish {
+		g.wish, g.wishFrom = wish, now
+	}
+	if wish == "" || now-g.wishFrom < p.cfg.Sustain || (g.moved && now-g.changed < p.cfg.MinDwell) {
+		return
+	}
+	e := p.donor(now, g, other(wish))
+	if e == nil {
+		return
+	}
+	e.desired.Role = wish
+	e.changed, e.everChanged = now, true
+	g.changed, g.moved = now, true
+	g.wishFrom = now
+	p.say(e, "role", fmt.Sprintf("to %s: prefill utilisation %.2f, decode utilisation %.2f for %s", wish, g.demand.Prefill, g.demand.Decode, p.cfg.Sustain))
+}
+
+// wish is the role that demand asks for more of; empty for none.
+func (p *Placement) wish(g *group) live.Role {
+	if !g.known || g.pool.FixedRoles {
+		return ""
+	}
+	switch d := g.demand; {
+	case d.Prefill >= p.cfg.High && d.Decode <= p.cfg.Low:
+		return live.RolePrefill
+	case d.Decode >= p.cfg.High && d.Prefill <= p.cfg.Low:
+		return live.RoleDecode
+	default:
+		return ""
+	}
+}
+
+func other(r live.Role) live.Role {
+	if r == live.RolePrefill {
+		return live.RoleDecode
+	}
+	return live.RolePrefill
+}
+
+// donor chooses the least busy warm endpoint of a role that may change it.
+func (p *Placement) donor(now time.Duration, g *group, role live.Role) *engine {
+	if p.changing(g) || p.warmCount(now, g, role) <= least(g.pool, role) {
+		return nil
+	}
+	var best *engine
+	for _, e := range g.members {
+		dwelt := !e.everChanged || now-e.changed >= p.cfg.MinDwell
+		if !dwelt || !p.warm(now, e, role) || e.desired != e.observed.Setup {
+			continue
+		}
+		if best == nil || e.observed.Busy < best.observed.Busy {
+			best = e
+		}
+	}
+	return best
+}
+
+// changing tells whether an endpoint of the pool is on its way to another setup.
+func (p *Placement) changing(g *group) bool {
+	for _, e := range g.members {
+		if e.step != stepSettled {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/poison/fleet_test.go
@@ -0,0 +1,217 @@
+package poison
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/id"
+)
+
+const (
+	step        = 10 * time.Millisecond
+	fleetSize   = 12
+	gossipDelay = 50 * time.Millisecond
+)
+
+// request is what a caller wants; it sends again until it is done or refused.
+type request struct {
+	suspect  Suspect
+	poison   bool
+	sendAt   time.Duration
+	daemon   int
+	server   *server
+	endsAt   time.Duration
+	finished bool
+	refused  bool
+}
+
+// server is an endpoint; it runs requests of all daemons.
+type server struct {
+	id      CrashID
+	running []*request
+	upAt    time.Duration
+}
+
+type message struct {
+	at    time.Duration
+	to    int
+	state State
+}
+
+type simulation struct {
+	rng      *rand.Rand
+	now      time.Duration
+	ledgers  []*Ledger
+	sent     []uint64
+	mail     []message
+	servers  []*server
+	requests []*request
+	crashes  int
+}
+
+func newSimulation(seed uint64) *simulation {
+	s := &simulation{rng: rand.New(rand.NewPCG(seed, 3)), sent: make([]uint64, 3)}
+	for range 3 {
+		s.ledgers = append(s.ledgers, New(Config{}))
+	}
+	for i := range fleetSize {
+		s.servers = append(s.servers, &server{id: CrashID{Endpoint: id.Endpoint(fmt.Sprint("e", i)), Incarnation: 1}})
+	}
+	return s
+}
+
+func (s *simulation) wall() time.Time { return time.Unix(1_000_000, 0).Add(s.now) }
+
+func (s *simulation) add(content string, poison bool) {
+	s.requests = append(s.requests, &request{
+		suspect: Suspect{Fingerprint: Print("t", "s", []byte(content)), Team: "t"},
+		poison:  poison, sendAt: s.now + time.Duration(s.rng.IntN(500))*time.Millisecond,
+	})
+}
+
+// send runs a request as its standing asks, or waits for room.
+func (s *simulation) send(r *request) {
+	r.daemon = s.rng.IntN(len(s.ledgers)) // callers come through any host
+	room := 3
+	switch finding := s.ledgers[r.daemon].Check(s.wall(), r.suspect.Fingerprint); finding.Standing {
+	case Quarantined:
+		r.refused = true
+		return
+	case Held:
+		r.sendAt = s.now + gossipDelay
+		return
+	case Suspected, Isolated:
+		room = 0
+	}
+	var fit []*server
+	for _, e := range s.servers {
+		if s.now >= e.upAt && len(e.running) <= room && !slices.ContainsFunc(e.running, s.alone) {
+			fit = append(fit, e)
+		}
+	}
+	if len(fit) == 0 {
+		r.sendAt = s.now + step
+		return
+	}
+	r.server = fit[s.rng.IntN(len(fit))]
+	r.server.running = append(r.server.running, r)
+	r.endsAt = s.now + time.Duration(50+s.rng.IntN(400))*time.Millisecond
+}
+
+// alone says whether a running request must have its endpoint for itself.
+func (s *simulation) alone(r *request) bool {
+	return s.ledgers[r.daemon].Check(s.wall(), r.suspect.Fingerprint).Standing != Clear
+}
+
+func (s *simulation) crash(e *server) {
+	s.crashes++
+	for d, ledger := range s.ledgers {
+		var mine []Suspect
+		for _, r := range e.running {
+			if r.daemon == d {
+				mine = append(mine, r.suspect)
+			}
+		}
+		if len(mine) > 0 {
+			ledger.Crash(s.wall(), e.id, mine)
+		}
+	}
+	for _, r := range e.running {
+		r.server = nil
+		r.sendAt = s.now + 2*gossipDelay + time.Duration(s.rng.IntN(1000))*time.Millisecond
+	}
+	e.running = nil
+	e.id.Incarnation++
+	e.upAt = s.now + time.Second
+}
+
+func (s *simulation) end(r *request) {
+	if r.poison {
+		s.crash(r.server)
+		return
+	}
+	r.finished = true
+	s.ledgers[r.daemon].Finished(s.wall(), r.suspect.Fingerprint)
+	r.server.running = slices.DeleteFunc(r.server.running, func(o *request) bool { return o == r })
+}
+
+func (s *simulation) gossip() {
+	for d, ledger := range s.ledgers {
+		state, next := ledger.Delta(s.sent[d])
+		if next == s.sent[d] {
+			continue
+		}
+		s.sent[d] = next
+		for to := range s.ledgers {
+			s.mail = append(s.mail, message{at: s.now + gossipDelay, to: to, state: state})
+		}
+	}
+	s.mail = slices.DeleteFunc(s.mail, func(m message) bool {
+		if m.at <= s.now {
+			s.ledgers[m.to].Merge(s.wall(), m.state)
+		}
+		return m.at <= s.now
+	})
+}
+
+func (s *simulation) step() {
+	s.now += step
+	s.gossip()
+	for _, r := range s.requests {
+		switch {
+		case r.finished || r.refused:
+		case r.server != nil && s.now >= r.endsAt:
+			s.end(r)
+		case r.server == nil && s.now >= r.sendAt:
+			s.send(r)
+		}
+	}
+}
+
+// TestPoisonCostsFewAndConvictsNobodyElse mixes poisons with innocent requests
+// and, in half of the runs, a crash by chance.
+func TestPoisonCostsFewAndConvictsNobodyElse(t *testing.T) {
+	is := is.New(t)
+	most, company := 0, 0
+	for seed := range uint64(200) {
+		s := newSimulation(seed)
+		poisons := 1 + int(seed%2)
+		for i := range poisons {
+			s.add(fmt.Sprint("poison", i), true)
+		}
+		for i := range 30 {
+			s.add(fmt.Sprint("innocent", i), false)
+		}
+		chance := int(seed/2) % 2
+		at := time.Duration(s.rng.IntN(100)) * step
+		for s.now < 15*time.Second {
+			s.step()
+			if chance == 1 && s.now == at {
+				s.crash(s.servers[s.rng.IntN(fleetSize)])
+			}
+		}
+		for _, r := range s.requests {
+			if r.poison != r.refused || r.poison == r.finished {
+				t.Fatalf("seed %d: %v: poison %v, refused %v, finished %v", seed, r.suspect, r.poison, r.refused, r.finished)
+			}
+		}
+		cost := s.crashes - chance
+		if cost > 3*poisons {
+			t.Fatalf("seed %d: %d endpoints crashed for %d poisons", seed, cost, poisons)
+		}
+		most = max(most, cost)
+		if len(s.ledgers[0].crashes) > 0 && len(s.ledgers[0].byPrint) > poisons {
+			company++
+		}
+		for _, l := range s.ledgers {
+			is.Equal(len(l.List(s.wall())), poisons) // every daemon knows
+		}
+	}
+	is.True(company > 100) // innocents did stand beside the crashes
+	t.Logf("at most %d crashes for two poisons", most)
+}
--- /dev/null
+++ b/core/poison/judge.go
@@ -0,0 +1,107 @@
+package poison
+
+import (
+	"slices"
+	"time"
+)
+
+// Check tells how a request of that fingerprint shall be treated.
+//
+// One crash makes it suspected. It is convicted by AloneCrashes crashes at
+// which nothing else ran, by CompanyCrashes crashes of which it was alone at
+// one, or by CompanyCrashes crashes if all that ran beside it have since been
+// cleared. A crash alone counts once it has settled: until then another daemon
+// may still report a neighbour.
+func (l *Ledger) Check(wall time.Time, f Fingerprint) Finding {
+	evidence := l.evidence(wall, f)
+	n := len(evidence)
+	switch {
+	case n == 0:
+		return Finding{Standing: Clear}
+	case l.convicted(wall, f, evidence):
+		return Finding{Standing: Quarantined, Crashes: n, Until: last(evidence).Add(l.cfg.Quarantine)}
+	case l.convicted(wall.Add(l.cfg.Settle), f, evidence):
+		return Finding{Standing: Held, Crashes: n, Until: last(evidence).Add(l.cfg.Settle)}
+	case n == 1:
+		return Finding{Standing: Suspected, Crashes: n}
+	default:
+		return Finding{Standing: Isolated, Crashes: n}
+	}
+}
+
+// evidence lists the crashes that count against a fingerprint.
+func (l *Ledger) evidence(wall time.Time, f Fingerprint) []Crash {
+	since := max(l.clearedAt(f), wall.Add(-l.cfg.Quarantine).UnixMilli())
+	var out []Crash
+	for _, id := range l.byPrint[f] {
+		if c := l.crashes[id].crash; c.AtUnixMS > since {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (l *Ledger) clearedAt(f Fingerprint) int64 {
+	at := l.allCleared.at
+	if m, ok := l.cleared[f]; ok {
+		at = max(at, m.at)
+	}
+	return at
+}
+
+func (l *Ledger) convicted(wall time.Time, f Fingerprint, evidence []Crash) bool {
+	alone := 0
+	for _, c := range evidence {
+		if len(c.Running) == 1 && l.settled(wall, c) {
+			alone++
+		}
+	}
+	if alone >= l.cfg.AloneCrashes {
+		return true
+	}
+	return len(evidence) >= l.cfg.CompanyCrashes && (alone > 0 || l.companyCleared(f, evidence))
+}
+
+func (l *Ledger) settled(wall time.Time, c Crash) bool {
+	return !wall.Before(time.UnixMilli(c.AtUnixMS).Add(l.cfg.Settle))
+}
+
+// companyCleared says whether all others at those crashes finished later.
+func (l *Ledger) companyCleared(f Fingerprint, evidence []Crash) bool {
+	for _, c := range evidence {
+		for _, s := range c.Running {
+			if s.Fingerprint != f && l.clearedAt(s.Fingerprint) <= c.AtUnixMS {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// last returns the time of the latest crash.
+func last(evidence []Crash) time.Time {
+	var at int64
+	for _, c := range evidence {
+		at = max(at, c.AtUnixMS)
+	}
+	return time.UnixMilli(at)
+}
+
+// List returns the quarantined fingerprints in order.
+func (l *Ledger) List(wall time.Time) []Entry {
+	var out []Entry
+	for f, ids := range l.byPrint {
+		finding := l.Check(wall, f)
+		if finding.Standing == Quarantined {
+			out = append(out, Entry{Fingerprint: f, Team: l.suspect(f, ids[0]).Team, Crashes: finding.Crashes, Until: finding.Until})
+		}
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return compareFingerprints(a.Fingerprint, b.Fingerprint) })
+	return out
+}
+
+func (l *Ledger) suspect(f Fingerprint, crash CrashID) Suspect {
+	running := l.crashes[crash].crash.Running
+	at := slices.IndexFunc(running, func(s Suspect) bool { return s.Fingerprint == f })
+	return running[at]
+}
--- /dev/null
+++ b/core/poison/ledger.go
@@ -0,0 +1,242 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Ledger holds the evidence of all daemons. It is not safe for concurrent use.
+type Ledger struct {
+	cfg        Config
+	crashes    map[CrashID]*entry
+	byPrint    map[Fingerprint][]CrashID
+	cleared    map[Fingerprint]*mark
+	allCleared mark
+	// floor is the time of the latest crash that was dropped, plus Settle.
+	// Reports up to then are refused: one that comes alone would make a request look as if
+	// nothing had run beside it.
+	floor int64
+	// change numbers the changes, for Delta.
+	change uint64
+}
+
+// entry is a crash with the number of its last change.
+type entry struct {
+	crash   Crash
+	changed uint64
+}
+
+// mark is a time with the number of its last change.
+type mark struct {
+	at      int64
+	changed uint64
+}
+
+// New returns an empty Ledger.
+func New(cfg Config) *Ledger {
+	return &Ledger{
+		cfg:     cfg.withDefaults(),
+		crashes: map[CrashID]*entry{},
+		byPrint: map[Fingerprint][]CrashID{},
+		cleared: map[Fingerprint]*mark{},
+	}
+}
+
+// Crash records a crash with the requests that this daemon had there. A crash
+// that each daemon with work there reports is complete.
+func (l *Ledger) Crash(wall time.Time, crash CrashID, running []Suspect) {
+	l.mergeCrash(Crash{ID: crash, AtUnixMS: wall.UnixMilli(), Running: running})
+	l.prune(wall)
+}
+
+// Finished clears a request that ran to its end.
+func (l *Ledger) Finished(wall time.Time, f Fingerprint) {
+	if len(l.byPrint[f]) > 0 {
+		l.mergeCleared(Cleared{Fingerprint: f, AtUnixMS: wall.UnixMilli()})
+	}
+}
+
+// Lift frees a fingerprint of all evidence up to now.
+func (l *Ledger) Lift(wall time.Time, f Fingerprint) {
+	l.mergeCleared(Cleared{Fingerprint: f, AtUnixMS: wall.UnixMilli()})
+	l.prune(wall)
+}
+
+// LiftAll frees every fingerprint of all evidence up to now.
+func (l *Ledger) LiftAll(wall time.Time) { l.mergeAllCleared(wall.UnixMilli()) }
+
+// Merge takes evidence from another daemon. It returns true if some was new.
+func (l *Ledger) Merge(wall time.Time, s State) bool {
+	before := l.change
+	oldest := wall.Add(-l.cfg.Quarantine).UnixMilli()
+	latest := wall.Add(maxFuture).UnixMilli()
+	for _, c := range s.Crashes {
+		if oldest <= c.AtUnixMS && c.AtUnixMS <= latest {
+			l.mergeCrash(c)
+		}
+	}
+	for _, c := range s.Cleared {
+		if oldest <= c.AtUnixMS && c.AtUnixMS <= latest {
+			l.mergeCleared(c)
+		}
+	}
+	if s.AllClearedUnixMS <= latest {
+		l.mergeAllCleared(s.AllClearedUnixMS)
+	}
+	l.prune(wall)
+	return l.change != before
+}
+
+// Delta returns what changed behind the given number, in a fixed order, and
+// the number to ask with next time. Delta(0) is the whole state.
+func (l *Ledger) Delta(after uint64) (State, uint64) {
+	var s State
+	for _, e := range l.crashes {
+		if e.changed > after {
+			s.Crashes = append(s.Crashes, e.crash)
+		}
+	}
+	for f, m := range l.cleared {
+		if m.changed > after {
+			s.Cleared = append(s.Cleared, Cleared{Fingerprint: f, AtUnixMS: m.at})
+		}
+	}
+	if l.allCleared.changed > after {
+		s.AllClearedUnixMS = l.allCleared.at
+	}
+	slices.SortFunc(s.Crashes, func(a, b Crash) int { return compareIDs(a.ID, b.ID) })
+	slices.SortFunc(s.Cleared, func(a, b Cleared) int { return compareFingerprints(a.Fingerprint, b.Fingerprint) })
+	return s, l.change
+}
+
+func (l *Ledger) mergeCrash(c Crash) {
+	e, ok := l.crashes[c.ID]
+	if !ok && c.AtUnixMS <= l.floor {
+		return
+	}
+	if !ok {
+		e = &entry{crash: Crash{ID: c.ID, AtUnixMS: c.AtUnixMS}}
+		l.crashes[c.ID] = e
+		e.changed = l.next()
+	}
+	if c.AtUnixMS < e.crash.AtUnixMS {
+		e.crash.AtUnixMS = c.AtUnixMS
+		e.changed = l.next()
+	}
+	union := l.union(e.crash.Running, c.Running)
+	if slices.Equal(union, e.crash.Running) {
+		return
+	}
+	l.unindex(e.crash)
+	e.crash.Running = union
+	e.changed = l.next()
+	l.index(e.crash)
+}
+
+// union keeps the first MaxRunning of both, which does not depend on the order
+// of merging.
+func (l *Ledger) union(a, b []Suspect) []Suspect {
+	all := append(slices.Clone(a), b...)
+	slices.SortFunc(all, compareSuspects)
+	all = slices.CompactFunc(all, func(x, y Suspect) bool { return x.Fingerprint == y.Fingerprint })
+	return all[:min(len(all), l.cfg.MaxRunning)]
+}
+
+func (l *Ledger) index(c Crash) {
+	for _, s := range c.Running {
+		l.byPrint[s.Fingerprint] = append(l.byPrint[s.Fingerprint], c.ID)
+	}
+}
+
+func (l *Ledger) unindex(c Crash) {
+	for _, s := range c.Running {
+		rest := slices.DeleteFunc(l.byPrint[s.Fingerprint], func(id CrashID) bool { return id == c.ID })
+		if len(rest) == 0 {
+			delete(l.byPrint, s.Fingerprint)
+		} else {
+			l.byPrint[s.Fingerprint] = rest
+		}
+	}
+}
+
+func (l *Ledger) mergeCleared(c Cleared) {
+	m, ok := l.cleared[c.Fingerprint]
+	if !ok {
+		m = &mark{}
+		l.cleared[c.Fingerprint] = m
+	}
+	if c.AtUnixMS > m.at {
+		m.at = c.AtUnixMS
+		m.changed = l.next()
+	}
+}
+
+func (l *Ledger) mergeAllCleared(at int64) {
+	if at > l.allCleared.at {
+		l.allCleared = mark{at: at, changed: l.next()}
+	}
+}
+
+func (l *Ledger) next() uint64 {
+	l.change++
+	return l.change
+}
+
+// prune drops what is past its time and, above the bounds, the oldest.
+func (l *Ledger) prune(wall time.Time) {
+	oldest := wall.Add(-l.cfg.Quarantine).UnixMilli()
+	for id, e := range l.crashes {
+		if e.crash.AtUnixMS < oldest {
+			l.drop(id)
+		}
+	}
+	for f, m := range l.cleared {
+		if m.at < oldest {
+			delete(l.cleared, f)
+		}
+	}
+	l.boundCrashes()
+	l.boundCleared()
+}
+
+func (l *Ledger) drop(id CrashID) {
+	dropped := l.crashes[id].crash
+	l.floor = max(l.floor, dropped.AtUnixMS+l.cfg.Settle.Milliseconds())
+	l.unindex(dropped)
+	delete(l.crashes, id)
+}
+
+func (l *Ledger) boundCrashes() {
+	excess := len(l.crashes) - l.cfg.MaxCrashes
+	if excess <= 0 {
+		return
+	}
+	all := make([]Crash, 0, len(l.crashes))
+	for _, e := range l.crashes {
+		all = append(all, e.crash)
+	}
+	slices.SortFunc(all, func(a, b Crash) int {
+		return cmp.Or(cmp.Compare(a.AtUnixMS, b.AtUnixMS), compareIDs(a.ID, b.ID))
+	})
+	for _, c := range all[:excess] {
+		l.drop(c.ID)
+	}
+}
+
+func (l *Ledger) boundCleared() {
+	excess := len(l.cleared) - l.cfg.MaxCleared
+	if excess <= 0 {
+		return
+	}
+	all := make([]Cleared, 0, len(l.cleared))
+	for f, m := range l.cleared {
+		all = append(all, Cleared{Fingerprint: f, AtUnixMS: m.at})
+	}
+	slices.SortFunc(all, func(a, b Cleared) int {
+		return cmp.Or(cmp.Compare(a.AtUnixMS, b.AtUnixMS), compareFingerprints(a.Fingerprint, b.Fingerprint))
+	})
+	for _, c := range all[:excess] {
+		delete(l.cleared, c.Fingerprint)
+	}
+}
--- /dev/null
+++ b/core/poison/ledger_test.go
@@ -0,0 +1,148 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/samphirequay/samphirequay/core/id"
+)
+
+var (
+	wall = time.Unix(1_000_000, 0)
+	a, b = Suspect{Print("t", "s", []byte("a")), "t"}, Suspect{Print("t", "s", []byte("b")), "t"}
+)
+
+func crash(endpoint string) CrashID { return CrashID{Endpoint: id.Endpoint(endpoint), Incarnation: 1} }
+
+func states(t *rapid.T) []State {
+	suspects := rapid.SliceOfN(rapid.SampledFrom([]Suspect{a, b, {Print("u", "s", nil), "u"}}), 0, 3)
+	at := rapid.Int64Range(wall.UnixMilli()-1000, wall.UnixMilli())
+	one := rapid.Custom(func(t *rapid.T) State {
+		return State{
+			Crashes: []Crash{{ID: crash(rapid.SampledFrom([]string{"e", "f", "g"}).Draw(t, "endpoint")),
+				AtUnixMS: at.Draw(t, "at"), Running: suspects.Draw(t, "running")}},
+			Cleared:          []Cleared{{Fingerprint: a.Fingerprint, AtUnixMS: at.Draw(t, "cleared")}},
+			AllClearedUnixMS: at.Draw(t, "all cleared"),
+		}
+	})
+	return rapid.SliceOfN(one, 1, 6).Draw(t, "states")
+}
+
+func merged(states []State) State {
+	l := New(Config{MaxRunning: 2})
+	for _, s := range states {
+		l.Merge(wall, s)
+	}
+	all, _ := l.Delta(0)
+	return all
+}
+
+func TestMergeOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		s := states(t)
+		once := merged(s)
+		is.Equal(merged(rapid.Permutation(append(s, s...)).Draw(t, "order")), once)
+		is.Equal(merged([]State{once, once}), once)
+	})
+}
+
+func TestDeltaAndRepeats(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{})
+	l.Crash(wall, crash("e"), []Suspect{a})
+	first, n := l.Delta(0)
+	is.Equal(len(first.Crashes), 1)
+	is.True(!l.Merge(wall, first)) // nothing new
+	l.Crash(wall, crash("f"), []Suspect{b})
+	second, n := l.Delta(n)
+	is.Equal(second.Crashes[0].ID, crash("f"))
+	rest, _ := l.Delta(n)
+	is.Equal(rest, State{})
+	future := State{Crashes: []Crash{{ID: crash("x"), AtUnixMS: wall.Add(time.Hour).UnixMilli()}}}
+	is.True(!l.Merge(wall, future)) // a clock far ahead
+}
+
+// TestPartialReport: two daemons had work on the endpoint, the second report
+// comes later; the first request is not convicted as if it had been alone.
+func TestPartialReport(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{AloneCrashes: 1})
+	l.Crash(wall, crash("e"), []Suspect{a})
+	is.Equal(l.Check(wall, a.Fingerprint).Standing, Held)
+	l.Crash(wall, crash("e"), []Suspect{b})
+	is.Equal(l.Check(wall.Add(time.Minute), a.Fingerprint).Standing, Suspected)
+	l.Finished(wall.Add(time.Second), a.Fingerprint)
+	is.Equal(l.Check(wall.Add(time.Minute), a.Fingerprint).Standing, Clear)
+}
+
+// TestDroppedCrashStaysDropped: a report that comes after its crash was dropped
+// for lack of room must not come back without the company.
+func TestDroppedCrashStaysDropped(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{MaxCrashes: 1, AloneCrashes: 1})
+	l.Crash(wall, crash("e"), []Suspect{a, b})
+	l.Crash(wall.Add(time.Minute), crash("f"), []Suspect{b})
+	l.Merge(wall.Add(time.Minute), State{Crashes: []Crash{{ID: crash("e"), AtUnixMS: wall.Add(time.Second).UnixMilli(), Running: []Suspect{a}}}})
+	l.Lift(wall.Add(time.Hour/2), b.Fingerprint)
+	is.Equal(l.Check(wall.Add(time.Hour/2), a.Fingerprint).Standing, Clear)
+}
+
+func TestConvictionInCompany(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{})
+	var beside []Suspect
+	for i := range 3 {
+		other := Suspect{Print("t", "s", []byte(fmt.Sprint(i))), "t"}
+		beside = append(beside, other)
+		l.Crash(wall, crash(fmt.Sprint(i)), []Suspect{a, other})
+	}
+	is.Equal(l.Check(wall, a.Fingerprint).Standing, Isolated)
+	for _, other := range beside {
+		l.Finished(wall.Add(time.Second), other.Fingerprint)
+	}
+	is.Equal(l.Check(wall, a.Fingerprint).Standing, Quarantined)
+}
+
+func TestLiftAndExpiry(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{})
+	convict := func() {
+		l.Crash(wall, crash("e"), []Suspect{a})
+		l.Crash(wall, crash("f"), []Suspect{a})
+	}
+	convict()
+	later := wall.Add(DefaultSettle)
+	found := l.List(later)
+	is.Equal(found, []Entry{{Fingerprint: a.Fingerprint, Team: "t", Crashes: 2, Until: wall.Add(DefaultQuarantine)}})
+	parsed, err := ParseFingerprint(found[0].Fingerprint.String())
+	is.NoErr(err)
+	_, err = ParseFingerprint("xyz")
+	is.True(err != nil)
+	is.Equal(l.Check(found[0].Until, a.Fingerprint).Standing, Clear)
+	l.Lift(later, parsed)
+	is.Equal(l.Check(later, a.Fingerprint).Standing, Clear)
+	l.Crash(later.Add(time.Second), crash("g"), []Suspect{a})
+	is.Equal(l.Check(later.Add(time.Second), a.Fingerprint).Standing, Suspected)
+	l.LiftAll(later.Add(time.Minute))
+	is.Equal(l.Check(later.Add(time.Minute), a.Fingerprint).Standing, Clear)
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{MaxCrashes: 10, MaxCleared: 10, MaxRunning: 2})
+	for i := range 100 {
+		now := wall.Add(time.Duration(i) * time.Second)
+		l.Crash(now, crash(fmt.Sprint(i)), []Suspect{a, b, {Print("t", "s", []byte(fmt.Sprint(i))), "t"}})
+		l.Lift(now, Print("t", "s", []byte(fmt.Sprint(i))))
+	}
+	is.Equal(len(l.crashes), 10)
+	is.Equal(len(l.cleared), 10)
+	is.True(len(l.byPrint) <= 20)
+	l.Merge(wall.Add(2*DefaultQuarantine), State{})
+	is.Equal(len(l.crashes)+len(l.cleared)+len(l.byPrint), 0)
+}
