--- /dev/null
+++ b/core/pool/manager.go
@@ -0,0 +1,300 @@
+// Package pool is the owner's side of a pool: the scheduler, and around it the
+// detectors that only the owner can feed, since it alone sees the pool's
+// requests from all daemons. It tells endpoints' grey failures and requests
+// that crash endpoints. It is deterministic.
+package pool
+
+import (
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/health"
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/poison"
+	"github.com/samphirequay/samphirequay/core/sched"
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+const (
+	// maxPending is how many endpoints may have crashed under a request,
+	// unconfirmed, before it is held back.
+	maxPending = 2
+	// pendingLife is how long an unconfirmed crash is remembered.
+	pendingLife = 5 * time.Second
+	// trackedLife is how long a request is tracked whose end is never reported,
+	// as when the report was lost.
+	trackedLife = 5 * time.Minute
+	// sweepEvery is the time between looks for such requests.
+	sweepEvery = 10 * time.Second
+	// drainLife is how long a drain holds that is not repeated.
+	drainLife = 2 * time.Second
+	// heldRetryAfter is advised to the caller of a request that is held back.
+	heldRetryAfter = time.Second
+)
+
+// Events tell the daemon what the detectors found, for logs and metrics.
+type Events struct {
+	// Health is told of each change of an endpoint's state.
+	Health func(c health.Change)
+	// Crash is told of each confirmed crash and how many requests ran there.
+	Crash func(c poison.CrashID, running int)
+	// Probe asks for a fresh report of an endpoint that seems to have crashed.
+	Probe func(e id.Endpoint)
+}
+
+// Options of a Manager.
+type Options struct {
+	Pool id.Pool
+	// NewScheduler makes the policy; the view says which endpoints are allowed.
+	NewScheduler func(view sched.HealthView) sched.Scheduler
+	Health       health.Config
+	// Poison is shared by the daemon's pools and merged with other daemons'.
+	Poison *poison.Ledger
+	// Epoch is the wall time at time zero: with it, jumps of the wall clock
+	// don't matter.
+	Epoch  time.Time
+	Events Events
+}
+
+// Manager decides for one pool. It is not safe for concurrent use.
+type Manager struct {
+	opts     Options
+	sched    sched.Scheduler
+	health   *health.Detector
+	requests map[id.Request]*tracked
+	nodes    map[id.Endpoint]*node
+	pending  map[poison.Fingerprint][]pendingCrash
+	swept    time.Duration
+	drains   map[id.Endpoint]time.Duration
+	reports  map[id.Endpoint]sched.Load
+	usage    usage
+	answered uint64
+	refused  uint64
+}
+
+// tracked is a request that holds a grant.
+type tracked struct {
+	want    sched.Want
+	print   poison.Fingerprint
+	prefill id.Endpoint
+	decode  id.Endpoint
+	phase   sched.Phase
+	since   time.Duration
+	prompt  int
+}
+
+// New returns a Manager without configuration.
+func New(o Options) *Manager {
+	m := &Manager{
+		opts:     o,
+		health:   health.New(o.Health),
+		requests: make(map[id.Request]*tracked),
+		nodes:    make(map[id.Endpoint]*node),
+		pending:  make(map[poison.Fingerprint][]pendingCrash),
+		drains:   make(map[id.Endpoint]time.Duration),
+		reports:  make(map[id.Endpoint]sched.Load),
+	}
+	m.sched = o.NewScheduler(m.health)
+	return m
+}
+
+func (m *Manager) wall(now time.Duration) time.Time { return m.opts.Epoch.Add(now) }
+
+// Configure takes a new configuration.
+func (m *Manager) Configure(now time.Duration, doc *live.Document) []sched.Action {
+	index := live.NewIndex(doc)
+	var members []health.Member
+	for _, e := range index.Endpoints(m.opts.Pool) {
+		role := live.Role(e.Labels[live.LabelRole])
+		members = append(members, health.Member{Endpoint: e.Name, Pool: m.opts.Pool, Role: role})
+	}
+	m.health.Configure(now, members)
+	m.usage.configure(members)
+	m.lift(now, index)
+	return m.follow(now, m.sched.Configure(now, doc))
+}
+
+// lift frees the fingerprints that a service's label names.
+func (m *Manager) lift(now time.Duration, index *live.Index) {
+	doc := index.Document()
+	for i := range doc.Services {
+		svc := &doc.Services[i]
+		value, ok := svc.Labels[live.LabelLiftQuarantine]
+		if !ok || svc.Pool != m.opts.Pool {
+			continue
+		}
+		if value == "all" {
+			m.opts.Poison.LiftAll(m.wall(now))
+			continue
+		}
+		if f, err := poison.ParseFingerprint(value); err == nil {
+			m.opts.Poison.Lift(m.wall(now), f)
+		}
+	}
+}
+
+// Want takes a request. One that is known to crash endpoints is refused, one
+// that may is run alone.
+func (m *Manager) Want(now time.Duration, w sched.Want) []sched.Action {
+	print, err := poison.ParseFingerprint(w.Fingerprint)
+	if err == nil {
+		refusal := m.judge(now, &w, print)
+		if refusal != nil {
+			m.refused++
+			return []sched.Action{{To: w.From, Refusal: refusal}}
+		}
+	}
+	if _, ok := m.requests[w.Request]; !ok {
+		m.requests[w.Request] = &tracked{want: w, print: print, since: now}
+	}
+	return m.follow(now, m.sched.Want(now, w))
+}
+
+// judge looks the request's fingerprint up. It sets Suspect or refuses.
+func (m *Manager) judge(now time.Duration, w *sched.Want, f poison.Fingerprint) *sched.Refusal {
+	finding := m.opts.Poison.Check(m.wall(now), f)
+	switch finding.Standing {
+	case poison.Quarantined:
+		return quarantined(w.Request, finding.Until.Sub(m.wall(now)), finding.Crashes)
+	case poison.Held:
+		return held(w.Request, finding.Until.Sub(m.wall(now)))
+	case poison.Suspected, poison.Isolated:
+		w.Suspect = true
+	}
+	unconfirmed := m.unconfirmed(now, f)
+	if unconfirmed+finding.Crashes >= maxPending && unconfirmed > 0 {
+		return held(w.Request, heldRetryAfter)
+	}
+	if unconfirmed > 0 {
+		w.Suspect = true
+	}
+	return nil
+}
+
+func quarantined(r id.Request, wait time.Duration, crashes int) *sched.Refusal {
+	return &sched.Refusal{
+		Request:    r,
+		Code:       verdict.CodeQuarantined,
+		RetryAfter: wait,
+		Reason:     "the request is quarantined: endpoints crashed while they ran it",
+	}
+}
+
+func held(r id.Request, wait time.Duration) *sched.Refusal {
+	return &sched.Refusal{
+		Request:    r,
+		Code:       verdict.CodeUnavailable,
+		RetryAfter: wait,
+		Reason:     "the request is held back: endpoints that ran it are being checked",
+	}
+}
+
+// Withdraw drops a request that waits or was granted and not yet begun.
+func (m *Manager) Withdraw(now time.Duration, r id.Request) []sched.Action {
+	m.forget(now, r, health.Withdrawn)
+	return m.follow(now, m.sched.Withdraw(now, r))
+}
+
+// Progress follows a granted request.
+func (m *Manager) Progress(now time.Duration, p sched.Progress) []sched.Action {
+	if t, ok := m.requests[p.Request]; ok {
+		m.observe(now, t, p)
+	}
+	return m.follow(now, m.sched.Progress(now, p))
+}
+
+// Adopt takes over a former owner's grant.
+func (m *Manager) Adopt(now time.Duration, a sched.Adopt) []sched.Action {
+	print, _ := poison.ParseFingerprint(a.Want.Fingerprint)
+	t := &tracked{want: a.Want, print: print, prefill: a.Grant.Prefill, decode: a.Grant.Decode, phase: a.Phase, since: now}
+	m.requests[a.Want.Request] = t
+	m.enter(now, t)
+	return m.follow(now, m.sched.Adopt(now, a))
+}
+
+// Load takes an endpoint's report.
+func (m *Manager) Load(now time.Duration, l sched.Load) []sched.Action {
+	m.incarnation(now, l)
+	m.reports[l.Endpoint] = l
+	l.Leaving = l.Leaving || now < m.drains[l.Endpoint]
+	return m.follow(now, m.sched.Load(now, l))
+}
+
+// Drain keeps new work off an endpoint for drainLife, or lets it in again. Who
+// wants it kept off says so again and again.
+func (m *Manager) Drain(now time.Duration, e id.Endpoint, on bool) []sched.Action {
+	was := now < m.drains[e]
+	delete(m.drains, e)
+	if on {
+		m.drains[e] = now + drainLife
+	}
+	report, known := m.reports[e]
+	if was == on || !known {
+		return nil
+	}
+	return m.Load(now, report)
+}
+
+// Cache takes cache events; gap says that some were lost.
+func (m *Manager) Cache(now time.Duration, e id.Endpoint, events []sched.CacheEvent, gap bool) {
+	m.sched.Cache(now, e, events, gap)
+}
+
+// ProcessGone releases all that a dead daemon held.
+func (m *Manager) ProcessGone(now time.Duration, p id.Process) []sched.Action {
+	for _, r := range m.sortedRequests() {
+		if m.requests[r].want.From == p {
+			m.forget(now, r, health.Withdrawn)
+		}
+	}
+	return m.follow(now, m.sched.ProcessGone(now, p))
+}
+
+// Tick does what is due; call it at Next or earlier.
+func (m *Manager) Tick(now time.Duration) []sched.Action {
+	m.tell(m.health.Tick(now))
+	m.dropPending(now)
+	m.usage.sample(now, m.prefilling())
+	m.sweep(now)
+	return m.follow(now, m.sched.Tick(now))
+}
+
+// Next is when Tick is due.
+func (m *Manager) Next() time.Duration { return min(m.sched.Next(), m.health.Next()) }
+
+// sweep forgets requests whose end was never reported.
+func (m *Manager) sweep(now time.Duration) {
+	if now-m.swept < sweepEvery {
+		return
+	}
+	m.swept = now
+	for _, r := range m.sortedRequests() {
+		if now-m.requests[r].since > trackedLife {
+			m.forget(now, r, health.Withdrawn)
+		}
+	}
+}
+
+// follow notes what the scheduler decided.
+func (m *Manager) follow(now time.Duration, actions []sched.Action) []sched.Action {
+	for _, a := range actions {
+		switch {
+		case a.Grant != nil:
+			m.granted(now, a.Grant)
+		case a.Refusal != nil:
+			m.refused++
+			delete(m.requests, a.Refusal.Request)
+		}
+	}
+	return actions
+}
+
+func (m *Manager) granted(now time.Duration, g *sched.Grant) {
+	t, ok := m.requests[g.Request]
+	if !ok || t.decode != "" {
+		return
+	}
+	t.prefill = g.Prefill
+	t.decode = g.Decode
+	t.since = now
+}
--- /dev/null
+++ b/core/pool/observe.go
@@ -0,0 +1,271 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/health"
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/poison"
+	"github.com/samphirequay/samphirequay/core/sched"
+)
+
+// node is what is known of one endpoint's process.
+type node struct {
+	incarnation id.Incarnation
+	// running are the requests whose work is there now.
+	running map[id.Request]poison.Suspect
+	// lost are those whose connection broke in a way that may mean a crash.
+	lost map[id.Request]lostWork
+}
+
+type lostWork struct {
+	suspect poison.Suspect
+	at      time.Duration
+}
+
+// pendingCrash is a crash that no report has confirmed yet.
+type pendingCrash struct {
+	endpoint id.Endpoint
+	at       time.Duration
+}
+
+func (m *Manager) node(e id.Endpoint) *node {
+	n, ok := m.nodes[e]
+	if !ok {
+		n = &node{running: make(map[id.Request]poison.Suspect), lost: make(map[id.Request]lostWork)}
+		m.nodes[e] = n
+	}
+	return n
+}
+
+// observe follows a request through its phases.
+func (m *Manager) observe(now time.Duration, t *tracked, p sched.Progress) {
+	if p.PromptTokens > 0 {
+		t.prompt = p.PromptTokens - p.CachedTokens
+	}
+	switch p.Phase {
+	case sched.PhaseFailed:
+		m.failed(now, t, p)
+		return
+	case sched.PhaseCancelled:
+		m.forget(now, p.Request, health.Withdrawn)
+		return
+	case sched.PhaseDone:
+		m.done(now, t, p)
+		return
+	}
+	m.leave(now, t, health.Result{Request: p.Request, Kind: health.OK, Latency: prefillPace(t, p)})
+	t.phase = p.Phase
+	t.since = now
+	m.enter(now, t)
+}
+
+// prefillPace is the time for each prompt token that the engine really read.
+func prefillPace(t *tracked, p sched.Progress) time.Duration {
+	if p.Phase != sched.PhaseTransferring || t.prompt <= 0 {
+		return 0
+	}
+	return p.PrefillTime / time.Duration(t.prompt)
+}
+
+// place is the endpoint that has the request's work in its phase.
+func (t *tracked) place() id.Endpoint {
+	switch t.phase {
+	case sched.PhasePrefilling:
+		return t.prefill
+	case sched.PhaseTransferring, sched.PhaseDecoding:
+		return t.decode
+	default:
+		return ""
+	}
+}
+
+func (m *Manager) enter(now time.Duration, t *tracked) {
+	e := t.place()
+	if e == "" {
+		return
+	}
+	m.health.Began(now, e, t.want.Request, t.expected())
+	m.node(e).running[t.want.Request] = poison.Suspect{Fingerprint: t.print, Team: t.want.Team}
+}
+
+const (
+	// expectedOutput is how soon an endpoint should show a sign of its work.
+	expectedOutput = 300 * time.Millisecond
+	// expectedPerToken is added for each prompt token that a prefill reads.
+	expectedPerToken = 50 * time.Microsecond
+)
+
+// expected is how long the work of the present phase may take without a sign.
+func (t *tracked) expected() time.Duration {
+	if t.phase == sched.PhasePrefilling {
+		return expectedOutput + time.Duration(t.want.PromptTokens)*expectedPerToken
+	}
+	return expectedOutput
+}
+
+// leave ends the request's work where it is. Moving on within one endpoint is
+// no outcome.
+func (m *Manager) leave(now time.Duration, t *tracked, r health.Result) {
+	e := t.place()
+	if e == "" {
+		return
+	}
+	m.tell(m.health.Outcome(now, e, r))
+	delete(m.node(e).running, t.want.Request)
+}
+
+func (m *Manager) done(now time.Duration, t *tracked, p sched.Progress) {
+	pace := time.Duration(0)
+	if p.OutputTokens > 0 {
+		pace = (now - t.since) / time.Duration(p.OutputTokens)
+	}
+	m.leave(now, t, health.Result{Request: p.Request, Kind: health.OK, Latency: pace})
+	m.opts.Poison.Finished(m.wall(now), t.print)
+	delete(m.pending, t.print)
+	delete(m.requests, p.Request)
+	m.answered++
+}
+
+func (m *Manager) failed(now time.Duration, t *tracked, p sched.Progress) {
+	kind := outcomeOf(p)
+	at := t.place()
+	m.leave(now, t, health.Result{Request: p.Request, Kind: kind})
+	if p.Crashed && at != "" && at == p.Endpoint {
+		m.suspectCrash(now, t, at)
+	}
+	delete(m.requests, p.Request)
+}
+
+func outcomeOf(p sched.Progress) health.OutcomeKind {
+	switch {
+	case p.Endpoint == "" || p.Full || p.Leaving:
+		return health.Withdrawn
+	case p.Crashed:
+		return health.Crashed
+	default:
+		return health.Failed
+	}
+}
+
+// suspectCrash remembers that a request's connection broke and has the
+// endpoint looked at.
+func (m *Manager) suspectCrash(now time.Duration, t *tracked, e id.Endpoint) {
+	suspect := poison.Suspect{Fingerprint: t.print, Team: t.want.Team}
+	m.node(e).lost[t.want.Request] = lostWork{suspect: suspect, at: now}
+	m.pending[t.print] = append(m.pending[t.print], pendingCrash{endpoint: e, at: now})
+	if m.opts.Events.Probe != nil {
+		m.opts.Events.Probe(e)
+	}
+}
+
+// unconfirmed counts the crashes under a fingerprint that no report has
+// confirmed or refuted yet.
+func (m *Manager) unconfirmed(now time.Duration, f poison.Fingerprint) int {
+	count := 0
+	for _, p := range m.pending[f] {
+		if now-p.at < pendingLife {
+			count++
+		}
+	}
+	return count
+}
+
+// incarnation compares a report with what is known: a higher incarnation
+// means that the former process crashed with all that ran in it.
+func (m *Manager) incarnation(now time.Duration, l sched.Load) {
+	if !l.Reachable || l.Incarnation == 0 {
+		return
+	}
+	n := m.node(l.Endpoint)
+	former := n.incarnation
+	n.incarnation = max(former, l.Incarnation)
+	if former == 0 || l.Incarnation <= former {
+		m.resolve(now, l.Endpoint, n, l.Incarnation == former)
+		return
+	}
+	m.crashed(now, poison.CrashID{Endpoint: l.Endpoint, Incarnation: former}, n)
+}
+
+// resolve forgets broken connections of a process that turned out to run on.
+func (m *Manager) resolve(now time.Duration, e id.Endpoint, n *node, same bool) {
+	if !same || len(n.lost) == 0 {
+		return
+	}
+	clear(n.lost)
+	m.settlePending(e)
+}
+
+func (m *Manager) crashed(now time.Duration, crash poison.CrashID, n *node) {
+	suspects := suspectsOf(n)
+	clear(n.lost)
+	m.settlePending(crash.Endpoint)
+	m.opts.Poison.Crash(m.wall(now), crash, suspects)
+	if m.opts.Events.Crash != nil {
+		m.opts.Events.Crash(crash, len(suspects))
+	}
+}
+
+// suspectsOf lists, in a fixed order, all that ran in the ended process.
+func suspectsOf(n *node) []poison.Suspect {
+	var out []poison.Suspect
+	for _, s := range n.running {
+		out = append(out, s)
+	}
+	for _, l := range n.lost {
+		out = append(out, l.suspect)
+	}
+	slices.SortFunc(out, func(a, b poison.Suspect) int {
+		return slices.Compare(a.Fingerprint[:], b.Fingerprint[:])
+	})
+	return out
+}
+
+// settlePending drops the unconfirmed crashes at an endpoint.
+func (m *Manager) settlePending(e id.Endpoint) {
+	for f, list := range m.pending {
+		rest := slices.DeleteFunc(list, func(p pendingCrash) bool { return p.endpoint == e })
+		if len(rest) == 0 {
+			delete(m.pending, f)
+			continue
+		}
+		m.pending[f] = rest
+	}
+}
+
+func (m *Manager) dropPending(now time.Duration) {
+	for f := range m.pending {
+		if m.unconfirmed(now, f) == 0 {
+			delete(m.pending, f)
+		}
+	}
+}
+
+// forget ends a request whose end tells nothing about its endpoint.
+func (m *Manager) forget(now time.Duration, r id.Request, kind health.OutcomeKind) {
+	t, ok := m.requests[r]
+	if !ok {
+		return
+	}
+	m.leave(now, t, health.Result{Request: r, Kind: kind})
+	delete(m.requests, r)
+}
+
+func (m *Manager) tell(changes []health.Change) {
+	if m.opts.Events.Health == nil {
+		return
+	}
+	for _, c := range changes {
+		m.opts.Events.Health(c)
+	}
+}
+
+func (m *Manager) sortedRequests() []id.Request {
+	out := make([]id.Request, 0, len(m.requests))
+	for r := range m.requests {
+		out = append(out, r)
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/core/pool/status.go
@@ -0,0 +1,36 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/poison"
+	"github.com/samphirequay/samphirequay/core/sched"
+)
+
+// Status is the state of a pool for people.
+type Status struct {
+	sched.Snapshot
+	// Answered and Refused count since this daemon became the owner.
+	Answered uint64
+	Refused  uint64
+	// PrefillLoad and DecodeLoad are the utilisation of the roles, 0 to 1.
+	PrefillLoad float64
+	DecodeLoad  float64
+	// Quarantine lists the quarantined requests.
+	Quarantine []poison.Entry
+}
+
+// Status returns the pool's state.
+func (m *Manager) Status(now time.Duration) Status {
+	s := Status{Answered: m.answered, Refused: m.refused}
+	s.Pool = m.opts.Pool
+	if snap, ok := m.sched.(sched.Snapshotter); ok {
+		s.Snapshot = snap.Snapshot()
+	}
+	s.PrefillLoad = m.usage.load
+	if s.Slots > 0 {
+		s.DecodeLoad = float64(s.Held+s.Foreign) / float64(s.Slots)
+	}
+	s.Quarantine = m.opts.Poison.List(m.wall(now))
+	return s
+}
--- /dev/null
+++ b/core/pool/usage.go
@@ -0,0 +1,51 @@
+package pool
+
+import (
+	"math"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/health"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/sched"
+)
+
+// usageMemory is the time over which the utilisation is averaged.
+const usageMemory = 5 * time.Second
+
+// usage averages how much of the prefill endpoints is at work.
+type usage struct {
+	endpoints int
+	load      float64
+	last      time.Duration
+}
+
+func (u *usage) configure(members []health.Member) {
+	u.endpoints = 0
+	for _, m := range members {
+		if m.Role == live.RolePrefill {
+			u.endpoints++
+		}
+	}
+}
+
+// sample takes the number of prefills at work; it counts for the time since
+// the last sample.
+func (u *usage) sample(now time.Duration, prefilling int) {
+	share := 0.0
+	if u.endpoints > 0 {
+		share = min(1, float64(prefilling)/float64(u.endpoints))
+	}
+	keep := math.Exp(-float64(now-u.last) / float64(usageMemory))
+	u.load = keep*u.load + (1-keep)*share
+	u.last = now
+}
+
+func (m *Manager) prefilling() int {
+	n := 0
+	for _, t := range m.requests {
+		if t.phase == sched.PhasePrefilling {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/core/reap/canceller.go
@@ -0,0 +1,238 @@
+package reap
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+)
+
+// Never is what Next returns when nothing is due.
+const Never = time.Duration(math.MaxInt64)
+
+// CancellerConfig sets the bounds; zero fields take the defaults.
+type CancellerConfig struct {
+	// BackoffMin and BackoffMax bound the wait between two cancels of one
+	// request; it doubles. Default 50 ms and 5 s.
+	BackoffMin time.Duration
+	BackoffMax time.Duration
+	// ReplyTimeout is when a cancel without a reply counts as failed. Default 1 s.
+	ReplyTimeout time.Duration
+	// MaxOrderDelay is the longest time a run order can be under way. Before
+	// that, Unknown proves nothing. Default 10 s.
+	MaxOrderDelay time.Duration
+	// MaxOrders bounds the orders at work. Default 8192.
+	MaxOrders int
+}
+
+// Defaults of CancellerConfig.
+const (
+	DefaultBackoffMin    = 50 * time.Millisecond
+	DefaultBackoffMax    = 5 * time.Second
+	DefaultReplyTimeout  = time.Second
+	DefaultMaxOrderDelay = 10 * time.Second
+	DefaultMaxOrders     = 8192
+)
+
+// Canceller repeats cancels until it is certain that nothing is held. It is
+// not safe for concurrent use.
+type Canceller struct {
+	cfg    CancellerConfig
+	orders map[Key]*order
+	// known are the incarnations that endpoints were last seen with.
+	known map[id.Endpoint]id.Incarnation
+}
+
+// order is one Order at work.
+type order struct {
+	Order
+	since    time.Duration
+	due      time.Duration
+	attempts int
+	failures int
+	// ended says that the endpoint has acknowledged the cancel.
+	ended bool
+}
+
+// NewCanceller returns a Canceller without orders.
+func NewCanceller(cfg CancellerConfig) *Canceller {
+	setDefault(&cfg.BackoffMin, DefaultBackoffMin)
+	setDefault(&cfg.BackoffMax, DefaultBackoffMax)
+	setDefault(&cfg.ReplyTimeout, DefaultReplyTimeout)
+	setDefault(&cfg.MaxOrderDelay, DefaultMaxOrderDelay)
+	setDefault(&cfg.MaxOrders, DefaultMaxOrders)
+	return &Canceller{cfg: cfg, orders: map[Key]*order{}, known: map[id.Endpoint]id.Incarnation{}}
+}
+
+// Add takes an order. One for the same key is joined to it: an unconditional
+// cancel wins over a conditional one.
+func (c *Canceller) Add(now time.Duration, o Order) []Action {
+	if old, ok := c.orders[o.Key]; ok {
+		old.join(o)
+		return nil
+	}
+	if c.past(o) {
+		return []Action{{Done: &Done{Key: o.Key, Reason: DoneIncarnation}}}
+	}
+	if len(c.orders) >= c.cfg.MaxOrders {
+		return []Action{{Done: &Done{Key: o.Key, Reason: DoneOverflow}}}
+	}
+	added := &order{Order: o, since: now, due: now}
+	c.orders[o.Key] = added
+	return c.send(now, added)
+}
+
+func (o *order) join(more Order) {
+	if more.Owner == nil {
+		o.Owner = nil
+	}
+	o.KV = cmp.Or(o.KV, more.KV)
+	o.Incarnation = max(o.Incarnation, more.Incarnation)
+	o.RunSettled = o.RunSettled || more.RunSettled
+}
+
+// past says whether the order is for an incarnation that has ended.
+func (c *Canceller) past(o Order) bool {
+	return o.Incarnation != 0 && c.known[o.Key.Endpoint] > o.Incarnation
+}
+
+func (c *Canceller) send(now time.Duration, o *order) []Action {
+	o.attempts++
+	o.due = now + c.cfg.ReplyTimeout + c.backoff(o)
+	var out []Action
+	if !o.ended {
+		out = append(out, Action{Cancel: &Cancel{Key: o.Key, Owner: o.Owner}})
+	}
+	if o.KV != "" {
+		out = append(out, Action{Release: &Release{Key: o.Key, KV: o.KV}})
+	}
+	return out
+}
+
+func (c *Canceller) backoff(o *order) time.Duration {
+	wait := float64(c.cfg.BackoffMin) * math.Pow(2, float64(o.failures))
+	return time.Duration(min(wait, float64(c.cfg.BackoffMax)))
+}
+
+// Settled tells that the run order of a request can't arrive any more.
+func (c *Canceller) Settled(k Key) {
+	if o, ok := c.orders[k]; ok {
+		o.RunSettled = true
+	}
+}
+
+// Reply takes the answer to a cancel.
+func (c *Canceller) Reply(now time.Duration, k Key, state CancelState) []Action {
+	o, ok := c.orders[k]
+	if !ok || o.ended {
+		return nil
+	}
+	if state == Unknown && !c.certain(now, o) {
+		o.failures++
+		o.due = now + c.backoff(o)
+		return nil
+	}
+	o.ended = true
+	return c.endIfDone(now, o)
+}
+
+// certain says whether Unknown proves that nothing runs nor ever will.
+func (c *Canceller) certain(now time.Duration, o *order) bool {
+	return o.RunSettled || now-o.since >= c.cfg.MaxOrderDelay
+}
+
+// Released tells that the endpoint freed the KV cache, or does not hold it.
+func (c *Canceller) Released(now time.Duration, k Key) []Action {
+	o, ok := c.orders[k]
+	if !ok {
+		return nil
+	}
+	o.KV = ""
+	return c.endIfDone(now, o)
+}
+
+func (c *Canceller) endIfDone(now time.Duration, o *order) []Action {
+	if !o.ended || o.KV != "" {
+		return nil
+	}
+	return c.end(now, o, DoneAcknowledged)
+}
+
+func (c *Canceller) end(now time.Duration, o *order, reason DoneReason) []Action {
+	delete(c.orders, o.Key)
+	return []Action{{Done: &Done{Key: o.Key, Reason: reason, Attempts: o.attempts, After: now - o.since}}}
+}
+
+// Failed tells that a cancel or release gave no answer.
+func (c *Canceller) Failed(now time.Duration, k Key) {
+	o, ok := c.orders[k]
+	if !ok {
+		return
+	}
+	o.failures++
+	o.due = now + c.backoff(o)
+}
+
+// Incarnation tells that an endpoint was seen with that incarnation. All
+// orders for earlier ones are done: their memory is gone with them.
+func (c *Canceller) Incarnation(now time.Duration, e id.Endpoint, inc id.Incarnation) []Action {
+	if inc <= c.known[e] {
+		return nil
+	}
+	c.known[e] = inc
+	return c.endAll(now, DoneIncarnation, func(o *order) bool { return o.Key.Endpoint == e && c.past(o.Order) })
+}
+
+// Remove ends all orders for an endpoint that has left the configuration.
+func (c *Canceller) Remove(now time.Duration, e id.Endpoint) []Action {
+	delete(c.known, e)
+	return c.endAll(now, DoneRemoved, func(o *order) bool { return o.Key.Endpoint == e })
+}
+
+func (c *Canceller) endAll(now time.Duration, reason DoneReason, match func(*order) bool) []Action {
+	var out []Action
+	for _, o := range c.sorted(match) {
+		out = append(out, c.end(now, o, reason)...)
+	}
+	return out
+}
+
+// sorted lists the matching orders by time due, then by key.
+func (c *Canceller) sorted(match func(*order) bool) []*order {
+	var out []*order
+	for _, o := range c.orders {
+		if match(o) {
+			out = append(out, o)
+		}
+	}
+	slices.SortFunc(out, func(a, b *order) int {
+		return cmp.Or(
+			cmp.Compare(a.due, b.due),
+			cmp.Compare(a.Key.Endpoint, b.Key.Endpoint),
+			cmp.Compare(a.Key.Request, b.Key.Request))
+	})
+	return out
+}
+
+// Tick sends what is due; call it at Next or earlier.
+func (c *Canceller) Tick(now time.Duration) []Action {
+	var out []Action
+	for _, o := range c.sorted(func(o *order) bool { return o.due <= now }) {
+		out = append(out, c.send(now, o)...)
+	}
+	return out
+}
+
+// Next is when Tick is due; Never when nothing is at work.
+func (c *Canceller) Next() time.Duration {
+	next := Never
+	for _, o := range c.orders {
+		next = min(next, o.due)
+	}
+	return next
+}
+
+// Working counts the orders at work.
+func (c *Canceller) Working() int { return len(c.orders) }
--- /dev/null
+++ b/core/revision/commit.go
@@ -0,0 +1,116 @@
+package revision
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/revision/table"
+)
+
+// commit tries the change on the head that was read.
+func (p *Proposer) commit() []ProposerAction {
+	next, faults := Apply(p.base, p.change)
+	if len(faults) > 0 {
+		return p.settle(Outcome{Result: Rejected, Revision: p.head.Revision, Faults: faults})
+	}
+	p.next = next
+	p.record = Record{Revision: next.Revision, Change: p.change, Chain: NextChain(p.head.Chain, p.change)}
+	return p.request(phaseCommit, table.Request{Transaction: p.transaction()})
+}
+
+// transaction writes record, change row and head, and now and then a snapshot.
+func (p *Proposer) transaction() *table.Transaction {
+	rev := p.record.Revision
+	head := Head{Revision: rev, ChangeID: p.change.ID, Chain: p.record.Chain, Snapshot: p.head.Snapshot}
+	row := ChangeRow{Revision: rev, Digest: p.digest}
+	var snapshots []table.Put
+	if p.cfg.SnapshotEvery > 0 && rev%p.cfg.SnapshotEvery == 0 {
+		s := Snapshot{Document: *p.next, Chain: p.record.Chain}
+		snapshots = append(snapshots, table.Put{Key: KeySnapshot(rev), Value: encode(s)})
+		if head.Snapshot != 0 {
+			snapshots = append(snapshots, table.Put{Key: KeySnapshot(head.Snapshot), Delete: true})
+		}
+		head.Snapshot = rev
+	}
+	puts := []table.Put{
+		{Key: KeyHead, Value: encode(head)},
+		{Key: KeyRevision(rev), Value: encode(p.record)},
+		{Key: KeyChange(p.change.ID), Value: encode(row)},
+	}
+	return &table.Transaction{
+		Conditions: []table.Condition{
+			{Key: KeyHead, Version: p.headVersion},
+			{Key: KeyChange(p.change.ID)},
+			{Key: KeyRevision(rev)},
+		},
+		Puts: append(puts, snapshots...),
+	}
+}
+
+func (p *Proposer) onCommit(now time.Duration, r table.Reply) []ProposerAction {
+	if r.Applied {
+		rec := p.record
+		return p.end(Outcome{Result: Accepted, Revision: rec.Revision, Record: &rec})
+	}
+	if r.FailedOn(KeyChange(p.change.ID)) {
+		// An earlier attempt took effect: what it became stands in its row.
+		p.unknown = true
+	}
+	return p.backOff(now)
+}
+
+// readRivals reads what was accepted since Expect, at most the newest batch.
+func (p *Proposer) readRivals() []ProposerAction {
+	first := p.change.Expect + 1
+	if p.head.Revision-p.change.Expect > uint64(p.cfg.Batch) {
+		first = p.head.Revision - uint64(p.cfg.Batch) + 1
+	}
+	return p.request(phaseRivals, table.Request{Keys: revisionKeys(first, p.head.Revision)})
+}
+
+func (p *Proposer) onRivals(r table.Reply) []ProposerAction {
+	o := Outcome{Result: Conflict, Revision: p.head.Revision}
+	for _, row := range r.Rows {
+		var rec Record
+		if row.Version == 0 || json.Unmarshal(row.Value, &rec) != nil {
+			continue
+		}
+		if rec.Change.ID == p.change.ID {
+			return p.end(Outcome{Result: Accepted, Revision: rec.Revision})
+		}
+		o.Rivals = append(o.Rivals, Rival{
+			Revision: rec.Revision,
+			ID:       rec.Change.ID,
+			Author:   rec.Change.Author,
+			Overlap:  Overlap(p.change, rec.Change),
+		})
+	}
+	return p.settle(o)
+}
+
+// settle ends with a refusal once it is certain: after a commit in doubt the
+// change is withdrawn first, so that a late effect can't contradict it; a
+// rejection must have been judged by the head that still stands.
+func (p *Proposer) settle(o Outcome) []ProposerAction {
+	p.pending = &o
+	if p.unknown {
+		return p.request(phaseWithdraw, table.Request{Transaction: &table.Transaction{
+			Conditions: []table.Condition{{Key: KeyChange(p.change.ID)}},
+			Puts:       []table.Put{{Key: KeyChange(p.change.ID), Value: encode(ChangeRow{Digest: p.digest})}},
+		}})
+	}
+	if o.Result == Rejected {
+		return p.request(phaseGuard, table.Request{Transaction: &table.Transaction{
+			Conditions: []table.Condition{{Key: KeyHead, Version: p.headVersion}, {Key: KeyChange(p.change.ID)}},
+			Puts:       []table.Put{{Key: keyGuard, Delete: true}},
+		}})
+	}
+	return p.end(o)
+}
+
+func (p *Proposer) onConfirm(now time.Duration, r table.Reply) []ProposerAction {
+	if r.Applied {
+		return p.end(*p.pending)
+	}
+	return p.backOff(now)
+}
--- /dev/null
+++ b/core/revision/follow_peers.go
@@ -0,0 +1,108 @@
+package revision
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+)
+
+// PeerRevision takes the revision that a peer says is in force at it, as its
+// heartbeats carry it.
+func (f *Follower) PeerRevision(now time.Duration, peer id.Daemon, rev uint64) {
+	if rev <= f.peers[peer] {
+		return
+	}
+	f.peers[peer] = rev
+	f.highest = max(f.highest, rev)
+	f.planFetch(now)
+}
+
+// PeerGone forgets a peer that is dead.
+func (f *Follower) PeerGone(peer id.Daemon) {
+	delete(f.peers, peer)
+	f.highest = 0
+	for _, rev := range f.peers {
+		f.highest = max(f.highest, rev)
+	}
+}
+
+// planFetch plans to ask a peer that is ahead, after a random pause that
+// spreads the daemons.
+func (f *Follower) planFetch(now time.Duration) {
+	if f.highest <= f.doc.Revision || f.fetch != nil || f.fetchAt != never {
+		return
+	}
+	f.fetchAt = now + time.Duration(f.rng.Float64()*float64(f.cfg.PeerDelay))
+}
+
+// ask sends a Fetch to one of the peers that are furthest ahead.
+func (f *Follower) ask(now time.Duration) []FollowerAction {
+	f.fetchAt = never
+	var ahead []id.Daemon
+	for peer, rev := range f.peers {
+		if rev == f.highest && rev > f.doc.Revision {
+			ahead = append(ahead, peer)
+		}
+	}
+	if len(ahead) == 0 {
+		return nil
+	}
+	slices.Sort(ahead)
+	f.seqFetch++
+	f.fetch = &Fetch{Seq: f.seqFetch, Peer: ahead[f.rng.IntN(len(ahead))], After: f.doc.Revision}
+	f.fetchEnds = now + f.cfg.PeerTimeout
+	ask := *f.fetch
+	return []FollowerAction{{Fetch: &ask}}
+}
+
+func (f *Follower) dropFetch() {
+	f.fetch = nil
+	f.fetchEnds = never
+}
+
+// HandlePeer takes a peer's answer to the last Fetch; others are ignored.
+func (f *Follower) HandlePeer(now time.Duration, r FetchReply) []FollowerAction {
+	if f.fetch == nil || r.Seq != f.fetch.Seq {
+		return nil
+	}
+	peer, before := f.fetch.Peer, f.doc.Revision
+	f.dropFetch()
+	var out []FollowerAction
+	if !r.Failed {
+		out = f.takeAll(r.Snapshot, r.Records, string(peer))
+	}
+	if f.doc.Revision == before && f.highest > f.doc.Revision {
+		// It had nothing after all: ask again, but not at once.
+		f.fetchAt = now + f.cfg.PeerTimeout
+	}
+	f.planFetch(now)
+	return out
+}
+
+// Serve answers a peer's Fetch from what this daemon has in force.
+func (f *Follower) Serve(q Fetch) FetchReply {
+	r := FetchReply{Seq: q.Seq}
+	if q.After >= f.doc.Revision {
+		return r
+	}
+	first := f.doc.Revision - uint64(len(f.history)) + 1
+	if q.After+1 < first || f.doc.Revision-q.After > f.cfg.SnapshotGap {
+		r.Snapshot = &Snapshot{Document: *f.doc, Chain: f.chain}
+		return r
+	}
+	r.Records = f.After(q.After, f.cfg.Batch)
+	return r
+}
+
+// After returns the kept records after a revision, oldest first, at most limit.
+func (f *Follower) After(rev uint64, limit int) []Record {
+	at := slices.IndexFunc(f.history, func(r Record) bool { return r.Revision > rev })
+	if at < 0 {
+		return nil
+	}
+	return slices.Clone(f.history[at:min(len(f.history), at+limit)])
+}
+
+// History returns the kept records, oldest first; it is bounded.
+func (f *Follower) History() []Record { return slices.Clone(f.history) }
--- /dev/null
+++ b/core/revision/follow_store.go
@@ -0,0 +1,163 @@
+package revision
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/revision/table"
+)
+
+// sourceStore names the store in Diverged.
+const sourceStore = "store"
+
+// Handle takes the store's reply to the last read; others are ignored.
+func (f *Follower) Handle(now time.Duration, r table.Reply) []FollowerAction {
+	if !f.reading || r.Seq != f.seq {
+		return nil
+	}
+	f.reading = false
+	if r.Status != table.Done {
+		f.storeUp = false
+		f.failed = true
+		f.planRetry(now)
+		return nil
+	}
+	f.storeUp = true
+	return f.onRows(now, r)
+}
+
+func (f *Follower) onRows(now time.Duration, r table.Reply) []FollowerAction {
+	if f.polling {
+		f.noteHead(r.Row(KeyHead))
+	}
+	from := f.doc.Revision
+	var out []FollowerAction
+	for _, row := range r.Rows {
+		if row.Version == 0 || row.Key == KeyHead {
+			continue
+		}
+		if d := f.takeRow(row); d != nil {
+			out = append(out, FollowerAction{Diverged: d})
+			break
+		}
+	}
+	out = append(out, f.installed(from)...)
+	return append(out, f.goOn(now, from)...)
+}
+
+// noteHead keeps the highest head seen; a lower one is a stale read.
+func (f *Follower) noteHead(row table.Row) {
+	var head Head
+	if row.Version != 0 && json.Unmarshal(row.Value, &head) != nil {
+		return
+	}
+	if head.Revision >= f.headSeen.Revision {
+		f.headSeen = head
+	}
+}
+
+func (f *Follower) takeRow(row table.Row) *Diverged {
+	if row.Key == KeySnapshot(f.headSeen.Snapshot) {
+		var s Snapshot
+		if err := json.Unmarshal(row.Value, &s); err != nil {
+			return &Diverged{Revision: f.headSeen.Snapshot, Source: sourceStore, Reason: "the snapshot can't be read: " + err.Error()}
+		}
+		f.takeSnapshot(&s)
+		return nil
+	}
+	var rec Record
+	if err := json.Unmarshal(row.Value, &rec); err != nil {
+		return &Diverged{Revision: f.doc.Revision + 1, Source: sourceStore, Reason: "the record can't be read: " + err.Error()}
+	}
+	return f.takeRecord(rec, sourceStore)
+}
+
+// goOn reads on while the head is ahead and the last read brought something.
+func (f *Follower) goOn(now time.Duration, from uint64) []FollowerAction {
+	gap := f.headSeen.Revision > f.doc.Revision
+	moved := f.doc.Revision > from
+	if !gap {
+		f.confirmed = true
+		f.planPoll(now)
+		return nil
+	}
+	if !moved && !f.polling {
+		// A stale read, or a snapshot that was replaced: look at the head again later.
+		f.planPoll(now)
+		return nil
+	}
+	if f.headSeen.Revision-f.doc.Revision > f.cfg.SnapshotGap && f.headSeen.Snapshot > f.doc.Revision {
+		return []FollowerAction{f.read([]string{KeySnapshot(f.headSeen.Snapshot)}, false)}
+	}
+	last := min(f.headSeen.Revision, f.doc.Revision+uint64(f.cfg.Batch))
+	return []FollowerAction{f.read(revisionKeys(f.doc.Revision+1, last), false)}
+}
+
+// takeRecord applies the record if it is the next one; older ones are
+// skipped, and one that does not chain to what is in force is refused.
+func (f *Follower) takeRecord(rec Record, source string) *Diverged {
+	if rec.Revision != f.doc.Revision+1 {
+		return nil
+	}
+	if NextChain(f.chain, rec.Change) != rec.Chain {
+		return &Diverged{Revision: rec.Revision, Source: source, Reason: "the record does not follow from the one before it"}
+	}
+	next, faults := applyOps(f.doc, rec.Change)
+	if len(faults) > 0 {
+		return &Diverged{Revision: rec.Revision, Source: source, Reason: fmt.Sprintf("the accepted change does not apply: %v", faults[0])}
+	}
+	f.doc, f.chain = next, rec.Chain
+	f.history = append(f.history, rec)
+	if over := len(f.history) - f.cfg.History; over > 0 {
+		f.history = append([]Record(nil), f.history[over:]...)
+	}
+	f.keepDocument()
+	return nil
+}
+
+// takeSnapshot replaces the document by a newer one.
+func (f *Follower) takeSnapshot(s *Snapshot) {
+	if s.Document.Revision <= f.doc.Revision {
+		return
+	}
+	f.doc, f.chain = live.Normalize(&s.Document), s.Chain
+	f.history = nil
+	f.keepDocument()
+}
+
+func (f *Follower) keepDocument() {
+	f.documents = append(f.documents, f.doc)
+	if over := len(f.documents) - f.cfg.Documents; over > 0 {
+		f.documents = append([]*live.Document(nil), f.documents[over:]...)
+	}
+}
+
+// installed reports the document if it is newer than from.
+func (f *Follower) installed(from uint64) []FollowerAction {
+	if f.doc.Revision <= from {
+		return nil
+	}
+	return []FollowerAction{{Installed: &Installed{From: from, To: f.doc.Revision, Document: f.doc}}}
+}
+
+// Learn takes a record that this daemon's own proposer saw accepted.
+func (f *Follower) Learn(rec Record) []FollowerAction {
+	return f.takeAll(nil, []Record{rec}, sourceStore)
+}
+
+func (f *Follower) takeAll(s *Snapshot, records []Record, source string) []FollowerAction {
+	from := f.doc.Revision
+	var out []FollowerAction
+	if s != nil {
+		f.takeSnapshot(s)
+	}
+	for _, rec := range records {
+		if d := f.takeRecord(rec, source); d != nil {
+			out = append(out, FollowerAction{Diverged: d})
+			break
+		}
+	}
+	return append(out, f.installed(from)...)
+}
--- /dev/null
+++ b/core/revision/table/tabletest/model.go
@@ -0,0 +1,214 @@
+// Package tabletest is a model of the platform's table for randomised tests of
+// automata: a clock that only events move, and a table that loses requests and
+// replies, answers late, answers from the past, and has outages.
+package tabletest
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/revision/table"
+)
+
+// seedsVariable multiplies the number of seeds of randomised tests.
+const seedsVariable = "SAMPHIREQUAY_SEEDS"
+
+// Seeds returns n times what the environment asks for (default 1).
+func Seeds(n int) uint64 {
+	times, err := strconv.Atoi(os.Getenv(seedsVariable))
+	if err != nil || times < 1 {
+		times = 1
+	}
+	return uint64(n * times)
+}
+
+// event is a function that is due.
+type event struct {
+	at    time.Duration
+	order uint64
+	run   func()
+}
+
+// events orders by time, then by when they were planned.
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if e[i].at != e[j].at {
+		return e[i].at < e[j].at
+	}
+	return e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push implements heap.Interface.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop implements heap.Interface.
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	*e = (*e)[:last]
+	return x
+}
+
+// Clock runs events in the order of their times.
+type Clock struct {
+	now    time.Duration
+	order  uint64
+	queue  events
+	Random *rand.Rand
+}
+
+// NewClock returns a clock at zero with a random source of its own.
+func NewClock(seed uint64) *Clock {
+	return &Clock{Random: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15))}
+}
+
+// Now is the time of the event that runs.
+func (c *Clock) Now() time.Duration { return c.now }
+
+// At plans a function; one in the past runs next.
+func (c *Clock) At(at time.Duration, run func()) {
+	c.order++
+	heap.Push(&c.queue, event{at: max(at, c.now), order: c.order, run: run})
+}
+
+// After plans a function.
+func (c *Clock) After(d time.Duration, run func()) { c.At(c.now+d, run) }
+
+// Upto returns a random duration below d.
+func (c *Clock) Upto(d time.Duration) time.Duration {
+	return time.Duration(c.Random.Int64N(int64(max(d, 1))))
+}
+
+// Run runs all events up to a time.
+func (c *Clock) Run(until time.Duration) {
+	for len(c.queue) > 0 && c.queue[0].at <= until {
+		e := heap.Pop(&c.queue).(event)
+		c.now = e.at
+		e.run()
+	}
+	c.now = until
+}
+
+// Faults are the shares, 0 to 1, of calls that each fault meets.
+type Faults struct {
+	// LoseRequest: the call has no effect, and its caller learns nothing.
+	LoseRequest float64
+	// LoseReply: it has its effect, and its caller learns nothing.
+	LoseReply float64
+	// Late: it has its effect up to a second after its caller gave up.
+	Late float64
+	// Stale: a read is answered from up to a second ago.
+	Stale float64
+	// Down: calls are refused without effect.
+	Down bool
+}
+
+// timeout is when a caller gives up.
+const timeout = 200 * time.Millisecond
+
+// lag bounds how old a stale read is, and how late a late effect.
+const lag = time.Second
+
+// written is one version of a row.
+type written struct {
+	at  time.Duration
+	row table.Row
+}
+
+// Model is the table.
+type Model struct {
+	Faults Faults
+	clock  *Clock
+	rows   map[string][]written
+	last   uint64
+}
+
+// New returns an empty table.
+func New(c *Clock) *Model { return &Model{clock: c, rows: map[string][]written{}} }
+
+// Row returns a row as it is now.
+func (m *Model) Row(key string) table.Row { return m.rowAt(key, m.clock.now) }
+
+func (m *Model) rowAt(key string, at time.Duration) table.Row {
+	versions := m.rows[key]
+	for i := len(versions) - 1; i >= 0; i-- {
+		if versions[i].at <= at {
+			return versions[i].row
+		}
+	}
+	return table.Row{Key: key}
+}
+
+// Do runs a request with the faults of now and calls done with the reply.
+func (m *Model) Do(q table.Request, done func(table.Reply)) {
+	f, r := m.Faults, m.clock.Random
+	if f.Down {
+		status := table.NotRun
+		if r.IntN(2) == 0 {
+			status = table.Unknown
+		}
+		m.clock.After(m.clock.Upto(timeout), func() { done(table.Reply{Seq: q.Seq, Status: status}) })
+		return
+	}
+	lost := func() { done(table.Reply{Seq: q.Seq, Status: table.Unknown}) }
+	there, back := m.clock.Upto(timeout/8), m.clock.Upto(timeout/8)
+	switch x := r.Float64(); {
+	case x < f.LoseRequest:
+		m.clock.After(timeout, lost)
+	case x < f.LoseRequest+f.LoseReply:
+		m.clock.After(there, func() { m.run(q) })
+		m.clock.After(timeout, lost)
+	case x < f.LoseRequest+f.LoseReply+f.Late:
+		m.clock.After(timeout, lost)
+		m.clock.After(timeout+m.clock.Upto(lag), func() { m.run(q) })
+	default:
+		m.clock.After(there, func() {
+			reply := m.run(q)
+			m.clock.After(back, func() { done(reply) })
+		})
+	}
+}
+
+func (m *Model) run(q table.Request) table.Reply {
+	if q.Transaction != nil {
+		return m.transact(q)
+	}
+	at := m.clock.now
+	if m.clock.Random.Float64() < m.Faults.Stale {
+		at -= m.clock.Upto(lag)
+	}
+	r := table.Reply{Seq: q.Seq, Status: table.Done}
+	for _, k := range q.Keys {
+		r.Rows = append(r.Rows, m.rowAt(k, at))
+	}
+	return r
+}
+
+func (m *Model) transact(q table.Request) table.Reply {
+	r := table.Reply{Seq: q.Seq, Status: table.Done}
+	for _, c := range q.Transaction.Conditions {
+		if m.Row(c.Key).Version != c.Version {
+			r.Failed = append(r.Failed, c.Key)
+		}
+	}
+	if len(r.Failed) > 0 {
+		return r
+	}
+	r.Applied = true
+	for _, p := range q.Transaction.Puts {
+		m.last++
+		row := table.Row{Key: p.Key, Value: p.Value, Version: m.last}
+		if p.Delete {
+			row = table.Row{Key: p.Key}
+		}
+		m.rows[p.Key] = append(m.rows[p.Key], written{at: m.clock.now, row: row})
+		r.Versions = append(r.Versions, row.Version)
+	}
+	return r
+}
--- /dev/null
+++ b/core/sched/admission.go
@@ -0,0 +1,184 @@
+package sched
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+// Bounds of the advice when to come back.
+const (
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+)
+
+// admit decides whether a request may wait. It is refused at once if a limit
+// is reached or if its patience can't be met given the backlog.
+func (l *Ledger) admit(w Want) (*waiting, *Refusal) {
+	s, t, refusal := l.permitted(&w)
+	if refusal != nil {
+		return nil, refusal
+	}
+	if refusal := l.overLimit(&w, t); refusal != nil {
+		return nil, refusal
+	}
+	if refusal := l.lacking(&w, s); refusal != nil {
+		return nil, refusal
+	}
+	estimate := l.pool.cost(s, &w, l.bestCached(&w))
+	first := l.pool.firstToken(s, estimate)
+	wait := l.predictWait(s, t, clampPriority(w.Priority), first)
+	late := w.Age + wait + first - s.patience
+	if late > 0 {
+		return nil, &Refusal{
+			Request:    w.Request,
+			Code:       verdict.CodeOverloaded,
+			RetryAfter: boundRetry(late),
+			Reason:     fmt.Sprintf("predicted wait %v and first token %v, patience %v", wait, first, s.patience-w.Age),
+		}
+	}
+	arrived := l.now - w.Age
+	return &waiting{
+		want:    w,
+		service: s,
+		team:    t,
+		arrived: arrived,
+		latest:  arrived + s.patience - first,
+		cost:    estimate,
+	}, nil
+}
+
+// overLimit refuses what exceeds a bound of the team or of the queue.
+func (l *Ledger) overLimit(w *Want, t *team) *Refusal {
+	refusal := Refusal{Request: w.Request}
+	switch {
+	case t.inFlight() >= t.maxInFlight:
+		refusal.Code = verdict.CodeTeamLimit
+		refusal.Reason = fmt.Sprintf("%d requests in flight", t.inFlight())
+	case t.queued >= l.options.MaxTeamQueue:
+		refusal.Code = verdict.CodeTeamLimit
+		refusal.Reason = fmt.Sprintf("%d requests waiting", t.queued)
+	case l.queue.queued >= l.options.MaxQueue:
+		refusal.Code = verdict.CodeOverloaded
+		refusal.Reason = fmt.Sprintf("%d requests waiting in the pool", l.queue.queued)
+	default:
+		return nil
+	}
+	refusal.RetryAfter = l.drainTime(t)
+	return &refusal
+}
+
+// lacking refuses what no endpoint could serve.
+func (l *Ledger) lacking(w *Want, s *service) *Refusal {
+	missing := live.Role("")
+	if !s.plain && l.fleet.engines() == 0 {
+		missing = live.RolePrefill
+	}
+	if l.fleet.slots[s.role()] == 0 {
+		missing = s.role()
+	}
+	if missing == "" {
+		return nil
+	}
+	return &Refusal{
+		Request:    w.Request,
+		Code:       verdict.CodeNoEndpoint,
+		RetryAfter: boundRetry(l.options.ReportLag),
+		Reason:     "no ready " + string(missing) + " endpoint in pool " + string(l.options.Pool),
+	}
+}
+
+// predictWait predicts how long a new request waits for its grant: the lesser
+// of its team's backlog at the team's share, and of the whole backlog. A slot
+// is needed only once the request would be prefilled.
+func (l *Ledger) predictWait(s *service, t *team, priority int, first time.Duration) time.Duration {
+	ahead := t.backlog(priority)
+	share := l.shareOf(t)
+	slots := max(1, float64(l.fleet.slots[s.role()]))
+	slotWait := min(ahead.slot/share, l.queue.backlog.slot) / slots
+	slotAt := seconds(slotWait) + l.untilFree(s.role())
+	if s.plain {
+		return slotAt
+	}
+	engines := max(1, float64(l.fleet.engines()))
+	prefillWait := min(ahead.prefill/share, l.queue.backlog.prefill) / engines
+	prefillAt := seconds(prefillWait) + l.untilFree(live.RolePrefill)
+	return max(0, prefillAt, slotAt-first)
+}
+
+// untilFree is the time until the first endpoint of a role can take work.
+func (l *Ledger) untilFree(role live.Role) time.Duration {
+	at := l.fleet.earliest(role, l.now)
+	if at == never {
+		return 0
+	}
+	return at - l.now
+}
+
+// shareOf is the team's share against the teams that have requests waiting.
+func (l *Ledger) shareOf(t *team) float64 {
+	total := l.queue.weights
+	if t.queued == 0 {
+		total += t.weight
+	}
+	if total <= 0 {
+		return 1
+	}
+	return min(1, t.weight/total)
+}
+
+// drainTime advises when some of the team's work will have ended.
+func (l *Ledger) drainTime(t *team) time.Duration {
+	backlog := t.backlog(0)
+	slots := l.fleet.slots[live.RoleDecode] + l.fleet.slots[live.RolePlain]
+	busy := backlog.prefill/max(1, float64(l.fleet.engines())) + backlog.slot/max(1, float64(slots))
+	return boundRetry(seconds(busy / l.shareOf(t)))
+}
+
+// boundRetry bounds the advice when to come back.
+func boundRetry(d time.Duration) time.Duration {
+	return min(max(d, minRetryAfter), maxRetryAfter)
+}
+
+// bestCached is the most of the prompt that any engine is believed to have.
+func (l *Ledger) bestCached(w *Want) int {
+	if len(w.Prefix) == 0 {
+		return 0
+	}
+	best := 0
+	for _, e := range l.caches.find(w.Prefix[0]) {
+		best = max(best, l.cachedTokens(e, w))
+	}
+	return best
+}
+
+// cachedTokens is how much of the prompt an engine is believed to have.
+func (l *Ledger) cachedTokens(e *endpoint, w *Want) int {
+	if len(w.Prefix) == 0 {
+		return 0
+	}
+	blocks := e.cache.match(l.now, w.Prefix)
+	return min(blocks*l.options.BlockTokens, w.PromptTokens-1)
+}
+
+// dropHopeless refuses queued requests whose patience can't be met any more.
+func (l *Ledger) dropHopeless(actions []Action) []Action {
+	for len(l.queue.latest) > 0 && l.queue.latest[0].latest < l.now {
+		w := l.queue.latest[0]
+		l.unqueue(w)
+		actions = append(actions, l.refuse(w.want.From, l.tooLate(w))...)
+	}
+	return actions
+}
+
+// tooLate is the refusal of a request whose patience can't be met any more.
+func (l *Ledger) tooLate(w *waiting) *Refusal {
+	return &Refusal{
+		Request:    w.want.Request,
+		Code:       verdict.CodeOverloaded,
+		RetryAfter: l.drainTime(w.team),
+		Reason:     fmt.Sprintf("waited %v of %v", l.now-w.arrived, w.service.patience),
+	}
+}
--- /dev/null
+++ b/core/sched/cacheview.go
@@ -0,0 +1,46 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// cacheView guesses which prefix blocks an engine has cached. It is bounded,
+// decays, and is emptied after a gap in the engine's events or a restart.
+type cacheView struct {
+	blocks *simplelru.LRU[uint64, time.Duration]
+	life   time.Duration
+}
+
+// newCacheView returns an empty view of at most size blocks, each believed for
+// life; forgot is told of each block that leaves the view.
+func newCacheView(size int, life time.Duration, forgot func(block uint64)) *cacheView {
+	evicted := func(block uint64, _ time.Duration) { forgot(block) }
+	blocks, err := simplelru.NewLRU(max(1, size), evicted)
+	if err != nil {
+		panic("sched: cache view: " + err.Error())
+	}
+	return &cacheView{blocks: blocks, life: life}
+}
+
+// store notes that a block is cached.
+func (c *cacheView) store(now time.Duration, block uint64) { c.blocks.Add(block, now) }
+
+// drop notes that a block is gone.
+func (c *cacheView) drop(block uint64) { c.blocks.Remove(block) }
+
+// clear forgets all.
+func (c *cacheView) clear() { c.blocks.Purge() }
+
+// match counts the leading blocks of a prefix that are believed cached. Since
+// hashes are chained, a block can only be there with those before it.
+func (c *cacheView) match(now time.Duration, prefix []uint64) int {
+	for i, block := range prefix {
+		at, ok := c.blocks.Peek(block)
+		if !ok || now-at > c.life {
+			return i
+		}
+	}
+	return len(prefix)
+}
--- /dev/null
+++ b/core/sched/configure.go
@@ -0,0 +1,211 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+)
+
+// Configure implements Scheduler. An item that can't be read keeps its former
+// state and is reported as a violation, since accepted configurations are
+// validated before.
+func (l *Ledger) Configure(now time.Duration, doc *live.Document) []Action {
+	l.begin(now)
+	l.configureServices(doc)
+	l.configureTeams(doc)
+	l.configureLinks(doc)
+	l.configureEndpoints(doc)
+	return l.finish(l.recheckWaiting())
+}
+
+// recheckWaiting refuses queued requests whose team may no longer use the
+// service.
+func (l *Ledger) recheckWaiting() []Action {
+	var actions []Action
+	for _, w := range l.waitingInOrder() {
+		s, _, refusal := l.permitted(&w.want)
+		if refusal == nil {
+			w.service = s
+			continue
+		}
+		l.unqueue(w)
+		actions = append(actions, l.refuse(w.want.From, refusal)...)
+	}
+	return actions
+}
+
+// configureServices reads the services of the pool.
+func (l *Ledger) configureServices(doc *live.Document) {
+	services := map[id.Service]*service{}
+	for i := range doc.Services {
+		s := &doc.Services[i]
+		if s.Pool != l.options.Pool {
+			continue
+		}
+		made, err := newService(s, l.services[s.Name], &l.options)
+		if err != nil {
+			l.violate("configuration", err.Error())
+			made = l.services[s.Name]
+		}
+		if made != nil {
+			services[s.Name] = made
+		}
+	}
+	l.services = services
+}
+
+// configureTeams reads the teams; one that left keeps its state while it has
+// requests in flight.
+func (l *Ledger) configureTeams(doc *live.Document) {
+	for _, t := range l.teams {
+		t.known = false
+	}
+	for i := range doc.Teams {
+		l.configureTeam(&doc.Teams[i])
+	}
+	for name, t := range l.teams {
+		if !t.known && t.inFlight() == 0 {
+			delete(l.teams, name)
+		}
+	}
+}
+
+// configureTeam reads one team.
+func (l *Ledger) configureTeam(d *live.Team) {
+	t := l.teams[d.Name]
+	if t == nil {
+		t = &team{name: d.Name, weight: live.DefaultWeight, index: -1}
+		l.teams[d.Name] = t
+	}
+	weight := d.Weight
+	if weight <= 0 {
+		weight = live.DefaultWeight
+	}
+	l.queue.reweigh(t, weight)
+	t.maxInFlight = d.MaxInFlight
+	if t.maxInFlight <= 0 {
+		t.maxInFlight = live.DefaultMaxInFlight
+	}
+	t.labels = d.Labels
+	t.known = true
+}
+
+// configureLinks reads the rates; transfers on their way go on.
+func (l *Ledger) configureLinks(doc *live.Document) {
+	l.limits = doc.Links
+	for key, known := range l.links {
+		rate, ok := findLink(l.limits, key)
+		if !ok {
+			delete(l.links, key)
+			continue
+		}
+		known.advance(l.now)
+		known.rate = rate
+	}
+}
+
+// linkBetween returns the link between two domains, nil if it has no limit.
+func (l *Ledger) linkBetween(from, to id.Domain) *link {
+	key := linkKey{from: from, to: to}
+	known, ok := l.links[key]
+	if ok {
+		return known
+	}
+	rate, limited := findLink(l.limits, key)
+	if !limited {
+		return nil
+	}
+	known = &link{rate: rate, at: l.now}
+	l.links[key] = known
+	return known
+}
+
+// configureEndpoints reads the pool's endpoints. One that left the pool stays
+// known, so that its reservations can end.
+func (l *Ledger) configureEndpoints(doc *live.Document) {
+	pool := FindPool(doc, l.options.Pool)
+	var chosen []*live.Endpoint
+	if pool != nil {
+		found, err := PoolEndpoints(doc, pool)
+		if err != nil {
+			l.violate("configuration", err.Error())
+			return
+		}
+		chosen = found
+		l.model = pool.Model
+	}
+	in := map[id.Endpoint]bool{}
+	for _, d := range chosen {
+		in[d.Name] = true
+		l.configureEndpoint(d)
+	}
+	for name, e := range l.endpoints {
+		if !in[name] {
+			l.dropEndpoint(e)
+		}
+	}
+}
+
+// configureEndpoint reads one endpoint.
+func (l *Ledger) configureEndpoint(d *live.Endpoint) {
+	e := l.endpoints[d.Name]
+	if e == nil {
+		e = l.newEndpoint(d)
+		l.endpoints[d.Name] = e
+	}
+	l.fleet.takeOut(e)
+	e.domain = d.Domain
+	e.configured = d.Slots
+	if e.configured <= 0 {
+		e.configured = live.DefaultSlots
+	}
+	e.labelRole = LabelledRole(d)
+	e.labelLeaving = LabelledLeaving(d)
+	e.inPool = true
+	l.touch(e)
+}
+
+// newEndpoint starts from the configuration's estimates.
+func (l *Ledger) newEndpoint(d *live.Endpoint) *endpoint {
+	rate := d.PrefillTokensPerSecond
+	if rate <= 0 {
+		rate = live.DefaultPrefillPerSecond
+	}
+	token := d.DecodeTokenMS
+	if token <= 0 {
+		token = live.DefaultDecodeTokenMS
+	}
+	e := &endpoint{
+		name:        d.Name,
+		prefillRate: newAverage(rate),
+		tokenTime:   newAverage(token / 1000),
+	}
+	e.cache = newCacheView(l.options.CacheBlocks, l.options.CacheLife, func(block uint64) {
+		l.caches.remove(block, e)
+	})
+	l.pool.start(LabelledRole(d), rate, token/1000)
+	return e
+}
+
+// dropEndpoint takes an endpoint out of the pool, and out of memory once
+// nothing runs on it.
+func (l *Ledger) dropEndpoint(e *endpoint) {
+	l.fleet.takeOut(e)
+	e.inPool = false
+	e.cache.clear()
+	if e.idle() {
+		delete(l.endpoints, e.name)
+	}
+}
+
+// touch puts an endpoint that has changed back into the index, if it may get
+// work at all. Each change is bracketed by fleet.takeOut and touch.
+func (l *Ledger) touch(e *endpoint) {
+	l.standing.model = l.model
+	filters := l.row.standing[e.role()]
+	if filters == nil || !keepAll(filters, &l.standing, e) {
+		return
+	}
+	l.fleet.putIn(e, l.now, l.random.Uint64())
+}
--- /dev/null
+++ b/core/sched/estimate.go
@@ -0,0 +1,74 @@
+package sched
+
+import (
+	"math"
+	"time"
+)
+
+// smoothing is the weight of a new sample in the moving averages.
+const smoothing = 0.2
+
+// average is an exponentially weighted moving average with its mean deviation.
+type average struct {
+	mean      float64
+	deviation float64
+	samples   int
+}
+
+// newAverage starts from a first estimate, trusted to a fifth of its size.
+func newAverage(first float64) average {
+	return average{mean: first, deviation: first * smoothing}
+}
+
+// add takes a sample.
+func (a *average) add(x float64) {
+	if math.IsNaN(x) || math.IsInf(x, 0) || x <= 0 {
+		return
+	}
+	a.deviation += smoothing * (math.Abs(x-a.mean) - a.deviation)
+	a.mean += smoothing * (x - a.mean)
+	a.samples++
+}
+
+// serviceEstimate is what is learned about a service's requests.
+type serviceEstimate struct {
+	// outputRatio is measured output over estimated output.
+	outputRatio average
+	// kvPerToken is the KV cache's size per prompt token, in bytes.
+	kvPerToken average
+	// callSeconds is the time that a plain call holds its slot.
+	callSeconds average
+	risk        risk
+}
+
+// firstCallSeconds is the first estimate of a plain call's time, in seconds.
+const firstCallSeconds = 0.05
+
+// newServiceEstimate starts from the options' defaults.
+func newServiceEstimate(o *Options) *serviceEstimate {
+	return &serviceEstimate{
+		outputRatio: newAverage(1),
+		kvPerToken:  newAverage(o.KVBytesPerToken),
+		callSeconds: newAverage(firstCallSeconds),
+	}
+}
+
+// outputTokens predicts the length of an answer.
+func (s *serviceEstimate) outputTokens(w *Want) float64 {
+	return max(1, float64(w.OutputTokens)*s.outputRatio.mean)
+}
+
+// outputDeviation predicts how far the length may be off, in tokens.
+func (s *serviceEstimate) outputDeviation(w *Want) float64 {
+	return float64(w.OutputTokens) * s.outputRatio.deviation
+}
+
+// kvBytes predicts the size of the exported KV cache.
+func (s *serviceEstimate) kvBytes(w *Want) float64 {
+	return float64(w.PromptTokens) * s.kvPerToken.mean
+}
+
+// seconds converts a count of seconds to a duration.
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
--- /dev/null
+++ b/core/sched/fairness_test.go
@@ -0,0 +1,186 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+// fairWorld is a world without faults whose engines serve some 120 requests a
+// second, with requests that wait up to two seconds.
+func fairWorld(t *testing.T, seed uint64, weights ...float64) *world {
+	doc := testDocument(22, len(weights))
+	doc.Services[0].PatienceMS = 2000
+	for i, weight := range weights {
+		doc.Teams[i].Weight = weight
+	}
+	o := testOptions(t)
+	o.Seed = seed
+	return newWorld(t, seed, o, doc, false)
+}
+
+// unshaped leaves a request as it is.
+func unshaped(*Want) {}
+
+func TestAFloodCostsOnlyItsTeam(t *testing.T) {
+	for seed := range uint64(3) {
+		is := is.New(t)
+		w := fairWorld(t, seed, 1, 1, 1, 1)
+		const events = 15_000
+		w.arrivals(teamName(0), 10*ms/3, events, unshaped) // ten times its share of 30/s
+		for i := 1; i < 4; i++ {
+			w.arrivals(teamName(i), 37*ms, events, unshaped) // nine tenths of it
+		}
+		w.run()
+		for i := 1; i < 4; i++ {
+			team := teamName(i)
+			part := float64(w.served[team]) / float64(w.asked[team])
+			t.Logf("seed %d, %s: %d of %d served", seed, team, w.served[team], w.asked[team])
+			is.True(part > 0.97) // others get what they ask within their share
+		}
+		flood := teamName(0)
+		t.Logf("seed %d, flood: %d of %d served", seed, w.served[flood], w.asked[flood])
+		is.True(w.served[flood] > w.served[teamName(1)]) // the rest is not left unused
+		w.assertEnd()
+	}
+}
+
+func TestSharesFollowWeights(t *testing.T) {
+	is := is.New(t)
+	w := fairWorld(t, 1, 1, 2, 3)
+	const events = 30_000
+	for i := range 3 {
+		w.arrivals(teamName(i), 8*ms, events, unshaped)
+	}
+	w.run()
+	total := 0
+	for i := range 3 {
+		total += w.served[teamName(i)]
+	}
+	for i := range 3 {
+		part := float64(w.served[teamName(i)]) / float64(total)
+		due := float64(i+1) / 6
+		t.Logf("%s: part %.3f, due %.3f", teamName(i), part, due)
+		is.True(part > due-0.02)
+		is.True(part < due+0.02)
+	}
+}
+
+func TestALongPromptCostsItsTeam(t *testing.T) {
+	is := is.New(t)
+	w := fairWorld(t, 1, 1, 1)
+	const events = 30_000
+	w.arrivals(teamName(0), 8*ms, events, func(want *Want) {
+		want.PromptTokens = 8000
+		want.OutputTokens = 80
+	})
+	w.arrivals(teamName(1), 4*ms, events, unshaped)
+	w.run()
+	ratio := float64(w.served[teamName(1)]) / float64(w.served[teamName(0)])
+	t.Logf("four times the size, %.2f times fewer served", ratio)
+	is.True(ratio > 3.4)
+	is.True(ratio < 4.6)
+}
+
+func TestOneTeamGetsTheWholePool(t *testing.T) {
+	is := is.New(t)
+	alone := fairWorld(t, 1, 1)
+	alone.arrivals(teamName(0), 5*ms, 10_000, unshaped)
+	alone.run()
+	one := fairWorld(t, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1)
+	one.arrivals(teamName(0), 5*ms, 10_000, unshaped)
+	one.run()
+	is.Equal(one.served, alone.served) // idle teams take nothing
+}
+
+func TestACancellingTeamPaysForWhatItTook(t *testing.T) {
+	is := is.New(t)
+	l := testLedger(t, testOptions(t), testDocument(4, 2))
+	g := onlyGrant(t, l.Want(0+2, testWant(1, teamName(0))))
+	charged := l.teams[teamName(0)].finish
+	l.Progress(3*ms, progressOf(g, PhasePrefilling))
+	l.Progress(60*ms, progressOf(g, PhaseCancelled))
+	paid := l.teams[teamName(0)].finish
+	is.True(paid > charged/10)
+	is.True(paid < charged)
+	onlyGrant(t, l.Want(70*ms, testWant(2, teamName(1))))
+}
+
+func TestTeamLimitIsOverAllDaemons(t *testing.T) {
+	is := is.New(t)
+	doc := testDocument(22, 2)
+	doc.Teams[0].MaxInFlight = 3
+	l := testLedger(t, testOptions(t), doc)
+	var last *Grant
+	for n := range 3 {
+		w := testWant(n, teamName(0))
+		w.From.Daemon = id.Daemon(rune('a' + n))
+		last = onlyGrant(t, l.Want(ms, w))
+	}
+	refusal := onlyRefusal(t, l.Want(ms, testWant(3, teamName(0))))
+	is.Equal(refusal.Code, verdict.CodeTeamLimit)
+	is.True(refusal.RetryAfter > 0)
+	onlyGrant(t, l.Want(ms, testWant(4, teamName(1))))
+	l.Progress(2*ms, progressOf(last, PhaseDone))
+	onlyGrant(t, l.Want(3*ms, testWant(5, teamName(0))))
+}
+
+func TestPriorityWithinATeam(t *testing.T) {
+	is := is.New(t)
+	doc := testDocument(2, 1)
+	doc.Endpoints[1].Slots = 1
+	l := testLedger(t, testOptions(t), doc)
+	first := onlyGrant(t, l.Want(ms, testWant(1, teamName(0))))
+	low, high := testWant(2, teamName(0)), testWant(3, teamName(0))
+	high.Priority = 9
+	is.Equal(len(l.Want(2*ms, low)), 0)
+	is.Equal(len(l.Want(3*ms, high)), 0)
+	g := onlyGrant(t, l.Progress(4*ms, progressOf(first, PhaseDone)))
+	is.Equal(g.Request, high.Request)
+}
+
+// TestGoodputReturnsAfterAnOverload asks that goodput returns by itself once an overload ends.
+func TestGoodputReturnsAfterAnOverload(t *testing.T) {
+	is := is.New(t)
+	w := fairWorld(t, 1, 1, 1)
+	w.arrivals(teamName(0), 2*ms, 10_000, unshaped) // six times what can be served
+	w.run()
+	is.True(w.refused > 0)
+	before, refused := w.granted, w.refused
+	until := w.events + 3000
+	start := w.now
+	w.arrivals(teamName(0), 20*ms, until, unshaped) // well within it
+	w.run()
+	is.True(w.granted > before)
+	is.Equal(w.refused, refused) // nothing is refused any more
+	is.True(w.now-start < time.Hour)
+	w.assertEnd()
+}
+
+func TestPlainPoolSharesTheSameQueue(t *testing.T) {
+	is := is.New(t)
+	doc := testDocument(0, 2)
+	doc.Services[0].Type = live.ServicePlain
+	doc.Pools[0].Model = ""
+	for _, name := range []id.Endpoint{"a", "b"} {
+		doc.Endpoints = append(doc.Endpoints, live.Endpoint{
+			Name:   name,
+			Labels: live.Labels{"pool": "packets", live.LabelRole: string(live.RolePlain)},
+			Slots:  1,
+		})
+	}
+	l := testLedger(t, testOptions(t), doc)
+	first := onlyGrant(t, l.Want(ms, testWant(1, teamName(0))))
+	second := onlyGrant(t, l.Want(ms, testWant(2, teamName(0))))
+	is.Equal(first.Prefill, id.Endpoint(""))
+	is.True(first.Decode != second.Decode) // the one with room
+	is.Equal(len(l.Want(2*ms, testWant(3, teamName(0)))), 0)
+	is.Equal(len(l.Want(3*ms, testWant(4, teamName(1)))), 0)
+	next := onlyGrant(t, l.Progress(4*ms, progressOf(first, PhaseDone)))
+	is.Equal(next.Request, id.Request("r0000004")) // the other team's turn
+}
--- /dev/null
+++ b/core/sched/filter_health_test.go
@@ -0,0 +1,20 @@
+package sched
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/live"
+)
+
+func TestHealthFilterAsksTheView(t *testing.T) {
+	is := is.New(t)
+	c := testCycle()
+	e := testEndpoint("e", live.RoleDecode)
+	keeps(is, healthFilter{}, c, e, true)
+	c.options.Health = allowed{ejected: "e"}
+	keeps(is, healthFilter{}, c, e, false)
+	c.options.Health = allowed{ejected: "f"}
+	keeps(is, healthFilter{}, c, e, true)
+}
--- /dev/null
+++ b/core/sched/grant.go
@@ -0,0 +1,154 @@
+package sched
+
+import (
+	"container/heap"
+	"fmt"
+	"time"
+)
+
+// expiryGrace is added to a grant's life for its way to the daemon and back.
+const expiryGrace = 100 * time.Millisecond
+
+// grant reserves the pair for a queued request and charges its team.
+func (l *Ledger) grant(w *waiting, p *pair, reason string) *Action {
+	l.checkGrant(w, p)
+	r := l.newReservation(w, p)
+	r.grant = Grant{
+		Request:     w.want.Request,
+		Decode:      p.decode.name,
+		Reservation: r.number,
+		Owner:       l.options.Self,
+		StartIn:     r.start - l.now,
+		ExpiresIn:   r.start - l.now + l.options.ExpiresIn,
+		Reason:      reason,
+	}
+	if r.prefill != nil {
+		r.grant.Prefill = r.prefill.name
+	}
+	l.queue.serve(w, l.scalar(r.charge))
+	delete(l.waiting, w.want.Request)
+	l.hold(r)
+	grant := r.grant
+	return &Action{To: w.want.From, Grant: &grant}
+}
+
+// newReservation fills in what is predicted for a pair.
+func (l *Ledger) newReservation(w *waiting, p *pair) *reservation {
+	l.serial++
+	r := &reservation{
+		number:       l.serial,
+		want:         w.want,
+		service:      w.service,
+		team:         w.team,
+		prefill:      p.prefill.endpoint,
+		decode:       p.decode,
+		link:         p.link,
+		grantedAt:    l.now,
+		start:        p.prefill.start + p.delay,
+		prefillTime:  p.prefill.took,
+		prefillEnd:   p.prefillEnd(),
+		transferTime: p.transfer,
+		cachedTokens: p.prefill.cachedTokens,
+		kvBytes:      l.cycle.kvBytes,
+	}
+	r.predictRelease(r.prefillEnd + r.transferTime)
+	r.charge = cost{slot: (r.release - l.now).Seconds()}
+	if r.prefill != nil {
+		r.charge.prefill = r.prefillTime.Seconds()
+	}
+	r.expires = r.start + l.options.ExpiresIn + expiryGrace
+	return r
+}
+
+// predictRelease predicts the slot's release from the decode's start.
+func (r *reservation) predictRelease(decodeStart time.Duration) {
+	estimate := r.service.estimate
+	if r.service.plain {
+		r.release = decodeStart + seconds(estimate.callSeconds.mean)
+		r.deviation = seconds(estimate.callSeconds.deviation)
+		return
+	}
+	token := r.decode.tokenTime.mean
+	left := max(1, estimate.outputTokens(&r.want)-float64(r.outputTokens))
+	r.release = decodeStart + seconds(left*token)
+	r.deviation = seconds(estimate.outputDeviation(&r.want) * token)
+}
+
+// hold enters a reservation into the ledgers.
+func (l *Ledger) hold(r *reservation) {
+	l.granted[r.want.Request] = r
+	r.team.granted++
+	heap.Push(&l.expiry, r)
+	l.holdPrefill(r)
+	l.holdSlot(r)
+	if r.link != nil && r.phase < PhaseDecoding {
+		l.addTransfer(r)
+	}
+}
+
+// holdPrefill queues the reservation's prefill.
+func (l *Ledger) holdPrefill(r *reservation) {
+	if r.prefill == nil || r.phase >= PhaseTransferring {
+		return
+	}
+	l.change(r.prefill, func(e *endpoint) {
+		e.queue = append(e.queue, r)
+		l.fleet.prefillSeconds += r.prefillTime.Seconds()
+		e.busyUntil = max(e.busyUntil, r.prefillEnd)
+		if r.want.Suspect {
+			e.alone = r
+		}
+	})
+}
+
+// holdSlot takes a slot, or a place behind one that is to be released.
+func (l *Ledger) holdSlot(r *reservation) {
+	l.change(r.decode, func(e *endpoint) {
+		if e.free(l.now) > 0 || r.phase != 0 {
+			e.held = append(e.held, r)
+			e.sortHeld()
+		} else {
+			e.pending = append(e.pending, r)
+			r.borrowed = true
+		}
+		if r.want.Suspect {
+			e.alone = r
+		}
+	})
+}
+
+// addTransfer enters the KV cache's transfer into the link's ledger.
+func (l *Ledger) addTransfer(r *reservation) {
+	r.link.add(l.now, transfer{
+		owner:     r.number,
+		start:     r.prefillEnd,
+		remaining: r.kvBytes,
+		deadline:  r.prefillEnd + l.options.KVLife,
+	})
+}
+
+// change alters an endpoint and keeps the fleet's index in step.
+func (l *Ledger) change(e *endpoint, alter func(e *endpoint)) {
+	l.fleet.takeOut(e)
+	alter(e)
+	l.touch(e)
+}
+
+// scalar is a cost as the part of the pool's capacity that it takes, in
+// seconds of the whole pool.
+func (l *Ledger) scalar(c cost) float64 {
+	engines := max(1, float64(l.fleet.engines()))
+	slots := 0
+	for _, x := range l.fleet.slots {
+		slots += x
+	}
+	return max(leastCharge, c.prefill/engines+c.slot/max(1, float64(slots)))
+}
+
+// leastCharge is charged for any request, in seconds of the whole pool.
+const leastCharge = 1e-7
+
+// String names the reservation in the details of violations.
+func (r *reservation) String() string {
+	return fmt.Sprintf("reservation %d of request %s", r.number, r.want.Request)
+}
--- a/core/sched/messages.go
+++ b/core/sched/messages.go
@@ -44,6 +44,8 @@
 	// run alone, never beside other requests' work on a shared engine where
 	// that can be helped.
 	Suspect bool `cbor:"14,keyasint"`
+	// Fingerprint identifies team and content; the same under a new request id.
+	Fingerprint string `cbor:"15,keyasint"`
 }
 
 // Grant answers a Want: run the prefill on one endpoint, the decode on another.
@@ -112,6 +114,8 @@
 	Full bool `cbor:"11,keyasint"`
 	// Leaving is set with PhaseFailed when the endpoint said that it leaves.
 	Leaving bool `cbor:"12,keyasint"`
+	// Crashed is set with PhaseFailed when the endpoint's process seems to have ended.
+	Crashed bool `cbor:"13,keyasint"`
 }
 
 // Adopt tells a pool's new owner of a grant that a former owner gave and that
--- /dev/null
+++ b/core/sched/place.go
@@ -0,0 +1,241 @@
+package sched
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/live"
+)
+
+const (
+	// perDomain is how many endpoints of a role and domain a decision weighs.
+	perDomain = 3
+	// bypassTeams bounds the teams looked at past a blocked one, bypassDepth
+	// the requests of one team.
+	bypassTeams = 8
+	bypassDepth = 4
+)
+
+// candidates is the scratch space of decisions.
+type candidates struct {
+	prefills []prefillChoice
+	decodes  []*endpoint
+	pairs    []pair
+	aside    []*team
+	memo     []linkMemo
+}
+
+// pump grants what can be granted, in the order of the fair queue.
+func (l *Ledger) pump(actions []Action) []Action {
+	l.blocked = false
+	for l.queue.queued > 0 {
+		granted := l.grantNext()
+		if granted == nil {
+			l.blocked = true
+			return actions
+		}
+		actions = append(actions, *granted)
+	}
+	return actions
+}
+
+// grantNext grants the next request that can be. Only a request that is held
+// up by something of its own is passed by: were it passed by for lack of a
+// slot, requests that take more risk would starve it.
+func (l *Ledger) grantNext() *Action {
+	var granted *Action
+	aside := l.scratch.aside[:0]
+	for len(l.queue.teams) > 0 && len(aside) < bypassTeams {
+		t := l.queue.teams[0]
+		action, passable := l.grantFrom(t)
+		granted = action
+		if granted != nil || !passable {
+			break
+		}
+		l.queue.setAside(t)
+		aside = append(aside, t)
+	}
+	for _, t := range aside {
+		l.queue.restore(t)
+	}
+	l.scratch.aside = aside[:0]
+	return granted
+}
+
+// grantFrom tries a team's next requests.
+func (l *Ledger) grantFrom(t *team) (granted *Action, passable bool) {
+	for n := range bypassDepth {
+		w := t.nth(n)
+		if w == nil {
+			return nil, true
+		}
+		chosen, cause := l.choose(w)
+		if chosen != nil {
+			return l.grant(w, chosen, cause), false
+		}
+		if !ownCause(w, cause) {
+			return nil, false
+		}
+	}
+	return nil, true
+}
+
+// ownCause is true for a request that is held up by something of its own.
+func ownCause(w *waiting, cause string) bool {
+	return w.want.Suspect || len(w.want.Avoid) > 0 || cause == deadlineFilter{}.name()
+}
+
+// choose runs the row of plugins for a request. The text is the reason of a
+// choice, or the name of the filter that left out the last candidate.
+func (l *Ledger) choose(w *waiting) (*pair, string) {
+	c := l.newCycle(w)
+	l.findDecodes(c, w)
+	if len(l.scratch.decodes) == 0 {
+		return nil, c.blocked
+	}
+	l.findPrefills(c, w)
+	if len(l.scratch.prefills) == 0 {
+		return nil, c.blocked
+	}
+	l.findPairs(c)
+	l.scratch.memo = c.memo[:0]
+	best := l.row.picker.pick(c, l.scratch.pairs)
+	if best < 0 {
+		return nil, c.blocked
+	}
+	chosen := &l.scratch.pairs[best]
+	reason := fmt.Sprintf("best of %d pairs of %d prefill and %d decode endpoints, score %.4f",
+		len(l.scratch.pairs), len(l.scratch.prefills), len(l.scratch.decodes), chosen.score)
+	return chosen, reason
+}
+
+// newCycle begins a decision.
+func (l *Ledger) newCycle(w *waiting) *cycle {
+	l.cycle = cycle{
+		now:       l.now,
+		options:   &l.options,
+		want:      &w.want,
+		service:   w.service,
+		settling:  l.settling(),
+		model:     l.model,
+		waited:    l.now - w.arrived,
+		meanQueue: l.fleet.meanQueue(),
+		kvBytes:   w.service.estimate.kvBytes(&w.want),
+		memo:      l.scratch.memo[:0],
+		blocked:   "none",
+	}
+	return &l.cycle
+}
+
+// findDecodes collects, domain by domain, the endpoints with the most room or
+// the earliest predicted release.
+func (l *Ledger) findDecodes(c *cycle, w *waiting) {
+	found := l.scratch.decodes[:0]
+	l.fleet.roles[w.service.role()].nearest(perDomain, func(e *endpoint) (bool, bool) {
+		if e.key.class == noRoom {
+			c.blocked = slotFilter{}.name()
+			return false, false
+		}
+		if !keepAll(l.row.perRequest, c, e) {
+			return false, true
+		}
+		found = append(found, e)
+		return true, true
+	})
+	l.scratch.decodes = found
+}
+
+// findPrefills collects the engines that are idle soon, and those that have
+// the prompt's prefix if waiting for them is worth it.
+func (l *Ledger) findPrefills(c *cycle, w *waiting) {
+	found := l.scratch.prefills[:0]
+	if w.service.plain {
+		l.scratch.prefills = append(found, prefillChoice{start: l.now})
+		return
+	}
+	until := l.now + l.options.Horizon
+	l.fleet.roles[live.RolePrefill].nearest(perDomain, func(e *endpoint) (bool, bool) {
+		if e.key.at > until {
+			c.blocked = "prefill"
+			return false, false
+		}
+		if e.overdue(l.now) || !keepAll(l.row.perRequest, c, e) {
+			return false, true
+		}
+		found = append(found, l.prefillChoice(e, w))
+		return true, true
+	})
+	l.scratch.prefills = l.addAffine(c, w, found)
+}
+
+// addAffine adds the engines that have the prompt's prefix.
+func (l *Ledger) addAffine(c *cycle, w *waiting, found []prefillChoice) []prefillChoice {
+	if len(w.want.Prefix) == 0 {
+		return found
+	}
+	for _, e := range l.caches.find(w.want.Prefix[0]) {
+		known := slices.ContainsFunc(found, func(p prefillChoice) bool { return p.endpoint == e })
+		if known || !e.indexed || e.indexedRole != live.RolePrefill || e.overdue(l.now) {
+			continue
+		}
+		choice := l.prefillChoice(e, w)
+		if choice.start-l.now > l.worthWaiting(&choice) || !keepAll(l.row.perRequest, c, e) {
+			continue
+		}
+		found = append(found, choice)
+	}
+	return found
+}
+
+// worthWaiting is how long to wait for an engine that has the prefix.
+func (l *Ledger) worthWaiting(p *prefillChoice) time.Duration {
+	saved := seconds(float64(p.cachedTokens) / p.endpoint.prefillRate.mean)
+	return min(saved, l.options.AffinityWait)
+}
+
+// prefillChoice predicts the prefill on an engine.
+func (l *Ledger) prefillChoice(e *endpoint, w *waiting) prefillChoice {
+	cached := l.cachedTokens(e, &w.want)
+	tokens := max(1, w.want.PromptTokens-cached)
+	return prefillChoice{
+		endpoint:     e,
+		cachedTokens: cached,
+		start:        max(l.now, e.busyUntil, e.fullUntil),
+		took:         seconds(float64(tokens) / e.prefillRate.mean),
+	}
+}
+
+// findPairs filters and scores the pairs.
+func (l *Ledger) findPairs(c *cycle) {
+	pairs := l.scratch.pairs[:0]
+	for _, p := range l.scratch.prefills {
+		for _, d := range l.scratch.decodes {
+			pairs = append(pairs, pair{prefill: p, decode: d})
+			candidate := &pairs[len(pairs)-1]
+			if p.endpoint != nil {
+				candidate.link = l.linkBetween(p.endpoint.domain, d.domain)
+			}
+			if !l.keepPair(c, candidate) {
+				pairs = pairs[:len(pairs)-1]
+				continue
+			}
+			for _, s := range l.row.scorers {
+				candidate.score += s.score(c, candidate)
+			}
+			candidate.tie = l.random.Uint64()
+		}
+	}
+	l.scratch.pairs = pairs
+}
+
+// keepPair applies the row of pair filters.
+func (l *Ledger) keepPair(c *cycle, p *pair) bool {
+	for _, f := range l.row.pairs {
+		if !f.keepPair(c, p) {
+			c.blocked = f.name()
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/core/sched/progress.go
@@ -0,0 +1,201 @@
+package sched
+
+import "time"
+
+// Progress implements Scheduler.
+func (l *Ledger) Progress(now time.Duration, p Progress) []Action {
+	l.begin(now)
+	r := l.find(&p)
+	if r == nil {
+		return l.finish(nil)
+	}
+	r.begun = true
+	r.promptTokens = max(r.promptTokens, p.PromptTokens)
+	r.outputTokens = max(r.outputTokens, p.OutputTokens)
+	switch p.Phase {
+	case PhasePrefilling:
+		l.prefilling(r)
+	case PhaseTransferring:
+		l.prefilled(r, &p)
+	case PhaseDecoding:
+		l.prefilled(r, &p)
+		l.decoding(r, &p)
+	case PhaseDone:
+		l.prefilled(r, &p)
+		l.done(r, &p)
+	case PhaseFailed:
+		l.failed(r, &p)
+	case PhaseCancelled:
+		l.release(r)
+	}
+	return l.finish(nil)
+}
+
+// find returns the reservation that the progress is about. One that expired
+// and yet goes on is taken back: the engine is the last word.
+func (l *Ledger) find(p *Progress) *reservation {
+	r := l.granted[p.Request]
+	if r != nil {
+		if r.grant.Reservation != p.Reservation {
+			return nil
+		}
+		return r
+	}
+	known, ok := l.ended.Peek(p.Request)
+	if !ok || known.expired == nil || p.Phase >= PhaseDone {
+		return nil
+	}
+	if known.expired.grant.Reservation != p.Reservation || l.waiting[p.Request] != nil {
+		return nil
+	}
+	l.ended.Remove(p.Request)
+	r = known.expired
+	l.revive(r)
+	return r
+}
+
+// revive takes an expired reservation back into the ledgers.
+func (l *Ledger) revive(r *reservation) {
+	r.grantedAt = l.now
+	r.charge = cost{}
+	r.begun = true
+	r.phase = PhasePrefilling
+	r.start = l.now
+	r.prefillEnd = l.now + r.prefillTime
+	r.expires = r.prefillEnd + l.options.ExpiresIn
+	l.hold(r)
+}
+
+// prefilling notes that the order for the prefill, or for a plain call, is out.
+func (l *Ledger) prefilling(r *reservation) {
+	if r.phase >= PhasePrefilling {
+		return
+	}
+	r.phase = PhasePrefilling
+	r.start = l.now
+	l.renew(r, l.now+2*r.prefillTime+r.queueWait(l.now)+l.options.ExpiresIn)
+	if r.prefill != nil {
+		l.change(r.prefill, func(e *endpoint) { e.predictQueue(l.now) })
+	}
+}
+
+// queueWait is how long the engine's other prefills may hold this one up.
+func (r *reservation) queueWait(now time.Duration) time.Duration {
+	if r.prefill == nil {
+		return 0
+	}
+	return max(0, r.prefill.busyUntil-now)
+}
+
+// prefilled notes that the prefill has ended and the transfer goes on.
+func (l *Ledger) prefilled(r *reservation, p *Progress) {
+	if r.phase >= PhaseTransferring {
+		return
+	}
+	r.phase = PhaseTransferring
+	r.start = min(r.start, l.now)
+	l.leavePrefill(r)
+	l.learnPrefill(r, p)
+	r.prefillEnd = l.now
+	if r.link != nil {
+		r.link.restart(l.now, r.number, r.kvBytes, l.options.KVLife)
+	}
+	l.renew(r, l.now+l.options.KVLife+l.options.ExpiresIn)
+	l.predictAgain(r, l.now+r.transferTime)
+}
+
+// learnPrefill corrects the engine's rate and the view of its cache.
+func (l *Ledger) learnPrefill(r *reservation, p *Progress) {
+	if r.prefill == nil {
+		return
+	}
+	if r.promptTokens == 0 {
+		r.promptTokens = r.want.PromptTokens
+	}
+	if p.PrefillTime > 0 {
+		r.prefillTime = p.PrefillTime
+		read := float64(max(1, r.promptTokens-p.CachedTokens))
+		rate := read / p.PrefillTime.Seconds()
+		r.prefill.prefillRate.add(rate)
+		l.pool.rate.add(rate)
+	}
+	if p.KVBytes > 0 {
+		r.kvBytes = float64(p.KVBytes)
+		r.service.estimate.kvPerToken.add(r.kvBytes / float64(r.promptTokens))
+	}
+	l.storePrefix(r)
+}
+
+// storePrefix notes that the engine now has the prompt's blocks.
+func (l *Ledger) storePrefix(r *reservation) {
+	prefix := r.want.Prefix
+	if len(prefix) == 0 || !r.prefill.inPool {
+		return
+	}
+	l.caches.add(prefix[0], r.prefill)
+	for i := len(prefix) - 1; i >= 0; i-- {
+		r.prefill.cache.store(l.now, prefix[i])
+	}
+}
+
+// decoding notes the first token, or how far the answer has come.
+func (l *Ledger) decoding(r *reservation, p *Progress) {
+	if r.phase < PhaseDecoding {
+		r.phase = PhaseDecoding
+		r.decodingFrom = l.now
+		r.judgeRisk(false)
+		l.leaveLink(r)
+		if p.TransferTime > 0 {
+			l.pool.transfer.add(p.TransferTime.Seconds())
+		}
+	}
+	l.renew(r, l.now+r.service.timeout+l.options.ExpiresIn)
+	l.predictAgain(r, l.now)
+}
+
+// predictAgain predicts the slot's release anew.
+func (l *Ledger) predictAgain(r *reservation, decodeStart time.Duration) {
+	l.change(r.decode, func(e *endpoint) {
+		r.predictRelease(decodeStart)
+		e.sortHeld()
+	})
+}
+
+// done learns from a complete answer and releases all.
+func (l *Ledger) done(r *reservation, p *Progress) {
+	estimate := r.service.estimate
+	if r.service.plain {
+		estimate.callSeconds.add((l.now - r.start).Seconds())
+		l.release(r)
+		return
+	}
+	if p.OutputTokens > 0 {
+		estimate.outputRatio.add(float64(p.OutputTokens) / float64(r.want.OutputTokens))
+	}
+	if p.OutputTokens > 1 && r.phase == PhaseDecoding {
+		token := (l.now - r.decodingFrom).Seconds() / float64(p.OutputTokens-1)
+		r.decode.tokenTime.add(token)
+		l.pool.token.add(token)
+	}
+	l.release(r)
+}
+
+// failed releases all and corrects the view that made the choice.
+func (l *Ledger) failed(r *reservation, p *Progress) {
+	e := l.endpoints[p.Endpoint]
+	l.release(r)
+	if e == nil {
+		return
+	}
+	if p.Leaving {
+		l.change(e, func(e *endpoint) {
+			e.refusedLeaving = true
+			e.refusedAt = l.now
+		})
+	}
+	if p.Full {
+		r.judgeRisk(true)
+		l.change(e, func(e *endpoint) { e.fullUntil = l.now + l.options.FullHold })
+		l.full = append(l.full, e)
+	}
+}
--- /dev/null
+++ b/core/sched/queue.go
@@ -0,0 +1,112 @@
+package sched
+
+import (
+	"container/heap"
+	"time"
+)
+
+// waiting is a queued Want.
+type waiting struct {
+	want    Want
+	service *service
+	team    *team
+	arrived time.Duration
+	// latest is the last moment at which a grant could still be in time.
+	latest time.Duration
+	cost   cost
+	index  int
+	seq    uint64
+	// gone is set once it left the queue.
+	gone bool
+}
+
+// level returns the request's priority within its team.
+func (w *waiting) level() int { return clampPriority(w.want.Priority) }
+
+// clampPriority bounds a caller's priority to those that exist.
+func clampPriority(p int) int { return min(max(p, 0), priorities-1) }
+
+// fairQueue is a start-time fair queue over teams: the team that is furthest
+// behind its share is served first, by priority and age within the team.
+type fairQueue struct {
+	teams  teamHeap
+	latest latestHeap
+	// virtual is the place in virtual time of the last team served.
+	virtual float64
+	queued  int
+	backlog cost
+	// weights is the sum over the teams that have requests waiting.
+	weights float64
+	seq     uint64
+}
+
+// push adds a request.
+func (q *fairQueue) push(w *waiting) {
+	q.seq++
+	w.seq = q.seq
+	t := w.team
+	t.add(w)
+	q.backlog.add(w.cost, 1)
+	q.queued++
+	heap.Push(&q.latest, w)
+	if t.queued == 1 {
+		t.position = max(q.virtual, t.finish)
+		q.weights += t.weight
+		heap.Push(&q.teams, t)
+	}
+}
+
+// remove takes a request out, without a charge.
+func (q *fairQueue) remove(w *waiting) {
+	t := w.team
+	t.drop(w)
+	q.backlog.add(w.cost, -1)
+	q.queued--
+	heap.Remove(&q.latest, w.index)
+	if t.queued == 0 {
+		q.weights -= t.weight
+		heap.Remove(&q.teams, t.index)
+	}
+	if q.queued == 0 {
+		q.backlog = cost{}
+		q.weights = 0
+	}
+}
+
+// serve takes a request out and charges its team.
+func (q *fairQueue) serve(w *waiting, charge float64) {
+	t := w.team
+	q.virtual = max(q.virtual, t.position)
+	t.finish = max(t.position, t.finish) + charge/t.weight
+	q.remove(w)
+	q.settle(t)
+}
+
+// correct changes what a team was charged, once its request has ended.
+func (q *fairQueue) correct(t *team, difference float64) {
+	t.finish += difference / t.weight
+	q.settle(t)
+}
+
+// settle moves a backlogged team to the place that its charges give it.
+func (q *fairQueue) settle(t *team) {
+	if t.queued == 0 {
+		return
+	}
+	t.position = max(q.virtual, t.finish)
+	heap.Fix(&q.teams, t.index)
+}
+
+// reweigh changes a team's weight.
+func (q *fairQueue) reweigh(t *team, weight float64) {
+	if t.queued > 0 {
+		q.weights += weight - t.weight
+	}
+	t.weight = weight
+}
+
+// setAside takes a team out of the order until restore.
+func (q *fairQueue) setAside(t *team) { heap.Remove(&q.teams, t.index) }
+
+// restore puts a team that was set aside back into the order.
+func (q *fairQueue) restore(t *team) { heap.Push(&q.teams, t) }
--- /dev/null
+++ b/core/sched/release.go
@@ -0,0 +1,110 @@
+package sched
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// release ends a reservation: its place in the prefill queue, its slot and its
+// part of the link are free, and its team pays for what it really took.
+func (l *Ledger) release(r *reservation) {
+	l.pay(r)
+	delete(l.granted, r.want.Request)
+	r.team.granted--
+	if r.expiryIndex >= 0 {
+		heap.Remove(&l.expiry, r.expiryIndex)
+	}
+	l.leavePrefill(r)
+	l.change(r.decode, func(e *endpoint) { e.drop(r, l.now, l.options.ReportLag) })
+	l.leaveLink(r)
+	l.ended.Add(r.want.Request, outcome{})
+}
+
+// leavePrefill takes the reservation off its engine's queue.
+func (l *Ledger) leavePrefill(r *reservation) {
+	if r.prefill == nil || !slices.Contains(r.prefill.queue, r) {
+		return
+	}
+	l.fleet.prefillSeconds -= r.prefillTime.Seconds()
+	l.change(r.prefill, func(e *endpoint) { e.drop(r, l.now, l.options.ReportLag) })
+}
+
+// leaveLink takes the reservation's transfer off its link.
+func (l *Ledger) leaveLink(r *reservation) {
+	if r.link == nil {
+		return
+	}
+	r.link.remove(l.now, r.number)
+	r.link = nil
+}
+
+// pay corrects the team's charge from the estimate to what was taken.
+func (l *Ledger) pay(r *reservation) {
+	took := r.taken(l.now)
+	l.queue.correct(r.team, l.scalar(took)-l.scalar(r.charge))
+}
+
+// taken is the engine time that the reservation has taken by now. The slot
+// counts from the grant on, since nobody else could have it.
+func (r *reservation) taken(now time.Duration) cost {
+	took := cost{slot: (now - r.grantedAt).Seconds()}
+	if r.prefill == nil || !r.begun {
+		return took
+	}
+	if r.phase >= PhaseTransferring {
+		took.prefill = r.prefillTime.Seconds()
+		return took
+	}
+	took.prefill = max(0, now-r.start).Seconds()
+	return took
+}
+
+// expire ends the reservations that nobody uses.
+func (l *Ledger) expire() {
+	for len(l.expiry) > 0 && l.expiry[0].expires <= l.now {
+		r := l.expiry[0]
+		l.release(r)
+		l.ended.Add(r.want.Request, outcome{expired: r})
+	}
+}
+
+// renew moves a reservation's expiry.
+func (l *Ledger) renew(r *reservation, expires time.Duration) {
+	r.expires = expires
+	heap.Fix(&l.expiry, r.expiryIndex)
+}
+
+// recheckFull takes endpoints back that refused for lack of room a while ago.
+func (l *Ledger) recheckFull() {
+	kept := l.full[:0]
+	for _, e := range l.full {
+		if l.now < e.fullUntil {
+			kept = append(kept, e)
+			continue
+		}
+		l.change(e, func(*endpoint) {})
+	}
+	l.full = kept
+}
+
+// grantedInOrder lists the reservations in the order of their numbers.
+func (l *Ledger) grantedInOrder() []*reservation {
+	list := make([]*reservation, 0, len(l.granted))
+	for _, r := range l.granted {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *reservation) int { return cmp.Compare(a.number, b.number) })
+	return list
+}
+
+// waitingInOrder lists the queued requests in the order of their arrival.
+func (l *Ledger) waitingInOrder() []*waiting {
+	list := make([]*waiting, 0, len(l.waiting))
+	for _, w := range l.waiting {
+		list = append(list, w)
+	}
+	slices.SortFunc(list, func(a, b *waiting) int { return cmp.Compare(a.seq, b.seq) })
+	return list
+}
--- /dev/null
+++ b/core/sched/reservation.go
@@ -0,0 +1,93 @@
+package sched
+
+import "time"
+
+// reservation is a grant in use: a place in a prefill queue, a decode slot and
+// a share of a link.
+type reservation struct {
+	number  uint64
+	want    Want
+	grant   Grant
+	service *service
+	team    *team
+
+	// prefill is nil for a plain service.
+	prefill *endpoint
+	decode  *endpoint
+	link    *link
+
+	phase Phase
+	// begun is set by the first Progress.
+	begun     bool
+	grantedAt time.Duration
+	// start and prefillEnd are predicted until the prefill begins and ends.
+	start        time.Duration
+	prefillTime  time.Duration
+	prefillEnd   time.Duration
+	transferTime time.Duration
+	decodingFrom time.Duration
+	// release is the predicted release of the slot, give or take deviation.
+	release   time.Duration
+	deviation time.Duration
+	// expires is when the reservation ends without a Progress.
+	expires     time.Duration
+	expiryIndex int
+
+	// borrowed is set on a prefill begun on a predicted slot.
+	borrowed bool
+
+	cachedTokens int
+	promptTokens int
+	outputTokens int
+	kvBytes      float64
+	// charge is what the team was charged, in engine seconds.
+	charge cost
+}
+
+// cost is engine time that a request takes, in seconds.
+type cost struct {
+	prefill float64
+	// slot is the time that a decode slot is held.
+	slot float64
+}
+
+// expiryHeap orders reservations by expiry; it implements heap.Interface.
+type expiryHeap []*reservation
+
+func (h expiryHeap) Len() int { return len(h) }
+
+func (h expiryHeap) Less(i, j int) bool {
+	if h[i].expires != h[j].expires {
+		return h[i].expires < h[j].expires
+	}
+	return h[i].number < h[j].number
+}
+
+func (h expiryHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].expiryIndex = i
+	h[j].expiryIndex = j
+}
+
+// Push implements heap.Interface.
+func (h *expiryHeap) Push(x any) {
+	r := x.(*reservation)
+	r.expiryIndex = len(*h)
+	*h = append(*h, r)
+}
+
+// Pop implements heap.Interface.
+func (h *expiryHeap) Pop() any {
+	old := *h
+	r := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	r.expiryIndex = -1
+	return r
+}
+
+// add adds d, or takes it away with sign -1.
+func (c *cost) add(d cost, sign float64) {
+	c.prefill += sign * d.prefill
+	c.slot += sign * d.slot
+}
--- /dev/null
+++ b/core/sched/risk_test.go
@@ -0,0 +1,55 @@
+package sched
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestRiskMeetsTheToleratedWaste(t *testing.T) {
+	is := is.New(t)
+	o := Options{}.withDefaults()
+	random := rand.New(rand.NewPCG(1, 1))
+	for _, weight := range []float64{0.2, 0.8} {
+		k := newRisk(&o, weight)
+		wasted, n := 0, 40_000
+		for range n {
+			// Releases are exponentially late, in deviations.
+			late := random.ExpFloat64() > k.deviations
+			k.add(late)
+			if late {
+				wasted++
+			}
+		}
+		part := float64(wasted) / float64(n)
+		t.Logf("weight %.1f: wasted %.4f, tolerated %.4f", weight, part, k.tolerated)
+		is.True(part < 1.1*k.tolerated)
+		is.True(part > 0.9*k.tolerated)
+	}
+}
+
+func TestRiskIsBounded(t *testing.T) {
+	is := is.New(t)
+	o := Options{}.withDefaults()
+	k := newRisk(&o, 0.5)
+	for range 1000 {
+		k.add(true)
+	}
+	is.Equal(k.deviations, maxRisk)
+	for range 100_000 {
+		k.add(false)
+	}
+	is.Equal(k.deviations, 0.0)
+}
+
+func TestABorrowedSlotIsJudgedOnce(t *testing.T) {
+	is := is.New(t)
+	s := &service{estimate: &serviceEstimate{risk: risk{deviations: 1, tolerated: 0.1}}}
+	r := &reservation{service: s, borrowed: true}
+	r.judgeRisk(true)
+	after := s.estimate.risk.deviations
+	is.True(after > 1)
+	r.judgeRisk(true)
+	is.Equal(s.estimate.risk.deviations, after)
+}
--- /dev/null
+++ b/core/sched/scorer_affinity.go
@@ -0,0 +1,26 @@
+package sched
+
+// affinityScorer prefers engines that have the prompt's prefix cached, by the
+// engine time that it saves. An engine whose predicted queue is far over the
+// mean gets no bonus, so that a popular prefix doesn't pile up on one.
+type affinityScorer struct{}
+
+func (affinityScorer) name() string { return "affinity" }
+
+func (affinityScorer) score(c *cycle, p *pair) float64 {
+	e := p.prefill.endpoint
+	if e == nil || p.prefill.cachedTokens == 0 || overBound(c, e) {
+		return 0
+	}
+	saved := float64(p.prefill.cachedTokens) / e.prefillRate.mean
+	return c.options.AffinityWeight * saved
+}
+
+// overBound is true when an endpoint's queue, with this request on it, is
+// longer than the load bound allows.
+func overBound(c *cycle, e *endpoint) bool {
+	queue := max(0, e.busyUntil-c.now)
+	floor := c.options.Horizon
+	bound := max(floor.Seconds(), c.options.LoadBound*c.meanQueue.Seconds())
+	return queue.Seconds() > bound
+}
--- /dev/null
+++ b/core/sched/scorer_finish.go
@@ -0,0 +1,10 @@
+package sched
+
+// finishScorer prefers the least predicted finish.
+type finishScorer struct{}
+
+func (finishScorer) name() string { return "finish" }
+
+func (finishScorer) score(c *cycle, p *pair) float64 {
+	return -(p.finish() - c.now).Seconds()
+}
--- /dev/null
+++ b/core/sched/team.go
@@ -0,0 +1,106 @@
+package sched
+
+import (
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+)
+
+// priorities is the number of priorities within a team.
+const priorities = 10
+
+// team is one team's part of the fair queue.
+type team struct {
+	name        id.Team
+	labels      live.Labels
+	weight      float64
+	maxInFlight int
+	// known is false once the team is out of the configuration.
+	known bool
+
+	levels  [priorities]level
+	queued  int
+	granted int
+	index   int
+	// position is the team's place in virtual time while it has requests
+	// waiting; finish is the virtual time up to which it has had its share.
+	position float64
+	finish   float64
+}
+
+// level holds the waiting requests of one priority, oldest first.
+type level struct {
+	list    []*waiting
+	gone    int
+	backlog cost
+}
+
+// inFlight counts the team's requests in the pool.
+func (t *team) inFlight() int { return t.queued + t.granted }
+
+// add appends a request to its level.
+func (t *team) add(w *waiting) {
+	l := &t.levels[w.level()]
+	l.list = append(l.list, w)
+	l.backlog.add(w.cost, 1)
+	t.queued++
+}
+
+// drop marks a request as gone and clears what has gathered.
+func (t *team) drop(w *waiting) {
+	l := &t.levels[w.level()]
+	w.gone = true
+	l.gone++
+	l.backlog.add(w.cost, -1)
+	t.queued--
+	l.compact()
+}
+
+// compact takes gone requests off the front, and all of them once they are
+// more than half.
+func (l *level) compact() {
+	for len(l.list) > 0 && l.list[0].gone {
+		l.list[0] = nil
+		l.list = l.list[1:]
+		l.gone--
+	}
+	if 2*l.gone > len(l.list) {
+		kept := make([]*waiting, 0, len(l.list)-l.gone)
+		for _, w := range l.list {
+			if !w.gone {
+				kept = append(kept, w)
+			}
+		}
+		l.list = kept
+		l.gone = 0
+	}
+	if len(l.list) == 0 {
+		l.list = nil
+		l.backlog = cost{}
+	}
+}
+
+// nth returns the request that is n places behind the team's next one; nil if
+// there is none.
+func (t *team) nth(n int) *waiting {
+	for p := priorities - 1; p >= 0; p-- {
+		for _, w := range t.levels[p].list {
+			if w.gone {
+				continue
+			}
+			if n == 0 {
+				return w
+			}
+			n--
+		}
+	}
+	return nil
+}
+
+// backlog is the cost of what goes before a new request of the priority.
+func (t *team) backlog(priority int) cost {
+	var sum cost
+	for p := priority; p < priorities; p++ {
+		sum.add(t.levels[p].backlog, 1)
+	}
+	return sum
+}
--- /dev/null
+++ b/core/sched/want.go
@@ -0,0 +1,92 @@
+package sched
+
+import (
+	"time"
+
+	"k8s.io/apimachinery/pkg/labels"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+// Want implements Scheduler.
+func (l *Ledger) Want(now time.Duration, w Want) []Action {
+	l.begin(now)
+	return l.finish(l.take(w))
+}
+
+// take queues a Want or answers it at once.
+func (l *Ledger) take(w Want) []Action {
+	if actions, repeated := l.repeated(&w); repeated {
+		return actions
+	}
+	w.PromptTokens = max(1, w.PromptTokens)
+	w.OutputTokens = max(1, w.OutputTokens)
+	w.Age = max(0, w.Age)
+	fresh, refusal := l.admit(w)
+	if refusal != nil {
+		return l.refuse(w.From, refusal)
+	}
+	l.queue.push(fresh)
+	l.waiting[w.Request] = fresh
+	return nil
+}
+
+// repeated answers a Want that has come before.
+func (l *Ledger) repeated(w *Want) ([]Action, bool) {
+	if r := l.granted[w.Request]; r != nil {
+		grant := r.grant
+		return []Action{{To: w.From, Grant: &grant}}, true
+	}
+	if l.waiting[w.Request] != nil {
+		return nil, true
+	}
+	known, ok := l.ended.Get(w.Request)
+	if !ok {
+		return nil, false
+	}
+	if known.expired != nil {
+		l.ended.Remove(w.Request)
+		return nil, false
+	}
+	refusal := known.refusal
+	if refusal == nil {
+		refusal = &Refusal{
+			Request: w.Request,
+			Code:    verdict.CodeSuperseded,
+			Reason:  "the request has ended",
+		}
+	}
+	return []Action{{To: w.From, Refusal: refusal}}, true
+}
+
+// refuse remembers and sends a refusal.
+func (l *Ledger) refuse(to id.Process, refusal *Refusal) []Action {
+	if l.granted[refusal.Request] != nil {
+		l.violate("refusal_after_grant", string(refusal.Request))
+		return nil
+	}
+	l.ended.Add(refusal.Request, outcome{refusal: refusal})
+	return []Action{{To: to, Refusal: refusal}}
+}
+
+// permitted says whether the team may use the service; a refusal tells why not.
+func (l *Ledger) permitted(w *Want) (*service, *team, *Refusal) {
+	s := l.services[w.Service]
+	if s == nil {
+		return nil, nil, &Refusal{
+			Request: w.Request,
+			Code:    verdict.CodeUnknownService,
+			Reason:  "no service " + string(w.Service) + " in pool " + string(l.options.Pool),
+		}
+	}
+	t := l.teams[w.Team]
+	if t == nil || !t.known || !s.selector.Matches(labels.Set(t.labels)) {
+		return nil, nil, &Refusal{
+			Request: w.Request,
+			Code:    verdict.CodeForbidden,
+			Reason:  "the service's team selector doesn't match the team",
+		}
+	}
+	return s, t, nil
+}
--- /dev/null
+++ b/daemon/app/app.go
@@ -0,0 +1,251 @@
+// Package app assembles a daemon: it provisions every duty from the start-up
+// settings, starts and stops them, and joins the pipeline of requests with the
+// duties of the fleet.
+package app
+
+import (
+	"context"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/poison"
+	"github.com/samphirequay/samphirequay/core/resume"
+	"github.com/samphirequay/samphirequay/daemon/broker"
+	"github.com/samphirequay/samphirequay/daemon/cancels"
+	"github.com/samphirequay/samphirequay/daemon/claims"
+	"github.com/samphirequay/samphirequay/daemon/configs"
+	"github.com/samphirequay/samphirequay/daemon/endpoints"
+	"github.com/samphirequay/samphirequay/daemon/front"
+	"github.com/samphirequay/samphirequay/daemon/hangup"
+	"github.com/samphirequay/samphirequay/daemon/keys"
+	"github.com/samphirequay/samphirequay/daemon/logline"
+	"github.com/samphirequay/samphirequay/daemon/members"
+	"github.com/samphirequay/samphirequay/daemon/metrics"
+	"github.com/samphirequay/samphirequay/daemon/operator"
+	"github.com/samphirequay/samphirequay/daemon/peer"
+	"github.com/samphirequay/samphirequay/daemon/placer"
+	"github.com/samphirequay/samphirequay/daemon/reports"
+	"github.com/samphirequay/samphirequay/daemon/settings"
+	"github.com/samphirequay/samphirequay/daemon/store"
+	"github.com/samphirequay/samphirequay/daemon/workpool"
+	"github.com/samphirequay/samphirequay/platform/client"
+)
+
+// Options are what a process gives a daemon besides its settings.
+type Options struct {
+	// PeerKeys takes the place of the files that the settings name.
+	PeerKeys *keys.Store
+	// CallerKeys takes the place of the files that the settings name.
+	CallerKeys *keys.Store
+	// Log takes the log lines. Default: standard error.
+	Log io.Writer
+	// Seed of the daemon's random numbers. Default: from the incarnation.
+	Seed uint64
+	// PanicOnViolation ends the process at a broken invariant: for tests.
+	PanicOnViolation bool
+}
+
+// Daemon is one running daemon.
+type Daemon struct {
+	set  *settings.Settings
+	opts Options
+	self id.Process
+	// epoch is when the daemon started; all its times count from there.
+	epoch time.Time
+	rand  *rand.Rand
+
+	metrics   *metrics.Registry
+	logger    *logline.Logger
+	decisions *logline.Decisions
+	work      *workpool.Pool
+	endpoints *endpoints.Set
+	store     *store.Store
+	transport *peer.Transport
+	members   *members.Members
+	configs   *configs.Configs
+	claims    *claims.Claims
+	cancels   *cancels.Cancels
+	broker    *broker.Broker
+	placer    *placer.Placer
+	reports   *reports.Reports
+	retries   *retrier
+	tokens    *resume.Keyring
+	watcher   *hangup.Watcher
+	front     *front.Server
+	operator  *operator.Server
+	debug     *fasthttp.Server
+
+	callerLn   net.Listener
+	operatorLn net.Listener
+	debugLn    net.Listener
+
+	connections connections
+	entryMu     sync.Mutex
+	entryRand   *rand.Rand
+
+	peerKeys   *keys.Store
+	callerKeys *keys.Store
+	poison     *poison.Ledger
+	// wired is closed once all duties are there; until then nothing from
+	// outside is let in.
+	wired    chan struct{}
+	stopping atomic.Pointer[stop]
+	ctx      context.Context
+	cancel   context.CancelFunc
+	closed   chan struct{}
+	ended    atomic.Bool
+}
+
+// New provisions a daemon. Nothing listens yet.
+func New(set *settings.Settings, opts Options) (*Daemon, error) {
+	if opts.Log == nil {
+		opts.Log = os.Stderr
+	}
+	epoch := time.Now()
+	d := &Daemon{
+		set:    set,
+		opts:   opts,
+		epoch:  epoch,
+		self:   id.Process{Daemon: set.Daemon, Incarnation: id.Incarnation(epoch.UnixNano())},
+		wired:  make(chan struct{}),
+		closed: make(chan struct{}),
+	}
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	if opts.Seed == 0 {
+		opts.Seed = uint64(d.self.Incarnation)
+	}
+	d.rand = rand.New(rand.NewPCG(opts.Seed, nameSeed(set.Daemon)))
+	d.entryRand = d.newRand()
+	if err := d.provision(); err != nil {
+		d.cancel()
+		return nil, err
+	}
+	return d, nil
+}
+
+func nameSeed(name id.Daemon) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return h.Sum64()
+}
+
+// provision builds what needs no network.
+func (d *Daemon) provision() error {
+	d.metrics = metrics.New(string(d.set.Daemon))
+	if d.opts.PanicOnViolation {
+		d.metrics.PanicOnViolation()
+	}
+	var err error
+	if err = d.provisionKeys(); err != nil {
+		return err
+	}
+	d.logger, err = logline.New(logline.Config{
+		Output:   d.opts.Log,
+		Level:    logline.Level(d.set.Log.Level),
+		RingSize: d.set.Limits.LogRing,
+		Daemon:   string(d.set.Daemon),
+		Registry: d.metrics,
+	})
+	if err != nil {
+		return err
+	}
+	d.metrics.OnViolation(func(name, detail string) {
+		d.logger.Error("invariant_violated", "name", name, "detail", detail)
+	})
+	journal, err := logline.NewJournal(d.set.Limits.JournalDecisions)
+	if err != nil {
+		return err
+	}
+	d.poison = poison.New(poison.Config{})
+	d.decisions = logline.NewDecisions(d.logger, journal)
+	d.work, err = workpool.New("short", d.set.Limits.Workers, d.metrics)
+	return err
+}
+
+func (d *Daemon) provisionKeys() error {
+	var err error
+	d.peerKeys = d.opts.PeerKeys
+	if d.peerKeys == nil {
+		files := keys.Files{Cert: d.set.PeersTLS.Cert, Key: d.set.PeersTLS.Key, CA: d.set.PeersTLS.CA}
+		if d.peerKeys, err = keys.Open(files); err != nil {
+			return err
+		}
+	}
+	d.callerKeys = d.opts.CallerKeys
+	if d.callerKeys == nil && d.set.CallersTLS != nil {
+		files := keys.Files{Cert: d.set.CallersTLS.Cert, Key: d.set.CallersTLS.Key}
+		if d.callerKeys, err = keys.Open(files); err != nil {
+			return err
+		}
+	}
+	d.tokens, err = keyring(d.set.ResumeKeys)
+	return err
+}
+
+func keyring(in []settings.ResumeKey) (*resume.Keyring, error) {
+	all := make([]resume.Key, 0, len(in))
+	for _, k := range in {
+		secret, err := k.Secret()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, resume.Key{ID: uint8(k.ID), Secret: secret})
+	}
+	if len(all) == 0 {
+		return nil, eris.New("the settings hold no resume key")
+	}
+	return resume.NewKeyring(all[0], all[1:]...)
+}
+
+// now is the time since the daemon's start, by the monotonic clock.
+func (d *Daemon) now() time.Duration { return time.Since(d.epoch) }
+
+// newRand returns a source of its own for one duty.
+func (d *Daemon) newRand() *rand.Rand { return rand.New(rand.NewPCG(d.rand.Uint64(), d.rand.Uint64())) }
+
+// CallerAddr is the address that callers reach the daemon at.
+func (d *Daemon) CallerAddr() string { return d.callerLn.Addr().String() }
+
+// OperatorAddr is the address that operators reach the daemon at.
+func (d *Daemon) OperatorAddr() string { return d.operatorLn.Addr().String() }
+
+// DebugAddr is the address of the metrics; empty if there is none.
+func (d *Daemon) DebugAddr() string {
+	if d.debugLn == nil {
+		return ""
+	}
+	return d.debugLn.Addr().String()
+}
+
+// PeerAddr is the UDP address that other daemons reach the daemon at.
+func (d *Daemon) PeerAddr() string { return d.transport.Address() }
+
+// Metrics returns the daemon's metrics.
+func (d *Daemon) Metrics() *metrics.Registry { return d.metrics }
+
+// Self returns the daemon's process.
+func (d *Daemon) Self() id.Process { return d.self }
+
+// Transport gives experiments the hooks for losses and delays between daemons.
+func (d *Daemon) Transport() *peer.Transport { return d.transport }
+
+// Revision returns the configuration revision in force.
+func (d *Daemon) Revision() uint64 { return d.configs.Index().Document().Revision }
+
+// Done is closed when the daemon has ended.
+func (d *Daemon) Done() <-chan struct{} { return d.closed }
+
+// platformOptions are those of the clients of the platform's services.
+func (d *Daemon) platformOptions() client.Options {
+	return client.Options{Timeout: d.set.Timings.StoreTimeoutMS.Duration()}
+}
--- /dev/null
+++ b/daemon/app/fleet.go
@@ -0,0 +1,146 @@
+package app
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/entry"
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/member"
+	"github.com/samphirequay/samphirequay/daemon/logline"
+	"github.com/samphirequay/samphirequay/daemon/opapi"
+)
+
+// fleetListener tells the duties what the membership found.
+type fleetListener struct{ d *Daemon }
+
+// Live implements members.Listener. A daemon that leaves still serves its
+// callers, so it keeps itself in its own view only if nobody else is left.
+func (l fleetListener) Live(daemons []id.Daemon) {
+	if len(daemons) == 0 {
+		daemons = []id.Daemon{l.d.self.Daemon}
+	}
+	l.d.broker.SetMembers(daemons)
+	for _, e := range l.d.members.Entries() {
+		if e.State != member.Dead {
+			l.d.cancels.ProcessAlive(e.Process)
+		}
+	}
+}
+
+// Gone implements members.Listener.
+func (l fleetListener) Gone(p id.Process) {
+	l.d.cancels.ProcessGone(p)
+	l.d.configs.PeerGone(p.Daemon)
+	time.AfterFunc(goneGrace, func() { l.d.broker.ProcessGone(p) })
+}
+
+// goneGrace is how long a dead daemon's slots stay reserved: its callers may
+// come back through another daemon meanwhile.
+const goneGrace = 2 * time.Second
+
+// PeerRevision implements members.Listener.
+func (l fleetListener) PeerRevision(d id.Daemon, revision uint64) {
+	l.d.configs.PeerRevision(d, revision)
+}
+
+// StopActing implements members.Listener. A superseded process ends itself.
+func (l fleetListener) StopActing(superseded bool) {
+	l.d.placer.Halt()
+	if superseded {
+		l.d.logger.Error("daemon_superseded", "incarnation", l.d.self.Incarnation)
+		go l.d.Kill()
+	}
+}
+
+// processAlive says whether a process may still act on its claims.
+func (d *Daemon) processAlive(p id.Process) bool { return p == d.self || d.members.Alive(p) }
+
+// memberLocal is what the daemon tells the others of itself.
+func (d *Daemon) memberLocal() member.Local {
+	return member.Local{Revision: d.Revision(), InFlight: d.inFlight()}
+}
+
+func (d *Daemon) inFlight() int { return d.front.InFlight() }
+
+// installed takes a newer configuration.
+func (d *Daemon) installed(x *live.Index, _ uint64) {
+	doc := x.Document()
+	d.broker.SetDocument(doc)
+	d.placer.SetIndex(x)
+	d.endpoints.Prune(doc)
+}
+
+// candidates turns the membership's view into those of the entry answer.
+func (d *Daemon) candidates() []entry.Candidate {
+	view := d.members.Entries()
+	out := make([]entry.Candidate, len(view))
+	for i, e := range view {
+		out[i] = entry.Candidate{
+			Daemon:   e.Process.Daemon,
+			Domain:   e.Domain,
+			Address:  e.CallerAddress,
+			State:    e.State,
+			InFlight: e.InFlight,
+		}
+	}
+	return out
+}
+
+// entryAnswer tells a caller which addresses to use.
+func (d *Daemon) entryAnswer() opapi.EntryAnswer {
+	cfg := entry.DefaultConfig()
+	cfg.Lifetime = d.set.Timings.EntryLifetimeMS.Duration()
+	cfg.MinLifetime = min(cfg.MinLifetime, cfg.Lifetime)
+	d.entryMu.Lock()
+	answer := entry.Make(cfg, d.candidates(), d.self.Daemon, d.entryRand)
+	d.entryMu.Unlock()
+	out := opapi.EntryAnswer{LifetimeMS: int(answer.Lifetime.Milliseconds()), Addresses: []opapi.EntryAddress{}}
+	for _, a := range answer.Addresses {
+		out.Addresses = append(out.Addresses, opapi.EntryAddress{Address: a.Address, Domain: a.Domain, Weight: a.Weight})
+	}
+	d.noteNamed(answer)
+	return out
+}
+
+// noteNamed tells the plan of a planned stop that this daemon was named even so.
+func (d *Daemon) noteNamed(a entry.Answer) {
+	s := d.stopping.Load()
+	if s == nil {
+		return
+	}
+	named := slices.ContainsFunc(a.Addresses, func(x entry.Address) bool { return x.Daemon == d.self.Daemon })
+	if named {
+		s.named(d.now())
+	}
+}
+
+// ready says whether the daemon takes requests, and if not, why.
+func (d *Daemon) ready() (bool, string) {
+	switch {
+	case d.stopping.Load() != nil:
+		return false, "leaving"
+	case !d.configs.Ready():
+		return false, "no configuration yet"
+	default:
+		return true, "ready"
+	}
+}
+
+// noteCaller tells the plan of a planned stop that a caller still came.
+func (d *Daemon) noteCaller() {
+	if s := d.stopping.Load(); s != nil {
+		s.caller(d.now())
+	}
+}
+
+// decidePlacement records a decision about an endpoint's placement.
+func (d *Daemon) decidePlacement(e id.Endpoint, event string, kv ...any) {
+	d.decisions.Decide(logline.SubjectPlacement, string(e), event, kv...)
+}
+
+// drain tells the pool's owner to stop, or resume, new work on an endpoint.
+func (d *Daemon) drain(p id.Pool, e id.Endpoint, on bool) {
+	d.broker.Drain(p, e, on)
+}
--- /dev/null
+++ b/daemon/app/fleet_test.go
@@ -0,0 +1,253 @@
+package app
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/daemon/keys"
+	"github.com/samphirequay/samphirequay/daemon/opapi"
+	"github.com/samphirequay/samphirequay/daemon/settings"
+	"github.com/samphirequay/samphirequay/platform/client"
+	"github.com/samphirequay/samphirequay/platform/standin"
+)
+
+const (
+	teamKey     = "team-key"
+	otherKey    = "other-team-key"
+	operatorKey = "operator-key"
+	// settleLimit bounds every wait of a test for something that will happen.
+	settleLimit = 20 * time.Second
+)
+
+// testFleet is a platform and some daemons on sockets of their own.
+type testFleet struct {
+	t        *testing.T
+	platform *standin.Platform
+	ca       *keys.DevCA
+	daemons  []*Daemon
+	seeds    []settings.Peer
+	log      *syncBuffer
+	adjust   func(s *settings.Settings)
+}
+
+// syncBuffer collects log lines of several daemons.
+type syncBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// newTestFleet starts a platform, n daemons and the platform's configuration.
+func newTestFleet(t *testing.T, n int, cfg standin.PlatformConfig, adjust func(s *settings.Settings)) *testFleet {
+	t.Helper()
+	is := is.New(t)
+	f := &testFleet{t: t, log: &syncBuffer{}, adjust: adjust}
+	var err error
+	f.platform, err = standin.StartPlatform(cfg)
+	is.NoErr(err)
+	t.Cleanup(f.platform.Close)
+	f.ca, err = keys.NewDevCA(time.Now())
+	is.NoErr(err)
+	f.reservePeers(n)
+	for i := range n {
+		f.daemons = append(f.daemons, f.start(i))
+	}
+	t.Cleanup(f.close)
+	f.configure()
+	return f
+}
+
+// reservePeers picks free UDP ports, so that each daemon knows all seeds.
+func (f *testFleet) reservePeers(n int) {
+	is := is.New(f.t)
+	for i := range n {
+		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		is.NoErr(err)
+		f.seeds = append(f.seeds, settings.Peer{Name: id.Daemon(fmt.Sprintf("d%d", i+1)), Address: conn.LocalAddr().String()})
+		is.NoErr(conn.Close())
+	}
+}
+
+// start starts daemon number i, as at first and after its end.
+func (f *testFleet) start(i int) *Daemon {
+	f.t.Helper()
+	is := is.New(f.t)
+	addresses := f.platform.Addresses()
+	s := settings.Defaults()
+	s.Daemon = f.seeds[i].Name
+	s.Domain = id.Domain(fmt.Sprintf("domain-%d", i%4))
+	s.Listen = settings.Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: f.seeds[i].Address}
+	s.SeedPeers = f.seeds
+	s.InsecureCallers = true
+	s.ResumeKeys = []settings.ResumeKey{{ID: 1, SecretHex: strings.Repeat("ab", 32)}}
+	s.OperatorKeyHashes = []string{keys.Hash(operatorKey)}
+	s.Platform = settings.Platform{
+		Table:   addresses.Table,
+		Objects: addresses.Objects,
+		Hosts:   addresses.Hosts,
+		Weights: addresses.Weights,
+	}
+	if f.adjust != nil {
+		f.adjust(s)
+	}
+	material, err := f.ca.Peer(s.Daemon)
+	is.NoErr(err)
+	d, err := New(s, Options{PeerKeys: keys.Fixed(material), Log: f.log, Seed: uint64(i + 1)})
+	is.NoErr(err)
+	is.NoErr(d.Start())
+	return d
+}
+
+func (f *testFleet) close() {
+	for _, d := range f.daemons {
+		d.Kill()
+		if n := d.Metrics().Violations(); n > 0 {
+			f.t.Errorf("%s: %d invariants violated", d.self.Daemon, n)
+		}
+	}
+	if f.t.Failed() {
+		f.t.Logf("log:\n%s", f.log)
+	}
+}
+
+// configure applies the platform's configuration with two teams.
+func (f *testFleet) configure() {
+	f.t.Helper()
+	is := is.New(f.t)
+	doc := standin.Document(f.platform.Config(), f.platform.Addresses())
+	doc.Teams = []live.Team{
+		{Name: "alpha", KeyHashes: []string{live.HashKey(teamKey)}},
+		{Name: "beta", KeyHashes: []string{live.HashKey(otherKey)}},
+	}
+	var ops []opapi.Op
+	ops = appendOps(f.t, ops, live.KindTeam, doc.Teams, func(x live.Team) string { return string(x.Name) })
+	ops = appendOps(f.t, ops, live.KindLink, doc.Links, func(x live.Link) string { return x.Name })
+	ops = appendOps(f.t, ops, live.KindPool, doc.Pools, func(x live.Pool) string { return string(x.Name) })
+	ops = appendOps(f.t, ops, live.KindEndpoint, doc.Endpoints, func(x live.Endpoint) string { return string(x.Name) })
+	ops = appendOps(f.t, ops, live.KindService, doc.Services, func(x live.Service) string { return string(x.Name) })
+	status, body := f.change(f.daemons[0], opapi.ChangeRequest{ID: "setup", Author: "test", Ops: ops})
+	is.Equal(status, http.StatusOK) // the configuration is accepted
+	var answer opapi.ChangeAnswer
+	is.NoErr(json.Unmarshal(body, &answer))
+	f.until("the configuration is in force on all", func() bool {
+		for _, d := range f.daemons {
+			ready, _ := d.ready()
+			if d.Revision() < answer.Revision || !ready || len(d.members.Entries()) < len(f.daemons) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func appendOps[T any](t *testing.T, ops []opapi.Op, kind live.Kind, items []T, name func(T) string) []opapi.Op {
+	t.Helper()
+	is := is.New(t)
+	for _, item := range items {
+		data, err := json.Marshal(item)
+		is.NoErr(err)
+		ops = append(ops, opapi.Op{Action: "put", Kind: kind, Name: name(item), Item: data})
+	}
+	return ops
+}
+
+// change sends a change to a daemon's operators' address.
+func (f *testFleet) change(d *Daemon, c opapi.ChangeRequest) (int, []byte) {
+	f.t.Helper()
+	is := is.New(f.t)
+	data, err := json.Marshal(c)
+	is.NoErr(err)
+	req, err := http.NewRequest(http.MethodPost, "http://"+d.OperatorAddr()+opapi.PathChanges, bytes.NewReader(data))
+	is.NoErr(err)
+	req.Header.Set("Authorization", "Bearer "+operatorKey)
+	return f.do(req)
+}
+
+func (f *testFleet) do(req *http.Request) (int, []byte) {
+	f.t.Helper()
+	is := is.New(f.t)
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	return resp.StatusCode, body
+}
+
+// until waits for a condition that must come true.
+func (f *testFleet) until(what string, holds func() bool) {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), settleLimit)
+	defer cancel()
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	for !holds() {
+		select {
+		case <-ctx.Done():
+			f.t.Fatalf("not within %s: %s", settleLimit, what)
+		case <-ticker.C:
+		}
+	}
+}
+
+// completionRequest builds an OpenAI-style request.
+func (f *testFleet) completionRequest(ctx context.Context, d *Daemon, key string, body opapi.CompletionRequest) *http.Request {
+	f.t.Helper()
+	is := is.New(f.t)
+	data, err := json.Marshal(body)
+	is.NoErr(err)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.CallerAddr()+opapi.PathCompletions, bytes.NewReader(data))
+	is.NoErr(err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	return req
+}
+
+// held counts what the engines hold, in one stage or in any.
+func (f *testFleet) held(stage string) int {
+	f.t.Helper()
+	is := is.New(f.t)
+	n := 0
+	for _, e := range f.platform.Addresses().Endpoints[:len(f.platform.Engines)] {
+		list, err := client.NewEngine(e.Address, client.Options{}).Requests(context.Background())
+		is.NoErr(err)
+		for _, r := range list.Requests {
+			if stage == "" || r.Stage == stage {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// cancels counts the cancels that the engines have seen.
+func (f *testFleet) cancels() int64 {
+	var n int64
+	for _, e := range f.platform.Engines {
+		n += e.Counters().Cancels
+	}
+	return n
+}
--- /dev/null
+++ b/daemon/app/start.go
@@ -0,0 +1,306 @@
+package app
+
+import (
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/lease"
+	"github.com/samphirequay/samphirequay/core/member"
+	"github.com/samphirequay/samphirequay/core/placement"
+	"github.com/samphirequay/samphirequay/core/revision"
+	"github.com/samphirequay/samphirequay/daemon/broker"
+	"github.com/samphirequay/samphirequay/daemon/cancels"
+	"github.com/samphirequay/samphirequay/daemon/claims"
+	"github.com/samphirequay/samphirequay/daemon/completion"
+	"github.com/samphirequay/samphirequay/daemon/configs"
+	"github.com/samphirequay/samphirequay/daemon/endpoints"
+	"github.com/samphirequay/samphirequay/daemon/front"
+	"github.com/samphirequay/samphirequay/daemon/hangup"
+	"github.com/samphirequay/samphirequay/daemon/members"
+	"github.com/samphirequay/samphirequay/daemon/operator"
+	"github.com/samphirequay/samphirequay/daemon/peer"
+	"github.com/samphirequay/samphirequay/daemon/placer"
+	"github.com/samphirequay/samphirequay/daemon/plaincall"
+	"github.com/samphirequay/samphirequay/daemon/reports"
+	"github.com/samphirequay/samphirequay/daemon/settings"
+	"github.com/samphirequay/samphirequay/daemon/store"
+	"github.com/samphirequay/samphirequay/platform/client"
+)
+
+// Start listens and starts every duty. An address in use is an error that
+// names it; nothing is left running then.
+func (d *Daemon) Start() error {
+	if err := d.listen(); err != nil {
+		d.closeListeners()
+		return err
+	}
+	d.startStore()
+	d.startFleet()
+	d.startRequests()
+	close(d.wired)
+	d.serve()
+	d.logger.Event("daemon_started", "incarnation", d.self.Incarnation, "domain", d.set.Domain, "policy", d.set.Policy,
+		"callers", d.CallerAddr(), "operators", d.OperatorAddr(), "peers", d.PeerAddr())
+	return nil
+}
+
+func (d *Daemon) listen() error {
+	var err error
+	if d.callerLn, err = listenTCP("callers", d.set.Listen.Callers); err != nil {
+		return err
+	}
+	if d.operatorLn, err = listenTCP("operators", d.set.Listen.Operators); err != nil {
+		return err
+	}
+	if d.set.Listen.Debug != "" {
+		if d.debugLn, err = listenTCP("debug", d.set.Listen.Debug); err != nil {
+			return err
+		}
+	}
+	d.transport, err = peer.Listen(peer.Config{
+		Self:     d.self,
+		Listen:   d.set.Listen.Peers,
+		Keys:     d.peerKeys,
+		Handler:  &peerHandler{d},
+		KindName: kindName,
+		Registry: d.metrics,
+		RingSize: d.set.Limits.PeerRing,
+		Report:   d.logger.Debug,
+	})
+	if err != nil {
+		return eris.Wrapf(err, "listen.peers %s", d.set.Listen.Peers)
+	}
+	return nil
+}
+
+func listenTCP(field, address string) (net.Listener, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen.%s", field)
+	}
+	return ln, nil
+}
+
+func (d *Daemon) closeListeners() {
+	for _, ln := range []net.Listener{d.callerLn, d.operatorLn, d.debugLn} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
+}
+
+// startStore starts what meets the platform and the endpoints.
+func (d *Daemon) startStore() {
+	d.endpoints = endpoints.New(nil)
+	table := client.NewTable(d.set.Platform.Table, d.platformOptions())
+	d.store = store.New(table, d.work, d.metrics)
+	d.retries = newRetrier(d.now, d.newRand())
+	d.cancels = cancels.Start(cancels.Config{
+		Self:      d.self,
+		Endpoints: d.endpoints,
+		Address:   d.endpointAddress,
+		Work:      d.work,
+		Metrics:   d.metrics,
+		Log:       d.logger.Event,
+		Now:       d.now,
+	})
+}
+
+// startFleet starts membership, pairing and configuration, in this order: each
+// is told of by those after it.
+func (d *Daemon) startFleet() {
+	d.configs = configs.Start(configs.Config{
+		Store:     d.store,
+		Peers:     peerFetcher{d},
+		Metrics:   d.metrics,
+		Installed: d.installed,
+		Log:       d.logger.Event,
+		Violation: d.metrics.Violation,
+		Now:       d.now,
+		Rand:      d.newRand(),
+		Follower:  revision.DefaultFollowerConfig(),
+		Ready:     d.wired,
+	})
+	d.broker = broker.New(broker.Config{
+		Self:       d.self,
+		Local:      d.localPolicy(),
+		NewManager: d.newManager,
+		Sender:     brokerSender{d},
+		Poison:     d.poison,
+		Spread:     d.spreadEvidence,
+		Epoch:      d.epoch,
+		Metrics:    d.metrics,
+		Now:        d.now,
+	})
+	d.claims = claims.Start(claims.Config{
+		Store:      d.store,
+		Objects:    client.NewObjects(d.set.Platform.Objects, d.platformOptions()),
+		Work:       d.work,
+		Metrics:    d.metrics,
+		OwnerAlive: d.processAlive,
+		Now:        d.now,
+		Wall:       time.Now,
+	})
+	d.members = members.Start(members.Config{
+		Core:     d.memberConfig(),
+		Self:     d.memberEntry(),
+		Seeds:    d.seeds(),
+		Hosts:    client.NewHosts(d.set.Platform.Hosts, d.platformOptions()),
+		Sender:   memberSender{d},
+		Listener: fleetListener{d},
+		Metrics:  d.metrics,
+		Local:    d.memberLocal,
+		Log:      d.logger.Event,
+		Now:      d.now,
+		Rand:     d.newRand(),
+		Ready:    d.wired,
+	})
+	d.placer = placer.Start(placer.Config{
+		Self:      d.self,
+		Store:     d.store,
+		Weights:   client.NewWeights(d.set.Platform.Weights, d.platformOptions()),
+		Endpoints: d.endpoints,
+		Work:      d.work,
+		Metrics:   d.metrics,
+		Decide:    d.decidePlacement,
+		Log:       d.logger.Event,
+		Drain:     d.drain,
+		Demand:    d.demand,
+		Now:       d.now,
+		Rand:      d.newRand(),
+		Lease:     lease.DefaultConfig(),
+		Core:      placement.DefaultConfig(),
+		Ready:     d.wired,
+	})
+	d.reports = reports.Start(reports.Config{
+		Endpoints: d.endpoints,
+		Index:     d.configs.Index,
+		Owned:     d.ownedPools,
+		Sink:      reportSink{d},
+		Work:      d.work,
+		Metrics:   d.metrics,
+		Now:       d.now,
+		Rand:      d.newRand(),
+	})
+}
+
+func (d *Daemon) memberConfig() member.Config {
+	cfg := member.DefaultConfig(member.Mode(d.set.Membership.Mode))
+	cfg.Period = d.set.Membership.PeriodMS.Duration()
+	cfg.SuspectAfter = d.set.Membership.SuspectAfterMS.Duration()
+	cfg.DeadAfter = d.set.Membership.DeadAfterMS.Duration()
+	return cfg
+}
+
+func (d *Daemon) memberEntry() member.Entry {
+	return member.Entry{
+		Process:       d.self,
+		Domain:        d.set.Domain,
+		Address:       firstOf(d.set.Advertise.Peers, d.PeerAddr()),
+		CallerAddress: d.advertisedCallers(),
+	}
+}
+
+func (d *Daemon) advertisedCallers() string {
+	return firstOf(d.set.Advertise.Callers, d.CallerAddr())
+}
+
+func firstOf(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
+
+func (d *Daemon) seeds() []member.Host {
+	var out []member.Host
+	for _, p := range d.set.SeedPeers {
+		if p.Name != d.set.Daemon {
+			out = append(out, member.Host{Name: p.Name, Address: p.Address})
+		}
+	}
+	return out
+}
+
+func (d *Daemon) localPolicy() bool {
+	return d.set.Policy == settings.PolicyOptimistic || d.set.Policy == settings.PolicyNaive
+}
+
+// startRequests starts the pipeline of requests.
+func (d *Daemon) startRequests() {
+	d.watcher = hangup.New(hangup.DefaultInterval)
+	recorder := recorder{d}
+	pairer := trackingPairer{Broker: d.broker, cancels: d.cancels}
+	completions := completion.New(completion.Deps{
+		Self:     d.self,
+		Domain:   d.set.Domain,
+		Pairer:   pairer,
+		Engines:  d.endpoints,
+		Cancels:  d.cancels,
+		Retries:  d.retries,
+		Recorder: recorder,
+		Catalog:  catalog{d},
+		Now:      d.now,
+		NewID:    newRequestID,
+	})
+	plain := plaincall.New(plaincall.Deps{
+		Self:      d.self,
+		Domain:    d.set.Domain,
+		Pairer:    d.broker,
+		Endpoints: d.endpoints,
+		Claims:    d.claims,
+		Retries:   d.retries,
+		Recorder:  recorder,
+		Catalog:   catalog{d},
+		Now:       d.now,
+		NewID:     newRequestID,
+	})
+	d.front = front.New(front.Deps{
+		Self:         d.self,
+		Directory:    d.configs.Index,
+		Completions:  completions,
+		PlainCalls:   plain,
+		Tokens:       d.tokens,
+		Watcher:      d.watcher,
+		Metrics:      d.metrics,
+		Entry:        d.entryAnswer,
+		Ready:        d.ready,
+		Arrived:      d.noteCaller,
+		Logger:       httpLogger{d.logger},
+		Now:          d.now,
+		NewID:        newRequestID,
+		MaxBodyBytes: d.set.Limits.MaxBodyBytes,
+		MaxConns:     d.set.Limits.MaxConnections,
+	})
+	d.operator = operator.New(operatorBacking{d}, d.set.OperatorKeyHashes, d.logger.Event)
+}
+
+// serve starts the HTTP servers.
+func (d *Daemon) serve() {
+	go d.serveOn("callers", d.secure(trackingListener{d.callerLn, &d.connections}), d.front.Serve)
+	go d.serveOn("operators", d.secure(d.operatorLn), d.operator.Serve)
+	if d.debugLn == nil {
+		return
+	}
+	d.debug = &fasthttp.Server{Handler: d.debugHandler()}
+	go d.serveOn("debug", d.debugLn, d.debug.Serve)
+}
+
+func (d *Daemon) serveOn(name string, ln net.Listener, serve func(net.Listener) error) {
+	err := serve(ln)
+	if err != nil && d.ctx.Err() == nil {
+		d.logger.Error("server_ended", "server", name, "err", err)
+	}
+}
+
+func (d *Daemon) endpointAddress(e id.Endpoint) (string, bool) {
+	endpoint, ok := d.configs.Index().Endpoint(e)
+	if !ok {
+		return "", false
+	}
+	return endpoint.Address, true
+}
--- /dev/null
+++ b/daemon/app/status.go
@@ -0,0 +1,243 @@
+package app
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/member"
+	"github.com/samphirequay/samphirequay/core/placement"
+	"github.com/samphirequay/samphirequay/core/pool"
+	"github.com/samphirequay/samphirequay/core/revision"
+	"github.com/samphirequay/samphirequay/daemon/logline"
+	"github.com/samphirequay/samphirequay/daemon/opapi"
+	"github.com/samphirequay/samphirequay/daemon/placer"
+)
+
+// operatorBacking answers operators.
+type operatorBacking struct{ d *Daemon }
+
+// Propose implements operator.Backing.
+func (b operatorBacking) Propose(ctx context.Context, c revision.Change) revision.Outcome {
+	outcome := b.d.configs.Propose(ctx, c)
+	b.d.decisions.Decide(logline.SubjectChange, c.ID, "change_proposed",
+		"author", c.Author, "result", outcome.Result, "revision", outcome.Revision)
+	return outcome
+}
+
+// DocumentAt implements operator.Backing.
+func (b operatorBacking) DocumentAt(rev uint64) (*live.Document, bool) {
+	return b.d.configs.DocumentAt(rev)
+}
+
+// Document implements operator.Backing.
+func (b operatorBacking) Document() *live.Document { return b.d.configs.Index().Document() }
+
+// History implements operator.Backing.
+func (b operatorBacking) History(after uint64, limit int) []revision.Record {
+	return b.d.configs.History(after, limit)
+}
+
+// BeginStop implements operator.Backing.
+func (b operatorBacking) BeginStop() { b.d.BeginStop() }
+
+// Status implements operator.Backing. Pools are told by their owners.
+func (b operatorBacking) Status() opapi.Status {
+	d := b.d
+	s := opapi.Status{
+		Daemon:    d.self.Daemon,
+		Revision:  d.Revision(),
+		StoreUp:   d.configs.StoreUp(),
+		Violation: d.metrics.Violations(),
+		Hosts:     d.hostStatus(),
+		Teams:     []opapi.TeamStatus{},
+		Leases:    []opapi.LeaseStatus{},
+	}
+	for _, reply := range d.askPools() {
+		s.Pools = append(s.Pools, reply.Pools...)
+	}
+	slices.SortFunc(s.Pools, func(x, y opapi.PoolStatus) int { return compare(x.Pool, y.Pool) })
+	for i := range b.Document().Teams {
+		s.Teams = append(s.Teams, d.front.TeamStatus(b.Document().Teams[i].Name))
+	}
+	if row := d.placer.Holder(); row.Fence > 0 {
+		s.Leases = append(s.Leases, opapi.LeaseStatus{Duty: placer.Duty, Holder: row.Holder.Daemon, Fence: row.Fence})
+	}
+	return s
+}
+
+func compare[T ~string](a, b T) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+func (d *Daemon) hostStatus() []opapi.HostStatus {
+	var out []opapi.HostStatus
+	for _, e := range d.members.Entries() {
+		out = append(out, opapi.HostStatus{
+			Daemon:      e.Process.Daemon,
+			Incarnation: e.Process.Incarnation,
+			Domain:      e.Domain,
+			State:       e.State.String(),
+			Revision:    e.Revision,
+			InFlight:    e.InFlight,
+		})
+	}
+	return out
+}
+
+// poolsLocal is the state of the pools that this daemon owns.
+func (d *Daemon) poolsLocal() poolsReply {
+	reply := poolsReply{}
+	index := d.configs.Index()
+	for i, p := range d.broker.Pools() {
+		reply.Pools = append(reply.Pools, d.poolStatus(index, p))
+		if i > 0 {
+			continue // the evidence is one for all pools of a daemon
+		}
+		for _, e := range p.Quarantine {
+			reply.Quarantine = append(reply.Quarantine, opapi.QuarantineEntry{
+				Fingerprint: e.Fingerprint.String(),
+				Team:        e.Team,
+				Crashes:     e.Crashes,
+				ExpiresInMS: e.Until.Sub(d.epoch.Add(d.now())).Milliseconds(),
+				Daemon:      d.self.Daemon,
+			})
+		}
+	}
+	return reply
+}
+
+func (d *Daemon) poolStatus(index *live.Index, p pool.Status) opapi.PoolStatus {
+	s := opapi.PoolStatus{
+		Pool:     p.Pool,
+		Owner:    d.self.Daemon,
+		Leaving:  len(p.Leaving),
+		Ejected:  len(p.Ejected),
+		Queued:   p.Queued,
+		Running:  p.Running,
+		Slots:    p.Slots,
+		Answered: p.Answered,
+		Refused:  p.Refused,
+
+		PrefillLoad: p.PrefillLoad,
+		DecodeLoad:  p.DecodeLoad,
+	}
+	for _, e := range index.Endpoints(p.Pool) {
+		switch live.Role(e.Labels[live.LabelRole]) {
+		case live.RolePrefill:
+			s.Prefill++
+		case live.RoleDecode:
+			s.Decode++
+		case live.RolePlain:
+			s.Plain++
+		}
+	}
+	return s
+}
+
+// askPools asks the pools' owners for their state.
+func (d *Daemon) askPools() []poolsReply {
+	replies := []poolsReply{d.poolsLocal()}
+	owners := slices.Compact(slices.Sorted(slices.Values(d.broker.Owners(d.pools()))))
+	var mu sync.Mutex
+	d.ask(owners, func(ctx context.Context, to id.Daemon) {
+		var reply poolsReply
+		if d.transport.Call(ctx, to, kindPools, &poolsQuery{}, &reply) != nil {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		replies = append(replies, reply)
+	})
+	return replies
+}
+
+// others lists the daemons that are not dead, without this one.
+func (d *Daemon) others() []id.Daemon {
+	var out []id.Daemon
+	for _, e := range d.members.Entries() {
+		if e.Process.Daemon != d.self.Daemon && e.State != member.Dead {
+			out = append(out, e.Process.Daemon)
+		}
+	}
+	return out
+}
+
+// ask runs a question to several daemons at once, this one left out.
+func (d *Daemon) ask(whom []id.Daemon, ask func(ctx context.Context, to id.Daemon)) {
+	ctx, cancel := context.WithTimeout(d.ctx, peerCallTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, to := range whom {
+		if to == d.self.Daemon {
+			continue
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			ask(ctx, to)
+		}()
+	}
+	wg.Wait()
+}
+
+func (d *Daemon) explainLocal(q explainQuery) opapi.Explanation {
+	out := opapi.Explanation{Kind: q.Kind, ID: q.ID, Lines: []opapi.ExplanationLine{}}
+	for _, x := range d.decisions.Find(logline.Subject(q.Kind), q.ID) {
+		out.Lines = append(out.Lines, opapi.ExplanationLine{At: x.At, Daemon: d.self.Daemon, Event: x.Event, Text: x.Text})
+	}
+	return out
+}
+
+// Explain implements operator.Backing: the decisions of all daemons, by time.
+func (b operatorBacking) Explain(kind, subject string) opapi.Explanation {
+	q := explainQuery{Kind: kind, ID: subject}
+	out := b.d.explainLocal(q)
+	var mu sync.Mutex
+	b.d.ask(b.d.others(), func(ctx context.Context, to id.Daemon) {
+		var reply opapi.Explanation
+		if b.d.transport.Call(ctx, to, kindExplain, &q, &reply) != nil {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		out.Lines = append(out.Lines, reply.Lines...)
+	})
+	slices.SortFunc(out.Lines, func(x, y opapi.ExplanationLine) int { return x.At.Compare(y.At) })
+	return out
+}
+
+// Quarantine implements operator.Backing.
+func (b operatorBacking) Quarantine() opapi.QuarantineList {
+	list := opapi.QuarantineList{Entries: []opapi.QuarantineEntry{}}
+	seen := make(map[string]bool)
+	for _, reply := range b.d.askPools() {
+		for _, e := range reply.Quarantine {
+			if !seen[e.Fingerprint] {
+				seen[e.Fingerprint] = true
+				list.Entries = append(list.Entries, e)
+			}
+		}
+	}
+	return list
+}
+
+// demand is the utilisation of the model pools, asked from their owners.
+func (d *Daemon) demand(context.Context) []placement.Demand {
+	var out []placement.Demand
+	for _, reply := range d.askPools() {
+		for _, p := range reply.Pools {
+			out = append(out, placement.Demand{Pool: p.Pool, Prefill: p.PrefillLoad, Decode: p.DecodeLoad})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/daemon/app/stop.go
@@ -0,0 +1,132 @@
+package app
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/entry"
+)
+
+const (
+	// stopLook is how often a leaving daemon asks whether it may close.
+	stopLook = 100 * time.Millisecond
+	// stopSpread is how long until every daemon knows of the leaving.
+	stopSpread = 2 * time.Second
+	// stopQuiet is how long no new caller must have come.
+	stopQuiet = 500 * time.Millisecond
+	// shutdownTimeout bounds the closing of servers that have nothing to do.
+	shutdownTimeout = 2 * time.Second
+)
+
+// stop is a planned stop under way.
+type stop struct {
+	mu   sync.Mutex
+	plan *entry.StopPlan
+}
+
+func (s *stop) named(now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.plan.Named(now)
+}
+
+func (s *stop) caller(now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.plan.Caller(now)
+}
+
+func (s *stop) mayClose(now time.Duration, inFlight int) (bool, entry.StopReason) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.plan.MayClose(now, inFlight)
+}
+
+// BeginStop begins a planned stop: the daemon leaves the entry answers and
+// hands its duties over, and goes on serving until nobody needs it.
+func (d *Daemon) BeginStop() {
+	cfg := entry.StopConfig{
+		Spread:   stopSpread,
+		Lifetime: d.set.Timings.EntryLifetimeMS.Duration(),
+		Quiet:    stopQuiet,
+		Limit:    d.set.Timings.DrainMS.Duration(),
+	}
+	s := &stop{plan: entry.NewStopPlan(cfg, d.now())}
+	if !d.stopping.CompareAndSwap(nil, s) {
+		return
+	}
+	d.logger.Event("daemon_leaving")
+	d.members.Leave()
+	d.placer.Release()
+	go d.leave(s)
+}
+
+func (d *Daemon) leave(s *stop) {
+	ticker := time.NewTicker(stopLook)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		ok, why := s.mayClose(d.now(), d.inFlight())
+		if ok {
+			d.logger.Event("daemon_closing", "why", why, "in_flight", d.inFlight())
+			d.shutdown()
+			return
+		}
+	}
+}
+
+// Stop makes a planned stop and waits for its end, or for ctx.
+func (d *Daemon) Stop(ctx context.Context) error {
+	d.BeginStop()
+	select {
+	case <-d.closed:
+		return nil
+	case <-ctx.Done():
+		d.Kill()
+		return ctx.Err()
+	}
+}
+
+// shutdown closes the servers, then the duties.
+func (d *Daemon) shutdown() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	_ = d.front.Shutdown(ctx)
+	_ = d.operator.Shutdown(ctx)
+	d.end()
+}
+
+// Kill ends the daemon at once, as a crash of its process would: connections
+// break, nothing is handed over. The duties go first, so that nobody is left
+// who could cancel at the endpoints what the callers may come back for.
+func (d *Daemon) Kill() {
+	d.end()
+	d.front.Kill()
+	d.connections.closeAll()
+}
+
+// end closes the duties, those that feed others first.
+func (d *Daemon) end() {
+	if !d.ended.CompareAndSwap(false, true) {
+		return
+	}
+	d.cancel()
+	d.closeListeners()
+	d.reports.Close()
+	d.placer.Close()
+	d.members.Close()
+	d.transport.Close()
+	d.configs.Close()
+	d.claims.Close()
+	d.broker.Close()
+	d.cancels.Close()
+	d.watcher.Close()
+	d.work.Close()
+	d.logger.Close()
+	close(d.closed)
+}
--- /dev/null
+++ b/daemon/broker/messages.go
@@ -0,0 +1,41 @@
+// Package broker is the duty that pairs requests with endpoints. One goroutine
+// drives two deterministic parts: the asker of this daemon's own requests
+// (core/pairing) and the managers of the pools that this daemon owns
+// (core/pool). Everything reaches it through one bounded ring.
+package broker
+
+import (
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/pairing"
+	"github.com/samphirequay/samphirequay/core/sched"
+)
+
+// Envelope is what brokers send one another. One field is set.
+type Envelope struct {
+	Want     *sched.Want           `cbor:"1,keyasint,omitempty"`
+	Withdraw *pairing.Withdrawal   `cbor:"2,keyasint,omitempty"`
+	Progress *pairing.PoolProgress `cbor:"3,keyasint,omitempty"`
+	Adopt    *sched.Adopt          `cbor:"4,keyasint,omitempty"`
+	Grant    *PoolGrant            `cbor:"5,keyasint,omitempty"`
+	Refusal  *sched.Refusal        `cbor:"6,keyasint,omitempty"`
+	Drain    *Drain                `cbor:"7,keyasint,omitempty"`
+}
+
+// Drain keeps new work off an endpoint of a pool, or lets it in again.
+type Drain struct {
+	Pool     id.Pool     `cbor:"1,keyasint"`
+	Endpoint id.Endpoint `cbor:"2,keyasint"`
+	On       bool        `cbor:"3,keyasint"`
+}
+
+// PoolGrant is a Grant with the pool it belongs to.
+type PoolGrant struct {
+	Pool  id.Pool     `cbor:"1,keyasint"`
+	Grant sched.Grant `cbor:"2,keyasint"`
+}
+
+// Sender sends an envelope to another daemon without blocking. An error means
+// that it will not arrive; the asker's resending makes up for it.
+type Sender interface {
+	SendBroker(to id.Daemon, e *Envelope) error
+}
--- /dev/null
+++ b/daemon/cancels/cancels.go
@@ -0,0 +1,231 @@
+// Package cancels is the duty that frees what endpoints hold for requests that
+// nobody waits for. It drives core/reap: cancels are repeated until they are
+// certain, and the work of processes that ended is found in the endpoints'
+// own lists.
+package cancels
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/reap"
+	"github.com/samphirequay/samphirequay/daemon/duty"
+	"github.com/samphirequay/samphirequay/daemon/endpoints"
+	"github.com/samphirequay/samphirequay/daemon/metrics"
+	"github.com/samphirequay/samphirequay/daemon/workpool"
+	"github.com/samphirequay/samphirequay/platform/wire"
+)
+
+// Config is what the duty works with.
+type Config struct {
+	Self      id.Process
+	Endpoints *endpoints.Set
+	// Address finds an endpoint's address in the configuration in force.
+	Address func(e id.Endpoint) (string, bool)
+	Work    *workpool.Pool
+	Metrics *metrics.Registry
+	// Log takes one line an event.
+	Log func(event string, kv ...any)
+	Now func() time.Duration
+}
+
+// Cancels is the running duty.
+type Cancels struct {
+	cfg       Config
+	duty      *duty.Duty
+	canceller *reap.Canceller
+	reaper    *reap.Reaper
+	done      map[reap.Key][]func()
+
+	mu     sync.Mutex
+	active map[id.Request]int
+
+	sent    *metrics.Counter
+	ended   *metrics.CounterMap
+	orphans *metrics.Counter
+	working *metrics.Gauge
+}
+
+// Start starts the duty.
+func Start(cfg Config) *Cancels {
+	c := &Cancels{
+		cfg:       cfg,
+		canceller: reap.NewCanceller(reap.CancellerConfig{}),
+		reaper:    reap.NewReaper(reap.ReaperConfig{Self: cfg.Self}),
+		done:      make(map[reap.Key][]func()),
+		active:    make(map[id.Request]int),
+		sent:      cfg.Metrics.Counter("cancels_sent", metrics.UnitCount, "cancel orders sent to endpoints"),
+		ended:     cfg.Metrics.CounterMap("cancels_ended", metrics.UnitCount, "cancels that came to an end, by reason"),
+		orphans:   cfg.Metrics.Counter("orphans_found", metrics.UnitCount, "requests of ended processes found at endpoints"),
+		working:   cfg.Metrics.Gauge("cancels_working", metrics.UnitCount, "cancels not yet certain"),
+	}
+	c.duty = duty.Start(duty.Config{Name: "cancels", Now: cfg.Now, Tick: c.tick, Metrics: cfg.Metrics})
+	return c
+}
+
+// Close ends the duty.
+func (c *Cancels) Close() { c.duty.Close() }
+
+func (c *Cancels) tick(now time.Duration) time.Duration {
+	c.perform(c.canceller.Tick(now))
+	c.working.Set(float64(c.canceller.Working()))
+	return c.canceller.Next()
+}
+
+// Enter marks an attempt as this daemon's own work; Exit ends it.
+func (c *Cancels) Enter(r id.Request) {
+	c.mu.Lock()
+	c.active[r]++
+	c.mu.Unlock()
+}
+
+// Exit ends what Enter began.
+func (c *Cancels) Exit(r id.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.active[r]--
+	if c.active[r] <= 0 {
+		delete(c.active, r)
+	}
+}
+
+func (c *Cancels) isActive(r id.Request) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.active[r] > 0
+}
+
+// Cancel implements completion.Canceller. It is conditional on this process
+// still owning the request: a caller that came back through another daemon
+// keeps its answer.
+func (c *Cancels) Cancel(e *live.Endpoint, attempt id.Request, done func()) {
+	owner := c.cfg.Self
+	order := reap.Order{Key: reap.Key{Endpoint: e.Name, Request: attempt}, Owner: &owner}
+	c.add(order, done)
+}
+
+// ReleaseKV implements completion.Canceller.
+func (c *Cancels) ReleaseKV(e *live.Endpoint, attempt id.Request, kv string) {
+	owner := c.cfg.Self
+	c.add(reap.Order{Key: reap.Key{Endpoint: e.Name, Request: attempt}, Owner: &owner, KV: kv, RunSettled: true}, nil)
+}
+
+func (c *Cancels) add(o reap.Order, done func()) {
+	c.duty.Post(func(now time.Duration) {
+		if done != nil {
+			c.done[o.Key] = append(c.done[o.Key], done)
+		}
+		c.perform(c.canceller.Add(now, o))
+	})
+}
+
+// Incarnation takes an endpoint's incarnation, whoever saw it.
+func (c *Cancels) Incarnation(e id.Endpoint, inc id.Incarnation) {
+	c.duty.Post(func(now time.Duration) { c.perform(c.canceller.Incarnation(now, e, inc)) })
+}
+
+// Removed takes an endpoint that left the configuration.
+func (c *Cancels) Removed(e id.Endpoint) {
+	c.duty.Post(func(now time.Duration) { c.perform(c.canceller.Remove(now, e)) })
+}
+
+// ProcessAlive takes a process that the membership counts among the living.
+func (c *Cancels) ProcessAlive(p id.Process) {
+	c.duty.Post(func(now time.Duration) { c.reaper.ProcessAlive(now, p) })
+}
+
+// ProcessGone takes a process that the membership has declared dead.
+func (c *Cancels) ProcessGone(p id.Process) {
+	c.duty.Post(func(now time.Duration) { c.reaper.ProcessGone(now, p) })
+}
+
+// List takes what an endpoint holds and cancels the orphans among it.
+func (c *Cancels) List(e id.Endpoint, list wire.RequestList) {
+	l := reap.List{Endpoint: e, Incarnation: id.Incarnation(list.Incarnation)}
+	for _, r := range list.Requests {
+		l.Requests = append(l.Requests, reap.Running{
+			Request: id.Request(r.Request),
+			Owner:   id.Process{Daemon: id.Daemon(r.Owner), Incarnation: id.Incarnation(r.OwnerIncarnation)},
+			Stage:   reap.Stage(r.Stage),
+			Age:     time.Duration(r.AgeMS) * time.Millisecond,
+		})
+	}
+	c.duty.Post(func(now time.Duration) {
+		for _, o := range c.reaper.List(now, l, c.isActive) {
+			c.orphans.Inc()
+			c.cfg.Log("orphan_found", "endpoint", e, "attempt", o.Key.Request, "owner", o.Owner)
+			c.perform(c.canceller.Add(now, o))
+		}
+	})
+}
+
+func (c *Cancels) perform(actions []reap.Action) {
+	for _, a := range actions {
+		switch {
+		case a.Cancel != nil:
+			c.send(a.Cancel.Key, func(ctx context.Context, address string) { c.cancel(ctx, address, a.Cancel) })
+		case a.Release != nil:
+			c.send(a.Release.Key, func(ctx context.Context, address string) { c.release(ctx, address, a.Release) })
+		case a.Done != nil:
+			c.finish(a.Done)
+		}
+	}
+}
+
+// send runs one call to an endpoint in the work pool; a refusal counts as a
+// failed call and is repeated.
+func (c *Cancels) send(k reap.Key, call func(ctx context.Context, address string)) {
+	address, ok := c.cfg.Address(k.Endpoint)
+	if !ok {
+		c.duty.PostLater(func(now time.Duration) { c.perform(c.canceller.Remove(now, k.Endpoint)) })
+		return
+	}
+	task := func() {
+		ctx, cancel := endpoints.Short(c.duty.Context())
+		defer cancel()
+		call(ctx, address)
+	}
+	if !c.cfg.Work.Submit(task) {
+		c.duty.PostLater(func(now time.Duration) { c.canceller.Failed(now, k) })
+	}
+}
+
+func (c *Cancels) cancel(ctx context.Context, address string, a *reap.Cancel) {
+	c.sent.Inc()
+	req := wire.CancelRequest{Request: string(a.Key.Request)}
+	if a.Owner != nil {
+		req.Owner = string(a.Owner.Daemon)
+		req.OwnerIncarnation = uint64(a.Owner.Incarnation)
+	}
+	resp, err := c.cfg.Endpoints.Engine(address).Cancel(ctx, req)
+	c.duty.Post(func(now time.Duration) {
+		if err != nil {
+			c.canceller.Failed(now, a.Key)
+			return
+		}
+		c.perform(c.canceller.Reply(now, a.Key, reap.CancelState(resp.State)))
+	})
+}
+
+func (c *Cancels) release(ctx context.Context, address string, a *reap.Release) {
+	err := c.cfg.Endpoints.Engine(address).Release(ctx, wire.ReleaseRequest{Request: string(a.Key.Request), KV: a.KV})
+	c.duty.Post(func(now time.Duration) {
+		if err != nil {
+			c.canceller.Failed(now, a.Key)
+			return
+		}
+		c.perform(c.canceller.Released(now, a.Key))
+	})
+}
+
+func (c *Cancels) finish(d *reap.Done) {
+	c.ended.Add(string(d.Reason), 1)
+	callbacks := c.done[d.Key]
+	delete(c.done, d.Key)
+	for _, f := range callbacks {
+		f()
+	}
+}
--- /dev/null
+++ b/daemon/claims/claims.go
@@ -0,0 +1,210 @@
+// Package claims is the duty that holds the claims of non-idempotent calls. It
+// drives core/claim, runs its store calls and wakes the calls that wait.
+package claims
+
+import (
+	"context"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/claim"
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/revision/table"
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/duty"
+	"github.com/samphirequay/samphirequay/daemon/endpoints"
+	"github.com/samphirequay/samphirequay/daemon/metrics"
+	"github.com/samphirequay/samphirequay/daemon/store"
+	"github.com/samphirequay/samphirequay/daemon/workpool"
+	"github.com/samphirequay/samphirequay/platform/client"
+)
+
+// Config is what the duty works with.
+type Config struct {
+	Store   *store.Store
+	Objects *client.Objects
+	Work    *workpool.Pool
+	Metrics *metrics.Registry
+	// OwnerAlive says whether a process is alive, by the membership.
+	OwnerAlive func(id.Process) bool
+	// Now is the time since the daemon's start; Wall is the wall clock.
+	Now  func() time.Duration
+	Wall func() time.Time
+}
+
+// Claims is the running duty.
+type Claims struct {
+	cfg     Config
+	duty    *duty.Duty
+	core    *claim.Claims
+	waiting map[claim.Token]chan<- result
+	unkept  *metrics.Counter
+}
+
+// result ends a Begin; one field is set.
+type result struct {
+	claim  *claim.Claim
+	answer *claim.Answer
+	err    *verdict.Error
+}
+
+// Start starts the duty.
+func Start(cfg Config) *Claims {
+	c := &Claims{
+		cfg:     cfg,
+		core:    claim.New(claim.Config{OwnerAlive: cfg.OwnerAlive}),
+		waiting: make(map[claim.Token]chan<- result),
+		unkept:  cfg.Metrics.Counter("claims_unkept", metrics.UnitCount, "outcomes of claimed calls that could not be stored in time"),
+	}
+	c.duty = duty.Start(duty.Config{Name: "claims", Now: cfg.Now, Tick: c.tick, Metrics: cfg.Metrics})
+	return c
+}
+
+// Close ends the duty.
+func (c *Claims) Close() { c.duty.Close() }
+
+func (c *Claims) tick(now time.Duration) time.Duration {
+	c.perform(c.core.Tick(now, c.cfg.Wall()))
+	return c.core.Next()
+}
+
+// Begin claims a call and waits for the outcome. When ctx ends first, the
+// claim is given up: nothing was dispatched.
+func (c *Claims) Begin(ctx context.Context, b claim.Begin) (*claim.Claim, *claim.Answer, *verdict.Error) {
+	results := make(chan result, 1)
+	posted := c.duty.PostContext(ctx, func(now time.Duration) {
+		c.waiting[b.Token] = results
+		c.perform(c.core.Begin(now, c.cfg.Wall(), b))
+	})
+	if !posted {
+		return nil, nil, verdict.New(verdict.NotRun, verdict.CodeClaimUnavailable, "this daemon takes no claims now")
+	}
+	select {
+	case r := <-results:
+		return c.resolve(ctx, r)
+	case <-ctx.Done():
+		c.giveUp(b)
+		return nil, nil, verdict.New(verdict.NotRun, verdict.CodeCallerGone, "the caller is gone")
+	}
+}
+
+func (c *Claims) resolve(ctx context.Context, r result) (*claim.Claim, *claim.Answer, *verdict.Error) {
+	if r.err != nil || r.claim != nil {
+		return r.claim, nil, r.err
+	}
+	if r.answer.Object == "" {
+		return nil, r.answer, nil
+	}
+	body, err := c.cfg.Objects.Get(ctx, r.answer.Object)
+	if err != nil {
+		verr := verdict.New(verdict.Ran, verdict.CodeUnavailable, "the call has run; its stored answer can't be read now")
+		return nil, nil, verr.WithRetryAfter(time.Second).WithCause(err)
+	}
+	whole := *r.answer
+	whole.Body = body
+	return nil, &whole, nil
+}
+
+// giveUp releases a claim that nobody waits for, also one that was just won.
+func (c *Claims) giveUp(b claim.Begin) {
+	c.duty.Post(func(now time.Duration) {
+		delete(c.waiting, b.Token)
+		c.perform(c.core.Release(now, claim.Claim{
+			Row:         claim.RowKey(b.Team, b.Service, b.Key),
+			RequestHash: b.RequestHash,
+			Token:       b.Token,
+			Owner:       b.Owner,
+		}))
+	})
+}
+
+// Finish stores the outcome of a claimed call.
+func (c *Claims) Finish(held claim.Claim, o claim.Outcome) {
+	c.duty.Post(func(now time.Duration) { c.perform(c.core.Finish(now, held, o)) })
+}
+
+func (c *Claims) perform(actions []claim.Action) {
+	for _, a := range actions {
+		c.performOne(a)
+	}
+}
+
+func (c *Claims) performOne(a claim.Action) {
+	switch {
+	case a.Transact != nil:
+		c.transact(a.Transact)
+	case a.Read != nil:
+		c.read(a.Read)
+	case a.StoreObject != nil:
+		c.storeObject(a.StoreObject)
+	case a.Proceed != nil:
+		c.wake(a.Proceed.Claim.Token, result{claim: &a.Proceed.Claim})
+	case a.Refuse != nil:
+		c.wake(a.Refuse.Token, result{err: a.Refuse.Err})
+	case a.Replay != nil:
+		c.wake(a.Replay.Token, result{answer: &a.Replay.Answer})
+	case a.Settled != nil && !a.Settled.Stored:
+		c.unkept.Inc()
+	}
+}
+
+func (c *Claims) wake(t claim.Token, r result) {
+	ch, ok := c.waiting[t]
+	if !ok {
+		return
+	}
+	delete(c.waiting, t)
+	ch <- r
+}
+
+func (c *Claims) transact(t *claim.Transact) {
+	q := table.Request{Transaction: &table.Transaction{}}
+	for _, cond := range t.Transaction.Conditions {
+		q.Transaction.Conditions = append(q.Transaction.Conditions, table.Condition(cond))
+	}
+	for _, p := range t.Transaction.Puts {
+		q.Transaction.Puts = append(q.Transaction.Puts, table.Put(p))
+	}
+	c.call(t.ID, q, func(now time.Duration, r table.Reply) []claim.Action {
+		return c.core.StoreReply(now, t.ID, claim.Result{Applied: r.Applied, Failed: r.Failed, Versions: r.Versions})
+	})
+}
+
+func (c *Claims) read(r *claim.Read) {
+	c.call(r.ID, table.Request{Keys: r.Keys}, func(now time.Duration, reply table.Reply) []claim.Action {
+		rows := make([]claim.StoredRow, 0, len(reply.Rows))
+		for _, row := range reply.Rows {
+			rows = append(rows, claim.StoredRow(row))
+		}
+		return c.core.ReadReply(now, r.ID, rows)
+	})
+}
+
+// call runs a store call and feeds its reply or its failure back.
+func (c *Claims) call(call claim.CallID, q table.Request, reply func(time.Duration, table.Reply) []claim.Action) {
+	c.cfg.Store.Do(c.duty.Context(), q, func(r table.Reply) {
+		c.duty.Post(func(now time.Duration) {
+			switch r.Status {
+			case table.Done:
+				c.perform(reply(now, r))
+			case table.NotRun:
+				c.perform(c.core.StoreFailed(now, call, claim.CertainlyNotRun))
+			default:
+				c.perform(c.core.StoreFailed(now, call, claim.OutcomeUnknown))
+			}
+		})
+	})
+}
+
+func (c *Claims) storeObject(o *claim.StoreObject) {
+	done := func(stored bool) {
+		c.duty.Post(func(now time.Duration) { c.perform(c.core.ObjectReply(now, o.Row, stored)) })
+	}
+	put := func() {
+		ctx, cancel := endpoints.Short(c.duty.Context())
+		defer cancel()
+		done(c.cfg.Objects.Put(ctx, o.Name, o.Body) == nil)
+	}
+	if !c.cfg.Work.Submit(put) {
+		go done(false)
+	}
+}
--- /dev/null
+++ b/daemon/completion/attempt.go
@@ -0,0 +1,260 @@
+package completion
+
+import (
+	"context"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/sched"
+	"github.com/samphirequay/samphirequay/core/stream"
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/platform/wire"
+)
+
+// attempt is one granted try. Every way out of it releases what it holds: the
+// grant at the owner, the prefill, the exported KV cache, the decode slot.
+type attempt struct {
+	*Runner
+	p     *progress
+	want  sched.Want
+	grant sched.Grant
+
+	prefill      *live.Endpoint
+	decode       *live.Endpoint
+	exported     *wire.PrefillResponse
+	prefillBegan time.Duration
+	prefillTook  time.Duration
+}
+
+func (a *attempt) run(ctx context.Context) *verdict.Error {
+	if err := a.resolve(); err != nil {
+		a.release(sched.Progress{Phase: sched.PhaseFailed})
+		return err
+	}
+	if !pause(ctx, a.grant.StartIn) {
+		a.release(sched.Progress{Phase: sched.PhaseCancelled})
+		return verdict.New(verdict.NotRun, verdict.CodeCallerGone, "the caller is gone")
+	}
+	if err := a.runPrefill(ctx); err != nil {
+		return err
+	}
+	return a.runDecode(ctx)
+}
+
+// resolve looks the granted endpoints up in the configuration in force.
+func (a *attempt) resolve() *verdict.Error {
+	var ok bool
+	a.prefill, ok = a.Catalog.Endpoint(a.grant.Prefill)
+	if !ok {
+		return unknownEndpoint(a.grant.Prefill)
+	}
+	a.decode, ok = a.Catalog.Endpoint(a.grant.Decode)
+	if !ok {
+		return unknownEndpoint(a.grant.Decode)
+	}
+	return nil
+}
+
+func unknownEndpoint(e id.Endpoint) *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "endpoint %s is not in the configuration", e)
+}
+
+func (a *attempt) runPrefill(ctx context.Context) *verdict.Error {
+	a.report(sched.Progress{Phase: sched.PhasePrefilling})
+	a.prefillBegan = a.Now()
+	resp, err := a.Engines.Prefill(ctx, a.prefill, a.prefillRequest())
+	if err != nil {
+		return a.prefillFailed(ctx, asVerdict(err))
+	}
+	a.exported = resp
+	a.prefillTook = a.Now() - a.prefillBegan
+	a.report(sched.Progress{
+		Phase:        sched.PhaseTransferring,
+		CachedTokens: resp.CachedTokens,
+		PromptTokens: resp.PromptTokens,
+		PrefillTime:  a.prefillTook,
+		KVBytes:      resp.KVBytes,
+	})
+	return nil
+}
+
+func (a *attempt) prefillRequest() *wire.PrefillRequest {
+	return &wire.PrefillRequest{
+		Request:          string(a.want.Request),
+		Owner:            string(a.Self.Daemon),
+		OwnerIncarnation: uint64(a.Self.Incarnation),
+		Model:            string(a.p.job.Service.Name),
+		CacheSalt:        string(a.p.job.Team.Name),
+		Prompt:           a.p.job.Prompt + a.p.text(),
+		Priority:         a.want.Priority,
+	}
+}
+
+// prefillFailed cancels what may still run and tells the owner who failed.
+func (a *attempt) prefillFailed(ctx context.Context, err *verdict.Error) *verdict.Error {
+	if err.Verdict != verdict.NotRun {
+		a.Cancels.Cancel(a.prefill, a.want.Request, nil)
+	}
+	if ctx.Err() != nil {
+		a.release(sched.Progress{Phase: sched.PhaseCancelled})
+		return err
+	}
+	a.blame(a.prefill.Name, err)
+	a.release(failure(a.prefill.Name, err))
+	return err
+}
+
+func (a *attempt) runDecode(ctx context.Context) *verdict.Error {
+	sent := a.Now()
+	ts, err := a.Engines.Decode(ctx, a.decode, a.decodeRequest())
+	if err != nil {
+		return a.decodeRefused(ctx, asVerdict(err))
+	}
+	defer ts.Close()
+	return a.follow(ctx, ts, sent)
+}
+
+func (a *attempt) decodeRequest() *wire.DecodeRequest {
+	return &wire.DecodeRequest{
+		Request:          string(a.want.Request),
+		Owner:            string(a.Self.Daemon),
+		OwnerIncarnation: uint64(a.Self.Incarnation),
+		Model:            string(a.p.job.Service.Name),
+		CacheSalt:        string(a.p.job.Team.Name),
+		Prompt:           a.p.job.Prompt,
+		MaxTokens:        a.p.job.MaxTokens,
+		Priority:         a.want.Priority,
+		Continue:         a.p.seq.Delivered(),
+		Source: wire.KVSource{
+			Address: a.prefill.Address,
+			KV:      a.exported.KV,
+			Bytes:   a.exported.KVBytes,
+			Domain:  string(a.prefill.Domain),
+		},
+	}
+}
+
+// decodeRefused handles a decode order that gave no stream.
+func (a *attempt) decodeRefused(ctx context.Context, err *verdict.Error) *verdict.Error {
+	a.Cancels.ReleaseKV(a.prefill, a.want.Request, a.exported.KV)
+	if err.Verdict == verdict.NotRun {
+		a.blame(a.decode.Name, err)
+		a.release(failure(a.decode.Name, err))
+		return err
+	}
+	a.cancelDecode(ctx, err)
+	return err
+}
+
+// cancelDecode ends the request at the decode engine. The slot counts as held
+// until the engine has confirmed.
+func (a *attempt) cancelDecode(ctx context.Context, err *verdict.Error) {
+	p := sched.Progress{Phase: sched.PhaseCancelled}
+	if ctx.Err() == nil {
+		a.blame(a.decode.Name, err)
+		p = failure(a.decode.Name, err)
+	}
+	a.Cancels.Cancel(a.decode, a.want.Request, func() { a.release(p) })
+}
+
+// follow delivers the stream's tokens until its end.
+func (a *attempt) follow(ctx context.Context, ts TokenStream, sent time.Duration) *verdict.Error {
+	a.p.seq.Switch(a.want.Request)
+	began := false
+	for {
+		ev, err := ts.Next()
+		if err != nil {
+			return a.streamFailed(ctx, asVerdict(err))
+		}
+		if !began {
+			began = true
+			a.report(sched.Progress{Phase: sched.PhaseDecoding, TransferTime: transferTime(ev, a.Now()-sent)})
+		}
+		done, verr := a.deliver(ctx, ts, ev)
+		if verr != nil {
+			return a.streamFailed(ctx, verr)
+		}
+		if done {
+			a.release(sched.Progress{Phase: sched.PhaseDone, OutputTokens: a.p.seq.Delivered()})
+			return nil
+		}
+	}
+}
+
+func transferTime(ev wire.TokenEvent, elapsed time.Duration) time.Duration {
+	if ev.TransferMS > 0 {
+		return time.Duration(ev.TransferMS * float64(time.Millisecond))
+	}
+	return elapsed
+}
+
+// deliver passes an engine's event through the sequencer to the caller. It
+// returns true after the terminal event.
+func (a *attempt) deliver(ctx context.Context, ts TokenStream, ev wire.TokenEvent) (bool, *verdict.Error) {
+	ready, err := a.p.seq.Push(stream.Event{Attempt: id.Request(ev.Request), Seq: ev.Seq, Text: ev.Text, Finish: ev.Finish})
+	if err != nil {
+		return false, verdict.New(verdict.Ran, verdict.CodeEndpointFailed, "endpoint %s sent events out of bounds", a.decode.Name).WithCause(err)
+	}
+	for _, e := range ready {
+		out := a.event(ts, e)
+		if err := a.p.sink.Deliver(ctx, out); err != nil {
+			return false, verdict.New(verdict.Ran, verdict.CodeCallerGone, "the caller is gone").WithCause(err)
+		}
+		if e.Finish != "" {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
+func (a *attempt) event(ts TokenStream, e stream.Event) Event {
+	out := Event{
+		Seq:         e.Seq,
+		Text:        e.Text,
+		Finish:      e.Finish,
+		Attempt:     a.want.Request,
+		Endpoint:    a.decode.Name,
+		Incarnation: ts.Incarnation(),
+	}
+	if a.exported != nil {
+		out.PromptTokens = a.exported.PromptTokens
+	}
+	return out
+}
+
+// streamFailed ends a stream that broke, or whose caller is gone.
+func (a *attempt) streamFailed(ctx context.Context, err *verdict.Error) *verdict.Error {
+	if err.Code == verdict.CodeCallerGone {
+		p := sched.Progress{Phase: sched.PhaseCancelled}
+		a.Cancels.Cancel(a.decode, a.want.Request, func() { a.release(p) })
+		return err
+	}
+	a.cancelDecode(ctx, err)
+	return err
+}
+
+// blame keeps the job's next attempts off an endpoint that failed it.
+func (a *attempt) blame(e id.Endpoint, err *verdict.Error) {
+	a.p.avoid = append(a.p.avoid, e)
+	if err.Code == verdict.CodeEndpointFailed && err.Verdict != verdict.NotRun {
+		a.p.suspect = true
+	}
+}
+
+func failure(e id.Endpoint, err *verdict.Error) sched.Progress {
+	return sched.Progress{
+		Phase:    sched.PhaseFailed,
+		Endpoint: e,
+		Full:     err.Code == verdict.CodeOverloaded,
+		Leaving:  err.Code == verdict.CodeLeaving,
+		Crashed:  err.Code == verdict.CodeEndpointFailed && err.Verdict != verdict.NotRun,
+	}
+}
+
+func (a *attempt) report(p sched.Progress) {
+	p.Request = a.want.Request
+	a.Pairer.Progress(p)
+}
+
+func (a *attempt) release(p sched.Progress) { a.report(p) }
--- /dev/null
+++ b/daemon/completion/rejoin.go
@@ -0,0 +1,34 @@
+package completion
+
+import (
+	"context"
+
+	"github.com/samphirequay/samphirequay/core/sched"
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+// rejoin goes on with a stream that another connection, perhaps at another
+// daemon, began: the engine still writes it or keeps its end. It takes
+// ownership at the engine, so that no survivor reaps the request as an orphan.
+func (r *Runner) rejoin(ctx context.Context, p *progress) *verdict.Error {
+	rp := p.job.Resume
+	endpoint, ok := r.Catalog.Endpoint(rp.Endpoint)
+	if !ok {
+		return unknownEndpoint(rp.Endpoint)
+	}
+	ts, err := r.Engines.Resume(ctx, endpoint, rp.Attempt, rp.Delivered, r.Self)
+	if err != nil {
+		return asVerdict(err)
+	}
+	defer ts.Close()
+	if ts.Incarnation() != rp.Incarnation {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeEndpointFailed, "endpoint %s was restarted", rp.Endpoint)
+	}
+	a := &attempt{Runner: r, p: p, decode: endpoint}
+	a.want = r.want(p, 1)
+	a.want.Request = rp.Attempt
+	a.grant = sched.Grant{Request: rp.Attempt, Decode: endpoint.Name, Owner: r.Self}
+	r.Pairer.Resume(a.want, a.grant)
+	r.Recorder.Decision("request", string(p.job.ID), "resumed", "attempt", rp.Attempt, "decode", endpoint.Name, "after", rp.Delivered)
+	return a.follow(ctx, ts, r.Now())
+}
--- /dev/null
+++ b/daemon/completion/runner.go
@@ -0,0 +1,206 @@
+package completion
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/prefixhash"
+	"github.com/samphirequay/samphirequay/core/sched"
+	"github.com/samphirequay/samphirequay/core/stream"
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+// Deps are what a Runner works with; all are needed.
+type Deps struct {
+	Self     id.Process
+	Domain   id.Domain
+	Pairer   Pairer
+	Engines  Engines
+	Cancels  Canceller
+	Retries  Retrier
+	Recorder Recorder
+	Catalog  Catalog
+	// Now is the time since the daemon's start.
+	Now func() time.Duration
+	// NewID makes an id for an attempt.
+	NewID func() id.Request
+}
+
+// Runner serves completions.
+type Runner struct{ Deps }
+
+// New returns a Runner.
+func New(d Deps) *Runner { return &Runner{d} }
+
+// progress is the state of one job over its attempts.
+type progress struct {
+	job *Job
+	// seq puts the tokens of all attempts in order.
+	seq *stream.Sequencer
+	// worst is the verdict over all attempts so far.
+	worst verdict.Verdict
+	// avoid lists endpoints that failed this job.
+	avoid []id.Endpoint
+	// suspect is set once an endpoint crashed under the job.
+	suspect bool
+	sink    Sink
+}
+
+// Run serves the job to its end. A nil error means that the whole answer was
+// delivered. The verdict of an error covers all attempts.
+func (r *Runner) Run(ctx context.Context, job *Job, sink Sink) *verdict.Error {
+	p := &progress{job: job, worst: verdict.NotRun, sink: sink}
+	p.seq = newSequencer(job)
+	if job.Resume != nil {
+		err := r.rejoin(ctx, p)
+		if err == nil {
+			return nil
+		}
+		if !canContinue(job, p, err) {
+			return r.fail(ctx, p, err)
+		}
+	}
+	return r.attempts(ctx, p)
+}
+
+func newSequencer(job *Job) *stream.Sequencer {
+	after := 0
+	if job.Resume != nil {
+		after = job.Resume.Delivered
+	}
+	return stream.New("", after, stream.DefaultWindow)
+}
+
+// text is the answer so far: what the caller brought back and what was
+// delivered since.
+func (p *progress) text() string {
+	if p.job.Resume == nil {
+		return p.seq.Text()
+	}
+	return p.job.Resume.Text + p.seq.Text()
+}
+
+// canContinue says whether the answer can be written on without the engine
+// that began it: the text so far has to be known.
+func canContinue(job *Job, p *progress, err *verdict.Error) bool {
+	if err.Code == verdict.CodeCallerGone {
+		return false
+	}
+	return job.Resume.HasText || p.seq.Delivered() == 0
+}
+
+func (r *Runner) attempts(ctx context.Context, p *progress) *verdict.Error {
+	for n := 1; ; n++ {
+		err := r.attempt(ctx, p, n)
+		if err == nil {
+			r.Retries.Success(p.job.Team)
+			return nil
+		}
+		p.worst = verdict.Worse(p.worst, err.Verdict)
+		if ctx.Err() != nil {
+			return r.fail(ctx, p, err)
+		}
+		retry := r.Retries.Decide(p.job.Team, err, n, r.remaining(p.job))
+		r.Recorder.Decision("request", string(p.job.ID), "retry",
+			"again", retry.Again, "attempt", n, "delay", retry.Delay, "why", retry.Reason, "code", err.Code, "err", err.Error())
+		if !retry.Again {
+			return r.fail(ctx, p, err)
+		}
+		if !pause(ctx, retry.Delay) {
+			return r.fail(ctx, p, err)
+		}
+	}
+}
+
+// fail gives the final error of a job.
+func (r *Runner) fail(ctx context.Context, p *progress, err *verdict.Error) *verdict.Error {
+	v := verdict.Worse(p.worst, err.Verdict)
+	if p.seq.Delivered() > 0 {
+		v = verdict.Ran
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		return verdict.New(v, verdict.CodeCallerGone, "the caller is gone").WithCause(cause)
+	}
+	final := *err
+	final.Verdict = v
+	return &final
+}
+
+func (r *Runner) remaining(job *Job) time.Duration {
+	return job.Service.Timeout() - (r.Now() - job.Arrived)
+}
+
+// patience is how long the job may still wait for its pair. A continuation has
+// delivered output before and may use the whole remaining time.
+func (r *Runner) patience(p *progress) time.Duration {
+	if p.seq.Delivered() > 0 {
+		return r.remaining(p.job)
+	}
+	return p.job.Service.Patience() - (r.Now() - p.job.Arrived)
+}
+
+// attempt runs the pipeline once: pair, wait, prefill, decode.
+func (r *Runner) attempt(ctx context.Context, p *progress, n int) *verdict.Error {
+	w := r.want(p, n)
+	patience := r.patience(p)
+	if patience <= 0 {
+		return verdict.New(verdict.NotRun, verdict.CodeDeadline, "out of time before attempt %d", n)
+	}
+	grant, verr := r.Pairer.Pair(ctx, w, patience)
+	if verr != nil {
+		r.Recorder.Decision("request", string(p.job.ID), "refused", "attempt", w.Request, "code", verr.Code, "why", verr.Message)
+		return verr
+	}
+	r.Recorder.Decision("request", string(p.job.ID), "paired",
+		"attempt", w.Request, "prefill", grant.Prefill, "decode", grant.Decode, "start_in", grant.StartIn, "why", grant.Reason)
+	a := &attempt{Runner: r, p: p, want: w, grant: grant}
+	return a.run(ctx)
+}
+
+func (r *Runner) want(p *progress, n int) sched.Want {
+	job := p.job
+	prompt := job.Prompt + p.text()
+	return sched.Want{
+		Request:      r.NewID(),
+		Team:         job.Team.Name,
+		Service:      job.Service.Name,
+		Pool:         job.Service.Pool,
+		From:         r.Self,
+		Age:          r.Now() - job.Arrived,
+		PromptTokens: prefixhash.EstimateTokens(prompt),
+		OutputTokens: job.MaxTokens - p.seq.Delivered(),
+		Prefix:       prefixhash.Blocks(string(job.Team.Name), prompt),
+		Priority:     job.Service.Priority,
+		Avoid:        p.avoid,
+		Domain:       r.Domain,
+		Attempt:      n,
+		Suspect:      p.suspect,
+		Fingerprint:  job.Fingerprint,
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func asVerdict(err error) *verdict.Error {
+	if err == nil {
+		return nil
+	}
+	if errors.Is(err, context.Canceled) {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeCallerGone, "the caller is gone").WithCause(err)
+	}
+	return verdict.As(err)
+}
--- /dev/null
+++ b/daemon/duty/duty.go
@@ -0,0 +1,137 @@
+// Package duty runs one long-lived job of the daemon in a goroutine of its
+// own. Work reaches it through a bounded ring; between two pieces of work it
+// ticks when its next time is due. All state of the job belongs to that
+// goroutine, so the deterministic core behind it needs no locks.
+package duty
+
+import (
+	"context"
+	"time"
+
+	"github.com/samphirequay/samphirequay/daemon/metrics"
+	"github.com/samphirequay/samphirequay/daemon/ring"
+)
+
+const (
+	// DefaultRing bounds the pieces of work that wait.
+	DefaultRing = 1024
+	// minWait and maxWait bound the time between two ticks.
+	minWait = time.Millisecond
+	maxWait = 25 * time.Millisecond
+)
+
+// Config of a Duty.
+type Config struct {
+	// Name of its ring in the metrics.
+	Name string
+	// Ring bounds the pieces of work that wait. Default DefaultRing.
+	Ring int
+	// Now is the time since the daemon's start.
+	Now func() time.Duration
+	// Tick does what is due and returns when it wants to be called next.
+	Tick    func(now time.Duration) time.Duration
+	Metrics *metrics.Registry
+	// Ready, if set, holds the duty back until it is closed.
+	Ready <-chan struct{}
+}
+
+// Duty is a running job.
+type Duty struct {
+	cfg  Config
+	in   *ring.Ring[func(now time.Duration)]
+	ctx  context.Context
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// Start starts a duty.
+func Start(cfg Config) *Duty {
+	if cfg.Ring == 0 {
+		cfg.Ring = DefaultRing
+	}
+	d := &Duty{
+		cfg:  cfg,
+		in:   ring.New[func(time.Duration)](cfg.Name, cfg.Ring, ring.Block, cfg.Metrics),
+		done: make(chan struct{}),
+	}
+	d.ctx, d.stop = context.WithCancel(context.Background())
+	go d.run()
+	return d
+}
+
+// Context ends when the duty is closed.
+func (d *Duty) Context() context.Context { return d.ctx }
+
+// Close ends the duty; work that waits is dropped.
+func (d *Duty) Close() {
+	d.stop()
+	<-d.done
+}
+
+// Post gives the duty a piece of work. It waits while the ring is full and
+// returns false when the duty is closed. The duty's own work must not call it.
+func (d *Duty) Post(work func(now time.Duration)) bool { return d.in.Put(d.ctx, work) }
+
+// PostLater is Post for the duty's own work: it waits in a goroutine of its own.
+func (d *Duty) PostLater(work func(now time.Duration)) {
+	go d.Post(work)
+}
+
+// PostContext is Post that gives up when ctx ends.
+func (d *Duty) PostContext(ctx context.Context, work func(now time.Duration)) bool {
+	if d.ctx.Err() != nil {
+		return false
+	}
+	return d.in.Put(ctx, work)
+}
+
+// Query runs read within the duty and waits for it. It returns false when the
+// duty is closed.
+func (d *Duty) Query(read func(now time.Duration)) bool {
+	done := make(chan struct{})
+	work := func(now time.Duration) {
+		read(now)
+		close(done)
+	}
+	if !d.Post(work) {
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-d.ctx.Done():
+		return false
+	}
+}
+
+func (d *Duty) waitReady() bool {
+	if d.cfg.Ready == nil {
+		return true
+	}
+	select {
+	case <-d.cfg.Ready:
+		return true
+	case <-d.ctx.Done():
+		return false
+	}
+}
+
+func (d *Duty) run() {
+	defer close(d.done)
+	if !d.waitReady() {
+		return
+	}
+	timer := time.NewTimer(minWait)
+	defer timer.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case work := <-d.in.Chan():
+			work(d.cfg.Now())
+		case <-timer.C:
+			next := d.cfg.Tick(d.cfg.Now())
+			timer.Reset(min(max(next-d.cfg.Now(), minWait), maxWait))
+		}
+	}
+}
--- /dev/null
+++ b/daemon/endpoints/endpoints.go
@@ -0,0 +1,174 @@
+// Package endpoints keeps a client for each endpoint in the configuration and
+// tells whoever asks of changes in the endpoints' incarnations.
+package endpoints
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/completion"
+	"github.com/samphirequay/samphirequay/platform/client"
+	"github.com/samphirequay/samphirequay/platform/wire"
+)
+
+const (
+	// firstTimeout bounds the wait for a stream's head: import included.
+	firstTimeout = 4 * time.Second
+	// idleTimeout bounds the wait for a token: a stream that stalls for so long
+	// is taken for broken and continued elsewhere.
+	idleTimeout = 2 * time.Second
+	// prefillTimeout bounds a prefill.
+	prefillTimeout = 8 * time.Second
+	// shortTimeout bounds cancels, reports and lists.
+	shortTimeout = time.Second
+)
+
+// Set holds the clients. It is safe for concurrent use.
+type Set struct {
+	onIncarnation func(address string, incarnation id.Incarnation)
+
+	mu      sync.Mutex
+	engines map[string]*client.Engine
+	plains  map[string]*client.Plain
+}
+
+// New returns an empty Set. onIncarnation is told the incarnation that each
+// response carries and must not block; it may be nil.
+func New(onIncarnation func(address string, incarnation id.Incarnation)) *Set {
+	if onIncarnation == nil {
+		onIncarnation = func(string, id.Incarnation) {}
+	}
+	return &Set{
+		onIncarnation: onIncarnation,
+		engines:       make(map[string]*client.Engine),
+		plains:        make(map[string]*client.Plain),
+	}
+}
+
+func (s *Set) options() client.Options {
+	return client.Options{OnIncarnation: func(address string, n uint64) {
+		s.onIncarnation(address, id.Incarnation(n))
+	}}
+}
+
+// Engine returns the client of the model engine at address.
+func (s *Set) Engine(address string) *client.Engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, ok := s.engines[address]
+	if !ok {
+		c = client.NewEngine(address, s.options())
+		s.engines[address] = c
+	}
+	return c
+}
+
+// Plain returns the client of the plain endpoint at address.
+func (s *Set) Plain(address string) *client.Plain {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, ok := s.plains[address]
+	if !ok {
+		c = client.NewPlain(address, s.options())
+		s.plains[address] = c
+	}
+	return c
+}
+
+// Prune drops the clients of endpoints that left the configuration.
+func (s *Set) Prune(doc *live.Document) {
+	keep := make(map[string]bool, len(doc.Endpoints))
+	for i := range doc.Endpoints {
+		keep[doc.Endpoints[i].Address] = true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for address, c := range s.engines {
+		if !keep[address] {
+			c.Close()
+			delete(s.engines, address)
+		}
+	}
+	for address, c := range s.plains {
+		if !keep[address] {
+			c.Close()
+			delete(s.plains, address)
+		}
+	}
+}
+
+// Prefill implements completion.Engines.
+func (s *Set) Prefill(ctx context.Context, e *live.Endpoint, r *wire.PrefillRequest) (*wire.PrefillResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, prefillTimeout)
+	defer cancel()
+	resp, err := s.Engine(e.Address).Prefill(ctx, *r)
+	if err != nil {
+		return nil, err
+	}
+	return &resp, nil
+}
+
+// Decode implements completion.Engines.
+func (s *Set) Decode(ctx context.Context, e *live.Endpoint, r *wire.DecodeRequest) (completion.TokenStream, error) {
+	st, err := s.Engine(e.Address).Decode(ctx, *r, timeouts())
+	if err != nil {
+		return nil, err
+	}
+	return tokenStream{st}, nil
+}
+
+// Resume implements completion.Engines.
+func (s *Set) Resume(ctx context.Context, e *live.Endpoint, attempt id.Request, after int, owner id.Process) (completion.TokenStream, error) {
+	r := client.ResumeRequest{
+		Request:     string(attempt),
+		After:       after,
+		Owner:       string(owner.Daemon),
+		Incarnation: uint64(owner.Incarnation),
+	}
+	st, err := s.Engine(e.Address).Resume(ctx, r, timeouts())
+	if err != nil {
+		return nil, err
+	}
+	return tokenStream{st}, nil
+}
+
+// Call implements plaincall.Endpoints.
+func (s *Set) Call(ctx context.Context, e *live.Endpoint, r client.PlainRequest) (client.PlainResponse, error) {
+	return s.Plain(e.Address).Call(ctx, r)
+}
+
+func timeouts() client.Timeouts {
+	return client.Timeouts{First: firstTimeout, Idle: idleTimeout}
+}
+
+// Short returns a context for a short call.
+func Short(parent context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(parent, shortTimeout)
+}
+
+// tokenStream adapts a client's stream.
+type tokenStream struct{ s *client.Stream }
+
+// Next implements completion.TokenStream. A stream that ends without its
+// terminal event is an error.
+func (t tokenStream) Next() (wire.TokenEvent, error) {
+	e, err := t.s.Next()
+	if err == io.EOF {
+		return e, verdict.New(verdict.Ran, verdict.CodeEndpointFailed, "the stream ended behind its terminal event")
+	}
+	return e, err
+}
+
+// Close implements completion.TokenStream.
+func (t tokenStream) Close() error {
+	t.s.Close()
+	return nil
+}
+
+// Incarnation implements completion.TokenStream.
+func (t tokenStream) Incarnation() id.Incarnation { return id.Incarnation(t.s.Incarnation()) }
--- /dev/null
+++ b/daemon/front/errors.go
@@ -0,0 +1,101 @@
+package front
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/opapi"
+)
+
+const contentJSON = "application/json"
+
+// statusOf maps a code to an HTTP status.
+func statusOf(code verdict.Code) int {
+	switch code {
+	case verdict.CodeBadRequest:
+		return fasthttp.StatusBadRequest
+	case verdict.CodeUnauthorized:
+		return fasthttp.StatusUnauthorized
+	case verdict.CodeForbidden:
+		return fasthttp.StatusForbidden
+	case verdict.CodeUnknownService:
+		return fasthttp.StatusNotFound
+	case verdict.CodeTooLarge:
+		return fasthttp.StatusRequestEntityTooLarge
+	case verdict.CodeTeamLimit:
+		return fasthttp.StatusTooManyRequests
+	case verdict.CodeQuarantined:
+		return fasthttp.StatusUnprocessableEntity
+	case verdict.CodeClaimed, verdict.CodeConflict, verdict.CodeSuperseded:
+		return fasthttp.StatusConflict
+	case verdict.CodeEndpointFailed:
+		return fasthttp.StatusBadGateway
+	case verdict.CodeDeadline:
+		return fasthttp.StatusGatewayTimeout
+	case verdict.CodeInternal:
+		return fasthttp.StatusInternalServerError
+	default:
+		return fasthttp.StatusServiceUnavailable
+	}
+}
+
+func errorBody(err *verdict.Error, request id.Request) opapi.ErrorBody {
+	return opapi.ErrorBody{Error: opapi.ErrorDetail{
+		Message:      err.Message,
+		Type:         string(err.Code),
+		Code:         err.Code,
+		Verdict:      err.Verdict.String(),
+		RetryAfterMS: err.RetryAfter.Milliseconds(),
+		Request:      string(request),
+	}}
+}
+
+// writeError answers with an error; nothing was written before.
+func writeError(ctx *fasthttp.RequestCtx, err *verdict.Error, request id.Request) {
+	ctx.Response.Header.Set(opapi.HeaderVerdict, err.Verdict.String())
+	if request != "" {
+		ctx.Response.Header.Set(opapi.HeaderRequest, string(request))
+	}
+	if err.RetryAfter > 0 {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, wholeSeconds(err.RetryAfter))
+	}
+	writeJSON(ctx, statusOf(err.Code), errorBody(err, request))
+}
+
+// wholeSeconds rounds up, since Retry-After knows no fractions.
+func wholeSeconds(d time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		ctx.Error("the answer could not be encoded", fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType(contentJSON)
+	ctx.SetBody(append(data, '\n'))
+}
+
+// reject refuses a request before it got an id.
+func (s *Server) reject(ctx *fasthttp.RequestCtx, err *verdict.Error) {
+	s.stats.refused.Add(string(err.Code), 1)
+	writeError(ctx, err, "")
+}
+
+// protocolError answers what fasthttp could not read as a request.
+func (s *Server) protocolError(ctx *fasthttp.RequestCtx, err error) {
+	verr := verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the request could not be read: %v", err)
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		verr = verdict.New(verdict.NotRun, verdict.CodeTooLarge, "the body is larger than %d bytes", s.MaxBodyBytes)
+	}
+	s.reject(ctx, verr)
+}
--- /dev/null
+++ b/daemon/front/front.go
@@ -0,0 +1,205 @@
+// Package front is the listening end of the request pipeline: it takes callers'
+// HTTP requests, authenticates and classifies them, hands them to the stages
+// behind it and writes their answers and errors.
+package front
+
+import (
+	"context"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/resume"
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/completion"
+	"github.com/samphirequay/samphirequay/daemon/hangup"
+	"github.com/samphirequay/samphirequay/daemon/metrics"
+	"github.com/samphirequay/samphirequay/daemon/opapi"
+	"github.com/samphirequay/samphirequay/daemon/plaincall"
+)
+
+const (
+	// readTimeout bounds the reading of one request, so that a slow sender
+	// does not hold a connection for ever.
+	readTimeout = 30 * time.Second
+	// idleTimeout bounds an idle keep-alive connection.
+	idleTimeout = 60 * time.Second
+	// bodySlack is how far over the bound a body is still read, so that its
+	// sender gets an answer and not a broken connection.
+	bodySlack = 4 << 20
+	// bearer begins the Authorization header.
+	bearer = "Bearer "
+)
+
+// Completions serves model requests.
+type Completions interface {
+	Run(ctx context.Context, job *completion.Job, sink completion.Sink) *verdict.Error
+}
+
+// PlainCalls serves calls to plain services.
+type PlainCalls interface {
+	Run(ctx context.Context, call *plaincall.Call) (*plaincall.Answer, *verdict.Error)
+}
+
+// Tokens signs and checks resume tokens.
+type Tokens interface {
+	Sign(t resume.Token) (string, error)
+	Verify(token string, team id.Team, wall time.Time) (resume.Token, error)
+}
+
+// Deps are what the server works with.
+type Deps struct {
+	Self id.Process
+	// Directory is the configuration in force.
+	Directory   func() *live.Index
+	Completions Completions
+	PlainCalls  PlainCalls
+	Tokens      Tokens
+	Watcher     *hangup.Watcher
+	Metrics     *metrics.Registry
+	// Entry gives the entry answer.
+	Entry func() opapi.EntryAnswer
+	// Ready says whether the daemon takes requests, and if not, why.
+	Ready func() (bool, string)
+	// Logger takes what the HTTP library has to say.
+	Logger fasthttp.Logger
+	// Arrived is told of each request.
+	Arrived func()
+	// Now is the time since the daemon's start.
+	Now func() time.Duration
+	// NewID makes request ids.
+	NewID func() id.Request
+	// MaxBodyBytes bounds any request's body.
+	MaxBodyBytes int
+	// MaxConns bounds the callers' connections.
+	MaxConns int
+}
+
+// Server serves callers.
+type Server struct {
+	Deps
+	http  *fasthttp.Server
+	stats stats
+	// base is the parent of all requests' contexts; Kill ends it.
+	base context.Context
+	kill context.CancelFunc
+}
+
+// New returns a Server that is not yet listening.
+func New(d Deps) *Server {
+	s := &Server{Deps: d, stats: newStats(d.Metrics)}
+	s.base, s.kill = context.WithCancel(context.Background())
+	s.http = &fasthttp.Server{
+		Handler:               s.handle,
+		ErrorHandler:          s.protocolError,
+		Name:                  "samphirequay",
+		MaxRequestBodySize:    d.MaxBodyBytes + bodySlack,
+		Concurrency:           d.MaxConns,
+		ReadTimeout:           readTimeout,
+		IdleTimeout:           idleTimeout,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+		Logger:                d.Logger,
+		// Answers are streamed, so a write has no bound of its own: a caller
+		// that stops reading is noticed by the full ring of its stream.
+	}
+	return s
+}
+
+// Serve takes connections until the server is shut down.
+func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(ln) }
+
+// Shutdown stops taking connections and waits for the requests in flight.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
+
+// Kill ends all requests at once.
+func (s *Server) Kill() { s.kill() }
+
+// TeamStatus sums up a team's requests at this daemon.
+func (s *Server) TeamStatus(team id.Team) opapi.TeamStatus {
+	return opapi.TeamStatus{
+		Team:     team,
+		InFlight: int(s.stats.teamInFlight.Value(string(team))),
+		Answered: uint64(s.stats.answered.Value(string(team))),
+		Refused:  uint64(s.stats.teamRefused.Value(string(team))),
+	}
+}
+
+// InFlight is how many requests are being served.
+func (s *Server) InFlight() int { return int(s.stats.inFlight.Value()) }
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch {
+	case path == opapi.PathCompletions:
+		s.Arrived()
+		s.completions(ctx)
+	case strings.HasPrefix(path, opapi.PathServices):
+		s.Arrived()
+		s.services(ctx, path)
+	case path == opapi.PathEntry:
+		s.entry(ctx)
+	case path == opapi.PathModels:
+		s.models(ctx)
+	case path == opapi.PathHealth:
+		ctx.SetBodyString("ok\n")
+	case path == opapi.PathReady:
+		s.ready(ctx)
+	default:
+		s.reject(ctx, verdict.New(verdict.NotRun, verdict.CodeUnknownService, "no such path: %s", path))
+	}
+}
+
+func (s *Server) ready(ctx *fasthttp.RequestCtx) {
+	ok, why := s.Ready()
+	if !ok {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+	ctx.SetBodyString(why + "\n")
+}
+
+func (s *Server) entry(ctx *fasthttp.RequestCtx) {
+	if !ctx.IsGet() {
+		s.reject(ctx, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "%s takes GET", opapi.PathEntry))
+		return
+	}
+	writeJSON(ctx, fasthttp.StatusOK, s.Entry())
+}
+
+func (s *Server) models(ctx *fasthttp.RequestCtx) {
+	team, err := s.authenticate(ctx)
+	if err != nil {
+		s.reject(ctx, err)
+		return
+	}
+	list := opapi.ModelList{Object: "list", Data: []opapi.Model{}}
+	for _, svc := range s.Directory().ServicesFor(team) {
+		if svc.Type == live.ServiceModel {
+			list.Data = append(list.Data, opapi.Model{ID: string(svc.Name), Object: "model"})
+		}
+	}
+	writeJSON(ctx, fasthttp.StatusOK, list)
+}
+
+// authenticate finds the team of the request's bearer key.
+func (s *Server) authenticate(ctx *fasthttp.RequestCtx) (*live.Team, *verdict.Error) {
+	header := string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization))
+	key, ok := strings.CutPrefix(header, bearer)
+	if !ok || key == "" {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "the Authorization header holds no bearer key")
+	}
+	team, ok := s.Directory().TeamByKey(key)
+	if !ok {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "the bearer key belongs to no team")
+	}
+	bound := min(s.MaxBodyBytes, team.MaxBodyBytes)
+	if size := len(ctx.PostBody()); size > bound {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeTooLarge,
+			"the body has %d bytes, larger than the %d that the team may send", size, bound)
+	}
+	return team, nil
+}
--- /dev/null
+++ b/daemon/front/services.go
@@ -0,0 +1,134 @@
+package front
+
+import (
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/poison"
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/opapi"
+	"github.com/samphirequay/samphirequay/daemon/plaincall"
+	"github.com/samphirequay/samphirequay/platform/client"
+)
+
+const (
+	// maxKeyBytes bounds an idempotency key.
+	maxKeyBytes = 255
+	// headerReplayed marks an answer that came from the store.
+	headerReplayed = "Samphirequay-Replayed"
+)
+
+// forwarded are the request headers that a plain service gets to see.
+var forwarded = []string{
+	fasthttp.HeaderContentType,
+	fasthttp.HeaderAccept,
+	fasthttp.HeaderAcceptLanguage,
+	opapi.HeaderIdempotencyKey,
+}
+
+// services serves /services/{service}/{path}.
+func (s *Server) services(ctx *fasthttp.RequestCtx, path string) {
+	arrived := s.Now()
+	call, err := s.classifyCall(ctx, path)
+	if err != nil {
+		s.reject(ctx, err)
+		return
+	}
+	call.Arrived = arrived
+	defer s.stats.begin(call.Team.Name)()
+	callerCtx, endWatch := s.Watcher.Watch(s.base, ctx.Conn())
+	defer endWatch()
+	answer, err := s.PlainCalls.Run(callerCtx, call)
+	if err != nil {
+		s.stats.fail(call.Team.Name, err.Code)
+		writeError(ctx, err, call.ID)
+		return
+	}
+	s.stats.answered.Add(string(call.Team.Name), 1)
+	writeAnswer(ctx, call, answer)
+}
+
+func writeAnswer(ctx *fasthttp.RequestCtx, call *plaincall.Call, a *plaincall.Answer) {
+	ctx.SetStatusCode(a.Status)
+	ctx.Response.Header.Set(opapi.HeaderRequest, string(call.ID))
+	for _, h := range a.Headers {
+		ctx.Response.Header.Set(h.Name, h.Value)
+	}
+	if a.Replayed {
+		ctx.Response.Header.Set(headerReplayed, "true")
+	}
+	ctx.SetBody(a.Body)
+}
+
+func (s *Server) classifyCall(ctx *fasthttp.RequestCtx, path string) (*plaincall.Call, *verdict.Error) {
+	team, err := s.authenticate(ctx)
+	if err != nil {
+		return nil, err
+	}
+	name, rest, _ := strings.Cut(strings.TrimPrefix(path, opapi.PathServices), "/")
+	svc, err := s.Directory().ServiceFor(team, id.Service(name))
+	if err != nil {
+		return nil, err
+	}
+	if svc.Type != live.ServicePlain {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeBadRequest,
+			"%s is a model service: use %s", name, opapi.PathCompletions)
+	}
+	key, err := callKey(ctx, svc)
+	if err != nil {
+		return nil, err
+	}
+	body := append([]byte(nil), ctx.PostBody()...)
+	return &plaincall.Call{
+		ID:      s.NewID(),
+		Team:    team,
+		Service: svc,
+		Key:     key,
+		Request: client.PlainRequest{
+			Method:  string(ctx.Method()),
+			Path:    "/" + rest + queryOf(ctx),
+			Headers: forwardedHeaders(ctx),
+			Body:    body,
+		},
+		Fingerprint: poison.Print(team.Name, svc.Name, append([]byte(path), body...)).String(),
+	}, nil
+}
+
+// callKey reads the idempotency key and refuses a call that needs one.
+func callKey(ctx *fasthttp.RequestCtx, svc *live.Service) (string, *verdict.Error) {
+	key := string(ctx.Request.Header.Peek(opapi.HeaderIdempotencyKey))
+	if len(key) > maxKeyBytes {
+		return "", verdict.New(verdict.NotRun, verdict.CodeBadRequest,
+			"the header %s has %d bytes, not at most %d", opapi.HeaderIdempotencyKey, len(key), maxKeyBytes)
+	}
+	if ctx.IsGet() || ctx.IsHead() {
+		return "", nil
+	}
+	if key == "" && svc.NonIdempotent {
+		return "", verdict.New(verdict.NotRun, verdict.CodeBadRequest,
+			"calls to %s run at most once and need the header %s", svc.Name, opapi.HeaderIdempotencyKey)
+	}
+	return key, nil
+}
+
+func queryOf(ctx *fasthttp.RequestCtx) string {
+	query := ctx.QueryArgs().String()
+	if query == "" {
+		return ""
+	}
+	return "?" + query
+}
+
+func forwardedHeaders(ctx *fasthttp.RequestCtx) []client.Header {
+	var out []client.Header
+	for _, name := range forwarded {
+		value := string(ctx.Request.Header.Peek(name))
+		if value != "" {
+			out = append(out, client.Header{Name: name, Value: value})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/daemon/front/stats.go
@@ -0,0 +1,49 @@
+package front
+
+import (
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/metrics"
+)
+
+// stats are the metrics of the listening end.
+type stats struct {
+	inFlight *metrics.Gauge
+	// teamInFlight and teamRefused are by team.
+	teamInFlight *metrics.CounterMap
+	teamRefused  *metrics.CounterMap
+	answered     *metrics.CounterMap
+	refused      *metrics.CounterMap
+	gone         *metrics.Counter
+	firstToken   *metrics.Latency
+	pace         *metrics.Latency
+}
+
+func newStats(r *metrics.Registry) stats {
+	return stats{
+		inFlight:     r.Gauge("requests_in_flight", metrics.UnitCount, "requests being served"),
+		teamInFlight: r.CounterMap("team_requests_in_flight", metrics.UnitCount, "requests being served, by team"),
+		teamRefused:  r.CounterMap("team_requests_failed", metrics.UnitCount, "requests ended by an error, by team"),
+		answered:     r.CounterMap("requests_answered", metrics.UnitCount, "whole answers delivered, by team"),
+		refused:      r.CounterMap("requests_failed", metrics.UnitCount, "requests ended by an error, by code"),
+		gone:         r.Counter("callers_gone", metrics.UnitCount, "callers that closed before their answer was whole"),
+		firstToken:   r.Latency("first_token", "time from a request's arrival to its first token"),
+		pace:         r.Latency("token_pace", "mean time between the tokens of an answer"),
+	}
+}
+
+// begin counts a request of a team; the returned function ends it.
+func (s *stats) begin(team id.Team) func() {
+	s.inFlight.Add(1)
+	s.teamInFlight.Add(string(team), 1)
+	return func() {
+		s.inFlight.Add(-1)
+		s.teamInFlight.Add(string(team), -1)
+	}
+}
+
+// fail counts a request of a team that ended by an error.
+func (s *stats) fail(team id.Team, code verdict.Code) {
+	s.refused.Add(string(code), 1)
+	s.teamRefused.Add(string(team), 1)
+}
--- /dev/null
+++ b/daemon/logline/decision.go
@@ -0,0 +1,48 @@
+package logline
+
+import (
+	"fmt"
+
+	"github.com/go-logfmt/logfmt"
+)
+
+// Decisions writes each decision as a log line and records it in a journal.
+type Decisions struct {
+	logger  *Logger
+	journal *Journal
+}
+
+// NewDecisions joins a logger and a journal.
+func NewDecisions(logger *Logger, journal *Journal) *Decisions {
+	return &Decisions{logger: logger, journal: journal}
+}
+
+// Decide logs and records one decision. The line carries the subject and the
+// id that explain takes.
+func (d *Decisions) Decide(subject Subject, id, event string, kv ...any) {
+	pairs := make([]any, 0, len(kv)+4)
+	pairs = append(pairs, "kind", string(subject), "id", id)
+	pairs = append(pairs, kv...)
+	d.logger.Event(event, pairs...)
+	d.journal.Add(Decision{
+		At:      d.logger.now(),
+		Subject: subject,
+		ID:      id,
+		Event:   event,
+		Text:    text(kv),
+	})
+}
+
+// Find returns the recorded decisions about one id, oldest first.
+func (d *Decisions) Find(subject Subject, id string) []Decision {
+	return d.journal.Find(subject, id)
+}
+
+// text encodes the pairs as a log line has them.
+func text(kv []any) string {
+	encoded, err := logfmt.MarshalKeyvals(kv...)
+	if err != nil {
+		return fmt.Sprint(kv...)
+	}
+	return string(encoded)
+}
