--- /dev/null
+++ b/daemon/members/members.go
@@ -0,0 +1,259 @@
+// Package members is the duty that keeps the membership: it drives
+// core/member, sends its messages as datagrams, reads the platform's host list
+// and tells the other duties who lives.
+package members
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/member"
+	"github.com/samphirequay/samphirequay/daemon/duty"
+	"github.com/samphirequay/samphirequay/daemon/endpoints"
+	"github.com/samphirequay/samphirequay/daemon/metrics"
+	"github.com/samphirequay/samphirequay/platform/client"
+)
+
+const (
+	// hostListEvery is the mean pause between reads of the host list.
+	hostListEvery = 2 * time.Second
+	// stateLeaving is the host list's word for a host that leaves.
+	stateLeaving = "leaving"
+)
+
+// Sender sends a membership message without guarantee.
+type Sender interface {
+	SendMember(to id.Daemon, address string, m *member.Message)
+}
+
+// Listener is told of changes, within the duty; it must not block.
+type Listener interface {
+	// Live is called with the daemons that take part, sorted, this one among
+	// them, whenever they change.
+	Live(daemons []id.Daemon)
+	// Gone is called when a process is taken as ended.
+	Gone(p id.Process)
+	// PeerRevision is called with the configuration revision that a peer tells.
+	PeerRevision(d id.Daemon, revision uint64)
+	// StopActing is called when this daemon may have been declared dead. When
+	// it returns, nothing acts any longer on what the daemon held before.
+	StopActing(superseded bool)
+}
+
+// Config is what the duty works with.
+type Config struct {
+	Core     member.Config
+	Self     member.Entry
+	Seeds    []member.Host
+	Hosts    *client.Hosts
+	Sender   Sender
+	Listener Listener
+	Metrics  *metrics.Registry
+	// Local gives what the daemon tells of itself.
+	Local func() member.Local
+	// Log takes one line an event.
+	Log  func(event string, kv ...any)
+	Now  func() time.Duration
+	Rand *rand.Rand
+	// Ready holds the duty back until it is closed.
+	Ready <-chan struct{}
+}
+
+// Members is the running duty.
+type Members struct {
+	cfg  Config
+	duty *duty.Duty
+	core *member.Membership
+	live []id.Daemon
+	// revisions are those that were last told on.
+	revisions map[id.Daemon]uint64
+	// snapshot is the view for readers outside the duty.
+	snapshot atomic.Pointer[view]
+	changes  *metrics.CounterMap
+	stalls   *metrics.Counter
+}
+
+// view is an immutable copy of the membership.
+type view struct {
+	entries []member.Entry
+	states  map[id.Daemon]member.Entry
+}
+
+// Start starts the duty.
+func Start(cfg Config) *Members {
+	m := &Members{
+		cfg:       cfg,
+		core:      member.New(cfg.Core, cfg.Self, cfg.Now(), cfg.Rand),
+		revisions: make(map[id.Daemon]uint64),
+		changes:   cfg.Metrics.CounterMap("member_changes", metrics.UnitCount, "changes of daemons' states, by new state"),
+		stalls:    cfg.Metrics.Counter("member_stalls", metrics.UnitCount, "times that this daemon was not run for a while"),
+	}
+	m.publish()
+	m.duty = duty.Start(duty.Config{Name: "members", Now: cfg.Now, Tick: m.tick, Metrics: cfg.Metrics, Ready: cfg.Ready})
+	m.duty.Post(func(now time.Duration) { m.perform(m.core.Hosts(now, cfg.Seeds)) })
+	if cfg.Hosts != nil {
+		go m.readHosts()
+	}
+	return m
+}
+
+// Close ends the duty.
+func (m *Members) Close() { m.duty.Close() }
+
+// Receive takes a message from another daemon.
+func (m *Members) Receive(msg member.Message) {
+	m.duty.Post(func(now time.Duration) {
+		m.perform(m.core.Receive(now, msg))
+		m.tellRevision(msg.From)
+	})
+}
+
+// Leave tells the others that this daemon stops soon.
+func (m *Members) Leave() {
+	m.duty.Post(func(now time.Duration) { m.perform(m.core.Leave(now)) })
+}
+
+// Entries returns the view, this daemon first.
+func (m *Members) Entries() []member.Entry { return m.snapshot.Load().entries }
+
+// Alive says whether a process may still act: it is not known to have ended.
+func (m *Members) Alive(p id.Process) bool {
+	e, ok := m.snapshot.Load().states[p.Daemon]
+	if !ok {
+		return false
+	}
+	return e.Process.Incarnation == p.Incarnation && e.State != member.Dead
+}
+
+// Known says whether the membership has heard of a daemon.
+func (m *Members) Known(d id.Daemon) bool {
+	_, ok := m.snapshot.Load().states[d]
+	return ok
+}
+
+func (m *Members) tick(now time.Duration) time.Duration {
+	m.core.SetLocal(m.cfg.Local())
+	m.perform(m.core.Tick(now))
+	m.publish()
+	return m.core.Next()
+}
+
+func (m *Members) perform(actions []member.Action) {
+	for _, a := range actions {
+		m.performOne(a)
+	}
+	m.tellLive()
+}
+
+func (m *Members) performOne(a member.Action) {
+	switch {
+	case a.Send != nil:
+		m.cfg.Sender.SendMember(a.Send.To, a.Send.Address, &a.Send.Message)
+	case a.Changed != nil:
+		m.changed(a.Changed)
+	case a.Stalled != nil:
+		m.stalls.Inc()
+		m.cfg.Log("member_stalled", "late", a.Stalled.Late)
+	case a.Isolated != nil:
+		m.cfg.Log("member_isolated", "isolated", a.Isolated.Now, "silent", a.Isolated.Silent, "known", a.Isolated.Known)
+	case a.DeclaredDead != nil:
+		m.declaredDead(a.DeclaredDead)
+	}
+}
+
+func (m *Members) changed(c *member.Changed) {
+	m.changes.Add(c.To.String(), 1)
+	m.cfg.Log("member_changed", "daemon", c.Process.Daemon, "incarnation", c.Process.Incarnation,
+		"domain", c.Domain, "from", c.From, "to", c.To, "why", c.Reason)
+	m.publish()
+	if c.To == member.Dead {
+		m.cfg.Listener.Gone(c.Process)
+	}
+}
+
+func (m *Members) declaredDead(d *member.DeclaredDead) {
+	m.cfg.Log("member_declared_dead", "by", d.By, "superseded", d.Superseded)
+	m.cfg.Listener.StopActing(d.Superseded)
+	if !d.Superseded {
+		m.duty.PostLater(func(now time.Duration) { m.perform(m.core.Resume(now)) })
+	}
+}
+
+func (m *Members) publish() {
+	entries := m.core.View()
+	v := &view{entries: entries, states: make(map[id.Daemon]member.Entry, len(entries))}
+	for _, e := range entries {
+		v.states[e.Process.Daemon] = e
+	}
+	m.snapshot.Store(v)
+}
+
+// tellLive tells the listener when the daemons that take part have changed.
+func (m *Members) tellLive() {
+	live := m.core.Live()
+	if equal(live, m.live) {
+		return
+	}
+	m.live = live
+	m.publish()
+	m.cfg.Listener.Live(live)
+}
+
+func equal(a, b []id.Daemon) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *Members) tellRevision(e member.Entry) {
+	d := e.Process.Daemon
+	if m.revisions[d] == e.Revision {
+		return
+	}
+	m.revisions[d] = e.Revision
+	m.cfg.Listener.PeerRevision(d, e.Revision)
+}
+
+// readHosts reads the platform's host list again and again, with jitter so
+// that the fleet does not ask at once.
+func (m *Members) readHosts() {
+	ctx := m.duty.Context()
+	rng := rand.New(rand.NewPCG(uint64(m.cfg.Self.Process.Incarnation), 1))
+	for {
+		m.readHostsOnce(ctx)
+		pause := hostListEvery/2 + time.Duration(rng.Int64N(int64(hostListEvery)))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (m *Members) readHostsOnce(ctx context.Context) {
+	call, cancel := endpoints.Short(ctx)
+	defer cancel()
+	list, err := m.cfg.Hosts.List(call)
+	if err != nil {
+		return
+	}
+	hosts := make([]member.Host, 0, len(list.Hosts))
+	for _, h := range list.Hosts {
+		hosts = append(hosts, member.Host{
+			Name:    id.Daemon(h.Name),
+			Domain:  id.Domain(h.Domain),
+			Address: h.Address,
+			Leaving: h.State == stateLeaving,
+		})
+	}
+	m.duty.Post(func(now time.Duration) { m.perform(m.core.Hosts(now, hosts)) })
+}
--- /dev/null
+++ b/daemon/metrics/types.go
@@ -0,0 +1,177 @@
+package metrics
+
+import (
+	"encoding/json"
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Counter is a count that only grows.
+type Counter struct{ value expvar.Int }
+
+// Add adds n, which must not be negative.
+func (c *Counter) Add(n int64) { c.value.Add(n) }
+
+// Inc adds one.
+func (c *Counter) Inc() { c.value.Add(1) }
+
+// Value returns the count.
+func (c *Counter) Value() int64 { return c.value.Value() }
+
+// String implements expvar.Var.
+func (c *Counter) String() string { return c.value.String() }
+
+// Counter declares a counter.
+func (r *Registry) Counter(name string, unit Unit, help string) *Counter {
+	return declare(r, Description{name, TypeCounter, unit, help}, func() *Counter { return new(Counter) })
+}
+
+// CounterMap is a set of counters told apart by a key, which must come from a
+// bounded set.
+type CounterMap struct{ values expvar.Map }
+
+// Add adds n to the counter of key.
+func (c *CounterMap) Add(key string, n int64) { c.values.Add(key, n) }
+
+// Value returns the counter of key.
+func (c *CounterMap) Value(key string) int64 {
+	v, ok := c.values.Get(key).(*expvar.Int)
+	if !ok {
+		return 0
+	}
+	return v.Value()
+}
+
+// Total returns the sum over all keys.
+func (c *CounterMap) Total() int64 {
+	var total int64
+	c.values.Do(func(kv expvar.KeyValue) {
+		if v, ok := kv.Value.(*expvar.Int); ok {
+			total += v.Value()
+		}
+	})
+	return total
+}
+
+// String implements expvar.Var.
+func (c *CounterMap) String() string { return c.values.String() }
+
+// CounterMap declares a set of counters.
+func (r *Registry) CounterMap(name string, unit Unit, help string) *CounterMap {
+	return declare(r, Description{name, TypeCounterMap, unit, help}, func() *CounterMap { return new(CounterMap) })
+}
+
+// Gauge is a value that goes up and down.
+type Gauge struct{ value expvar.Float }
+
+// Set sets the value.
+func (g *Gauge) Set(v float64) { g.value.Set(v) }
+
+// Add adds v, which may be negative.
+func (g *Gauge) Add(v float64) { g.value.Add(v) }
+
+// Value returns the value.
+func (g *Gauge) Value() float64 { return g.value.Value() }
+
+// String implements expvar.Var.
+func (g *Gauge) String() string { return g.value.String() }
+
+// Gauge declares a gauge.
+func (r *Registry) Gauge(name string, unit Unit, help string) *Gauge {
+	return declare(r, Description{name, TypeGauge, unit, help}, func() *Gauge { return new(Gauge) })
+}
+
+// gaugeFunc reads its value when it is looked at. It is held by pointer, so
+// that a later declaration of the same name finds the first one.
+type gaugeFunc struct{ read func() float64 }
+
+func (g *gaugeFunc) String() string {
+	text, err := json.Marshal(g.read())
+	if err != nil {
+		return "0"
+	}
+	return string(text)
+}
+
+// GaugeFunc declares a gauge whose value is read when it is looked at. The
+// first declaration of a name stays.
+func (r *Registry) GaugeFunc(name string, unit Unit, help string, read func() float64) {
+	declare(r, Description{name, TypeGauge, unit, help}, func() expvar.Var { return &gaugeFunc{read: read} })
+}
+
+// Bounds of latencies: a longer one counts as the highest.
+const (
+	lowestLatency       = time.Microsecond
+	highestLatency      = 10 * time.Minute
+	significantFigures  = 2
+	percentileMedian    = 50
+	percentileHigh      = 95
+	percentileVeryHigh  = 99
+	microsPerMilli      = 1000.0
+	highestMicroseconds = int64(highestLatency / time.Microsecond)
+)
+
+// Latency is a histogram of durations.
+type Latency struct {
+	mu        sync.Mutex
+	histogram *hdrhistogram.Histogram
+}
+
+// Summary is a histogram in short; times in milliseconds.
+type Summary struct {
+	Count int64   `json:"count"`
+	Mean  float64 `json:"mean"`
+	P50   float64 `json:"p50"`
+	P95   float64 `json:"p95"`
+	P99   float64 `json:"p99"`
+	Max   float64 `json:"max"`
+}
+
+// Record adds one duration; it is cut to between 1 µs and 10 minutes.
+func (l *Latency) Record(d time.Duration) {
+	micros := min(max(int64(d/time.Microsecond), 1), highestMicroseconds)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	// The value was cut to the histogram's range, so that no error is left.
+	_ = l.histogram.RecordValue(micros)
+}
+
+// Summary returns the figures of all recorded durations.
+func (l *Latency) Summary() Summary {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.histogram
+	millis := func(percentile float64) float64 {
+		return float64(h.ValueAtPercentile(percentile)) / microsPerMilli
+	}
+	return Summary{
+		Count: h.TotalCount(),
+		Mean:  h.Mean() / microsPerMilli,
+		P50:   millis(percentileMedian),
+		P95:   millis(percentileHigh),
+		P99:   millis(percentileVeryHigh),
+		Max:   float64(h.Max()) / microsPerMilli,
+	}
+}
+
+// String implements expvar.Var.
+func (l *Latency) String() string {
+	text, err := json.Marshal(l.Summary())
+	if err != nil {
+		return "{}"
+	}
+	return string(text)
+}
+
+// Latency declares a histogram of durations, shown in milliseconds.
+func (r *Registry) Latency(name, help string) *Latency {
+	return declare(r, Description{name, TypeLatency, UnitMilliseconds, help}, newLatency)
+}
+
+func newLatency() *Latency {
+	lowest := int64(lowestLatency / time.Microsecond)
+	return &Latency{histogram: hdrhistogram.New(lowest, highestMicroseconds, significantFigures)}
+}
--- a/daemon/opapi/opapi.go
+++ b/daemon/opapi/opapi.go
@@ -4,11 +4,10 @@
 package opapi
 
 import (
-	"encoding/json"
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
-	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/revision"
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
@@ -67,6 +66,10 @@
 	MaxTokens int    `json:"max_tokens"`
 	Stream    bool   `json:"stream"`
 	User      string `json:"user,omitempty"`
+	// Delivered is the answer's text that the caller already holds. It may be
+	// sent with Last-Event-ID, so that the answer can go on when the engine
+	// that wrote it is gone; the resume token proves it.
+	Delivered string `json:"delivered,omitempty"`
 }
 
 // Choice is one choice of a completion.
@@ -123,16 +126,7 @@
 }
 
 // Op is one step of a change: put or delete an item, or set labels on one.
-type Op struct {
-	// Action is "put", "delete" or "label".
-	Action string    `json:"action" cbor:"1,keyasint"`
-	Kind   live.Kind `json:"kind" cbor:"2,keyasint"`
-	Name   string    `json:"name" cbor:"3,keyasint"`
-	// Item is the whole item for "put", in the JSON of package live.
-	Item json.RawMessage `json:"item,omitempty" cbor:"4,keyasint"`
-	// Labels to set for "label"; an empty value removes the label.
-	Labels live.Labels `json:"labels,omitempty" cbor:"5,keyasint"`
-}
+type Op = revision.Op
 
 // ChangeRequest asks for one change, wholly or not at all.
 type ChangeRequest struct {
@@ -190,6 +184,10 @@
 	Slots    int       `json:"slots"`
 	Answered uint64    `json:"answered"`
 	Refused  uint64    `json:"refused"`
+	// PrefillLoad and DecodeLoad are the utilisation of the roles, 0 (idle) to
+	// 1 (full) and above when work waits.
+	PrefillLoad float64 `json:"prefill_load"`
+	DecodeLoad  float64 `json:"decode_load"`
 }
 
 // TeamStatus sums up a team on the answering daemon.
--- /dev/null
+++ b/daemon/operator/operator.go
@@ -0,0 +1,240 @@
+// Package operator serves the operators' HTTP interface: changes to the live
+// configuration, history, status and explanations.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/revision"
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/keys"
+	"github.com/samphirequay/samphirequay/daemon/opapi"
+)
+
+const (
+	bearer         = "Bearer "
+	contentJSON    = "application/json"
+	maxChangeBytes = 4 << 20
+	maxHistory     = 500
+	changeTimeout  = 8 * time.Second
+	readTimeout    = 10 * time.Second
+	maxConns       = 256
+)
+
+// Backing answers the operators' requests.
+type Backing interface {
+	Propose(ctx context.Context, c revision.Change) revision.Outcome
+	DocumentAt(rev uint64) (*live.Document, bool)
+	Document() *live.Document
+	History(after uint64, limit int) []revision.Record
+	Status() opapi.Status
+	Explain(kind, id string) opapi.Explanation
+	Quarantine() opapi.QuarantineList
+	// BeginStop begins a planned stop of this daemon.
+	BeginStop()
+}
+
+// Server serves operators.
+type Server struct {
+	backing Backing
+	hashes  []string
+	log     func(event string, kv ...any)
+	http    *fasthttp.Server
+}
+
+// New returns a Server that is not yet listening. hashes are those of the
+// operators' keys.
+func New(b Backing, hashes []string, log func(event string, kv ...any)) *Server {
+	s := &Server{backing: b, hashes: hashes, log: log}
+	s.http = &fasthttp.Server{
+		Handler:               s.handle,
+		MaxRequestBodySize:    maxChangeBytes,
+		Concurrency:           maxConns,
+		ReadTimeout:           readTimeout,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+	}
+	return s
+}
+
+// Serve takes connections until the server is shut down.
+func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(ln) }
+
+// Shutdown stops taking connections.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if !s.authorized(ctx) {
+		fail(ctx, fasthttp.StatusUnauthorized, verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "no valid operator key"))
+		return
+	}
+	route := string(ctx.Method()) + " " + string(ctx.Path())
+	switch route {
+	case "POST " + opapi.PathChanges:
+		s.change(ctx)
+	case "GET " + opapi.PathConfig:
+		s.config(ctx)
+	case "GET " + opapi.PathHistory:
+		s.history(ctx)
+	case "GET " + opapi.PathStatus:
+		answer(ctx, s.backing.Status())
+	case "GET " + opapi.PathExplain:
+		s.explain(ctx)
+	case "GET " + opapi.PathQuarantine:
+		answer(ctx, s.backing.Quarantine())
+	case "POST " + opapi.PathStop:
+		s.log("stop_ordered")
+		s.backing.BeginStop()
+		answer(ctx, struct{}{})
+	default:
+		fail(ctx, fasthttp.StatusNotFound, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "no such operation: %s", route))
+	}
+}
+
+func (s *Server) authorized(ctx *fasthttp.RequestCtx) bool {
+	key, ok := strings.CutPrefix(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)), bearer)
+	return ok && keys.Matches(key, s.hashes)
+}
+
+func (s *Server) change(ctx *fasthttp.RequestCtx) {
+	var req opapi.ChangeRequest
+	if err := json.Unmarshal(ctx.PostBody(), &req); err != nil {
+		fail(ctx, fasthttp.StatusBadRequest, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the body is no change: %v", err))
+		return
+	}
+	call, cancel := context.WithTimeout(context.Background(), changeTimeout)
+	defer cancel()
+	outcome := s.backing.Propose(call, revision.Change{
+		ID:     req.ID,
+		Author: req.Author,
+		Expect: req.Expect,
+		At:     time.Now(),
+		Ops:    req.Ops,
+	})
+	if outcome.Result == revision.Accepted {
+		answer(ctx, opapi.ChangeAnswer{ID: req.ID, Revision: outcome.Revision})
+		return
+	}
+	status, err := refusal(req, outcome)
+	fail(ctx, status, err)
+}
+
+// refusal turns an outcome that is no acceptance into a status and an error.
+func refusal(req opapi.ChangeRequest, o revision.Outcome) (int, *verdict.Error) {
+	switch o.Result {
+	case revision.Conflict:
+		return fasthttp.StatusConflict, verdict.New(verdict.NotRun, verdict.CodeConflict, "%s", conflictText(req, o))
+	case revision.Rejected:
+		return fasthttp.StatusUnprocessableEntity, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "%s", faultText(o.Faults))
+	case revision.Unavailable:
+		err := verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the table service can't be reached; nothing was changed")
+		return fasthttp.StatusServiceUnavailable, err.WithRetryAfter(time.Second)
+	default:
+		err := verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable,
+			"it is not known whether change %s was accepted; send it again under the same id", req.ID)
+		return fasthttp.StatusServiceUnavailable, err.WithRetryAfter(time.Second)
+	}
+}
+
+func conflictText(req opapi.ChangeRequest, o revision.Outcome) string {
+	text := "change " + req.ID + " was made against revision " + strconv.FormatUint(req.Expect, 10) +
+		", the configuration is at " + strconv.FormatUint(o.Revision, 10)
+	for _, r := range o.Rivals {
+		text += "; revision " + strconv.FormatUint(r.Revision, 10) + " by " + r.Author + " (change " + r.ID + ")"
+		if len(r.Overlap) > 0 {
+			text += " touches " + strings.Join(r.Overlap, ", ")
+		}
+	}
+	return text
+}
+
+func faultText(faults []live.Fault) string {
+	parts := make([]string, 0, len(faults))
+	for _, f := range faults {
+		parts = append(parts, f.Error())
+	}
+	return strings.Join(parts, "; ")
+}
+
+func (s *Server) config(ctx *fasthttp.RequestCtx) {
+	wanted := ctx.QueryArgs().Peek("revision")
+	if len(wanted) == 0 {
+		answer(ctx, s.backing.Document())
+		return
+	}
+	rev, err := strconv.ParseUint(string(wanted), 10, 64)
+	if err != nil {
+		fail(ctx, fasthttp.StatusBadRequest, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "revision is no number: %q", wanted))
+		return
+	}
+	doc, ok := s.backing.DocumentAt(rev)
+	if !ok {
+		fail(ctx, fasthttp.StatusNotFound, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "revision %d is not kept here", rev))
+		return
+	}
+	answer(ctx, doc)
+}
+
+func (s *Server) history(ctx *fasthttp.RequestCtx) {
+	after, _ := strconv.ParseUint(string(ctx.QueryArgs().Peek("after")), 10, 64)
+	limit, err := strconv.Atoi(string(ctx.QueryArgs().Peek("limit")))
+	if err != nil || limit < 1 || limit > maxHistory {
+		limit = maxHistory
+	}
+	history := opapi.History{Entries: []opapi.HistoryEntry{}}
+	for _, r := range s.backing.History(after, limit) {
+		history.Entries = append(history.Entries, opapi.HistoryEntry{
+			ID:       r.Change.ID,
+			Revision: r.Revision,
+			Author:   r.Change.Author,
+			At:       r.Change.At,
+			Ops:      r.Change.Ops,
+		})
+	}
+	answer(ctx, history)
+}
+
+func (s *Server) explain(ctx *fasthttp.RequestCtx) {
+	kind := string(ctx.QueryArgs().Peek("kind"))
+	name := string(ctx.QueryArgs().Peek("id"))
+	if kind == "" || name == "" {
+		fail(ctx, fasthttp.StatusBadRequest, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "explain needs kind and id"))
+		return
+	}
+	answer(ctx, s.backing.Explain(kind, name))
+}
+
+func answer(ctx *fasthttp.RequestCtx, body any) { writeJSON(ctx, fasthttp.StatusOK, body) }
+
+func fail(ctx *fasthttp.RequestCtx, status int, err *verdict.Error) {
+	ctx.Response.Header.Set(opapi.HeaderVerdict, err.Verdict.String())
+	if err.RetryAfter > 0 {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(int(err.RetryAfter.Seconds())))
+	}
+	writeJSON(ctx, status, opapi.ErrorBody{Error: opapi.ErrorDetail{
+		Message:      err.Message,
+		Type:         string(err.Code),
+		Code:         err.Code,
+		Verdict:      err.Verdict.String(),
+		RetryAfterMS: err.RetryAfter.Milliseconds(),
+	}})
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		ctx.Error("the answer could not be encoded", fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType(contentJSON)
+	ctx.SetBody(append(data, '\n'))
+}
--- /dev/null
+++ b/daemon/peer/datagram.go
@@ -0,0 +1,112 @@
+package peer
+
+import (
+	"errors"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirequay/samphirequay/core/id"
+)
+
+// datagramRingSize is how many datagrams may wait for one peer; the oldest go
+// first.
+const datagramRingSize = 64
+
+// datagramHead is the kind, one byte before the body.
+const datagramHead = 1
+
+// MaxDatagram bounds the body of a datagram, in bytes, so that it fits the
+// smallest QUIC packet.
+const MaxDatagram = 1100
+
+// Datagram sends a message that may be lost or reordered and is never repeated.
+// It does not wait: without a connection it asks for one and gives
+// ErrNotConnected.
+func (t *Transport) Datagram(to id.Daemon, kind Kind, msg any) error {
+	r, err := t.find(to)
+	if err != nil {
+		return err
+	}
+	body, err := t.encode(to, msg)
+	if err != nil {
+		return err
+	}
+	if len(body) > MaxDatagram {
+		return eris.Wrapf(ErrTooLarge, "peer %s: datagram %T of %d bytes, bound %d", to, msg, len(body), MaxDatagram)
+	}
+	if t.faults.loses(to) {
+		t.traffic.countLost(kind)
+		return nil
+	}
+	if r.live() == nil {
+		signal(r.wanted)
+		return eris.Wrapf(ErrNotConnected, "peer %s", to)
+	}
+	r.startDatagrams()
+	r.datagrams.Put(t.ctx, &outgoing{kind: kind, body: body, due: time.Now().Add(t.faults.latency(to))})
+	return nil
+}
+
+// startDatagrams starts the peer's sender of datagrams on first use.
+func (r *remote) startDatagrams() {
+	r.mu.Lock()
+	started := r.datagramsOn
+	r.datagramsOn = true
+	r.mu.Unlock()
+	if !started {
+		r.t.spawn(r.sendDatagrams)
+	}
+}
+
+func (r *remote) sendDatagrams() {
+	for {
+		item, ok := r.datagrams.Take(r.ctx)
+		if !ok || !pause(r.ctx, time.Until(item.due)) {
+			return
+		}
+		r.sendDatagram(item)
+	}
+}
+
+func (r *remote) sendDatagram(item *outgoing) {
+	t := r.t
+	c := r.live()
+	if c == nil {
+		t.traffic.countLost(item.kind)
+		return
+	}
+	packet := append([]byte{byte(item.kind)}, item.body...)
+	if err := c.quic.SendDatagram(packet); err != nil {
+		t.traffic.countLost(item.kind)
+		r.reportDatagram(err)
+		return
+	}
+	t.traffic.countSent(item.kind, len(packet))
+}
+
+// reportDatagram tells of datagrams that do not fit the path; other errors mean
+// that the connection is gone, which is reported elsewhere.
+func (r *remote) reportDatagram(err error) {
+	var tooLarge *quic.DatagramTooLargeError
+	if errors.As(err, &tooLarge) {
+		r.t.cfg.Report("peer_datagram_too_large", "peer", r.name, "bound", tooLarge.MaxDatagramPayloadSize)
+	}
+}
+
+func (c *conn) readDatagrams() {
+	t := c.remote.t
+	for {
+		packet, err := c.quic.ReceiveDatagram(c.quic.Context())
+		if err != nil {
+			return
+		}
+		if len(packet) < datagramHead {
+			continue
+		}
+		kind := Kind(packet[0])
+		t.traffic.countReceived(kind, len(packet))
+		t.cfg.Handler.HandleDatagram(c.remote.name, kind, packet[datagramHead:])
+	}
+}
--- /dev/null
+++ b/daemon/peer/dial.go
@@ -0,0 +1,113 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+func (r *remote) answerLocked(o outcome) {
+	for _, w := range r.waiting {
+		w <- o
+	}
+	r.waiting = nil
+}
+
+// connection returns the live connection, or waits for the outcome of the next
+// dial.
+func (r *remote) connection(ctx context.Context) (*conn, error) {
+	r.mu.Lock()
+	if c := r.liveLocked(); c != nil {
+		r.mu.Unlock()
+		return c, nil
+	}
+	answer := make(chan outcome, 1)
+	r.waiting = append(r.waiting, answer)
+	r.mu.Unlock()
+	signal(r.wanted)
+	select {
+	case o := <-answer:
+		return o.conn, o.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-r.ctx.Done():
+		return nil, ErrClosed
+	}
+}
+
+// connect returns the live connection, or dials once. After a dial that failed
+// it first waits, with backoff and jitter. It returns nil when there is no
+// connection.
+func (r *remote) connect() *conn {
+	if c := r.live(); c != nil {
+		return c
+	}
+	r.rest()
+	if c := r.live(); c != nil {
+		return c
+	}
+	if err := r.dial(); err != nil {
+		r.notBefore = time.Now().Add(r.backoff.NextBackOff())
+		r.mu.Lock()
+		r.answerLocked(outcome{err: err})
+		r.mu.Unlock()
+		return nil
+	}
+	r.backoff.Reset()
+	r.notBefore = time.Time{}
+	return r.live()
+}
+
+// rest waits for the time of the next dial, or until a connection or an
+// address has come.
+func (r *remote) rest() {
+	wait := time.Until(r.notBefore)
+	if wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.changed:
+	case <-r.ctx.Done():
+	}
+}
+
+// dial makes one connection and waits for the peer's hello.
+func (r *remote) dial() error {
+	r.mu.Lock()
+	address := r.address
+	r.mu.Unlock()
+	if address == "" {
+		return eris.Wrapf(ErrNotConnected, "peer %s has no address", r.name)
+	}
+	if r.t.faults.loses(r.name) {
+		return eris.Wrapf(ErrNotConnected, "peer %s at %s", r.name, address)
+	}
+	udp, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return eris.Wrapf(err, "peer %s", r.name)
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, r.t.cfg.DialTimeout)
+	defer cancel()
+	q, err := r.t.quic.Dial(ctx, udp, r.t.cfg.Keys.PeerClient(ALPN, r.name), r.t.quicConfig())
+	if err != nil {
+		return eris.Wrapf(err, "peer %s at %s", r.name, address)
+	}
+	return r.awaitHello(ctx, r.start(q, "dialled"))
+}
+
+func (r *remote) awaitHello(ctx context.Context, c *conn) error {
+	select {
+	case <-c.ready:
+		return nil
+	case <-c.quic.Context().Done():
+		return eris.Wrapf(context.Cause(c.quic.Context()), "peer %s", r.name)
+	case <-ctx.Done():
+		c.close(codeRefused, "no hello")
+		return eris.Wrapf(ctx.Err(), "peer %s sent no hello", r.name)
+	}
+}
--- /dev/null
+++ b/daemon/peer/fault.go
@@ -0,0 +1,73 @@
+package peer
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+)
+
+// Drop says what a fault does to outgoing traffic.
+type Drop bool
+
+// The outcomes of a fault.
+const (
+	// Pass lets the traffic through.
+	Pass Drop = false
+	// Lose drops it without telling the sender.
+	Lose Drop = true
+)
+
+// faults holds the hooks of tests and experiments.
+type faults struct {
+	drop  atomic.Pointer[func(id.Daemon) Drop]
+	delay atomic.Pointer[func(id.Daemon) time.Duration]
+}
+
+// SetFault drops outgoing messages, calls, answers, datagrams and new dials to
+// the chosen peers: one-way loss. What they send still arrives. nil ends it.
+func (t *Transport) SetFault(drop func(to id.Daemon) Drop) {
+	if drop == nil {
+		t.faults.drop.Store(nil)
+		return
+	}
+	t.faults.drop.Store(&drop)
+}
+
+// SetDelay adds one-way latency to everything sent to a peer. nil ends it.
+func (t *Transport) SetDelay(delay func(to id.Daemon) time.Duration) {
+	if delay == nil {
+		t.faults.delay.Store(nil)
+		return
+	}
+	t.faults.delay.Store(&delay)
+}
+
+func (f *faults) loses(to id.Daemon) bool {
+	drop := f.drop.Load()
+	return drop != nil && (*drop)(to) == Lose
+}
+
+func (f *faults) latency(to id.Daemon) time.Duration {
+	delay := f.delay.Load()
+	if delay == nil {
+		return 0
+	}
+	return (*delay)(to)
+}
+
+// pause waits for d; it returns false when ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/daemon/peer/fault_test.go
@@ -0,0 +1,195 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/keys"
+	"github.com/samphirequay/samphirequay/daemon/metrics"
+)
+
+func TestOneWayLossDropsOnlyOneDirection(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	a, atA := f.listen("a", nil)
+	b, atB := f.listen("b", nil)
+	is.NoErr(a.SetPeer("b", b.Address()))
+	is.NoErr(b.SetPeer("a", a.Address()))
+	callUntilUp(t, a, "b")
+
+	a.SetFault(func(to id.Daemon) Drop { return to == "b" })
+	is.NoErr(a.Send("b", kindNote, "dropped"))
+	is.NoErr(a.Datagram("b", kindNote, "dropped"))
+	is.Equal(a.Traffic()[kindNote].Lost, uint64(2))
+	is.NoErr(b.Send("a", kindNote, "arrives"))
+	is.Equal(next(t, atA.notes).text, "arrives")
+
+	ctx, cancel := context.WithCancel(bounded(t))
+	failed := make(chan error, 1)
+	go func() { failed <- b.Call(ctx, "a", kindHang, "x", nil) }()
+	<-atA.hanging // the call arrives, its answer would not
+	cancel()
+	is.Equal(verdict.Of(<-failed), verdict.MayHaveRun)
+
+	a.SetFault(nil)
+	is.NoErr(a.Send("b", kindNote, "healed"))
+	is.Equal(next(t, atB.notes).text, "healed")
+}
+
+func TestRestartedPeerIsFoundAgain(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	a, atA := f.listen("a", nil)
+	material, err := f.ca.Peer("b")
+	is.NoErr(err)
+	sameKeys := func(c *Config) { c.Keys = keys.Fixed(material) }
+	b1, _ := f.listen("b", sameKeys)
+	address := b1.Address()
+	is.NoErr(a.SetPeer("b", address))
+	callUntilUp(t, a, "b")
+	is.Equal(a.Peers()[0].Process, id.Process{Daemon: "b", Incarnation: 1})
+
+	b1.Close()
+	b2, _ := f.listen("b", func(c *Config) {
+		sameKeys(c)
+		c.Listen = address
+		c.Self.Incarnation = 2
+	})
+	callUntilUp(t, a, "b")
+	is.Equal(a.Peers()[0].Process.Incarnation, id.Incarnation(2))
+	is.NoErr(b2.Send("a", kindNote, "from the new process"))
+	is.Equal(next(t, atA.notes), received{"b", "from the new process"})
+}
+
+func TestNewProcessEndsConnectionsOfTheOldOne(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	a, _ := f.listen("a", nil)
+	old, _ := f.listen("b", nil)
+	is.NoErr(old.SetPeer("a", a.Address()))
+	callUntilUp(t, old, "a")
+	// The old process is still there, as if paused, when its successor comes.
+	successor, atSuccessor := f.listen("b", func(c *Config) { c.Self.Incarnation = 2 })
+	is.NoErr(successor.SetPeer("a", a.Address()))
+	callUntilUp(t, successor, "a")
+	waitDisconnected(t, a, 1)
+	is.NoErr(a.Send("b", kindNote, "to the successor"))
+	is.Equal(next(t, atSuccessor.notes).text, "to the successor")
+}
+
+func TestForeignCertificatesAreRefused(t *testing.T) {
+	is := is.New(t)
+	f, foreign := newFleet(t), newFleet(t)
+	short := func(c *Config) { c.DialTimeout = 300 * time.Millisecond }
+	a, _ := f.listen("a", nil)
+	stranger, _ := foreign.listen("b", short)
+	is.NoErr(stranger.SetPeer("a", a.Address()))
+	is.Equal(verdict.Of(stranger.Call(bounded(t), "a", kindEcho, "x", nil)), verdict.NotRun)
+	is.Equal(len(a.Peers()), 0)
+
+	// A daemon that answers under another name is refused too.
+	c, _ := f.listen("c", short)
+	is.NoErr(c.SetPeer("b", a.Address()))
+	is.Equal(verdict.Of(c.Call(bounded(t), "b", kindEcho, "x", nil)), verdict.NotRun)
+}
+
+func TestFullRingIsAnError(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	a, _ := f.listen("a", func(c *Config) { c.RingSize = 4 })
+	is.NoErr(a.SetPeer("b", "")) // without an address nothing is taken off the ring for long
+	var err error
+	for range 64 {
+		if err = a.Send("b", kindNote, "x"); err != nil {
+			break
+		}
+	}
+	is.True(errors.Is(err, ErrRingFull))
+}
+
+func TestDatagramsAndDelay(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	a, _ := f.listen("a", nil)
+	b, atB := f.listen("b", nil)
+	is.NoErr(a.SetPeer("b", b.Address()))
+	callUntilUp(t, a, "b")
+	const delay = 30 * time.Millisecond
+	a.SetDelay(func(id.Daemon) time.Duration { return delay })
+	began := time.Now()
+	is.NoErr(a.Send("b", kindNote, "late"))
+	is.Equal(next(t, atB.notes).text, "late")
+	is.True(time.Since(began) >= delay) // a lower bound holds however slow the run
+	ctx := bounded(t)
+	for len(atB.datagrams) == 0 && ctx.Err() == nil {
+		is.NoErr(a.Datagram("b", kindNote, "datagram"))
+		pause(ctx, 5*time.Millisecond)
+	}
+	is.Equal(next(t, atB.datagrams), received{"a", "datagram"})
+}
+
+func TestPeersAreBounded(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	a, _ := f.listen("a", func(c *Config) { c.MaxPeers = 1 })
+	is.NoErr(a.SetPeer("b", "127.0.0.1:1"))
+	is.True(errors.Is(a.SetPeer("c", "127.0.0.1:2"), ErrTooManyPeers))
+	a.RemovePeer("b")
+	is.NoErr(a.SetPeer("c", "127.0.0.1:2"))
+	is.True(a.SetPeer("a", "127.0.0.1:3") != nil) // itself
+	a.Close()
+	is.True(errors.Is(a.Send("c", kindNote, "x"), ErrClosed))
+}
+
+func TestPanickingHandlerMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	a, _ := f.listen("a", nil)
+	registry := metrics.New("b")
+	b, _ := f.listen("b", func(c *Config) { c.Registry = registry })
+	is.NoErr(a.SetPeer("b", b.Address()))
+	is.Equal(verdict.Of(a.Call(bounded(t), "b", kindPanic, "x", nil)), verdict.MayHaveRun)
+	callUntilUp(t, a, "b") // the connection goes on
+	b.Close()              // waits for the worker, which counts its panic
+	is.Equal(registry.Violations(), uint64(1))
+}
+
+func TestPeerThatCameByItselfIsForgotten(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	a, _ := f.listen("a", nil)
+	guest, _ := f.listen("guest", nil)
+	is.NoErr(guest.SetPeer("a", a.Address()))
+	callUntilUp(t, guest, "a")
+	is.Equal(len(a.Peers()), 1)
+	guest.Close()
+	ctx := bounded(t)
+	for len(a.Peers()) > 0 && ctx.Err() == nil {
+		pause(ctx, time.Millisecond)
+	}
+	is.NoErr(ctx.Err())
+}
+
+func TestFullWorkersRefuseCalls(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	a, _ := f.listen("a", nil)
+	b, atB := f.listen("b", func(c *Config) { c.CallWorkers = 1 })
+	is.NoErr(a.SetPeer("b", b.Address()))
+	ctx, cancel := context.WithCancel(bounded(t))
+	failed := make(chan error, 1)
+	go func() { failed <- a.Call(ctx, "b", kindHang, "x", nil) }()
+	<-atB.hanging
+	var refused *verdict.Error
+	is.True(errors.As(a.Call(bounded(t), "b", kindEcho, "x", nil), &refused))
+	is.Equal(refused.Verdict, verdict.NotRun)
+	is.Equal(refused.Code, verdict.CodeOverloaded)
+	cancel()
+	<-failed
+}
--- /dev/null
+++ b/daemon/peer/fleet_test.go
@@ -0,0 +1,171 @@
+package peer
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/keys"
+)
+
+const (
+	kindNote Kind = iota + 1
+	kindEcho
+	kindFail
+	kindHang
+	kindPanic
+)
+
+// testBound ends a test that would wait for ever; no verdict depends on it.
+const testBound = 30 * time.Second
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreCurrent())
+}
+
+type received struct {
+	from id.Daemon
+	text string
+}
+
+// recorder is a Handler that keeps what it gets.
+type recorder struct {
+	notes     chan received
+	datagrams chan received
+	hanging   chan struct{}
+	gaveUp    chan struct{}
+}
+
+func newRecorder() *recorder {
+	return &recorder{
+		notes:     make(chan received, 4096),
+		datagrams: make(chan received, 64),
+		hanging:   make(chan struct{}, 64),
+		gaveUp:    make(chan struct{}, 64),
+	}
+}
+
+func (r *recorder) HandleOneWay(from id.Daemon, _ Kind, body []byte) {
+	r.notes <- received{from, decodeText(body)}
+}
+
+func (r *recorder) HandleDatagram(from id.Daemon, _ Kind, body []byte) {
+	r.datagrams <- received{from, decodeText(body)}
+}
+
+func (r *recorder) HandleCall(ctx context.Context, _ id.Daemon, kind Kind, body []byte) ([]byte, error) {
+	switch kind {
+	case kindFail:
+		return nil, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "no room").WithRetryAfter(time.Second)
+	case kindHang:
+		r.hanging <- struct{}{}
+		<-ctx.Done()
+		r.gaveUp <- struct{}{}
+		return nil, ctx.Err()
+	case kindPanic:
+		panic("broken handler")
+	default:
+		return body, nil
+	}
+}
+
+func decodeText(body []byte) string {
+	var text string
+	if err := Decode(body, &text); err != nil {
+		return err.Error()
+	}
+	return text
+}
+
+// fleet makes transports that trust one another.
+type fleet struct {
+	t  testing.TB
+	ca *keys.DevCA
+}
+
+func newFleet(t testing.TB) *fleet {
+	t.Helper()
+	ca, err := keys.NewDevCA(time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &fleet{t: t, ca: ca}
+}
+
+func (f *fleet) listen(name id.Daemon, change func(*Config)) (*Transport, *recorder) {
+	f.t.Helper()
+	material, err := f.ca.Peer(name)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	handler := newRecorder()
+	cfg := Config{
+		Self:    id.Process{Daemon: name, Incarnation: 1},
+		Listen:  "127.0.0.1:0",
+		Keys:    keys.Fixed(material),
+		Handler: handler,
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	transport, err := Listen(cfg)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(transport.Close)
+	return transport, handler
+}
+
+func bounded(t testing.TB) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testBound)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func next(t *testing.T, from chan received) received {
+	t.Helper()
+	select {
+	case r := <-from:
+		return r
+	case <-time.After(testBound):
+		t.Fatal("nothing received")
+		return received{}
+	}
+}
+
+// callUntilUp calls until the peer is reached; a peer may need a few dials.
+func callUntilUp(t testing.TB, from *Transport, to id.Daemon) {
+	t.Helper()
+	ctx := bounded(t)
+	for {
+		var echo string
+		err := from.Call(ctx, to, kindEcho, "up", &echo)
+		if err == nil {
+			return
+		}
+		if ctx.Err() != nil {
+			t.Fatalf("%s never reached %s: %v", from.Self(), to, err)
+		}
+	}
+}
+
+// waitDisconnected waits until as many of the transport's connections have ended.
+func waitDisconnected(t *testing.T, tr *Transport, ended int) {
+	t.Helper()
+	ctx := bounded(t)
+	for ctx.Err() == nil {
+		tr.mu.Lock()
+		gone := tr.endedCount >= ended
+		tr.mu.Unlock()
+		if gone {
+			return
+		}
+		pause(ctx, time.Millisecond)
+	}
+	t.Fatal("no connection ended")
+}
--- /dev/null
+++ b/daemon/peer/peers.go
@@ -0,0 +1,103 @@
+package peer
+
+import (
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirequay/samphirequay/core/id"
+)
+
+// SetPeer adds a peer or changes its address. The connection is made when
+// something is to be sent.
+func (t *Transport) SetPeer(name id.Daemon, address string) error {
+	if name == t.cfg.Self.Daemon {
+		return eris.Errorf("peer: %s is this daemon itself", name)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, err := t.remoteLocked(name)
+	if err != nil {
+		return err
+	}
+	r.setAddress(address)
+	return nil
+}
+
+// RemovePeer forgets a peer, closes its connections and drops what waits for it.
+func (t *Transport) RemovePeer(name id.Daemon) {
+	t.mu.Lock()
+	r := t.remotes[name]
+	delete(t.remotes, name)
+	t.mu.Unlock()
+	if r != nil {
+		r.stop("removed")
+	}
+}
+
+// PeerState is what the transport knows of one peer.
+type PeerState struct {
+	Process   id.Process
+	Address   string
+	Connected bool
+}
+
+// Peers lists the peers, in no order.
+func (t *Transport) Peers() []PeerState {
+	t.mu.Lock()
+	remotes := make([]*remote, 0, len(t.remotes))
+	for _, r := range t.remotes {
+		remotes = append(remotes, r)
+	}
+	t.mu.Unlock()
+	states := make([]PeerState, 0, len(remotes))
+	for _, r := range remotes {
+		states = append(states, r.state())
+	}
+	return states
+}
+
+// remoteFor returns the peer of that name, adding it without an address if it
+// is new.
+func (t *Transport) remoteFor(name id.Daemon) (*remote, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.remoteLocked(name)
+}
+
+func (t *Transport) remoteLocked(name id.Daemon) (*remote, error) {
+	if r, ok := t.remotes[name]; ok {
+		return r, nil
+	}
+	if t.closed {
+		return nil, ErrClosed
+	}
+	if len(t.remotes) >= t.cfg.MaxPeers {
+		return nil, eris.Wrapf(ErrTooManyPeers, "peer %s", name)
+	}
+	r := newRemote(t, name)
+	t.remotes[name] = r
+	t.wg.Go(r.run)
+	return r, nil
+}
+
+// forget drops a peer that was never set and has no connection left.
+func (t *Transport) forget(r *remote) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.remotes[r.name] == r && r.idle() {
+		delete(t.remotes, r.name)
+		r.cancel()
+	}
+}
+
+func (t *Transport) find(name id.Daemon) (*remote, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return nil, ErrClosed
+	}
+	r, ok := t.remotes[name]
+	if !ok {
+		return nil, eris.Wrapf(ErrUnknownPeer, "peer %s", name)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/daemon/peer/transport.go
@@ -0,0 +1,198 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync"
+
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/daemon/keys"
+	"github.com/samphirequay/samphirequay/daemon/workpool"
+)
+
+// quietVariable keeps quic-go from writing about small UDP buffers to the
+// standard logger; see its page on UDP buffer sizes.
+const quietVariable = "QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING"
+
+var quietOnce sync.Once
+
+// maxIncomingCalls bounds the call streams that one connection may hold open.
+const maxIncomingCalls = 256
+
+// Bounds of what a peer may have sent that was not read yet, in bytes.
+const (
+	maxStreamWindow     = 2 << 20
+	maxConnectionWindow = 4 << 20
+)
+
+// Transport is one daemon's end of the traffic with its peers, on a UDP socket
+// of its own.
+type Transport struct {
+	cfg      Config
+	socket   *net.UDPConn
+	quic     *quic.Transport
+	listener *quic.Listener
+	calls    *workpool.Pool
+	traffic  *traffic
+	faults   faults
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu      sync.Mutex
+	closed  bool
+	remotes map[id.Daemon]*remote
+	conns   map[*conn]struct{}
+	// ended sums up the connections that are gone, endedCount counts them.
+	ended      WireTraffic
+	endedCount int
+}
+
+// Listen opens the socket and begins to accept peers.
+func Listen(cfg Config) (*Transport, error) {
+	quietOnce.Do(func() { _ = os.Setenv(quietVariable, "true") })
+	cfg = cfg.withDefaults()
+	socket, err := openSocket(cfg.Listen)
+	if err != nil {
+		return nil, err
+	}
+	calls, err := workpool.New("peer_calls", cfg.CallWorkers, cfg.Registry)
+	if err != nil {
+		_ = socket.Close()
+		return nil, err
+	}
+	t := &Transport{
+		cfg:     cfg,
+		socket:  socket,
+		calls:   calls,
+		traffic: newTraffic(cfg.Registry, cfg.KindName),
+		remotes: make(map[id.Daemon]*remote),
+		conns:   make(map[*conn]struct{}),
+	}
+	t.ctx, t.cancel = context.WithCancel(context.Background())
+	if err := t.listen(); err != nil {
+		t.Close()
+		return nil, err
+	}
+	t.spawn(t.accept)
+	return t, nil
+}
+
+func openSocket(address string) (*net.UDPConn, error) {
+	udp, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "peer: listen address %q", address)
+	}
+	socket, err := net.ListenUDP("udp", udp)
+	if err != nil {
+		return nil, eris.Wrap(err, "peer: listen")
+	}
+	return socket, nil
+}
+
+func (t *Transport) listen() error {
+	reset, err := t.cfg.Keys.ResetKey()
+	if err != nil {
+		return err
+	}
+	resetKey := quic.StatelessResetKey(reset)
+	t.quic = &quic.Transport{Conn: t.socket, StatelessResetKey: &resetKey}
+	t.listener, err = t.quic.Listen(t.cfg.Keys.PeerServer(ALPN), t.quicConfig())
+	if err != nil {
+		return eris.Wrap(err, "peer: listen")
+	}
+	return nil
+}
+
+func (t *Transport) quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:  t.cfg.DialTimeout,
+		MaxIdleTimeout:        t.cfg.IdleTimeout,
+		KeepAlivePeriod:       t.cfg.Keepalive,
+		MaxIncomingStreams:    maxIncomingCalls,
+		MaxIncomingUniStreams: 1,
+		EnableDatagrams:       true,
+
+		MaxStreamReceiveWindow:     maxStreamWindow,
+		MaxConnectionReceiveWindow: maxConnectionWindow,
+	}
+}
+
+// Address is where the transport listens.
+func (t *Transport) Address() string { return t.socket.LocalAddr().String() }
+
+// Self is the process that the transport speaks for.
+func (t *Transport) Self() id.Process { return t.cfg.Self }
+
+// Close ends all connections and waits for the transport's goroutines; running
+// handlers see their context end.
+func (t *Transport) Close() {
+	t.mu.Lock()
+	if t.closed {
+		t.mu.Unlock()
+		return
+	}
+	t.closed = true
+	conns := make([]*conn, 0, len(t.conns))
+	for c := range t.conns {
+		conns = append(conns, c)
+	}
+	t.mu.Unlock()
+	t.cancel()
+	for _, c := range conns {
+		c.close(codeClosed, "closing")
+	}
+	t.closeSocket()
+	t.wg.Wait()
+	t.calls.Close()
+}
+
+// closeSocket ignores errors: there is nothing left to do about a socket that
+// does not close.
+func (t *Transport) closeSocket() {
+	if t.listener != nil {
+		_ = t.listener.Close()
+	}
+	if t.quic != nil {
+		_ = t.quic.Close()
+	}
+	_ = t.socket.Close()
+}
+
+// spawn runs f on a goroutine that Close waits for, unless Close has begun.
+func (t *Transport) spawn(f func()) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return false
+	}
+	t.wg.Go(f)
+	return true
+}
+
+func (t *Transport) accept() {
+	for {
+		accepted, err := t.listener.Accept(t.ctx)
+		if err != nil {
+			return
+		}
+		name, err := keys.PeerName(accepted.ConnectionState().TLS)
+		if err != nil {
+			refuse(accepted, err)
+			continue
+		}
+		r, err := t.remoteFor(name)
+		if err != nil {
+			refuse(accepted, err)
+			continue
+		}
+		r.start(accepted, "accepted")
+	}
+}
+
+func refuse(c *quic.Conn, err error) { _ = c.CloseWithError(codeRefused, err.Error()) }
--- /dev/null
+++ b/daemon/plaincall/types.go
@@ -0,0 +1,78 @@
+// Package plaincall serves calls to plain services. A call that may not be
+// repeated is claimed in the platform's table before it is sent; its stored
+// answer is replayed to whoever asks again.
+package plaincall
+
+import (
+	"context"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/claim"
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/completion"
+	"github.com/samphirequay/samphirequay/platform/client"
+)
+
+// Call is one caller's call, authenticated and classified.
+type Call struct {
+	ID      id.Request
+	Team    *live.Team
+	Service *live.Service
+	Request client.PlainRequest
+	// Key is the caller's idempotency key; empty if there is none.
+	Key string
+	// Arrived is when the call came, as a duration since the daemon's start.
+	Arrived time.Duration
+	// Fingerprint identifies team and content.
+	Fingerprint string
+}
+
+// NonIdempotent says whether the call must run at most once.
+func (c *Call) NonIdempotent() bool { return c.Key != "" }
+
+// safeToRepeat says whether a call that may have run can be sent again: only
+// methods that HTTP defines as safe, and no key.
+func (c *Call) safeToRepeat() bool {
+	if c.NonIdempotent() {
+		return false
+	}
+	return c.Request.Method == "GET" || c.Request.Method == "HEAD"
+}
+
+// Answer is what the service answered.
+type Answer struct {
+	client.PlainResponse
+	// Replayed says that the answer came from the store.
+	Replayed bool
+}
+
+// Claims holds the claims of non-idempotent calls.
+type Claims interface {
+	// Begin claims the call. One of the results is set.
+	Begin(ctx context.Context, b claim.Begin) (*claim.Claim, *claim.Answer, *verdict.Error)
+	// Finish stores the outcome.
+	Finish(c claim.Claim, o claim.Outcome)
+}
+
+// Endpoints meets the plain endpoints.
+type Endpoints interface {
+	Call(ctx context.Context, e *live.Endpoint, r client.PlainRequest) (client.PlainResponse, error)
+}
+
+// Deps are what a Runner works with; all are needed.
+type Deps struct {
+	Self      id.Process
+	Domain    id.Domain
+	Pairer    completion.Pairer
+	Endpoints Endpoints
+	Claims    Claims
+	Retries   completion.Retrier
+	Recorder  completion.Recorder
+	Catalog   completion.Catalog
+	// Now is the time since the daemon's start.
+	Now func() time.Duration
+	// NewID makes an id for an attempt.
+	NewID func() id.Request
+}
--- /dev/null
+++ b/daemon/reports/reports.go
@@ -0,0 +1,255 @@
+// Package reports is the duty that asks endpoints how they are: load, cache
+// events and what they hold. Only the owner of a pool asks that pool's
+// endpoints, so their cost does not grow with the fleet.
+package reports
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/sched"
+	"github.com/samphirequay/samphirequay/daemon/endpoints"
+	"github.com/samphirequay/samphirequay/daemon/metrics"
+	"github.com/samphirequay/samphirequay/daemon/workpool"
+	"github.com/samphirequay/samphirequay/platform/wire"
+)
+
+const (
+	// loadEvery, cacheEvery and listEvery are the pauses between questions.
+	loadEvery  = 250 * time.Millisecond
+	cacheEvery = 250 * time.Millisecond
+	listEvery  = time.Second
+	// tickEvery is how often the duty looks at what is due.
+	tickEvery = 50 * time.Millisecond
+)
+
+// Sink takes the reports.
+type Sink interface {
+	Load(p id.Pool, l sched.Load)
+	Cache(p id.Pool, e id.Endpoint, events []sched.CacheEvent, gap bool)
+	List(e id.Endpoint, list wire.RequestList)
+}
+
+// Config is what the duty works with.
+type Config struct {
+	Endpoints *endpoints.Set
+	// Index gives the configuration in force.
+	Index func() *live.Index
+	// Owned lists the pools that this daemon schedules.
+	Owned   func() []id.Pool
+	Sink    Sink
+	Work    *workpool.Pool
+	Metrics *metrics.Registry
+	Now     func() time.Duration
+	Rand    *rand.Rand
+}
+
+// Reports is the running duty.
+type Reports struct {
+	cfg  Config
+	ctx  context.Context
+	stop context.CancelFunc
+	done chan struct{}
+
+	mu    sync.Mutex
+	nodes map[id.Endpoint]*node
+
+	asked  *metrics.Counter
+	failed *metrics.Counter
+}
+
+// node is when one endpoint is asked next.
+type node struct {
+	load, cache, list time.Duration
+	busy              bool
+	after             uint64
+}
+
+// Start starts the duty.
+func Start(cfg Config) *Reports {
+	r := &Reports{
+		cfg:    cfg,
+		done:   make(chan struct{}),
+		nodes:  make(map[id.Endpoint]*node),
+		asked:  cfg.Metrics.Counter("reports_asked", metrics.UnitCount, "questions to endpoints"),
+		failed: cfg.Metrics.Counter("reports_failed", metrics.UnitCount, "questions to endpoints without an answer"),
+	}
+	r.ctx, r.stop = context.WithCancel(context.Background())
+	go r.run()
+	return r
+}
+
+// Close ends the duty.
+func (r *Reports) Close() {
+	r.stop()
+	<-r.done
+}
+
+// Probe asks an endpoint for its load at once.
+func (r *Reports) Probe(p id.Pool, e id.Endpoint) {
+	endpoint, ok := r.cfg.Index().Endpoint(e)
+	if !ok {
+		return
+	}
+	r.cfg.Work.Submit(func() { r.askLoad(p, endpoint) })
+}
+
+func (r *Reports) run() {
+	defer close(r.done)
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-ticker.C:
+			r.look()
+		}
+	}
+}
+
+// look starts the questions that are due.
+func (r *Reports) look() {
+	index := r.cfg.Index()
+	now := r.cfg.Now()
+	seen := make(map[id.Endpoint]bool)
+	for _, p := range r.cfg.Owned() {
+		for _, e := range index.Endpoints(p) {
+			seen[e.Name] = true
+			r.lookAt(now, p, e)
+		}
+	}
+	r.forget(seen)
+}
+
+func (r *Reports) forget(seen map[id.Endpoint]bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for e := range r.nodes {
+		if !seen[e] {
+			delete(r.nodes, e)
+		}
+	}
+}
+
+// lookAt asks one endpoint what is due, all in one piece of work: an endpoint
+// that hangs has one question open, not many.
+func (r *Reports) lookAt(now time.Duration, p id.Pool, e *live.Endpoint) {
+	r.mu.Lock()
+	n, ok := r.nodes[e.Name]
+	if !ok {
+		n = &node{}
+		r.nodes[e.Name] = n
+	}
+	if n.busy || now < n.load {
+		r.mu.Unlock()
+		return
+	}
+	n.busy = true
+	model := live.Role(e.Labels[live.LabelRole]) != live.RolePlain
+	askCache := model && now >= n.cache
+	askList := model && now >= n.list
+	n.load = now + r.jitter(loadEvery)
+	if askCache {
+		n.cache = now + r.jitter(cacheEvery)
+	}
+	if askList {
+		n.list = now + r.jitter(listEvery)
+	}
+	r.mu.Unlock()
+	task := func() {
+		defer r.free(n)
+		if !r.askLoad(p, e) {
+			return
+		}
+		if askCache {
+			r.askCache(p, e, n)
+		}
+		if askList {
+			r.askList(e)
+		}
+	}
+	if !r.cfg.Work.Submit(task) {
+		r.free(n)
+	}
+}
+
+func (r *Reports) jitter(d time.Duration) time.Duration {
+	return d*3/4 + time.Duration(r.cfg.Rand.Int64N(int64(d/2)))
+}
+
+func (r *Reports) free(n *node) {
+	r.mu.Lock()
+	n.busy = false
+	r.mu.Unlock()
+}
+
+func (r *Reports) askLoad(p id.Pool, e *live.Endpoint) bool {
+	ctx, cancel := endpoints.Short(r.ctx)
+	defer cancel()
+	r.asked.Inc()
+	report, err := r.load(ctx, e)
+	if err != nil {
+		r.failed.Inc()
+		r.cfg.Sink.Load(p, sched.Load{Endpoint: e.Name})
+		return false
+	}
+	r.cfg.Sink.Load(p, sched.Load{
+		Endpoint:    e.Name,
+		Incarnation: id.Incarnation(report.Incarnation),
+		Running:     report.Running,
+		Waiting:     report.Waiting,
+		Slots:       report.Slots,
+		Leaving:     report.Leaving,
+		Reachable:   true,
+		Model:       report.Model,
+		Role:        live.Role(report.Role),
+	})
+	return true
+}
+
+func (r *Reports) load(ctx context.Context, e *live.Endpoint) (wire.LoadReport, error) {
+	if live.Role(e.Labels[live.LabelRole]) == live.RolePlain {
+		return r.cfg.Endpoints.Plain(e.Address).Load(ctx)
+	}
+	return r.cfg.Endpoints.Engine(e.Address).Load(ctx)
+}
+
+// askCache fetches cache events; a jump in their numbers is a gap.
+func (r *Reports) askCache(p id.Pool, e *live.Endpoint, n *node) {
+	ctx, cancel := endpoints.Short(r.ctx)
+	defer cancel()
+	r.asked.Inc()
+	batch, err := r.cfg.Endpoints.Engine(e.Address).CacheEvents(ctx, n.after)
+	if err != nil {
+		r.failed.Inc()
+		return
+	}
+	if len(batch.Events) == 0 {
+		return
+	}
+	events := make([]sched.CacheEvent, 0, len(batch.Events))
+	gap := false
+	for _, item := range batch.Events {
+		gap = gap || (n.after != 0 && item.Number != n.after+1)
+		n.after = item.Number
+		events = append(events, sched.CacheEvent{Endpoint: e.Name, Block: item.Block, Stored: item.Stored})
+	}
+	r.cfg.Sink.Cache(p, e.Name, events, gap)
+}
+
+func (r *Reports) askList(e *live.Endpoint) {
+	ctx, cancel := endpoints.Short(r.ctx)
+	defer cancel()
+	r.asked.Inc()
+	list, err := r.cfg.Endpoints.Engine(e.Address).Requests(ctx)
+	if err != nil {
+		r.failed.Inc()
+		return
+	}
+	r.cfg.Sink.List(e.Name, list)
+}
--- /dev/null
+++ b/daemon/ring/ring.go
@@ -0,0 +1,127 @@
+// Package ring joins duties by bounded, typed queues. Every ring says what
+// happens when it is full, and shows its depth and drops as metrics.
+package ring
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/samphirequay/samphirequay/daemon/metrics"
+)
+
+// Policy says what Put does when the ring is full.
+type Policy uint8
+
+// The policies of a full ring.
+const (
+	// Reject refuses the new item; Put returns false.
+	Reject Policy = iota + 1
+	// DropOldest makes room by dropping the oldest item.
+	DropOldest
+	// Block waits for room until the context ends; then Put returns false.
+	Block
+)
+
+// Ring is a bounded queue for many writers and readers.
+type Ring[T any] struct {
+	items   chan T
+	policy  Policy
+	dropped atomic.Uint64
+}
+
+// New returns a ring for capacity items (at least one) and declares its depth
+// and drops in the registry, which may be nil.
+func New[T any](name string, capacity int, policy Policy, registry *metrics.Registry) *Ring[T] {
+	r := &Ring[T]{items: make(chan T, max(capacity, 1)), policy: policy}
+	if registry != nil {
+		r.declare(name, registry)
+	}
+	return r
+}
+
+func (r *Ring[T]) declare(name string, registry *metrics.Registry) {
+	depth := func() float64 { return float64(r.Len()) }
+	registry.GaugeFunc("ring_"+name+"_depth", metrics.UnitCount, "Items that wait in the ring "+name+".", depth)
+	drops := func() float64 { return float64(r.Dropped()) }
+	registry.GaugeFunc("ring_"+name+"_dropped", metrics.UnitCount, "Items that the full ring "+name+" refused or dropped.", drops)
+}
+
+// Put adds an item and reports whether it was taken. Only the policy Block
+// waits, and only it looks at ctx.
+func (r *Ring[T]) Put(ctx context.Context, item T) bool {
+	select {
+	case r.items <- item:
+		return true
+	default:
+	}
+	switch r.policy {
+	case DropOldest:
+		return r.putOverOldest(item)
+	case Block:
+		return r.putWaiting(ctx, item)
+	default:
+		r.dropped.Add(1)
+		return false
+	}
+}
+
+// putOverOldest drops items from the front until the new one fits. Other
+// writers may take the room that was made, hence the loop.
+func (r *Ring[T]) putOverOldest(item T) bool {
+	for {
+		select {
+		case <-r.items:
+			r.dropped.Add(1)
+		default:
+		}
+		select {
+		case r.items <- item:
+			return true
+		default:
+		}
+	}
+}
+
+func (r *Ring[T]) putWaiting(ctx context.Context, item T) bool {
+	select {
+	case r.items <- item:
+		return true
+	case <-ctx.Done():
+		r.dropped.Add(1)
+		return false
+	}
+}
+
+// Take waits for the oldest item; it returns false when ctx ends first.
+func (r *Ring[T]) Take(ctx context.Context) (T, bool) {
+	select {
+	case item := <-r.items:
+		return item, true
+	case <-ctx.Done():
+		var none T
+		return none, false
+	}
+}
+
+// TryTake returns the oldest item if there is one.
+func (r *Ring[T]) TryTake() (T, bool) {
+	select {
+	case item := <-r.items:
+		return item, true
+	default:
+		var none T
+		return none, false
+	}
+}
+
+// Chan gives the reading end, for a select over several rings. It is never closed.
+func (r *Ring[T]) Chan() <-chan T { return r.items }
+
+// Len is how many items wait.
+func (r *Ring[T]) Len() int { return len(r.items) }
+
+// Cap is how many items fit.
+func (r *Ring[T]) Cap() int { return cap(r.items) }
+
+// Dropped is how many items were refused or dropped since the start.
+func (r *Ring[T]) Dropped() uint64 { return r.dropped.Load() }
--- /dev/null
+++ b/daemon/settings/check.go
@@ -0,0 +1,222 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"strings"
+	"sync"
+
+	"github.com/go-playground/validator/v10"
+
+	"github.com/samphirequay/samphirequay/core/id"
+)
+
+// fieldFault is a fault without its place in a file.
+type fieldFault struct{ field, message string }
+
+// validate holds the rules of the validate tags, under the fields' JSON names.
+var validate = sync.OnceValue(func() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string { return jsonName(f) })
+	return v
+})
+
+// Validate fills in what follows from other fields and returns every fault of
+// settings that were built without a file, or nil.
+func (s *Settings) Validate() error {
+	s.derive()
+	var faults Faults
+	for _, f := range s.check() {
+		faults = append(faults, Fault{File: "settings", Field: f.field, Message: f.message})
+	}
+	return faults.Err()
+}
+
+// check returns every fault of the settings.
+func (s *Settings) check() []fieldFault {
+	c := &checker{}
+	c.tags(s)
+	c.listen(s)
+	c.advertise(s.Advertise)
+	c.seedPeers(s.SeedPeers)
+	c.platform(s.Platform)
+	c.callersTLS(s)
+	c.resumeKeys(s.ResumeKeys)
+	c.membership(s.Membership)
+	c.timings(s.Timings)
+	return c.faults
+}
+
+type checker struct{ faults []fieldFault }
+
+func (c *checker) fault(field, format string, args ...any) {
+	c.faults = append(c.faults, fieldFault{field, fmt.Sprintf(format, args...)})
+}
+
+// tags applies the validate tags.
+func (c *checker) tags(s *Settings) {
+	err := validate().Struct(s)
+	var broken validator.ValidationErrors
+	if !errors.As(err, &broken) {
+		return
+	}
+	for _, e := range broken {
+		_, field, _ := strings.Cut(e.Namespace(), ".")
+		c.fault(field, "%s", ruleMessage(e))
+	}
+}
+
+func ruleMessage(e validator.FieldError) string {
+	switch e.Tag() {
+	case "required":
+		return "is missing"
+	case "oneof":
+		return fmt.Sprintf("is %q, want one of: %s", fmt.Sprint(e.Value()), strings.ReplaceAll(e.Param(), " ", ", "))
+	case "min":
+		return fmt.Sprintf("is %s, the least is %s", size(e), e.Param())
+	case "max":
+		return fmt.Sprintf("is %s, the most is %s", size(e), e.Param())
+	case "len", "hexadecimal", "lowercase":
+		return "is no SHA-256 hash in lower-case hex"
+	default:
+		return fmt.Sprintf("breaks the rule %s %s", e.Tag(), e.Param())
+	}
+}
+
+// size is what min and max compare: the length of texts and lists.
+func size(e validator.FieldError) string {
+	v := reflect.ValueOf(e.Value())
+	switch v.Kind() {
+	case reflect.Slice, reflect.String:
+		return fmt.Sprintf("%d long", v.Len())
+	default:
+		return fmt.Sprint(e.Value())
+	}
+}
+
+// listen checks the addresses, and that no two TCP listeners take the same
+// port. The peers' address is UDP and may share a number.
+func (c *checker) listen(s *Settings) {
+	listeners := []struct{ field, address string }{
+		{"listen.callers", s.Listen.Callers},
+		{"listen.operators", s.Listen.Operators},
+		{"listen.debug", s.Listen.Debug},
+	}
+	taken := make(map[string]netip.AddrPort)
+	for _, l := range listeners {
+		address, ok := c.address(l.field, l.address, anyPort)
+		if !ok || address.Port() == 0 {
+			continue
+		}
+		for _, other := range listeners {
+			if earlier, set := taken[other.field]; set && conflict(earlier, address) {
+				c.fault(l.field, "%s conflicts with %s on %s", l.address, other.field, earlier)
+			}
+		}
+		taken[l.field] = address
+	}
+	c.address("listen.peers", s.Listen.Peers, anyPort)
+}
+
+// conflict reports whether two listeners cannot both be opened.
+func conflict(a, b netip.AddrPort) bool {
+	if a.Port() != b.Port() {
+		return false
+	}
+	return a.Addr() == b.Addr() || a.Addr().IsUnspecified() || b.Addr().IsUnspecified()
+}
+
+// portRule says whether port 0, a free port, is allowed.
+type portRule bool
+
+const (
+	anyPort  portRule = true
+	realPort portRule = false
+)
+
+// address checks one that is set; what is missing and required is found by the tags.
+func (c *checker) address(field, text string, rule portRule) (netip.AddrPort, bool) {
+	if text == "" {
+		return netip.AddrPort{}, false
+	}
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		c.fault(field, "%q is no IP:port: %v", text, err)
+		return netip.AddrPort{}, false
+	}
+	if address.Port() == 0 && rule == realPort {
+		c.fault(field, "%q has no port", text)
+		return netip.AddrPort{}, false
+	}
+	return address, true
+}
+
+// reachable checks an address that others connect to.
+func (c *checker) reachable(field, text string) {
+	address, ok := c.address(field, text, realPort)
+	if ok && address.Addr().IsUnspecified() {
+		c.fault(field, "%q names no host", text)
+	}
+}
+
+func (c *checker) advertise(a Advertise) {
+	missing := "is missing, and the listen address names no one host and port"
+	if a.Callers == "" {
+		c.fault("advertise.callers", "%s", missing)
+	}
+	if a.Peers == "" {
+		c.fault("advertise.peers", "%s", missing)
+	}
+	c.reachable("advertise.callers", a.Callers)
+	c.reachable("advertise.peers", a.Peers)
+}
+
+func (c *checker) seedPeers(peers []Peer) {
+	names := make(map[id.Daemon]bool)
+	addresses := make(map[string]bool)
+	for i, p := range peers {
+		field := fmt.Sprintf("seed_peers[%d]", i)
+		c.reachable(field+".address", p.Address)
+		if names[p.Name] {
+			c.fault(field+".name", "%q stands twice", p.Name)
+		}
+		if addresses[p.Address] {
+			c.fault(field+".address", "%q stands twice", p.Address)
+		}
+		names[p.Name] = true
+		addresses[p.Address] = true
+	}
+}
+
+func (c *checker) platform(p Platform) {
+	c.reachable("platform.table", p.Table)
+	c.reachable("platform.objects", p.Objects)
+	c.reachable("platform.hosts", p.Hosts)
+	c.reachable("platform.weights", p.Weights)
+}
+
+func (c *checker) callersTLS(s *Settings) {
+	if s.CallersTLS == nil && !s.InsecureCallers {
+		c.fault("callers_tls", `is missing; plain HTTP wants "insecure_callers": true`)
+	}
+	if s.CallersTLS != nil && s.InsecureCallers {
+		c.fault("insecure_callers", "contradicts callers_tls")
+	}
+}
+
+func (c *checker) membership(m Membership) {
+	if m.SuspectAfterMS <= m.PeriodMS {
+		c.fault("membership.suspect_after_ms", "is %d, must be over period_ms, %d", m.SuspectAfterMS, m.PeriodMS)
+	}
+	if m.DeadAfterMS <= m.SuspectAfterMS {
+		c.fault("membership.dead_after_ms", "is %d, must be over suspect_after_ms, %d", m.DeadAfterMS, m.SuspectAfterMS)
+	}
+}
+
+func (c *checker) timings(t Timings) {
+	if t.DrainMS < t.EntryLifetimeMS {
+		c.fault("timings.drain_ms", "is %d, must be at least entry_lifetime_ms, %d: callers keep an address that long", t.DrainMS, t.EntryLifetimeMS)
+	}
+}
--- /dev/null
+++ b/daemon/settings/parse.go
@@ -0,0 +1,89 @@
+package settings
+
+import (
+	"encoding/json"
+	"os"
+	"reflect"
+
+	"github.com/samphirequay/samphirequay/core/live"
+)
+
+// Load reads and checks the start-up settings in a file.
+func Load(path string) (*Settings, Faults) {
+	data, faults := readFile(path)
+	if faults != nil {
+		return nil, faults
+	}
+	return Parse(path, data)
+}
+
+// Parse reads and checks start-up settings; name stands in the faults. The
+// settings are nil when there is a fault.
+func Parse(name string, data []byte) (*Settings, Faults) {
+	src := openSource(name, data)
+	s := Defaults()
+	src.decode(s)
+	if len(src.faults) > 0 {
+		return nil, src.sorted()
+	}
+	s.derive()
+	for _, f := range s.check() {
+		src.at(f.field, f.message)
+	}
+	if len(src.faults) > 0 {
+		return nil, src.sorted()
+	}
+	return s, nil
+}
+
+// LoadDocument reads and checks the live configuration in a file.
+func LoadDocument(path string) (*live.Document, Faults) {
+	data, faults := readFile(path)
+	if faults != nil {
+		return nil, faults
+	}
+	return ParseDocument(path, data)
+}
+
+// ParseDocument reads and checks a live configuration; name stands in the
+// faults. The document has its defaults filled in; it is nil when there is a
+// fault.
+func ParseDocument(name string, data []byte) (*live.Document, Faults) {
+	src := openSource(name, data)
+	raw := &live.Document{}
+	src.decode(raw)
+	if len(src.faults) > 0 {
+		return nil, src.sorted()
+	}
+	doc := live.Normalize(raw)
+	for _, f := range live.Check(doc) {
+		src.at(f.Path, f.Message)
+	}
+	if len(src.faults) > 0 {
+		return nil, src.sorted()
+	}
+	return doc, nil
+}
+
+// decode reads the content into the struct that to points to, unless there are
+// faults.
+func (s *source) decode(to any) {
+	if len(s.faults) > 0 {
+		return
+	}
+	s.walk(s.root, reflect.TypeOf(to), "")
+	if len(s.faults) > 0 {
+		return
+	}
+	if err := json.Unmarshal(s.standard(), to); err != nil {
+		s.at("", err.Error())
+	}
+}
+
+func readFile(path string) ([]byte, Faults) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Faults{{File: path, Message: err.Error()}}
+	}
+	return data, nil
+}
--- /dev/null
+++ b/daemon/workpool/workpool.go
@@ -0,0 +1,78 @@
+// Package workpool runs short work, such as a store call or an order, on a
+// bounded pool of goroutines. A full pool refuses, which its caller turns into
+// a "not run".
+package workpool
+
+import (
+	"sync"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirequay/samphirequay/daemon/metrics"
+)
+
+// Pool is a bounded pool of workers.
+type Pool struct {
+	workers *ants.Pool
+	refused *metrics.Counter
+
+	mu      sync.RWMutex
+	closed  bool
+	running sync.WaitGroup
+}
+
+// New returns a pool of at most size workers, whose metrics carry its name. A
+// panicking task is counted as a violated invariant and ends alone.
+func New(name string, size int, registry *metrics.Registry) (*Pool, error) {
+	p := &Pool{}
+	onPanic := func(cause any) {
+		registry.Violation("workpool_task_panicked", eris.Errorf("%v", cause).Error())
+	}
+	workers, err := ants.NewPool(size, ants.WithNonblocking(true), ants.WithPanicHandler(onPanic))
+	if err != nil {
+		return nil, eris.Wrapf(err, "workpool: %s with %d workers", name, size)
+	}
+	p.workers = workers
+	p.refused = registry.Counter("workpool_"+name+"_refused", metrics.UnitCount, "Tasks refused because all workers were busy.")
+	registry.GaugeFunc("workpool_"+name+"_running", metrics.UnitCount, "Workers that run a task.", func() float64 {
+		return float64(workers.Running())
+	})
+	return p, nil
+}
+
+// Submit runs task on a worker. It never waits: it returns false when all
+// workers are busy or the pool is closed, and the task has then not run.
+func (p *Pool) Submit(task func()) bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	if p.closed {
+		return false
+	}
+	p.running.Add(1)
+	err := p.workers.Submit(func() {
+		defer p.running.Done()
+		task()
+	})
+	if err != nil {
+		p.running.Done()
+		p.refused.Inc()
+		return false
+	}
+	return true
+}
+
+// Refused is how many tasks found all workers busy.
+func (p *Pool) Refused() int64 { return p.refused.Value() }
+
+// Close refuses new tasks, waits for those that run, and ends the workers.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	already := p.closed
+	p.closed = true
+	p.mu.Unlock()
+	p.running.Wait()
+	if !already {
+		p.workers.Release()
+	}
+}
