--- a/cmd/internal/cli/localcmd/local.go
+++ b/cmd/internal/cli/localcmd/local.go
@@ -19,6 +19,7 @@
 	"github.com/samphirequay/samphirequay/cmd/internal/experiment"
 	"github.com/samphirequay/samphirequay/cmd/internal/fleet"
 	"github.com/samphirequay/samphirequay/cmd/internal/load"
+	"github.com/samphirequay/samphirequay/platform/standin"
 )
 
 // both is the value of --deployment for all deployments.
@@ -87,10 +88,9 @@
 }
 
 func run(cmd *cobra.Command, opts *common.Options, f flags, deployments []experiment.Deployment) error {
-	config := fleet.Config{Daemons: f.daemons}
+	config := fleet.Config{Daemons: f.daemons, Sites: sitesOf(deployments)}
 	var teams []load.Team
 	for _, d := range deployments {
-		config.Sites = append(config.Sites, d.Site)
 		ofFleet, ofLoad := d.Teams(1)
 		config.Teams = append(config.Teams, ofFleet...)
 		teams = append(teams, ofLoad...)
@@ -110,6 +110,14 @@
 	return report(cmd, opts, res, fl.Work())
 }
 
+func sitesOf(deployments []experiment.Deployment) []standin.PlatformConfig {
+	var sites []standin.PlatformConfig
+	for _, d := range deployments {
+		sites = append(sites, d.Site)
+	}
+	return sites
+}
+
 // stay prints how to send a request and waits for an interrupt.
 func stay(cmd *cobra.Command, fl *fleet.Fleet, teams []load.Team) error {
 	out := cmd.OutOrStdout()
@@ -118,7 +126,11 @@
 		fmt.Fprintln(out, curlLine(address, t))
 	}
 	fmt.Fprintf(out, "SAMPHIREQUAY_OPERATOR_KEY=%s samphirequay status --operators %s\n", fl.OperatorKey(), fl.OperatorAddresses()[0])
-	<-cmd.Context().Done()
+	select {
+	case <-cmd.Context().Done():
+	case <-fl.Daemon(0).Done():
+		// An operator stopped the daemon that the lines above name.
+	}
 	return nil
 }
 
--- /dev/null
+++ b/cmd/internal/cli/localcmd/local_test.go
@@ -0,0 +1,78 @@
+package localcmd
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/common"
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/exit"
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/output"
+	"github.com/samphirequay/samphirequay/cmd/internal/experiment"
+	"github.com/samphirequay/samphirequay/cmd/internal/fleet"
+	"github.com/samphirequay/samphirequay/cmd/internal/load"
+)
+
+func TestLocalEndsWithOneLine(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	cmd := Command(&common.Options{Output: output.Table})
+	cmd.SetArgs([]string{"--requests=10", "--deployment=bunker"})
+	cmd.SetOut(&out)
+	is.NoErr(cmd.Execute())
+	line := regexp.MustCompile(`^requests=10 answered=10 lost=0 doubled=0 wasted_prefill=\d+\.\d% ttft_p95=\d+ms pace_p95=\d+ms\n$`)
+	is.True(line.MatchString(out.String()))
+}
+
+func TestMissingAnswersHaveAnExitCode(t *testing.T) {
+	is := is.New(t)
+	cmd := Command(&common.Options{Output: output.Table})
+	cmd.SetContext(t.Context())
+	cmd.SetOut(io.Discard)
+	res := &load.Result{}
+	res.Total.Requests = 2
+	res.Total.Answered = 1
+	opts := &common.Options{Output: output.JSON}
+	is.Equal(exit.Code(report(cmd, opts, res, fleet.Work{})), exit.Faults)
+	res.Total.Answered = 2
+	is.NoErr(report(cmd, opts, res, fleet.Work{}))
+	res.Total.Doubled = 1
+	is.Equal(exit.Code(report(cmd, opts, res, fleet.Work{})), exit.Faults)
+}
+
+func TestUnknownDeploymentIsWrongUsage(t *testing.T) {
+	is := is.New(t)
+	_, err := chosen("weather")
+	is.Equal(exit.Code(err), exit.Usage)
+}
+
+// TestCurlLineAsksForACompletion sends what the printed line holds.
+func TestCurlLineAsksForACompletion(t *testing.T) {
+	is := is.New(t)
+	d := experiment.Bunker()
+	ofFleet, ofLoad := d.Teams(1)
+	fl, err := fleet.Start(t.Context(), fleet.Config{Sites: sitesOf([]experiment.Deployment{d}), Teams: ofFleet})
+	is.NoErr(err)
+	defer fl.Close()
+	line := curlLine(fl.CallerAddresses()[0], ofLoad[0])
+	parts := regexp.MustCompile(`^curl -sN (\S+) -H '([^:]+): ([^']+)' -H '([^:]+): ([^']+)' -d '([^']+)'$`).FindStringSubmatch(line)
+	is.Equal(len(parts), 7)
+	is.True(json.Valid([]byte(parts[6])))
+	req, err := http.NewRequest(http.MethodPost, parts[1], strings.NewReader(parts[6]))
+	is.NoErr(err)
+	req.Header.Set(parts[2], parts[3])
+	req.Header.Set(parts[4], parts[5])
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.True(strings.HasSuffix(string(text), "data: [DONE]\n\n"))
+}
--- a/cmd/internal/experiment/deployment.go
+++ b/cmd/internal/experiment/deployment.go
@@ -1,7 +1,9 @@
 package experiment
 
 import (
+	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/samphirequay/samphirequay/cmd/internal/fleet"
@@ -69,11 +71,55 @@
 	}
 }
 
+// measure sends the load and returns the account and the engines' work, both
+// without the warm-up.
+func measure(ctx context.Context, env Env, f *fleet.Fleet, spec load.Spec) (*load.Result, fleet.Work, error) {
+	var before fleet.Work
+	var mu sync.Mutex
+	timer := time.AfterFunc(env.Warmup, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		before = f.Work()
+	})
+	defer timer.Stop()
+	res, err := load.Run(ctx, spec)
+	if err != nil {
+		return nil, fleet.Work{}, err
+	}
+	settle(ctx, f)
+	mu.Lock()
+	defer mu.Unlock()
+	return res, f.Work().Since(before), ctx.Err()
+}
+
+// Bounds of settling.
+const (
+	settleTimeout = 3 * time.Second
+	settlePause   = 50 * time.Millisecond
+)
+
+// settle waits until the engines hold nothing, or for so long as cancels may
+// take; what they hold then is a fault.
+func settle(ctx context.Context, f *fleet.Fleet) {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	for w := f.Work(); w.Running > 0 || w.KVHeld > 0; w = f.Work() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(settlePause):
+		}
+	}
+}
+
 // faults notes what must never happen.
 func (r *Report) faults(run string, res *load.Result, work fleet.Work) {
 	if n := res.Faults(); n > 0 {
 		r.fault("%s: lost=%d doubled=%d wrong=%d", run, res.Total.Lost, res.Total.Doubled, res.Total.Wrong)
 	}
+	if work.HeldAfterCancel > 0 || work.Running > 0 {
+		r.fault("%s: held_after_cancel=%d running=%d", run, work.HeldAfterCancel, work.Running)
+	}
 	if work.RanTwice > 0 {
 		r.fault("%s: ran_twice=%d", run, work.RanTwice)
 	}
--- a/cmd/internal/experiment/fairness.go
+++ b/cmd/internal/experiment/fairness.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/samphirequay/samphirequay/cmd/internal/fleet"
 	"github.com/samphirequay/samphirequay/cmd/internal/load"
@@ -16,6 +17,9 @@
 // when all behave: each asks for a fifth.
 const fairnessLoad = 0.8
 
+// fairnessPatience bounds how long the team that retries goes on.
+const fairnessPatience = 8 * time.Second
+
 var (
 	fairnessBehaviours = []load.Behaviour{
 		load.BehaviourNormal, load.BehaviourFlood, load.BehaviourCancel, load.BehaviourRetry,
@@ -35,10 +39,14 @@
 	Policy    settings.Policy `json:"policy"`
 	// OthersGood is the completions of the other teams that met both targets,
 	// and OthersSent how many they sent.
-	OthersGood int          `json:"others_good"`
-	OthersSent int          `json:"others_sent"`
-	Result     *load.Result `json:"result"`
-	Work       fleet.Work   `json:"work"`
+	OthersGood int `json:"others_good"`
+	OthersSent int `json:"others_sent"`
+	// OthersRefused and OthersLate are those that were refused, and those that
+	// were answered but missed a target.
+	OthersRefused int          `json:"others_refused"`
+	OthersLate    int          `json:"others_late"`
+	Result        *load.Result `json:"result"`
+	Work          fleet.Work   `json:"work"`
 }
 
 // runFairness measures what a misbehaving team costs the others. The others
@@ -88,16 +96,19 @@
 	defer f.Close()
 	bound := BoundOf(d.Site, d.Profile, d.FirstToken)
 	spec := d.spec(env, f, ofLoad, fairnessLoad*bound.Capacity*totalShare(ofLoad))
-	res, err := load.Run(ctx, spec)
+	spec.Patience = fairnessPatience
+	res, work, err := measure(ctx, env, f, spec)
 	if err != nil {
 		return FairnessFigures{}, err
 	}
-	out := FairnessFigures{Behaviour: r.behaviour, Policy: r.policy, Result: res, Work: f.Work()}
+	out := FairnessFigures{Behaviour: r.behaviour, Policy: r.policy, Result: res, Work: work}
 	for _, t := range res.Teams[:fairnessTeams-1] {
 		out.OthersGood += t.Good
 		out.OthersSent += t.Requests
+		out.OthersRefused += t.Refused
+		out.OthersLate += t.Answered - t.Good
 	}
-	return out, ctx.Err()
+	return out, nil
 }
 
 // retryWeight is the weight of the team that retries forever.
@@ -116,9 +127,9 @@
 // fairness adds the line of a run: what the others got, and against the run in
 // which all behave.
 func (r *Report) fairness(f, calm FairnessFigures) {
-	r.add("policy=%s behaviour=%s others_sent=%d others_good=%.1f%% calm_good=%.1f%% change=%+.1fpp "+
+	r.add("policy=%s behaviour=%s others_sent=%d others_good=%.1f%% others_refused=%d others_late=%d calm_good=%.1f%% change=%+.1fpp "+
 		"misbehaving_requests=%d misbehaving_answered=%d lost=%d doubled=%d wrong=%d held_after_cancel=%d wasted_prefill=%.1f%%",
-		f.Policy, f.Behaviour, f.OthersSent, f.share(), calm.share(), f.share()-calm.share(),
+		f.Policy, f.Behaviour, f.OthersSent, f.share(), f.OthersRefused, f.OthersLate, calm.share(), f.share()-calm.share(),
 		f.Result.Teams[fairnessTeams-1].Requests, f.Result.Teams[fairnessTeams-1].Answered,
 		f.Result.Total.Lost, f.Result.Total.Doubled, f.Result.Total.Wrong, f.Work.HeldAfterCancel, 100*f.Work.WastedShare())
 	r.faults(string(f.Policy)+" "+string(f.Behaviour), f.Result, f.Work)
--- a/cmd/internal/load/caller_test.go
+++ b/cmd/internal/load/caller_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"testing"
 
 	"github.com/matryer/is"
@@ -98,6 +100,53 @@
 	is.Equal(a.fault("", false), FaultLost)
 }
 
+func TestGivingUpAmidAnAnswerIsNoLoss(t *testing.T) {
+	is := is.New(t)
+	f := newFake(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	f.holdAfterFirst = true
+	client := &http.Client{Transport: cancelAfterRead{cancel}}
+	t.Cleanup(http.DefaultTransport.(*http.Transport).CloseIdleConnections)
+	spec := Spec{Entry: []string{f.address()}, Expect: fakeExpect}
+	c := NewCaller(spec, Team{Name: "aktau", Profile: Bunker()}, client, rand.New(rand.NewPCG(1, 1)))
+	rec := c.Complete(ctx, "a prompt", 5)
+	is.Equal(rec.Outcome, OutcomeCancelled)
+	is.Equal(rec.Fault, FaultNone)
+}
+
+// cancelAfterRead hangs up once the first part of a stream has been read.
+type cancelAfterRead struct{ cancel context.CancelFunc }
+
+func (c cancelAfterRead) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err == nil && r.Method == http.MethodPost {
+		resp.Body = cancellingBody{resp.Body, c.cancel}
+	}
+	return resp, err
+}
+
+type cancellingBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+func (b cancellingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.cancel()
+	return n, err
+}
+
+func TestAnswerThatIsNeverResumedIsLost(t *testing.T) {
+	is := is.New(t)
+	f := newFake(t)
+	f.cutAfter = 2
+	f.cutResumes = true
+	rec := completeOnce(t, f)
+	is.Equal(rec.Outcome, OutcomeLost)
+	is.Equal(rec.Fault, FaultLost)
+	is.Equal(rec.Attempts, DefaultMaxAttempts)
+}
+
 // closedAddress returns an address at which nothing listens.
 func closedAddress(t *testing.T) string {
 	t.Helper()
--- a/cmd/internal/load/stream.go
+++ b/cmd/internal/load/stream.go
@@ -31,8 +31,14 @@
 	accepted bool
 	// ended tells that the end of the answer came.
 	ended bool
+	// gaveUp tells that the caller hung up while the answer was coming.
+	gaveUp bool
 }
 
+// stallLimit is the silence after which an answer that was begun counts as
+// lost, not as given up by a caller whose patience ended.
+const stallLimit = 5 * time.Second
+
 // Complete sends one streamed completion and follows it to its end.
 func (c *Caller) Complete(ctx context.Context, prompt string, maxTokens int) Record {
 	rec := Record{Outcome: OutcomeUnreachable, PromptTokens: CountTokens(prompt)}
@@ -83,6 +89,7 @@
 			return attempt{done: true}
 		}
 		if err != nil {
+			s.gaveUp = hungUp(ctx, err) && time.Since(s.last) < stallLimit
 			return attempt{broke: !hungUp(ctx, err), done: s.ended}
 		}
 		if e.name == eventError {
@@ -153,9 +160,12 @@
 func (s *stream) conclude(prompt string, maxTokens int) {
 	s.rec.Total = time.Since(s.begun)
 	s.rec.Pace = mean(s.rec.Gaps)
-	if s.ended {
+	switch {
+	case s.ended:
 		s.rec.Outcome = OutcomeAnswered
-	} else if s.owed() {
+	case s.gaveUp:
+		s.rec.Outcome = OutcomeCancelled
+	case s.owed():
 		s.rec.Outcome = OutcomeLost
 	}
 	var expected string
@@ -175,7 +185,7 @@
 // an error is checked too: it may be short, not doubled or wrong.
 func (s *stream) conclusion(expected string, known bool) Fault {
 	fault := s.answer.fault(expected, known)
-	if fault == FaultLost && !s.ended && !s.owed() {
+	if fault == FaultLost && !s.ended && (s.gaveUp || !s.owed()) {
 		return FaultNone
 	}
 	return fault
--- a/core/claim/claims.go
+++ b/core/claim/claims.go
@@ -73,6 +73,7 @@
 
 func (cfg Config) withDefaults() Config {
 	setDefault(&cfg.Window, DefaultWindow)
+	setDefault(&cfg.Gap, DefaultGap)
 	setDefault(&cfg.MaxBatch, DefaultMaxBatch)
 	setDefault(&cfg.MaxInFlight, DefaultMaxInFlight)
 	setDefault(&cfg.MaxWait, DefaultMaxWait)
@@ -214,6 +215,9 @@
 	return max(c.now, min(next, c.commitAt()))
 }
 
+// SetGap changes Config.Gap, as when the number of writers has changed.
+func (c *Claims) SetGap(gap time.Duration) { c.cfg.Gap = gap }
+
 // Working counts the Begins, Finishes and Releases at work.
 func (c *Claims) Working() int { return c.count }
 
--- a/core/claim/messages.go
+++ b/core/claim/messages.go
@@ -187,7 +187,8 @@
 	// Window is how long a write waits for others. Default 5 ms.
 	Window time.Duration
 	// Gap is the least time between the starts of two transactions; it shares
-	// the store's write rate among the writers. Default 0.
+	// the store's write rate among the writers, see GapFor. Default 37.5 ms:
+	// nine daemons that write for themselves share 240 transactions a second.
 	Gap time.Duration
 	// MaxBatch bounds the rows of a transaction or read. Default 64.
 	MaxBatch int
@@ -212,6 +213,7 @@
 // Defaults of Config.
 const (
 	DefaultWindow         = 5 * time.Millisecond
+	DefaultGap            = 37500 * time.Microsecond
 	DefaultMaxBatch       = 64
 	DefaultMaxInFlight    = 2
 	DefaultMaxWait        = 300 * time.Millisecond
--- a/core/claim/shard.go
+++ b/core/claim/shard.go
@@ -1,6 +1,8 @@
 package claim
 
 import (
+	"time"
+
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/rendezvous"
 )
@@ -20,3 +22,9 @@
 func WriterFor(row string, writers []id.Daemon) id.Daemon {
 	return rendezvous.Owner(row, writers)
 }
+
+// GapFor returns the Gap by which that many writers share a number of
+// transactions a second.
+func GapFor(transactionsPerSecond, writers int) time.Duration {
+	return time.Duration(max(writers, 1)) * time.Second / time.Duration(max(transactionsPerSecond, 1))
+}
--- /dev/null
+++ b/core/lease/lease_test.go
@@ -0,0 +1,300 @@
+package lease
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/revision/table"
+	"github.com/samphirequay/samphirequay/core/revision/table/tabletest"
+)
+
+// process is one contender with a clock of its own.
+type process struct {
+	w      *world
+	self   id.Process
+	lease  *Lease
+	gate   *OrderGate
+	offset time.Duration
+	rate   float64
+	dead   bool
+	// paused is until when the process does not run.
+	paused time.Duration
+	// acquired counts.
+	acquired int
+	ticking  bool
+}
+
+// endpoint is one that checks no fencing numbers.
+type endpoint struct {
+	fence  uint64
+	orders int
+	// reverted counts orders of a former holder that came after a later one's.
+	reverted int
+}
+
+// world runs processes against one table and one endpoint.
+type world struct {
+	clock     *tabletest.Clock
+	model     *tabletest.Model
+	processes []*process
+	endpoint  endpoint
+	// strip takes the conditions off all transactions: a planted fault.
+	strip    bool
+	fences   []uint64
+	overlaps int
+	longest  time.Duration
+}
+
+func newWorld(seed uint64, cfg Config, n int) *world {
+	clock := tabletest.NewClock(seed)
+	w := &world{clock: clock, model: tabletest.New(clock), longest: 2 * time.Second}
+	for i := range n {
+		w.start(cfg, id.Process{Daemon: id.Daemon(fmt.Sprintf("d%d", i)), Incarnation: 1})
+	}
+	return w
+}
+
+func (w *world) start(cfg Config, self id.Process) *process {
+	p := &process{w: w, self: self, offset: w.clock.Upto(time.Hour), rate: 0.99 + 0.02*w.clock.Random.Float64()}
+	p.lease = New(cfg, "placement", self, p.now(), w.clock.Random)
+	p.gate = NewOrderGate(GateConfig{LongestOrder: w.longest}, p.lease)
+	w.processes = append(w.processes, p)
+	p.tick()
+	return p
+}
+
+// now is the process's own clock.
+func (p *process) now() time.Duration {
+	return p.offset + time.Duration(p.rate*float64(p.w.clock.Now()))
+}
+
+// awake runs a function once the process runs again, unless it died.
+func (p *process) awake(run func()) {
+	switch {
+	case p.dead:
+	case p.w.clock.Now() < p.paused:
+		p.w.clock.At(p.paused, func() { p.awake(run) })
+	default:
+		run()
+	}
+}
+
+func (p *process) tick() {
+	p.awake(func() {
+		p.act(p.lease.Tick(p.now()))
+		p.order()
+	})
+	if !p.dead {
+		p.w.clock.After(50*time.Millisecond, p.tick)
+	}
+}
+
+func (p *process) act(actions []Action) {
+	for _, a := range actions {
+		switch {
+		case a.Request != nil:
+			q := *a.Request
+			if p.w.strip && q.Transaction != nil {
+				q.Transaction = &table.Transaction{Puts: q.Transaction.Puts}
+			}
+			p.w.model.Do(q, func(r table.Reply) {
+				p.awake(func() { p.act(p.lease.Handle(p.now(), r)) })
+			})
+		case a.Acquired != nil:
+			p.acquired++
+			p.w.fences = append(p.w.fences, a.Acquired.Fence)
+			p.gate.Acquired(p.now(), *a.Acquired)
+		}
+	}
+	p.w.check()
+}
+
+// order gives the endpoint an order if the gate is open; it arrives late.
+func (p *process) order() {
+	w, now := p.w, p.now()
+	passage := p.gate.Allow(now, "e", false)
+	if passage == ReadBack {
+		p.gate.Repaired(now, "e")
+	}
+	if passage != Open {
+		return
+	}
+	fence := p.gate.Fence()
+	w.clock.After(w.clock.Upto(w.longest), func() {
+		w.endpoint.orders++
+		if fence < w.endpoint.fence {
+			w.endpoint.reverted++
+		}
+		w.endpoint.fence = max(w.endpoint.fence, fence)
+	})
+}
+
+// check counts the moments at which two processes would both act.
+func (w *world) check() {
+	valid := 0
+	for _, p := range w.processes {
+		if !p.dead && p.lease.Valid(p.now()) {
+			valid++
+		}
+	}
+	if valid > 1 {
+		w.overlaps++
+	}
+}
+
+func (w *world) holder() *process {
+	for _, p := range w.processes {
+		if !p.dead && p.lease.Valid(p.now()) {
+			return p
+		}
+	}
+	return nil
+}
+
+// trouble pauses, kills, replaces and releases at random.
+func (w *world) trouble(cfg Config, until time.Duration) {
+	r := w.clock.Random
+	if w.clock.Now() >= until {
+		return
+	}
+	i := r.IntN(len(w.processes))
+	if h := w.holder(); h != nil && r.IntN(2) == 0 {
+		for j, p := range w.processes {
+			if p == h {
+				i = j
+			}
+		}
+	}
+	p := w.processes[i]
+	switch r.IntN(6) {
+	case 0, 1:
+		p.paused = w.clock.Now() + w.clock.Upto(12*time.Second)
+	case 2:
+		p.dead = true
+		w.processes = append(w.processes[:i:i], w.processes[i+1:]...)
+		w.start(cfg, id.Process{Daemon: p.self.Daemon, Incarnation: p.self.Incarnation + 1})
+	case 3:
+		w.model.Faults.Down = true
+		w.clock.After(w.clock.Upto(15*time.Second), func() { w.model.Faults.Down = false })
+	case 4:
+		p.awake(func() { p.act(p.lease.Halt(p.now())) })
+	default:
+		p.awake(func() { p.act(p.lease.Release(p.now())) })
+		w.clock.After(10*time.Second, func() { p.dead = true })
+		w.processes = append(w.processes[:i:i], w.processes[i+1:]...)
+		w.start(cfg, id.Process{Daemon: p.self.Daemon, Incarnation: p.self.Incarnation + 1})
+	}
+	w.check()
+	w.clock.After(w.clock.Upto(6*time.Second), func() { w.trouble(cfg, until) })
+}
+
+func history(seed uint64, cfg Config, strip bool) *world {
+	w := newWorld(seed, cfg, 3)
+	w.strip = strip
+	w.model.Faults = tabletest.Faults{LoseRequest: 0.08, LoseReply: 0.1, Late: 0.08, Stale: 0.15}
+	w.trouble(cfg, 60*time.Second)
+	w.clock.Run(90 * time.Second)
+	w.model.Faults = tabletest.Faults{}
+	for _, p := range w.processes {
+		p.paused = 0
+	}
+	w.clock.Run(120 * time.Second)
+	return w
+}
+
+func (w *world) monotone() bool {
+	for i := 1; i < len(w.fences); i++ {
+		if w.fences[i] <= w.fences[i-1] {
+			return false
+		}
+	}
+	return true
+}
+
+func TestAtMostOneHolderWithGrowingFences(t *testing.T) {
+	is := is.New(t)
+	acquired, orders := 0, 0
+	for seed := range tabletest.Seeds(120) {
+		w := history(seed, DefaultConfig(), false)
+		is.Equal(w.overlaps, 0)
+		is.True(w.monotone())
+		is.Equal(w.endpoint.reverted, 0)
+		is.True(w.holder() != nil) // somebody holds it once the faults are over
+		acquired += len(w.fences)
+		orders += w.endpoint.orders
+	}
+	is.True(acquired > 120*3 && orders > 120*100) // the histories were eventful
+	t.Logf("%d acquisitions, %d orders", acquired, orders)
+}
+
+func TestTheChecksFindPlantedFaults(t *testing.T) {
+	long := DefaultConfig()
+	long.Safety = 1.6 // the holder trusts its lease for longer than it lasts
+	for name, plant := range map[string]func(seed uint64) *world{
+		"no conditions": func(seed uint64) *world { return history(seed, DefaultConfig(), true) },
+		"no safety":     func(seed uint64) *world { return history(seed, long, false) },
+	} {
+		found := 0
+		for seed := range uint64(20) {
+			if w := plant(seed); w.overlaps > 0 || !w.monotone() {
+				found++
+			}
+		}
+		if found == 0 {
+			t.Errorf("%s: found in no history", name)
+		}
+		t.Logf("%s: found in %d of 20 histories", name, found)
+	}
+}
+
+func TestReleaseHandsOverAtOnce(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, DefaultConfig(), 3)
+	w.clock.Run(10 * time.Second)
+	h := w.holder()
+	is.True(h != nil)
+	h.act(h.lease.Release(h.now()))
+	is.True(!h.lease.Valid(h.now())) // it stops before the table knows
+	w.clock.Run(w.clock.Now() + 1500*time.Millisecond)
+	is.True(h.lease.Stopped())
+	next := w.holder()
+	is.True(next != nil && next != h)
+	is.Equal(next.gate.Allow(next.now(), "e", true), Open)  // checks fencing
+	is.Equal(next.gate.Allow(next.now(), "e", false), Wait) // an order may still be on its way
+}
+
+func TestPausedHolderStopsByItsOwnClock(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig()
+	w := newWorld(2, cfg, 2)
+	w.clock.Run(10 * time.Second)
+	h := w.holder()
+	h.paused = w.clock.Now() + 30*time.Second
+	w.clock.Run(w.clock.Now() + cfg.TTL + cfg.Margin + 2*cfg.WatchEvery)
+	next := w.holder()
+	is.True(next != nil && next != h) // taken over within the lease, the margin and a read
+	is.True(!h.lease.Valid(h.now()))
+	is.Equal(h.gate.Allow(h.now(), "e", true), Closed)
+	is.True(next.lease.Fence() > h.gate.Fence())
+}
+
+func TestStoreOutageLetsTheLeaseLapseSafely(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig()
+	w := newWorld(3, cfg, 3)
+	w.clock.Run(10 * time.Second)
+	h := w.holder()
+	w.model.Faults.Down = true
+	w.clock.Run(w.clock.Now() + cfg.TTL)
+	is.True(w.holder() == nil) // nobody acts
+	w.clock.Run(w.clock.Now() + 10*time.Minute)
+	w.model.Faults.Down = false
+	w.clock.Run(w.clock.Now() + cfg.MaxBackoff + cfg.TTL + cfg.Margin + 2*cfg.WatchEvery)
+	is.True(w.holder() != nil)
+	is.Equal(w.overlaps, 0)
+	is.True(w.holder().lease.Fence() > 1 || w.holder() == h)
+}
--- a/core/placement/advance.go
+++ b/core/placement/advance.go
@@ -46,12 +46,13 @@
 		p.putOff(e, fmt.Sprintf("it is one of the last %d warm %s endpoints", least(g.pool, role), role))
 		return
 	}
-	if !o.Setup.sameWeights(e.desired) && p.loads() >= p.cfg.MaxLoads {
+	loads := !o.Setup.sameWeights(e.desired)
+	if loads && p.loads() >= p.cfg.MaxLoads {
 		p.putOff(e, "as many loads run as may")
 		return
 	}
 	e.held = ""
-	e.step, e.since = stepDraining, now
+	e.step, e.since, e.loads = stepDraining, now, loads
 	reason := fmt.Sprintf("it has %s and should have %s", o.Setup, e.desired)
 	p.say(e, "change", reason)
 	p.out = append(p.out, Action{Drain: &Drain{Endpoint: e.name, Pool: e.pool.Name, On: true, Reason: reason}})
@@ -69,7 +70,7 @@
 func (p *Placement) loads() int {
 	n := 0
 	for _, e := range p.engines {
-		if e.step != stepSettled && !e.observed.Setup.sameWeights(e.desired) {
+		if e.step != stepSettled && e.loads {
 			n++
 		}
 	}
@@ -94,6 +95,7 @@
 		p.order(now, e, "it is empty and needs no load")
 		return
 	}
+	e.loads = true
 	e.step, e.since, e.again = stepGranting, now, now
 	p.grant(now, e)
 }
@@ -132,7 +134,7 @@
 
 // settle ends a change and lets new work in again.
 func (p *Placement) settle(e *engine, reason string) {
-	e.step = stepSettled
+	e.step, e.loads = stepSettled, false
 	p.say(e, "settled", reason)
 	p.out = append(p.out, Action{Drain: &Drain{Endpoint: e.name, Pool: e.pool.Name, Reason: reason}})
 }
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -152,6 +152,8 @@
 
 	step  step
 	since time.Duration
+	// loads is set while the change under way needs the weight store.
+	loads bool
 	// again is when the next repeat or request is due.
 	again time.Duration
 	// held is the last reason why a change was put off, to log it once.
--- a/core/pool/manager.go
+++ b/core/pool/manager.go
@@ -65,6 +65,8 @@
 	nodes    map[id.Endpoint]*node
 	pending  map[poison.Fingerprint][]pendingCrash
 	swept    time.Duration
+	// lost are endpoints found unreachable, not yet told to the scheduler.
+	lost     []id.Endpoint
 	drains   map[id.Endpoint]time.Duration
 	reports  map[id.Endpoint]sched.Load
 	usage    usage
@@ -200,7 +202,12 @@
 	if t, ok := m.requests[p.Request]; ok {
 		m.observe(now, t, p)
 	}
-	return m.follow(now, m.sched.Progress(now, p))
+	out := m.follow(now, m.sched.Progress(now, p))
+	for _, e := range m.lost {
+		out = append(out, m.follow(now, m.sched.Load(now, sched.Load{Endpoint: e}))...)
+	}
+	m.lost = nil
+	return out
 }
 
 // Adopt takes over a former owner's grant.
--- a/core/pool/observe.go
+++ b/core/pool/observe.go
@@ -136,11 +136,23 @@
 		m.suspectCrash(now, t, at)
 	}
 	delete(m.requests, p.Request)
+	if p.Unreachable {
+		m.unreachable(now, p.Endpoint)
+	}
+}
+
+// unreachable keeps work off an endpoint that took no connection until a
+// report says that it is there again; one is asked for at once.
+func (m *Manager) unreachable(now time.Duration, e id.Endpoint) {
+	m.lost = append(m.lost, e)
+	if m.opts.Events.Probe != nil {
+		m.opts.Events.Probe(e)
+	}
 }
 
 func outcomeOf(p sched.Progress) health.OutcomeKind {
 	switch {
-	case p.Endpoint == "" || p.Full || p.Leaving:
+	case p.Endpoint == "" || p.Full || p.Leaving || p.Unreachable:
 		return health.Withdrawn
 	case p.Crashed:
 		return health.Crashed
--- a/core/revision/commit.go
+++ b/core/revision/commit.go
@@ -68,7 +68,9 @@
 	return p.request(phaseRivals, table.Request{Keys: revisionKeys(first, p.head.Revision)})
 }
 
-func (p *Proposer) onRivals(r table.Reply) []ProposerAction {
+// onRivals names what the change ran into. A stale read that lacks some of it
+// is repeated a few times, so that the operator is told.
+func (p *Proposer) onRivals(now time.Duration, r table.Reply) []ProposerAction {
 	o := Outcome{Result: Conflict, Revision: p.head.Revision}
 	for _, row := range r.Rows {
 		var rec Record
@@ -85,6 +87,10 @@
 			Overlap:  Overlap(p.change, rec.Change),
 		})
 	}
+	if len(o.Rivals) < len(r.Rows) && p.rereads < p.cfg.FutureReads {
+		p.rereads++
+		return p.backOff(now)
+	}
 	return p.settle(o)
 }
 
--- a/core/revision/proposer.go
+++ b/core/revision/proposer.go
@@ -67,6 +67,8 @@
 	resume   time.Duration
 	pause    time.Duration
 	future   int
+	// rereads counts reads of rivals that lacked some.
+	rereads int
 	// unknown is set once a commit may have taken effect unseen.
 	unknown bool
 
@@ -152,7 +154,7 @@
 	case phaseGap:
 		return p.onGap(now, r)
 	case phaseRivals:
-		return p.onRivals(r)
+		return p.onRivals(now, r)
 	case phaseCommit:
 		return p.onCommit(now, r)
 	case phaseGuard, phaseWithdraw:
--- a/core/sched/filter_slot.go
+++ b/core/sched/filter_slot.go
@@ -11,6 +11,8 @@
 
 func (slotFilter) keepPair(c *cycle, p *pair) bool {
 	p.delay = 0
+	p.wait = 0
+	p.deviation = 0
 	at, deviation, ok := p.decode.slotFreeAt(c.now)
 	if !ok {
 		return false
@@ -21,13 +23,10 @@
 	if mustBeFree(c, p) {
 		return false
 	}
-	margin := c.service.estimate.risk.deviations * deviation.Seconds()
-	safe := at + seconds(margin)
-	early := safe - p.prefillEnd()
-	if early <= 0 {
-		return true
-	}
-	p.delay = early
+	safe := at + c.service.estimate.risk.margin(deviation, c.options.KVLife)
+	p.delay = max(0, safe-p.prefillEnd())
+	p.wait = max(0, at-p.prefillEnd())
+	p.deviation = deviation
 	return p.prefill.start+p.delay-c.now <= c.options.Horizon+queueAhead(c, p)
 }
 
--- a/core/sched/ledger_random_test.go
+++ b/core/sched/ledger_random_test.go
@@ -36,6 +36,7 @@
 	events := eventCount(t) / seeds
 	for seed := range uint64(seeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			o := testOptions(t)
 			o.Seed = seed
--- a/core/sched/messages.go
+++ b/core/sched/messages.go
@@ -116,6 +116,8 @@
 	Leaving bool `cbor:"12,keyasint"`
 	// Crashed is set with PhaseFailed when the endpoint's process seems to have ended.
 	Crashed bool `cbor:"13,keyasint"`
+	// Unreachable is set with PhaseFailed when the endpoint took no connection.
+	Unreachable bool `cbor:"14,keyasint"`
 }
 
 // Adopt tells a pool's new owner of a grant that a former owner gave and that
--- a/core/sched/plugin.go
+++ b/core/sched/plugin.go
@@ -44,9 +44,13 @@
 	decode  *endpoint
 	link    *link
 	// delay is added to the prefill's start to meet a free slot.
-	delay    time.Duration
-	transfer time.Duration
-	score    float64
+	delay time.Duration
+	// wait is how long the KV cache is predicted to wait for its slot.
+	wait time.Duration
+	// deviation is that of the slot's predicted release.
+	deviation time.Duration
+	transfer  time.Duration
+	score     float64
 	// tie breaks equal scores.
 	tie uint64
 }
@@ -57,7 +61,7 @@
 }
 
 // finish predicts the first token, but for the decode's own first step.
-func (p *pair) finish() time.Duration { return p.prefillEnd() + p.transfer }
+func (p *pair) finish() time.Duration { return p.prefillEnd() + p.wait + p.transfer }
 
 // cycle is the state that one decision passes along the row of plugins.
 type cycle struct {
--- a/core/sched/risk.go
+++ b/core/sched/risk.go
@@ -1,10 +1,15 @@
 package sched
 
+import "time"
+
 const (
 	// riskStep is how far one outcome moves the risk, in deviations.
 	riskStep = 0.1
-	// maxRisk bounds it.
+	// maxRisk bounds it, on either side.
 	maxRisk = 8.0
+	// waitShare is the part of its life that a KV cache is at most planned to
+	// wait for a slot.
+	waitShare = 0.75
 )
 
 // risk is how sure a slot's predicted release must be before a service relies
@@ -12,7 +17,8 @@
 // part of them meets what the service tolerates, whether engines refuse a KV
 // cache at once or let it wait for a slot.
 type risk struct {
-	// deviations are added to the prediction.
+	// deviations are added to the prediction. Below zero a prefill may end
+	// before the slot is free: its KV cache waits at the prefill engine.
 	deviations float64
 	// tolerated is the part of the prefills that may be wasted.
 	tolerated float64
@@ -32,7 +38,14 @@
 	if wasted {
 		step = riskStep * (1 - k.tolerated)
 	}
-	k.deviations = min(max(k.deviations+step, 0), maxRisk)
+	k.deviations = min(max(k.deviations+step, -maxRisk), maxRisk)
+}
+
+// margin is added to a predicted release of some deviation before it is
+// relied on.
+func (k *risk) margin(deviation, kvLife time.Duration) time.Duration {
+	least := -seconds(waitShare * kvLife.Seconds())
+	return max(least, seconds(k.deviations*deviation.Seconds()))
 }
 
 // judgeRisk tells the service's risk, once, how a borrowed slot turned out.
--- a/daemon/completion/attempt.go
+++ b/daemon/completion/attempt.go
@@ -244,11 +244,12 @@
 
 func failure(e id.Endpoint, err *verdict.Error) sched.Progress {
 	return sched.Progress{
-		Phase:    sched.PhaseFailed,
-		Endpoint: e,
-		Full:     err.Code == verdict.CodeOverloaded,
-		Leaving:  err.Code == verdict.CodeLeaving,
-		Crashed:  err.Code == verdict.CodeEndpointFailed && err.Verdict != verdict.NotRun,
+		Phase:       sched.PhaseFailed,
+		Endpoint:    e,
+		Full:        err.Code == verdict.CodeOverloaded,
+		Leaving:     err.Code == verdict.CodeLeaving,
+		Unreachable: err.Code == verdict.CodeUnavailable && err.Verdict == verdict.NotRun,
+		Crashed:     err.Code == verdict.CodeEndpointFailed && err.Verdict != verdict.NotRun,
 	}
 }
 
--- a/daemon/completion/runner.go
+++ b/daemon/completion/runner.go
@@ -102,7 +102,7 @@
 		if ctx.Err() != nil {
 			return r.fail(ctx, p, err)
 		}
-		retry := r.Retries.Decide(p.job.Team, err, n, r.remaining(p.job))
+		retry := r.Retries.Decide(p.job.Team, err, n, r.patience(p))
 		r.Recorder.Decision("request", string(p.job.ID), "retry",
 			"again", retry.Again, "attempt", n, "delay", retry.Delay, "why", retry.Reason, "code", err.Code, "err", err.Error())
 		if !retry.Again {
--- a/daemon/peer/dial.go
+++ b/daemon/peer/dial.go
@@ -8,6 +8,10 @@
 	"github.com/rotisserie/eris"
 )
 
+// giveWayTime is long against a handshake between hosts, and short against
+// the time for which a message may wait.
+const giveWayTime = 50 * time.Millisecond
+
 func (r *remote) answerLocked(o outcome) {
 	for _, w := range r.waiting {
 		w <- o
@@ -45,6 +49,7 @@
 		return c
 	}
 	r.rest()
+	r.giveWay()
 	if c := r.live(); c != nil {
 		return c
 	}
@@ -76,6 +81,25 @@
 	}
 }
 
+// giveWay lets a peer with a lower name dial first, as two daemons that begin
+// to talk at the same time would else keep two connections.
+func (r *remote) giveWay() {
+	if r.name > r.t.cfg.Self.Daemon {
+		return
+	}
+	timer := time.NewTimer(giveWayTime)
+	defer timer.Stop()
+	for r.live() == nil {
+		select {
+		case <-timer.C:
+			return
+		case <-r.changed:
+		case <-r.ctx.Done():
+			return
+		}
+	}
+}
+
 // dial makes one connection and waits for the peer's hello.
 func (r *remote) dial() error {
 	r.mu.Lock()
--- a/daemon/peer/fault_test.go
+++ b/daemon/peer/fault_test.go
@@ -193,3 +193,18 @@
 	cancel()
 	<-failed
 }
+
+func TestUnusedConnectionsEndWithoutKeepalive(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	quiet := func(c *Config) {
+		c.Keepalive = -1
+		c.IdleTimeout = 200 * time.Millisecond
+	}
+	a, _ := f.listen("a", quiet)
+	b, _ := f.listen("b", quiet)
+	is.NoErr(a.SetPeer("b", b.Address()))
+	callUntilUp(t, a, "b")
+	waitDisconnected(t, a, 1)
+	callUntilUp(t, a, "b") // made again on use
+}
--- a/daemon/peer/peer.go
+++ b/daemon/peer/peer.go
@@ -90,6 +90,9 @@
 	// MaxAge is how long a one-way message may wait for a connection before it is dropped.
 	MaxAge time.Duration
 	// Keepalive is the time between keepalive packets on an idle connection.
+	// Negative sends none: connections that are not used then end after
+	// IdleTimeout, and are made again on use. That is cheaper where each daemon
+	// talks to a few others at a time.
 	Keepalive time.Duration
 	// IdleTimeout is after how much silence a connection is given up.
 	IdleTimeout time.Duration
--- a/daemon/peer/traffic.go
+++ b/daemon/peer/traffic.go
@@ -106,6 +106,21 @@
 	return total
 }
 
+// declareWire shows the packets as metrics.
+func (t *Transport) declareWire(registry *metrics.Registry) {
+	gauge := func(name string, unit metrics.Unit, help string, value func(WireTraffic) float64) {
+		registry.GaugeFunc(name, unit, help, func() float64 { return value(t.Wire()) })
+	}
+	gauge("peer_wire_sent_bytes", metrics.UnitBytes, "Bytes of QUIC packets sent to peers since the start.",
+		func(w WireTraffic) float64 { return float64(w.SentBytes) })
+	gauge("peer_wire_received_bytes", metrics.UnitBytes, "Bytes of QUIC packets received from peers since the start.",
+		func(w WireTraffic) float64 { return float64(w.ReceivedBytes) })
+	gauge("peer_wire_sent_packets", metrics.UnitCount, "QUIC packets sent to peers since the start.",
+		func(w WireTraffic) float64 { return float64(w.SentPackets) })
+	gauge("peer_connections", metrics.UnitCount, "Connections with peers, either side's.",
+		func(w WireTraffic) float64 { return float64(w.Connections) })
+}
+
 func (w *WireTraffic) add(s quic.ConnectionStats) {
 	w.SentBytes += s.BytesSent
 	w.SentPackets += s.PacketsSent
--- a/daemon/peer/transport.go
+++ b/daemon/peer/transport.go
@@ -74,6 +74,7 @@
 		remotes: make(map[id.Daemon]*remote),
 		conns:   make(map[*conn]struct{}),
 	}
+	t.declareWire(cfg.Registry)
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	if err := t.listen(); err != nil {
 		t.Close()
@@ -113,7 +114,7 @@
 	return &quic.Config{
 		HandshakeIdleTimeout:  t.cfg.DialTimeout,
 		MaxIdleTimeout:        t.cfg.IdleTimeout,
-		KeepAlivePeriod:       t.cfg.Keepalive,
+		KeepAlivePeriod:       max(t.cfg.Keepalive, 0),
 		MaxIncomingStreams:    maxIncomingCalls,
 		MaxIncomingUniStreams: 1,
 		EnableDatagrams:       true,
--- a/daemon/plaincall/runner.go
+++ b/daemon/plaincall/runner.go
@@ -57,8 +57,7 @@
 	if claimRefused(err) {
 		return false
 	}
-	remaining := s.call.Service.Timeout() - (r.Now() - s.call.Arrived)
-	retry := r.Retries.Decide(s.call.Team, err, n, remaining)
+	retry := r.Retries.Decide(s.call.Team, err, n, r.patience(s))
 	r.Recorder.Decision("request", string(s.call.ID), "retry",
 		"again", retry.Again, "attempt", n, "delay", retry.Delay, "why", retry.Reason, "code", err.Code, "err", err.Error())
 	if !retry.Again {
@@ -92,7 +91,7 @@
 // attempt runs the pipeline once: pair, claim, send.
 func (r *Runner) attempt(ctx context.Context, s *state, n int) (*Answer, *verdict.Error) {
 	w := r.want(s, n)
-	patience := s.call.Service.Patience() - (r.Now() - s.call.Arrived)
+	patience := r.patience(s)
 	if patience <= 0 {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeDeadline, "out of time before attempt %d", n)
 	}
@@ -116,6 +115,11 @@
 	return r.send(ctx, s, w, endpoint)
 }
 
+// patience is how long the call may still wait for its endpoint.
+func (r *Runner) patience(s *state) time.Duration {
+	return s.call.Service.Patience() - (r.Now() - s.call.Arrived)
+}
+
 func (r *Runner) want(s *state, n int) sched.Want {
 	return sched.Want{
 		Request:     r.NewID(),
@@ -202,11 +206,12 @@
 
 func failure(e id.Endpoint, err *verdict.Error) sched.Progress {
 	return sched.Progress{
-		Phase:    sched.PhaseFailed,
-		Endpoint: e,
-		Full:     err.Code == verdict.CodeOverloaded,
-		Leaving:  err.Code == verdict.CodeLeaving,
-		Crashed:  err.Code == verdict.CodeEndpointFailed && err.Verdict != verdict.NotRun,
+		Phase:       sched.PhaseFailed,
+		Endpoint:    e,
+		Full:        err.Code == verdict.CodeOverloaded,
+		Leaving:     err.Code == verdict.CodeLeaving,
+		Unreachable: err.Code == verdict.CodeUnavailable && err.Verdict == verdict.NotRun,
+		Crashed:     err.Code == verdict.CodeEndpointFailed && err.Verdict != verdict.NotRun,
 	}
 }
 
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -195,7 +195,8 @@
 	PeerRing int `json:"peer_ring" validate:"min=16,max=1048576"`
 	// LogRing is how many lines may wait to be written. Default 4096.
 	LogRing int `json:"log_ring" validate:"min=16,max=1048576"`
-	// JournalDecisions is how many decisions are kept in memory for explain.
+	// JournalDecisions is how many decisions are kept in memory for explain, each
+	// of at most about 1 KiB.
 	// Default 20000.
 	JournalDecisions int `json:"journal_decisions" validate:"min=64,max=10000000"`
 }
