--- /dev/null
+++ b/cmd/internal/experiment/config_change.go
@@ -0,0 +1,276 @@
+package experiment
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/exit"
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/operator"
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/revision"
+	"github.com/samphirequay/samphirequay/daemon/opapi"
+	"github.com/samphirequay/samphirequay/platform/standin"
+	"github.com/samphirequay/samphirequay/platform/wire"
+)
+
+// The two items that every change sets to one number; a document in which they
+// differ holds half a change.
+var markers = [2]id.Team{"config-marker-a", "config-marker-b"}
+
+// resendPause is between an operator's tries of one change.
+const resendPause = 100 * time.Millisecond
+
+// changing makes the changes of the experiment.
+type changing struct {
+	env   Env
+	site  configSite
+	watch *watch
+	phase string
+
+	mu       sync.Mutex
+	number   int
+	accepted []acceptedChange
+	resent   int
+	out      ConfigFigures
+}
+
+// acceptedChange is a change that an operator was told is accepted.
+type acceptedChange struct {
+	id       string
+	revision uint64
+	phase    string
+	at       time.Time
+	number   int
+}
+
+func newChanging(env Env, site configSite) *changing {
+	return &changing{env: env, site: site, watch: startWatch(site)}
+}
+
+// request is the next change.
+func (c *changing) request(expect uint64) (opapi.ChangeRequest, int, error) {
+	c.mu.Lock()
+	c.number++
+	n := c.number
+	c.mu.Unlock()
+	req := opapi.ChangeRequest{ID: ulid.Make().String(), Author: fmt.Sprintf("operator-%d", n), Expect: expect}
+	for _, name := range markers {
+		item, err := json.Marshal(live.Team{Name: name, KeyHashes: []string{live.HashKey(string(name))}, MaxInFlight: n})
+		if err != nil {
+			return req, n, err
+		}
+		req.Ops = append(req.Ops, opapi.Op{Action: revision.ActionPut, Kind: live.KindTeam, Name: string(name), Item: item})
+	}
+	return req, n, nil
+}
+
+// operator returns a client that starts with one place's daemon and goes on
+// with the others.
+func (c *changing) operator(first int) (*operator.Client, error) {
+	var addresses []string
+	for i := range c.site.places() {
+		if a := c.site.address((first + i) % c.site.places()); a != "" {
+			addresses = append(addresses, a)
+		}
+	}
+	return operator.New(operator.Config{Addresses: addresses, Key: c.site.key()})
+}
+
+// propose sends a change, again and again under its id while it is not known
+// what became of it.
+func (c *changing) propose(ctx context.Context, first int, req opapi.ChangeRequest, n int) error {
+	for {
+		client, err := c.operator(first)
+		if err != nil {
+			return err
+		}
+		answer, err := client.Change(ctx, req)
+		if err == nil {
+			c.accept(req, answer, n)
+			return nil
+		}
+		if exit.Code(err) != exit.Unavailable {
+			return err
+		}
+		c.mu.Lock()
+		c.resent++
+		c.mu.Unlock()
+		if sleep(ctx, resendPause) != nil {
+			return err
+		}
+	}
+}
+
+func (c *changing) accept(req opapi.ChangeRequest, answer opapi.ChangeAnswer, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.accepted = append(c.accepted, acceptedChange{id: req.ID, revision: answer.Revision, phase: c.phase, at: time.Now(), number: n})
+}
+
+// changes makes changes one after the other, at a different daemon each.
+func (c *changing) changes(ctx context.Context, count int) error {
+	for i := range count {
+		req, n, err := c.request(0)
+		if err != nil {
+			return err
+		}
+		if err := c.propose(ctx, i, req, n); err != nil {
+			return fmt.Errorf("phase %s: %w", c.phase, err)
+		}
+		if err := sleep(ctx, configPause); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// slow makes changes while the table answers late.
+func (c *changing) slow(ctx context.Context) error {
+	delay, none := configDelayMS, 0
+	if err := c.site.inject(wire.Fault{Target: standin.TargetTable, DelayMS: &delay}); err != nil {
+		return err
+	}
+	err := c.changes(ctx, configSlow)
+	return errors.Join(err, c.site.inject(wire.Fault{Target: standin.TargetTable, DelayMS: &none}))
+}
+
+// lossy makes changes while replies of the table are lost after the effect.
+func (c *changing) lossy(ctx context.Context) error {
+	share, none := configLost, 0.0
+	if err := c.site.inject(wire.Fault{Target: standin.TargetTable, LoseReplies: &share}); err != nil {
+		return err
+	}
+	err := c.changes(ctx, configLossy)
+	return errors.Join(err, c.site.inject(wire.Fault{Target: standin.TargetTable, LoseReplies: &none}))
+}
+
+// down takes the table away right after an acceptance, which then spreads from
+// daemon to daemon, and goes on proposing; a change that the outage refused is
+// sent again after it.
+func (c *changing) down(ctx context.Context) error {
+	if err := c.changes(ctx, 1); err != nil {
+		return err
+	}
+	yes, no := true, false
+	if err := c.site.inject(wire.Fault{Target: standin.TargetTable, Down: &yes}); err != nil {
+		return err
+	}
+	refused, err := c.proposeWhileDown(ctx)
+	if upErr := c.site.inject(wire.Fault{Target: standin.TargetTable, Down: &no}); upErr != nil {
+		return errors.Join(err, upErr)
+	}
+	if err != nil {
+		return err
+	}
+	for i, r := range refused {
+		if err := c.propose(ctx, i, r.request, r.number); err != nil {
+			return fmt.Errorf("after the outage: %w", err)
+		}
+	}
+	return nil
+}
+
+// pendingChange is a change whose fate is open.
+type pendingChange struct {
+	request opapi.ChangeRequest
+	number  int
+}
+
+// proposeWhileDown asks several daemons at once, each once.
+func (c *changing) proposeWhileDown(ctx context.Context) ([]pendingChange, error) {
+	var refused []pendingChange
+	var all sync.WaitGroup
+	var failed error
+	for place := range c.site.places() {
+		req, n, err := c.request(0)
+		if err != nil {
+			return nil, err
+		}
+		address := c.site.address(place)
+		if address == "" {
+			continue
+		}
+		refused = append(refused, pendingChange{request: req, number: n})
+		all.Go(func() {
+			status, err := rawOperator{address: address, key: c.site.key()}.change(ctx, req)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			switch {
+			case err != nil:
+				c.out.CutWhileDown++
+			case status == http.StatusServiceUnavailable:
+				c.out.RefusedWhileDown++
+			case status == http.StatusOK:
+				c.out.AcceptedWhileDown++
+			default:
+				failed = fmt.Errorf("status %d while the table is down", status)
+			}
+		})
+	}
+	all.Wait()
+	return refused, errors.Join(failed, ctx.Err())
+}
+
+// races lets two operators at two daemons change the same items against the
+// same revision at the same time.
+func (c *changing) races(ctx context.Context) error {
+	for i := range configRaces {
+		expect := c.newest()
+		var requests [2]opapi.ChangeRequest
+		var numbers [2]int
+		var failed [2]error
+		for k := range requests {
+			var err error
+			if requests[k], numbers[k], err = c.request(expect); err != nil {
+				return err
+			}
+		}
+		var both sync.WaitGroup
+		for k := range requests {
+			both.Go(func() { failed[k] = c.propose(ctx, i+4*k, requests[k], numbers[k]) })
+		}
+		both.Wait()
+		c.judge(requests, failed)
+		if err := sleep(ctx, configPause); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// judge holds the outcome of a race against what must be.
+func (c *changing) judge(requests [2]opapi.ChangeRequest, failed [2]error) {
+	c.out.Races++
+	loser := 0
+	if failed[0] == nil {
+		loser = 1
+	}
+	if (failed[0] == nil) == (failed[1] == nil) {
+		return
+	}
+	c.out.OneWinner++
+	told := exit.Code(failed[loser]) == exit.Conflict && strings.Contains(failed[loser].Error(), requests[1-loser].ID)
+	if told {
+		c.out.LoserTold++
+	}
+}
+
+// newest is the highest revision that was accepted.
+func (c *changing) newest() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var rev uint64
+	for _, a := range c.accepted {
+		rev = max(rev, a.revision)
+	}
+	return rev
+}
--- /dev/null
+++ b/cmd/internal/experiment/config_site.go
@@ -0,0 +1,154 @@
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/samphirequay/samphirequay/cmd/internal/fleet"
+	"github.com/samphirequay/samphirequay/platform/standin"
+	"github.com/samphirequay/samphirequay/platform/wire"
+)
+
+// Modes of the experiment.
+const (
+	modeInProcess = "in-process"
+	modeProcesses = "processes"
+)
+
+// What scripts/fleet.sh gives the command that it runs.
+const (
+	envFleetDir    = "FLEET_DIR"
+	envOperatorKey = "SAMPHIREQUAY_OPERATOR_KEY"
+	fileDaemons    = "daemons"
+	filePlatform   = "platform.json"
+)
+
+// Times of the disturbance in this process.
+const (
+	deadFor      = 700 * time.Millisecond
+	betweenKills = 1500 * time.Millisecond
+)
+
+// configSite is where the configuration is changed.
+type configSite interface {
+	mode() string
+	key() string
+	// places is how many daemons there are when all run.
+	places() int
+	// address is the operators' address at a place; empty if none runs there.
+	address(place int) string
+	// inject sets a fault of a stand-in.
+	inject(f wire.Fault) error
+	// disturb kills and replaces daemons until ctx ends.
+	disturb(ctx context.Context)
+	close()
+}
+
+// openConfigSite attaches to the processes of the script, if it runs this
+// command, or else starts a fleet in this process.
+func openConfigSite(ctx context.Context, env Env) (configSite, error) {
+	if dir := os.Getenv(envFleetDir); dir != "" {
+		return attachProcesses(dir)
+	}
+	sites := []standin.PlatformConfig{standin.Bunker()}
+	f, err := fleet.Start(ctx, fleet.Config{Sites: sites, Daemons: max(env.Daemons, configDaemons)})
+	if err != nil {
+		return nil, err
+	}
+	return &ownFleet{fleet: f}, nil
+}
+
+// ownFleet is a fleet in this process.
+type ownFleet struct{ fleet *fleet.Fleet }
+
+func (s *ownFleet) mode() string              { return modeInProcess }
+func (s *ownFleet) key() string               { return s.fleet.OperatorKey() }
+func (s *ownFleet) places() int               { return s.fleet.Places() }
+func (s *ownFleet) inject(f wire.Fault) error { return s.fleet.Inject(f) }
+func (s *ownFleet) close()                    { s.fleet.Close() }
+
+func (s *ownFleet) address(place int) string {
+	daemon := s.fleet.Daemon(place)
+	if daemon == nil {
+		return ""
+	}
+	return daemon.OperatorAddr()
+}
+
+func (s *ownFleet) disturb(ctx context.Context) {
+	for place := 0; ctx.Err() == nil; place = (place + 1) % s.places() {
+		s.fleet.Kill(place)
+		// A fleet that is to end stays whole: the wait's end is no error.
+		_ = sleep(ctx, deadFor)
+		if s.fleet.Replace(place) != nil {
+			return
+		}
+		_ = sleep(ctx, betweenKills)
+	}
+}
+
+// processes are daemons that the script started and kills.
+type processes struct {
+	operatorKey string
+	addresses   []string
+	control     string
+}
+
+// attachProcesses reads what the script wrote.
+func attachProcesses(dir string) (*processes, error) {
+	p := &processes{operatorKey: os.Getenv(envOperatorKey)}
+	raw, err := os.ReadFile(filepath.Join(dir, fileDaemons))
+	if err != nil {
+		return nil, err
+	}
+	for text := range strings.Lines(string(raw)) {
+		// name, process id, callers' address, operators' address
+		fields := strings.Fields(text)
+		if len(fields) != 4 {
+			return nil, fmt.Errorf("%s: %q has no four fields", fileDaemons, text)
+		}
+		p.addresses = append(p.addresses, fields[3])
+	}
+	raw, err = os.ReadFile(filepath.Join(dir, filePlatform))
+	if err != nil {
+		return nil, err
+	}
+	var at standin.Addresses
+	if err := json.Unmarshal(raw, &at); err != nil {
+		return nil, fmt.Errorf("%s: %w", filePlatform, err)
+	}
+	p.control = at.Control
+	return p, nil
+}
+
+func (p *processes) mode() string             { return modeProcesses }
+func (p *processes) key() string              { return p.operatorKey }
+func (p *processes) places() int              { return len(p.addresses) }
+func (p *processes) address(place int) string { return p.addresses[place] }
+
+// disturb does nothing: the script kills and replaces.
+func (p *processes) disturb(context.Context) {}
+func (p *processes) close()                  {}
+
+func (p *processes) inject(f wire.Fault) error {
+	body, err := json.Marshal(f)
+	if err != nil {
+		return err
+	}
+	resp, err := http.Post("http://"+p.control+wire.PathControl, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusBadRequest {
+		return fmt.Errorf("control %s: status %d", p.control, resp.StatusCode)
+	}
+	return nil
+}
--- a/cmd/internal/experiment/deployment.go
+++ b/cmd/internal/experiment/deployment.go
@@ -72,24 +72,38 @@
 }
 
 // measure sends the load and returns the account and the engines' work, both
-// without the warm-up.
+// without the warm-up. Waste shows only when a KV cache has outlived its time,
+// so it is counted from that much later: the waste of the work that is counted.
 func measure(ctx context.Context, env Env, f *fleet.Fleet, spec load.Spec) (*load.Result, fleet.Work, error) {
-	var before fleet.Work
-	var mu sync.Mutex
-	timer := time.AfterFunc(env.Warmup, func() {
-		mu.Lock()
-		defer mu.Unlock()
-		before = f.Work()
-	})
-	defer timer.Stop()
+	atWarm := snapshotAfter(env.Warmup, f)
+	atWaste := snapshotAfter(env.Warmup+standin.DefaultKVLife, f)
 	res, err := load.Run(ctx, spec)
 	if err != nil {
 		return nil, fleet.Work{}, err
 	}
 	settle(ctx, f)
-	mu.Lock()
-	defer mu.Unlock()
-	return res, f.Work().Since(before), ctx.Err()
+	end := f.Work()
+	work := end.Since(atWarm())
+	work.WastedTokens = end.Since(atWaste()).WastedTokens
+	return res, work, ctx.Err()
+}
+
+// snapshotAfter takes the work done up to a time from now. The function that
+// it returns gives the snapshot; it is zero if the time has not come.
+func snapshotAfter(d time.Duration, f *fleet.Fleet) func() fleet.Work {
+	var mu sync.Mutex
+	var work fleet.Work
+	timer := time.AfterFunc(d, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		work = f.Work()
+	})
+	return func() fleet.Work {
+		timer.Stop()
+		mu.Lock()
+		defer mu.Unlock()
+		return work
+	}
 }
 
 // Bounds of settling.
--- /dev/null
+++ b/cmd/internal/experiment/faults.go
@@ -0,0 +1,180 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/samphirequay/samphirequay/cmd/internal/fleet"
+)
+
+// siteDaemons is the least size of the fleets that faults strike.
+const siteDaemons = 9
+
+// FaultFigures are the figures of one fault.
+type FaultFigures struct {
+	Fault string `json:"fault"`
+	Wrongs
+	// GoodputBefore and GoodputDuring are in completions a second.
+	GoodputBefore float64 `json:"goodput_before_per_second"`
+	GoodputDuring float64 `json:"goodput_during_per_second"`
+	// BackMS is how long after the fault's begin, or its end if it lasts, the
+	// goodput was back at 95%; -1 if it was not.
+	BackMS int64 `json:"back_to_95_ms"`
+	// Ended counts the requests by how they ended.
+	Ended map[string]int `json:"ended"`
+	// Errors are log lines of the daemons at level error.
+	Errors []string `json:"errors"`
+	series Series
+}
+
+// phases are the times of a run with one fault.
+type phases struct{ quiet, fault, rest window }
+
+func (e Env) phases() phases {
+	begin := e.Warmup + e.Duration/2
+	end := begin + e.Duration/2
+	return phases{
+		quiet: window{e.Warmup, begin},
+		fault: window{begin, end},
+		rest:  window{end, end + e.Duration},
+	}
+}
+
+// runFaults strikes a loaded fleet with one fault after the other, each fleet
+// with one.
+func runFaults(ctx context.Context, env Env) (*Report, error) {
+	figures, err := each(ctx, env, debugCases(), func(ctx context.Context, c faultCase) (FaultFigures, error) {
+		env.logf("faults fault=%s", c.name)
+		out, err := faultOnce(ctx, env, c)
+		if err != nil {
+			err = fmt.Errorf("fault %s: %w", c.name, err)
+		}
+		return out, err
+	})
+	if err != nil {
+		return nil, err
+	}
+	report := &Report{Experiment: "faults", Seed: env.Seed, Data: figures}
+	for _, f := range figures {
+		report.faultLine(f)
+	}
+	report.Figures = faultPlots(figures)
+	return report, nil
+}
+
+// faultFleet starts a fleet for faults and the teams of its load.
+func faultFleet(ctx context.Context, env Env, d Deployment, tune func(*fleet.Config)) (*fleet.Fleet, *attemptLog, error) {
+	ofFleet, _ := d.Teams(faultTeams)
+	attempts := newAttemptLog()
+	config := fleet.Config{
+		Sites: siteOf(d), Daemons: max(env.Daemons, siteDaemons), Teams: ofFleet, Log: attempts,
+	}
+	if tune != nil {
+		tune(&config)
+	}
+	f, err := fleet.Start(ctx, config)
+	return f, attempts, err
+}
+
+// faultDeployment is the deployment that faults strike.
+func faultDeployment() Deployment {
+	d := Bunker()
+	d.Profile = faultProfile(d.Profile)
+	return d
+}
+
+// faultOnce strikes one fleet with one fault.
+func faultOnce(ctx context.Context, env Env, c faultCase) (FaultFigures, error) {
+	d := faultDeployment()
+	f, attempts, err := faultFleet(ctx, env, d, func(fc *fleet.Config) { fc.Log = debugLog(fc.Log.(*attemptLog), c.name) })
+	if err != nil {
+		return FaultFigures{}, err
+	}
+	defer f.Close()
+	at := env.phases()
+	_, teams := d.Teams(faultTeams)
+	x := newDriver(env, d, f, teams, faultLoadShare, at.rest.to)
+	s := &scene{fleet: f, site: d.Site, rng: rand.New(rand.NewPCG(env.Seed, 1)), hang: &hangUps{}}
+	x.hangUp = s.hang.chosen
+	struck := make(chan error, 1)
+	go func() { struck <- strikeAt(ctx, s, c.strike, at.fault) }()
+	x.run(ctx)
+	if err := <-struck; err != nil {
+		return FaultFigures{}, err
+	}
+	if err := ctx.Err(); err != nil {
+		return FaultFigures{}, err
+	}
+	return x.figures(ctx, c, at, attempts), nil
+}
+
+// strikeAt begins a fault at the start of a window and ends it at its end.
+func strikeAt(ctx context.Context, s *scene, what strike, w window) error {
+	started := time.Now()
+	if !sleepFor(ctx, w.from) {
+		return ctx.Err()
+	}
+	if err := what.begin(ctx, s); err != nil {
+		return err
+	}
+	if !sleepFor(ctx, w.to-time.Since(started)) {
+		return ctx.Err()
+	}
+	return what.end(ctx, s)
+}
+
+// figures sums a run up.
+func (x *driver) figures(ctx context.Context, c faultCase, at phases, attempts *attemptLog) FaultFigures {
+	from := at.fault.from
+	if c.lasting {
+		from = at.fault.to
+	}
+	return FaultFigures{
+		Fault:         c.name,
+		Wrongs:        x.wrongs(ctx, attempts),
+		GoodputBefore: x.perSecond(at.quiet),
+		GoodputDuring: x.perSecond(at.fault),
+		BackMS:        x.backAfter(from, at.rest.to, backShare*x.share(at.quiet)),
+		Ended:         x.codes(),
+		Errors:        attempts.warnings,
+		series:        x.series(c.name),
+	}
+}
+
+// faultLine adds the line of a fault.
+func (r *Report) faultLine(f FaultFigures) {
+	r.add("fault=%s lost=%d doubled=%d ran_twice=%d orphans=%d not_run_but_ran=%d wrong=%d violations=%d "+
+		"goodput_before=%.1f/s goodput_during=%.1f/s back_to_95_ms=%d",
+		f.Fault, f.Lost, f.Doubled, f.RanTwice, f.Orphans, f.NotRunButRan, f.Wrong, f.Violations,
+		f.GoodputBefore, f.GoodputDuring, f.BackMS)
+	r.wrong(f.Fault, f.Wrongs)
+}
+
+// wrong notes what must not have happened.
+func (r *Report) wrong(run string, w Wrongs) {
+	if w.any() {
+		r.fault("%s: lost=%d doubled=%d ran_twice=%d orphans=%d not_run_but_ran=%d wrong=%d violations=%d",
+			run, w.Lost, w.Doubled, w.RanTwice, w.Orphans, w.NotRunButRan, w.Wrong, w.Violations)
+	}
+}
+
+// seriesPerPlot keeps a plot readable.
+const seriesPerPlot = 6
+
+// faultPlots draws the goodput over time, a few faults to a plot.
+func faultPlots(figures []FaultFigures) []Figure {
+	var out []Figure
+	for from := 0; from < len(figures); from += seriesPerPlot {
+		fig := Figure{
+			Name: fmt.Sprintf("faults-goodput-%d", len(out)+1), Title: "Goodput around a fault",
+			XLabel: "time, seconds", YLabel: "goodput, completions a second",
+		}
+		for _, f := range figures[from:min(from+seriesPerPlot, len(figures))] {
+			fig.Series = append(fig.Series, f.series)
+		}
+		out = append(out, fig)
+	}
+	return out
+}
--- /dev/null
+++ b/cmd/internal/experiment/faults_cases.go
@@ -0,0 +1,81 @@
+package experiment
+
+import (
+	"sync/atomic"
+
+	"github.com/samphirequay/samphirequay/cmd/internal/load"
+	"github.com/samphirequay/samphirequay/platform/standin"
+	"github.com/samphirequay/samphirequay/platform/wire"
+)
+
+// The stages of a request in which engines are crashed.
+const (
+	stagePrefill = "prefill"
+	stageDecode  = "decode"
+)
+
+// hangUps decides which callers hang up.
+type hangUps struct{ on atomic.Bool }
+
+// chosen tells whether the caller of an arrival hangs up: half of them, while
+// the fault stands.
+func (h *hangUps) chosen(a load.Arrival) bool {
+	return h.on.Load() && !a.Plain && a.TextSeed%2 == 0
+}
+
+// faultCase is one line of the experiment.
+type faultCase struct {
+	name   string
+	strike strike
+	// lasting says that the fault stands until its end, so that the way back
+	// begins there and not at its beginning.
+	lasting bool
+}
+
+// faultCases lists the faults: singly, in pairs, and twice in a row. Each call
+// makes new ones, since strikes keep what they struck.
+func faultCases() []faultCase {
+	return append(singleFaults(), pairedFaults()...)
+}
+
+func singleFaults() []faultCase {
+	engines := firstOf(1, standin.RolePrefill, standin.RoleDecode)
+	return []faultCase{
+		{"daemon-killed", killDaemon(), false},
+		{"owner-killed", killOwner(), false},
+		{"engine-crash-prefill", crashEngine(stagePrefill), false},
+		{"engine-crash-decode", crashEngine(stageDecode), false},
+		{"engine-slow", standing(engines, wire.Fault{Slow: value(slowFactor)}, wire.Fault{Slow: value(1.0)}), true},
+		{"transfer-stall", transferStall(), true},
+		{"table-down", tableDown(), true},
+		{"table-slow", tableFault(wire.Fault{DelayMS: value(slowTableMS)}, wire.Fault{DelayMS: value(0)}), true},
+		{"table-replies-lost", tableFault(wire.Fault{LoseReplies: value(faultyShare)}, wire.Fault{LoseReplies: value(0.0)}), true},
+		{"table-stale-reads", tableFault(wire.Fault{StaleReads: value(faultyShare)}, wire.Fault{StaleReads: value(0.0)}), true},
+		{"hosts-stale", staleHosts(), false},
+		{"one-way-loss", oneWayLoss(), true},
+		{"callers-hang-up", callersHangUp(), true},
+	}
+}
+
+func pairedFaults() []faultCase {
+	return []faultCase{
+		{"daemon-killed+table-down", both(killDaemon(), tableDown()), false},
+		{"engine-crash-decode+owner-killed", both(crashEngine(stageDecode), killOwner()), false},
+		{"transfer-stall+daemon-killed", both(transferStall(), killDaemon()), true},
+		{"owner-killed-twice", twice(killOwner(), killOwner()), false},
+		{"engine-crash-decode-twice", twice(crashEngine(stageDecode), crashEngine(stageDecode)), false},
+	}
+}
+
+func transferStall() strike {
+	return standing(firstOf(stalledEngines, standin.RoleDecode),
+		wire.Fault{StallTransfers: value(true)}, wire.Fault{StallTransfers: value(false)})
+}
+
+func tableDown() strike {
+	return tableFault(wire.Fault{Down: value(true)}, wire.Fault{Down: value(false)})
+}
+
+func tableFault(on, off wire.Fault) strike {
+	return standing(named(standin.TargetTable), on, off)
+}
--- /dev/null
+++ b/cmd/internal/experiment/faults_journal.go
@@ -0,0 +1,61 @@
+package experiment
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+)
+
+// attemptLog reads the daemons' log lines and keeps which attempts each
+// request was given. It is an io.Writer for the log of a fleet.
+type attemptLog struct {
+	mu       sync.Mutex
+	attempts map[string][]string
+	// warnings holds the first lines at level error, for the report.
+	warnings []string
+}
+
+// maxWarnings bounds the kept lines.
+const maxWarnings = 8
+
+func newAttemptLog() *attemptLog {
+	return &attemptLog{attempts: map[string][]string{}}
+}
+
+// Write implements io.Writer; it is given whole lines.
+func (l *attemptLog) Write(p []byte) (int, error) {
+	if bytes.Contains(p, []byte("level=error")) {
+		l.warn(string(p))
+	}
+	if !bytes.Contains(p, []byte("event=paired")) {
+		return len(p), nil
+	}
+	var request, attempt string
+	for _, field := range strings.Fields(string(p)) {
+		if v, ok := strings.CutPrefix(field, "id="); ok {
+			request = v
+		}
+		if v, ok := strings.CutPrefix(field, "attempt="); ok {
+			attempt = v
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.attempts[request] = append(l.attempts[request], attempt)
+	return len(p), nil
+}
+
+func (l *attemptLog) warn(line string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.warnings) < maxWarnings {
+		l.warnings = append(l.warnings, strings.TrimSpace(line))
+	}
+}
+
+// of lists the attempts of a request.
+func (l *attemptLog) of(request string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]string(nil), l.attempts[request]...)
+}
--- /dev/null
+++ b/cmd/internal/experiment/faults_steps.go
@@ -0,0 +1,275 @@
+package experiment
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirequay/samphirequay/cmd/internal/fleet"
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/daemon/endpoints"
+	"github.com/samphirequay/samphirequay/daemon/peer"
+	"github.com/samphirequay/samphirequay/platform/standin"
+	"github.com/samphirequay/samphirequay/platform/wire"
+)
+
+// scene is what a fault strikes.
+type scene struct {
+	fleet *fleet.Fleet
+	site  standin.PlatformConfig
+	rng   *rand.Rand
+	// hang makes callers hang up while it is set.
+	hang *hangUps
+}
+
+// strike is a fault that begins and ends.
+type strike struct {
+	begin func(ctx context.Context, s *scene) error
+	end   func(ctx context.Context, s *scene) error
+}
+
+func nothing(context.Context, *scene) error { return nil }
+
+// Bounds of the strikes.
+const (
+	// stageWait bounds the wait for an engine in the wanted stage.
+	stageWait  = time.Second
+	stagePause = 2 * time.Millisecond
+	// betweenStrikes is the time between two of the same fault.
+	betweenStrikes = 700 * time.Millisecond
+	// ownerWait bounds the wait for a pool's new owner.
+	ownerWait      = 4 * time.Second
+	ownerPause     = 50 * time.Millisecond
+	slowFactor     = 8.0
+	slowTableMS    = 600
+	faultyShare    = 0.5
+	stalledEngines = 3
+)
+
+// killDaemon kills a daemon that does not schedule the pool; a new one takes
+// its place at the end.
+func killDaemon() strike {
+	place := -1
+	return strike{
+		begin: func(ctx context.Context, s *scene) error {
+			owner, err := s.runningOwner(ctx)
+			if err != nil {
+				return err
+			}
+			place = s.someDaemon(owner)
+			s.fleet.Kill(place)
+			return nil
+		},
+		end: func(_ context.Context, s *scene) error { return s.fleet.Replace(place) },
+	}
+}
+
+// someDaemon draws a place where a daemon runs, other than one.
+func (s *scene) someDaemon(other int) int {
+	for {
+		i := s.rng.IntN(s.fleet.Places())
+		if i != other && s.fleet.Daemon(i) != nil {
+			return i
+		}
+	}
+}
+
+// runningOwner finds the daemon that schedules the pool, once there is one.
+func (s *scene) runningOwner(ctx context.Context) (int, error) {
+	deadline := time.Now().Add(ownerWait)
+	for {
+		place, err := s.fleet.Owner(ctx, id.Pool(s.site.ModelService))
+		if err == nil && place >= 0 && s.fleet.Daemon(place) != nil {
+			return place, nil
+		}
+		if time.Now().After(deadline) || !sleepFor(ctx, ownerPause) {
+			return -1, eris.Wrap(err, "no daemon that runs owns the pool")
+		}
+	}
+}
+
+// killOwner kills the daemon that schedules the pool.
+func killOwner() strike {
+	place := -1
+	return strike{
+		begin: func(ctx context.Context, s *scene) error {
+			var err error
+			if place, err = s.runningOwner(ctx); err != nil {
+				return err
+			}
+			s.fleet.Kill(place)
+			return nil
+		},
+		end: func(_ context.Context, s *scene) error { return s.fleet.Replace(place) },
+	}
+}
+
+// crashEngine crashes an engine that is in a stage of a request.
+func crashEngine(stage string) strike {
+	return strike{end: nothing, begin: func(ctx context.Context, s *scene) error {
+		name := s.engineIn(ctx, stage)
+		return s.fleet.Inject(wire.Fault{Target: name, Crash: true})
+	}}
+}
+
+// engineIn finds an engine that is in a stage; after the wait, any of the role.
+func (s *scene) engineIn(ctx context.Context, stage string) string {
+	clients := endpoints.New(nil)
+	deadline := time.Now().Add(stageWait)
+	engines := s.engines(roleOf(stage))
+	for time.Now().Before(deadline) {
+		s.rng.Shuffle(len(engines), func(i, j int) { engines[i], engines[j] = engines[j], engines[i] })
+		for _, i := range engines {
+			list, err := clients.Engine(s.fleet.EngineAddresses()[i]).Requests(ctx)
+			if err == nil && holdsStage(list, stage) {
+				return s.site.Engines[i].Name
+			}
+		}
+		if !sleepFor(ctx, stagePause) {
+			break
+		}
+	}
+	return s.site.Engines[engines[0]].Name
+}
+
+func holdsStage(list wire.RequestList, stage string) bool {
+	for _, r := range list.Requests {
+		if r.Stage == stage {
+			return true
+		}
+	}
+	return false
+}
+
+// roleOf is the role of the engines that have a stage.
+func roleOf(stage string) string {
+	if stage == standin.RolePrefill {
+		return standin.RolePrefill
+	}
+	return standin.RoleDecode
+}
+
+// engines lists the engines of a role, by their places in the site.
+func (s *scene) engines(role string) []int {
+	var out []int
+	for i, e := range s.site.Engines {
+		if e.Role == role {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// standing is a fault of some stand-ins that lasts.
+func standing(targets func(s *scene) []string, on, off wire.Fault) strike {
+	apply := func(s *scene, f wire.Fault) error {
+		for _, target := range targets(s) {
+			f.Target = target
+			if err := s.fleet.Inject(f); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	return strike{
+		begin: func(_ context.Context, s *scene) error { return apply(s, on) },
+		end:   func(_ context.Context, s *scene) error { return apply(s, off) },
+	}
+}
+
+func named(targets ...string) func(*scene) []string {
+	return func(*scene) []string { return targets }
+}
+
+// firstOf names the first engines of each role.
+func firstOf(n int, roles ...string) func(*scene) []string {
+	return func(s *scene) []string {
+		var out []string
+		for _, role := range roles {
+			for _, i := range s.engines(role)[:n] {
+				out = append(out, s.site.Engines[i].Name)
+			}
+		}
+		return out
+	}
+}
+
+func value[T any](v T) *T { return &v }
+
+// staleHosts replaces a daemon while the host list goes on naming the old one.
+func staleHosts() strike {
+	return strike{
+		begin: func(ctx context.Context, s *scene) error {
+			old := s.fleet.Hosts()
+			owner, err := s.runningOwner(ctx)
+			if err != nil {
+				return err
+			}
+			place := s.someDaemon(owner)
+			s.fleet.Kill(place)
+			err = s.fleet.Replace(place)
+			s.fleet.SetHosts(old)
+			return err
+		},
+		end: func(_ context.Context, s *scene) error {
+			s.fleet.SetHosts(s.fleet.Hosts())
+			return nil
+		},
+	}
+}
+
+// oneWayLoss loses all that the pool's owner sends to every other place.
+func oneWayLoss() strike {
+	place := -1
+	return strike{
+		begin: func(ctx context.Context, s *scene) error {
+			var err error
+			if place, err = s.runningOwner(ctx); err != nil {
+				return err
+			}
+			s.fleet.Daemon(place).Transport().SetFault(func(to id.Daemon) peer.Drop { return peer.Drop(s.fleet.Place(to)%2 == 0) })
+			return nil
+		},
+		end: func(_ context.Context, s *scene) error {
+			if d := s.fleet.Daemon(place); d != nil {
+				d.Transport().SetFault(nil)
+			}
+			return nil
+		},
+	}
+}
+
+// callersHangUp makes half of the callers hang up at any time.
+func callersHangUp() strike {
+	set := func(on bool) func(context.Context, *scene) error {
+		return func(_ context.Context, s *scene) error {
+			s.hang.on.Store(on)
+			return nil
+		}
+	}
+	return strike{begin: set(true), end: set(false)}
+}
+
+// both makes two faults at once.
+func both(a, b strike) strike {
+	join := func(x, y func(context.Context, *scene) error) func(context.Context, *scene) error {
+		return func(ctx context.Context, s *scene) error {
+			if err := x(ctx, s); err != nil {
+				return err
+			}
+			return y(ctx, s)
+		}
+	}
+	return strike{begin: join(a.begin, b.begin), end: join(a.end, b.end)}
+}
+
+// twice makes a fault two times in a row.
+func twice(a, b strike) strike {
+	pause := strike{end: nothing, begin: func(ctx context.Context, _ *scene) error {
+		sleepFor(ctx, betweenStrikes)
+		return nil
+	}}
+	return both(both(a, pause), b)
+}
--- a/cmd/internal/load/account.go
+++ b/cmd/internal/load/account.go
@@ -22,6 +22,7 @@
 	totals *tally
 	teams  []*tally
 	keyed  []Record
+	lag    *hdrhistogram.Histogram
 }
 
 // tally sums up the records of a run or of one team.
@@ -47,13 +48,20 @@
 }
 
 func newAccount(spec Spec) *account {
-	a := &account{spec: spec, totals: newTally()}
+	a := &account{spec: spec, totals: newTally(), lag: newHistogram()}
 	for range spec.Teams {
 		a.teams = append(a.teams, newTally())
 	}
 	return a
 }
 
+// addLag books how late an arrival was sent.
+func (a *account) addLag(d time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	record(a.lag, d)
+}
+
 // add books one record. Faults count at any time; the rest after the warm-up.
 func (a *account) add(rec Record) {
 	a.mu.Lock()
@@ -159,7 +167,7 @@
 	if a.spec.Requests <= 0 {
 		measured = a.spec.Duration - a.spec.Warmup
 	}
-	res := &Result{Seed: a.spec.Seed, Rate: a.spec.Rate, Elapsed: elapsed, Measured: measured}
+	res := &Result{Seed: a.spec.Seed, Rate: a.spec.Rate, Elapsed: elapsed, Measured: measured, Lag: quantiles(a.lag)}
 	res.Total = a.totals.summary(measured)
 	for i, t := range a.teams {
 		team := a.spec.Teams[i]
--- a/cmd/internal/load/caller.go
+++ b/cmd/internal/load/caller.go
@@ -178,9 +178,10 @@
 	}
 }
 
-// retryForeverPause keeps a team that retries forever from busy-looping the
-// load tool itself.
-const retryForeverPause = 5 * time.Millisecond
+// retryForeverPause is the pause of a team that retries forever, whatever it
+// is advised. It is long enough that the load tool, which shares the host with
+// what it measures, does not become what is measured.
+const retryForeverPause = 50 * time.Millisecond
 
 // readError reads the JSON body of an error.
 func readError(resp *http.Response) opapi.ErrorDetail {
--- a/cmd/internal/load/result.go
+++ b/cmd/internal/load/result.go
@@ -73,8 +73,11 @@
 	// Elapsed is the whole run; Measured is the part after the warm-up.
 	Elapsed  time.Duration `json:"elapsed_ns"`
 	Measured time.Duration `json:"measured_ns"`
-	Total    Summary       `json:"total"`
-	Teams    []TeamResult  `json:"teams"`
+	// Lag is how late the arrivals were sent. Where it is not far below the
+	// times that are measured, the host was too busy to measure.
+	Lag   Quantiles    `json:"lag"`
+	Total Summary      `json:"total"`
+	Teams []TeamResult `json:"teams"`
 }
 
 // Unanswered is the number of requests that ended without an answer and that
@@ -98,6 +101,6 @@
 	fmt.Fprintf(&b, " lost=%d doubled=%d wrong=%d resumes=%d", t.Lost, t.Doubled, t.Wrong, t.Resumes)
 	fmt.Fprintf(&b, " goodput=%.1f/s good=%.1f%%", t.GoodputPerSecond, 100*t.GoodShare)
 	fmt.Fprintf(&b, " ttft_p50=%.0fms ttft_p95=%.0fms pace_p95=%.1fms", t.TTFT.P50MS, t.TTFT.P95MS, t.Pace.P95MS)
-	fmt.Fprintf(&b, " plain_p95=%.1fms", t.Plain.P95MS)
+	fmt.Fprintf(&b, " plain_p95=%.1fms send_lag_p99=%.1fms", t.Plain.P95MS, r.Lag.P99MS)
 	return b.String()
 }
--- a/cmd/internal/load/run.go
+++ b/cmd/internal/load/run.go
@@ -84,6 +84,7 @@
 		if !sleep(ctx, time.Until(started.Add(a.At))) {
 			return
 		}
+		r.account.addLag(time.Since(started) - a.At)
 		wg.Go(func() { r.send(a) })
 	}
 }
--- a/cmd/internal/load/run_test.go
+++ b/cmd/internal/load/run_test.go
@@ -99,6 +99,7 @@
 	res, err := Run(context.Background(), spec)
 	is.NoErr(err)
 	is.Equal(res.Total.Requests, 60)
+	is.Equal(res.Lag.Count, int64(60))
 	is.Equal(res.Total.Answered, 60)
 	is.Equal(res.Faults(), 0)
 	is.Equal(res.Total.Completions+res.Total.PlainAnswered, 60)
--- a/core/member/bench_test.go
+++ b/core/member/bench_test.go
@@ -16,6 +16,7 @@
 			b.Run(fmt.Sprintf("%s/%d", mode, n), func(b *testing.B) {
 				f := newFleet(mode, n, 5, 1)
 				took, _ := f.until(2*time.Minute, f.steady)
+				f.run(30 * time.Second) // the news of the start has died down
 				f.count = true
 				f.run(10 * time.Second)
 				f.count = false
--- a/core/member/sync.go
+++ b/core/member/sync.go
@@ -6,7 +6,7 @@
 // or a small frame.
 const syncBatch = 16
 
-// syncNext, while most of the listed daemons were never heard of, asks one
+// syncNext, while listed daemons were neither heard of nor found dead, asks one
 // for all that it knows: at the daemon's own start, and while a whole fleet
 // starts.
 func (m *Membership) syncNext(now time.Duration) {
@@ -14,17 +14,19 @@
 		return
 	}
 	m.partial.sync = now + m.cfg.ShuffleEvery
-	var unmet, reachable []*peer
+	unmet := 0
+	var reachable []*peer
 	for _, name := range m.order {
 		p := m.peers[name]
-		if !p.met {
-			unmet = append(unmet, p)
+		if p.entry.Address == "" || p.entry.State == Dead {
+			continue
 		}
-		if p.entry.Address != "" && p.entry.State != Dead {
-			reachable = append(reachable, p)
+		reachable = append(reachable, p)
+		if !p.met {
+			unmet++
 		}
 	}
-	if 2*len(unmet) <= len(m.order) || len(reachable) == 0 {
+	if unmet == 0 {
 		return
 	}
 	m.send(reachable[m.rng.IntN(len(reachable))], Message{Kind: Sync})
--- a/core/pairing/asker.go
+++ b/core/pairing/asker.go
@@ -186,10 +186,11 @@
 }
 
 // secondGrant handles a grant for a request that has one: a former owner's and
-// a new owner's may both arrive. The first stays in use; another owner's is
-// given back, and the present owner learns of the one in use.
+// a new owner's may both arrive, and so may a late one that its owner had taken
+// for expired and the one that it gave in its place. The first stays in use;
+// the other is given back, and the present owner learns of the one in use.
 func (a *Asker) secondGrant(e *entry, g sched.Grant) Output {
-	if g.Owner == e.grant.Owner {
+	if g.Owner == e.grant.Owner && g.Reservation == e.grant.Reservation {
 		return Output{}
 	}
 	release := sched.Progress{Request: g.Request, Reservation: g.Reservation, Phase: sched.PhaseCancelled}
--- a/core/pool/manager.go
+++ b/core/pool/manager.go
@@ -210,8 +210,10 @@
 	return out
 }
 
-// Adopt takes over a former owner's grant.
+// Adopt takes over a former owner's grant. What was known of the request, from
+// an earlier time as its owner, is forgotten first: its work may be elsewhere.
 func (m *Manager) Adopt(now time.Duration, a sched.Adopt) []sched.Action {
+	m.forget(now, a.Want.Request, health.Withdrawn)
 	print, _ := poison.ParseFingerprint(a.Want.Fingerprint)
 	t := &tracked{want: a.Want, print: print, prefill: a.Grant.Prefill, decode: a.Grant.Decode, phase: a.Phase, since: now}
 	m.requests[a.Want.Request] = t
@@ -290,12 +292,20 @@
 			m.granted(now, a.Grant)
 		case a.Refusal != nil:
 			m.refused++
-			delete(m.requests, a.Refusal.Request)
+			m.dropIdle(a.Refusal.Request)
 		}
 	}
 	return actions
 }
 
+// dropIdle forgets a refused request, unless its work is known to go on: a Want
+// that comes again after its grant expired can be refused beside it.
+func (m *Manager) dropIdle(r id.Request) {
+	if t, ok := m.requests[r]; ok && t.phase == 0 {
+		delete(m.requests, r)
+	}
+}
+
 func (m *Manager) granted(now time.Duration, g *sched.Grant) {
 	t, ok := m.requests[g.Request]
 	if !ok || t.decode != "" {
--- a/core/pool/status.go
+++ b/core/pool/status.go
@@ -16,6 +16,10 @@
 	// PrefillLoad and DecodeLoad are the utilisation of the roles, 0 to 1.
 	PrefillLoad float64
 	DecodeLoad  float64
+	// Tracked counts the requests that wait or hold a grant, as the detectors
+	// see them, Working those whose work is known to be at an endpoint.
+	Tracked int
+	Working int
 	// Quarantine lists the quarantined requests.
 	Quarantine []poison.Entry
 }
@@ -27,6 +31,10 @@
 	if snap, ok := m.sched.(sched.Snapshotter); ok {
 		s.Snapshot = snap.Snapshot()
 	}
+	s.Tracked = len(m.requests)
+	for _, n := range m.nodes {
+		s.Working += len(n.running)
+	}
 	s.PrefillLoad = m.usage.load
 	if s.Slots > 0 {
 		s.DecodeLoad = float64(s.Held+s.Foreign) / float64(s.Slots)
--- /dev/null
+++ b/core/randomrun/engine_test.go
@@ -0,0 +1,277 @@
+package randomrun
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/reap"
+	"github.com/samphirequay/samphirequay/core/sched"
+	"github.com/samphirequay/samphirequay/core/stream"
+)
+
+const (
+	// kvLife is how long an exported KV cache lives.
+	kvLife = 800 * ms
+	// keepFinished is how long a finished answer can be resumed.
+	keepFinished = 15 * time.Second
+)
+
+// outcome is an engine's answer to an order.
+type outcome int
+
+const (
+	accepted outcome = iota
+	refusedFull
+	refusedLeaving
+	refusedCancelled
+	refusedKVGone
+	broken
+)
+
+// engine is a minimal engine: what it holds are entries of maps.
+type engine struct {
+	w            *world
+	name         id.Endpoint
+	role         live.Role
+	slots        int
+	incarnation  id.Incarnation
+	leaving      bool
+	leavingSince time.Duration
+	work         map[id.Request]*work
+	tombs        map[id.Request]bool
+	queue        []*work
+	busy         bool
+}
+
+// work is what an engine holds for a request.
+type work struct {
+	job   *job
+	owner id.Process
+	stage reap.Stage
+	since time.Duration
+	// begin is where the answer goes on; events are those written.
+	begin  int
+	events []stream.Event
+	done   func(outcome)
+}
+
+func (w *world) addEngine(e *live.Endpoint) {
+	w.names = append(w.names, e.Name)
+	w.engines[e.Name] = &engine{
+		w: w, name: e.Name, role: live.Role(e.Labels[live.LabelRole]), slots: e.Slots, incarnation: 1,
+		work: map[id.Request]*work{}, tombs: map[id.Request]bool{},
+	}
+}
+
+// refuses says why the engine takes no work for a request; accepted if it does.
+func (e *engine) refuses(r id.Request) outcome {
+	switch {
+	case e.tombs[r]:
+		return refusedCancelled
+	case e.leaving:
+		return refusedLeaving
+	case e.role == live.RoleDecode && e.running() >= e.slots:
+		return refusedFull
+	}
+	return accepted
+}
+
+// running counts the slots in use.
+func (e *engine) running() int {
+	n := 0
+	for _, k := range e.work {
+		if k.stage != reap.StageFinished && k.stage != reap.StageKV {
+			n++
+		}
+	}
+	return n
+}
+
+// prefill takes an order; done hears of its end.
+func (e *engine) prefill(j *job, done func(outcome)) {
+	if why := e.refuses(j.id); why != accepted {
+		done(why)
+		return
+	}
+	k := &work{job: j, owner: j.h.self, stage: reap.StagePrefill, since: e.w.now, done: done}
+	e.work[j.id] = k
+	e.queue = append(e.queue, k)
+	e.next()
+}
+
+// next begins the first queued prefill that still is wanted.
+func (e *engine) next() {
+	for !e.busy && len(e.queue) > 0 {
+		k := e.queue[0]
+		e.queue = e.queue[1:]
+		if e.work[k.job.id] != k {
+			continue
+		}
+		e.busy = true
+		e.w.started[k.job.id] = true
+		incarnation := e.incarnation
+		e.w.after(e.w.between(10*ms, 40*ms), func() {
+			if e.incarnation != incarnation {
+				return
+			}
+			e.busy = false
+			e.prefilled(k)
+			e.next()
+		})
+	}
+}
+
+func (e *engine) prefilled(k *work) {
+	if e.work[k.job.id] != k {
+		return
+	}
+	k.stage = reap.StageKV
+	k.since = e.w.now
+	k.done(accepted)
+	e.w.after(kvLife, func() {
+		if e.work[k.job.id] == k {
+			delete(e.work, k.job.id)
+		}
+	})
+}
+
+// decode takes an order, imports the KV cache and writes the answer.
+func (e *engine) decode(j *job, from *engine, done func(outcome)) {
+	if why := e.refuses(j.id); why != accepted {
+		done(why)
+		return
+	}
+	source := from.work[j.id]
+	if source == nil || source.stage != reap.StageKV {
+		done(refusedKVGone)
+		return
+	}
+	delete(from.work, j.id)
+	k := &work{job: j, owner: j.h.self, stage: reap.StageDecode, since: e.w.now, begin: j.c.delivered, done: done}
+	e.work[j.id] = k
+	e.w.after(e.w.between(5*ms, 30*ms), func() { e.write(k) })
+}
+
+// write writes the next token, unless the work was dropped.
+func (e *engine) write(k *work) {
+	if e.work[k.job.id] != k {
+		return
+	}
+	seq := k.begin + len(k.events) + 1
+	ev := k.job.c.event(k.job.id, seq)
+	k.events = append(k.events, ev)
+	e.send(k, ev)
+	if !ev.Terminal() {
+		e.w.after(e.w.between(5*ms, 20*ms), func() { e.write(k) })
+		return
+	}
+	k.stage = reap.StageFinished
+	k.since = e.w.now
+	e.w.after(keepFinished, func() {
+		if e.work[k.job.id] == k {
+			delete(e.work, k.job.id)
+		}
+	})
+}
+
+// send sends an event to who is connected: reordered, at times lost or doubled.
+func (e *engine) send(k *work, ev stream.Event) {
+	if e.w.chance(0.001) {
+		return
+	}
+	j := k.job
+	e.w.after(e.w.between(ms, 30*ms), func() { j.receive(ev) })
+	if e.w.chance(0.01) {
+		e.w.after(e.w.between(ms, 60*ms), func() { j.receive(ev) })
+	}
+}
+
+// resume connects a request's answer to another job and sends it from there on.
+func (e *engine) resume(j *job, after int) bool {
+	k := e.work[j.id]
+	if k == nil || (k.stage != reap.StageDecode && k.stage != reap.StageFinished) || after < k.begin {
+		return false
+	}
+	k.owner = j.h.self
+	k.job = j
+	for _, ev := range k.events[min(len(k.events), after-k.begin):] {
+		e.send(k, ev)
+	}
+	return true
+}
+
+// cancel ends a request and leaves a tombstone, which may be dropped.
+func (e *engine) cancel(r id.Request, owner *id.Process) reap.CancelState {
+	k := e.work[r]
+	if k == nil {
+		if !e.w.chance(0.05) {
+			e.tombs[r] = true
+			e.w.after(time.Minute, func() { delete(e.tombs, r) })
+		}
+		return reap.Unknown
+	}
+	if owner != nil && k.owner != *owner {
+		return reap.OtherOwner
+	}
+	delete(e.work, r)
+	if k.stage == reap.StageFinished {
+		return reap.Finished
+	}
+	return reap.Cancelled
+}
+
+// crash loses all that the engine holds.
+func (e *engine) crash() {
+	e.w.stats.crashes++
+	lost := e.sorted()
+	e.incarnation++
+	e.busy = false
+	e.queue = nil
+	e.work = map[id.Request]*work{}
+	e.tombs = map[id.Request]bool{}
+	for _, k := range lost {
+		if k.stage != reap.StageKV {
+			e.w.after(e.w.between(ms, 20*ms), func() { k.done(broken) })
+		}
+	}
+}
+
+// leave makes the engine say that it leaves, and takes it back later.
+func (e *engine) leave() {
+	if e.leaving {
+		return
+	}
+	e.leaving = true
+	e.leavingSince = e.w.now
+	e.w.after(e.w.between(3*time.Second, 10*time.Second), func() { e.leaving = false })
+}
+
+func (e *engine) sorted() []*work {
+	names := make([]id.Request, 0, len(e.work))
+	for r := range e.work {
+		names = append(names, r)
+	}
+	slices.Sort(names)
+	out := make([]*work, len(names))
+	for i, r := range names {
+		out[i] = e.work[r]
+	}
+	return out
+}
+
+func (e *engine) load() sched.Load {
+	return sched.Load{
+		Endpoint: e.name, Incarnation: e.incarnation, Running: e.running(), Slots: e.slots,
+		Leaving: e.leaving, Reachable: true, Role: e.role,
+	}
+}
+
+func (e *engine) list() reap.List {
+	l := reap.List{Endpoint: e.name, Incarnation: e.incarnation}
+	for _, k := range e.sorted() {
+		l.Requests = append(l.Requests, reap.Running{Request: k.job.id, Owner: k.owner, Stage: k.stage, Age: e.w.now - k.since})
+	}
+	return l
+}
--- /dev/null
+++ b/core/randomrun/host_test.go
@@ -0,0 +1,336 @@
+package randomrun
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/pairing"
+	"github.com/samphirequay/samphirequay/core/poison"
+	"github.com/samphirequay/samphirequay/core/pool"
+	"github.com/samphirequay/samphirequay/core/reap"
+	"github.com/samphirequay/samphirequay/core/sched"
+)
+
+// epoch is the wall time at time zero.
+var epoch = time.Unix(1_000_000, 0)
+
+// host is one process of a daemon; it does what daemon/broker and
+// daemon/cancels do.
+type host struct {
+	w         *world
+	self      id.Process
+	dead      bool
+	asker     *pairing.Asker
+	managers  map[id.Pool]*pool.Manager
+	ledgers   map[id.Pool]sched.Scheduler
+	poison    *poison.Ledger
+	canceller *reap.Canceller
+	reaper    *reap.Reaper
+	// active are the attempts that this process answers for.
+	active map[id.Request]bool
+	jobs   map[id.Request]*job
+	onDone map[reap.Key][]func()
+}
+
+func newHost(w *world, self id.Process) *host {
+	return &host{
+		w:         w,
+		self:      self,
+		asker:     pairing.New(self, pairing.Options{}),
+		managers:  map[id.Pool]*pool.Manager{},
+		ledgers:   map[id.Pool]sched.Scheduler{},
+		poison:    poison.New(poison.Config{}),
+		canceller: reap.NewCanceller(reap.CancellerConfig{}),
+		reaper:    reap.NewReaper(reap.ReaperConfig{Self: self}),
+		active:    map[id.Request]bool{},
+		jobs:      map[id.Request]*job{},
+		onDone:    map[reap.Key][]func(){},
+	}
+}
+
+// start plans what the process does again and again.
+func (h *host) start() {
+	h.w.after(0, h.tick)
+	h.w.after(0, h.report)
+	h.w.after(h.w.between(0, time.Second), h.lists)
+}
+
+// tick does what is due in all parts.
+func (h *host) tick() {
+	if h.dead {
+		return
+	}
+	next := h.w.now + h.pace(20*ms)
+	h.output(h.asker.Tick(h.w.now))
+	for _, p := range pools {
+		m := h.managers[p]
+		if m == nil {
+			continue
+		}
+		if m.Next() <= h.w.now {
+			h.actions(p, m.Tick(h.w.now))
+		}
+		next = min(next, m.Next())
+	}
+	if h.canceller.Next() <= h.w.now {
+		h.orders(h.canceller.Tick(h.w.now))
+	}
+	h.w.after(max(ms, next-h.w.now), h.tick)
+}
+
+// schedules says whether this daemon decides for a pool: as its owner, or since
+// others take it for the owner.
+func (h *host) schedules(p id.Pool) bool {
+	return h.asker.Owner(p) == h.self.Daemon || h.managers[p] != nil
+}
+
+// report reads the load of the endpoints whose pools this daemon schedules.
+func (h *host) report() {
+	if h.dead {
+		return
+	}
+	for _, e := range h.w.doc.Endpoints {
+		p := id.Pool(e.Labels["pool"])
+		if !h.schedules(p) {
+			continue
+		}
+		l := h.w.engines[e.Name].load()
+		h.w.after(h.w.between(ms, 100*ms), func() {
+			if !h.dead && h.schedules(p) {
+				h.actions(p, h.manager(p).Load(h.w.now, l))
+				h.orders(h.canceller.Incarnation(h.w.now, l.Endpoint, l.Incarnation))
+			}
+		})
+	}
+	h.w.after(h.pace(100*ms), h.report)
+}
+
+// lists audits the ledgers, reads what the endpoints hold and reaps the orphans.
+func (h *host) lists() {
+	if h.dead {
+		return
+	}
+	for _, p := range pools {
+		if ledger, ok := h.ledgers[p].(*sched.Ledger); ok && h.managers[p] != nil {
+			ledger.Audit()
+		}
+	}
+	for _, name := range h.w.names {
+		l := h.w.engines[name].list()
+		h.w.after(h.w.between(ms, 300*ms), func() {
+			if h.dead {
+				return
+			}
+			h.orders(h.canceller.Incarnation(h.w.now, name, l.Incarnation))
+			for _, o := range h.reaper.List(h.w.now, l, func(r id.Request) bool { return h.active[r] }) {
+				h.orders(h.canceller.Add(h.w.now, o))
+			}
+		})
+	}
+	h.w.after(h.pace(time.Second), h.lists)
+}
+
+// pace slows down what is done again and again once all is quiet.
+func (h *host) pace(d time.Duration) time.Duration {
+	if h.w.slow {
+		return 5 * time.Second
+	}
+	return d
+}
+
+// learn takes a view of the members.
+func (h *host) learn(view []id.Process) {
+	if h.dead {
+		return
+	}
+	names := []id.Daemon{h.self.Daemon}
+	for _, p := range view {
+		h.reaper.ProcessAlive(h.w.now, p)
+		if p.Daemon != h.self.Daemon {
+			names = append(names, p.Daemon)
+		}
+	}
+	h.output(h.asker.Members(h.w.now, names))
+	for _, p := range pools {
+		if h.asker.Owner(p) != h.self.Daemon {
+			delete(h.managers, p)
+		}
+	}
+}
+
+func (h *host) processGone(p id.Process) {
+	if h.dead {
+		return
+	}
+	h.reaper.ProcessGone(h.w.now, p)
+	for _, name := range pools {
+		if m := h.managers[name]; m != nil {
+			h.actions(name, m.ProcessGone(h.w.now, p))
+		}
+	}
+}
+
+func (h *host) manager(p id.Pool) *pool.Manager {
+	if m := h.managers[p]; m != nil {
+		return m
+	}
+	m := pool.New(pool.Options{
+		Pool:   p,
+		Poison: h.poison,
+		Epoch:  epoch,
+		NewScheduler: func(view sched.HealthView) sched.Scheduler {
+			h.ledgers[p] = h.w.policy(sched.Options{
+				Pool: p, Self: h.self, Seed: h.w.seed, Health: view,
+				Violation: func(name, detail string) { h.w.fail("%s of %s: %s: %s", p, h.self, name, detail) },
+			})
+			return h.ledgers[p]
+		},
+	})
+	h.managers[p] = m
+	h.actions(p, m.Configure(h.w.now, h.w.doc))
+	return m
+}
+
+// output sends the asker's messages and takes its answers.
+func (h *host) output(out pairing.Output) {
+	for _, a := range out.Answers {
+		h.answer(a)
+	}
+	for _, m := range out.Messages {
+		h.send(m)
+	}
+}
+
+// send hands a message to a pool's owner, at once if that is this daemon.
+func (h *host) send(m pairing.Message) {
+	if m.Progress != nil && m.Progress.Progress.Phase == sched.PhaseCancelled {
+		h.w.stats.givenBack++
+	}
+	if m.To == h.self.Daemon {
+		h.handle(m)
+		return
+	}
+	h.w.post(h.self.Daemon, m.To, func(to *host) { to.handle(m) })
+}
+
+func (h *host) handle(m pairing.Message) {
+	now := h.w.now
+	switch {
+	case m.Want != nil:
+		h.actions(m.Want.Pool, h.manager(m.Want.Pool).Want(now, *m.Want))
+	case m.Withdraw != nil:
+		h.actions(m.Withdraw.Pool, h.manager(m.Withdraw.Pool).Withdraw(now, m.Withdraw.Request))
+	case m.Progress != nil:
+		h.actions(m.Progress.Pool, h.manager(m.Progress.Pool).Progress(now, m.Progress.Progress))
+	case m.Adopt != nil:
+		h.actions(m.Adopt.Want.Pool, h.manager(m.Adopt.Want.Pool).Adopt(now, *m.Adopt))
+	}
+}
+
+// actions carries out what a manager decided.
+func (h *host) actions(p id.Pool, actions []sched.Action) {
+	for _, a := range actions {
+		h.checkGrant(p, a.Grant)
+		take := func(to *host) {
+			if a.Grant != nil {
+				to.output(to.asker.Granted(p, *a.Grant))
+			} else {
+				to.output(to.asker.Refused(h.self.Daemon, *a.Refusal))
+			}
+		}
+		if a.To.Daemon == h.self.Daemon {
+			take(h)
+			continue
+		}
+		h.w.post(h.self.Daemon, a.To.Daemon, take)
+	}
+}
+
+// checkGrant holds a grant against the truth about its endpoints.
+func (h *host) checkGrant(p id.Pool, g *sched.Grant) {
+	if g == nil {
+		return
+	}
+	for i, name := range []id.Endpoint{g.Prefill, g.Decode} {
+		e := h.w.engines[name]
+		if e == nil || !slices.Contains(h.w.poolNames(p, i), name) {
+			h.w.fail("grant of %s: endpoint %q is not of the right role and pool", g.Request, name)
+		}
+		if e.leaving && h.w.now-e.leavingSince > leavingBound && g.ExpiresIn > 0 && !h.w.started[g.Request] {
+			h.w.fail("grant of %s by %s to %s, which leaves since %v", g.Request, h.self, name, h.w.now-e.leavingSince)
+		}
+	}
+}
+
+// poolNames lists the prefill (0) or decode (1) endpoints of a pool.
+func (w *world) poolNames(p id.Pool, role int) []id.Endpoint {
+	var out []id.Endpoint
+	for i, e := range w.doc.Endpoints {
+		if e.Labels["pool"] == string(p) && i%2 == role {
+			out = append(out, e.Name)
+		}
+	}
+	return out
+}
+
+// cancel orders the end of a request at an endpoint; done hears of it.
+func (h *host) cancel(e id.Endpoint, r id.Request, incarnation id.Incarnation, settled bool, done func()) {
+	h.w.stats.cancels++
+	key := reap.Key{Endpoint: e, Request: r}
+	if done != nil {
+		h.onDone[key] = append(h.onDone[key], done)
+	}
+	h.orders(h.canceller.Add(h.w.now, reap.Order{Key: key, Incarnation: incarnation, RunSettled: settled}))
+}
+
+// orders carries out what the canceller wants; calls and replies may be lost.
+func (h *host) orders(actions []reap.Action) {
+	for _, a := range actions {
+		switch {
+		case a.Cancel != nil:
+			h.sendCancel(*a.Cancel)
+		case a.Done != nil:
+			waiting := h.onDone[a.Done.Key]
+			delete(h.onDone, a.Done.Key)
+			for _, done := range waiting {
+				done()
+			}
+		}
+	}
+}
+
+func (h *host) sendCancel(c reap.Cancel) {
+	h.w.after(h.w.latency(), func() {
+		if h.w.chance(0.05) {
+			h.ifAlive(func() { h.canceller.Failed(h.w.now, c.Key) })
+			return
+		}
+		state := h.w.engines[c.Key.Endpoint].cancel(c.Key.Request, c.Owner)
+		if h.w.chance(0.05) {
+			return
+		}
+		h.w.after(h.w.latency(), func() {
+			h.ifAlive(func() { h.orders(h.canceller.Reply(h.w.now, c.Key, state)) })
+		})
+	})
+}
+
+func (h *host) ifAlive(do func()) {
+	if !h.dead {
+		do()
+	}
+}
+
+func (h *host) sortedJobs() []*job {
+	names := make([]id.Request, 0, len(h.jobs))
+	for r := range h.jobs {
+		names = append(names, r)
+	}
+	slices.Sort(names)
+	out := make([]*job, len(names))
+	for i, r := range names {
+		out[i] = h.jobs[r]
+	}
+	return out
+}
--- /dev/null
+++ b/core/randomrun/run_test.go
@@ -0,0 +1,175 @@
+package randomrun
+
+import (
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/naive"
+	"github.com/samphirequay/samphirequay/core/pool"
+	"github.com/samphirequay/samphirequay/core/sched"
+)
+
+// The variables that ask for longer runs.
+const (
+	eventsVariable = "SAMPHIREQUAY_EVENTS"
+	seedsVariable  = "SAMPHIREQUAY_SEEDS"
+)
+
+// number reads a variable; its default is what CI runs.
+func number(t *testing.T, name string, otherwise int) int {
+	text := os.Getenv(name)
+	if text == "" {
+		return otherwise
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	return n
+}
+
+// TestRandomRun drives the core by seeded events with all faults and asserts
+// every invariant.
+func TestRandomRun(t *testing.T) {
+	events := number(t, eventsVariable, 60_000)
+	for seed := range uint64(number(t, seedsVariable, 4)) {
+		w := newWorld(t, seed+1, true, sched.NewLedger)
+		w.arrivals()
+		w.mishaps()
+		w.run(events)
+		w.settle()
+		t.Logf("seed %d: %d daemons, %d events, %v: %+v", w.seed, len(w.hosts), w.events, w.now, w.stats)
+		if w.stats.answered < len(w.callers)/4 {
+			w.fail("%d of %d callers were answered", w.stats.answered, len(w.callers))
+		}
+	}
+}
+
+// TestLedgerAndNaiveAnswerTheSame is the differential test: without faults and
+// overload both policies answer every caller, each once, by endpoints of the
+// right role and model.
+func TestLedgerAndNaiveAnswerTheSame(t *testing.T) {
+	for seed := range uint64(3) {
+		answered := map[string][]bool{}
+		for name, policy := range map[string]func(sched.Options) sched.Scheduler{"ledger": sched.NewLedger, "naive": naive.New} {
+			w := newWorld(t, seed+1, false, policy)
+			w.runFor(5 * time.Second)
+			for range 150 {
+				w.arrive()
+				w.runFor(150 * ms)
+			}
+			w.settle()
+			for _, c := range w.callers {
+				answered[name] = append(answered[name], c.finished)
+				if !c.finished || c.attempts != 1 {
+					w.fail("%s: caller %d finished=%v after %d attempts", name, c.n, c.finished, c.attempts)
+				}
+			}
+		}
+		if len(answered["ledger"]) != len(answered["naive"]) {
+			t.Fatalf("seed %d: the sets differ", seed)
+		}
+	}
+}
+
+// arrivals brings callers at a rate that at times is too high.
+func (w *world) arrivals() {
+	if w.quiet {
+		return
+	}
+	w.arrive()
+	pace := 30 * ms
+	if (w.now/(3*time.Second))%4 == 3 {
+		pace = 12 * ms
+	}
+	w.after(time.Duration(w.rng.ExpFloat64()*float64(pace)), w.arrivals)
+}
+
+func (w *world) arrive() {
+	c := &caller{w: w, n: len(w.callers), pool: pools[w.rng.IntN(len(pools))], tokens: 1 + w.rng.IntN(15)}
+	w.callers = append(w.callers, c)
+	alive := w.alive()
+	if len(alive) == 0 {
+		c.giveUp()
+		return
+	}
+	c.begin(alive[w.rng.IntN(len(alive))])
+	if w.chance(0.1) {
+		w.after(w.between(0, time.Second), c.leave)
+	}
+}
+
+// mishaps kills daemons, crashes engines, has them leave and moves views.
+func (w *world) mishaps() {
+	if w.quiet {
+		return
+	}
+	alive := w.alive()
+	e := w.engines[w.names[w.rng.IntN(len(w.names))]]
+	switch w.rng.IntN(10) {
+	case 0, 9:
+		if len(alive) > 2 {
+			w.kill(alive[w.rng.IntN(len(alive))])
+		}
+	case 1, 2:
+		e.crash()
+	case 3, 4:
+		e.leave()
+	default:
+		w.viewChanged()
+	}
+	w.after(w.between(100*ms, 900*ms), w.mishaps)
+}
+
+// settle ends arrivals and faults, lets all graces pass and checks that
+// nothing is left.
+func (w *world) settle() {
+	w.quiet = true
+	w.runFor(10 * time.Second)
+	w.viewChanged()
+	w.runFor(time.Minute)
+	w.slow = true
+	w.runFor(quietTime)
+	for _, h := range w.hosts {
+		w.checkHost(h)
+	}
+	for _, name := range w.names {
+		if n := len(w.engines[name].work); n != 0 {
+			w.fail("engine %s still holds %d requests", name, n)
+		}
+	}
+	for r, k := range w.asks {
+		if !k.host.dead && !k.withdrawn && k.answers != 1 {
+			w.fail("ask %s of %s has %d answers", r, k.host.self, k.answers)
+		}
+	}
+	for _, c := range w.callers {
+		if !c.over || (c.finished && c.delivered != c.tokens+1) {
+			w.fail("caller %d: over %v, %d of %d tokens", c.n, c.over, c.delivered, c.tokens)
+		}
+	}
+}
+
+// checkHost checks that a daemon holds nothing.
+func (w *world) checkHost(h *host) {
+	held := []int{h.asker.Len(), h.canceller.Working(), len(h.active), len(h.jobs), len(h.onDone)}
+	for i, n := range held {
+		if n != 0 {
+			w.fail("%s: part %d of asker, canceller, active, jobs, waiting holds %d", h.self, i, n)
+		}
+	}
+	for _, p := range pools {
+		if m := h.managers[p]; m != nil {
+			w.checkManager(h.self, p, m.Status(w.now))
+		}
+	}
+}
+
+func (w *world) checkManager(self id.Process, p id.Pool, s pool.Status) {
+	if s.Queued+s.Running+s.Held+s.Foreign+s.Tracked+s.Working != 0 {
+		w.fail("%s of %s: %+v", p, self, s)
+	}
+}
--- a/daemon/app/fleet.go
+++ b/daemon/app/fleet.go
@@ -36,6 +36,9 @@
 	time.AfterFunc(goneGrace, func() { l.d.broker.ProcessGone(p) })
 }
 
+// Forgotten implements members.Listener: the transport forgets it as well.
+func (l fleetListener) Forgotten(d id.Daemon) { l.d.transport.RemovePeer(d) }
+
 // goneGrace is how long a dead daemon's slots stay reserved: its callers may
 // come back through another daemon meanwhile.
 const goneGrace = 2 * time.Second
--- a/daemon/app/fleet_test.go
+++ b/daemon/app/fleet_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/member"
 	"github.com/samphirequay/samphirequay/daemon/endpoints"
 	"github.com/samphirequay/samphirequay/daemon/keys"
 	"github.com/samphirequay/samphirequay/daemon/opapi"
@@ -252,3 +253,19 @@
 	}
 	return n
 }
+
+func TestForgottenDaemonLeavesTheTransport(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(t, 1, standin.Bunker(), nil)
+	d := f.daemons[0]
+	is.NoErr(d.transport.SetPeer("gone", "127.0.0.1:9"))
+	is.Equal(len(d.transport.Peers()), 1)
+	fleetListener{d}.Forgotten("gone")
+	is.Equal(len(d.transport.Peers()), 0)
+}
+
+func TestKeepaliveSuitsTheMembership(t *testing.T) {
+	is := is.New(t)
+	is.True(keepalive(member.Mesh) > 0)
+	is.True(keepalive(member.Partial) < 0)
+}
--- a/daemon/app/start.go
+++ b/daemon/app/start.go
@@ -20,6 +20,7 @@
 	"github.com/samphirequay/samphirequay/daemon/endpoints"
 	"github.com/samphirequay/samphirequay/daemon/front"
 	"github.com/samphirequay/samphirequay/daemon/hangup"
+	"github.com/samphirequay/samphirequay/daemon/keys"
 	"github.com/samphirequay/samphirequay/daemon/members"
 	"github.com/samphirequay/samphirequay/daemon/operator"
 	"github.com/samphirequay/samphirequay/daemon/peer"
@@ -42,6 +43,8 @@
 	d.startFleet()
 	d.startRequests()
 	close(d.wired)
+	d.watchKeys("peers", d.peerKeys)
+	d.watchKeys("callers", d.callerKeys)
 	d.serve()
 	d.logger.Event("daemon_started", "incarnation", d.self.Incarnation, "domain", d.set.Domain, "policy", d.set.Policy,
 		"callers", d.CallerAddr(), "operators", d.OperatorAddr(), "peers", d.PeerAddr())
@@ -62,14 +65,15 @@
 		}
 	}
 	d.transport, err = peer.Listen(peer.Config{
-		Self:     d.self,
-		Listen:   d.set.Listen.Peers,
-		Keys:     d.peerKeys,
-		Handler:  &peerHandler{d},
-		KindName: kindName,
-		Registry: d.metrics,
-		RingSize: d.set.Limits.PeerRing,
-		Report:   d.logger.Debug,
+		Self:      d.self,
+		Listen:    d.set.Listen.Peers,
+		Keys:      d.peerKeys,
+		Handler:   &peerHandler{d},
+		KindName:  kindName,
+		Registry:  d.metrics,
+		RingSize:  d.set.Limits.PeerRing,
+		Report:    d.logger.Debug,
+		Keepalive: keepalive(member.Mode(d.set.Membership.Mode)),
 	})
 	if err != nil {
 		return eris.Wrapf(err, "listen.peers %s", d.set.Listen.Peers)
@@ -77,6 +81,19 @@
 	return nil
 }
 
+// noKeepalive lets connections end that are not used.
+const noKeepalive = -1
+
+// keepalive suits the membership: with a mesh every connection is used all the
+// time; where each daemon talks to a few others at a time, kept connections
+// would cost more than they carry.
+func keepalive(mode member.Mode) time.Duration {
+	if mode == member.Partial {
+		return noKeepalive
+	}
+	return peer.DefaultKeepalive
+}
+
 func listenTCP(field, address string) (net.Listener, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
@@ -297,6 +314,26 @@
 	}
 }
 
+// watchKeys reads the files of a key store again and again, so that keys are
+// replaced without a restart.
+func (d *Daemon) watchKeys(name string, s *keys.Store) {
+	if s == nil {
+		return
+	}
+	ticker := time.NewTicker(d.set.KeysPollMS.Duration())
+	go func() {
+		defer ticker.Stop()
+		s.Watch(d.ctx, ticker.C, func(changed bool, err error) {
+			switch {
+			case err != nil:
+				d.logger.Error("keys_not_reloaded", "keys", name, "err", err)
+			case changed:
+				d.logger.Event("keys_reloaded", "keys", name)
+			}
+		})
+	}()
+}
+
 func (d *Daemon) endpointAddress(e id.Endpoint) (string, bool) {
 	endpoint, ok := d.configs.Index().Endpoint(e)
 	if !ok {
--- a/daemon/members/members.go
+++ b/daemon/members/members.go
@@ -36,6 +36,8 @@
 	Live(daemons []id.Daemon)
 	// Gone is called when a process is taken as ended.
 	Gone(p id.Process)
+	// Forgotten is called with a daemon that the membership no longer keeps.
+	Forgotten(d id.Daemon)
 	// PeerRevision is called with the configuration revision that a peer tells.
 	PeerRevision(d id.Daemon, revision uint64)
 	// StopActing is called when this daemon may have been declared dead. When
@@ -138,14 +140,20 @@
 	m.core.SetLocal(m.cfg.Local())
 	m.perform(m.core.Tick(now))
 	m.publish()
+	m.tellLive()
 	return m.core.Next()
 }
 
 func (m *Members) perform(actions []member.Action) {
+	changed := false
 	for _, a := range actions {
 		m.performOne(a)
+		changed = changed || a.Changed != nil || a.DeclaredDead != nil
+	}
+	if changed {
+		// Not at each message: a look at the whole view costs more than the message.
+		m.tellLive()
 	}
-	m.tellLive()
 }
 
 func (m *Members) performOne(a member.Action) {
@@ -166,10 +174,12 @@
 
 func (m *Members) changed(c *member.Changed) {
 	m.changes.Add(c.To.String(), 1)
-	m.cfg.Log("member_changed", "daemon", c.Process.Daemon, "incarnation", c.Process.Incarnation,
+	m.cfg.Log("member_changed", "peer", c.Process.Daemon, "incarnation", c.Process.Incarnation,
 		"domain", c.Domain, "from", c.From, "to", c.To, "why", c.Reason)
 	m.publish()
 	if c.To == member.Dead {
+		// When it comes back, its revision is news, also an unchanged one.
+		delete(m.revisions, c.Process.Daemon)
 		m.cfg.Listener.Gone(c.Process)
 	}
 }
@@ -188,7 +198,21 @@
 	for _, e := range entries {
 		v.states[e.Process.Daemon] = e
 	}
-	m.snapshot.Store(v)
+	old := m.snapshot.Swap(v)
+	if old != nil {
+		m.tellForgotten(old, v)
+	}
+}
+
+// tellForgotten tells the listener of daemons that are no longer kept.
+func (m *Members) tellForgotten(old, now *view) {
+	for _, e := range old.entries {
+		d := e.Process.Daemon
+		if _, kept := now.states[d]; !kept {
+			delete(m.revisions, d)
+			m.cfg.Listener.Forgotten(d)
+		}
+	}
 }
 
 // tellLive tells the listener when the daemons that take part have changed.
--- /dev/null
+++ b/daemon/members/members_test.go
@@ -0,0 +1,100 @@
+package members
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/member"
+	"github.com/samphirequay/samphirequay/daemon/metrics"
+)
+
+// testBound ends a test that would wait for ever; no verdict depends on it.
+const testBound = 30 * time.Second
+
+// told records what the duty tells.
+type told struct {
+	revisions, gone, forgotten chan id.Daemon
+}
+
+func newTold() *told {
+	return &told{
+		revisions: make(chan id.Daemon, 16),
+		gone:      make(chan id.Daemon, 16),
+		forgotten: make(chan id.Daemon, 16),
+	}
+}
+
+func (l *told) Live([]id.Daemon)                                    {}
+func (l *told) Gone(p id.Process)                                   { l.gone <- p.Daemon }
+func (l *told) Forgotten(d id.Daemon)                               { l.forgotten <- d }
+func (l *told) PeerRevision(d id.Daemon, _ uint64)                  { l.revisions <- d }
+func (l *told) StopActing(bool)                                     {}
+func (l *told) SendMember(_ id.Daemon, _ string, _ *member.Message) {}
+
+// startTest starts the duty with waits that are short, as nothing is measured.
+func startTest(t *testing.T, forget time.Duration) (*Members, *told) {
+	t.Helper()
+	core := member.DefaultConfig(member.Mesh)
+	core.Period = 5 * time.Millisecond
+	core.SuspectAfter = 20 * time.Millisecond
+	core.DeadAfter = 60 * time.Millisecond
+	core.StallAfter = time.Hour
+	core.Forget = forget
+	begun := time.Now()
+	l := newTold()
+	m := Start(Config{
+		Core:     core,
+		Self:     member.Entry{Process: id.Process{Daemon: "a", Incarnation: 1}, Domain: "north", Address: "a:1"},
+		Sender:   l,
+		Listener: l,
+		Metrics:  metrics.New("a"),
+		Local:    func() member.Local { return member.Local{} },
+		Log:      func(string, ...any) {},
+		Now:      func() time.Duration { return time.Since(begun) },
+		Rand:     rand.New(rand.NewPCG(1, 1)),
+	})
+	t.Cleanup(m.Close)
+	return m, l
+}
+
+// heartbeat is what a peer of the own failure domain says.
+func heartbeat(epoch uint32) member.Message {
+	return member.Message{Kind: member.Heartbeat, From: member.Entry{
+		Process: id.Process{Daemon: "b", Incarnation: 1}, State: member.Alive,
+		Epoch: epoch, Beat: uint64(epoch) + 1, Domain: "north", Address: "b:1", Revision: 7,
+	}}
+}
+
+func await(t *testing.T, c chan id.Daemon, what string) {
+	t.Helper()
+	select {
+	case d := <-c:
+		is.New(t).Equal(d, id.Daemon("b"))
+	case <-time.After(testBound):
+		t.Fatalf("never told: %s", what)
+	}
+}
+
+// TestRevisionOfOneThatCameBackIsTold: whoever listens forgets a dead daemon's
+// revision, so an unchanged one must be told again.
+func TestRevisionOfOneThatCameBackIsTold(t *testing.T) {
+	m, l := startTest(t, time.Hour)
+	m.Receive(heartbeat(0))
+	await(t, l.revisions, "the revision")
+	await(t, l.gone, "the death")
+	m.Receive(heartbeat(1))
+	await(t, l.revisions, "the revision after the return")
+}
+
+func TestForgottenIsTold(t *testing.T) {
+	is := is.New(t)
+	m, l := startTest(t, time.Millisecond)
+	m.Receive(heartbeat(0))
+	await(t, l.gone, "the death")
+	await(t, l.forgotten, "that it is forgotten")
+	is.True(!m.Known("b"))
+}
--- /dev/null
+++ b/daemon/placer/placer_test.go
@@ -0,0 +1,224 @@
+package placer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/lease"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/placement"
+	"github.com/samphirequay/samphirequay/daemon/endpoints"
+	"github.com/samphirequay/samphirequay/daemon/metrics"
+	"github.com/samphirequay/samphirequay/daemon/store"
+	"github.com/samphirequay/samphirequay/daemon/workpool"
+	"github.com/samphirequay/samphirequay/platform/client"
+	"github.com/samphirequay/samphirequay/platform/standin"
+	"github.com/samphirequay/samphirequay/platform/wire"
+)
+
+// waitLimit bounds every wait of a test for something that will happen.
+const waitLimit = 30 * time.Second
+
+// clock is a process's clock. While paused, whoever reads it stands still, as
+// a stopped process does.
+type clock struct {
+	mu    sync.Mutex
+	start time.Time
+}
+
+func (c *clock) now() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.start)
+}
+
+func (c *clock) pause()  { c.mu.Lock() }
+func (c *clock) resume() { c.mu.Unlock() }
+
+// site is a platform with a few engines and its configuration.
+type site struct {
+	t        *testing.T
+	platform *standin.Platform
+	index    *live.Index
+	clients  *endpoints.Set
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	is := is.New(t)
+	cfg := standin.Bunker()
+	cfg.Engines = append(cfg.Engines[:3:3], cfg.Engines[9:12]...)
+	cfg.Plains = nil
+	for i := range cfg.Engines {
+		cfg.Engines[i].LoadTime = 10 * time.Millisecond
+	}
+	p, err := standin.StartPlatform(cfg)
+	is.NoErr(err)
+	t.Cleanup(p.Close)
+	doc := standin.Document(cfg, p.Addresses())
+	normal := live.Normalize(&doc)
+	return &site{t: t, platform: p, index: live.NewIndex(normal), clients: endpoints.New(nil)}
+}
+
+// placer starts the duty of one process.
+func (s *site) placer(name id.Daemon, c *clock) *Placer {
+	s.t.Helper()
+	is := is.New(s.t)
+	registry := metrics.New(string(name))
+	work, err := workpool.New("short", 64, registry)
+	is.NoErr(err)
+	leases := lease.DefaultConfig()
+	leases.TTL = time.Second
+	leases.Margin = 100 * time.Millisecond
+	leases.RenewEvery = 200 * time.Millisecond
+	leases.WatchEvery = 100 * time.Millisecond
+	table := client.NewTable(s.platform.Addresses().Table, client.Options{})
+	p := Start(Config{
+		Self:      id.Process{Daemon: name, Incarnation: 1},
+		Store:     store.New(table, work, registry),
+		Weights:   client.NewWeights(s.platform.Addresses().Weights, client.Options{}),
+		Endpoints: s.clients,
+		Work:      work,
+		Metrics:   registry,
+		Decide:    func(id.Endpoint, string, ...any) {},
+		Log:       func(string, ...any) {},
+		Drain:     func(id.Pool, id.Endpoint, bool) {},
+		Demand:    func(context.Context) []placement.Demand { return nil },
+		Now:       c.now,
+		Rand:      rand.New(rand.NewPCG(1, uint64(len(name)))),
+		Lease:     leases,
+		Core:      placement.DefaultConfig(),
+	})
+	s.t.Cleanup(func() {
+		p.Close()
+		work.Close()
+	})
+	p.SetIndex(s.index)
+	return p
+}
+
+func (s *site) until(what string, holds func() bool) {
+	s.t.Helper()
+	deadline := time.Now().Add(waitLimit)
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	for !holds() {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("not within %s: %s", waitLimit, what)
+		}
+		<-ticker.C
+	}
+}
+
+// engine finds an engine by whether it checks fencing numbers.
+func (s *site) engine(checks bool) (*client.Engine, live.Endpoint) {
+	for _, e := range s.index.Document().Endpoints {
+		if e.ChecksFencing == checks {
+			return s.clients.Engine(e.Address), e
+		}
+	}
+	s.t.Fatal("no such engine")
+	return nil, live.Endpoint{}
+}
+
+func (p *Placer) holds() bool {
+	held := false
+	p.duty.Query(func(now time.Duration) { held = p.lease.Valid(now) })
+	return held
+}
+
+// TestOrderOfAPausedHolder has a holder stopped in the middle of an order until
+// after its lease went to another, and then lets the order go.
+func TestOrderOfAPausedHolder(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	first, second := &clock{start: time.Now()}, &clock{start: time.Now()}
+	a := s.placer("a", first)
+	s.until("a holds the lease", a.holds)
+	b := s.placer("longer", second)
+
+	oldFence := a.gate.Fence()
+	first.pause()
+	s.until("b took the lease over", b.holds)
+	is.True(b.gate.Fence() > oldFence)
+
+	// The order that a's process had under way arrives now.
+	for _, checks := range []bool{true, false} {
+		engine, endpoint := s.engine(checks)
+		before, err := engine.OrderState(context.Background())
+		is.NoErr(err)
+		stale := wire.Order{Fence: oldFence, Model: "something-else", Version: "0", Role: before.Role}
+		s.until("b has ordered or the gate is open", func() bool { return b.passage(endpoint) == lease.Open })
+		if checks {
+			// b's fence reaches the engine with its next order.
+			_, err = engine.Order(context.Background(), wire.Order{Fence: b.gate.Fence(), Model: before.Model, Adapter: before.Adapter, Version: before.Version, Role: before.Role})
+			is.NoErr(err)
+		}
+		_, err = engine.Order(context.Background(), stale)
+		if checks {
+			is.True(err != nil) // refused: no order of a's takes effect
+		} else {
+			is.NoErr(err) // obeyed, and put right below
+		}
+		s.until("the endpoint has its desired state", func() bool {
+			now, err := engine.OrderState(context.Background())
+			return err == nil && now.Ready && now.Model == before.Model && now.Version == before.Version && now.Role == before.Role
+		})
+	}
+
+	first.resume()
+	is.True(!a.holds()) // woken, it knows that it holds nothing
+	is.True(b.holds())
+}
+
+// passage asks the gate as an order would.
+func (p *Placer) passage(e live.Endpoint) lease.Passage {
+	var passage lease.Passage
+	p.duty.Query(func(now time.Duration) { passage = p.gate.Allow(now, e.Name, e.ChecksFencing) })
+	return passage
+}
+
+func TestReleaseHandsOverAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	a := s.placer("a", &clock{start: time.Now()})
+	s.until("a holds the lease", a.holds)
+	b := s.placer("longer", &clock{start: time.Now()})
+	a.Release()
+	s.until("b holds the lease", b.holds)
+	is.True(!a.holds())
+	s.until("status pages name b", func() bool { return b.Holder().Holder.Daemon == "longer" })
+}
+
+func TestLabelChangesTheRole(t *testing.T) {
+	s := newSite(t)
+	p := s.placer("a", &clock{start: time.Now()})
+	engine, endpoint := s.engine(true)
+	s.until("the engine was seen", func() bool {
+		known := false
+		p.duty.Query(func(time.Duration) { _, known = p.core.Desired(endpoint.Name) })
+		return known
+	})
+	doc := *s.index.Document()
+	doc.Endpoints = append([]live.Endpoint(nil), doc.Endpoints...)
+	for i := range doc.Endpoints {
+		if doc.Endpoints[i].Name == endpoint.Name {
+			doc.Endpoints[i].Labels = live.Labels{}
+			for k, v := range endpoint.Labels {
+				doc.Endpoints[i].Labels[k] = v
+			}
+			doc.Endpoints[i].Labels[live.LabelRole] = string(live.RoleDecode)
+		}
+	}
+	p.SetIndex(live.NewIndex(&doc))
+	s.until("the engine decodes", func() bool {
+		state, err := engine.OrderState(context.Background())
+		return err == nil && state.Ready && state.Role == string(live.RoleDecode)
+	})
+}
--- a/daemon/plaincall/runner.go
+++ b/daemon/plaincall/runner.go
@@ -46,12 +46,14 @@
 	}
 }
 
-// again says whether another attempt follows, and waits for it.
+// again says whether another attempt follows, and waits for it. A call that may
+// have run is never sent again, whatever its method: the caller hears so and
+// decides.
 func (r *Runner) again(ctx context.Context, s *state, err *verdict.Error, n int) bool {
 	if ctx.Err() != nil {
 		return false
 	}
-	if err.Verdict != verdict.NotRun && !s.call.safeToRepeat() {
+	if err.Verdict != verdict.NotRun {
 		return false
 	}
 	if claimRefused(err) {
--- a/daemon/plaincall/types.go
+++ b/daemon/plaincall/types.go
@@ -32,15 +32,6 @@
 // NonIdempotent says whether the call must run at most once.
 func (c *Call) NonIdempotent() bool { return c.Key != "" }
 
-// safeToRepeat says whether a call that may have run can be sent again: only
-// methods that HTTP defines as safe, and no key.
-func (c *Call) safeToRepeat() bool {
-	if c.NonIdempotent() {
-		return false
-	}
-	return c.Request.Method == "GET" || c.Request.Method == "HEAD"
-}
-
 // Answer is what the service answered.
 type Answer struct {
 	client.PlainResponse
