Serve callers over TLS in tests, and split long files

Cause: TLS towards callers, key replacement and hang-up under TLS had no test. Change: tests for all three; daemon/app/start.go and reports.lookAt split. Conclusion: POLLRDHUP sees a close beneath TLS too.

--- a/daemon/app/start.go
+++ b/daemon/app/start.go
@@ -15,17 +15,12 @@
 	"github.com/samphirequay/samphirequay/daemon/broker"
 	"github.com/samphirequay/samphirequay/daemon/cancels"
 	"github.com/samphirequay/samphirequay/daemon/claims"
-	"github.com/samphirequay/samphirequay/daemon/completion"
 	"github.com/samphirequay/samphirequay/daemon/configs"
 	"github.com/samphirequay/samphirequay/daemon/endpoints"
-	"github.com/samphirequay/samphirequay/daemon/front"
-	"github.com/samphirequay/samphirequay/daemon/hangup"
 	"github.com/samphirequay/samphirequay/daemon/keys"
 	"github.com/samphirequay/samphirequay/daemon/members"
-	"github.com/samphirequay/samphirequay/daemon/operator"
 	"github.com/samphirequay/samphirequay/daemon/peer"
 	"github.com/samphirequay/samphirequay/daemon/placer"
-	"github.com/samphirequay/samphirequay/daemon/plaincall"
 	"github.com/samphirequay/samphirequay/daemon/reports"
 	"github.com/samphirequay/samphirequay/daemon/settings"
 	"github.com/samphirequay/samphirequay/daemon/store"
@@ -247,55 +242,6 @@
 	return d.set.Policy == settings.PolicyOptimistic || d.set.Policy == settings.PolicyNaive
 }
 
-// startRequests starts the pipeline of requests.
-func (d *Daemon) startRequests() {
-	d.watcher = hangup.New(hangup.DefaultInterval)
-	recorder := recorder{d}
-	pairer := trackingPairer{Broker: d.broker, cancels: d.cancels}
-	completions := completion.New(completion.Deps{
-		Self:     d.self,
-		Domain:   d.set.Domain,
-		Pairer:   pairer,
-		Engines:  d.endpoints,
-		Cancels:  d.cancels,
-		Retries:  d.retries,
-		Recorder: recorder,
-		Catalog:  catalog{d},
-		Now:      d.now,
-		NewID:    newRequestID,
-	})
-	plain := plaincall.New(plaincall.Deps{
-		Self:      d.self,
-		Domain:    d.set.Domain,
-		Pairer:    d.broker,
-		Endpoints: d.endpoints,
-		Claims:    d.claims,
-		Retries:   d.retries,
-		Recorder:  recorder,
-		Catalog:   catalog{d},
-		Now:       d.now,
-		NewID:     newRequestID,
-	})
-	d.front = front.New(front.Deps{
-		Self:         d.self,
-		Directory:    d.configs.Index,
-		Completions:  completions,
-		PlainCalls:   plain,
-		Tokens:       d.tokens,
-		Watcher:      d.watcher,
-		Metrics:      d.metrics,
-		Entry:        d.entryAnswer,
-		Ready:        d.ready,
-		Arrived:      d.noteCaller,
-		Logger:       httpLogger{d.logger},
-		Now:          d.now,
-		NewID:        newRequestID,
-		MaxBodyBytes: d.set.Limits.MaxBodyBytes,
-		MaxConns:     d.set.Limits.MaxConnections,
-	})
-	d.operator = operator.New(operatorBacking{d}, d.set.OperatorKeyHashes, d.logger.Event)
-}
-
 // serve starts the HTTP servers.
 func (d *Daemon) serve() {
 	go d.serveOn("callers", d.secure(trackingListener{d.callerLn, &d.connections}), d.front.Serve)
--- a/daemon/app/stop.go
+++ b/daemon/app/stop.go
@@ -102,12 +102,16 @@
 }
 
 // Kill ends the daemon at once, as a crash of its process would: connections
-// break, nothing is handed over. The duties go first, so that nobody is left
-// who could cancel at the endpoints what the callers may come back for.
+// break, nothing is handed over. First go the duties that could cancel at the
+// endpoints what the callers may come back for, or give back its slots; then
+// the connections, so that no caller is told anything more.
 func (d *Daemon) Kill() {
+	d.closeListeners()
+	d.cancels.Close()
+	d.broker.Close()
+	d.connections.closeAll()
 	d.end()
 	d.front.Kill()
-	d.connections.closeAll()
 }
 
 // end closes the duties, those that feed others first.
--- /dev/null
+++ b/daemon/app/tls_test.go
@@ -0,0 +1,95 @@
+package app
+
+import (
+	"context"
+	"crypto/tls"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/daemon/keys"
+	"github.com/samphirequay/samphirequay/daemon/opapi"
+	"github.com/samphirequay/samphirequay/platform/standin"
+	"github.com/samphirequay/samphirequay/platform/wire"
+)
+
+// startTLS starts one more daemon whose callers and operators use HTTPS.
+func (f *testFleet) startTLS() (*Daemon, *http.Client, *keys.Store) {
+	f.t.Helper()
+	is := is.New(f.t)
+	f.reservePeers(1)
+	set := *f.daemons[0].set
+	set.Daemon = "tls"
+	set.Listen.Peers = f.seeds[len(f.seeds)-1].Address
+	set.InsecureCallers = false
+	material, err := f.ca.Peer(set.Daemon)
+	is.NoErr(err)
+	caller, err := f.ca.Caller("127.0.0.1")
+	is.NoErr(err)
+	callerKeys := keys.Fixed(caller)
+	d, err := New(&set, Options{PeerKeys: keys.Fixed(material), CallerKeys: callerKeys, Log: f.log})
+	is.NoErr(err)
+	is.NoErr(d.Start())
+	f.daemons = append(f.daemons, d)
+	f.until("the daemon is ready", func() bool {
+		ready, _ := d.ready()
+		return ready
+	})
+	pool := f.ca.Pool()
+	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}
+	f.t.Cleanup(transport.CloseIdleConnections)
+	return d, &http.Client{Transport: transport}, callerKeys
+}
+
+func TestCallersUseTLS(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(t, 1, standin.Bunker(), nil)
+	d, client, callerKeys := f.startTLS()
+	prompt := strings.Repeat("certificate of quality. ", 20)
+	ask := func(client *http.Client) *tls.ConnectionState {
+		req := f.completionRequest(context.Background(), d, teamKey,
+			opapi.CompletionRequest{Model: model, Prompt: prompt, MaxTokens: 4, Stream: true})
+		req.URL.Scheme = "https"
+		resp, err := client.Do(req)
+		is.NoErr(err)
+		defer resp.Body.Close()
+		text, _, ended := readStream(t, resp, 0)
+		is.True(ended)
+		is.Equal(text, standin.Answer(prompt, 4))
+		return resp.TLS
+	}
+	before := ask(client)
+
+	// New keys are in force for the next connection, without a restart.
+	renewed, err := f.ca.Caller("127.0.0.1")
+	is.NoErr(err)
+	callerKeys.Replace(renewed)
+	client.CloseIdleConnections()
+	after := ask(client)
+	is.True(before.PeerCertificates[0].SerialNumber.Cmp(after.PeerCertificates[0].SerialNumber) != 0)
+}
+
+func TestHangUpOverTLSIsNoticedDuringPrefill(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(t, 1, standin.Bunker(), nil)
+	d, client, _ := f.startTLS()
+	for _, e := range f.platform.Engines {
+		e.Inject(wire.Fault{Slow: ptr(20.0)})
+	}
+	ctx, hangUp := context.WithCancel(context.Background())
+	req := f.completionRequest(ctx, d, teamKey,
+		opapi.CompletionRequest{Model: model, Prompt: strings.Repeat("packet. ", 500), MaxTokens: 4})
+	req.URL.Scheme = "https"
+	failed := make(chan error, 1)
+	go func() {
+		_, err := client.Do(req)
+		failed <- err
+	}()
+	f.until("the prefill runs", func() bool { return f.held("prefill") > 0 })
+	hangUp()
+	is.True(<-failed != nil)
+	f.until("the engine was told", func() bool { return f.cancels() > 0 })
+	f.until("nothing is held", func() bool { return f.held("") == 0 })
+}
--- a/daemon/reports/reports.go
+++ b/daemon/reports/reports.go
@@ -136,45 +136,60 @@
 	}
 }
 
+// questions are those that are due at one endpoint.
+type questions struct{ cache, list bool }
+
 // lookAt asks one endpoint what is due, all in one piece of work: an endpoint
 // that hangs has one question open, not many.
 func (r *Reports) lookAt(now time.Duration, p id.Pool, e *live.Endpoint) {
+	n, due, ok := r.begin(now, e)
+	if !ok {
+		return
+	}
+	task := func() {
+		defer r.free(n)
+		r.askAll(p, e, n, due)
+	}
+	if !r.cfg.Work.Submit(task) {
+		r.free(n)
+	}
+}
+
+// begin marks an endpoint as being asked. It returns false when nothing is due
+// or a question is still open.
+func (r *Reports) begin(now time.Duration, e *live.Endpoint) (*node, questions, bool) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	n, ok := r.nodes[e.Name]
 	if !ok {
 		n = &node{}
 		r.nodes[e.Name] = n
 	}
 	if n.busy || now < n.load {
-		r.mu.Unlock()
-		return
+		return nil, questions{}, false
 	}
 	n.busy = true
-	model := live.Role(e.Labels[live.LabelRole]) != live.RolePlain
-	askCache := model && now >= n.cache
-	askList := model && now >= n.list
 	n.load = now + r.jitter(loadEvery)
-	if askCache {
+	engine := live.Role(e.Labels[live.LabelRole]) != live.RolePlain
+	due := questions{cache: engine && now >= n.cache, list: engine && now >= n.list}
+	if due.cache {
 		n.cache = now + r.jitter(cacheEvery)
 	}
-	if askList {
+	if due.list {
 		n.list = now + r.jitter(listEvery)
 	}
-	r.mu.Unlock()
-	task := func() {
-		defer r.free(n)
-		if !r.askLoad(p, e) {
-			return
-		}
-		if askCache {
-			r.askCache(p, e, n)
-		}
-		if askList {
-			r.askList(e)
-		}
+	return n, due, true
+}
+
+func (r *Reports) askAll(p id.Pool, e *live.Endpoint, n *node, due questions) {
+	if !r.askLoad(p, e) {
+		return
 	}
-	if !r.cfg.Work.Submit(task) {
-		r.free(n)
+	if due.cache {
+		r.askCache(p, e, n)
+	}
+	if due.list {
+		r.askList(e)
 	}
 }
 
