--- a/cmd/internal/cli/loadcmd/load.go
+++ b/cmd/internal/cli/loadcmd/load.go
@@ -77,7 +77,7 @@
 	fs.DurationVar(&f.duration, "duration", 10*time.Second, "how long requests arrive")
 	fs.IntVar(&f.requests, "requests", 0, "end after so many arrivals, whatever the duration")
 	fs.DurationVar(&f.warmup, "warmup", 0, "leave out of the account what arrives before")
-	fs.Uint64Var(&f.seed, "seed", 1, "seed of arrivals and prompts")
+	fs.Uint64Var(&f.seed, "seed", 1, "seed of arrivals, prompts and idempotency keys; a fleet that has seen a seed replays its keyed calls")
 	fs.DurationVar(&f.firstToken, "first-token-target", load.DefaultFirstTokenTarget, "target for the first token")
 	fs.DurationVar(&f.pace, "pace-target", load.DefaultPaceTarget, "target for the mean time between tokens")
 	fs.Float64Var(&f.plainShare, "plain-share", -1, "share of calls to the plain service, 0 to 1; default: the profile's")
--- /dev/null
+++ b/cmd/internal/experiment/capacity_sizes.go
@@ -0,0 +1,204 @@
+package experiment
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/member"
+	"github.com/samphirequay/samphirequay/core/pairing"
+	"github.com/samphirequay/samphirequay/core/revision"
+	"github.com/samphirequay/samphirequay/core/sched"
+	"github.com/samphirequay/samphirequay/daemon/broker"
+	"github.com/samphirequay/samphirequay/daemon/peer"
+)
+
+// SizeFigures are the bytes of one thing.
+type SizeFigures struct {
+	Of    string  `json:"of"`
+	Bytes float64 `json:"bytes"`
+}
+
+func (r *Report) size(out *CapacityFigures, of string, bytes float64) {
+	out.Sizes = append(out.Sizes, SizeFigures{Of: of, Bytes: bytes})
+	r.add("size of=%q bytes=%.0f", of, bytes)
+}
+
+// sent adds the size of a message between daemons, before encryption.
+func (r *Report) sent(out *CapacityFigures, of string, message any) error {
+	raw, err := peer.Encode(message)
+	if err != nil {
+		return fmt.Errorf("%s: %w", of, err)
+	}
+	r.size(out, "message "+of, float64(len(raw)))
+	return nil
+}
+
+// stored adds the size of a row of the table.
+func (r *Report) stored(out *CapacityFigures, of string, row any) error {
+	raw, err := json.Marshal(row)
+	if err != nil {
+		return fmt.Errorf("%s: %w", of, err)
+	}
+	r.size(out, "row "+of, float64(len(raw)))
+	return nil
+}
+
+// capacitySizes gives the bytes of messages, rows and states.
+func capacitySizes(_ context.Context, _ Env, r *Report, out *CapacityFigures) error {
+	doc := capacityDocument(targetEndpoints, targetTeams, targetModels)
+	if err := r.brokerSizes(out, doc); err != nil {
+		return err
+	}
+	record := revision.Record{Revision: 1234567, Change: capacityChange(doc), Chain: revision.NextChain("", capacityChange(doc))}
+	snapshot := revision.Snapshot{Document: *doc, Chain: record.Chain}
+	for _, m := range []struct {
+		name string
+		body any
+	}{
+		{"heartbeat", member.Message{Kind: member.Heartbeat, From: memberEntry(0)}},
+		{"probe with 6 updates", member.Message{Kind: member.Probe, Seq: 99, From: memberEntry(0), Entries: []member.Entry{
+			memberEntry(1), memberEntry(2), memberEntry(3), memberEntry(4), memberEntry(5), memberEntry(6)}}},
+		{"config record", record},
+		{"config fetch", revision.Fetch{Seq: 1, Peer: memberName(1), After: 1234566}},
+		{"config snapshot", snapshot},
+	} {
+		if err := r.sent(out, m.name, m.body); err != nil {
+			return err
+		}
+	}
+	if err := r.stored(out, "config record", record); err != nil {
+		return err
+	}
+	if err := r.stored(out, "config snapshot", snapshot); err != nil {
+		return err
+	}
+	r.stateSizes(out)
+	return nil
+}
+
+// brokerSizes are the messages of one request.
+func (r *Report) brokerSizes(out *CapacityFigures, doc *live.Document) error {
+	want := capacityWant(doc, 1)
+	grant := sched.Grant{
+		Request: want.Request, Prefill: "runner-0001", Decode: "runner-0002", Reservation: 123456,
+		Owner: want.From, StartIn: 3 * time.Millisecond, ExpiresIn: 500 * time.Millisecond,
+		Reason: "prefill runner-0001 of 14, 0.12 s; decode runner-0002 of 15, in 0.08 s",
+	}
+	progress := sched.Progress{
+		Request: want.Request, Reservation: grant.Reservation, Phase: sched.PhaseDecoding, CachedTokens: 1024,
+		PromptTokens: 2000, PrefillTime: 80 * time.Millisecond, TransferTime: 12 * time.Millisecond, KVBytes: 655360000,
+	}
+	for _, m := range []struct {
+		name string
+		body broker.Envelope
+	}{
+		{"want", broker.Envelope{Want: &want}},
+		{"grant", broker.Envelope{Grant: &broker.PoolGrant{Pool: want.Pool, Grant: grant}}},
+		{"progress", broker.Envelope{Progress: &pairing.PoolProgress{Pool: want.Pool, Progress: progress}}},
+		{"refusal", broker.Envelope{Refusal: &sched.Refusal{Request: want.Request, Code: "overloaded", RetryAfter: time.Second, Reason: "no slot in time"}}},
+	} {
+		if err := r.sent(out, m.name, m.body); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// stateSizes are what a daemon's parts hold at the target's size.
+func (r *Report) stateSizes(out *CapacityFigures) {
+	r.held(out, "document, 900 endpoints 900 teams 31 models", func() any {
+		return capacityDocument(targetEndpoints, targetTeams, targetModels)
+	})
+	doc := capacityDocument(targetEndpoints, targetTeams, targetModels)
+	r.held(out, "index of that document", func() any { return live.NewIndex(doc) })
+	for _, s := range []struct{ endpoints, teams, models int }{{22, 4, 1}, {29, 900, 1}, {900, 900, 1}} {
+		sized := capacityDocument(s.endpoints, s.teams, s.models)
+		r.held(out, fmt.Sprintf("ledger of a pool, %d endpoints %d teams", s.endpoints, s.teams), func() any {
+			step := scheduling(sized)
+			for i := range 10 * s.endpoints {
+				step(i)
+			}
+			return step
+		})
+	}
+	r.held(out, "membership of 420 daemons", func() any {
+		m := member.New(member.DefaultConfig(member.Partial), memberEntry(0), 0, capacityRand(0))
+		for i := range targetDaemons - 1 {
+			m.Receive(0, member.Message{Kind: member.Probe, Seq: uint64(i + 1), From: memberEntry(i + 1)})
+		}
+		return m
+	})
+	r.held(out, "1,024 records of changes", func() any {
+		f := revision.NewFollower(revision.DefaultFollowerConfig(), 0, capacityRand(0))
+		chain := ""
+		for i := range 1024 {
+			c := capacityChange(doc)
+			c.ID = fmt.Sprintf("01HZX%021d", i)
+			chain = revision.NextChain(chain, c)
+			f.Learn(revision.Record{Revision: uint64(i + 1), Change: c, Chain: chain})
+		}
+		return f
+	})
+}
+
+// held measures what stays on the heap for a thing.
+func (r *Report) held(out *CapacityFigures, of string, make func() any) {
+	before := memoryNow()
+	thing := make()
+	after := memoryNow()
+	runtime.KeepAlive(thing)
+	r.size(out, "heap of a "+of, max(after.heap-before.heap, 0))
+}
+
+// capacityChange is a change of the common kind: one label of one endpoint.
+func capacityChange(doc *live.Document) revision.Change {
+	return revision.Change{
+		ID: "01HZXABCDEFGHJKMNPQRSTVWXY", Author: "operator@site", At: time.Unix(1764700000, 0).UTC(),
+		Ops: []revision.Op{{Action: revision.ActionLabel, Kind: live.KindEndpoint, Name: string(doc.Endpoints[0].Name), Labels: live.Labels{live.LabelLeaving: "true"}}},
+	}
+}
+
+// wholeChange puts every item of a document.
+func wholeChange(doc *live.Document) revision.Change {
+	c := revision.Change{ID: "whole", At: time.Unix(1764700000, 0).UTC()}
+	for i := range doc.Teams {
+		c.Ops = append(c.Ops, putOp(live.KindTeam, string(doc.Teams[i].Name), doc.Teams[i]))
+	}
+	for i := range doc.Links {
+		c.Ops = append(c.Ops, putOp(live.KindLink, doc.Links[i].Name, doc.Links[i]))
+	}
+	for i := range doc.Pools {
+		c.Ops = append(c.Ops, putOp(live.KindPool, string(doc.Pools[i].Name), doc.Pools[i]))
+	}
+	for i := range doc.Endpoints {
+		c.Ops = append(c.Ops, putOp(live.KindEndpoint, string(doc.Endpoints[i].Name), doc.Endpoints[i]))
+	}
+	for i := range doc.Services {
+		c.Ops = append(c.Ops, putOp(live.KindService, string(doc.Services[i].Name), doc.Services[i]))
+	}
+	return c
+}
+
+func putOp(kind live.Kind, name string, item any) revision.Op {
+	raw, err := json.Marshal(item)
+	if err != nil {
+		panic(err) // the live types always encode
+	}
+	return revision.Op{Action: revision.ActionPut, Kind: kind, Name: name, Item: raw}
+}
+
+// parts cuts a change into ones of as many steps as one may have.
+func parts(c revision.Change) []revision.Change {
+	var out []revision.Change
+	for from := 0; from < len(c.Ops); from += revision.MaxOps {
+		part := c
+		part.ID = fmt.Sprintf("%s-%d", c.ID, from)
+		part.Ops = c.Ops[from:min(from+revision.MaxOps, len(c.Ops))]
+		out = append(out, part)
+	}
+	return out
+}
--- a/cmd/internal/experiment/config_account.go
+++ b/cmd/internal/experiment/config_account.go
@@ -85,6 +85,8 @@
 			out.Samples++
 			if took > configLimit {
 				out.OverLimit++
+				c.env.logf("config late phase=%s revision=%d place=%d took=%s accepted_at=%s stay=%s..%s ended=%t",
+					phase, a.revision, s.place, took, c.since(a.at), c.since(s.from), c.since(s.to), s.ended)
 			}
 			// Longer than the histogram's minute is counted as never.
 			if times.RecordValue(max(took.Milliseconds(), 1)) != nil {
@@ -98,6 +100,11 @@
 	return out, never
 }
 
+// since is a time in the run, for the progress.
+func (c *changing) since(t time.Time) time.Duration {
+	return t.Sub(c.watch.stays[0].from).Round(time.Millisecond)
+}
+
 // rejoins takes, for each daemon that was started during the run, the time
 // until it had what was accepted before its first answer.
 func (c *changing) rejoins(out *ConfigFigures) {
--- /dev/null
+++ b/cmd/internal/experiment/domain.go
@@ -0,0 +1,173 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"math"
+
+	"github.com/samphirequay/samphirequay/cmd/internal/fleet"
+	"github.com/samphirequay/samphirequay/platform/standin"
+	"github.com/samphirequay/samphirequay/platform/wire"
+)
+
+// domainFactor stretches the phases: a failure domain is cut off, and then
+// back, for twice the measured time.
+const domainFactor = 2
+
+// DomainFigures are the figures of a failure domain that was cut off.
+type DomainFigures struct {
+	Domain string `json:"domain"`
+	Wrongs
+	// RestCapacity is what the rest can carry, completions a second.
+	RestCapacity  float64 `json:"rest_capacity_per_second"`
+	GoodputBefore float64 `json:"goodput_before_per_second"`
+	GoodputCut    float64 `json:"goodput_cut_per_second"`
+	GoodputAfter  float64 `json:"goodput_after_per_second"`
+	// CutBackMS is how long after the cut the goodput was at 95% of what the
+	// rest can carry; ReturnBackMS how long after the return it was at 95% of
+	// what it was before. -1 if it was not.
+	CutBackMS    int64          `json:"cut_back_to_95_ms"`
+	ReturnBackMS int64          `json:"return_back_to_95_ms"`
+	Ended        map[string]int `json:"ended"`
+	series       Series
+}
+
+// runDomain cuts each failure domain of the site off, one fleet for each.
+func runDomain(ctx context.Context, env Env) (*Report, error) {
+	domains := faultDeployment().Site.Domains
+	figures, err := each(ctx, env, domains, func(ctx context.Context, domain string) (DomainFigures, error) {
+		env.logf("domain domain=%s", domain)
+		return domainOnce(ctx, env, domain)
+	})
+	if err != nil {
+		return nil, err
+	}
+	report := &Report{Experiment: "domain", Seed: env.Seed, Data: figures}
+	fig := Figure{Name: "domain-goodput", Title: "Goodput around the cut of a failure domain",
+		XLabel: "time, seconds", YLabel: "goodput, completions a second"}
+	for _, f := range figures {
+		report.domainLine(f)
+		fig.Series = append(fig.Series, f.series)
+	}
+	report.Figures = []Figure{fig}
+	return report, nil
+}
+
+// domainOnce cuts one failure domain off and lets it return.
+func domainOnce(ctx context.Context, env Env, domain string) (DomainFigures, error) {
+	d := faultDeployment()
+	f, attempts, err := faultFleet(ctx, env, d, nil)
+	if err != nil {
+		return DomainFigures{}, err
+	}
+	defer f.Close()
+	at := env.phases()
+	at.fault.to = at.fault.from + domainFactor*env.Duration
+	at.rest = window{at.fault.to, at.fault.to + domainFactor*env.Duration}
+	_, teams := d.Teams(faultTeams)
+	x := newDriver(env, d, f, teams, faultLoadShare, at.rest.to)
+	struck := make(chan error, 1)
+	go func() { struck <- strikeAt(ctx, &scene{fleet: f, site: d.Site}, cutDomain(domain), at.fault) }()
+	x.run(ctx)
+	if err := <-struck; err != nil {
+		return DomainFigures{}, fmt.Errorf("failure domain %s: %w", domain, err)
+	}
+	if err := ctx.Err(); err != nil {
+		return DomainFigures{}, err
+	}
+	rest := BoundOf(without(d.Site, domain), d.Profile, d.FirstToken).Capacity
+	before := x.share(at.quiet)
+	arriving := x.spec.Rate * (1 - d.Profile.PlainShare)
+	carried := math.Min(1, rest/arriving)
+	return DomainFigures{
+		Domain: domain, Wrongs: x.wrongs(ctx, attempts), RestCapacity: rest,
+		GoodputBefore: x.perSecond(at.quiet), GoodputCut: x.perSecond(at.fault), GoodputAfter: x.perSecond(at.rest),
+		CutBackMS:    x.backAfter(at.fault.from, at.fault.to, backShare*carried*before),
+		ReturnBackMS: x.backAfter(at.rest.from, at.rest.to, backShare*before),
+		Ended:        x.codes(), series: x.series(domain),
+	}, nil
+}
+
+// without is a site without the engines of a failure domain.
+func without(site standin.PlatformConfig, domain string) standin.PlatformConfig {
+	engines := site.Engines
+	site.Engines = nil
+	for _, e := range engines {
+		if e.Domain != domain {
+			site.Engines = append(site.Engines, e)
+		}
+	}
+	return site
+}
+
+// cutDomain kills all daemons of a failure domain at once, and its endpoints
+// lose all state and answer nothing until it returns.
+func cutDomain(domain string) strike {
+	var places []int
+	return strike{
+		begin: func(_ context.Context, s *scene) error {
+			if err := s.injectDomain(domain, wire.Fault{Hang: value(true), Crash: true}); err != nil {
+				return err
+			}
+			places = placesIn(s.fleet, domain)
+			for _, i := range places {
+				s.fleet.Kill(i)
+			}
+			return nil
+		},
+		end: func(_ context.Context, s *scene) error {
+			if err := s.injectDomain(domain, wire.Fault{Hang: value(false)}); err != nil {
+				return err
+			}
+			for _, i := range places {
+				if err := s.fleet.Replace(i); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
+
+// placesIn lists the places of a failure domain.
+func placesIn(f *fleet.Fleet, domain string) []int {
+	var out []int
+	for i := range f.Places() {
+		if string(f.Domain(i)) == domain {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// injectDomain sets a fault of every endpoint of a failure domain.
+func (s *scene) injectDomain(domain string, fault wire.Fault) error {
+	var targets []string
+	for _, e := range s.site.Engines {
+		if e.Domain == domain {
+			targets = append(targets, e.Name)
+		}
+	}
+	for _, p := range s.site.Plains {
+		if p.Domain == domain {
+			targets = append(targets, p.Name)
+		}
+	}
+	for _, target := range targets {
+		fault.Target = target
+		if err := s.fleet.Inject(fault); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// domainLine adds the line of a failure domain.
+func (r *Report) domainLine(f DomainFigures) {
+	r.add("domain=%s lost=%d doubled=%d ran_twice=%d orphans=%d not_run_but_ran=%d wrong=%d violations=%d "+
+		"rest_capacity=%.1f/s goodput_before=%.1f/s goodput_cut=%.1f/s goodput_after=%.1f/s "+
+		"cut_back_to_95_ms=%d return_back_to_95_ms=%d",
+		f.Domain, f.Lost, f.Doubled, f.RanTwice, f.Orphans, f.NotRunButRan, f.Wrong, f.Violations,
+		f.RestCapacity, f.GoodputBefore, f.GoodputCut, f.GoodputAfter, f.CutBackMS, f.ReturnBackMS)
+	r.wrong(f.Domain, f.Wrongs)
+}
--- a/cmd/internal/experiment/experiment.go
+++ b/cmd/internal/experiment/experiment.go
@@ -71,11 +71,15 @@
 
 // registry holds the experiments.
 var registry = []Experiment{
+	{Name: "capacity", Short: "slopes of processor, memory and bytes that docs/CAPACITY.md is worked out from", Run: runCapacity},
 	{Name: "config", Short: "time until a change is in force everywhere, while daemons are replaced and the table fails", Run: runConfig},
+	{Name: "domain", Short: "goodput when a failure domain is cut off, and when it returns", Run: runDomain},
 	{Name: "fairness", Short: "goodput of other teams beside one that floods, cancels at once or retries forever", Run: runFairness},
-	{Name: "membership", Short: "time to see a death, and bytes, processor and memory of membership, at 9 to 120 daemons", Run: runMembership},
 	{Name: "faults", Short: "what is lost, doubled, run twice or left behind when something fails, and the time to recover", Run: runFaults},
+	{Name: "membership", Short: "time to see a death, and bytes, processor and memory of membership, at 9 to 120 daemons", Run: runMembership},
 	{Name: "overhead", Short: "time and processor that the router adds to a call, against the same stand-in called directly", Run: runOverhead},
+	{Name: "poison", Short: "engines that requests crash which are sent again, until they are quarantined, and who suffers beside them", Run: runPoison},
+	{Name: "rolling", Short: "every daemon replaced by a planned stop, then engines drained by label: what is interrupted", Run: runRolling},
 	{Name: "routing", Short: "goodput and wasted prefill of each policy at 0.7, 0.9 and 1.1 of capacity", Run: runRouting},
 }
 
--- a/cmd/internal/experiment/faults.go
+++ b/cmd/internal/experiment/faults.go
@@ -45,7 +45,7 @@
 // runFaults strikes a loaded fleet with one fault after the other, each fleet
 // with one.
 func runFaults(ctx context.Context, env Env) (*Report, error) {
-	figures, err := each(ctx, env, debugCases(), func(ctx context.Context, c faultCase) (FaultFigures, error) {
+	figures, err := each(ctx, env, faultCases(), func(ctx context.Context, c faultCase) (FaultFigures, error) {
 		env.logf("faults fault=%s", c.name)
 		out, err := faultOnce(ctx, env, c)
 		if err != nil {
@@ -88,7 +88,7 @@
 // faultOnce strikes one fleet with one fault.
 func faultOnce(ctx context.Context, env Env, c faultCase) (FaultFigures, error) {
 	d := faultDeployment()
-	f, attempts, err := faultFleet(ctx, env, d, func(fc *fleet.Config) { fc.Log = debugLog(fc.Log.(*attemptLog), c.name) })
+	f, attempts, err := faultFleet(ctx, env, d, nil)
 	if err != nil {
 		return FaultFigures{}, err
 	}
--- a/cmd/internal/experiment/faults_load.go
+++ b/cmd/internal/experiment/faults_load.go
@@ -109,12 +109,15 @@
 func callerOf(a load.Arrival) int { return a.Team*callersOfTeam + a.Number%callersOfTeam }
 
 // run sends every arrival at its time and waits for all answers.
-func (x *driver) run(ctx context.Context) {
+func (x *driver) run(ctx context.Context) { x.runUntil(ctx, ctx) }
+
+// runUntil is run that sends nothing more once until has ended.
+func (x *driver) runUntil(ctx, until context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	started := time.Now()
 	for _, a := range load.Schedule(x.spec) {
-		if !sleepFor(ctx, time.Until(started.Add(a.At))) {
+		if !sleepFor(until, time.Until(started.Add(a.At))) {
 			return
 		}
 		wg.Go(func() { x.send(ctx, a) })
--- a/cmd/internal/experiment/faults_measure.go
+++ b/cmd/internal/experiment/faults_measure.go
@@ -136,7 +136,8 @@
 }
 
 // lost tells whether an answer that was begun never came whole, or a keyed
-// call was answered that never ran.
+// call was answered that never ran. A caller whose patience ended while the
+// answer was still coming has given it up.
 func (d done) lost(runs map[string]int) bool {
 	switch {
 	case d.HungUp:
@@ -146,7 +147,8 @@
 	case d.Whole:
 		return d.Fault == load.FaultLost
 	default:
-		return d.Fault == load.FaultLost || d.OutputTokens > 0 && d.Outcome != load.OutcomeAnswered
+		begun := d.OutputTokens > 0 && d.Outcome != load.OutcomeAnswered && d.Outcome != load.OutcomeCancelled
+		return begun || d.Fault == load.FaultLost
 	}
 }
 
--- a/cmd/internal/experiment/membership.go
+++ b/cmd/internal/experiment/membership.go
@@ -47,12 +47,16 @@
 	Mode    member.Mode `json:"mode"`
 	Members int         `json:"members"`
 	// Loaded says that every processor was kept busy beside it.
-	Loaded       bool    `json:"loaded"`
-	JoinSeconds  float64 `json:"join_seconds"`
-	Kills        int     `json:"kills"`
-	DetectP50    float64 `json:"detect_p50_seconds"`
-	DetectP99    float64 `json:"detect_p99_seconds"`
-	DetectMax    float64 `json:"detect_max_seconds"`
+	Loaded bool `json:"loaded"`
+	// LoadAverage is the machine's, of one minute, at the end of the run.
+	LoadAverage float64 `json:"load_average"`
+	JoinSeconds float64 `json:"join_seconds"`
+	Kills       int     `json:"kills"`
+	DetectP50   float64 `json:"detect_p50_seconds"`
+	DetectP99   float64 `json:"detect_p99_seconds"`
+	DetectMax   float64 `json:"detect_max_seconds"`
+	// FalseInJoin are false deaths before all had met, FalseDeaths those after.
+	FalseInJoin  int     `json:"false_deaths_in_join"`
 	FalseDeaths  int     `json:"false_deaths"`
 	Undetected   int     `json:"undetected"`
 	WireBytes    float64 `json:"wire_bytes_per_second"`
@@ -123,14 +127,16 @@
 	n := float64(r.size)
 	out.HeapBytes = (after.inUse - before.inUse) / n
 	out.ProcessBytes = (after.resident - before.resident) / n
-	return out, g.killSome(ctx, &out)
+	err = g.killSome(ctx, &out)
+	out.LoadAverage = loadAverage()
+	return out, err
 }
 
 // membership adds the line of a run and its faults.
 func (r *Report) membership(f MembershipFigures) {
-	r.add("mode=%s members=%d loaded=%t join=%.1fs kills=%d detect_p50=%.2fs detect_p99=%.2fs detect_max=%.2fs undetected=%d false_deaths=%d "+
+	r.add("mode=%s members=%d loaded=%t join=%.1fs kills=%d detect_p50=%.2fs detect_p99=%.2fs detect_max=%.2fs undetected=%d false_deaths=%d false_in_join=%d load_average=%.0f "+
 		"wire=%.0fB/s frames=%.0fB/s packets=%.1f/s messages=%.1f/s connections=%.1f cores=%.5f heap_and_stack=%.0fkB process=%.0fkB",
-		f.Mode, f.Members, f.Loaded, f.JoinSeconds, f.Kills, f.DetectP50, f.DetectP99, f.DetectMax, f.Undetected, f.FalseDeaths,
+		f.Mode, f.Members, f.Loaded, f.JoinSeconds, f.Kills, f.DetectP50, f.DetectP99, f.DetectMax, f.Undetected, f.FalseDeaths, f.FalseInJoin, f.LoadAverage,
 		f.WireBytes, f.FrameBytes, f.Packets, f.Messages, f.Connections, f.Cores, f.HeapBytes/1e3, f.ProcessBytes/1e3)
 	if f.FalseDeaths > 0 {
 		r.fault("%s %d loaded=%t: false_deaths=%d", f.Mode, f.Members, f.Loaded, f.FalseDeaths)
--- a/cmd/internal/experiment/membership_gathering.go
+++ b/cmd/internal/experiment/membership_gathering.go
@@ -21,8 +21,9 @@
 	joinTimeout = 3 * time.Minute
 	// joinLook is the time between two looks at all members.
 	joinLook = 250 * time.Millisecond
-	// calm is the wait from then on, so that connections that came twice end.
-	calm = 4 * time.Second
+	// calm is the wait from then on, for the news of the joining to be told and
+	// for each connection to have found the size of its packets.
+	calm = 25 * time.Second
 	// detectTimeout bounds the wait for a killed member's death to be known.
 	detectTimeout = 30 * time.Second
 	// seedCount is how many of the earlier members each one is told.
@@ -104,6 +105,7 @@
 	if err := sleep(ctx, calm); err != nil {
 		return err
 	}
+	out.FalseInJoin = g.takeFalses()
 	before := g.traffic()
 	var err error
 	u := cpuDuring(func() { err = sleep(ctx, membershipSteady) })
@@ -150,7 +152,7 @@
 			return err
 		}
 	}
-	out.FalseDeaths = g.falses
+	out.FalseDeaths = g.takeFalses()
 	out.DetectP50 = float64(times.ValueAtQuantile(50)) / 1e3
 	out.DetectP99 = float64(times.ValueAtQuantile(99)) / 1e3
 	out.DetectMax = float64(times.Max()) / 1e3
@@ -176,7 +178,7 @@
 		select {
 		case d := <-g.deaths:
 			if d.of != victim.self.Daemon {
-				g.falses++
+				g.count(d)
 				continue
 			}
 			missing--
@@ -193,21 +195,34 @@
 	return nil
 }
 
+// takeFalses gives the false deaths since it was last asked.
+func (g *gathering) takeFalses() int {
+	g.drain()
+	n := g.falses
+	g.falses = 0
+	return n
+}
+
 // drain counts what was said before a kill: nobody was dead who is not known
 // to be.
 func (g *gathering) drain() {
 	for {
 		select {
 		case d := <-g.deaths:
-			if _, killed := g.dead[d.of]; !killed {
-				g.falses++
-			}
+			g.count(d)
 		default:
 			return
 		}
 	}
 }
 
+// count takes a death as false unless it is of one that was killed.
+func (g *gathering) count(d death) {
+	if _, killed := g.dead[d.of]; !killed {
+		g.falses++
+	}
+}
+
 // sleep waits; it returns early with ctx's error.
 func sleep(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
--- a/cmd/internal/experiment/membership_member.go
+++ b/cmd/internal/experiment/membership_member.go
@@ -7,6 +7,7 @@
 
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/member"
+	"github.com/samphirequay/samphirequay/daemon/app"
 	"github.com/samphirequay/samphirequay/daemon/keys"
 	"github.com/samphirequay/samphirequay/daemon/members"
 	"github.com/samphirequay/samphirequay/daemon/metrics"
@@ -45,9 +46,10 @@
 		ready:  make(chan struct{}),
 	}
 	registry := metrics.New(string(name))
-	cfg := peer.Config{Self: p.self, Listen: "127.0.0.1:0", Keys: keys.Fixed(material), Handler: p, Registry: registry}
-	if g.mode == member.Partial {
-		cfg.Keepalive = -1
+	keepalive, idle := app.ConnectionTimes(g.mode)
+	cfg := peer.Config{
+		Self: p.self, Listen: "127.0.0.1:0", Keys: keys.Fixed(material), Handler: p, Registry: registry,
+		Keepalive: keepalive, IdleTimeout: idle,
 	}
 	if p.transport, err = peer.Listen(cfg); err != nil {
 		return nil, err
--- /dev/null
+++ b/cmd/internal/experiment/poison.go
@@ -0,0 +1,283 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/samphirequay/samphirequay/cmd/internal/fleet"
+	"github.com/samphirequay/samphirequay/cmd/internal/load"
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/poison"
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/opapi"
+	"github.com/samphirequay/samphirequay/platform/standin"
+)
+
+// The course of the experiment.
+const (
+	// poisonLoadShare is the load of the innocents.
+	poisonLoadShare = 0.5
+	poisonsInTurn   = 3
+	poisonsAtOnce   = 3
+	// crashesAllowed is the most engines that one poison request may crash.
+	crashesAllowed = 3
+	// poisonPause is the wait of a caller before it sends a poison again, and
+	// poisonSends bounds how often it does.
+	poisonPause = 150 * time.Millisecond
+	poisonSends = 60
+	// poisonCalm lets the engines come back between two poisons.
+	poisonCalm = time.Second
+	// poisonHorizon bounds the innocents' load.
+	poisonHorizon = 80 * time.Second
+)
+
+// PoisonRun is one poison, or several at once, until the quarantine.
+type PoisonRun struct {
+	Poisons int   `json:"poisons"`
+	Crashes int64 `json:"crashes"`
+	Sends   int   `json:"sends"`
+	// QuarantinedMS is the time from the first send to the last one's
+	// quarantine; -1 if one was never quarantined.
+	QuarantinedMS int64 `json:"quarantined_ms"`
+}
+
+// PoisonFigures are the figures of the experiment.
+type PoisonFigures struct {
+	Wrongs
+	Runs []PoisonRun `json:"runs"`
+	// Convicted is how many innocents were quarantined.
+	Convicted int `json:"convicted"`
+	// Lifted tells whether a lifted request ran again; LiftMS is how long
+	// after the label change.
+	Lifted bool  `json:"lifted"`
+	LiftMS int64 `json:"lift_ms"`
+	// InnocentsGood is the innocents' share that met both targets.
+	InnocentsGood float64        `json:"innocents_good"`
+	Ended         map[string]int `json:"ended"`
+	series        Series
+}
+
+// poisoner sends requests that crash engines.
+type poisoner struct {
+	fleet  *fleet.Fleet
+	client *http.Client
+	key    string
+	team   id.Team
+	model  string
+}
+
+// runPoison sends poison requests among innocents.
+func runPoison(ctx context.Context, env Env) (*Report, error) {
+	d := faultDeployment()
+	f, attempts, err := faultFleet(ctx, env, d, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	_, teams := d.Teams(faultTeams)
+	x := newDriver(env, d, f, teams, poisonLoadShare, poisonHorizon)
+	until, stop := context.WithCancel(ctx)
+	defer stop()
+	var figures PoisonFigures
+	var failed error
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		defer stop()
+		failed = poisonAll(ctx, env, x, &figures)
+	})
+	began := time.Now()
+	x.runUntil(ctx, until)
+	lasted := time.Since(began)
+	wg.Wait()
+	if failed != nil {
+		return nil, failed
+	}
+	figures.Wrongs = x.wrongs(ctx, attempts)
+	figures.Ended = x.codes()
+	figures.Convicted += x.refusedWith(verdict.CodeQuarantined)
+	figures.InnocentsGood = x.share(window{env.Warmup, lasted})
+	x.spec.Duration = lasted
+	figures.series = x.series("innocents")
+	return poisonReport(env, figures), ctx.Err()
+}
+
+// poisonAll runs the poisons in turn, some at once, and lifts one.
+func poisonAll(ctx context.Context, env Env, x *driver, out *PoisonFigures) error {
+	p := &poisoner{
+		fleet: x.fleet, client: load.NewClient(), key: x.spec.Teams[0].Key,
+		team: id.Team(x.spec.Teams[0].Name), model: x.spec.Teams[0].Profile.Model,
+	}
+	sleepFor(ctx, env.Warmup)
+	for i := range poisonsInTurn {
+		out.Runs = append(out.Runs, p.run(ctx, []string{poisonPrompt(env.Seed, i)}))
+		env.logf("poison number=%d crashes=%d", i+1, out.Runs[i].Crashes)
+		sleepFor(ctx, poisonCalm)
+	}
+	var prompts []string
+	for i := range poisonsAtOnce {
+		prompts = append(prompts, poisonPrompt(env.Seed, poisonsInTurn+i))
+	}
+	out.Runs = append(out.Runs, p.run(ctx, prompts))
+	convicted, err := p.convictedOthers(ctx, env.Seed)
+	if err != nil {
+		return err
+	}
+	out.Convicted = convicted
+	return p.lift(ctx, poisonPrompt(env.Seed, 0), out)
+}
+
+// poisonPrompt is the prompt of one poison request.
+func poisonPrompt(seed uint64, n int) string {
+	filler := strings.Repeat("certificate of quality. ", 20+n)
+	return fmt.Sprintf("Nomination %d of run %d. %s%s", n, seed, filler, standin.CrashMarker)
+}
+
+// fingerprint is what the fleet calls a prompt of the team.
+func (p *poisoner) fingerprint(prompt string) string {
+	return poison.Print(p.team, id.Service(p.model), []byte(prompt)).String()
+}
+
+// crashes counts the crashes of all engines.
+func (p *poisoner) crashes() int64 {
+	var n int64
+	for _, e := range p.fleet.Platform().Engines {
+		n += e.Counters().Crashes
+	}
+	return n
+}
+
+// run sends prompts, each again and again, until all are quarantined.
+func (p *poisoner) run(ctx context.Context, prompts []string) PoisonRun {
+	before := p.crashes()
+	began := time.Now()
+	sends := make([]int, len(prompts))
+	caught := make([]bool, len(prompts))
+	var wg sync.WaitGroup
+	for i, prompt := range prompts {
+		wg.Go(func() { sends[i], caught[i] = p.repeat(ctx, prompt, i) })
+	}
+	wg.Wait()
+	out := PoisonRun{Poisons: len(prompts), Crashes: p.crashes() - before, QuarantinedMS: time.Since(began).Milliseconds()}
+	for i := range prompts {
+		out.Sends += sends[i]
+		if !caught[i] {
+			out.QuarantinedMS = notBack
+		}
+	}
+	return out
+}
+
+// repeat sends a prompt under new ids, each time through the next daemon, until
+// it is quarantined.
+func (p *poisoner) repeat(ctx context.Context, prompt string, first int) (int, bool) {
+	for n := range poisonSends {
+		reply, err := p.send(ctx, prompt, first+n)
+		if err == nil && reply.failed.Code == verdict.CodeQuarantined {
+			return n + 1, true
+		}
+		if !sleepFor(ctx, poisonPause) {
+			break
+		}
+	}
+	return poisonSends, false
+}
+
+// send sends a prompt once through one daemon.
+func (p *poisoner) send(ctx context.Context, prompt string, daemon int) (wholeReply, error) {
+	addresses := p.fleet.CallerAddresses()
+	body := opapi.CompletionRequest{Model: p.model, Prompt: prompt, MaxTokens: 4}
+	return askWhole(ctx, p.client, addresses[daemon%len(addresses)], p.key, body)
+}
+
+// convictedOthers counts quarantined fingerprints that are no poison's.
+func (p *poisoner) convictedOthers(ctx context.Context, seed uint64) (int, error) {
+	known := map[string]bool{}
+	for i := range poisonsInTurn + poisonsAtOnce {
+		known[p.fingerprint(poisonPrompt(seed, i))] = true
+	}
+	client, err := p.fleet.Operator()
+	if err != nil {
+		return 0, err
+	}
+	list, err := client.Quarantine(ctx)
+	if err != nil {
+		return 0, err
+	}
+	others := 0
+	for _, e := range list.Entries {
+		if !known[e.Fingerprint] {
+			others++
+		}
+	}
+	return others, nil
+}
+
+// lift frees a poison by a label and sends it until it runs again.
+func (p *poisoner) lift(ctx context.Context, prompt string, out *PoisonFigures) error {
+	before := p.crashes()
+	began := time.Now()
+	labels := live.Labels{live.LabelLiftQuarantine: p.fingerprint(prompt)}
+	if _, err := p.fleet.Label(ctx, live.KindService, p.model, labels); err != nil {
+		return err
+	}
+	for n := range poisonSends {
+		reply, err := p.send(ctx, prompt, n)
+		if err == nil && reply.failed.Code != verdict.CodeQuarantined && p.crashes() > before {
+			out.Lifted = true
+			out.LiftMS = time.Since(began).Milliseconds()
+			break
+		}
+		if !sleepFor(ctx, poisonPause) {
+			break
+		}
+	}
+	_, err := p.fleet.Label(ctx, live.KindService, p.model, live.Labels{live.LabelLiftQuarantine: ""})
+	return err
+}
+
+// refusedWith counts the requests that ended with a code.
+func (x *driver) refusedWith(code verdict.Code) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	n := 0
+	for _, r := range x.records {
+		if r.Code == code && r.Outcome != load.OutcomeAnswered {
+			n++
+		}
+	}
+	return n
+}
+
+// poisonReport sums up.
+func poisonReport(env Env, f PoisonFigures) *Report {
+	r := &Report{Experiment: "poison", Seed: env.Seed, Data: f}
+	fig := Figure{Name: "poison-crashes", Title: "Engines crashed by each run of poison requests",
+		XLabel: "run", YLabel: "engines crashed", Series: []Series{{Name: "crashes"}}}
+	for i, run := range f.Runs {
+		r.add("run=%d poisons=%d crashes=%d per_poison=%.1f sends=%d quarantined_ms=%d",
+			i+1, run.Poisons, run.Crashes, float64(run.Crashes)/float64(run.Poisons), run.Sends, run.QuarantinedMS)
+		if run.Crashes > int64(crashesAllowed*run.Poisons) || run.QuarantinedMS == notBack {
+			r.fault("run %d: %d poisons crashed %d engines, quarantined_ms=%d", i+1, run.Poisons, run.Crashes, run.QuarantinedMS)
+		}
+		fig.Series[0].X = append(fig.Series[0].X, float64(i+1))
+		fig.Series[0].Y = append(fig.Series[0].Y, float64(run.Crashes))
+	}
+	r.add("innocents convicted=%d good=%.1f%% lost=%d doubled=%d ran_twice=%d orphans=%d not_run_but_ran=%d wrong=%d violations=%d",
+		f.Convicted, 100*f.InnocentsGood, f.Lost, f.Doubled, f.RanTwice, f.Orphans, f.NotRunButRan, f.Wrong, f.Violations)
+	r.add("lift=label lifted=%t lift_ms=%d", f.Lifted, f.LiftMS)
+	if f.Convicted > 0 {
+		r.fault("innocents convicted=%d", f.Convicted)
+	}
+	if !f.Lifted {
+		r.fault("the label did not lift the quarantine")
+	}
+	r.wrong("innocents", f.Wrongs)
+	r.Figures = []Figure{fig, {Name: "poison-goodput", Title: "Goodput of the innocents",
+		XLabel: "time, seconds", YLabel: "goodput, completions a second", Series: []Series{f.series}}}
+	return r
+}
--- a/cmd/internal/load/caller.go
+++ b/cmd/internal/load/caller.go
@@ -66,9 +66,8 @@
 //
 // It uses net/http, not fasthttp: a caller must read a stream while it comes
 // and hang up in its midst by a context, and net/http's client does both.
-// It repeats only calls that carry Idempotency-Key or are GETs, and only when
-// the connection broke before anything was sent; the caller's own retries
-// below are counted.
+// Requests are built without GetBody, so that net/http can't repeat one whose
+// body it began to send; the caller's own repeats are counted.
 type Caller struct {
 	spec   Spec
 	team   Team
--- a/cmd/internal/load/stream.go
+++ b/cmd/internal/load/stream.go
@@ -74,7 +74,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return s.caller.refused(resp, s.rec)
+		return s.refused(resp)
 	}
 	s.accepted = true
 	return s.read(ctx, resp.Body)
@@ -99,16 +99,30 @@
 	}
 }
 
-// streamError handles an error event. An answer that was begun is resumed
-// where the system says that it is worth it.
+// refused handles an error answer in place of a stream.
+func (s *stream) refused(resp *http.Response) attempt {
+	detail := readError(resp)
+	if detail.RetryAfterMS == 0 {
+		detail.RetryAfterMS = retryAfter(resp).Milliseconds()
+	}
+	return s.failed(detail)
+}
+
+// streamError handles an error event.
 func (s *stream) streamError(e event) attempt {
 	var body opapi.ErrorBody
 	if err := json.Unmarshal([]byte(e.data), &body); err != nil {
 		return attempt{broke: true}
 	}
-	result := s.caller.failed(body.Error, s.rec)
-	if result.done && s.rec.OutputTokens > 0 && resumable(body.Error) {
-		return attempt{wait: resumePause}
+	return s.failed(body.Error)
+}
+
+// failed books an error. An answer that was begun is resumed where the system
+// says that it is worth it, and when.
+func (s *stream) failed(detail opapi.ErrorDetail) attempt {
+	result := s.caller.failed(detail, s.rec)
+	if result.done && s.rec.OutputTokens > 0 && resumable(detail) {
+		return attempt{wait: max(resumePause, time.Duration(detail.RetryAfterMS)*time.Millisecond)}
 	}
 	return result
 }
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -25,7 +25,6 @@
 	paused time.Duration
 	// acquired counts.
 	acquired int
-	ticking  bool
 }
 
 // endpoint is one that checks no fencing numbers.
--- a/core/live/index.go
+++ b/core/live/index.go
@@ -166,7 +166,7 @@
 func (x *Index) ServiceFor(team *Team, name id.Service) (*Service, *verdict.Error) {
 	rule, ok := x.services[name]
 	if !ok || !rule.teams.Matches(labels.Set(team.Labels)) {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeUnknownService, "the team may use no service named %.64q", string(name))
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnknownService, "there is no service of that name for this team")
 	}
 	return rule.service, nil
 }
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -28,6 +28,8 @@
 	relays   map[uint64]relay
 	seq      uint64
 	out      []Action
+	// bulk is set while a SyncReply is merged: old news, not to be sent on.
+	bulk bool
 
 	partial partial
 }
--- a/core/member/partial.go
+++ b/core/member/partial.go
@@ -205,7 +205,7 @@
 
 // enqueue has news sent on with the next messages.
 func (m *Membership) enqueue(e Entry) {
-	if m.cfg.Mode != Partial {
+	if m.cfg.Mode != Partial || m.bulk {
 		return
 	}
 	s := &m.partial
@@ -218,14 +218,24 @@
 	}
 }
 
-// updates takes the news that was sent least often, and drops what was sent
+// urgency puts bad news before the rest.
+func urgency(u update) int {
+	if u.entry.State == Alive {
+		return 1
+	}
+	return 0
+}
+
+// updates takes bad news first, then what was sent least often, and drops what was sent
 // often enough for all to have heard of it.
 func (m *Membership) updates() []Entry {
 	s := &m.partial
 	if len(s.queue) == 0 {
 		return nil
 	}
-	slices.SortStableFunc(s.queue, func(a, b update) int { return cmp.Compare(a.sent, b.sent) })
+	slices.SortStableFunc(s.queue, func(a, b update) int {
+		return cmp.Or(cmp.Compare(urgency(a), urgency(b)), cmp.Compare(a.sent, b.sent))
+	})
 	n := min(m.cfg.Updates, len(s.queue))
 	out := make([]Entry, 0, n+1)
 	for i := range n {
--- a/core/member/receive.go
+++ b/core/member/receive.go
@@ -14,6 +14,7 @@
 		return m.flush()
 	}
 	current := m.merge(now, msg.From, true)
+	m.bulk = msg.Kind == SyncReply
 	for _, e := range msg.Entries {
 		if e.Process.Daemon == m.self.Process.Daemon {
 			m.aboutSelf(e, from)
@@ -21,6 +22,7 @@
 		}
 		m.merge(now, e, false)
 	}
+	m.bulk = false
 	if p := m.peers[from]; p != nil {
 		m.answer(now, p, msg, current)
 	}
--- a/core/naive/model_test.go
+++ b/core/naive/model_test.go
@@ -60,6 +60,10 @@
 	output   int
 	prefill  time.Duration
 	answered bool
+	// bound is set once the job may order its decode; read once the KV cache
+	// waits for that.
+	bound bool
+	ready bool
 }
 
 // engine is a prefill engine that takes its jobs in turn, or a decode engine
@@ -171,6 +175,14 @@
 
 // act is what a daemon does on an answer.
 func (m *model) act(a sched.Action) {
+	if a.Binding != nil {
+		j := m.jobs[a.Binding.Request]
+		bound := *j.grant
+		bound.Decode = a.Binding.Decode
+		j.grant = &bound
+		m.bind(j)
+		return
+	}
 	if a.Refusal != nil {
 		j := m.jobs[a.Refusal.Request]
 		m.answer(j)
@@ -180,6 +192,7 @@
 	j := m.jobs[a.Grant.Request]
 	m.answer(j)
 	j.grant = a.Grant
+	j.bound = !a.Grant.Provisional
 	m.after(a.Grant.StartIn+wire, func() { m.order(j) })
 	m.progress(j, sched.Progress{Phase: sched.PhasePrefilling})
 }
@@ -227,9 +240,31 @@
 	}
 }
 
-// prefilled hands a KV cache over, if a slot gets free in its life.
+// prefilled hands a KV cache over, if its grant is bound to a slot or once it
+// has waited long enough for that.
 func (m *model) prefilled(j *job) {
 	m.progress(j, sched.Progress{Phase: sched.PhaseTransferring, PrefillTime: j.prefill})
+	j.ready = true
+	if j.bound {
+		m.handOver(j)
+		return
+	}
+	m.after(j.grant.BindWithin, func() { m.bind(j) })
+}
+
+// bind lets a job order its decode, at once if its KV cache waits for that.
+func (m *model) bind(j *job) {
+	if j.bound {
+		return
+	}
+	j.bound = true
+	if j.ready {
+		m.handOver(j)
+	}
+}
+
+// handOver orders the decode.
+func (m *model) handOver(j *job) {
 	e := m.engines[j.grant.Decode]
 	if e.running < e.slots {
 		m.transfer(e, j)
--- a/core/pairing/asker.go
+++ b/core/pairing/asker.go
@@ -56,6 +56,7 @@
 type Output struct {
 	Messages []Message
 	Answers  []Answer
+	Bindings []sched.Binding
 }
 
 // Options tune an Asker; zero values mean the defaults.
@@ -206,6 +207,20 @@
 	return Message{To: e.owner, Adopt: &sched.Adopt{Want: e.want, Grant: *e.grant, Phase: phase}}
 }
 
+// Bound takes a binding. It is kept with the grant, so that a new owner is told
+// of the endpoint in use.
+func (a *Asker) Bound(b sched.Binding) Output {
+	e, ok := a.entries[b.Request]
+	if !ok || e.grant == nil || e.grant.Reservation != b.Reservation || !e.grant.Provisional {
+		return Output{}
+	}
+	bound := *e.grant
+	bound.Provisional = false
+	bound.Decode = b.Decode
+	e.grant = &bound
+	return Output{Bindings: []sched.Binding{b}}
+}
+
 // Refused takes a refusal from a pool's owner. One from a daemon that no longer
 // owns the pool is ignored: the present owner will answer.
 func (a *Asker) Refused(from id.Daemon, r sched.Refusal) Output {
@@ -280,4 +295,5 @@
 func (o *Output) append(other Output) {
 	o.Messages = append(o.Messages, other.Messages...)
 	o.Answers = append(o.Answers, other.Answers...)
+	o.Bindings = append(o.Bindings, other.Bindings...)
 }
--- /dev/null
+++ b/core/pairing/asker_test.go
@@ -0,0 +1,194 @@
+package pairing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/sched"
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+const (
+	ms       = time.Millisecond
+	patience = time.Second
+	testPool = id.Pool("packets")
+)
+
+var (
+	self = id.Process{Daemon: "d1", Incarnation: 3}
+	all  = []id.Daemon{"d1", "d2", "d3"}
+)
+
+// ownedBy gives the members without all that rank before owner.
+func ownedBy(a *Asker, owner id.Daemon) []id.Daemon {
+	members := append([]id.Daemon(nil), all...)
+	for range all {
+		a.members = members
+		first := a.Owner(testPool)
+		if first == owner {
+			return members
+		}
+		members = without(members, first)
+	}
+	return members
+}
+
+func without(members []id.Daemon, d id.Daemon) []id.Daemon {
+	var out []id.Daemon
+	for _, m := range members {
+		if m != d {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// asking returns an Asker that has asked owner for the request r.
+func asking(is *is.I, owner id.Daemon) *Asker {
+	a := New(self, Options{})
+	a.Members(0, ownedBy(a, owner))
+	out := a.Ask(0, want("r"), patience)
+	is.Equal(len(out.Messages), 1)
+	is.Equal(out.Messages[0].To, owner)
+	return a
+}
+
+func want(r id.Request) sched.Want { return sched.Want{Request: r, Pool: testPool, From: self} }
+
+func grantOf(owner id.Daemon, number uint64) sched.Grant {
+	return sched.Grant{
+		Request: "r", Prefill: "p", Decode: "e", Reservation: number,
+		Owner: id.Process{Daemon: owner, Incarnation: 1},
+	}
+}
+
+func TestWaitingWantGoesToTheNewOwner(t *testing.T) {
+	is := is.New(t)
+	a := asking(is, "d2")
+	out := a.Members(40*ms, ownedBy(a, "d3"))
+	is.Equal(len(out.Messages), 1)
+	is.Equal(out.Messages[0].To, id.Daemon("d3"))
+	is.Equal(out.Messages[0].Want.Request, id.Request("r"))
+	is.Equal(out.Messages[0].Want.Age, 40*ms) // the wait counts
+
+	// The former owner no longer decides, the new one does.
+	refusal := sched.Refusal{Request: "r", Code: verdict.CodeOverloaded, RetryAfter: ms}
+	is.Equal(len(a.Refused("d2", refusal).Answers), 0)
+	answers := a.Refused("d3", refusal).Answers
+	is.Equal(len(answers), 1)
+	is.Equal(answers[0].Err.Verdict, verdict.NotRun)
+	is.Equal(answers[0].Err.RetryAfter, ms)
+	is.Equal(len(a.Refused("d3", refusal).Answers), 0) // answered once
+	is.Equal(a.Len(), 0)
+}
+
+func TestGrantInUseIsAdoptedByTheNewOwner(t *testing.T) {
+	is := is.New(t)
+	a := asking(is, "d2")
+	g := grantOf("d2", 7)
+	is.Equal(len(a.Granted(testPool, g).Answers), 1)
+	a.Progress(sched.Progress{Request: "r", Phase: sched.PhaseTransferring})
+	out := a.Members(0, ownedBy(a, "d3"))
+	is.Equal(len(out.Messages), 1)
+	is.Equal(out.Messages[0].To, id.Daemon("d3"))
+	is.Equal(out.Messages[0].Adopt.Grant, g)
+	is.Equal(out.Messages[0].Adopt.Phase, sched.PhaseTransferring)
+
+	done := a.Progress(sched.Progress{Request: "r", Phase: sched.PhaseDone})
+	is.Equal(done.Messages[0].To, id.Daemon("d3"))
+	is.Equal(done.Messages[0].Progress.Progress.Reservation, uint64(7))
+	is.Equal(a.Len(), 0)
+	is.Equal(len(a.Progress(sched.Progress{Request: "r", Phase: sched.PhaseDone}).Messages), 0)
+}
+
+func TestLateGrantIsGivenBack(t *testing.T) {
+	is := is.New(t)
+	a := asking(is, "d2")
+	out := a.Withdraw("r")
+	is.Equal(out.Messages[0].Withdraw.Request, id.Request("r"))
+	out = a.Granted(testPool, grantOf("d3", 4))
+	is.Equal(len(out.Answers), 0)
+	is.Equal(len(out.Messages), 1)
+	checkGivenBack(is, out.Messages[0], "d3", 4)
+}
+
+func checkGivenBack(is *is.I, m Message, to id.Daemon, number uint64) {
+	is.Helper()
+	is.Equal(m.To, to)
+	is.Equal(m.Progress.Pool, testPool)
+	is.Equal(m.Progress.Progress, sched.Progress{Request: "r", Reservation: number, Phase: sched.PhaseCancelled})
+}
+
+func TestTwoOwnersGrants(t *testing.T) {
+	is := is.New(t)
+	a := asking(is, "d2")
+	a.Members(0, ownedBy(a, "d3"))
+	is.Equal(len(a.Granted(testPool, grantOf("d2", 1)).Answers), 1)
+	out := a.Granted(testPool, grantOf("d3", 1))
+	is.Equal(len(out.Answers), 0)
+	is.Equal(len(out.Messages), 2)
+	checkGivenBack(is, out.Messages[0], "d3", 1)
+	is.Equal(out.Messages[1].To, id.Daemon("d3"))
+	is.Equal(out.Messages[1].Adopt.Grant.Owner.Daemon, id.Daemon("d2")) // the one in use
+	is.Equal(len(a.Granted(testPool, grantOf("d2", 1)).Messages), 0)    // a repeat
+}
+
+// TestGrantInPlaceOfALateOne: the owner took its first grant for expired and
+// gave another; the asker uses the first and says so.
+func TestGrantInPlaceOfALateOne(t *testing.T) {
+	is := is.New(t)
+	a := asking(is, "d2")
+	a.Granted(testPool, grantOf("d2", 1))
+	out := a.Granted(testPool, grantOf("d2", 2))
+	is.Equal(len(out.Answers), 0)
+	is.Equal(len(out.Messages), 2)
+	checkGivenBack(is, out.Messages[0], "d2", 2)
+	is.Equal(out.Messages[1].Adopt.Grant.Reservation, uint64(1))
+}
+
+func TestResendAndGiveUp(t *testing.T) {
+	is := is.New(t)
+	a := asking(is, "d2")
+	is.Equal(len(a.Tick(DefaultResend-1).Messages), 0)
+	out := a.Tick(DefaultResend)
+	is.Equal(len(out.Messages), 1)
+	is.Equal(out.Messages[0].Want.Age, DefaultResend)
+	end := patience + DefaultMargin
+	is.Equal(len(a.Tick(end-1).Answers), 0)
+	out = a.Tick(end)
+	is.Equal(len(out.Answers), 1)
+	is.Equal(out.Answers[0].Err.Verdict, verdict.NotRun)
+	is.Equal(out.Answers[0].Err.Code, verdict.CodeUnavailable)
+	is.Equal(out.Messages[0].Withdraw.Request, id.Request("r")) // the owner shall drop it
+	is.Equal(a.Len(), 0)
+}
+
+func TestGrantedIsNotGivenUp(t *testing.T) {
+	is := is.New(t)
+	a := asking(is, "d2")
+	a.Granted(testPool, grantOf("d2", 1))
+	is.Equal(a.Tick(time.Hour), Output{})
+	is.Equal(a.Len(), 1)
+}
+
+func TestResumeTellsTheOwner(t *testing.T) {
+	is := is.New(t)
+	a := New(self, Options{})
+	a.Members(0, ownedBy(a, "d3"))
+	out := a.Resume(0, want("r"), sched.Grant{Request: "r", Decode: "e", Owner: self})
+	is.Equal(len(out.Messages), 1)
+	is.Equal(out.Messages[0].To, id.Daemon("d3"))
+	is.Equal(out.Messages[0].Adopt.Phase, sched.PhaseDecoding)
+}
+
+func TestLocalAsksItself(t *testing.T) {
+	is := is.New(t)
+	a := New(self, Options{Local: true})
+	a.Members(0, all)
+	out := a.Ask(0, want("r"), patience)
+	is.Equal(out.Messages[0].To, self.Daemon)
+	is.Equal(len(a.Members(0, all[1:]).Messages), 0)
+}
--- a/core/pool/manager.go
+++ b/core/pool/manager.go
@@ -290,6 +290,8 @@
 		switch {
 		case a.Grant != nil:
 			m.granted(now, a.Grant)
+		case a.Binding != nil:
+			m.bound(now, a.Binding)
 		case a.Refusal != nil:
 			m.refused++
 			m.dropIdle(a.Refusal.Request)
@@ -306,6 +308,22 @@
 	}
 }
 
+// bound follows a provisional grant to the endpoint that it got. Once it
+// decodes, the binding has come too late to be followed.
+func (m *Manager) bound(now time.Duration, b *sched.Binding) {
+	t, ok := m.requests[b.Request]
+	if !ok || t.decode == b.Decode || t.phase > sched.PhaseTransferring {
+		return
+	}
+	if t.phase != sched.PhaseTransferring {
+		t.decode = b.Decode
+		return
+	}
+	m.leave(now, t, health.Result{Request: b.Request, Kind: health.Withdrawn})
+	t.decode = b.Decode
+	m.enter(now, t)
+}
+
 func (m *Manager) granted(now time.Duration, g *sched.Grant) {
 	t, ok := m.requests[g.Request]
 	if !ok || t.decode != "" {
--- a/core/pool/observe.go
+++ b/core/pool/observe.go
@@ -55,12 +55,29 @@
 		m.done(now, t, p)
 		return
 	}
-	m.leave(now, t, health.Result{Request: p.Request, Kind: health.OK, Latency: prefillPace(t, p)})
+	m.leave(now, t, t.passed(p))
+	if t.elsewhere(p) {
+		t.decode = p.Endpoint
+	}
 	t.phase = p.Phase
 	t.since = now
 	m.enter(now, t)
 }
 
+// elsewhere says whether a request decodes at another endpoint than is known:
+// its daemon did not get, or did not wait for, the binding of its grant.
+func (t *tracked) elsewhere(p sched.Progress) bool {
+	return p.Phase == sched.PhaseDecoding && p.Endpoint != "" && p.Endpoint != t.decode
+}
+
+// passed is the outcome of a phase that led to the next one.
+func (t *tracked) passed(p sched.Progress) health.Result {
+	if t.elsewhere(p) {
+		return health.Result{Request: p.Request, Kind: health.Withdrawn}
+	}
+	return health.Result{Request: p.Request, Kind: health.OK, Latency: prefillPace(t, p)}
+}
+
 // prefillPace is the time for each prompt token that the engine really read.
 func prefillPace(t *tracked, p sched.Progress) time.Duration {
 	if p.Phase != sched.PhaseTransferring || t.prompt <= 0 {
--- a/core/randomrun/engine_test.go
+++ b/core/randomrun/engine_test.go
@@ -95,12 +95,20 @@
 		done(why)
 		return
 	}
+	e.checkNotEnded(j)
 	k := &work{job: j, owner: j.h.self, stage: reap.StagePrefill, since: e.w.now, done: done}
 	e.work[j.id] = k
 	e.queue = append(e.queue, k)
 	e.next()
 }
 
+// checkNotEnded: an order that is taken must not be one whose end was certain.
+func (e *engine) checkNotEnded(j *job) {
+	if e.w.ended[reap.Key{Endpoint: e.name, Request: j.id}] {
+		e.w.fail("%s takes %s, which a canceller believes ended", e.name, j.id)
+	}
+}
+
 // next begins the first queued prefill that still is wanted.
 func (e *engine) next() {
 	for !e.busy && len(e.queue) > 0 {
@@ -148,6 +156,7 @@
 		done(refusedKVGone)
 		return
 	}
+	e.checkNotEnded(j)
 	delete(from.work, j.id)
 	k := &work{job: j, owner: j.h.self, stage: reap.StageDecode, since: e.w.now, begin: j.c.delivered, done: done}
 	e.work[j.id] = k
@@ -206,7 +215,7 @@
 func (e *engine) cancel(r id.Request, owner *id.Process) reap.CancelState {
 	k := e.work[r]
 	if k == nil {
-		if !e.w.chance(0.05) {
+		if !e.w.chance(0.3) {
 			e.tombs[r] = true
 			e.w.after(time.Minute, func() { delete(e.tombs, r) })
 		}
--- a/core/randomrun/host_test.go
+++ b/core/randomrun/host_test.go
@@ -197,6 +197,11 @@
 	for _, a := range out.Answers {
 		h.answer(a)
 	}
+	for _, b := range out.Bindings {
+		if j := h.jobs[b.Request]; j != nil {
+			j.bind(b.Decode)
+		}
+	}
 	for _, m := range out.Messages {
 		h.send(m)
 	}
@@ -233,9 +238,12 @@
 	for _, a := range actions {
 		h.checkGrant(p, a.Grant)
 		take := func(to *host) {
-			if a.Grant != nil {
+			switch {
+			case a.Grant != nil:
 				to.output(to.asker.Granted(p, *a.Grant))
-			} else {
+			case a.Binding != nil:
+				to.output(to.asker.Bound(*a.Binding))
+			default:
 				to.output(to.asker.Refused(h.self.Daemon, *a.Refusal))
 			}
 		}
@@ -291,6 +299,9 @@
 		case a.Cancel != nil:
 			h.sendCancel(*a.Cancel)
 		case a.Done != nil:
+			if a.Done.Reason == reap.DoneAcknowledged {
+				h.w.ended[a.Done.Key] = true
+			}
 			waiting := h.onDone[a.Done.Key]
 			delete(h.onDone, a.Done.Key)
 			for _, done := range waiting {
--- a/core/randomrun/job_test.go
+++ b/core/randomrun/job_test.go
@@ -43,6 +43,11 @@
 	want  sched.Want
 	grant *sched.Grant
 	seq   *stream.Sequencer
+	// to is the endpoint that decodes; transfer begins the decode order of a
+	// provisional grant that waits for it.
+	to       id.Endpoint
+	bound    bool
+	transfer func()
 	// ordered and decoding say how far it has come.
 	ordered  bool
 	decoding bool
@@ -129,6 +134,7 @@
 	}
 	if a.Err == nil {
 		j.grant = a.Grant
+		j.to = a.Grant.Decode
 		h.w.after(a.Grant.StartIn, j.prefill)
 		return
 	}
@@ -187,7 +193,7 @@
 	e := j.h.w.engines[j.grant.Prefill]
 	j.order(e, func(done func(outcome)) { e.prefill(j, done) }, func(o outcome, known bool) {
 		if o == accepted {
-			j.decode(e)
+			j.prefilled(e)
 			return
 		}
 		if o == broken {
@@ -197,11 +203,42 @@
 	})
 }
 
+// prefilled waits for the binding of a provisional grant.
+func (j *job) prefilled(from *engine) {
+	j.transfer = func() {
+		j.transfer = nil
+		if !j.over && !j.h.dead {
+			j.decode(from)
+		}
+	}
+	j.report(sched.Progress{Phase: sched.PhaseTransferring, PromptTokens: j.want.PromptTokens, PrefillTime: 30 * ms})
+	if !j.grant.Provisional || j.bound {
+		j.startTransfer()
+		return
+	}
+	j.h.w.after(j.grant.BindWithin, j.startTransfer)
+}
+
+// bind names the endpoint whose slot a provisional grant has got.
+func (j *job) bind(e id.Endpoint) {
+	if !j.decoding {
+		j.to = e
+		j.bound = true
+		j.startTransfer()
+	}
+}
+
+// startTransfer begins the transfer if it waits.
+func (j *job) startTransfer() {
+	if j.transfer != nil {
+		j.transfer()
+	}
+}
+
 func (j *job) decode(from *engine) {
 	j.decoding = true
 	j.last = j.h.w.now
-	j.report(sched.Progress{Phase: sched.PhaseTransferring, PromptTokens: j.want.PromptTokens, PrefillTime: 30 * ms})
-	e := j.h.w.engines[j.grant.Decode]
+	e := j.h.w.engines[j.to]
 	refuse := func(o outcome, known bool) {
 		switch {
 		case j.over || j.h.dead:
@@ -234,10 +271,10 @@
 // breakOff ends a decode of unknown state: its slot counts as held until the
 // engine has confirmed.
 func (j *job) breakOff(crashed bool) {
-	p := sched.Progress{Phase: sched.PhaseFailed, Endpoint: j.grant.Decode, Crashed: crashed}
-	j.h.cancel(j.grant.Decode, j.id, 0, false, func() { j.report(p) })
+	p := sched.Progress{Phase: sched.PhaseFailed, Endpoint: j.to, Crashed: crashed}
+	j.h.cancel(j.to, j.id, 0, false, func() { j.report(p) })
 	j.end()
-	j.c.avoid = append(j.c.avoid, j.grant.Decode)
+	j.c.avoid = append(j.c.avoid, j.to)
 	j.c.retry(j.h)
 }
 
@@ -263,7 +300,7 @@
 	for _, e := range ready {
 		if !j.began {
 			j.began = true
-			j.report(sched.Progress{Phase: sched.PhaseDecoding, TransferTime: 20 * ms})
+			j.report(sched.Progress{Phase: sched.PhaseDecoding, Endpoint: j.to, TransferTime: 20 * ms})
 		}
 		j.last = j.h.w.now
 		j.c.take(j, e)
@@ -289,7 +326,7 @@
 		}
 		j.report(sched.Progress{Phase: sched.PhaseCancelled})
 	default:
-		j.h.cancel(j.grant.Decode, j.id, 0, false, func() { j.report(sched.Progress{Phase: sched.PhaseCancelled}) })
+		j.h.cancel(j.to, j.id, 0, false, func() { j.report(sched.Progress{Phase: sched.PhaseCancelled}) })
 	}
 	j.end()
 }
@@ -323,9 +360,10 @@
 	}
 	j := &job{h: h, c: c, id: old.id, want: old.want, decoding: true, began: true, last: c.w.now}
 	j.want.From = h.self
-	j.grant = &sched.Grant{Request: j.id, Decode: old.grant.Decode, Owner: h.self}
+	j.grant = &sched.Grant{Request: j.id, Decode: old.to, Owner: h.self}
+	j.to = old.to
 	j.seq = stream.New(j.id, c.delivered, 0)
-	if !c.w.engines[j.grant.Decode].resume(j, c.delivered) {
+	if !c.w.engines[j.to].resume(j, c.delivered) {
 		c.begin(h)
 		return
 	}
--- a/core/randomrun/world_test.go
+++ b/core/randomrun/world_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/reap"
 	"github.com/samphirequay/samphirequay/core/sched"
 )
 
@@ -42,6 +43,9 @@
 	asks   map[id.Request]*ask
 	// started are the attempts of which an engine has begun any work.
 	started map[id.Request]bool
+	// ended are the requests of which a canceller was told that nothing is held
+	// nor ever will be.
+	ended   map[reap.Key]bool
 	callers []*caller
 	faulty  bool
 	// quiet ends arrivals and faults; slow is set once nothing should be left.
@@ -94,6 +98,7 @@
 		lastOn:  map[[2]id.Daemon]time.Duration{},
 		asks:    map[id.Request]*ask{},
 		started: map[id.Request]bool{},
+		ended:   map[reap.Key]bool{},
 		faulty:  faulty,
 		policy:  policy,
 	}
@@ -163,7 +168,7 @@
 
 // latency is that of a message; some are late.
 func (w *world) latency() time.Duration {
-	if w.chance(0.01) {
+	if w.chance(0.02) {
 		return w.between(50*ms, 1500*ms)
 	}
 	return w.between(ms, 4*ms)
@@ -184,7 +189,7 @@
 		}
 	}
 	w.after(at-w.now, deliver)
-	if w.chance(0.01) {
+	if w.chance(0.02) {
 		w.after(at-w.now, deliver)
 	}
 }
--- a/core/sched/configure.go
+++ b/core/sched/configure.go
@@ -163,6 +163,7 @@
 	e.labelRole = LabelledRole(d)
 	e.labelLeaving = LabelledLeaving(d)
 	e.inPool = true
+	e.promote()
 	l.touch(e)
 }
 
@@ -202,6 +203,8 @@
 // touch puts an endpoint that has changed back into the index, if it may get
 // work at all. Each change is bracketed by fleet.takeOut and touch.
 func (l *Ledger) touch(e *endpoint) {
+	l.promoted = append(l.promoted, e.promoted...)
+	e.promoted = e.promoted[:0]
 	l.standing.model = l.model
 	filters := l.row.standing[e.role()]
 	if filters == nil || !keepAll(filters, &l.standing, e) {
--- a/core/sched/endpoint.go
+++ b/core/sched/endpoint.go
@@ -36,6 +36,8 @@
 	// one that is predicted to be released.
 	held    []*reservation
 	pending []*reservation
+	// promoted have moved from pending to held and aren't told yet.
+	promoted []*reservation
 	// foreign counts slots in use by work that the ledger doesn't know.
 	foreign   int
 	fullUntil time.Duration
@@ -131,6 +133,7 @@
 func (e *endpoint) promote() {
 	for len(e.pending) > 0 && len(e.held)+e.foreign < e.slots() {
 		e.held = append(e.held, e.pending[0])
+		e.promoted = append(e.promoted, e.pending[0])
 		e.pending = e.pending[1:]
 	}
 	e.sortHeld()
--- a/core/sched/grant.go
+++ b/core/sched/grant.go
@@ -28,6 +28,10 @@
 	l.queue.serve(w, l.scalar(r.charge))
 	delete(l.waiting, w.want.Request)
 	l.hold(r)
+	if r.borrowed {
+		r.grant.Provisional = true
+		r.grant.BindWithin = seconds(waitShare * l.options.KVLife.Seconds())
+	}
 	grant := r.grant
 	return &Action{To: w.want.From, Grant: &grant}
 }
@@ -104,12 +108,14 @@
 // holdSlot takes a slot, or a place behind one that is to be released.
 func (l *Ledger) holdSlot(r *reservation) {
 	l.change(r.decode, func(e *endpoint) {
-		if e.free(l.now) > 0 || r.phase != 0 {
+		if e.free(l.now) > 0 || r.holdsSlot() {
 			e.held = append(e.held, r)
 			e.sortHeld()
+			e.promoted = append(e.promoted, r)
 		} else {
 			e.pending = append(e.pending, r)
 			r.borrowed = true
+			l.borrowers = append(l.borrowers, r)
 		}
 		if r.want.Suspect {
 			e.alone = r
@@ -117,6 +123,14 @@
 	})
 }
 
+// holdsSlot is true for an adopted reservation that has its slot already.
+func (r *reservation) holdsSlot() bool {
+	if r.grant.Provisional {
+		return r.phase >= PhaseDecoding
+	}
+	return r.phase != 0
+}
+
 // addTransfer enters the KV cache's transfer into the link's ledger.
 func (l *Ledger) addTransfer(r *reservation) {
 	r.link.add(l.now, transfer{
--- a/core/sched/ledger.go
+++ b/core/sched/ledger.go
@@ -50,6 +50,10 @@
 	blocked  bool
 	// full are the endpoints that refused for lack of room lately.
 	full []*endpoint
+	// borrowers are the reservations that rely on a predicted release.
+	borrowers []*reservation
+	// promoted reservations have got their slots and aren't told yet.
+	promoted []*reservation
 	// virtual is the last seen virtual time, for the invariant.
 	virtual float64
 }
@@ -102,6 +106,8 @@
 func (l *Ledger) finish(actions []Action) []Action {
 	l.expire()
 	l.recheckFull()
+	l.rebind()
+	actions = l.bind(actions)
 	actions = l.dropHopeless(actions)
 	actions = l.pump(actions)
 	l.check()
--- a/core/sched/ledger_random_test.go
+++ b/core/sched/ledger_random_test.go
@@ -50,6 +50,7 @@
 			w.assertEnd()
 			is.True(w.granted > events/50) // the run got work done
 			is.True(w.refused > 0)         // and met overload
+			is.Equal(w.bound > 0, o.Reservation == JustInTime)
 		})
 	}
 }
--- a/core/sched/messages.go
+++ b/core/sched/messages.go
@@ -63,6 +63,19 @@
 	ExpiresIn time.Duration `cbor:"7,keyasint"`
 	// Reason explains the choice for the decision log: candidates left, scores.
 	Reason string `cbor:"8,keyasint"`
+	// Provisional is set when the decode slot is not free yet: before the
+	// decode order the daemon waits for a Binding, no longer than BindWithin
+	// from the prefill's end. Without one it tries Decode: the engine is the
+	// last word.
+	Provisional bool          `cbor:"9,keyasint,omitempty"`
+	BindWithin  time.Duration `cbor:"10,keyasint,omitempty"`
+}
+
+// Binding names the endpoint whose slot a provisional grant has got.
+type Binding struct {
+	Request     id.Request  `cbor:"1,keyasint"`
+	Reservation uint64      `cbor:"2,keyasint"`
+	Decode      id.Endpoint `cbor:"3,keyasint"`
 }
 
 // Refusal answers a Want that won't be served. Its verdict is always not run.
@@ -97,7 +110,8 @@
 	Request     id.Request `cbor:"1,keyasint"`
 	Reservation uint64     `cbor:"2,keyasint"`
 	Phase       Phase      `cbor:"3,keyasint"`
-	// Endpoint that failed, with PhaseFailed; empty when none is to blame.
+	// Endpoint that failed, with PhaseFailed, or that decodes, with
+	// PhaseDecoding; empty when none is to blame, or it is the granted one.
 	Endpoint id.Endpoint `cbor:"4,keyasint"`
 	// CachedTokens is how many prompt tokens the prefill found in its cache.
 	CachedTokens int `cbor:"5,keyasint"`
@@ -153,11 +167,13 @@
 	Stored   bool
 }
 
-// Action is what the scheduler wants done: a Grant or a Refusal for the daemon To.
+// Action is what the scheduler wants done: a Grant, a Refusal or a Binding for
+// the daemon To.
 type Action struct {
 	To      id.Process
 	Grant   *Grant
 	Refusal *Refusal
+	Binding *Binding
 }
 
 // Scheduler decides for one pool. The policies and the naive version implement
--- a/core/sched/progress.go
+++ b/core/sched/progress.go
@@ -57,6 +57,7 @@
 // revive takes an expired reservation back into the ledgers.
 func (l *Ledger) revive(r *reservation) {
 	r.grantedAt = l.now
+	r.slotFrom = 0
 	r.charge = cost{}
 	r.begun = true
 	r.phase = PhasePrefilling
@@ -140,6 +141,7 @@
 
 // decoding notes the first token, or how far the answer has come.
 func (l *Ledger) decoding(r *reservation, p *Progress) {
+	l.follow(r, p.Endpoint)
 	if r.phase < PhaseDecoding {
 		r.phase = PhaseDecoding
 		r.decodingFrom = l.now
--- a/core/sched/release.go
+++ b/core/sched/release.go
@@ -47,9 +47,12 @@
 }
 
 // taken is the engine time that the reservation has taken by now. The slot
-// counts from the grant on, since nobody else could have it.
+// counts from when it was got, since nobody else could have it from then on.
 func (r *reservation) taken(now time.Duration) cost {
-	took := cost{slot: (now - r.grantedAt).Seconds()}
+	took := cost{}
+	if r.slotFrom > 0 {
+		took.slot = (now - r.slotFrom).Seconds()
+	}
 	if r.prefill == nil || !r.begun {
 		return took
 	}
--- a/core/sched/reservation.go
+++ b/core/sched/reservation.go
@@ -20,6 +20,8 @@
 	// begun is set by the first Progress.
 	begun     bool
 	grantedAt time.Duration
+	// slotFrom is when the slot was got; zero while it is waited for.
+	slotFrom time.Duration
 	// start and prefillEnd are predicted until the prefill begins and ends.
 	start        time.Duration
 	prefillTime  time.Duration
--- a/core/sched/team.go
+++ b/core/sched/team.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"slices"
+
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/live"
 )
@@ -27,7 +29,8 @@
 	finish   float64
 }
 
-// level holds the waiting requests of one priority, oldest first.
+// level holds the waiting requests of one priority, in the order of the last
+// moment at which each could be granted in time.
 type level struct {
 	list    []*waiting
 	gone    int
@@ -37,10 +40,16 @@
 // inFlight counts the team's requests in the pool.
 func (t *team) inFlight() int { return t.queued + t.granted }
 
-// add appends a request to its level.
+// add puts a request into its level: the one that must be granted first goes
+// first, so that a long prompt, which has little time to wait, does not wait
+// behind short ones that have more.
 func (t *team) add(w *waiting) {
 	l := &t.levels[w.level()]
-	l.list = append(l.list, w)
+	at := len(l.list)
+	for at > 0 && !l.list[at-1].gone && l.list[at-1].latest > w.latest {
+		at--
+	}
+	l.list = slices.Insert(l.list, at, w)
 	l.backlog.add(w.cost, 1)
 	t.queued++
 }
--- a/core/sched/world_test.go
+++ b/core/sched/world_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -29,6 +30,7 @@
 	faulty  bool
 	granted int
 	refused int
+	bound   int
 	// asked and served count by team.
 	asked  map[id.Team]int
 	served map[id.Team]int
@@ -44,6 +46,11 @@
 	dropped bool
 	// orphan is set while the ledger may not know that the daemon is gone.
 	orphan bool
+	// bound is set by the Binding of a provisional grant, waitsFrom when the
+	// call began to wait for it, deaf once a Progress of it was lost.
+	bound     bool
+	waitsFrom time.Duration
+	deaf      bool
 }
 
 // dueEvent is something to happen.
@@ -114,9 +121,8 @@
 
 // step lets the next event happen, a Tick that is due before it included.
 func (w *world) step() {
-	if next := w.ledger.Next(); next < w.due[0].at && w.now < w.due[0].at {
-		w.now = min(max(w.now+1, next), w.due[0].at)
-		w.deliver(w.ledger.Tick(w.now))
+	if w.ledger.Next() < w.due[0].at {
+		w.tick()
 		return
 	}
 	e := heap.Pop(&w.due).(dueEvent)
@@ -128,24 +134,19 @@
 	}
 }
 
-// quietLimit is the time within which nothing is due any more once the
-// daemons are silent: longer than any timeout.
-const quietLimit = 10 * time.Minute
+// tick calls Tick when it is due. Nothing that was due may be left.
+func (w *world) tick() {
+	w.now = max(w.now, w.ledger.Next())
+	w.deliver(w.ledger.Tick(w.now))
+	if next := w.ledger.Next(); next <= w.now {
+		w.t.Fatalf("the Tick at %v left what was due at %v", w.now, next)
+	}
+}
 
 // quiet lets time pass until nothing is due.
 func (w *world) quiet() {
-	end := w.now + quietLimit
-	for next := w.ledger.Next(); next < never; next = w.ledger.Next() {
-		if next > end {
-			w.t.Errorf("something is due at %v, long after the last event", next)
-			return
-		}
-		before := w.now
-		w.now = max(w.now, next)
-		if w.now == before {
-			w.now += ms // a Tick that was called in time and left its work undone
-		}
-		w.deliver(w.ledger.Tick(w.now))
+	for w.ledger.Next() < never {
+		w.tick()
 	}
 }
 
@@ -195,6 +196,9 @@
 		if a.Refusal != nil {
 			w.takeRefusal(a.Refusal)
 		}
+		if a.Binding != nil {
+			w.takeBinding(a.Binding)
+		}
 	}
 }
 
@@ -245,6 +249,50 @@
 	})
 }
 
+// takeBinding checks that a binding is of the call's grant, and that its slot
+// is one that a grant could have named.
+func (w *world) takeBinding(b *Binding) {
+	w.bound++
+	c := w.calls[b.Request]
+	if c == nil {
+		if !w.ended[b.Request] {
+			w.t.Errorf("binding of unknown request %s", b.Request)
+		}
+		return
+	}
+	if c.grant == nil {
+		return
+	}
+	if c.grant.Reservation != b.Reservation {
+		w.t.Errorf("request %s is bound to %d against its grant %d", b.Request, b.Reservation, c.grant.Reservation)
+		return
+	}
+	c.bound = true
+	if c.grant.Decode == b.Decode {
+		return
+	}
+	if c.phase >= PhaseDecoding && c.deaf {
+		return // too late: the daemon has ordered the decode where it was granted
+	}
+	w.checkMove(c, b)
+	c.grant.Decode = b.Decode
+	w.checkSlots(b.Decode)
+}
+
+// checkMove checks a binding to another endpoint than the grant named.
+func (w *world) checkMove(c *call, b *Binding) {
+	if c.phase >= PhaseDecoding {
+		w.t.Errorf("request %s is moved to %s while it decodes, and all was told", b.Request, b.Decode)
+	}
+	if slices.Contains(c.want.Avoid, b.Decode) {
+		w.t.Errorf("request %s is moved to %s, which it avoids", b.Request, b.Decode)
+	}
+	e := w.ledger.endpoints[b.Decode]
+	if e == nil || e.role() != live.RoleDecode || e.leaving() {
+		w.t.Errorf("request %s is moved to %s, which takes no decodes", b.Request, b.Decode)
+	}
+}
+
 // takeRefusal ends a call.
 func (w *world) takeRefusal(r *Refusal) {
 	w.refused++
@@ -293,6 +341,10 @@
 	if c.dropped || c.grant != g {
 		return
 	}
+	if phase == PhaseDecoding && w.awaitsBinding(c, g) {
+		w.after(bindingPoll, func() { w.advance(c, g, phase) })
+		return
+	}
 	if phase < PhaseDone && w.chance(0.02) {
 		phase = PhaseFailed + Phase(w.random.IntN(2))
 	}
@@ -303,6 +355,8 @@
 	}
 	if phase >= PhaseDone || !w.chance(0.02) {
 		w.deliver(w.ledger.Progress(w.now, p))
+	} else {
+		c.deaf = true
 	}
 	if w.chance(0.02) {
 		w.deliver(w.ledger.Progress(w.now, p))
@@ -312,6 +366,20 @@
 	}
 }
 
+// bindingPoll is how often a call looks whether it was bound.
+const bindingPoll = 5 * ms
+
+// awaitsBinding is true while a provisional grant has to wait, as a daemon does.
+func (w *world) awaitsBinding(c *call, g *Grant) bool {
+	if !g.Provisional || c.bound {
+		return false
+	}
+	if c.waitsFrom == 0 {
+		c.waitsFrom = w.now
+	}
+	return w.now-c.waitsFrom < g.BindWithin
+}
+
 // report makes the Progress of a phase.
 func (w *world) report(c *call, g *Grant, phase Phase) Progress {
 	p := progressOf(g, phase)
--- a/daemon/app/fleet_test.go
+++ b/daemon/app/fleet_test.go
@@ -264,8 +264,12 @@
 	is.Equal(len(d.transport.Peers()), 0)
 }
 
-func TestKeepaliveSuitsTheMembership(t *testing.T) {
+func TestConnectionsSuitTheMembership(t *testing.T) {
 	is := is.New(t)
-	is.True(keepalive(member.Mesh) > 0)
-	is.True(keepalive(member.Partial) < 0)
+	keepalive, idle := ConnectionTimes(member.Mesh)
+	is.True(keepalive > 0 && keepalive < idle)
+	keepalive, idle = ConnectionTimes(member.Partial)
+	is.True(keepalive < 0)
+	// Each pair must talk more often than that, at the target's 420 daemons.
+	is.True(idle > 420*member.DefaultConfig(member.Partial).Period)
 }
--- a/daemon/app/kill_test.go
+++ b/daemon/app/kill_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"testing"
 
@@ -11,6 +12,13 @@
 	"github.com/samphirequay/samphirequay/platform/standin"
 )
 
+const (
+	// streams that are cut; the site has slots for 36.
+	streams = 32
+	// idleConnections is below the bound for one IP number.
+	idleConnections = 900
+)
+
 // TestKilledDaemonTellsItsCallersNothing kills a daemon in the midst of
 // streams: their callers must see broken connections, as when a process dies,
 // and no error event that would keep them from resuming.
@@ -18,16 +26,29 @@
 	is := is.New(t)
 	f := newTestFleet(t, 2, standin.Bunker(), nil)
 	f.slowTokens(4)
-	var bodies []io.ReadCloser
-	for i := range 8 {
+	// Many connections take long to break, so that a daemon which ended its
+	// requests before would still get word through to some caller.
+	for range idleConnections {
+		conn, err := net.Dial("tcp", f.daemons[0].CallerAddr())
+		is.NoErr(err)
+		defer conn.Close()
+	}
+	told := make(chan string, streams)
+	for i := range streams {
 		resp := f.startStream(f.daemons[0], fmt.Sprintf("packet %d", i), 500)
-		bodies = append(bodies, resp.Body)
+		go func() {
+			defer resp.Body.Close()
+			text, err := io.ReadAll(resp.Body)
+			if err == nil {
+				text = append(text, "the stream ended without a break"...)
+			}
+			told <- string(text)
+		}()
 	}
 	f.daemons[0].Kill()
-	for _, body := range bodies {
-		text, err := io.ReadAll(body)
-		is.True(err != nil) // the connection broke
-		is.True(!strings.Contains(string(text), "event: error"))
-		is.NoErr(body.Close())
+	for range streams {
+		text := <-told
+		is.True(!strings.Contains(text, "event: error"))
+		is.True(!strings.Contains(text, "without a break"))
 	}
 }
--- a/daemon/app/peers.go
+++ b/daemon/app/peers.go
@@ -23,6 +23,7 @@
 	kindEvidence                      // one-way: poison.State
 	kindExplain                       // call: explainQuery -> opapi.Explanation
 	kindPools                         // call: nothing -> poolsReply
+	kindRecord                        // call: revision.Record -> recordReply
 )
 
 // kindNames name the kinds in metrics.
@@ -33,6 +34,7 @@
 	kindEvidence: "evidence",
 	kindExplain:  "explain",
 	kindPools:    "pools",
+	kindRecord:   "record",
 }
 
 func kindName(k peer.Kind) string { return kindNames[k] }
@@ -135,6 +137,12 @@
 			return nil, err
 		}
 		return peer.Encode(h.d.explainLocal(q))
+	case kindRecord:
+		var r revision.Record
+		if err := peer.Decode(body, &r); err != nil {
+			return nil, err
+		}
+		return peer.Encode(&recordReply{Learnt: h.d.configs.Learn(r)})
 	case kindPools:
 		return peer.Encode(h.d.poolsLocal())
 	default:
--- /dev/null
+++ b/daemon/app/spread_test.go
@@ -0,0 +1,51 @@
+package app
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/daemon/opapi"
+	"github.com/samphirequay/samphirequay/platform/standin"
+	"github.com/samphirequay/samphirequay/platform/wire"
+)
+
+// TestAcceptedChangeOutlivesItsDaemonAndTheStore: the daemon that saw the
+// acceptance dies at once, and the table is gone as well.
+func TestAcceptedChangeOutlivesItsDaemonAndTheStore(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(t, 3, standin.Bunker(), nil)
+	item, err := json.Marshal(live.Team{Name: "gamma", KeyHashes: []string{live.HashKey("gamma-key")}})
+	is.NoErr(err)
+	ops := []opapi.Op{{Action: "put", Kind: live.KindTeam, Name: "gamma", Item: item}}
+	status, body := f.change(f.daemons[0], opapi.ChangeRequest{ID: "last-word", Author: "test", Ops: ops})
+	is.Equal(status, http.StatusOK)
+	down := true
+	f.platform.Table.Inject(wire.Fault{Down: &down})
+	f.daemons[0].Kill()
+	var answer opapi.ChangeAnswer
+	is.NoErr(json.Unmarshal(body, &answer))
+	f.until("the survivors have the change", func() bool {
+		return f.daemons[1].Revision() >= answer.Revision && f.daemons[2].Revision() >= answer.Revision
+	})
+}
+
+func TestFirstHoldersAreDifferentDaemons(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(firstFor("c", nil)), 0)
+	var others []id.Daemon
+	for i := range 9 {
+		others = append(others, id.Daemon(fmt.Sprintf("d%d", i)))
+	}
+	seen := map[id.Daemon]bool{}
+	for _, d := range firstFor("a change", others) {
+		seen[d] = true
+	}
+	is.Equal(len(seen), firstHolders)
+	is.Equal(len(firstFor("a change", others[:2])), 2)
+}
--- a/daemon/app/start.go
+++ b/daemon/app/start.go
@@ -48,6 +48,7 @@
 
 func (d *Daemon) listen() error {
 	var err error
+	keepalive, idle := ConnectionTimes(member.Mode(d.set.Membership.Mode))
 	if d.callerLn, err = listenTCP("callers", d.set.Listen.Callers); err != nil {
 		return err
 	}
@@ -68,7 +69,9 @@
 		Registry:  d.metrics,
 		RingSize:  d.set.Limits.PeerRing,
 		Report:    d.logger.Debug,
-		Keepalive: keepalive(member.Mode(d.set.Membership.Mode)),
+		Keepalive: keepalive,
+
+		IdleTimeout: idle,
 	})
 	if err != nil {
 		return eris.Wrapf(err, "listen.peers %s", d.set.Listen.Peers)
@@ -76,19 +79,6 @@
 	return nil
 }
 
-// noKeepalive lets connections end that are not used.
-const noKeepalive = -1
-
-// keepalive suits the membership: with a mesh every connection is used all the
-// time; where each daemon talks to a few others at a time, kept connections
-// would cost more than they carry.
-func keepalive(mode member.Mode) time.Duration {
-	if mode == member.Partial {
-		return noKeepalive
-	}
-	return peer.DefaultKeepalive
-}
-
 func listenTCP(field, address string) (net.Listener, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
@@ -130,6 +120,7 @@
 		Peers:     peerFetcher{d},
 		Metrics:   d.metrics,
 		Installed: d.installed,
+		Spread:    d.spreadRecord,
 		Log:       d.logger.Event,
 		Violation: d.metrics.Violation,
 		Now:       d.now,
--- a/daemon/broker/broker.go
+++ b/daemon/broker/broker.go
@@ -47,6 +47,8 @@
 	managers map[id.Pool]*pool.Manager
 	doc      *live.Document
 	waiting  map[id.Request]chan<- pairing.Answer
+	// bindings hand each provisional grant its binding.
+	bindings map[id.Request]chan sched.Binding
 	lost     *metrics.Counter
 	// told is the number of the last evidence that was spread.
 	told uint64
@@ -60,6 +62,7 @@
 		managers: make(map[id.Pool]*pool.Manager),
 		doc:      &live.Document{},
 		waiting:  make(map[id.Request]chan<- pairing.Answer),
+		bindings: make(map[id.Request]chan sched.Binding),
 		lost:     cfg.Metrics.Counter("broker_messages_lost", metrics.UnitCount, "messages to other daemons that could not be queued"),
 	}
 	b.duty = duty.Start(duty.Config{Name: "broker", Ring: ringSize, Now: cfg.Now, Tick: b.tick, Metrics: cfg.Metrics})
@@ -134,7 +137,12 @@
 
 // Progress reports how a granted request fares.
 func (b *Broker) Progress(p sched.Progress) {
-	b.duty.Post(func(now time.Duration) { b.output(now, b.asker.Progress(p)) })
+	b.duty.Post(func(now time.Duration) {
+		if p.Phase >= sched.PhaseDecoding {
+			delete(b.bindings, p.Request)
+		}
+		b.output(now, b.asker.Progress(p))
+	})
 }
 
 // Receive takes an envelope from another daemon.
@@ -251,6 +259,9 @@
 	for _, a := range out.Answers {
 		b.answer(a)
 	}
+	for _, binding := range out.Bindings {
+		b.bound(binding)
+	}
 	for _, m := range out.Messages {
 		b.send(now, m)
 	}
@@ -262,9 +273,43 @@
 		return
 	}
 	delete(b.waiting, a.Request)
+	if a.Grant != nil && a.Grant.Provisional {
+		b.bindings[a.Request] = make(chan sched.Binding, 1)
+	}
 	ch <- a
 }
 
+// bound hands a binding to the request that waits, or will wait, for it.
+func (b *Broker) bound(binding sched.Binding) {
+	ch, ok := b.bindings[binding.Request]
+	if !ok {
+		return
+	}
+	select {
+	case ch <- binding:
+	default:
+	}
+}
+
+// Bind waits for the endpoint of a provisional grant, no longer than the grant
+// allows. Without a binding in time it is the endpoint that the grant named.
+func (b *Broker) Bind(ctx context.Context, g sched.Grant) id.Endpoint {
+	if !g.Provisional {
+		return g.Decode
+	}
+	var ch chan sched.Binding
+	b.duty.Query(func(time.Duration) { ch = b.bindings[g.Request] })
+	timer := time.NewTimer(g.BindWithin)
+	defer timer.Stop()
+	select {
+	case binding := <-ch:
+		return binding.Decode
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return g.Decode
+}
+
 func (b *Broker) send(now time.Duration, m pairing.Message) {
 	b.sendTo(now, m.To, &Envelope{Want: m.Want, Withdraw: m.Withdraw, Progress: m.Progress, Adopt: m.Adopt})
 }
@@ -283,7 +328,7 @@
 // actions carries out what a manager decided.
 func (b *Broker) actions(now time.Duration, p id.Pool, actions []sched.Action) {
 	for _, a := range actions {
-		e := &Envelope{Refusal: a.Refusal}
+		e := &Envelope{Refusal: a.Refusal, Binding: a.Binding}
 		if a.Grant != nil {
 			e.Grant = &PoolGrant{Pool: p, Grant: *a.Grant}
 		}
@@ -310,6 +355,8 @@
 		b.actions(now, p, b.manager(now, p).Drain(now, e.Drain.Endpoint, e.Drain.On))
 	case e.Grant != nil:
 		b.output(now, b.asker.Granted(e.Grant.Pool, e.Grant.Grant))
+	case e.Binding != nil:
+		b.output(now, b.asker.Bound(*e.Binding))
 	case e.Refusal != nil:
 		b.output(now, b.asker.Refused(from, *e.Refusal))
 	}
--- a/daemon/broker/messages.go
+++ b/daemon/broker/messages.go
@@ -19,6 +19,7 @@
 	Grant    *PoolGrant            `cbor:"5,keyasint,omitempty"`
 	Refusal  *sched.Refusal        `cbor:"6,keyasint,omitempty"`
 	Drain    *Drain                `cbor:"7,keyasint,omitempty"`
+	Binding  *sched.Binding        `cbor:"8,keyasint,omitempty"`
 }
 
 // Drain keeps new work off an endpoint of a pool, or lets it in again.
--- a/daemon/claims/claims.go
+++ b/daemon/claims/claims.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/claim"
@@ -20,6 +21,11 @@
 
 // Config is what the duty works with.
 type Config struct {
+	// Self is this process.
+	Self id.Process
+	// Writers reaches the daemons that write claims in a large fleet; nil keeps
+	// every claim at its owner.
+	Writers Writers
 	Store   *store.Store
 	Objects *client.Objects
 	Work    *workpool.Pool
@@ -37,6 +43,10 @@
 	duty    *duty.Duty
 	core    *claim.Claims
 	waiting map[claim.Token]chan<- result
+	// settling are the outcomes that other daemons wait to be stored.
+	settling map[claim.Token]chan<- bool
+	// writers are the daemons that write claims; none: each its own.
+	writers atomic.Pointer[[]id.Daemon]
 	unkept  *metrics.Counter
 }
 
@@ -50,10 +60,11 @@
 // Start starts the duty.
 func Start(cfg Config) *Claims {
 	c := &Claims{
-		cfg:     cfg,
-		core:    claim.New(claim.Config{OwnerAlive: cfg.OwnerAlive}),
-		waiting: make(map[claim.Token]chan<- result),
-		unkept:  cfg.Metrics.Counter("claims_unkept", metrics.UnitCount, "outcomes of claimed calls that could not be stored in time"),
+		cfg:      cfg,
+		core:     claim.New(claim.Config{OwnerAlive: cfg.OwnerAlive}),
+		waiting:  make(map[claim.Token]chan<- result),
+		settling: make(map[claim.Token]chan<- bool),
+		unkept:   cfg.Metrics.Counter("claims_unkept", metrics.UnitCount, "outcomes of claimed calls that could not be stored in time"),
 	}
 	c.duty = duty.Start(duty.Config{Name: "claims", Now: cfg.Now, Tick: c.tick, Metrics: cfg.Metrics})
 	return c
@@ -70,23 +81,42 @@
 // Begin claims a call and waits for the outcome. When ctx ends first, the
 // claim is given up: nothing was dispatched.
 func (c *Claims) Begin(ctx context.Context, b claim.Begin) (*claim.Claim, *claim.Answer, *verdict.Error) {
+	writers := c.writersOf(claim.RowKey(b.Team, b.Service, b.Key))
+	if len(writers) == 0 {
+		return c.resolve(ctx, c.beginHere(ctx, b))
+	}
+	return c.resolve(ctx, c.beginAt(ctx, writers, b))
+}
+
+// beginHere claims a call by this daemon's own writes.
+func (c *Claims) beginHere(ctx context.Context, b claim.Begin) result {
 	results := make(chan result, 1)
 	posted := c.duty.PostContext(ctx, func(now time.Duration) {
 		c.waiting[b.Token] = results
 		c.perform(c.core.Begin(now, c.cfg.Wall(), b))
 	})
 	if !posted {
-		return nil, nil, verdict.New(verdict.NotRun, verdict.CodeClaimUnavailable, "this daemon takes no claims now")
+		return result{err: stopping()}
 	}
 	select {
 	case r := <-results:
-		return c.resolve(ctx, r)
+		return r
 	case <-ctx.Done():
 		c.giveUp(b)
-		return nil, nil, verdict.New(verdict.NotRun, verdict.CodeCallerGone, "the caller is gone")
+		return result{err: callerGone()}
+	case <-c.duty.Context().Done():
+		return result{err: stopping()}
 	}
 }
 
+func callerGone() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.CodeCallerGone, "the caller is gone")
+}
+
+func stopping() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.CodeClaimUnavailable, "this daemon takes no claims now")
+}
+
 func (c *Claims) resolve(ctx context.Context, r result) (*claim.Claim, *claim.Answer, *verdict.Error) {
 	if r.err != nil || r.claim != nil {
 		return r.claim, nil, r.err
@@ -117,8 +147,19 @@
 	})
 }
 
-// Finish stores the outcome of a claimed call.
+// Finish stores the outcome of a claimed call; it does not wait.
 func (c *Claims) Finish(held claim.Claim, o claim.Outcome) {
+	writers := c.writersOf(held.Row)
+	if len(writers) == 0 || len(outcomeBody(o)) > maxSentBody {
+		c.finishHere(held, o)
+		return
+	}
+	if !c.cfg.Work.Submit(func() { c.finishAt(writers[0], held, o) }) {
+		c.finishHere(held, o)
+	}
+}
+
+func (c *Claims) finishHere(held claim.Claim, o claim.Outcome) {
 	c.duty.Post(func(now time.Duration) { c.perform(c.core.Finish(now, held, o)) })
 }
 
@@ -142,9 +183,20 @@
 		c.wake(a.Refuse.Token, result{err: a.Refuse.Err})
 	case a.Replay != nil:
 		c.wake(a.Replay.Token, result{answer: &a.Replay.Answer})
-	case a.Settled != nil && !a.Settled.Stored:
+	case a.Settled != nil:
+		c.settle(a.Settled)
+	}
+}
+
+// settle ends a Finish or a Release.
+func (c *Claims) settle(s *claim.Settled) {
+	if !s.Stored {
 		c.unkept.Inc()
 	}
+	if ch, ok := c.settling[s.Token]; ok {
+		delete(c.settling, s.Token)
+		ch <- s.Stored
+	}
 }
 
 func (c *Claims) wake(t claim.Token, r result) {
--- /dev/null
+++ b/daemon/claims/remote.go
@@ -0,0 +1,149 @@
+package claims
+
+import (
+	"context"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/claim"
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+const (
+	// beginTimeout bounds a Begin at another daemon: its wait for the store and
+	// the way there and back.
+	beginTimeout = claim.DefaultMaxWait + 200*time.Millisecond
+	// finishTimeout bounds the wait for another daemon to store an outcome.
+	finishTimeout = time.Second
+	// maxSentBody bounds the body of an answer that goes to another daemon, in
+	// bytes; a larger one goes to the object store from here.
+	maxSentBody = claim.DefaultMaxInline
+	// unsureRetryAfter is advised when a writer gave no answer.
+	unsureRetryAfter = time.Second
+)
+
+// beginAt claims a call through the writers. The next one is asked only if the
+// call was certainly not sent to the one before: once a writer may have it, that
+// writer may also release it again, so no other's word for it could be trusted.
+func (c *Claims) beginAt(ctx context.Context, writers []id.Daemon, b claim.Begin) result {
+	for _, to := range writers {
+		if to == c.cfg.Self.Daemon {
+			return c.beginHere(ctx, b)
+		}
+		reply, err := c.callBegin(ctx, to, b)
+		if err == nil {
+			return c.replied(b, reply)
+		}
+		if verdict.Of(err) != verdict.NotRun {
+			return c.unsure(ctx, b, to, err)
+		}
+	}
+	return result{err: verdict.New(verdict.NotRun, verdict.CodeClaimUnavailable,
+		"no daemon that writes claims can be reached").WithRetryAfter(unsureRetryAfter)}
+}
+
+func (c *Claims) callBegin(ctx context.Context, to id.Daemon, b claim.Begin) (BeginReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, beginTimeout)
+	defer cancel()
+	return c.cfg.Writers.Begin(ctx, to, &BeginCall{Begin: b})
+}
+
+// replied reads a writer's reply. A claim counts only if it is for this attempt.
+func (c *Claims) replied(b claim.Begin, reply BeginReply) result {
+	held := reply.Claim
+	switch {
+	case reply.Refusal != nil:
+		return c.refused(b, reply.Refusal.asError())
+	case reply.Answer != nil:
+		return result{answer: reply.Answer}
+	case held != nil && held.Token == b.Token && held.Owner == b.Owner && held.Row == claim.RowKey(b.Team, b.Service, b.Key):
+		return result{claim: held}
+	}
+	c.giveUp(b)
+	return result{err: verdict.New(verdict.NotRun, verdict.CodeInternal, "the reply of a claim's writer is of another claim")}
+}
+
+// refused hands a writer's refusal on. One that could not have the claim stored
+// may have left a write under way and may end before it has released it.
+func (c *Claims) refused(b claim.Begin, err *verdict.Error) result {
+	if err.Code == verdict.CodeClaimUnavailable || err.Code == verdict.CodeCallerGone {
+		c.giveUp(b)
+	}
+	return result{err: err}
+}
+
+// unsure ends an attempt whose writer gave no answer. Its claim may have been
+// written, or will be; this daemon does not dispatch under it, so that it may
+// release it.
+func (c *Claims) unsure(ctx context.Context, b claim.Begin, to id.Daemon, cause error) result {
+	c.giveUp(b)
+	if ctx.Err() != nil {
+		return result{err: callerGone()}
+	}
+	return result{err: verdict.New(verdict.NotRun, verdict.CodeClaimUnavailable,
+		"daemon %s, which writes the claim, gave no answer", to).WithRetryAfter(unsureRetryAfter).WithCause(cause)}
+}
+
+// finishAt stores an outcome through the row's first writer, and from here if
+// that does not confirm it. Both may write it: the row takes it once.
+func (c *Claims) finishAt(to id.Daemon, held claim.Claim, o claim.Outcome) {
+	ctx, cancel := context.WithTimeout(c.duty.Context(), finishTimeout)
+	defer cancel()
+	reply, err := c.cfg.Writers.Finish(ctx, to, &FinishCall{Claim: held, Outcome: o})
+	if err != nil || !reply.Stored {
+		c.finishHere(held, o)
+	}
+}
+
+// HandleBegin claims a call for another daemon.
+func (c *Claims) HandleBegin(ctx context.Context, from id.Daemon, call *BeginCall) BeginReply {
+	b := call.Begin
+	if b.Owner.Daemon != from || b.Token == "" || b.Key == "" {
+		return BeginReply{Refusal: refusalOf(verdict.New(verdict.NotRun, verdict.CodeBadRequest,
+			"daemon %s can't claim for %s", from, b.Owner))}
+	}
+	r := c.beginHere(ctx, b)
+	if r.err != nil {
+		return BeginReply{Refusal: refusalOf(r.err)}
+	}
+	return BeginReply{Claim: r.claim, Answer: r.answer}
+}
+
+// HandleFinish stores an outcome for another daemon and waits until that is done.
+func (c *Claims) HandleFinish(ctx context.Context, from id.Daemon, call *FinishCall) FinishReply {
+	if call.Claim.Owner.Daemon != from || call.Claim.Token == "" || len(outcomeBody(call.Outcome)) > maxSentBody {
+		return FinishReply{}
+	}
+	settled := make(chan bool, 1)
+	token := call.Claim.Token
+	posted := c.duty.PostContext(ctx, func(now time.Duration) {
+		c.settling[token] = settled
+		c.perform(c.core.Finish(now, call.Claim, call.Outcome))
+	})
+	if !posted {
+		return FinishReply{}
+	}
+	select {
+	case stored := <-settled:
+		return FinishReply{Stored: stored}
+	case <-ctx.Done():
+	case <-c.duty.Context().Done():
+	}
+	c.duty.Post(func(time.Duration) { c.forgetSettling(token, settled) })
+	return FinishReply{}
+}
+
+// forgetSettling ends a wait, unless another one under the token has taken its
+// place.
+func (c *Claims) forgetSettling(t claim.Token, settled chan<- bool) {
+	if c.settling[t] == settled {
+		delete(c.settling, t)
+	}
+}
+
+func outcomeBody(o claim.Outcome) []byte {
+	if o.Answer == nil {
+		return nil
+	}
+	return o.Answer.Body
+}
--- a/daemon/completion/attempt.go
+++ b/daemon/completion/attempt.go
@@ -106,6 +106,9 @@
 }
 
 func (a *attempt) runDecode(ctx context.Context) *verdict.Error {
+	if err := a.bind(ctx); err != nil {
+		return a.decodeRefused(ctx, err)
+	}
 	sent := a.Now()
 	ts, err := a.Engines.Decode(ctx, a.decode, a.decodeRequest())
 	if err != nil {
@@ -115,6 +118,21 @@
 	return a.follow(ctx, ts, sent)
 }
 
+// bind settles which endpoint decodes.
+func (a *attempt) bind(ctx context.Context) *verdict.Error {
+	name := a.Pairer.Bind(ctx, a.grant)
+	if name == a.decode.Name {
+		return nil
+	}
+	endpoint, ok := a.Catalog.Endpoint(name)
+	if !ok {
+		return unknownEndpoint(name)
+	}
+	a.decode = endpoint
+	a.grant.Decode = name
+	return nil
+}
+
 func (a *attempt) decodeRequest() *wire.DecodeRequest {
 	return &wire.DecodeRequest{
 		Request:          string(a.want.Request),
@@ -158,10 +176,12 @@
 	a.Cancels.Cancel(a.decode, a.want.Request, func() { a.release(p) })
 }
 
-// follow delivers the stream's tokens until its end.
+// follow delivers the stream's tokens until its end. The owner is told how many
+// came by this attempt: what others wrote before tells nothing about its pace.
 func (a *attempt) follow(ctx context.Context, ts TokenStream, sent time.Duration) *verdict.Error {
 	a.p.seq.Switch(a.want.Request)
 	began := false
+	before := a.p.seq.Delivered()
 	for {
 		ev, err := ts.Next()
 		if err != nil {
@@ -169,14 +189,15 @@
 		}
 		if !began {
 			began = true
-			a.report(sched.Progress{Phase: sched.PhaseDecoding, TransferTime: transferTime(ev, a.Now()-sent)})
+			a.report(sched.Progress{Phase: sched.PhaseDecoding, Endpoint: a.decode.Name, TransferTime: transferTime(ev, a.Now()-sent)})
 		}
 		done, verr := a.deliver(ctx, ts, ev)
 		if verr != nil {
 			return a.streamFailed(ctx, verr)
 		}
 		if done {
-			a.release(sched.Progress{Phase: sched.PhaseDone, OutputTokens: a.p.seq.Delivered()})
+			written := a.p.seq.Delivered() - before - 1 // the last event holds no token
+			a.release(sched.Progress{Phase: sched.PhaseDone, OutputTokens: written})
 			return nil
 		}
 	}
--- /dev/null
+++ b/daemon/completion/fail_test.go
@@ -0,0 +1,147 @@
+package completion
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/sched"
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/platform/wire"
+)
+
+// fakes stand for all that a Runner works with: the engine writes the tokens
+// that it is told to and then breaks or ends.
+type fakes struct {
+	refuse   *verdict.Error
+	wants    []sched.Want
+	tokens   int
+	finish   bool
+	progress []sched.Progress
+}
+
+func (f *fakes) Pair(_ context.Context, w sched.Want, _ time.Duration) (sched.Grant, *verdict.Error) {
+	f.wants = append(f.wants, w)
+	if f.refuse != nil {
+		return sched.Grant{}, f.refuse
+	}
+	return sched.Grant{Prefill: "p", Decode: "d"}, nil
+}
+
+func (f *fakes) Bind(context.Context, sched.Grant) id.Endpoint { return "d" }
+func (f *fakes) Resume(sched.Want, sched.Grant)                {}
+func (f *fakes) Progress(p sched.Progress)                     { f.progress = append(f.progress, p) }
+
+func (f *fakes) Prefill(context.Context, *live.Endpoint, *wire.PrefillRequest) (*wire.PrefillResponse, error) {
+	return &wire.PrefillResponse{KV: "kv"}, nil
+}
+
+func (f *fakes) Decode(_ context.Context, _ *live.Endpoint, r *wire.DecodeRequest) (TokenStream, error) {
+	return &fakeStream{fakes: f, request: r.Request, at: r.Continue}, nil
+}
+
+// Resume of the engines would clash with that of the pairer.
+type fakeEngines struct{ *fakes }
+
+func (f fakeEngines) Resume(_ context.Context, _ *live.Endpoint, attempt id.Request, after int, _ id.Process) (TokenStream, error) {
+	return &fakeStream{fakes: f.fakes, request: string(attempt), at: after}, nil
+}
+
+func (f *fakes) Cancel(_ *live.Endpoint, _ id.Request, done func()) {
+	if done != nil {
+		done()
+	}
+}
+func (f *fakes) ReleaseKV(*live.Endpoint, id.Request, string) {}
+
+func (f *fakes) Decide(*live.Team, *verdict.Error, int, time.Duration) Retry { return Retry{} }
+func (f *fakes) Success(*live.Team)                                          {}
+func (f *fakes) Decision(string, string, string, ...any)                     {}
+func (f *fakes) Endpoint(name id.Endpoint) (*live.Endpoint, bool) {
+	return &live.Endpoint{Name: name}, true
+}
+
+func (f *fakes) Deliver(context.Context, Event) error { return nil }
+
+type fakeStream struct {
+	*fakes
+	request string
+	at      int
+	sent    int
+}
+
+func (s *fakeStream) Next() (wire.TokenEvent, error) {
+	s.at++
+	s.sent++
+	if s.sent <= s.tokens {
+		return wire.TokenEvent{Request: s.request, Seq: s.at, Text: "t "}, nil
+	}
+	if s.finish {
+		return wire.TokenEvent{Request: s.request, Seq: s.at, Finish: "length"}, nil
+	}
+	return wire.TokenEvent{}, io.ErrUnexpectedEOF
+}
+
+func (s *fakeStream) Close() error                { return nil }
+func (s *fakeStream) Incarnation() id.Incarnation { return 7 }
+
+func (f *fakes) run(resume *ResumePoint) *verdict.Error {
+	r := New(Deps{
+		Pairer: f, Engines: fakeEngines{f}, Cancels: f, Retries: f, Recorder: f, Catalog: f,
+		Now: func() time.Duration { return 0 }, NewID: func() id.Request { return "attempt" },
+	})
+	job := &Job{ID: "job", Team: &live.Team{}, Service: &live.Service{PatienceMS: 1000, TimeoutMS: 10000}, Prompt: "p", MaxTokens: 8, Resume: resume}
+	return r.Run(context.Background(), job, f)
+}
+
+// TestBrokenAnswerAdvisesToResume breaks an answer off after its beginning, and
+// refuses the continuation of one: both callers must be told to come back.
+func TestBrokenAnswerAdvisesToResume(t *testing.T) {
+	is := is.New(t)
+	err := (&fakes{tokens: 3}).run(nil)
+	is.Equal(err.Verdict, verdict.Ran)
+	is.True(err.RetryAfter > 0)
+
+	refused := verdict.New(verdict.NotRun, verdict.CodeOverloaded, "full")
+	gone := &ResumePoint{Attempt: "a", Endpoint: "d", Incarnation: 6, Delivered: 3, Text: "t t t ", HasText: true}
+	err = (&fakes{refuse: refused}).run(gone)
+	is.Equal(err.Code, verdict.CodeOverloaded)
+	is.Equal(err.Verdict, verdict.Ran)
+	is.True(err.RetryAfter > 0)
+}
+
+// TestUnbegunAnswerGivesNoAdviceOfItsOwn keeps what the owner said.
+func TestUnbegunAnswerGivesNoAdviceOfItsOwn(t *testing.T) {
+	is := is.New(t)
+	err := (&fakes{refuse: verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "none")}).run(nil)
+	is.Equal(err.Verdict, verdict.NotRun)
+	is.Equal(err.RetryAfter, time.Duration(0))
+}
+
+// TestContinuationGoesBeforeNewRequests compares the priorities of the two.
+func TestContinuationGoesBeforeNewRequests(t *testing.T) {
+	is := is.New(t)
+	fresh := &fakes{finish: true}
+	is.True(fresh.run(nil) == nil)
+	is.Equal(fresh.wants[0].Priority, 0)
+	rest := &fakes{finish: true}
+	is.True(rest.run(&ResumePoint{Attempt: "a", Endpoint: "d", Incarnation: 6, Delivered: 3, Text: "t t t ", HasText: true}) == nil)
+	is.Equal(rest.wants[0].Priority, live.MaxPriority)
+}
+
+// TestOwnerIsToldOfThisAttemptsTokens resumes an answer behind five tokens: the
+// owner must not take them for the engine's work in the time since.
+func TestOwnerIsToldOfThisAttemptsTokens(t *testing.T) {
+	is := is.New(t)
+	f := &fakes{tokens: 2, finish: true}
+	err := f.run(&ResumePoint{Attempt: "a", Endpoint: "d", Incarnation: 7, Delivered: 5, Text: "t t t t t ", HasText: true})
+	is.True(err == nil)
+	last := f.progress[len(f.progress)-1]
+	is.Equal(last.Phase, sched.PhaseDone)
+	is.Equal(last.OutputTokens, 2)
+}
--- a/daemon/completion/runner.go
+++ b/daemon/completion/runner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
 	"github.com/samphirequay/samphirequay/core/prefixhash"
 	"github.com/samphirequay/samphirequay/core/sched"
 	"github.com/samphirequay/samphirequay/core/stream"
@@ -125,9 +126,19 @@
 	}
 	final := *err
 	final.Verdict = v
+	if p.seq.Delivered() > 0 && final.RetryAfter == 0 && resumable(final.Code) {
+		final.RetryAfter = resumeAfter
+	}
 	return &final
 }
 
+// resumeAfter is advised where an answer that was begun broke off and nothing
+// better is known: its caller should come back for the rest.
+const resumeAfter = 200 * time.Millisecond
+
+// resumable tells whether the rest of an answer may be had by a later resume.
+func resumable(code verdict.Code) bool { return code != verdict.CodeQuarantined }
+
 func (r *Runner) remaining(job *Job) time.Duration {
 	return job.Service.Timeout() - (r.Now() - job.Arrived)
 }
@@ -172,7 +183,7 @@
 		PromptTokens: prefixhash.EstimateTokens(prompt),
 		OutputTokens: job.MaxTokens - p.seq.Delivered(),
 		Prefix:       prefixhash.Blocks(string(job.Team.Name), prompt),
-		Priority:     job.Service.Priority,
+		Priority:     priority(p),
 		Avoid:        p.avoid,
 		Domain:       r.Domain,
 		Attempt:      n,
@@ -181,6 +192,15 @@
 	}
 }
 
+// priority lets the rest of an answer that was begun go before the team's new
+// requests: its caller waits in the midst of it.
+func priority(p *progress) int {
+	if p.seq.Delivered() > 0 {
+		return live.MaxPriority
+	}
+	return p.job.Service.Priority
+}
+
 func pause(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
 		return ctx.Err() == nil
--- a/daemon/completion/types.go
+++ b/daemon/completion/types.go
@@ -70,6 +70,9 @@
 // Pairer gets grants from the pool's owner and reports their progress.
 type Pairer interface {
 	Pair(ctx context.Context, w sched.Want, patience time.Duration) (sched.Grant, *verdict.Error)
+	// Bind returns the decode endpoint of a grant, waiting for it where the
+	// grant is provisional.
+	Bind(ctx context.Context, g sched.Grant) id.Endpoint
 	Resume(w sched.Want, g sched.Grant)
 	Progress(p sched.Progress)
 }
--- a/daemon/configs/configs.go
+++ b/daemon/configs/configs.go
@@ -34,6 +34,10 @@
 	Metrics *metrics.Registry
 	// Installed is called within the duty for each newer configuration.
 	Installed func(x *live.Index, from uint64)
+	// Spread hands a change that this daemon saw accepted to some peers, before
+	// the operator is told: should this daemon end now and the store go away,
+	// the change is still in force. It blocks for a bounded time.
+	Spread func(context.Context, revision.Record)
 	// Log takes one line an event.
 	Log func(event string, kv ...any)
 	// Violation is told of a broken invariant.
@@ -174,12 +178,24 @@
 	}
 	outcome := p.run(ctx)
 	if outcome.Record != nil {
-		record := *outcome.Record
-		c.duty.Post(func(time.Duration) { c.perform(c.follower.Learn(record)) })
+		c.Learn(*outcome.Record)
+		c.cfg.Spread(ctx, *outcome.Record)
 	}
 	return outcome
 }
 
+// Learn takes a change that was accepted here, or that a peer saw accepted. It
+// says whether the change, or a later one, is in force now: not so when
+// earlier ones are missing.
+func (c *Configs) Learn(record revision.Record) bool {
+	learnt := false
+	c.duty.Query(func(time.Duration) {
+		c.perform(c.follower.Learn(record))
+		learnt = c.follower.Current().Revision >= record.Revision
+	})
+	return learnt
+}
+
 func (c *Configs) newRand() *rand.Rand {
 	seed := uint64(c.cfg.Now())
 	c.duty.Query(func(time.Duration) { seed = c.cfg.Rand.Uint64() })
--- a/daemon/front/completions.go
+++ b/daemon/front/completions.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	svc, err := s.Directory().ServiceFor(team, id.Service(body.Model))
+	svc, err := s.service(team, body.Model)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"strings"
 	"time"
@@ -185,6 +186,21 @@
 	writeJSON(ctx, fasthttp.StatusOK, list)
 }
 
+// maxEcho bounds what an error repeats of a caller's own words, in bytes.
+const maxEcho = 64
+
+// service finds a service that the team may use; the error repeats the name
+// that the caller gave.
+func (s *Server) service(team *live.Team, name string) (*live.Service, *verdict.Error) {
+	svc, err := s.Directory().ServiceFor(team, id.Service(name))
+	if err == nil {
+		return svc, nil
+	}
+	named := *err
+	named.Message = fmt.Sprintf("%s: %.*q", err.Message, maxEcho, name)
+	return nil, &named
+}
+
 // authenticate finds the team of the request's bearer key.
 func (s *Server) authenticate(ctx *fasthttp.RequestCtx) (*live.Team, *verdict.Error) {
 	header := string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization))
--- a/daemon/front/services.go
+++ b/daemon/front/services.go
@@ -5,7 +5,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/live"
 	"github.com/samphirequay/samphirequay/core/poison"
 	"github.com/samphirequay/samphirequay/core/verdict"
@@ -69,7 +68,7 @@
 		return nil, err
 	}
 	name, rest, _ := strings.Cut(strings.TrimPrefix(path, opapi.PathServices), "/")
-	svc, err := s.Directory().ServiceFor(team, id.Service(name))
+	svc, err := s.service(team, name)
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/peer/answer.go
+++ b/daemon/peer/answer.go
@@ -42,8 +42,13 @@
 	return &failure{Verdict: e.Verdict, Code: e.Code, Message: e.Message, RetryAfter: e.RetryAfter}
 }
 
+// asError reads a peer's failure. A verdict that there is not promises nothing.
 func (f *failure) asError() *verdict.Error {
-	e := verdict.New(f.Verdict, f.Code, "%s", f.Message)
+	v := f.Verdict
+	if v < verdict.NotRun || v > verdict.Ran {
+		v = verdict.MayHaveRun
+	}
+	e := verdict.New(v, f.Code, "%s", f.Message)
 	return e.WithRetryAfter(f.RetryAfter)
 }
 
