--- a/cmd/internal/experiment/capacity.go
+++ b/cmd/internal/experiment/capacity.go
@@ -53,17 +53,20 @@
 	}{
 		{"core", capacityCore},
 		{"sizes", capacitySizes},
-		{"idle", capacityIdle},
 		{"changes", capacityChanges},
 		{"requests", capacityRequests},
 		{"in-flight", capacityInFlight},
 		{"claims", capacityClaims},
+		{"idle", capacityIdle},
 	} {
 		if err := ctx.Err(); err != nil {
 			return nil, err
 		}
 		env.logf("capacity part=%s", part.name)
 		if err := part.run(ctx, env, report, &out); err != nil {
+			for _, text := range report.Lines {
+				env.logf("measured %s", text)
+			}
 			return nil, fmt.Errorf("capacity %s: %w", part.name, err)
 		}
 	}
--- a/cmd/internal/experiment/capacity_load.go
+++ b/cmd/internal/experiment/capacity_load.go
@@ -58,13 +58,15 @@
 
 func changeOnce(ctx context.Context, env Env, run idleRun) (ChangeFigures, error) {
 	out := ChangeFigures{Endpoints: run.endpoints, Teams: run.teams, Models: run.models, Daemons: run.daemons}
-	f, err := fleet.Start(ctx, fleet.Config{Sites: []standin.PlatformConfig{run.site()}, Daemons: run.daemons, Change: run.grow})
+	f, err := fleet.Start(ctx, fleet.Config{Sites: []standin.PlatformConfig{run.site()}, Daemons: run.daemons})
 	if err != nil {
 		return out, err
 	}
 	defer f.Close()
-	site := &ownFleet{fleet: f}
-	c := &changing{env: env, site: site}
+	c := &changing{env: env, site: &ownFleet{fleet: f}}
+	if err := c.grow(ctx, run); err != nil {
+		return out, err
+	}
 	if err := sleep(ctx, idleSettle); err != nil {
 		return out, err
 	}
@@ -86,6 +88,18 @@
 	return out, err
 }
 
+// grow adds a run's teams and models by a change of their own: with the
+// endpoints they would be more than one change may hold.
+func (c *changing) grow(ctx context.Context, run idleRun) error {
+	more := &live.Document{}
+	run.grow(more)
+	if len(more.Teams)+len(more.Pools) == 0 {
+		return nil
+	}
+	req := opapi.ChangeRequest{ID: "grow", Author: "capacity", Ops: wholeChange(more).Ops}
+	return c.propose(ctx, 0, req, 0)
+}
+
 // RequestFigures are the cost of a completion between daemons.
 type RequestFigures struct {
 	Completions    int     `json:"completions"`
