Let a pool's owner follow a resumed answer

Cause: a caller that came back through another daemon names the decode endpoint only; the owner refused to adopt the grant without the prefill's, so its slot counted as free. Change: an answer that is being written is adopted without its prefill. Figures: TestResumedAnswerHoldsItsSlot held 0 slots before, 1 after. Conclusion: the slot stays reserved until the answer is done.

--- a/core/sched/adopt.go
+++ b/core/sched/adopt.go
@@ -26,13 +26,18 @@
 }
 
 // adopted rebuilds the reservation of a former owner's grant; nil if its
-// service, team or endpoints aren't known here.
+// service, team or endpoints aren't known here. An answer that is being written
+// needs its decode endpoint only: a caller that came back through another
+// daemon brings no more.
 func (l *Ledger) adopted(a *Adopt) *reservation {
 	s := l.services[a.Want.Service]
 	t := l.teams[a.Want.Team]
 	decode := l.endpoints[a.Grant.Decode]
 	prefill := l.endpoints[a.Grant.Prefill]
-	if s == nil || t == nil || decode == nil || (prefill == nil && !s.plain) {
+	if s == nil || t == nil || decode == nil {
+		return nil
+	}
+	if prefill == nil && !s.plain && a.Phase < PhaseDecoding {
 		return nil
 	}
 	l.serial++
