--- a/cmd/internal/cli/operator/client.go
+++ b/cmd/internal/cli/operator/client.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -21,6 +22,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/samphirequay/samphirequay/cmd/internal/cli/exit"
+	"github.com/samphirequay/samphirequay/core/verdict"
 	"github.com/samphirequay/samphirequay/daemon/opapi"
 )
 
@@ -106,15 +108,17 @@
 	pause.InitialInterval = firstPause
 	pause.MaxInterval = maxPause
 	var last error
+	doubt := false
 	for round := range rounds {
 		if round > 0 && !wait(ctx, pause.NextBackOff()) {
 			break
 		}
 		for _, address := range c.config.Addresses {
-			err := c.once(ctx, address, method, path, body, answer)
+			mayHaveRun, err := c.once(ctx, address, method, path, body, answer, doubt)
 			if exit.Code(err) != exit.Unavailable {
 				return err
 			}
+			doubt = doubt || mayHaveRun
 			last = err
 		}
 	}
@@ -124,35 +128,40 @@
 	return last
 }
 
-// once asks one daemon.
-func (c *Client) once(ctx context.Context, address, method, path string, body []byte, answer any) error {
+// once asks one daemon. doubt says that an earlier send of the same body may
+// have run; so does the result of this one.
+func (c *Client) once(ctx context.Context, address, method, path string, body []byte, answer any, doubt bool) (mayHaveRun bool, err error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+address+path, bytes.NewReader(body))
 	if err != nil {
-		return exit.Errorf(exit.Usage, "address %q: %w", address, err)
+		return false, exit.Errorf(exit.Usage, "address %q: %w", address, err)
 	}
 	req.Header.Set("Content-Type", "application/json")
+	if doubt {
+		req.Header.Set(opapi.HeaderResent, "true")
+	}
 	if c.config.Key != "" {
 		req.Header.Set("Authorization", "Bearer "+c.config.Key)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return exit.Errorf(exit.Unavailable, "daemon %s: %w", address, unwrapURL(err))
+		return !isDialError(err), exit.Errorf(exit.Unavailable, "daemon %s: %w", address, unwrapURL(err))
 	}
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
-		return exit.Errorf(exit.Unavailable, "daemon %s: answer cut: %w", address, err)
+		return true, exit.Errorf(exit.Unavailable, "daemon %s: answer cut: %w", address, err)
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
-		return refusal(address, resp.StatusCode, raw)
+		notRun := resp.Header.Get(opapi.HeaderVerdict) == verdict.NotRun.String()
+		return !notRun, refusal(address, resp.StatusCode, raw)
 	}
 	if answer == nil || len(raw) == 0 {
-		return nil
+		return false, nil
 	}
 	if err := json.Unmarshal(raw, answer); err != nil {
-		return exit.Errorf(exit.Failed, "daemon %s: answer not understood: %w", address, err)
+		return true, exit.Errorf(exit.Failed, "daemon %s: answer not understood: %w", address, err)
 	}
-	return nil
+	return false, nil
 }
 
 // refusal turns an error answer into an error with an exit code.
@@ -175,6 +184,12 @@
 	return exit.Errorf(code, "daemon %s: %s", address, message)
 }
 
+// isDialError says that no connection was made, so that nothing was sent.
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // unwrapURL takes off the method and the URL that net/http adds.
 func unwrapURL(err error) error {
 	var wrapped *url.Error
--- a/cmd/internal/experiment/faults_whole.go
+++ b/cmd/internal/experiment/faults_whole.go
@@ -74,6 +74,14 @@
 	return eris.Wrap(last, "no address gave an entry answer")
 }
 
+// spread draws a time between the advised one and half of it more, so that
+// callers don't come back together.
+func (c *wholeCaller) spread(advised time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return advised + time.Duration(c.rng.Int64N(int64(advised/2)+1))
+}
+
 // expire makes the next pick ask for a new entry answer.
 func (c *wholeCaller) expire() {
 	c.mu.Lock()
@@ -115,7 +123,7 @@
 		if err != nil {
 			c.expire()
 		} else {
-			wait = time.Duration(reply.failed.RetryAfterMS) * time.Millisecond
+			wait = c.spread(time.Duration(reply.failed.RetryAfterMS) * time.Millisecond)
 		}
 		if !sleepFor(ctx, wait) {
 			return reply, ctx.Err()
--- a/core/sched/admission.go
+++ b/core/sched/admission.go
@@ -29,6 +29,9 @@
 	}
 	estimate := l.pool.cost(s, &w, l.bestCached(&w))
 	first := l.pool.firstToken(s, estimate)
+	if first > s.patience {
+		return nil, hopeless(&w, s, first)
+	}
 	wait := l.predictWait(s, t, clampPriority(w.Priority), first)
 	late := w.Age + wait + first - s.patience
 	if late > 0 {
@@ -50,6 +53,17 @@
 	}, nil
 }
 
+// hopeless refuses a prompt that can't be read within the service's patience
+// even by an idle pool. Coming back does not help, so there is no such advice.
+func hopeless(w *Want, s *service, first time.Duration) *Refusal {
+	return &Refusal{
+		Request: w.Request,
+		Code:    verdict.CodeTooLarge,
+		Reason: fmt.Sprintf("the prompt of about %d tokens needs %v to its first token, the service's patience_ms is %d",
+			w.PromptTokens, first.Round(time.Millisecond), s.patience.Milliseconds()),
+	}
+}
+
 // overLimit refuses what exceeds a bound of the team or of the queue.
 func (l *Ledger) overLimit(w *Want, t *team) *Refusal {
 	refusal := Refusal{Request: w.Request}
--- a/daemon/app/glue.go
+++ b/daemon/app/glue.go
@@ -161,6 +161,12 @@
 // Decision implements completion.Recorder.
 func (r recorder) Decision(kind, subject, event string, keyvals ...any) {
 	r.d.decisions.Decide(logline.Subject(kind), subject, event, keyvals...)
+	for i := 0; i+1 < len(keyvals); i += 2 {
+		endpoint, ok := keyvals[i+1].(id.Endpoint)
+		if ok && endpoint != "" {
+			r.d.decisions.Note(logline.SubjectEndpoint, string(endpoint), event, append([]any{"request", subject}, keyvals...)...)
+		}
+	}
 }
 
 // trackingPairer marks granted attempts as this daemon's own work, so that the
--- a/daemon/app/status.go
+++ b/daemon/app/status.go
@@ -20,8 +20,8 @@
 type operatorBacking struct{ d *Daemon }
 
 // Propose implements operator.Backing.
-func (b operatorBacking) Propose(ctx context.Context, c revision.Change) revision.Outcome {
-	outcome := b.d.configs.Propose(ctx, c)
+func (b operatorBacking) Propose(ctx context.Context, c revision.Change, resent bool) revision.Outcome {
+	outcome := b.d.configs.Propose(ctx, c, resent)
 	b.d.decisions.Decide(logline.SubjectChange, c.ID, "change_proposed",
 		"author", c.Author, "result", outcome.Result, "revision", outcome.Revision)
 	return outcome
--- a/daemon/completion/fail_test.go
+++ b/daemon/completion/fail_test.go
@@ -20,6 +20,11 @@
 type fakes struct {
 	refuse   *verdict.Error
 	wants    []sched.Want
+	now      time.Duration
+	// step is how long each token takes.
+	step time.Duration
+	// again is how often a failed attempt is repeated.
+	again int
 	tokens   int
 	finish   bool
 	progress []sched.Progress
@@ -59,7 +64,9 @@
 }
 func (f *fakes) ReleaseKV(*live.Endpoint, id.Request, string) {}
 
-func (f *fakes) Decide(*live.Team, *verdict.Error, int, time.Duration) Retry { return Retry{} }
+func (f *fakes) Decide(_ *live.Team, _ *verdict.Error, n int, _ time.Duration) Retry {
+	return Retry{Again: n <= f.again}
+}
 func (f *fakes) Success(*live.Team)                                          {}
 func (f *fakes) Decision(string, string, string, ...any)                     {}
 func (f *fakes) Endpoint(name id.Endpoint) (*live.Endpoint, bool) {
@@ -78,6 +85,7 @@
 func (s *fakeStream) Next() (wire.TokenEvent, error) {
 	s.at++
 	s.sent++
+	s.now += s.step
 	if s.sent <= s.tokens {
 		return wire.TokenEvent{Request: s.request, Seq: s.at, Text: "t "}, nil
 	}
@@ -93,7 +101,7 @@
 func (f *fakes) run(resume *ResumePoint) *verdict.Error {
 	r := New(Deps{
 		Pairer: f, Engines: fakeEngines{f}, Cancels: f, Retries: f, Recorder: f, Catalog: f,
-		Now: func() time.Duration { return 0 }, NewID: func() id.Request { return "attempt" },
+		Now: func() time.Duration { return f.now }, NewID: func() id.Request { return "attempt" },
 	})
 	job := &Job{ID: "job", Team: &live.Team{}, Service: &live.Service{PatienceMS: 1000, TimeoutMS: 10000}, Prompt: "p", MaxTokens: 8, Resume: resume}
 	return r.Run(context.Background(), job, f)
@@ -134,6 +142,22 @@
 	is.Equal(rest.wants[0].Priority, live.MaxPriority)
 }
 
+// TestBrokenAnswerWaitsAnew breaks an answer off long after its first-token
+// target: the want for its rest must not carry that time as its age, or the
+// owner refuses it as too late.
+func TestBrokenAnswerWaitsAnew(t *testing.T) {
+	is := is.New(t)
+	f := &fakes{tokens: 3, step: time.Second, again: 1}
+	is.True(f.run(nil) != nil)
+	is.Equal(len(f.wants), 2)
+	is.Equal(f.wants[1].Age, time.Duration(0))
+
+	// One that was not begun keeps its age.
+	f = &fakes{tokens: 0, step: time.Second / 2, again: 1}
+	is.True(f.run(nil) != nil)
+	is.Equal(f.wants[1].Age, time.Second/2)
+}
+
 // TestOwnerIsToldOfThisAttemptsTokens resumes an answer behind five tokens: the
 // owner must not take them for the engine's work in the time since.
 func TestOwnerIsToldOfThisAttemptsTokens(t *testing.T) {
--- a/daemon/completion/runner.go
+++ b/daemon/completion/runner.go
@@ -46,13 +46,16 @@
 	avoid []id.Endpoint
 	// suspect is set once an endpoint crashed under the job.
 	suspect bool
+	// since is when the wait for the present pair began: the arrival, or where
+	// an answer that was begun broke off.
+	since time.Duration
 	sink    Sink
 }
 
 // Run serves the job to its end. A nil error means that the whole answer was
 // delivered. The verdict of an error covers all attempts.
 func (r *Runner) Run(ctx context.Context, job *Job, sink Sink) *verdict.Error {
-	p := &progress{job: job, worst: verdict.NotRun, sink: sink}
+	p := &progress{job: job, worst: verdict.NotRun, sink: sink, since: job.Arrived}
 	p.seq = newSequencer(job)
 	if job.Resume != nil {
 		err := r.rejoin(ctx, p)
@@ -62,6 +65,7 @@
 		if !canContinue(job, p, err) {
 			return r.fail(ctx, p, err)
 		}
+		r.restart(p)
 	}
 	return r.attempts(ctx, p)
 }
@@ -103,6 +107,7 @@
 		if ctx.Err() != nil {
 			return r.fail(ctx, p, err)
 		}
+		r.restart(p)
 		retry := r.Retries.Decide(p.job.Team, err, n, r.patience(p))
 		r.Recorder.Decision("request", string(p.job.ID), "retry",
 			"again", retry.Again, "attempt", n, "delay", retry.Delay, "why", retry.Reason, "code", err.Code, "err", err.Error())
@@ -115,6 +120,15 @@
 	}
 }
 
+// restart begins the wait for another pair anew where output was delivered: the
+// time that an answer has taken so far is no wait for its first token, and the
+// pool's owner must not refuse its rest for that.
+func (r *Runner) restart(p *progress) {
+	if p.seq.Delivered() > 0 {
+		p.since = r.Now()
+	}
+}
+
 // fail gives the final error of a job.
 func (r *Runner) fail(ctx context.Context, p *progress, err *verdict.Error) *verdict.Error {
 	v := verdict.Worse(p.worst, err.Verdict)
@@ -179,7 +193,7 @@
 		Service:      job.Service.Name,
 		Pool:         job.Service.Pool,
 		From:         r.Self,
-		Age:          r.Now() - job.Arrived,
+		Age:          r.Now() - p.since,
 		PromptTokens: prefixhash.EstimateTokens(prompt),
 		OutputTokens: job.MaxTokens - p.seq.Delivered(),
 		Prefix:       prefixhash.Blocks(string(job.Team.Name), prompt),
--- a/daemon/configs/configs.go
+++ b/daemon/configs/configs.go
@@ -169,13 +169,17 @@
 	c.cfg.Installed(index, in.From)
 }
 
-// Propose carries one change through and waits for its outcome.
-func (c *Configs) Propose(ctx context.Context, change revision.Change) revision.Outcome {
+// Propose carries one change through and waits for its outcome. resent says
+// that the same change may have been proposed before.
+func (c *Configs) Propose(ctx context.Context, change revision.Change, resent bool) revision.Outcome {
 	p := &proposal{
 		configs: c,
 		core:    revision.NewProposer(revision.DefaultProposerConfig(), change, c.Index().Document(), c.newRand()),
 		replies: make(chan table.Reply, 4),
 	}
+	if resent {
+		p.core.Resent()
+	}
 	outcome := p.run(ctx)
 	if outcome.Record != nil {
 		c.Learn(*outcome.Record)
--- a/daemon/endpoints/endpoints.go
+++ b/daemon/endpoints/endpoints.go
@@ -19,6 +19,9 @@
 const (
 	// firstTimeout bounds the wait for a stream's head: import included.
 	firstTimeout = 4 * time.Second
+	// resumeTimeout bounds the wait for the head of a stream that goes on: there
+	// is nothing to import, and a caller waits in the midst of its answer.
+	resumeTimeout = time.Second
 	// idleTimeout bounds the wait for a token: a stream that stalls for so long
 	// is taken for broken and continued elsewhere.
 	idleTimeout = 2 * time.Second
@@ -130,7 +133,7 @@
 		Owner:       string(owner.Daemon),
 		Incarnation: uint64(owner.Incarnation),
 	}
-	st, err := s.Engine(e.Address).Resume(ctx, r, timeouts())
+	st, err := s.Engine(e.Address).Resume(ctx, r, client.Timeouts{First: resumeTimeout, Idle: idleTimeout})
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/front/run.go
+++ b/daemon/front/run.go
@@ -124,6 +124,15 @@
 	})
 }
 
+// usage counts tokens up to event e; a terminal event without text is no token.
+func usage(e completion.Event) *opapi.Usage {
+	tokens := e.Seq
+	if e.Text == "" {
+		tokens--
+	}
+	return &opapi.Usage{PromptTokens: e.PromptTokens, CompletionTokens: tokens, TotalTokens: e.PromptTokens + tokens}
+}
+
 // completion is one OpenAI-style body.
 func (r *run) completion(text string, e completion.Event, withUsage bool) opapi.Completion {
 	choice := opapi.Choice{Text: text}
@@ -138,7 +147,7 @@
 		Choices: []opapi.Choice{choice},
 	}
 	if withUsage {
-		c.Usage = &opapi.Usage{PromptTokens: e.PromptTokens, CompletionTokens: e.Seq, TotalTokens: e.PromptTokens + e.Seq}
+		c.Usage = usage(e)
 	}
 	return c
 }
--- a/daemon/logline/decision.go
+++ b/daemon/logline/decision.go
@@ -33,6 +33,12 @@
 	})
 }
 
+// Note records a decision for explain without a line of its own: it repeats
+// under another id what a line says.
+func (d *Decisions) Note(subject Subject, id, event string, kv ...any) {
+	d.journal.Add(Decision{At: d.logger.now(), Subject: subject, ID: id, Event: event, Text: text(kv)})
+}
+
 // Find returns the recorded decisions about one id, oldest first.
 func (d *Decisions) Find(subject Subject, id string) []Decision {
 	return d.journal.Find(subject, id)
--- a/daemon/opapi/opapi.go
+++ b/daemon/opapi/opapi.go
@@ -38,6 +38,9 @@
 	HeaderVerdict = "Samphirequay-Verdict"
 	// HeaderRequest carries the id that explain takes.
 	HeaderRequest = "Samphirequay-Request"
+	// HeaderResent set to "true" says that the operator's request was sent
+	// before, under the same change id, and may have been carried out.
+	HeaderResent = "Samphirequay-Resent"
 	// HeaderLastEventID resumes a stream behind the event it names.
 	HeaderLastEventID = "Last-Event-ID"
 	// HeaderIdempotencyKey names a call that must not run twice.
--- a/daemon/operator/fuzz_test.go
+++ b/daemon/operator/fuzz_test.go
@@ -22,7 +22,7 @@
 	stops   int
 }
 
-func (b *fuzzBacking) Propose(_ context.Context, c revision.Change) revision.Outcome {
+func (b *fuzzBacking) Propose(_ context.Context, c revision.Change, _ bool) revision.Outcome {
 	next, faults := revision.Apply(b.doc, c)
 	if len(faults) > 0 {
 		return revision.Outcome{Result: revision.Rejected, Faults: faults}
--- a/daemon/operator/operator.go
+++ b/daemon/operator/operator.go
@@ -31,7 +31,9 @@
 
 // Backing answers the operators' requests.
 type Backing interface {
-	Propose(ctx context.Context, c revision.Change) revision.Outcome
+	// Propose carries a change through; resent says that it may have been
+	// proposed before.
+	Propose(ctx context.Context, c revision.Change, resent bool) revision.Outcome
 	DocumentAt(rev uint64) (*live.Document, bool)
 	Document() *live.Document
 	History(after uint64, limit int) []revision.Record
@@ -118,7 +120,7 @@
 		Expect: req.Expect,
 		At:     time.Now(),
 		Ops:    req.Ops,
-	})
+	}, string(ctx.Request.Header.Peek(opapi.HeaderResent)) == "true")
 	if outcome.Result == revision.Accepted {
 		answer(ctx, opapi.ChangeAnswer{ID: req.ID, Revision: outcome.Revision})
 		return
