--- a/daemon/completion/fail_test.go
+++ b/daemon/completion/fail_test.go
@@ -18,13 +18,13 @@
 // fakes stand for all that a Runner works with: the engine writes the tokens
 // that it is told to and then breaks or ends.
 type fakes struct {
-	refuse   *verdict.Error
-	wants    []sched.Want
-	now      time.Duration
+	refuse *verdict.Error
+	wants  []sched.Want
+	now    time.Duration
 	// step is how long each token takes.
 	step time.Duration
 	// again is how often a failed attempt is repeated.
-	again int
+	again    int
 	tokens   int
 	finish   bool
 	progress []sched.Progress
@@ -67,8 +67,8 @@
 func (f *fakes) Decide(_ *live.Team, _ *verdict.Error, n int, _ time.Duration) Retry {
 	return Retry{Again: n <= f.again}
 }
-func (f *fakes) Success(*live.Team)                                          {}
-func (f *fakes) Decision(string, string, string, ...any)                     {}
+func (f *fakes) Success(*live.Team)                      {}
+func (f *fakes) Decision(string, string, string, ...any) {}
 func (f *fakes) Endpoint(name id.Endpoint) (*live.Endpoint, bool) {
 	return &live.Endpoint{Name: name}, true
 }
--- a/daemon/completion/runner.go
+++ b/daemon/completion/runner.go
@@ -49,7 +49,7 @@
 	// since is when the wait for the present pair began: the arrival, or where
 	// an answer that was begun broke off.
 	since time.Duration
-	sink    Sink
+	sink  Sink
 }
 
 // Run serves the job to its end. A nil error means that the whole answer was
@@ -175,10 +175,10 @@
 	}
 	grant, verr := r.Pairer.Pair(ctx, w, patience)
 	if verr != nil {
-		r.Recorder.Decision("request", string(p.job.ID), "refused", "attempt", w.Request, "code", verr.Code, "why", verr.Message)
+		r.Recorder.Decision("request", string(p.job.ID), "refused", "team", w.Team, "attempt", w.Request, "code", verr.Code, "why", verr.Message)
 		return verr
 	}
-	r.Recorder.Decision("request", string(p.job.ID), "paired",
+	r.Recorder.Decision("request", string(p.job.ID), "paired", "team", w.Team,
 		"attempt", w.Request, "prefill", grant.Prefill, "decode", grant.Decode, "start_in", grant.StartIn, "why", grant.Reason)
 	a := &attempt{Runner: r, p: p, want: w, grant: grant}
 	return a.run(ctx)
--- a/daemon/plaincall/runner.go
+++ b/daemon/plaincall/runner.go
@@ -99,10 +99,10 @@
 	}
 	grant, err := r.Pairer.Pair(ctx, w, patience)
 	if err != nil {
-		r.Recorder.Decision("request", string(s.call.ID), "refused", "attempt", w.Request, "code", err.Code, "why", err.Message)
+		r.Recorder.Decision("request", string(s.call.ID), "refused", "team", w.Team, "attempt", w.Request, "code", err.Code, "why", err.Message)
 		return nil, err
 	}
-	r.Recorder.Decision("request", string(s.call.ID), "paired",
+	r.Recorder.Decision("request", string(s.call.ID), "paired", "team", w.Team,
 		"attempt", w.Request, "endpoint", grant.Decode, "why", grant.Reason)
 	endpoint, ok := r.Catalog.Endpoint(grant.Decode)
 	if !ok {
