--- a/core/sched/adopt_test.go
+++ b/core/sched/adopt_test.go
@@ -6,6 +6,7 @@
 	"github.com/matryer/is"
 
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
 // TestResumedAnswerHoldsItsSlot: a caller came back through another daemon,
@@ -28,6 +29,9 @@
 	l.ProcessGone(8*ms, testWant(1, teamName(0)).From)
 	is.Equal(l.Snapshot().Held, 1)
 	l.Audit()
+	late := onlyRefusal(t, l.Want(8*ms, testWant(1, teamName(0)))) // the former daemon's, doubled
+	is.Equal(late.Code, verdict.CodeSuperseded)
+	is.Equal(l.Snapshot().Held, 1)
 	l.Progress(9*ms, Progress{Request: g.Request, Phase: PhaseDone, OutputTokens: 20})
 	is.Equal(l.Snapshot().Held, 0)
 	l.Audit()
--- a/core/sched/want.go
+++ b/core/sched/want.go
@@ -35,6 +35,9 @@
 // repeated answers a Want that has come before.
 func (l *Ledger) repeated(w *Want) ([]Action, bool) {
 	if r := l.granted[w.Request]; r != nil {
+		if r.want.From != w.From {
+			return []Action{{To: w.From, Refusal: superseded(w, "the caller came back through another daemon")}}, true
+		}
 		grant := r.grant
 		return []Action{{To: w.From, Grant: &grant}}, true
 	}
@@ -51,15 +54,16 @@
 	}
 	refusal := known.refusal
 	if refusal == nil {
-		refusal = &Refusal{
-			Request: w.Request,
-			Code:    verdict.CodeSuperseded,
-			Reason:  "the request has ended",
-		}
+		refusal = superseded(w, "the request has ended")
 	}
 	return []Action{{To: w.From, Refusal: refusal}}, true
 }
 
+// superseded refuses a Want that came too late.
+func superseded(w *Want, why string) *Refusal {
+	return &Refusal{Request: w.Request, Code: verdict.CodeSuperseded, Reason: why}
+}
+
 // refuse remembers and sends a refusal.
 func (l *Ledger) refuse(to id.Process, refusal *Refusal) []Action {
 	if l.granted[refusal.Request] != nil {
