--- a/core/verdict/verdict.go
+++ b/core/verdict/verdict.go
@@ -56,6 +56,7 @@
 	CodeDeadline         Code = "deadline"
 	CodeQuarantined      Code = "quarantined"
 	CodeEndpointFailed   Code = "endpoint_failed"
+	CodeKVGone           Code = "kv_gone"
 	CodeClaimUnavailable Code = "claim_unavailable"
 	CodeClaimed          Code = "already_claimed"
 	CodeCallerGone       Code = "caller_gone"
--- a/daemon/front/completions.go
+++ b/daemon/front/completions.go
@@ -14,6 +14,7 @@
 	"github.com/samphirequay/samphirequay/core/resume"
 	"github.com/samphirequay/samphirequay/core/verdict"
 	"github.com/samphirequay/samphirequay/daemon/completion"
+	"github.com/samphirequay/samphirequay/daemon/httpjson"
 	"github.com/samphirequay/samphirequay/daemon/opapi"
 )
 
@@ -145,5 +146,5 @@
 		last = item.event
 	}
 	run.answered()
-	writeJSON(ctx, fasthttp.StatusOK, run.completion(text.String(), last, true))
+	httpjson.Write(ctx, fasthttp.StatusOK, run.completion(text.String(), last, true))
 }
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -18,6 +18,7 @@
 	"github.com/samphirequay/samphirequay/core/verdict"
 	"github.com/samphirequay/samphirequay/daemon/completion"
 	"github.com/samphirequay/samphirequay/daemon/hangup"
+	"github.com/samphirequay/samphirequay/daemon/httpjson"
 	"github.com/samphirequay/samphirequay/daemon/metrics"
 	"github.com/samphirequay/samphirequay/daemon/opapi"
 	"github.com/samphirequay/samphirequay/daemon/plaincall"
@@ -168,7 +169,7 @@
 		s.reject(ctx, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "%s takes GET", opapi.PathEntry))
 		return
 	}
-	writeJSON(ctx, fasthttp.StatusOK, s.Entry())
+	httpjson.Write(ctx, fasthttp.StatusOK, s.Entry())
 }
 
 func (s *Server) models(ctx *fasthttp.RequestCtx) {
@@ -183,7 +184,7 @@
 			list.Data = append(list.Data, opapi.Model{ID: string(svc.Name), Object: "model"})
 		}
 	}
-	writeJSON(ctx, fasthttp.StatusOK, list)
+	httpjson.Write(ctx, fasthttp.StatusOK, list)
 }
 
 // maxEcho bounds what an error repeats of a caller's own words, in bytes.
--- a/daemon/front/sse.go
+++ b/daemon/front/sse.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/httpjson"
 )
 
 const (
@@ -73,7 +74,7 @@
 }
 
 func (r *run) writeError(w *bufio.Writer, verr *verdict.Error) error {
-	data, err := json.Marshal(errorBody(verr, r.job.ID))
+	data, err := json.Marshal(httpjson.ErrorBody(verr, r.job.ID))
 	if err != nil {
 		return err
 	}
--- a/daemon/members/members.go
+++ b/daemon/members/members.go
@@ -137,10 +137,15 @@
 }
 
 func (m *Members) tick(now time.Duration) time.Duration {
+	due := now >= m.core.Next()
 	m.core.SetLocal(m.cfg.Local())
 	m.perform(m.core.Tick(now))
-	m.publish()
-	m.tellLive()
+	if due {
+		// Not at each look of the duty: copying the view of a large fleet costs
+		// more than all its messages. Changes are published as they come.
+		m.publish()
+		m.tellLive()
+	}
 	return m.core.Next()
 }
 
--- a/daemon/operator/operator.go
+++ b/daemon/operator/operator.go
@@ -15,13 +15,13 @@
 	"github.com/samphirequay/samphirequay/core/live"
 	"github.com/samphirequay/samphirequay/core/revision"
 	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/httpjson"
 	"github.com/samphirequay/samphirequay/daemon/keys"
 	"github.com/samphirequay/samphirequay/daemon/opapi"
 )
 
 const (
 	bearer         = "Bearer "
-	contentJSON    = "application/json"
 	maxChangeBytes = 4 << 20
 	maxHistory     = 500
 	changeTimeout  = 8 * time.Second
@@ -214,29 +214,8 @@
 	answer(ctx, s.backing.Explain(kind, name))
 }
 
-func answer(ctx *fasthttp.RequestCtx, body any) { writeJSON(ctx, fasthttp.StatusOK, body) }
+func answer(ctx *fasthttp.RequestCtx, body any) { httpjson.Write(ctx, fasthttp.StatusOK, body) }
 
 func fail(ctx *fasthttp.RequestCtx, status int, err *verdict.Error) {
-	ctx.Response.Header.Set(opapi.HeaderVerdict, err.Verdict.String())
-	if err.RetryAfter > 0 {
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(int(err.RetryAfter.Seconds())))
-	}
-	writeJSON(ctx, status, opapi.ErrorBody{Error: opapi.ErrorDetail{
-		Message:      err.Message,
-		Type:         string(err.Code),
-		Code:         err.Code,
-		Verdict:      err.Verdict.String(),
-		RetryAfterMS: err.RetryAfter.Milliseconds(),
-	}})
-}
-
-func writeJSON(ctx *fasthttp.RequestCtx, status int, body any) {
-	data, err := json.Marshal(body)
-	if err != nil {
-		ctx.Error("the answer could not be encoded", fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetStatusCode(status)
-	ctx.SetContentType(contentJSON)
-	ctx.SetBody(append(data, '\n'))
+	httpjson.WriteError(ctx, status, err, "")
 }
