Serve teams that hold more than their share last

Cause: virtual time forgets what a team took while nobody else asked: beside a flood all teams stood at the same place in it (0.704 to 0.726) while the flood held 19 of 38 grants, so the others' bursts waited behind it. Change: a team that holds 1.25 times the mean for its weight goes behind all others; a refusal says what held the request up. Ruled out: starvation by requests that can't meet their deadline (waits of 16 to 60 ms only), late predictions of the first engine.

--- a/core/sched/admission.go
+++ b/core/sched/admission.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -193,6 +194,7 @@
 		Request:    w.want.Request,
 		Code:       verdict.CodeOverloaded,
 		RetryAfter: l.drainTime(w.team),
-		Reason:     fmt.Sprintf("waited %v of %v", l.now-w.arrived, w.service.patience),
+		Reason: fmt.Sprintf("waited %v of %v, held up by %s",
+			l.now-w.arrived, w.service.patience, cmp.Or(w.blocked, "requests before it")),
 	}
 }
--- a/core/sched/heaps.go
+++ b/core/sched/heaps.go
@@ -1,12 +1,16 @@
 package sched
 
 // teamHeap orders the teams that have requests waiting by their place in
-// virtual time; it implements heap.Interface.
+// virtual time, heavy ones behind all others: virtual time alone forgets what a
+// team took while nobody else asked. It implements heap.Interface.
 type teamHeap []*team
 
 func (h teamHeap) Len() int { return len(h) }
 
 func (h teamHeap) Less(i, j int) bool {
+	if h[i].heavy != h[j].heavy {
+		return h[j].heavy
+	}
 	if h[i].position != h[j].position {
 		return h[i].position < h[j].position
 	}
--- a/core/sched/ledger.go
+++ b/core/sched/ledger.go
@@ -49,7 +49,8 @@
 	pool     poolEstimate
 	blocked  bool
 	// full are the endpoints that refused for lack of room lately.
-	full []*endpoint
+	full    []*endpoint
+	weighed weighed
 	// borrowers are the reservations that rely on a predicted release.
 	borrowers []*reservation
 	// promoted reservations have got their slots and aren't told yet.
@@ -65,6 +66,12 @@
 	expired *reservation
 }
 
+// weighed is a sum of weights with its time.
+type weighed struct {
+	sum float64
+	at  time.Duration
+}
+
 // NewLedger returns the scheduler of a pool's owner.
 func NewLedger(o Options) Scheduler {
 	o = o.withDefaults()
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -30,6 +30,7 @@
 func (l *Ledger) pump(actions []Action) []Action {
 	l.blocked = false
 	for l.queue.queued > 0 {
+		l.queue.weigh(len(l.granted), l.activeWeights())
 		granted := l.grantNext()
 		if granted == nil {
 			l.blocked = true
@@ -40,6 +41,24 @@
 	return actions
 }
 
+// weighEvery is how often the weights of the teams at work are summed up.
+const weighEvery = 5 * time.Millisecond
+
+// activeWeights is the sum of the weights of the teams that have requests in
+// the pool, as of a moment ago.
+func (l *Ledger) activeWeights() float64 {
+	if l.now-l.weighed.at < weighEvery && l.weighed.sum > 0 {
+		return l.weighed.sum
+	}
+	l.weighed = weighed{at: l.now}
+	for _, t := range l.teams {
+		if t.inFlight() > 0 {
+			l.weighed.sum += t.weight
+		}
+	}
+	return l.weighed.sum
+}
+
 // grantNext grants the next request that can be. Only a request that is held
 // up by something of its own is passed by: were it passed by for lack of a
 // slot, requests that take more risk would starve it.
@@ -71,6 +90,7 @@
 			return nil, true
 		}
 		chosen, cause := l.choose(w)
+		w.blocked = cause
 		if chosen != nil {
 			return l.grant(w, chosen, cause), false
 		}
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -16,6 +16,9 @@
 	cost   cost
 	index  int
 	seq    uint64
+	// blocked names what held the request up when it was last tried; empty if
+	// it stood behind others.
+	blocked string
 	// gone is set once it left the queue.
 	gone bool
 }
@@ -82,6 +85,25 @@
 	q.settle(t)
 }
 
+// heavyFactor is how far over the mean a team's holdings must be for the team
+// to count as heavy.
+const heavyFactor = 1.25
+
+// weigh finds out which teams are heavy, given the grants in use and the
+// weights of all teams at work.
+func (q *fairQueue) weigh(granted int, weights float64) {
+	bound := heavyFactor * float64(granted) / max(weights, leastCharge)
+	changed := false
+	for _, t := range q.teams {
+		heavy := t.holding() > bound
+		changed = changed || heavy != t.heavy
+		t.heavy = heavy
+	}
+	if changed {
+		heap.Init(&q.teams)
+	}
+}
+
 // correct changes what a team was charged, once its request has ended.
 func (q *fairQueue) correct(t *team, difference float64) {
 	t.finish += difference / t.weight
--- a/core/sched/team.go
+++ b/core/sched/team.go
@@ -26,7 +26,10 @@
 	// position is the team's place in virtual time while it has requests
 	// waiting; finish is the virtual time up to which it has had its share.
 	position float64
-	finish   float64
+	// heavy is set while the team holds clearly more for its weight than the
+	// teams at work do in the mean; see fairQueue.weigh.
+	heavy  bool
+	finish float64
 }
 
 // level holds the waiting requests of one priority, in the order of the last
@@ -37,6 +40,9 @@
 	backlog cost
 }
 
+// holding is what the team has in use, in grants for each unit of weight.
+func (t *team) holding() float64 { return float64(t.granted) / t.weight }
+
 // inFlight counts the team's requests in the pool.
 func (t *team) inFlight() int { return t.queued + t.granted }
 
