End a duty's questions with the duty, and let duties sleep

Cause: a data race in 2 of 50 runs of daemon/app's stream tests: a question to a closing duty returned while its read still ran. At rest a daemon took 3 to 4% of a core: each duty looked at its clock 40 times a second. Change: a question waits for the end of its read or of the duty; a closed duty takes no work; a duty sleeps until its next time, or ticks 5 ms behind work.

--- a/daemon/duty/duty.go
+++ b/daemon/duty/duty.go
@@ -17,7 +17,10 @@
 	DefaultRing = 1024
 	// minWait and maxWait bound the time between two ticks.
 	minWait = time.Millisecond
-	maxWait = 25 * time.Millisecond
+	maxWait = time.Second
+	// afterWork is how soon behind a piece of work the duty ticks: the work may
+	// have brought the next time forward.
+	afterWork = 5 * time.Millisecond
 )
 
 // Config of a Duty.
@@ -70,7 +73,7 @@
 
 // Post gives the duty a piece of work. It waits while the ring is full and
 // returns false when the duty is closed. The duty's own work must not call it.
-func (d *Duty) Post(work func(now time.Duration)) bool { return d.in.Put(d.ctx, work) }
+func (d *Duty) Post(work func(now time.Duration)) bool { return d.PostContext(d.ctx, work) }
 
 // PostLater is Post for the duty's own work: it waits in a goroutine of its own.
 func (d *Duty) PostLater(work func(now time.Duration)) {
@@ -86,7 +89,7 @@
 }
 
 // Query runs read within the duty and waits for it. It returns false when the
-// duty is closed.
+// duty is closed; read then does not run any more.
 func (d *Duty) Query(read func(now time.Duration)) bool {
 	done := make(chan struct{})
 	work := func(now time.Duration) {
@@ -99,7 +102,13 @@
 	select {
 	case <-done:
 		return true
-	case <-d.ctx.Done():
+	case <-d.done:
+	}
+	// The duty has ended: read has run wholly or will never run.
+	select {
+	case <-done:
+		return true
+	default:
 		return false
 	}
 }
@@ -123,15 +132,22 @@
 	}
 	timer := time.NewTimer(minWait)
 	defer timer.Stop()
+	due := d.cfg.Now() + minWait
 	for {
 		select {
 		case <-d.ctx.Done():
 			return
 		case work := <-d.in.Chan():
 			work(d.cfg.Now())
+			if soon := d.cfg.Now() + afterWork; soon < due {
+				due = soon
+				timer.Reset(afterWork)
+			}
 		case <-timer.C:
 			next := d.cfg.Tick(d.cfg.Now())
-			timer.Reset(min(max(next-d.cfg.Now(), minWait), maxWait))
+			wait := min(max(next-d.cfg.Now(), minWait), maxWait)
+			due = d.cfg.Now() + wait
+			timer.Reset(wait)
 		}
 	}
 }
