Split the broker and the pool's manager by what they do

Change: asking, pools and delivery of the broker, judging and following of the manager stand in files of their own; no line changed.

--- /dev/null
+++ b/core/pool/judge.go
@@ -0,0 +1,69 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/poison"
+	"github.com/samphirequay/samphirequay/core/sched"
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+// lift frees the fingerprints that a service's label names.
+func (m *Manager) lift(now time.Duration, index *live.Index) {
+	doc := index.Document()
+	for i := range doc.Services {
+		svc := &doc.Services[i]
+		value, ok := svc.Labels[live.LabelLiftQuarantine]
+		if !ok || svc.Pool != m.opts.Pool {
+			continue
+		}
+		if value == "all" {
+			m.opts.Poison.LiftAll(m.wall(now))
+			continue
+		}
+		if f, err := poison.ParseFingerprint(value); err == nil {
+			m.opts.Poison.Lift(m.wall(now), f)
+		}
+	}
+}
+
+// judge looks the request's fingerprint up. It sets Suspect or refuses.
+func (m *Manager) judge(now time.Duration, w *sched.Want, f poison.Fingerprint) *sched.Refusal {
+	finding := m.opts.Poison.Check(m.wall(now), f)
+	switch finding.Standing {
+	case poison.Quarantined:
+		return quarantined(w.Request, finding.Until.Sub(m.wall(now)), finding.Crashes)
+	case poison.Held:
+		return held(w.Request, finding.Until.Sub(m.wall(now)))
+	case poison.Suspected, poison.Isolated:
+		w.Suspect = true
+	}
+	unconfirmed := m.unconfirmed(now, f)
+	if unconfirmed+finding.Crashes >= maxPending && unconfirmed > 0 {
+		return held(w.Request, heldRetryAfter)
+	}
+	if unconfirmed > 0 {
+		w.Suspect = true
+	}
+	return nil
+}
+
+func quarantined(r id.Request, wait time.Duration, crashes int) *sched.Refusal {
+	return &sched.Refusal{
+		Request:    r,
+		Code:       verdict.CodeQuarantined,
+		RetryAfter: wait,
+		Reason:     "the request is quarantined: endpoints crashed while they ran it",
+	}
+}
+
+func held(r id.Request, wait time.Duration) *sched.Refusal {
+	return &sched.Refusal{
+		Request:    r,
+		Code:       verdict.CodeUnavailable,
+		RetryAfter: wait,
+		Reason:     "the request is held back: endpoints that ran it are being checked",
+	}
+}
--- a/core/pool/manager.go
+++ b/core/pool/manager.go
@@ -12,7 +12,6 @@
 	"github.com/samphirequay/samphirequay/core/live"
 	"github.com/samphirequay/samphirequay/core/poison"
 	"github.com/samphirequay/samphirequay/core/sched"
-	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
 const (
@@ -132,25 +131,6 @@
 	m.reports = kept
 }
 
-// lift frees the fingerprints that a service's label names.
-func (m *Manager) lift(now time.Duration, index *live.Index) {
-	doc := index.Document()
-	for i := range doc.Services {
-		svc := &doc.Services[i]
-		value, ok := svc.Labels[live.LabelLiftQuarantine]
-		if !ok || svc.Pool != m.opts.Pool {
-			continue
-		}
-		if value == "all" {
-			m.opts.Poison.LiftAll(m.wall(now))
-			continue
-		}
-		if f, err := poison.ParseFingerprint(value); err == nil {
-			m.opts.Poison.Lift(m.wall(now), f)
-		}
-	}
-}
-
 // Want takes a request. One that is known to crash endpoints is refused, one
 // that may is run alone.
 func (m *Manager) Want(now time.Duration, w sched.Want) []sched.Action {
@@ -168,45 +148,6 @@
 	return m.follow(now, m.sched.Want(now, w))
 }
 
-// judge looks the request's fingerprint up. It sets Suspect or refuses.
-func (m *Manager) judge(now time.Duration, w *sched.Want, f poison.Fingerprint) *sched.Refusal {
-	finding := m.opts.Poison.Check(m.wall(now), f)
-	switch finding.Standing {
-	case poison.Quarantined:
-		return quarantined(w.Request, finding.Until.Sub(m.wall(now)), finding.Crashes)
-	case poison.Held:
-		return held(w.Request, finding.Until.Sub(m.wall(now)))
-	case poison.Suspected, poison.Isolated:
-		w.Suspect = true
-	}
-	unconfirmed := m.unconfirmed(now, f)
-	if unconfirmed+finding.Crashes >= maxPending && unconfirmed > 0 {
-		return held(w.Request, heldRetryAfter)
-	}
-	if unconfirmed > 0 {
-		w.Suspect = true
-	}
-	return nil
-}
-
-func quarantined(r id.Request, wait time.Duration, crashes int) *sched.Refusal {
-	return &sched.Refusal{
-		Request:    r,
-		Code:       verdict.CodeQuarantined,
-		RetryAfter: wait,
-		Reason:     "the request is quarantined: endpoints crashed while they ran it",
-	}
-}
-
-func held(r id.Request, wait time.Duration) *sched.Refusal {
-	return &sched.Refusal{
-		Request:    r,
-		Code:       verdict.CodeUnavailable,
-		RetryAfter: wait,
-		Reason:     "the request is held back: endpoints that ran it are being checked",
-	}
-}
-
 // Withdraw drops a request that waits or was granted and not yet begun.
 func (m *Manager) Withdraw(now time.Duration, r id.Request) []sched.Action {
 	m.forget(now, r, health.Withdrawn)
@@ -299,54 +240,3 @@
 		}
 	}
 }
-
-// follow notes what the scheduler decided.
-func (m *Manager) follow(now time.Duration, actions []sched.Action) []sched.Action {
-	for _, a := range actions {
-		switch {
-		case a.Grant != nil:
-			m.granted(now, a.Grant)
-		case a.Binding != nil:
-			m.bound(now, a.Binding)
-		case a.Refusal != nil:
-			m.refused++
-			m.dropIdle(a.Refusal.Request)
-		}
-	}
-	return actions
-}
-
-// dropIdle forgets a refused request, unless its work is known to go on: a Want
-// that comes again after its grant expired can be refused beside it.
-func (m *Manager) dropIdle(r id.Request) {
-	if t, ok := m.requests[r]; ok && t.phase == 0 {
-		delete(m.requests, r)
-	}
-}
-
-// bound follows a provisional grant to the endpoint that it got. Once it
-// decodes, the binding has come too late to be followed.
-func (m *Manager) bound(now time.Duration, b *sched.Binding) {
-	t, ok := m.requests[b.Request]
-	if !ok || t.decode == b.Decode || t.phase > sched.PhaseTransferring {
-		return
-	}
-	if t.phase != sched.PhaseTransferring {
-		t.decode = b.Decode
-		return
-	}
-	m.leave(now, t, health.Result{Request: b.Request, Kind: health.Withdrawn})
-	t.decode = b.Decode
-	m.enter(now, t)
-}
-
-func (m *Manager) granted(now time.Duration, g *sched.Grant) {
-	t, ok := m.requests[g.Request]
-	if !ok || t.phase != 0 {
-		return
-	}
-	t.prefill = g.Prefill
-	t.decode = g.Decode
-	t.reservation = g.Reservation
-	t.since = now
-}
--- /dev/null
+++ b/daemon/broker/ask.go
@@ -0,0 +1,73 @@
+package broker
+
+import (
+	"context"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/pairing"
+	"github.com/samphirequay/samphirequay/core/sched"
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+// Pair asks for the endpoints of a request and waits for them. When ctx ends
+// first the request is withdrawn.
+func (b *Broker) Pair(ctx context.Context, w sched.Want, patience time.Duration) (sched.Grant, *verdict.Error) {
+	answers := make(chan pairing.Answer, 1)
+	ask := func(now time.Duration) {
+		b.waiting[w.Request] = answers
+		b.output(now, b.asker.Ask(now, w, patience))
+	}
+	if !b.duty.PostContext(ctx, ask) {
+		return sched.Grant{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this daemon takes no requests now")
+	}
+	select {
+	case a := <-answers:
+		if a.Err != nil {
+			return sched.Grant{}, a.Err
+		}
+		return *a.Grant, nil
+	case <-ctx.Done():
+		b.duty.Post(func(now time.Duration) {
+			delete(b.waiting, w.Request)
+			b.output(now, b.asker.Withdraw(w.Request))
+		})
+		return sched.Grant{}, verdict.New(verdict.NotRun, verdict.CodeCallerGone, "the caller is gone").WithCause(context.Cause(ctx))
+	case <-b.duty.Context().Done():
+		return sched.Grant{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this daemon is stopping")
+	}
+}
+
+// Resume registers a request whose engine stream was begun by another process.
+func (b *Broker) Resume(w sched.Want, g sched.Grant) {
+	b.duty.Post(func(now time.Duration) { b.output(now, b.asker.Resume(now, w, g)) })
+}
+
+// Progress reports how a granted request fares.
+func (b *Broker) Progress(p sched.Progress) {
+	b.duty.Post(func(now time.Duration) {
+		if p.Phase >= sched.PhaseDecoding {
+			delete(b.bindings, p.Request)
+		}
+		b.output(now, b.asker.Progress(p))
+	})
+}
+
+// Bind waits for the endpoint of a provisional grant, no longer than the grant
+// allows. Without a binding in time it is the endpoint that the grant named.
+func (b *Broker) Bind(ctx context.Context, g sched.Grant) id.Endpoint {
+	if !g.Provisional {
+		return g.Decode
+	}
+	var ch chan sched.Binding
+	b.duty.Query(func(time.Duration) { ch = b.bindings[g.Request] })
+	timer := time.NewTimer(g.BindWithin)
+	defer timer.Stop()
+	select {
+	case binding := <-ch:
+		return binding.Decode
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return g.Decode
+}
--- /dev/null
+++ b/daemon/broker/deliver.go
@@ -0,0 +1,103 @@
+package broker
+
+import (
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/pairing"
+	"github.com/samphirequay/samphirequay/core/sched"
+)
+
+// output sends what the asker wants sent and delivers its answers.
+func (b *Broker) output(now time.Duration, out pairing.Output) {
+	for _, a := range out.Answers {
+		b.answer(a)
+	}
+	for _, binding := range out.Bindings {
+		b.bound(binding)
+	}
+	for _, m := range out.Messages {
+		b.send(now, m)
+	}
+}
+
+func (b *Broker) answer(a pairing.Answer) {
+	ch, ok := b.waiting[a.Request]
+	if !ok {
+		return
+	}
+	delete(b.waiting, a.Request)
+	if a.Grant != nil && a.Grant.Provisional {
+		b.bindings[a.Request] = make(chan sched.Binding, 1)
+	}
+	ch <- a
+}
+
+// bound hands a binding to the request that waits, or will wait, for it.
+func (b *Broker) bound(binding sched.Binding) {
+	ch, ok := b.bindings[binding.Request]
+	if !ok {
+		return
+	}
+	select {
+	case ch <- binding:
+	default:
+	}
+}
+
+func (b *Broker) send(now time.Duration, m pairing.Message) {
+	b.sendTo(now, m.To, &Envelope{Want: m.Want, Withdraw: m.Withdraw, Progress: m.Progress, Adopt: m.Adopt})
+}
+
+// sendTo handles what is for this daemon at once and sends the rest.
+func (b *Broker) sendTo(now time.Duration, to id.Daemon, e *Envelope) {
+	if to == b.cfg.Self.Daemon {
+		b.handle(now, to, e)
+		return
+	}
+	if err := b.cfg.Sender.SendBroker(to, e); err != nil {
+		b.lost.Inc()
+	}
+}
+
+// actions carries out what a manager decided.
+func (b *Broker) actions(now time.Duration, p id.Pool, actions []sched.Action) {
+	for _, a := range actions {
+		e := &Envelope{Refusal: a.Refusal, Binding: a.Binding}
+		if a.Grant != nil {
+			e.Grant = &PoolGrant{Pool: p, Grant: *a.Grant}
+		}
+		b.sendTo(now, a.To.Daemon, e)
+	}
+}
+
+// handle takes an envelope from this or another daemon. One about a pool that
+// is not in the configuration here is dropped: its sender asks again.
+func (b *Broker) handle(now time.Duration, from id.Daemon, e *Envelope) {
+	if p, ok := e.pool(); ok && !b.known[p] {
+		b.unknown.Inc()
+		return
+	}
+	switch {
+	case e.Want != nil:
+		b.actions(now, e.Want.Pool, b.manager(now, e.Want.Pool).Want(now, *e.Want))
+	case e.Withdraw != nil:
+		p := e.Withdraw.Pool
+		b.actions(now, p, b.manager(now, p).Withdraw(now, e.Withdraw.Request))
+	case e.Progress != nil:
+		p := e.Progress.Pool
+		b.actions(now, p, b.manager(now, p).Progress(now, e.Progress.Progress))
+	case e.Adopt != nil:
+		p := e.Adopt.Want.Pool
+		b.actions(now, p, b.manager(now, p).Adopt(now, *e.Adopt))
+	case e.Drain != nil:
+		p := e.Drain.Pool
+		b.actions(now, p, b.manager(now, p).Drain(now, e.Drain.Endpoint, e.Drain.On))
+	case e.Grant != nil:
+		b.output(now, b.asker.Granted(e.Grant.Pool, e.Grant.Grant))
+	case e.Binding != nil:
+		b.output(now, b.asker.Bound(*e.Binding))
+	case e.Refusal != nil:
+		b.output(now, b.asker.Refused(from, *e.Refusal))
+	}
+}
