Move a waiting KV cache only where it is sooner

Change: a reservation moves where its import is predicted to end soonest; the start counts on the engine's own next release again. A first token that is late counts against the risk. Idle duties sleep: the hang-up watcher without callers, the reports without pools. One generic indexed heap.

--- a/cmd/internal/experiment/capacity_tools.go
+++ b/cmd/internal/experiment/capacity_tools.go
@@ -62,7 +62,7 @@
 	return pages * float64(os.Getpagesize())
 }
 
-// loadAverage is the machine's load over the last minute; 0 where the system
+// loadAverage is the host's load over the last minute; 0 where the system
 // does not tell.
 func loadAverage() float64 {
 	raw, err := os.ReadFile("/proc/loadavg")
--- a/cmd/internal/experiment/membership.go
+++ b/cmd/internal/experiment/membership.go
@@ -48,7 +48,7 @@
 	Members int         `json:"members"`
 	// Loaded says that every processor was kept busy beside it.
 	Loaded bool `json:"loaded"`
-	// LoadAverage is the machine's, of one minute, at the end of the run.
+	// LoadAverage is the host's, of one minute, at the end of the run.
 	LoadAverage float64 `json:"load_average"`
 	JoinSeconds float64 `json:"join_seconds"`
 	Kills       int     `json:"kills"`
@@ -69,7 +69,7 @@
 	ProcessBytes float64 `json:"process_bytes"`
 }
 
-// runMembership runs the sizes one after the other: each takes the machine's
+// runMembership runs the sizes one after the other: each takes the host's
 // processors for itself.
 func runMembership(ctx context.Context, env Env) (*Report, error) {
 	report := &Report{Experiment: "membership", Seed: env.Seed}
--- a/cmd/internal/experiment/membership_gathering.go
+++ b/cmd/internal/experiment/membership_gathering.go
@@ -16,7 +16,7 @@
 
 const (
 	// joinPause, and joinPauseEach for each member that is there, is the time
-	// between two members' starts: a fleet that starts at once on one machine
+	// between two members' starts: a fleet that starts at once on one host
 	// would measure its handshakes.
 	joinPause     = 20 * time.Millisecond
 	joinPauseEach = 3 * time.Millisecond
--- a/core/sched/endpoint.go
+++ b/core/sched/endpoint.go
@@ -36,10 +36,6 @@
 	// one that is predicted to be released.
 	held    []*reservation
 	pending []*reservation
-	// indexedReleases and indexedPending are what the pool's releases hold of
-	// this endpoint.
-	indexedReleases []releaseKey
-	indexedPending  int
 	// promoted have moved from pending to held and aren't told yet.
 	promoted []*reservation
 	// foreign counts slots in use by work that the ledger doesn't know.
--- a/core/sched/filter_slot.go
+++ b/core/sched/filter_slot.go
@@ -23,9 +23,6 @@
 	if mustBeFree(c, p) {
 		return false
 	}
-	if c.slotKnown && c.slotAt < at {
-		at, deviation = c.slotAt, c.slotDeviation
-	}
 	safe := at + c.service.estimate.risk.margin(deviation, c.options.KVLife)
 	p.delay = max(0, safe-p.prefillEnd())
 	p.wait = max(0, at-p.prefillEnd())
--- a/core/sched/fleet.go
+++ b/core/sched/fleet.go
@@ -10,15 +10,14 @@
 type fleet struct {
 	roles map[live.Role]*index
 	// slots is the sum of the slots, by role; prefill engines have none.
-	slots    map[live.Role]int
-	releases releases
+	slots map[live.Role]int
 	// prefillSeconds is the sum of the granted prefills not yet ended.
 	prefillSeconds float64
 }
 
 // newFleet returns an empty fleet.
 func newFleet() fleet {
-	f := fleet{roles: map[live.Role]*index{}, slots: map[live.Role]int{}, releases: newReleases()}
+	f := fleet{roles: map[live.Role]*index{}, slots: map[live.Role]int{}}
 	for _, r := range []live.Role{live.RolePrefill, live.RoleDecode, live.RolePlain} {
 		f.roles[r] = newIndex()
 	}
@@ -32,7 +31,6 @@
 	}
 	f.roles[e.indexedRole].remove(e)
 	f.slots[e.indexedRole] -= e.indexedSlots
-	f.releases.leave(e)
 }
 
 // putIn adds an endpoint to the index of its role.
@@ -50,9 +48,6 @@
 	e.key = keyOf(e, now, tie)
 	x.insert(e)
 	f.slots[role] += e.indexedSlots
-	if role == live.RoleDecode {
-		f.releases.enter(e)
-	}
 }
 
 // keyOf gives the endpoint's place in the index of its role.
--- a/core/sched/grant.go
+++ b/core/sched/grant.go
@@ -49,6 +49,7 @@
 		decode:       p.decode,
 		link:         p.link,
 		grantedAt:    l.now,
+		deadline:     w.arrived + w.service.patience,
 		start:        p.prefill.start + p.delay,
 		prefillTime:  p.prefill.took,
 		prefillEnd:   p.prefillEnd(),
--- a/core/sched/heaps.go
+++ b/core/sched/heaps.go
@@ -1,77 +1,78 @@
 package sched
 
-// teamHeap orders the teams that have requests waiting by their place in
-// virtual time, heavy ones behind all others: virtual time alone forgets what a
-// team took while nobody else asked. It implements heap.Interface.
-type teamHeap []*team
+// heapItem is what an indexedHeap orders.
+type heapItem[T any] interface {
+	comparable
+	// before says whether the item comes before another.
+	before(other T) bool
+	// place is where the item keeps its position; -1 when it is in no heap.
+	place() *int
+}
 
-func (h teamHeap) Len() int { return len(h) }
+// indexedHeap is a heap whose items know their positions, so that one can be
+// moved or removed in the middle. It implements heap.Interface.
+type indexedHeap[T heapItem[T]] []T
 
-func (h teamHeap) Less(i, j int) bool {
-	if h[i].heavy != h[j].heavy {
-		return h[j].heavy
-	}
-	if h[i].position != h[j].position {
-		return h[i].position < h[j].position
-	}
-	return h[i].name < h[j].name
-}
+func (h indexedHeap[T]) Len() int { return len(h) }
 
-func (h teamHeap) Swap(i, j int) {
+func (h indexedHeap[T]) Less(i, j int) bool { return h[i].before(h[j]) }
+
+func (h indexedHeap[T]) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
-	h[i].index = i
-	h[j].index = j
+	*h[i].place() = i
+	*h[j].place() = j
 }
 
 // Push implements heap.Interface.
-func (h *teamHeap) Push(x any) {
-	t := x.(*team)
-	t.index = len(*h)
-	*h = append(*h, t)
+func (h *indexedHeap[T]) Push(x any) {
+	item := x.(T)
+	*item.place() = len(*h)
+	*h = append(*h, item)
 }
 
 // Pop implements heap.Interface.
-func (h *teamHeap) Pop() any {
+func (h *indexedHeap[T]) Pop() any {
 	old := *h
-	t := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	t.index = -1
-	return t
+	last := len(old) - 1
+	item := old[last]
+	var none T
+	old[last] = none
+	*h = old[:last]
+	*item.place() = -1
+	return item
 }
 
-// latestHeap orders waiting requests by the last moment of a useful grant; it
-// implements heap.Interface.
-type latestHeap []*waiting
+// before orders the teams that have requests waiting by their place in virtual
+// time, heavy ones behind all others: virtual time alone forgets what a team
+// took while nobody else asked.
+func (t *team) before(o *team) bool {
+	if t.heavy != o.heavy {
+		return o.heavy
+	}
+	if t.position != o.position {
+		return t.position < o.position
+	}
+	return t.name < o.name
+}
 
-func (h latestHeap) Len() int { return len(h) }
+func (t *team) place() *int { return &t.index }
 
-func (h latestHeap) Less(i, j int) bool {
-	if h[i].latest != h[j].latest {
-		return h[i].latest < h[j].latest
+// before orders waiting requests by the last moment of a useful grant.
+func (w *waiting) before(o *waiting) bool {
+	if w.latest != o.latest {
+		return w.latest < o.latest
 	}
-	return h[i].seq < h[j].seq
+	return w.seq < o.seq
 }
 
-func (h latestHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index = i
-	h[j].index = j
-}
+func (w *waiting) place() *int { return &w.index }
 
-// Push implements heap.Interface.
-func (h *latestHeap) Push(x any) {
-	w := x.(*waiting)
-	w.index = len(*h)
-	*h = append(*h, w)
+// before orders reservations by their expiry.
+func (r *reservation) before(o *reservation) bool {
+	if r.expires != o.expires {
+		return r.expires < o.expires
+	}
+	return r.number < o.number
 }
 
-// Pop implements heap.Interface.
-func (h *latestHeap) Pop() any {
-	old := *h
-	w := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	w.index = -1
-	return w
-}
+func (r *reservation) place() *int { return &r.expiryIndex }
--- a/core/sched/ledger.go
+++ b/core/sched/ledger.go
@@ -35,7 +35,7 @@
 	queue   fairQueue
 	waiting map[id.Request]*waiting
 	granted map[id.Request]*reservation
-	expiry  expiryHeap
+	expiry  indexedHeap[*reservation]
 	ended   *simplelru.LRU[id.Request, outcome]
 	serial  uint64
 
--- a/core/sched/optimistic.go
+++ b/core/sched/optimistic.go
@@ -28,7 +28,7 @@
 	filters   map[live.Role][]endpointFilter
 	inFlight  map[id.Endpoint]int
 	granted   map[id.Request]*reservation
-	expiry    expiryHeap
+	expiry    indexedHeap[*reservation]
 	serial    uint64
 }
 
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -145,7 +145,6 @@
 		memo:      l.scratch.memo[:0],
 		blocked:   "none",
 	}
-	l.cycle.slotAt, l.cycle.slotDeviation, l.cycle.slotKnown = l.fleet.releases.next(l.now)
 	return &l.cycle
 }
 
--- a/core/sched/plugin.go
+++ b/core/sched/plugin.go
@@ -71,11 +71,6 @@
 	service  *service
 	settling bool
 	model    string
-	// slotAt is when the pool's next slot is predicted to be free for this
-	// request, give or take slotDeviation; slotKnown is false without one.
-	slotAt        time.Duration
-	slotDeviation time.Duration
-	slotKnown     bool
 	// waited is the request's age.
 	waited time.Duration
 	// meanQueue is the mean predicted prefill queue of the pool.
--- a/core/sched/progress.go
+++ b/core/sched/progress.go
@@ -145,7 +145,7 @@
 	if r.phase < PhaseDecoding {
 		r.phase = PhaseDecoding
 		r.decodingFrom = l.now
-		r.judgeRisk(false)
+		r.judgeRisk(r.deadline > 0 && l.now > r.deadline)
 		l.leaveLink(r)
 		if p.TransferTime > 0 {
 			l.pool.transfer.add(p.TransferTime.Seconds())
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -32,8 +32,8 @@
 // fairQueue is a start-time fair queue over teams: the team that is furthest
 // behind its share is served first, by priority and age within the team.
 type fairQueue struct {
-	teams  teamHeap
-	latest latestHeap
+	teams  indexedHeap[*team]
+	latest indexedHeap[*waiting]
 	// virtual is the place in virtual time of the last team served.
 	virtual float64
 	queued  int
--- a/core/sched/rebind.go
+++ b/core/sched/rebind.go
@@ -11,8 +11,8 @@
 
 // rebind gives slots that are free now to reservations that wait for another
 // endpoint's: the one whose prefill ends first goes first, and all go before
-// new requests. A KV cache then waits for the first slot of the pool, not for
-// that of one endpoint.
+// new requests. A KV cache then waits for the slot of the pool at which it is
+// soonest: a slow path to a free slot can be worse than a wait.
 func (l *Ledger) rebind() {
 	l.borrowers = slices.DeleteFunc(l.borrowers, func(r *reservation) bool { return !l.waitsForSlot(r) })
 	slices.SortStableFunc(l.borrowers, func(a, b *reservation) int {
@@ -60,11 +60,12 @@
 	})
 }
 
-// freeElsewhere finds an endpoint with a free slot for a reservation, best in
-// the failure domain of its prefill; nil if there is none.
+// freeElsewhere finds the endpoint with a free slot where a reservation's first
+// token is predicted soonest, if that is sooner than where it waits; else nil.
 func (l *Ledger) freeElsewhere(r *reservation) *endpoint {
-	c := l.newCycle(&waiting{want: r.want, service: r.service, arrived: l.now})
+	c := l.newCycle(&waiting{want: r.want, service: r.service, team: r.team, arrived: l.now})
 	var found *endpoint
+	soonest := l.importEnd(r)
 	l.fleet.roles[live.RoleDecode].nearest(1, func(e *endpoint) (bool, bool) {
 		if e.free(l.now) <= 0 {
 			return false, false
@@ -72,14 +73,40 @@
 		if e == r.decode || !keepAll(l.row.perRequest, c, e) {
 			return false, true
 		}
-		if found == nil || e.domain == r.prefill.domain {
-			found = e
+		if end := l.importEndAt(r, e); end < soonest {
+			found, soonest = e, end
 		}
 		return true, true
 	})
 	return found
 }
 
+// importEnd predicts when the KV cache is at the endpoint that the reservation
+// waits for: behind the release that gives it a slot.
+func (l *Ledger) importEnd(r *reservation) time.Duration {
+	e := r.decode
+	place := slices.Index(e.pending, r) + max(0, len(e.held)+e.foreign-e.slots())
+	if place < 0 || place >= len(e.held) {
+		return never
+	}
+	begin := max(l.now, r.prefillEnd, e.held[place].release)
+	if r.link == nil {
+		return begin
+	}
+	return begin + seconds(r.kvBytes/r.link.rate)
+}
+
+// importEndAt predicts the same at an endpoint with a free slot.
+func (l *Ledger) importEndAt(r *reservation, e *endpoint) time.Duration {
+	begin := max(l.now, r.prefillEnd)
+	path := l.linkBetween(r.prefill.domain, e.domain)
+	if path == nil {
+		return begin
+	}
+	took, _ := path.fits(l.now, begin, r.kvBytes, l.options.KVLife)
+	return begin + took
+}
+
 // moveSlot moves a reservation that waits to an endpoint with a free slot.
 func (l *Ledger) moveSlot(r *reservation, e *endpoint) {
 	l.leaveLink(r)
--- a/core/sched/reservation.go
+++ b/core/sched/reservation.go
@@ -20,6 +20,8 @@
 	// begun is set by the first Progress.
 	begun     bool
 	grantedAt time.Duration
+	// deadline is the last moment of a first token in time; zero if unknown.
+	deadline time.Duration
 	// slotFrom is when the slot was got; zero while it is waited for.
 	slotFrom time.Duration
 	// start and prefillEnd are predicted until the prefill begins and ends.
@@ -53,41 +55,6 @@
 	slot float64
 }
 
-// expiryHeap orders reservations by expiry; it implements heap.Interface.
-type expiryHeap []*reservation
-
-func (h expiryHeap) Len() int { return len(h) }
-
-func (h expiryHeap) Less(i, j int) bool {
-	if h[i].expires != h[j].expires {
-		return h[i].expires < h[j].expires
-	}
-	return h[i].number < h[j].number
-}
-
-func (h expiryHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].expiryIndex = i
-	h[j].expiryIndex = j
-}
-
-// Push implements heap.Interface.
-func (h *expiryHeap) Push(x any) {
-	r := x.(*reservation)
-	r.expiryIndex = len(*h)
-	*h = append(*h, r)
-}
-
-// Pop implements heap.Interface.
-func (h *expiryHeap) Pop() any {
-	old := *h
-	r := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	r.expiryIndex = -1
-	return r
-}
-
 // add adds d, or takes it away with sign -1.
 func (c *cost) add(d cost, sign float64) {
 	c.prefill += sign * d.prefill
--- a/core/sched/risk.go
+++ b/core/sched/risk.go
@@ -48,11 +48,13 @@
 	return max(least, seconds(k.deviations*deviation.Seconds()))
 }
 
-// judgeRisk tells the service's risk, once, how a borrowed slot turned out.
-func (r *reservation) judgeRisk(wasted bool) {
+// judgeRisk tells the service's risk, once, how a borrowed slot turned out: bad
+// if the prefill was wasted, or if its KV cache waited for a slot for so long
+// that the first token was late.
+func (r *reservation) judgeRisk(bad bool) {
 	if !r.borrowed {
 		return
 	}
 	r.borrowed = false
-	r.service.estimate.risk.add(wasted)
+	r.service.estimate.risk.add(bad)
 }
--- a/daemon/completion/attempt.go
+++ b/daemon/completion/attempt.go
@@ -120,7 +120,12 @@
 
 // bind settles which endpoint decodes.
 func (a *attempt) bind(ctx context.Context) *verdict.Error {
+	began := a.Now()
 	name := a.Pairer.Bind(ctx, a.grant)
+	if a.grant.Provisional {
+		a.Recorder.Decision("request", string(a.p.job.ID), "bound",
+			"attempt", a.want.Request, "decode", name, "granted", string(a.grant.Decode), "waited", a.Now()-began)
+	}
 	if name == a.decode.Name {
 		return nil
 	}
--- a/daemon/hangup/hangup.go
+++ b/daemon/hangup/hangup.go
@@ -29,6 +29,8 @@
 type Watcher struct {
 	mu    sync.Mutex
 	conns map[*watched]struct{}
+	// wake has an item once there is something to look at again.
+	wake chan struct{}
 	stop  chan struct{}
 	done  chan struct{}
 }
@@ -49,6 +51,7 @@
 func New(interval time.Duration) *Watcher {
 	w := &Watcher{
 		conns: make(map[*watched]struct{}),
+		wake:  make(chan struct{}, 1),
 		stop:  make(chan struct{}),
 		done:  make(chan struct{}),
 	}
@@ -75,6 +78,10 @@
 	w.mu.Lock()
 	w.conns[e] = struct{}{}
 	w.mu.Unlock()
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
 	return ctx, func() {
 		w.mu.Lock()
 		delete(w.conns, e)
@@ -98,23 +105,32 @@
 	return raw
 }
 
+// run looks every interval while there are connections, and sleeps otherwise.
 func (w *Watcher) run(interval time.Duration) {
 	defer close(w.done)
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-w.stop:
 			return
-		case <-ticker.C:
-			w.look()
+		case <-w.wake:
+		}
+		for w.look() > 0 {
+			timer.Reset(interval)
+			select {
+			case <-w.stop:
+				return
+			case <-timer.C:
+			}
 		}
 	}
 }
 
-// look polls every watched connection once.
-func (w *Watcher) look() {
-	for _, e := range w.snapshot() {
+// look polls every watched connection once and returns how many there were.
+func (w *Watcher) look() int {
+	all := w.snapshot()
+	for _, e := range all {
 		if !peerClosed(e.raw) {
 			continue
 		}
@@ -123,6 +139,7 @@
 		w.mu.Unlock()
 		e.cancel(ErrGone)
 	}
+	return len(all)
 }
 
 func (w *Watcher) snapshot() []*watched {
--- a/daemon/reports/reports.go
+++ b/daemon/reports/reports.go
@@ -23,8 +23,10 @@
 	loadEvery  = 250 * time.Millisecond
 	cacheEvery = 250 * time.Millisecond
 	listEvery  = time.Second
-	// tickEvery is how often the duty looks at what is due.
-	tickEvery = 50 * time.Millisecond
+	// tickEvery is how often the duty looks at what is due, idleEvery while this
+	// daemon schedules no pool.
+	tickEvery = 100 * time.Millisecond
+	idleEvery = 200 * time.Millisecond
 )
 
 // Sink takes the reports.
@@ -107,20 +109,25 @@
 		return
 	case <-r.cfg.Ready:
 	}
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(tickEvery)
+	defer timer.Stop()
 	for {
 		select {
 		case <-r.ctx.Done():
 			return
-		case <-ticker.C:
-			r.look()
+		case <-timer.C:
+		}
+		if r.look() > 0 {
+			timer.Reset(tickEvery)
+		} else {
+			timer.Reset(idleEvery)
 		}
 	}
 }
 
-// look starts the questions that are due.
-func (r *Reports) look() {
+// look starts the questions that are due and returns how many endpoints there
+// are to ask.
+func (r *Reports) look() int {
 	index := r.cfg.Index()
 	now := r.cfg.Now()
 	seen := make(map[id.Endpoint]bool)
@@ -131,6 +138,7 @@
 		}
 	}
 	r.forget(seen)
+	return len(seen)
 }
 
 func (r *Reports) forget(seen map[id.Endpoint]bool) {
