--- a/daemon/hangup/hangup.go
+++ b/daemon/hangup/hangup.go
@@ -31,8 +31,8 @@
 	conns map[*watched]struct{}
 	// wake has an item once there is something to look at again.
 	wake chan struct{}
-	stop  chan struct{}
-	done  chan struct{}
+	stop chan struct{}
+	done chan struct{}
 }
 
 type watched struct {
