Free a slot when the engine says that its request has ended

Cause: when a whole failure domain was cut off its daemons counted as partitioned, not dead, for a minute; the slots of their answers stayed held in the ledger until the service's timeout though the engines had ended them, and the rest of the pool served 22/s of the 39/s that it can. Change: the pool's owner compares what it counts as decoding with each engine's own list, once a second, and frees what has been gone for 2 s. Ruled out: ejections (three endpoints for 5 s), suspects of the crash (none).

--- a/daemon/app/glue.go
+++ b/daemon/app/glue.go
@@ -18,6 +18,7 @@
 	"github.com/samphirequay/samphirequay/core/naive"
 	"github.com/samphirequay/samphirequay/core/poison"
 	"github.com/samphirequay/samphirequay/core/pool"
+	"github.com/samphirequay/samphirequay/core/reap"
 	"github.com/samphirequay/samphirequay/core/retry"
 	"github.com/samphirequay/samphirequay/core/sched"
 	"github.com/samphirequay/samphirequay/core/verdict"
@@ -140,7 +141,14 @@
 }
 
 // List implements reports.Sink.
-func (s reportSink) List(e id.Endpoint, list wire.RequestList) { s.d.cancels.List(e, list) }
+func (s reportSink) List(p id.Pool, e id.Endpoint, list wire.RequestList) {
+	s.d.cancels.List(e, list)
+	held := make(map[id.Request]bool, len(list.Requests))
+	for _, r := range list.Requests {
+		held[id.Request(r.Request)] = r.Stage != string(reap.StageFinished)
+	}
+	s.d.broker.Holding(p, e, held)
+}
 
 // catalog resolves endpoints in the configuration in force.
 type catalog struct{ d *Daemon }
--- a/daemon/broker/pools.go
+++ b/daemon/broker/pools.go
@@ -63,6 +63,15 @@
 	})
 }
 
+// Holding takes the requests that an endpoint holds, by its own list.
+func (b *Broker) Holding(p id.Pool, e id.Endpoint, held map[id.Request]bool) {
+	b.duty.Post(func(now time.Duration) {
+		if b.schedules(p) {
+			b.actions(now, p, b.manager(now, p).Holding(now, e, held))
+		}
+	})
+}
+
 // Cache takes an endpoint's cache events for one of its pools.
 func (b *Broker) Cache(p id.Pool, e id.Endpoint, events []sched.CacheEvent, gap bool) {
 	b.duty.Post(func(now time.Duration) {
--- a/daemon/reports/reports.go
+++ b/daemon/reports/reports.go
@@ -33,7 +33,7 @@
 type Sink interface {
 	Load(p id.Pool, l sched.Load)
 	Cache(p id.Pool, e id.Endpoint, events []sched.CacheEvent, gap bool)
-	List(e id.Endpoint, list wire.RequestList)
+	List(p id.Pool, e id.Endpoint, list wire.RequestList)
 }
 
 // Config is what the duty works with.
@@ -204,7 +204,7 @@
 		r.askCache(p, e, n)
 	}
 	if due.list {
-		r.askList(e)
+		r.askList(p, e)
 	}
 }
 
@@ -272,7 +272,7 @@
 	r.cfg.Sink.Cache(p, e.Name, events, gap)
 }
 
-func (r *Reports) askList(e *live.Endpoint) {
+func (r *Reports) askList(p id.Pool, e *live.Endpoint) {
 	ctx, cancel := endpoints.Short(r.ctx)
 	defer cancel()
 	r.asked.Inc()
@@ -281,5 +281,5 @@
 		r.failed.Inc()
 		return
 	}
-	r.cfg.Sink.List(e.Name, list)
+	r.cfg.Sink.List(p, e.Name, list)
 }
