--- a/core/claim/claims.go
+++ b/core/claim/claims.go
@@ -6,6 +6,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"github.com/samphirequay/samphirequay/core/defaults"
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
@@ -72,25 +73,19 @@
 }
 
 func (cfg Config) withDefaults() Config {
-	setDefault(&cfg.Window, DefaultWindow)
-	setDefault(&cfg.Gap, DefaultGap)
-	setDefault(&cfg.MaxBatch, DefaultMaxBatch)
-	setDefault(&cfg.MaxInFlight, DefaultMaxInFlight)
-	setDefault(&cfg.MaxWait, DefaultMaxWait)
-	setDefault(&cfg.CallTimeout, DefaultCallTimeout)
-	setDefault(&cfg.FinishPatience, DefaultFinishPatience)
-	setDefault(&cfg.Retention, DefaultRetention)
-	setDefault(&cfg.MaxInline, DefaultMaxInline)
-	setDefault(&cfg.MaxOps, DefaultMaxOps)
+	defaults.Set(&cfg.Window, DefaultWindow)
+	defaults.Set(&cfg.Gap, DefaultGap)
+	defaults.Set(&cfg.MaxBatch, DefaultMaxBatch)
+	defaults.Set(&cfg.MaxInFlight, DefaultMaxInFlight)
+	defaults.Set(&cfg.MaxWait, DefaultMaxWait)
+	defaults.Set(&cfg.CallTimeout, DefaultCallTimeout)
+	defaults.Set(&cfg.FinishPatience, DefaultFinishPatience)
+	defaults.Set(&cfg.Retention, DefaultRetention)
+	defaults.Set(&cfg.MaxInline, DefaultMaxInline)
+	defaults.Set(&cfg.MaxOps, DefaultMaxOps)
 	return cfg
 }
 
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Begin takes a call that must not run twice. It ends with one Proceed, Refuse
 // or Replay that names its token.
 func (c *Claims) Begin(now time.Duration, wall time.Time, b Begin) []Action {
--- a/core/health/types.go
+++ b/core/health/types.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/samphirequay/samphirequay/core/defaults"
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/live"
 )
@@ -141,23 +142,17 @@
 )
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.ErrorRatio, DefaultErrorRatio)
-	setDefault(&c.MinOutcomes, DefaultMinOutcomes)
-	setDefault(&c.HalfLife, DefaultHalfLife)
-	setDefault(&c.SlowFactor, DefaultSlowFactor)
-	setDefault(&c.MinPeers, DefaultMinPeers)
-	setDefault(&c.StuckAfter, DefaultStuckAfter)
-	setDefault(&c.MaxEjected, DefaultMaxEjected)
-	setDefault(&c.EjectMin, DefaultEjectMin)
-	setDefault(&c.EjectMax, DefaultEjectMax)
-	setDefault(&c.ForgetAfter, DefaultForgetAfter)
-	setDefault(&c.ProbeSuccesses, DefaultProbeSuccesses)
-	setDefault(&c.MaxInFlight, DefaultMaxInFlight)
+	defaults.Set(&c.ErrorRatio, DefaultErrorRatio)
+	defaults.Set(&c.MinOutcomes, DefaultMinOutcomes)
+	defaults.Set(&c.HalfLife, DefaultHalfLife)
+	defaults.Set(&c.SlowFactor, DefaultSlowFactor)
+	defaults.Set(&c.MinPeers, DefaultMinPeers)
+	defaults.Set(&c.StuckAfter, DefaultStuckAfter)
+	defaults.Set(&c.MaxEjected, DefaultMaxEjected)
+	defaults.Set(&c.EjectMin, DefaultEjectMin)
+	defaults.Set(&c.EjectMax, DefaultEjectMax)
+	defaults.Set(&c.ForgetAfter, DefaultForgetAfter)
+	defaults.Set(&c.ProbeSuccesses, DefaultProbeSuccesses)
+	defaults.Set(&c.MaxInFlight, DefaultMaxInFlight)
 	return c
 }
-
-func setDefault[T int | float64 | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
--- a/core/poison/types.go
+++ b/core/poison/types.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"time"
 
+	"github.com/samphirequay/samphirequay/core/defaults"
 	"github.com/samphirequay/samphirequay/core/id"
 )
 
@@ -178,18 +179,12 @@
 const maxFuture = 10 * time.Minute
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Quarantine, DefaultQuarantine)
-	setDefault(&c.Settle, DefaultSettle)
-	setDefault(&c.AloneCrashes, DefaultAloneCrashes)
-	setDefault(&c.CompanyCrashes, DefaultCompanyCrashes)
-	setDefault(&c.MaxCrashes, DefaultMaxCrashes)
-	setDefault(&c.MaxRunning, DefaultMaxRunning)
-	setDefault(&c.MaxCleared, DefaultMaxCleared)
+	defaults.Set(&c.Quarantine, DefaultQuarantine)
+	defaults.Set(&c.Settle, DefaultSettle)
+	defaults.Set(&c.AloneCrashes, DefaultAloneCrashes)
+	defaults.Set(&c.CompanyCrashes, DefaultCompanyCrashes)
+	defaults.Set(&c.MaxCrashes, DefaultMaxCrashes)
+	defaults.Set(&c.MaxRunning, DefaultMaxRunning)
+	defaults.Set(&c.MaxCleared, DefaultMaxCleared)
 	return c
 }
-
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
--- a/core/reap/canceller.go
+++ b/core/reap/canceller.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/samphirequay/samphirequay/core/defaults"
 	"github.com/samphirequay/samphirequay/core/id"
 )
 
@@ -58,11 +59,11 @@
 
 // NewCanceller returns a Canceller without orders.
 func NewCanceller(cfg CancellerConfig) *Canceller {
-	setDefault(&cfg.BackoffMin, DefaultBackoffMin)
-	setDefault(&cfg.BackoffMax, DefaultBackoffMax)
-	setDefault(&cfg.ReplyTimeout, DefaultReplyTimeout)
-	setDefault(&cfg.MaxOrderDelay, DefaultMaxOrderDelay)
-	setDefault(&cfg.MaxOrders, DefaultMaxOrders)
+	defaults.Set(&cfg.BackoffMin, DefaultBackoffMin)
+	defaults.Set(&cfg.BackoffMax, DefaultBackoffMax)
+	defaults.Set(&cfg.ReplyTimeout, DefaultReplyTimeout)
+	defaults.Set(&cfg.MaxOrderDelay, DefaultMaxOrderDelay)
+	defaults.Set(&cfg.MaxOrders, DefaultMaxOrders)
 	return &Canceller{cfg: cfg, orders: map[Key]*order{}, known: map[id.Endpoint]id.Incarnation{}}
 }
 
--- a/core/reap/reaper.go
+++ b/core/reap/reaper.go
@@ -5,6 +5,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"github.com/samphirequay/samphirequay/core/defaults"
 	"github.com/samphirequay/samphirequay/core/id"
 )
 
@@ -49,11 +50,11 @@
 
 // NewReaper returns a Reaper that knows only itself.
 func NewReaper(cfg ReaperConfig) *Reaper {
-	setDefault(&cfg.Grace, DefaultGrace)
-	setDefault(&cfg.FinishedGrace, DefaultFinishedGrace)
-	setDefault(&cfg.UnknownGrace, DefaultUnknownGrace)
-	setDefault(&cfg.OwnGrace, DefaultOwnGrace)
-	setDefault(&cfg.MaxProcesses, DefaultMaxProcesses)
+	defaults.Set(&cfg.Grace, DefaultGrace)
+	defaults.Set(&cfg.FinishedGrace, DefaultFinishedGrace)
+	defaults.Set(&cfg.UnknownGrace, DefaultUnknownGrace)
+	defaults.Set(&cfg.OwnGrace, DefaultOwnGrace)
+	defaults.Set(&cfg.MaxProcesses, DefaultMaxProcesses)
 	r := &Reaper{cfg: cfg, alive: map[id.Daemon]id.Incarnation{}}
 	r.gone = newTimes(cfg.MaxProcesses)
 	r.unheard = newTimes(cfg.MaxProcesses)
--- a/core/reap/types.go
+++ b/core/reap/types.go
@@ -117,9 +117,3 @@
 	Incarnation id.Incarnation
 	Requests    []Running
 }
-
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -11,6 +11,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"github.com/samphirequay/samphirequay/core/defaults"
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
@@ -89,23 +90,17 @@
 )
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Ratio, DefaultRatio)
-	setDefault(&c.TeamFloor, DefaultTeamFloor)
-	setDefault(&c.GlobalFloor, DefaultGlobalFloor)
-	setDefault(&c.Burst, DefaultBurst)
-	setDefault(&c.MaxAttempts, DefaultMaxAttempts)
-	setDefault(&c.BackoffBase, DefaultBackoffBase)
-	setDefault(&c.BackoffMax, DefaultBackoffMax)
-	setDefault(&c.MaxTeams, DefaultMaxTeams)
+	defaults.Set(&c.Ratio, DefaultRatio)
+	defaults.Set(&c.TeamFloor, DefaultTeamFloor)
+	defaults.Set(&c.GlobalFloor, DefaultGlobalFloor)
+	defaults.Set(&c.Burst, DefaultBurst)
+	defaults.Set(&c.MaxAttempts, DefaultMaxAttempts)
+	defaults.Set(&c.BackoffBase, DefaultBackoffBase)
+	defaults.Set(&c.BackoffMax, DefaultBackoffMax)
+	defaults.Set(&c.MaxTeams, DefaultMaxTeams)
 	return c
 }
 
-func setDefault[T int | float64 | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Retrier decides on retries. It is not safe for concurrent use.
 type Retrier struct {
 	cfg    Config
--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/samphirequay/samphirequay/core/defaults"
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/prefixhash"
 )
@@ -127,35 +128,27 @@
 
 // withDefaults returns the options with every zero field set.
 func (o Options) withDefaults() Options {
-	orDefault(&o.KVLife, DefaultKVLife)
-	orDefault(&o.Horizon, DefaultHorizon)
-	orDefault(&o.AffinityWait, DefaultAffinityWait)
-	orDefault(&o.ExpiresIn, DefaultExpiresIn)
-	orDefault(&o.Settle, DefaultSettle)
-	orDefault(&o.ReportLag, DefaultReportLag)
-	orDefault(&o.FullHold, DefaultFullHold)
-	orDefault(&o.LeavingHold, DefaultLeavingHold)
-	orDefault(&o.Poll, DefaultPoll)
-	orDefault(&o.MaxQueue, DefaultMaxQueue)
-	orDefault(&o.MaxTeamQueue, DefaultMaxTeamQueue)
-	orDefault(&o.CacheBlocks, DefaultCacheBlocks)
-	orDefault(&o.CacheLife, DefaultCacheLife)
-	orDefault(&o.BlockTokens, DefaultBlockTokens)
-	orDefault(&o.KVBytesPerToken, DefaultKVBytesPerToken)
-	orDefault(&o.LoadBound, DefaultLoadBound)
-	orDefault(&o.AffinityWeight, DefaultAffinityWeight)
-	orDefault(&o.DomainBonus, DefaultDomainBonus)
-	orDefault(&o.RiskDeviations, DefaultRiskDeviations)
-	orDefault(&o.WasteTolerance, DefaultWasteTolerance)
-	orDefault(&o.CertainWaste, DefaultCertainWaste)
-	orDefault(&o.Remembered, DefaultRemembered)
+	defaults.Set(&o.KVLife, DefaultKVLife)
+	defaults.Set(&o.Horizon, DefaultHorizon)
+	defaults.Set(&o.AffinityWait, DefaultAffinityWait)
+	defaults.Set(&o.ExpiresIn, DefaultExpiresIn)
+	defaults.Set(&o.Settle, DefaultSettle)
+	defaults.Set(&o.ReportLag, DefaultReportLag)
+	defaults.Set(&o.FullHold, DefaultFullHold)
+	defaults.Set(&o.LeavingHold, DefaultLeavingHold)
+	defaults.Set(&o.Poll, DefaultPoll)
+	defaults.Set(&o.MaxQueue, DefaultMaxQueue)
+	defaults.Set(&o.MaxTeamQueue, DefaultMaxTeamQueue)
+	defaults.Set(&o.CacheBlocks, DefaultCacheBlocks)
+	defaults.Set(&o.CacheLife, DefaultCacheLife)
+	defaults.Set(&o.BlockTokens, DefaultBlockTokens)
+	defaults.Set(&o.KVBytesPerToken, DefaultKVBytesPerToken)
+	defaults.Set(&o.LoadBound, DefaultLoadBound)
+	defaults.Set(&o.AffinityWeight, DefaultAffinityWeight)
+	defaults.Set(&o.DomainBonus, DefaultDomainBonus)
+	defaults.Set(&o.RiskDeviations, DefaultRiskDeviations)
+	defaults.Set(&o.WasteTolerance, DefaultWasteTolerance)
+	defaults.Set(&o.CertainWaste, DefaultCertainWaste)
+	defaults.Set(&o.Remembered, DefaultRemembered)
 	return o
 }
-
-// orDefault sets a zero value to its default.
-func orDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
--- a/daemon/app/start.go
+++ b/daemon/app/start.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"cmp"
 	"net"
 	"time"
 
@@ -208,20 +209,13 @@
 	return member.Entry{
 		Process:       d.self,
 		Domain:        d.set.Domain,
-		Address:       firstOf(d.set.Advertise.Peers, d.PeerAddr()),
+		Address:       cmp.Or(d.set.Advertise.Peers, d.PeerAddr()),
 		CallerAddress: d.advertisedCallers(),
 	}
 }
 
 func (d *Daemon) advertisedCallers() string {
-	return firstOf(d.set.Advertise.Callers, d.CallerAddr())
-}
-
-func firstOf(a, b string) string {
-	if a != "" {
-		return a
-	}
-	return b
+	return cmp.Or(d.set.Advertise.Callers, d.CallerAddr())
 }
 
 func (d *Daemon) seeds() []member.Host {
--- a/daemon/app/status.go
+++ b/daemon/app/status.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -58,7 +59,7 @@
 	for _, reply := range d.askPools() {
 		s.Pools = append(s.Pools, reply.Pools...)
 	}
-	slices.SortFunc(s.Pools, func(x, y opapi.PoolStatus) int { return compare(x.Pool, y.Pool) })
+	slices.SortFunc(s.Pools, func(x, y opapi.PoolStatus) int { return cmp.Compare(x.Pool, y.Pool) })
 	for i := range b.Document().Teams {
 		s.Teams = append(s.Teams, d.front.TeamStatus(b.Document().Teams[i].Name))
 	}
@@ -68,17 +69,6 @@
 	return s
 }
 
-func compare[T ~string](a, b T) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
 func (d *Daemon) hostStatus() []opapi.HostStatus {
 	var out []opapi.HostStatus
 	for _, e := range d.members.Entries() {
--- a/daemon/members/members.go
+++ b/daemon/members/members.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -223,7 +224,7 @@
 // tellLive tells the listener when the daemons that take part have changed.
 func (m *Members) tellLive() {
 	live := m.core.Ready()
-	if equal(live, m.live) {
+	if slices.Equal(live, m.live) {
 		return
 	}
 	m.live = live
@@ -231,18 +232,6 @@
 	m.cfg.Listener.Live(live)
 }
 
-func equal(a, b []id.Daemon) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 func (m *Members) tellRevision(e member.Entry) {
 	d := e.Process.Daemon
 	if m.revisions[d] == e.Revision {
--- a/daemon/peer/peer.go
+++ b/daemon/peer/peer.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/samphirequay/samphirequay/core/defaults"
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/daemon/keys"
 	"github.com/samphirequay/samphirequay/daemon/metrics"
@@ -110,17 +111,17 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.RingSize, DefaultRingSize)
-	setDefault(&c.MaxMessage, DefaultMaxMessage)
-	setDefault(&c.MaxAge, DefaultMaxAge)
-	setDefault(&c.Keepalive, DefaultKeepalive)
-	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&c.DialTimeout, DefaultDialTimeout)
-	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
-	setDefault(&c.BackoffMin, DefaultBackoffMin)
-	setDefault(&c.BackoffMax, DefaultBackoffMax)
-	setDefault(&c.CallWorkers, DefaultCallWorkers)
-	setDefault(&c.MaxPeers, DefaultMaxPeers)
+	defaults.Set(&c.RingSize, DefaultRingSize)
+	defaults.Set(&c.MaxMessage, DefaultMaxMessage)
+	defaults.Set(&c.MaxAge, DefaultMaxAge)
+	defaults.Set(&c.Keepalive, DefaultKeepalive)
+	defaults.Set(&c.IdleTimeout, DefaultIdleTimeout)
+	defaults.Set(&c.DialTimeout, DefaultDialTimeout)
+	defaults.Set(&c.WriteTimeout, DefaultWriteTimeout)
+	defaults.Set(&c.BackoffMin, DefaultBackoffMin)
+	defaults.Set(&c.BackoffMax, DefaultBackoffMax)
+	defaults.Set(&c.CallWorkers, DefaultCallWorkers)
+	defaults.Set(&c.MaxPeers, DefaultMaxPeers)
 	if c.KindName == nil {
 		c.KindName = func(k Kind) string { return fmt.Sprintf("kind-%d", k) }
 	}
@@ -132,9 +133,3 @@
 	}
 	return c
 }
-
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
