Let the scheduler's selectors see what the index sees

Cause: PoolEndpoints matched raw labels where live.Index also offers the failure domain as a label: a pool chosen by its domain had endpoints for reports and placement and none for the scheduler. Change: PoolEndpoints uses live.EndpointLabels; the pool's manager uses PoolEndpoints instead of building a whole index of its own at each change; the scheduler's second reading of the leaving label gives way to live.IsLeaving. Figures: TestSelectorsSeeWhatTheIndexSees: no endpoints before, the same ones after. Conclusion: one reading of a selector and of the leaving label.

--- a/core/naive/naive.go
+++ b/core/naive/naive.go
@@ -78,7 +78,7 @@
 func ringsOf(endpoints []*live.Endpoint, old map[live.Role]*ring) map[live.Role]*ring {
 	rings := map[live.Role]*ring{}
 	for _, e := range endpoints {
-		if sched.LabelledLeaving(e) {
+		if live.IsLeaving(e) {
 			continue
 		}
 		role := sched.LabelledRole(e)
--- a/core/pool/manager.go
+++ b/core/pool/manager.go
@@ -107,19 +107,32 @@
 
 // Configure takes a new configuration.
 func (m *Manager) Configure(now time.Duration, doc *live.Document) []sched.Action {
-	index := live.NewIndex(doc)
-	var members []health.Member
-	for _, e := range index.Endpoints(m.opts.Pool) {
-		role := live.Role(e.Labels[live.LabelRole])
-		members = append(members, health.Member{Endpoint: e.Name, Pool: m.opts.Pool, Role: role})
-	}
+	members := m.members(doc)
 	m.health.Configure(now, members)
 	m.forgetReports(members)
 	m.usage.configure(members)
-	m.lift(now, index)
+	m.lift(now, doc)
 	return m.follow(now, m.sched.Configure(now, doc))
 }
 
+// members lists the pool's endpoints; none where the pool or its selector is
+// not known, as the scheduler has it.
+func (m *Manager) members(doc *live.Document) []health.Member {
+	pool := sched.FindPool(doc, m.opts.Pool)
+	if pool == nil {
+		return nil
+	}
+	endpoints, err := sched.PoolEndpoints(doc, pool)
+	if err != nil {
+		return nil
+	}
+	out := make([]health.Member, 0, len(endpoints))
+	for _, e := range endpoints {
+		out = append(out, health.Member{Endpoint: e.Name, Pool: m.opts.Pool, Role: sched.LabelledRole(e)})
+	}
+	return out
+}
+
 // forgetReports drops the reports of endpoints that left the pool.
 func (m *Manager) forgetReports(members []health.Member) {
 	kept := make(map[id.Endpoint]sched.Load, len(members))
--- a/core/sched/configure.go
+++ b/core/sched/configure.go
@@ -161,7 +161,7 @@
 		e.configured = live.DefaultSlots
 	}
 	e.labelRole = LabelledRole(d)
-	e.labelLeaving = LabelledLeaving(d)
+	e.labelLeaving = live.IsLeaving(d)
 	e.inPool = true
 	e.promote()
 	l.touch(e)
--- a/core/sched/optimistic.go
+++ b/core/sched/optimistic.go
@@ -82,7 +82,7 @@
 		}
 		e.inPool = true
 		e.labelRole = LabelledRole(d)
-		e.labelLeaving = LabelledLeaving(d)
+		e.labelLeaving = live.IsLeaving(d)
 		endpoints[d.Name] = e
 		o.roles[e.role()] = append(o.roles[e.role()], e)
 	}
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -26,18 +26,13 @@
 	}
 	var found []*live.Endpoint
 	for i := range doc.Endpoints {
-		if selector.Matches(labels.Set(doc.Endpoints[i].Labels)) {
+		if selector.Matches(live.EndpointLabels(&doc.Endpoints[i])) {
 			found = append(found, &doc.Endpoints[i])
 		}
 	}
 	return found, nil
 }
 
-// LabelledLeaving says whether the endpoint's label drains it.
-func LabelledLeaving(e *live.Endpoint) bool {
-	return e.Labels[live.LabelLeaving] == "true"
-}
-
 // LabelledRole returns the role that the endpoint's label gives.
 func LabelledRole(e *live.Endpoint) live.Role {
 	return live.Role(e.Labels[live.LabelRole])
--- /dev/null
+++ b/core/sched/selector_test.go
@@ -0,0 +1,25 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/live"
+)
+
+// TestSelectorsSeeWhatTheIndexSees: a selector on the failure domain chooses
+// the same endpoints for the scheduler as for reports and placement, also where
+// the domain stands in the endpoint's field and not in its labels.
+func TestSelectorsSeeWhatTheIndexSees(t *testing.T) {
+	is := is.New(t)
+	doc := testDocument(4, 1)
+	doc.Pools[0].EndpointSelector = live.LabelDomain + "=" + string(doc.Endpoints[0].Domain)
+	found, err := PoolEndpoints(doc, &doc.Pools[0])
+	is.NoErr(err)
+	slices.SortFunc(found, func(a, b *live.Endpoint) int { return cmp.Compare(a.Name, b.Name) }) // as the index does
+	is.Equal(found, live.NewIndex(doc).Endpoints(testPool))
+	is.True(len(found) > 0)
+}
