Wake a daemon for its own unanswered Wants

Cause: since duties sleep until their next time, a daemon that owns no pool slept up to a second with a Want unanswered, though it is to be sent again after 250 ms and given up 100 ms after its patience: the pairing duty did not count the asker's times. The asker also sorted all its requests at each tick, and a pool's manager counted all of its own. Change: the asker says when it is due and looks through its requests only then; the duty sleeps until then; utilisation is sampled at most every 50 ms. Conclusion: waits for a dead pool owner end when they should.

--- a/core/pairing/asker.go
+++ b/core/pairing/asker.go
@@ -5,6 +5,7 @@
 package pairing
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -85,8 +86,13 @@
 	opts    Options
 	members []id.Daemon
 	entries map[id.Request]*entry
+	// due is no later than the first time at which an entry needs attention.
+	due time.Duration
 }
 
+// never is a time that does not come.
+const never = time.Duration(math.MaxInt64)
+
 // New returns an Asker whose only known member is this daemon.
 func New(self id.Process, opts Options) *Asker {
 	if opts.Resend == 0 {
@@ -124,6 +130,7 @@
 func (a *Asker) sendWant(now time.Duration, e *entry) Output {
 	e.owner = a.Owner(e.want.Pool)
 	e.sentAt = now
+	a.due = min(a.due, a.attention(e))
 	w := e.want
 	w.Age += now - e.askedAt
 	return Output{Messages: []Message{{To: e.owner, Want: &w}}}
@@ -256,9 +263,20 @@
 	return Output{Messages: []Message{adoptMessage(e)}}
 }
 
-// Tick sends unanswered Wants again and gives up on those out of patience.
+// attention is when an unanswered entry is sent again or given up.
+func (a *Asker) attention(e *entry) time.Duration { return min(e.sentAt+a.opts.Resend, e.giveUp) }
+
+// Next is when Tick is due; far away when nothing waits for an answer.
+func (a *Asker) Next() time.Duration { return a.due }
+
+// Tick sends unanswered Wants again and gives up on those out of patience. It
+// looks through the entries only when one may be due.
 func (a *Asker) Tick(now time.Duration) Output {
 	var out Output
+	if now < a.due {
+		return out
+	}
+	a.due = never
 	for _, r := range a.sorted() {
 		e := a.entries[r]
 		if e.grant != nil {
@@ -271,6 +289,7 @@
 		if now-e.sentAt >= a.opts.Resend {
 			out.append(a.sendWant(now, e))
 		}
+		a.due = min(a.due, a.attention(e))
 	}
 	return out
 }
--- a/core/pool/manager.go
+++ b/core/pool/manager.go
@@ -233,7 +233,9 @@
 func (m *Manager) Tick(now time.Duration) []sched.Action {
 	m.tell(m.health.Tick(now))
 	m.dropPending(now)
-	m.usage.sample(now, m.prefilling())
+	if m.usage.due(now) {
+		m.usage.sample(now, m.prefilling())
+	}
 	m.sweep(now)
 	return m.follow(now, m.sched.Tick(now))
 }
--- a/core/pool/usage.go
+++ b/core/pool/usage.go
@@ -12,6 +12,9 @@
 // usageMemory is the time over which the utilisation is averaged.
 const usageMemory = 5 * time.Second
 
+// usageEvery is the least time between two samples.
+const usageEvery = 50 * time.Millisecond
+
 // usage averages how much of the prefill endpoints is at work.
 type usage struct {
 	endpoints int
@@ -28,6 +31,10 @@
 	}
 }
 
+// due says whether it is time for another sample: counting takes a look at
+// every request, and a tick may come each millisecond.
+func (u *usage) due(now time.Duration) bool { return now-u.last >= usageEvery }
+
 // sample takes the number of prefills at work; it counts for the time since
 // the last sample.
 func (u *usage) sample(now time.Duration, prefilling int) {
--- a/daemon/broker/broker.go
+++ b/daemon/broker/broker.go
@@ -77,8 +77,8 @@
 
 // tick does what is due and returns when the next thing is.
 func (b *Broker) tick(now time.Duration) time.Duration {
-	next := now + time.Second
 	b.output(now, b.asker.Tick(now))
+	next := b.asker.Next()
 	for _, p := range b.sortedPools() {
 		m := b.managers[p]
 		if m.Next() <= now {
