--- /dev/null
+++ b/cmd/internal/cli/docscmd/live.go
@@ -0,0 +1,96 @@
+package docscmd
+
+import (
+	"math"
+	"path/filepath"
+	"reflect"
+	"strconv"
+	"strings"
+
+	"github.com/samphirequay/samphirequay/core/live"
+)
+
+// livePage describes every field of the live configuration.
+func livePage(source string) (string, error) {
+	docs, err := sourceDocs(filepath.Join(source, "core", "live"))
+	if err != nil {
+		return "", err
+	}
+	var b strings.Builder
+	b.WriteString("# Live configuration\n\n" + docs["Document"].text + "\n\n" +
+		"A file of JSON with comments. `samphirequay config check FILE` checks it, `samphirequay config apply FILE` makes it live. " +
+		"Labels steer the system: see [the on-call's handbook](../OPERATORS.md).\n")
+	filled := normalizedItems()
+	bounds := liveBounds()
+	for _, list := range reflect.VisibleFields(reflect.TypeFor[live.Document]()) {
+		items := reflect.ValueOf(*filled).FieldByIndex(list.Index)
+		if items.Kind() != reflect.Slice {
+			continue
+		}
+		name := list.Tag.Get("json")
+		b.WriteString("\n## " + name + "\n\n" + docs[items.Type().Elem().Name()].text + "\n\n")
+		table := &fieldTable{docs: docs, bounds: func(path string, _ fieldDoc) string { return bounds[name+"[0]."+path] }}
+		table.walk(items.Index(0), "")
+		table.print(&b)
+	}
+	return b.String(), nil
+}
+
+// oneOfEach is a document with one empty item of each kind.
+func oneOfEach() *live.Document {
+	return &live.Document{
+		Teams:     []live.Team{{}},
+		Services:  []live.Service{{}},
+		Pools:     []live.Pool{{}},
+		Endpoints: []live.Endpoint{{}},
+		Links:     []live.Link{{}},
+	}
+}
+
+// normalizedItems shows the defaults. Only a pool with a model has those of
+// its engines.
+func normalizedItems() *live.Document {
+	doc := oneOfEach()
+	doc.Pools[0].Model = "model"
+	filled := live.Normalize(doc)
+	filled.Pools[0].Model = ""
+	return filled
+}
+
+// liveBounds asks the check of the live configuration for the range of each
+// number, by giving it numbers that are in none.
+func liveBounds() map[string]string {
+	doc := oneOfEach()
+	for _, item := range []any{&doc.Teams[0], &doc.Services[0], &doc.Pools[0], &doc.Endpoints[0], &doc.Links[0]} {
+		spoil(reflect.ValueOf(item).Elem())
+	}
+	bounds := make(map[string]string)
+	for _, f := range live.Check(doc) {
+		if _, text, ok := strings.Cut(f.Message, " is not between "); ok {
+			low, high, _ := strings.Cut(text, " and ")
+			bounds[f.Path] = "from " + plainNumber(low) + " to " + plainNumber(high)
+		}
+	}
+	return bounds
+}
+
+// plainNumber writes a number without an exponent.
+func plainNumber(text string) string {
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return text
+	}
+	return strconv.FormatFloat(n, 'f', -1, 64)
+}
+
+// spoil sets every number of a struct to one that no range holds.
+func spoil(v reflect.Value) {
+	for i := range v.NumField() {
+		switch f := v.Field(i); f.Kind() {
+		case reflect.Int:
+			f.SetInt(math.MinInt32)
+		case reflect.Float64:
+			f.SetFloat(-math.MaxFloat64)
+		}
+	}
+}
--- a/cmd/internal/cli/experimentcmd/experiment.go
+++ b/cmd/internal/cli/experimentcmd/experiment.go
@@ -52,6 +52,7 @@
 	fs.IntVar(&env.Parallel, "parallel", experiment.DefaultParallel, "runs at once")
 	fs.IntVar(&env.Daemons, "daemons", experiment.DefaultDaemons, "daemons in each fleet")
 	fs.StringVar(&out, "out", "", "folder for JSON and SVG files")
+	cmd.AddCommand(allCommand(opts))
 	return cmd
 }
 
--- a/cmd/internal/cli/fleetcmd/status.go
+++ b/cmd/internal/cli/fleetcmd/status.go
@@ -74,10 +74,10 @@
 }
 
 func poolRows(s opapi.Status) output.Rows {
-	rows := output.Rows{Header: []string{"POOL", "OWNER", "PREFILL", "DECODE", "PLAIN", "LEAVING", "EJECTED", "QUEUED", "RUNNING", "SLOTS", "ANSWERED", "REFUSED"}}
+	rows := output.Rows{Header: []string{"POOL", "OWNER", "PREFILL", "DECODE", "PLAIN", "LEAVING", "EJECTED", "DOWN", "QUEUED", "RUNNING", "SLOTS", "ANSWERED", "REFUSED"}}
 	for _, p := range s.Pools {
 		rows.Add(string(p.Pool), string(p.Owner), strconv.Itoa(p.Prefill), strconv.Itoa(p.Decode), strconv.Itoa(p.Plain),
-			strconv.Itoa(p.Leaving), strconv.Itoa(p.Ejected), strconv.Itoa(p.Queued), strconv.Itoa(p.Running),
+			strconv.Itoa(p.Leaving), strconv.Itoa(p.Ejected), strconv.Itoa(p.Unreachable), strconv.Itoa(p.Queued), strconv.Itoa(p.Running),
 			strconv.Itoa(p.Slots), count(p.Answered), count(p.Refused))
 	}
 	return rows
--- a/cmd/internal/cli/root/root.go
+++ b/cmd/internal/cli/root/root.go
@@ -14,6 +14,7 @@
 
 	"github.com/samphirequay/samphirequay/cmd/internal/cli/common"
 	"github.com/samphirequay/samphirequay/cmd/internal/cli/configcmd"
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/docscmd"
 	"github.com/samphirequay/samphirequay/cmd/internal/cli/exit"
 	"github.com/samphirequay/samphirequay/cmd/internal/cli/experimentcmd"
 	"github.com/samphirequay/samphirequay/cmd/internal/cli/fleetcmd"
@@ -38,6 +39,7 @@
 ` + exit.Help,
 		Example: `  samphirequay local --requests 200
   samphirequay status --operators 127.0.0.1:7102`,
+		Version:       strings.TrimPrefix(version.Read().Line("samphirequay"), "samphirequay "),
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		Args:          common.Args(cobra.NoArgs),
@@ -46,6 +48,7 @@
 			return output.Check(opts.Output)
 		},
 	}
+	cmd.SetVersionTemplate("samphirequay {{.Version}}\n")
 	opts.OutputFlag(cmd.PersistentFlags())
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return exit.Wrap(exit.Usage, err) })
 	cmd.AddCommand(itemcmd.Commands(opts)...)
@@ -53,6 +56,7 @@
 		itemcmd.Label(opts), configcmd.Command(opts), fleetcmd.Status(opts), fleetcmd.Explain(opts),
 		fleetcmd.Quarantine(opts), fleetcmd.Stop(opts), keyscmd.Command(opts), loadcmd.Command(opts),
 		localcmd.Command(opts), experimentcmd.Command(opts), standincmd.Command(opts), versionCommand(opts),
+		docscmd.Command(),
 	)
 	return cmd
 }
--- /dev/null
+++ b/cmd/internal/experiment/all_test.go
@@ -0,0 +1,48 @@
+package experiment
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestAllGoesOnAfterAFailure(t *testing.T) {
+	is := is.New(t)
+	var seeds []uint64
+	fine := func(_ context.Context, env Env) (*Report, error) {
+		seeds = append(seeds, env.Seed)
+		return &Report{Lines: []string{"n=1"}, Faults: []string{"one"}}, nil
+	}
+	experiments := []Experiment{
+		{Name: "fails", Run: func(context.Context, Env) (*Report, error) { return nil, errors.New("broken") }},
+		{Name: "panics", Run: func(context.Context, Env) (*Report, error) { panic("ouch") }},
+		{Name: "empty", Run: func(context.Context, Env) (*Report, error) { return nil, nil }},
+		{Name: "fine", Run: fine},
+	}
+	var told []string
+	outcomes := RunAll(context.Background(), Env{Seed: 7}, experiments, func(o Outcome) { told = append(told, o.Name) })
+	is.Equal(told, []string{"fails", "panics", "empty", "fine"})
+	is.Equal(seeds, []uint64{7})
+	is.Equal(outcomes[0].Error, "broken")
+	is.Equal(outcomes[1].Error, "panic: ouch")
+	is.Equal(outcomes[2].Error, "the experiment gave no report")
+	is.Equal(outcomes[3].Lines, []string{"n=1"})
+	for _, o := range outcomes {
+		is.True(o.Failed()) // the last by its fault
+	}
+	is.True(!(&Outcome{}).Failed())
+}
+
+func TestAllTellsWhatAnInterruptLeftOut(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	experiments := []Experiment{
+		{Name: "first", Run: func(ctx context.Context, _ Env) (*Report, error) { cancel(); return nil, ctx.Err() }},
+		{Name: "second", Run: func(context.Context, Env) (*Report, error) { return &Report{}, nil }},
+	}
+	outcomes := RunAll(ctx, Env{}, experiments, func(Outcome) {})
+	is.Equal(outcomes[0].Error, context.Canceled.Error())
+	is.Equal(outcomes[1].Error, notRun)
+}
--- a/cmd/internal/experiment/capacity_test.go
+++ b/cmd/internal/experiment/capacity_test.go
@@ -36,6 +36,20 @@
 	is.Equal(len(faults), 0)
 }
 
+// TestLearningNoticesARefusal: a change that does not apply must not be
+// measured as one that does.
+func TestLearningNoticesARefusal(t *testing.T) {
+	is := is.New(t)
+	doc := capacityDocument(22, 4, 1)
+	l := newLearning(doc)
+	l.learn(capacityChange(doc), 1)
+	is.NoErr(l.check())
+	missing := capacityChange(doc)
+	missing.Ops[0].Name = "no such endpoint"
+	l.learn(missing, 2)
+	is.True(l.check() != nil)
+}
+
 // TestSchedulingGrants: the step that is measured must end in grants, or it
 // would measure refusals.
 func TestSchedulingGrants(t *testing.T) {
--- /dev/null
+++ b/cmd/internal/experiment/faults_test.go
@@ -0,0 +1,212 @@
+package experiment
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/cmd/internal/load"
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/opapi"
+	"github.com/samphirequay/samphirequay/platform/standin"
+)
+
+// roundTrip answers every request alike.
+type roundTrip func(*http.Request) (*http.Response, error)
+
+func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// brokenBody ends with an error.
+type brokenBody struct{ io.Reader }
+
+func (b brokenBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// through sends one request through a tap and reads its answer to the end.
+func through(t *testing.T, x *tap, path string, header, answer http.Header, body io.Reader) {
+	t.Helper()
+	x.base = roundTrip(func(*http.Request) (*http.Response, error) {
+		return &http.Response{StatusCode: http.StatusOK, Header: answer, Body: io.NopCloser(body)}, nil
+	})
+	req, err := http.NewRequest(http.MethodPost, "http://127.0.0.1"+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header = header
+	resp, err := x.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, resp.Body) // how it ends is what the tap must see
+}
+
+func headerOf(name, value string) http.Header {
+	h := http.Header{}
+	h.Set(name, value)
+	return h
+}
+
+func stream() http.Header { return headerOf("Content-Type", "text/event-stream") }
+
+const errorEvent = "event: error\ndata: {\"error\":{\"verdict\":\"not-run\",\"code\":\"overloaded\",\"request\":\"r1\"}}\n\n"
+
+func TestTapSeesHowStreamsEnd(t *testing.T) {
+	is := is.New(t)
+	x := newTap(nil)
+	through(t, x, opapi.PathCompletions, http.Header{}, stream(), strings.NewReader("data: {}\n\ndata: [DONE]\n\n"))
+	is.Equal(x.brokenSoFar(), 0)
+	through(t, x, opapi.PathCompletions, http.Header{}, stream(), strings.NewReader(errorEvent))
+	is.Equal(x.brokenSoFar(), 0)
+	is.Equal(x.refusedRequests(), []string{"r1"})
+	through(t, x, opapi.PathCompletions, http.Header{}, stream(), strings.NewReader("data: {}\n\n"))
+	is.Equal(x.brokenSoFar(), 1) // ended without its end
+	through(t, x, opapi.PathCompletions, http.Header{}, stream(), brokenBody{strings.NewReader("data: {}\n\n")})
+	is.Equal(x.brokenSoFar(), 2)
+}
+
+func TestTapChecksOnlyNewRequestsAndWholeKeys(t *testing.T) {
+	is := is.New(t)
+	x := newTap(nil)
+	resumed := headerOf(opapi.HeaderLastEventID, "token")
+	through(t, x, opapi.PathCompletions, resumed, stream(), strings.NewReader(errorEvent))
+	is.Equal(len(x.refusedRequests()), 0) // it ran before, and its caller knows
+	refused := headerOf(opapi.HeaderVerdict, verdict.NotRun.String())
+	key := headerOf(opapi.HeaderIdempotencyKey, "k1")
+	through(t, x, "/services/desk/x", key, refused, strings.NewReader(""))
+	is.Equal(x.refusedKeys(), []string{"k1"})
+	through(t, x, "/services/desk/x", key, http.Header{}, strings.NewReader(""))
+	is.Equal(len(x.refusedKeys()), 0) // the second attempt ran
+}
+
+func TestTapCountsConnectionsButNotEntryAsks(t *testing.T) {
+	is := is.New(t)
+	x := newTap(roundTrip(func(*http.Request) (*http.Response, error) { return nil, io.ErrUnexpectedEOF }))
+	for _, path := range []string{opapi.PathEntry, opapi.PathCompletions} {
+		req, err := http.NewRequest(http.MethodPost, "http://127.0.0.1"+path, nil)
+		is.NoErr(err)
+		_, err = x.RoundTrip(req)
+		is.True(err != nil)
+	}
+	is.Equal(x.brokenSoFar(), 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://127.0.0.1"+opapi.PathCompletions, nil)
+	is.NoErr(err)
+	_, err = x.RoundTrip(req)
+	is.True(err != nil)
+	is.Equal(x.brokenSoFar(), 1) // the caller hung up itself
+}
+
+func TestAttemptLogJoinsRequestsAndAttempts(t *testing.T) {
+	is := is.New(t)
+	l := newAttemptLog()
+	for _, line := range []string{
+		"ts=1 daemon=d1 level=info event=paired kind=request id=R attempt=A1 prefill=p decode=d",
+		"ts=2 daemon=d2 level=info event=paired kind=request id=R attempt=A2 prefill=p decode=d",
+		"ts=3 daemon=d1 level=error event=invariant_violated name=slots",
+	} {
+		n, err := l.Write([]byte(line + "\n"))
+		is.NoErr(err)
+		is.Equal(n, len(line)+1)
+	}
+	is.Equal(l.of("R"), []string{"A1", "A2"})
+	is.Equal(len(l.warnings), 1)
+	is.True(anyOf(l.of("R"), map[string]int{"A2": 1}))
+	is.True(!anyOf(l.of("R"), map[string]int{"B": 1}))
+}
+
+// recorded is a driver that was answered in time, but for a time of the run.
+func recorded(badFrom, badTo time.Duration) *driver {
+	x := &driver{spec: load.Spec{Duration: 10 * time.Second, FirstTokenTarget: time.Second, PaceTarget: time.Second}}
+	for at := time.Duration(0); at < x.spec.Duration; at += 20 * time.Millisecond {
+		rec := load.Record{At: at, Outcome: load.OutcomeAnswered}
+		if at >= badFrom && at < badTo {
+			rec.FirstToken = 2 * time.Second
+		}
+		x.records = append(x.records, done{Record: rec})
+	}
+	return x
+}
+
+func TestBackAfterFindsTheEndOfABadTime(t *testing.T) {
+	is := is.New(t)
+	x := recorded(4*time.Second, 6*time.Second)
+	is.Equal(x.perSecond(window{0, 4 * time.Second}), 50.0)
+	is.Equal(x.perSecond(window{4 * time.Second, 6 * time.Second}), 0.0)
+	back := x.backAfter(4*time.Second, 10*time.Second, 0.95)
+	is.True(back >= 1800 && back <= 2000) // a second of which 95% are good
+	is.Equal(x.backAfter(7*time.Second, 10*time.Second, 0.95), int64(0))
+	is.Equal(recorded(4*time.Second, 10*time.Second).backAfter(4*time.Second, 10*time.Second, 0.95), int64(notBack))
+}
+
+func TestLostIsWhatWasBegunAndNeverCameWhole(t *testing.T) {
+	is := is.New(t)
+	begun := load.Record{OutputTokens: 3, Outcome: load.OutcomeFailed}
+	is.True(done{Record: begun}.lost(nil))
+	is.True(!done{Record: begun, HungUp: true}.lost(nil))
+	is.True(!done{Record: load.Record{Outcome: load.OutcomeRefused}}.lost(nil))
+	call := load.Record{Plain: true, Key: "k", Outcome: load.OutcomeAnswered}
+	is.True(done{Record: call}.lost(nil)) // answered, but it never ran
+	is.True(!done{Record: call}.lost(map[string]int{"k": 1}))
+	is.Equal(wholeFault("a b ", "a b "), load.FaultNone)
+	is.Equal(wholeFault("a ", "a b "), load.FaultLost)
+	is.Equal(wholeFault("a b b ", "a b "), load.FaultDoubled)
+	is.Equal(wholeFault("a x ", "a b "), load.FaultWrong)
+}
+
+func TestWrongsAreFaultsOfTheReport(t *testing.T) {
+	is := is.New(t)
+	r := &Report{}
+	r.faultLine(FaultFigures{Fault: "calm"})
+	is.Equal(len(r.Faults), 0)
+	r.faultLine(FaultFigures{Fault: "bad", Wrongs: Wrongs{Orphans: 1}})
+	is.Equal(len(r.Faults), 1)
+	is.True(strings.HasPrefix(r.Lines[1], "fault=bad lost=0 doubled=0 ran_twice=0 orphans=1 "))
+}
+
+func TestFaultCasesHaveNamesOfTheirOwn(t *testing.T) {
+	is := is.New(t)
+	var names []string
+	for _, c := range faultCases() {
+		is.True(!slices.Contains(names, c.name))
+		names = append(names, c.name)
+	}
+}
+
+func TestSiteWithoutADomain(t *testing.T) {
+	is := is.New(t)
+	site := standin.Bunker()
+	rest := without(site, site.Domains[0])
+	is.Equal(len(site.Engines), 18)
+	is.Equal(len(rest.Engines), 13)
+	for _, e := range rest.Engines {
+		is.True(e.Domain != site.Domains[0])
+	}
+}
+
+func TestPoisonReportNamesWhatWentWrong(t *testing.T) {
+	is := is.New(t)
+	good := PoisonFigures{Runs: []PoisonRun{{Poisons: 1, Crashes: 3}, {Poisons: 3, Crashes: 9}}, Lifted: true}
+	is.Equal(len(poisonReport(Env{}, good).Faults), 0)
+	bad := PoisonFigures{Runs: []PoisonRun{{Poisons: 1, Crashes: 4}, {Poisons: 1, QuarantinedMS: notBack}}, Convicted: 1}
+	is.Equal(len(poisonReport(Env{}, bad).Faults), 4)
+}
+
+func TestRollingReportNamesWhatWentWrong(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(rollingReport(Env{}, RollingFigures{Drained: 4, Undrained: 4}).Faults), 0)
+	bad := RollingFigures{Interrupted: 1, Drained: 4, Undrained: 4, WorkAfterLeave: 1, Wrongs: Wrongs{Lost: 1}}
+	is.Equal(len(rollingReport(Env{}, bad).Faults), 3)
+}
--- a/cmd/internal/fleet/places.go
+++ b/cmd/internal/fleet/places.go
@@ -9,6 +9,7 @@
 
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/rendezvous"
 	"github.com/samphirequay/samphirequay/daemon/opapi"
 	"github.com/samphirequay/samphirequay/platform/wire"
 )
@@ -24,22 +25,19 @@
 // Domain is the failure domain of a place.
 func (f *Fleet) Domain(i int) id.Domain { return f.members[i].domain }
 
-// Owner asks the fleet which place schedules a pool.
-func (f *Fleet) Owner(ctx context.Context, pool id.Pool) (int, error) {
-	client, err := f.Operator()
-	if err != nil {
-		return -1, err
-	}
-	status, err := client.Status(ctx)
-	if err != nil {
-		return -1, err
-	}
-	for _, p := range status.Pools {
-		if p.Pool == pool {
-			return f.Place(p.Owner), nil
+// Owner is the place whose daemon schedules a pool, by the rule that all
+// daemons follow, once they know which of them run; -1 if none runs.
+func (f *Fleet) Owner(pool id.Pool) int {
+	var running []id.Daemon
+	for i, m := range f.members {
+		if f.Daemon(i) != nil {
+			running = append(running, m.name)
 		}
 	}
-	return -1, eris.Errorf("no daemon owns the pool %s", pool)
+	if len(running) == 0 {
+		return -1
+	}
+	return f.Place(rendezvous.Owner(string(pool), running))
 }
 
 // Hosts is the true host list: the daemons that run.
--- /dev/null
+++ b/cmd/internal/report/report.go
@@ -0,0 +1,187 @@
+// Package report writes one page about a run of all experiments, beside the
+// figures of an earlier run.
+package report
+
+import (
+	_ "embed"
+	"encoding/json"
+	"errors"
+	"html/template"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirequay/samphirequay/cmd/internal/experiment"
+	"github.com/samphirequay/samphirequay/cmd/internal/version"
+)
+
+// Names of the files of a run.
+const (
+	// IndexFile is the page.
+	IndexFile = "index.html"
+	// SummaryFile holds the run in short, as JSON.
+	SummaryFile = "summary.json"
+	// previousFolder holds the earlier run's reports, so that the page stands alone.
+	previousFolder = "previous"
+)
+
+// Run is one run of experiments in short.
+type Run struct {
+	Build version.Info `json:"build"`
+	Seed  uint64       `json:"seed"`
+	// Begun is when the run began.
+	Begun    time.Time            `json:"begun"`
+	Outcomes []experiment.Outcome `json:"outcomes"`
+}
+
+// Failed counts the experiments that gave no report, or one with faults.
+func (r *Run) Failed() int {
+	n := 0
+	for i := range r.Outcomes {
+		if r.Outcomes[i].Failed() {
+			n++
+		}
+	}
+	return n
+}
+
+//go:embed index.html.tmpl
+var indexText string
+
+var indexTemplate = template.Must(template.New(IndexFile).Parse(indexText))
+
+// Write writes the reports, their plots, the summary and the page under dir.
+// previous is the folder of an earlier run; empty means that there is none.
+func Write(dir, previous string, run *Run) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return eris.Wrap(err, "folder of the run")
+	}
+	for i := range run.Outcomes {
+		writeReport(dir, &run.Outcomes[i])
+	}
+	before, err := load(previous, run)
+	if err != nil {
+		return err
+	}
+	if err := before.write(filepath.Join(dir, previousFolder)); err != nil {
+		return err
+	}
+	if err := writeSummary(dir, run); err != nil {
+		return err
+	}
+	return writeIndex(dir, newPage(run, before))
+}
+
+// writeReport writes one report. One that can't be written counts as failed, so
+// that the page still shows the others.
+func writeReport(dir string, o *experiment.Outcome) {
+	if o.Report == nil {
+		return
+	}
+	if err := o.Report.Write(dir); err != nil {
+		o.Error = err.Error()
+		o.Report = nil
+	}
+}
+
+func writeSummary(dir string, run *Run) error {
+	raw, err := json.MarshalIndent(run, "", "  ")
+	if err != nil {
+		return eris.Wrap(err, "encode the summary")
+	}
+	return eris.Wrap(os.WriteFile(filepath.Join(dir, SummaryFile), append(raw, '\n'), 0o644), "write the summary")
+}
+
+func writeIndex(dir string, p *page) error {
+	file, err := os.Create(filepath.Join(dir, IndexFile))
+	if err != nil {
+		return eris.Wrap(err, "create the page")
+	}
+	err = indexTemplate.Execute(file, p)
+	return eris.Wrap(errors.Join(err, file.Close()), "write the page")
+}
+
+// earlier holds the earlier run.
+type earlier struct {
+	run     *Run
+	reports map[string]*experiment.Report
+}
+
+// load reads the earlier run's reports of the same experiments. One that is
+// missing is left out; one that can't be read is an error.
+func load(dir string, run *Run) (*earlier, error) {
+	e := &earlier{reports: make(map[string]*experiment.Report)}
+	if dir == "" {
+		return e, nil
+	}
+	if _, err := os.Stat(dir); err != nil {
+		return nil, eris.Wrap(err, "previous run")
+	}
+	var err error
+	if e.run, err = readJSON[Run](filepath.Join(dir, SummaryFile)); err != nil {
+		return nil, err
+	}
+	for i := range run.Outcomes {
+		name := run.Outcomes[i].Name
+		report, err := readJSON[experiment.Report](filepath.Join(dir, name+".json"))
+		if err != nil {
+			return nil, err
+		}
+		if report != nil {
+			e.reports[name] = report
+		}
+	}
+	return e, nil
+}
+
+// write writes the earlier reports and their plots.
+func (e *earlier) write(dir string) error {
+	for _, report := range e.reports {
+		if err := report.Write(dir); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readJSON reads a file; it gives nil if there is none.
+func readJSON[T any](path string) (*T, error) {
+	raw, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, eris.Wrap(err, "previous run")
+	}
+	value := new(T)
+	if err := json.Unmarshal(raw, value); err != nil {
+		return nil, eris.Wrapf(err, "previous run: %s", filepath.Base(path))
+	}
+	return value, nil
+}
+
+// Latest finds the newest run in the folders beside dir, by its summary; it
+// gives an empty name if there is none.
+func Latest(dir string) (string, error) {
+	own, err := filepath.Abs(dir)
+	if err != nil {
+		return "", eris.Wrap(err, "folder of the run")
+	}
+	summaries, err := filepath.Glob(filepath.Join(filepath.Dir(own), "*", SummaryFile))
+	if err != nil {
+		return "", eris.Wrap(err, "look for an earlier run")
+	}
+	latest, begun := "", time.Time{}
+	for _, path := range summaries {
+		folder := filepath.Dir(path)
+		run, err := readJSON[Run](path)
+		if folder == own || err != nil || run == nil || !run.Begun.After(begun) {
+			continue
+		}
+		latest, begun = folder, run.Begun
+	}
+	return latest, nil
+}
--- a/core/live/live.go
+++ b/core/live/live.go
@@ -33,6 +33,11 @@
 	LabelRole = "samphirequay/role"
 	// LabelModel is the model an endpoint should serve.
 	LabelModel = "samphirequay/model"
+	// LabelVersion and LabelAdapter are the version and the adapter of the model
+	// that an endpoint should serve. On a pool they stand for all its endpoints,
+	// and go before its own fields.
+	LabelVersion = "samphirequay/version"
+	LabelAdapter = "samphirequay/adapter"
 	// LabelDomain is the failure domain of an endpoint.
 	LabelDomain = "samphirequay/domain"
 	// LabelLiftQuarantine on a service holds the fingerprint of a quarantined
--- a/core/placement/advance.go
+++ b/core/placement/advance.go
@@ -62,7 +62,7 @@
 func (p *Placement) putOff(e *engine, reason string) {
 	if e.held != reason {
 		e.held = reason
-		p.say(e, "held back", reason)
+		p.say(e, "held_back", reason)
 	}
 }
 
--- a/core/placement/decide.go
+++ b/core/placement/decide.go
@@ -47,10 +47,7 @@
 			continue
 		}
 		role := p.decideRole(g, e)
-		setup := Setup{Model: g.pool.Model, Adapter: g.pool.Adapter, Version: g.pool.Version, Role: role}
-		if m := e.config.Labels[live.LabelModel]; m != "" {
-			setup.Model = m
-		}
+		setup := wanted(g.pool, e.config, role)
 		if e.decided && setup == e.desired {
 			continue
 		}
@@ -63,6 +60,24 @@
 	}
 }
 
+// wanted is what the pool wants of an endpoint: its fields, over them its
+// labels, over them the endpoint's labels.
+func wanted(pool *live.Pool, e *live.Endpoint, role live.Role) Setup {
+	setup := Setup{Model: pool.Model, Adapter: pool.Adapter, Version: pool.Version, Role: role}
+	for _, labels := range []live.Labels{pool.Labels, e.Labels} {
+		override(&setup.Model, labels[live.LabelModel])
+		override(&setup.Adapter, labels[live.LabelAdapter])
+		override(&setup.Version, labels[live.LabelVersion])
+	}
+	return setup
+}
+
+func override(field *string, label string) {
+	if label != "" {
+		*field = label
+	}
+}
+
 // decideRole keeps the role unless a label says otherwise: a label that is
 // new, or any label in a pool of fixed roles.
 func (p *Placement) decideRole(g *group, e *engine) live.Role {
--- a/core/pool/manager.go
+++ b/core/pool/manager.go
@@ -80,9 +80,11 @@
 	print   poison.Fingerprint
 	prefill id.Endpoint
 	decode  id.Endpoint
-	phase   sched.Phase
-	since   time.Duration
-	prompt  int
+	// reservation of the grant in use; a former grant's late report is ignored.
+	reservation uint64
+	phase       sched.Phase
+	since       time.Duration
+	prompt      int
 }
 
 // New returns a Manager without configuration.
@@ -111,11 +113,23 @@
 		members = append(members, health.Member{Endpoint: e.Name, Pool: m.opts.Pool, Role: role})
 	}
 	m.health.Configure(now, members)
+	m.forgetReports(members)
 	m.usage.configure(members)
 	m.lift(now, index)
 	return m.follow(now, m.sched.Configure(now, doc))
 }
 
+// forgetReports drops the reports of endpoints that left the pool.
+func (m *Manager) forgetReports(members []health.Member) {
+	kept := make(map[id.Endpoint]sched.Load, len(members))
+	for _, x := range members {
+		if l, ok := m.reports[x.Endpoint]; ok {
+			kept[x.Endpoint] = l
+		}
+	}
+	m.reports = kept
+}
+
 // lift frees the fingerprints that a service's label names.
 func (m *Manager) lift(now time.Duration, index *live.Index) {
 	doc := index.Document()
@@ -199,7 +213,7 @@
 
 // Progress follows a granted request.
 func (m *Manager) Progress(now time.Duration, p sched.Progress) []sched.Action {
-	if t, ok := m.requests[p.Request]; ok {
+	if t, ok := m.requests[p.Request]; ok && p.Reservation == t.reservation {
 		m.observe(now, t, p)
 	}
 	out := m.follow(now, m.sched.Progress(now, p))
@@ -215,7 +229,7 @@
 func (m *Manager) Adopt(now time.Duration, a sched.Adopt) []sched.Action {
 	m.forget(now, a.Want.Request, health.Withdrawn)
 	print, _ := poison.ParseFingerprint(a.Want.Fingerprint)
-	t := &tracked{want: a.Want, print: print, prefill: a.Grant.Prefill, decode: a.Grant.Decode, phase: a.Phase, since: now}
+	t := &tracked{want: a.Want, print: print, prefill: a.Grant.Prefill, decode: a.Grant.Decode, reservation: a.Grant.Reservation, phase: a.Phase, since: now}
 	m.requests[a.Want.Request] = t
 	m.enter(now, t)
 	return m.follow(now, m.sched.Adopt(now, a))
@@ -326,10 +340,11 @@
 
 func (m *Manager) granted(now time.Duration, g *sched.Grant) {
 	t, ok := m.requests[g.Request]
-	if !ok || t.decode != "" {
+	if !ok || t.phase != 0 {
 		return
 	}
 	t.prefill = g.Prefill
 	t.decode = g.Decode
+	t.reservation = g.Reservation
 	t.since = now
 }
--- a/core/pool/status.go
+++ b/core/pool/status.go
@@ -13,6 +13,8 @@
 	// Answered and Refused count since this daemon became the owner.
 	Answered uint64
 	Refused  uint64
+	// Unreachable counts the endpoints that did not answer when last asked.
+	Unreachable int
 	// PrefillLoad and DecodeLoad are the utilisation of the roles, 0 to 1.
 	PrefillLoad float64
 	DecodeLoad  float64
@@ -35,6 +37,7 @@
 	for _, n := range m.nodes {
 		s.Working += len(n.running)
 	}
+	s.Unreachable = m.unreachableCount()
 	s.PrefillLoad = m.usage.load
 	if s.Slots > 0 {
 		s.DecodeLoad = float64(s.Held+s.Foreign) / float64(s.Slots)
@@ -42,3 +45,13 @@
 	s.Quarantine = m.opts.Poison.List(m.wall(now))
 	return s
 }
+
+func (m *Manager) unreachableCount() int {
+	n := 0
+	for _, l := range m.reports {
+		if !l.Reachable {
+			n++
+		}
+	}
+	return n
+}
--- a/core/reap/reaper.go
+++ b/core/reap/reaper.go
@@ -119,7 +119,9 @@
 
 func (r *Reaper) orphaned(now time.Duration, run Running, active func(id.Request) bool) bool {
 	if run.Owner == r.cfg.Self {
-		return run.Age >= r.ownGrace(run.Stage) && !active(run.Request)
+		// A finished answer is no leftover: the endpoint keeps it a while for a
+		// caller that lost the end.
+		return run.Stage != StageFinished && run.Age >= r.cfg.OwnGrace && !active(run.Request)
 	}
 	if r.alive[run.Owner.Daemon] == run.Owner.Incarnation && run.Owner.Incarnation != 0 {
 		return false
@@ -138,15 +140,6 @@
 	return p.Daemon == r.cfg.Self.Daemon && p.Incarnation < r.cfg.Self.Incarnation
 }
 
-// ownGrace is how old own work must be before its absence from the active set
-// counts. A finished answer stays longer: its caller may have lost the end.
-func (r *Reaper) ownGrace(s Stage) time.Duration {
-	if s == StageFinished {
-		return r.cfg.FinishedGrace
-	}
-	return r.cfg.OwnGrace
-}
-
 func (r *Reaper) grace(s Stage) time.Duration {
 	if s == StageFinished {
 		return r.cfg.FinishedGrace
--- a/core/sched/ledger.go
+++ b/core/sched/ledger.go
@@ -86,6 +86,7 @@
 		caches:    newCacheIndex(),
 		row:       newRow(),
 		pool:      newPoolEstimate(),
+		serial:    o.FirstReservation,
 	}
 }
 
--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -31,6 +31,8 @@
 	Self id.Process
 	// Seed of the tie-breaks.
 	Seed uint64
+	// FirstReservation is the number behind which grants are numbered. Default 0.
+	FirstReservation uint64
 	// Reservation is when a decode slot is reserved. Default JustInTime.
 	Reservation Reservation
 	// KVLife is how long an exported KV cache lives. Default 800 ms.
--- a/daemon/app/glue.go
+++ b/daemon/app/glue.go
@@ -89,11 +89,13 @@
 
 func (d *Daemon) newScheduler(p id.Pool, view sched.HealthView) sched.Scheduler {
 	opts := sched.Options{
-		Pool:      p,
-		Self:      d.self,
-		Seed:      uint64(d.self.Incarnation),
-		Health:    view,
-		Violation: d.metrics.Violation,
+		Pool: p,
+		Self: d.self,
+		Seed: uint64(d.self.Incarnation),
+		// A manager made again must not number its grants as its predecessor did.
+		FirstReservation: uint64(d.now()),
+		Health:           view,
+		Violation:        d.metrics.Violation,
 	}
 	switch d.set.Policy {
 	case settings.PolicyNaive:
@@ -118,14 +120,7 @@
 
 // ownedPools lists the pools that this daemon schedules.
 func (d *Daemon) ownedPools() []id.Pool {
-	all := d.pools()
-	var own []id.Pool
-	for i, owner := range d.broker.Owners(all) {
-		if owner == d.self.Daemon {
-			own = append(own, all[i])
-		}
-	}
-	return own
+	return d.broker.Scheduled(d.pools())
 }
 
 // reportSink hands endpoints' reports on.
--- a/daemon/app/peers.go
+++ b/daemon/app/peers.go
@@ -11,6 +11,7 @@
 	"github.com/samphirequay/samphirequay/core/poison"
 	"github.com/samphirequay/samphirequay/core/revision"
 	"github.com/samphirequay/samphirequay/daemon/broker"
+	"github.com/samphirequay/samphirequay/daemon/claims"
 	"github.com/samphirequay/samphirequay/daemon/opapi"
 	"github.com/samphirequay/samphirequay/daemon/peer"
 )
@@ -23,6 +24,8 @@
 	kindEvidence                      // one-way: poison.State
 	kindExplain                       // call: explainQuery -> opapi.Explanation
 	kindPools                         // call: nothing -> poolsReply
+	kindClaim                         // call: claims.BeginCall -> claims.BeginReply
+	kindOutcome                       // call: claims.FinishCall -> claims.FinishReply
 	kindRecord                        // call: revision.Record -> recordReply
 )
 
@@ -34,6 +37,8 @@
 	kindEvidence: "evidence",
 	kindExplain:  "explain",
 	kindPools:    "pools",
+	kindClaim:    "claim",
+	kindOutcome:  "outcome",
 	kindRecord:   "record",
 }
 
@@ -116,7 +121,7 @@
 }
 
 // HandleCall implements peer.Handler.
-func (h *peerHandler) HandleCall(_ context.Context, from id.Daemon, kind peer.Kind, body []byte) ([]byte, error) {
+func (h *peerHandler) HandleCall(ctx context.Context, from id.Daemon, kind peer.Kind, body []byte) ([]byte, error) {
 	if !h.open() {
 		return nil, eris.New("the daemon is starting")
 	}
@@ -145,6 +150,20 @@
 		return peer.Encode(&recordReply{Learnt: h.d.configs.Learn(r)})
 	case kindPools:
 		return peer.Encode(h.d.poolsLocal())
+	case kindClaim:
+		var call claims.BeginCall
+		if err := peer.Decode(body, &call); err != nil {
+			return nil, err
+		}
+		reply := h.d.claims.HandleBegin(ctx, from, &call)
+		return peer.Encode(&reply)
+	case kindOutcome:
+		var call claims.FinishCall
+		if err := peer.Decode(body, &call); err != nil {
+			return nil, err
+		}
+		reply := h.d.claims.HandleFinish(ctx, from, &call)
+		return peer.Encode(&reply)
 	default:
 		return nil, eris.Errorf("unknown kind of call %d from %s", kind, from)
 	}
@@ -182,6 +201,23 @@
 	}
 }
 
+// claimWriters implements claims.Writers over the transport.
+type claimWriters struct{ d *Daemon }
+
+// Begin implements claims.Writers.
+func (w claimWriters) Begin(ctx context.Context, to id.Daemon, call *claims.BeginCall) (claims.BeginReply, error) {
+	var reply claims.BeginReply
+	err := w.d.transport.Call(ctx, to, kindClaim, call, &reply)
+	return reply, err
+}
+
+// Finish implements claims.Writers.
+func (w claimWriters) Finish(ctx context.Context, to id.Daemon, call *claims.FinishCall) (claims.FinishReply, error) {
+	var reply claims.FinishReply
+	err := w.d.transport.Call(ctx, to, kindOutcome, call, &reply)
+	return reply, err
+}
+
 // peerFetcher implements configs.Peers.
 type peerFetcher struct{ d *Daemon }
 
--- a/daemon/app/start.go
+++ b/daemon/app/start.go
@@ -140,6 +140,8 @@
 		Now:        d.now,
 	})
 	d.claims = claims.Start(claims.Config{
+		Self:       d.self,
+		Writers:    claimWriters{d},
 		Store:      d.store,
 		Objects:    client.NewObjects(d.set.Platform.Objects, d.platformOptions()),
 		Work:       d.work,
--- a/daemon/app/status.go
+++ b/daemon/app/status.go
@@ -128,6 +128,7 @@
 		Answered: p.Answered,
 		Refused:  p.Refused,
 
+		Unreachable: p.Unreachable,
 		PrefillLoad: p.PrefillLoad,
 		DecodeLoad:  p.DecodeLoad,
 	}
--- a/daemon/broker/broker.go
+++ b/daemon/broker/broker.go
@@ -46,10 +46,13 @@
 	asker    *pairing.Asker
 	managers map[id.Pool]*pool.Manager
 	doc      *live.Document
-	waiting  map[id.Request]chan<- pairing.Answer
+	// known are the pools of doc; no other gets a manager.
+	known   map[id.Pool]bool
+	waiting map[id.Request]chan<- pairing.Answer
 	// bindings hand each provisional grant its binding.
 	bindings map[id.Request]chan sched.Binding
 	lost     *metrics.Counter
+	unknown  *metrics.Counter
 	// told is the number of the last evidence that was spread.
 	told uint64
 }
@@ -65,6 +68,7 @@
 		bindings: make(map[id.Request]chan sched.Binding),
 		lost:     cfg.Metrics.Counter("broker_messages_lost", metrics.UnitCount, "messages to other daemons that could not be queued"),
 	}
+	b.unknown = cfg.Metrics.Counter("broker_unknown_pool", metrics.UnitCount, "messages about pools that are not in the configuration here")
 	b.duty = duty.Start(duty.Config{Name: "broker", Ring: ringSize, Now: cfg.Now, Tick: b.tick, Metrics: cfg.Metrics})
 	return b
 }
@@ -176,7 +180,12 @@
 func (b *Broker) SetDocument(doc *live.Document) {
 	b.duty.Post(func(now time.Duration) {
 		b.doc = doc
+		b.known = poolNames(doc)
 		for _, p := range b.sortedPools() {
+			if !b.known[p] {
+				delete(b.managers, p)
+				continue
+			}
 			b.actions(now, p, b.managers[p].Configure(now, doc))
 		}
 	})
@@ -192,7 +201,7 @@
 // Load takes an endpoint's report for one of its pools.
 func (b *Broker) Load(p id.Pool, l sched.Load) {
 	b.duty.Post(func(now time.Duration) {
-		if b.owns(p) {
+		if b.schedules(p) {
 			b.actions(now, p, b.manager(now, p).Load(now, l))
 		}
 	})
@@ -201,12 +210,29 @@
 // Cache takes an endpoint's cache events for one of its pools.
 func (b *Broker) Cache(p id.Pool, e id.Endpoint, events []sched.CacheEvent, gap bool) {
 	b.duty.Post(func(now time.Duration) {
-		if b.owns(p) {
+		if b.schedules(p) {
 			b.manager(now, p).Cache(now, e, events, gap)
 		}
 	})
 }
 
+// schedules is true for the owner of a pool, and for a daemon that others take
+// for it and so send their Wants.
+func (b *Broker) schedules(p id.Pool) bool { return b.owns(p) || b.managers[p] != nil }
+
+// Scheduled lists those of the pools that this daemon schedules.
+func (b *Broker) Scheduled(pools []id.Pool) []id.Pool {
+	var out []id.Pool
+	b.duty.Query(func(time.Duration) {
+		for _, p := range pools {
+			if b.schedules(p) {
+				out = append(out, p)
+			}
+		}
+	})
+	return out
+}
+
 func (b *Broker) owns(p id.Pool) bool { return b.asker.Owner(p) == b.cfg.Self.Daemon }
 
 // Owners returns the daemon that schedules each of the pools, as this daemon
@@ -254,6 +280,14 @@
 	return m
 }
 
+func poolNames(doc *live.Document) map[id.Pool]bool {
+	names := make(map[id.Pool]bool, len(doc.Pools))
+	for i := range doc.Pools {
+		names[doc.Pools[i].Name] = true
+	}
+	return names
+}
+
 // output sends what the asker wants sent and delivers its answers.
 func (b *Broker) output(now time.Duration, out pairing.Output) {
 	for _, a := range out.Answers {
@@ -336,8 +370,13 @@
 	}
 }
 
-// handle takes an envelope from this or another daemon.
+// handle takes an envelope from this or another daemon. One about a pool that
+// is not in the configuration here is dropped: its sender asks again.
 func (b *Broker) handle(now time.Duration, from id.Daemon, e *Envelope) {
+	if p, ok := e.pool(); ok && !b.known[p] {
+		b.unknown.Inc()
+		return
+	}
 	switch {
 	case e.Want != nil:
 		b.actions(now, e.Want.Pool, b.manager(now, e.Want.Pool).Want(now, *e.Want))
--- a/daemon/broker/messages.go
+++ b/daemon/broker/messages.go
@@ -22,6 +22,24 @@
 	Binding  *sched.Binding        `cbor:"8,keyasint,omitempty"`
 }
 
+// pool is the pool that an envelope asks its receiver to schedule for.
+func (e *Envelope) pool() (id.Pool, bool) {
+	switch {
+	case e.Want != nil:
+		return e.Want.Pool, true
+	case e.Withdraw != nil:
+		return e.Withdraw.Pool, true
+	case e.Progress != nil:
+		return e.Progress.Pool, true
+	case e.Adopt != nil:
+		return e.Adopt.Want.Pool, true
+	case e.Drain != nil:
+		return e.Drain.Pool, true
+	default:
+		return "", false
+	}
+}
+
 // Drain keeps new work off an endpoint of a pool, or lets it in again.
 type Drain struct {
 	Pool     id.Pool     `cbor:"1,keyasint"`
--- a/daemon/front/services.go
+++ b/daemon/front/services.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	name, rest, _ := strings.Cut(strings.TrimPrefix(path, opapi.PathServices), "/")
+	name, _, _ := strings.Cut(strings.TrimPrefix(path, opapi.PathServices), "/")
 	svc, err := s.service(team, name)
 	if err != nil {
 		return nil, err
@@ -88,7 +88,7 @@
 		Key:     key,
 		Request: client.PlainRequest{
 			Method:  string(ctx.Method()),
-			Path:    "/" + rest + queryOf(ctx),
+			Path:    forwardedPath(ctx),
 			Headers: forwardedHeaders(ctx),
 			Body:    body,
 		},
@@ -113,12 +113,16 @@
 	return key, nil
 }
 
-func queryOf(ctx *fasthttp.RequestCtx) string {
-	query := ctx.QueryArgs().String()
-	if query == "" {
-		return ""
+// forwardedPath is the target behind the service's name, as the caller wrote
+// it: decoded, a %3F would become a query and a %2F another level.
+func forwardedPath(ctx *fasthttp.RequestCtx) string {
+	original := string(ctx.URI().PathOriginal())
+	_, rest, _ := strings.Cut(strings.TrimPrefix(original, opapi.PathServices), "/")
+	target := "/" + rest
+	if query := ctx.URI().QueryString(); len(query) > 0 {
+		target += "?" + string(query)
 	}
-	return "?" + query
+	return target
 }
 
 func forwardedHeaders(ctx *fasthttp.RequestCtx) []client.Header {
--- a/daemon/opapi/opapi.go
+++ b/daemon/opapi/opapi.go
@@ -175,18 +175,20 @@
 
 // PoolStatus sums up a pool.
 type PoolStatus struct {
-	Pool     id.Pool   `json:"pool"`
-	Owner    id.Daemon `json:"owner"`
-	Prefill  int       `json:"prefill"`
-	Decode   int       `json:"decode"`
-	Plain    int       `json:"plain"`
-	Leaving  int       `json:"leaving"`
-	Ejected  int       `json:"ejected"`
-	Queued   int       `json:"queued"`
-	Running  int       `json:"running"`
-	Slots    int       `json:"slots"`
-	Answered uint64    `json:"answered"`
-	Refused  uint64    `json:"refused"`
+	Pool    id.Pool   `json:"pool"`
+	Owner   id.Daemon `json:"owner"`
+	Prefill int       `json:"prefill"`
+	Decode  int       `json:"decode"`
+	Plain   int       `json:"plain"`
+	Leaving int       `json:"leaving"`
+	Ejected int       `json:"ejected"`
+	// Unreachable counts the endpoints that did not answer when last asked.
+	Unreachable int    `json:"unreachable"`
+	Queued      int    `json:"queued"`
+	Running     int    `json:"running"`
+	Slots       int    `json:"slots"`
+	Answered    uint64 `json:"answered"`
+	Refused     uint64 `json:"refused"`
 	// PrefillLoad and DecodeLoad are the utilisation of the roles, 0 (idle) to
 	// 1 (full) and above when work waits.
 	PrefillLoad float64 `json:"prefill_load"`
