--- a/cmd/internal/cli/docscmd/metrics.go
+++ b/cmd/internal/cli/docscmd/metrics.go
@@ -8,7 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/samphirequay/samphirequay/cmd/internal/fleet"
-	"github.com/samphirequay/samphirequay/platform/standin"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 // metricsPage lists what a running daemon declares.
--- a/cmd/internal/cli/localcmd/local.go
+++ b/cmd/internal/cli/localcmd/local.go
@@ -19,7 +19,7 @@
 	"github.com/samphirequay/samphirequay/cmd/internal/experiment"
 	"github.com/samphirequay/samphirequay/cmd/internal/fleet"
 	"github.com/samphirequay/samphirequay/cmd/internal/load"
-	"github.com/samphirequay/samphirequay/platform/standin"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 // both is the value of --deployment for all deployments.
--- a/cmd/internal/cli/standincmd/single.go
+++ b/cmd/internal/cli/standincmd/single.go
@@ -6,7 +6,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/samphirequay/samphirequay/cmd/internal/cli/common"
-	"github.com/samphirequay/samphirequay/platform/standin"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 func engineCommand(_ *common.Options) *cobra.Command {
--- a/cmd/internal/cli/standincmd/standin.go
+++ b/cmd/internal/cli/standincmd/standin.go
@@ -14,8 +14,8 @@
 	"github.com/samphirequay/samphirequay/cmd/internal/cli/output"
 	"github.com/samphirequay/samphirequay/cmd/internal/cli/strict"
 	"github.com/samphirequay/samphirequay/core/live"
-	"github.com/samphirequay/samphirequay/platform/standin"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 // Command returns the commands about stand-ins.
--- a/cmd/internal/experiment/bound.go
+++ b/cmd/internal/experiment/bound.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/cmd/internal/load"
-	"github.com/samphirequay/samphirequay/platform/standin"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 // Bound is what a site can do for a profile, worked out from the stand-ins'
--- a/cmd/internal/experiment/capacity_claims.go
+++ b/cmd/internal/experiment/capacity_claims.go
@@ -11,7 +11,7 @@
 	"github.com/samphirequay/samphirequay/cmd/internal/fleet"
 	"github.com/samphirequay/samphirequay/cmd/internal/load"
 	"github.com/samphirequay/samphirequay/daemon/opapi"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 )
 
 // ClaimFigures are the store's work for calls that must not run twice.
--- a/cmd/internal/experiment/capacity_idle.go
+++ b/cmd/internal/experiment/capacity_idle.go
@@ -12,7 +12,7 @@
 	"github.com/samphirequay/samphirequay/daemon/app"
 	"github.com/samphirequay/samphirequay/daemon/peer"
 	"github.com/samphirequay/samphirequay/daemon/settings"
-	"github.com/samphirequay/samphirequay/platform/standin"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 const (
--- a/cmd/internal/experiment/capacity_sizes.go
+++ b/cmd/internal/experiment/capacity_sizes.go
@@ -14,7 +14,7 @@
 	"github.com/samphirequay/samphirequay/core/sched"
 	"github.com/samphirequay/samphirequay/daemon/broker"
 	"github.com/samphirequay/samphirequay/daemon/peer"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 )
 
 // SizeFigures are the bytes of one thing.
--- a/cmd/internal/experiment/config_change.go
+++ b/cmd/internal/experiment/config_change.go
@@ -18,8 +18,8 @@
 	"github.com/samphirequay/samphirequay/core/live"
 	"github.com/samphirequay/samphirequay/core/revision"
 	"github.com/samphirequay/samphirequay/daemon/opapi"
-	"github.com/samphirequay/samphirequay/platform/standin"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 // The two items that every change sets to one number; a document in which they
--- a/cmd/internal/experiment/config_site.go
+++ b/cmd/internal/experiment/config_site.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/cmd/internal/fleet"
-	"github.com/samphirequay/samphirequay/platform/standin"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 // Modes of the experiment.
--- a/cmd/internal/experiment/deployment.go
+++ b/cmd/internal/experiment/deployment.go
@@ -8,7 +8,7 @@
 
 	"github.com/samphirequay/samphirequay/cmd/internal/fleet"
 	"github.com/samphirequay/samphirequay/cmd/internal/load"
-	"github.com/samphirequay/samphirequay/platform/standin"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 // Deployment is a site with the profile of its load and its targets.
--- a/cmd/internal/experiment/domain.go
+++ b/cmd/internal/experiment/domain.go
@@ -6,8 +6,8 @@
 	"math"
 
 	"github.com/samphirequay/samphirequay/cmd/internal/fleet"
-	"github.com/samphirequay/samphirequay/platform/standin"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 // domainFactor stretches the phases: a failure domain is cut off, and then
--- a/cmd/internal/experiment/fairness.go
+++ b/cmd/internal/experiment/fairness.go
@@ -7,7 +7,7 @@
 	"github.com/samphirequay/samphirequay/cmd/internal/fleet"
 	"github.com/samphirequay/samphirequay/cmd/internal/load"
 	"github.com/samphirequay/samphirequay/daemon/settings"
-	"github.com/samphirequay/samphirequay/platform/standin"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 // fairnessTeams share the load; the last of them misbehaves.
--- a/cmd/internal/experiment/faults_cases.go
+++ b/cmd/internal/experiment/faults_cases.go
@@ -4,8 +4,8 @@
 	"sync/atomic"
 
 	"github.com/samphirequay/samphirequay/cmd/internal/load"
-	"github.com/samphirequay/samphirequay/platform/standin"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 // The stages of a request in which engines are crashed.
--- a/cmd/internal/experiment/faults_steps.go
+++ b/cmd/internal/experiment/faults_steps.go
@@ -9,8 +9,8 @@
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/daemon/endpoints"
 	"github.com/samphirequay/samphirequay/daemon/peer"
-	"github.com/samphirequay/samphirequay/platform/standin"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 // scene is what a fault strikes.
--- a/cmd/internal/experiment/overhead.go
+++ b/cmd/internal/experiment/overhead.go
@@ -10,7 +10,7 @@
 
 	"github.com/samphirequay/samphirequay/cmd/internal/fleet"
 	"github.com/samphirequay/samphirequay/cmd/internal/load"
-	"github.com/samphirequay/samphirequay/platform/standin"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 // Sizes of the experiment.
--- a/cmd/internal/experiment/overhead_calls.go
+++ b/cmd/internal/experiment/overhead_calls.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/daemon/opapi"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 )
 
 // Sizes of the calls.
--- a/cmd/internal/experiment/poison.go
+++ b/cmd/internal/experiment/poison.go
@@ -15,7 +15,7 @@
 	"github.com/samphirequay/samphirequay/core/poison"
 	"github.com/samphirequay/samphirequay/core/verdict"
 	"github.com/samphirequay/samphirequay/daemon/opapi"
-	"github.com/samphirequay/samphirequay/platform/standin"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 // The course of the experiment.
--- a/cmd/internal/experiment/rolling.go
+++ b/cmd/internal/experiment/rolling.go
@@ -8,8 +8,8 @@
 	"github.com/samphirequay/samphirequay/cmd/internal/fleet"
 	"github.com/samphirequay/samphirequay/core/live"
 	"github.com/samphirequay/samphirequay/daemon/settings"
-	"github.com/samphirequay/samphirequay/platform/standin"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 // The course of the experiment.
--- a/cmd/internal/fleet/config.go
+++ b/cmd/internal/fleet/config.go
@@ -11,7 +11,7 @@
 	"github.com/samphirequay/samphirequay/core/live"
 	"github.com/samphirequay/samphirequay/daemon/keys"
 	"github.com/samphirequay/samphirequay/daemon/settings"
-	"github.com/samphirequay/samphirequay/platform/standin"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 // Config describes a fleet.
--- a/cmd/internal/fleet/fleet.go
+++ b/cmd/internal/fleet/fleet.go
@@ -14,8 +14,8 @@
 	"github.com/samphirequay/samphirequay/daemon/app"
 	"github.com/samphirequay/samphirequay/daemon/keys"
 	"github.com/samphirequay/samphirequay/daemon/settings"
-	"github.com/samphirequay/samphirequay/platform/standin"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 // Fleet is a running fleet.
--- a/cmd/internal/fleet/fleet_test.go
+++ b/cmd/internal/fleet/fleet_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/samphirequay/samphirequay/cmd/internal/load"
-	"github.com/samphirequay/samphirequay/platform/standin"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 // testProfile has short prompts, so that a slow run of the tests answers too.
--- a/cmd/internal/fleet/places.go
+++ b/cmd/internal/fleet/places.go
@@ -11,7 +11,7 @@
 	"github.com/samphirequay/samphirequay/core/live"
 	"github.com/samphirequay/samphirequay/core/rendezvous"
 	"github.com/samphirequay/samphirequay/daemon/opapi"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 )
 
 // Places is the number of places for daemons, whether or not one runs there.
--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -38,7 +38,7 @@
 	"github.com/samphirequay/samphirequay/daemon/settings"
 	"github.com/samphirequay/samphirequay/daemon/store"
 	"github.com/samphirequay/samphirequay/daemon/workpool"
-	"github.com/samphirequay/samphirequay/platform/client"
+	"github.com/samphirequay/samphirequay/endpoint/client"
 )
 
 // Options are what a process gives a daemon besides its settings.
--- a/daemon/app/app_test.go
+++ b/daemon/app/app_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/samphirequay/samphirequay/daemon/keys"
 	"github.com/samphirequay/samphirequay/daemon/opapi"
-	"github.com/samphirequay/samphirequay/platform/standin"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 const model = "document-summariser"
--- a/daemon/app/fleet_test.go
+++ b/daemon/app/fleet_test.go
@@ -22,7 +22,7 @@
 	"github.com/samphirequay/samphirequay/daemon/keys"
 	"github.com/samphirequay/samphirequay/daemon/opapi"
 	"github.com/samphirequay/samphirequay/daemon/settings"
-	"github.com/samphirequay/samphirequay/platform/standin"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 const (
--- a/daemon/app/glue.go
+++ b/daemon/app/glue.go
@@ -27,7 +27,7 @@
 	"github.com/samphirequay/samphirequay/daemon/completion"
 	"github.com/samphirequay/samphirequay/daemon/logline"
 	"github.com/samphirequay/samphirequay/daemon/settings"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 )
 
 // newRequestID makes an id that sorts by time.
--- a/daemon/app/kill_test.go
+++ b/daemon/app/kill_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/samphirequay/samphirequay/platform/standin"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 // linesAfterKill is how much of the stream is read while its connection is
--- a/daemon/app/start.go
+++ b/daemon/app/start.go
@@ -25,7 +25,7 @@
 	"github.com/samphirequay/samphirequay/daemon/reports"
 	"github.com/samphirequay/samphirequay/daemon/settings"
 	"github.com/samphirequay/samphirequay/daemon/store"
-	"github.com/samphirequay/samphirequay/platform/client"
+	"github.com/samphirequay/samphirequay/endpoint/client"
 )
 
 // Start listens and starts every duty. An address in use is an error that
--- a/daemon/claims/claims.go
+++ b/daemon/claims/claims.go
@@ -16,7 +16,7 @@
 	"github.com/samphirequay/samphirequay/daemon/metrics"
 	"github.com/samphirequay/samphirequay/daemon/store"
 	"github.com/samphirequay/samphirequay/daemon/workpool"
-	"github.com/samphirequay/samphirequay/platform/client"
+	"github.com/samphirequay/samphirequay/endpoint/client"
 )
 
 // Config is what the duty works with.
--- a/daemon/claims/claims_test.go
+++ b/daemon/claims/claims_test.go
@@ -15,8 +15,8 @@
 	"github.com/samphirequay/samphirequay/daemon/metrics"
 	"github.com/samphirequay/samphirequay/daemon/store"
 	"github.com/samphirequay/samphirequay/daemon/workpool"
-	"github.com/samphirequay/samphirequay/platform/client"
-	"github.com/samphirequay/samphirequay/platform/standin"
+	"github.com/samphirequay/samphirequay/endpoint/client"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 // patience bounds every wait of a test; no test passes by it.
--- a/daemon/claims/random_test.go
+++ b/daemon/claims/random_test.go
@@ -12,7 +12,7 @@
 	"github.com/samphirequay/samphirequay/core/claim"
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/verdict"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 )
 
 // dice is a seeded source that the daemons share.
--- a/daemon/completion/attempt.go
+++ b/daemon/completion/attempt.go
@@ -9,7 +9,7 @@
 	"github.com/samphirequay/samphirequay/core/sched"
 	"github.com/samphirequay/samphirequay/core/stream"
 	"github.com/samphirequay/samphirequay/core/verdict"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 )
 
 // attempt is one granted try. Every way out of it releases what it holds: the
--- a/daemon/completion/fail_test.go
+++ b/daemon/completion/fail_test.go
@@ -12,7 +12,7 @@
 	"github.com/samphirequay/samphirequay/core/live"
 	"github.com/samphirequay/samphirequay/core/sched"
 	"github.com/samphirequay/samphirequay/core/verdict"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 )
 
 // fakes stand for all that a Runner works with: the engine writes the tokens
--- a/daemon/endpoints/endpoints.go
+++ b/daemon/endpoints/endpoints.go
@@ -12,8 +12,8 @@
 	"github.com/samphirequay/samphirequay/core/live"
 	"github.com/samphirequay/samphirequay/core/verdict"
 	"github.com/samphirequay/samphirequay/daemon/completion"
-	"github.com/samphirequay/samphirequay/platform/client"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/client"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 )
 
 const (
--- a/daemon/front/services.go
+++ b/daemon/front/services.go
@@ -10,7 +10,7 @@
 	"github.com/samphirequay/samphirequay/core/verdict"
 	"github.com/samphirequay/samphirequay/daemon/opapi"
 	"github.com/samphirequay/samphirequay/daemon/plaincall"
-	"github.com/samphirequay/samphirequay/platform/client"
+	"github.com/samphirequay/samphirequay/endpoint/client"
 )
 
 const (
--- a/daemon/members/members.go
+++ b/daemon/members/members.go
@@ -15,7 +15,7 @@
 	"github.com/samphirequay/samphirequay/daemon/duty"
 	"github.com/samphirequay/samphirequay/daemon/endpoints"
 	"github.com/samphirequay/samphirequay/daemon/metrics"
-	"github.com/samphirequay/samphirequay/platform/client"
+	"github.com/samphirequay/samphirequay/endpoint/client"
 )
 
 const (
--- a/daemon/placer/placer.go
+++ b/daemon/placer/placer.go
@@ -21,8 +21,8 @@
 	"github.com/samphirequay/samphirequay/daemon/metrics"
 	"github.com/samphirequay/samphirequay/daemon/store"
 	"github.com/samphirequay/samphirequay/daemon/workpool"
-	"github.com/samphirequay/samphirequay/platform/client"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/client"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 )
 
 const (
--- a/daemon/placer/placer_test.go
+++ b/daemon/placer/placer_test.go
@@ -17,9 +17,9 @@
 	"github.com/samphirequay/samphirequay/daemon/metrics"
 	"github.com/samphirequay/samphirequay/daemon/store"
 	"github.com/samphirequay/samphirequay/daemon/workpool"
-	"github.com/samphirequay/samphirequay/platform/client"
-	"github.com/samphirequay/samphirequay/platform/standin"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/client"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 // waitLimit bounds every wait of a test for something that will happen.
--- a/daemon/plaincall/runner.go
+++ b/daemon/plaincall/runner.go
@@ -11,7 +11,7 @@
 	"github.com/samphirequay/samphirequay/core/live"
 	"github.com/samphirequay/samphirequay/core/sched"
 	"github.com/samphirequay/samphirequay/core/verdict"
-	"github.com/samphirequay/samphirequay/platform/client"
+	"github.com/samphirequay/samphirequay/endpoint/client"
 )
 
 // Runner serves plain calls.
--- a/daemon/plaincall/types.go
+++ b/daemon/plaincall/types.go
@@ -12,7 +12,7 @@
 	"github.com/samphirequay/samphirequay/core/live"
 	"github.com/samphirequay/samphirequay/core/verdict"
 	"github.com/samphirequay/samphirequay/daemon/completion"
-	"github.com/samphirequay/samphirequay/platform/client"
+	"github.com/samphirequay/samphirequay/endpoint/client"
 )
 
 // Call is one caller's call, authenticated and classified.
--- a/daemon/reports/reports.go
+++ b/daemon/reports/reports.go
@@ -15,7 +15,7 @@
 	"github.com/samphirequay/samphirequay/daemon/endpoints"
 	"github.com/samphirequay/samphirequay/daemon/metrics"
 	"github.com/samphirequay/samphirequay/daemon/workpool"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 )
 
 const (
--- a/daemon/store/store.go
+++ b/daemon/store/store.go
@@ -11,8 +11,8 @@
 	"github.com/samphirequay/samphirequay/core/verdict"
 	"github.com/samphirequay/samphirequay/daemon/metrics"
 	"github.com/samphirequay/samphirequay/daemon/workpool"
-	"github.com/samphirequay/samphirequay/platform/client"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/client"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 )
 
 // callTimeout bounds one call to the table.
--- a/platform/client/engine.go
+++ b/endpoint/client/engine.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 	"github.com/valyala/fasthttp"
 )
 
--- a/platform/client/errors.go
+++ b/endpoint/client/errors.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/verdict"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 	"github.com/valyala/fasthttp"
 )
 
--- a/platform/client/fuzz_test.go
+++ b/endpoint/client/fuzz_test.go
@@ -13,7 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/samphirequay/samphirequay/core/verdict"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 )
 
 // fuzzConn is a connection of which only the deadlines are used.
--- a/platform/client/plain.go
+++ b/endpoint/client/plain.go
@@ -5,7 +5,7 @@
 	"strings"
 
 	"github.com/samphirequay/samphirequay/core/verdict"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 	"github.com/valyala/fasthttp"
 )
 
--- a/platform/client/platform.go
+++ b/endpoint/client/platform.go
@@ -4,7 +4,7 @@
 	"context"
 	"net/url"
 
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 	"github.com/valyala/fasthttp"
 )
 
--- a/platform/client/stream.go
+++ b/endpoint/client/stream.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/verdict"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 )
 
 // maxEventBytes bounds one line of a stream.
--- a/platform/standin/engine_cache.go
+++ b/standin/engine_cache.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 	"github.com/valyala/fasthttp"
 )
 
--- a/platform/standin/engine_cancel.go
+++ b/standin/engine_cancel.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 	"github.com/valyala/fasthttp"
 )
 
--- a/platform/standin/engine_prefill.go
+++ b/standin/engine_prefill.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/prefixhash"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 	"github.com/valyala/fasthttp"
 )
 
--- a/platform/standin/engine_reports.go
+++ b/standin/engine_reports.go
@@ -4,7 +4,7 @@
 	"sort"
 	"time"
 
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 	"github.com/valyala/fasthttp"
 )
 
--- a/platform/standin/engine_stream.go
+++ b/standin/engine_stream.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"strconv"
 
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 	"github.com/valyala/fasthttp"
 )
 
--- a/platform/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/matryer/is"
 	"github.com/samphirequay/samphirequay/core/verdict"
-	"github.com/samphirequay/samphirequay/platform/client"
-	"github.com/samphirequay/samphirequay/platform/standin"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/client"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 func TestEngineLifeCycle(t *testing.T) {
--- a/platform/standin/faults.go
+++ b/standin/faults.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 )
 
 // faults are the faults that one stand-in shows now.
--- a/platform/standin/helper_test.go
+++ b/standin/helper_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
-	"github.com/samphirequay/samphirequay/platform/client"
-	"github.com/samphirequay/samphirequay/platform/standin"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/client"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
+	"github.com/samphirequay/samphirequay/standin"
 )
 
 // patience bounds every wait of a test; no test passes by it.
--- a/platform/standin/plainservice.go
+++ b/standin/plainservice.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 	"github.com/valyala/fasthttp"
 )
 
--- a/platform/standin/platform.go
+++ b/standin/platform.go
@@ -7,7 +7,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/samphirequay/samphirequay/core/defaults"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 )
 
 // Names of the platform's own stand-ins, as targets of faults.
--- a/platform/standin/platform_control.go
+++ b/standin/platform_control.go
@@ -4,7 +4,7 @@
 	"fmt"
 
 	"github.com/rotisserie/eris"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 	"github.com/valyala/fasthttp"
 )
 
--- a/platform/standin/standin.go
+++ b/standin/standin.go
@@ -1,7 +1,7 @@
 package standin
 
 import (
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 	"github.com/valyala/fasthttp"
 )
 
--- a/platform/standin/table.go
+++ b/standin/table.go
@@ -5,7 +5,7 @@
 	"sync"
 
 	"github.com/google/btree"
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 	"golang.org/x/time/rate"
 )
 
--- a/platform/standin/weights.go
+++ b/standin/weights.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/samphirequay/samphirequay/platform/wire"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
 )
