--- a/cmd/internal/cli/daemoncmd/daemon.go
+++ b/cmd/internal/cli/daemoncmd/daemon.go
@@ -57,6 +57,7 @@
 	}
 	cmd.SetVersionTemplate("samphirequayd {{.Version}}\n")
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return exit.Wrap(exit.Usage, err) })
+	cmd.AddCommand(newPlatform())
 	cmd.Flags().StringVar(&path, "settings", "", "file with the settings, JSON with comments")
 	cmd.Flags().BoolVar(&check, "check", false, "check the settings and end")
 	return cmd
--- /dev/null
+++ b/core/balance/balance_test.go
@@ -0,0 +1,113 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/registry"
+)
+
+func three() *Balancer {
+	b := New("d1", rand.New(rand.NewPCG(1, 2)))
+	b.Configure([]registry.Endpoint{
+		{Name: "a", Service: "s", Domain: "d1", Slots: 4},
+		{Name: "b", Service: "s", Domain: "d2", Slots: 4},
+		{Name: "c", Service: "s", Domain: "d3", Slots: 4},
+	})
+	return b
+}
+
+// serve sends n calls one after another and counts where they went.
+func serve(b *Balancer, now time.Duration, n int, outcome func(id.Endpoint) (time.Duration, Outcome)) map[id.Endpoint]int {
+	got := map[id.Endpoint]int{}
+	for range n {
+		e, ok := b.Pick(now, "s", nil)
+		if !ok {
+			continue
+		}
+		got[e.Name]++
+		took, how := outcome(e.Name)
+		b.Done(now, e.Name, took, how)
+	}
+	return got
+}
+
+func fine(id.Endpoint) (time.Duration, Outcome) { return 15 * time.Millisecond, OK }
+
+func TestAFailingEndpointLosesItsShare(t *testing.T) {
+	is := is.New(t)
+	b := three()
+	got := serve(b, 0, 300, func(e id.Endpoint) (time.Duration, Outcome) {
+		if e == "a" {
+			return time.Millisecond, Failed
+		}
+		return 15 * time.Millisecond, OK
+	})
+	is.True(got["a"] <= ejectAfter)
+	is.True(got["b"] > 0 && got["c"] > 0)
+}
+
+func TestAnEjectedEndpointGetsWorkAgain(t *testing.T) {
+	is := is.New(t)
+	b := three()
+	for range ejectAfter {
+		b.Done(0, "a", time.Millisecond, Failed)
+	}
+	is.Equal(b.Available(0, "s"), 2)
+	is.Equal(b.Available(ejectFirst, "s"), 3)
+	b.Done(ejectFirst, "a", time.Millisecond, OK)
+	for range 50 {
+		b.Done(ejectFirst, "a", 10*time.Millisecond, OK)
+	}
+	is.True(serve(b, ejectFirst, 300, fine)["a"] > 50)
+}
+
+func TestLeavingAndAvoidedEndpointsGetNothing(t *testing.T) {
+	is := is.New(t)
+	b := three()
+	b.Configure([]registry.Endpoint{{Name: "a", Service: "s", Leaving: true}, {Name: "b", Service: "s"}})
+	e, ok := b.Pick(0, "s", nil)
+	is.True(ok)
+	is.Equal(e.Name, id.Endpoint("b"))
+	_, ok = b.Pick(0, "s", []id.Endpoint{"b"})
+	is.True(!ok)
+	_, ok = b.Pick(0, "other", nil)
+	is.True(!ok)
+}
+
+func TestASlowEndpointGetsLess(t *testing.T) {
+	is := is.New(t)
+	b := three()
+	got := serve(b, 0, 300, func(e id.Endpoint) (time.Duration, Outcome) {
+		if e == "b" {
+			return 300 * time.Millisecond, OK
+		}
+		return 15 * time.Millisecond, OK
+	})
+	is.True(got["b"] < 20)
+}
+
+func TestOverdueCallsCountBeforeTheyEnd(t *testing.T) {
+	is := is.New(t)
+	b := three()
+	for range 5 {
+		b.Pending("a", 400*time.Millisecond)
+	}
+	is.Equal(b.Slowest()[0], id.Endpoint("a"))
+	is.Equal(serve(b, 0, 30, fine)["a"], 0)
+}
+
+func TestAllEndpointsOutIsBetterThanNone(t *testing.T) {
+	is := is.New(t)
+	b := three()
+	for _, e := range []id.Endpoint{"a", "b", "c"} {
+		b.Done(0, e, 0, Unreachable)
+	}
+	is.Equal(b.Available(0, "s"), 0)
+	_, ok := b.Pick(0, "s", nil)
+	is.True(ok)
+}
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -83,20 +83,21 @@
 	return answer
 }
 
-// choose keeps the alive; without any, the suspect; without those, this
-// daemon, which answers and so runs.
+// choose keeps the alive; where this daemon is the only one, the partitioned as
+// well; without any, the suspect; without those, this daemon, which answers and
+// so runs.
 func choose(cfg Config, view []Candidate, self id.Daemon) []Candidate {
-	for _, state := range []member.State{member.Alive, member.Suspect} {
-		var out []Candidate
-		for _, c := range view {
-			soon := c.StopsIn > 0 && c.StopsIn <= cfg.MinLifetime
-			if c.State == state && c.Address != "" && !soon {
-				out = append(out, c)
-			}
-		}
-		if len(out) > 0 {
-			return out
-		}
+	alive := inState(cfg, view, member.Alive)
+	if len(alive) == 1 && alive[0].Daemon == self {
+		// Cut off from most of the fleet, this daemon can't tell who lives:
+		// callers may well reach the others.
+		alive = append(alive, inState(cfg, view, member.Partitioned)...)
+	}
+	if len(alive) > 0 {
+		return alive
+	}
+	if suspect := inState(cfg, view, member.Suspect); len(suspect) > 0 {
+		return suspect
 	}
 	for _, c := range view {
 		if c.Daemon == self {
@@ -106,6 +107,19 @@
 	return nil
 }
 
+// inState lists the candidates in a state that have an address and don't stop
+// at once.
+func inState(cfg Config, view []Candidate, state member.State) []Candidate {
+	var out []Candidate
+	for _, c := range view {
+		soon := c.StopsIn > 0 && c.StopsIn <= cfg.MinLifetime
+		if c.State == state && c.Address != "" && !soon {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // lifetime ends before the first announced stop of a host that is named.
 func lifetime(cfg Config, chosen []Candidate) time.Duration {
 	life := cfg.Lifetime
--- /dev/null
+++ b/core/kvsched/demand.go
@@ -0,0 +1,61 @@
+package kvsched
+
+import (
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/sched"
+)
+
+// Demand implements sched.Demander.
+func (l *Ledger) Demand(now time.Duration) sched.Demand {
+	d := sched.Demand{Queued: len(l.queue)}
+	for _, e := range l.order {
+		if e.leaving || e.down {
+			continue
+		}
+		switch e.role {
+		case live.RolePrefill:
+			d.Prefills = append(d.Prefills, sched.EngineDemand{Endpoint: e.name, Work: len(e.prefills), Drained: e.drained})
+			if e.drained {
+				continue
+			}
+			d.PrefillBacklog += max(0, e.busyUntil-now)
+		case live.RoleDecode:
+			d.Decodes = append(d.Decodes, sched.EngineDemand{Endpoint: e.name, Work: e.held, Drained: e.drained})
+			if e.drained {
+				continue
+			}
+			d.Memory += e.memory
+			d.MemoryHeld += e.tokens
+		}
+	}
+	for _, w := range l.queue {
+		d.MemoryWanted += w.tokens
+		d.PromptWanted += w.want.PromptTokens
+	}
+	return d
+}
+
+// Snapshot implements sched.Snapshotter.
+func (l *Ledger) Snapshot() sched.Snapshot {
+	s := sched.Snapshot{
+		Pool:     l.options.Pool,
+		Queued:   len(l.queue),
+		Running:  len(l.granted),
+		Settling: l.now < l.settled,
+	}
+	for _, e := range l.order {
+		if e.role == live.RoleDecode {
+			s.Slots += e.slots
+			s.Held += e.held
+		}
+		if e.leaving {
+			s.Leaving = append(s.Leaving, e.name)
+		}
+		if l.options.Health != nil && !l.options.Health.Allowed(e.name) {
+			s.Ejected = append(s.Ejected, e.name)
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/core/kvsched/endpoint.go
@@ -0,0 +1,143 @@
+package kvsched
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+)
+
+const (
+	// firstPrefillRate is the first estimate of a prefill, in tokens a second.
+	firstPrefillRate = 25000.0
+	// smoothing is the weight of a new sample in the moving averages.
+	smoothing = 0.2
+	// blockTokens is the unit in which engines hand out memory, in tokens.
+	blockTokens = 16
+)
+
+// endpoint is the ledger's view of one engine.
+type endpoint struct {
+	name    id.Endpoint
+	domain  id.Domain
+	role    live.Role
+	slots   int
+	memory  int
+	leaving bool
+	// drained is set while placement wants no new work here.
+	drained bool
+	// down is set from a failed connection until a report.
+	down      bool
+	fullUntil time.Duration
+
+	// prefills are the granted prefills in their order; busyUntil is the
+	// predicted end of the last one.
+	prefills  []*reservation
+	busyUntil time.Duration
+	// lastEnd is when the last prefill ended.
+	lastEnd time.Duration
+	// rate of prefills, in tokens a second.
+	rate float64
+
+	// held counts the reservations of memory here, tokens their sum.
+	held   int
+	tokens int
+}
+
+func newEndpoint(e *live.Endpoint, memoryShare float64) *endpoint {
+	made := &endpoint{name: e.Name, rate: firstPrefillRate}
+	made.configure(e, memoryShare)
+	return made
+}
+
+// configure takes what a new configuration says; what was learned stays.
+func (e *endpoint) configure(c *live.Endpoint, memoryShare float64) {
+	e.domain = c.Domain
+	if role := live.Role(c.Labels[live.LabelRole]); role != e.role {
+		// It has changed its role, for which it was drained.
+		e.role = role
+		e.drained = false
+		e.down = false
+	}
+	e.slots = c.Slots
+	e.memory = int(memoryShare * float64(c.KVTokens))
+	e.leaving = c.Labels[live.LabelLeaving] == "true"
+}
+
+// open says whether the endpoint may get new work.
+func (e *endpoint) open(now time.Duration) bool {
+	return !e.leaving && !e.drained && !e.down && now >= e.fullUntil
+}
+
+// room is the memory that is free, in tokens; none when all slots are taken.
+func (e *endpoint) room() int {
+	if e.held >= e.slots {
+		return 0
+	}
+	return e.memory - e.tokens
+}
+
+// prefillTime predicts how long a prompt takes to read.
+func (e *endpoint) prefillTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / e.rate * float64(time.Second))
+}
+
+// startAt predicts when the next prefill would begin.
+func (e *endpoint) startAt(now time.Duration) time.Duration { return max(now, e.busyUntil) }
+
+// addPrefill queues a granted prefill.
+func (e *endpoint) addPrefill(now time.Duration, r *reservation) {
+	e.prefills = append(e.prefills, r)
+	r.prefillStart = e.startAt(now)
+	e.busyUntil = r.prefillStart + e.prefillTime(r.want.PromptTokens)
+}
+
+// endPrefill takes a prefill off the queue; one that was read teaches the rate.
+func (e *endpoint) endPrefill(now time.Duration, r *reservation, read bool) {
+	i := slices.Index(e.prefills, r)
+	if i < 0 {
+		return
+	}
+	e.prefills = slices.Delete(e.prefills, i, i+1)
+	if read {
+		e.learn(now, r)
+		e.lastEnd = now
+	}
+	e.predict(now)
+}
+
+// learn takes the time from the prefill's start, or the end of the one before
+// it, as the time that it took.
+func (e *endpoint) learn(now time.Duration, r *reservation) {
+	took := now - max(r.grantedAt, e.lastEnd)
+	if took <= 0 {
+		return
+	}
+	sample := float64(r.want.PromptTokens) / took.Seconds()
+	sample = min(max(sample, firstPrefillRate/20), firstPrefillRate*20)
+	e.rate += smoothing * (sample - e.rate)
+}
+
+// predict says anew when the queued prefills end.
+func (e *endpoint) predict(now time.Duration) {
+	e.busyUntil = now
+	for _, r := range e.prefills {
+		e.busyUntil += e.prefillTime(r.want.PromptTokens)
+	}
+}
+
+// take reserves memory for a request.
+func (e *endpoint) take(r *reservation) {
+	e.held++
+	e.tokens += r.tokens
+}
+
+// give gives it back.
+func (e *endpoint) give(r *reservation) {
+	e.held--
+	e.tokens -= r.tokens
+}
+
+// blocks rounds a size up to whole blocks, in tokens.
+func blocks(tokens int) int { return (tokens + blockTokens - 1) / blockTokens * blockTokens }
--- /dev/null
+++ b/core/kvsched/flow.go
@@ -0,0 +1,41 @@
+package kvsched
+
+import "time"
+
+const (
+	// flowMemory is the time over which released memory is averaged.
+	flowMemory = 3 * time.Second
+	// leastRetryAfter and mostRetryAfter bound the advice to come back.
+	leastRetryAfter = 300 * time.Millisecond
+	mostRetryAfter  = 4 * time.Second
+)
+
+// flow averages how much memory the pool's requests give back.
+type flow struct {
+	tokens float64
+	at     time.Duration
+}
+
+// released takes memory that was given back, in tokens.
+func (f *flow) released(now time.Duration, tokens int) {
+	f.fade(now)
+	f.tokens += float64(tokens)
+}
+
+func (f *flow) fade(now time.Duration) {
+	gone := float64(now-f.at) / float64(flowMemory)
+	f.tokens *= max(0, 1-gone)
+	f.at = now
+}
+
+// comeBack advises when to come back, by the time that the backlog (in tokens)
+// takes to be served.
+func (f *flow) comeBack(now time.Duration, backlog int) time.Duration {
+	f.fade(now)
+	if f.tokens <= 0 {
+		return leastRetryAfter
+	}
+	perSecond := f.tokens / flowMemory.Seconds()
+	wait := time.Duration(float64(backlog) / perSecond * float64(time.Second))
+	return min(max(wait, leastRetryAfter), mostRetryAfter)
+}
--- /dev/null
+++ b/core/kvsched/ledger.go
@@ -0,0 +1,251 @@
+package kvsched
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/sched"
+)
+
+// never is the time of what isn't due.
+const never = time.Duration(math.MaxInt64)
+
+// poll is how soon a queue that is held up is looked at again: a prefill's
+// predicted end passes without an event.
+const poll = 5 * time.Millisecond
+
+// Ledger is the scheduler. It is not safe for concurrent use.
+type Ledger struct {
+	options Options
+	now     time.Duration
+	settled time.Duration
+	started bool
+
+	services  map[id.Service]*live.Service
+	endpoints map[id.Endpoint]*endpoint
+	// order lists the endpoints by name, so that nothing depends on a map.
+	order []*endpoint
+
+	queue   []*waiting
+	waiting map[id.Request]*waiting
+	granted map[id.Request]*reservation
+	ended   *simplelru.LRU[id.Request, *sched.Refusal]
+	serial  uint64
+
+	flow flow
+}
+
+// waiting is a request in the queue.
+type waiting struct {
+	want    sched.Want
+	tokens  int
+	arrived time.Duration
+	// target, patience and lifetime are the times up to which it is in time,
+	// may wait, and has a caller.
+	target, patience, lifetime time.Duration
+	// blocked is what the last try lacked.
+	blocked string
+}
+
+// reservation is a granted request.
+type reservation struct {
+	want         sched.Want
+	grant        sched.Grant
+	tokens       int
+	phase        sched.Phase
+	prefill      *endpoint
+	decode       *endpoint
+	grantedAt    time.Duration
+	prefillStart time.Duration
+	expires      time.Duration
+	lifetime     time.Duration
+}
+
+// New returns the scheduler of a pool's owner.
+func New(o Options) *Ledger {
+	o = o.withDefaults()
+	ended, err := simplelru.NewLRU[id.Request, *sched.Refusal](max(1, o.Remembered), nil)
+	if err != nil {
+		panic("kvsched: memory of ended requests: " + err.Error())
+	}
+	return &Ledger{
+		options:   o,
+		services:  map[id.Service]*live.Service{},
+		endpoints: map[id.Endpoint]*endpoint{},
+		waiting:   map[id.Request]*waiting{},
+		granted:   map[id.Request]*reservation{},
+		ended:     ended,
+		serial:    o.FirstReservation,
+	}
+}
+
+// begin takes the time of an event.
+func (l *Ledger) begin(now time.Duration) {
+	if !l.started {
+		l.started = true
+		l.settled = now + l.options.Settle
+	}
+	l.now = max(l.now, now)
+}
+
+// finish does what the event made possible or due.
+func (l *Ledger) finish(actions []sched.Action) []sched.Action {
+	l.expire()
+	actions = l.pump(actions)
+	actions = l.refuseHopeless(actions)
+	l.check()
+	return actions
+}
+
+// Configure implements sched.Scheduler.
+func (l *Ledger) Configure(now time.Duration, doc *live.Document) []sched.Action {
+	l.begin(now)
+	l.services = map[id.Service]*live.Service{}
+	for i := range doc.Services {
+		if doc.Services[i].Pool == l.options.Pool {
+			l.services[doc.Services[i].Name] = &doc.Services[i]
+		}
+	}
+	l.configureEndpoints(doc)
+	return l.finish(nil)
+}
+
+func (l *Ledger) configureEndpoints(doc *live.Document) {
+	var listed []*live.Endpoint
+	if pool := sched.FindPool(doc, l.options.Pool); pool != nil {
+		// A selector that can't be read leaves the pool without endpoints; the
+		// check of the configuration has told of it.
+		listed, _ = sched.PoolEndpoints(doc, pool)
+	}
+	old := l.endpoints
+	l.endpoints = make(map[id.Endpoint]*endpoint, len(listed))
+	l.order = l.order[:0]
+	for _, c := range listed {
+		e := old[c.Name]
+		if e == nil {
+			e = newEndpoint(c, l.options.MemoryShare)
+		}
+		e.configure(c, l.options.MemoryShare)
+		l.endpoints[c.Name] = e
+		l.order = append(l.order, e)
+	}
+	slices.SortFunc(l.order, func(a, b *endpoint) int { return strings.Compare(string(a.name), string(b.name)) })
+}
+
+// Tick implements sched.Scheduler.
+func (l *Ledger) Tick(now time.Duration) []sched.Action {
+	l.begin(now)
+	return l.finish(nil)
+}
+
+// Next implements sched.Scheduler.
+func (l *Ledger) Next() time.Duration {
+	next := never
+	if len(l.queue) > 0 {
+		next = max(l.now+poll, l.settled)
+	}
+	for _, r := range l.granted {
+		next = min(next, r.expires)
+	}
+	return next
+}
+
+// Withdraw implements sched.Scheduler.
+func (l *Ledger) Withdraw(now time.Duration, request id.Request) []sched.Action {
+	l.begin(now)
+	if w := l.waiting[request]; w != nil {
+		l.unqueue(w)
+	}
+	if r := l.granted[request]; r != nil {
+		l.release(r)
+	}
+	l.ended.Add(request, nil)
+	return l.finish(nil)
+}
+
+// ProcessGone implements sched.Scheduler.
+func (l *Ledger) ProcessGone(now time.Duration, p id.Process) []sched.Action {
+	l.begin(now)
+	for _, w := range slices.Clone(l.queue) {
+		if w.want.From == p {
+			l.unqueue(w)
+		}
+	}
+	for _, r := range l.grantedInOrder() {
+		if r.want.From == p {
+			l.release(r)
+		}
+	}
+	return l.finish(nil)
+}
+
+// Load implements sched.Scheduler: only whether the endpoint can be reached,
+// and wants work, is taken from a report. Its figures are older than the ledger.
+func (l *Ledger) Load(now time.Duration, report sched.Load) []sched.Action {
+	l.begin(now)
+	if e := l.endpoints[report.Endpoint]; e != nil {
+		e.down = !report.Reachable
+		if report.Reachable {
+			e.drained = report.Leaving
+		}
+	}
+	return l.finish(nil)
+}
+
+// Cache implements sched.Scheduler; prefixes are not followed.
+func (l *Ledger) Cache(time.Duration, id.Endpoint, []sched.CacheEvent, bool) {}
+
+// expire drops the reservations that nobody speaks for any more.
+func (l *Ledger) expire() {
+	for _, r := range l.grantedInOrder() {
+		if l.now >= r.expires {
+			l.release(r)
+			l.ended.Add(r.want.Request, nil)
+		}
+	}
+}
+
+// release gives back all that a reservation holds.
+func (l *Ledger) release(r *reservation) {
+	if r.prefill != nil {
+		r.prefill.endPrefill(l.now, r, false)
+	}
+	r.decode.give(r)
+	delete(l.granted, r.want.Request)
+}
+
+func (l *Ledger) unqueue(w *waiting) {
+	i := slices.Index(l.queue, w)
+	l.queue = slices.Delete(l.queue, i, i+1)
+	delete(l.waiting, w.want.Request)
+}
+
+func (l *Ledger) grantedInOrder() []*reservation {
+	out := make([]*reservation, 0, len(l.granted))
+	for _, r := range l.granted {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b *reservation) int {
+		return strings.Compare(string(a.want.Request), string(b.want.Request))
+	})
+	return out
+}
+
+// check holds the sums against the reservations.
+func (l *Ledger) check() {
+	if l.options.Violation == nil {
+		return
+	}
+	for _, e := range l.order {
+		if e.held < 0 || e.tokens < 0 || (e.held == 0) != (e.tokens == 0) {
+			l.options.Violation("kvsched_sum", fmt.Sprintf("%s: held=%d tokens=%d", e.name, e.held, e.tokens))
+		}
+	}
+}
--- /dev/null
+++ b/core/kvsched/progress.go
@@ -0,0 +1,112 @@
+package kvsched
+
+import (
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/sched"
+)
+
+// Progress implements sched.Scheduler.
+func (l *Ledger) Progress(now time.Duration, p sched.Progress) []sched.Action {
+	l.begin(now)
+	r := l.granted[p.Request]
+	if r == nil || r.grant.Reservation != p.Reservation {
+		return l.finish(nil)
+	}
+	switch p.Phase {
+	case sched.PhasePrefilling:
+		r.phase = p.Phase
+		r.expires = max(r.expires, r.lifetime)
+	case sched.PhaseTransferring:
+		l.read(r)
+	case sched.PhaseDecoding:
+		l.read(r)
+		l.moveTo(r, p)
+		r.phase = p.Phase
+	default:
+		l.end(r, p)
+	}
+	return l.finish(nil)
+}
+
+// read notes that the prompt was read.
+func (l *Ledger) read(r *reservation) {
+	if r.prefill != nil {
+		r.prefill.endPrefill(l.now, r, true)
+		r.prefill = nil
+	}
+	r.phase = sched.PhaseTransferring
+	r.expires = max(r.expires, r.lifetime)
+}
+
+// moveTo follows a request that decodes at another engine than was granted.
+func (l *Ledger) moveTo(r *reservation, p sched.Progress) {
+	e := l.endpoints[p.Endpoint]
+	if e == nil || e == r.decode {
+		return
+	}
+	r.decode.give(r)
+	r.decode = e
+	r.grant.Decode = e.name
+	e.take(r)
+}
+
+// end releases a request that has ended and takes what its end tells of an
+// endpoint.
+func (l *Ledger) end(r *reservation, p sched.Progress) {
+	if p.Phase == sched.PhaseFailed {
+		l.blame(p)
+	}
+	if p.Phase == sched.PhaseDone {
+		l.flow.released(l.now, r.tokens)
+	}
+	l.release(r)
+	l.ended.Add(p.Request, nil)
+}
+
+// blame keeps work off an endpoint that refused.
+func (l *Ledger) blame(p sched.Progress) {
+	e := l.endpoints[p.Endpoint]
+	if e == nil {
+		return
+	}
+	if p.Full {
+		e.fullUntil = l.now + l.options.FullHold
+	}
+	if p.Leaving {
+		e.leaving = true
+	}
+}
+
+// Adopt implements sched.Scheduler.
+func (l *Ledger) Adopt(now time.Duration, a sched.Adopt) []sched.Action {
+	l.begin(now)
+	if l.granted[a.Want.Request] != nil {
+		return l.finish(nil)
+	}
+	if w := l.waiting[a.Want.Request]; w != nil {
+		l.unqueue(w)
+	}
+	decode := l.endpoints[a.Grant.Decode]
+	if decode == nil {
+		return l.finish(nil)
+	}
+	age := max(0, a.Want.Age)
+	r := &reservation{
+		want:      a.Want,
+		grant:     a.Grant,
+		tokens:    l.size(&a.Want),
+		phase:     a.Phase,
+		decode:    decode,
+		grantedAt: l.now,
+		lifetime:  l.now + a.Want.Lifetime - age,
+	}
+	r.expires = max(l.now+l.options.ExpiresIn, r.lifetime)
+	decode.take(r)
+	l.granted[a.Want.Request] = r
+	if prefill := l.endpoints[a.Grant.Prefill]; prefill != nil && a.Phase < sched.PhaseTransferring {
+		r.prefill = prefill
+		prefill.addPrefill(l.now, r)
+	}
+	return l.finish(nil)
+}
--- /dev/null
+++ b/core/kvsched/pump.go
@@ -0,0 +1,202 @@
+package kvsched
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/sched"
+)
+
+// What a request may lack.
+const (
+	lacksPrefill = "no prefill engine is free"
+	lacksMemory  = "no decode engine has memory"
+	lacksEngines = "no engine can be used"
+	lacksLate    = "late requests wait until the pool has room to spare"
+)
+
+// transferTime is added to a prefill's predicted end for the KV cache's way to
+// the decode engine and the first token there.
+const transferTime = 30 * time.Millisecond
+
+// pump grants what can be granted.
+func (l *Ledger) pump(actions []sched.Action) []sched.Action {
+	if l.now < l.settled || len(l.queue) == 0 {
+		return actions
+	}
+	l.sortQueue()
+	for _, w := range slices.Clone(l.queue) {
+		action, passable := l.try(w)
+		if action != nil {
+			actions = append(actions, *action)
+		}
+		if !passable {
+			break
+		}
+	}
+	return actions
+}
+
+// sortQueue puts those in time first, then by priority, then by age.
+func (l *Ledger) sortQueue() {
+	slices.SortStableFunc(l.queue, func(a, b *waiting) int {
+		switch lateA, lateB := l.late(a), l.late(b); {
+		case lateA != lateB && lateA:
+			return 1
+		case lateA != lateB:
+			return -1
+		case a.want.Priority != b.want.Priority:
+			return b.want.Priority - a.want.Priority
+		default:
+			return int(min(1, max(-1, a.arrived-b.arrived)))
+		}
+	})
+}
+
+// late says whether a request granted now would miss its target.
+func (l *Ledger) late(w *waiting) bool {
+	took := time.Duration(float64(w.want.PromptTokens) / firstPrefillRate * float64(time.Second))
+	return l.now+took+transferTime > w.target
+}
+
+// try grants one request if it can be. It is passable if those behind it may
+// be tried.
+func (l *Ledger) try(w *waiting) (granted *sched.Action, passable bool) {
+	decode, cause := l.chooseDecode(w, nil)
+	if decode == nil {
+		w.blocked = cause
+		waited := l.now - w.arrived
+		return nil, cause == lacksMemory && waited < l.options.BypassAfter
+	}
+	if l.late(w) && !l.roomForLate() {
+		w.blocked = lacksLate
+		return nil, false
+	}
+	prefill := l.choosePrefill(w, decode)
+	if prefill == nil {
+		w.blocked = lacksPrefill
+		return nil, false
+	}
+	// Known where the prompt is read, the decode engine nearest to it is better.
+	if near, _ := l.chooseDecode(w, prefill); near != nil {
+		decode = near
+	}
+	return l.grant(w, prefill, decode), true
+}
+
+// roomForLate says whether the pool has memory to spare.
+func (l *Ledger) roomForLate() bool {
+	memory, free := 0, 0
+	for _, e := range l.order {
+		if e.role == live.RoleDecode && e.open(l.now) {
+			memory += e.memory
+			free += max(0, e.room())
+		}
+	}
+	return float64(free) >= l.options.LateRoom*float64(memory)
+}
+
+// nearBonus is what an engine in the same failure domain is worth, as a share
+// of an engine's memory: the KV cache's way is half as long there.
+const nearBonus = 0.15
+
+// chooseDecode picks the decode engine with the most room that the request
+// fits on; one near the prefill engine, if that is known, is preferred.
+func (l *Ledger) chooseDecode(w *waiting, prefill *endpoint) (*endpoint, string) {
+	cause := lacksEngines
+	var best *endpoint
+	bestScore := 0.0
+	for _, e := range l.order {
+		if e.role != live.RoleDecode || !l.usable(e, w) {
+			continue
+		}
+		if e.room() < w.tokens {
+			cause = lacksMemory
+			continue
+		}
+		score := float64(e.room()) / float64(max(1, e.memory))
+		if prefill != nil && prefill.domain == e.domain {
+			score += nearBonus
+		}
+		if best == nil || score > bestScore {
+			best, bestScore = e, score
+		}
+	}
+	return best, cause
+}
+
+// choosePrefill picks the prefill engine that is free first, within the
+// horizon; among equals one near the decode engine.
+func (l *Ledger) choosePrefill(w *waiting, decode *endpoint) *endpoint {
+	var best *endpoint
+	var bestAt time.Duration
+	for _, e := range l.order {
+		if e.role != live.RolePrefill || !l.usable(e, w) || len(e.prefills) >= max(1, e.slots) {
+			continue
+		}
+		start := e.startAt(l.now)
+		if start > l.now+l.options.Horizon {
+			continue
+		}
+		at := start + e.prefillTime(w.want.PromptTokens)
+		if e.domain == decode.domain {
+			at -= nearHead
+		}
+		if best == nil || at < bestAt {
+			best, bestAt = e, at
+		}
+	}
+	return best
+}
+
+// nearHead is how much later a prefill engine in the decode engine's failure
+// domain may end and still be preferred.
+const nearHead = 5 * time.Millisecond
+
+// usable says whether an endpoint may serve this request at all.
+func (l *Ledger) usable(e *endpoint, w *waiting) bool {
+	if !e.open(l.now) || slices.Contains(w.want.Avoid, e.name) {
+		return false
+	}
+	return l.options.Health == nil || l.options.Health.Allowed(e.name)
+}
+
+// grant reserves and answers. A request whose prompt was read needs no prefill
+// engine.
+func (l *Ledger) grant(w *waiting, prefill, decode *endpoint) *sched.Action {
+	l.serial++
+	r := &reservation{
+		want:      w.want,
+		tokens:    w.tokens,
+		prefill:   prefill,
+		decode:    decode,
+		grantedAt: l.now,
+		expires:   l.now + l.options.ExpiresIn,
+		lifetime:  w.lifetime,
+	}
+	r.grant = sched.Grant{
+		Request:     w.want.Request,
+		Decode:      decode.name,
+		Reservation: l.serial,
+		Owner:       l.options.Self,
+		ExpiresIn:   l.options.ExpiresIn,
+	}
+	start := l.now
+	if prefill != nil {
+		r.grant.Prefill = prefill.name
+		start = prefill.startAt(l.now)
+		prefill.addPrefill(l.now, r)
+	}
+	r.grant.Reason = fmt.Sprintf("waited %v, starts in %v, %d of %d tokens free for %d",
+		(l.now - w.arrived).Round(time.Millisecond), (start - l.now).Round(time.Millisecond),
+		decode.room(), decode.memory, w.tokens)
+	decode.take(r)
+	l.granted[w.want.Request] = r
+	if l.waiting[w.want.Request] != nil {
+		l.unqueue(w)
+	}
+	grant := r.grant
+	return &sched.Action{To: w.want.From, Grant: &grant}
+}
--- /dev/null
+++ b/core/kvsched/want.go
@@ -0,0 +1,137 @@
+package kvsched
+
+import (
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/sched"
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+// Want implements sched.Scheduler.
+func (l *Ledger) Want(now time.Duration, w sched.Want) []sched.Action {
+	l.begin(now)
+	return l.finish(l.take(w))
+}
+
+// take queues a Want or answers it at once.
+func (l *Ledger) take(w sched.Want) []sched.Action {
+	if r := l.granted[w.Request]; r != nil {
+		grant := r.grant
+		return []sched.Action{{To: w.From, Grant: &grant}}
+	}
+	if l.waiting[w.Request] != nil {
+		return nil
+	}
+	if refusal, known := l.ended.Get(w.Request); known {
+		if refusal == nil {
+			refusal = &sched.Refusal{Request: w.Request, Code: verdict.CodeSuperseded, Reason: "the request has ended"}
+		}
+		return []sched.Action{{To: w.From, Refusal: refusal}}
+	}
+	service := l.services[w.Service]
+	if service == nil {
+		return l.refuse(w, verdict.CodeUnknownService, 0, "the pool has no such service")
+	}
+	fresh := l.newWaiting(w, service)
+	if w.Prefilled {
+		return l.decodeOnly(fresh)
+	}
+	if refusal := l.admit(fresh); refusal != nil {
+		return refusal
+	}
+	l.queue = append(l.queue, fresh)
+	l.waiting[w.Request] = fresh
+	return nil
+}
+
+func (l *Ledger) newWaiting(w sched.Want, s *live.Service) *waiting {
+	arrived := l.now - max(0, w.Age)
+	return &waiting{
+		want:     w,
+		tokens:   l.size(&w),
+		arrived:  arrived,
+		target:   arrived + orDefault(w.Target, s.FirstTokenTarget()),
+		patience: arrived + orDefault(w.Patience, s.Patience()),
+		lifetime: arrived + orDefault(w.Lifetime, s.Timeout()),
+	}
+}
+
+func orDefault(d, otherwise time.Duration) time.Duration {
+	if d > 0 {
+		return d
+	}
+	return otherwise
+}
+
+// size is the memory that a request is given, in tokens.
+func (l *Ledger) size(w *sched.Want) int {
+	output := int(l.options.OutputShare * float64(max(1, w.OutputTokens)))
+	return blocks(max(1, w.PromptTokens)) + blocks(output)
+}
+
+// admit refuses what can't be served; nil lets the request wait.
+func (l *Ledger) admit(w *waiting) []sched.Action {
+	largest := 0
+	for _, e := range l.order {
+		if e.role == live.RoleDecode {
+			largest = max(largest, e.memory)
+		}
+	}
+	switch {
+	case len(l.queue) >= l.options.MaxQueue:
+		return l.refuse(w.want, verdict.CodeOverloaded, l.flow.comeBack(l.now, l.backlog()), "the queue is full")
+	case largest > 0 && w.tokens > largest:
+		return l.refuse(w.want, verdict.CodeTooLarge, 0, "the request is larger than an engine's memory")
+	default:
+		return nil
+	}
+}
+
+// decodeOnly grants a decode engine to a request whose prompt was read, or
+// refuses it at once.
+func (l *Ledger) decodeOnly(w *waiting) []sched.Action {
+	decode, cause := l.chooseDecode(w, nil)
+	if decode == nil || l.now < l.settled {
+		return l.refuse(w.want, verdict.CodeOverloaded, l.flow.comeBack(l.now, l.backlog()), cause)
+	}
+	return []sched.Action{*l.grant(w, nil, decode)}
+}
+
+// backlog is the memory that the queue wants beyond what is free, in tokens.
+func (l *Ledger) backlog() int {
+	wanted := 0
+	for _, w := range l.queue {
+		wanted += w.tokens
+	}
+	for _, e := range l.order {
+		if e.role == live.RoleDecode && e.open(l.now) {
+			wanted -= max(0, e.room())
+		}
+	}
+	return max(0, wanted)
+}
+
+// refuse answers a Want with a refusal and remembers it.
+func (l *Ledger) refuse(w sched.Want, code verdict.Code, after time.Duration, why string) []sched.Action {
+	refusal := &sched.Refusal{Request: w.Request, Code: code, RetryAfter: after, Reason: why}
+	l.ended.Add(w.Request, refusal)
+	return []sched.Action{{To: w.From, Refusal: refusal}}
+}
+
+// refuseHopeless refuses those whose patience has run out.
+func (l *Ledger) refuseHopeless(actions []sched.Action) []sched.Action {
+	kept := l.queue[:0]
+	for _, w := range l.queue {
+		if l.now < w.patience {
+			kept = append(kept, w)
+			continue
+		}
+		delete(l.waiting, w.want.Request)
+		after := l.flow.comeBack(l.now, l.backlog())
+		actions = append(actions, l.refuse(w.want, verdict.CodeOverloaded, after, "no room in time: "+w.blocked)...)
+	}
+	clear(l.queue[len(kept):])
+	l.queue = kept
+	return actions
+}
--- a/core/live/live.go
+++ b/core/live/live.go
@@ -150,6 +150,9 @@
 	// Slots is how many requests a decode engine holds at once, or how many
 	// calls a plain endpoint takes at once. Default 4.
 	Slots int `json:"slots,omitempty"`
+	// KVTokens is an engine's memory for KV cache, in tokens. Default 0: not
+	// known, slots alone bound what it holds.
+	KVTokens int `json:"kv_tokens,omitempty"`
 	// PrefillTokensPerSecond is the first estimate of an engine's prefill
 	// rate; reports correct it. Default 20000.
 	PrefillTokensPerSecond float64 `json:"prefill_tokens_per_second,omitempty"`
--- a/core/pool/manager.go
+++ b/core/pool/manager.go
@@ -208,9 +208,13 @@
 		m.drains[e] = now + drainLife
 	}
 	report, known := m.reports[e]
-	if was == on || !known {
+	if was == on {
 		return nil
 	}
+	if !known {
+		// No report is asked for in this pool: only the drain is told.
+		return m.follow(now, m.sched.Load(now, sched.Load{Endpoint: e, Reachable: true, Leaving: on}))
+	}
 	return m.Load(now, report)
 }
 
--- a/core/pool/status.go
+++ b/core/pool/status.go
@@ -46,6 +46,16 @@
 	return s
 }
 
+// Demand is what the pool's roles have to do; ok is false where the scheduler
+// does not tell.
+func (m *Manager) Demand(now time.Duration) (d sched.Demand, ok bool) {
+	demander, ok := m.sched.(sched.Demander)
+	if !ok {
+		return sched.Demand{}, false
+	}
+	return demander.Demand(now), true
+}
+
 func (m *Manager) unreachableCount() int {
 	n := 0
 	for _, l := range m.reports {
--- /dev/null
+++ b/core/registry/registry_test.go
@@ -0,0 +1,62 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/id"
+)
+
+func names(l *List) []id.Endpoint {
+	out := []id.Endpoint{}
+	for _, e := range l.All() {
+		out = append(out, e.Name)
+	}
+	return out
+}
+
+func entry(name id.Endpoint, address string) Endpoint { return Endpoint{Name: name, Address: address} }
+
+func TestAnEntryThatGoesWhileTheStoreIsThereIsGone(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.Set(0, []Endpoint{entry("a", "1"), entry("b", "2")})
+	l.Set(time.Second, []Endpoint{entry("b", "2")})
+	is.Equal(names(l), []id.Endpoint{"b"})
+}
+
+func TestLapsedEntriesAreKeptUntilTheyMayHaveComeBack(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.Set(0, []Endpoint{entry("a", "1"), entry("b", "2"), entry("c", "3")})
+	l.StoreLost()
+	l.StoreBack(10 * time.Second)
+	l.Set(10*time.Second, nil)
+	is.Equal(names(l), []id.Endpoint{"a", "b", "c"})
+	l.Set(11*time.Second, []Endpoint{entry("a", "1")})
+	is.Equal(l.Lapsed(), 2)
+	is.True(!l.Tick(12 * time.Second))
+	is.Equal(l.Next(), 10*time.Second+returnGrace)
+	is.True(l.Tick(l.Next()))
+	is.Equal(names(l), []id.Endpoint{"a"})
+}
+
+func TestALapsedEntryThatSaidItLeavesIsGone(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.Set(0, []Endpoint{{Name: "a", Address: "1", Leaving: true}, entry("b", "2")})
+	l.StoreLost()
+	l.Set(time.Second, nil)
+	is.Equal(names(l), []id.Endpoint{"b"})
+}
+
+func TestALapsedEntryWhoseAddressIsTakenIsGone(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.Set(0, []Endpoint{entry("a", "1")})
+	l.StoreLost()
+	l.Set(time.Second, []Endpoint{entry("z", "1")})
+	is.Equal(names(l), []id.Endpoint{"z"})
+}
--- /dev/null
+++ b/core/retry/window_test.go
@@ -0,0 +1,69 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestAWindowAllowsItsPartOfTheSlack(t *testing.T) {
+	is := is.New(t)
+	w := NewWindow(WindowConfig{Span: 10 * time.Second, Ratio: 0.2, Slack: 58, Safety: 1})
+	allowed := 0
+	for range 100 {
+		if w.Repeat(0, 9) {
+			allowed++
+		}
+	}
+	is.Equal(allowed, 6)
+	for range 50 {
+		w.Request(time.Second)
+	}
+	for range 100 {
+		if w.Repeat(time.Second, 9) {
+			allowed++
+		}
+	}
+	is.Equal(allowed, 16)
+	is.True(!w.Repeat(10*time.Second, 9)) // the first ones still count
+	is.True(w.Repeat(11*time.Second, 9))
+}
+
+// TestNoSpanHoldsMoreThanItsBound: whatever the order of events, no span of the
+// window's length that ends with a repeat holds more repeats than the slack and the ratio of the
+// requests in it and in the slot before it.
+func TestNoSpanHoldsMoreThanItsBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const span = 10 * time.Second
+		w := NewWindow(WindowConfig{Span: span, Ratio: 0.2, Slack: 6, Safety: 1})
+		var now time.Duration
+		var requests, repeats []time.Duration
+		for range rapid.IntRange(1, 300).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 800).Draw(t, "pause")) * time.Millisecond
+			if rapid.Bool().Draw(t, "request") {
+				w.Request(now)
+				requests = append(requests, now)
+				continue
+			}
+			if !w.Repeat(now, 1) {
+				continue
+			}
+			repeats = append(repeats, now)
+			slot := span / windowSlots
+			count := func(all []time.Duration, since time.Duration) (n int) {
+				for _, at := range all {
+					if at >= since {
+						n++
+					}
+				}
+				return n
+			}
+			bound := 6 + 0.2*float64(count(requests, now-span-slot))
+			if got := count(repeats, now-span+1); float64(got) > bound {
+				t.Fatalf("%d repeats, the bound is %v", got, bound)
+			}
+		}
+	})
+}
--- a/core/revision/table/table.go
+++ b/core/revision/table/table.go
@@ -5,9 +5,9 @@
 
 // Row is one row; Version 0 means that it does not exist.
 type Row struct {
-	Key     string
-	Value   []byte
-	Version uint64
+	Key     string `cbor:"1,keyasint"`
+	Value   []byte `cbor:"2,keyasint"`
+	Version uint64 `cbor:"3,keyasint"`
 }
 
 // Condition guards a transaction: the row must have this version; 0 means
--- /dev/null
+++ b/core/roles/roles.go
@@ -0,0 +1,190 @@
+// Package roles decides how a pool's engines are divided between prefill and
+// decode. It follows the engine time that each role's work takes, not the
+// queues: a change takes seconds, longer than most bursts, so the division must
+// fit before they come. It is deterministic. See docs/design/roles.md.
+package roles
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/defaults"
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/sched"
+)
+
+// Config are the tunables; zero fields take the defaults.
+type Config struct {
+	// FirstShare is the share of the engines that read prompts until enough
+	// work was seen.
+	FirstShare float64
+	// Memory is over how long work is averaged.
+	Memory time.Duration
+	// EnoughWork is the engine time of prefills, within Memory, from which the
+	// measured division counts.
+	EnoughWork time.Duration
+	// PrefillHeadroom is how much more prefill than the mean is kept: prompts
+	// come in bursts, and while they wait nothing else of a request goes on.
+	PrefillHeadroom float64
+	// Hysteresis is by how many engines the division must be off.
+	Hysteresis float64
+	// SettleAfter is the pause after a change in which no other is begun.
+	SettleAfter time.Duration
+	// LeastPrefills and LeastDecodes stay in their role.
+	LeastPrefills int
+	LeastDecodes  int
+}
+
+// Defaults of Config.
+const (
+	// DefaultFirstShare is about what long prompts with short answers need.
+	DefaultFirstShare      = 0.28
+	DefaultMemory          = 12 * time.Second
+	DefaultEnoughWork      = 4 * time.Second
+	DefaultPrefillHeadroom = 1.35
+	DefaultHysteresis      = 0.8
+	DefaultSettleAfter     = 1500 * time.Millisecond
+	DefaultLeastPrefills   = 1
+	DefaultLeastDecodes    = 1
+)
+
+func (c Config) withDefaults() Config {
+	defaults.Set(&c.FirstShare, DefaultFirstShare)
+	defaults.Set(&c.Memory, DefaultMemory)
+	defaults.Set(&c.EnoughWork, DefaultEnoughWork)
+	defaults.Set(&c.PrefillHeadroom, DefaultPrefillHeadroom)
+	defaults.Set(&c.Hysteresis, DefaultHysteresis)
+	defaults.Set(&c.SettleAfter, DefaultSettleAfter)
+	defaults.Set(&c.LeastPrefills, DefaultLeastPrefills)
+	defaults.Set(&c.LeastDecodes, DefaultLeastDecodes)
+	return c
+}
+
+// Change has one engine change its role.
+type Change struct {
+	Endpoint id.Endpoint
+	To       live.Role
+	// Wanted is the number of prefill engines that is aimed at, Prefills and
+	// Decodes those that there are.
+	Wanted            float64
+	Prefills, Decodes int
+}
+
+// Decider decides for one pool. It is not safe for concurrent use.
+type Decider struct {
+	cfg Config
+	at  time.Duration
+	// prefill and decode are the faded engine seconds of the roles' work.
+	prefill, decode float64
+	begun           bool
+	changedAt       time.Duration
+	changed         bool
+}
+
+// New returns a Decider that has seen no work.
+func New(cfg Config) *Decider { return &Decider{cfg: cfg.withDefaults()} }
+
+// Observe takes the present demand; call it several times a second.
+func (d *Decider) Observe(now time.Duration, demand sched.Demand) {
+	if !d.begun {
+		d.begun = true
+		d.at = now
+		return
+	}
+	passed := now - d.at
+	d.at = now
+	keep := math.Exp(-float64(passed) / float64(d.cfg.Memory))
+	d.prefill = keep*d.prefill + passed.Seconds()*busyPrefills(demand)
+	d.decode = keep*d.decode + passed.Seconds()*busyDecodes(demand)
+}
+
+// busyPrefills counts the prefill engines at work, and those that the queue
+// would put to work.
+func busyPrefills(d sched.Demand) float64 {
+	busy := 0
+	for _, e := range d.Prefills {
+		if e.Work > 0 {
+			busy++
+		}
+	}
+	return float64(busy)
+}
+
+// busyDecodes is the memory in use and asked for, in engines.
+func busyDecodes(d sched.Demand) float64 {
+	engines := 0
+	for _, e := range d.Decodes {
+		if !e.Drained {
+			engines++
+		}
+	}
+	if engines == 0 || d.Memory == 0 {
+		return 0
+	}
+	perEngine := float64(d.Memory) / float64(engines)
+	return float64(d.MemoryHeld+d.MemoryWanted) / perEngine
+}
+
+// Wanted is the number of prefill engines among n that the work asks for.
+func (d *Decider) Wanted(n int) float64 {
+	share := d.cfg.FirstShare
+	if d.prefill >= d.cfg.EnoughWork.Seconds() && d.decode > 0 {
+		prefill := d.cfg.PrefillHeadroom * d.prefill
+		share = prefill / (prefill + d.decode)
+	}
+	most := float64(max(0, n-d.cfg.LeastDecodes))
+	return min(max(share*float64(n), float64(d.cfg.LeastPrefills)), most)
+}
+
+// Decide gives the next change, or nil. The engine with the least work goes.
+func (d *Decider) Decide(now time.Duration, demand sched.Demand) *Change {
+	prefills, decodes := len(demand.Prefills), len(demand.Decodes)
+	n := prefills + decodes
+	if n < d.cfg.LeastPrefills+d.cfg.LeastDecodes || (d.changed && now-d.changedAt < d.cfg.SettleAfter) {
+		return nil
+	}
+	wanted := d.Wanted(n)
+	change := Change{Wanted: wanted, Prefills: prefills, Decodes: decodes}
+	from := demand.Decodes
+	switch {
+	case prefills < d.cfg.LeastPrefills, float64(prefills) <= wanted-d.cfg.Hysteresis && decodes > d.cfg.LeastDecodes:
+		change.To = live.RolePrefill
+	case decodes < d.cfg.LeastDecodes, float64(prefills) >= wanted+d.cfg.Hysteresis && prefills > d.cfg.LeastPrefills:
+		change.To = live.RoleDecode
+		from = demand.Prefills
+	default:
+		return nil
+	}
+	chosen, ok := idlest(from)
+	if !ok {
+		return nil
+	}
+	change.Endpoint = chosen
+	return &change
+}
+
+// Changed notes that a change was begun.
+func (d *Decider) Changed(now time.Duration) {
+	d.changed = true
+	d.changedAt = now
+}
+
+// idlest is the engine with the least work.
+func idlest(engines []sched.EngineDemand) (id.Endpoint, bool) {
+	var free []sched.EngineDemand
+	for _, e := range engines {
+		if !e.Drained {
+			free = append(free, e)
+		}
+	}
+	if len(free) == 0 {
+		return "", false
+	}
+	least := slices.MinFunc(free, func(a, b sched.EngineDemand) int {
+		return cmp.Or(cmp.Compare(a.Work, b.Work), cmp.Compare(a.Endpoint, b.Endpoint))
+	})
+	return least.Endpoint, true
+}
--- /dev/null
+++ b/core/route/route.go
@@ -0,0 +1,118 @@
+// Package route holds the routing configuration: which service answers a
+// request, what may be repeated, and how long it may take. A configuration is
+// a whole snapshot that never changes; a newer one replaces it at once.
+package route
+
+import (
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+)
+
+// Kind says what may be done with a request of a route.
+type Kind uint8
+
+// The kinds of routes.
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = iota + 1
+	// NonIdempotent requests run at most once for each attempt of the caller.
+	NonIdempotent
+	// Stream requests are answered by a series of events. They run at most
+	// once, unless the route is resumable.
+	Stream
+)
+
+// String names the kind for logs.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case NonIdempotent:
+		return "non-idempotent"
+	case Stream:
+		return "stream"
+	default:
+		return "unknown"
+	}
+}
+
+// Target is one service that a route sends requests to.
+type Target struct {
+	Service id.Service
+	// Weight is its share against the route's other targets.
+	Weight int
+}
+
+// Route sends the requests of a host whose path begins with a prefix to a
+// service.
+type Route struct {
+	// Name of the route, unique.
+	Name string
+	// Host that callers name, in lower case.
+	Host string
+	// Prefix of the path; the longest one that fits applies.
+	Prefix string
+	Kind   Kind
+	// Targets share the route's requests by weight; at least one.
+	Targets []Target
+	// Timeout is the longest time from a request's arrival to its final answer.
+	Timeout time.Duration
+	// TargetLatency is the time to the (first) answer that callers expect.
+	TargetLatency time.Duration
+	// TargetGap is the longest pause between events that callers expect.
+	TargetGap time.Duration
+	// Patience is how long callers of a stream wait for its first event.
+	Patience time.Duration
+	// Priority of its requests: 0 is the most urgent.
+	Priority int
+	// MaxAttempts bounds the endpoints that may run one request; at least 1.
+	MaxAttempts int
+	// Resumable streams may go on at another endpoint.
+	Resumable bool
+}
+
+// Repeatable says whether a request may run more than once.
+func (r *Route) Repeatable() bool { return r.Kind == Idempotent }
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Slots is how many requests an engine runs at once.
+	Slots int
+	// KVTokens is an engine's memory, in tokens.
+	KVTokens int
+	// HandleLife is how long a prompt's KV cache is kept for its decode.
+	HandleLife time.Duration
+	// SwitchTime is how long an engine takes to change its role.
+	SwitchTime time.Duration
+}
+
+// Service is what routes send requests to.
+type Service struct {
+	Name id.Service
+	// MaxConnections is how many connections one endpoint takes from all
+	// daemons together.
+	MaxConnections int
+	// Engine is nil for a plain service.
+	Engine *Engine
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	// MaxHeaderBytes and MaxBodyBytes bound one request, in bytes.
+	MaxHeaderBytes int
+	MaxBodyBytes   int
+	// HeaderTimeout bounds the reading of a request's head.
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a connection may stay unused.
+	IdleTimeout time.Duration
+}
+
+// Config is one whole routing configuration.
+type Config struct {
+	// Version grows with each accepted change, in uneven steps.
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+}
--- /dev/null
+++ b/core/route/table.go
@@ -0,0 +1,102 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/samphirequay/samphirequay/core/id"
+)
+
+// Table answers, for one configuration, which route and service a request
+// belongs to. It is safe for concurrent use.
+type Table struct {
+	config   Config
+	hosts    map[string][]*Route
+	services map[id.Service]*Service
+}
+
+// NewTable indexes a configuration; it must not be changed afterwards. An error
+// names the first item that can't work.
+func NewTable(c Config) (*Table, error) {
+	t := &Table{config: c, hosts: map[string][]*Route{}, services: map[id.Service]*Service{}}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if err := t.check(r); err != nil {
+			return nil, err
+		}
+		r.Host = normalHost(r.Host)
+		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return t, nil
+}
+
+func (t *Table) check(r *Route) error {
+	if len(r.Targets) == 0 {
+		return fmt.Errorf("route %q sends its requests nowhere", r.Name)
+	}
+	for _, target := range r.Targets {
+		if t.services[target.Service] == nil {
+			return fmt.Errorf("route %q names service %q, which is not there", r.Name, target.Service)
+		}
+	}
+	if !strings.HasPrefix(r.Prefix, "/") {
+		return fmt.Errorf("route %q: prefix %q does not begin with a slash", r.Name, r.Prefix)
+	}
+	return nil
+}
+
+// Config is the configuration that the table was made of.
+func (t *Table) Config() *Config { return &t.config }
+
+// Service returns a service by name, or nil.
+func (t *Table) Service(name id.Service) *Service { return t.services[name] }
+
+// Match returns the route for a host and a path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	for _, r := range t.hosts[normalHost(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Choose picks one of the route's targets by weight. The same request always
+// gets the same one.
+func (r *Route) Choose(request id.Request) id.Service {
+	if len(r.Targets) == 1 {
+		return r.Targets[0].Service
+	}
+	total := 0
+	for _, t := range r.Targets {
+		total += max(0, t.Weight)
+	}
+	if total == 0 {
+		return r.Targets[0].Service
+	}
+	seed := xxhash.Sum64String(string(request))
+	draw := rand.New(rand.NewPCG(seed, seed)).IntN(total)
+	for _, t := range r.Targets {
+		draw -= max(0, t.Weight)
+		if draw < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// normalHost drops a port and the letter case, which don't matter.
+func normalHost(host string) string {
+	name, _, _ := strings.Cut(host, ":")
+	return strings.ToLower(name)
+}
--- /dev/null
+++ b/core/sched/demand.go
@@ -0,0 +1,37 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+)
+
+// EngineDemand is one engine of a pool as placement sees it.
+type EngineDemand struct {
+	Endpoint id.Endpoint
+	// Work counts the requests that are at the engine.
+	Work int
+	// Drained is set while it gets no new work.
+	Drained bool
+}
+
+// Demand is what a pool's roles have to do, for the choice of roles.
+type Demand struct {
+	Prefills []EngineDemand
+	Decodes  []EngineDemand
+	// PrefillBacklog is the predicted time of all granted prefills.
+	PrefillBacklog time.Duration
+	// Memory is that of the decode engines, in tokens; MemoryHeld is in use.
+	Memory     int
+	MemoryHeld int
+	// Queued requests want MemoryWanted tokens of memory and have PromptWanted
+	// tokens to be read.
+	Queued       int
+	MemoryWanted int
+	PromptWanted int
+}
+
+// Demander is a scheduler that tells the demand of its pool.
+type Demander interface {
+	Demand(now time.Duration) Demand
+}
--- a/core/sched/messages.go
+++ b/core/sched/messages.go
@@ -46,6 +46,15 @@
 	Suspect bool `cbor:"14,keyasint"`
 	// Fingerprint identifies team and content; the same under a new request id.
 	Fingerprint string `cbor:"15,keyasint"`
+	// Target is when, from the request's arrival, its caller expects the first
+	// output; Patience is when it is refused for want of room; Lifetime is when
+	// its caller is gone for certain. Zero: the service's own figures apply.
+	Target   time.Duration `cbor:"16,keyasint,omitempty"`
+	Patience time.Duration `cbor:"17,keyasint,omitempty"`
+	Lifetime time.Duration `cbor:"18,keyasint,omitempty"`
+	// Prefilled asks for a decode endpoint alone, at once or not at all: the
+	// prompt was read before and its KV cache does not live long.
+	Prefilled bool `cbor:"19,keyasint,omitempty"`
 }
 
 // Grant answers a Want: run the prefill on one endpoint, the decode on another.
--- a/daemon/app/start.go
+++ b/daemon/app/start.go
@@ -100,7 +100,7 @@
 func (d *Daemon) startStore() {
 	d.endpoints = endpoints.New(nil)
 	table := client.NewTable(d.set.Platform.Table, d.platformOptions())
-	d.store = store.New(table, d.work, d.metrics)
+	d.store = store.New(store.TableService{Client: table}, d.work, d.metrics)
 	d.retries = newRetrier(d.now, d.newRand())
 	d.cancels = cancels.Start(cancels.Config{
 		Self:      d.self,
--- a/daemon/broker/pools.go
+++ b/daemon/broker/pools.go
@@ -20,9 +20,21 @@
 				delete(b.managers, p)
 			}
 		}
+		b.takeOwned(now)
 	})
 }
 
+// takeOwned makes the managers of the pools that this daemon owns: they settle
+// while the other daemons tell them what is in use, not when the first request
+// comes.
+func (b *Broker) takeOwned(now time.Duration) {
+	for i := range b.doc.Pools {
+		if p := b.doc.Pools[i].Name; b.owns(p) {
+			b.manager(now, p)
+		}
+	}
+}
+
 // ProcessGone releases what a dead process held in this daemon's pools.
 func (b *Broker) ProcessGone(p id.Process) {
 	b.duty.Post(func(now time.Duration) {
@@ -44,6 +56,7 @@
 			}
 			b.actions(now, p, b.managers[p].Configure(now, doc))
 		}
+		b.takeOwned(now)
 	})
 }
 
@@ -112,6 +125,17 @@
 	return owners
 }
 
+// Demand is what the roles of a pool have to do; ok is false for a pool that
+// this daemon does not own, or whose scheduler does not tell.
+func (b *Broker) Demand(p id.Pool) (d sched.Demand, ok bool) {
+	b.duty.Query(func(now time.Duration) {
+		if m := b.managers[p]; m != nil && b.owns(p) {
+			d, ok = m.Demand(now)
+		}
+	})
+	return d, ok
+}
+
 // Pools reads the state of the pools that this daemon owns.
 func (b *Broker) Pools() []pool.Status {
 	var out []pool.Status
--- a/daemon/claims/claims_test.go
+++ b/daemon/claims/claims_test.go
@@ -88,7 +88,7 @@
 		c := Start(Config{
 			Self:       id.Process{Daemon: name, Incarnation: 1},
 			Writers:    w,
-			Store:      store.New(client.NewTable(tableServer.Addr(), client.Options{}), work, registry),
+			Store:      store.New(store.TableService{Client: client.NewTable(tableServer.Addr(), client.Options{})}, work, registry),
 			Objects:    client.NewObjects(objects.Addr(), client.Options{}),
 			Work:       work,
 			Metrics:    registry,
--- /dev/null
+++ b/daemon/feed/feed.go
@@ -0,0 +1,314 @@
+// Package feed follows tables of the platform's store: each is read whole once
+// and then followed by its changes. When the store can't be reached, or a
+// connection to it has gone silent, what another daemon knows is adopted.
+package feed
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/revision/table"
+)
+
+// ErrHistoryGone says that the store has forgotten the changes behind a
+// position: the table must be read whole.
+var ErrHistoryGone = errors.New("the store no longer has these changes")
+
+// Change is one changed row of a table.
+type Change struct {
+	table.Row
+	// Removed rows have no value.
+	Removed bool
+}
+
+// Snapshot is a whole table.
+type Snapshot struct {
+	Rows []table.Row
+	// Position is behind which the changes follow.
+	Position uint64
+}
+
+// Delta holds the changes behind a position, oldest first.
+type Delta struct {
+	Changes  []Change
+	Position uint64
+}
+
+// Source reads tables.
+type Source interface {
+	// Read reads a whole table as of one moment.
+	Read(ctx context.Context, name string) (Snapshot, error)
+	// Changes waits up to wait for changes behind a position.
+	Changes(ctx context.Context, name string, after uint64, wait time.Duration) (Delta, error)
+}
+
+// State is what one daemon knows of a table. It is handed on as a whole.
+type State struct {
+	Name string      `cbor:"1,keyasint"`
+	Rows []table.Row `cbor:"2,keyasint"`
+	// Position is where the changes go on.
+	Position uint64 `cbor:"3,keyasint"`
+	// Version is that of the newest change that was seen.
+	Version uint64 `cbor:"4,keyasint"`
+}
+
+// Config of a Follower.
+type Config struct {
+	// Name of the table.
+	Name   string
+	Source Source
+	// Wait is how long one call waits for changes; a connection that has gone
+	// silent is noticed a little later.
+	Wait time.Duration
+	// Retry bounds the pause after a failed call; the pause doubles up to it.
+	Retry time.Duration
+	// Changed is told of each new state; it must not block for long.
+	Changed func(s State)
+	// Lost and Back are told when the store stops and begins again to answer.
+	Lost func(err error)
+	Back func()
+	Rand *rand.Rand
+}
+
+// Follower follows one table.
+type Follower struct {
+	cfg  Config
+	ctx  context.Context
+	stop context.CancelFunc
+	done chan struct{}
+
+	mu    sync.Mutex
+	rows  map[string]table.Row
+	state State
+	known bool
+	// interrupt ends the call that waits for changes.
+	interrupt context.CancelFunc
+	// whole asks for a whole read next.
+	whole bool
+	lost  bool
+}
+
+const (
+	// callSlack is what an answer may take beyond the time it was told to wait.
+	callSlack = 700 * time.Millisecond
+	// readTimeout bounds the reading of a whole table.
+	readTimeout = 1200 * time.Millisecond
+	// firstRetry is the first pause after a failed call.
+	firstRetry = 50 * time.Millisecond
+)
+
+// Start starts to follow a table.
+func Start(cfg Config) *Follower {
+	f := &Follower{cfg: cfg, rows: map[string]table.Row{}, whole: true, done: make(chan struct{})}
+	f.state.Name = cfg.Name
+	f.ctx, f.stop = context.WithCancel(context.Background())
+	go f.run()
+	return f
+}
+
+// Close ends the following.
+func (f *Follower) Close() {
+	f.stop()
+	<-f.done
+}
+
+// State returns what is known; ok is false before the first read.
+func (f *Follower) State() (s State, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.snapshot(), f.known
+}
+
+// Version is that of the newest change seen; 0 before the first read.
+func (f *Follower) Version() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.known {
+		return 0
+	}
+	return f.state.Version
+}
+
+// Lost says whether the store did not answer the last call.
+func (f *Follower) Lost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost
+}
+
+// Refresh reads the table whole at once, on another connection than the one
+// that waits for changes.
+func (f *Follower) Refresh() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.whole = true
+	if f.interrupt != nil {
+		f.interrupt()
+	}
+}
+
+// Adopt takes what another daemon knows, if that is newer.
+func (f *Follower) Adopt(s State) bool {
+	f.mu.Lock()
+	if f.known && s.Version <= f.state.Version {
+		f.mu.Unlock()
+		return false
+	}
+	f.install(s.Rows, s.Position)
+	f.state.Version = s.Version
+	told := f.snapshot()
+	if f.interrupt != nil {
+		f.interrupt()
+	}
+	f.mu.Unlock()
+	f.cfg.Changed(told)
+	return true
+}
+
+// install replaces all rows; the lock is held.
+func (f *Follower) install(rows []table.Row, position uint64) {
+	f.rows = make(map[string]table.Row, len(rows))
+	for _, r := range rows {
+		f.rows[r.Key] = r
+		f.state.Version = max(f.state.Version, r.Version)
+	}
+	f.state.Position = position
+	f.known = true
+}
+
+// snapshot copies the state; the lock is held.
+func (f *Follower) snapshot() State {
+	s := f.state
+	s.Rows = make([]table.Row, 0, len(f.rows))
+	for _, r := range f.rows {
+		s.Rows = append(s.Rows, r)
+	}
+	return s
+}
+
+func (f *Follower) run() {
+	defer close(f.done)
+	pause := firstRetry
+	for f.ctx.Err() == nil {
+		err := f.step()
+		if err == nil {
+			pause = firstRetry
+			continue
+		}
+		if !f.sleep(pause/2 + time.Duration(f.cfg.Rand.Int64N(int64(pause)))) {
+			return
+		}
+		pause = min(2*pause, f.cfg.Retry)
+	}
+}
+
+func (f *Follower) sleep(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-f.ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// step makes one call. A call that was interrupted is no failure.
+func (f *Follower) step() error {
+	f.mu.Lock()
+	whole, after := f.whole, f.state.Position
+	ctx, cancel := context.WithCancel(f.ctx)
+	if !whole {
+		f.interrupt = cancel
+	}
+	f.mu.Unlock()
+	defer cancel()
+	var err error
+	if whole {
+		err = f.readWhole(ctx)
+	} else {
+		err = f.readChanges(ctx, after)
+	}
+	interrupted := err != nil && ctx.Err() != nil
+	if interrupted || f.ctx.Err() != nil {
+		return nil
+	}
+	f.note(err)
+	return err
+}
+
+func (f *Follower) readWhole(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	snapshot, err := f.cfg.Source.Read(ctx, f.cfg.Name)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	f.install(snapshot.Rows, snapshot.Position)
+	f.whole = false
+	told := f.snapshot()
+	f.mu.Unlock()
+	f.note(nil)
+	f.cfg.Changed(told)
+	return nil
+}
+
+func (f *Follower) readChanges(parent context.Context, after uint64) error {
+	ctx, cancel := context.WithTimeout(parent, f.cfg.Wait+callSlack)
+	defer cancel()
+	delta, err := f.cfg.Source.Changes(ctx, f.cfg.Name, after, f.cfg.Wait)
+	if errors.Is(err, ErrHistoryGone) {
+		f.mu.Lock()
+		f.whole = true
+		f.mu.Unlock()
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	f.note(nil)
+	f.mu.Lock()
+	if f.state.Position != after {
+		// What another daemon knew was adopted meanwhile: these changes are old.
+		f.mu.Unlock()
+		return nil
+	}
+	f.apply(delta)
+	told := f.snapshot()
+	f.mu.Unlock()
+	if len(delta.Changes) > 0 {
+		f.cfg.Changed(told)
+	}
+	return nil
+}
+
+// apply takes changes; the lock is held.
+func (f *Follower) apply(d Delta) {
+	for _, c := range d.Changes {
+		f.state.Version = max(f.state.Version, c.Version)
+		if c.Removed {
+			delete(f.rows, c.Key)
+			continue
+		}
+		f.rows[c.Key] = c.Row
+	}
+	f.state.Position = max(f.state.Position, d.Position)
+}
+
+// note tells when the store stops or begins again to answer.
+func (f *Follower) note(err error) {
+	f.mu.Lock()
+	was := f.lost
+	f.lost = err != nil
+	f.mu.Unlock()
+	switch {
+	case err != nil && !was:
+		f.cfg.Lost(err)
+	case err == nil && was:
+		f.cfg.Back()
+	}
+}
--- /dev/null
+++ b/daemon/forward/forward.go
@@ -0,0 +1,191 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/balance"
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/registry"
+	"github.com/samphirequay/samphirequay/core/retry"
+	"github.com/samphirequay/samphirequay/core/route"
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/metrics"
+)
+
+// Deps are what the pipeline works with.
+type Deps struct {
+	// Self is this daemon's process.
+	Self   func() id.Process
+	Domain id.Domain
+	// View is what the daemon knows now.
+	View      func() *View
+	Endpoints Endpoints
+	Pairer    Pairer
+	Balancer  *balance.Balancer
+	// Repeats bounds the repeats of each service.
+	Repeats retry.WindowConfig
+	// Daemons is how many daemons are alive and share that bound.
+	Daemons func() int
+	Log     Log
+	Metrics *metrics.Registry
+	Now     func() time.Duration
+}
+
+// Forwarder serves requests. It is safe for concurrent use.
+type Forwarder struct {
+	Deps
+	// mu guards the balancer and the windows.
+	mu      sync.Mutex
+	windows map[id.Service]*retry.Window
+	stats   stats
+}
+
+// New returns a Forwarder.
+func New(d Deps) *Forwarder {
+	return &Forwarder{Deps: d, windows: map[id.Service]*retry.Window{}, stats: newStats(d.Metrics)}
+}
+
+// trace is what the line of a request tells.
+type trace struct {
+	route    *route.Route
+	service  id.Service
+	config   uint64
+	registry uint64
+	attempts int
+	endpoint id.Endpoint
+	prefill  id.Endpoint
+	waited   time.Duration
+	read     time.Duration
+	first    time.Duration
+	reason   string
+}
+
+// Run serves one request. Either a reply is passed on, or the error says what
+// may have happened. ctx ends when the caller is gone.
+func (f *Forwarder) Run(ctx context.Context, r *Request) (*Reply, *verdict.Error) {
+	t := &trace{}
+	reply, err := f.dispatch(ctx, r, t)
+	if reply != nil && reply.Events != nil {
+		// The stream writes its line when it ends.
+		return reply, nil
+	}
+	f.record(r, t, reply, err)
+	return reply, err
+}
+
+func (f *Forwarder) dispatch(ctx context.Context, r *Request, t *trace) (*Reply, *verdict.Error) {
+	view := f.View()
+	if view.Routes == nil {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this daemon has no configuration yet")
+	}
+	t.config = view.Routes.Config().Version
+	t.registry = view.Registry
+	t.route = view.Routes.Match(r.Host, r.Path)
+	if t.route == nil {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnknownService, "no route for this host and path")
+	}
+	t.service = t.route.Choose(r.ID)
+	service := view.Routes.Service(t.service)
+	f.counted(t.service)
+	ctx, cancel := context.WithTimeout(ctx, f.limit(r, t.route)-f.Now())
+	if t.route.Kind == route.Stream && service.Engine != nil {
+		return f.stream(ctx, cancel, r, t, service)
+	}
+	defer cancel()
+	return f.call(ctx, r, t, service)
+}
+
+// limit is when the final answer is due, in the daemon's time.
+func (f *Forwarder) limit(r *Request, rt *route.Route) time.Duration {
+	limit := r.Arrived + defaultTimeout
+	if rt.Timeout > 0 {
+		limit = r.Arrived + rt.Timeout
+	}
+	if r.CallerWaits > 0 {
+		limit = min(limit, r.Arrived+r.CallerWaits)
+	}
+	return limit
+}
+
+// defaultTimeout applies to a route that names none.
+const defaultTimeout = 30 * time.Second
+
+// left is how long an endpoint may still work on a request.
+func (f *Forwarder) left(r *Request, rt *route.Route) time.Duration {
+	return f.limit(r, rt) - f.Now()
+}
+
+// counted counts a caller's request for the bound on repeats.
+func (f *Forwarder) counted(service id.Service) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.window(service).Request(f.Now())
+}
+
+func (f *Forwarder) window(service id.Service) *retry.Window {
+	w := f.windows[service]
+	if w == nil {
+		w = retry.NewWindow(f.Repeats)
+		f.windows[service] = w
+	}
+	return w
+}
+
+// repeat pays for one more arrival of a request at an endpoint.
+func (f *Forwarder) repeat(service id.Service) bool {
+	daemons := f.Daemons()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	paid := f.window(service).Repeat(f.Now(), daemons)
+	if !paid {
+		f.stats.unpaid.Inc()
+	}
+	return paid
+}
+
+// Configure takes the registered endpoints.
+func (f *Forwarder) Configure(entries []registry.Endpoint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Balancer.Configure(entries)
+}
+
+// connections is this daemon's part of the connections that an endpoint takes.
+func (f *Forwarder) connections(s *route.Service) int {
+	if s.MaxConnections <= 0 {
+		return 0
+	}
+	return max(leastConnections, s.MaxConnections/max(1, f.Daemons()))
+}
+
+// leastConnections is this daemon's part however many daemons there are.
+const leastConnections = 4
+
+// record writes a request's line and counts it.
+func (f *Forwarder) record(r *Request, t *trace, reply *Reply, err *verdict.Error) {
+	took := f.Now() - r.Arrived
+	outcome, status := "answered", 0
+	kv := []any{"request", r.ID}
+	if t.route != nil {
+		kv = append(kv, "route", t.route.Name, "service", t.service)
+	}
+	kv = append(kv, "config", t.config, "registry", t.registry, "attempts", t.attempts, "endpoint", t.endpoint)
+	if t.prefill != "" {
+		kv = append(kv, "prefill", t.prefill, "waited", t.waited, "read", t.read, "first", t.first)
+	}
+	if reply != nil {
+		status = reply.Status
+		if reply.Failed() {
+			outcome = "endpoint_failed"
+		}
+	}
+	if err != nil {
+		outcome = string(err.Code)
+		kv = append(kv, "verdict", err.Verdict, "why", err.Error(), "retry_after", err.RetryAfter)
+	}
+	kv = append(kv, "outcome", outcome, "status", status, "took", took, "reason", t.reason)
+	f.stats.ended(outcome, took)
+	f.Log("request", kv...)
+}
--- /dev/null
+++ b/daemon/forward/relay.go
@@ -0,0 +1,239 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/sched"
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+// readSize is how many bytes of a stream are read at once.
+const readSize = 2048
+
+// relay passes a stream's whole events on as they come. Where the stream may be
+// resumed, it goes on at another engine behind the last whole event.
+type relay struct {
+	*generation
+	ctx    context.Context
+	cancel context.CancelFunc
+	opened *Opened
+	// pending are the bytes of an event that is not whole yet, ready the whole
+	// events that were not passed on yet.
+	pending []byte
+	ready   []byte
+	events  int
+	ended   bool
+	broken  error
+}
+
+// begin opens the stream and waits for its first event: until then a failure
+// can still be told to the caller.
+func (s *relay) begin() *verdict.Error {
+	for {
+		opened, err := s.open(s.ctx)
+		if err != nil {
+			return err
+		}
+		s.opened = opened
+		if opened.Events == nil {
+			s.finish(sched.PhaseFailed)
+			return nil
+		}
+		cause := s.fill()
+		if cause == nil || errors.Is(cause, io.EOF) {
+			now := s.f.Now()
+			s.trace.first = now - s.request.Arrived
+			s.f.stats.first.Record(s.trace.first)
+			return nil
+		}
+		s.drop(cause)
+		if s.ctx.Err() != nil || !s.mayGoOn() {
+			return s.brokenBeforeFirst(cause)
+		}
+	}
+}
+
+// brokenBeforeFirst tells of a stream that broke before its first event.
+func (s *relay) brokenBeforeFirst(cause error) *verdict.Error {
+	code := verdict.CodeEndpointFailed
+	switch {
+	case errors.Is(s.ctx.Err(), context.DeadlineExceeded):
+		code = verdict.CodeDeadline
+	case s.ctx.Err() != nil:
+		code = verdict.CodeCallerGone
+	}
+	return verdict.New(verdict.MayHaveRun, code, "the stream broke before its first event").WithCause(cause)
+}
+
+// Read implements io.Reader. Any error but io.EOF means that the stream is not
+// complete.
+func (s *relay) Read(p []byte) (int, error) {
+	for len(s.ready) == 0 {
+		if s.broken != nil {
+			return 0, s.broken
+		}
+		if s.ended {
+			return 0, io.EOF
+		}
+		if err := s.next(); err != nil {
+			s.broken = err
+		}
+	}
+	n := copy(p, s.ready)
+	s.ready = s.ready[n:]
+	return n, nil
+}
+
+// next reads on, at another engine if this one broke off.
+func (s *relay) next() error {
+	err := s.fill()
+	if err == nil || errors.Is(err, io.EOF) {
+		return nil
+	}
+	s.drop(err)
+	if s.ctx.Err() != nil || !s.mayGoOn() {
+		return err
+	}
+	opened, failure := s.open(s.ctx)
+	if failure != nil {
+		return failure
+	}
+	if opened.Events == nil {
+		s.finish(sched.PhaseFailed)
+		return errors.New("the engine that was to go on answered with an error")
+	}
+	s.opened.Events = opened.Events
+	s.f.stats.resumed.Inc()
+	s.f.Log("stream_resumed", "request", s.request.ID, "behind", s.last, "endpoint", s.trace.endpoint)
+	return nil
+}
+
+// mayGoOn says whether a broken stream may be resumed, and pays for it.
+func (s *relay) mayGoOn() bool {
+	if !s.resumable() || s.f.left(s.request, s.trace.route) < leastForPrefill {
+		return false
+	}
+	return s.f.repeat(s.service.Name)
+}
+
+// fill reads until at least one more event is whole. io.EOF is the stream's
+// proper end.
+func (s *relay) fill() error {
+	var block [readSize]byte
+	for {
+		if s.trace.route.Resumable && s.ran < s.trace.route.MaxAttempts {
+			// A failed deadline shows in the read.
+			_ = s.opened.Events.SetReadDeadline(time.Now().Add(stallAfter))
+		}
+		n, err := s.opened.Events.Read(block[:])
+		s.pending = append(s.pending, block[:n]...)
+		if errors.Is(err, io.EOF) {
+			s.take(len(s.pending))
+			s.complete()
+			return io.EOF
+		}
+		if end := wholeEvents(s.pending); end > 0 {
+			s.take(end)
+			if err == nil {
+				return nil
+			}
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// take moves bytes from pending to ready.
+func (s *relay) take(n int) {
+	whole := s.pending[:n]
+	s.note(whole)
+	s.ready = append(s.ready, whole...)
+	s.pending = append(s.pending[:0], s.pending[n:]...)
+}
+
+// eventEnd is the empty line behind an event, idField begins the line with its id.
+var (
+	eventEnd = []byte("\n\n")
+	idField  = []byte("id:")
+)
+
+// wholeEvents is the length of the whole events that the bytes begin with.
+func wholeEvents(b []byte) int {
+	i := bytes.LastIndex(b, eventEnd)
+	if i < 0 {
+		return 0
+	}
+	return i + len(eventEnd)
+}
+
+// note remembers the last id of whole events.
+func (s *relay) note(whole []byte) {
+	for line := range bytes.Lines(whole) {
+		if value, ok := bytes.CutPrefix(line, idField); ok {
+			s.last = string(bytes.TrimSpace(value))
+			s.events++
+		}
+	}
+}
+
+// complete notes the proper end.
+func (s *relay) complete() {
+	s.ended = true
+	_ = s.opened.Events.Close()
+	s.finish(sched.PhaseDone)
+}
+
+// drop ends the work at an engine that broke off, or is given up.
+func (s *relay) drop(cause error) {
+	_ = s.opened.Events.Close()
+	s.pending = s.pending[:0]
+	if s.ctx.Err() != nil {
+		s.finish(sched.PhaseCancelled)
+		return
+	}
+	s.avoid = append(s.avoid, s.trace.endpoint)
+	s.f.Log("stream_broke", "request", s.request.ID, "endpoint", s.trace.endpoint, "behind", s.last, "why", cause)
+	s.progress(sched.Progress{Phase: sched.PhaseFailed, Endpoint: s.trace.endpoint})
+	s.grant = sched.Grant{}
+}
+
+// finish tells the pool's owner that the granted pair is free.
+func (s *relay) finish(phase sched.Phase) {
+	if s.grant.Request == id.Request("") {
+		return
+	}
+	s.progress(sched.Progress{Phase: phase, OutputTokens: s.events})
+	s.grant = sched.Grant{}
+}
+
+// Close implements io.Closer: the stream has been passed on, or its caller is
+// gone.
+func (s *relay) Close() error {
+	if s.opened != nil && s.opened.Events != nil {
+		_ = s.opened.Events.Close()
+	}
+	s.finish(sched.PhaseCancelled)
+	s.cancel()
+	s.f.record(s.request, s.trace, &Reply{Status: s.opened.Status}, s.ending())
+	return nil
+}
+
+// ending is the error that a stream ended with; nil if it is complete.
+func (s *relay) ending() *verdict.Error {
+	switch {
+	case s.ended:
+		return nil
+	case errors.Is(s.ctx.Err(), context.DeadlineExceeded):
+		return verdict.New(verdict.Ran, verdict.CodeDeadline, "the stream was cut at its time limit")
+	case s.broken != nil && s.ctx.Err() == nil:
+		return verdict.New(verdict.Ran, verdict.CodeEndpointFailed, "the stream broke").WithCause(s.broken)
+	default:
+		return verdict.New(verdict.Ran, verdict.CodeCallerGone, "the caller left")
+	}
+}
--- /dev/null
+++ b/daemon/forward/stats.go
@@ -0,0 +1,35 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/samphirequay/samphirequay/daemon/metrics"
+)
+
+// stats are the pipeline's metrics.
+type stats struct {
+	outcomes *metrics.CounterMap
+	unpaid   *metrics.Counter
+	wasted   *metrics.Counter
+	resumed  *metrics.Counter
+	took     *metrics.Latency
+	first    *metrics.Latency
+	waited   *metrics.Latency
+}
+
+func newStats(r *metrics.Registry) stats {
+	return stats{
+		outcomes: r.CounterMap("forward_outcomes", metrics.UnitCount, "Ended requests, by outcome."),
+		unpaid:   r.Counter("forward_repeats_unpaid", metrics.UnitCount, "Repeats that the bound on a service's repeats did not allow."),
+		wasted:   r.Counter("forward_prefills_wasted", metrics.UnitCount, "Prompts that were read and not decoded."),
+		resumed:  r.Counter("forward_streams_resumed", metrics.UnitCount, "Streams that went on at another engine."),
+		took:     r.Latency("forward_request_time", "Time from a request's arrival to its end."),
+		first:    r.Latency("forward_first_event_time", "Time from a stream's arrival to its first event."),
+		waited:   r.Latency("forward_wait_time", "Time that a stream waited for its engines."),
+	}
+}
+
+func (s *stats) ended(outcome string, took time.Duration) {
+	s.outcomes.Add(outcome, 1)
+	s.took.Record(took)
+}
--- /dev/null
+++ b/daemon/forward/stream.go
@@ -0,0 +1,339 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/poison"
+	"github.com/samphirequay/samphirequay/core/registry"
+	"github.com/samphirequay/samphirequay/core/route"
+	"github.com/samphirequay/samphirequay/core/sched"
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+const (
+	// firstEventTime is kept free of a stream's patience for the prefill, the
+	// transfer and the first event, which follow the wait for engines.
+	firstEventTime = 500 * time.Millisecond
+	// prefillLimit bounds a prefill: many times what a sound engine takes, and
+	// short enough to have the prompt read elsewhere in time.
+	prefillLimit = 1500 * time.Millisecond
+	// kvShare of a KV cache's life may pass before it is sent to another
+	// decode engine: the transfer must begin before it ends.
+	kvShare = 0.7
+	// stallAfter is the pause after which a stream that may be resumed is taken
+	// from its engine.
+	stallAfter = 1500 * time.Millisecond
+	// headLimit bounds the wait for the head of a stream that may be resumed.
+	headLimit = 2 * time.Second
+	// freeLimit bounds the freeing of a KV cache.
+	freeLimit = 500 * time.Millisecond
+	// leastForPrefill is the time that must be left to begin a prompt again.
+	leastForPrefill = 400 * time.Millisecond
+	// maxPairings bounds the pairs of engines that one request is given.
+	maxPairings = 4
+)
+
+// generation is one request for a stream on its way through the engines.
+type generation struct {
+	f       *Forwarder
+	request *Request
+	trace   *trace
+	service *route.Service
+	// last is the last event that the caller has got.
+	last string
+	// pairings counts the wants, ran the engines that may have run it.
+	pairings int
+	ran      int
+	avoid    []id.Endpoint
+	// grant in use, and the Want's id.
+	grant sched.Grant
+	// failure is the worst one so far.
+	failure *verdict.Error
+}
+
+// stream serves a stream. It returns once the first event is there.
+func (f *Forwarder) stream(ctx context.Context, cancel context.CancelFunc, r *Request, t *trace, s *route.Service) (*Reply, *verdict.Error) {
+	g := &generation{f: f, request: r, trace: t, service: s, last: r.LastEvent}
+	rel := &relay{generation: g, ctx: ctx, cancel: cancel}
+	if err := rel.begin(); err != nil {
+		cancel()
+		return nil, err
+	}
+	opened := rel.opened
+	if opened.Events == nil {
+		cancel()
+		return &Reply{Status: opened.Status, Header: opened.Header, Body: opened.Body}, nil
+	}
+	return &Reply{Status: opened.Status, Header: opened.Header, Events: rel}, nil
+}
+
+// resumable says whether the stream may go on at another engine.
+func (g *generation) resumable() bool {
+	return g.trace.route.Resumable && g.ran < g.trace.route.MaxAttempts
+}
+
+// open gets the engines, has the prompt read and starts the decode, as often
+// as that is allowed.
+func (g *generation) open(ctx context.Context) (*Opened, *verdict.Error) {
+	for {
+		kv, readAt, err := g.prefill(ctx)
+		if err == nil {
+			var opened *Opened
+			if opened, err = g.decode(ctx, kv, readAt); err == nil {
+				return opened, nil
+			}
+		}
+		g.failure = worse(g.failure, err)
+		if !g.mayBeginAgain(ctx, err) {
+			return nil, g.failure
+		}
+	}
+}
+
+// mayBeginAgain says whether a new pair of engines may be tried.
+func (g *generation) mayBeginAgain(ctx context.Context, err *verdict.Error) bool {
+	f := g.f
+	switch {
+	case ctx.Err() != nil || f.left(g.request, g.trace.route) < leastForPrefill:
+		g.trace.reason = "no time is left"
+	case err.Verdict != verdict.NotRun && !g.resumable():
+		g.trace.reason = "it may not run again"
+	case refusedByOwner(err):
+		g.trace.reason = "the pool's owner refused"
+	case g.pairings >= maxPairings:
+		g.trace.reason = "too many engines failed"
+	case err.Code != verdict.CodeUnavailable && !f.repeat(g.service.Name):
+		g.trace.reason = "the service's bound on repeats is reached"
+	default:
+		return true
+	}
+	return false
+}
+
+// errOwner marks the refusals of a pool's owner.
+type errOwner struct{ error }
+
+func refusedByOwner(err *verdict.Error) bool {
+	_, ok := err.Cause.(errOwner)
+	return ok
+}
+
+// pair asks the pool's owner for engines.
+func (g *generation) pair(ctx context.Context, prefilled bool) *verdict.Error {
+	f, r, rt := g.f, g.request, g.trace.route
+	g.pairings++
+	age := f.Now() - r.Arrived
+	patience := max(rt.Patience-firstEventTime, rt.TargetLatency)
+	patience = min(patience, f.limit(r, rt)-r.Arrived-firstEventTime)
+	if g.last != r.LastEvent {
+		// A stream that goes on: its caller has waited since the last event.
+		patience = age + rt.Patience/2
+	}
+	want := sched.Want{
+		Request:      id.Request(fmt.Sprintf("%s.%d", r.ID, g.pairings)),
+		Team:         id.Team(rt.Name),
+		Service:      g.service.Name,
+		Pool:         id.Pool(g.service.Name),
+		From:         f.Self(),
+		Age:          age,
+		PromptTokens: r.PromptTokens,
+		OutputTokens: expectedOutput(r),
+		Priority:     g.priority(),
+		Avoid:        g.avoid,
+		Domain:       f.Domain,
+		Attempt:      g.pairings,
+		Fingerprint:  poison.Print(id.Team(rt.Name), g.service.Name, append([]byte(r.Target), r.Body...)).String(),
+		Target:       rt.TargetLatency,
+		Patience:     patience,
+		Lifetime:     f.limit(r, rt) - r.Arrived,
+		Prefilled:    prefilled,
+	}
+	grant, err := f.Pairer.Pair(ctx, want, max(patience-age, 0))
+	if err != nil {
+		return err.WithCause(errOwner{fmt.Errorf("%w", err)})
+	}
+	g.grant = grant
+	now := f.Now()
+	f.stats.waited.Record(now - r.Arrived - age)
+	g.trace.waited += now - r.Arrived - age
+	f.Log("granted", "request", r.ID, "pairing", g.pairings, "prefill", grant.Prefill, "decode", grant.Decode,
+		"owner", grant.Owner, "reservation", grant.Reservation, "reason", grant.Reason)
+	return nil
+}
+
+// expectedOutput is the caller's guess, within its bound.
+func expectedOutput(r *Request) int {
+	if r.ExpectedOutput > 0 && r.OutputTokens > 0 {
+		return min(r.ExpectedOutput, r.OutputTokens)
+	}
+	return max(r.ExpectedOutput, r.OutputTokens)
+}
+
+// Bounds of the scheduler's priority, where the highest goes first; routes
+// count from 0, the most urgent.
+const highestPriority = 9
+
+func (g *generation) priority() int {
+	return max(0, highestPriority-max(0, g.trace.route.Priority))
+}
+
+// prefill gets a pair of engines and has the prompt read.
+func (g *generation) prefill(ctx context.Context) (KV, time.Duration, *verdict.Error) {
+	f := g.f
+	if err := g.pair(ctx, false); err != nil {
+		return KV{}, 0, err
+	}
+	engine, ok := f.View().Endpoints[g.grant.Prefill]
+	if !ok {
+		return KV{}, 0, g.missing(g.grant.Prefill)
+	}
+	g.trace.prefill = engine.Name
+	g.progress(sched.Progress{Phase: sched.PhasePrefilling})
+	begun := f.Now()
+	attempt := g.attempt(engine)
+	attempt.Until = min(attempt.Until, begun+prefillLimit)
+	kv, err := f.Endpoints.Prefill(ctx, attempt)
+	now := f.Now()
+	if err != nil {
+		g.failed(engine, err, "prefill", now-begun)
+		return KV{}, 0, prefillFailed(err)
+	}
+	g.trace.read += now - begun
+	g.progress(sched.Progress{
+		Phase:        sched.PhaseTransferring,
+		PromptTokens: g.request.PromptTokens,
+		PrefillTime:  now - begun,
+	})
+	return kv, now, nil
+}
+
+// prefillFailed tells what a failed prefill means for the request: it has not run.
+func prefillFailed(err *verdict.Error) *verdict.Error {
+	out := *err
+	out.Verdict = verdict.NotRun
+	return &out
+}
+
+// missing ends an attempt whose engine is no longer registered here.
+func (g *generation) missing(name id.Endpoint) *verdict.Error {
+	g.progress(sched.Progress{Phase: sched.PhaseCancelled})
+	g.avoid = append(g.avoid, name)
+	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "engine %s is no longer registered", name)
+}
+
+// decode starts the decode. Where the engine refuses, others are asked for as
+// long as the KV cache lives.
+func (g *generation) decode(ctx context.Context, kv KV, readAt time.Duration) (*Opened, *verdict.Error) {
+	for {
+		opened, err := g.decodeOnce(ctx, kv)
+		if err == nil {
+			return opened, nil
+		}
+		if err.Verdict != verdict.NotRun {
+			return nil, err
+		}
+		if !g.mayDecodeElsewhere(ctx, err, readAt) {
+			g.waste(kv)
+			return nil, err
+		}
+		if pairErr := g.pair(ctx, true); pairErr != nil {
+			g.waste(kv)
+			return nil, pairErr
+		}
+	}
+}
+
+// mayDecodeElsewhere says whether the same KV cache may go to another engine.
+func (g *generation) mayDecodeElsewhere(ctx context.Context, err *verdict.Error, readAt time.Duration) bool {
+	life := time.Duration(kvShare * float64(g.service.Engine.HandleLife))
+	if ctx.Err() != nil || err.Code == verdict.CodeKVGone || g.f.Now()-readAt >= life {
+		return false
+	}
+	return err.Code == verdict.CodeUnavailable || g.f.repeat(g.service.Name)
+}
+
+func (g *generation) decodeOnce(ctx context.Context, kv KV) (*Opened, *verdict.Error) {
+	f := g.f
+	engine, ok := f.View().Endpoints[g.grant.Decode]
+	if !ok {
+		return nil, g.missing(g.grant.Decode)
+	}
+	begun := f.Now()
+	g.trace.attempts++
+	g.trace.endpoint = engine.Name
+	attempt := g.attempt(engine)
+	attempt.Once = !g.trace.route.Resumable
+	if g.trace.route.Resumable {
+		attempt.Until = min(attempt.Until, begun+headLimit)
+	}
+	opened, err := f.Endpoints.Decode(ctx, attempt, kv)
+	if err != nil {
+		if err.Verdict != verdict.NotRun {
+			g.ran++
+		}
+		g.failed(engine, err, "decode", f.Now()-begun)
+		return nil, err
+	}
+	g.ran++
+	g.progress(sched.Progress{Phase: sched.PhaseDecoding, Endpoint: engine.Name})
+	return opened, nil
+}
+
+func (g *generation) attempt(e registry.Endpoint) *Attempt {
+	f := g.f
+	limit := f.limit(g.request, g.trace.route)
+	return &Attempt{
+		Request:   g.request,
+		Endpoint:  e,
+		Left:      limit - f.Now(),
+		Until:     limit,
+		MaxConns:  f.connections(g.service),
+		LastEvent: g.last,
+		Urgency:   min(max(0, g.trace.route.Priority), highestPriority),
+	}
+}
+
+// progress tells the pool's owner how the granted pair fares.
+func (g *generation) progress(p sched.Progress) {
+	p.Request = g.grant.Request
+	g.f.Pairer.Progress(p)
+}
+
+// failed tells the pool's owner, and the log, that an engine failed.
+func (g *generation) failed(e registry.Endpoint, err *verdict.Error, what string, took time.Duration) {
+	g.avoid = append(g.avoid, e.Name)
+	g.f.Log("attempt_failed", "request", g.request.ID, "pairing", g.pairings, "step", what, "endpoint", e.Name,
+		"took", took, "verdict", err.Verdict, "code", err.Code, "why", err.Error())
+	p := sched.Progress{Phase: sched.PhaseFailed, Endpoint: e.Name}
+	switch err.Code {
+	case verdict.CodeCallerGone:
+		p = sched.Progress{Phase: sched.PhaseCancelled}
+	case verdict.CodeOverloaded:
+		p.Full = true
+	case verdict.CodeUnavailable, verdict.CodeSuperseded:
+		p.Unreachable = true
+	case verdict.CodeKVGone:
+		// The KV cache's engine is to blame, not the one that was to fetch it.
+		p.Endpoint = ""
+	}
+	g.progress(p)
+}
+
+// waste notes a prompt that was read in vain and frees its KV cache.
+func (g *generation) waste(kv KV) {
+	f := g.f
+	f.stats.wasted.Inc()
+	engine, ok := f.View().Endpoints[g.grant.Prefill]
+	if !ok {
+		return
+	}
+	f.Log("prefill_wasted", "request", g.request.ID, "endpoint", engine.Name, "tokens", kv.Tokens)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), freeLimit)
+		defer cancel()
+		f.Endpoints.Free(ctx, engine, kv)
+	}()
+}
--- /dev/null
+++ b/daemon/gateway/entry.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/samphirequay/samphirequay/core/entry"
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/member"
+)
+
+// maxNamed bounds the addresses of an entry answer; callers pick among them at
+// random, so that all daemons are named where they are not too many.
+const maxNamed = 64
+
+// ready says whether the daemon takes requests, and if not, why.
+func (d *Daemon) ready() (bool, string) {
+	switch {
+	case d.stopping.Load() != nil:
+		return false, "leaving"
+	case d.knowledge.current().Routes == nil:
+		return false, "no configuration yet"
+	case d.fleet.Load() == nil:
+		return false, "not enrolled in the fleet yet"
+	default:
+		return true, "ready"
+	}
+}
+
+// entryAnswer tells a caller which addresses to use.
+func (d *Daemon) entryAnswer() (entry.Answer, bool) {
+	f := d.fleet.Load()
+	if f == nil {
+		return entry.Answer{}, false
+	}
+	lifetime := d.set.entryLifetime()
+	cfg := entry.Config{Lifetime: lifetime, MinLifetime: lifetime, MaxAddresses: maxNamed}
+	// The random source of a call is its own: callers ask at the same time.
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	answer := entry.Make(cfg, d.candidates(f), f.self.Daemon, rng)
+	if s := d.stopping.Load(); s != nil && namesSelf(answer, f.self.Daemon) {
+		s.named(d.now())
+	}
+	return answer, len(answer.Addresses) > 0
+}
+
+func namesSelf(a entry.Answer, self id.Daemon) bool {
+	return slices.ContainsFunc(a.Addresses, func(x entry.Address) bool { return x.Daemon == self })
+}
+
+// candidates are the daemons that can serve: those that have a configuration.
+func (d *Daemon) candidates(f *fleet) []entry.Candidate {
+	var out []entry.Candidate
+	for _, e := range f.members.Entries() {
+		if e.Revision == 0 && e.Process.Daemon != f.self.Daemon {
+			continue
+		}
+		out = append(out, entry.Candidate{
+			Daemon:  e.Process.Daemon,
+			Domain:  e.Domain,
+			Address: e.CallerAddress,
+			State:   e.State,
+		})
+	}
+	return out
+}
+
+// daemons is how many daemons share the bounds that hold for all together. One
+// that is silent may still be at work.
+func (d *Daemon) daemons() int {
+	f := d.fleet.Load()
+	if f == nil {
+		return 1
+	}
+	n := 0
+	for _, e := range f.members.Entries() {
+		if e.State != member.Dead {
+			n++
+		}
+	}
+	return max(1, n)
+}
--- /dev/null
+++ b/daemon/gateway/knowledge.go
@@ -0,0 +1,256 @@
+package gateway
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/registry"
+	"github.com/samphirequay/samphirequay/core/route"
+	"github.com/samphirequay/samphirequay/daemon/feed"
+	"github.com/samphirequay/samphirequay/daemon/forward"
+)
+
+const (
+	// feedWait is how long one call waits for changes: a connection to the
+	// store that has gone silent is noticed after that and a little more.
+	feedWait = 2 * time.Second
+	// feedRetry bounds the pause after a failed call to the store.
+	feedRetry = 400 * time.Millisecond
+	// registryLook is how often lapsed entries of the registry are looked at.
+	registryLook = 100 * time.Millisecond
+)
+
+// knowledge is what the daemon has learnt from the store's tables.
+type knowledge struct {
+	view *atomic.Pointer[forward.View]
+	// mu guards what the view is made of.
+	mu       *sync.Mutex
+	list     *registry.List
+	routes   *route.Table
+	versions map[string]uint64
+	// badRows are the versions of rows that could not be read, so that each is
+	// logged once.
+	badRows map[string]uint64
+}
+
+func newKnowledge() knowledge {
+	k := knowledge{
+		view:     &atomic.Pointer[forward.View]{},
+		mu:       &sync.Mutex{},
+		list:     registry.New(),
+		versions: map[string]uint64{},
+		badRows:  map[string]uint64{},
+	}
+	k.view.Store(&forward.View{})
+	return k
+}
+
+func (k *knowledge) current() *forward.View { return k.view.Load() }
+
+// follow starts to follow the store's tables.
+func (d *Daemon) follow() {
+	tables := d.platform.Adapter.Tables()
+	d.configs = feed.Start(d.followerConfig(tables.Config, d.configChanged))
+	d.endpoints = feed.Start(d.followerConfig(tables.Endpoints, d.endpointsChanged))
+	go d.watchRegistry()
+}
+
+func (d *Daemon) followerConfig(name string, changed func(feed.State)) feed.Config {
+	return feed.Config{
+		Name:    name,
+		Source:  d.platform.Source,
+		Wait:    feedWait,
+		Retry:   feedRetry,
+		Changed: changed,
+		Lost: func(err error) {
+			d.logger.Warn("dependency_lost", "dependency", "store", "table", name, "why", err)
+			d.storeLost(name)
+		},
+		Back: func() {
+			d.logger.Event("dependency_regained", "dependency", "store", "table", name)
+			d.storeBack(name)
+		},
+		Rand: d.newRand(),
+	}
+}
+
+func (d *Daemon) storeLost(name string) {
+	if name != d.platform.Adapter.Tables().Endpoints {
+		return
+	}
+	d.knowledge.mu.Lock()
+	defer d.knowledge.mu.Unlock()
+	d.knowledge.list.StoreLost()
+}
+
+func (d *Daemon) storeBack(name string) {
+	if name != d.platform.Adapter.Tables().Endpoints {
+		return
+	}
+	d.knowledge.mu.Lock()
+	defer d.knowledge.mu.Unlock()
+	d.knowledge.list.StoreBack(d.now())
+}
+
+// outdated says whether a table's state is older than what is in force; the
+// lock is held. States of one follower may arrive in another order.
+func (k *knowledge) outdated(s feed.State) bool {
+	if s.Version < k.versions[s.Name] {
+		return true
+	}
+	k.versions[s.Name] = s.Version
+	return false
+}
+
+// configChanged puts a newer configuration in force. One that can't be read
+// leaves the last good one.
+func (d *Daemon) configChanged(s feed.State) {
+	k := &d.knowledge
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.outdated(s) {
+		return
+	}
+	config, ok, err := d.platform.Adapter.Config(s.Rows)
+	if err != nil {
+		d.badRow(s.Name, s.Version, err)
+		return
+	}
+	if !ok || (k.routes != nil && config.Version <= k.routes.Config().Version) {
+		return
+	}
+	routes, err := route.NewTable(config)
+	if err != nil {
+		d.badRow(s.Name, s.Version, err)
+		return
+	}
+	k.routes = routes
+	d.logger.Event("config_in_force", "version", config.Version, "row", s.Version,
+		"routes", len(config.Routes), "services", len(config.Services))
+	d.publish()
+}
+
+// badRow logs a row that can't be read, once a version; the lock is held.
+func (d *Daemon) badRow(name string, version uint64, err error) {
+	if d.knowledge.badRows[name] == version {
+		return
+	}
+	d.knowledge.badRows[name] = version
+	d.logger.Error("store_row_unreadable", "row", name, "version", version, "why", err)
+}
+
+// endpointsChanged takes the registered endpoints.
+func (d *Daemon) endpointsChanged(s feed.State) {
+	k := &d.knowledge
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.outdated(s) {
+		return
+	}
+	entries := make([]registry.Endpoint, 0, len(s.Rows))
+	for _, row := range s.Rows {
+		e, err := d.platform.Adapter.Endpoint(row)
+		if err != nil {
+			d.badRow(row.Key, row.Version, err)
+			continue
+		}
+		entries = append(entries, e)
+	}
+	k.list.Set(d.now(), entries)
+	d.publish()
+}
+
+// watchRegistry drops lapsed entries when their time is over.
+func (d *Daemon) watchRegistry() {
+	ticker := time.NewTicker(registryLook)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		d.knowledge.mu.Lock()
+		if d.knowledge.list.Tick(d.now()) {
+			d.publish()
+		}
+		d.knowledge.mu.Unlock()
+	}
+}
+
+// publish makes a new view of what is known and tells the duties; the lock is
+// held.
+func (d *Daemon) publish() {
+	k := &d.knowledge
+	entries := k.list.All()
+	byName := make(map[id.Endpoint]registry.Endpoint, len(entries))
+	for _, e := range entries {
+		byName[e.Name] = e
+	}
+	old := k.view.Swap(&forward.View{
+		Routes:    k.routes,
+		Endpoints: byName,
+		Registry:  k.versions[d.platform.Adapter.Tables().Endpoints],
+		Lapsed:    k.list.Lapsed(),
+	})
+	d.logRegistry(old.Endpoints, byName)
+	d.forwarder.Configure(entries)
+	if f := d.fleet.Load(); f != nil {
+		f.broker.SetDocument(document(k.routes, entries))
+	}
+}
+
+// logRegistry writes a line for each endpoint that came, went or changed.
+func (d *Daemon) logRegistry(old, now map[id.Endpoint]registry.Endpoint) {
+	if maps.Equal(old, now) {
+		return
+	}
+	for name, e := range now {
+		if before, known := old[name]; !known || before != e {
+			d.logger.Event("endpoint_changed", "endpoint", name, "service", e.Service, "address", e.Address,
+				"role", e.Role, "leaving", e.Leaving, "known", known)
+		}
+	}
+	for name, e := range old {
+		if _, still := now[name]; !still {
+			d.logger.Event("endpoint_gone", "endpoint", name, "service", e.Service, "address", e.Address)
+		}
+	}
+}
+
+// revision is the newest change of the followed tables that the daemon knows; 0
+// until it can serve.
+func (d *Daemon) revision() uint64 {
+	if d.knowledge.current().Routes == nil {
+		return 0
+	}
+	return max(d.configs.Version(), d.endpoints.Version())
+}
+
+// tableStates is what the daemon knows of the followed tables, for a daemon
+// that the store does not serve.
+func (d *Daemon) tableStates() []feed.State {
+	var out []feed.State
+	for _, f := range []*feed.Follower{d.configs, d.endpoints} {
+		if s, ok := f.State(); ok {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// adopt takes what another daemon knows.
+func (d *Daemon) adopt(states []feed.State) bool {
+	adopted := false
+	for _, s := range states {
+		for _, f := range []*feed.Follower{d.configs, d.endpoints} {
+			if known, _ := f.State(); known.Name == s.Name {
+				adopted = f.Adopt(s) || adopted
+			}
+		}
+	}
+	return adopted
+}
--- /dev/null
+++ b/daemon/gateway/peers.go
@@ -0,0 +1,336 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirequay/samphirequay/core/health"
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/kvsched"
+	"github.com/samphirequay/samphirequay/core/member"
+	"github.com/samphirequay/samphirequay/core/poison"
+	"github.com/samphirequay/samphirequay/core/pool"
+	"github.com/samphirequay/samphirequay/core/sched"
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/broker"
+	"github.com/samphirequay/samphirequay/daemon/feed"
+	"github.com/samphirequay/samphirequay/daemon/keys"
+	"github.com/samphirequay/samphirequay/daemon/peer"
+)
+
+// The kinds of messages between daemons.
+const (
+	kindBroker   peer.Kind = iota + 1 // one-way: broker.Envelope
+	kindMember                        // datagram: member.Message
+	kindEvidence                      // one-way: poison.State
+	kindTables                        // call: nothing -> tablesReply
+)
+
+var kindNames = map[peer.Kind]string{
+	kindBroker:   "broker",
+	kindMember:   "member",
+	kindEvidence: "evidence",
+	kindTables:   "tables",
+}
+
+// tablesReply is what a daemon knows of the store's tables.
+type tablesReply struct {
+	States []feed.State `cbor:"1,keyasint"`
+}
+
+type tablesQuery struct{}
+
+const (
+	// memberPeriod, memberSuspect and memberDead set the heartbeats: a pool
+	// whose owner is silent gets no grants, so that silence is noticed well
+	// within the time that callers wait for a first event.
+	memberPeriod  = 150 * time.Millisecond
+	memberSuspect = 480 * time.Millisecond
+	memberDead    = 1500 * time.Millisecond
+	memberStall   = 400 * time.Millisecond
+	// goneGrace is how long a dead daemon's grants stay reserved: its engines
+	// notice its end by then.
+	goneGrace = time.Second
+	// behindFor is how long another daemon must know more of the store's tables
+	// before this one asks: its own feed is seldom that much slower.
+	behindFor = 250 * time.Millisecond
+	// tablesTimeout bounds the question to another daemon.
+	tablesTimeout = 400 * time.Millisecond
+	// Bounds of the traffic between daemons; the memory that they may take
+	// counts at nine and more daemons.
+	peerRing       = 256
+	peerCalls      = 32
+	peerMaxMessage = 1 << 20
+	peerKeepalive  = 2 * time.Second
+	peerIdle       = 5 * time.Second
+	peerDial       = time.Second
+	peerBackoff    = 400 * time.Millisecond
+)
+
+func memberConfig() member.Config {
+	cfg := member.DefaultConfig(member.Mesh)
+	cfg.Period = memberPeriod
+	cfg.SuspectAfter = memberSuspect
+	cfg.DeadAfter = memberDead
+	cfg.StallAfter = memberStall
+	return cfg
+}
+
+func (d *Daemon) peerConfig(f *fleet, material *keys.Store, wired <-chan struct{}) peer.Config {
+	return peer.Config{
+		Self:        f.self,
+		Listen:      d.set.Listen.Peers,
+		Keys:        material,
+		Handler:     &peerHandler{d: d, f: f, wired: wired},
+		KindName:    func(k peer.Kind) string { return kindNames[k] },
+		Registry:    d.metrics,
+		Report:      d.logger.Event,
+		RingSize:    peerRing,
+		CallWorkers: peerCalls,
+		MaxMessage:  peerMaxMessage,
+		Keepalive:   peerKeepalive,
+		IdleTimeout: peerIdle,
+		DialTimeout: peerDial,
+		BackoffMax:  peerBackoff,
+	}
+}
+
+// peerHandler takes what other daemons send.
+type peerHandler struct {
+	d     *Daemon
+	f     *fleet
+	wired <-chan struct{}
+}
+
+func (h *peerHandler) open() bool {
+	select {
+	case <-h.wired:
+		return true
+	default:
+		return false
+	}
+}
+
+// HandleOneWay implements peer.Handler.
+func (h *peerHandler) HandleOneWay(from id.Daemon, kind peer.Kind, body []byte) {
+	if !h.open() {
+		return
+	}
+	switch kind {
+	case kindBroker:
+		var e broker.Envelope
+		if h.decode(from, body, &e) {
+			h.f.broker.Receive(from, &e)
+		}
+	case kindEvidence:
+		var s poison.State
+		if h.decode(from, body, &s) {
+			h.f.broker.MergeEvidence(s)
+		}
+	case kindMember:
+		h.member(from, body)
+	}
+}
+
+// HandleDatagram implements peer.Handler.
+func (h *peerHandler) HandleDatagram(from id.Daemon, kind peer.Kind, body []byte) {
+	if h.open() && kind == kindMember {
+		h.member(from, body)
+	}
+}
+
+// member takes a membership message; the sender must be who it says.
+func (h *peerHandler) member(from id.Daemon, body []byte) {
+	var m member.Message
+	if !h.decode(from, body, &m) {
+		return
+	}
+	if m.From.Process.Daemon != from {
+		h.d.logger.Warn("peer_message_refused", "from", from, "says", m.From.Process.Daemon)
+		return
+	}
+	h.f.members.Receive(m)
+}
+
+func (h *peerHandler) decode(from id.Daemon, body []byte, msg any) bool {
+	if err := peer.Decode(body, msg); err != nil {
+		h.d.logger.Warn("peer_message_refused", "from", from, "why", err)
+		return false
+	}
+	return true
+}
+
+// HandleCall implements peer.Handler.
+func (h *peerHandler) HandleCall(_ context.Context, from id.Daemon, kind peer.Kind, _ []byte) ([]byte, error) {
+	if !h.open() || kind != kindTables {
+		return nil, eris.Errorf("no answer to a call of kind %d from %s", kind, from)
+	}
+	return peer.Encode(&tablesReply{States: h.d.tableStates()})
+}
+
+// brokerSender implements broker.Sender.
+type brokerSender struct{ f *fleet }
+
+// SendBroker implements broker.Sender.
+func (s brokerSender) SendBroker(to id.Daemon, e *broker.Envelope) error {
+	return s.f.transport.Send(to, kindBroker, e)
+}
+
+// memberSender implements members.Sender.
+type memberSender struct{ f *fleet }
+
+// SendMember implements members.Sender. A message too large for a datagram
+// goes by the one-way stream.
+func (s memberSender) SendMember(to id.Daemon, address string, m *member.Message) {
+	if address != "" {
+		if err := s.f.transport.SetPeer(to, address); err != nil {
+			return
+		}
+	}
+	err := s.f.transport.Datagram(to, kindMember, m)
+	if eris.Is(err, peer.ErrTooLarge) {
+		// Membership messages are repeated: a lost one needs no handling.
+		_ = s.f.transport.Send(to, kindMember, m)
+	}
+}
+
+// spreadEvidence sends new evidence to the other daemons.
+func (f *fleet) spreadEvidence(s poison.State) {
+	for _, e := range f.members.Entries() {
+		if e.Process.Daemon != f.self.Daemon && e.State != member.Dead {
+			// Evidence that is lost comes again with the next crash.
+			_ = f.transport.Send(e.Process.Daemon, kindEvidence, &s)
+		}
+	}
+}
+
+// fleetListener tells the duties what the membership found.
+type fleetListener struct {
+	d *Daemon
+	f *fleet
+}
+
+// Live implements members.Listener.
+func (l fleetListener) Live(daemons []id.Daemon) {
+	if len(daemons) == 0 {
+		daemons = []id.Daemon{l.f.self.Daemon}
+	}
+	l.f.broker.SetMembers(daemons)
+}
+
+// Gone implements members.Listener.
+func (l fleetListener) Gone(p id.Process) {
+	time.AfterFunc(goneGrace, func() { l.f.broker.ProcessGone(p) })
+}
+
+// Forgotten implements members.Listener.
+func (l fleetListener) Forgotten(d id.Daemon) { l.f.transport.RemovePeer(d) }
+
+// PeerRevision implements members.Listener.
+func (l fleetListener) PeerRevision(from id.Daemon, revision uint64) {
+	if revision > l.d.revision() {
+		time.AfterFunc(behindFor, func() { l.d.catchUp(l.f, from, revision) })
+	}
+}
+
+// StopActing implements members.Listener. A superseded process ends itself.
+func (l fleetListener) StopActing(superseded bool) {
+	if l.f.orderer != nil {
+		l.f.orderer.Halt()
+	}
+	if superseded {
+		l.d.logger.Error("daemon_superseded", "incarnation", l.f.self.Incarnation)
+		go l.d.Kill()
+	}
+}
+
+// catchUp learns what another daemon knows more of the store's tables: from
+// the store, whose feed may have gone silent, and if that does not answer from
+// the daemon.
+func (d *Daemon) catchUp(f *fleet, from id.Daemon, revision uint64) {
+	if d.ctx.Err() != nil || d.revision() >= revision {
+		return
+	}
+	d.logger.Event("tables_behind", "peer", from, "peer_revision", revision, "own", d.revision())
+	d.configs.Refresh()
+	d.endpoints.Refresh()
+	if !d.configs.Lost() && !d.endpoints.Lost() {
+		time.AfterFunc(behindFor, func() { d.askPeer(f, from, revision) })
+		return
+	}
+	d.askPeer(f, from, revision)
+}
+
+func (d *Daemon) askPeer(f *fleet, from id.Daemon, revision uint64) {
+	if d.ctx.Err() != nil || d.revision() >= revision {
+		return
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, tablesTimeout)
+	defer cancel()
+	var reply tablesReply
+	if err := f.transport.Call(ctx, from, kindTables, &tablesQuery{}, &reply); err != nil {
+		d.logger.Warn("tables_not_learnt", "peer", from, "why", err)
+		return
+	}
+	if d.adopt(reply.States) {
+		d.logger.Event("tables_learnt", "peer", from, "revision", d.revision())
+	}
+}
+
+// newManager makes the manager of a pool that this daemon owns.
+func (d *Daemon) newManager(f *fleet, p id.Pool) *pool.Manager {
+	return pool.New(pool.Options{
+		Pool: p,
+		NewScheduler: func(view sched.HealthView) sched.Scheduler {
+			d.logger.Event("pool_taken", "pool", p)
+			return kvsched.New(kvsched.Options{
+				Pool: p,
+				Self: f.self,
+				// A manager made again must not number its grants as its predecessor did.
+				FirstReservation: uint64(d.now()),
+				Health:           view,
+				Violation:        d.metrics.Violation,
+			})
+		},
+		Poison: d.poison,
+		Epoch:  d.epoch,
+		Events: pool.Events{
+			Health: func(c health.Change) {
+				d.logger.Event("health_changed", "endpoint", c.Endpoint, "state", c.State, "why", c.Reason, "for", c.For)
+			},
+			Crash: func(c poison.CrashID, running int) {
+				d.logger.Event("crash_seen", "endpoint", c.Endpoint, "incarnation", c.Incarnation, "running", running)
+			},
+			Probe: func(e id.Endpoint) { d.probe(f, p, e) },
+		},
+	})
+}
+
+// pairer implements forward.Pairer with the fleet's broker.
+type pairer struct{ d *Daemon }
+
+// Pair implements forward.Pairer.
+func (p pairer) Pair(ctx context.Context, w sched.Want, patience time.Duration) (sched.Grant, *verdict.Error) {
+	f := p.d.fleet.Load()
+	if f == nil {
+		return sched.Grant{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this daemon is not enrolled in the fleet yet")
+	}
+	return f.broker.Pair(ctx, w, patience)
+}
+
+// Progress implements forward.Pairer.
+func (p pairer) Progress(progress sched.Progress) {
+	if f := p.d.fleet.Load(); f != nil {
+		f.broker.Progress(progress)
+	}
+}
+
+// self is this daemon's process; without an incarnation before it is enrolled.
+func (d *Daemon) self() id.Process {
+	if f := d.fleet.Load(); f != nil {
+		return f.self
+	}
+	return id.Process{Daemon: d.set.Daemon}
+}
--- /dev/null
+++ b/daemon/gateway/probe.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/sched"
+)
+
+const (
+	// probeEvery is the pause between two looks at an engine that could not be
+	// reached.
+	probeEvery = 400 * time.Millisecond
+	// probeTimeout bounds one look.
+	probeTimeout = 300 * time.Millisecond
+)
+
+// probes are the engines that are being looked at.
+type probes struct {
+	mu     sync.Mutex
+	active map[id.Endpoint]bool
+}
+
+// begin says whether the engine is not being looked at yet.
+func (p *probes) begin(e id.Endpoint) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.active[e] {
+		return false
+	}
+	if p.active == nil {
+		p.active = map[id.Endpoint]bool{}
+	}
+	p.active[e] = true
+	return true
+}
+
+func (p *probes) end(e id.Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.active, e)
+}
+
+// probe looks at an engine that could not be reached until it answers, or is
+// no longer registered. It does not block: the pool's owner asks within its duty.
+func (d *Daemon) probe(f *fleet, p id.Pool, e id.Endpoint) {
+	if !d.probes.begin(e) {
+		return
+	}
+	go func() {
+		defer d.probes.end(e)
+		for d.ctx.Err() == nil {
+			endpoint, known := d.knowledge.current().Endpoints[e]
+			if !known {
+				return
+			}
+			ctx, cancel := context.WithTimeout(d.ctx, probeTimeout)
+			_, err := d.platform.Engines.State(ctx, endpoint)
+			cancel()
+			if err == nil {
+				f.broker.Load(p, sched.Load{Endpoint: e, Reachable: true})
+				return
+			}
+			select {
+			case <-d.ctx.Done():
+				return
+			case <-time.After(probeEvery):
+			}
+		}
+	}()
+}
--- /dev/null
+++ b/daemon/gateway/reload.go
@@ -0,0 +1,14 @@
+package gateway
+
+// Reload reads the settings again, after a change was announced. What listens
+// and who the daemon is can't change while it runs; a change of these, and a
+// file with faults, is logged and left for the next start.
+func (d *Daemon) Reload(path string) {
+	set, faults := Load(path)
+	if len(faults) > 0 {
+		d.logger.Error("settings_not_reloaded", "path", path, "why", faults.Error())
+		return
+	}
+	same := set.Daemon == d.set.Daemon && set.Domain == d.set.Domain && set.Listen == d.set.Listen && set.Store == d.set.Store
+	d.logger.Event("settings_reloaded", "path", path, "applies_at_next_start", !same || set.Bounds != d.set.Bounds)
+}
--- /dev/null
+++ b/daemon/gateway/stop.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/entry"
+)
+
+const (
+	// stopLook is how often a leaving daemon asks whether it may close.
+	stopLook = 50 * time.Millisecond
+	// stopSpread is how long until every daemon knows of the leaving.
+	stopSpread = 500 * time.Millisecond
+	// stopQuiet is how long no new caller must have come.
+	stopQuiet = 300 * time.Millisecond
+	// shutdownTimeout bounds the closing of servers that have nothing to do.
+	shutdownTimeout = 300 * time.Millisecond
+)
+
+// stop is a planned stop under way.
+type stop struct {
+	mu   sync.Mutex
+	plan *entry.StopPlan
+}
+
+func (s *stop) named(now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.plan.Named(now)
+}
+
+func (s *stop) caller(now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.plan.Caller(now)
+}
+
+func (s *stop) mayClose(now time.Duration, inFlight int) (bool, entry.StopReason) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.plan.MayClose(now, inFlight)
+}
+
+// noteCaller tells the plan of a planned stop that a caller still came.
+func (d *Daemon) noteCaller() {
+	if s := d.stopping.Load(); s != nil {
+		s.caller(d.now())
+	}
+}
+
+// BeginStop begins a planned stop: the daemon is no longer ready, leaves the
+// entry answers and hands its duties over, and goes on serving those who keep
+// an answer that names it.
+func (d *Daemon) BeginStop() {
+	cfg := entry.StopConfig{
+		Spread:   stopSpread,
+		Lifetime: keptTimes * d.set.entryLifetime(),
+		Quiet:    stopQuiet,
+		Limit:    seconds(d.set.Bounds.GraceS) - stopMargin,
+	}
+	s := &stop{plan: entry.NewStopPlan(cfg, d.now())}
+	if !d.stopping.CompareAndSwap(nil, s) {
+		return
+	}
+	d.logger.Event("daemon_leaving", "in_flight", d.inFlight.Load())
+	if f := d.fleet.Load(); f != nil {
+		f.members.Leave()
+		f.orderer.Release()
+	}
+	go d.leave(s)
+}
+
+func (d *Daemon) leave(s *stop) {
+	ticker := time.NewTicker(stopLook)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		ok, why := s.mayClose(d.now(), int(d.inFlight.Load()))
+		if ok {
+			d.logger.Event("daemon_closing", "why", why, "in_flight", d.inFlight.Load())
+			d.shutdown()
+			return
+		}
+	}
+}
+
+// shutdown closes the servers, then the duties.
+func (d *Daemon) shutdown() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, s := range d.servers {
+		wg.Go(func() { _ = s.ShutdownWithContext(ctx) })
+	}
+	wg.Wait()
+	d.Kill()
+}
+
+// Kill ends the daemon at once.
+func (d *Daemon) Kill() {
+	d.ended.Do(d.end)
+}
+
+func (d *Daemon) end() {
+	d.cancel()
+	d.closeListeners()
+	d.configs.Close()
+	d.endpoints.Close()
+	if f := d.fleet.Load(); f != nil {
+		f.orderer.Close()
+		f.hosts.Close()
+		f.members.Close()
+		f.broker.Close()
+		f.transport.Close()
+	}
+	d.watcher.Close()
+	d.logger.Event("daemon_stopped")
+	d.logger.Close()
+	close(d.closed)
+}
--- a/daemon/keys/devca.go
+++ b/daemon/keys/devca.go
@@ -40,8 +40,9 @@
 	pemTypeKey   = "PRIVATE KEY"
 )
 
-// DevCA signs certificates for development and tests. Its key lives in memory
-// only.
+// DevCA signs certificates for development, for tests, and for fleets whose
+// daemons share one through the platform's store. Its key is never written to a
+// file.
 type DevCA struct {
 	certificate *x509.Certificate
 	key         *ecdsa.PrivateKey
--- a/daemon/members/members.go
+++ b/daemon/members/members.go
@@ -96,7 +96,7 @@
 	}
 	m.publish()
 	m.duty = duty.Start(duty.Config{Name: "members", Now: cfg.Now, Tick: m.tick, Metrics: cfg.Metrics, Ready: cfg.Ready})
-	m.duty.Post(func(now time.Duration) { m.perform(m.core.Hosts(now, cfg.Seeds)) })
+	m.SetHosts(cfg.Seeds)
 	if cfg.Hosts != nil {
 		go m.readHosts()
 	}
@@ -119,6 +119,11 @@
 	m.duty.Post(func(now time.Duration) { m.perform(m.core.Leave(now)) })
 }
 
+// SetHosts takes a host list that was read elsewhere.
+func (m *Members) SetHosts(hosts []member.Host) {
+	m.duty.Post(func(now time.Duration) { m.perform(m.core.Hosts(now, hosts)) })
+}
+
 // Entries returns the view, this daemon first.
 func (m *Members) Entries() []member.Entry { return m.snapshot.Load().entries }
 
@@ -273,5 +278,5 @@
 			Leaving: h.State == stateLeaving,
 		})
 	}
-	m.duty.Post(func(now time.Duration) { m.perform(m.core.Hosts(now, hosts)) })
+	m.SetHosts(hosts)
 }
--- a/daemon/placer/placer_test.go
+++ b/daemon/placer/placer_test.go
@@ -81,7 +81,7 @@
 	table := client.NewTable(s.platform.Addresses().Table, client.Options{})
 	p := Start(Config{
 		Self:      id.Process{Daemon: name, Incarnation: 1},
-		Store:     store.New(table, work, registry),
+		Store:     store.New(store.TableService{Client: table}, work, registry),
 		Weights:   client.NewWeights(s.platform.Addresses().Weights, client.Options{}),
 		Endpoints: s.clients,
 		Work:      work,
--- a/daemon/settings/check.go
+++ b/daemon/settings/check.go
@@ -56,7 +56,7 @@
 }
 
 // tags applies the validate tags.
-func (c *checker) tags(s *Settings) {
+func (c *checker) tags(s any) {
 	err := validate().Struct(s)
 	var broken validator.ValidationErrors
 	if !errors.As(err, &broken) {
--- a/daemon/settings/parse.go
+++ b/daemon/settings/parse.go
@@ -65,6 +65,32 @@
 	return doc, nil
 }
 
+// Decode reads JSON with comments strictly into the struct that to points to,
+// and applies its validate tags; name stands in the faults. It is for settings
+// of other programs than the daemon's own.
+func Decode(name string, data []byte, to any) Faults {
+	src := openSource(name, data)
+	src.decode(to)
+	if len(src.faults) > 0 {
+		return src.sorted()
+	}
+	c := &checker{}
+	c.tags(to)
+	for _, f := range c.faults {
+		src.at(f.field, f.message)
+	}
+	return src.sorted()
+}
+
+// DecodeFile is Decode for a file.
+func DecodeFile(path string, to any) Faults {
+	data, faults := readFile(path)
+	if faults != nil {
+		return faults
+	}
+	return Decode(path, data, to)
+}
+
 // decode reads the content into the struct that to points to, unless there are
 // faults.
 func (s *source) decode(to any) {
--- a/daemon/store/store.go
+++ b/daemon/store/store.go
@@ -8,19 +8,22 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/revision/table"
-	"github.com/samphirequay/samphirequay/core/verdict"
 	"github.com/samphirequay/samphirequay/daemon/metrics"
 	"github.com/samphirequay/samphirequay/daemon/workpool"
-	"github.com/samphirequay/samphirequay/endpoint/client"
-	"github.com/samphirequay/samphirequay/endpoint/wire"
 )
 
 // callTimeout bounds one call to the table.
 const callTimeout = 2 * time.Second
 
+// Backend carries one call to a table. It sends it at most once; the reply's
+// status says what is known when no answer came.
+type Backend interface {
+	Run(ctx context.Context, q table.Request) table.Reply
+}
+
 // Store is the way to the platform's table.
 type Store struct {
-	table  *client.Table
+	table  Backend
 	work   *workpool.Pool
 	reads  *metrics.Counter
 	writes *metrics.Counter
@@ -28,7 +31,7 @@
 }
 
 // New returns a Store.
-func New(t *client.Table, work *workpool.Pool, r *metrics.Registry) *Store {
+func New(t Backend, work *workpool.Pool, r *metrics.Registry) *Store {
 	return &Store{
 		table:  t,
 		work:   work,
@@ -51,56 +54,13 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if q.Transaction != nil {
-		return s.transact(ctx, q)
+		s.writes.Inc()
+	} else {
+		s.reads.Inc()
 	}
-	return s.read(ctx, q)
-}
-
-func (s *Store) read(ctx context.Context, q table.Request) table.Reply {
-	s.reads.Inc()
-	resp, err := s.table.Read(ctx, wire.ReadRequest{Keys: q.Keys})
-	if err != nil {
+	reply := s.table.Run(ctx, q)
+	if reply.Status != table.Done {
 		s.failed.Inc()
-		return table.Reply{Seq: q.Seq, Status: statusOf(err)}
-	}
-	reply := table.Reply{Seq: q.Seq, Status: table.Done}
-	for _, row := range resp.Rows {
-		reply.Rows = append(reply.Rows, table.Row{Key: row.Key, Value: row.Value, Version: row.Version})
 	}
 	return reply
 }
-
-func (s *Store) transact(ctx context.Context, q table.Request) table.Reply {
-	s.writes.Inc()
-	result, err := s.table.Transact(ctx, transaction(q.Transaction))
-	if err != nil {
-		s.failed.Inc()
-		return table.Reply{Seq: q.Seq, Status: statusOf(err)}
-	}
-	return table.Reply{
-		Seq:      q.Seq,
-		Status:   table.Done,
-		Applied:  result.Applied,
-		Failed:   result.Failed,
-		Versions: result.Versions,
-	}
-}
-
-func transaction(t *table.Transaction) wire.Transaction {
-	out := wire.Transaction{Puts: make([]wire.Put, 0, len(t.Puts))}
-	for _, c := range t.Conditions {
-		out.Conditions = append(out.Conditions, wire.Condition{Key: c.Key, Version: c.Version})
-	}
-	for _, p := range t.Puts {
-		out.Puts = append(out.Puts, wire.Put{Key: p.Key, Value: p.Value, Delete: p.Delete})
-	}
-	return out
-}
-
-// statusOf says what is known of a call that failed.
-func statusOf(err error) table.Status {
-	if verdict.Of(err) == verdict.NotRun {
-		return table.NotRun
-	}
-	return table.Unknown
-}
--- /dev/null
+++ b/daemon/upstream/answer.go
@@ -0,0 +1,188 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+// Answer is an endpoint's answer. It must be closed.
+type Answer struct {
+	pool    *Pool
+	address string
+	conn    *conn
+	resp    *fasthttp.Response
+	stop    func() bool
+	// whole is set once the answer was read to its end.
+	whole bool
+	once  sync.Once
+}
+
+// Status is the answer's status code.
+func (a *Answer) Status() int { return a.resp.StatusCode() }
+
+// Header is the answer's header, valid until Close.
+func (a *Answer) Header() *fasthttp.ResponseHeader { return &a.resp.Header }
+
+// Body is the whole body of an answer that is no stream, valid until Close.
+func (a *Answer) Body() []byte { return a.resp.Body() }
+
+// countingWriter counts the bytes that were handed to the connection.
+type countingWriter struct {
+	to      io.Writer
+	written int
+}
+
+// Write implements io.Writer.
+func (w *countingWriter) Write(b []byte) (int, error) {
+	n, err := w.to.Write(b)
+	w.written += n
+	return n, err
+}
+
+// exchange writes the request and reads the answer that belongs to it.
+func (a *Answer) exchange(ctx context.Context, c *Call) *verdict.Error {
+	if err := a.conn.SetDeadline(c.Until); err != nil {
+		return notRun(c, verdict.CodeUnavailable, err)
+	}
+	counter := &countingWriter{to: a.conn}
+	writer := bufio.NewWriter(counter)
+	err := c.Request.Write(writer)
+	if err == nil {
+		err = writer.Flush()
+	}
+	if err != nil && counter.written == 0 {
+		return notRun(c, verdict.CodeUnavailable, err)
+	}
+	if err != nil {
+		return mayHaveRun(ctx, c, err)
+	}
+	if err := a.read(c); err != nil {
+		return mayHaveRun(ctx, c, err)
+	}
+	return nil
+}
+
+// read reads answers until the one that belongs to the request: a late answer
+// to an earlier request may come before it.
+func (a *Answer) read(c *Call) error {
+	for range maxForeign + 1 {
+		a.resp.Reset()
+		a.resp.SkipBody = c.Request.Header.IsHead()
+		a.resp.StreamBody = c.Stream
+		if err := a.resp.ReadLimitBody(a.conn.reader, a.pool.opts.MaxBodyBytes); err != nil {
+			return err
+		}
+		a.whole = !c.Stream || a.resp.SkipBody
+		if !a.foreign(c) {
+			return nil
+		}
+		a.pool.foreign.Inc()
+		if err := a.skip(); err != nil {
+			return err
+		}
+	}
+	return errors.New("only answers to other requests came")
+}
+
+// foreign says whether the answer bears another request's id.
+func (a *Answer) foreign(c *Call) bool {
+	if c.ID == "" || a.pool.opts.IDHeader == "" {
+		return false
+	}
+	repeated := a.resp.Header.Peek(a.pool.opts.IDHeader)
+	return len(repeated) > 0 && string(repeated) != c.ID
+}
+
+// skip reads an answer to its end.
+func (a *Answer) skip() error {
+	if a.resp.BodyStream() == nil {
+		return nil
+	}
+	_, err := io.Copy(io.Discard, a.resp.BodyStream())
+	return err
+}
+
+// Read reads the body of a stream as it comes. It gives io.EOF only at the
+// body's proper end.
+func (a *Answer) Read(b []byte) (int, error) {
+	body := a.resp.BodyStream()
+	if body == nil {
+		return 0, io.EOF
+	}
+	n, err := body.Read(b)
+	if errors.Is(err, io.EOF) {
+		a.whole = true
+	}
+	return n, err
+}
+
+// Rest reads what is left of a stream that is short, up to max bytes.
+func (a *Answer) Rest(most int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(a, most+1))
+	if err == nil && int64(len(body)) > most {
+		err = errors.New("the body is too large")
+	}
+	return body, err
+}
+
+// SetReadDeadline bounds the next reads of a stream.
+func (a *Answer) SetReadDeadline(t time.Time) error { return a.conn.SetReadDeadline(t) }
+
+// Close ends the exchange. The connection is kept only if the answer was read
+// to its end, nothing came behind it, and its endpoint keeps it as well.
+func (a *Answer) Close() {
+	a.once.Do(func() {
+		life, reusable := a.keepFor()
+		stopped := a.stop()
+		if reusable && stopped && a.conn.SetDeadline(time.Time{}) == nil {
+			fasthttp.ReleaseResponse(a.resp)
+			a.pool.keep(a.address, a.conn, life)
+			return
+		}
+		// Closed first, since releasing a stream reads what is left of it.
+		_ = a.conn.Close()
+		a.pool.forget(a.address)
+		fasthttp.ReleaseResponse(a.resp)
+	})
+}
+
+// keepFor is how long the connection may be kept, if it may.
+func (a *Answer) keepFor() (time.Duration, bool) {
+	h := &a.resp.Header
+	unframed := h.ContentLength() == -2
+	if !a.whole || unframed || h.ConnectionClose() || a.conn.reader.Buffered() > 0 {
+		return 0, false
+	}
+	said, ok := keepAliveTimeout(string(h.Peek("Keep-Alive")))
+	if !ok {
+		return a.pool.opts.IdleLife, true
+	}
+	life := said - a.pool.opts.IdleMargin
+	return life, life > 0
+}
+
+// keepAliveTimeout reads "timeout=5" out of a Keep-Alive header.
+func keepAliveTimeout(header string) (time.Duration, bool) {
+	for _, part := range strings.Split(header, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.ParseFloat(value, 64)
+		if err != nil || seconds < 0 {
+			return 0, false
+		}
+		return time.Duration(seconds * float64(time.Second)), true
+	}
+	return 0, false
+}
--- /dev/null
+++ b/daemon/upstream/socket.go
@@ -0,0 +1,67 @@
+package upstream
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// userTimeout is how long sent bytes may stay unacknowledged before the
+	// connection is given up: behind a cut nothing else tells.
+	userTimeout = 2 * time.Second
+	// probeIdle, probeEvery and probeCount find out within three seconds that
+	// a connection on which only an answer is due has gone silent.
+	probeIdle  = time.Second
+	probeEvery = time.Second
+	probeCount = 2
+)
+
+// dialer returns one whose connections notice a silent other side.
+func dialer(timeout time.Duration) net.Dialer {
+	return net.Dialer{
+		Timeout: timeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     probeIdle,
+			Interval: probeEvery,
+			Count:    probeCount,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error { return SetUserTimeout(raw) },
+	}
+}
+
+// SetUserTimeout bounds how long bytes sent on a connection may stay
+// unacknowledged.
+func SetUserTimeout(raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// quiet says whether an unused connection has neither been closed nor got
+// bytes that nobody asked for.
+func quiet(c net.Conn) bool {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	still := false
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		still = err == unix.EAGAIN
+	})
+	return err == nil && still
+}
--- /dev/null
+++ b/daemon/upstream/upstream.go
@@ -0,0 +1,300 @@
+// Package upstream exchanges requests with endpoints on kept connections. Each
+// request is written once and never repeated in here, and every error says
+// whether the request may have run. It knows no endpoint's interface: headers
+// and bodies are the caller's.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/samphirequay/samphirequay/core/defaults"
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/metrics"
+)
+
+// Options of a Pool; zero fields take the defaults.
+type Options struct {
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
+	// IdleLife is how long a connection is kept unused where its endpoint does
+	// not say how long it keeps it.
+	IdleLife time.Duration
+	// IdleMargin is taken off the time that an endpoint says.
+	IdleMargin time.Duration
+	// MaxBodyBytes bounds the body of an answer that is read whole.
+	MaxBodyBytes int
+	// IDHeader is the header in which endpoints repeat a request's id.
+	IDHeader string
+	// Metrics takes the counters.
+	Metrics *metrics.Registry
+}
+
+// Defaults of Options.
+const (
+	// DefaultDialTimeout is some round trips between failure domains, and more
+	// than a busy endpoint takes to accept.
+	DefaultDialTimeout  = 250 * time.Millisecond
+	DefaultIdleLife     = 900 * time.Millisecond
+	DefaultIdleMargin   = 600 * time.Millisecond
+	DefaultMaxBodyBytes = 16 << 20
+)
+
+func (o Options) withDefaults() Options {
+	defaults.Set(&o.DialTimeout, DefaultDialTimeout)
+	defaults.Set(&o.IdleLife, DefaultIdleLife)
+	defaults.Set(&o.IdleMargin, DefaultIdleMargin)
+	defaults.Set(&o.MaxBodyBytes, DefaultMaxBodyBytes)
+	return o
+}
+
+// Pool keeps connections to endpoints. It is safe for concurrent use.
+type Pool struct {
+	opts   Options
+	dialer net.Dialer
+
+	mu    sync.Mutex
+	hosts map[string]*host
+
+	dialled *metrics.Counter
+	kept    *metrics.Counter
+	foreign *metrics.Counter
+}
+
+// host holds the connections to one address.
+type host struct {
+	open int
+	idle []*conn
+}
+
+// conn is one connection.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	// until is when it is too old to be used again; unused since idleSince.
+	until     time.Time
+	idleSince time.Time
+}
+
+// New returns a Pool without connections.
+func New(o Options) *Pool {
+	o = o.withDefaults()
+	return &Pool{
+		opts:    o,
+		dialer:  dialer(o.DialTimeout),
+		hosts:   map[string]*host{},
+		dialled: o.Metrics.Counter("upstream_dialled", metrics.UnitCount, "Connections opened to endpoints."),
+		kept:    o.Metrics.Counter("upstream_kept", metrics.UnitCount, "Requests sent on a kept connection."),
+		foreign: o.Metrics.Counter("upstream_foreign", metrics.UnitCount, "Answers dropped because they belong to no request that waits."),
+	}
+}
+
+// Call is one exchange.
+type Call struct {
+	// Address is IP:port.
+	Address string
+	// Request is written once; Do does not keep it.
+	Request *fasthttp.Request
+	// ID is the request's id, which the endpoint repeats; empty for none.
+	ID string
+	// Until is when the answer, or the head of a stream, must be there.
+	Until time.Time
+	// MaxConns bounds the connections to the address; 0 for no bound.
+	MaxConns int
+	// Careful prefers a new connection to one that its endpoint may be closing
+	// right now: for requests that can't be repeated.
+	Careful bool
+	// Stream leaves the body to be read as it comes.
+	Stream bool
+}
+
+// maxForeign is how many answers to other requests are skipped on a connection.
+const maxForeign = 2
+
+// Do sends the request and reads the answer, which must be closed. The end of
+// ctx closes the connection at once.
+func (p *Pool) Do(ctx context.Context, c *Call) (*Answer, *verdict.Error) {
+	if err := ctx.Err(); err != nil {
+		return nil, notRun(c, verdict.CodeCallerGone, err)
+	}
+	used, err := p.connect(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	a := &Answer{pool: p, address: c.Address, conn: used, resp: fasthttp.AcquireResponse()}
+	a.stop = context.AfterFunc(ctx, func() { _ = used.Close() })
+	if err := a.exchange(ctx, c); err != nil {
+		a.Close()
+		return nil, err
+	}
+	return a, nil
+}
+
+func (p *Pool) connect(ctx context.Context, c *Call) (*conn, *verdict.Error) {
+	if kept := p.takeIdle(c); kept != nil {
+		p.kept.Inc()
+		return kept, nil
+	}
+	if !p.reserve(c) {
+		return nil, notRun(c, verdict.CodeOverloaded, errors.New("all connections to it are in use"))
+	}
+	made, err := p.dialer.DialContext(ctx, "tcp", c.Address)
+	if err != nil {
+		p.forget(c.Address)
+		return nil, notRun(c, verdict.CodeUnavailable, err)
+	}
+	p.dialled.Inc()
+	return &conn{Conn: made, reader: bufio.NewReader(made)}, nil
+}
+
+// reserve counts a new connection, if the bound allows it.
+func (p *Pool) reserve(c *Call) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.host(c.Address)
+	if c.MaxConns > 0 && h.open >= c.MaxConns {
+		return false
+	}
+	h.open++
+	return true
+}
+
+func (p *Pool) host(address string) *host {
+	h := p.hosts[address]
+	if h == nil {
+		h = &host{}
+		p.hosts[address] = h
+	}
+	return h
+}
+
+// forget counts a connection as gone.
+func (p *Pool) forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	if h == nil {
+		return
+	}
+	h.open--
+	if h.open <= 0 && len(h.idle) == 0 {
+		delete(p.hosts, address)
+	}
+}
+
+// carefulShare of a kept connection's life is used for requests that can't be
+// repeated: its endpoint may close it right when they are sent.
+const carefulShare = 2
+
+// takeIdle takes the connection that was used last and is certainly still good.
+func (p *Pool) takeIdle(c *Call) *conn {
+	for {
+		k := p.popIdle(c.Address)
+		if k == nil {
+			return nil
+		}
+		now := time.Now()
+		old := now.After(k.until)
+		if c.Careful {
+			old = old || now.Sub(k.idleSince) > k.until.Sub(k.idleSince)/carefulShare
+		}
+		if old || !quiet(k.Conn) {
+			_ = k.Close()
+			p.forget(c.Address)
+			continue
+		}
+		return k
+	}
+}
+
+func (p *Pool) popIdle(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	if h == nil || len(h.idle) == 0 {
+		return nil
+	}
+	last := len(h.idle) - 1
+	k := h.idle[last]
+	h.idle[last] = nil
+	h.idle = h.idle[:last]
+	return k
+}
+
+// keep puts a connection aside for the next request.
+func (p *Pool) keep(address string, k *conn, life time.Duration) {
+	k.idleSince = time.Now()
+	k.until = k.idleSince.Add(life)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.host(address)
+	h.idle = append(h.idle, k)
+}
+
+// Sweep closes the connections that are too old to be used again.
+func (p *Pool) Sweep() {
+	now := time.Now()
+	var old []*conn
+	p.mu.Lock()
+	for address, h := range p.hosts {
+		fresh := h.idle[:0]
+		for _, k := range h.idle {
+			if now.After(k.until) {
+				old = append(old, k)
+				h.open--
+				continue
+			}
+			fresh = append(fresh, k)
+		}
+		clear(h.idle[len(fresh):])
+		h.idle = fresh
+		if h.open <= 0 && len(h.idle) == 0 {
+			delete(p.hosts, address)
+		}
+	}
+	p.mu.Unlock()
+	for _, k := range old {
+		_ = k.Close()
+	}
+}
+
+// Close closes the kept connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range p.hosts {
+		for _, k := range h.idle {
+			_ = k.Close()
+		}
+	}
+	p.hosts = map[string]*host{}
+}
+
+func notRun(c *Call, code verdict.Code, cause error) *verdict.Error {
+	return verdict.New(verdict.NotRun, code, "the request was not sent to %s", c.Address).WithCause(cause)
+}
+
+// mayHaveRun names the cause of a failure after bytes were sent.
+func mayHaveRun(ctx context.Context, c *Call, cause error) *verdict.Error {
+	code := verdict.CodeEndpointFailed
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		code = verdict.CodeDeadline
+	case ctx.Err() != nil:
+		code = verdict.CodeCallerGone
+	case errors.Is(cause, os.ErrDeadlineExceeded):
+		code = verdict.CodeDeadline
+	}
+	if cause == io.EOF {
+		cause = errors.New("it closed the connection without an answer")
+	}
+	return verdict.New(verdict.MayHaveRun, code, "the exchange with %s broke", c.Address).WithCause(cause)
+}
