Divide engines by predicted work; let a slow endpoint be tried again

Cause: changing engines counted in their old role, so that four engines left prefill where two were wanted; a slow endpoint's estimate never went back.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -34,6 +35,10 @@
 	// spread is how much of an estimate is left to chance, so that the daemons
 	// don't all choose the same endpoint.
 	spread = 0.3
+	// relaxAfter is the time in which an estimate goes back most of the way to
+	// the first one while the endpoint gets no calls: else one that was slow
+	// once would never be tried again.
+	relaxAfter = 4 * time.Second
 	// farCost is what another failure domain costs.
 	farCost = 3 * time.Millisecond
 )
@@ -51,6 +56,9 @@
 	Full
 	// Unreachable: it took no connection, or went silent.
 	Unreachable
+	// Slow: it gave no answer within the call's own time limit, which may be
+	// short.
+	Slow
 	// Withdrawn: the call ended for another reason and tells nothing.
 	Withdrawn
 )
@@ -68,6 +76,8 @@
 	registry.Endpoint
 	inFlight int
 	latency  time.Duration
+	// learnt is when latency got its last sample.
+	learnt   time.Duration
 	failures int
 	ejection time.Duration
 	outUntil time.Duration
@@ -124,7 +134,7 @@
 // cost estimates how long a call would take, in seconds.
 func (b *Balancer) cost(now time.Duration, e *endpoint) float64 {
 	share := float64(e.inFlight+1) / float64(max(1, e.Slots))
-	cost := e.latency.Seconds() * (1 + share)
+	cost := e.estimate(now).Seconds() * (1 + share)
 	if e.Domain != b.domain {
 		cost += farCost.Seconds()
 	}
@@ -146,10 +156,12 @@
 	case OK:
 		e.failures = 0
 		e.ejection = 0
-		e.learn(took)
+		e.learn(now, took)
+	case Slow:
+		e.learn(now, took)
 	case Failed:
 		e.failures++
-		e.learn(took + failurePenalty)
+		e.learn(now, took+failurePenalty)
 		if e.failures >= ejectAfter {
 			e.eject(now)
 		}
@@ -157,7 +169,7 @@
 		e.outUntil = max(e.outUntil, now+fullFor)
 	case Unreachable:
 		e.failures++
-		e.learn(took + failurePenalty)
+		e.learn(now, took+failurePenalty)
 		e.outUntil = max(e.outUntil, now+unreachableFor)
 		if e.failures >= ejectAfter {
 			e.eject(now)
@@ -165,16 +177,17 @@
 	}
 }
 
-// Pending tells of calls at an endpoint that are overdue: it counts as slow
-// already, before they end.
-func (b *Balancer) Pending(name id.Endpoint, waited time.Duration) {
-	if e := b.endpoints[name]; e != nil && waited > e.latency {
-		e.learn(waited)
-	}
+// estimate is the average latency, gone back to the first estimate the longer
+// no sample came.
+func (e *endpoint) estimate(now time.Duration) time.Duration {
+	keep := math.Exp(-float64(now-e.learnt) / float64(relaxAfter))
+	return firstLatency + time.Duration(keep*float64(e.latency-firstLatency))
 }
 
-func (e *endpoint) learn(sample time.Duration) {
+func (e *endpoint) learn(now, sample time.Duration) {
+	e.latency = e.estimate(now)
 	e.latency += time.Duration(smoothing * float64(sample-e.latency))
+	e.learnt = now
 }
 
 func (e *endpoint) eject(now time.Duration) {
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -91,14 +91,15 @@
 	is.True(got["b"] < 20)
 }
 
-func TestOverdueCallsCountBeforeTheyEnd(t *testing.T) {
+func TestASlowEndpointIsTriedAgainAfterAWhile(t *testing.T) {
 	is := is.New(t)
 	b := three()
 	for range 5 {
-		b.Pending("a", 400*time.Millisecond)
+		b.Done(0, "a", 400*time.Millisecond, Slow)
 	}
 	is.Equal(b.Slowest()[0], id.Endpoint("a"))
 	is.Equal(serve(b, 0, 30, fine)["a"], 0)
+	is.True(serve(b, 6*relaxAfter, 300, fine)["a"] > 50) // it is tried again
 }
 
 func TestAllEndpointsOutIsBetterThanNone(t *testing.T) {
--- a/core/kvsched/demand.go
+++ b/core/kvsched/demand.go
@@ -9,7 +9,7 @@
 
 // Demand implements sched.Demander.
 func (l *Ledger) Demand(now time.Duration) sched.Demand {
-	d := sched.Demand{Queued: len(l.queue)}
+	d := sched.Demand{Queued: len(l.queue), PrefillWork: l.prefillWork}
 	for _, e := range l.order {
 		if e.leaving || e.down {
 			continue
--- a/core/kvsched/endpoint.go
+++ b/core/kvsched/endpoint.go
@@ -107,18 +107,27 @@
 	e.predict(now)
 }
 
-// learn takes the time from the prefill's start, or the end of the one before
-// it, as the time that it took.
+// learn takes the time since the end of the prefill before it as the time that
+// a prefill took. One that found the engine idle has the way there and back in
+// its time: it counts only if it shows a better rate, or a far worse one.
 func (e *endpoint) learn(now time.Duration, r *reservation) {
-	took := now - max(r.grantedAt, e.lastEnd)
-	if took <= 0 {
+	begun := max(r.grantedAt, e.lastEnd)
+	if begun >= now {
 		return
 	}
-	sample := float64(r.want.PromptTokens) / took.Seconds()
+	sample := float64(r.want.PromptTokens) / (now - begun).Seconds()
 	sample = min(max(sample, firstPrefillRate/20), firstPrefillRate*20)
+	idle := begun == r.grantedAt
+	if idle && sample < e.rate && sample > e.rate/farWorse {
+		return
+	}
 	e.rate += smoothing * (sample - e.rate)
 }
 
+// farWorse is the factor by which an idle engine's rate must fall short of what
+// is known of it to count: the way there and back explains less.
+const farWorse = 3
+
 // predict says anew when the queued prefills end.
 func (e *endpoint) predict(now time.Duration) {
 	e.busyUntil = now
--- a/core/kvsched/ledger.go
+++ b/core/kvsched/ledger.go
@@ -40,6 +40,8 @@
 	serial  uint64
 
 	flow flow
+	// prefillWork is the predicted engine time of all granted prefills.
+	prefillWork time.Duration
 }
 
 // waiting is a request in the queue.
--- a/core/kvsched/pump.go
+++ b/core/kvsched/pump.go
@@ -188,6 +188,7 @@
 		r.grant.Prefill = prefill.name
 		start = prefill.startAt(l.now)
 		prefill.addPrefill(l.now, r)
+		l.prefillWork += prefill.prefillTime(r.want.PromptTokens)
 	}
 	r.grant.Reason = fmt.Sprintf("waited %v, starts in %v, %d of %d tokens free for %d",
 		(l.now - w.arrived).Round(time.Millisecond), (start - l.now).Round(time.Millisecond),
--- a/core/roles/roles.go
+++ b/core/roles/roles.go
@@ -41,11 +41,11 @@
 // Defaults of Config.
 const (
 	// DefaultFirstShare is about what long prompts with short answers need.
-	DefaultFirstShare      = 0.28
-	DefaultMemory          = 12 * time.Second
-	DefaultEnoughWork      = 4 * time.Second
-	DefaultPrefillHeadroom = 1.35
-	DefaultHysteresis      = 0.8
+	DefaultFirstShare      = 0.25
+	DefaultMemory          = 20 * time.Second
+	DefaultEnoughWork      = 12 * time.Second
+	DefaultPrefillHeadroom = 1.2
+	DefaultHysteresis      = 1.3
 	DefaultSettleAfter     = 1500 * time.Millisecond
 	DefaultLeastPrefills   = 1
 	DefaultLeastDecodes    = 1
@@ -79,9 +79,11 @@
 	at  time.Duration
 	// prefill and decode are the faded engine seconds of the roles' work.
 	prefill, decode float64
-	begun           bool
-	changedAt       time.Duration
-	changed         bool
+	// work is the pool's prefill work when last observed.
+	work      time.Duration
+	begun     bool
+	changedAt time.Duration
+	changed   bool
 }
 
 // New returns a Decider that has seen no work.
@@ -92,27 +94,17 @@
 	if !d.begun {
 		d.begun = true
 		d.at = now
+		d.work = demand.PrefillWork
 		return
 	}
 	passed := now - d.at
 	d.at = now
 	keep := math.Exp(-float64(passed) / float64(d.cfg.Memory))
-	d.prefill = keep*d.prefill + passed.Seconds()*busyPrefills(demand)
+	d.prefill = keep*d.prefill + max(0, demand.PrefillWork-d.work).Seconds()
+	d.work = demand.PrefillWork
 	d.decode = keep*d.decode + passed.Seconds()*busyDecodes(demand)
 }
 
-// busyPrefills counts the prefill engines at work, and those that the queue
-// would put to work.
-func busyPrefills(d sched.Demand) float64 {
-	busy := 0
-	for _, e := range d.Prefills {
-		if e.Work > 0 {
-			busy++
-		}
-	}
-	return float64(busy)
-}
-
 // busyDecodes is the memory in use and asked for, in engines.
 func busyDecodes(d sched.Demand) float64 {
 	engines := 0
@@ -131,7 +123,7 @@
 // Wanted is the number of prefill engines among n that the work asks for.
 func (d *Decider) Wanted(n int) float64 {
 	share := d.cfg.FirstShare
-	if d.prefill >= d.cfg.EnoughWork.Seconds() && d.decode > 0 {
+	if d.measured() {
 		prefill := d.cfg.PrefillHeadroom * d.prefill
 		share = prefill / (prefill + d.decode)
 	}
@@ -141,7 +133,7 @@
 
 // Decide gives the next change, or nil. The engine with the least work goes.
 func (d *Decider) Decide(now time.Duration, demand sched.Demand) *Change {
-	prefills, decodes := len(demand.Prefills), len(demand.Decodes)
+	prefills, decodes := division(demand)
 	n := prefills + decodes
 	if n < d.cfg.LeastPrefills+d.cfg.LeastDecodes || (d.changed && now-d.changedAt < d.cfg.SettleAfter) {
 		return nil
@@ -150,9 +142,9 @@
 	change := Change{Wanted: wanted, Prefills: prefills, Decodes: decodes}
 	from := demand.Decodes
 	switch {
-	case prefills < d.cfg.LeastPrefills, float64(prefills) <= wanted-d.cfg.Hysteresis && decodes > d.cfg.LeastDecodes:
+	case prefills < d.cfg.LeastPrefills, float64(prefills) <= wanted-d.hysteresis() && decodes > d.cfg.LeastDecodes:
 		change.To = live.RolePrefill
-	case decodes < d.cfg.LeastDecodes, float64(prefills) >= wanted+d.cfg.Hysteresis && prefills > d.cfg.LeastPrefills:
+	case decodes < d.cfg.LeastDecodes, float64(prefills) >= wanted+d.hysteresis() && prefills > d.cfg.LeastPrefills:
 		change.To = live.RoleDecode
 		from = demand.Prefills
 	default:
@@ -166,6 +158,41 @@
 	return &change
 }
 
+// hysteresis is by how many engines the division must be off: once work is
+// measured, more than before there is any.
+func (d *Decider) hysteresis() float64 {
+	if d.measured() {
+		return d.cfg.Hysteresis
+	}
+	return firstHysteresis
+}
+
+// firstHysteresis rounds the first division to whole engines.
+const firstHysteresis = 0.5
+
+// measured says whether enough work was seen.
+func (d *Decider) measured() bool { return d.prefill >= d.cfg.EnoughWork.Seconds() && d.decode > 0 }
+
+// division counts the engines of each role. A drained one is on its way to the
+// other role.
+func division(demand sched.Demand) (prefills, decodes int) {
+	for _, e := range demand.Prefills {
+		if e.Drained {
+			decodes++
+		} else {
+			prefills++
+		}
+	}
+	for _, e := range demand.Decodes {
+		if e.Drained {
+			prefills++
+		} else {
+			decodes++
+		}
+	}
+	return prefills, decodes
+}
+
 // Changed notes that a change was begun.
 func (d *Decider) Changed(now time.Duration) {
 	d.changed = true
--- a/core/sched/demand.go
+++ b/core/sched/demand.go
@@ -19,6 +19,9 @@
 type Demand struct {
 	Prefills []EngineDemand
 	Decodes  []EngineDemand
+	// PrefillWork is the predicted engine time of all prefills that were granted
+	// since the scheduler began.
+	PrefillWork time.Duration
 	// PrefillBacklog is the predicted time of all granted prefills.
 	PrefillBacklog time.Duration
 	// Memory is that of the decode engines, in tokens; MemoryHeld is in use.
--- a/daemon/forward/call.go
+++ b/daemon/forward/call.go
@@ -132,6 +132,8 @@
 		return balance.OK
 	case err.Code == verdict.CodeCallerGone:
 		return balance.Withdrawn
+	case err.Code == verdict.CodeDeadline:
+		return balance.Slow
 	case err.Code == verdict.CodeOverloaded:
 		return balance.Full
 	case err.Code == verdict.CodeUnavailable, err.Code == verdict.CodeSuperseded:
--- a/daemon/gateway/knowledge.go
+++ b/daemon/gateway/knowledge.go
@@ -16,7 +16,7 @@
 const (
 	// feedWait is how long one call waits for changes: a connection to the
 	// store that has gone silent is noticed after that and a little more.
-	feedWait = 2 * time.Second
+	feedWait = 3 * time.Second
 	// feedRetry bounds the pause after a failed call to the store.
 	feedRetry = 400 * time.Millisecond
 	// registryLook is how often lapsed entries of the registry are looked at.
--- a/daemon/gateway/orderer.go
+++ b/daemon/gateway/orderer.go
@@ -19,9 +19,10 @@
 const (
 	// rolesLook is how often the demand of the owned pools is looked at.
 	rolesLook = 200 * time.Millisecond
-	// rolesStart is how long after its enrolment a daemon orders nothing: the
-	// fleet and the registry may not be known whole.
-	rolesStart = 1500 * time.Millisecond
+	// rolesStart is how long a pool must have had the same engines before an
+	// order: when the fleet starts, or the store returns, endpoints register
+	// over two heartbeats of theirs.
+	rolesStart = 2500 * time.Millisecond
 	// orderTimeout bounds an order, and the report before it.
 	orderTimeout = 800 * time.Millisecond
 	// drainFor is how long an engine may go on with its work before the order
@@ -36,7 +37,7 @@
 	// maxChanges bounds the changes under way in a pool.
 	maxChanges = 2
 	// leaseIdle is how long the lease is kept without an order to give.
-	leaseIdle = 2 * time.Second
+	leaseIdle = 3 * time.Second
 	// dutyRoles names the lease of the orders.
 	dutyRoles = "roles"
 )
@@ -49,7 +50,6 @@
 	duty  *duty.Duty
 	work  *workpool.Pool
 	store *store.Store
-	begun time.Duration
 	pools map[id.Pool]*poolRoles
 	// idleSince is when the last order was done with.
 	idleSince time.Duration
@@ -71,6 +71,10 @@
 type poolRoles struct {
 	decider *roles.Decider
 	changes map[id.Endpoint]*change
+	// engines is how many there were when last looked at, settledAt when that
+	// counts as settled.
+	engines   int
+	settledAt time.Duration
 }
 
 // change is one change of role under way.
@@ -91,7 +95,6 @@
 		f:       f,
 		work:    work,
 		store:   store.New(d.platform.Store, work, d.metrics),
-		begun:   d.now(),
 		pools:   map[id.Pool]*poolRoles{},
 		results: d.metrics.CounterMap("role_orders", metrics.UnitCount, "Orders to engines to change their role, by result."),
 		fence:   d.metrics.Gauge("role_lease_fence", metrics.UnitCount, "Fencing number of the lease of orders held here; 0 for none."),
@@ -137,7 +140,7 @@
 
 // tick looks at the owned pools, and at the lease if there is one.
 func (o *orderer) tick(now time.Duration) time.Duration {
-	if !o.stopped && now-o.begun >= rolesStart {
+	if !o.stopped {
 		o.lookAtPools(now)
 	}
 	o.tickLease(now)
@@ -174,7 +177,11 @@
 	}
 	p.decider.Observe(now, demand)
 	o.endChanges(now, p)
-	if len(p.changes) < maxChanges && o.d.knowledge.current().Lapsed == 0 {
+	if n := len(demand.Prefills) + len(demand.Decodes); n != p.engines {
+		p.engines = n
+		p.settledAt = now + rolesStart
+	}
+	if len(p.changes) < maxChanges && now >= p.settledAt && o.d.knowledge.current().Lapsed == 0 {
 		if c := p.decider.Decide(now, demand); c != nil {
 			o.beginChange(now, name, p, c)
 		}
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -290,7 +290,7 @@
 		code = verdict.CodeDeadline
 	case ctx.Err() != nil:
 		code = verdict.CodeCallerGone
-	case errors.Is(cause, os.ErrDeadlineExceeded):
+	case errors.Is(cause, os.ErrDeadlineExceeded), errors.Is(cause, fasthttp.ErrTimeout):
 		code = verdict.CodeDeadline
 	}
 	if cause == io.EOF {
