Set the role tests to the first division; no change at the edge of the hysteresis

A pool whose wanted division lay just between two ones changed an engine back and forth; the test that found it is TestTheFirstDivisionComesBeforeAnyWork.

--- a/core/roles/roles.go
+++ b/core/roles/roles.go
@@ -41,7 +41,7 @@
 // Defaults of Config.
 const (
 	// DefaultFirstShare is about what long prompts with short answers need.
-	DefaultFirstShare      = 0.25
+	DefaultFirstShare      = 0.24
 	DefaultMemory          = 20 * time.Second
 	DefaultEnoughWork      = 12 * time.Second
 	DefaultPrefillHeadroom = 1.2
@@ -142,9 +142,9 @@
 	change := Change{Wanted: wanted, Prefills: prefills, Decodes: decodes}
 	from := demand.Decodes
 	switch {
-	case prefills < d.cfg.LeastPrefills, float64(prefills) <= wanted-d.hysteresis() && decodes > d.cfg.LeastDecodes:
+	case prefills < d.cfg.LeastPrefills, float64(prefills) < wanted-d.hysteresis() && decodes > d.cfg.LeastDecodes:
 		change.To = live.RolePrefill
-	case decodes < d.cfg.LeastDecodes, float64(prefills) >= wanted+d.hysteresis() && prefills > d.cfg.LeastPrefills:
+	case decodes < d.cfg.LeastDecodes, float64(prefills) > wanted+d.hysteresis() && prefills > d.cfg.LeastPrefills:
 		change.To = live.RoleDecode
 		from = demand.Prefills
 	default:
