Admit by predicted peak memory, leave silent prefill engines sooner, order before draining

Cause: a stream was given its whole output's memory from the start, though the streams of an engine end one after another; a prefill on an engine gone silent was waited for 1.5 s; an engine was drained while the lease was still contended for.

--- a/core/kvsched/demand.go
+++ b/core/kvsched/demand.go
@@ -22,12 +22,12 @@
 			}
 			d.PrefillBacklog += max(0, e.busyUntil-now)
 		case live.RoleDecode:
-			d.Decodes = append(d.Decodes, sched.EngineDemand{Endpoint: e.name, Work: e.held, Drained: e.drained})
+			d.Decodes = append(d.Decodes, sched.EngineDemand{Endpoint: e.name, Work: len(e.decodes), Drained: e.drained})
 			if e.drained {
 				continue
 			}
 			d.Memory += e.memory
-			d.MemoryHeld += e.tokens
+			d.MemoryHeld += l.held(e)
 		}
 	}
 	for _, w := range l.queue {
@@ -48,7 +48,7 @@
 	for _, e := range l.order {
 		if e.role == live.RoleDecode {
 			s.Slots += e.slots
-			s.Held += e.held
+			s.Held += len(e.decodes)
 		}
 		if e.leaving {
 			s.Leaving = append(s.Leaving, e.name)
--- a/core/kvsched/endpoint.go
+++ b/core/kvsched/endpoint.go
@@ -40,9 +40,8 @@
 	// rate of prefills, in tokens a second.
 	rate float64
 
-	// held counts the reservations of memory here, tokens their sum.
-	held   int
-	tokens int
+	// decodes are the requests that have, or will have, their memory here.
+	decodes []*reservation
 }
 
 func newEndpoint(e *live.Endpoint, memoryShare float64) *endpoint {
@@ -70,14 +69,6 @@
 	return !e.leaving && !e.drained && !e.down && now >= e.fullUntil
 }
 
-// room is the memory that is free, in tokens; none when all slots are taken.
-func (e *endpoint) room() int {
-	if e.held >= e.slots {
-		return 0
-	}
-	return e.memory - e.tokens
-}
-
 // prefillTime predicts how long a prompt takes to read.
 func (e *endpoint) prefillTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / e.rate * float64(time.Second))
@@ -136,16 +127,14 @@
 	}
 }
 
-// take reserves memory for a request.
-func (e *endpoint) take(r *reservation) {
-	e.held++
-	e.tokens += r.tokens
-}
+// take gives a request its place here.
+func (e *endpoint) take(r *reservation) { e.decodes = append(e.decodes, r) }
 
-// give gives it back.
+// give takes its place back.
 func (e *endpoint) give(r *reservation) {
-	e.held--
-	e.tokens -= r.tokens
+	if i := slices.Index(e.decodes, r); i >= 0 {
+		e.decodes = slices.Delete(e.decodes, i, i+1)
+	}
 }
 
 // blocks rounds a size up to whole blocks, in tokens.
--- a/core/kvsched/ledger.go
+++ b/core/kvsched/ledger.go
@@ -40,14 +40,19 @@
 	serial  uint64
 
 	flow flow
+	pace pace
+	// scratch is the space of the prediction of memory.
+	scratch []claim
 	// prefillWork is the predicted engine time of all granted prefills.
 	prefillWork time.Duration
 }
 
 // waiting is a request in the queue.
 type waiting struct {
-	want    sched.Want
+	want sched.Want
+	// tokens is the size of the request, output that of its answer as expected.
 	tokens  int
+	output  float64
 	arrived time.Duration
 	// target, patience and lifetime are the times up to which it is in time,
 	// may wait, and has a caller.
@@ -58,10 +63,13 @@
 
 // reservation is a granted request.
 type reservation struct {
-	want         sched.Want
-	grant        sched.Grant
-	tokens       int
-	phase        sched.Phase
+	want   sched.Want
+	grant  sched.Grant
+	tokens int
+	output float64
+	phase  sched.Phase
+	// decodingAt is when the decode began; 0 before.
+	decodingAt   time.Duration
 	prefill      *endpoint
 	decode       *endpoint
 	grantedAt    time.Duration
@@ -240,14 +248,16 @@
 	return out
 }
 
-// check holds the sums against the reservations.
+// check holds the engines' lists against the reservations.
 func (l *Ledger) check() {
 	if l.options.Violation == nil {
 		return
 	}
+	held := 0
 	for _, e := range l.order {
-		if e.held < 0 || e.tokens < 0 || (e.held == 0) != (e.tokens == 0) {
-			l.options.Violation("kvsched_sum", fmt.Sprintf("%s: held=%d tokens=%d", e.name, e.held, e.tokens))
-		}
+		held += len(e.decodes)
+	}
+	if held > len(l.granted) {
+		l.options.Violation("kvsched_places", fmt.Sprintf("%d places for %d reservations", held, len(l.granted)))
 	}
 }
--- /dev/null
+++ b/core/kvsched/memory.go
@@ -0,0 +1,109 @@
+package kvsched
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// firstPace is the first estimate of how fast an answer is written, in
+	// tokens a second.
+	firstPace = 300.0
+	// paceMemory is the weight that the estimate gives to what was seen before.
+	paceMemory = 0.97
+	// overrun is the share of the expected output that a request which has
+	// exceeded it is believed to write yet: guesses are often far off.
+	overrun = 0.25
+)
+
+// pace averages how fast answers are written. Guesses of single outputs are
+// often far off, their sum is not.
+type pace struct {
+	tokens  float64
+	seconds float64
+}
+
+// ended takes a request whose answer is complete.
+func (p *pace) ended(expected int, took time.Duration) {
+	p.tokens = paceMemory*p.tokens + float64(expected)
+	p.seconds = paceMemory*p.seconds + took.Seconds()
+}
+
+// perSecond is the pace of one request, in tokens.
+func (p *pace) perSecond() float64 {
+	if p.seconds <= 0 || p.tokens <= 0 {
+		return firstPace
+	}
+	return p.tokens / p.seconds
+}
+
+// claim is what one request holds now and will yet add, in tokens.
+type claim struct{ held, left float64 }
+
+// claimOf estimates a request's claim. Before its decode it holds its prompt.
+func (l *Ledger) claimOf(r *reservation) claim {
+	output := r.output
+	written := 0.0
+	if r.decodingAt > 0 {
+		written = (l.now - r.decodingAt).Seconds() * l.pace.perSecond()
+	}
+	left := output - written
+	if least := overrun * output; left < least {
+		left = least
+	}
+	return claim{held: float64(blocks(max(1, r.want.PromptTokens))) + written, left: left}
+}
+
+// peak predicts the most memory that an engine's requests will hold together,
+// with one more if extra is set: memory comes back request by request, while
+// the others go on writing.
+func (l *Ledger) peak(e *endpoint, extra *claim) float64 {
+	claims := l.scratch[:0]
+	for _, r := range e.decodes {
+		claims = append(claims, l.claimOf(r))
+	}
+	if extra != nil {
+		claims = append(claims, *extra)
+	}
+	l.scratch = claims
+	slices.SortFunc(claims, func(a, b claim) int {
+		switch {
+		case a.left > b.left:
+			return -1
+		case a.left < b.left:
+			return 1
+		default:
+			return 0
+		}
+	})
+	most, held := 0.0, 0.0
+	for i, c := range claims {
+		// When this one ends, those that write longer than it still hold theirs.
+		held += c.held
+		most = max(most, held+float64(i+1)*c.left)
+	}
+	return most
+}
+
+// fits says whether a request fits on an engine, and which share of its memory
+// would be left at the peak.
+func (l *Ledger) fits(e *endpoint, w *waiting) (left float64, ok bool) {
+	if len(e.decodes) >= e.slots {
+		return 0, false
+	}
+	if e.memory <= 0 {
+		return 1 - float64(len(e.decodes))/float64(max(1, e.slots)), true
+	}
+	more := claim{held: float64(blocks(max(1, w.want.PromptTokens))), left: w.output}
+	peak := l.peak(e, &more)
+	return 1 - peak/float64(e.memory), peak <= float64(e.memory)
+}
+
+// held is the memory that an engine's requests hold now, in tokens.
+func (l *Ledger) held(e *endpoint) int {
+	sum := 0.0
+	for _, r := range e.decodes {
+		sum += l.claimOf(r).held
+	}
+	return int(sum)
+}
--- a/core/kvsched/options.go
+++ b/core/kvsched/options.go
@@ -27,8 +27,7 @@
 	// Horizon is how far ahead a prefill is granted, so that the next prompt is
 	// at the engine when it gets idle.
 	Horizon time.Duration
-	// OutputShare of the expected output is reserved beside the prompt: the
-	// outputs of an engine's requests are not at their full length together.
+	// OutputShare of the expected output is reckoned with.
 	OutputShare float64
 	// MemoryShare of an engine's memory is given out.
 	MemoryShare float64
@@ -57,11 +56,11 @@
 // Defaults of Options.
 const (
 	// DefaultSettle covers a heartbeat and the hand-over of grants.
-	DefaultSettle = 250 * time.Millisecond
+	DefaultSettle = 150 * time.Millisecond
 	// DefaultHorizon is about the time that one prompt takes.
 	DefaultHorizon     = 60 * time.Millisecond
-	DefaultOutputShare = 0.8
-	DefaultMemoryShare = 0.98
+	DefaultOutputShare = 1.0
+	DefaultMemoryShare = 0.96
 	DefaultLateRoom    = 0.15
 	DefaultBypassAfter = 150 * time.Millisecond
 	DefaultFullHold    = 150 * time.Millisecond
--- a/core/kvsched/progress.go
+++ b/core/kvsched/progress.go
@@ -22,6 +22,9 @@
 	case sched.PhaseDecoding:
 		l.read(r)
 		l.moveTo(r, p)
+		if r.decodingAt == 0 {
+			r.decodingAt = l.now
+		}
 		r.phase = p.Phase
 	default:
 		l.end(r, p)
@@ -59,6 +62,9 @@
 	}
 	if p.Phase == sched.PhaseDone {
 		l.flow.released(l.now, r.tokens)
+		if r.decodingAt > 0 {
+			l.pace.ended(max(1, r.want.OutputTokens), l.now-r.decodingAt)
+		}
 	}
 	l.release(r)
 	l.ended.Add(p.Request, nil)
@@ -96,12 +102,16 @@
 		want:      a.Want,
 		grant:     a.Grant,
 		tokens:    l.size(&a.Want),
+		output:    l.output(&a.Want),
 		phase:     a.Phase,
 		decode:    decode,
 		grantedAt: l.now,
 		lifetime:  l.now + a.Want.Lifetime - age,
 	}
 	r.expires = max(l.now+l.options.ExpiresIn, r.lifetime)
+	if a.Phase >= sched.PhaseDecoding {
+		r.decodingAt = l.now
+	}
 	decode.take(r)
 	l.granted[a.Want.Request] = r
 	if prefill := l.endpoints[a.Grant.Prefill]; prefill != nil && a.Phase < sched.PhaseTransferring {
--- a/core/kvsched/pump.go
+++ b/core/kvsched/pump.go
@@ -92,7 +92,7 @@
 	for _, e := range l.order {
 		if e.role == live.RoleDecode && e.open(l.now) {
 			memory += e.memory
-			free += max(0, e.room())
+			free += max(0, e.memory-int(l.peak(e, nil)))
 		}
 	}
 	return float64(free) >= l.options.LateRoom*float64(memory)
@@ -112,11 +112,11 @@
 		if e.role != live.RoleDecode || !l.usable(e, w) {
 			continue
 		}
-		if e.room() < w.tokens {
+		score, ok := l.fits(e, w)
+		if !ok {
 			cause = lacksMemory
 			continue
 		}
-		score := float64(e.room()) / float64(max(1, e.memory))
 		if prefill != nil && prefill.domain == e.domain {
 			score += nearBonus
 		}
@@ -170,6 +170,7 @@
 	r := &reservation{
 		want:      w.want,
 		tokens:    w.tokens,
+		output:    w.output,
 		prefill:   prefill,
 		decode:    decode,
 		grantedAt: l.now,
@@ -190,9 +191,9 @@
 		prefill.addPrefill(l.now, r)
 		l.prefillWork += prefill.prefillTime(r.want.PromptTokens)
 	}
-	r.grant.Reason = fmt.Sprintf("waited %v, starts in %v, %d of %d tokens free for %d",
+	r.grant.Reason = fmt.Sprintf("waited %v, starts in %v, %d tokens beside %d requests with %d of %d",
 		(l.now - w.arrived).Round(time.Millisecond), (start - l.now).Round(time.Millisecond),
-		decode.room(), decode.memory, w.tokens)
+		w.tokens, len(decode.decodes), l.held(decode), decode.memory)
 	decode.take(r)
 	l.granted[w.want.Request] = r
 	if l.waiting[w.want.Request] != nil {
--- a/core/kvsched/want.go
+++ b/core/kvsched/want.go
@@ -50,6 +50,7 @@
 	return &waiting{
 		want:     w,
 		tokens:   l.size(&w),
+		output:   l.output(&w),
 		arrived:  arrived,
 		target:   arrived + orDefault(w.Target, s.FirstTokenTarget()),
 		patience: arrived + orDefault(w.Patience, s.Patience()),
@@ -64,10 +65,14 @@
 	return otherwise
 }
 
-// size is the memory that a request is given, in tokens.
+// output is the expected length of the answer, in tokens.
+func (l *Ledger) output(w *sched.Want) float64 {
+	return l.options.OutputShare * float64(max(1, w.OutputTokens))
+}
+
+// size is the memory that a request holds at its end, in tokens.
 func (l *Ledger) size(w *sched.Want) int {
-	output := int(l.options.OutputShare * float64(max(1, w.OutputTokens)))
-	return blocks(max(1, w.PromptTokens)) + blocks(output)
+	return blocks(max(1, w.PromptTokens)) + blocks(int(l.output(w)))
 }
 
 // admit refuses what can't be served; nil lets the request wait.
@@ -81,7 +86,7 @@
 	switch {
 	case len(l.queue) >= l.options.MaxQueue:
 		return l.refuse(w.want, verdict.CodeOverloaded, l.flow.comeBack(l.now, l.backlog()), "the queue is full")
-	case largest > 0 && w.tokens > largest:
+	case largest > 0 && blocks(w.want.PromptTokens) > largest:
 		return l.refuse(w.want, verdict.CodeTooLarge, 0, "the request is larger than an engine's memory")
 	default:
 		return nil
@@ -106,7 +111,7 @@
 	}
 	for _, e := range l.order {
 		if e.role == live.RoleDecode && e.open(l.now) {
-			wanted -= max(0, e.room())
+			wanted -= max(0, e.memory-l.held(e))
 		}
 	}
 	return max(0, wanted)
--- a/core/lease/gate.go
+++ b/core/lease/gate.go
@@ -70,8 +70,8 @@
 	g.fence = a.Fence
 	g.read = map[id.Endpoint]bool{}
 	g.quiet = now + g.cfg.LongestOrder
-	if a.Fence == 1 {
-		// Nobody held it before.
+	if a.Fence == 1 || a.Own {
+		// Nobody else held it before.
 		g.quiet = now
 	}
 }
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -71,6 +71,9 @@
 	Fence uint64
 	// Previous is the process that held it last; empty for none.
 	Previous id.Process
+	// Own is set by whoever knows that this process was the last holder: only
+	// orders of its own can still be on the way.
+	Own bool
 	// Released tells that the previous holder gave it up itself, so that no
 	// order of its can still be on the way.
 	Released bool
--- a/core/roles/roles.go
+++ b/core/roles/roles.go
@@ -43,7 +43,7 @@
 	// DefaultFirstShare is about what long prompts with short answers need.
 	DefaultFirstShare      = 0.24
 	DefaultMemory          = 20 * time.Second
-	DefaultEnoughWork      = 12 * time.Second
+	DefaultEnoughWork      = 20 * time.Second
 	DefaultPrefillHeadroom = 1.2
 	DefaultHysteresis      = 1.3
 	DefaultSettleAfter     = 1500 * time.Millisecond
--- a/core/sched/demand.go
+++ b/core/sched/demand.go
@@ -11,7 +11,7 @@
 	Endpoint id.Endpoint
 	// Work counts the requests that are at the engine.
 	Work int
-	// Drained is set while it gets no new work.
+	// Drained is set while it gets no new work, or is about to change its role.
 	Drained bool
 }
 
--- a/daemon/forward/stream.go
+++ b/daemon/forward/stream.go
@@ -17,9 +17,10 @@
 	// firstEventTime is kept free of a stream's patience for the prefill, the
 	// transfer and the first event, which follow the wait for engines.
 	firstEventTime = 500 * time.Millisecond
-	// prefillLimit bounds a prefill: many times what a sound engine takes, and
-	// short enough to have the prompt read elsewhere in time.
-	prefillLimit = 1500 * time.Millisecond
+	// prefillLeast and prefillPerToken bound a prefill: some times what a sound
+	// engine takes, and short enough to have the prompt read elsewhere in time.
+	prefillLeast    = 350 * time.Millisecond
+	prefillPerToken = 100 * time.Microsecond
 	// kvShare of a KV cache's life may pass before it is sent to another
 	// decode engine: the transfer must begin before it ends.
 	kvShare = 0.7
@@ -194,11 +195,11 @@
 	g.progress(sched.Progress{Phase: sched.PhasePrefilling})
 	begun := f.Now()
 	attempt := g.attempt(engine)
-	attempt.Until = min(attempt.Until, begun+prefillLimit)
+	attempt.Until = min(attempt.Until, begun+prefillLeast+time.Duration(g.request.PromptTokens)*prefillPerToken)
 	kv, err := f.Endpoints.Prefill(ctx, attempt)
 	now := f.Now()
 	if err != nil {
-		g.failed(engine, err, "prefill", now-begun)
+		g.failed(engine, err, stepPrefill, now-begun)
 		return KV{}, 0, prefillFailed(err)
 	}
 	g.trace.read += now - begun
@@ -274,7 +275,7 @@
 		if err.Verdict != verdict.NotRun {
 			g.ran++
 		}
-		g.failed(engine, err, "decode", f.Now()-begun)
+		g.failed(engine, err, stepDecode, f.Now()-begun)
 		return nil, err
 	}
 	g.ran++
@@ -302,6 +303,12 @@
 	g.f.Pairer.Progress(p)
 }
 
+// The steps of a generation, for logs.
+const (
+	stepPrefill = "prefill"
+	stepDecode  = "decode"
+)
+
 // failed tells the pool's owner, and the log, that an engine failed.
 func (g *generation) failed(e registry.Endpoint, err *verdict.Error, what string, took time.Duration) {
 	g.avoid = append(g.avoid, e.Name)
@@ -315,6 +322,9 @@
 		p.Full = true
 	case verdict.CodeUnavailable, verdict.CodeSuperseded:
 		p.Unreachable = true
+	case verdict.CodeDeadline:
+		// Nothing gets work on a silent engine until it was seen to answer.
+		p.Unreachable = what == stepPrefill
 	case verdict.CodeKVGone:
 		// The KV cache's engine is to blame, not the one that was to fetch it.
 		p.Endpoint = ""
--- a/daemon/gateway/orderer.go
+++ b/daemon/gateway/orderer.go
@@ -10,6 +10,7 @@
 	"github.com/samphirequay/samphirequay/core/live"
 	"github.com/samphirequay/samphirequay/core/revision/table"
 	"github.com/samphirequay/samphirequay/core/roles"
+	"github.com/samphirequay/samphirequay/core/sched"
 	"github.com/samphirequay/samphirequay/daemon/duty"
 	"github.com/samphirequay/samphirequay/daemon/metrics"
 	"github.com/samphirequay/samphirequay/daemon/store"
@@ -27,15 +28,18 @@
 	orderTimeout = 800 * time.Millisecond
 	// drainFor is how long an engine may go on with its work before the order
 	// is given; the engine itself lets running work end.
-	drainFor = 1200 * time.Millisecond
+	drainFor = 400 * time.Millisecond
 	// changeMargin is added to the time that a change of role takes before it
 	// is taken for lost.
 	changeMargin = 6 * time.Second
+	// changeLimit bounds the wait for the lease and for an answer to the order.
+	changeLimit = 12 * time.Second
 	// orderAgain is the pause before an order that was refused, or whose result
 	// is unknown, is looked at again.
 	orderAgain = time.Second
-	// maxChanges bounds the changes under way in a pool.
-	maxChanges = 2
+	// changesShare of a pool's engines, and at least one, may be changing at a
+	// time: they do no work meanwhile.
+	changesShare = 6
 	// leaseIdle is how long the lease is kept without an order to give.
 	leaseIdle = 3 * time.Second
 	// dutyRoles names the lease of the orders.
@@ -62,6 +66,8 @@
 	gate  *lease.OrderGate
 	// fenced is the highest fencing number that was refused.
 	fenced uint64
+	// heldLast is the fencing number that this process held last.
+	heldLast uint64
 
 	results *metrics.CounterMap
 	fence   *metrics.Gauge
@@ -75,14 +81,21 @@
 	// counts as settled.
 	engines   int
 	settledAt time.Duration
+	// toldAt is when the pool's state was last logged.
+	toldAt time.Duration
 }
 
 // change is one change of role under way.
 type change struct {
-	pool    id.Pool
-	to      live.Role
-	begun   time.Duration
-	ordered bool
+	pool  id.Pool
+	to    live.Role
+	begun time.Duration
+	// draining is set once the engine gets no new work, from drainedAt on.
+	draining  bool
+	drainedAt time.Duration
+	// ordered is set once the order was taken, at orderedAt.
+	ordered   bool
+	orderedAt time.Duration
 	// asking is set while a report or an order is on its way.
 	asking bool
 	// again is when the next step may be tried.
@@ -175,13 +188,16 @@
 		p = &poolRoles{decider: roles.New(roles.Config{}), changes: map[id.Endpoint]*change{}}
 		o.pools[name] = p
 	}
-	p.decider.Observe(now, demand)
 	o.endChanges(now, p)
+	p.mark(demand.Prefills)
+	p.mark(demand.Decodes)
+	p.decider.Observe(now, demand)
+	o.logState(now, name, p, demand)
 	if n := len(demand.Prefills) + len(demand.Decodes); n != p.engines {
 		p.engines = n
 		p.settledAt = now + rolesStart
 	}
-	if len(p.changes) < maxChanges && now >= p.settledAt && o.d.knowledge.current().Lapsed == 0 {
+	if len(p.changes) < max(1, p.engines/changesShare) && now >= p.settledAt && o.d.knowledge.current().Lapsed == 0 {
 		if c := p.decider.Decide(now, demand); c != nil {
 			o.beginChange(now, name, p, c)
 		}
@@ -192,6 +208,40 @@
 	return true
 }
 
+// stateEvery is how often the state of an owned pool is logged.
+const stateEvery = time.Second
+
+// logState writes a line on an owned pool that has work: what an engineer on
+// call needs to tell a full pool from one that lost its engines.
+func (o *orderer) logState(now time.Duration, name id.Pool, p *poolRoles, d sched.Demand) {
+	if now < p.toldAt+stateEvery || d.Queued+d.MemoryHeld == 0 {
+		return
+	}
+	p.toldAt = now
+	working := 0
+	for _, e := range d.Prefills {
+		if e.Work > 0 {
+			working++
+		}
+	}
+	running := 0
+	for _, e := range d.Decodes {
+		running += e.Work
+	}
+	o.d.logger.Event("pool_state", "pool", name, "prefills", len(d.Prefills), "prefills_working", working,
+		"prefill_backlog", d.PrefillBacklog, "decodes", len(d.Decodes), "decodes_running", running,
+		"memory", d.Memory, "memory_held", d.MemoryHeld, "queued", d.Queued, "memory_wanted", d.MemoryWanted)
+}
+
+// mark tells the engines that are about to change their role.
+func (p *poolRoles) mark(engines []sched.EngineDemand) {
+	for i := range engines {
+		if p.changes[engines[i].Endpoint] != nil {
+			engines[i].Drained = true
+		}
+	}
+}
+
 func (o *orderer) beginChange(now time.Duration, pool id.Pool, p *poolRoles, c *roles.Change) {
 	p.decider.Changed(now)
 	p.changes[c.Endpoint] = &change{pool: pool, to: c.To, begun: now}
@@ -210,8 +260,10 @@
 			why = "the engine is gone"
 		case e.Role == c.to:
 			why = "done"
-		case now-c.begun >= o.switchTime(e.Service)+drainFor+changeMargin:
+		case c.ordered && now-c.orderedAt >= o.switchTime(e.Service)+changeMargin:
 			why = "no change was seen in time"
+		case !c.ordered && now-c.begun >= changeLimit:
+			why = "no order could be given in time"
 		default:
 			continue
 		}
@@ -228,13 +280,19 @@
 	return 0
 }
 
-// advance takes the next step of a change.
+// advance takes the next step of a change. The engine goes on with its work
+// until an order could be given.
 func (o *orderer) advance(now time.Duration, endpoint id.Endpoint, c *change) {
-	o.f.broker.Drain(c.pool, endpoint, true)
-	if c.ordered || c.asking || now < c.again || now-c.begun < drainFor {
+	open := o.passage(now, endpoint) >= lease.ReadBack
+	if !c.draining && open {
+		c.draining = true
+		c.drainedAt = now
+	}
+	if !c.draining {
 		return
 	}
-	if o.passage(now, endpoint) < lease.ReadBack {
+	o.f.broker.Drain(c.pool, endpoint, true)
+	if !open || c.ordered || c.asking || now < c.again || now-c.drainedAt < drainFor {
 		return
 	}
 	c.asking = true
@@ -309,6 +367,7 @@
 	switch result {
 	case OrderTaken:
 		c.ordered = true
+		c.orderedAt = now
 	case OrderFenced:
 		o.mu.Lock()
 		o.fenced = max(o.fenced, fence)
@@ -377,6 +436,9 @@
 			o.ask(*a.Request)
 		case a.Acquired != nil:
 			o.mu.Lock()
+			// Nobody held it between: no order but this process's own is on its way.
+			a.Acquired.Own = o.heldLast != 0 && a.Acquired.Fence == o.heldLast+1
+			o.heldLast = a.Acquired.Fence
 			o.gate.Acquired(now, *a.Acquired)
 			o.mu.Unlock()
 			o.fence.Set(float64(a.Acquired.Fence))
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -46,8 +46,8 @@
 	// memberPeriod, memberSuspect and memberDead set the heartbeats: a pool
 	// whose owner is silent gets no grants, so that silence is noticed well
 	// within the time that callers wait for a first event.
-	memberPeriod  = 150 * time.Millisecond
-	memberSuspect = 480 * time.Millisecond
+	memberPeriod  = 120 * time.Millisecond
+	memberSuspect = 390 * time.Millisecond
 	memberDead    = 1500 * time.Millisecond
 	memberStall   = 400 * time.Millisecond
 	// goneGrace is how long a dead daemon's grants stay reserved: its engines
