Notice the store's return sooner; finish streams before a planned stop ends

Now a store that did not answer is asked by short calls, long calls are jittered, and an unknown route is a 503 while the store is away. Entry answers now live 0.9 s, and streams that come later than 2.8 s into a stop are refused (not run).

--- a/core/kvsched/endpoint.go
+++ b/core/kvsched/endpoint.go
@@ -40,6 +40,10 @@
 	// rate of prefills, in tokens a second.
 	rate float64
 
+	// readingUntil is when a decode engine has probably read the prompt that it
+	// was last given to read itself.
+	readingUntil time.Duration
+
 	// decodes are the requests that have, or will have, their memory here.
 	decodes []*reservation
 }
@@ -69,6 +73,9 @@
 	return !e.leaving && !e.drained && !e.down && now >= e.fullUntil
 }
 
+// reading says whether a decode engine is reading a prompt itself.
+func (e *endpoint) reading(now time.Duration) bool { return now < e.readingUntil }
+
 // prefillTime predicts how long a prompt takes to read.
 func (e *endpoint) prefillTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / e.rate * float64(time.Second))
--- a/daemon/feed/feed.go
+++ b/daemon/feed/feed.go
@@ -60,8 +60,10 @@
 	// Name of the table.
 	Name   string
 	Source Source
-	// Wait is how long one call waits for changes; a connection that has gone
-	// silent is noticed a little later.
+	// Wait is the longest that one call waits for changes; a connection that has
+	// gone silent is noticed a little later. Calls wait for between half of it
+	// and all, so that the calls of a fleet, which a change ends at the same
+	// moment, are not all silent together.
 	Wait time.Duration
 	// Retry bounds the pause after a failed call; the pause doubles up to it.
 	Retry time.Duration
@@ -98,6 +100,9 @@
 	readTimeout = 1200 * time.Millisecond
 	// firstRetry is the first pause after a failed call.
 	firstRetry = 50 * time.Millisecond
+	// lostTimeout bounds a call to a store that did not answer the last one: it
+	// does not wait for changes then, so that the store's return is seen soon.
+	lostTimeout = 800 * time.Millisecond
 )
 
 // Start starts to follow a table.
@@ -258,9 +263,10 @@
 }
 
 func (f *Follower) readChanges(parent context.Context, after uint64) error {
-	ctx, cancel := context.WithTimeout(parent, f.cfg.Wait+callSlack)
+	wait, limit := f.patience()
+	ctx, cancel := context.WithTimeout(parent, limit)
 	defer cancel()
-	delta, err := f.cfg.Source.Changes(ctx, f.cfg.Name, after, f.cfg.Wait)
+	delta, err := f.cfg.Source.Changes(ctx, f.cfg.Name, after, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		f.mu.Lock()
 		f.whole = true
@@ -286,6 +292,16 @@
 	return nil
 }
 
+// patience is how long the next call waits for changes, and how long it may take.
+func (f *Follower) patience() (wait, limit time.Duration) {
+	if f.Lost() {
+		return 0, lostTimeout
+	}
+	half := f.cfg.Wait / 2
+	wait = half + time.Duration(f.cfg.Rand.Int64N(int64(half)+1))
+	return wait, wait + callSlack
+}
+
 // apply takes changes; the lock is held.
 func (f *Follower) apply(d Delta) {
 	for _, c := range d.Changes {
--- a/daemon/forward/forward.go
+++ b/daemon/forward/forward.go
@@ -26,6 +26,11 @@
 	Balancer  *balance.Balancer
 	// Repeats bounds the repeats of each service.
 	Repeats retry.WindowConfig
+	// Stale says whether the configuration may be out of date.
+	Stale func() bool
+	// TooLate says whether the daemon stops so soon that a stream may not end
+	// before.
+	TooLate func() bool
 	// Daemons is how many daemons are alive and share that bound.
 	Daemons func() int
 	Log     Log
@@ -83,11 +88,17 @@
 	t.config = view.Routes.Config().Version
 	t.registry = view.Registry
 	t.route = view.Routes.Match(r.Host, r.Path)
+	if t.route == nil && f.Stale() {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no route is known, and the configuration may be out of date")
+	}
 	if t.route == nil {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnknownService, "no route for this host and path")
 	}
 	t.service = t.route.Choose(r.ID)
 	service := view.Routes.Service(t.service)
+	if t.route.Kind == route.Stream && f.TooLate() {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeLeaving, "this daemon is stopping")
+	}
 	f.counted(t.service)
 	ctx, cancel := context.WithTimeout(ctx, f.limit(r, t.route)-f.Now())
 	if t.route.Kind == route.Stream && service.Engine != nil {
--- a/daemon/forward/stream.go
+++ b/daemon/forward/stream.go
@@ -80,7 +80,7 @@
 // as that is allowed.
 func (g *generation) open(ctx context.Context) (*Opened, *verdict.Error) {
 	for {
-		kv, readAt, err := g.prefill(ctx)
+		kv, readAt, err := g.begin(ctx)
 		if err == nil {
 			var opened *Opened
 			if opened, err = g.decode(ctx, kv, readAt); err == nil {
@@ -181,12 +181,22 @@
 	return max(0, highestPriority-max(0, g.trace.route.Priority))
 }
 
-// prefill gets a pair of engines and has the prompt read.
-func (g *generation) prefill(ctx context.Context) (KV, time.Duration, *verdict.Error) {
-	f := g.f
+// begin gets engines and has the prompt read, unless the decode engine is to
+// read it.
+func (g *generation) begin(ctx context.Context) (KV, time.Duration, *verdict.Error) {
 	if err := g.pair(ctx, false); err != nil {
 		return KV{}, 0, err
 	}
+	if g.grant.Prefill == "" {
+		g.trace.prefill = g.grant.Decode
+		return KV{}, g.f.Now(), nil
+	}
+	return g.prefill(ctx)
+}
+
+// prefill has the prompt read.
+func (g *generation) prefill(ctx context.Context) (KV, time.Duration, *verdict.Error) {
+	f := g.f
 	engine, ok := f.View().Endpoints[g.grant.Prefill]
 	if !ok {
 		return KV{}, 0, g.missing(g.grant.Prefill)
@@ -250,7 +260,7 @@
 // mayDecodeElsewhere says whether the same KV cache may go to another engine.
 func (g *generation) mayDecodeElsewhere(ctx context.Context, err *verdict.Error, readAt time.Duration) bool {
 	life := time.Duration(kvShare * float64(g.service.Engine.HandleLife))
-	if ctx.Err() != nil || err.Code == verdict.CodeKVGone || g.f.Now()-readAt >= life {
+	if ctx.Err() != nil || g.grant.Prefill == "" || err.Code == verdict.CodeKVGone || g.f.Now()-readAt >= life {
 		return false
 	}
 	return err.Code == verdict.CodeUnavailable || g.f.repeat(g.service.Name)
--- a/daemon/forward/types.go
+++ b/daemon/forward/types.go
@@ -114,7 +114,8 @@
 	Call(ctx context.Context, a *Attempt) (*Reply, *verdict.Error)
 	// Prefill has the prompt read. It never runs the request.
 	Prefill(ctx context.Context, a *Attempt) (KV, *verdict.Error)
-	// Decode runs a generation whose prompt was read.
+	// Decode runs a generation. Without a KV cache the engine reads the prompt
+	// itself.
 	Decode(ctx context.Context, a *Attempt, kv KV) (*Opened, *verdict.Error)
 	// Free drops a KV cache that nobody will use.
 	Free(ctx context.Context, e registry.Endpoint, kv KV)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -189,6 +189,8 @@
 			Slack:  d.set.Bounds.RepeatSlack,
 			Safety: repeatSafety,
 		},
+		Stale:   func() bool { return d.configs.Lost() },
+		TooLate: d.tooLate,
 		Daemons: d.daemons,
 		Log:     d.logger.Event,
 		Metrics: d.metrics,
--- a/daemon/gateway/settings.go
+++ b/daemon/gateway/settings.go
@@ -74,9 +74,9 @@
 
 const (
 	// preferredLifetime of an entry answer: short enough that callers who keep
-	// one three times as long are gone before a planned stop ends, long enough
-	// that asking costs less than the requests do.
-	preferredLifetime = 2 * time.Second
+	// one three times as long are gone while a stopping daemon has time left for
+	// whole streams, long enough that asking costs less than the requests do.
+	preferredLifetime = 900 * time.Millisecond
 	// keptTimes is how many lifetimes some callers keep an answer.
 	keptTimes = 3
 	// stopMargin of the grace is left for the end of the process.
--- a/daemon/gateway/stop.go
+++ b/daemon/gateway/stop.go
@@ -15,14 +15,18 @@
 	stopSpread = 500 * time.Millisecond
 	// stopQuiet is how long no new caller must have come.
 	stopQuiet = 300 * time.Millisecond
+	// lateAfter is how long after the beginning of a planned stop a stream is
+	// refused: one that came later might not end before the process must.
+	lateAfter = 2800 * time.Millisecond
 	// shutdownTimeout bounds the closing of servers that have nothing to do.
 	shutdownTimeout = 300 * time.Millisecond
 )
 
 // stop is a planned stop under way.
 type stop struct {
-	mu   sync.Mutex
-	plan *entry.StopPlan
+	began time.Duration
+	mu    sync.Mutex
+	plan  *entry.StopPlan
 }
 
 func (s *stop) named(now time.Duration) {
@@ -43,6 +47,13 @@
 	return s.plan.MayClose(now, inFlight)
 }
 
+// tooLate says whether a planned stop has gone on for so long that a stream may
+// not end before the process must.
+func (d *Daemon) tooLate() bool {
+	s := d.stopping.Load()
+	return s != nil && d.now()-s.began >= lateAfter
+}
+
 // noteCaller tells the plan of a planned stop that a caller still came.
 func (d *Daemon) noteCaller() {
 	if s := d.stopping.Load(); s != nil {
@@ -60,7 +71,8 @@
 		Quiet:    stopQuiet,
 		Limit:    seconds(d.set.Bounds.GraceS) - stopMargin,
 	}
-	s := &stop{plan: entry.NewStopPlan(cfg, d.now())}
+	now := d.now()
+	s := &stop{began: now, plan: entry.NewStopPlan(cfg, now)}
 	if !d.stopping.CompareAndSwap(nil, s) {
 		return
 	}
