--- a/cmd/internal/cli/daemoncmd/platform.go
+++ b/cmd/internal/cli/daemoncmd/platform.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// settingsVariable holds the path of the settings that the platform renders.
-	settingsVariable = "SAMPHIREQUAY_NODE_FILE"
 	// memoryShare of the process's bound is the runtime's own limit: beyond it
 	// the collector works harder rather than let the process be killed.
 	memoryShare = 0.6
@@ -38,7 +36,7 @@
 		Short: "Run a daemon on the users' platform",
 		Long: `Runs a daemon on the users' platform: what is configured and which endpoints there
 are is read from the platform's store. The settings are those that the platform
-renders from deploy/settings.json.tmpl; their path is in ` + settingsVariable + `.
+renders from deploy/settings.json.tmpl; their path is in ` + platform.SettingsVariable + `.
 
 SIGTERM or an interrupt begins a planned stop; a second one ends the process at
 once. SIGHUP has the settings read and checked again.`,
@@ -46,10 +44,10 @@
 		Args:    common.Args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if path == "" {
-				path = os.Getenv(settingsVariable)
+				path = os.Getenv(platform.SettingsVariable)
 			}
 			if path == "" {
-				return exit.Errorf(exit.Usage, "--settings FILE is missing, and %s is not set", settingsVariable)
+				return exit.Errorf(exit.Usage, "--settings FILE is missing, and %s is not set", platform.SettingsVariable)
 			}
 			s, faults := gateway.Load(path)
 			if err := report(cmd.ErrOrStderr(), faults); err != nil {
@@ -62,7 +60,7 @@
 			return runPlatform(cmd, s, path)
 		},
 	}
-	cmd.Flags().StringVar(&path, "settings", "", "file with the settings, JSON with comments; default: $"+settingsVariable)
+	cmd.Flags().StringVar(&path, "settings", "", "file with the settings, JSON with comments; default: $"+platform.SettingsVariable)
 	cmd.Flags().BoolVar(&check, "check", false, "check the settings and end")
 	return cmd
 }
--- a/core/member/config.go
+++ b/core/member/config.go
@@ -22,6 +22,14 @@
 	// SuspectAfter and DeadAfter are how long a daemon may be silent.
 	SuspectAfter time.Duration
 	DeadAfter    time.Duration
+	// WatchedPeriod, WatchedSuspect and WatchedDead take the place of Period,
+	// SuspectAfter and DeadAfter for daemons that others wait for, such as the
+	// owners of pools: their silence must be noticed sooner, and it would cost
+	// too much to have all daemons send that often. Mesh only; zero for no
+	// difference.
+	WatchedPeriod  time.Duration
+	WatchedSuspect time.Duration
+	WatchedDead    time.Duration
 	// PartitionedFor is how long a silent daemon may stay partitioned before
 	// it is dead after all.
 	PartitionedFor time.Duration
--- a/core/member/judge.go
+++ b/core/member/judge.go
@@ -23,7 +23,7 @@
 	if m.cfg.Mode == Partial {
 		return p.entry.State == Suspect || p.entry.State == Partitioned
 	}
-	return now-p.heard >= m.cfg.SuspectAfter
+	return now-p.heard >= m.suspectAfter(p)
 }
 
 // judgeSelf finds out whether this daemon has lost most of the fleet at once.
@@ -69,14 +69,14 @@
 		return
 	}
 	silence := now - p.heard
-	if silence < m.cfg.SuspectAfter {
+	if silence < m.suspectAfter(p) {
 		return
 	}
 	if p.entry.State == Alive {
 		m.set(now, p, Suspect, "silent")
 	}
 	m.askAbout(now, p)
-	if silence >= m.cfg.DeadAfter {
+	if silence >= m.deadAfter(p) {
 		m.giveUp(now, p)
 	}
 }
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -89,6 +89,8 @@
 	Revision uint64
 	InFlight int
 	Settings uint64
+	// Watched is set while other daemons wait for this one.
+	Watched bool
 }
 
 // SetLocal sets what the next messages say.
@@ -96,6 +98,7 @@
 	m.self.Revision = l.Revision
 	m.self.InFlight = l.InFlight
 	m.self.Settings = l.Settings
+	m.self.Watched = l.Watched && m.cfg.WatchedPeriod > 0
 }
 
 // Leave says that this daemon stops soon.
@@ -142,7 +145,7 @@
 func (m *Membership) Tick(now time.Duration) []Action {
 	m.noteStall(now)
 	if now >= m.due {
-		m.due = now + m.cfg.Period
+		m.due = now + m.ownPeriod()
 		m.self.Beat++
 		m.dropRelays(now)
 		m.period(now)
@@ -154,6 +157,37 @@
 	return m.flush()
 }
 
+// ownPeriod is the time until this daemon's next heartbeats.
+func (m *Membership) ownPeriod() time.Duration {
+	if m.self.Watched {
+		return m.cfg.WatchedPeriod
+	}
+	return m.cfg.Period
+}
+
+// ownDeadAfter is after what silence others take this daemon for dead.
+func (m *Membership) ownDeadAfter() time.Duration {
+	if m.self.Watched && m.cfg.WatchedDead > 0 {
+		return m.cfg.WatchedDead
+	}
+	return m.cfg.DeadAfter
+}
+
+// suspectAfter and deadAfter are how long a peer may be silent.
+func (m *Membership) suspectAfter(p *peer) time.Duration {
+	if p.entry.Watched && m.cfg.WatchedSuspect > 0 {
+		return m.cfg.WatchedSuspect
+	}
+	return m.cfg.SuspectAfter
+}
+
+func (m *Membership) deadAfter(p *peer) time.Duration {
+	if p.entry.Watched && m.cfg.WatchedDead > 0 {
+		return m.cfg.WatchedDead
+	}
+	return m.cfg.DeadAfter
+}
+
 func (m *Membership) period(now time.Duration) {
 	if m.cfg.Mode == Partial {
 		m.syncNext(now)
@@ -182,7 +216,7 @@
 	}
 	m.partial.shift(late)
 	m.emit(Action{Stalled: &Stalled{Late: late}})
-	if late+2*m.cfg.Period >= m.cfg.DeadAfter {
+	if late+2*m.ownPeriod() >= m.ownDeadAfter() {
 		m.halt(m.self.Process.Daemon, false)
 	}
 }
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -250,3 +251,35 @@
 		}
 	}
 }
+
+// TestTheSilenceOfAWatchedDaemonIsNoticedSooner: it sends more often, and is
+// suspected by its own time limits, not by those of the others.
+func TestTheSilenceOfAWatchedDaemonIsNoticedSooner(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig(Mesh)
+	cfg.WatchedPeriod = 100 * time.Millisecond
+	cfg.WatchedSuspect = 300 * time.Millisecond
+	cfg.WatchedDead = 900 * time.Millisecond
+	rng := rand.New(rand.NewPCG(1, 1))
+	m := New(cfg, Entry{Process: id.Process{Daemon: "a", Incarnation: 1}}, 0, rng)
+	for _, name := range []id.Daemon{"b", "c", "d", "e"} {
+		e := Entry{Process: id.Process{Daemon: name, Incarnation: 1}, State: Alive, Watched: name == "b"}
+		m.Receive(0, Message{Kind: Heartbeat, From: e})
+	}
+	at := func(now time.Duration, name id.Daemon) State {
+		m.due = now // no lateness is seen
+		m.Tick(now)
+		e, ok := m.Get(name)
+		is.True(ok)
+		return e.State
+	}
+	is.Equal(at(299*time.Millisecond, "b"), Alive)
+	is.Equal(at(300*time.Millisecond, "b"), Suspect)
+	is.Equal(at(300*time.Millisecond, "c"), Alive)
+	is.Equal(at(900*time.Millisecond, "b"), Dead)
+	is.Equal(at(999*time.Millisecond, "c"), Alive)
+	m.SetLocal(Local{Watched: true})
+	next := m.Next()
+	m.Tick(next)
+	is.Equal(m.Next(), next+cfg.WatchedPeriod)
+}
--- a/core/member/messages.go
+++ b/core/member/messages.go
@@ -70,6 +70,8 @@
 	Settings uint64 `cbor:"9,keyasint,omitempty"`
 	// CallerAddress is the address that callers are told.
 	CallerAddress string `cbor:"10,keyasint,omitempty"`
+	// Watched says that others wait for the daemon; it sends more often.
+	Watched bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Kind is the kind of a Message.
--- /dev/null
+++ b/daemon/feed/feed_test.go
@@ -0,0 +1,189 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/samphirequay/samphirequay/core/revision/table"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// testBound ends a test that would wait for ever; no verdict depends on it.
+const testBound = 30 * time.Second
+
+// source is a Source whose answers a test hands in, one for each call.
+type source struct {
+	reads   chan func() (Snapshot, error)
+	changes chan func() (Delta, error)
+	mu      sync.Mutex
+	waits   []time.Duration
+}
+
+func newSource() *source {
+	return &source{reads: make(chan func() (Snapshot, error)), changes: make(chan func() (Delta, error))}
+}
+
+// Read implements Source.
+func (s *source) Read(ctx context.Context, _ string) (Snapshot, error) {
+	select {
+	case f := <-s.reads:
+		return f()
+	case <-ctx.Done():
+		return Snapshot{}, ctx.Err()
+	}
+}
+
+// Changes implements Source.
+func (s *source) Changes(ctx context.Context, _ string, _ uint64, wait time.Duration) (Delta, error) {
+	s.mu.Lock()
+	s.waits = append(s.waits, wait)
+	s.mu.Unlock()
+	select {
+	case f := <-s.changes:
+		return f()
+	case <-ctx.Done():
+		return Delta{}, ctx.Err()
+	}
+}
+
+func (s *source) lastWait() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waits[len(s.waits)-1]
+}
+
+// followed is a Follower whose callbacks a test reads.
+type followed struct {
+	*Follower
+	states chan State
+	lost   chan error
+	back   chan struct{}
+}
+
+func follow(t *testing.T, s *source) *followed {
+	t.Helper()
+	f := &followed{states: make(chan State, 16), lost: make(chan error, 16), back: make(chan struct{}, 16)}
+	f.Follower = Start(Config{
+		Name: "t", Source: s, Wait: testBound, Retry: time.Millisecond,
+		Changed: func(s State) { f.states <- s },
+		Lost:    func(err error) { f.lost <- err },
+		Back:    func() { f.back <- struct{}{} },
+		Rand:    rand.New(rand.NewPCG(1, 1)),
+	})
+	t.Cleanup(f.Close)
+	return f
+}
+
+func row(key string, version uint64) table.Row {
+	return table.Row{Key: key, Value: []byte(key), Version: version}
+}
+
+func read(position uint64, rows ...table.Row) func() (Snapshot, error) {
+	return func() (Snapshot, error) { return Snapshot{Rows: rows, Position: position}, nil }
+}
+
+func next[T any](t *testing.T, from chan T) T {
+	t.Helper()
+	select {
+	case v := <-from:
+		return v
+	case <-time.After(testBound):
+		t.Fatal("nothing came")
+		panic("unreachable")
+	}
+}
+
+func give[T any](t *testing.T, to chan T, v T) {
+	t.Helper()
+	select {
+	case to <- v:
+	case <-time.After(testBound):
+		t.Fatal("nobody asked")
+	}
+}
+
+func keys(s State) map[string]uint64 {
+	out := map[string]uint64{}
+	for _, r := range s.Rows {
+		out[r.Key] = r.Version
+	}
+	return out
+}
+
+func TestATableIsReadOnceAndThenFollowed(t *testing.T) {
+	is := is.New(t)
+	s := newSource()
+	f := follow(t, s)
+	give(t, s.reads, read(9, row("a", 3), row("b", 5)))
+	is.Equal(keys(next(t, f.states)), map[string]uint64{"a": 3, "b": 5})
+	give(t, s.changes, func() (Delta, error) {
+		return Delta{Position: 12, Changes: []Change{{Row: row("a", 11)}, {Row: row("b", 12), Removed: true}}}, nil
+	})
+	got := next(t, f.states)
+	is.Equal(keys(got), map[string]uint64{"a": 11})
+	is.Equal(got.Version, uint64(12)) // a removal counts
+	is.True(s.lastWait() >= testBound/2)
+}
+
+func TestForgottenChangesHaveTheTableReadAgain(t *testing.T) {
+	is := is.New(t)
+	s := newSource()
+	f := follow(t, s)
+	give(t, s.reads, read(9, row("a", 3)))
+	next(t, f.states)
+	give(t, s.changes, func() (Delta, error) { return Delta{}, ErrHistoryGone })
+	give(t, s.reads, read(20, row("b", 15)))
+	is.Equal(keys(next(t, f.states)), map[string]uint64{"b": 15})
+	is.Equal(len(f.lost), 0)
+}
+
+// TestALostStoreIsAskedByShortCalls: one long call that hangs would hide the
+// store's return.
+func TestALostStoreIsAskedByShortCalls(t *testing.T) {
+	is := is.New(t)
+	s := newSource()
+	f := follow(t, s)
+	give(t, s.reads, read(9, row("a", 3)))
+	next(t, f.states)
+	give(t, s.changes, func() (Delta, error) { return Delta{}, errors.New("away") })
+	is.Equal(next(t, f.lost).Error(), "away")
+	give(t, s.changes, func() (Delta, error) { return Delta{}, errors.New("still away") })
+	is.Equal(s.lastWait(), time.Duration(0))
+	give(t, s.changes, func() (Delta, error) { return Delta{Position: 9}, nil })
+	next(t, f.back)
+	is.Equal(len(f.lost), 0) // told once
+}
+
+func TestWhatAnotherDaemonKnowsIsAdoptedIfItIsNewer(t *testing.T) {
+	is := is.New(t)
+	s := newSource()
+	f := follow(t, s)
+	give(t, s.reads, read(9, row("a", 3)))
+	next(t, f.states)
+	is.True(!f.Adopt(State{Name: "t", Rows: []table.Row{row("old", 3)}, Position: 30, Version: 3}))
+	is.True(f.Adopt(State{Name: "t", Rows: []table.Row{row("b", 21)}, Position: 25, Version: 21}))
+	is.Equal(keys(next(t, f.states)), map[string]uint64{"b": 21})
+	// The following goes on behind what was adopted.
+	give(t, s.changes, func() (Delta, error) { return Delta{Position: 26, Changes: []Change{{Row: row("c", 26)}}}, nil })
+	is.Equal(keys(next(t, f.states)), map[string]uint64{"b": 21, "c": 26})
+}
+
+func TestARefreshReadsTheTableThoughACallHangs(t *testing.T) {
+	is := is.New(t)
+	s := newSource()
+	f := follow(t, s)
+	give(t, s.reads, read(9, row("a", 3)))
+	next(t, f.states)
+	f.Refresh()
+	give(t, s.reads, read(10, row("a", 10)))
+	is.Equal(keys(next(t, f.states)), map[string]uint64{"a": 10})
+	is.Equal(len(f.lost), 0)
+}
--- a/daemon/gateway/enroll.go
+++ b/daemon/gateway/enroll.go
@@ -193,11 +193,13 @@
 		Sender:   memberSender{f},
 		Listener: fleetListener{d, f},
 		Metrics:  d.metrics,
-		Local:    func() member.Local { return member.Local{Revision: d.revision(), InFlight: int(d.inFlight.Load())} },
-		Log:      d.logger.Event,
-		Now:      d.now,
-		Rand:     d.newRand(),
-		Ready:    wired,
+		Local: func() member.Local {
+			return member.Local{Revision: d.revision(), InFlight: int(d.inFlight.Load()), Watched: f.owner.Load()}
+		},
+		Log:   d.logger.Event,
+		Now:   d.now,
+		Rand:  d.newRand(),
+		Ready: wired,
 	})
 	f.orderer = startOrderer(d, f, work, wired)
 	f.hosts = feed.Start(d.hostsConfig(f))
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -132,6 +132,8 @@
 	broker    *broker.Broker
 	hosts     *feed.Follower
 	orderer   *orderer
+	// owner is set while this daemon owns a pool.
+	owner atomic.Bool
 }
 
 // New provisions a daemon. Nothing listens yet.
@@ -222,7 +224,7 @@
 // Start listens, follows the store's tables and joins the fleet. An address in
 // use is an error that names it; nothing is left running then.
 func (d *Daemon) Start() error {
-	d.watcher = hangup.New(hangup.DefaultInterval)
+	d.watcher = hangup.New(4 * hangup.DefaultInterval)
 	if err := d.serve(); err != nil {
 		d.closeListeners()
 		d.watcher.Close()
--- a/daemon/gateway/knowledge.go
+++ b/daemon/gateway/knowledge.go
@@ -20,7 +20,7 @@
 	// feedRetry bounds the pause after a failed call to the store.
 	feedRetry = 400 * time.Millisecond
 	// registryLook is how often lapsed entries of the registry are looked at.
-	registryLook = 100 * time.Millisecond
+	registryLook = 400 * time.Millisecond
 )
 
 // knowledge is what the daemon has learnt from the store's tables.
--- a/daemon/gateway/orderer.go
+++ b/daemon/gateway/orderer.go
@@ -19,7 +19,7 @@
 
 const (
 	// rolesLook is how often the demand of the owned pools is looked at.
-	rolesLook = 200 * time.Millisecond
+	rolesLook = 500 * time.Millisecond
 	// rolesStart is how long a pool must have had the same engines before an
 	// order: when the fleet starts, or the store returns, endpoints register
 	// over two heartbeats of theirs.
@@ -169,6 +169,7 @@
 			owned[name] = true
 		}
 	}
+	o.f.owner.Store(len(owned) > 0)
 	for name := range o.pools {
 		if !owned[name] {
 			delete(o.pools, name)
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -43,13 +43,17 @@
 type tablesQuery struct{}
 
 const (
-	// memberPeriod, memberSuspect and memberDead set the heartbeats: a pool
-	// whose owner is silent gets no grants, so that silence is noticed well
-	// within the time that callers wait for a first event.
-	memberPeriod  = 120 * time.Millisecond
-	memberSuspect = 390 * time.Millisecond
-	memberDead    = 1500 * time.Millisecond
-	memberStall   = 400 * time.Millisecond
+	// memberPeriod, memberSuspect and memberDead set the heartbeats.
+	memberPeriod  = 400 * time.Millisecond
+	memberSuspect = 1300 * time.Millisecond
+	memberDead    = 2500 * time.Millisecond
+	memberStall   = 600 * time.Millisecond
+	// watchedPeriod, watchedSuspect and watchedDead are those of the owners of
+	// pools: a pool whose owner is silent gets no grants, so that its silence
+	// is noticed well within the time that callers wait for a first event.
+	watchedPeriod  = 120 * time.Millisecond
+	watchedSuspect = 390 * time.Millisecond
+	watchedDead    = 1500 * time.Millisecond
 	// goneGrace is how long a dead daemon's grants stay reserved: its engines
 	// notice its end by then.
 	goneGrace = time.Second
@@ -75,6 +79,9 @@
 	cfg.SuspectAfter = memberSuspect
 	cfg.DeadAfter = memberDead
 	cfg.StallAfter = memberStall
+	cfg.WatchedPeriod = watchedPeriod
+	cfg.WatchedSuspect = watchedSuspect
+	cfg.WatchedDead = watchedDead
 	return cfg
 }
 
