--- a/cmd/internal/cli/configcmd/meanings.go
+++ b/cmd/internal/cli/configcmd/meanings.go
@@ -38,6 +38,7 @@
 	"endpoint.address":                   "host:port, by IP number",
 	"endpoint.domain":                    "failure domain",
 	"endpoint.slots":                     "requests that a decode engine holds at once, or calls of a plain endpoint",
+	"endpoint.kv_tokens":                 "an engine's memory for KV cache, in tokens; 0: not known, slots alone bound what it holds",
 	"endpoint.prefill_tokens_per_second": "first estimate of the prefill rate; reports correct it",
 	"endpoint.decode_token_ms":           "first estimate of the time of one output token, in milliseconds",
 	"endpoint.checks_fencing":            "the endpoint refuses orders with an old fencing number",
--- a/cmd/internal/cli/fleetcmd/explain.go
+++ b/cmd/internal/cli/fleetcmd/explain.go
@@ -17,13 +17,19 @@
 
 // Explain returns the command that shows the decisions about one thing.
 func Explain(opts *common.Options) *cobra.Command {
+	var logs string
 	cmd := &cobra.Command{
 		Use:   "explain request|endpoint|placement|change ID",
 		Short: "Show the recorded decisions about one thing",
 		Long: `Show, oldest first, the decisions that were recorded about a request (by the
 id in the Samphirequay-Request header), an endpoint, the placement of an
-endpoint, or a change.`,
+endpoint, or a change.
+
+With --logs, a request is explained from the daemons' log lines in a file, in
+all files under a folder, or on standard input (-): what several daemons wrote
+about it, what became of its endpoints, and where the logs are silent.`,
 		Example: `  samphirequay explain request 01J9ZQ4T5X3M8C0V7B2N6K1D4F
+  samphirequay explain request 9c41d07be2a35f68 --logs /var/log/samphirequay
   samphirequay explain placement summariser-03`,
 		ValidArgs: explainable,
 		Args:      common.Args(cobra.ExactArgs(2)),
@@ -31,6 +37,9 @@
 			if !slices.Contains(explainable, args[0]) {
 				return exit.Errorf(exit.Usage, "can't explain %q: known are %s", args[0], strings.Join(explainable, ", "))
 			}
+			if logs != "" {
+				return explainLogs(cmd, opts, args, logs)
+			}
 			client, err := opts.Client()
 			if err != nil {
 				return err
@@ -49,6 +58,7 @@
 			return output.Print(cmd.OutOrStdout(), opts.Output, e, rows)
 		},
 	}
+	cmd.Flags().StringVar(&logs, "logs", "", "explain a request from log lines: a file, a folder, or - for standard input")
 	opts.ConnectionFlags(cmd.Flags())
 	return cmd
 }
--- /dev/null
+++ b/cmd/internal/logstory/story_test.go
@@ -0,0 +1,79 @@
+package logstory
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const city = `2.1 city ts=2026-01-02T03:04:05.1Z daemon=city level=info event=granted request=a pairing=1 prefill=i-1 decode=i-2 owner=port#1
+ts=2026-01-02T03:04:05.6Z daemon=city level=info event=attempt_failed request=a step=decode endpoint=i-2 code=endpoint_failed why="the exchange broke"
+ts=2026-01-02T03:04:05.7Z daemon=city level=info event=request request=a service=s outcome=endpoint_failed status=0 took=700ms why="endpoint_failed (may-have-run): the exchange broke" reason="it may not run again"
+ts=2026-01-02T03:04:06Z daemon=city level=info event=granted request=b pairing=1 prefill=i-1 decode=i-2
+ts=2026-01-02T03:04:07Z daemon=city level=info event=daemon_started
+ts=2026-01-02T03:04:0
+`
+
+const port = `ts=2026-01-02T03:04:05.3Z daemon=port level=info event=endpoint_gone endpoint=i-2 service=s
+ts=2026-01-02T03:04:05.2Z daemon=port level=info event=pool_state pool=s queued=7
+ts=2026-01-02T03:04:05.2Z daemon=port level=info event=endpoint_gone endpoint=i-9 service=s
+ts=2026-01-02T03:05:05.3Z daemon=port level=info event=health_changed endpoint=i-2 state=ejected
+`
+
+func logs(t *testing.T) *Logs {
+	t.Helper()
+	dir := t.TempDir()
+	for name, text := range map[string]string{"city.log": city, "port.log": port} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var l Logs
+	if err := l.ReadPath(dir, nil); err != nil {
+		t.Fatal(err)
+	}
+	return &l
+}
+
+func events(lines []Line) string {
+	var out []string
+	for _, l := range lines {
+		out = append(out, l.Event)
+	}
+	return strings.Join(out, " ")
+}
+
+func TestTheLinesOfSeveralDaemonsAreOneStory(t *testing.T) {
+	is := is.New(t)
+	l := logs(t)
+	is.Equal(l.Unreadable, 1) // the cut line
+	s, err := l.Tell("a")
+	is.NoErr(err)
+	is.Equal(events(s.Own), "granted attempt_failed request")
+	is.Equal(events(s.Beside), "pool_state endpoint_gone")
+	is.Equal(s.Cause, "endpoint_failed after 700ms at city: endpoint_failed (may-have-run): the exchange broke; not tried again: it may not run again")
+	is.Equal(len(s.Silent), 0)
+}
+
+func TestAnEndThatIsNotLoggedIsSaid(t *testing.T) {
+	is := is.New(t)
+	s, err := logs(t).Tell("b")
+	is.NoErr(err)
+	is.Equal(s.Cause, "its end is not logged; the last line is granted of city")
+	is.Equal(s.Silent, []string{"city was started anew at 2026-01-02T03:04:07Z: its former process ended without a word"})
+}
+
+func TestAnUnknownRequestIsAnError(t *testing.T) {
+	is := is.New(t)
+	_, err := logs(t).Tell("nobody")
+	is.True(errors.Is(err, ErrUnknown))
+	var none Logs
+	is.True(none.ReadPath(t.TempDir(), nil) != nil)
+	is.NoErr(none.ReadPath("-", strings.NewReader(city)))
+	_, err = none.Tell("a")
+	is.NoErr(err)
+}
--- a/daemon/forward/call.go
+++ b/daemon/forward/call.go
@@ -117,7 +117,7 @@
 	f.Balancer.Done(f.Now(), e.Name, took, outcomeOf(reply, err))
 	f.mu.Unlock()
 	if err != nil {
-		f.Log("attempt_failed", "request", r.ID, "attempt", t.attempts, "endpoint", e.Name, "took", took,
+		f.Log.Event("attempt_failed", "request", r.ID, "attempt", t.attempts, "endpoint", e.Name, "took", took,
 			"verdict", err.Verdict, "code", err.Code, "why", err.Error())
 	}
 	return reply, err
--- a/daemon/forward/forward.go
+++ b/daemon/forward/forward.go
@@ -198,5 +198,9 @@
 	}
 	kv = append(kv, "outcome", outcome, "status", status, "took", took, "reason", t.reason)
 	f.stats.ended(outcome, took)
-	f.Log("request", kv...)
+	if err == nil && !reply.Failed() {
+		f.Log.Routine("request", kv...)
+		return
+	}
+	f.Log.Event("request", kv...)
 }
--- a/daemon/forward/relay.go
+++ b/daemon/forward/relay.go
@@ -109,7 +109,7 @@
 	}
 	s.opened.Events = opened.Events
 	s.f.stats.resumed.Inc()
-	s.f.Log("stream_resumed", "request", s.request.ID, "behind", s.last, "endpoint", s.trace.endpoint)
+	s.f.Log.Event("stream_resumed", "request", s.request.ID, "behind", s.last, "endpoint", s.trace.endpoint)
 	return nil
 }
 
@@ -198,7 +198,7 @@
 		return
 	}
 	s.avoid = append(s.avoid, s.trace.endpoint)
-	s.f.Log("stream_broke", "request", s.request.ID, "endpoint", s.trace.endpoint, "behind", s.last, "why", cause)
+	s.f.Log.Event("stream_broke", "request", s.request.ID, "endpoint", s.trace.endpoint, "behind", s.last, "why", cause)
 	s.progress(sched.Progress{Phase: sched.PhaseFailed, Endpoint: s.trace.endpoint})
 	s.grant = sched.Grant{}
 }
--- a/daemon/forward/stream.go
+++ b/daemon/forward/stream.go
@@ -160,7 +160,7 @@
 	now := f.Now()
 	f.stats.waited.Record(now - r.Arrived - age)
 	g.trace.waited += now - r.Arrived - age
-	f.Log("granted", "request", r.ID, "pairing", g.pairings, "prefill", grant.Prefill, "decode", grant.Decode,
+	f.Log.Routine("granted", "request", r.ID, "pairing", g.pairings, "prefill", grant.Prefill, "decode", grant.Decode,
 		"owner", grant.Owner, "reservation", grant.Reservation, "reason", grant.Reason)
 	return nil
 }
@@ -322,7 +322,7 @@
 // failed tells the pool's owner, and the log, that an engine failed.
 func (g *generation) failed(e registry.Endpoint, err *verdict.Error, what string, took time.Duration) {
 	g.avoid = append(g.avoid, e.Name)
-	g.f.Log("attempt_failed", "request", g.request.ID, "pairing", g.pairings, "step", what, "endpoint", e.Name,
+	g.f.Log.Event("attempt_failed", "request", g.request.ID, "pairing", g.pairings, "step", what, "endpoint", e.Name,
 		"took", took, "verdict", err.Verdict, "code", err.Code, "why", err.Error())
 	p := sched.Progress{Phase: sched.PhaseFailed, Endpoint: e.Name}
 	switch err.Code {
@@ -350,7 +350,7 @@
 	if !ok {
 		return
 	}
-	f.Log("prefill_wasted", "request", g.request.ID, "endpoint", engine.Name, "tokens", kv.Tokens)
+	f.Log.Event("prefill_wasted", "request", g.request.ID, "endpoint", engine.Name, "tokens", kv.Tokens)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), freeLimit)
 		defer cancel()
--- a/daemon/forward/types.go
+++ b/daemon/forward/types.go
@@ -140,5 +140,9 @@
 	Lapsed int
 }
 
-// Log takes one line an event.
-type Log func(event string, kv ...any)
+// Log takes one line an event. Routine lines tell of what went as it should:
+// they are the first to go when the log falls behind.
+type Log interface {
+	Event(event string, kv ...any)
+	Routine(event string, kv ...any)
+}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -194,7 +194,7 @@
 		Stale:   func() bool { return d.configs.Lost() },
 		TooLate: d.tooLate,
 		Daemons: d.daemons,
-		Log:     d.logger.Event,
+		Log:     d.logger,
 		Metrics: d.metrics,
 		Now:     d.now,
 	})
--- a/daemon/logline/logline.go
+++ b/daemon/logline/logline.go
@@ -54,6 +54,8 @@
 	output  io.Writer
 	encoder log.Logger
 	now     func() time.Time
+	// routine counts the routine lines that were left out.
+	routine *metrics.Counter
 
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -80,6 +82,9 @@
 		cancel: cancel,
 		done:   make(chan struct{}),
 	}
+	if cfg.Registry != nil {
+		l.routine = cfg.Registry.Counter("log_routine_dropped", metrics.UnitCount, "Routine lines left out because the log fell behind.")
+	}
 	encoder := log.With(log.NewLogfmtLogger(ringWriter{l.lines}), "ts", log.Valuer(l.timestamp), "daemon", cfg.Daemon)
 	l.encoder = level.NewFilter(encoder, allowed)
 	go l.write(ctx)
@@ -106,6 +111,21 @@
 // Event writes one line at level info: the event's name, then the pairs.
 func (l *Logger) Event(name string, kv ...any) { emit(level.Info(l.encoder), name, kv) }
 
+// routineShare of the ring is open to routine lines: when the log falls behind,
+// they go first, and the lines that explain failures still find room.
+const routineShare = 2
+
+// Routine is Event for lines that tell of what went as it should.
+func (l *Logger) Routine(name string, kv ...any) {
+	if l.lines.Len() > l.lines.Cap()/routineShare {
+		if l.routine != nil {
+			l.routine.Inc()
+		}
+		return
+	}
+	l.Event(name, kv...)
+}
+
 // Debug writes one line at level debug.
 func (l *Logger) Debug(name string, kv ...any) { emit(level.Debug(l.encoder), name, kv) }
 
--- a/daemon/logline/logline_test.go
+++ b/daemon/logline/logline_test.go
@@ -128,3 +128,25 @@
 	_, err = NewJournal(MaxDecisionsPerID - 1)
 	is.True(err != nil)
 }
+
+// TestRoutineLinesGoFirst: behind a stuck output half of the ring stays for the
+// lines that explain failures.
+func TestRoutineLinesGoFirst(t *testing.T) {
+	is := is.New(t)
+	out := &stuck{entered: make(chan struct{}), release: make(chan struct{})}
+	registry := metrics.New("kuryk-1")
+	l := newLogger(t, Config{Output: out, RingSize: 8, Registry: registry})
+	l.Event("first")
+	<-out.entered
+	for range 20 {
+		l.Routine("answered")
+	}
+	for range 3 {
+		l.Event("failed")
+	}
+	is.Equal(l.Dropped(), uint64(0))
+	is.Equal(registry.Counter("log_routine_dropped", metrics.UnitCount, "").Value(), int64(15))
+	close(out.release)
+	l.Close()
+	is.Equal(out.lines, 9) // the first, five routine ones, three failures
+}
