--- a/core/roles/roles.go
+++ b/core/roles/roles.go
@@ -123,7 +123,7 @@
 // Wanted is the number of prefill engines among n that the work asks for.
 func (d *Decider) Wanted(n int) float64 {
 	share := d.cfg.FirstShare
-	if d.measured() {
+	if d.Measured() {
 		prefill := d.cfg.PrefillHeadroom * d.prefill
 		share = prefill / (prefill + d.decode)
 	}
@@ -161,7 +161,7 @@
 // hysteresis is by how many engines the division must be off: once work is
 // measured, more than before there is any.
 func (d *Decider) hysteresis() float64 {
-	if d.measured() {
+	if d.Measured() {
 		return d.cfg.Hysteresis
 	}
 	return firstHysteresis
@@ -170,8 +170,8 @@
 // firstHysteresis rounds the first division to whole engines.
 const firstHysteresis = 0.5
 
-// measured says whether enough work was seen.
-func (d *Decider) measured() bool { return d.prefill >= d.cfg.EnoughWork.Seconds() && d.decode > 0 }
+// Measured says whether enough work was seen for the division to follow it.
+func (d *Decider) Measured() bool { return d.prefill >= d.cfg.EnoughWork.Seconds() && d.decode > 0 }
 
 // division counts the engines of each role. A drained one is on its way to the
 // other role.
--- a/daemon/gateway/orderer.go
+++ b/daemon/gateway/orderer.go
@@ -24,6 +24,8 @@
 	// order: when the fleet starts, or the store returns, endpoints register
 	// over two heartbeats of theirs.
 	rolesStart = 2500 * time.Millisecond
+	// rolesSettle is that time once work was measured.
+	rolesSettle = 400 * time.Millisecond
 	// orderTimeout bounds an order, and the report before it.
 	orderTimeout = 800 * time.Millisecond
 	// drainFor is how long an engine may go on with its work before the order
@@ -196,7 +198,7 @@
 	o.logState(now, name, p, demand)
 	if n := len(demand.Prefills) + len(demand.Decodes); n != p.engines {
 		p.engines = n
-		p.settledAt = now + rolesStart
+		p.settledAt = now + p.settleTime()
 	}
 	if len(p.changes) < max(1, p.engines/changesShare) && now >= p.settledAt && o.d.knowledge.current().Lapsed == 0 {
 		if c := p.decider.Decide(now, demand); c != nil {
@@ -209,6 +211,16 @@
 	return true
 }
 
+// settleTime is how long a pool must have the same engines before one is
+// ordered. Once the division follows measured work, a pool that loses engines
+// one after the other must not wait for the last.
+func (p *poolRoles) settleTime() time.Duration {
+	if p.decider.Measured() {
+		return rolesSettle
+	}
+	return rolesStart
+}
+
 // stateEvery is how often the state of an owned pool is logged.
 const stateEvery = time.Second
 
