--- a/core/kvsched/demand.go
+++ b/core/kvsched/demand.go
@@ -46,7 +46,7 @@
 		Settling: l.now < l.settled,
 	}
 	for _, e := range l.order {
-		if e.role == live.RoleDecode {
+		if e.writes() {
 			s.Slots += e.slots
 			s.Held += len(e.decodes)
 		}
--- a/core/kvsched/endpoint.go
+++ b/core/kvsched/endpoint.go
@@ -76,6 +76,9 @@
 // reading says whether a decode engine is reading a prompt itself.
 func (e *endpoint) reading(now time.Duration) bool { return now < e.readingUntil }
 
+// writes says whether answers are written here.
+func (e *endpoint) writes() bool { return e.role == live.RoleDecode || e.role == live.RoleWhole }
+
 // prefillTime predicts how long a prompt takes to read.
 func (e *endpoint) prefillTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / e.rate * float64(time.Second))
--- a/core/kvsched/ledger_test.go
+++ b/core/kvsched/ledger_test.go
@@ -206,6 +206,20 @@
 	is.Equal(l.Snapshot().Held, 0)
 }
 
+func TestEnginesThatDoBothGetWholeRequests(t *testing.T) {
+	is := is.New(t)
+	doc := document(0, 2, 10000)
+	for i := range doc.Endpoints {
+		doc.Endpoints[i].Labels[live.LabelRole] = string(live.RoleWhole)
+	}
+	l := newLedger(t, doc)
+	g := grants(l.Want(start, want("a", 6000, 10)))
+	is.Equal(len(g), 1)
+	is.Equal(g[0].Prefill, id.Endpoint(""))
+	d := l.Demand(start)
+	is.Equal(len(d.Prefills)+len(d.Decodes), 0) // they have no role to change
+}
+
 func TestWhenPrefillWouldBeLateADecodeEngineReadsThePrompt(t *testing.T) {
 	is := is.New(t)
 	l := newLedger(t, document(1, 2, 30000))
--- a/core/kvsched/pump.go
+++ b/core/kvsched/pump.go
@@ -74,6 +74,9 @@
 		w.blocked = lacksLate
 		return nil, false
 	}
+	if decode.role == live.RoleWhole {
+		return l.grant(w, nil, decode), true
+	}
 	prefill := l.choosePrefill(w, decode)
 	if prefill == nil {
 		w.blocked = lacksPrefill
@@ -141,7 +144,7 @@
 func (l *Ledger) roomForLate() bool {
 	memory, free := 0, 0
 	for _, e := range l.order {
-		if e.role == live.RoleDecode && e.open(l.now) {
+		if e.writes() && e.open(l.now) {
 			memory += e.memory
 			free += max(0, e.memory-int(l.peak(e, nil)))
 		}
@@ -160,7 +163,7 @@
 	var best *endpoint
 	bestScore := 0.0
 	for _, e := range l.order {
-		if e.role != live.RoleDecode || !l.usable(e, w) {
+		if !e.writes() || !l.usable(e, w) {
 			continue
 		}
 		score, ok := l.fits(e, w)
--- a/core/kvsched/want.go
+++ b/core/kvsched/want.go
@@ -79,7 +79,7 @@
 func (l *Ledger) admit(w *waiting) []sched.Action {
 	largest := 0
 	for _, e := range l.order {
-		if e.role == live.RoleDecode {
+		if e.writes() {
 			largest = max(largest, e.memory)
 		}
 	}
@@ -110,7 +110,7 @@
 		wanted += w.tokens
 	}
 	for _, e := range l.order {
-		if e.role == live.RoleDecode && e.open(l.now) {
+		if e.writes() && e.open(l.now) {
 			wanted -= max(0, e.memory-l.held(e))
 		}
 	}
--- a/core/live/live.go
+++ b/core/live/live.go
@@ -53,6 +53,8 @@
 	RolePrefill Role = "prefill"
 	RoleDecode  Role = "decode"
 	RolePlain   Role = "plain"
+	// RoleWhole engines read prompts and write answers.
+	RoleWhole Role = "whole"
 )
 
 // Team is a party that sends requests and trusts no other team.
--- a/core/roles/roles.go
+++ b/core/roles/roles.go
@@ -31,7 +31,8 @@
 	PrefillHeadroom float64
 	// Hysteresis is by how many engines the division must be off.
 	Hysteresis float64
-	// SettleAfter is the pause after a change in which no other is begun.
+	// SettleAfter is the pause after a change in which no other is begun, once
+	// work was measured.
 	SettleAfter time.Duration
 	// LeastPrefills and LeastDecodes stay in their role.
 	LeastPrefills int
@@ -135,7 +136,8 @@
 func (d *Decider) Decide(now time.Duration, demand sched.Demand) *Change {
 	prefills, decodes := division(demand)
 	n := prefills + decodes
-	if n < d.cfg.LeastPrefills+d.cfg.LeastDecodes || (d.changed && now-d.changedAt < d.cfg.SettleAfter) {
+	settling := d.Measured() && d.changed && now-d.changedAt < d.cfg.SettleAfter
+	if n < d.cfg.LeastPrefills+d.cfg.LeastDecodes || settling {
 		return nil
 	}
 	wanted := d.Wanted(n)
--- a/daemon/gateway/orderer.go
+++ b/daemon/gateway/orderer.go
@@ -200,10 +200,15 @@
 		p.engines = n
 		p.settledAt = now + p.settleTime()
 	}
-	if len(p.changes) < max(1, p.engines/changesShare) && now >= p.settledAt && o.d.knowledge.current().Lapsed == 0 {
-		if c := p.decider.Decide(now, demand); c != nil {
-			o.beginChange(now, name, p, c)
+	settled := now >= p.settledAt && o.d.knowledge.current().Lapsed == 0
+	for settled && len(p.changes) < p.mostChanges() {
+		c := p.decider.Decide(now, demand)
+		if c == nil {
+			break
 		}
+		o.beginChange(now, name, p, c)
+		p.mark(demand.Prefills)
+		p.mark(demand.Decodes)
 	}
 	for endpoint, c := range p.changes {
 		o.advance(now, endpoint, c)
@@ -211,6 +216,15 @@
 	return true
 }
 
+// mostChanges bounds the changes under way. Before there is work nothing is
+// lost by many.
+func (p *poolRoles) mostChanges() int {
+	if !p.decider.Measured() {
+		return max(1, p.engines)
+	}
+	return max(1, p.engines/changesShare)
+}
+
 // settleTime is how long a pool must have the same engines before one is
 // ordered. Once the division follows measured work, a pool that loses engines
 // one after the other must not wait for the last.
