--- a/daemon/forward/call.go
+++ b/daemon/forward/call.go
@@ -116,9 +116,13 @@
 	f.mu.Lock()
 	f.Balancer.Done(f.Now(), e.Name, took, outcomeOf(reply, err))
 	f.mu.Unlock()
-	if err != nil {
+	switch {
+	case err != nil:
 		f.Log.Event("attempt_failed", "request", r.ID, "attempt", t.attempts, "endpoint", e.Name, "took", took,
 			"verdict", err.Verdict, "code", err.Code, "why", err.Error())
+	case reply.Failed():
+		f.Log.Event("attempt_failed", "request", r.ID, "attempt", t.attempts, "endpoint", e.Name, "took", took,
+			"verdict", verdict.Ran, "status", reply.Status)
 	}
 	return reply, err
 }
--- a/daemon/forward/stream.go
+++ b/daemon/forward/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -114,13 +115,10 @@
 	return false
 }
 
-// errOwner marks the refusals of a pool's owner.
-type errOwner struct{ error }
+// errOwner is the cause of the refusals of a pool's owner.
+var errOwner = errors.New("the pool's owner refused")
 
-func refusedByOwner(err *verdict.Error) bool {
-	_, ok := err.Cause.(errOwner)
-	return ok
-}
+func refusedByOwner(err *verdict.Error) bool { return errors.Is(err.Cause, errOwner) }
 
 // pair asks the pool's owner for engines.
 func (g *generation) pair(ctx context.Context, prefilled bool) *verdict.Error {
@@ -154,7 +152,7 @@
 	}
 	grant, err := f.Pairer.Pair(ctx, want, max(patience-age, 0))
 	if err != nil {
-		return err.WithCause(errOwner{fmt.Errorf("%w", err)})
+		return err.WithCause(errOwner)
 	}
 	g.grant = grant
 	now := f.Now()
