--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -283,3 +283,29 @@
 	m.Tick(next)
 	is.Equal(m.Next(), next+cfg.WatchedPeriod)
 }
+
+// TestADaemonIsWatchedOnlyWhileItSaysSo: one that no longer owns a pool beats
+// slowly, and must not be suspected by the limits of owners.
+func TestADaemonIsWatchedOnlyWhileItSaysSo(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig(Mesh)
+	cfg.WatchedPeriod = 100 * time.Millisecond
+	cfg.WatchedSuspect = 300 * time.Millisecond
+	m := New(cfg, Entry{Process: id.Process{Daemon: "a", Incarnation: 1}}, 0, rand.New(rand.NewPCG(1, 1)))
+	heard := func(beat uint64, watched bool) {
+		e := Entry{Process: id.Process{Daemon: "b", Incarnation: 1}, State: Alive, Beat: beat, Watched: watched}
+		m.Receive(0, Message{Kind: Heartbeat, From: e})
+	}
+	suspected := func() bool {
+		const now = 300 * time.Millisecond
+		m.due = now // no lateness is seen
+		m.Tick(now)
+		e, _ := m.Get("b")
+		return e.State == Suspect
+	}
+	heard(1, true)
+	heard(2, false)
+	is.True(!suspected())
+	heard(3, true)
+	is.True(suspected())
+}
