--- a/core/kvsched/pump.go
+++ b/core/kvsched/pump.go
@@ -94,7 +94,7 @@
 // slows the engine's other requests: only one prompt is read so at a time on an
 // engine, and only by engines with room to spare.
 func (l *Ledger) grantWhole(w *waiting) (granted *sched.Action, passable bool) {
-	if l.now+l.prefillWait() < w.target-wholeTime(w) || l.late(w) {
+	if l.now+l.prefillWait()+l.queueTime() < w.target-wholeTime(w) || l.late(w) {
 		return nil, false
 	}
 	var best *endpoint
@@ -129,6 +129,24 @@
 	return time.Duration(float64(w.want.PromptTokens) / wholeRate * float64(time.Second))
 }
 
+// queueTime is how long the prefill engines take to read all prompts in the
+// queue: what the last of them waits.
+func (l *Ledger) queueTime() time.Duration {
+	tokens, rate := 0, 0.0
+	for _, w := range l.queue {
+		tokens += w.want.PromptTokens
+	}
+	for _, e := range l.order {
+		if e.role == live.RolePrefill && e.open(l.now) {
+			rate += e.rate
+		}
+	}
+	if rate <= 0 {
+		return time.Hour
+	}
+	return time.Duration(float64(tokens) / rate * float64(time.Second))
+}
+
 // prefillWait is how long until a prefill engine is free.
 func (l *Ledger) prefillWait() time.Duration {
 	wait := never
