--- a/core/kvsched/ledger.go
+++ b/core/kvsched/ledger.go
@@ -69,7 +69,9 @@
 	output float64
 	phase  sched.Phase
 	// decodingAt is when the decode began; 0 before.
-	decodingAt   time.Duration
+	decodingAt time.Duration
+	// adopted work began before this owner knew of it.
+	adopted      bool
 	prefill      *endpoint
 	decode       *endpoint
 	grantedAt    time.Duration
--- a/core/kvsched/ledger_test.go
+++ b/core/kvsched/ledger_test.go
@@ -236,3 +236,21 @@
 	}
 	is.True(whole > 0 && whole <= 6)
 }
+
+// TestAdoptedWorkTeachesNoPace: a new owner does not know when it began. One
+// that ended right after the takeover made every answer look finished, and the
+// pool full.
+func TestAdoptedWorkTeachesNoPace(t *testing.T) {
+	is := is.New(t)
+	old := newLedger(t, document(4, 2, 10000))
+	l := newLedger(t, document(4, 2, 10000))
+	for _, name := range []string{"a", "b"} {
+		g := grants(old.Want(start, want(name, 3000, 1000)))[0]
+		l.Adopt(start, sched.Adopt{Want: want(name, 3000, 1000), Grant: *g, Phase: sched.PhaseDecoding})
+		if name == "a" {
+			l.Progress(start+time.Millisecond, done(g, sched.PhaseDone))
+		}
+	}
+	d := l.Demand(start + 2*time.Second)
+	is.True(d.MemoryHeld >= 3000 && d.MemoryHeld <= 5000)
+}
--- a/core/kvsched/memory.go
+++ b/core/kvsched/memory.go
@@ -14,6 +14,9 @@
 	// overrun is the share of the expected output that a request which has
 	// exceeded it is believed to write yet: guesses are often far off.
 	overrun = 0.25
+	// mostWritten times the expected output is the most that a request is
+	// believed to have written.
+	mostWritten = 2.5
 )
 
 // pace averages how fast answers are written. Guesses of single outputs are
@@ -45,7 +48,7 @@
 	output := r.output
 	written := 0.0
 	if r.decodingAt > 0 {
-		written = (l.now - r.decodingAt).Seconds() * l.pace.perSecond()
+		written = min((l.now-r.decodingAt).Seconds()*l.pace.perSecond(), mostWritten*output)
 	}
 	left := output - written
 	if least := overrun * output; left < least {
--- a/core/kvsched/progress.go
+++ b/core/kvsched/progress.go
@@ -62,7 +62,7 @@
 	}
 	if p.Phase == sched.PhaseDone {
 		l.flow.released(l.now, r.tokens)
-		if r.decodingAt > 0 {
+		if r.decodingAt > 0 && !r.adopted {
 			l.pace.ended(max(1, r.want.OutputTokens), l.now-r.decodingAt)
 		}
 	}
@@ -105,6 +105,7 @@
 		output:    l.output(&a.Want),
 		phase:     a.Phase,
 		decode:    decode,
+		adopted:   true,
 		grantedAt: l.now,
 		lifetime:  l.now + a.Want.Lifetime - age,
 	}
