--- a/core/kvsched/ledger_test.go
+++ b/core/kvsched/ledger_test.go
@@ -251,6 +251,7 @@
 			l.Progress(start+time.Millisecond, done(g, sched.PhaseDone))
 		}
 	}
+	l.Tick(start + 2*time.Second)
 	d := l.Demand(start + 2*time.Second)
 	is.True(d.MemoryHeld >= 3000 && d.MemoryHeld <= 5000)
 }
