Tell a pool's new owner how long each request has been writing

Cause: a new owner took every adopted answer for still to be written whole, and held the pool for full (473k of 483k tokens with 99 running) until they had ended. The asker now sends how long the phase has lasted, and the Want's age as it is.

--- a/core/kvsched/progress.go
+++ b/core/kvsched/progress.go
@@ -111,7 +111,7 @@
 	}
 	r.expires = max(l.now+l.options.ExpiresIn, r.lifetime)
 	if a.Phase >= sched.PhaseDecoding {
-		r.decodingAt = l.now
+		r.decodingAt = max(1, l.now-a.For)
 	}
 	decode.take(r)
 	l.granted[a.Want.Request] = r
--- a/core/pairing/asker.go
+++ b/core/pairing/asker.go
@@ -78,6 +78,8 @@
 	owner   id.Daemon
 	grant   *sched.Grant
 	phase   sched.Phase
+	// phaseAt is when the phase began.
+	phaseAt time.Duration
 }
 
 // Asker holds the requests of one daemon that want endpoints or hold a grant.
@@ -86,6 +88,8 @@
 	opts    Options
 	members []id.Daemon
 	entries map[id.Request]*entry
+	// now is the time of the newest event.
+	now time.Duration
 	// due is no later than the first time at which an entry needs attention.
 	due time.Duration
 }
@@ -122,6 +126,7 @@
 
 // Ask sends a Want; patience is how long from now the caller can wait.
 func (a *Asker) Ask(now time.Duration, w sched.Want, patience time.Duration) Output {
+	a.now = max(a.now, now)
 	e := &entry{want: w, askedAt: now, giveUp: now + patience + a.opts.Margin}
 	a.entries[w.Request] = e
 	return a.sendWant(now, e)
@@ -139,10 +144,11 @@
 // Resume registers a request that another process had a grant for: its caller
 // came back through this daemon while the engine still writes the answer.
 func (a *Asker) Resume(now time.Duration, w sched.Want, g sched.Grant) Output {
-	e := &entry{want: w, askedAt: now, sentAt: now, grant: &g, phase: sched.PhaseDecoding}
+	a.now = max(a.now, now)
+	e := &entry{want: w, askedAt: now, sentAt: now, grant: &g, phase: sched.PhaseDecoding, phaseAt: now}
 	e.owner = a.Owner(w.Pool)
 	a.entries[w.Request] = e
-	return Output{Messages: []Message{adoptMessage(e)}}
+	return Output{Messages: []Message{a.adoptMessage(e)}}
 }
 
 // Withdraw forgets a request and tells its owner.
@@ -157,11 +163,15 @@
 }
 
 // Progress passes on how a granted request fares; a final phase forgets it.
-func (a *Asker) Progress(p sched.Progress) Output {
+func (a *Asker) Progress(now time.Duration, p sched.Progress) Output {
+	a.now = max(a.now, now)
 	e, ok := a.entries[p.Request]
 	if !ok || e.grant == nil {
 		return Output{}
 	}
+	if e.phase != p.Phase {
+		e.phaseAt = now
+	}
 	e.phase = p.Phase
 	p.Reservation = e.grant.Reservation
 	if final(p.Phase) {
@@ -204,14 +214,18 @@
 	release := sched.Progress{Request: g.Request, Reservation: g.Reservation, Phase: sched.PhaseCancelled}
 	out := Output{Messages: []Message{progressMessage(g.Owner.Daemon, e.want.Pool, release)}}
 	if g.Owner.Daemon == e.owner {
-		out.Messages = append(out.Messages, adoptMessage(e))
+		out.Messages = append(out.Messages, a.adoptMessage(e))
 	}
 	return out
 }
 
-func adoptMessage(e *entry) Message {
-	phase := e.phase
-	return Message{To: e.owner, Adopt: &sched.Adopt{Want: e.want, Grant: *e.grant, Phase: phase}}
+func (a *Asker) adoptMessage(e *entry) Message {
+	adopt := &sched.Adopt{Want: e.want, Grant: *e.grant, Phase: e.phase}
+	if e.phaseAt > 0 {
+		adopt.For = max(0, a.now-e.phaseAt)
+	}
+	adopt.Want.Age += max(0, a.now-e.askedAt)
+	return Message{To: e.owner, Adopt: adopt}
 }
 
 // Bound takes a binding. It is kept with the grant, so that a new owner is told
@@ -243,6 +257,7 @@
 // Members takes the live daemons. Requests of pools whose owner changed go to
 // the new one: waiting ones as Wants, granted ones as Adopts.
 func (a *Asker) Members(now time.Duration, members []id.Daemon) Output {
+	a.now = max(a.now, now)
 	a.members = slices.Clone(members)
 	var out Output
 	for _, r := range a.sorted() {
@@ -260,7 +275,7 @@
 		return a.sendWant(now, e)
 	}
 	e.owner = a.Owner(e.want.Pool)
-	return Output{Messages: []Message{adoptMessage(e)}}
+	return Output{Messages: []Message{a.adoptMessage(e)}}
 }
 
 // attention is when an unanswered entry is sent again or given up.
@@ -272,6 +287,7 @@
 // Tick sends unanswered Wants again and gives up on those out of patience. It
 // looks through the entries only when one may be due.
 func (a *Asker) Tick(now time.Duration) Output {
+	a.now = max(a.now, now)
 	var out Output
 	if now < a.due {
 		return out
--- a/core/pairing/asker_test.go
+++ b/core/pairing/asker_test.go
@@ -90,18 +90,18 @@
 	a := asking(is, "d2")
 	g := grantOf("d2", 7)
 	is.Equal(len(a.Granted(testPool, g).Answers), 1)
-	a.Progress(sched.Progress{Request: "r", Phase: sched.PhaseTransferring})
+	a.Progress(0, sched.Progress{Request: "r", Phase: sched.PhaseTransferring})
 	out := a.Members(0, ownedBy(a, "d3"))
 	is.Equal(len(out.Messages), 1)
 	is.Equal(out.Messages[0].To, id.Daemon("d3"))
 	is.Equal(out.Messages[0].Adopt.Grant, g)
 	is.Equal(out.Messages[0].Adopt.Phase, sched.PhaseTransferring)
 
-	done := a.Progress(sched.Progress{Request: "r", Phase: sched.PhaseDone})
+	done := a.Progress(0, sched.Progress{Request: "r", Phase: sched.PhaseDone})
 	is.Equal(done.Messages[0].To, id.Daemon("d3"))
 	is.Equal(done.Messages[0].Progress.Progress.Reservation, uint64(7))
 	is.Equal(a.Len(), 0)
-	is.Equal(len(a.Progress(sched.Progress{Request: "r", Phase: sched.PhaseDone}).Messages), 0)
+	is.Equal(len(a.Progress(0, sched.Progress{Request: "r", Phase: sched.PhaseDone}).Messages), 0)
 }
 
 func TestLateGrantIsGivenBack(t *testing.T) {
@@ -192,3 +192,22 @@
 	is.Equal(out.Messages[0].To, self.Daemon)
 	is.Equal(len(a.Members(0, all[1:]).Messages), 0)
 }
+
+// TestANewOwnerIsToldHowLongAPhaseHasLasted: without it the owner takes all of
+// the answer for still to be written.
+func TestANewOwnerIsToldHowLongAPhaseHasLasted(t *testing.T) {
+	is := is.New(t)
+	a := New(id.Process{Daemon: "a", Incarnation: 1}, Options{})
+	a.Members(0, []id.Daemon{"a", "b"})
+	owner := a.Owner("p")
+	other := map[id.Daemon]id.Daemon{"a": "b", "b": "a"}[owner]
+	a.Ask(time.Second, sched.Want{Request: "r", Pool: "p", Age: 100 * time.Millisecond}, time.Second)
+	a.Granted("p", sched.Grant{Request: "r", Reservation: 7, Owner: id.Process{Daemon: owner}})
+	a.Progress(2*time.Second, sched.Progress{Request: "r", Phase: sched.PhaseDecoding})
+	a.Progress(3*time.Second, sched.Progress{Request: "r", Phase: sched.PhaseDecoding})
+	out := a.Members(5*time.Second, []id.Daemon{other})
+	is.Equal(len(out.Messages), 1)
+	adopt := out.Messages[0].Adopt
+	is.Equal(adopt.For, 3*time.Second)
+	is.Equal(adopt.Want.Age, 4100*time.Millisecond)
+}
--- a/core/randomrun/job_test.go
+++ b/core/randomrun/job_test.go
@@ -158,7 +158,7 @@
 		return
 	}
 	p.Request = j.id
-	j.h.output(j.h.asker.Progress(p))
+	j.h.output(j.h.asker.Progress(j.h.w.now, p))
 	if p.Phase >= sched.PhaseDone {
 		delete(j.h.active, j.id)
 	}
--- a/core/sched/messages.go
+++ b/core/sched/messages.go
@@ -149,6 +149,8 @@
 	Want  Want  `cbor:"1,keyasint"`
 	Grant Grant `cbor:"2,keyasint"`
 	Phase Phase `cbor:"3,keyasint"`
+	// For is how long the request has been in that phase; 0 if not known.
+	For time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Load is an endpoint's own report, with a lag.
--- a/daemon/broker/ask.go
+++ b/daemon/broker/ask.go
@@ -49,7 +49,7 @@
 		if p.Phase >= sched.PhaseDecoding {
 			delete(b.bindings, p.Request)
 		}
-		b.output(now, b.asker.Progress(p))
+		b.output(now, b.asker.Progress(now, p))
 	})
 }
 
