--- /dev/null
+++ b/daemon/forward/bench_test.go
@@ -0,0 +1,89 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/balance"
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/registry"
+	"github.com/samphirequay/samphirequay/core/retry"
+	"github.com/samphirequay/samphirequay/core/route"
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/metrics"
+)
+
+// BenchmarkOneCall takes a plain call through the pipeline, without sockets.
+func BenchmarkOneCall(b *testing.B) {
+	f, r := newTest(b, &scripted{answer: func(*Attempt) (*Reply, *verdict.Error) { return &Reply{Status: 200}, nil }})
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Arrived = f.Now()
+		if _, err := f.Run(context.Background(), r); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// scripted answers calls as a test says.
+type scripted struct {
+	Endpoints
+	answer func(a *Attempt) (*Reply, *verdict.Error)
+	sent   []*Attempt
+}
+
+// Call implements Endpoints.
+func (s *scripted) Call(_ context.Context, a *Attempt) (*Reply, *verdict.Error) {
+	s.sent = append(s.sent, a)
+	return s.answer(a)
+}
+
+// noLog drops all lines.
+type noLog struct{}
+
+// Event implements Log.
+func (noLog) Event(string, ...any) {}
+
+// Routine implements Log.
+func (noLog) Routine(string, ...any) {}
+
+// newTest gives a pipeline with four endpoints of a plain service, at a clock
+// that stands still, and a request for it.
+func newTest(tb testing.TB, endpoints Endpoints) (*Forwarder, *Request) {
+	tb.Helper()
+	routes, err := route.NewTable(route.Config{
+		Version:  1,
+		Services: []route.Service{{Name: "s"}},
+		Routes: []route.Route{
+			{Name: "again", Host: "h", Prefix: "/again/", Kind: route.Idempotent, MaxAttempts: 2, Timeout: time.Second, Targets: []route.Target{{Service: "s"}}},
+			{Name: "once", Host: "h", Prefix: "/once/", Kind: route.NonIdempotent, MaxAttempts: 2, Timeout: time.Second, Targets: []route.Target{{Service: "s"}}},
+		},
+	})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	view := &View{Routes: routes, Endpoints: map[id.Endpoint]registry.Endpoint{}}
+	var entries []registry.Endpoint
+	for _, name := range []id.Endpoint{"a", "b", "c", "d"} {
+		e := registry.Endpoint{Name: name, Service: "s", Address: string(name), Slots: 6}
+		view.Endpoints[name] = e
+		entries = append(entries, e)
+	}
+	f := New(Deps{
+		Self:      func() id.Process { return id.Process{Daemon: "d"} },
+		View:      func() *View { return view },
+		Endpoints: endpoints,
+		Balancer:  balance.New("north", rand.New(rand.NewPCG(1, 1))),
+		Repeats:   retry.WindowConfig{Span: 10 * time.Second, Ratio: 0.2, Slack: 10, Safety: 1},
+		Daemons:   func() int { return 2 },
+		Stale:     func() bool { return false },
+		TooLate:   func() bool { return false },
+		Log:       noLog{},
+		Metrics:   metrics.New("d"),
+		Now:       func() time.Duration { return time.Hour },
+	})
+	f.Configure(entries)
+	return f, &Request{ID: "r", Method: "GET", Host: "h", Path: "/again/x", Target: "/again/x", Arrived: time.Hour, CallerWaits: time.Second}
+}
--- /dev/null
+++ b/daemon/forward/call_test.go
@@ -0,0 +1,107 @@
+package forward
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+func failWith(v verdict.Verdict, code verdict.Code) func(*Attempt) (*Reply, *verdict.Error) {
+	return func(*Attempt) (*Reply, *verdict.Error) { return nil, verdict.New(v, code, "it failed") }
+}
+
+// TestRepeatsStayWithinTheServicesBound: the slack is shared by two daemons;
+// refusals by endpoints are arrivals and count.
+func TestRepeatsStayWithinTheServicesBound(t *testing.T) {
+	for name, code := range map[string]verdict.Code{"broken off": verdict.CodeEndpointFailed, "refused": verdict.CodeOverloaded} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			v := verdict.MayHaveRun
+			if code == verdict.CodeOverloaded {
+				v = verdict.NotRun
+			}
+			s := &scripted{answer: failWith(v, code)}
+			f, r := newTest(t, s)
+			const requests = 100
+			for range requests {
+				_, err := f.Run(context.Background(), r)
+				is.True(err != nil)
+				is.Equal(err.Verdict, v)
+			}
+			repeats := len(s.sent) - requests
+			is.True(repeats > 0 && repeats <= 5+requests/5)
+		})
+	}
+}
+
+// TestAnEndpointThatIsNotReachedCostsNoRepeat: nothing arrived there.
+func TestAnEndpointThatIsNotReachedCostsNoRepeat(t *testing.T) {
+	is := is.New(t)
+	s := &scripted{answer: failWith(verdict.NotRun, verdict.CodeUnavailable)}
+	f, r := newTest(t, s)
+	for range 100 {
+		_, err := f.Run(context.Background(), r)
+		is.Equal(err.Verdict, verdict.NotRun)
+	}
+	is.Equal(len(s.sent), 100*maxRefusals)
+}
+
+func TestWhatMayHaveRunIsNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	s := &scripted{answer: failWith(verdict.MayHaveRun, verdict.CodeEndpointFailed)}
+	f, r := newTest(t, s)
+	r.Path = "/once/x"
+	_, err := f.Run(context.Background(), r)
+	is.Equal(err.Verdict, verdict.MayHaveRun)
+	is.Equal(len(s.sent), 1)
+	is.True(s.sent[0].Once)
+}
+
+// TestTheErrorThatPromisesLessIsTold: an attempt that may have run goes before a
+// later one that certainly has not.
+func TestTheErrorThatPromisesLessIsTold(t *testing.T) {
+	is := is.New(t)
+	s := &scripted{}
+	s.answer = func(a *Attempt) (*Reply, *verdict.Error) {
+		if len(s.sent) == 1 {
+			return failWith(verdict.MayHaveRun, verdict.CodeEndpointFailed)(a)
+		}
+		return failWith(verdict.NotRun, verdict.CodeOverloaded)(a)
+	}
+	f, r := newTest(t, s)
+	_, err := f.Run(context.Background(), r)
+	is.Equal(err.Verdict, verdict.MayHaveRun)
+}
+
+func TestAnAttemptThatCanBeRepeatedLeavesTimeForIt(t *testing.T) {
+	is := is.New(t)
+	s := &scripted{answer: func(*Attempt) (*Reply, *verdict.Error) { return &Reply{Status: 200}, nil }}
+	f, r := newTest(t, s)
+	_, err := f.Run(context.Background(), r)
+	is.Equal(err, nil)
+	r.Path = "/once/x"
+	_, err = f.Run(context.Background(), r)
+	is.Equal(err, nil)
+	is.Equal(s.sent[0].Until, time.Hour+400*time.Millisecond)
+	is.Equal(s.sent[1].Until, time.Hour+time.Second)
+	is.Equal(s.sent[0].Left, time.Second)
+}
+
+func TestBeforeThereIsAConfigurationNothingIsKnownNotToExist(t *testing.T) {
+	is := is.New(t)
+	f, r := newTest(t, &scripted{})
+	f.Deps.View = func() *View { return &View{} }
+	_, err := f.Run(context.Background(), r)
+	is.Equal(err.Code, verdict.CodeUnavailable)
+	f, r = newTest(t, &scripted{})
+	r.Path = "/nowhere/"
+	_, err = f.Run(context.Background(), r)
+	is.Equal(err.Code, verdict.CodeUnknownService)
+	f.Deps.Stale = func() bool { return true }
+	_, err = f.Run(context.Background(), r)
+	is.Equal(err.Code, verdict.CodeUnavailable) // it may be there by now
+}
--- /dev/null
+++ b/daemon/forward/decode.go
@@ -0,0 +1,67 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/sched"
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+// decode starts the decode. Where the engine refuses, others are asked for as
+// long as the KV cache lives.
+func (g *generation) decode(ctx context.Context, kv KV, readAt time.Duration) (*Opened, *verdict.Error) {
+	for {
+		opened, err := g.decodeOnce(ctx, kv)
+		if err == nil {
+			return opened, nil
+		}
+		if err.Verdict != verdict.NotRun {
+			return nil, err
+		}
+		if !g.mayDecodeElsewhere(ctx, err, readAt) {
+			g.waste(kv)
+			return nil, err
+		}
+		if pairErr := g.pair(ctx, true); pairErr != nil {
+			g.waste(kv)
+			return nil, pairErr
+		}
+	}
+}
+
+// mayDecodeElsewhere says whether the same KV cache may go to another engine.
+func (g *generation) mayDecodeElsewhere(ctx context.Context, err *verdict.Error, readAt time.Duration) bool {
+	life := time.Duration(kvShare * float64(g.service.Engine.HandleLife))
+	if ctx.Err() != nil || g.grant.Prefill == "" || err.Code == verdict.CodeKVGone || g.f.Now()-readAt >= life {
+		return false
+	}
+	return err.Code == verdict.CodeUnavailable || g.f.repeat(g.service.Name)
+}
+
+func (g *generation) decodeOnce(ctx context.Context, kv KV) (*Opened, *verdict.Error) {
+	f := g.f
+	engine, ok := f.View().Endpoints[g.grant.Decode]
+	if !ok {
+		return nil, g.missing(g.grant.Decode)
+	}
+	begun := f.Now()
+	g.trace.attempts++
+	g.trace.endpoint = engine.Name
+	attempt := g.attempt(engine)
+	attempt.Once = !g.trace.route.Resumable
+	if g.trace.route.Resumable {
+		attempt.Until = min(attempt.Until, begun+headLimit)
+	}
+	opened, err := f.Endpoints.Decode(ctx, attempt, kv)
+	if err != nil {
+		if err.Verdict != verdict.NotRun {
+			g.ran++
+		}
+		g.failed(engine, err, stepDecode, f.Now()-begun)
+		return nil, err
+	}
+	g.ran++
+	g.progress(sched.Progress{Phase: sched.PhaseDecoding, Endpoint: engine.Name})
+	return opened, nil
+}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -95,11 +95,9 @@
 	set      *Settings
 	platform Platform
 	opts     Options
-	// epoch is the wall time of the start, booted the time since the host's
-	// start then.
-	epoch  time.Time
-	booted time.Duration
-	rand   *rand.Rand
+	// epoch is the wall time at the daemon's time zero.
+	epoch time.Time
+	rand  *rand.Rand
 
 	metrics *metrics.Registry
 	logger  *logline.Logger
--- /dev/null
+++ b/daemon/gateway/orders.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/lease"
+)
+
+// passage says whether an order may go out right now. Engines that check
+// fencing numbers are treated as those that don't: orders of two holders must
+// be apart towards all.
+func (o *orderer) passage(now time.Duration, endpoint id.Endpoint) lease.Passage {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.lease == nil || o.lease.Fence() <= o.fenced {
+		return lease.Closed
+	}
+	return o.gate.Allow(now, endpoint, false)
+}
+
+// orderNow reads the engine's state and gives the order, in a worker.
+func (o *orderer) orderNow(endpoint id.Endpoint, c *change) {
+	result, fence := o.order(endpoint, c)
+	o.duty.Post(func(now time.Duration) { o.ordered(now, endpoint, c, result, fence) })
+}
+
+func (o *orderer) order(endpoint id.Endpoint, c *change) (OrderResult, uint64) {
+	ctx, cancel := context.WithTimeout(o.duty.Context(), orderTimeout)
+	defer cancel()
+	e, known := o.d.knowledge.current().Endpoints[endpoint]
+	if !known {
+		return OrderRefused, 0
+	}
+	state, err := o.d.platform.Engines.State(ctx, e)
+	if err != nil {
+		o.d.logger.Warn("engine_state_unknown", "endpoint", endpoint, "why", err)
+		return OrderRefused, 0
+	}
+	if state.Changing || state.Role == c.to {
+		return OrderTaken, 0
+	}
+	fence, ok := o.openGate(endpoint)
+	if !ok {
+		return OrderRefused, 0
+	}
+	order := RoleOrder{To: c.to, Holder: o.f.self.Daemon, Fence: fence, Orders: state.Orders}
+	result, err := o.d.platform.Engines.Order(ctx, e, order)
+	o.d.logger.Event("role_ordered", "endpoint", endpoint, "to", c.to, "fence", fence, "orders", state.Orders,
+		"result", result, "why", err)
+	return result, fence
+}
+
+// openGate is the last look, with the time read right then, before an order.
+func (o *orderer) openGate(endpoint id.Endpoint) (uint64, bool) {
+	now := o.d.now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.lease == nil {
+		return 0, false
+	}
+	o.gate.Repaired(now, endpoint)
+	fence := o.gate.Fence()
+	return fence, fence > o.fenced && o.gate.Allow(now, endpoint, false) == lease.Open
+}
+
+// ordered takes what came of an order.
+func (o *orderer) ordered(now time.Duration, endpoint id.Endpoint, c *change, result OrderResult, fence uint64) {
+	o.results.Add(result.String(), 1)
+	c.asking = false
+	c.again = now + orderAgain
+	switch result {
+	case OrderTaken:
+		c.ordered = true
+		c.orderedAt = now
+	case OrderFenced:
+		o.mu.Lock()
+		o.fenced = max(o.fenced, fence)
+		if o.lease != nil {
+			o.lease.Halt(now)
+		}
+		o.mu.Unlock()
+		o.d.logger.Warn("role_lease_fenced", "endpoint", endpoint, "fence", fence)
+	}
+}
--- /dev/null
+++ b/daemon/gateway/rolechanges.go
@@ -0,0 +1,153 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/lease"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/roles"
+	"github.com/samphirequay/samphirequay/core/sched"
+)
+
+// poolRoles is one pool's division and the changes under way.
+type poolRoles struct {
+	decider *roles.Decider
+	changes map[id.Endpoint]*change
+	// engines is how many there were when last looked at, settledAt when that
+	// counts as settled.
+	engines   int
+	settledAt time.Duration
+	// toldAt is when the pool's state was last logged.
+	toldAt time.Duration
+}
+
+// change is one change of role under way.
+type change struct {
+	pool  id.Pool
+	to    live.Role
+	begun time.Duration
+	// draining is set once the engine gets no new work, from drainedAt on.
+	draining  bool
+	drainedAt time.Duration
+	// ordered is set once the order was taken, at orderedAt.
+	ordered   bool
+	orderedAt time.Duration
+	// asking is set while a report or an order is on its way.
+	asking bool
+	// again is when the next step may be tried.
+	again time.Duration
+}
+
+// mostChanges bounds the changes under way. Before there is work nothing is
+// lost by many.
+func (p *poolRoles) mostChanges() int {
+	if !p.decider.Measured() {
+		return max(1, p.engines)
+	}
+	return max(1, p.engines/changesShare)
+}
+
+// settleTime is how long a pool must have the same engines before one is
+// ordered. Once the division follows measured work, a pool that loses engines
+// one after the other must not wait for the last.
+func (p *poolRoles) settleTime() time.Duration {
+	if p.decider.Measured() {
+		return rolesSettle
+	}
+	return rolesStart
+}
+
+// stateEvery is how often the state of an owned pool is logged.
+const stateEvery = time.Second
+
+// logState writes a line on an owned pool that has work: what an engineer on
+// call needs to tell a full pool from one that lost its engines.
+func (o *orderer) logState(now time.Duration, name id.Pool, p *poolRoles, d sched.Demand) {
+	if now < p.toldAt+stateEvery || d.Queued+d.MemoryHeld == 0 {
+		return
+	}
+	p.toldAt = now
+	working := 0
+	for _, e := range d.Prefills {
+		if e.Work > 0 {
+			working++
+		}
+	}
+	running := 0
+	for _, e := range d.Decodes {
+		running += e.Work
+	}
+	o.d.logger.Event("pool_state", "pool", name, "prefills", len(d.Prefills), "prefills_working", working,
+		"prefill_backlog", d.PrefillBacklog, "decodes", len(d.Decodes), "decodes_running", running,
+		"memory", d.Memory, "memory_held", d.MemoryHeld, "queued", d.Queued, "memory_wanted", d.MemoryWanted)
+}
+
+// mark tells the engines that are about to change their role.
+func (p *poolRoles) mark(engines []sched.EngineDemand) {
+	for i := range engines {
+		if p.changes[engines[i].Endpoint] != nil {
+			engines[i].Drained = true
+		}
+	}
+}
+
+func (o *orderer) beginChange(now time.Duration, pool id.Pool, p *poolRoles, c *roles.Change) {
+	p.decider.Changed(now)
+	p.changes[c.Endpoint] = &change{pool: pool, to: c.To, begun: now}
+	o.d.logger.Event("role_change_begun", "pool", pool, "endpoint", c.Endpoint, "to", c.To,
+		"wanted_prefills", c.Wanted, "prefills", c.Prefills, "decodes", c.Decodes)
+}
+
+// endChanges forgets the changes that are done, lost, or whose engine is gone.
+func (o *orderer) endChanges(now time.Duration, p *poolRoles) {
+	view := o.d.knowledge.current()
+	for endpoint, c := range p.changes {
+		e, known := view.Endpoints[endpoint]
+		why := ""
+		switch {
+		case !known:
+			why = "the engine is gone"
+		case e.Role == c.to:
+			why = "done"
+		case c.ordered && now-c.orderedAt >= o.switchTime(e.Service)+changeMargin:
+			why = "no change was seen in time"
+		case !c.ordered && now-c.begun >= changeLimit:
+			why = "no order could be given in time"
+		default:
+			continue
+		}
+		delete(p.changes, endpoint)
+		o.f.broker.Drain(c.pool, endpoint, false)
+		o.d.logger.Event("role_change_ended", "endpoint", endpoint, "to", c.to, "why", why, "took", now-c.begun)
+	}
+}
+
+func (o *orderer) switchTime(service id.Service) time.Duration {
+	if s := o.d.knowledge.current().Routes.Service(service); s != nil && s.Engine != nil {
+		return s.Engine.SwitchTime
+	}
+	return 0
+}
+
+// advance takes the next step of a change. The engine goes on with its work
+// until an order could be given.
+func (o *orderer) advance(now time.Duration, endpoint id.Endpoint, c *change) {
+	open := o.passage(now, endpoint) >= lease.ReadBack
+	if !c.draining && open {
+		c.draining = true
+		c.drainedAt = now
+	}
+	if !c.draining {
+		return
+	}
+	o.f.broker.Drain(c.pool, endpoint, true)
+	if !open || c.ordered || c.asking || now < c.again || now-c.drainedAt < drainFor {
+		return
+	}
+	c.asking = true
+	sent := o.work.Submit(func() { o.orderNow(endpoint, c) })
+	if !sent {
+		c.asking = false
+	}
+}
--- /dev/null
+++ b/daemon/gateway/rolelease.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/lease"
+	"github.com/samphirequay/samphirequay/core/revision/table"
+)
+
+// Halt stops trusting the lease at once.
+func (o *orderer) Halt() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.lease != nil {
+		// What it says of a lost lease is told by the next order's look.
+		o.lease.Halt(o.d.now())
+	}
+}
+
+// leaseConfig keeps the orders of two holders apart: the time for which a
+// holder trusts its lease ends a whole lease time before another may take it.
+func (o *orderer) leaseConfig() lease.Config {
+	apart := milliseconds(o.d.set.Bounds.LeaseMS)
+	trust := apart
+	cfg := lease.DefaultConfig()
+	cfg.TTL = trust + apart + 2*orderTimeout
+	cfg.Safety = float64(trust) / float64(cfg.TTL)
+	cfg.RenewEvery = trust / 3
+	cfg.WatchEvery = 500 * time.Millisecond
+	return cfg
+}
+
+// leaseWhileNeeded contends for the lease while there are orders to give, and
+// gives it up a while after.
+func (o *orderer) leaseWhileNeeded(now time.Duration) {
+	needed := false
+	for _, p := range o.pools {
+		for _, c := range p.changes {
+			needed = needed || !c.ordered
+		}
+	}
+	if needed {
+		o.idleSince = now
+	}
+	switch {
+	case needed && o.lease == nil:
+		o.mu.Lock()
+		o.lease = lease.New(o.leaseConfig(), dutyRoles, o.f.self, now, o.d.newRand())
+		o.gate = lease.NewOrderGate(lease.GateConfig{LongestOrder: milliseconds(o.d.set.Bounds.LeaseMS) + orderTimeout}, o.lease)
+		o.mu.Unlock()
+	case !needed && o.lease != nil && now-o.idleSince >= leaseIdle:
+		o.releaseLease(now)
+	}
+}
+
+func (o *orderer) releaseLease(now time.Duration) {
+	if o.lease == nil {
+		return
+	}
+	o.mu.Lock()
+	actions := o.lease.Release(now)
+	o.mu.Unlock()
+	o.perform(now, actions)
+}
+
+func (o *orderer) tickLease(now time.Duration) {
+	if o.lease == nil {
+		return
+	}
+	o.mu.Lock()
+	actions := o.lease.Tick(now)
+	stopped := o.lease.Stopped()
+	o.mu.Unlock()
+	o.perform(now, actions)
+	if stopped {
+		o.mu.Lock()
+		o.lease, o.gate = nil, nil
+		o.mu.Unlock()
+	}
+}
+
+// perform carries out what the lease wants done.
+func (o *orderer) perform(now time.Duration, actions []lease.Action) {
+	for _, a := range actions {
+		switch {
+		case a.Request != nil:
+			o.ask(*a.Request)
+		case a.Acquired != nil:
+			o.mu.Lock()
+			// Nobody held it between: no order but this process's own is on its way.
+			a.Acquired.Own = o.heldLast != 0 && a.Acquired.Fence == o.heldLast+1
+			o.heldLast = a.Acquired.Fence
+			o.gate.Acquired(now, *a.Acquired)
+			o.mu.Unlock()
+			o.fence.Set(float64(a.Acquired.Fence))
+			o.d.logger.Event("role_lease_acquired", "fence", a.Acquired.Fence, "previous", a.Acquired.Previous)
+		case a.Lost != nil:
+			o.fence.Set(0)
+			o.d.logger.Event("role_lease_lost", "fence", a.Lost.Fence, "why", a.Lost.Reason)
+		}
+	}
+}
+
+func (o *orderer) ask(q table.Request) {
+	asked := o.lease
+	o.store.Do(o.duty.Context(), q, func(reply table.Reply) {
+		o.duty.Post(func(now time.Duration) {
+			if o.lease != asked {
+				return
+			}
+			o.mu.Lock()
+			actions := o.lease.Handle(now, reply)
+			o.mu.Unlock()
+			o.perform(now, actions)
+		})
+	})
+}
