Keep one copy of what daemons exchange and of how they leave

daemon/link carries the pools', the membership's and the evidence's messages for both ways to run, daemon/leaving the planned stop; both stood in daemon/app and again in daemon/gateway.

--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -28,6 +28,7 @@
 	"github.com/samphirequay/samphirequay/daemon/front"
 	"github.com/samphirequay/samphirequay/daemon/hangup"
 	"github.com/samphirequay/samphirequay/daemon/keys"
+	"github.com/samphirequay/samphirequay/daemon/leaving"
 	"github.com/samphirequay/samphirequay/daemon/logline"
 	"github.com/samphirequay/samphirequay/daemon/members"
 	"github.com/samphirequay/samphirequay/daemon/metrics"
@@ -99,7 +100,7 @@
 	// wired is closed once all duties are there; until then nothing from
 	// outside is let in.
 	wired    chan struct{}
-	stopping atomic.Pointer[stop]
+	stopping atomic.Pointer[leaving.Stop]
 	ctx      context.Context
 	cancel   context.CancelFunc
 	closed   chan struct{}
--- a/daemon/app/fleet.go
+++ b/daemon/app/fleet.go
@@ -116,7 +116,7 @@
 	}
 	named := slices.ContainsFunc(a.Addresses, func(x entry.Address) bool { return x.Daemon == d.self.Daemon })
 	if named {
-		s.named(d.now())
+		s.Named(d.now())
 	}
 }
 
@@ -135,7 +135,7 @@
 // noteCaller tells the plan of a planned stop that a caller still came.
 func (d *Daemon) noteCaller() {
 	if s := d.stopping.Load(); s != nil {
-		s.caller(d.now())
+		s.Caller(d.now())
 	}
 }
 
--- a/daemon/app/peers.go
+++ b/daemon/app/peers.go
@@ -12,38 +12,31 @@
 	"github.com/samphirequay/samphirequay/core/revision"
 	"github.com/samphirequay/samphirequay/daemon/broker"
 	"github.com/samphirequay/samphirequay/daemon/claims"
+	"github.com/samphirequay/samphirequay/daemon/link"
 	"github.com/samphirequay/samphirequay/daemon/opapi"
 	"github.com/samphirequay/samphirequay/daemon/peer"
 )
 
 // The kinds of messages between daemons.
 const (
-	kindBroker   peer.Kind = iota + 1 // one-way: broker.Envelope
-	kindMember                        // datagram: member.Message
-	kindConfig                        // call: revision.Fetch -> revision.FetchReply
-	kindEvidence                      // one-way: poison.State
-	kindExplain                       // call: explainQuery -> opapi.Explanation
-	kindPools                         // call: nothing -> poolsReply
-	kindClaim                         // call: claims.BeginCall -> claims.BeginReply
-	kindOutcome                       // call: claims.FinishCall -> claims.FinishReply
-	kindRecord                        // call: revision.Record -> recordReply
+	kindConfig  = link.FirstFree + iota // call: revision.Fetch -> revision.FetchReply
+	kindExplain                         // call: explainQuery -> opapi.Explanation
+	kindPools                           // call: nothing -> poolsReply
+	kindClaim                           // call: claims.BeginCall -> claims.BeginReply
+	kindOutcome                         // call: claims.FinishCall -> claims.FinishReply
+	kindRecord                          // call: revision.Record -> recordReply
 )
 
 // kindNames name the kinds in metrics.
 var kindNames = map[peer.Kind]string{
-	kindBroker:   "broker",
-	kindMember:   "member",
-	kindConfig:   "config",
-	kindEvidence: "evidence",
-	kindExplain:  "explain",
-	kindPools:    "pools",
-	kindClaim:    "claim",
-	kindOutcome:  "outcome",
-	kindRecord:   "record",
+	kindConfig:  "config",
+	kindExplain: "explain",
+	kindPools:   "pools",
+	kindClaim:   "claim",
+	kindOutcome: "outcome",
+	kindRecord:  "record",
 }
 
-func kindName(k peer.Kind) string { return kindNames[k] }
-
 // peerCallTimeout bounds a question to another daemon.
 const peerCallTimeout = time.Second
 
@@ -60,69 +53,35 @@
 }
 
 // peerHandler takes what other daemons send.
-type peerHandler struct{ d *Daemon }
-
-func (h *peerHandler) open() bool {
-	select {
-	case <-h.d.wired:
-		return true
-	default:
-		return false
-	}
+type peerHandler struct {
+	link.Handler
+	d *Daemon
 }
 
-// HandleOneWay implements peer.Handler.
-func (h *peerHandler) HandleOneWay(from id.Daemon, kind peer.Kind, body []byte) {
-	if !h.open() {
-		return
-	}
-	switch kind {
-	case kindBroker:
-		var e broker.Envelope
-		if h.decode(from, body, &e) {
-			h.d.broker.Receive(from, &e)
-		}
-	case kindEvidence:
-		var s poison.State
-		if h.decode(from, body, &s) {
-			h.d.broker.MergeEvidence(s)
-		}
-	case kindMember:
-		h.member(from, body)
-	}
+func newPeerHandler(d *Daemon) *peerHandler {
+	return &peerHandler{Handler: link.Handler{Receiver: receiver{d}, Wired: d.wired}, d: d}
 }
 
-// HandleDatagram implements peer.Handler.
-func (h *peerHandler) HandleDatagram(from id.Daemon, kind peer.Kind, body []byte) {
-	if h.open() && kind == kindMember {
-		h.member(from, body)
-	}
-}
+// receiver implements link.Receiver.
+type receiver struct{ d *Daemon }
 
-// member takes a membership message; the sender must be who it says.
-func (h *peerHandler) member(from id.Daemon, body []byte) {
-	var m member.Message
-	if !h.decode(from, body, &m) {
-		return
-	}
-	if m.From.Process.Daemon != from {
-		h.d.logger.Warn("peer_message_refused", "from", from, "says", m.From.Process.Daemon)
-		return
-	}
-	h.d.members.Receive(m)
-}
+// Broker implements link.Receiver.
+func (r receiver) Broker(from id.Daemon, e *broker.Envelope) { r.d.broker.Receive(from, e) }
 
-func (h *peerHandler) decode(from id.Daemon, body []byte, msg any) bool {
-	if err := peer.Decode(body, msg); err != nil {
-		h.d.logger.Warn("peer_message_refused", "from", from, "err", err)
-		return false
-	}
-	return true
+// Member implements link.Receiver.
+func (r receiver) Member(m member.Message) { r.d.members.Receive(m) }
+
+// Evidence implements link.Receiver.
+func (r receiver) Evidence(s poison.State) { r.d.broker.MergeEvidence(s) }
+
+// Refused implements link.Receiver.
+func (r receiver) Refused(from id.Daemon, why error) {
+	r.d.logger.Warn("peer_message_refused", "from", from, "err", why)
 }
 
 // HandleCall implements peer.Handler.
 func (h *peerHandler) HandleCall(ctx context.Context, from id.Daemon, kind peer.Kind, body []byte) ([]byte, error) {
-	if !h.open() {
+	if !h.Open() {
 		return nil, eris.New("the daemon is starting")
 	}
 	switch kind {
@@ -169,37 +128,11 @@
 	}
 }
 
-// brokerSender implements broker.Sender.
-type brokerSender struct{ d *Daemon }
-
-// SendBroker implements broker.Sender.
-func (s brokerSender) SendBroker(to id.Daemon, e *broker.Envelope) error {
-	return s.d.transport.Send(to, kindBroker, e)
-}
-
-// memberSender implements members.Sender.
-type memberSender struct{ d *Daemon }
-
-// SendMember implements members.Sender. A message too large for a datagram
-// goes by the one-way stream.
-func (s memberSender) SendMember(to id.Daemon, address string, m *member.Message) {
-	if address != "" {
-		if err := s.d.transport.SetPeer(to, address); err != nil {
-			return
-		}
-	}
-	err := s.d.transport.Datagram(to, kindMember, m)
-	if eris.Is(err, peer.ErrTooLarge) {
-		_ = s.d.transport.Send(to, kindMember, m)
-	}
-}
+// links sends messages to other daemons.
+func (d *Daemon) links() link.Sender { return link.Sender{Transport: d.transport} }
 
 // spreadEvidence sends new evidence to the live daemons.
-func (d *Daemon) spreadEvidence(s poison.State) {
-	for _, to := range d.others() {
-		_ = d.transport.Send(to, kindEvidence, &s)
-	}
-}
+func (d *Daemon) spreadEvidence(s poison.State) { d.links().SendEvidence(d.others(), s) }
 
 // claimWriters implements claims.Writers over the transport.
 type claimWriters struct{ d *Daemon }
--- a/daemon/app/start.go
+++ b/daemon/app/start.go
@@ -19,6 +19,7 @@
 	"github.com/samphirequay/samphirequay/daemon/configs"
 	"github.com/samphirequay/samphirequay/daemon/endpoints"
 	"github.com/samphirequay/samphirequay/daemon/keys"
+	"github.com/samphirequay/samphirequay/daemon/link"
 	"github.com/samphirequay/samphirequay/daemon/members"
 	"github.com/samphirequay/samphirequay/daemon/peer"
 	"github.com/samphirequay/samphirequay/daemon/placer"
@@ -65,8 +66,8 @@
 		Self:      d.self,
 		Listen:    d.set.Listen.Peers,
 		Keys:      d.peerKeys,
-		Handler:   &peerHandler{d},
-		KindName:  kindName,
+		Handler:   newPeerHandler(d),
+		KindName:  link.KindName(kindNames),
 		Registry:  d.metrics,
 		RingSize:  d.set.Limits.PeerRing,
 		Report:    d.logger.Debug,
@@ -134,7 +135,7 @@
 		Self:       d.self,
 		Local:      d.localPolicy(),
 		NewManager: d.newManager,
-		Sender:     brokerSender{d},
+		Sender:     d.links(),
 		Poison:     d.poison,
 		Spread:     d.spreadEvidence,
 		Epoch:      d.epoch,
@@ -158,7 +159,7 @@
 		Self:     d.memberEntry(),
 		Seeds:    d.seeds(),
 		Hosts:    client.NewHosts(d.set.Platform.Hosts, d.platformOptions()),
-		Sender:   memberSender{d},
+		Sender:   d.links(),
 		Listener: fleetListener{d},
 		Metrics:  d.metrics,
 		Local:    d.memberLocal,
--- a/daemon/app/stop.go
+++ b/daemon/app/stop.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/entry"
+	"github.com/samphirequay/samphirequay/daemon/leaving"
 )
 
 const (
@@ -19,30 +19,6 @@
 	shutdownTimeout = 2 * time.Second
 )
 
-// stop is a planned stop under way.
-type stop struct {
-	mu   sync.Mutex
-	plan *entry.StopPlan
-}
-
-func (s *stop) named(now time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.plan.Named(now)
-}
-
-func (s *stop) caller(now time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.plan.Caller(now)
-}
-
-func (s *stop) mayClose(now time.Duration, inFlight int) (bool, entry.StopReason) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.plan.MayClose(now, inFlight)
-}
-
 // BeginStop begins a planned stop: the daemon leaves the entry answers and
 // hands its duties over, and goes on serving until nobody needs it.
 func (d *Daemon) BeginStop() {
@@ -52,7 +28,7 @@
 		Quiet:    stopQuiet,
 		Limit:    d.set.Timings.DrainMS.Duration(),
 	}
-	s := &stop{plan: entry.NewStopPlan(cfg, d.now())}
+	s := leaving.Begin(cfg, d.now())
 	if !d.stopping.CompareAndSwap(nil, s) {
 		return
 	}
@@ -62,22 +38,13 @@
 	go d.leave(s)
 }
 
-func (d *Daemon) leave(s *stop) {
-	ticker := time.NewTicker(stopLook)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-d.ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		ok, why := s.mayClose(d.now(), d.inFlight())
-		if ok {
-			d.logger.Event("daemon_closing", "why", why, "in_flight", d.inFlight())
-			d.shutdown()
-			return
-		}
+func (d *Daemon) leave(s *leaving.Stop) {
+	why, ok := s.Wait(d.ctx, stopLook, d.now, d.inFlight)
+	if !ok {
+		return
 	}
+	d.logger.Event("daemon_closing", "why", why, "in_flight", d.inFlight())
+	d.shutdown()
 }
 
 // Stop makes a planned stop and waits for its end, or for ctx.
--- a/daemon/gateway/enroll.go
+++ b/daemon/gateway/enroll.go
@@ -179,7 +179,7 @@
 	f.broker = broker.New(broker.Config{
 		Self:       self,
 		NewManager: func(p id.Pool) *pool.Manager { return d.newManager(f, p) },
-		Sender:     brokerSender{f},
+		Sender:     f.links(),
 		Poison:     d.poison,
 		Spread:     f.spreadEvidence,
 		Epoch:      d.epoch,
@@ -190,7 +190,7 @@
 	f.members = members.Start(members.Config{
 		Core:     memberConfig(),
 		Self:     member.Entry{Process: self, Domain: d.set.Domain, Address: d.set.Listen.Peers, CallerAddress: d.set.Listen.Callers},
-		Sender:   memberSender{f},
+		Sender:   f.links(),
 		Listener: fleetListener{d, f},
 		Metrics:  d.metrics,
 		Local: func() member.Local {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/samphirequay/samphirequay/daemon/feed"
 	"github.com/samphirequay/samphirequay/daemon/forward"
 	"github.com/samphirequay/samphirequay/daemon/hangup"
+	"github.com/samphirequay/samphirequay/daemon/leaving"
 	"github.com/samphirequay/samphirequay/daemon/logline"
 	"github.com/samphirequay/samphirequay/daemon/members"
 	"github.com/samphirequay/samphirequay/daemon/metrics"
@@ -116,7 +117,7 @@
 
 	// fleet is nil until the daemon has enrolled.
 	fleet    atomic.Pointer[fleet]
-	stopping atomic.Pointer[stop]
+	stopping atomic.Pointer[leaving.Stop]
 	ctx      context.Context
 	cancel   context.CancelFunc
 	closed   chan struct{}
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -12,23 +12,15 @@
 	"github.com/samphirequay/samphirequay/daemon/broker"
 	"github.com/samphirequay/samphirequay/daemon/feed"
 	"github.com/samphirequay/samphirequay/daemon/keys"
+	"github.com/samphirequay/samphirequay/daemon/link"
 	"github.com/samphirequay/samphirequay/daemon/peer"
 )
 
-// The kinds of messages between daemons.
-const (
-	kindBroker   peer.Kind = iota + 1 // one-way: broker.Envelope
-	kindMember                        // datagram: member.Message
-	kindEvidence                      // one-way: poison.State
-	kindTables                        // call: nothing -> tablesReply
-)
+// kindTables asks a daemon what it knows of the store's tables: a call, nothing
+// -> tablesReply.
+const kindTables = link.FirstFree
 
-var kindNames = map[peer.Kind]string{
-	kindBroker:   "broker",
-	kindMember:   "member",
-	kindEvidence: "evidence",
-	kindTables:   "tables",
-}
+var kindNames = map[peer.Kind]string{kindTables: "tables"}
 
 // tablesReply is what a daemon knows of the store's tables.
 type tablesReply struct {
@@ -85,8 +77,8 @@
 		Self:        f.self,
 		Listen:      d.set.Listen.Peers,
 		Keys:        material,
-		Handler:     &peerHandler{d: d, f: f, wired: wired},
-		KindName:    func(k peer.Kind) string { return kindNames[k] },
+		Handler:     &peerHandler{Handler: link.Handler{Receiver: receiver{d, f}, Wired: wired}, d: d},
+		KindName:    link.KindName(kindNames),
 		Registry:    d.metrics,
 		Report:      d.logger.Event,
 		RingSize:    peerRing,
@@ -101,109 +93,48 @@
 
 // peerHandler takes what other daemons send.
 type peerHandler struct {
-	d     *Daemon
-	f     *fleet
-	wired <-chan struct{}
+	link.Handler
+	d *Daemon
 }
 
-func (h *peerHandler) open() bool {
-	select {
-	case <-h.wired:
-		return true
-	default:
-		return false
-	}
+// receiver implements link.Receiver.
+type receiver struct {
+	d *Daemon
+	f *fleet
 }
 
-// HandleOneWay implements peer.Handler.
-func (h *peerHandler) HandleOneWay(from id.Daemon, kind peer.Kind, body []byte) {
-	if !h.open() {
-		return
-	}
-	switch kind {
-	case kindBroker:
-		var e broker.Envelope
-		if h.decode(from, body, &e) {
-			h.f.broker.Receive(from, &e)
-		}
-	case kindEvidence:
-		var s poison.State
-		if h.decode(from, body, &s) {
-			h.f.broker.MergeEvidence(s)
-		}
-	case kindMember:
-		h.member(from, body)
-	}
-}
+// Broker implements link.Receiver.
+func (r receiver) Broker(from id.Daemon, e *broker.Envelope) { r.f.broker.Receive(from, e) }
 
-// HandleDatagram implements peer.Handler.
-func (h *peerHandler) HandleDatagram(from id.Daemon, kind peer.Kind, body []byte) {
-	if h.open() && kind == kindMember {
-		h.member(from, body)
-	}
-}
+// Member implements link.Receiver.
+func (r receiver) Member(m member.Message) { r.f.members.Receive(m) }
 
-// member takes a membership message; the sender must be who it says.
-func (h *peerHandler) member(from id.Daemon, body []byte) {
-	var m member.Message
-	if !h.decode(from, body, &m) {
-		return
-	}
-	if m.From.Process.Daemon != from {
-		h.d.logger.Warn("peer_message_refused", "from", from, "says", m.From.Process.Daemon)
-		return
-	}
-	h.f.members.Receive(m)
-}
+// Evidence implements link.Receiver.
+func (r receiver) Evidence(s poison.State) { r.f.broker.MergeEvidence(s) }
 
-func (h *peerHandler) decode(from id.Daemon, body []byte, msg any) bool {
-	if err := peer.Decode(body, msg); err != nil {
-		h.d.logger.Warn("peer_message_refused", "from", from, "why", err)
-		return false
-	}
-	return true
+// Refused implements link.Receiver.
+func (r receiver) Refused(from id.Daemon, why error) {
+	r.d.logger.Warn("peer_message_refused", "from", from, "why", why)
 }
 
 // HandleCall implements peer.Handler.
 func (h *peerHandler) HandleCall(_ context.Context, from id.Daemon, kind peer.Kind, _ []byte) ([]byte, error) {
-	if !h.open() || kind != kindTables {
+	if !h.Open() || kind != kindTables {
 		return nil, eris.Errorf("no answer to a call of kind %d from %s", kind, from)
 	}
 	return peer.Encode(&tablesReply{States: h.d.tableStates()})
 }
 
-// brokerSender implements broker.Sender.
-type brokerSender struct{ f *fleet }
-
-// SendBroker implements broker.Sender.
-func (s brokerSender) SendBroker(to id.Daemon, e *broker.Envelope) error {
-	return s.f.transport.Send(to, kindBroker, e)
-}
-
-// memberSender implements members.Sender.
-type memberSender struct{ f *fleet }
-
-// SendMember implements members.Sender. A message too large for a datagram
-// goes by the one-way stream.
-func (s memberSender) SendMember(to id.Daemon, address string, m *member.Message) {
-	if address != "" {
-		if err := s.f.transport.SetPeer(to, address); err != nil {
-			return
-		}
-	}
-	err := s.f.transport.Datagram(to, kindMember, m)
-	if eris.Is(err, peer.ErrTooLarge) {
-		// Membership messages are repeated: a lost one needs no handling.
-		_ = s.f.transport.Send(to, kindMember, m)
-	}
-}
+// links sends messages to other daemons.
+func (f *fleet) links() link.Sender { return link.Sender{Transport: f.transport} }
 
 // spreadEvidence sends new evidence to the other daemons.
 func (f *fleet) spreadEvidence(s poison.State) {
+	var others []id.Daemon
 	for _, e := range f.members.Entries() {
 		if e.Process.Daemon != f.self.Daemon && e.State != member.Dead {
-			// Evidence that is lost comes again with the next crash.
-			_ = f.transport.Send(e.Process.Daemon, kindEvidence, &s)
+			others = append(others, e.Process.Daemon)
 		}
 	}
+	f.links().SendEvidence(others, s)
 }
--- a/daemon/gateway/stop.go
+++ b/daemon/gateway/stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/entry"
+	"github.com/samphirequay/samphirequay/daemon/leaving"
 )
 
 const (
@@ -22,42 +23,17 @@
 	shutdownTimeout = 300 * time.Millisecond
 )
 
-// stop is a planned stop under way.
-type stop struct {
-	began time.Duration
-	mu    sync.Mutex
-	plan  *entry.StopPlan
-}
-
-func (s *stop) named(now time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.plan.Named(now)
-}
-
-func (s *stop) caller(now time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.plan.Caller(now)
-}
-
-func (s *stop) mayClose(now time.Duration, inFlight int) (bool, entry.StopReason) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.plan.MayClose(now, inFlight)
-}
-
 // tooLate says whether a planned stop has gone on for so long that a stream may
 // not end before the process must.
 func (d *Daemon) tooLate() bool {
 	s := d.stopping.Load()
-	return s != nil && d.now()-s.began >= lateAfter
+	return s != nil && d.now()-s.Began() >= lateAfter
 }
 
 // noteCaller tells the plan of a planned stop that a caller still came.
 func (d *Daemon) noteCaller() {
 	if s := d.stopping.Load(); s != nil {
-		s.caller(d.now())
+		s.Caller(d.now())
 	}
 }
 
@@ -71,8 +47,7 @@
 		Quiet:    stopQuiet,
 		Limit:    seconds(d.set.Bounds.GraceS) - stopMargin,
 	}
-	now := d.now()
-	s := &stop{began: now, plan: entry.NewStopPlan(cfg, now)}
+	s := leaving.Begin(cfg, d.now())
 	if !d.stopping.CompareAndSwap(nil, s) {
 		return
 	}
@@ -84,22 +59,14 @@
 	go d.leave(s)
 }
 
-func (d *Daemon) leave(s *stop) {
-	ticker := time.NewTicker(stopLook)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-d.ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		ok, why := s.mayClose(d.now(), int(d.inFlight.Load()))
-		if ok {
-			d.logger.Event("daemon_closing", "why", why, "in_flight", d.inFlight.Load())
-			d.shutdown()
-			return
-		}
+func (d *Daemon) leave(s *leaving.Stop) {
+	inFlight := func() int { return int(d.inFlight.Load()) }
+	why, ok := s.Wait(d.ctx, stopLook, d.now, inFlight)
+	if !ok {
+		return
 	}
+	d.logger.Event("daemon_closing", "why", why, "in_flight", inFlight())
+	d.shutdown()
 }
 
 // shutdown closes the servers, then the duties.
