--- a/daemon/feed/feed.go
+++ b/daemon/feed/feed.go
@@ -65,6 +65,9 @@
 	// and all, so that the calls of a fleet, which a change ends at the same
 	// moment, are not all silent together.
 	Wait time.Duration
+	// Gather is the pause after changes, so that those that come together cost
+	// one more call and not one each.
+	Gather time.Duration
 	// Retry bounds the pause after a failed call; the pause doubles up to it.
 	Retry time.Duration
 	// Changed is told of each new state; it must not block for long.
@@ -91,6 +94,8 @@
 	// whole asks for a whole read next.
 	whole bool
 	lost  bool
+	// changed is set by a call that brought changes.
+	changed bool
 }
 
 const (
@@ -201,6 +206,9 @@
 		err := f.step()
 		if err == nil {
 			pause = firstRetry
+			if f.gathers() && !f.sleep(f.cfg.Gather) {
+				return
+			}
 			continue
 		}
 		if !f.sleep(pause/2 + time.Duration(f.cfg.Rand.Int64N(int64(pause)))) {
@@ -210,6 +218,15 @@
 	}
 }
 
+// gathers says whether the last call brought changes and a pause is due.
+func (f *Follower) gathers() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	due := f.changed && f.cfg.Gather > 0 && !f.whole
+	f.changed = false
+	return due
+}
+
 func (f *Follower) sleep(d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -284,6 +301,7 @@
 		return nil
 	}
 	f.apply(delta)
+	f.changed = len(delta.Changes) > 0
 	told := f.snapshot()
 	f.mu.Unlock()
 	if len(delta.Changes) > 0 {
--- a/daemon/feed/feed_test.go
+++ b/daemon/feed/feed_test.go
@@ -187,3 +187,27 @@
 	is.Equal(keys(next(t, f.states)), map[string]uint64{"a": 10})
 	is.Equal(len(f.lost), 0)
 }
+
+// TestChangesThatComeTogetherAreGathered: behind changes the next call waits.
+func TestChangesThatComeTogetherAreGathered(t *testing.T) {
+	is := is.New(t)
+	s := newSource()
+	states := make(chan State, 16)
+	f := Start(Config{
+		Name: "t", Source: s, Wait: testBound, Retry: time.Millisecond, Gather: testBound,
+		Changed: func(s State) { states <- s },
+		Lost:    func(error) {},
+		Back:    func() {},
+		Rand:    rand.New(rand.NewPCG(1, 1)),
+	})
+	t.Cleanup(f.Close)
+	give(t, s.reads, read(9, row("a", 3)))
+	next(t, states)
+	give(t, s.changes, func() (Delta, error) { return Delta{Position: 12, Changes: []Change{{Row: row("a", 11)}}}, nil })
+	is.Equal(keys(next(t, states)), map[string]uint64{"a": 11})
+	select {
+	case s.changes <- func() (Delta, error) { return Delta{}, nil }:
+		t.Fatal("it asked again at once")
+	case <-time.After(20 * time.Millisecond):
+	}
+}
--- a/daemon/gateway/enroll.go
+++ b/daemon/gateway/enroll.go
@@ -216,9 +216,14 @@
 // the daemons tell one another as well.
 const hostsWait = 8 * time.Second
 
+// hostsGather is the pause after new daemons: a fleet starts at once, and each
+// of its daemons would else be told of each other one by a call of its own.
+const hostsGather = time.Second
+
 func (d *Daemon) hostsConfig(f *fleet) feed.Config {
 	cfg := d.followerConfig(tableDaemons, func(s feed.State) { f.members.SetHosts(d.hosts(s)) })
 	cfg.Wait = hostsWait
+	cfg.Gather = hostsGather
 	return cfg
 }
 
--- a/daemon/gateway/knowledge.go
+++ b/daemon/gateway/knowledge.go
@@ -17,6 +17,9 @@
 	// feedWait is how long one call waits for changes: a connection to the
 	// store that has gone silent is noticed after that and a little more.
 	feedWait = 3 * time.Second
+	// feedGather is the pause after changes: much less than the two seconds in
+	// which a change must be in force.
+	feedGather = 200 * time.Millisecond
 	// feedRetry bounds the pause after a failed call to the store.
 	feedRetry = 400 * time.Millisecond
 	// registryLook is how often lapsed entries of the registry are looked at.
@@ -63,6 +66,7 @@
 		Name:    name,
 		Source:  d.platform.Source,
 		Wait:    feedWait,
+		Gather:  feedGather,
 		Retry:   feedRetry,
 		Changed: changed,
 		Lost: func(err error) {
