Pass the streams of plain services on as they come

They were read whole before any of it was passed on. A refusal goes to another endpoint; nothing that may have run is sent again. Also: a request whose time is over is told from a caller that left.

--- a/daemon/forward/call.go
+++ b/daemon/forward/call.go
@@ -113,9 +113,7 @@
 		Once:     !t.route.Repeatable(),
 	})
 	took := f.Now() - begun
-	f.mu.Lock()
-	f.Balancer.Done(f.Now(), e.Name, took, outcomeOf(reply, err))
-	f.mu.Unlock()
+	f.done(e, begun, outcomeOf(reply, err))
 	switch {
 	case err != nil:
 		f.Log.Event("attempt_failed", "request", r.ID, "attempt", t.attempts, "endpoint", e.Name, "took", took,
--- a/daemon/forward/forward.go
+++ b/daemon/forward/forward.go
@@ -101,8 +101,11 @@
 	}
 	f.counted(t.service)
 	ctx, cancel := context.WithTimeout(ctx, f.limit(r, t.route)-f.Now())
-	if t.route.Kind == route.Stream && service.Engine != nil {
+	switch {
+	case t.route.Kind == route.Stream && service.Engine != nil:
 		return f.stream(ctx, cancel, r, t, service)
+	case t.route.Kind == route.Stream:
+		return f.plainStream(ctx, cancel, r, t, service)
 	}
 	defer cancel()
 	return f.call(ctx, r, t, service)
--- /dev/null
+++ b/daemon/forward/plainstream.go
@@ -0,0 +1,96 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/balance"
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/registry"
+	"github.com/samphirequay/samphirequay/core/route"
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+// plainStream serves a stream of a service without engines. Endpoints are tried
+// one after another for as long as the request certainly has not run; a stream
+// that has begun is passed on as it comes.
+func (f *Forwarder) plainStream(ctx context.Context, cancel context.CancelFunc, r *Request, t *trace, s *route.Service) (*Reply, *verdict.Error) {
+	var avoid []id.Endpoint
+	for refused := 1; ; refused++ {
+		endpoint, err := f.pick(s.Name, avoid)
+		if err != nil {
+			cancel()
+			return nil, err
+		}
+		begun := f.Now()
+		t.attempts++
+		t.endpoint = endpoint.Name
+		limit := f.limit(r, t.route)
+		opened, err := f.Endpoints.Decode(ctx, &Attempt{
+			Request: r, Endpoint: endpoint, Left: limit - begun, Until: limit, MaxConns: f.connections(s), Once: true, LastEvent: r.LastEvent,
+		}, KV{})
+		if err == nil {
+			return f.openedPlain(ctx, cancel, r, t, endpoint, begun, opened), nil
+		}
+		f.done(endpoint, begun, outcomeOf(nil, err))
+		f.Log.Event("attempt_failed", "request", r.ID, "attempt", t.attempts, "endpoint", endpoint.Name,
+			"verdict", err.Verdict, "code", err.Code, "why", err.Error())
+		avoid = append(avoid, endpoint.Name)
+		if err.Verdict != verdict.NotRun || !f.again(ctx, r, t, s, err, 0, refused) {
+			cancel()
+			return nil, err
+		}
+	}
+}
+
+// done ends a call at an endpoint for the balancer.
+func (f *Forwarder) done(e registry.Endpoint, begun time.Duration, outcome balance.Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Balancer.Done(f.Now(), e.Name, f.Now()-begun, outcome)
+}
+
+// openedPlain passes on what an endpoint opened.
+func (f *Forwarder) openedPlain(ctx context.Context, cancel context.CancelFunc, r *Request, t *trace, e registry.Endpoint, begun time.Duration, opened *Opened) *Reply {
+	if opened.Events == nil {
+		cancel()
+		f.done(e, begun, balance.Failed)
+		return &Reply{Status: opened.Status, Header: opened.Header, Body: opened.Body}
+	}
+	t.first = f.Now() - r.Arrived
+	f.done(e, begun, balance.OK)
+	body := &plainBody{EventStream: opened.Events, f: f, ctx: ctx, cancel: cancel, request: r, trace: t, status: opened.Status}
+	return &Reply{Status: opened.Status, Header: opened.Header, Events: body}
+}
+
+// plainBody passes a stream on byte by byte and writes the request's line at
+// its end.
+type plainBody struct {
+	EventStream
+	f       *Forwarder
+	ctx     context.Context
+	cancel  context.CancelFunc
+	request *Request
+	trace   *trace
+	status  int
+	ended   error
+}
+
+// Read implements io.Reader.
+func (b *plainBody) Read(p []byte) (int, error) {
+	n, err := b.EventStream.Read(p)
+	if err != nil {
+		b.ended = err
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *plainBody) Close() error {
+	err := b.EventStream.Close()
+	b.cancel()
+	b.f.record(b.request, b.trace, &Reply{Status: b.status}, endingOf(b.ctx, errors.Is(b.ended, io.EOF), b.ended))
+	return err
+}
--- a/daemon/forward/relay.go
+++ b/daemon/forward/relay.go
@@ -220,19 +220,19 @@
 	}
 	s.finish(sched.PhaseCancelled)
 	s.cancel()
-	s.f.record(s.request, s.trace, &Reply{Status: s.opened.Status}, s.ending())
+	s.f.record(s.request, s.trace, &Reply{Status: s.opened.Status}, endingOf(s.ctx, s.ended, s.broken))
 	return nil
 }
 
-// ending is the error that a stream ended with; nil if it is complete.
-func (s *relay) ending() *verdict.Error {
+// endingOf is the error that a stream ended with; nil if it is complete.
+func endingOf(ctx context.Context, complete bool, broken error) *verdict.Error {
 	switch {
-	case s.ended:
+	case complete:
 		return nil
-	case errors.Is(s.ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return verdict.New(verdict.Ran, verdict.CodeDeadline, "the stream was cut at its time limit")
-	case s.broken != nil && s.ctx.Err() == nil:
-		return verdict.New(verdict.Ran, verdict.CodeEndpointFailed, "the stream broke").WithCause(s.broken)
+	case broken != nil && ctx.Err() == nil:
+		return verdict.New(verdict.Ran, verdict.CodeEndpointFailed, "the stream broke").WithCause(broken)
 	default:
 		return verdict.New(verdict.Ran, verdict.CodeCallerGone, "the caller left")
 	}
--- a/daemon/gateway/front.go
+++ b/daemon/gateway/front.go
@@ -25,11 +25,10 @@
 	// idleTimeout is longer than any caller keeps a connection unused, so that
 	// no request crosses the closing of its connection.
 	idleTimeout = 75 * time.Second
-	// writeTimeout bounds the writing of an answer to a caller that does not
-	// read; streams have no such bound, their time limit ends them.
+	// smallReadBuffer is enough for the short requests of the other listeners.
 	smallReadBuffer = 4 << 10
-	// callerProbeIdle and callerProbeEvery find callers whose connection has
-	// gone silent.
+	// callerProbeIdle, callerProbeEvery and callerProbeCount find callers whose
+	// connection has gone silent.
 	callerProbeIdle  = 2 * time.Second
 	callerProbeEvery = time.Second
 	callerProbeCount = 2
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -123,7 +123,7 @@
 // ctx closes the connection at once.
 func (p *Pool) Do(ctx context.Context, c *Call) (*Answer, *verdict.Error) {
 	if err := ctx.Err(); err != nil {
-		return nil, notRun(c, verdict.CodeCallerGone, err)
+		return nil, notRun(c, endedCode(err), err)
 	}
 	used, err := p.connect(ctx, c)
 	if err != nil {
@@ -282,14 +282,20 @@
 	return verdict.New(verdict.NotRun, code, "the request was not sent to %s", c.Address).WithCause(cause)
 }
 
+// endedCode tells a time limit from a caller that left.
+func endedCode(err error) verdict.Code {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return verdict.CodeDeadline
+	}
+	return verdict.CodeCallerGone
+}
+
 // mayHaveRun names the cause of a failure after bytes were sent.
 func mayHaveRun(ctx context.Context, c *Call, cause error) *verdict.Error {
 	code := verdict.CodeEndpointFailed
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		code = verdict.CodeDeadline
 	case ctx.Err() != nil:
-		code = verdict.CodeCallerGone
+		code = endedCode(ctx.Err())
 	case errors.Is(cause, os.ErrDeadlineExceeded), errors.Is(cause, fasthttp.ErrTimeout):
 		code = verdict.CodeDeadline
 	}
