--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -104,7 +104,7 @@
 	logger  *logline.Logger
 	poison  *poison.Ledger
 
-	knowledge knowledge
+	knowledge *knowledge
 	configs   *feed.Follower
 	endpoints *feed.Follower
 	forwarder *forward.Forwarder
--- a/daemon/gateway/knowledge.go
+++ b/daemon/gateway/knowledge.go
@@ -28,9 +28,9 @@
 
 // knowledge is what the daemon has learnt from the store's tables.
 type knowledge struct {
-	view *atomic.Pointer[forward.View]
+	view atomic.Pointer[forward.View]
 	// mu guards what the view is made of.
-	mu       *sync.Mutex
+	mu       sync.Mutex
 	list     *registry.List
 	routes   *route.Table
 	versions map[string]uint64
@@ -39,10 +39,8 @@
 	badRows map[string]uint64
 }
 
-func newKnowledge() knowledge {
-	k := knowledge{
-		view:     &atomic.Pointer[forward.View]{},
-		mu:       &sync.Mutex{},
+func newKnowledge() *knowledge {
+	k := &knowledge{
 		list:     registry.New(),
 		versions: map[string]uint64{},
 		badRows:  map[string]uint64{},
@@ -112,7 +110,7 @@
 // configChanged puts a newer configuration in force. One that can't be read
 // leaves the last good one.
 func (d *Daemon) configChanged(s feed.State) {
-	k := &d.knowledge
+	k := d.knowledge
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.outdated(s) {
@@ -148,7 +146,7 @@
 
 // endpointsChanged takes the registered endpoints.
 func (d *Daemon) endpointsChanged(s feed.State) {
-	k := &d.knowledge
+	k := d.knowledge
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.outdated(s) {
@@ -188,7 +186,7 @@
 // publish makes a new view of what is known and tells the duties; the lock is
 // held.
 func (d *Daemon) publish() {
-	k := &d.knowledge
+	k := d.knowledge
 	entries := k.list.All()
 	byName := make(map[id.Endpoint]registry.Endpoint, len(entries))
 	for _, e := range entries {
--- a/daemon/gateway/settings.go
+++ b/daemon/gateway/settings.go
@@ -55,8 +55,6 @@
 	RepeatRatio   float64 `json:"repeat_ratio" validate:"min=0"`
 	RepeatSlack   float64 `json:"repeat_slack" validate:"min=0"`
 	RepeatWindowS float64 `json:"repeat_window_s" validate:"min=0.1"`
-	// ChecksFencing says that engines refuse orders with an old fencing number.
-	ChecksFencing bool `json:"checks_fencing"`
 }
 
 // Load reads and checks the settings in a file.
