--- a/daemon/gateway/enroll.go
+++ b/daemon/gateway/enroll.go
@@ -168,13 +168,15 @@
 func (d *Daemon) join(self id.Process, material *keys.Store) error {
 	f := &fleet{self: self}
 	wired := make(chan struct{})
-	work, err := workpool.New("short", shortWorkers, d.metrics)
+	transport, err := peer.Listen(d.peerConfig(f, material, wired))
 	if err != nil {
-		return err
+		return eris.Wrapf(err, "listen.peers %s", d.set.Listen.Peers)
 	}
-	f.transport, err = peer.Listen(d.peerConfig(f, material, wired))
+	f.transport = transport
+	work, err := workpool.New("short", shortWorkers, d.metrics)
 	if err != nil {
-		return eris.Wrapf(err, "listen.peers %s", d.set.Listen.Peers)
+		transport.Close()
+		return err
 	}
 	f.broker = broker.New(broker.Config{
 		Self:       self,
