Refuse a request that breaks one endpoint after another, at all daemons

Cause: on the platform nothing held breaks against a request. The pools count crashes by an endpoint's incarnation, and here an endpoint comes back under another name; plain calls pass no pool at all. The forwarder now notes each break of a connection under the request's route, target and body, and clears it when an endpoint finishes it; the evidence is the ledger that daemons already share, now safe for concurrent use. Three breaks alone refuse it; for what may run only once the refusal promises nothing.

Evidence goes out at most every 250 ms, since a break costs a message for each pair of daemons. TestRepeatsStayWithinTheServicesBound sent one request a hundred times, which is refused now; it sends a hundred requests, under the same bound. The new unit test counted 10 sendings with a ledger that kept nothing, and counts 3.

--- a/core/poison/judge.go
+++ b/core/poison/judge.go
@@ -13,6 +13,12 @@
 // cleared. A crash alone counts once it has settled: until then another daemon
 // may still report a neighbour.
 func (l *Ledger) Check(wall time.Time, f Fingerprint) Finding {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.check(wall, f)
+}
+
+func (l *Ledger) check(wall time.Time, f Fingerprint) Finding {
 	evidence := l.evidence(wall, f)
 	n := len(evidence)
 	switch {
@@ -89,9 +95,11 @@
 
 // List returns the quarantined fingerprints in order.
 func (l *Ledger) List(wall time.Time) []Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	var out []Entry
 	for f, ids := range l.byPrint {
-		finding := l.Check(wall, f)
+		finding := l.check(wall, f)
 		if finding.Standing == Quarantined {
 			out = append(out, Entry{Fingerprint: f, Team: l.suspect(f, ids[0]).Team, Crashes: finding.Crashes, Until: finding.Until})
 		}
--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -3,11 +3,13 @@
 import (
 	"cmp"
 	"slices"
+	"sync"
 	"time"
 )
 
-// Ledger holds the evidence of all daemons. It is not safe for concurrent use.
+// Ledger holds the evidence of all daemons. It is safe for concurrent use.
 type Ledger struct {
+	mu         sync.Mutex
 	cfg        Config
 	crashes    map[CrashID]*entry
 	byPrint    map[Fingerprint][]CrashID
@@ -46,28 +48,50 @@
 // Crash records a crash with the requests that this daemon had there. A crash
 // that each daemon with work there reports is complete.
 func (l *Ledger) Crash(wall time.Time, crash CrashID, running []Suspect) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.mergeCrash(Crash{ID: crash, AtUnixMS: wall.UnixMilli(), Running: running})
 	l.prune(wall)
 }
 
-// Finished clears a request that ran to its end.
-func (l *Ledger) Finished(wall time.Time, f Fingerprint) {
-	if len(l.byPrint[f]) > 0 {
-		l.mergeCleared(Cleared{Fingerprint: f, AtUnixMS: wall.UnixMilli()})
+// Finished clears a request that ran to its end. It returns whether anything
+// was held against it.
+func (l *Ledger) Finished(wall time.Time, f Fingerprint) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.byPrint[f]) == 0 {
+		return false
 	}
+	l.mergeCleared(Cleared{Fingerprint: f, AtUnixMS: wall.UnixMilli()})
+	return true
 }
 
 // Lift frees a fingerprint of all evidence up to now.
 func (l *Ledger) Lift(wall time.Time, f Fingerprint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.mergeCleared(Cleared{Fingerprint: f, AtUnixMS: wall.UnixMilli()})
 	l.prune(wall)
 }
 
 // LiftAll frees every fingerprint of all evidence up to now.
-func (l *Ledger) LiftAll(wall time.Time) { l.mergeAllCleared(wall.UnixMilli()) }
+func (l *Ledger) LiftAll(wall time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mergeAllCleared(wall.UnixMilli())
+}
+
+// Empty says whether nothing is held against any request.
+func (l *Ledger) Empty() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.crashes) == 0
+}
 
 // Merge takes evidence from another daemon. It returns true if some was new.
 func (l *Ledger) Merge(wall time.Time, s State) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	before := l.change
 	oldest := wall.Add(-l.cfg.Quarantine).UnixMilli()
 	latest := wall.Add(maxFuture).UnixMilli()
@@ -91,6 +115,8 @@
 // Delta returns what changed behind the given number, in a fixed order, and
 // the number to ask with next time. Delta(0) is the whole state.
 func (l *Ledger) Delta(after uint64) (State, uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	var s State
 	for _, e := range l.crashes {
 		if e.changed > after {
--- a/daemon/broker/broker.go
+++ b/daemon/broker/broker.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"math"
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
@@ -24,8 +25,7 @@
 	// NewManager makes the manager of a pool that this daemon owns.
 	NewManager func(p id.Pool) *pool.Manager
 	Sender     Sender
-	// Poison holds the evidence against requests that crash endpoints. Only
-	// the duty uses it.
+	// Poison holds the evidence against requests that crash endpoints.
 	Poison *poison.Ledger
 	// Spread sends new evidence to the other daemons.
 	Spread func(s poison.State)
@@ -52,8 +52,10 @@
 	bindings map[id.Request]chan sched.Binding
 	lost     *metrics.Counter
 	unknown  *metrics.Counter
-	// told is the number of the last evidence that was spread.
-	told uint64
+	// told is the number of the last evidence that was spread, and spreadAt
+	// the time from which new evidence may be spread.
+	told     uint64
+	spreadAt time.Duration
 }
 
 // New returns a Broker whose duty is running.
@@ -86,18 +88,36 @@
 		}
 		next = min(next, m.Next())
 	}
-	b.spread()
-	return next
+	return min(next, b.spread(now))
 }
 
-// spread sends evidence that is new since the last time.
-func (b *Broker) spread() {
+// spreadEvery gathers evidence: each daemon passes on what it learns, so that a
+// break costs a message for each pair of daemons. It is well below the time in
+// which a verdict settles.
+const spreadEvery = 250 * time.Millisecond
+
+// never is the time of what isn't due.
+const never = time.Duration(math.MaxInt64)
+
+// spread sends evidence that is new since the last time, and returns when it
+// wants to be called again.
+func (b *Broker) spread(now time.Duration) time.Duration {
 	delta, number := b.cfg.Poison.Delta(b.told)
 	if number == b.told {
-		return
+		return never
+	}
+	if now < b.spreadAt {
+		return b.spreadAt
 	}
 	b.told = number
+	b.spreadAt = now + spreadEvery
 	b.cfg.Spread(delta)
+	return never
+}
+
+// EvidenceChanged has new evidence spread. It doesn't wait.
+func (b *Broker) EvidenceChanged() {
+	b.duty.PostLater(func(time.Duration) {})
 }
 
 // MergeEvidence takes evidence from another daemon.
--- a/daemon/forward/call.go
+++ b/daemon/forward/call.go
@@ -52,7 +52,7 @@
 			failure = worse(failure, err)
 		}
 		avoid = append(avoid, endpoint.Name)
-		if !f.again(ctx, r, t, s, err, ran, refused) {
+		if !f.again(ctx, r, t, s, err, ran, refused) || f.judge(r, t) != nil {
 			return orEarlier(last, failure, nil)
 		}
 	}
@@ -116,9 +116,13 @@
 	f.done(e, begun, outcomeOf(reply, err))
 	switch {
 	case err != nil:
+		f.broke(r, t, e, err)
 		f.Log.Event("attempt_failed", "request", r.ID, "attempt", t.attempts, "endpoint", e.Name, "took", took,
 			"verdict", err.Verdict, "code", err.Code, "why", err.Error())
-	case reply.Failed():
+	default:
+		f.survived(r, t)
+	}
+	if err == nil && reply.Failed() {
 		f.Log.Event("attempt_failed", "request", r.ID, "attempt", t.attempts, "endpoint", e.Name, "took", took,
 			"verdict", verdict.Ran, "status", reply.Status)
 	}
--- a/daemon/forward/forward.go
+++ b/daemon/forward/forward.go
@@ -24,6 +24,8 @@
 	Endpoints Endpoints
 	Pairer    Pairer
 	Balancer  *balance.Balancer
+	// Suspicion is shared with the other daemons.
+	Suspicion Suspicion
 	// Repeats bounds the repeats of each service.
 	Repeats retry.WindowConfig
 	// Stale says whether the configuration may be out of date.
@@ -99,6 +101,9 @@
 	if t.route.Kind == route.Stream && f.TooLate() {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeLeaving, "this daemon is stopping")
 	}
+	if err := f.judge(r, t); err != nil {
+		return nil, err
+	}
 	f.counted(t.service)
 	ctx, cancel := context.WithTimeout(ctx, f.limit(r, t.route)-f.Now())
 	switch {
--- a/daemon/forward/plainstream.go
+++ b/daemon/forward/plainstream.go
@@ -35,6 +35,7 @@
 			return f.openedPlain(ctx, cancel, r, t, endpoint, begun, opened), nil
 		}
 		f.done(endpoint, begun, outcomeOf(nil, err))
+		f.broke(r, t, endpoint, err)
 		f.Log.Event("attempt_failed", "request", r.ID, "attempt", t.attempts, "endpoint", endpoint.Name,
 			"verdict", err.Verdict, "code", err.Code, "why", err.Error())
 		avoid = append(avoid, endpoint.Name)
@@ -90,7 +91,14 @@
 // Close implements io.Closer.
 func (b *plainBody) Close() error {
 	err := b.EventStream.Close()
+	broken := b.ended != nil && !errors.Is(b.ended, io.EOF) && b.ctx.Err() == nil
 	b.cancel()
+	switch {
+	case errors.Is(b.ended, io.EOF):
+		b.f.survived(b.request, b.trace)
+	case broken:
+		b.f.brokeOff(b.request, b.trace, b.trace.endpoint)
+	}
 	b.f.record(b.request, b.trace, &Reply{Status: b.status}, endingOf(b.ctx, errors.Is(b.ended, io.EOF), b.ended))
 	return err
 }
--- /dev/null
+++ b/daemon/forward/poison.go
@@ -0,0 +1,78 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/poison"
+	"github.com/samphirequay/samphirequay/core/registry"
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+// Suspicion is the evidence against requests that break endpoints, shared by
+// all daemons.
+type Suspicion struct {
+	Ledger *poison.Ledger
+	// Epoch is the wall time at the daemon's time zero.
+	Epoch time.Time
+	// Spread has new evidence sent to the other daemons. It doesn't wait.
+	Spread func()
+}
+
+// printOf fingerprints a request by its route, target and body, whatever its
+// id: a caller sends it again under another one.
+func printOf(r *Request, t *trace) poison.Fingerprint {
+	content := make([]byte, 0, len(r.Target)+len(r.Body))
+	content = append(content, r.Target...)
+	content = append(content, r.Body...)
+	return poison.Print(id.Team(t.route.Name), t.service, content)
+}
+
+func (f *Forwarder) wall() time.Time { return f.Suspicion.Epoch.Add(f.Now()) }
+
+// judge refuses a request that has broken the endpoints which ran it. Where it
+// may run only once the refusal doesn't promise that it has not: an earlier
+// sending has.
+func (f *Forwarder) judge(r *Request, t *trace) *verdict.Error {
+	if f.Suspicion.Ledger.Empty() {
+		return nil
+	}
+	now := f.wall()
+	finding := f.Suspicion.Ledger.Check(now, printOf(r, t))
+	if finding.Standing != poison.Held && finding.Standing != poison.Quarantined {
+		return nil
+	}
+	t.reason = "endpoints broke while they ran it"
+	v := verdict.NotRun
+	if t.attempts > 0 || !t.route.Repeatable() {
+		v = verdict.MayHaveRun
+	}
+	return verdict.New(v, verdict.CodeQuarantined, "the request is refused: %d endpoints broke while they ran it", finding.Crashes).
+		WithRetryAfter(finding.Until.Sub(now))
+}
+
+// broke notes an attempt at whose endpoint the connection broke while the
+// request may have run.
+func (f *Forwarder) broke(r *Request, t *trace, e registry.Endpoint, err *verdict.Error) {
+	if err.Code == verdict.CodeEndpointFailed && err.Verdict != verdict.NotRun {
+		f.brokeOff(r, t, e.Name)
+	}
+}
+
+// brokeOff holds a break against a request. Endpoints come back under other
+// names, so that one counts once.
+func (f *Forwarder) brokeOff(r *Request, t *trace, e id.Endpoint) {
+	suspect := poison.Suspect{Fingerprint: printOf(r, t), Team: id.Team(t.route.Name)}
+	f.Suspicion.Ledger.Crash(f.wall(), poison.CrashID{Endpoint: e}, []poison.Suspect{suspect})
+	f.Suspicion.Spread()
+}
+
+// survived clears a request that an endpoint ran to its end.
+func (f *Forwarder) survived(r *Request, t *trace) {
+	if f.Suspicion.Ledger.Empty() {
+		return
+	}
+	if f.Suspicion.Ledger.Finished(f.wall(), printOf(r, t)) {
+		f.Suspicion.Spread()
+	}
+}
--- /dev/null
+++ b/daemon/forward/poison_test.go
@@ -0,0 +1,71 @@
+package forward
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+// deadly breaks the endpoints that get the given target.
+func deadly(target string) *scripted {
+	return &scripted{answer: func(a *Attempt) (*Reply, *verdict.Error) {
+		if a.Request.Target == target {
+			return nil, verdict.New(verdict.MayHaveRun, verdict.CodeEndpointFailed, "the connection broke")
+		}
+		return &Reply{Status: 200}, nil
+	}}
+}
+
+// TestARequestThatBreaksThreeEndpointsIsRefused under any id; others are not.
+func TestARequestThatBreaksThreeEndpointsIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := deadly("/again/x")
+	f, r := newTest(t, s)
+	for range 5 {
+		_, err := f.Run(context.Background(), r)
+		is.True(err != nil)
+		r.ID += "r"
+	}
+	is.Equal(len(s.sent), 3)
+	_, err := f.Run(context.Background(), r)
+	is.Equal(err.Code, verdict.CodeQuarantined)
+	is.Equal(err.Verdict, verdict.NotRun)
+	r.Target = "/again/y"
+	_, err = f.Run(context.Background(), r)
+	is.Equal(err, nil)
+}
+
+// TestARefusalOfWhatMayRunOnceDoesNotPromiseThatItHasNot: an earlier sending has.
+func TestARefusalOfWhatMayRunOnceDoesNotPromiseThatItHasNot(t *testing.T) {
+	is := is.New(t)
+	s := deadly("/once/x")
+	f, r := newTest(t, s)
+	r.Path, r.Target = "/once/x", "/once/x"
+	for range 4 {
+		_, err := f.Run(context.Background(), r)
+		is.Equal(err.Verdict, verdict.MayHaveRun)
+	}
+	is.Equal(len(s.sent), 3)
+}
+
+// TestARequestThatAnEndpointFinishedIsCleared: endpoints break for other reasons.
+func TestARequestThatAnEndpointFinishedIsCleared(t *testing.T) {
+	is := is.New(t)
+	s := &scripted{}
+	s.answer = func(a *Attempt) (*Reply, *verdict.Error) {
+		if len(s.sent)%2 == 1 {
+			return nil, verdict.New(verdict.MayHaveRun, verdict.CodeEndpointFailed, "the connection broke")
+		}
+		return &Reply{Status: 200}, nil
+	}
+	f, r := newTest(t, s)
+	const calls = 5 // within the service's bound on repeats
+	for range calls {
+		_, err := f.Run(context.Background(), r)
+		is.Equal(err, nil)
+	}
+	is.Equal(len(s.sent), 2*calls)
+}
--- a/daemon/forward/relay.go
+++ b/daemon/forward/relay.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"os"
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
@@ -118,6 +119,9 @@
 	if !s.resumable() || s.f.left(s.request, s.trace.route) < leastForPrefill {
 		return false
 	}
+	if s.f.judge(s.request, s.trace) != nil {
+		return false
+	}
 	return s.f.repeat(s.service.Name)
 }
 
@@ -185,6 +189,7 @@
 // complete notes the proper end.
 func (s *relay) complete() {
 	s.ended = true
+	s.f.survived(s.request, s.trace)
 	_ = s.opened.Events.Close()
 	s.finish(sched.PhaseDone)
 }
@@ -198,6 +203,9 @@
 		return
 	}
 	s.avoid = append(s.avoid, s.trace.endpoint)
+	if !errors.Is(cause, os.ErrDeadlineExceeded) {
+		s.f.brokeOff(s.request, s.trace, s.trace.endpoint)
+	}
 	s.f.Log.Event("stream_broke", "request", s.request.ID, "endpoint", s.trace.endpoint, "behind", s.last, "why", cause)
 	s.progress(sched.Progress{Phase: sched.PhaseFailed, Endpoint: s.trace.endpoint})
 	s.grant = sched.Grant{}
--- a/daemon/forward/stream.go
+++ b/daemon/forward/stream.go
@@ -103,6 +103,8 @@
 		g.trace.reason = "no time is left"
 	case err.Verdict != verdict.NotRun && !g.resumable():
 		g.trace.reason = "it may not run again"
+	case f.judge(g.request, g.trace) != nil:
+		// judge has set the reason.
 	case refusedByOwner(err):
 		g.trace.reason = "the pool's owner refused"
 	case g.pairings >= maxPairings:
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -175,7 +175,7 @@
 	d.metrics.OnViolation(func(name, detail string) {
 		d.logger.Error("invariant_violated", "name", name, "detail", detail)
 	})
-	d.poison = poison.New(poison.Config{})
+	d.poison = poison.New(poison.Config{AloneCrashes: breaksToRefuse})
 	d.knowledge = newKnowledge()
 	d.forwarder = forward.New(forward.Deps{
 		Self:      d.self,
@@ -184,6 +184,15 @@
 		Endpoints: d.platform.Endpoints,
 		Pairer:    pairer{d},
 		Balancer:  balance.New(d.set.Domain, d.newRand()),
+		Suspicion: forward.Suspicion{
+			Ledger: d.poison,
+			Epoch:  d.epoch,
+			Spread: func() {
+				if f := d.fleet.Load(); f != nil {
+					f.broker.EvidenceChanged()
+				}
+			},
+		},
 		Repeats: retry.WindowConfig{
 			Span:   seconds(d.set.Bounds.RepeatWindowS),
 			Ratio:  d.set.Bounds.RepeatRatio,
@@ -200,6 +209,12 @@
 	return nil
 }
 
+// breaksToRefuse is how many endpoints must have broken off while they ran a
+// request alone, and none have finished it, before all daemons refuse it. Two
+// may be chance: an endpoint that spoils three answers in a hundred does so to
+// one request in a thousand.
+const breaksToRefuse = 3
+
 // repeatSafety is the share of the bound on repeats that the daemons use: their
 // parts of it follow the membership, which lags.
 const repeatSafety = 0.75
@@ -217,6 +232,10 @@
 
 func (d *Daemon) now() time.Duration { return Now() }
 
+// wall is the time of day by which evidence is dated: the daemon's clock at
+// its start, moved on by the boot clock.
+func (d *Daemon) wall() time.Time { return d.epoch.Add(d.now()) }
+
 // newRand returns a source of its own for one duty.
 func (d *Daemon) newRand() *rand.Rand { return rand.New(rand.NewPCG(d.rand.Uint64(), d.rand.Uint64())) }
 
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -110,7 +110,12 @@
 func (r receiver) Member(m member.Message) { r.f.members.Receive(m) }
 
 // Evidence implements link.Receiver.
-func (r receiver) Evidence(s poison.State) { r.f.broker.MergeEvidence(s) }
+func (r receiver) Evidence(s poison.State) {
+	if r.d.poison.Merge(r.d.wall(), s) {
+		r.d.logger.Event("evidence_learnt", "breaks", len(s.Crashes), "cleared", len(s.Cleared))
+		r.f.broker.EvidenceChanged()
+	}
+}
 
 // Refused implements link.Receiver.
 func (r receiver) Refused(from id.Daemon, why error) {
--- a/daemon/gateway/pools.go
+++ b/daemon/gateway/pools.go
@@ -28,7 +28,9 @@
 				Violation:        d.metrics.Violation,
 			})
 		},
-		Poison: d.poison,
+		// Endpoints come back under other names here, which a pool can't tell
+		// from new ones: the forwarder judges requests before they get there.
+		Poison: poison.New(poison.Config{}),
 		Epoch:  d.epoch,
 		Events: pool.Events{
 			Health: func(c health.Change) {
