Tell requests apart by caller and prompt before holding breaks against them

Cause: the streams of one target have the same target and body, and differ in the prompt that their header names. The fingerprint now holds caller, method and prompt as well. TestAnotherCallersOrPromptsRequestIsNotRefused failed with the old one.

--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -81,11 +81,11 @@
 	l.mergeAllCleared(wall.UnixMilli())
 }
 
-// Empty says whether nothing is held against any request.
-func (l *Ledger) Empty() bool {
+// Len is the number of crashes that are held against requests.
+func (l *Ledger) Len() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.crashes) == 0
+	return len(l.crashes)
 }
 
 // Merge takes evidence from another daemon. It returns true if some was new.
--- a/daemon/forward/poison.go
+++ b/daemon/forward/poison.go
@@ -1,11 +1,13 @@
 package forward
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/poison"
 	"github.com/samphirequay/samphirequay/core/registry"
+	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
@@ -19,12 +21,16 @@
 	Spread func()
 }
 
-// printOf fingerprints a request by its route, target and body, whatever its
-// id: a caller sends it again under another one.
+// printOf fingerprints a request by its caller, route, target, prompt and body,
+// whatever its id: a caller sends it again under another one. Without caller and
+// prompt the streams of one target were one request, and three breaks of
+// different ones refused them all.
 func printOf(r *Request, t *trace) poison.Fingerprint {
-	content := make([]byte, 0, len(r.Target)+len(r.Body))
-	content = append(content, r.Target...)
-	content = append(content, r.Body...)
+	var content []byte
+	for _, part := range [][]byte{[]byte(r.Caller), []byte(r.Method), []byte(r.Target), []byte(r.Prompt), r.Body} {
+		content = binary.BigEndian.AppendUint64(content, uint64(len(part)))
+		content = append(content, part...)
+	}
 	return poison.Print(id.Team(t.route.Name), t.service, content)
 }
 
@@ -34,7 +40,7 @@
 // may run only once the refusal doesn't promise that it has not: an earlier
 // sending has.
 func (f *Forwarder) judge(r *Request, t *trace) *verdict.Error {
-	if f.Suspicion.Ledger.Empty() {
+	if f.Suspicion.Ledger.Len() == 0 {
 		return nil
 	}
 	now := f.wall()
@@ -44,7 +50,7 @@
 	}
 	t.reason = "endpoints broke while they ran it"
 	v := verdict.NotRun
-	if t.attempts > 0 || !t.route.Repeatable() {
+	if t.attempts > 0 || t.route.Kind == route.NonIdempotent {
 		v = verdict.MayHaveRun
 	}
 	return verdict.New(v, verdict.CodeQuarantined, "the request is refused: %d endpoints broke while they ran it", finding.Crashes).
@@ -69,7 +75,7 @@
 
 // survived clears a request that an endpoint ran to its end.
 func (f *Forwarder) survived(r *Request, t *trace) {
-	if f.Suspicion.Ledger.Empty() {
+	if f.Suspicion.Ledger.Len() == 0 {
 		return
 	}
 	if f.Suspicion.Ledger.Finished(f.wall(), printOf(r, t)) {
--- a/daemon/forward/poison_test.go
+++ b/daemon/forward/poison_test.go
@@ -69,3 +69,23 @@
 	}
 	is.Equal(len(s.sent), 2*calls)
 }
+
+// TestAnotherCallersOrPromptsRequestIsNotRefused: streams of one target differ
+// in no more than that.
+func TestAnotherCallersOrPromptsRequestIsNotRefused(t *testing.T) {
+	is := is.New(t)
+	s := deadly("/again/x")
+	f, r := newTest(t, s)
+	for _, change := range []func(){
+		func() { r.Caller = "10.0.0.1" },
+		func() { r.Caller = "10.0.0.2" },
+		func() { r.Prompt = "aa:20,bb:80" },
+		func() { r.Prompt = "aa:20,cc:80" },
+	} {
+		change()
+		before := len(s.sent)
+		_, err := f.Run(context.Background(), r)
+		is.Equal(err.Code, verdict.CodeEndpointFailed)
+		is.True(len(s.sent) > before)
+	}
+}
--- a/daemon/forward/stream.go
+++ b/daemon/forward/stream.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
-	"github.com/samphirequay/samphirequay/core/poison"
 	"github.com/samphirequay/samphirequay/core/registry"
 	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/core/sched"
@@ -146,7 +145,7 @@
 		Avoid:        g.avoid,
 		Domain:       f.Domain,
 		Attempt:      g.pairings,
-		Fingerprint:  poison.Print(id.Team(rt.Name), g.service.Name, append([]byte(r.Target), r.Body...)).String(),
+		Fingerprint:  printOf(r, g.trace).String(),
 		Target:       rt.TargetLatency,
 		Patience:     patience,
 		Lifetime:     f.limit(r, rt) - r.Arrived,
--- a/daemon/forward/types.go
+++ b/daemon/forward/types.go
@@ -38,6 +38,9 @@
 	// PromptTokens and OutputTokens are the size of a generation, and
 	// ExpectedOutput the caller's guess of what will be used; 0 if not said.
 	PromptTokens, OutputTokens, ExpectedOutput int
+	// Caller is the address of the caller's host, and Prompt names the parts of
+	// a generation's prompt; empty if not said.
+	Caller, Prompt string
 	// LastEvent is the id of the event behind which a stream goes on; empty
 	// for its beginning.
 	LastEvent string
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -176,6 +176,9 @@
 		d.logger.Error("invariant_violated", "name", name, "detail", detail)
 	})
 	d.poison = poison.New(poison.Config{AloneCrashes: breaksToRefuse})
+	d.metrics.GaugeFunc("evidence_breaks", metrics.UnitCount, "Endpoints that broke off while they ran requests, as held against those by all daemons.", func() float64 {
+		return float64(d.poison.Len())
+	})
 	d.knowledge = newKnowledge()
 	d.forwarder = forward.New(forward.Deps{
 		Self:      d.self,
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -112,7 +112,7 @@
 // Evidence implements link.Receiver.
 func (r receiver) Evidence(s poison.State) {
 	if r.d.poison.Merge(r.d.wall(), s) {
-		r.d.logger.Event("evidence_learnt", "breaks", len(s.Crashes), "cleared", len(s.Cleared))
+		r.d.logger.Routine("evidence_learnt", "breaks", len(s.Crashes), "cleared", len(s.Cleared))
 		r.f.broker.EvidenceChanged()
 	}
 }
