Name a daemon that falls silent after a request's last line

Cause: explain said that a daemon 'logs on' if it had logged anything at all behind the request's last line. It is compared with the end of all logs now; 5 s of silence while others log count. TestADaemonThatFallsSilentIsNamed failed before.

--- a/cmd/internal/logstory/story.go
+++ b/cmd/internal/logstory/story.go
@@ -178,9 +178,30 @@
 			return
 		}
 	}
+	if end := l.end(); end.Sub(after) >= fallsSilent {
+		s.Silent = append(s.Silent, fmt.Sprintf("%s logs nothing behind %s, others do until %s: its process ended, stood still or was cut off",
+			last.Daemon, after.Format(time.RFC3339Nano), end.Format(time.RFC3339Nano)))
+		return
+	}
 	s.Silent = append(s.Silent, last.Daemon+" logs on: the request may still run, or its last line was dropped")
 }
 
+// fallsSilent is how long a daemon must log nothing while others do to count as
+// silent: one that is alive logs a line on its pools each second, or on what it
+// serves.
+const fallsSilent = 5 * time.Second
+
+// end is the time of the last line of all.
+func (l *Logs) end() time.Time {
+	var end time.Time
+	for _, line := range l.Lines {
+		if line.At.After(end) {
+			end = line.At
+		}
+	}
+	return end
+}
+
 // Text gives a line's pairs as they were logged.
 func (l Line) Text() string {
 	var b strings.Builder
--- a/cmd/internal/logstory/story_test.go
+++ b/cmd/internal/logstory/story_test.go
@@ -67,6 +67,24 @@
 	is.Equal(s.Silent, []string{"city was started anew at 2026-01-02T03:04:07Z: its former process ended without a word"})
 }
 
+// TestADaemonThatFallsSilentIsNamed: it logged on for a while after the
+// request's last line, and nothing after that while others did.
+func TestADaemonThatFallsSilentIsNamed(t *testing.T) {
+	is := is.New(t)
+	l := &Logs{}
+	text := `ts=2026-01-02T03:04:06Z daemon=city level=info event=granted request=b pairing=1 prefill=i-1 decode=i-2
+ts=2026-01-02T03:04:06.5Z daemon=city level=info event=granted request=c pairing=1 prefill=i-1 decode=i-2
+ts=2026-01-02T03:04:30Z daemon=port level=info event=endpoint_gone endpoint=i-2 service=s
+`
+	path := filepath.Join(t.TempDir(), "all.log")
+	is.NoErr(os.WriteFile(path, []byte(text), 0o600))
+	is.NoErr(l.ReadPath(path, nil))
+	s, err := l.Tell("b")
+	is.NoErr(err)
+	is.Equal(len(s.Silent), 1)
+	is.True(strings.HasPrefix(s.Silent[0], "city logs nothing behind 2026-01-02T03:04:06.5Z, others do until 2026-01-02T03:04:30Z"))
+}
+
 func TestAnUnknownRequestIsAnError(t *testing.T) {
 	is := is.New(t)
 	_, err := logs(t).Tell("nobody")
