Close the gateway's workers with the duty that uses them

Cause: join makes the pool of workers for orders and store calls, and nothing closed it; daemon/app closes its own. The platform tests passed over ants' goroutines by name, which hid it.

--- a/daemon/gateway/orderer.go
+++ b/daemon/gateway/orderer.go
@@ -85,8 +85,11 @@
 	return o
 }
 
-// Close ends the duty.
-func (o *orderer) Close() { o.duty.Close() }
+// Close ends the duty and its workers.
+func (o *orderer) Close() {
+	o.duty.Close()
+	o.work.Close()
+}
 
 // Release gives the lease up for good: this daemon leaves.
 func (o *orderer) Release() {
