Fingerprint a request once, and merge evidence in one place

Review of the guard against requests that break endpoints. poison.Print tells the parts of its content apart itself, so that printOf need not do the same again before it; front/services.go joined path and body without a border and uses it as well. The fingerprint is made once a request, not at each look. The gateway's pools got one with each want and never used it, since their ledger is never fed: it is no longer made or sent. The broker alone merges evidence now; the gateway did so beside it. try returns early instead of asking twice what err was, and a repeat is paid for after the judge has let it pass, not before, as the streams did already.

--- a/core/poison/types.go
+++ b/core/poison/types.go
@@ -18,13 +18,19 @@
 // Fingerprint identifies a request by team and content, whatever its id is.
 type Fingerprint [16]byte
 
-// Print fingerprints a request.
-func Print(team id.Team, service id.Service, content []byte) Fingerprint {
+// Print fingerprints a request. The parts of its content are told apart: "ab"
+// and "c" are another content than "a" and "bc".
+func Print(team id.Team, service id.Service, content ...[]byte) Fingerprint {
 	h := sha256.New()
-	for _, part := range [][]byte{[]byte(team), []byte(service), content} {
+	write := func(part []byte) {
 		h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part))))
 		h.Write(part)
 	}
+	write([]byte(team))
+	write([]byte(service))
+	for _, part := range content {
+		write(part)
+	}
 	return Fingerprint(h.Sum(nil)[:len(Fingerprint{})])
 }
 
--- a/daemon/broker/broker.go
+++ b/daemon/broker/broker.go
@@ -120,9 +120,14 @@
 	b.duty.PostLater(func(time.Duration) {})
 }
 
-// MergeEvidence takes evidence from another daemon.
-func (b *Broker) MergeEvidence(s poison.State) {
-	b.duty.Post(func(now time.Duration) { b.cfg.Poison.Merge(b.cfg.Epoch.Add(now), s) })
+// MergeEvidence takes evidence from another daemon, and passes on what is new.
+// It returns whether any is.
+func (b *Broker) MergeEvidence(s poison.State) bool {
+	isNew := b.cfg.Poison.Merge(b.cfg.Epoch.Add(b.cfg.Now()), s)
+	if isNew {
+		b.EvidenceChanged()
+	}
+	return isNew
 }
 
 // Receive takes an envelope from another daemon.
--- a/daemon/forward/call.go
+++ b/daemon/forward/call.go
@@ -52,7 +52,7 @@
 			failure = worse(failure, err)
 		}
 		avoid = append(avoid, endpoint.Name)
-		if !f.again(ctx, r, t, s, err, ran, refused) || f.judge(r, t) != nil {
+		if !f.again(ctx, r, t, s, err, ran, refused) {
 			return orEarlier(last, failure, nil)
 		}
 	}
@@ -114,19 +114,18 @@
 	})
 	took := f.Now() - begun
 	f.done(e, begun, outcomeOf(reply, err))
-	switch {
-	case err != nil:
+	if err != nil {
 		f.broke(r, t, e, err)
 		f.Log.Event("attempt_failed", "request", r.ID, "attempt", t.attempts, "endpoint", e.Name, "took", took,
 			"verdict", err.Verdict, "code", err.Code, "why", err.Error())
-	default:
-		f.survived(r, t)
+		return nil, err
 	}
-	if err == nil && reply.Failed() {
+	f.survived(r, t)
+	if reply.Failed() {
 		f.Log.Event("attempt_failed", "request", r.ID, "attempt", t.attempts, "endpoint", e.Name, "took", took,
 			"verdict", verdict.Ran, "status", reply.Status)
 	}
-	return reply, err
+	return reply, nil
 }
 
 // outcomeOf is what an attempt tells of its endpoint.
@@ -165,6 +164,9 @@
 		t.reason = "too many endpoints refused"
 		return false
 	}
+	if f.judge(r, t) != nil {
+		return false
+	}
 	if notRun && !arrivedAnyway(err) {
 		return true
 	}
--- a/daemon/forward/forward.go
+++ b/daemon/forward/forward.go
@@ -7,6 +7,7 @@
 
 	"github.com/samphirequay/samphirequay/core/balance"
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/poison"
 	"github.com/samphirequay/samphirequay/core/registry"
 	"github.com/samphirequay/samphirequay/core/retry"
 	"github.com/samphirequay/samphirequay/core/route"
@@ -67,6 +68,8 @@
 	read     time.Duration
 	first    time.Duration
 	reason   string
+	// print is the request's fingerprint, once it was asked for.
+	print poison.Fingerprint
 }
 
 // Run serves one request. Either a reply is passed on, or the error says what
--- a/daemon/forward/poison.go
+++ b/daemon/forward/poison.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"encoding/binary"
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
@@ -15,8 +14,8 @@
 // all daemons.
 type Suspicion struct {
 	Ledger *poison.Ledger
-	// Epoch is the wall time at the daemon's time zero.
-	Epoch time.Time
+	// Wall is the time of day by which evidence is dated.
+	Wall func() time.Time
 	// Spread has new evidence sent to the other daemons. It doesn't wait.
 	Spread func()
 }
@@ -24,18 +23,15 @@
 // printOf fingerprints a request by its caller, route, target, prompt and body,
 // whatever its id: a caller sends it again under another one. Without caller and
 // prompt the streams of one target were one request, and three breaks of
-// different ones refused them all.
+// different ones refused them all. It is made once a request.
 func printOf(r *Request, t *trace) poison.Fingerprint {
-	var content []byte
-	for _, part := range [][]byte{[]byte(r.Caller), []byte(r.Method), []byte(r.Target), []byte(r.Prompt), r.Body} {
-		content = binary.BigEndian.AppendUint64(content, uint64(len(part)))
-		content = append(content, part...)
+	if t.print == (poison.Fingerprint{}) {
+		t.print = poison.Print(id.Team(t.route.Name), t.service,
+			[]byte(r.Caller), []byte(r.Method), []byte(r.Target), []byte(r.Prompt), r.Body)
 	}
-	return poison.Print(id.Team(t.route.Name), t.service, content)
+	return t.print
 }
 
-func (f *Forwarder) wall() time.Time { return f.Suspicion.Epoch.Add(f.Now()) }
-
 // judge refuses a request that has broken the endpoints which ran it. Where it
 // may run only once the refusal doesn't promise that it has not: an earlier
 // sending has.
@@ -43,7 +39,7 @@
 	if f.Suspicion.Ledger.Len() == 0 {
 		return nil
 	}
-	now := f.wall()
+	now := f.Suspicion.Wall()
 	finding := f.Suspicion.Ledger.Check(now, printOf(r, t))
 	if finding.Standing != poison.Held && finding.Standing != poison.Quarantined {
 		return nil
@@ -69,7 +65,7 @@
 // names, so that one counts once.
 func (f *Forwarder) brokeOff(r *Request, t *trace, e id.Endpoint) {
 	suspect := poison.Suspect{Fingerprint: printOf(r, t), Team: id.Team(t.route.Name)}
-	f.Suspicion.Ledger.Crash(f.wall(), poison.CrashID{Endpoint: e}, []poison.Suspect{suspect})
+	f.Suspicion.Ledger.Crash(f.Suspicion.Wall(), poison.CrashID{Endpoint: e}, []poison.Suspect{suspect})
 	f.Suspicion.Spread()
 }
 
@@ -78,7 +74,7 @@
 	if f.Suspicion.Ledger.Len() == 0 {
 		return
 	}
-	if f.Suspicion.Ledger.Finished(f.wall(), printOf(r, t)) {
+	if f.Suspicion.Ledger.Finished(f.Suspicion.Wall(), printOf(r, t)) {
 		f.Suspicion.Spread()
 	}
 }
--- a/daemon/forward/stream.go
+++ b/daemon/forward/stream.go
@@ -145,7 +145,6 @@
 		Avoid:        g.avoid,
 		Domain:       f.Domain,
 		Attempt:      g.pairings,
-		Fingerprint:  printOf(r, g.trace).String(),
 		Target:       rt.TargetLatency,
 		Patience:     patience,
 		Lifetime:     f.limit(r, rt) - r.Arrived,
--- a/daemon/front/services.go
+++ b/daemon/front/services.go
@@ -92,7 +92,7 @@
 			Headers: forwardedHeaders(ctx),
 			Body:    body,
 		},
-		Fingerprint: poison.Print(team.Name, svc.Name, append([]byte(path), body...)).String(),
+		Fingerprint: poison.Print(team.Name, svc.Name, []byte(path), body).String(),
 	}, nil
 }
 
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -189,7 +189,7 @@
 		Balancer:  balance.New(d.set.Domain, d.newRand()),
 		Suspicion: forward.Suspicion{
 			Ledger: d.poison,
-			Epoch:  d.epoch,
+			Wall:   d.wall,
 			Spread: func() {
 				if f := d.fleet.Load(); f != nil {
 					f.broker.EvidenceChanged()
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -111,9 +111,8 @@
 
 // Evidence implements link.Receiver.
 func (r receiver) Evidence(s poison.State) {
-	if r.d.poison.Merge(r.d.wall(), s) {
+	if r.f.broker.MergeEvidence(s) {
 		r.d.logger.Routine("evidence_learnt", "breaks", len(s.Crashes), "cleared", len(s.Cleared))
-		r.f.broker.EvidenceChanged()
 	}
 }
 
--- a/daemon/gateway/pools.go
+++ b/daemon/gateway/pools.go
@@ -29,16 +29,14 @@
 			})
 		},
 		// Endpoints come back under other names here, which a pool can't tell
-		// from new ones: the forwarder judges requests before they get there.
+		// from new ones: the forwarder judges requests before they get there, and
+		// a pool gets no fingerprints.
 		Poison: poison.New(poison.Config{}),
 		Epoch:  d.epoch,
 		Events: pool.Events{
 			Health: func(c health.Change) {
 				d.logger.Event("health_changed", "endpoint", c.Endpoint, "state", c.State, "why", c.Reason, "for", c.For)
 			},
-			Crash: func(c poison.CrashID, running int) {
-				d.logger.Event("crash_seen", "endpoint", c.Endpoint, "incarnation", c.Incarnation, "running", running)
-			},
 			Probe: func(e id.Endpoint) { d.probe(f, p, e) },
 		},
 	})
