--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -73,7 +73,7 @@
 // Platform is the platform's side of the daemon's ports.
 type Platform struct {
 	Adapter   Adapter
-	Store     store.Backend
+	Store     store.Table
 	Source    feed.Source
 	Endpoints forward.Endpoints
 	Engines   Engines
--- a/daemon/store/client.go
+++ b/daemon/store/client.go
@@ -9,10 +9,10 @@
 	"github.com/samphirequay/samphirequay/endpoint/wire"
 )
 
-// TableService is the Backend that speaks the product's own table interface.
+// TableService is the Table that speaks the product's own table interface.
 type TableService struct{ Client *client.Table }
 
-// Run implements Backend.
+// Run implements Table.
 func (t TableService) Run(ctx context.Context, q table.Request) table.Reply {
 	if q.Transaction != nil {
 		return t.transact(ctx, q)
--- a/daemon/store/store.go
+++ b/daemon/store/store.go
@@ -15,15 +15,15 @@
 // callTimeout bounds one call to the table.
 const callTimeout = 2 * time.Second
 
-// Backend carries one call to a table. It sends it at most once; the reply's
+// Table carries one call to a table. It sends it at most once; the reply's
 // status says what is known when no answer came.
-type Backend interface {
+type Table interface {
 	Run(ctx context.Context, q table.Request) table.Reply
 }
 
 // Store is the way to the platform's table.
 type Store struct {
-	table  Backend
+	table  Table
 	work   *workpool.Pool
 	reads  *metrics.Counter
 	writes *metrics.Counter
@@ -31,7 +31,7 @@
 }
 
 // New returns a Store.
-func New(t Backend, work *workpool.Pool, r *metrics.Registry) *Store {
+func New(t Table, work *workpool.Pool, r *metrics.Registry) *Store {
 	return &Store{
 		table:  t,
 		work:   work,
