--- a/core/route/route.go
+++ b/core/route/route.go
@@ -60,8 +60,6 @@
 	Timeout time.Duration
 	// TargetLatency is the time to the (first) answer that callers expect.
 	TargetLatency time.Duration
-	// TargetGap is the longest pause between events that callers expect.
-	TargetGap time.Duration
 	// Patience is how long callers of a stream wait for its first event.
 	Patience time.Duration
 	// Priority of its requests: 0 is the most urgent.
@@ -97,22 +95,10 @@
 	Engine *Engine
 }
 
-// Limits bound what callers may send.
-type Limits struct {
-	// MaxHeaderBytes and MaxBodyBytes bound one request, in bytes.
-	MaxHeaderBytes int
-	MaxBodyBytes   int
-	// HeaderTimeout bounds the reading of a request's head.
-	HeaderTimeout time.Duration
-	// IdleTimeout is how long a connection may stay unused.
-	IdleTimeout time.Duration
-}
-
 // Config is one whole routing configuration.
 type Config struct {
 	// Version grows with each accepted change, in uneven steps.
 	Version  uint64
 	Routes   []Route
 	Services []Service
-	Limits   Limits
 }
--- a/daemon/gateway/front.go
+++ b/daemon/gateway/front.go
@@ -18,7 +18,8 @@
 const (
 	// headBytes bounds the head of a request.
 	headBytes = 17 << 10
-	// bodyBytes bounds its body; the configuration's own bound is lower.
+	// bodyBytes bounds its body. Lower bounds that the platform's configuration
+	// may set for heads, bodies and idle connections are not in force.
 	bodyBytes = 8 << 20
 	// readTimeout bounds the reading of one request.
 	readTimeout = 30 * time.Second
@@ -120,17 +121,17 @@
 	}
 	request.Arrived = d.now()
 	caller, unwatch := d.watcher.Watch(d.ctx, ctx.Conn())
+	ended := func() {
+		unwatch()
+		d.inFlight.Add(-1)
+	}
 	reply, err := d.forwarder.Run(caller, request)
 	if err == nil && reply.Events != nil {
-		reply.Events = &tracked{ReadCloser: reply.Events, ended: func() {
-			unwatch()
-			d.inFlight.Add(-1)
-		}}
+		reply.Events = &tracked{ReadCloser: reply.Events, ended: ended}
 		d.platform.Adapter.Reply(ctx, reply)
 		return
 	}
-	unwatch()
-	d.inFlight.Add(-1)
+	ended()
 	if err == nil {
 		d.platform.Adapter.Reply(ctx, reply)
 		return
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -197,7 +197,7 @@
 			},
 		},
 		Repeats: retry.WindowConfig{
-			Span:   seconds(d.set.Bounds.RepeatWindowS),
+			Span:   Seconds(d.set.Bounds.RepeatWindowS),
 			Ratio:  d.set.Bounds.RepeatRatio,
 			Slack:  d.set.Bounds.RepeatSlack,
 			Safety: repeatSafety,
--- a/daemon/gateway/knowledge.go
+++ b/daemon/gateway/knowledge.go
@@ -69,32 +69,25 @@
 		Changed: changed,
 		Lost: func(err error) {
 			d.logger.Warn("dependency_lost", "dependency", "store", "table", name, "why", err)
-			d.storeLost(name)
+			d.tellRegistry(name, func(l *registry.List) { l.StoreLost() })
 		},
 		Back: func() {
 			d.logger.Event("dependency_regained", "dependency", "store", "table", name)
-			d.storeBack(name)
+			d.tellRegistry(name, func(l *registry.List) { l.StoreBack(d.now()) })
 		},
 		Rand: d.newRand(),
 	}
 }
 
-func (d *Daemon) storeLost(name string) {
+// tellRegistry tells the list of endpoints what became of the store, if the
+// table is that of the endpoints.
+func (d *Daemon) tellRegistry(name string, tell func(l *registry.List)) {
 	if name != d.platform.Adapter.Tables().Endpoints {
 		return
 	}
 	d.knowledge.mu.Lock()
 	defer d.knowledge.mu.Unlock()
-	d.knowledge.list.StoreLost()
-}
-
-func (d *Daemon) storeBack(name string) {
-	if name != d.platform.Adapter.Tables().Endpoints {
-		return
-	}
-	d.knowledge.mu.Lock()
-	defer d.knowledge.mu.Unlock()
-	d.knowledge.list.StoreBack(d.now())
+	tell(d.knowledge.list)
 }
 
 // outdated says whether a table's state is older than what is in force; the
--- a/daemon/gateway/rolelease.go
+++ b/daemon/gateway/rolelease.go
@@ -20,7 +20,7 @@
 // leaseConfig keeps the orders of two holders apart: the time for which a
 // holder trusts its lease ends a whole lease time before another may take it.
 func (o *orderer) leaseConfig() lease.Config {
-	apart := milliseconds(o.d.set.Bounds.LeaseMS)
+	apart := Milliseconds(o.d.set.Bounds.LeaseMS)
 	trust := apart
 	cfg := lease.DefaultConfig()
 	cfg.TTL = trust + apart + 2*orderTimeout
@@ -46,7 +46,7 @@
 	case needed && o.lease == nil:
 		o.mu.Lock()
 		o.lease = lease.New(o.leaseConfig(), dutyRoles, o.f.self, now, o.d.newRand())
-		o.gate = lease.NewOrderGate(lease.GateConfig{LongestOrder: milliseconds(o.d.set.Bounds.LeaseMS) + orderTimeout}, o.lease)
+		o.gate = lease.NewOrderGate(lease.GateConfig{LongestOrder: Milliseconds(o.d.set.Bounds.LeaseMS) + orderTimeout}, o.lease)
 		o.mu.Unlock()
 	case !needed && o.lease != nil && now-o.idleSince >= leaseIdle:
 		o.releaseLease(now)
--- a/daemon/gateway/settings.go
+++ b/daemon/gateway/settings.go
@@ -66,9 +66,11 @@
 	return s, nil
 }
 
-// milliseconds and seconds convert figures of the settings.
-func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
-func seconds(s float64) time.Duration       { return time.Duration(s * float64(time.Second)) }
+// Milliseconds converts a figure of the settings or of the platform's rows.
+func Milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// Seconds converts a figure of the settings or of the platform's rows.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 const (
 	// preferredLifetime of an entry answer: short enough that callers who keep
@@ -83,7 +85,7 @@
 
 // entryLifetime is what entry answers say.
 func (s *Settings) entryLifetime() time.Duration {
-	most := seconds(s.Bounds.EntryLifetimeS)
-	stop := (seconds(s.Bounds.GraceS) - stopMargin) / (keptTimes + 1)
+	most := Seconds(s.Bounds.EntryLifetimeS)
+	stop := (Seconds(s.Bounds.GraceS) - stopMargin) / (keptTimes + 1)
 	return max(min(preferredLifetime, most, stop), 200*time.Millisecond)
 }
--- a/daemon/gateway/stop.go
+++ b/daemon/gateway/stop.go
@@ -45,7 +45,7 @@
 		Spread:   stopSpread,
 		Lifetime: keptTimes * d.set.entryLifetime(),
 		Quiet:    stopQuiet,
-		Limit:    seconds(d.set.Bounds.GraceS) - stopMargin,
+		Limit:    Seconds(d.set.Bounds.GraceS) - stopMargin,
 	}
 	s := leaving.Begin(cfg, d.now())
 	if !d.stopping.CompareAndSwap(nil, s) {
