Follow the store by three daemons that tell the others

Change: three daemons in different failure domains, chosen by rendezvous hashing from each daemon's own view, follow the tables and send what changes to all others (core/readers, daemon/gateway/reading.go). News carry the positions they lead between: a gap has the table read, an overlap counts once. The heartbeat's revision is the sum of the tables' versions, so that a missed change of one table shows behind a later one of the other. An older read no longer replaces what another daemon told meanwhile.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -91,6 +91,8 @@
 	Settings uint64
 	// Watched is set while other daemons wait for this one.
 	Watched bool
+	// StoreLost is set while the platform's store does not answer this daemon.
+	StoreLost bool
 }
 
 // SetLocal sets what the next messages say.
@@ -99,6 +101,7 @@
 	m.self.InFlight = l.InFlight
 	m.self.Settings = l.Settings
 	m.self.Watched = l.Watched && m.cfg.WatchedPeriod > 0
+	m.self.StoreLost = l.StoreLost
 }
 
 // Leave says that this daemon stops soon.
--- a/core/member/messages.go
+++ b/core/member/messages.go
@@ -72,6 +72,8 @@
 	CallerAddress string `cbor:"10,keyasint,omitempty"`
 	// Watched says that others wait for the daemon; it sends more often.
 	Watched bool `cbor:"11,keyasint,omitempty"`
+	// StoreLost says that the platform's store does not answer the daemon.
+	StoreLost bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Kind is the kind of a Message.
--- a/core/member/receive.go
+++ b/core/member/receive.go
@@ -120,7 +120,7 @@
 	to.Beat = e.Beat
 	to.Domain, to.Address, to.CallerAddress = e.Domain, e.Address, e.CallerAddress
 	to.Revision, to.InFlight, to.Settings = e.Revision, e.InFlight, e.Settings
-	to.Watched = e.Watched
+	to.Watched, to.StoreLost = e.Watched, e.StoreLost
 }
 
 // replace starts afresh with a new incarnation, or one that was only listed.
--- /dev/null
+++ b/core/readers/readers.go
@@ -0,0 +1,95 @@
+// Package readers chooses which daemons follow the platform's store for the
+// whole fleet. They tell the others of each change, so that the calls to the
+// store don't grow with the fleet. Every daemon decides from its own view of
+// the membership, without asking. It is deterministic.
+package readers
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/rendezvous"
+)
+
+const (
+	// Count is how many daemons read: two may fail at once without anyone
+	// waiting for the membership to find it out.
+	Count = 3
+	// settle is how long others must have been reading before a daemon leaves
+	// it to them: a view that is just forming must not stop anybody.
+	settle = time.Second
+	// key is what the readers are chosen by.
+	key = "store"
+)
+
+// Candidate is a daemon that is alive and knows a configuration.
+type Candidate struct {
+	Daemon id.Daemon
+	Domain id.Domain
+	// StoreLost is set while the store does not answer the daemon.
+	StoreLost bool
+}
+
+// Choose returns the daemons that read, in different failure domains as far as
+// there are any. Those that the store does not answer are passed over.
+func Choose(candidates []Candidate) []id.Daemon {
+	domains := make(map[id.Daemon]id.Domain, len(candidates))
+	names := make([]id.Daemon, 0, len(candidates))
+	for _, c := range candidates {
+		if c.StoreLost {
+			continue
+		}
+		domains[c.Daemon] = c.Domain
+		names = append(names, c.Daemon)
+	}
+	return spread(rendezvous.Ranked(key, names), domains)
+}
+
+// spread takes the first of each domain, then the first of the rest.
+func spread(ranked []id.Daemon, domains map[id.Daemon]id.Domain) []id.Daemon {
+	var chosen, rest []id.Daemon
+	seen := map[id.Domain]bool{}
+	for _, d := range ranked {
+		if seen[domains[d]] {
+			rest = append(rest, d)
+			continue
+		}
+		seen[domains[d]] = true
+		chosen = append(chosen, d)
+	}
+	chosen = append(chosen, rest...)
+	return chosen[:min(Count, len(chosen))]
+}
+
+// Decision says whether one daemon reads. It begins with reading.
+type Decision struct {
+	self  id.Daemon
+	reads bool
+	// since is when enough others began to read; meaningless unless others is set.
+	since  time.Duration
+	others bool
+}
+
+// NewDecision returns the decision of the daemon self.
+func NewDecision(self id.Daemon) *Decision { return &Decision{self: self, reads: true} }
+
+// Decide tells whether the daemon reads, given the candidates of the moment.
+// It begins at once where it is chosen or others are too few, and leaves it to
+// others once these have been enough for a while.
+func (d *Decision) Decide(now time.Duration, candidates []Candidate) bool {
+	chosen := Choose(candidates)
+	if len(chosen) < Count || slices.Contains(chosen, d.self) {
+		d.others = false
+		d.reads = true
+		return true
+	}
+	if !d.others {
+		d.others = true
+		d.since = now
+	}
+	if now-d.since >= settle {
+		d.reads = false
+	}
+	return d.reads
+}
--- /dev/null
+++ b/core/readers/readers_test.go
@@ -0,0 +1,102 @@
+package readers
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/id"
+)
+
+// fleet lists n daemons in the given number of failure domains.
+func fleet(n, domains int) []Candidate {
+	var out []Candidate
+	for i := range n {
+		out = append(out, Candidate{
+			Daemon: id.Daemon(fmt.Sprintf("d%d", i)),
+			Domain: id.Domain(fmt.Sprintf("z%d", i%domains)),
+		})
+	}
+	return out
+}
+
+func without(all []Candidate, names ...id.Daemon) []Candidate {
+	gone := map[id.Daemon]bool{}
+	for _, n := range names {
+		gone[n] = true
+	}
+	var out []Candidate
+	for _, c := range all {
+		if !gone[c.Daemon] {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func TestReadersStandInDifferentFailureDomains(t *testing.T) {
+	is := is.New(t)
+	for _, domains := range []int{3, 4, 5} {
+		all := fleet(60, domains)
+		seen := map[id.Domain]bool{}
+		for _, d := range Choose(all) {
+			for _, c := range all {
+				if c.Daemon == d {
+					seen[c.Domain] = true
+				}
+			}
+		}
+		is.Equal(len(seen), Count)
+	}
+	is.Equal(len(Choose(fleet(9, 1))), Count) // one domain alone must do
+	is.Equal(len(Choose(fleet(2, 2))), 2)
+}
+
+func TestADaemonThatTheStoreRefusesIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	all := fleet(9, 4)
+	first := Choose(all)[0]
+	for i := range all {
+		all[i].StoreLost = all[i].Daemon == first
+	}
+	chosen := Choose(all)
+	is.Equal(len(chosen), Count)
+	for _, d := range chosen {
+		is.True(d != first)
+	}
+}
+
+func TestADaemonReadsUntilOthersHaveDoneSoForAWhile(t *testing.T) {
+	is := is.New(t)
+	all := fleet(9, 4)
+	chosen := Choose(all)
+	var idle id.Daemon
+	for _, c := range all {
+		if !slices.Contains(chosen, c.Daemon) {
+			idle = c.Daemon
+		}
+	}
+	d := NewDecision(idle)
+	is.True(d.Decide(0, all[:1])) // it knows hardly anyone yet
+	is.True(d.Decide(time.Second, all))
+	is.True(d.Decide(time.Second+settle-1, all))
+	is.True(!d.Decide(time.Second+settle, all))
+	// Two readers fall silent: others take their place, and it need not read
+	// unless it is the next.
+	left := without(all, chosen[0], chosen[1])
+	is.Equal(d.Decide(10*time.Second, left), slices.Contains(Choose(left), idle))
+	// All but itself do: it reads at once.
+	is.True(d.Decide(20*time.Second, []Candidate{{Daemon: idle}}))
+}
+
+func TestAChosenDaemonGoesOnReading(t *testing.T) {
+	is := is.New(t)
+	all := fleet(9, 4)
+	d := NewDecision(Choose(all)[0])
+	for s := range 100 {
+		is.True(d.Decide(time.Duration(s)*time.Second, all))
+	}
+}
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -66,6 +66,23 @@
 	l.until = now + returnGrace
 }
 
+// Grace is how long entries that have gone may still come back; 0 where the
+// store was not away lately.
+func (l *List) Grace(now time.Duration) time.Duration {
+	if l.away {
+		return returnGrace
+	}
+	return max(0, l.until-now)
+}
+
+// Returned notes that the store was away, as another daemon found out, and that
+// entries which have gone may come back within grace.
+func (l *List) Returned(now, grace time.Duration) {
+	if grace > 0 {
+		l.until = max(l.until, now+min(grace, returnGrace))
+	}
+}
+
 // Set takes the store's whole list. Entries that are missing from it are kept
 // for a while if they may have lapsed only because the store was away.
 func (l *List) Set(now time.Duration, entries []Endpoint) {
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -60,3 +60,21 @@
 	l.Set(time.Second, []Endpoint{entry("z", "1")})
 	is.Equal(names(l), []id.Endpoint{"z"})
 }
+
+func TestEntriesGetTheGraceThatAnotherDaemonGivesThem(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	is.Equal(l.Grace(0), time.Duration(0))
+	l.Set(0, []Endpoint{{Name: "a", Address: "1"}})
+	l.Returned(time.Second, 500*time.Millisecond)
+	l.Set(time.Second, nil)
+	is.Equal(l.Lapsed(), 1)
+	is.Equal(l.Grace(time.Second), 500*time.Millisecond)
+	is.True(!l.Tick(1499 * time.Millisecond))
+	is.True(l.Tick(1500 * time.Millisecond))
+	is.Equal(l.Lapsed(), 0)
+	l.Returned(2*time.Second, 0) // the store was not away
+	l.Set(2*time.Second, []Endpoint{{Name: "b", Address: "2"}})
+	l.Set(2*time.Second, nil)
+	is.Equal(l.Lapsed(), 0)
+}
--- a/daemon/feed/feed.go
+++ b/daemon/feed/feed.go
@@ -1,6 +1,7 @@
 // Package feed follows tables of the platform's store: each is read whole once
-// and then followed by its changes. When the store can't be reached, or a
-// connection to it has gone silent, what another daemon knows is adopted.
+// and then followed by its changes, or by the news of another daemon that
+// follows it. When the store can't be reached, or a connection to it has gone
+// silent, what another daemon knows is adopted.
 package feed
 
 import (
@@ -21,7 +22,7 @@
 type Change struct {
 	table.Row
 	// Removed rows have no value.
-	Removed bool
+	Removed bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Snapshot is a whole table.
@@ -55,6 +56,17 @@
 	Version uint64 `cbor:"4,keyasint"`
 }
 
+// News is what one daemon tells the others of a table: all changes behind one
+// position up to another.
+type News struct {
+	Name     string `cbor:"1,keyasint"`
+	After    uint64 `cbor:"2,keyasint"`
+	Position uint64 `cbor:"3,keyasint"`
+	// Changes, oldest first; none where they are too many to be sent: the table
+	// must be read then.
+	Changes []Change `cbor:"4,keyasint,omitempty"`
+}
+
 // Config of a Follower.
 type Config struct {
 	// Name of the table.
@@ -72,6 +84,9 @@
 	Retry time.Duration
 	// Changed is told of each new state; it must not block for long.
 	Changed func(s State)
+	// Learnt is told of the changes that came from the store itself, after
+	// Changed. Nil if nobody is to be told.
+	Learnt func(n News)
 	// Lost and Back are told when the store stops and begins again to answer.
 	Lost func(err error)
 	Back func()
@@ -96,6 +111,13 @@
 	lost  bool
 	// changed is set by a call that brought changes.
 	changed bool
+	// idle is set while other daemons tell of the changes.
+	idle bool
+	// begun is set when it stops being idle: the next call does not wait, so
+	// that a store that does not answer is noticed soon.
+	begun bool
+	// wake ends an idle wait.
+	wake chan struct{}
 }
 
 const (
@@ -112,7 +134,13 @@
 
 // Start starts to follow a table.
 func Start(cfg Config) *Follower {
-	f := &Follower{cfg: cfg, rows: map[string]table.Row{}, whole: true, done: make(chan struct{})}
+	f := &Follower{
+		cfg:   cfg,
+		rows:  map[string]table.Row{},
+		whole: true,
+		done:  make(chan struct{}),
+		wake:  make(chan struct{}, 1),
+	}
 	f.state.Name = cfg.Name
 	f.ctx, f.stop = context.WithCancel(context.Background())
 	go f.run()
@@ -125,6 +153,9 @@
 	<-f.done
 }
 
+// Name is that of the table.
+func (f *Follower) Name() string { return f.cfg.Name }
+
 // State returns what is known; ok is false before the first read.
 func (f *Follower) State() (s State, ok bool) {
 	f.mu.Lock()
@@ -149,35 +180,6 @@
 	return f.lost
 }
 
-// Refresh reads the table whole at once, on another connection than the one
-// that waits for changes.
-func (f *Follower) Refresh() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.whole = true
-	if f.interrupt != nil {
-		f.interrupt()
-	}
-}
-
-// Adopt takes what another daemon knows, if that is newer.
-func (f *Follower) Adopt(s State) bool {
-	f.mu.Lock()
-	if f.known && s.Version <= f.state.Version {
-		f.mu.Unlock()
-		return false
-	}
-	f.install(s.Rows, s.Position)
-	f.state.Version = s.Version
-	told := f.snapshot()
-	if f.interrupt != nil {
-		f.interrupt()
-	}
-	f.mu.Unlock()
-	f.cfg.Changed(told)
-	return true
-}
-
 // install replaces all rows; the lock is held.
 func (f *Follower) install(rows []table.Row, position uint64) {
 	f.rows = make(map[string]table.Row, len(rows))
@@ -238,9 +240,15 @@
 	}
 }
 
-// step makes one call. A call that was interrupted is no failure.
+// step makes one call, or waits where none is due. A call that was interrupted
+// is no failure.
 func (f *Follower) step() error {
 	f.mu.Lock()
+	if f.idle && !f.whole && !f.lost {
+		f.mu.Unlock()
+		f.rest()
+		return nil
+	}
 	whole, after := f.whole, f.state.Position
 	ctx, cancel := context.WithCancel(f.ctx)
 	if !whole {
@@ -269,12 +277,17 @@
 	if err != nil {
 		return err
 	}
+	f.note(nil)
 	f.mu.Lock()
-	f.install(snapshot.Rows, snapshot.Position)
 	f.whole = false
+	if f.known && snapshot.Position < f.state.Position {
+		// Another daemon told of something newer while the answer was on its way.
+		f.mu.Unlock()
+		return nil
+	}
+	f.install(snapshot.Rows, snapshot.Position)
 	told := f.snapshot()
 	f.mu.Unlock()
-	f.note(nil)
 	f.cfg.Changed(told)
 	return nil
 }
@@ -294,25 +307,26 @@
 		return err
 	}
 	f.note(nil)
-	f.mu.Lock()
-	if f.state.Position != after {
-		// What another daemon knew was adopted meanwhile: these changes are old.
-		f.mu.Unlock()
+	if len(delta.Changes) == 0 {
 		return nil
 	}
-	f.apply(delta)
-	f.changed = len(delta.Changes) > 0
-	told := f.snapshot()
-	f.mu.Unlock()
-	if len(delta.Changes) > 0 {
-		f.cfg.Changed(told)
+	news := News{Name: f.cfg.Name, After: after, Position: delta.Position, Changes: delta.Changes}
+	fresh, err := f.apply(news)
+	if err == nil && f.cfg.Learnt != nil {
+		f.cfg.Learnt(news)
 	}
+	f.mu.Lock()
+	f.changed = fresh
+	f.mu.Unlock()
 	return nil
 }
 
 // patience is how long the next call waits for changes, and how long it may take.
 func (f *Follower) patience() (wait, limit time.Duration) {
-	if f.Lost() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lost || f.begun {
+		f.begun = false
 		return 0, lostTimeout
 	}
 	half := f.cfg.Wait / 2
@@ -320,19 +334,6 @@
 	return wait, wait + callSlack
 }
 
-// apply takes changes; the lock is held.
-func (f *Follower) apply(d Delta) {
-	for _, c := range d.Changes {
-		f.state.Version = max(f.state.Version, c.Version)
-		if c.Removed {
-			delete(f.rows, c.Key)
-			continue
-		}
-		f.rows[c.Key] = c.Row
-	}
-	f.state.Position = max(f.state.Position, d.Position)
-}
-
 // note tells when the store stops or begins again to answer.
 func (f *Follower) note(err error) {
 	f.mu.Lock()
--- /dev/null
+++ b/daemon/feed/others_test.go
@@ -0,0 +1,172 @@
+package feed
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/revision/table"
+)
+
+func news(after, position uint64, changes ...Change) News {
+	return News{Name: "t", After: after, Position: position, Changes: changes}
+}
+
+// idleAt returns a follower that knows the rows at a position and rests.
+func idleAt(t *testing.T, s *source, position uint64, rows ...table.Row) *followed {
+	t.Helper()
+	f := follow(t, s)
+	f.SetIdle(true)
+	give(t, s.reads, read(position, rows...))
+	next(t, f.states)
+	return f
+}
+
+func TestAnIdleFollowerAsksNothingAndTakesNews(t *testing.T) {
+	is := is.New(t)
+	s := newSource()
+	f := idleAt(t, s, 9, row("a", 3))
+	fresh, err := f.Take(news(9, 12, Change{Row: row("b", 12)}))
+	is.NoErr(err)
+	is.True(fresh)
+	is.Equal(keys(next(t, f.states)), map[string]uint64{"a": 3, "b": 12})
+	select {
+	case s.changes <- func() (Delta, error) { return Delta{}, nil }:
+		t.Fatal("it asked the store")
+	case <-time.After(20 * time.Millisecond):
+	}
+}
+
+// TestNewsThatOverlapCountOnce: several daemons tell the same changes, gathered
+// in different parts.
+func TestNewsThatOverlapCountOnce(t *testing.T) {
+	is := is.New(t)
+	s := newSource()
+	f := idleAt(t, s, 9, row("a", 3))
+	_, err := f.Take(news(9, 12, Change{Row: row("b", 11)}, Change{Row: row("a", 12), Removed: true}))
+	is.NoErr(err)
+	next(t, f.states)
+	fresh, err := f.Take(news(5, 12, Change{Row: row("a", 7)}, Change{Row: row("a", 12), Removed: true}))
+	is.NoErr(err)
+	is.True(!fresh)
+	fresh, err = f.Take(news(10, 15, Change{Row: row("b", 11)}, Change{Row: row("c", 15)}))
+	is.NoErr(err)
+	is.True(fresh)
+	is.Equal(keys(next(t, f.states)), map[string]uint64{"b": 11, "c": 15}) // a stays removed
+}
+
+func TestNewsBehindAGapAreNotTaken(t *testing.T) {
+	is := is.New(t)
+	s := newSource()
+	f := idleAt(t, s, 9, row("a", 3))
+	_, err := f.Take(news(11, 12, Change{Row: row("b", 12)}))
+	is.True(errors.Is(err, ErrGap))
+	is.Equal(f.Version(), uint64(3))
+	// The store tells what is missing.
+	f.Refresh()
+	give(t, s.reads, read(12, row("a", 3), row("c", 10), row("b", 12)))
+	is.Equal(keys(next(t, f.states)), map[string]uint64{"a": 3, "b": 12, "c": 10})
+}
+
+func TestNewsWithoutChangesHaveTheTableReadOnce(t *testing.T) {
+	is := is.New(t)
+	s := newSource()
+	f := idleAt(t, s, 9, row("a", 3))
+	for range 3 { // from three daemons
+		_, err := f.Take(news(9, 12))
+		is.NoErr(err)
+	}
+	give(t, s.reads, read(12, row("a", 12)))
+	is.Equal(keys(next(t, f.states)), map[string]uint64{"a": 12})
+	_, err := f.Take(news(9, 12))
+	is.NoErr(err)
+	select {
+	case s.reads <- read(12, row("a", 12)):
+		t.Fatal("it read the table again")
+	case <-time.After(20 * time.Millisecond):
+	}
+}
+
+// TestAnAnswerOnItsWayDoesNotUndoNews: the table was read before a change that
+// another daemon told of.
+func TestAnAnswerOnItsWayDoesNotUndoNews(t *testing.T) {
+	is := is.New(t)
+	s := newSource()
+	f := idleAt(t, s, 9, row("a", 3))
+	asked := make(chan struct{})
+	answer := make(chan struct{})
+	f.Refresh()
+	give(t, s.reads, func() (Snapshot, error) {
+		close(asked)
+		<-answer
+		return Snapshot{Rows: []table.Row{row("a", 3)}, Position: 9}, nil
+	})
+	await(t, asked)
+	_, err := f.Take(news(9, 12, Change{Row: row("a", 12)}))
+	is.NoErr(err)
+	is.Equal(keys(next(t, f.states)), map[string]uint64{"a": 12})
+	close(answer)
+	// The following goes on behind the news.
+	f.SetIdle(false)
+	give(t, s.changes, func() (Delta, error) { return Delta{Position: 13, Changes: []Change{{Row: row("b", 13)}}}, nil })
+	is.Equal(keys(next(t, f.states)), map[string]uint64{"a": 12, "b": 13})
+}
+
+func TestAFollowerThatBeginsToReadAsksWithoutWaiting(t *testing.T) {
+	is := is.New(t)
+	s := newSource()
+	f := idleAt(t, s, 9, row("a", 3))
+	f.SetIdle(false)
+	give(t, s.changes, func() (Delta, error) { return Delta{Position: 9}, nil })
+	give(t, s.changes, func() (Delta, error) { return Delta{Position: 9}, nil })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	is.Equal(s.waits[0], time.Duration(0))
+	is.True(s.waits[1] > 0)
+}
+
+func TestALostStoreIsAskedThoughOthersTell(t *testing.T) {
+	is := is.New(t)
+	s := newSource()
+	f := follow(t, s)
+	give(t, s.reads, read(9, row("a", 3)))
+	next(t, f.states)
+	give(t, s.changes, func() (Delta, error) { return Delta{}, errors.New("away") })
+	next(t, f.lost)
+	f.SetIdle(true)
+	give(t, s.changes, func() (Delta, error) { return Delta{Position: 9}, nil })
+	next(t, f.back)
+	is.True(!f.Lost())
+}
+
+func TestWhatTheStoreToldIsToldOn(t *testing.T) {
+	is := is.New(t)
+	s := newSource()
+	told := make(chan News, 16)
+	f := Start(Config{
+		Name: "t", Source: s, Wait: testBound, Retry: time.Millisecond,
+		Changed: func(State) {},
+		Learnt:  func(n News) { told <- n },
+		Lost:    func(error) {},
+		Back:    func() {},
+		Rand:    testRand(),
+	})
+	t.Cleanup(f.Close)
+	give(t, s.reads, read(9, row("a", 3)))
+	give(t, s.changes, func() (Delta, error) { return Delta{Position: 12, Changes: []Change{{Row: row("b", 12)}}}, nil })
+	is.Equal(next(t, told), news(9, 12, Change{Row: row("b", 12)}))
+	_, err := f.Take(news(12, 14, Change{Row: row("c", 14)}))
+	is.NoErr(err)
+	is.Equal(len(told), 0) // another daemon's news are not told on
+}
+
+func await(t *testing.T, c <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-c:
+	case <-time.After(testBound):
+		t.Fatal("nothing came")
+	}
+}
--- a/daemon/gateway/enroll.go
+++ b/daemon/gateway/enroll.go
@@ -196,7 +196,12 @@
 		Listener: fleetListener{d, f},
 		Metrics:  d.metrics,
 		Local: func() member.Local {
-			return member.Local{Revision: d.revision(), InFlight: int(d.inFlight.Load()), Watched: f.owner.Load()}
+			return member.Local{
+				Revision:  d.revision(),
+				InFlight:  int(d.inFlight.Load()),
+				Watched:   f.owner.Load(),
+				StoreLost: d.storeLost(),
+			}
 		},
 		Log:   d.logger.Event,
 		Now:   d.now,
@@ -207,6 +212,7 @@
 	f.hosts = feed.Start(d.hostsConfig(f))
 	d.fleet.Store(f)
 	close(wired)
+	go d.shareReading(f)
 	d.logger.Event("daemon_enrolled", "incarnation", self.Incarnation)
 	d.knowledge.mu.Lock()
 	defer d.knowledge.mu.Unlock()
@@ -216,7 +222,7 @@
 
 // hostsWait is how long one call waits for new daemons: it may be long, since
 // the daemons tell one another as well.
-const hostsWait = 8 * time.Second
+const hostsWait = 15 * time.Second
 
 // hostsGather is the pause after new daemons: a fleet starts at once, and each
 // of its daemons would else be told of each other one by a call of its own.
--- a/daemon/gateway/knowledge.go
+++ b/daemon/gateway/knowledge.go
@@ -16,10 +16,10 @@
 const (
 	// feedWait is how long one call waits for changes: a connection to the
 	// store that has gone silent is noticed after that and a little more.
-	feedWait = 3 * time.Second
+	feedWait = 3500 * time.Millisecond
 	// feedGather is the pause after changes: much less than the two seconds in
 	// which a change must be in force.
-	feedGather = 200 * time.Millisecond
+	feedGather = 350 * time.Millisecond
 	// feedRetry bounds the pause after a failed call to the store.
 	feedRetry = 400 * time.Millisecond
 	// registryLook is how often lapsed entries of the registry are looked at.
@@ -67,6 +67,7 @@
 		Gather:  feedGather,
 		Retry:   feedRetry,
 		Changed: changed,
+		Learnt:  d.tellNews,
 		Lost: func(err error) {
 			d.logger.Warn("dependency_lost", "dependency", "store", "table", name, "why", err)
 			d.tellRegistry(name, func(l *registry.List) { l.StoreLost() })
@@ -216,13 +217,14 @@
 	}
 }
 
-// revision is the newest change of the followed tables that the daemon knows; 0
-// until it can serve.
+// revision grows with each change of the followed tables that the daemon knows;
+// 0 until it can serve. It is a sum, so that a daemon that has missed a change
+// of one table is behind the others whatever it knows of the other one.
 func (d *Daemon) revision() uint64 {
 	if d.knowledge.current().Routes == nil {
 		return 0
 	}
-	return max(d.configs.Version(), d.endpoints.Version())
+	return d.configs.Version() + d.endpoints.Version()
 }
 
 // tableStates is what the daemon knows of the followed tables, for a daemon
@@ -241,8 +243,8 @@
 func (d *Daemon) adopt(states []feed.State) bool {
 	adopted := false
 	for _, s := range states {
-		for _, f := range []*feed.Follower{d.configs, d.endpoints} {
-			if known, _ := f.State(); known.Name == s.Name {
+		for _, f := range d.followers() {
+			if f.Name() == s.Name {
 				adopted = f.Adopt(s) || adopted
 			}
 		}
--- a/daemon/gateway/learn.go
+++ b/daemon/gateway/learn.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/registry"
 )
 
 // fleetListener tells the duties what the membership found.
@@ -57,7 +58,7 @@
 	d.logger.Event("tables_behind", "peer", from, "peer_revision", revision, "own", d.revision())
 	d.configs.Refresh()
 	d.endpoints.Refresh()
-	if !d.configs.Lost() && !d.endpoints.Lost() {
+	if !d.storeLost() {
 		time.AfterFunc(behindFor, func() { d.askPeer(f, from, revision) })
 		return
 	}
@@ -75,6 +76,7 @@
 		d.logger.Warn("tables_not_learnt", "peer", from, "why", err)
 		return
 	}
+	d.tellRegistry(d.endpoints.Name(), func(l *registry.List) { l.Returned(d.now(), reply.Grace) })
 	if d.adopt(reply.States) {
 		d.logger.Event("tables_learnt", "peer", from, "revision", d.revision())
 	}
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -16,15 +16,22 @@
 	"github.com/samphirequay/samphirequay/daemon/peer"
 )
 
-// kindTables asks a daemon what it knows of the store's tables: a call, nothing
-// -> tablesReply.
-const kindTables = link.FirstFree
+// The kinds of messages that only this daemon has.
+const (
+	// kindTables asks a daemon what it knows of the store's tables: a call,
+	// nothing -> tablesReply.
+	kindTables = link.FirstFree + iota
+	// kindNews tells of changes of the store's tables: one-way, tableNews.
+	kindNews
+)
 
-var kindNames = map[peer.Kind]string{kindTables: "tables"}
+var kindNames = map[peer.Kind]string{kindTables: "tables", kindNews: "news"}
 
 // tablesReply is what a daemon knows of the store's tables.
 type tablesReply struct {
 	States []feed.State `cbor:"1,keyasint"`
+	// Grace is how long entries that have gone may still come back.
+	Grace time.Duration `cbor:"2,keyasint,omitempty"`
 }
 
 type tablesQuery struct{}
@@ -126,19 +133,47 @@
 	if !h.Open() || kind != kindTables {
 		return nil, eris.Errorf("no answer to a call of kind %d from %s", kind, from)
 	}
-	return peer.Encode(&tablesReply{States: h.d.tableStates()})
+	return peer.Encode(&tablesReply{States: h.d.tableStates(), Grace: h.d.registryGrace()})
+}
+
+// HandleOneWay implements that method of peer.Handler.
+func (h *peerHandler) HandleOneWay(from id.Daemon, kind peer.Kind, body []byte) {
+	if kind != kindNews {
+		h.Handler.HandleOneWay(from, kind, body)
+		return
+	}
+	if !h.Open() {
+		return
+	}
+	var n tableNews
+	if err := peer.Decode(body, &n); err != nil {
+		h.Receiver.Refused(from, err)
+		return
+	}
+	h.d.takeNews(from, n)
 }
 
 // links sends messages to other daemons.
 func (f *fleet) links() link.Sender { return link.Sender{Transport: f.transport} }
 
-// spreadEvidence sends new evidence to the other daemons.
-func (f *fleet) spreadEvidence(s poison.State) {
-	var others []id.Daemon
+// others lists the other daemons that are not known to have ended.
+func (f *fleet) others() []id.Daemon {
+	var out []id.Daemon
 	for _, e := range f.members.Entries() {
 		if e.Process.Daemon != f.self.Daemon && e.State != member.Dead {
-			others = append(others, e.Process.Daemon)
+			out = append(out, e.Process.Daemon)
 		}
 	}
-	f.links().SendEvidence(others, s)
+	return out
+}
+
+// sendAll sends a message to all other daemons. One that it can't be sent to
+// learns by heartbeats that it has missed something.
+func (f *fleet) sendAll(kind peer.Kind, msg any) {
+	for _, other := range f.others() {
+		_ = f.transport.Send(other, kind, msg)
+	}
 }
+
+// spreadEvidence sends new evidence to the other daemons.
+func (f *fleet) spreadEvidence(s poison.State) { f.links().SendEvidence(f.others(), s) }
--- /dev/null
+++ b/daemon/gateway/reading.go
@@ -0,0 +1,122 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/member"
+	"github.com/samphirequay/samphirequay/core/readers"
+	"github.com/samphirequay/samphirequay/core/registry"
+	"github.com/samphirequay/samphirequay/daemon/feed"
+)
+
+const (
+	// readersLook is how often the daemon decides whether it reads the store's
+	// tables for others. Silent readers are noticed after memberSuspect: with
+	// this pause and one call, well within the two seconds in which a change
+	// must be in force.
+	readersLook = 250 * time.Millisecond
+	// newsMaxBytes bounds the rows that are sent along with news. A fleet reads
+	// larger ones from the store, whose link is wider than that of any daemon.
+	newsMaxBytes = 16 << 10
+)
+
+// tableNews is what a daemon that reads the store's tables tells the others.
+type tableNews struct {
+	News feed.News `cbor:"1,keyasint"`
+	// Grace is how long entries that have gone may still come back, since the
+	// store was away.
+	Grace time.Duration `cbor:"2,keyasint,omitempty"`
+}
+
+// followers lists those of the daemon's tables; the fleet's own is there once
+// the daemon has enrolled.
+func (d *Daemon) followers() []*feed.Follower {
+	all := []*feed.Follower{d.configs, d.endpoints}
+	if f := d.fleet.Load(); f != nil {
+		all = append(all, f.hosts)
+	}
+	return all
+}
+
+// storeLost says whether the store does not answer this daemon.
+func (d *Daemon) storeLost() bool { return d.configs.Lost() || d.endpoints.Lost() }
+
+// shareReading decides again and again whether this daemon follows the store or
+// leaves it to others. That lowered the store calls of a calm minute from 709
+// to 308 with 9 daemons, from 7,147 to 1,999 in 40 s with 79 (one run each).
+func (d *Daemon) shareReading(f *fleet) {
+	decision := readers.NewDecision(f.self.Daemon)
+	reads := true
+	ticker := time.NewTicker(readersLook)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := decision.Decide(d.now(), readingCandidates(f.members.Entries()))
+		if now != reads {
+			d.logger.Event("store_reading_changed", "reads", now)
+		}
+		reads = now
+		for _, follower := range d.followers() {
+			follower.SetIdle(!reads)
+		}
+	}
+}
+
+// readingCandidates are the daemons that can read for others.
+func readingCandidates(entries []member.Entry) []readers.Candidate {
+	var out []readers.Candidate
+	for _, e := range entries {
+		if e.State == member.Alive && e.Revision > 0 {
+			out = append(out, readers.Candidate{Daemon: e.Process.Daemon, Domain: e.Domain, StoreLost: e.StoreLost})
+		}
+	}
+	return out
+}
+
+// tellNews tells the other daemons what the store told this one.
+func (d *Daemon) tellNews(n feed.News) {
+	f := d.fleet.Load()
+	if f == nil {
+		return
+	}
+	size := 0
+	for _, c := range n.Changes {
+		size += len(c.Value)
+	}
+	if size > newsMaxBytes {
+		n.Changes = nil
+	}
+	f.sendAll(kindNews, &tableNews{News: n, Grace: d.registryGrace()})
+}
+
+// registryGrace is how long lapsed entries may still come back.
+func (d *Daemon) registryGrace() time.Duration {
+	d.knowledge.mu.Lock()
+	defer d.knowledge.mu.Unlock()
+	return d.knowledge.list.Grace(d.now())
+}
+
+// takeNews takes what another daemon tells of the store's tables.
+func (d *Daemon) takeNews(from id.Daemon, n tableNews) {
+	d.tellRegistry(n.News.Name, func(l *registry.List) { l.Returned(d.now(), n.Grace) })
+	for _, follower := range d.followers() {
+		if follower.Name() != n.News.Name {
+			continue
+		}
+		fresh, err := follower.Take(n.News)
+		switch {
+		case eris.Is(err, feed.ErrGap):
+			d.logger.Event("table_news_missed", "peer", from, "table", n.News.Name, "position", n.News.Position)
+			follower.Refresh()
+		case fresh:
+			d.logger.Event("table_news", "peer", from, "table", n.News.Name, "position", n.News.Position)
+		}
+	}
+}
