Date evidence by the store's clock; put the limits on heads and bodies in force

And the configuration's limits on heads and bodies were not in force.

Change: evidence is dated by the steady clock that comes with the store's answers at enrolment. Bodies and heads above the configuration's limits get 413 and 431.

Time limits for heads and idle connections stay the daemon's own, which are longer than the configuration's.

--- a/core/revision/table/table.go
+++ b/core/revision/table/table.go
@@ -3,6 +3,8 @@
 // daemon's adapter turns them into calls.
 package table
 
+import "time"
+
 // Row is one row; Version 0 means that it does not exist.
 type Row struct {
 	Key     string `cbor:"1,keyasint"`
@@ -79,6 +81,8 @@
 	Failed []string
 	// Versions are those of the written rows, in the order of the puts.
 	Versions []uint64
+	// Clock is the table's own steady clock at the answer; 0 if it tells none.
+	Clock time.Duration
 }
 
 // Row returns the row of key, with version 0 when it is not in the reply.
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -44,6 +44,14 @@
 	Weight int
 }
 
+// Limits bound what a caller may send; 0 for no bound by the configuration.
+type Limits struct {
+	// HeadBytes bounds the header fields of a request.
+	HeadBytes int
+	// BodyBytes bounds its body.
+	BodyBytes int
+}
+
 // Route sends the requests of a host whose path begins with a prefix to a
 // service.
 type Route struct {
@@ -101,4 +109,5 @@
 	Version  uint64
 	Routes   []Route
 	Services []Service
+	Limits   Limits
 }
--- a/daemon/gateway/clock_test.go
+++ b/daemon/gateway/clock_test.go
@@ -13,7 +13,7 @@
 var wallClock = map[string]int{
 	"../forward/relay.go":     1, // a socket's deadline
 	"../upstream/upstream.go": 3, // idle connections, by the monotonic part
-	"../gateway/gateway.go":   1, // the epoch that log lines are dated from
+	"../gateway/gateway.go":   3, // the default of Options.Wall, twice named; evidence until the store's clock is known
 	"../gateway/enroll.go":    3, // certificates' dates
 }
 
@@ -46,7 +46,7 @@
 		t.Fatal(err)
 	}
 	n := 0
-	for _, call := range []string{"time.Now()", "time.Since(", "time.Until("} {
+	for _, call := range []string{"time.Now", "time.Since(", "time.Until(", "opts.Wall()"} {
 		n += strings.Count(string(text), call)
 	}
 	return n
--- a/daemon/gateway/enroll.go
+++ b/daemon/gateway/enroll.go
@@ -79,7 +79,8 @@
 	return d.join(id.Process{Daemon: d.set.Daemon, Incarnation: incarnation}, keys.Fixed(material))
 }
 
-// read reads one row.
+// read reads one row. The store's clock comes with it, and dates evidence from
+// then on.
 func (d *Daemon) read(key string) (table.Row, error) {
 	ctx, cancel := context.WithTimeout(d.ctx, enrollTimeout)
 	defer cancel()
@@ -87,6 +88,9 @@
 	if reply.Status != table.Done {
 		return table.Row{}, eris.Errorf("reading row %s: %s", key, reply.Status)
 	}
+	if reply.Clock > 0 {
+		d.dateBy(time.Unix(0, 0).Add(reply.Clock))
+	}
 	return reply.Row(key), nil
 }
 
@@ -117,11 +121,11 @@
 	if row.Version == 0 {
 		return d.makeAuthority()
 	}
-	return keys.LoadCA(row.Value, time.Now())
+	return keys.LoadCA(row.Value, d.opts.Wall())
 }
 
 func (d *Daemon) makeAuthority() (*keys.DevCA, error) {
-	made, err := keys.NewDevCA(time.Now())
+	made, err := keys.NewDevCA(d.opts.Wall())
 	if err != nil {
 		return nil, err
 	}
@@ -140,7 +144,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return keys.LoadCA(row.Value, time.Now())
+	return keys.LoadCA(row.Value, d.opts.Wall())
 }
 
 // register writes the daemon's row and returns its incarnation.
@@ -184,7 +188,7 @@
 		Sender:     f.links(),
 		Poison:     d.poison,
 		Spread:     f.spreadEvidence,
-		Epoch:      d.epoch,
+		Epoch:      *d.epoch.Load(),
 		Metrics:    d.metrics,
 		Now:        d.now,
 		Ready:      wired,
--- a/daemon/gateway/front.go
+++ b/daemon/gateway/front.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/core/verdict"
 	"github.com/samphirequay/samphirequay/daemon/forward"
 	"github.com/samphirequay/samphirequay/daemon/upstream"
@@ -18,8 +19,7 @@
 const (
 	// headBytes bounds the head of a request.
 	headBytes = 17 << 10
-	// bodyBytes bounds its body. Lower bounds that the platform's configuration
-	// may set for heads, bodies and idle connections are not in force.
+	// bodyBytes bounds its body while no configuration says how large it may be.
 	bodyBytes = 8 << 20
 	// readTimeout bounds the reading of one request.
 	readTimeout = 30 * time.Second
@@ -39,6 +39,7 @@
 func (d *Daemon) serve() error {
 	front := &fasthttp.Server{
 		Handler:            d.handle,
+		HeaderReceived:     d.headReceived,
 		ErrorHandler:       d.platform.Adapter.ProtocolError,
 		ReadBufferSize:     headBytes,
 		MaxRequestBodySize: bodyBytes,
@@ -105,8 +106,33 @@
 	l.d.logger.Debug("http", "says", fmt.Sprintf(format, args...))
 }
 
+// limits are those that the configuration sets for callers.
+func (d *Daemon) limits() route.Limits {
+	routes := d.knowledge.current().Routes
+	if routes == nil {
+		return route.Limits{}
+	}
+	return routes.Config().Limits
+}
+
+// headReceived says how large the body behind a head may be.
+func (d *Daemon) headReceived(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+	return fasthttp.RequestConfig{MaxRequestBodySize: d.limits().BodyBytes}
+}
+
+// largeHead says whether the head is larger than the configuration allows.
+func (d *Daemon) largeHead(h *fasthttp.RequestHeader) bool {
+	limit := d.limits().HeadBytes
+	return limit > 0 && len(h.RawHeaders()) > limit
+}
+
 // handle serves one request of a caller.
 func (d *Daemon) handle(ctx *fasthttp.RequestCtx) {
+	if d.largeHead(&ctx.Request.Header) {
+		d.logger.Event("request_refused", "verdict", verdict.NotRun, "code", verdict.CodeTooLarge, "why", "the head is too large")
+		d.platform.Adapter.ProtocolError(ctx, &fasthttp.ErrSmallBuffer{})
+		return
+	}
 	d.inFlight.Add(1)
 	d.noteCaller()
 	if d.stopping.Load() != nil {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -87,6 +87,9 @@
 	Metrics *metrics.Registry
 	// Seed of the daemon's random numbers.
 	Seed uint64
+	// Wall is the host's time of day, which may jump: certificates and evidence
+	// are dated by it at the daemon's start. Default time.Now.
+	Wall func() time.Time
 	// PanicOnViolation ends the process at a broken invariant: for tests.
 	PanicOnViolation bool
 }
@@ -96,8 +99,10 @@
 	set      *Settings
 	platform Platform
 	opts     Options
-	// epoch is the wall time at the daemon's time zero.
-	epoch time.Time
+	// epoch is the time at the daemon's time zero by which evidence is dated: by
+	// the host's clock, and once it has enrolled by the store's, which all
+	// daemons share and which does not jump.
+	epoch atomic.Pointer[time.Time]
 	rand  *rand.Rand
 
 	metrics *metrics.Registry
@@ -137,14 +142,17 @@
 
 // New provisions a daemon. Nothing listens yet.
 func New(set *Settings, p Platform, opts Options) (*Daemon, error) {
+	if opts.Wall == nil {
+		opts.Wall = time.Now
+	}
 	d := &Daemon{
 		set:      set,
 		platform: p,
 		opts:     opts,
-		epoch:    time.Now().Add(-Now()),
 		rand:     rand.New(rand.NewPCG(opts.Seed, uint64(len(set.Daemon)))),
 		closed:   make(chan struct{}),
 	}
+	d.dateBy(opts.Wall())
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	if err := d.provision(); err != nil {
 		d.cancel()
@@ -235,9 +243,14 @@
 
 func (d *Daemon) now() time.Duration { return Now() }
 
-// wall is the time of day by which evidence is dated: the daemon's clock at
-// its start, moved on by the boot clock.
-func (d *Daemon) wall() time.Time { return d.epoch.Add(d.now()) }
+// wall is the time by which evidence is dated.
+func (d *Daemon) wall() time.Time { return d.epoch.Load().Add(d.now()) }
+
+// dateBy has evidence dated by a clock that shows now; the boot clock moves it on.
+func (d *Daemon) dateBy(now time.Time) {
+	epoch := now.Add(-d.now())
+	d.epoch.Store(&epoch)
+}
 
 // newRand returns a source of its own for one duty.
 func (d *Daemon) newRand() *rand.Rand { return rand.New(rand.NewPCG(d.rand.Uint64(), d.rand.Uint64())) }
--- a/daemon/gateway/pools.go
+++ b/daemon/gateway/pools.go
@@ -32,7 +32,7 @@
 		// from new ones: the forwarder judges requests before they get there, and
 		// a pool gets no fingerprints.
 		Poison: poison.New(poison.Config{}),
-		Epoch:  d.epoch,
+		Epoch:  *d.epoch.Load(),
 		Events: pool.Events{
 			Health: func(c health.Change) {
 				d.logger.Event("health_changed", "endpoint", c.Endpoint, "state", c.State, "why", c.Reason, "for", c.For)
