Keep one engine for a large request, and let others have the rest

Cause: a request that fits on no engine was next after 150 ms, and held up the whole queue until one engine had room.

Change: the engine that lacks the least is kept for it, others pass to the rest; a fifth of the engines may be kept so.

Test failed before: TestALargeRequestKeepsOneEngineForItself.

TestTheLedgerAgainstTheEnginesOwnBooks played its jobs in a map's order, so that its verdict changed from run to run (3.1% over memory once, bound 3%).

--- a/core/kvsched/endpoint.go
+++ b/core/kvsched/endpoint.go
@@ -30,6 +30,8 @@
 	// down is set from a failed connection until a report.
 	down      bool
 	fullUntil time.Duration
+	// kept is set while a request that doesn't fit yet has the engine kept for it.
+	kept bool
 
 	// prefills are the granted prefills in their order; busyUntil is the
 	// predicted end of the last one.
--- a/core/kvsched/ledger_test.go
+++ b/core/kvsched/ledger_test.go
@@ -120,6 +120,34 @@
 	is.Equal(len(grants(l.Want(later, want("small-2", 1000, 10)))), 0) // the large one is next
 }
 
+// TestALargeRequestKeepsOneEngineForItself: once it is not to be passed any
+// longer, smaller ones get the room of the other engines, and not of the one
+// that will have room for it first.
+func TestALargeRequestKeepsOneEngineForItself(t *testing.T) {
+	is := is.New(t)
+	l := newLedger(t, document(8, 3, 10000))
+	var running []*sched.Grant
+	for i, prompt := range []int{5000, 6000, 7000} {
+		running = append(running, grants(l.Want(start, want(fmt.Sprintf("running-%d", i), prompt, 10)))...)
+	}
+	is.Equal(len(running), 3)
+	is.Equal(len(grants(l.Want(start, want("large", 8000, 10)))), 0)
+	l.Tick(start + DefaultBypassAfter)
+	later := start + DefaultBypassAfter + time.Millisecond
+	first := grants(l.Want(later, want("small-1", 2500, 10)))
+	second := grants(l.Want(later, want("small-2", 2500, 10)))
+	is.Equal(len(first), 1)
+	is.Equal(len(second), 1)
+	is.Equal(len(grants(l.Want(later, want("small-3", 2500, 10)))), 0) // only the kept engine has room
+	kept := running[0].Decode
+	is.True(first[0].Decode != kept)
+	is.True(second[0].Decode != kept)
+	got := grants(l.Progress(later, done(running[0], sched.PhaseDone)))
+	is.Equal(len(got), 1)
+	is.Equal(got[0].Request, id.Request("large"))
+	is.Equal(got[0].Decode, kept)
+}
+
 func TestLateRequestsWaitForRoomToSpare(t *testing.T) {
 	is := is.New(t)
 	l := newLedger(t, document(4, 1, 10000))
--- a/core/kvsched/pump.go
+++ b/core/kvsched/pump.go
@@ -27,6 +27,8 @@
 		return actions
 	}
 	l.sortQueue()
+	// Prompts that were read already may use any engine.
+	defer l.keepNone()
 	for _, w := range slices.Clone(l.queue) {
 		action, passable := l.try(w)
 		if action != nil {
@@ -67,8 +69,7 @@
 	decode, cause := l.chooseDecode(w, nil)
 	if decode == nil {
 		w.blocked = cause
-		waited := l.now - w.arrived
-		return nil, cause == lacksMemory && waited < l.options.BypassAfter
+		return nil, cause == lacksMemory && l.passable(w)
 	}
 	if l.late(w) && !l.roomForLate() {
 		w.blocked = lacksLate
@@ -89,6 +90,61 @@
 	return l.grant(w, prefill, decode), true
 }
 
+// keptShare is the share of the decode engines that are kept for requests which
+// don't fit on any yet; one at least.
+const keptShare = 0.2
+
+// passable says whether others may pass a request that fits on no engine. For a
+// while they may; then an engine is kept for it, so that the others can have
+// what is free on the rest without its waiting for ever. Where too many engines
+// are kept already, nobody passes.
+func (l *Ledger) passable(w *waiting) bool {
+	if l.now-w.arrived < l.options.BypassAfter {
+		return true
+	}
+	writers, kept := 0, 0
+	for _, e := range l.order {
+		if e.writes() && e.open(l.now) {
+			writers++
+		}
+		if e.kept {
+			kept++
+		}
+	}
+	if kept >= max(1, int(keptShare*float64(writers))) {
+		return false
+	}
+	roomiest := l.roomiest(w)
+	if roomiest == nil {
+		return false
+	}
+	roomiest.kept = true
+	return true
+}
+
+// roomiest is the decode engine that will have room for a request first: the
+// one that lacks the least.
+func (l *Ledger) roomiest(w *waiting) *endpoint {
+	var best *endpoint
+	bestLeft := 0.0
+	for _, e := range l.order {
+		if !e.writes() || !l.usable(e, w) {
+			continue
+		}
+		if left, _ := l.fits(e, w); best == nil || left > bestLeft {
+			best, bestLeft = e, left
+		}
+	}
+	return best
+}
+
+// keepNone ends the keeping of engines: it holds for one look at the queue.
+func (l *Ledger) keepNone() {
+	for _, e := range l.order {
+		e.kept = false
+	}
+}
+
 // grantWhole has a decode engine read the prompt itself, where waiting for a
 // prefill engine would take the request past its target. That is slow, and
 // slows the engine's other requests: only one prompt is read so at a time on an
@@ -229,7 +285,7 @@
 
 // usable says whether an endpoint may serve this request at all.
 func (l *Ledger) usable(e *endpoint, w *waiting) bool {
-	if !e.open(l.now) || slices.Contains(w.want.Avoid, e.name) {
+	if e.kept || !e.open(l.now) || slices.Contains(w.want.Avoid, e.name) {
 		return false
 	}
 	return l.options.Health == nil || l.options.Health.Allowed(e.name)
--- a/core/kvsched/world_test.go
+++ b/core/kvsched/world_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -76,8 +78,11 @@
 			guess := int(float64(j.output) * math.Exp(0.5*rng.NormFloat64()))
 			take(now, l.Want(now, want(name, j.prompt, guess)))
 		}
-		for name, j := range jobs {
+		// In a fixed order, so that a seed always plays the same.
+		for _, name := range slices.Sorted(maps.Keys(jobs)) {
+			j, there := jobs[name]
 			switch {
+			case !there: // refused meanwhile
 			case j.grant == nil:
 			case j.begun == 0 && now >= j.read:
 				j.begun = now
@@ -109,6 +114,7 @@
 	}
 	// Measured: 0.9 to 2.4% over the eight seeds, with guesses that are right at
 	// the median and off by a factor of 1.65 at one deviation.
+	t.Logf("over their memory at %.2f%% of the looks", 100*float64(over)/float64(looks))
 	if share := float64(over) / float64(looks); share > 0.03 {
 		t.Errorf("engines were over their memory at %.1f%% of the looks", 100*share)
 	}
