Divide roles by the work done, also by what decode engines read themselves

Cause: in an overload the queue's memory counted for decode, and prompts that decode engines read themselves did not count for prefill.

Change: prefill work includes those prompts; what waits counts for no role.

Tests failed before: TestAPromptThatADecodeEngineReadsIsPrefillWork, TestAQueueDoesNotTakePrefillEnginesAway.

Tried and not kept: a floor of the measured work and a tenth: no change.

--- a/core/kvsched/ledger_test.go
+++ b/core/kvsched/ledger_test.go
@@ -268,6 +268,27 @@
 // TestAdoptedWorkTeachesNoPace: a new owner does not know when it began. One
 // that ended right after the takeover made every answer look finished, and the
 // pool full.
+// TestAPromptThatADecodeEngineReadsIsPrefillWork: else a pool that is short of
+// prefill engines would look as if it had too many.
+func TestAPromptThatADecodeEngineReadsIsPrefillWork(t *testing.T) {
+	is := is.New(t)
+	l := newLedger(t, document(1, 2, 30000))
+	for i := range 12 {
+		l.Want(start, want(fmt.Sprint(i), 3000, 100))
+	}
+	for now := start; now < start+900*time.Millisecond; now += 5 * time.Millisecond {
+		for _, g := range grants(l.Tick(now)) {
+			if g.Prefill != "" {
+				continue
+			}
+			before := l.Demand(now - 1).PrefillWork
+			is.True(before >= time.Duration(len(l.granted))*100*time.Millisecond) // 3000 tokens at 25 a millisecond, each
+			return
+		}
+	}
+	t.Fatal("no decode engine read a prompt")
+}
+
 func TestAdoptedWorkTeachesNoPace(t *testing.T) {
 	is := is.New(t)
 	old := newLedger(t, document(4, 2, 10000))
--- a/core/kvsched/pump.go
+++ b/core/kvsched/pump.go
@@ -59,8 +59,12 @@
 
 // late says whether a request granted now would miss its target.
 func (l *Ledger) late(w *waiting) bool {
-	took := time.Duration(float64(w.want.PromptTokens) / firstPrefillRate * float64(time.Second))
-	return l.now+took+transferTime > w.target
+	return l.now+readTime(w.want)+transferTime > w.target
+}
+
+// readTime is how long an engine that nothing is known of takes to read a prompt.
+func readTime(w sched.Want) time.Duration {
+	return time.Duration(float64(w.PromptTokens) / firstPrefillRate * float64(time.Second))
 }
 
 // try grants one request if it can be. It is passable if those behind it may
@@ -318,6 +322,9 @@
 		start = prefill.startAt(l.now)
 		prefill.addPrefill(l.now, r)
 		l.prefillWork += prefill.prefillTime(r.want.PromptTokens)
+	} else if decode.role == live.RoleDecode {
+		// A prefill engine would have read it, had one been free.
+		l.prefillWork += readTime(r.want)
 	}
 	r.grant.Reason = fmt.Sprintf("waited %v, starts in %v, %d tokens beside %d requests with %d of %d",
 		(l.now - w.arrived).Round(time.Millisecond), (start - l.now).Round(time.Millisecond),
--- a/core/roles/roles.go
+++ b/core/roles/roles.go
@@ -106,7 +106,8 @@
 	d.decode = keep*d.decode + passed.Seconds()*busyDecodes(demand)
 }
 
-// busyDecodes is the memory in use and asked for, in engines.
+// busyDecodes is the memory in use, in engines. What waits counts for neither
+// role: it shows that engines are short, not of which role.
 func busyDecodes(d sched.Demand) float64 {
 	engines := 0
 	for _, e := range d.Decodes {
@@ -118,7 +119,7 @@
 		return 0
 	}
 	perEngine := float64(d.Memory) / float64(engines)
-	return float64(d.MemoryHeld+d.MemoryWanted) / perEngine
+	return float64(d.MemoryHeld) / perEngine
 }
 
 // Wanted is the number of prefill engines among n that the work asks for.
--- a/core/roles/roles_test.go
+++ b/core/roles/roles_test.go
@@ -90,6 +90,16 @@
 	is.True(len(p.demand.Prefills) <= 4)
 }
 
+// TestAQueueDoesNotTakePrefillEnginesAway: what waits shows that the pool is
+// short of engines, not of which.
+func TestAQueueDoesNotTakePrefillEnginesAway(t *testing.T) {
+	is := is.New(t)
+	p := newPool(4, 14)
+	p.demand.MemoryWanted = 20 * perEngine
+	p.run(time.Minute, 3, 13, true)
+	is.Equal(len(p.demand.Prefills), 4)
+}
+
 func TestASteadyDivisionIsLeftAlone(t *testing.T) {
 	is := is.New(t)
 	p := newPool(4, 14)
--- a/core/sched/demand.go
+++ b/core/sched/demand.go
@@ -20,7 +20,7 @@
 	Prefills []EngineDemand
 	Decodes  []EngineDemand
 	// PrefillWork is the predicted engine time of all prefills that were granted
-	// since the scheduler began.
+	// since the scheduler began, those that decode engines do themselves included.
 	PrefillWork time.Duration
 	// PrefillBacklog is the predicted time of all granted prefills.
 	PrefillBacklog time.Duration
