Pass evidence that others told on to two daemons, not to all

Cause: each daemon passed on to all others what it learnt of breaks, so that one break cost a message for each pair of daemons.

Change: a daemon's own evidence goes to all, what it was told to two at random (daemon/broker/evidence.go).

--- a/daemon/app/peers.go
+++ b/daemon/app/peers.go
@@ -131,9 +131,6 @@
 // links sends messages to other daemons.
 func (d *Daemon) links() link.Sender { return link.Sender{Transport: d.transport} }
 
-// spreadEvidence sends new evidence to the live daemons.
-func (d *Daemon) spreadEvidence(s poison.State) { d.links().SendEvidence(d.others(), s) }
-
 // claimWriters implements claims.Writers over the transport.
 type claimWriters struct{ d *Daemon }
 
--- a/daemon/app/start.go
+++ b/daemon/app/start.go
@@ -12,6 +12,7 @@
 	"github.com/samphirequay/samphirequay/core/lease"
 	"github.com/samphirequay/samphirequay/core/member"
 	"github.com/samphirequay/samphirequay/core/placement"
+	"github.com/samphirequay/samphirequay/core/poison"
 	"github.com/samphirequay/samphirequay/core/revision"
 	"github.com/samphirequay/samphirequay/daemon/broker"
 	"github.com/samphirequay/samphirequay/daemon/cancels"
@@ -137,7 +138,8 @@
 		NewManager: d.newManager,
 		Sender:     d.links(),
 		Poison:     d.poison,
-		Spread:     d.spreadEvidence,
+		Spread:     func(s poison.State) { d.links().SendEvidence(d.others(), s) },
+		Relay:      func(s poison.State) { d.links().RelayEvidence(d.others(), s) },
 		Epoch:      d.epoch,
 		Metrics:    d.metrics,
 		Now:        d.now,
--- a/daemon/broker/broker.go
+++ b/daemon/broker/broker.go
@@ -27,8 +27,10 @@
 	Sender     Sender
 	// Poison holds the evidence against requests that crash endpoints.
 	Poison *poison.Ledger
-	// Spread sends new evidence to the other daemons.
+	// Spread sends this daemon's own new evidence to all others, Relay passes on
+	// to a few what others told: it reaches those that the first sending missed.
 	Spread func(s poison.State)
+	Relay  func(s poison.State)
 	// Epoch is the wall time at time zero.
 	Epoch   time.Time
 	Metrics *metrics.Registry
@@ -52,9 +54,8 @@
 	bindings map[id.Request]chan sched.Binding
 	lost     *metrics.Counter
 	unknown  *metrics.Counter
-	// told is the number of the last evidence that was spread, and spreadAt
-	// the time from which new evidence may be spread.
-	told     uint64
+	// evidence waits to be told to other daemons, from spreadAt on.
+	evidence *evidence
 	spreadAt time.Duration
 }
 
@@ -67,6 +68,7 @@
 		doc:      &live.Document{},
 		waiting:  make(map[id.Request]chan<- pairing.Answer),
 		bindings: make(map[id.Request]chan sched.Binding),
+		evidence: &evidence{ledger: cfg.Poison},
 		lost:     cfg.Metrics.Counter("broker_messages_lost", metrics.UnitCount, "messages to other daemons that could not be queued"),
 	}
 	b.unknown = cfg.Metrics.Counter("broker_unknown_pool", metrics.UnitCount, "messages about pools that are not in the configuration here")
@@ -91,9 +93,7 @@
 	return min(next, b.spread(now))
 }
 
-// spreadEvery gathers evidence: each daemon passes on what it learns, so that a
-// break costs a message for each pair of daemons. It is well below the time in
-// which a verdict settles.
+// spreadEvery gathers evidence, well below the time in which a verdict settles.
 const spreadEvery = 250 * time.Millisecond
 
 // never is the time of what isn't due.
@@ -102,16 +102,20 @@
 // spread sends evidence that is new since the last time, and returns when it
 // wants to be called again.
 func (b *Broker) spread(now time.Duration) time.Duration {
-	delta, number := b.cfg.Poison.Delta(b.told)
-	if number == b.told {
+	if !b.evidence.waits() {
 		return never
 	}
 	if now < b.spreadAt {
 		return b.spreadAt
 	}
-	b.told = number
 	b.spreadAt = now + spreadEvery
-	b.cfg.Spread(delta)
+	own, learnt := b.evidence.take()
+	if !empty(own) {
+		b.cfg.Spread(own)
+	}
+	if !empty(learnt) {
+		b.cfg.Relay(learnt)
+	}
 	return never
 }
 
@@ -120,10 +124,10 @@
 	b.duty.PostLater(func(time.Duration) {})
 }
 
-// MergeEvidence takes evidence from another daemon, and passes on what is new.
-// It returns whether any is.
+// MergeEvidence takes evidence from another daemon, and passes what is new on to
+// a few. It returns whether any is.
 func (b *Broker) MergeEvidence(s poison.State) bool {
-	isNew := b.cfg.Poison.Merge(b.cfg.Epoch.Add(b.cfg.Now()), s)
+	isNew := b.evidence.merge(b.cfg.Epoch.Add(b.cfg.Now()), s)
 	if isNew {
 		b.EvidenceChanged()
 	}
--- a/daemon/broker/broker_test.go
+++ b/daemon/broker/broker_test.go
@@ -36,6 +36,7 @@
 		Sender:     owner,
 		Poison:     poison.New(poison.Config{}),
 		Spread:     func(poison.State) {},
+		Relay:      func(poison.State) {},
 		Metrics:    metrics.New("a"),
 		Now:        func() time.Duration { return 0 },
 	})
--- a/daemon/broker/fuzz_test.go
+++ b/daemon/broker/fuzz_test.go
@@ -35,6 +35,7 @@
 		Sender: &fuzzSender{},
 		Poison: ledger,
 		Spread: func(poison.State) {},
+		Relay:  func(poison.State) {},
 		NewManager: func(p id.Pool) *pool.Manager {
 			return pool.New(pool.Options{Pool: p, Poison: ledger, NewScheduler: func(view sched.HealthView) sched.Scheduler {
 				return sched.NewLedger(sched.Options{
--- a/daemon/gateway/enroll.go
+++ b/daemon/gateway/enroll.go
@@ -9,6 +9,7 @@
 
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/member"
+	"github.com/samphirequay/samphirequay/core/poison"
 	"github.com/samphirequay/samphirequay/core/pool"
 	"github.com/samphirequay/samphirequay/core/revision/table"
 	"github.com/samphirequay/samphirequay/daemon/broker"
@@ -187,7 +188,8 @@
 		NewManager: func(p id.Pool) *pool.Manager { return d.newManager(f, p) },
 		Sender:     f.links(),
 		Poison:     d.poison,
-		Spread:     f.spreadEvidence,
+		Spread:     func(s poison.State) { f.links().SendEvidence(f.others(), s) },
+		Relay:      func(s poison.State) { f.links().RelayEvidence(f.others(), s) },
 		Epoch:      *d.epoch.Load(),
 		Metrics:    d.metrics,
 		Now:        d.now,
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -174,6 +174,3 @@
 		_ = f.transport.Send(other, kind, msg)
 	}
 }
-
-// spreadEvidence sends new evidence to the other daemons.
-func (f *fleet) spreadEvidence(s poison.State) { f.links().SendEvidence(f.others(), s) }
