Derive what was kept, and say once what stood twice

- feed: whether a call brought changes is returned, not kept in a field under the lock; an error that can't come is passed on, not swallowed.
The position that stays at the last change is explained, since news depend on it.
- readers: whether a daemon reads follows from since when others do.
- gateway: one time from which another holder may order, in place of a time and a flag; one ticker loop (every) and one lookup of a table's follower for two.
- members.Others in place of the same list in gateway and app.

--- a/core/readers/readers.go
+++ b/core/readers/readers.go
@@ -64,15 +64,14 @@
 
 // Decision says whether one daemon reads. It begins with reading.
 type Decision struct {
-	self  id.Daemon
-	reads bool
+	self id.Daemon
 	// since is when enough others began to read; meaningless unless others is set.
 	since  time.Duration
 	others bool
 }
 
 // NewDecision returns the decision of the daemon self.
-func NewDecision(self id.Daemon) *Decision { return &Decision{self: self, reads: true} }
+func NewDecision(self id.Daemon) *Decision { return &Decision{self: self} }
 
 // Decide tells whether the daemon reads, given the candidates of the moment.
 // It begins at once where it is chosen or others are too few, and leaves it to
@@ -81,15 +80,11 @@
 	chosen := Choose(candidates)
 	if len(chosen) < Count || slices.Contains(chosen, d.self) {
 		d.others = false
-		d.reads = true
 		return true
 	}
 	if !d.others {
 		d.others = true
 		d.since = now
 	}
-	if now-d.since >= settle {
-		d.reads = false
-	}
-	return d.reads
+	return now-d.since < settle
 }
--- a/daemon/app/status.go
+++ b/daemon/app/status.go
@@ -8,7 +8,6 @@
 
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/live"
-	"github.com/samphirequay/samphirequay/core/member"
 	"github.com/samphirequay/samphirequay/core/placement"
 	"github.com/samphirequay/samphirequay/core/pool"
 	"github.com/samphirequay/samphirequay/core/revision"
@@ -152,17 +151,6 @@
 	return replies
 }
 
-// others lists the daemons that are not dead, without this one.
-func (d *Daemon) others() []id.Daemon {
-	var out []id.Daemon
-	for _, e := range d.members.Entries() {
-		if e.Process.Daemon != d.self.Daemon && e.State != member.Dead {
-			out = append(out, e.Process.Daemon)
-		}
-	}
-	return out
-}
-
 // ask runs a question to several daemons at once, this one left out.
 func (d *Daemon) ask(whom []id.Daemon, ask func(ctx context.Context, to id.Daemon)) {
 	ctx, cancel := context.WithTimeout(d.ctx, peerCallTimeout)
@@ -194,7 +182,7 @@
 	q := explainQuery{Kind: kind, ID: subject}
 	out := b.d.explainLocal(q)
 	var mu sync.Mutex
-	b.d.ask(b.d.others(), func(ctx context.Context, to id.Daemon) {
+	b.d.ask(b.d.members.Others(), func(ctx context.Context, to id.Daemon) {
 		var reply opapi.Explanation
 		if b.d.transport.Call(ctx, to, kindExplain, &q, &reply) != nil {
 			return
--- a/daemon/feed/feed.go
+++ b/daemon/feed/feed.go
@@ -109,8 +109,6 @@
 	// whole asks for a whole read next.
 	whole bool
 	lost  bool
-	// changed is set by a call that brought changes.
-	changed bool
 	// idle is set while other daemons tell of the changes.
 	idle bool
 	// begun is set when it stops being idle: the next call does not wait, so
@@ -205,10 +203,10 @@
 	defer close(f.done)
 	pause := firstRetry
 	for f.ctx.Err() == nil {
-		err := f.step()
+		changed, err := f.step()
 		if err == nil {
 			pause = firstRetry
-			if f.gathers() && !f.sleep(f.cfg.Gather) {
+			if changed && !f.wholeDue() && !f.sleep(f.cfg.Gather) {
 				return
 			}
 			continue
@@ -220,13 +218,11 @@
 	}
 }
 
-// gathers says whether the last call brought changes and a pause is due.
-func (f *Follower) gathers() bool {
+// wholeDue says whether the table is to be read whole next.
+func (f *Follower) wholeDue() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	due := f.changed && f.cfg.Gather > 0 && !f.whole
-	f.changed = false
-	return due
+	return f.whole
 }
 
 func (f *Follower) sleep(d time.Duration) bool {
@@ -240,14 +236,14 @@
 	}
 }
 
-// step makes one call, or waits where none is due. A call that was interrupted
-// is no failure.
-func (f *Follower) step() error {
+// step makes one call, or waits where none is due. It says whether the call
+// brought changes; one that was interrupted is no failure.
+func (f *Follower) step() (changed bool, err error) {
 	f.mu.Lock()
 	if f.idle && !f.whole && !f.lost {
 		f.mu.Unlock()
 		f.rest()
-		return nil
+		return false, nil
 	}
 	whole, after := f.whole, f.state.Position
 	ctx, cancel := context.WithCancel(f.ctx)
@@ -256,18 +252,17 @@
 	}
 	f.mu.Unlock()
 	defer cancel()
-	var err error
 	if whole {
 		err = f.readWhole(ctx)
 	} else {
-		err = f.readChanges(ctx, after)
+		changed, err = f.readChanges(ctx, after)
 	}
 	interrupted := err != nil && ctx.Err() != nil
 	if interrupted || f.ctx.Err() != nil {
-		return nil
+		return changed, nil
 	}
 	f.note(err)
-	return err
+	return changed, err
 }
 
 func (f *Follower) readWhole(ctx context.Context) error {
@@ -292,7 +287,10 @@
 	return nil
 }
 
-func (f *Follower) readChanges(parent context.Context, after uint64) error {
+// readChanges waits for changes and says whether there were any. Where there are
+// none the position stays at the last change: only so do the news of one
+// daemon go on where those of another ended.
+func (f *Follower) readChanges(parent context.Context, after uint64) (changed bool, err error) {
 	wait, limit := f.patience()
 	ctx, cancel := context.WithTimeout(parent, limit)
 	defer cancel()
@@ -301,24 +299,21 @@
 		f.mu.Lock()
 		f.whole = true
 		f.mu.Unlock()
-		return nil
+		return false, nil
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	f.note(nil)
 	if len(delta.Changes) == 0 {
-		return nil
+		return false, nil
 	}
 	news := News{Name: f.cfg.Name, After: after, Position: delta.Position, Changes: delta.Changes}
-	fresh, err := f.apply(news)
+	changed, err = f.apply(news)
 	if err == nil && f.cfg.Learnt != nil {
 		f.cfg.Learnt(news)
 	}
-	f.mu.Lock()
-	f.changed = fresh
-	f.mu.Unlock()
-	return nil
+	return changed, err
 }
 
 // patience is how long the next call waits for changes, and how long it may take.
--- a/daemon/gateway/knowledge.go
+++ b/daemon/gateway/knowledge.go
@@ -161,19 +161,26 @@
 
 // watchRegistry drops lapsed entries when their time is over.
 func (d *Daemon) watchRegistry() {
-	ticker := time.NewTicker(registryLook)
+	d.every(registryLook, func() {
+		d.knowledge.mu.Lock()
+		defer d.knowledge.mu.Unlock()
+		if d.knowledge.list.Tick(d.now()) {
+			d.publish()
+		}
+	})
+}
+
+// every does something again and again until the daemon ends.
+func (d *Daemon) every(pause time.Duration, do func()) {
+	ticker := time.NewTicker(pause)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-d.ctx.Done():
 			return
 		case <-ticker.C:
+			do()
 		}
-		d.knowledge.mu.Lock()
-		if d.knowledge.list.Tick(d.now()) {
-			d.publish()
-		}
-		d.knowledge.mu.Unlock()
 	}
 }
 
@@ -243,10 +250,8 @@
 func (d *Daemon) adopt(states []feed.State) bool {
 	adopted := false
 	for _, s := range states {
-		for _, f := range d.followers() {
-			if f.Name() == s.Name {
-				adopted = f.Adopt(s) || adopted
-			}
+		if f := d.follower(s.Name); f != nil {
+			adopted = f.Adopt(s) || adopted
 		}
 	}
 	return adopted
--- a/daemon/gateway/orderer.go
+++ b/daemon/gateway/orderer.go
@@ -55,10 +55,9 @@
 	pools map[id.Pool]*poolRoles
 	// idleSince is when the last order was done with.
 	idleSince time.Duration
-	// orderedLast is when the last order was sent at the latest, if orderedYet is set.
-	orderedLast time.Duration
-	orderedYet  bool
-	stopped     bool
+	// quietFrom is from when another holder might give an order at once.
+	quietFrom time.Duration
+	stopped   bool
 
 	// mu guards what is looked at right before an order.
 	mu sync.Mutex
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -156,21 +156,10 @@
 // links sends messages to other daemons.
 func (f *fleet) links() link.Sender { return link.Sender{Transport: f.transport} }
 
-// others lists the other daemons that are not known to have ended.
-func (f *fleet) others() []id.Daemon {
-	var out []id.Daemon
-	for _, e := range f.members.Entries() {
-		if e.Process.Daemon != f.self.Daemon && e.State != member.Dead {
-			out = append(out, e.Process.Daemon)
-		}
-	}
-	return out
-}
-
 // sendAll sends a message to all other daemons. One that it can't be sent to
 // learns by heartbeats that it has missed something.
 func (f *fleet) sendAll(kind peer.Kind, msg any) {
-	for _, other := range f.others() {
+	for _, other := range f.members.Others() {
 		_ = f.transport.Send(other, kind, msg)
 	}
 }
--- a/daemon/gateway/reading.go
+++ b/daemon/gateway/reading.go
@@ -41,6 +41,16 @@
 	return all
 }
 
+// follower is that of a table; nil for one that isn't followed.
+func (d *Daemon) follower(name string) *feed.Follower {
+	for _, f := range d.followers() {
+		if f.Name() == name {
+			return f
+		}
+	}
+	return nil
+}
+
 // storeLost says whether the store does not answer this daemon.
 func (d *Daemon) storeLost() bool { return d.configs.Lost() || d.endpoints.Lost() }
 
@@ -50,14 +60,7 @@
 func (d *Daemon) shareReading(f *fleet) {
 	decision := readers.NewDecision(f.self.Daemon)
 	reads := true
-	ticker := time.NewTicker(readersLook)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-d.ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	d.every(readersLook, func() {
 		now := decision.Decide(d.now(), readingCandidates(f.members.Entries()))
 		if now != reads {
 			d.logger.Event("store_reading_changed", "reads", now)
@@ -66,7 +69,7 @@
 		for _, follower := range d.followers() {
 			follower.SetIdle(!reads)
 		}
-	}
+	})
 }
 
 // readingCandidates are the daemons that can read for others.
@@ -106,17 +109,16 @@
 // takeNews takes what another daemon tells of the store's tables.
 func (d *Daemon) takeNews(from id.Daemon, n tableNews) {
 	d.tellRegistry(n.News.Name, func(l *registry.List) { l.Returned(d.now(), n.Grace) })
-	for _, follower := range d.followers() {
-		if follower.Name() != n.News.Name {
-			continue
-		}
-		fresh, err := follower.Take(n.News)
-		switch {
-		case eris.Is(err, feed.ErrGap):
-			d.logger.Event("table_news_missed", "peer", from, "table", n.News.Name, "position", n.News.Position)
-			follower.Refresh()
-		case fresh:
-			d.logger.Event("table_news", "peer", from, "table", n.News.Name, "position", n.News.Position)
-		}
+	follower := d.follower(n.News.Name)
+	if follower == nil {
+		return
+	}
+	fresh, err := follower.Take(n.News)
+	switch {
+	case eris.Is(err, feed.ErrGap):
+		d.logger.Event("table_news_missed", "peer", from, "table", n.News.Name, "position", n.News.Position)
+		follower.Refresh()
+	case fresh:
+		d.logger.Event("table_news", "peer", from, "table", n.News.Name, "position", n.News.Position)
 	}
 }
--- a/daemon/members/members.go
+++ b/daemon/members/members.go
@@ -127,6 +127,17 @@
 // Entries returns the view, this daemon first.
 func (m *Members) Entries() []member.Entry { return m.snapshot.Load().entries }
 
+// Others lists the other daemons that are not dead.
+func (m *Members) Others() []id.Daemon {
+	var out []id.Daemon
+	for _, e := range m.Entries() {
+		if e.Process.Daemon != m.cfg.Self.Process.Daemon && e.State != member.Dead {
+			out = append(out, e.Process.Daemon)
+		}
+	}
+	return out
+}
+
 // Alive says whether a process may still act: it is not known to have ended.
 func (m *Members) Alive(p id.Process) bool {
 	e, ok := m.snapshot.Load().states[p.Daemon]
