--- a/cmd/internal/cli/soakcmd/soak.go
+++ b/cmd/internal/cli/soakcmd/soak.go
@@ -8,7 +8,7 @@
 
 	"github.com/samphirequay/samphirequay/cmd/internal/cli/common"
 	"github.com/samphirequay/samphirequay/cmd/internal/cli/exit"
-	"github.com/samphirequay/samphirequay/platform/soak"
+	"github.com/samphirequay/samphirequay/cmd/internal/soak"
 )
 
 // Defaults of a run: a few dozen processes are for several runs at once.
--- a/platform/soak/caller.go
+++ b/cmd/internal/soak/caller.go
@@ -1,17 +1,13 @@
 package soak
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
-	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/samphirequay/samphirequay/platform/platformtest"
 )
 
@@ -51,14 +47,11 @@
 
 // request gives a request as it goes over the wire.
 func (k callKind) request(id string) string {
-	lines := []string{
-		k.method + " " + k.path + "x HTTP/1.1", "Host: " + callHost, "Request-Id: " + id,
-		fmt.Sprintf("Deadline-Ms: %d", callerPatience.Milliseconds()), "Content-Length: " + fmt.Sprint(len(id)),
-	}
+	r := platformtest.Request{Method: k.method, Target: k.path + "x", Host: callHost, ID: id, Body: id, Patience: callerPatience}
 	if k.stream {
-		lines = append(lines, "Model: m", "Token-Count: 100,40", "Prompt-Prefix: aa:20,"+id+":80", "Length-Hint: 30")
+		r.Fields = platformtest.Generation(id)
 	}
-	return strings.Join(lines, "\r\n") + "\r\n\r\n" + id
+	return r.Text()
 }
 
 // caller sends requests one after the other, over kept connections, to daemons
@@ -172,15 +165,10 @@
 		o.left = true
 		return false
 	}
-	var resp fasthttp.Response
-	resp.StreamBody = true
-	if err := resp.Read(bufio.NewReader(conn)); err != nil {
+	answer, err := platformtest.ReadAnswer(conn)
+	if err != nil {
 		return false
 	}
-	o.status = resp.StatusCode()
-	o.signed = len(resp.Header.Peek("Server-Stamp")) > 0
-	o.echoed = string(resp.Header.Peek("Request-Id"))
-	body, err := io.ReadAll(resp.BodyStream())
-	o.body, o.whole = string(body), err == nil
-	return err == nil && !resp.ConnectionClose()
+	o.answer = answer
+	return answer.Whole && !answer.Close
 }
--- a/platform/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"syscall"
 	"time"
+
+	"github.com/samphirequay/samphirequay/platform/platformtest"
 )
 
 // fault is one fault of a run.
@@ -46,7 +48,7 @@
 func (r *run) draw(rng *rand.Rand) fault {
 	p := r.processes[rng.IntN(len(r.processes))]
 	endpoint := r.world.someRunner(rng)
-	modes := []Mode{Delay, Silence, OneWay, Refuse}
+	modes := []platformtest.Mode{platformtest.Delay, platformtest.Silence, platformtest.OneWay, platformtest.Refuse}
 	mode := modes[rng.IntN(len(modes))]
 	switch rng.IntN(9) {
 	case 0:
@@ -94,13 +96,16 @@
 }
 
 // onProxy is a fault of a way, which is a daemon's if that is set.
-func onProxy(name string, of *process, way *Proxy, m Mode) fault {
-	words := map[Mode]string{Delay: "delayed", Silence: "silent", OneWay: "cut one way", Refuse: "refused"}
+func onProxy(name string, of *process, way *platformtest.Proxy, m platformtest.Mode) fault {
+	words := map[platformtest.Mode]string{
+		platformtest.Delay: "delayed", platformtest.Silence: "silent",
+		platformtest.OneWay: "cut one way", platformtest.Refuse: "refused",
+	}
 	return fault{
 		name:    name + " " + words[m],
 		process: of,
 		begin:   func() { way.Set(m) },
-		end:     func() { way.Set(Pass) },
+		end:     func() { way.Set(platformtest.Pass) },
 	}
 }
 
--- a/platform/soak/judge.go
+++ b/cmd/internal/soak/judge.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
+
+	"github.com/samphirequay/samphirequay/platform/platformtest"
 )
 
 // Judge collects broken promises.
@@ -42,14 +45,8 @@
 type outcome struct {
 	id   string
 	kind callKind
-	// status is 0 where the connection ended without an answer.
-	status int
-	signed bool
-	// whole is set if the answer ended as a complete one does.
-	whole bool
-	// echoed is the request's id in the answer.
-	echoed string
-	body   string
+	// answer has no status where the connection ended without one.
+	answer platformtest.Answer
 	took   time.Duration
 	// left is set if the caller did not wait for the answer.
 	left bool
@@ -58,38 +55,38 @@
 }
 
 // answered says whether the caller was served.
-func (o *outcome) answered() bool { return o.status == 200 && o.whole }
+func (o *outcome) answered() bool { return o.answer.Status == http.StatusOK && o.answer.Whole }
 
 // take judges what can be judged at once.
 func (j *Judge) take(o outcome) {
 	j.mu.Lock()
-	j.outcomes[fmt.Sprintf("%s %d", o.kind.name, o.status)]++
+	j.outcomes[fmt.Sprintf("%s %d", o.kind.name, o.answer.Status)]++
 	if !o.kind.repeatable {
 		j.once = append(j.once, o.id)
 	}
-	if o.status == 503 || o.status == 429 {
+	if o.answer.Status == http.StatusServiceUnavailable || o.answer.Status == http.StatusTooManyRequests {
 		j.refused = append(j.refused, o.id)
 	}
 	j.mu.Unlock()
-	if o.status == 200 && o.whole {
+	if o.answered() {
 		j.takeAnswer(o)
 	}
 	if o.calm && o.took > callerPatience+slack {
 		j.broken("time: %s (%s) took %v", o.id, o.kind.name, o.took)
 	}
-	if o.status == 404 || o.status == 400 {
-		j.broken("denied: %s (%s) got %d", o.id, o.kind.name, o.status)
+	if o.answer.Status == http.StatusNotFound || o.answer.Status == http.StatusBadRequest {
+		j.broken("denied: %s (%s) got %d", o.id, o.kind.name, o.answer.Status)
 	}
 }
 
 func (j *Judge) takeAnswer(o outcome) {
 	switch {
-	case !o.signed:
+	case !o.answer.Signed:
 		j.broken("mixed: %s (%s) got a success without a signature", o.id, o.kind.name)
-	case o.echoed != o.id:
-		j.broken("mixed: %s (%s) got the answer to %q", o.id, o.kind.name, o.echoed)
-	case o.body != o.kind.body(o.id):
-		j.broken("mixed or order: %s (%s) got a whole answer of %d bytes that isn't its own: %.200q", o.id, o.kind.name, len(o.body), o.body)
+	case o.answer.Request != o.id:
+		j.broken("mixed: %s (%s) got the answer to %q", o.id, o.kind.name, o.answer.Request)
+	case o.answer.Body != o.kind.body(o.id):
+		j.broken("mixed or order: %s (%s) got a whole answer of %d bytes that isn't its own: %.200q", o.id, o.kind.name, len(o.answer.Body), o.answer.Body)
 	}
 }
 
--- a/platform/soak/process.go
+++ b/cmd/internal/soak/process.go
@@ -15,6 +15,7 @@
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/daemon/gateway"
 	"github.com/samphirequay/samphirequay/daemon/settings"
+	"github.com/samphirequay/samphirequay/platform/platformtest"
 )
 
 // process is one daemon, which the script starts again whenever it ends. Files
@@ -27,8 +28,8 @@
 	name string
 	set  gateway.Settings
 	// store is the daemon's own way to the store, callers the way to it.
-	store   *Proxy
-	callers *Proxy
+	store   *platformtest.Proxy
+	callers *platformtest.Proxy
 
 	// ends guards signalled, the processes that were told or made to end.
 	ends      sync.Mutex
@@ -47,13 +48,13 @@
 )
 
 // newProcess writes the settings of a daemon; its ports are free ones.
-func newProcess(dir, name, domain, store string) (*process, error) {
+func newProcess(dir, name, domain, store string, free *platformtest.Ports) (*process, error) {
 	p := &process{dir: dir, name: name, signalled: map[int]bool{}}
 	var err error
-	if p.store, err = StartProxy(store); err != nil {
+	if p.store, err = platformtest.StartProxy(store); err != nil {
 		return nil, err
 	}
-	ports, err := freePorts(5)
+	ports, err := freePorts(free, 5)
 	if err != nil {
 		return nil, err
 	}
@@ -71,7 +72,7 @@
 		},
 		Log: settings.Log{Level: "info"},
 	}
-	if p.callers, err = StartProxy(p.set.Listen.Callers); err != nil {
+	if p.callers, err = platformtest.StartProxy(p.set.Listen.Callers); err != nil {
 		return nil, err
 	}
 	body, err := json.MarshalIndent(&p.set, "", "  ")
@@ -134,11 +135,25 @@
 	p.store.Close()
 }
 
+// Ports below those that the kernel gives out; a run has its own begin where
+// those of a run with another seed seldom do: runs beside each other would take
+// one another's.
+const (
+	firstPort  = 10000
+	lastPort   = 20000
+	portStarts = 190
+	portsEach  = 50
+)
+
+func portsOf(seed uint64) *platformtest.Ports {
+	return platformtest.NewPorts(firstPort+int32(seed%portStarts*portsEach), lastPort)
+}
+
 // freePorts finds loopback addresses that nothing listens on.
-func freePorts(n int) ([]string, error) {
+func freePorts(free *platformtest.Ports, n int) ([]string, error) {
 	var out []string
 	for range n {
-		address, err := freePort()
+		address, err := free.Free()
 		if err != nil {
 			return nil, eris.Wrap(err, "no free port")
 		}
--- a/platform/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/samphirequay/samphirequay/platform/platformtest"
 )
 
 // Config of a run.
@@ -81,13 +83,13 @@
 }
 
 func (r *run) provision() error {
-	portsFrom(r.cfg.Seed)
+	free := portsOf(r.cfg.Seed)
 	var err error
 	if r.world, err = newWorld(r.judge, r.cfg.Daemons); err != nil {
 		return err
 	}
 	for i := range r.cfg.Daemons {
-		p, err := newProcess(r.cfg.Dir, fmt.Sprintf("d%d", i+1), fmt.Sprintf("domain-%d", i%4), r.world.store.Address())
+		p, err := newProcess(r.cfg.Dir, fmt.Sprintf("d%d", i+1), fmt.Sprintf("domain-%d", i%4), r.world.store.Address(), free)
 		if err != nil {
 			return err
 		}
@@ -116,7 +118,7 @@
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
 	for _, p := range r.processes {
-		for !ready(ctx, p) {
+		for !platformtest.Ready(ctx, p.set.Listen.Ready) {
 			select {
 			case <-ctx.Done():
 				return eris.Errorf("%s was not ready within %v: its log is in %s", p.name, startLimit, r.cfg.Dir)
@@ -127,19 +129,6 @@
 	return nil
 }
 
-func ready(ctx context.Context, p *process) bool {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.set.Listen.Ready+"/samphirequay/readyz", nil)
-	if err != nil {
-		return false
-	}
-	resp, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
-
 func (r *run) startCallers(done <-chan struct{}, wg *sync.WaitGroup) {
 	for i := range r.cfg.Callers {
 		c := newCaller(r, i)
@@ -212,7 +201,7 @@
 	defer c.hangUp()
 	k := callKind{name: "added", method: "GET", path: path, repeatable: true}
 	o := c.call(p, k, strings.ReplaceAll("added"+path+p.name, "/", "-"))
-	return o.status != http.StatusNotFound
+	return o.answer.Status != http.StatusNotFound
 }
 
 // report writes the result.
--- /dev/null
+++ b/cmd/internal/soak/soak_test.go
@@ -0,0 +1,69 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/platform/platformtest"
+)
+
+// TestTheJudgeFindsPlantedFaults: each kind of broken promise.
+func TestTheJudgeFindsPlantedFaults(t *testing.T) {
+	whole := func(kind int, id string) outcome {
+		k := kinds[kind]
+		return outcome{id: id, kind: k, answer: platformtest.Answer{Status: 200, Signed: true, Whole: true, Request: id, Body: k.body(id)}}
+	}
+	cases := map[string]struct {
+		plant func(o *outcome)
+		kind  int
+		runs  int
+		found bool
+	}{
+		"nothing":                 {func(*outcome) {}, 0, 1, false},
+		"no signature":            {func(o *outcome) { o.answer.Signed = false }, 0, 1, true},
+		"another answer":          {func(o *outcome) { o.answer.Request = "other" }, 0, 1, true},
+		"another body":            {func(o *outcome) { o.answer.Body = plainBody("other") }, 1, 1, true},
+		"a stream lacks an event": {func(o *outcome) { o.answer.Body = o.answer.Body[20:] }, 2, 1, true},
+		"a stream that broke off": {func(o *outcome) { o.answer.Body, o.answer.Whole = o.answer.Body[20:], false }, 2, 1, false},
+		"ran twice":               {func(*outcome) {}, 1, 2, true},
+		"ran twice, idempotent":   {func(*outcome) {}, 0, 2, false},
+		"refused and ran":         {func(o *outcome) { o.answer.Status = 503 }, 1, 1, true},
+		"refused":                 {func(o *outcome) { o.answer.Status = 503 }, 1, 0, false},
+		"unknown route":           {func(o *outcome) { o.answer.Status = 404 }, 0, 0, true},
+		"too late":                {func(o *outcome) { o.calm, o.took = true, time.Minute }, 0, 1, true},
+		"too late in a fault":     {func(o *outcome) { o.took = time.Minute }, 0, 1, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			j := NewJudge()
+			o := whole(c.kind, "c1-5")
+			c.plant(&o)
+			j.take(o)
+			j.settle(&world{ran: map[string]int{"c1-5": c.runs}})
+			is.Equal(len(j.found) > 0, c.found)
+		})
+	}
+}
+
+// TestASeedAlwaysPlansTheSameFaults in the same order.
+func TestASeedAlwaysPlansTheSameFaults(t *testing.T) {
+	is := is.New(t)
+	plan := func(seed uint64) []string {
+		r := &run{world: &world{runners: []*runner{{}, {}}}, processes: []*process{{name: "d1"}, {name: "d2"}}}
+		for _, e := range r.world.runners {
+			e.Runner = &platformtest.Runner{ID: "i-1"}
+			e.proxy = &platformtest.Proxy{}
+		}
+		var names []string
+		for _, f := range r.plan(rand.New(rand.NewPCG(seed, 1)), time.Minute) {
+			names = append(names, f.at.String()+" "+f.name)
+		}
+		return names
+	}
+	is.Equal(plan(7), plan(7))
+	is.True(len(plan(7)) > 50)
+}
--- a/platform/soak/world.go
+++ b/cmd/internal/soak/world.go
@@ -3,13 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/samphirequay/samphirequay/platform/platformtest"
 )
 
@@ -39,7 +38,7 @@
 // runner is a stand-in behind a proxy of its own.
 type runner struct {
 	*platformtest.Runner
-	proxy *Proxy
+	proxy *platformtest.Proxy
 	// leaving is when it was registered as leaving, zero before.
 	leaving time.Time
 }
@@ -94,23 +93,16 @@
 }
 
 func route(name, prefix, kind, service string, resumable bool) map[string]any {
-	return map[string]any{
-		"name": name, "host": callHost, "prefix": prefix, "routeType": kind, "service": service, "resumable": resumable,
-		"timeoutMs": routeTimeMS, "targetLatencyMs": 900, "targetGapMs": 300, "priority": 1, "maxAttempts": 2,
-	}
+	return platformtest.Route(callHost, name, prefix, kind, service, map[string]any{"resumable": resumable, "timeoutMs": routeTimeMS})
 }
 
 // configure writes the configuration under a higher version.
 func (w *world) configure() {
 	w.version += 1 + w.version%3
-	w.store.Put("op", "config", map[string]any{
-		"version": w.version, "routes": w.routes,
-		"services": []any{
-			map[string]any{"name": plainSvc, "maxConnections": 200},
-			map[string]any{"name": engineSvc, "maxConnections": 200, "engine": map[string]any{
-				"slots": 16, "kvTokens": 20000, "handleTtlS": 3.0, "switchS": 0.2,
-			}},
-		},
+	w.store.Configure(map[string]any{
+		"version":  w.version,
+		"routes":   w.routes,
+		"services": []any{platformtest.PlainService(plainSvc, 200), platformtest.EngineService(engineSvc, 200, 16, 3)},
 	})
 }
 
@@ -134,7 +126,7 @@
 		return err
 	}
 	r.Slots, r.Events, r.Gap = 16, streamSize, eventGap
-	proxy, err := StartProxy(r.Address())
+	proxy, err := platformtest.StartProxy(r.Address())
 	if err != nil {
 		return err
 	}
@@ -146,38 +138,31 @@
 }
 
 func (w *world) register(r *runner, state string) {
-	entry := r.Entry(state)
-	entry["address"] = r.proxy.Address()
-	w.store.Put("servers", r.ID, entry)
+	w.store.Register(r.Runner, state, r.proxy.Address())
 }
 
 // answer is a runner's answer: it names the request, so that a mixed up answer
 // shows, and every run is counted.
 func (w *world) answer(r *runner, x *platformtest.Exchange) {
-	expected := string(x.Request.Header.Peek("Expect-Instance"))
-	wrong := expected != "" && expected != r.ID
-	path := string(x.Request.URI().Path())
-	control := strings.HasPrefix(path, "/samphirequay/")
-	prefill := string(x.Request.Header.Peek("Stage")) == "prefill"
-	if wrong || control || prefill {
+	if !x.MeantToRun() {
 		x.Usual()
 		return
 	}
 	number := requestNumber(x.RequestID())
 	if number%refusedEach == 0 {
-		x.Refuse(fasthttp.StatusServiceUnavailable)
+		x.Refuse(http.StatusServiceUnavailable)
 		return
 	}
 	runs := w.note(r, x.RequestID())
 	if r.Stage() == "" && number%failedEach == 0 {
-		x.Whole(fasthttp.StatusInternalServerError, "failed", x.Signed())
+		x.Whole(http.StatusInternalServerError, "failed", x.Signed())
 		return
 	}
 	if r.Stage() == "" {
-		x.Whole(fasthttp.StatusOK, plainBody(x.RequestID()), x.Signed(), "Content-Type: text/plain")
+		x.Whole(http.StatusOK, plainBody(x.RequestID()), x.Signed(), "Content-Type: text/plain")
 		return
 	}
-	first := firstEvent(x)
+	first := x.FirstEvent()
 	if number%brokenEach == 0 && runs == 1 {
 		x.Stream(first, streamSize/2, false)
 		return
@@ -215,15 +200,6 @@
 	return n
 }
 
-// firstEvent is the one behind the last that the caller has.
-func firstEvent(x *platformtest.Exchange) int {
-	last, err := strconv.Atoi(string(x.Request.Header.Peek("Last-Event-Id")))
-	if err != nil {
-		return 1
-	}
-	return last + 1
-}
-
 // plainBody is what a runner answers to a call.
 func plainBody(request string) string { return "answer to " + request }
 
