Believe an endpoint by its start, and by its own word before its entry's

Change: an endpoint's name in here is its incarnation (its own name with the start that it tells of), so that grants, memory, batch, rates, latency, ejection, orders and adopted work end with it, also in peers' messages and at a new owner. An entry of an earlier start is passed over. Where two entries claim an address, or one refuses a request as not meant for it, the process there is asked who it is; what is not there never counts again, and an engine's own word on its start and role goes before its entry. Kept connections to endpoints that are gone are closed. Entries are decoded strictly, with a typed reason, a counter by reason and one log line a change; one that can't be read is gone, also while the store is away, and one whose role does not fit its service names nobody.

--- /dev/null
+++ b/core/balance/restart_test.go
@@ -0,0 +1,40 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/registry"
+)
+
+// TestARestartedEndpointIsNew: neither the calls in flight at its former start,
+// nor its latency, failures and ejection are its own.
+func TestARestartedEndpointIsNew(t *testing.T) {
+	is := is.New(t)
+	b := New("d", rand.New(rand.NewPCG(1, 2)))
+	start := func(born int64) {
+		b.Configure([]registry.Endpoint{{
+			Name: registry.Incarnation("a", born), Instance: "a", Born: born, Service: "s", Domain: "d", Slots: 4,
+		}})
+	}
+	start(100)
+	former := registry.Incarnation("a", 100)
+	for range ejectAfter + 2 {
+		_, ok := b.Pick(0, "s", nil)
+		is.True(ok)
+	}
+	for range ejectAfter {
+		b.Done(0, former, time.Second, Failed)
+	}
+	is.Equal(b.Available(0, "s"), 0)
+	start(200)
+	is.Equal(b.Available(0, "s"), 1)
+	present := b.endpoints[registry.Incarnation("a", 200)]
+	is.Equal(present.inFlight, 0)
+	is.Equal(present.latency, firstLatency)
+	b.Done(0, former, time.Second, Unreachable)
+	is.Equal(b.Available(0, "s"), 1)
+}
--- a/core/id/id.go
+++ b/core/id/id.go
@@ -12,9 +12,14 @@
 // Pool names a pool of endpoints.
 type Pool string
 
-// Endpoint names an endpoint.
+// Endpoint names an endpoint. Where an endpoint may start again under the name
+// that it had, each start of it has an Endpoint of its own.
 type Endpoint string
 
+// Instance is the name that an endpoint answers to. It may keep it when it
+// starts again.
+type Instance string
+
 // Domain names a failure domain.
 type Domain string
 
--- /dev/null
+++ b/core/registry/incarnation_test.go
@@ -0,0 +1,166 @@
+package registry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+)
+
+// started is the entry of one start of an instance.
+func started(instance id.Instance, born int64, address string) Endpoint {
+	return Endpoint{Name: Incarnation(instance, born), Instance: instance, Born: born, Address: address, Role: live.RoleDecode}
+}
+
+func TestALaterStartReplacesTheFormerOne(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.Set(0, []Endpoint{started("a", 100, "1")})
+	l.Set(time.Second, []Endpoint{started("a", 200, "1")})
+	is.Equal(names(l), []id.Endpoint{"a@200"})
+}
+
+// TestALateHeartbeatOfAFormerStartChangesNothing: its entry was written after
+// that of the later start.
+func TestALateHeartbeatOfAFormerStartChangesNothing(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.Set(0, []Endpoint{started("a", 200, "1")})
+	l.Set(time.Second, []Endpoint{started("a", 100, "1")})
+	is.Equal(names(l), []id.Endpoint{"a@200"})
+}
+
+func TestAFormerStartIsNotKeptWhileTheStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.Set(0, []Endpoint{started("a", 100, "1")})
+	l.StoreLost()
+	l.Set(time.Second, []Endpoint{started("a", 200, "2")})
+	is.Equal(names(l), []id.Endpoint{"a@200"})
+}
+
+// TestADisplacedEndpointStaysAway, however often its entry is written again;
+// at another address it is another matter.
+func TestADisplacedEndpointStaysAway(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	former, present := entry("a", "1"), entry("b", "1")
+	l.Set(0, []Endpoint{former, present})
+	is.Equal(l.Disputed(), []Endpoint{former, present})
+	is.True(l.Displace(former))
+	is.True(!l.Displace(former))
+	is.Equal(len(l.Disputed()), 0)
+	l.Set(time.Second, []Endpoint{present})
+	l.Set(2*time.Second, []Endpoint{former, present})
+	is.Equal(names(l), []id.Endpoint{"b"})
+	l.Set(3*time.Second, []Endpoint{entry("a", "2"), present})
+	is.Equal(names(l), []id.Endpoint{"a", "b"})
+}
+
+// TestAnEndpointsOwnWordGoesBeforeItsEntry until the entry follows.
+func TestAnEndpointsOwnWordGoesBeforeItsEntry(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.Set(0, []Endpoint{started("a", 100, "1")})
+	is.True(l.Restarted("a", 200, live.RolePrefill))
+	is.True(!l.Restarted("a", 200, live.RolePrefill))
+	is.True(!l.Restarted("a", 150, live.RolePrefill))
+	is.Equal(names(l), []id.Endpoint{"a@200"})
+	is.Equal(l.All()[0].Role, live.RolePrefill)
+	l.Set(time.Second, []Endpoint{started("a", 100, "1")})
+	is.Equal(names(l), []id.Endpoint{"a@200"})
+	l.Set(2*time.Second, []Endpoint{started("a", 200, "1")})
+	is.Equal(l.All()[0].Role, live.RoleDecode)
+	l.Set(3*time.Second, nil)
+	is.Equal(len(l.All()), 0)
+	is.True(!l.Restarted("a", 300, live.RolePrefill))
+}
+
+// TestAnEntryThatCanNotBeReadIsGone also while the store is away, and the
+// others hold.
+func TestAnEntryThatCanNotBeReadIsGone(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	a, b := started("a", 100, "1"), started("b", 100, "2")
+	l.Set(0, []Endpoint{a, b})
+	l.StoreLost()
+	l.Set(time.Second, nil, "a")
+	is.Equal(names(l), []id.Endpoint{"b@100"})
+	l.Set(2*time.Second, nil)
+	is.Equal(names(l), []id.Endpoint{"b@100"})
+}
+
+// TestRandomRestarts drives a list with starts, late heartbeats of former
+// starts, lost and returning entries and outages of the store: no instance is
+// ever there twice, none goes back to a former start while it is listed, and
+// none is there that was found displaced.
+func TestRandomRestarts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := New()
+		now := time.Duration(0)
+		rows := map[id.Instance]Endpoint{}
+		born := map[id.Instance]int64{}
+		shown := map[id.Instance]int64{}
+		displaced := map[place]bool{}
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond
+			instance := id.Instance(fmt.Sprint("i", rapid.IntRange(0, 4).Draw(t, "instance")))
+			address := fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "address"))
+			switch rapid.IntRange(0, 7).Draw(t, "what") {
+			case 0:
+				born[instance] += int64(rapid.IntRange(1, 5).Draw(t, "later"))
+				rows[instance] = started(instance, born[instance], address)
+			case 1:
+				rows[instance] = started(instance, max(1, born[instance]-1), address)
+			case 2:
+				delete(rows, instance)
+			case 3:
+				l.StoreLost()
+			case 4:
+				l.StoreBack(now)
+			case 5:
+				l.Restarted(instance, born[instance], live.RoleDecode)
+			case 6:
+				for _, e := range l.Disputed() {
+					l.Displace(e)
+					displaced[e.place()] = true
+					break
+				}
+			default:
+				l.Tick(now)
+			}
+			var entries []Endpoint
+			for _, e := range rows {
+				entries = append(entries, e)
+			}
+			l.Set(now, entries)
+			checkRestarts(t, l, shown, displaced)
+		}
+	})
+}
+
+// checkRestarts holds the list against what it showed before.
+func checkRestarts(t *rapid.T, l *List, shown map[id.Instance]int64, displaced map[place]bool) {
+	there := map[id.Instance]int64{}
+	for _, e := range l.All() {
+		if _, twice := there[e.Instance]; twice {
+			t.Fatalf("%s is there twice", e.Instance)
+		}
+		if e.Born < shown[e.Instance] {
+			t.Fatalf("%s went back from %d to %d", e.Instance, shown[e.Instance], e.Born)
+		}
+		if displaced[e.place()] {
+			t.Fatalf("%s was found displaced", e.Name)
+		}
+		there[e.Instance] = e.Born
+	}
+	clear(shown)
+	for instance, born := range there {
+		shown[instance] = born
+	}
+}
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -1,8 +1,9 @@
 // Package registry keeps the list of endpoints that registered themselves in
 // the platform's store. An entry that lapses while the store is away is kept
 // until its endpoint has had time to register again; one that leaves by its own
-// word, or whose address another endpoint has taken, is dropped at once. It is
-// deterministic.
+// word, or whose address another endpoint has taken, is dropped at once. What
+// an endpoint says itself goes before its entry: a process that has ended may
+// have its entry written once more by a late heartbeat. It is deterministic.
 package registry
 
 import (
@@ -12,26 +13,12 @@
 	"strings"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/live"
 )
 
-// Endpoint is one registered endpoint.
-type Endpoint struct {
-	// Name is the endpoint's incarnation: a restart registers under another name.
-	Name    id.Endpoint
-	Service id.Service
-	// Address is IP:port.
-	Address string
-	Domain  id.Domain
-	// Slots is how many requests it runs at once.
-	Slots int
-	// Role of a model engine; empty for a plain endpoint.
-	Role live.Role
-	// Leaving is the endpoint's own word that it takes no new work.
-	Leaving bool
-}
-
 // returnGrace is how long after the store's return an endpoint may take to
 // register again; the platform promises about two seconds.
 const returnGrace = 2300 * time.Millisecond
@@ -39,19 +26,37 @@
 // never is the time of what isn't due.
 const never = time.Duration(math.MaxInt64)
 
+// rememberedPlaces bounds what is remembered of endpoints that are not where
+// their entries say: some hours of restarts at 900 endpoints.
+const rememberedPlaces = 1024
+
 // List is the registry as one daemon knows it. It is not safe for concurrent use.
 type List struct {
 	listed map[id.Endpoint]Endpoint
 	// lapsed entries are missing from the store's list and kept for now.
 	lapsed map[id.Endpoint]Endpoint
-	away   bool
+	// restarted are endpoints that told of a later start than their entry, by
+	// instance, until their entry follows.
+	restarted map[id.Instance]Endpoint
+	// displaced are the places at which another process answered.
+	displaced *simplelru.LRU[place, struct{}]
+	away      bool
 	// until is when lapsed entries are dropped; meaningless while away.
 	until time.Duration
 }
 
 // New returns an empty List.
 func New() *List {
-	return &List{listed: map[id.Endpoint]Endpoint{}, lapsed: map[id.Endpoint]Endpoint{}}
+	displaced, err := simplelru.NewLRU[place, struct{}](rememberedPlaces, nil)
+	if err != nil {
+		panic("registry: memory of displaced endpoints: " + err.Error())
+	}
+	return &List{
+		listed:    map[id.Endpoint]Endpoint{},
+		lapsed:    map[id.Endpoint]Endpoint{},
+		restarted: map[id.Instance]Endpoint{},
+		displaced: displaced,
+	}
 }
 
 // StoreLost notes that the store can't be reached.
@@ -83,44 +88,113 @@
 	}
 }
 
-// Set takes the store's whole list. Entries that are missing from it are kept
-// for a while if they may have lapsed only because the store was away.
-func (l *List) Set(now time.Duration, entries []Endpoint) {
+// Set takes the store's whole list, and the instances whose entries can't be
+// read: they are gone. Entries that are missing from it are kept for a while if
+// they may have lapsed only because the store was away. An entry of an earlier
+// start than is known of its instance is that of a process which has ended.
+func (l *List) Set(now time.Duration, entries []Endpoint, unreadable ...id.Instance) {
 	old := l.listed
+	latest := latestStarts(old, l.lapsed)
 	l.listed = make(map[id.Endpoint]Endpoint, len(entries))
 	for _, e := range entries {
+		if known, ok := latest[e.Instance]; ok && e.older(&known) {
+			e = known
+		}
 		l.listed[e.Name] = e
 	}
 	if l.away || now < l.until {
-		l.keepLapsed(old)
+		l.keepLapsed(old, unreadable)
 	} else {
 		clear(l.lapsed)
 	}
 	l.dropReplaced()
+	l.dropFollowed()
+}
+
+// latestStarts gives the latest known start of each instance that says when it
+// started.
+func latestStarts(known ...map[id.Endpoint]Endpoint) map[id.Instance]Endpoint {
+	latest := map[id.Instance]Endpoint{}
+	for _, entries := range known {
+		for _, e := range entries {
+			if e.Born > latest[e.Instance].Born {
+				latest[e.Instance] = e
+			}
+		}
+	}
+	return latest
 }
 
 // keepLapsed moves the entries that have gone, and did not say so, aside.
-func (l *List) keepLapsed(old map[id.Endpoint]Endpoint) {
+func (l *List) keepLapsed(old map[id.Endpoint]Endpoint, unreadable []id.Instance) {
 	for name, e := range old {
 		if _, still := l.listed[name]; !still && !e.Leaving {
 			l.lapsed[name] = e
 		}
 	}
+	maps.DeleteFunc(l.lapsed, func(_ id.Endpoint, e Endpoint) bool { return slices.Contains(unreadable, e.Instance) })
 }
 
-// dropReplaced drops lapsed entries that are listed again, or whose address
-// another endpoint has.
+// dropReplaced drops lapsed entries that are listed again, whose instance has
+// started again, or whose address another endpoint has.
 func (l *List) dropReplaced() {
 	taken := make(map[string]bool, len(l.listed))
+	instances := make(map[id.Instance]bool, len(l.listed))
 	for _, e := range l.listed {
 		taken[e.Address] = true
+		instances[e.Instance] = e.Instance != ""
 	}
 	maps.DeleteFunc(l.lapsed, func(name id.Endpoint, e Endpoint) bool {
 		_, listed := l.listed[name]
-		return listed || taken[e.Address]
+		return listed || taken[e.Address] || instances[e.Instance]
 	})
 }
 
+// dropFollowed forgets the restarts that the endpoints' entries tell of by now,
+// and those of endpoints that are listed no more.
+func (l *List) dropFollowed() {
+	for instance, told := range l.restarted {
+		entry, ok := l.entry(instance)
+		if !ok || !entry.older(&told) {
+			delete(l.restarted, instance)
+		}
+	}
+}
+
+// entry is the entry of an instance, listed or lapsed.
+func (l *List) entry(instance id.Instance) (Endpoint, bool) {
+	for _, entries := range []map[id.Endpoint]Endpoint{l.listed, l.lapsed} {
+		for _, e := range entries {
+			if e.Instance == instance {
+				return e, true
+			}
+		}
+	}
+	return Endpoint{}, false
+}
+
+// Displace notes that another process answered at an endpoint's address: no
+// entry that names both counts again. It says whether that is news.
+func (l *List) Displace(e Endpoint) bool {
+	_, known := l.displaced.Get(e.place())
+	l.displaced.Add(e.place(), struct{}{})
+	return !known
+}
+
+// Restarted takes an endpoint's own word that it started later than its entry
+// says, and which role it has now. It says whether that is news.
+func (l *List) Restarted(instance id.Instance, born int64, role live.Role) bool {
+	entry, ok := l.entry(instance)
+	if !ok || born <= entry.Born || born <= l.restarted[instance].Born {
+		return false
+	}
+	entry.Born = born
+	entry.Name = Incarnation(instance, born)
+	entry.Role = role
+	l.restarted[instance] = entry
+	return true
+}
+
 // Tick drops the lapsed entries whose time is over; it says whether there were
 // any.
 func (l *List) Tick(now time.Duration) bool {
@@ -144,8 +218,28 @@
 
 // All lists the endpoints that count as there, by name.
 func (l *List) All() []Endpoint {
-	out := slices.AppendSeq(make([]Endpoint, 0, len(l.listed)+len(l.lapsed)), maps.Values(l.listed))
-	out = slices.AppendSeq(out, maps.Values(l.lapsed))
+	out := make([]Endpoint, 0, len(l.listed)+len(l.lapsed))
+	for _, entries := range []map[id.Endpoint]Endpoint{l.listed, l.lapsed} {
+		for _, e := range entries {
+			if told, ok := l.restarted[e.Instance]; ok && e.older(&told) {
+				e = told
+			}
+			if !l.displaced.Contains(e.place()) {
+				out = append(out, e)
+			}
+		}
+	}
 	slices.SortFunc(out, func(a, b Endpoint) int { return strings.Compare(string(a.Name), string(b.Name)) })
 	return out
 }
+
+// Disputed lists the endpoints whose address another one has as well: one of
+// them is not there, which only the process at the address can tell.
+func (l *List) Disputed() []Endpoint {
+	all := l.All()
+	claims := make(map[string]int, len(all))
+	for _, e := range all {
+		claims[e.Address]++
+	}
+	return slices.DeleteFunc(all, func(e Endpoint) bool { return claims[e.Address] < 2 })
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -96,6 +96,9 @@
 // Service is what routes send requests to.
 type Service struct {
 	Name id.Service
+	// HealthPath is where its endpoints tell whether they are healthy, and who
+	// they are; empty if they don't.
+	HealthPath string
 	// MaxConnections is how many connections one endpoint takes from all
 	// daemons together.
 	MaxConnections int
--- a/daemon/forward/forward.go
+++ b/daemon/forward/forward.go
@@ -29,6 +29,10 @@
 	Suspicion Suspicion
 	// Repeats bounds the repeats of each service.
 	Repeats retry.WindowConfig
+	// Misdirected hears of an endpoint that is not what its entry says: it, or
+	// another process at its address, refused a request as not meant for it. It
+	// doesn't wait.
+	Misdirected func(e registry.Endpoint)
 	// Stale says whether the configuration may be out of date.
 	Stale func() bool
 	// TooLate says whether the daemon stops so soon that a stream may not end
--- a/daemon/gateway/document.go
+++ b/daemon/gateway/document.go
@@ -28,7 +28,7 @@
 	}
 	for _, e := range entries {
 		s := routes.Service(e.Service)
-		if s == nil || s.Engine == nil {
+		if s == nil || s.Engine == nil || e.Role == "" {
 			continue
 		}
 		doc.Endpoints = append(doc.Endpoints, engine(e, s))
@@ -37,12 +37,7 @@
 }
 
 func engine(e registry.Endpoint, s *route.Service) live.Endpoint {
-	role := e.Role
-	if role == "" {
-		// An engine that names no role does both.
-		role = live.RoleWhole
-	}
-	labels := live.Labels{labelService: string(e.Service), live.LabelRole: string(role)}
+	labels := live.Labels{labelService: string(e.Service), live.LabelRole: string(e.Role)}
 	if e.Leaving {
 		labels[live.LabelLeaving] = "true"
 	}
--- a/daemon/gateway/engines.go
+++ b/daemon/gateway/engines.go
@@ -15,6 +15,8 @@
 	Changing bool
 	// Orders counts the orders that it has accepted.
 	Orders uint64
+	// Born orders its starts, as in its entry; 0 where it does not say.
+	Born int64
 }
 
 // RoleOrder has an engine change its role.
@@ -58,6 +60,15 @@
 	}
 }
 
+// Inspector is the port through which endpoints are asked who they are.
+type Inspector interface {
+	// Instance asks the process at an endpoint's address for its name, at the
+	// health path of the endpoint's service.
+	Instance(ctx context.Context, e registry.Endpoint, healthPath string) (id.Instance, error)
+	// Forget closes the unused connections to an address.
+	Forget(address string)
+}
+
 // Engines is the port through which engines are asked and ordered.
 type Engines interface {
 	// State reads an engine's report.
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -77,6 +77,7 @@
 	Source    feed.Source
 	Endpoints forward.Endpoints
 	Engines   Engines
+	Inspector Inspector
 }
 
 // Options are what a process gives a daemon besides its settings.
@@ -118,7 +119,10 @@
 	listeners []net.Listener
 	inFlight  atomic.Int64
 	probes    probes
-	ended     sync.Once
+	inspected probes
+	// unusable counts registered entries that name no endpoint to use, by reason.
+	unusable *metrics.CounterMap
+	ended    sync.Once
 
 	// fleet is nil until the daemon has enrolled.
 	fleet    atomic.Pointer[fleet]
@@ -188,6 +192,7 @@
 		return float64(d.poison.Len())
 	})
 	d.knowledge = newKnowledge()
+	d.unusable = d.metrics.CounterMap("registry_entries_unusable", metrics.UnitCount, "Changes of registered entries that name no endpoint to use, by reason.")
 	d.forwarder = forward.New(forward.Deps{
 		Self:      d.self,
 		Domain:    d.set.Domain,
@@ -210,12 +215,13 @@
 			Slack:  d.set.Bounds.RepeatSlack,
 			Safety: repeatSafety,
 		},
-		Stale:   func() bool { return d.configs.Lost() },
-		TooLate: d.tooLate,
-		Daemons: d.daemons,
-		Log:     d.logger,
-		Metrics: d.metrics,
-		Now:     d.now,
+		Misdirected: d.inspect,
+		Stale:       func() bool { return d.configs.Lost() },
+		TooLate:     d.tooLate,
+		Daemons:     d.daemons,
+		Log:         d.logger,
+		Metrics:     d.metrics,
+		Now:         d.now,
 	})
 	return nil
 }
--- a/daemon/gateway/knowledge.go
+++ b/daemon/gateway/knowledge.go
@@ -1,13 +1,16 @@
 package gateway
 
 import (
+	"errors"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/registry"
+	"github.com/samphirequay/samphirequay/core/revision/table"
 	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/daemon/feed"
 	"github.com/samphirequay/samphirequay/daemon/forward"
@@ -129,15 +132,25 @@
 	d.publish()
 }
 
-// badRow logs a row that can't be read, once a version; the lock is held.
-func (d *Daemon) badRow(name string, version uint64, err error) {
-	if d.knowledge.badRows[name] == version {
-		return
+// badRow logs a row that can't be read, once a version, which it tells; the
+// lock is held.
+func (d *Daemon) badRow(name string, version uint64, err error) bool {
+	bad := d.knowledge.badRows
+	if bad[name] == version {
+		return false
+	}
+	if len(bad) >= mostBadRows {
+		clear(bad)
 	}
-	d.knowledge.badRows[name] = version
+	bad[name] = version
 	d.logger.Error("store_row_unreadable", "row", name, "version", version, "why", err)
+	return true
 }
 
+// mostBadRows bounds the unreadable rows that are remembered: anybody may write
+// some. Beyond it they are logged anew.
+const mostBadRows = 4096
+
 // endpointsChanged takes the registered endpoints.
 func (d *Daemon) endpointsChanged(s feed.State) {
 	k := d.knowledge
@@ -147,18 +160,28 @@
 		return
 	}
 	entries := make([]registry.Endpoint, 0, len(s.Rows))
+	var unreadable []id.Instance
 	for _, row := range s.Rows {
 		e, err := d.platform.Adapter.Endpoint(row)
 		if err != nil {
-			d.badRow(row.Key, row.Version, err)
+			d.badEntry(row, err)
+			unreadable = append(unreadable, id.Instance(row.Key))
 			continue
 		}
 		entries = append(entries, e)
 	}
-	k.list.Set(d.now(), entries)
+	k.list.Set(d.now(), entries, unreadable...)
 	d.publish()
 }
 
+// badEntry notes an entry that names no endpoint to use; the lock is held.
+func (d *Daemon) badEntry(row table.Row, err error) {
+	var why *EntryError
+	if d.badRow(row.Key, row.Version, err) && errors.As(err, &why) {
+		d.unusable.Add(string(why.Reason), 1)
+	}
+}
+
 // watchRegistry drops lapsed entries when their time is over.
 func (d *Daemon) watchRegistry() {
 	d.every(registryLook, func() {
@@ -188,7 +211,7 @@
 // held.
 func (d *Daemon) publish() {
 	k := d.knowledge
-	entries := k.list.All()
+	entries := fitting(k.routes, k.list.All())
 	byName := make(map[id.Endpoint]registry.Endpoint, len(entries))
 	for _, e := range entries {
 		byName[e.Name] = e
@@ -200,10 +223,34 @@
 		Lapsed:    k.list.Lapsed(),
 	})
 	d.logRegistry(old.Endpoints, byName)
+	d.forgetGone(old.Endpoints, byName)
 	d.forwarder.Configure(entries)
 	if f := d.fleet.Load(); f != nil {
 		f.broker.SetDocument(document(k.routes, entries))
 	}
+	d.inspectDisputed()
+}
+
+// fitting leaves out the endpoints whose entry has no role though their service
+// consists of engines, or has one though it does not.
+func fitting(routes *route.Table, entries []registry.Endpoint) []registry.Endpoint {
+	if routes == nil {
+		return entries
+	}
+	return slices.DeleteFunc(entries, func(e registry.Endpoint) bool {
+		s := routes.Service(e.Service)
+		return s != nil && (s.Engine != nil) != (e.Role != "")
+	})
+}
+
+// forgetGone closes the kept connections to endpoints that are gone: the next
+// process at their address has others.
+func (d *Daemon) forgetGone(old, now map[id.Endpoint]registry.Endpoint) {
+	for name, e := range old {
+		if _, still := now[name]; !still {
+			d.platform.Inspector.Forget(e.Address)
+		}
+	}
 }
 
 // logRegistry writes a line for each endpoint that came, went or changed.
--- a/daemon/gateway/probe.go
+++ b/daemon/gateway/probe.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -9,13 +8,9 @@
 	"github.com/samphirequay/samphirequay/core/sched"
 )
 
-const (
-	// probeEvery is the pause between two looks at an engine that could not be
-	// reached.
-	probeEvery = 400 * time.Millisecond
-	// probeTimeout bounds one look.
-	probeTimeout = 300 * time.Millisecond
-)
+// probeEvery is the pause between two looks at an engine that could not be
+// reached.
+const probeEvery = 400 * time.Millisecond
 
 // probes are the engines that are being looked at.
 type probes struct {
@@ -43,8 +38,8 @@
 	delete(p.active, e)
 }
 
-// probe looks at an engine that could not be reached until it answers, or is
-// no longer registered. It does not block: the pool's owner asks within its duty.
+// probe looks at an engine that could not be reached until it answers as the
+// one that is registered, or is no longer registered. It does not block: the pool's owner asks within its duty.
 func (d *Daemon) probe(f *fleet, p id.Pool, e id.Endpoint) {
 	if !d.probes.begin(e) {
 		return
@@ -56,10 +51,7 @@
 			if !known {
 				return
 			}
-			ctx, cancel := context.WithTimeout(d.ctx, probeTimeout)
-			_, err := d.platform.Engines.State(ctx, endpoint)
-			cancel()
-			if err == nil {
+			if d.inspectNow(endpoint) == asListed {
 				f.broker.Load(p, sched.Load{Endpoint: e, Reachable: true})
 				return
 			}
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -239,6 +239,18 @@
 	h.idle = append(h.idle, k)
 }
 
+// Forget closes the unused connections to an address: its endpoint is gone.
+func (p *Pool) Forget(address string) {
+	for {
+		k := p.popIdle(address)
+		if k == nil {
+			return
+		}
+		_ = k.Close()
+		p.forget(address)
+	}
+}
+
 // Sweep closes the connections that are too old to be used again.
 func (p *Pool) Sweep() {
 	now := time.Now()
