Learn an engine's prefill rate as all tokens over all time

Cause: two prompts may end within a millisecond of each other, and the mean of single rates then came out up to twenty times too high. In a burst one prefill engine was given five prompts within 60 ms, each "starting in 58 ms"; their reads took 0.7 to 0.9 s instead of 0.2 s, 43 were given up and read in vain.

Change: the rate is the tokens read over the time that passed, both fading.

--- a/core/kvsched/endpoint.go
+++ b/core/kvsched/endpoint.go
@@ -8,14 +8,8 @@
 	"github.com/samphirequay/samphirequay/core/live"
 )
 
-const (
-	// firstPrefillRate is the first estimate of a prefill, in tokens a second.
-	firstPrefillRate = 25000.0
-	// smoothing is the weight of a new sample in the moving averages.
-	smoothing = 0.2
-	// blockTokens is the unit in which engines hand out memory, in tokens.
-	blockTokens = 16
-)
+// blockTokens is the unit in which engines hand out memory, in tokens.
+const blockTokens = 16
 
 // endpoint is the ledger's view of one engine.
 type endpoint struct {
@@ -39,8 +33,8 @@
 	busyUntil time.Duration
 	// lastEnd is when the last prefill ended.
 	lastEnd time.Duration
-	// rate of prefills, in tokens a second.
-	rate float64
+	// rate of prefills.
+	rate prefillRate
 
 	// readingUntil is when a decode engine has probably read the prompt that it
 	// was last given to read itself.
@@ -51,7 +45,7 @@
 }
 
 func newEndpoint(e *live.Endpoint, memoryShare float64) *endpoint {
-	made := &endpoint{name: e.Name, rate: firstPrefillRate}
+	made := &endpoint{name: e.Name, rate: newPrefillRate()}
 	made.configure(e, memoryShare)
 	return made
 }
@@ -83,7 +77,7 @@
 
 // prefillTime predicts how long a prompt takes to read.
 func (e *endpoint) prefillTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / e.rate * float64(time.Second))
+	return time.Duration(float64(tokens) / e.rate.perSecond() * float64(time.Second))
 }
 
 // startAt predicts when the next prefill would begin.
@@ -115,22 +109,12 @@
 // its time: it counts only if it shows a better rate, or a far worse one.
 func (e *endpoint) learn(now time.Duration, r *reservation) {
 	begun := max(r.grantedAt, e.lastEnd)
-	if begun >= now {
-		return
-	}
-	sample := float64(r.want.PromptTokens) / (now - begun).Seconds()
-	sample = min(max(sample, firstPrefillRate/20), firstPrefillRate*20)
-	idle := begun == r.grantedAt
-	if idle && sample < e.rate && sample > e.rate/farWorse {
+	if begun == r.grantedAt && !e.rate.telling(r.want.PromptTokens, now-begun) {
 		return
 	}
-	e.rate += smoothing * (sample - e.rate)
+	e.rate.read(r.want.PromptTokens, now-begun)
 }
 
-// farWorse is the factor by which an idle engine's rate must fall short of what
-// is known of it to count: the way there and back explains less.
-const farWorse = 3
-
 // predict says anew when the queued prefills end.
 func (e *endpoint) predict(now time.Duration) {
 	e.busyUntil = now
--- a/core/kvsched/pump.go
+++ b/core/kvsched/pump.go
@@ -198,7 +198,7 @@
 	}
 	for _, e := range l.order {
 		if e.role == live.RolePrefill && e.open(l.now) {
-			rate += e.rate
+			rate += e.rate.perSecond()
 		}
 	}
 	if rate <= 0 {
--- /dev/null
+++ b/core/kvsched/rate.go
@@ -0,0 +1,45 @@
+package kvsched
+
+import "time"
+
+const (
+	// firstPrefillRate is the first estimate of a prefill, in tokens a second.
+	firstPrefillRate = 25000.0
+	// firstPrefillWeight is how much work the first estimate counts for: about
+	// two prompts.
+	firstPrefillWeight = 200 * time.Millisecond
+	// rateMemory is the weight that the estimate gives to what was seen before.
+	rateMemory = 0.9
+	// farWorse is the factor by which an idle engine's rate must fall short of
+	// what is known of it to count: the way there and back explains less.
+	farWorse = 3
+)
+
+// prefillRate averages how fast an engine reads prompts, as all tokens over all
+// time: two prompts may end within a millisecond of each other, and a mean of
+// single rates then comes out many times too high. Such a mean had engines
+// given six prompts at once whose reads took 0.7 to 0.9 s instead of 0.2 s.
+type prefillRate struct {
+	tokens  float64
+	seconds float64
+}
+
+func newPrefillRate() prefillRate {
+	seconds := firstPrefillWeight.Seconds()
+	return prefillRate{tokens: firstPrefillRate * seconds, seconds: seconds}
+}
+
+// perSecond is the rate in tokens a second.
+func (r *prefillRate) perSecond() float64 { return r.tokens / r.seconds }
+
+// telling says whether the read of an idle engine tells of its rate.
+func (r *prefillRate) telling(tokens int, took time.Duration) bool {
+	expected := float64(tokens) / r.perSecond()
+	return took.Seconds() < expected || took.Seconds() > farWorse*expected
+}
+
+// read takes a prompt that was read.
+func (r *prefillRate) read(tokens int, took time.Duration) {
+	r.tokens = rateMemory*r.tokens + float64(tokens)
+	r.seconds = rateMemory*r.seconds + max(0, took.Seconds())
+}
