Have a decode engine read a prompt only within its callers' pause

Change: the longest pause that its callers accept goes with a request to the pool's owner; a decode engine reads a prompt itself only if the reading fits into the shortest pause of those that it serves, and not in two pauses running.

--- a/core/kvsched/endpoint.go
+++ b/core/kvsched/endpoint.go
@@ -69,9 +69,6 @@
 	return !e.leaving && !e.drained && !e.down && now >= e.fullUntil
 }
 
-// reading says whether a decode engine is reading a prompt itself.
-func (e *endpoint) reading(now time.Duration) bool { return now < e.readingUntil }
-
 // writes says whether answers are written here.
 func (e *endpoint) writes() bool { return e.role == live.RoleDecode || e.role == live.RoleWhole }
 
--- a/core/kvsched/pump.go
+++ b/core/kvsched/pump.go
@@ -149,46 +149,6 @@
 	}
 }
 
-// grantWhole has a decode engine read the prompt itself, where waiting for a
-// prefill engine would take the request past its target. That is slow, and
-// slows the engine's other requests: only one prompt is read so at a time on an
-// engine, and only by engines with room to spare.
-func (l *Ledger) grantWhole(w *waiting) (granted *sched.Action, passable bool) {
-	if l.now+l.prefillWait()+l.queueTime() < w.target-wholeTime(w) || l.late(w) {
-		return nil, false
-	}
-	var best *endpoint
-	bestScore := wholeRoom
-	for _, e := range l.order {
-		if e.role != live.RoleDecode || !l.usable(e, w) || e.reading(l.now) {
-			continue
-		}
-		if score, ok := l.fits(e, w); ok && score > bestScore {
-			best, bestScore = e, score
-		}
-	}
-	if best == nil {
-		return nil, false
-	}
-	best.readingUntil = l.now + wholeTime(w)
-	return l.grant(w, nil, best), true
-}
-
-const (
-	// wholeRoom is the share of a decode engine's memory that must be left for
-	// it to read a prompt itself.
-	wholeRoom = 0.25
-	// wholeRate is how fast a decode engine reads a prompt between the tokens
-	// of its requests, in tokens a second: half as fast as a prefill engine at
-	// best.
-	wholeRate = 10000.0
-)
-
-// wholeTime predicts how long a decode engine takes to read a prompt.
-func wholeTime(w *waiting) time.Duration {
-	return time.Duration(float64(w.want.PromptTokens) / wholeRate * float64(time.Second))
-}
-
 // queueTime is how long the prefill engines take to read all prompts in the
 // queue: what the last of them waits.
 func (l *Ledger) queueTime() time.Duration {
--- /dev/null
+++ b/core/kvsched/whole_test.go
@@ -0,0 +1,59 @@
+package kvsched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/sched"
+)
+
+// wholeIn tells whether the last of the wants is read by a decode engine: the
+// only prefill engine has 2 s of prompts before it.
+func wholeIn(t *testing.T, running int, pause time.Duration, prompt int) bool {
+	t.Helper()
+	l := newLedger(t, document(1, 1, 100000))
+	for i := range running {
+		w := want(fmt.Sprint("r", i), 100, 1000)
+		w.Pause = pause
+		l.Adopt(start, sched.Adopt{
+			Want:  w,
+			Grant: sched.Grant{Request: w.Request, Decode: "decode-0", Reservation: uint64(i + 1)},
+			Phase: sched.PhaseDecoding,
+		})
+	}
+	prefill := l.endpoints["prefill-0"]
+	prefill.addPrefill(start, &reservation{want: sched.Want{PromptTokens: 50000}})
+	for _, g := range grants(l.Want(start, want("last", prompt, 100))) {
+		if g.Prefill == "" {
+			return true
+		}
+	}
+	return false
+}
+
+// TestALongReadingDoesNotStallAnEnginesStreams replays what a day showed: a
+// prompt of 6,600 tokens was read by an engine beside five streams, four of
+// which then had a pause of more than 300 ms and were late.
+func TestALongReadingDoesNotStallAnEnginesStreams(t *testing.T) {
+	is := is.New(t)
+	is.True(!wholeIn(t, 5, 300*time.Millisecond, 6600))
+	is.True(wholeIn(t, 5, 300*time.Millisecond, 2500))
+	is.True(!wholeIn(t, 5, 100*time.Millisecond, 2500))
+	is.True(wholeIn(t, 5, 0, 6600)) // nobody minds a pause
+	is.True(wholeIn(t, 0, 0, 6600)) // nobody is there
+}
+
+// TestTwoReadingsDoNotFallIntoOnePause: the second waits until the streams have
+// had an event.
+func TestTwoReadingsDoNotFallIntoOnePause(t *testing.T) {
+	is := is.New(t)
+	e := &endpoint{decodes: []*reservation{{want: sched.Want{Pause: 300 * time.Millisecond}}}}
+	w := &waiting{want: sched.Want{PromptTokens: 2000}}
+	is.True(e.mayRead(start, w))
+	e.readingUntil = start + wholeTime(w)
+	is.True(!e.mayRead(start+wholeTime(w)+200*time.Millisecond, w))
+	is.True(e.mayRead(start+wholeTime(w)+300*time.Millisecond, w))
+}
--- a/daemon/forward/stream.go
+++ b/daemon/forward/stream.go
@@ -149,6 +149,7 @@
 		Patience:     patience,
 		Lifetime:     f.limit(r, rt) - r.Arrived,
 		Prefilled:    prefilled,
+		Pause:        rt.TargetGap,
 	}
 	grant, err := f.Pairer.Pair(ctx, want, max(patience-age, 0))
 	if err != nil {
