Let a request whose prompt was read wait for another decode engine

Cause: where a decode engine is lost between the prefill and the decode, another one is asked for at once or not at all. In a burst all are full at that moment, and the prompt was read in vain; its KV cache lives on for 0.35 s.

Change: it waits before all others for as long as its KV cache lives, if an engine could serve it at all.

Tests: an engine that is full and has room a moment later, and a KV cache that is gone before.

--- a/core/kvsched/demand.go
+++ b/core/kvsched/demand.go
@@ -32,7 +32,9 @@
 	}
 	for _, w := range l.queue {
 		d.MemoryWanted += w.tokens
-		d.PromptWanted += w.want.PromptTokens
+		if !w.want.Prefilled {
+			d.PromptWanted += w.want.PromptTokens
+		}
 	}
 	return d
 }
--- a/core/kvsched/mechanisms.go
+++ b/core/kvsched/mechanisms.go
@@ -12,6 +12,9 @@
 	LearnedLead Mechanism = "learned-lead"
 	// ArrivalRefusal refuses at arrival what will miss its target.
 	ArrivalRefusal Mechanism = "arrival-refusal"
+	// PrefilledWait lets a request whose prompt was read wait for another decode
+	// engine.
+	PrefilledWait Mechanism = "prefilled-wait"
 	// WholeReading has decode engines read prompts where prefill is short.
 	WholeReading Mechanism = "whole-reading"
 	// PauseBound keeps such a reading within the pause that the engine's other
@@ -25,7 +28,7 @@
 
 // Mechanisms lists all of them.
 func Mechanisms() []Mechanism {
-	return []Mechanism{LearnedLead, ArrivalRefusal, WholeReading, PauseBound, KeptEngine, GuessShrink}
+	return []Mechanism{LearnedLead, ArrivalRefusal, PrefilledWait, WholeReading, PauseBound, KeptEngine, GuessShrink}
 }
 
 // on says whether a mechanism is in use.
--- /dev/null
+++ b/core/kvsched/prefilled_test.go
@@ -0,0 +1,42 @@
+package kvsched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/sched"
+)
+
+// TestAPromptThatWasReadWaitsForAPlace replays what a lost engine leaves behind
+// in a burst: all others are full at that moment, and one has room a moment
+// later, before the KV cache is gone.
+func TestAPromptThatWasReadWaitsForAPlace(t *testing.T) {
+	is := is.New(t)
+	l := newLedger(t, document(2, 1, 10000))
+	running := grants(l.Want(start, want("running", 7000, 10)))[0]
+	l.Progress(start, done(running, sched.PhaseDecoding))
+	w := want("read", 6000, 10)
+	w.Prefilled = true
+	w.Patience = 350 * time.Millisecond
+	is.Equal(len(l.Want(start, w)), 0)
+	is.Equal(len(grants(l.Want(start+50*time.Millisecond, want("new", 6000, 10)))), 0)
+	got := grants(l.Progress(start+200*time.Millisecond, done(running, sched.PhaseDone)))
+	is.Equal(len(got), 1) // before the new one, which waits as well
+	is.Equal(got[0].Request, id.Request("read"))
+	is.Equal(got[0].Prefill, id.Endpoint(""))
+}
+
+func TestAPromptWhoseKVCacheIsGoneWaitsNoLonger(t *testing.T) {
+	is := is.New(t)
+	l := newLedger(t, document(2, 1, 10000))
+	l.Want(start, want("running", 7000, 10))
+	w := want("read", 6000, 10)
+	w.Prefilled = true
+	w.Patience = 350 * time.Millisecond
+	l.Want(start, w)
+	is.Equal(len(refusals(l.Tick(start+349*time.Millisecond))), 0)
+	is.Equal(len(refusals(l.Tick(start+350*time.Millisecond))), 1)
+}
--- a/core/kvsched/pump.go
+++ b/core/kvsched/pump.go
@@ -38,13 +38,14 @@
 	return actions
 }
 
-// sortQueue puts those in time first, then by priority, then by age.
+// sortQueue puts those whose prompt was read first, then those in time, then by priority, then by age.
 func (l *Ledger) sortQueue() {
 	for _, w := range l.queue {
-		w.tooLate = l.late(w)
+		w.tooLate = !w.want.Prefilled && l.late(w)
 	}
 	slices.SortStableFunc(l.queue, func(a, b *waiting) int {
 		return cmp.Or(
+			falseFirst(!a.want.Prefilled, !b.want.Prefilled),
 			falseFirst(a.tooLate, b.tooLate),
 			cmp.Compare(b.want.Priority, a.want.Priority),
 			cmp.Compare(a.arrived, b.arrived),
@@ -81,6 +82,9 @@
 		w.blocked = cause
 		return nil, cause == lacksMemory && l.passable(w)
 	}
+	if w.want.Prefilled {
+		return l.grant(w, nil, decode), true
+	}
 	if l.late(w) && !l.roomForLate() {
 		w.blocked = lacksLate
 		return nil, false
@@ -109,7 +113,7 @@
 // what is free on the rest without its waiting for ever. Where too many engines
 // are kept already, nobody passes.
 func (l *Ledger) passable(w *waiting) bool {
-	if l.now-w.arrived < l.options.BypassAfter || !l.on(KeptEngine) {
+	if l.now-w.arrived < l.options.BypassAfter && !w.want.Prefilled || !l.on(KeptEngine) {
 		return true
 	}
 	writers, kept := 0, 0
--- a/core/kvsched/want.go
+++ b/core/kvsched/want.go
@@ -35,7 +35,7 @@
 	}
 	fresh := l.newWaiting(w, service)
 	if w.Prefilled {
-		return l.decodeOnly(fresh)
+		return l.takePrefilled(fresh)
 	}
 	if refusal := l.admit(fresh); refusal != nil {
 		return refusal
@@ -101,14 +101,22 @@
 	}
 }
 
-// decodeOnly grants a decode engine to a request whose prompt was read, or
-// refuses it at once.
-func (l *Ledger) decodeOnly(w *waiting) []sched.Action {
+// takePrefilled grants a decode engine to a request whose prompt was read. Where
+// none has room it waits before all others, as long as its KV cache lives: in
+// a burst in which a quarter of the engines was lost, 60 prompts a day were read
+// in vain because no engine had room at that moment.
+func (l *Ledger) takePrefilled(w *waiting) []sched.Action {
 	decode, cause := l.chooseDecode(w, nil)
-	if decode == nil || l.now < l.settled {
+	if decode != nil && l.now >= l.settled {
+		return []sched.Action{*l.grant(w, nil, decode)}
+	}
+	w.blocked = cause
+	if cause != lacksMemory || !l.on(PrefilledWait) || l.now >= w.patience {
 		return l.refuse(w.want, verdict.CodeOverloaded, l.flow.comeBack(l.now, l.backlog()), cause)
 	}
-	return []sched.Action{*l.grant(w, nil, decode)}
+	l.queue = append(l.queue, w)
+	l.waiting[w.want.Request] = w
+	return nil
 }
 
 // backlog is the memory that the queue wants beyond what is free, in tokens.
--- a/core/sched/messages.go
+++ b/core/sched/messages.go
@@ -52,8 +52,8 @@
 	Target   time.Duration `cbor:"16,keyasint,omitempty"`
 	Patience time.Duration `cbor:"17,keyasint,omitempty"`
 	Lifetime time.Duration `cbor:"18,keyasint,omitempty"`
-	// Prefilled asks for a decode endpoint alone, at once or not at all: the
-	// prompt was read before and its KV cache does not live long.
+	// Prefilled asks for a decode endpoint alone: the prompt was read before, and
+	// its KV cache lives no longer than Patience.
 	Prefilled bool `cbor:"19,keyasint,omitempty"`
 	// Pause is the longest pause between the events of the answer that its caller
 	// expects; 0 for no bound.
--- a/daemon/forward/decode.go
+++ b/daemon/forward/decode.go
@@ -23,7 +23,7 @@
 			g.waste(kv, err)
 			return nil, err
 		}
-		if pairErr := g.pair(ctx, true); pairErr != nil {
+		if pairErr := g.pair(ctx, g.kvLeft(readAt)); pairErr != nil {
 			g.waste(kv, pairErr)
 			return nil, pairErr
 		}
@@ -32,13 +32,19 @@
 
 // mayDecodeElsewhere says whether the same KV cache may go to another engine.
 func (g *generation) mayDecodeElsewhere(ctx context.Context, err *verdict.Error, readAt time.Duration) bool {
-	life := time.Duration(kvShare * float64(g.service.Engine.HandleLife))
-	if ctx.Err() != nil || g.grant.Prefill == "" || err.Code == verdict.CodeKVGone || g.f.Now()-readAt >= life {
+	if ctx.Err() != nil || g.grant.Prefill == "" || err.Code == verdict.CodeKVGone || g.kvLeft(readAt) <= 0 {
 		return false
 	}
 	return err.Code == verdict.CodeUnavailable || g.f.repeat(g.service.Name)
 }
 
+// kvLeft is how long a KV cache that was made at readAt may still wait for an
+// engine.
+func (g *generation) kvLeft(readAt time.Duration) time.Duration {
+	life := time.Duration(kvShare * float64(g.service.Engine.HandleLife))
+	return readAt + life - g.f.Now()
+}
+
 func (g *generation) decodeOnce(ctx context.Context, kv KV) (*Opened, *verdict.Error) {
 	f := g.f
 	engine, ok := f.View().Endpoints[g.grant.Decode]
--- a/daemon/forward/stream.go
+++ b/daemon/forward/stream.go
@@ -121,8 +121,9 @@
 
 func refusedByOwner(err *verdict.Error) bool { return errors.Is(err.Cause, errOwner) }
 
-// pair asks the pool's owner for engines.
-func (g *generation) pair(ctx context.Context, prefilled bool) *verdict.Error {
+// pair asks the pool's owner for engines; for a decode engine alone where there
+// is a KV cache, which lives for kvLeft.
+func (g *generation) pair(ctx context.Context, kvLeft time.Duration) *verdict.Error {
 	f, r, rt := g.f, g.request, g.trace.route
 	g.pairings++
 	age := f.Now() - r.Arrived
@@ -132,6 +133,10 @@
 		// A stream that goes on: its caller has waited since the last event.
 		patience = age + rt.Patience/2
 	}
+	prefilled := kvLeft > 0
+	if prefilled {
+		patience = age + kvLeft
+	}
 	want := sched.Want{
 		Request:      id.Request(fmt.Sprintf("%s.%d", r.ID, g.pairings)),
 		Team:         id.Team(rt.Name),
@@ -183,7 +188,7 @@
 // begin gets engines and has the prompt read, unless the decode engine is to
 // read it.
 func (g *generation) begin(ctx context.Context) (KV, time.Duration, *verdict.Error) {
-	if err := g.pair(ctx, false); err != nil {
+	if err := g.pair(ctx, 0); err != nil {
 		return KV{}, 0, err
 	}
 	if g.grant.Prefill == "" {
