--- /dev/null
+++ b/daemon/gateway/disable_test.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/kvsched"
+)
+
+// settingsWith are settings that are complete but for what disable holds.
+func settingsWith(t *testing.T, disable string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.json")
+	text := `{
+  "daemon": "d1", "domain": "north", "store": "127.0.0.1:1", "memory_mb": 64,
+  "listen": {"callers": "127.0.0.1:2", "ready": "127.0.0.1:3", "entry": "127.0.0.1:4", "peers": "127.0.0.1:5"},
+  "bounds": {"grace_s": 8, "entry_lifetime_s": 5, "lease_ms": 3000, "repeat_ratio": 0.2, "repeat_slack": 58, "repeat_window_s": 10},
+  "disable": ` + disable + `,
+}`
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// TestEachMechanismCanBeSwitchedOff by the name that the scheduler knows it by.
+func TestEachMechanismCanBeSwitchedOff(t *testing.T) {
+	for _, m := range kvsched.Mechanisms() {
+		t.Run(string(m), func(t *testing.T) {
+			is := is.New(t)
+			set, faults := Load(settingsWith(t, `["`+string(m)+`"]`))
+			is.Equal(len(faults), 0)
+			is.Equal(set.Disable, []kvsched.Mechanism{m})
+		})
+	}
+}
+
+func TestAnUnknownMechanismIsAFault(t *testing.T) {
+	is := is.New(t)
+	_, faults := Load(settingsWith(t, `["learned-lead", "luck"]`))
+	is.Equal(len(faults), 1)
+	is.True(strings.Contains(faults[0].Error(), "disable"))
+}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -270,7 +270,8 @@
 		d.watcher.Close()
 		return err
 	}
-	d.logger.Event("daemon_started", "daemon_domain", d.set.Domain, "callers", d.set.Listen.Callers, "store", d.set.Store)
+	d.logger.Event("daemon_started", "daemon_domain", d.set.Domain, "callers", d.set.Listen.Callers, "store", d.set.Store,
+		"disabled", len(d.set.Disable))
 	d.follow()
 	go d.enroll()
 	return nil
--- a/daemon/gateway/pools.go
+++ b/daemon/gateway/pools.go
@@ -24,6 +24,7 @@
 				Self: f.self,
 				// A manager made again must not number its grants as its predecessor did.
 				FirstReservation: uint64(d.now()),
+				Disabled:         d.set.Disable,
 				Health:           view,
 				Violation:        d.metrics.Violation,
 			})
--- a/daemon/gateway/settings.go
+++ b/daemon/gateway/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/kvsched"
 	"github.com/samphirequay/samphirequay/daemon/settings"
 )
 
@@ -22,6 +23,9 @@
 	Bounds Bounds `json:"bounds"`
 	// MemoryMB is the process's bound on memory, in MB.
 	MemoryMB float64 `json:"memory_mb" validate:"min=16"`
+	// Disable switches mechanisms of the scheduler off, to measure what they are
+	// worth; not for production. Default: none.
+	Disable []kvsched.Mechanism `json:"disable" validate:"dive,oneof=learned-lead arrival-refusal prefilled-wait whole-reading pause-bound kept-engine guess-shrink"`
 	// Log sets what is logged, to standard output.
 	Log settings.Log `json:"log"`
 }
