--- a/cmd/internal/experiment/experiment.go
+++ b/cmd/internal/experiment/experiment.go
@@ -78,6 +78,7 @@
 	{Name: "faults", Short: "what is lost, doubled, run twice or left behind when something fails, and the time to recover", Run: runFaults},
 	{Name: "membership", Short: "time to see a death, and bytes, processor and memory of membership, at 9 to 120 daemons", Run: runMembership},
 	{Name: "overhead", Short: "time and processor that the router adds to a call, against the same stand-in called directly", Run: runOverhead},
+	{Name: "overload", Short: "what bursts come to, replayed against the scheduler, with each of its mechanisms switched off in turn", Run: runOverload},
 	{Name: "poison", Short: "engines that requests crash which are sent again, until they are quarantined, and who suffers beside them", Run: runPoison},
 	{Name: "rolling", Short: "every daemon replaced by a planned stop, then engines drained by label: what is interrupted", Run: runRolling},
 	{Name: "routing", Short: "goodput and wasted prefill of each policy at 0.7, 0.9 and 1.1 of capacity", Run: runRouting},
--- /dev/null
+++ b/core/overload/desk.go
@@ -0,0 +1,30 @@
+package overload
+
+import "time"
+
+// Desk is a desk of 14 engines with 16 requests each and 29,250 tokens of
+// memory, at 60 in 100 of what they can serve. A KV cache takes 100 ms to the
+// first token. The scheduler is left to be chosen.
+func Desk(bursts ...Burst) Replay {
+	return Replay{
+		Load: Load{
+			Length: 34 * time.Second, PerSecond: 13, Prompt: 3200, Output: 792, Spread: 0.5, Most: 2.2, GuessError: 0.5, Bursts: bursts,
+		},
+		Callers: Callers{
+			Target: 900 * time.Millisecond, Patience: 3600 * time.Millisecond, Deadline: 14 * time.Second,
+			Pause: 300 * time.Millisecond, Returns: 1, WaitShare: 1.0 / 3,
+		},
+		Engines: Engines{
+			Prefills: 3, Decodes: 11, Batch: 16, Memory: 29250, Step: 3410 * time.Microsecond, StepEach: 97 * time.Microsecond,
+			PrefillRate: 33333, Transfer: 100 * time.Millisecond,
+		},
+	}
+}
+
+// UsualBursts are bursts that the desk can serve in time.
+func UsualBursts() []Burst {
+	return []Burst{
+		{At: 6 * time.Second, For: 5 * time.Second, Factor: 1.5},
+		{At: 27 * time.Second, For: 4 * time.Second, Factor: 1.5},
+	}
+}
--- a/core/overload/overload_test.go
+++ b/core/overload/overload_test.go
@@ -14,23 +14,11 @@
 // seeds that each load is replayed with.
 const seeds = 5
 
-// desk is a desk of 14 engines with 16 requests each and 29,250 tokens, at 60 in
-// 100 of what they can serve. A KV cache takes 100 ms to the first token.
+// desk is the usual desk with all mechanisms on.
 func desk(bursts ...Burst) Replay {
-	return Replay{
-		Load: Load{
-			Length: 34 * time.Second, PerSecond: 13, Prompt: 3200, Output: 792, Spread: 0.5, Most: 2.2, GuessError: 0.5, Bursts: bursts,
-		},
-		Callers: Callers{
-			Target: 900 * time.Millisecond, Patience: 3600 * time.Millisecond, Deadline: 14 * time.Second,
-			Pause: 300 * time.Millisecond, Returns: 1, WaitShare: 1.0 / 3,
-		},
-		Engines: Engines{
-			Prefills: 3, Decodes: 11, Batch: 16, Memory: 29250, Step: 3410 * time.Microsecond, StepEach: 97 * time.Microsecond,
-			PrefillRate: 33333, Transfer: 100 * time.Millisecond,
-		},
-		New: without(),
-	}
+	r := Desk(bursts...)
+	r.New = without()
+	return r
 }
 
 // without makes the pool's scheduler with some mechanisms switched off.
@@ -40,14 +28,12 @@
 	}
 }
 
-// usual are bursts that the desk can serve in time.
-var usual = []Burst{
-	{At: 6 * time.Second, For: 5 * time.Second, Factor: 1.5},
-	{At: 27 * time.Second, For: 4 * time.Second, Factor: 1.5},
-}
-
-// triple is a burst of three times the load for 8 s.
-var triple = append([]Burst{{At: 14 * time.Second, For: 8 * time.Second, Factor: 3}}, usual...)
+// usual are bursts that the desk can serve in time, triple one of three times
+// the load for 8 s on top.
+var (
+	usual  = UsualBursts()
+	triple = append(UsualBursts(), Burst{At: 14 * time.Second, For: 8 * time.Second, Factor: 3})
+)
 
 // total sums some seeds of a replay up.
 type total struct {
