--- a/daemon/gateway/disable_test.go
+++ b/daemon/gateway/disable_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"encoding/json"
 	"os"
 	"path/filepath"
 	"strings"
@@ -45,3 +46,21 @@
 	is.Equal(len(faults), 1)
 	is.True(strings.Contains(faults[0].Error(), "disable"))
 }
+
+// TestSettingsThatAreWrittenCanBeRead: who starts daemons writes their settings
+// from the same type.
+func TestSettingsThatAreWrittenCanBeRead(t *testing.T) {
+	is := is.New(t)
+	set, faults := Load(settingsWith(t, `["learned-lead"]`))
+	is.Equal(len(faults), 0)
+	for _, disable := range [][]kvsched.Mechanism{nil, set.Disable} {
+		set.Disable = disable
+		raw, err := json.Marshal(set)
+		is.NoErr(err)
+		path := filepath.Join(t.TempDir(), "written.json")
+		is.NoErr(os.WriteFile(path, raw, 0o600))
+		again, faults := Load(path)
+		is.Equal(len(faults), 0)
+		is.Equal(again, set)
+	}
+}
