--- /dev/null
+++ b/cmd/internal/account/account_test.go
@@ -0,0 +1,138 @@
+package account
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/cmd/internal/logstory"
+)
+
+// day is a piece of a real day's log, its names replaced.
+const day = "testdata/day.log"
+
+func read(t *testing.T, text string) *logstory.Logs {
+	t.Helper()
+	var logs logstory.Logs
+	if err := logs.Read("test", strings.NewReader(text)); err != nil {
+		t.Fatal(err)
+	}
+	return &logs
+}
+
+func dayText(t *testing.T) string {
+	t.Helper()
+	raw, err := os.ReadFile(day)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(raw)
+}
+
+func route(a *Account, name string) Route {
+	for _, r := range a.Routes {
+		if r.Name == name {
+			return r
+		}
+	}
+	return Route{}
+}
+
+// TestTheAccountOfADay: a count of the last lines by fingerprint, made apart from
+// this code, gave the same figures.
+func TestTheAccountOfADay(t *testing.T) {
+	is := is.New(t)
+	a, err := Make(read(t, dayText(t)), Options{})
+	is.NoErr(err)
+	is.Equal(a.Lines, 125)
+	is.Equal(a.Unreadable, 0.0)
+	is.Equal(route(a, "route-1").Counts, Counts{Asked: 9, InTime: 7, Failed: 2})
+	is.Equal(route(a, "route-2").Counts, Counts{Asked: 10, InTime: 8, Failed: 2})
+	is.Equal(route(a, "route-3").Counts, Counts{Asked: 20, InTime: 7, Late: 3, Refused: 6, Failed: 1, Left: 2, NoEnd: 1})
+	is.Equal(route(a, "route-3").Refusals.Back, 3)
+	is.Equal(route(a, "route-3").LateTime.Paused, 3)
+	is.Equal(a.Vain[0], Vain{Cause: "no decode: overloaded", Count: 3, Tokens: 11226})
+	sum := Counts{}
+	for _, s := range a.Seconds {
+		sum.Asked += s.Asked
+	}
+	is.Equal(sum.Asked, 45)
+	is.Equal(len(a.Pools), 7) // the eighth was logged before the first arrival
+}
+
+// TestARequestThatCameBackCountsOnce, by what became of its last attempt, and
+// from its first arrival.
+func TestARequestThatCameBackCountsOnce(t *testing.T) {
+	is := is.New(t)
+	line := func(at, id, end string) string {
+		return "ts=2026-12-03T10:00:" + at + "Z daemon=d level=info event=request request=" + id +
+			" route=r service=s kind=stream target=900ms print=aa took=100ms first=80ms waited=10ms read=40ms " + end + "\n"
+	}
+	refused := line("01.1", "x1", "outcome=overloaded verdict=not-run status=0 reason=full")
+	answered := line("03.1", "x2", "outcome=answered status=200 in_time=true")
+	a, err := Make(read(t, refused+answered), Options{})
+	is.NoErr(err)
+	is.Equal(a.Routes[0].Counts, Counts{Asked: 1, Late: 1})
+	is.Equal(a.Routes[0].CameBack, 1)
+	is.Equal(a.Routes[0].Served, 1)
+	is.Equal(a.Routes[0].LateTime.Return, 2000.0)
+	is.Equal(a.Routes[0].Refusals, Waits{Count: 1, P50: 100, P90: 100, Max: 100, Back: 1})
+	// Another caller's, or one behind an answer, is another request.
+	again := line("04.1", "x3", "outcome=answered status=200 in_time=true")
+	a, err = Make(read(t, refused+answered+again), Options{})
+	is.NoErr(err)
+	is.Equal(a.Routes[0].Counts, Counts{Asked: 2, InTime: 1, Late: 1})
+}
+
+func TestASpanLeavesOutWhatArrivedOutsideIt(t *testing.T) {
+	is := is.New(t)
+	whole, err := Make(read(t, dayText(t)), Options{})
+	is.NoErr(err)
+	middle := whole.From.Add(20 * time.Second)
+	first, err := Make(read(t, dayText(t)), Options{To: middle})
+	is.NoErr(err)
+	second, err := Make(read(t, dayText(t)), Options{From: middle})
+	is.NoErr(err)
+	asked := func(a *Account) (n int) {
+		for i := range a.Routes {
+			n += a.Routes[i].Asked
+		}
+		return n
+	}
+	is.True(asked(first) > 0 && asked(second) > 0)
+	is.True(asked(first)+asked(second) >= asked(whole)) // one that came back across the bound counts on both sides
+	_, err = Make(read(t, dayText(t)), Options{From: whole.To.Add(time.Hour)})
+	is.True(errors.Is(err, ErrNothing))
+}
+
+// TestBadLinesAreLeftOutAndCounted: cut lines, bytes that are no text, and
+// fields that can't be read.
+func TestBadLinesAreLeftOutAndCounted(t *testing.T) {
+	is := is.New(t)
+	text := dayText(t)
+	bad := "ts=2026-03-24T23:44:50Z daemon=d level=info event=pool_state pool=p prefills=many\n" + "\xff\xfe\x00\n" + text[:200] + "\n"
+	a, err := Make(read(t, bad+text), Options{})
+	is.NoErr(err)
+	is.True(a.Unreadable > 2.0/130 && a.Unreadable < 4.0/125)
+	is.Equal(route(a, "route-3").Asked, 20)
+	_, err = Make(read(t, "no log at all\n"), Options{})
+	is.True(errors.Is(err, ErrNothing))
+}
+
+func TestTheAccountIsWrittenWithPlots(t *testing.T) {
+	is := is.New(t)
+	a, err := Make(read(t, dayText(t)), Options{})
+	is.NoErr(err)
+	dir := t.TempDir()
+	is.NoErr(a.Report().Write(dir))
+	for _, name := range []string{"account.json", "memory.svg", "roles.svg", "outcomes-stream.svg", "outcomes-idempotent.svg", "outcomes-non-idempotent.svg"} {
+		info, err := os.Stat(filepath.Join(dir, name))
+		is.NoErr(err)
+		is.True(info.Size() > 0)
+	}
+}
--- /dev/null
+++ b/cmd/internal/account/build.go
@@ -0,0 +1,279 @@
+package account
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/samphirequay/samphirequay/cmd/internal/logstory"
+)
+
+// returnsWithin is how long after an unanswered attempt another one with the
+// same fingerprint counts as its caller's return.
+const returnsWithin = 20 * time.Second
+
+// request is what a caller wanted: one attempt or several.
+type request []*attempt
+
+// finish makes the account of what was gathered.
+func (b *builder) finish(logs *logstory.Logs) (*Account, error) {
+	if len(b.attempts) == 0 {
+		return nil, ErrNothing
+	}
+	b.addNoEnds()
+	slices.SortFunc(b.attempts, func(x, y *attempt) int {
+		return cmp.Or(x.arrived.Compare(y.arrived), cmp.Compare(x.id, y.id))
+	})
+	for _, a := range b.attempts {
+		a.failedBefore = b.retries[a.id]
+	}
+	out := &Account{
+		From:  b.attempts[0].arrived.Truncate(time.Second),
+		Lines: len(logs.Lines),
+	}
+	if all := len(logs.Lines) + logs.Unreadable; all > 0 {
+		out.Unreadable = float64(logs.Unreadable+b.bad) / float64(all)
+	}
+	for _, a := range b.attempts {
+		if end := a.arrived.Add(a.took); end.After(out.To) {
+			out.To = end
+		}
+	}
+	requests := group(b.attempts)
+	out.Routes = routes(requests)
+	out.Reasons = reasons(b.attempts)
+	out.Vain = b.causes(out.From, out.To)
+	out.Seconds = b.seconds(out.From, requests)
+	out.Pools = b.poolsFrom(out.From, out.To)
+	return out, nil
+}
+
+// addNoEnds adds the attempts that were given engines and whose end is not
+// logged.
+func (b *builder) addNoEnds() {
+	ended := make(map[string]bool, len(b.attempts))
+	for _, a := range b.attempts {
+		ended[a.id] = true
+	}
+	for id, a := range b.granted {
+		if !ended[id] {
+			b.attempts = append(b.attempts, a)
+		}
+	}
+}
+
+// group joins the attempts of one request: the next one with the same
+// fingerprint after one that was not answered.
+func group(attempts []*attempt) []request {
+	var out []request
+	open := map[string]int{}
+	for _, a := range attempts {
+		key := a.route + " " + a.print
+		if i, ok := open[key]; ok && a.print != "" && follows(out[i], a) {
+			out[i] = append(out[i], a)
+			continue
+		}
+		open[key] = len(out)
+		out = append(out, request{a})
+	}
+	return out
+}
+
+// follows says whether an attempt is a request's caller that has come back.
+func follows(r request, a *attempt) bool {
+	last := r[len(r)-1]
+	return last.outcome != outcomeAnswered && a.arrived.Sub(last.arrived) < returnsWithin
+}
+
+func (r request) first() *attempt { return r[0] }
+
+func (r request) last() *attempt { return r[len(r)-1] }
+
+// returned is the time between the first arrival and that of the last attempt.
+func (r request) returned() time.Duration { return r.last().arrived.Sub(r.first().arrived) }
+
+// count adds a request to the counts.
+func (c *Counts) count(r request) {
+	last := r.last()
+	c.Asked++
+	switch {
+	case last.outcome == outcomeAnswered && last.inTime && r.returned()+last.answer <= last.target:
+		c.InTime++
+	case last.outcome == outcomeAnswered:
+		c.Late++
+	case last.outcome == outcomeLeft && len(r) == 1 && last.took < last.target:
+		c.Left++
+	case last.outcome == outcomeNoEnd:
+		c.NoEnd++
+	case last.notRun:
+		c.Refused++
+	default:
+		c.Failed++
+	}
+}
+
+// routes makes the accounts of the routes.
+func routes(requests []request) []Route {
+	byName := map[string][]request{}
+	for _, r := range requests {
+		name := r.first().route
+		byName[name] = append(byName[name], r)
+	}
+	var out []Route
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		out = append(out, routeOf(name, byName[name]))
+	}
+	return out
+}
+
+func routeOf(name string, requests []request) Route {
+	first := requests[0].first()
+	out := Route{Name: name, Service: first.service, Kind: first.kind}
+	var late []request
+	for _, r := range requests {
+		before := out.Counts
+		out.count(r)
+		if out.Late > before.Late {
+			late = append(late, r)
+		}
+		if len(r) > 1 {
+			out.CameBack++
+			out.Served += out.Answered() - before.Answered()
+		}
+	}
+	out.LateTime = lateTime(late)
+	out.Refusals = waits(requests)
+	return out
+}
+
+// lateTime averages where the time of late requests went.
+func lateTime(late []request) LateTime {
+	var out LateTime
+	if len(late) == 0 {
+		return out
+	}
+	share := 1 / float64(len(late))
+	for _, r := range late {
+		last := r.last()
+		rest := max(0, last.answer-last.queue-last.read-last.failedBefore)
+		out.Return += share * milliseconds(r.returned())
+		out.Queue += share * milliseconds(last.queue)
+		out.Prefill += share * milliseconds(last.read)
+		out.Retries += share * milliseconds(last.failedBefore)
+		out.Rest += share * milliseconds(rest)
+		if r.returned()+last.answer <= last.target {
+			out.Paused++
+		}
+	}
+	return out
+}
+
+// waits tells of the refusals of requests that did not run.
+func waits(requests []request) Waits {
+	var took []time.Duration
+	out := Waits{}
+	for _, r := range requests {
+		for i, a := range r {
+			if a.outcome == outcomeAnswered || !a.notRun || a.outcome == outcomeLeft {
+				continue
+			}
+			took = append(took, a.took)
+			if i < len(r)-1 {
+				out.Back++
+			}
+		}
+	}
+	if len(took) == 0 {
+		return out
+	}
+	slices.Sort(took)
+	out.Count = len(took)
+	out.P50 = milliseconds(took[len(took)/2])
+	out.P90 = milliseconds(took[len(took)*9/10])
+	out.Max = milliseconds(took[len(took)-1])
+	return out
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// reasons counts how attempts ended unanswered, the most frequent first.
+func reasons(attempts []*attempt) []Reason {
+	counts := map[Reason]int{}
+	for _, a := range attempts {
+		if a.outcome != outcomeAnswered {
+			counts[Reason{Route: a.route, Outcome: a.outcome, Reason: a.reason}]++
+		}
+	}
+	var out []Reason
+	for r, n := range counts {
+		r.Count = n
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(x, y Reason) int {
+		return cmp.Or(cmp.Compare(y.Count, x.Count), cmp.Compare(x.Route, y.Route), cmp.Compare(x.Outcome, y.Outcome), cmp.Compare(x.Reason, y.Reason))
+	})
+	return out
+}
+
+// causes counts the prompts that were read in vain, the most tokens first.
+func (b *builder) causes(from, to time.Time) []Vain {
+	byCause := map[string]Vain{}
+	for _, v := range b.vain {
+		if v.at.Before(from) || v.at.After(to) {
+			continue
+		}
+		sum := byCause[v.cause]
+		sum.Cause = v.cause
+		sum.Count++
+		sum.Tokens += v.tokens
+		byCause[v.cause] = sum
+	}
+	return slices.SortedFunc(maps.Values(byCause), func(x, y Vain) int {
+		return cmp.Or(cmp.Compare(y.Tokens, x.Tokens), cmp.Compare(x.Cause, y.Cause))
+	})
+}
+
+// seconds counts the requests by the second of their first arrival.
+func (b *builder) seconds(from time.Time, requests []request) []Second {
+	type key struct {
+		at   int
+		kind string
+	}
+	sums := map[key]*Second{}
+	at := func(t time.Time, kind string) *Second {
+		k := key{at: int(t.Sub(from) / time.Second), kind: kind}
+		if sums[k] == nil {
+			sums[k] = &Second{At: k.at, Kind: k.kind}
+		}
+		return sums[k]
+	}
+	for _, r := range requests {
+		at(r.first().arrived, r.first().kind).count(r)
+	}
+	for _, v := range b.vain {
+		if b.within(v.at) && !v.at.Before(from) {
+			at(v.at, kindStream).VainTokens += v.tokens
+		}
+	}
+	var out []Second
+	for _, s := range sums {
+		out = append(out, *s)
+	}
+	slices.SortFunc(out, func(x, y Second) int { return cmp.Or(cmp.Compare(x.At, y.At), cmp.Compare(x.Kind, y.Kind)) })
+	return out
+}
+
+// poolsFrom gives the states of the pools within the span.
+func (b *builder) poolsFrom(from, to time.Time) []Pool {
+	var out []Pool
+	for _, l := range b.pools {
+		if l.at.Before(from) || l.at.After(to) {
+			continue
+		}
+		l.pool.AtSeconds = l.at.Sub(from).Seconds()
+		out = append(out, l.pool)
+	}
+	slices.SortStableFunc(out, func(x, y Pool) int { return cmp.Compare(x.AtSeconds, y.AtSeconds) })
+	return out
+}
--- /dev/null
+++ b/cmd/internal/account/figures.go
@@ -0,0 +1,111 @@
+package account
+
+import (
+	"slices"
+
+	"github.com/samphirequay/samphirequay/cmd/internal/experiment"
+)
+
+// Name names the account's files.
+const Name = "account"
+
+// Report gives the account as a report whose figures can be drawn.
+func (a *Account) Report() *experiment.Report {
+	figures := []experiment.Figure{a.memory(), a.roles()}
+	for _, kind := range a.kinds() {
+		figures = append(figures, a.outcomes(kind))
+	}
+	return &experiment.Report{Experiment: Name, Data: a, Figures: figures}
+}
+
+func (a *Account) kinds() []string {
+	var out []string
+	for _, s := range a.Seconds {
+		if !slices.Contains(out, s.Kind) {
+			out = append(out, s.Kind)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// outcomes draws what became of a kind's requests, by the second of arrival.
+func (a *Account) outcomes(kind string) experiment.Figure {
+	lines := []struct {
+		name string
+		of   func(s *Second) int
+	}{
+		{"in time", func(s *Second) int { return s.InTime }},
+		{"late", func(s *Second) int { return s.Late }},
+		{"refused", func(s *Second) int { return s.Refused }},
+		{"failed", func(s *Second) int { return s.Failed }},
+	}
+	f := experiment.Figure{
+		Name: "outcomes-" + kind, Title: "Requests by what became of them: " + kind,
+		XLabel: "second of the first arrival", YLabel: "requests",
+	}
+	for _, line := range lines {
+		series := experiment.Series{Name: line.name}
+		for i := range a.Seconds {
+			if s := &a.Seconds[i]; s.Kind == kind {
+				series.X = append(series.X, float64(s.At))
+				series.Y = append(series.Y, float64(line.of(s)))
+			}
+		}
+		f.Series = append(f.Series, series)
+	}
+	return f
+}
+
+// memory draws the share of the decode engines' memory that is held.
+func (a *Account) memory() experiment.Figure {
+	return a.pools("memory", "Decode memory held", "share", map[string]func(p *Pool) float64{
+		"held": func(p *Pool) float64 { return p.MemoryHeld },
+	})
+}
+
+// roles draws the engines by role, and the queue.
+func (a *Account) roles() experiment.Figure {
+	return a.pools("roles", "Engines by role, and requests in the queue", "count", map[string]func(p *Pool) float64{
+		"prefill": func(p *Pool) float64 { return float64(p.Prefills) },
+		"decode":  func(p *Pool) float64 { return float64(p.Decodes) },
+		"queued":  func(p *Pool) float64 { return float64(p.Queued) },
+	})
+}
+
+func (a *Account) pools(name, title, unit string, lines map[string]func(p *Pool) float64) experiment.Figure {
+	f := experiment.Figure{Name: name, Title: title, XLabel: "second", YLabel: unit}
+	for _, pool := range a.poolNames() {
+		for _, line := range sortedKeys(lines) {
+			series := experiment.Series{Name: pool + " " + line}
+			for i := range a.Pools {
+				if p := &a.Pools[i]; p.Pool == pool {
+					series.X = append(series.X, p.AtSeconds)
+					series.Y = append(series.Y, lines[line](p))
+				}
+			}
+			f.Series = append(f.Series, series)
+		}
+	}
+	return f
+}
+
+func sortedKeys(lines map[string]func(p *Pool) float64) []string {
+	var out []string
+	for name := range lines {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (a *Account) poolNames() []string {
+	var out []string
+	for _, p := range a.Pools {
+		if !slices.Contains(out, p.Pool) {
+			out = append(out, p.Pool)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/cmd/internal/account/read.go
@@ -0,0 +1,213 @@
+package account
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/samphirequay/samphirequay/cmd/internal/logstory"
+)
+
+// Events that an account is made of.
+const (
+	eventRequest   = "request"
+	eventGranted   = "granted"
+	eventFailed    = "attempt_failed"
+	eventWasted    = "prefill_wasted"
+	eventResumed   = "stream_resumed"
+	eventPoolState = "pool_state"
+)
+
+// Words of the fields.
+const (
+	outcomeAnswered = "answered"
+	outcomeLeft     = "caller_gone"
+	// outcomeNoEnd is the account's own word for an end that is not logged.
+	outcomeNoEnd  = "no_end"
+	verdictNotRun = "not-run"
+	stepPrefill   = "prefill"
+	kindStream    = "stream"
+)
+
+// ErrNothing says that the logs hold no request.
+var ErrNothing = errors.New("no line tells of the end of a request on a route: these are no daemons' logs, or the span of time holds none")
+
+// attempt is one attempt of a caller, as its daemon logged its end.
+type attempt struct {
+	id, route, service, kind string
+	print                    string
+	arrived                  time.Time
+	took                     time.Duration
+	target                   time.Duration
+	// answer is when the answer came, behind the arrival: of a stream its first
+	// event.
+	answer       time.Duration
+	queue, read  time.Duration
+	outcome      string
+	reason       string
+	notRun       bool
+	inTime       bool
+	failedBefore time.Duration
+}
+
+// builder gathers lines.
+type builder struct {
+	options  Options
+	attempts []*attempt
+	// retries is the time of the failed sendings of each attempt, by its id.
+	retries map[string]time.Duration
+	// granted are the attempts that were given engines, by their id.
+	granted map[string]*attempt
+	vain    []vainRead
+	pools   []poolLine
+	bad     int
+}
+
+// vainRead is one prompt that was read in vain.
+type vainRead struct {
+	at     time.Time
+	cause  string
+	tokens int
+}
+
+type poolLine struct {
+	at   time.Time
+	pool Pool
+}
+
+func newBuilder(o Options) *builder {
+	return &builder{options: o, retries: map[string]time.Duration{}, granted: map[string]*attempt{}}
+}
+
+// take reads one line. One whose fields can't be read counts as unreadable.
+func (b *builder) take(l *logstory.Line) {
+	f := fields{values: l.Fields}
+	switch l.Event {
+	case eventRequest:
+		b.request(l, &f)
+	case eventGranted:
+		b.given(l, &f)
+	case eventFailed:
+		b.failed(l, &f)
+	case eventWasted:
+		b.vain = append(b.vain, vainRead{at: l.At, cause: "no decode: " + f.text("code"), tokens: f.number("tokens")})
+	case eventResumed:
+		b.vain = append(b.vain, vainRead{at: l.At, cause: "read again for a stream that broke", tokens: f.number("tokens")})
+	case eventPoolState:
+		b.poolState(l, &f)
+	}
+	if f.err != nil {
+		b.bad++
+	}
+}
+
+// given takes an attempt that was given engines: it stands in for one whose end
+// is not logged.
+func (b *builder) given(l *logstory.Line, f *fields) {
+	id := f.text("request")
+	if b.granted[id] != nil || f.text("route") == "" || !b.within(l.At) {
+		return
+	}
+	b.granted[id] = &attempt{
+		id: id, route: f.text("route"), kind: kindStream, print: f.text("print"), arrived: l.At, outcome: outcomeNoEnd,
+	}
+}
+
+func (b *builder) request(l *logstory.Line, f *fields) {
+	if f.text("route") == "" {
+		return
+	}
+	a := &attempt{
+		id:      f.text("request"),
+		route:   f.text("route"),
+		service: f.text("service"),
+		kind:    f.text("kind"),
+		print:   f.text("print"),
+		took:    f.duration("took"),
+		target:  f.duration("target"),
+		outcome: f.text("outcome"),
+		reason:  f.text("reason"),
+		notRun:  f.text("verdict") == verdictNotRun,
+		inTime:  f.text("in_time") == "true",
+		queue:   f.optional("waited"),
+		read:    f.optional("read"),
+	}
+	a.arrived = l.At.Add(-a.took)
+	a.answer = a.took
+	if first := f.optional("first"); first > 0 {
+		a.answer = first
+	}
+	if f.err == nil && b.within(a.arrived) {
+		b.attempts = append(b.attempts, a)
+	}
+}
+
+func (b *builder) within(at time.Time) bool {
+	return (b.options.From.IsZero() || !at.Before(b.options.From)) && (b.options.To.IsZero() || at.Before(b.options.To))
+}
+
+// failed takes a failed sending. A prefill that was given up may have been read
+// all the same.
+func (b *builder) failed(l *logstory.Line, f *fields) {
+	b.retries[f.text("request")] += f.duration("took")
+	if f.text("step") != stepPrefill {
+		return
+	}
+	if code := f.text("code"); code == "deadline" || code == outcomeLeft {
+		b.vain = append(b.vain, vainRead{at: l.At, cause: "prefill given up: " + code, tokens: f.number("tokens")})
+	}
+}
+
+func (b *builder) poolState(l *logstory.Line, f *fields) {
+	p := Pool{
+		Pool:     f.text("pool"),
+		Prefills: f.number("prefills"),
+		Working:  f.number("prefills_working"),
+		Decodes:  f.number("decodes"),
+		Running:  f.number("decodes_running"),
+		Queued:   f.number("queued"),
+	}
+	if memory := f.number("memory"); memory > 0 {
+		p.MemoryHeld = float64(f.number("memory_held")) / float64(memory)
+	}
+	b.pools = append(b.pools, poolLine{at: l.At, pool: p})
+}
+
+// fields reads a line's fields and keeps the first error.
+type fields struct {
+	values map[string]string
+	err    error
+}
+
+func (f *fields) text(key string) string { return f.values[key] }
+
+func (f *fields) fail(key string, err error) {
+	if f.err == nil {
+		f.err = fmt.Errorf("field %s: %w", key, err)
+	}
+}
+
+func (f *fields) duration(key string) time.Duration {
+	d, err := time.ParseDuration(f.values[key])
+	if err != nil {
+		f.fail(key, err)
+	}
+	return d
+}
+
+// optional reads a duration that need not be there.
+func (f *fields) optional(key string) time.Duration {
+	if f.values[key] == "" {
+		return 0
+	}
+	return f.duration(key)
+}
+
+func (f *fields) number(key string) int {
+	n, err := strconv.Atoi(f.values[key])
+	if err != nil {
+		f.fail(key, err)
+	}
+	return n
+}
--- a/cmd/internal/cli/root/root.go
+++ b/cmd/internal/cli/root/root.go
@@ -23,6 +23,7 @@
 	"github.com/samphirequay/samphirequay/cmd/internal/cli/loadcmd"
 	"github.com/samphirequay/samphirequay/cmd/internal/cli/localcmd"
 	"github.com/samphirequay/samphirequay/cmd/internal/cli/output"
+	"github.com/samphirequay/samphirequay/cmd/internal/cli/reportcmd"
 	"github.com/samphirequay/samphirequay/cmd/internal/cli/soakcmd"
 	"github.com/samphirequay/samphirequay/cmd/internal/cli/standincmd"
 	"github.com/samphirequay/samphirequay/cmd/internal/version"
@@ -56,7 +57,7 @@
 	cmd.AddCommand(
 		itemcmd.Label(opts), configcmd.Command(opts), fleetcmd.Status(opts), fleetcmd.Explain(opts),
 		fleetcmd.Quarantine(opts), fleetcmd.Stop(opts), keyscmd.Command(opts), loadcmd.Command(opts),
-		localcmd.Command(opts), experimentcmd.Command(opts), standincmd.Command(opts), soakcmd.Command(opts),
+		localcmd.Command(opts), experimentcmd.Command(opts), reportcmd.Command(opts), standincmd.Command(opts), soakcmd.Command(opts),
 		versionCommand(opts),
 		docscmd.Command(),
 	)
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -68,6 +68,9 @@
 	Timeout time.Duration
 	// TargetLatency is the time to the (first) answer that callers expect.
 	TargetLatency time.Duration
+	// TargetGap is the longest pause between the events of a stream that callers
+	// expect; 0 for no bound.
+	TargetGap time.Duration
 	// Patience is how long callers of a stream wait for its first event.
 	Patience time.Duration
 	// Priority of its requests: 0 is the most urgent.
--- a/daemon/forward/decode.go
+++ b/daemon/forward/decode.go
@@ -20,11 +20,11 @@
 			return nil, err
 		}
 		if !g.mayDecodeElsewhere(ctx, err, readAt) {
-			g.waste(kv)
+			g.waste(kv, err)
 			return nil, err
 		}
 		if pairErr := g.pair(ctx, true); pairErr != nil {
-			g.waste(kv)
+			g.waste(kv, pairErr)
 			return nil, pairErr
 		}
 	}
--- a/daemon/forward/outcome.go
+++ b/daemon/forward/outcome.go
@@ -26,7 +26,7 @@
 	g.avoid = append(g.avoid, e.Name)
 	g.f.broke(g.request, g.trace, e, err)
 	g.f.Log.Event("attempt_failed", "request", g.request.ID, "pairing", g.pairings, "step", what, "endpoint", e.Name,
-		"took", took, "verdict", err.Verdict, "code", err.Code, "why", err.Error())
+		"took", took, "tokens", g.request.PromptTokens, "verdict", err.Verdict, "code", err.Code, "why", err.Error())
 	p := sched.Progress{Phase: sched.PhaseFailed, Endpoint: e.Name}
 	switch err.Code {
 	case verdict.CodeCallerGone:
@@ -45,15 +45,15 @@
 	g.progress(p)
 }
 
-// waste notes a prompt that was read in vain and frees its KV cache.
-func (g *generation) waste(kv KV) {
+// waste notes a prompt that was read in vain, and why, and frees its KV cache.
+func (g *generation) waste(kv KV, why *verdict.Error) {
 	f := g.f
 	f.stats.wasted.Inc()
 	engine, ok := f.View().Endpoints[g.grant.Prefill]
 	if !ok {
 		return
 	}
-	f.Log.Event("prefill_wasted", "request", g.request.ID, "endpoint", engine.Name, "tokens", kv.Tokens)
+	f.Log.Event("prefill_wasted", "request", g.request.ID, "endpoint", engine.Name, "tokens", kv.Tokens, "code", why.Code, "why", why.Error())
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), freeLimit)
 		defer cancel()
--- a/daemon/forward/relay.go
+++ b/daemon/forward/relay.go
@@ -28,6 +28,8 @@
 	pending []byte
 	ready   []byte
 	events  int
+	// eventAt is when the last event came; 0 before the first.
+	eventAt time.Duration
 	ended   bool
 	broken  error
 }
@@ -110,7 +112,8 @@
 	}
 	s.opened.Events = opened.Events
 	s.f.stats.resumed.Inc()
-	s.f.Log.Event("stream_resumed", "request", s.request.ID, "behind", s.last, "endpoint", s.trace.endpoint)
+	s.f.Log.Event("stream_resumed", "request", s.request.ID, "behind", s.last, "endpoint", s.trace.endpoint,
+		"tokens", s.request.PromptTokens)
 	return nil
 }
 
@@ -184,6 +187,11 @@
 			s.events++
 		}
 	}
+	now := s.f.Now()
+	if s.eventAt > 0 {
+		s.trace.gap = max(s.trace.gap, now-s.eventAt)
+	}
+	s.eventAt = now
 }
 
 // complete notes the proper end.
