Tell how far behind a daemon is, and how much a pool's scheduler does

On call could not tell a pool's owner that is too slow for its work from one whose pool is full: no line said how long work waits for a duty, nor how much the scheduler does for an event.

A duty now measures its own ring twice a second (a piece of work that carries the time at which it was put there): metric duty_NAME_behind, line duty_behind from 200 ms on for the broker and the membership. pool_state tells how often an engine was tried for a request since the last line, and how many wants came again while they waited. No decision changes.

--- a/core/kvsched/ledger.go
+++ b/core/kvsched/ledger.go
@@ -49,6 +49,10 @@
 	scratch []claim
 	// prefillWork is the predicted engine time of all granted prefills.
 	prefillWork time.Duration
+	// tried counts the engines tried for requests, repeated the wants that came
+	// again while they waited.
+	tried    uint64
+	repeated uint64
 }
 
 // waiting is a request in the queue.
--- a/core/kvsched/memory.go
+++ b/core/kvsched/memory.go
@@ -91,6 +91,7 @@
 // fits says whether a request fits on an engine, and which share of its memory
 // would be left at the peak.
 func (l *Ledger) fits(e *endpoint, w *waiting) (left float64, ok bool) {
+	l.tried++
 	if len(e.decodes) >= e.slots {
 		return 0, false
 	}
--- a/core/kvsched/want.go
+++ b/core/kvsched/want.go
@@ -21,6 +21,7 @@
 		return []sched.Action{{To: w.From, Grant: &grant}}
 	}
 	if l.waiting[w.Request] != nil {
+		l.repeated++
 		return nil
 	}
 	if refusal, known := l.ended.Get(w.Request); known {
--- a/core/sched/demand.go
+++ b/core/sched/demand.go
@@ -32,6 +32,11 @@
 	Queued       int
 	MemoryWanted int
 	PromptWanted int
+	// Tried counts how often an engine was tried for a request since the
+	// scheduler began, which is most of its work, and Repeated the wants that
+	// came again while they waited.
+	Tried    uint64
+	Repeated uint64
 }
 
 // Demander is a scheduler that tells the demand of its pool.
--- a/daemon/broker/broker.go
+++ b/daemon/broker/broker.go
@@ -32,7 +32,9 @@
 	Spread func(s poison.State)
 	Relay  func(s poison.State)
 	// Epoch is the wall time at time zero.
-	Epoch   time.Time
+	Epoch time.Time
+	// Behind, if set, is told how long work waits for the broker.
+	Behind  func(late time.Duration)
 	Metrics *metrics.Registry
 	// Now is the time since the daemon's start.
 	Now func() time.Duration
@@ -72,7 +74,7 @@
 		lost:     cfg.Metrics.Counter("broker_messages_lost", metrics.UnitCount, "messages to other daemons that could not be queued"),
 	}
 	b.unknown = cfg.Metrics.Counter("broker_unknown_pool", metrics.UnitCount, "messages about pools that are not in the configuration here")
-	b.duty = duty.Start(duty.Config{Name: "broker", Ring: ringSize, Now: cfg.Now, Tick: b.tick, Metrics: cfg.Metrics, Ready: cfg.Ready})
+	b.duty = duty.Start(duty.Config{Name: "broker", Ring: ringSize, Now: cfg.Now, Tick: b.tick, Behind: cfg.Behind, Metrics: cfg.Metrics, Ready: cfg.Ready})
 	return b
 }
 
--- a/daemon/duty/duty.go
+++ b/daemon/duty/duty.go
@@ -21,6 +21,9 @@
 	// afterWork is how soon behind a piece of work the duty ticks: the work may
 	// have brought the next time forward.
 	afterWork = 5 * time.Millisecond
+	// behindEvery is the least pause between two measurements of how long work
+	// waits: each costs the duty two wake-ups.
+	behindEvery = 500 * time.Millisecond
 )
 
 // Config of a Duty.
@@ -32,7 +35,10 @@
 	// Now is the time since the daemon's start.
 	Now func() time.Duration
 	// Tick does what is due and returns when it wants to be called next.
-	Tick    func(now time.Duration) time.Duration
+	Tick func(now time.Duration) time.Duration
+	// Behind, if set, is told within the duty how long a piece of work waited,
+	// twice a second at most. All else that the duty is given waits as long.
+	Behind  func(late time.Duration)
 	Metrics *metrics.Registry
 	// Ready, if set, holds the duty back until it is closed.
 	Ready <-chan struct{}
@@ -45,6 +51,12 @@
 	ctx  context.Context
 	stop context.CancelFunc
 	done chan struct{}
+
+	// measuring is set while a measurement waits in the ring, measuredAt is when
+	// the last one ended, and late what it showed.
+	measuring  bool
+	measuredAt time.Duration
+	late       *metrics.Gauge
 }
 
 // Start starts a duty.
@@ -57,6 +69,9 @@
 		in:   ring.New[func(time.Duration)](cfg.Name, cfg.Ring, ring.Block, cfg.Metrics),
 		done: make(chan struct{}),
 	}
+	if cfg.Metrics != nil {
+		d.late = cfg.Metrics.Gauge("duty_"+cfg.Name+"_behind", metrics.UnitMilliseconds, "How long work waited for the duty "+cfg.Name+", last measured.")
+	}
 	d.ctx, d.stop = context.WithCancel(context.Background())
 	go d.run()
 	return d
@@ -144,10 +159,35 @@
 				timer.Reset(afterWork)
 			}
 		case <-timer.C:
-			next := d.cfg.Tick(d.cfg.Now())
+			now := d.cfg.Now()
+			d.measure(now)
+			next := d.cfg.Tick(now)
 			wait := min(max(next-d.cfg.Now(), minWait), maxWait)
 			due = d.cfg.Now() + wait
 			timer.Reset(wait)
 		}
 	}
 }
+
+// measure puts a piece of work of its own into the ring, which finds out how
+// long work waits there.
+func (d *Duty) measure(now time.Duration) {
+	if d.measuring || now < d.measuredAt+behindEvery {
+		return
+	}
+	d.measuring = true
+	d.PostLater(func(then time.Duration) {
+		d.measuring = false
+		d.measuredAt = then
+		d.tellBehind(then - now)
+	})
+}
+
+func (d *Duty) tellBehind(late time.Duration) {
+	if d.late != nil {
+		d.late.Set(float64(late) / float64(time.Millisecond))
+	}
+	if d.cfg.Behind != nil {
+		d.cfg.Behind(late)
+	}
+}
--- a/daemon/duty/duty_test.go
+++ b/daemon/duty/duty_test.go
@@ -1,6 +1,7 @@
 package duty
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -79,3 +80,27 @@
 	is.True(d.Post(func(time.Duration) {}))
 	<-ticked // long before the hour that the first tick asked for
 }
+
+// TestADutyTellsHowLongWorkWaits: the clock moves on while the duty is at work,
+// by as much as what it was given meanwhile waits.
+func TestADutyTellsHowLongWorkWaits(t *testing.T) {
+	is := is.New(t)
+	const works = 300 * time.Millisecond
+	var clock atomic.Int64
+	clock.Store(int64(time.Second))
+	late := make(chan time.Duration, 64)
+	registry := metrics.New("d")
+	d := Start(Config{
+		Name: "test",
+		Now:  func() time.Duration { return time.Duration(clock.Load()) },
+		Tick: func(now time.Duration) time.Duration {
+			clock.Add(int64(works))
+			return now + time.Hour
+		},
+		Behind:  func(l time.Duration) { late <- l },
+		Metrics: registry,
+	})
+	defer d.Close()
+	is.Equal(<-late, works)
+	is.Equal(registry.Get("duty_test_behind").String(), "300")
+}
--- a/daemon/gateway/enroll.go
+++ b/daemon/gateway/enroll.go
@@ -191,6 +191,7 @@
 		Spread:     func(s poison.State) { f.links().SendEvidence(f.members.Others(), s) },
 		Relay:      func(s poison.State) { f.links().RelayEvidence(f.members.Others(), s) },
 		Epoch:      *d.epoch.Load(),
+		Behind:     d.behind("broker"),
 		Metrics:    d.metrics,
 		Now:        d.now,
 		Ready:      wired,
@@ -209,10 +210,11 @@
 				StoreLost: d.storeLost(),
 			}
 		},
-		Log:   d.logger.Event,
-		Now:   d.now,
-		Rand:  d.newRand(),
-		Ready: wired,
+		Log:    d.logger.Event,
+		Now:    d.now,
+		Rand:   d.newRand(),
+		Behind: d.behind("members"),
+		Ready:  wired,
 	})
 	f.orderer = startOrderer(d, f, work, wired)
 	f.hosts = feed.Start(d.hostsConfig(f))
@@ -226,6 +228,20 @@
 	return nil
 }
 
+// behindLeast is how long work must wait for a duty to be worth a line: a
+// quarter of the shortest time in which callers expect a first event.
+const behindLeast = 200 * time.Millisecond
+
+// behind writes a line when work waits long for a duty: the daemon's answers,
+// and all that it decides, are late by as much.
+func (d *Daemon) behind(name string) func(late time.Duration) {
+	return func(late time.Duration) {
+		if late >= behindLeast {
+			d.logger.Event("duty_behind", "duty", name, "late", late)
+		}
+	}
+}
+
 // hostsWait is how long one call waits for new daemons: it may be long, since
 // the daemons tell one another as well.
 const hostsWait = 15 * time.Second
--- a/daemon/gateway/rolechanges.go
+++ b/daemon/gateway/rolechanges.go
@@ -20,6 +20,9 @@
 	settledAt time.Duration
 	// toldAt is when the pool's state was last logged.
 	toldAt time.Duration
+	// tried and repeated are the scheduler's counts that were logged last.
+	tried    uint64
+	repeated uint64
 }
 
 // change is one change of role under way.
@@ -80,7 +83,9 @@
 	}
 	o.d.logger.Event("pool_state", "pool", name, "prefills", len(d.Prefills), "prefills_working", working,
 		"prefill_backlog", d.PrefillBacklog, "decodes", len(d.Decodes), "decodes_running", running,
-		"memory", d.Memory, "memory_held", d.MemoryHeld, "queued", d.Queued, "memory_wanted", d.MemoryWanted)
+		"memory", d.Memory, "memory_held", d.MemoryHeld, "queued", d.Queued, "memory_wanted", d.MemoryWanted,
+		"engines_tried", d.Tried-p.tried, "wants_repeated", d.Repeated-p.repeated)
+	p.tried, p.repeated = d.Tried, d.Repeated
 }
 
 // mark tells the engines that are about to change their role.
--- a/daemon/members/members.go
+++ b/daemon/members/members.go
@@ -61,6 +61,8 @@
 	Log  func(event string, kv ...any)
 	Now  func() time.Duration
 	Rand *rand.Rand
+	// Behind, if set, is told how long work waits for the duty.
+	Behind func(late time.Duration)
 	// Ready holds the duty back until it is closed.
 	Ready <-chan struct{}
 }
@@ -95,7 +97,7 @@
 		stalls:    cfg.Metrics.Counter("member_stalls", metrics.UnitCount, "times that this daemon was not run for a while"),
 	}
 	m.publish()
-	m.duty = duty.Start(duty.Config{Name: "members", Now: cfg.Now, Tick: m.tick, Metrics: cfg.Metrics, Ready: cfg.Ready})
+	m.duty = duty.Start(duty.Config{Name: "members", Now: cfg.Now, Tick: m.tick, Behind: cfg.Behind, Metrics: cfg.Metrics, Ready: cfg.Ready})
 	m.SetHosts(cfg.Seeds)
 	if cfg.Hosts != nil {
 		go m.readHosts()
