--- a/core/kvsched/demand.go
+++ b/core/kvsched/demand.go
@@ -39,6 +39,10 @@
 	return d
 }
 
+// Tried is how often an engine was tried for a request since the start: most of
+// the scheduler's work.
+func (l *Ledger) Tried() uint64 { return l.tried }
+
 // Snapshot implements sched.Snapshotter.
 func (l *Ledger) Snapshot() sched.Snapshot {
 	s := sched.Snapshot{
--- a/core/overload/world.go
+++ b/core/overload/world.go
@@ -8,6 +8,7 @@
 
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/pairing"
 	"github.com/samphirequay/samphirequay/core/sched"
 )
 
@@ -16,6 +17,7 @@
 	Load    Load
 	Callers Callers
 	Engines Engines
+	Owner   Owner
 	// New makes the scheduler of the pool.
 	New func(pool id.Pool, self id.Process) sched.Scheduler
 }
@@ -43,6 +45,8 @@
 	attempt id.Request
 	at      time.Duration
 	run     *run
+	// asker sends the present want.
+	asker *pairing.Asker
 }
 
 // world is the state of a replay.
@@ -51,6 +55,7 @@
 	rng       *rand.Rand
 	now       time.Duration
 	scheduler sched.Scheduler
+	owner     owner
 	events    eventHeap
 	serial    int
 	callers   []*caller
@@ -74,6 +79,7 @@
 		prefills:  map[id.Endpoint]*prefillEngine{},
 		decodes:   map[id.Endpoint]*decodeEngine{},
 	}
+	w.owner.w = w
 	w.configure()
 	for i, a := range r.Load.arrivals(w.rng) {
 		c := &caller{arrival: a, number: i, arrived: a.at}
@@ -113,7 +119,7 @@
 func (w *world) play() {
 	end := settling + w.Load.Length + w.Callers.Deadline
 	for w.events.Len() > 0 {
-		next := w.scheduler.Next()
+		next := w.owner.next()
 		if due := w.events[0].at; next > due {
 			e := heap.Pop(&w.events).(event)
 			w.now = max(w.now, e.at)
@@ -124,7 +130,7 @@
 		if w.now > end {
 			return
 		}
-		w.take(w.scheduler.Tick(w.now))
+		w.owner.tell(func() []sched.Action { return w.scheduler.Tick(w.now) })
 	}
 }
 
@@ -135,12 +141,33 @@
 	w.wants[c.attempt] = c
 	attempt := c.attempt
 	w.at(w.now+w.Callers.Patience, func() { w.leave(c, attempt) })
-	w.take(w.scheduler.Want(w.now, sched.Want{
+	want := sched.Want{
 		Request: c.attempt, Team: "t", Service: serviceName, Pool: poolName, From: asker,
 		PromptTokens: c.prompt, OutputTokens: c.guess, Priority: 5, Attempt: 1,
 		Target: w.Callers.Target, Patience: w.Callers.Patience - 500*time.Millisecond, Lifetime: w.Callers.Deadline,
 		Pause: w.Callers.Pause,
-	}))
+	}
+	c.asker = pairing.New(asker, pairing.Options{Local: true})
+	w.send(c, c.asker.Ask(w.now, want, want.Patience))
+}
+
+// send passes on what a caller's asker wants sent, and has it look again when
+// it wants to: an answer that does not come is asked for again.
+func (w *world) send(c *caller, out pairing.Output) {
+	for _, m := range out.Messages {
+		if m.Want != nil {
+			w.owner.tell(func() []sched.Action { return w.scheduler.Want(w.now, *m.Want) })
+		}
+	}
+	for _, a := range out.Answers {
+		w.refused(&sched.Refusal{Request: a.Request, RetryAfter: a.Err.RetryAfter})
+	}
+	attempt := c.attempt
+	w.at(max(w.now, c.asker.Next()), func() {
+		if c.attempt == attempt && c.run == nil && c.outcome == unserved {
+			w.send(c, c.asker.Tick(w.now))
+		}
+	})
 }
 
 // leave ends a caller that has no first event yet.
@@ -153,7 +180,7 @@
 		w.vain += c.prompt
 		c.run.engine.drop(c.run)
 	}
-	w.take(w.scheduler.Withdraw(w.now, attempt))
+	w.owner.tell(func() []sched.Action { return w.scheduler.Withdraw(w.now, attempt) })
 }
 
 // take carries out what the scheduler decided.
@@ -220,10 +247,12 @@
 func (w *world) progress(r *run, phase sched.Phase) {
 	g := r.grant
 	w.at(w.now+hop, func() {
-		w.take(w.scheduler.Progress(w.now, sched.Progress{
-			Request: g.Request, Reservation: g.Reservation, Phase: phase, Endpoint: g.Decode,
-			PromptTokens: r.caller.prompt, OutputTokens: r.caller.output,
-		}))
+		w.owner.tell(func() []sched.Action {
+			return w.scheduler.Progress(w.now, sched.Progress{
+				Request: g.Request, Reservation: g.Reservation, Phase: phase, Endpoint: g.Decode,
+				PromptTokens: r.caller.prompt, OutputTokens: r.caller.output,
+			})
+		})
 	})
 }
 
