Tests of what a look at a long queue costs, which fail

With 68 decode engines and 400 waiting requests one look tries 27,200 engines; a repeated want and the begin of a prefill, which free nothing, cost as much.

--- /dev/null
+++ b/core/kvsched/look_test.go
@@ -0,0 +1,60 @@
+package kvsched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/sched"
+)
+
+const (
+	looked  = 68 // decode engines
+	crowded = 400
+)
+
+// crowd is a full pool before which a crowd waits, of all sizes.
+func crowd(t *testing.T) (l *Ledger, running *sched.Grant) {
+	t.Helper()
+	l = newLedger(t, document(22, looked, 10000))
+	for i := range looked {
+		g := grants(l.Want(start, want(fmt.Sprint("running-", i), 9000, 10)))
+		if len(g) == 0 {
+			t.Fatal("an idle pool has no engine for a request")
+		}
+		running = g[0]
+		l.Progress(start, done(running, sched.PhaseTransferring))
+		l.Progress(start, done(running, sched.PhaseDecoding))
+	}
+	for i := range crowded {
+		l.Want(start, want(fmt.Sprint("waits-", i), 2000+i%97*60, 10+i%89*5))
+	}
+	return l, running
+}
+
+// TestALookAtALongQueueTriesFewEngines: a pool's owner that tried every engine
+// for every waiting request at every event spent .18 of a core on 96 requests a
+// second, on a host of .192.
+func TestALookAtALongQueueTriesFewEngines(t *testing.T) {
+	is := is.New(t)
+	l, _ := crowd(t)
+	before := l.Tried()
+	l.Tick(start + time.Millisecond)
+	t.Logf("%d engines tried for %d requests", l.Tried()-before, crowded)
+	is.True(l.Tried()-before <= 20*looked)
+	is.Equal(len(l.queue), crowded)
+}
+
+// TestWhatFreesNothingIsNoReasonToLook: a repeated want and the begin of a
+// prefill let nobody be granted; the end of an answer does.
+func TestWhatFreesNothingIsNoReasonToLook(t *testing.T) {
+	is := is.New(t)
+	l, running := crowd(t)
+	before := l.Tried()
+	l.Want(start+time.Millisecond, want("waits-7", 2420, 45))
+	l.Progress(start+time.Millisecond, done(running, sched.PhasePrefilling))
+	is.Equal(l.Tried(), before)
+	is.True(len(grants(l.Progress(start+time.Millisecond, done(running, sched.PhaseDone)))) > 0)
+}
