Send a waiting want again less and less often

Cause: an asker sent each unanswered want again every 250 ms. A request that waits 3 s for engines came 12 times to the pool's owner, which had no news for it: of 477 that wait, 1,900 messages a second at a daemon that is short of processor time, the more of them the longer its queue is.

What it saves at a daemon is the decoding of some thousand messages a second.

--- a/core/pairing/asker.go
+++ b/core/pairing/asker.go
@@ -16,8 +16,14 @@
 )
 
 const (
-	// DefaultResend is how long an unanswered Want waits before it is sent again.
+	// DefaultResend is how long an unanswered Want waits before it is first sent
+	// again: a tenth of what callers of streams wait.
 	DefaultResend = 250 * time.Millisecond
+	// resendMost bounds the wait before it is sent once more, which doubles with
+	// each time. A repeat makes up for a lost message only; at one pace, requests
+	// that wait for 3 s came twelve times each to the owner that was short of
+	// processor time for them.
+	resendMost = time.Second
 	// DefaultMargin is added to a request's patience before the asker gives up
 	// on its owner by itself.
 	DefaultMargin = 100 * time.Millisecond
@@ -64,7 +70,7 @@
 type Options struct {
 	// Local keeps every pool on this daemon: for policies without an owner.
 	Local bool
-	// Resend is the wait before an unanswered Want is sent again.
+	// Resend is the wait before an unanswered Want is first sent again.
 	Resend time.Duration
 	// Margin is added to a request's patience before giving up.
 	Margin time.Duration
@@ -74,10 +80,12 @@
 	want    sched.Want
 	askedAt time.Duration
 	sentAt  time.Duration
-	giveUp  time.Duration
-	owner   id.Daemon
-	grant   *sched.Grant
-	phase   sched.Phase
+	// resend is how long after sentAt the want is sent again.
+	resend time.Duration
+	giveUp time.Duration
+	owner  id.Daemon
+	grant  *sched.Grant
+	phase  sched.Phase
 	// phaseAt is when the phase began.
 	phaseAt time.Duration
 }
@@ -129,12 +137,14 @@
 	a.now = max(a.now, now)
 	e := &entry{want: w, askedAt: now, giveUp: now + patience + a.opts.Margin}
 	a.entries[w.Request] = e
-	return a.sendWant(now, e)
+	return a.sendWant(now, e, a.opts.Resend)
 }
 
-func (a *Asker) sendWant(now time.Duration, e *entry) Output {
+// sendWant sends a Want to the pool's owner, and again after resend.
+func (a *Asker) sendWant(now time.Duration, e *entry, resend time.Duration) Output {
 	e.owner = a.Owner(e.want.Pool)
 	e.sentAt = now
+	e.resend = resend
 	a.due = min(a.due, a.attention(e))
 	w := e.want
 	w.Age += now - e.askedAt
@@ -272,14 +282,14 @@
 
 func (a *Asker) moved(now time.Duration, e *entry) Output {
 	if e.grant == nil {
-		return a.sendWant(now, e)
+		return a.sendWant(now, e, a.opts.Resend)
 	}
 	e.owner = a.Owner(e.want.Pool)
 	return Output{Messages: []Message{a.adoptMessage(e)}}
 }
 
 // attention is when an unanswered entry is sent again or given up.
-func (a *Asker) attention(e *entry) time.Duration { return min(e.sentAt+a.opts.Resend, e.giveUp) }
+func (a *Asker) attention(e *entry) time.Duration { return min(e.sentAt+e.resend, e.giveUp) }
 
 // Next is when Tick is due; far away when nothing waits for an answer.
 func (a *Asker) Next() time.Duration { return a.due }
@@ -302,8 +312,8 @@
 			out.append(a.abandon(e))
 			continue
 		}
-		if now-e.sentAt >= a.opts.Resend {
-			out.append(a.sendWant(now, e))
+		if now-e.sentAt >= e.resend {
+			out.append(a.sendWant(now, e, min(2*e.resend, max(resendMost, e.resend))))
 		}
 		a.due = min(a.due, a.attention(e))
 	}
