Put the engines in order of room once a look, for requests that are passed by

Cause: for each waiting request that may not be passed any longer, up to a fifth of the engines' number in a look, the engine to keep for it was found by trying all of them.

Change: the engine that has the most memory left at its peak is kept, by an order that is worked out once a look. It was the one on which the request lacks the least, which is the same but for requests much shorter than those there.

--- a/core/kvsched/pump.go
+++ b/core/kvsched/pump.go
@@ -137,19 +137,30 @@
 }
 
 // roomiest is the decode engine that will have room for a request first: the
-// one that lacks the least.
+// one that has the most left.
 func (l *Ledger) roomiest(w *waiting) *endpoint {
-	var best *endpoint
-	bestLeft := 0.0
-	for _, e := range l.order {
-		if !e.writes() || !l.usable(e, w) {
-			continue
+	for _, e := range l.byRoom() {
+		if l.usable(e, w) {
+			return e
 		}
-		if left, _ := l.fits(e, w); best == nil || left > bestLeft {
-			best, bestLeft = e, left
+	}
+	return nil
+}
+
+// byRoom lists the engines that write, the one with the most left first; worked
+// out once a look.
+func (l *Ledger) byRoom() []*endpoint {
+	if len(l.look.byRoom) > 0 {
+		return l.look.byRoom
+	}
+	for _, e := range l.order {
+		if e.writes() {
+			e.left = l.left(e)
+			l.look.byRoom = append(l.look.byRoom, e)
 		}
 	}
-	return best
+	slices.SortStableFunc(l.look.byRoom, func(a, b *endpoint) int { return cmp.Compare(b.left, a.left) })
+	return l.look.byRoom
 }
 
 // keepNone ends the keeping of engines: it holds for one look at the queue.
