Leave duties for all to the daemons on the largest hosts

Cause: owners of pools and the three daemons that follow the store for all were chosen by rendezvous hashing over names; what a host grants was not looked at. A pool of 90 engines was owned by a host of .192 core while ten had .8: its broker was up to .84 s behind by duty_behind (no other daemon with requests reached .2 s), and it was suspected by 54 others at second 21. A follower of the store on a link of 10 Mbit/s, which tells 89 daemons of up to 16 KB, was silent for all 89 at seconds 4, 7 and 12, three times that of any other daemon, so that its readers changed and tables had to be read again (2,144 lines tables_behind in 22 s).

Change: daemons tell their host's processor share and link, from the settings; those with at least half of the most of both are eligible (core/capacity). Where hosts are alike, or their figures not known, all are, as before.

--- a/core/member/messages.go
+++ b/core/member/messages.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/samphirequay/samphirequay/core/capacity"
 	"github.com/samphirequay/samphirequay/core/id"
 )
 
@@ -74,6 +75,8 @@
 	Watched bool `cbor:"11,keyasint,omitempty"`
 	// StoreLost says that the platform's store does not answer the daemon.
 	StoreLost bool `cbor:"12,keyasint,omitempty"`
+	// Capacity is what the daemon's host grants it.
+	Capacity capacity.Capacity `cbor:"13,keyasint,omitempty"`
 }
 
 // Kind is the kind of a Message.
--- a/core/readers/readers.go
+++ b/core/readers/readers.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/samphirequay/samphirequay/core/capacity"
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/rendezvous"
 )
@@ -29,17 +30,21 @@
 	Domain id.Domain
 	// StoreLost is set while the store does not answer the daemon.
 	StoreLost bool
+	Capacity  capacity.Capacity
 }
 
 // Choose returns the daemons that read, in different failure domains as far as
-// there are any. Those that the store does not answer are passed over.
+// there are any. Those that the store does not answer are passed over, and those
+// on small hosts, unless too few others are left.
 func Choose(candidates []Candidate) []id.Daemon {
-	domains := make(map[id.Daemon]id.Domain, len(candidates))
-	names := make([]id.Daemon, 0, len(candidates))
-	for _, c := range candidates {
-		if c.StoreLost {
-			continue
-		}
+	served := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.StoreLost })
+	able := capacity.Able(served, func(c Candidate) capacity.Capacity { return c.Capacity })
+	if len(able) < Count {
+		able = served
+	}
+	domains := make(map[id.Daemon]id.Domain, len(able))
+	names := make([]id.Daemon, 0, len(able))
+	for _, c := range able {
 		domains[c.Daemon] = c.Domain
 		names = append(names, c.Daemon)
 	}
--- a/core/readers/readers_test.go
+++ b/core/readers/readers_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/samphirequay/samphirequay/core/capacity"
 	"github.com/samphirequay/samphirequay/core/id"
 )
 
@@ -100,3 +101,24 @@
 		is.True(d.Decide(time.Duration(s)*time.Second, all))
 	}
 }
+
+// TestReadersStandOnTheLargestHosts: each change goes from a reader to all
+// others, which a narrow link takes a second for.
+func TestReadersStandOnTheLargestHosts(t *testing.T) {
+	is := is.New(t)
+	all := fleet(60, 5)
+	large := map[id.Daemon]bool{}
+	for i := range all {
+		all[i].Capacity = capacity.Capacity{Cores: 0.192, LinkMbps: 10}
+		if i%12 == 0 {
+			all[i].Capacity = capacity.Capacity{Cores: 0.8, LinkMbps: 200}
+			large[all[i].Daemon] = true
+		}
+	}
+	for _, d := range Choose(all) {
+		is.True(large[d])
+	}
+	// Two large ones alone are too few: all may read.
+	few := slices.DeleteFunc(slices.Clone(all), func(c Candidate) bool { return large[c.Daemon] && c.Daemon != "d0" && c.Daemon != "d12" })
+	is.Equal(len(Choose(few)), Count)
+}
--- a/daemon/gateway/enroll.go
+++ b/daemon/gateway/enroll.go
@@ -197,8 +197,11 @@
 		Ready:      wired,
 	})
 	f.members = members.Start(members.Config{
-		Core:     memberConfig(),
-		Self:     member.Entry{Process: self, Domain: d.set.Domain, Address: d.set.Listen.Peers, CallerAddress: d.set.Listen.Callers},
+		Core: memberConfig(),
+		Self: member.Entry{
+			Process: self, Domain: d.set.Domain, Address: d.set.Listen.Peers, CallerAddress: d.set.Listen.Callers,
+			Capacity: d.set.Capacity,
+		},
 		Sender:   f.links(),
 		Listener: fleetListener{d, f},
 		Metrics:  d.metrics,
--- a/daemon/gateway/learn.go
+++ b/daemon/gateway/learn.go
@@ -4,7 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/samphirequay/samphirequay/core/capacity"
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/member"
 	"github.com/samphirequay/samphirequay/core/registry"
 )
 
@@ -19,7 +21,17 @@
 	if len(daemons) == 0 {
 		daemons = []id.Daemon{l.f.self.Daemon}
 	}
-	l.f.broker.SetMembers(daemons)
+	l.f.broker.SetMembers(ableAmong(daemons, l.f.members.Entries()))
+}
+
+// ableAmong are the daemons that pools' owners are chosen among: those on the
+// largest hosts.
+func ableAmong(daemons []id.Daemon, entries []member.Entry) []id.Daemon {
+	known := make(map[id.Daemon]capacity.Capacity, len(entries))
+	for _, e := range entries {
+		known[e.Process.Daemon] = e.Capacity
+	}
+	return capacity.Able(daemons, func(d id.Daemon) capacity.Capacity { return known[d] })
 }
 
 // Gone implements members.Listener.
--- /dev/null
+++ b/daemon/gateway/owners_test.go
@@ -0,0 +1,24 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/capacity"
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/member"
+)
+
+// TestPoolsAreOwnedByTheLargestHosts: the one owner of a pool of 90 engines was
+// on a host of .192 core while ten had .8, and fell 0.8 s behind in a burst.
+func TestPoolsAreOwnedByTheLargestHosts(t *testing.T) {
+	is := is.New(t)
+	entry := func(name id.Daemon, cores float64) member.Entry {
+		return member.Entry{Process: id.Process{Daemon: name}, Capacity: capacity.Capacity{Cores: cores, LinkMbps: 100}}
+	}
+	entries := []member.Entry{entry("a", 0.192), entry("b", 0.8), entry("c", 0.192), entry("d", 0.8)}
+	is.Equal(ableAmong([]id.Daemon{"a", "b", "c", "d"}, entries), []id.Daemon{"b", "d"})
+	is.Equal(ableAmong([]id.Daemon{"a", "c", "d"}, entries), []id.Daemon{"d"})
+	is.Equal(ableAmong([]id.Daemon{"a", "c"}, entries), []id.Daemon{"a", "c"})
+}
--- a/daemon/gateway/reading.go
+++ b/daemon/gateway/reading.go
@@ -77,7 +77,9 @@
 	var out []readers.Candidate
 	for _, e := range entries {
 		if e.State == member.Alive && e.Revision > 0 {
-			out = append(out, readers.Candidate{Daemon: e.Process.Daemon, Domain: e.Domain, StoreLost: e.StoreLost})
+			out = append(out, readers.Candidate{
+				Daemon: e.Process.Daemon, Domain: e.Domain, StoreLost: e.StoreLost, Capacity: e.Capacity,
+			})
 		}
 	}
 	return out
--- a/daemon/gateway/settings.go
+++ b/daemon/gateway/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/samphirequay/samphirequay/core/capacity"
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/kvsched"
 	"github.com/samphirequay/samphirequay/daemon/settings"
@@ -21,6 +22,9 @@
 	Store string `json:"store" validate:"required"`
 	// Bounds are what the platform promises and asks for.
 	Bounds Bounds `json:"bounds"`
+	// Capacity is what the host grants the daemon: duties that one daemon does
+	// for all go to the largest hosts. Default: not known.
+	Capacity capacity.Capacity `json:"capacity"`
 	// MemoryMB is the process's bound on memory, in MB.
 	MemoryMB float64 `json:"memory_mb" validate:"min=16"`
 	// Disable switches mechanisms of the scheduler off, to measure what they are
