Follow the store's tables without herds

Cause: two herds took store calls and processor time of small hosts (4,978 calls in 31 s of 90 daemons). At the start every daemon reads for itself until three others have settled, and each told all others of each change: 2,234 of these messages had gaps before them, and each of them had the table read whole. And a daemon behind the others began an attempt to catch up for each of them that knew more, with two reads each: 1,360 attempts in 24 s.

Change: only the daemons chosen to read tell the others. One attempt to catch up runs at a time, towards the most that anybody knows, with pauses that double.

--- a/core/readers/readers.go
+++ b/core/readers/readers.go
@@ -73,17 +73,27 @@
 	// since is when enough others began to read; meaningless unless others is set.
 	since  time.Duration
 	others bool
+	// tells is set while the daemon reads for others as well.
+	tells bool
 }
 
 // NewDecision returns the decision of the daemon self.
 func NewDecision(self id.Daemon) *Decision { return &Decision{self: self} }
 
+// Tells says whether the daemon tells the others of what it reads: where it is
+// chosen, or others are too few. One that only reads on until the others have
+// settled keeps it to itself: at the start of 90 daemons each told 89 others of
+// each change, and 2,200 of these messages had gaps before them for which the
+// table was read anew.
+func (d *Decision) Tells() bool { return d.tells }
+
 // Decide tells whether the daemon reads, given the candidates of the moment.
 // It begins at once where it is chosen or others are too few, and leaves it to
 // others once these have been enough for a while.
 func (d *Decision) Decide(now time.Duration, candidates []Candidate) bool {
 	chosen := Choose(candidates)
-	if len(chosen) < Count || slices.Contains(chosen, d.self) {
+	d.tells = len(chosen) < Count || slices.Contains(chosen, d.self)
+	if d.tells {
 		d.others = false
 		return true
 	}
--- a/core/readers/readers_test.go
+++ b/core/readers/readers_test.go
@@ -82,7 +82,9 @@
 	}
 	d := NewDecision(idle)
 	is.True(d.Decide(0, all[:1])) // it knows hardly anyone yet
+	is.True(d.Tells())
 	is.True(d.Decide(time.Second, all))
+	is.True(!d.Tells()) // it reads on for itself: the others have just begun
 	is.True(d.Decide(time.Second+settle-1, all))
 	is.True(!d.Decide(time.Second+settle, all))
 	// Two readers fall silent: others take their place, and it need not read
@@ -99,6 +101,7 @@
 	d := NewDecision(Choose(all)[0])
 	for s := range 100 {
 		is.True(d.Decide(time.Duration(s)*time.Second, all))
+		is.True(d.Tells())
 	}
 }
 
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -142,6 +142,10 @@
 	orderer   *orderer
 	// owner is set while this daemon owns a pool.
 	owner atomic.Bool
+	// tells is set while this daemon tells the others of the store's tables.
+	tells atomic.Bool
+	// pursuit brings the tables up to what other daemons know of them.
+	pursuit pursuit
 }
 
 // New provisions a daemon. Nothing listens yet.
--- a/daemon/gateway/learn.go
+++ b/daemon/gateway/learn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/capacity"
@@ -44,8 +45,8 @@
 
 // PeerRevision implements members.Listener.
 func (l fleetListener) PeerRevision(from id.Daemon, revision uint64) {
-	if revision > l.d.revision() {
-		time.AfterFunc(behindFor, func() { l.d.catchUp(l.f, from, revision) })
+	if revision > l.d.revision() && l.f.pursuit.note(from, revision) {
+		go l.d.pursue(l.f)
 	}
 }
 
@@ -60,18 +61,75 @@
 	}
 }
 
+// pursuit is what other daemons are known to know more of the store's tables.
+type pursuit struct {
+	mu sync.Mutex
+	// running is set while the daemon tries to learn it.
+	running  bool
+	from     id.Daemon
+	revision uint64
+}
+
+// note takes what a daemon knows; begin says that the pursuit is not running
+// yet. Of daemons that know as much the last one is asked: all others hear of a
+// change at the same time, and should not ask the same one.
+func (p *pursuit) note(from id.Daemon, revision uint64) (begin bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if revision >= p.revision {
+		p.from, p.revision = from, revision
+	}
+	begin = !p.running
+	p.running = true
+	return begin
+}
+
+// next says whom to ask for what; the pursuit ends where the daemon knows it, or
+// has tried often enough: the next change begins another one.
+func (p *pursuit) next(own uint64, tries int) (from id.Daemon, revision uint64, more bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running = own < p.revision && tries < mostPursued
+	return p.from, p.revision, p.running
+}
+
+// pursue learns what other daemons know more of the store's tables, one attempt
+// after another. Before, each of the others that knew more began an attempt of
+// its own: 1,360 attempts, with two reads of the store each, in 24 s of a fleet
+// of 90.
+func (d *Daemon) pursue(f *fleet) {
+	pause := behindFor
+	for tries := 0; ; tries++ {
+		if !d.sleep(pause) {
+			return
+		}
+		from, revision, more := f.pursuit.next(d.revision(), tries)
+		if !more {
+			return
+		}
+		d.catchUp(f, from, revision)
+		pause = min(2*pause, mostPursuitPause)
+	}
+}
+
+// sleep returns false if the daemon ends meanwhile.
+func (d *Daemon) sleep(pause time.Duration) bool {
+	select {
+	case <-d.ctx.Done():
+		return false
+	case <-time.After(pause):
+		return true
+	}
+}
+
 // catchUp learns what another daemon knows more of the store's tables: from
 // the store, whose feed may have gone silent, and if that does not answer from
 // the daemon.
 func (d *Daemon) catchUp(f *fleet, from id.Daemon, revision uint64) {
-	if d.ctx.Err() != nil || d.revision() >= revision {
-		return
-	}
 	d.logger.Event("tables_behind", "peer", from, "peer_revision", revision, "own", d.revision())
 	d.configs.Refresh()
 	d.endpoints.Refresh()
-	if !d.storeLost() {
-		time.AfterFunc(behindFor, func() { d.askPeer(f, from, revision) })
+	if !d.storeLost() && !d.sleep(behindFor) {
 		return
 	}
 	d.askPeer(f, from, revision)
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -60,6 +60,10 @@
 	// behindFor is how long another daemon must know more of the store's tables
 	// before this one asks: its own feed is seldom that much slower.
 	behindFor = 250 * time.Millisecond
+	// mostPursued and mostPursuitPause bound the attempts to learn what other
+	// daemons know more: by then the store's feed has ended a call and begun anew.
+	mostPursued      = 8
+	mostPursuitPause = 2 * time.Second
 	// tablesTimeout bounds the question to another daemon.
 	tablesTimeout = 400 * time.Millisecond
 	// Bounds of the traffic between daemons; the memory that they may take
--- a/daemon/gateway/reading.go
+++ b/daemon/gateway/reading.go
@@ -62,6 +62,7 @@
 	reads := true
 	d.every(readersLook, func() {
 		now := decision.Decide(d.now(), readingCandidates(f.members.Entries()))
+		f.tells.Store(decision.Tells())
 		if now != reads {
 			d.logger.Event("store_reading_changed", "reads", now)
 		}
@@ -88,7 +89,7 @@
 // tellNews tells the other daemons what the store told this one.
 func (d *Daemon) tellNews(n feed.News) {
 	f := d.fleet.Load()
-	if f == nil {
+	if f == nil || !f.tells.Load() {
 		return
 	}
 	size := 0
