Have the test of a fleet beside a dead daemon say how each request ended

It failed once with 19 of 20 answered, and nothing told which way the last one ended. Its counts and the codes of errors are logged now; the test is unchanged.

--- a/cmd/internal/fleet/fleet_test.go
+++ b/cmd/internal/fleet/fleet_test.go
@@ -34,6 +34,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Logf("seed %d: %s codes=%v", seed, res.Line(), res.Total.Codes)
 	return res
 }
 
