Look at the queue once for what a look has done itself; comments in the present

A grant within a look set the mark that has the next event look again, for nothing: a grant makes no room. Comments that told what was before tell what happens without the change now, with their figures.

--- a/core/capacity/capacity.go
+++ b/core/capacity/capacity.go
@@ -16,9 +16,10 @@
 
 // ableShare of the most that any host grants makes a host able. A half keeps
 // hosts of one kind together, whose figures differ a little, and keeps out those
-// of the next smaller kind. On a fleet whose hosts have .192 core and 10 Mbit/s
-// or .8 core and 200 Mbit/s, an owner on a small one fell 0.8 s behind its
-// messages, and a follower of the store took 1.1 s to tell 89 others of 16 KB.
+// of the next smaller kind. Of hosts with .192 core and 10 Mbit/s or .8 core and
+// 200 Mbit/s, an owner of 90 engines on a small one falls 0.8 s behind its
+// messages in a burst, and followers of the store there, for whose link 16 KB to
+// 89 others are 1.1 s, were silent for all others three times in 12 s.
 const ableShare = 0.5
 
 // Able keeps those of the candidates that are able to do a duty for all: with at
--- a/core/kvsched/ledger.go
+++ b/core/kvsched/ledger.go
@@ -125,13 +125,13 @@
 }
 
 // finish does what the event made possible or due. The queue is looked at only
-// where something has stirred: half of what an owner is told, a repeated want or
-// the begin of a prefill, lets nobody be granted.
+// where something has stirred: much of what an owner is told, such as a repeated
+// want or the begin of a prefill, lets nobody be granted.
 func (l *Ledger) finish(actions []sched.Action) []sched.Action {
 	l.expire()
 	if l.stirred {
-		l.stirred = false
 		actions = l.pump(actions)
+		l.stirred = false
 	}
 	actions = l.refuseHopeless(actions)
 	l.drain.look(l.now, len(l.queue) > 0)
--- a/core/pairing/asker.go
+++ b/core/pairing/asker.go
@@ -20,8 +20,8 @@
 	// again: a tenth of what callers of streams wait.
 	DefaultResend = 250 * time.Millisecond
 	// resendMost bounds the wait before it is sent once more, which doubles with
-	// each time. A repeat makes up for a lost message only; at one pace, requests
-	// that wait for 3 s came twelve times each to the owner that was short of
+	// each time. A repeat makes up for a lost message only: at one pace, requests
+	// that wait for 3 s come twelve times each to an owner that is short of
 	// processor time for them.
 	resendMost = time.Second
 	// DefaultMargin is added to a request's patience before the asker gives up
--- a/core/readers/readers.go
+++ b/core/readers/readers.go
@@ -82,9 +82,9 @@
 
 // Tells says whether the daemon tells the others of what it reads: where it is
 // chosen, or others are too few. One that only reads on until the others have
-// settled keeps it to itself: at the start of 90 daemons each told 89 others of
-// each change, and 2,200 of these messages had gaps before them for which the
-// table was read anew.
+// settled keeps it to itself: where all tell, 90 daemons that start together
+// send each other 2,200 messages with gaps before them, and each has a table read
+// anew.
 func (d *Decision) Tells() bool { return d.tells }
 
 // Decide tells whether the daemon reads, given the candidates of the moment.
--- a/daemon/gateway/learn.go
+++ b/daemon/gateway/learn.go
@@ -94,9 +94,9 @@
 }
 
 // pursue learns what other daemons know more of the store's tables, one attempt
-// after another. Before, each of the others that knew more began an attempt of
-// its own: 1,360 attempts, with two reads of the store each, in 24 s of a fleet
-// of 90.
+// after another. With an attempt for each of the others that know more, 90
+// daemons make 1,360 attempts in 24 s of trouble, with two reads of the store
+// each.
 func (d *Daemon) pursue(f *fleet) {
 	pause := behindFor
 	for tries := 0; ; tries++ {
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -50,8 +50,8 @@
 	watchedDead    = 1500 * time.Millisecond
 	// mostHeartbeats is how many heartbeats a daemon sends in a second at most,
 	// mostWatched an owner of pools: from 25 and 73 daemons on they come less
-	// often. 90 daemons that told one another every 400 ms sent 222 a second
-	// each; 475 sent or taken a second cost .03 of a core (60 daemons).
+	// often. Every 400 ms, 90 daemons send 222 a second each, and 475 sent or
+	// taken a second cost .03 of a core (60 daemons).
 	mostHeartbeats = 60
 	mostWatched    = 600
 	// goneGrace is how long a dead daemon's grants stay reserved: its engines
