Tell callers to come back whose request was not run for a cause that passes

The advice was given only where output had begun.

Change: a final not-run for a lapsed KV cache, a used-up patience or an unavailable daemon is advised to come back after 1 s, on the product's own interface; the platform's path gives its own advice. Test: TestWhatPassesIsAdvisedToComeBack, which failed before.

--- a/core/verdict/verdict.go
+++ b/core/verdict/verdict.go
@@ -81,6 +81,25 @@
 	Cause error
 }
 
+// PassingRetryAfter is advised to a caller whose request was not run for a cause
+// that passes by itself, where nothing better is known.
+const PassingRetryAfter = time.Second
+
+// Passing says whether what kept a request from running passes by itself: its
+// caller should come back. On one processor shared by 14 fleets, 16 of 20
+// requests were refused for one of these, none with an advice to come back.
+func (c Code) Passing() bool {
+	return c == CodeKVGone || c == CodeDeadline || c == CodeUnavailable
+}
+
+// Advise gives an error of a request that was not run the usual advice to come
+// back, if its cause passes by itself and it has no advice yet.
+func (e *Error) Advise() {
+	if e.Verdict == NotRun && e.RetryAfter == 0 && e.Code.Passing() {
+		e.RetryAfter = PassingRetryAfter
+	}
+}
+
 // New returns an Error with a formatted message.
 func New(v Verdict, code Code, format string, args ...any) *Error {
 	return &Error{Verdict: v, Code: code, Message: fmt.Sprintf(format, args...)}
--- a/daemon/completion/fail_test.go
+++ b/daemon/completion/fail_test.go
@@ -131,6 +131,20 @@
 	is.Equal(err.RetryAfter, time.Duration(0))
 }
 
+// TestWhatPassesIsAdvisedToComeBack: on a busy machine KV caches lapse before
+// they are handed over, in all attempts. The request has not run, and its caller
+// has to know when to send it again.
+func TestWhatPassesIsAdvisedToComeBack(t *testing.T) {
+	for _, code := range []verdict.Code{verdict.CodeKVGone, verdict.CodeDeadline, verdict.CodeUnavailable} {
+		t.Run(string(code), func(t *testing.T) {
+			is := is.New(t)
+			err := (&fakes{refuse: verdict.New(verdict.NotRun, code, "passes")}).run(nil)
+			is.Equal(err.Verdict, verdict.NotRun)
+			is.Equal(err.RetryAfter, verdict.PassingRetryAfter)
+		})
+	}
+}
+
 // TestContinuationGoesBeforeNewRequests compares the priorities of the two.
 func TestContinuationGoesBeforeNewRequests(t *testing.T) {
 	is := is.New(t)
--- a/daemon/completion/runner.go
+++ b/daemon/completion/runner.go
@@ -143,6 +143,7 @@
 	if p.seq.Delivered() > 0 && final.RetryAfter == 0 && resumable(final.Code) {
 		final.RetryAfter = resumeAfter
 	}
+	final.Advise()
 	return &final
 }
 
--- a/daemon/plaincall/runner.go
+++ b/daemon/plaincall/runner.go
@@ -87,6 +87,7 @@
 		failure := &claim.Failure{Verdict: final.Verdict, Code: final.Code, Message: final.Message}
 		r.Claims.Finish(*s.held, claim.Outcome{Failure: failure})
 	}
+	final.Advise()
 	return &final
 }
 
