--- a/daemon/completion/fail_test.go
+++ b/daemon/completion/fail_test.go
@@ -131,9 +131,9 @@
 	is.Equal(err.RetryAfter, time.Duration(0))
 }
 
-// TestWhatPassesIsAdvisedToComeBack: on a busy machine KV caches lapse before
-// they are handed over, in all attempts. The request has not run, and its caller
-// has to know when to send it again.
+// TestWhatPassesIsAdvisedToComeBack: where processors are short, KV caches lapse
+// before they are handed over, in all attempts. The request has not run, and its
+// caller has to know when to send it again.
 func TestWhatPassesIsAdvisedToComeBack(t *testing.T) {
 	for _, code := range []verdict.Code{verdict.CodeKVGone, verdict.CodeDeadline, verdict.CodeUnavailable} {
 		t.Run(string(code), func(t *testing.T) {
