Say once what the change said twice

Found on reading the whole change; behaviour stays as it is. - Whether a waiting request is late is worked out when the queue is sorted; try and grantWhole, which run within the same look, worked it out again. - A pause that the daemon's end cuts short stood in three places of the gateway: sleep, beside every, serves the enrolment and the probe too. - The names of an account's kinds and pools, sorted, were gathered by two loops, and the keys of its lines by a third: names, and slices.Sorted. - The time between heartbeats was worked out up to three times a beat. - An engine's left and a claim's left were a share and tokens: the former is room now.

--- a/cmd/internal/account/figures.go
+++ b/cmd/internal/account/figures.go
@@ -1,6 +1,7 @@
 package account
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/samphirequay/samphirequay/cmd/internal/experiment"
@@ -19,14 +20,7 @@
 }
 
 func (a *Account) kinds() []string {
-	var out []string
-	for _, s := range a.Seconds {
-		if !slices.Contains(out, s.Kind) {
-			out = append(out, s.Kind)
-		}
-	}
-	slices.Sort(out)
-	return out
+	return names(a.Seconds, func(s Second) string { return s.Kind })
 }
 
 // outcomes draws what became of a kind's requests, by the second of arrival.
@@ -76,7 +70,7 @@
 func (a *Account) pools(name, title, unit string, lines map[string]func(p *Pool) float64) experiment.Figure {
 	f := experiment.Figure{Name: name, Title: title, XLabel: "second", YLabel: unit}
 	for _, pool := range a.poolNames() {
-		for _, line := range sortedKeys(lines) {
+		for _, line := range slices.Sorted(maps.Keys(lines)) {
 			series := experiment.Series{Name: pool + " " + line}
 			for i := range a.Pools {
 				if p := &a.Pools[i]; p.Pool == pool {
@@ -90,22 +84,16 @@
 	return f
 }
 
-func sortedKeys(lines map[string]func(p *Pool) float64) []string {
-	var out []string
-	for name := range lines {
-		out = append(out, name)
-	}
-	slices.Sort(out)
-	return out
+func (a *Account) poolNames() []string {
+	return names(a.Pools, func(p Pool) string { return p.Pool })
 }
 
-func (a *Account) poolNames() []string {
+// names lists the names that items have, sorted, each once.
+func names[T any](items []T, of func(T) string) []string {
 	var out []string
-	for _, p := range a.Pools {
-		if !slices.Contains(out, p.Pool) {
-			out = append(out, p.Pool)
-		}
+	for _, item := range items {
+		out = append(out, of(item))
 	}
 	slices.Sort(out)
-	return out
+	return slices.Compact(out)
 }
--- a/core/kvsched/endpoint.go
+++ b/core/kvsched/endpoint.go
@@ -47,9 +47,9 @@
 	claims    []claim
 	claimsAt  time.Duration
 	claimsOld bool
-	// left is the share of its memory that is left at the peak, as of the last
+	// room is the share of its memory that is left at the peak, as of the last
 	// look at the queue that asked for it.
-	left float64
+	room float64
 }
 
 func newEndpoint(e *live.Endpoint, memoryShare float64) *endpoint {
--- a/core/kvsched/memory.go
+++ b/core/kvsched/memory.go
@@ -121,22 +121,22 @@
 		return 0, false
 	}
 	more := w.claim()
-	left = l.leftWith(e, &more)
+	left = l.roomWith(e, &more)
 	return left, left >= 0
 }
 
-// left is the share of an engine's memory that is left at the peak.
-func (l *Ledger) left(e *endpoint) float64 {
+// room is the share of an engine's memory that is left at the peak.
+func (l *Ledger) room(e *endpoint) float64 {
 	l.tried++
 	if len(e.decodes) >= e.slots {
 		return 0
 	}
-	return l.leftWith(e, nil)
+	return l.roomWith(e, nil)
 }
 
-// leftWith is that share with one more request if extra is set; that of its
+// roomWith is that share with one more request if extra is set; that of its
 // places for an engine that does not tell its memory.
-func (l *Ledger) leftWith(e *endpoint, extra *claim) float64 {
+func (l *Ledger) roomWith(e *endpoint, extra *claim) float64 {
 	if e.memory <= 0 {
 		return 1 - float64(len(e.decodes))/float64(max(1, e.slots))
 	}
--- a/core/kvsched/pump.go
+++ b/core/kvsched/pump.go
@@ -85,7 +85,7 @@
 	if w.want.Prefilled {
 		return l.grant(w, nil, decode), true
 	}
-	if l.late(w) && !l.roomForLate() {
+	if w.tooLate && !l.roomForLate() {
 		w.blocked = lacksLate
 		return nil, false
 	}
@@ -155,11 +155,11 @@
 	}
 	for _, e := range l.order {
 		if e.writes() {
-			e.left = l.left(e)
+			e.room = l.room(e)
 			l.look.byRoom = append(l.look.byRoom, e)
 		}
 	}
-	slices.SortStableFunc(l.look.byRoom, func(a, b *endpoint) int { return cmp.Compare(b.left, a.left) })
+	slices.SortStableFunc(l.look.byRoom, func(a, b *endpoint) int { return cmp.Compare(b.room, a.room) })
 	return l.look.byRoom
 }
 
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -166,10 +166,11 @@
 	m.noteStall(now)
 	if now >= m.due {
 		m.beatAt = now
-		m.due = now + m.ownPeriod()
+		period := m.ownPeriod()
+		m.due = now + period
 		m.self.Period = 0
-		if m.ownPeriod() > m.basePeriod() {
-			m.self.Period = m.ownPeriod()
+		if period > m.basePeriod() {
+			m.self.Period = period
 		}
 		m.self.Beat++
 		m.dropRelays(now)
--- a/daemon/gateway/enroll.go
+++ b/daemon/gateway/enroll.go
@@ -55,10 +55,8 @@
 			return
 		}
 		d.logger.Warn("enrolment_failed", "why", err)
-		select {
-		case <-d.ctx.Done():
+		if !d.sleep(pause/2 + time.Duration(d.rand.Int64N(int64(pause)))) {
 			return
-		case <-time.After(pause/2 + time.Duration(d.rand.Int64N(int64(pause)))):
 		}
 		pause = min(2*pause, enrollRetryMost)
 	}
--- a/daemon/gateway/knowledge.go
+++ b/daemon/gateway/knowledge.go
@@ -207,6 +207,16 @@
 	}
 }
 
+// sleep returns false if the daemon ends meanwhile.
+func (d *Daemon) sleep(pause time.Duration) bool {
+	select {
+	case <-d.ctx.Done():
+		return false
+	case <-time.After(pause):
+		return true
+	}
+}
+
 // publish makes a new view of what is known and tells the duties; the lock is
 // held.
 func (d *Daemon) publish() {
--- a/daemon/gateway/learn.go
+++ b/daemon/gateway/learn.go
@@ -112,16 +112,6 @@
 	}
 }
 
-// sleep returns false if the daemon ends meanwhile.
-func (d *Daemon) sleep(pause time.Duration) bool {
-	select {
-	case <-d.ctx.Done():
-		return false
-	case <-time.After(pause):
-		return true
-	}
-}
-
 // catchUp learns what another daemon knows more of the store's tables: from
 // the store, whose feed may have gone silent, and if that does not answer from
 // the daemon.
--- a/daemon/gateway/probe.go
+++ b/daemon/gateway/probe.go
@@ -55,10 +55,8 @@
 				f.broker.Load(p, sched.Load{Endpoint: e, Reachable: true})
 				return
 			}
-			select {
-			case <-d.ctx.Done():
+			if !d.sleep(probeEvery) {
 				return
-			case <-time.After(probeEvery):
 			}
 		}
 	}()
