Tell how a request ended, and what a prediction rests on

Callers' requests that end without an answer could not be traced: the load generator counted a code and dropped the answer, a refusal gave a predicted time without its parts, and no line told of the samples behind it.

A refusal for time names rate, transfer and token time with their samples and the age of the last. A daemon writes a line `prefilled` with the time that it tells the pool's owner.

--- a/cmd/internal/load/account.go
+++ b/cmd/internal/load/account.go
@@ -22,7 +22,9 @@
 	totals *tally
 	teams  []*tally
 	keyed  []Record
-	lag    *hdrhistogram.Histogram
+	// endings are the error answers of the first requests that got no other.
+	endings []Ending
+	lag     *hdrhistogram.Histogram
 }
 
 // tally sums up the records of a run or of one team.
@@ -70,6 +72,9 @@
 		a.keyed = append(a.keyed, rec)
 	}
 	warm := rec.At >= a.spec.Warmup
+	if warm && rec.Outcome != OutcomeAnswered && rec.Ending != nil && len(a.endings) < maxEndings {
+		a.endings = append(a.endings, *rec.Ending)
+	}
 	for _, t := range []*tally{a.totals, a.teams[rec.Team]} {
 		t.addFault(rec)
 		if warm {
@@ -167,7 +172,7 @@
 	if a.spec.Requests <= 0 {
 		measured = a.spec.Duration - a.spec.Warmup
 	}
-	res := &Result{Seed: a.spec.Seed, Rate: a.spec.Rate, Elapsed: elapsed, Measured: measured, Lag: quantiles(a.lag)}
+	res := &Result{Seed: a.spec.Seed, Rate: a.spec.Rate, Elapsed: elapsed, Measured: measured, Lag: quantiles(a.lag), Endings: a.endings}
 	res.Total = a.totals.summary(measured)
 	for i, t := range a.teams {
 		team := a.spec.Teams[i]
--- a/cmd/internal/load/caller.go
+++ b/cmd/internal/load/caller.go
@@ -46,6 +46,8 @@
 	Fault   Fault
 	// Code of the error, if there was one.
 	Code verdict.Code
+	// Ending is the last error answer, if there was one.
+	Ending *Ending
 	// FirstToken is the time from the arrival to the first output.
 	FirstToken time.Duration
 	// Pace is the mean time between the outputs that follow.
@@ -151,10 +153,8 @@
 
 // refused reads an error answer and decides whether the caller tries again.
 func (c *Caller) refused(resp *http.Response, rec *Record) attempt {
-	detail := readError(resp)
-	if detail.RetryAfterMS == 0 {
-		detail.RetryAfterMS = retryAfter(resp).Milliseconds()
-	}
+	detail, body := readError(resp)
+	rec.Ending = endingOf(resp, detail, body)
 	return c.failed(detail, rec)
 }
 
@@ -182,8 +182,9 @@
 // what it measures, does not become what is measured.
 const retryForeverPause = 50 * time.Millisecond
 
-// readError reads the JSON body of an error.
-func readError(resp *http.Response) opapi.ErrorDetail {
+// readError reads the JSON body of an error, and gives it as it came, too. What
+// it lacks is taken from the headers.
+func readError(resp *http.Response) (opapi.ErrorDetail, []byte) {
 	var body opapi.ErrorBody
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxEntryBytes))
 	if err == nil {
@@ -192,7 +193,10 @@
 	if err != nil || body.Error.Verdict == "" {
 		body.Error.Verdict = resp.Header.Get(opapi.HeaderVerdict)
 	}
-	return body.Error
+	if body.Error.RetryAfterMS == 0 {
+		body.Error.RetryAfterMS = retryAfter(resp).Milliseconds()
+	}
+	return body.Error, raw
 }
 
 // retryAfter reads the Retry-After header, in seconds.
--- a/cmd/internal/load/caller_test.go
+++ b/cmd/internal/load/caller_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -157,3 +158,22 @@
 	defer l.Close()
 	return l.Addr().String()
 }
+
+// TestTheErrorThatEndedARequestIsTold: of a request that ended without an
+// answer, what was sent, by whom and with which status must be readable in the
+// account; one without a code above all.
+func TestTheErrorThatEndedARequestIsTold(t *testing.T) {
+	is := is.New(t)
+	f := newFake(t)
+	f.broken = true
+	res, err := Run(context.Background(), Spec{
+		Entry: []string{f.address()}, Rate: 1000, Requests: 1, Seed: 1,
+		Teams: []Team{{Name: "aktau", Key: "k", Profile: Bunker()}},
+	})
+	is.NoErr(err)
+	is.Equal(res.Total.Failed, 1)
+	is.Equal(len(res.Endings), 1)
+	is.Equal(res.Endings[0].Status, http.StatusBadGateway)
+	is.Equal(res.Endings[0].Daemon, f.address())
+	is.True(strings.Contains(res.Line(), "no code here"))
+}
--- a/cmd/internal/load/fake_test.go
+++ b/cmd/internal/load/fake_test.go
@@ -34,6 +34,8 @@
 	holdAfterFirst bool
 	// twoEnds sends the end twice.
 	twoEnds bool
+	// broken answers with an error that has neither code nor verdict.
+	broken bool
 	// refusals is how many requests are refused before one is taken.
 	refusals atomic.Int32
 	// others are the addresses of the entry answer besides its own.
@@ -68,6 +70,10 @@
 
 func (f *fake) complete(w http.ResponseWriter, r *http.Request) {
 	f.bodies.Add(1)
+	if f.broken {
+		http.Error(w, "no code here", http.StatusBadGateway)
+		return
+	}
 	if f.refusals.Add(-1) >= 0 {
 		refuse(w)
 		return
--- a/cmd/internal/load/result.go
+++ b/cmd/internal/load/result.go
@@ -78,6 +78,8 @@
 	Lag   Quantiles    `json:"lag"`
 	Total Summary      `json:"total"`
 	Teams []TeamResult `json:"teams"`
+	// Endings are the error answers with which requests ended, the first few.
+	Endings []Ending `json:"endings,omitempty"`
 }
 
 // Unanswered is the number of requests that ended without an answer and that
@@ -92,7 +94,8 @@
 	return r.Total.Lost + r.Total.Doubled + r.Total.Wrong
 }
 
-// Line gives the account as one line of key=value pairs.
+// Line gives the account as one line of key=value pairs, with the error answers
+// that requests ended with.
 func (r *Result) Line() string {
 	t := r.Total
 	var b strings.Builder
@@ -102,5 +105,8 @@
 	fmt.Fprintf(&b, " goodput=%.1f/s good=%.1f%%", t.GoodputPerSecond, 100*t.GoodShare)
 	fmt.Fprintf(&b, " ttft_p50=%.0fms ttft_p95=%.0fms pace_p95=%.1fms", t.TTFT.P50MS, t.TTFT.P95MS, t.Pace.P95MS)
 	fmt.Fprintf(&b, " plain_p95=%.1fms send_lag_p99=%.1fms", t.Plain.P95MS, r.Lag.P99MS)
+	for _, e := range r.Endings {
+		fmt.Fprintf(&b, " ended=%q", e.String())
+	}
 	return b.String()
 }
--- a/cmd/internal/load/stream.go
+++ b/cmd/internal/load/stream.go
@@ -27,6 +27,8 @@
 	rec     *Record
 	begun   time.Time
 	last    time.Time
+	// address is the daemon of the present attempt.
+	address string
 	// accepted tells that the system took the request: an answer is owed.
 	accepted bool
 	// ended tells that the end of the answer came.
@@ -55,6 +57,7 @@
 
 // try sends the request once, or resumes it, and reads until the end or a break.
 func (s *stream) try(ctx context.Context, address string) attempt {
+	s.address = address
 	s.request.Delivered = s.answer.text()
 	body, err := json.Marshal(s.request)
 	if err != nil {
@@ -101,10 +104,8 @@
 
 // refused handles an error answer in place of a stream.
 func (s *stream) refused(resp *http.Response) attempt {
-	detail := readError(resp)
-	if detail.RetryAfterMS == 0 {
-		detail.RetryAfterMS = retryAfter(resp).Milliseconds()
-	}
+	detail, body := readError(resp)
+	s.rec.Ending = endingOf(resp, detail, body)
 	return s.failed(detail)
 }
 
@@ -114,6 +115,7 @@
 	if err := json.Unmarshal([]byte(e.data), &body); err != nil {
 		return attempt{broke: true}
 	}
+	s.rec.Ending = newEnding(s.address, http.StatusOK, body.Error, []byte(e.data))
 	return s.failed(body.Error)
 }
 
--- a/core/sched/admission.go
+++ b/core/sched/admission.go
@@ -31,7 +31,7 @@
 	estimate := l.pool.cost(s, &w, l.bestCached(&w))
 	first := l.pool.firstToken(s, estimate)
 	if first > s.patience {
-		return nil, hopeless(&w, s, first)
+		return nil, l.hopeless(&w, s, first)
 	}
 	wait := l.predictWait(s, t, clampPriority(w.Priority), first)
 	late := w.Age + wait + first - s.patience
@@ -40,7 +40,8 @@
 			Request:    w.Request,
 			Code:       verdict.CodeOverloaded,
 			RetryAfter: l.comeBack(late),
-			Reason:     fmt.Sprintf("predicted wait %v and first token %v, patience %v", wait, first, s.patience-w.Age),
+			Reason: fmt.Sprintf("predicted wait %v and first token %v, patience %v; estimates: %s",
+				wait, first, s.patience-w.Age, l.pool.parts(l.now)),
 		}
 	}
 	arrived := l.now - w.Age
@@ -56,12 +57,12 @@
 
 // hopeless refuses a prompt that can't be read within the service's patience
 // even by an idle pool. Coming back does not help, so there is no such advice.
-func hopeless(w *Want, s *service, first time.Duration) *Refusal {
+func (l *Ledger) hopeless(w *Want, s *service, first time.Duration) *Refusal {
 	return &Refusal{
 		Request: w.Request,
 		Code:    verdict.CodeTooLarge,
-		Reason: fmt.Sprintf("the prompt of about %d tokens needs %v to its first token, the service's patience_ms is %d",
-			w.PromptTokens, first.Round(time.Millisecond), s.patience.Milliseconds()),
+		Reason: fmt.Sprintf("the prompt of about %d tokens needs %v to its first token, the service's patience_ms is %d; estimates: %s",
+			w.PromptTokens, first.Round(time.Millisecond), s.patience.Milliseconds(), l.pool.parts(l.now)),
 	}
 }
 
--- a/core/sched/estimate.go
+++ b/core/sched/estimate.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"math"
 	"time"
 )
@@ -13,6 +14,8 @@
 	mean      float64
 	deviation float64
 	samples   int
+	// sampled is when the last sample was taken.
+	sampled time.Duration
 }
 
 // newAverage starts from a first estimate, trusted to a fifth of its size.
@@ -21,13 +24,22 @@
 }
 
 // add takes a sample.
-func (a *average) add(x float64) {
+func (a *average) add(now time.Duration, x float64) {
 	if math.IsNaN(x) || math.IsInf(x, 0) || x <= 0 {
 		return
 	}
 	a.deviation += smoothing * (math.Abs(x-a.mean) - a.deviation)
 	a.mean += smoothing * (x - a.mean)
 	a.samples++
+	a.sampled = now
+}
+
+// origin tells what the average rests on.
+func (a *average) origin(now time.Duration) string {
+	if a.samples == 0 {
+		return "configured"
+	}
+	return fmt.Sprintf("%d samples, the last %v ago", a.samples, (now - a.sampled).Round(time.Millisecond))
 }
 
 // serviceEstimate is what is learned about a service's requests.
--- a/core/sched/poolestimate.go
+++ b/core/sched/poolestimate.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/live"
@@ -52,6 +53,13 @@
 	return cost{prefill: prefill, slot: prefill + p.transfer.mean + decode}
 }
 
+// parts tells what a prediction of the first token is made of, and what each
+// part rests on, for those who ask why a request was refused.
+func (p *poolEstimate) parts(now time.Duration) string {
+	return fmt.Sprintf("prefill %.0f tokens/s (%s), transfer %.1f ms (%s), token %.1f ms (%s)",
+		p.rate.mean, p.rate.origin(now), 1000*p.transfer.mean, p.transfer.origin(now), 1000*p.token.mean, p.token.origin(now))
+}
+
 // firstToken predicts the time from a start to the first output.
 func (p *poolEstimate) firstToken(s *service, c cost) time.Duration {
 	if s.plain {
--- a/core/sched/progress.go
+++ b/core/sched/progress.go
@@ -117,12 +117,12 @@
 		r.prefillTime = p.PrefillTime
 		read := float64(max(1, r.promptTokens-p.CachedTokens))
 		rate := read / p.PrefillTime.Seconds()
-		r.prefill.prefillRate.add(rate)
-		l.pool.rate.add(rate)
+		r.prefill.prefillRate.add(l.now, rate)
+		l.pool.rate.add(l.now, rate)
 	}
 	if p.KVBytes > 0 {
 		r.kvBytes = float64(p.KVBytes)
-		r.service.estimate.kvPerToken.add(r.kvBytes / float64(r.promptTokens))
+		r.service.estimate.kvPerToken.add(l.now, r.kvBytes/float64(r.promptTokens))
 	}
 	l.storePrefix(r)
 }
@@ -148,7 +148,7 @@
 		r.judgeRisk(r.deadline > 0 && l.now > r.deadline)
 		l.leaveLink(r)
 		if p.TransferTime > 0 {
-			l.pool.transfer.add(p.TransferTime.Seconds())
+			l.pool.transfer.add(l.now, p.TransferTime.Seconds())
 		}
 	}
 	l.renew(r, l.now+r.service.timeout+l.options.ExpiresIn)
@@ -167,17 +167,17 @@
 func (l *Ledger) done(r *reservation, p *Progress) {
 	estimate := r.service.estimate
 	if r.service.plain {
-		estimate.callSeconds.add((l.now - r.start).Seconds())
+		estimate.callSeconds.add(l.now, (l.now - r.start).Seconds())
 		l.release(r)
 		return
 	}
 	if p.OutputTokens > 0 {
-		estimate.outputRatio.add(float64(p.OutputTokens) / float64(r.want.OutputTokens))
+		estimate.outputRatio.add(l.now, float64(p.OutputTokens)/float64(r.want.OutputTokens))
 	}
 	if p.OutputTokens > 1 && r.phase == PhaseDecoding {
 		token := (l.now - r.decodingFrom).Seconds() / float64(p.OutputTokens-1)
-		r.decode.tokenTime.add(token)
-		l.pool.token.add(token)
+		r.decode.tokenTime.add(l.now, token)
+		l.pool.token.add(l.now, token)
 	}
 	l.release(r)
 }
--- a/daemon/completion/attempt.go
+++ b/daemon/completion/attempt.go
@@ -69,6 +69,10 @@
 	}
 	a.exported = resp
 	a.prefillTook = a.Now() - a.prefillBegan
+	// What the owner learns from: it refuses later requests by this.
+	a.Recorder.Decision("request", string(a.p.job.ID), "prefilled",
+		"attempt", a.want.Request, "endpoint", a.prefill.Name, "owner", a.grant.Owner.Daemon,
+		"took", a.prefillTook, "tokens", resp.PromptTokens, "cached", resp.CachedTokens)
 	a.report(sched.Progress{
 		Phase:        sched.PhaseTransferring,
 		CachedTokens: resp.CachedTokens,
