--- a/core/overload/engines.go
+++ b/core/overload/engines.go
@@ -12,25 +12,62 @@
 	caller *caller
 	grant  *sched.Grant
 	engine *decodeEngine
+	// transfer is the time of its KV cache's way.
+	transfer time.Duration
 	// begun is set with the first event; written are the tokens so far.
 	begun   bool
 	written float64
 }
 
-// prefillEngine reads prompts one after another.
+// prefillEngine reads prompts one after another. One whose caller has gone is
+// dropped, while it is read too.
 type prefillEngine struct {
-	w         *world
-	busyUntil time.Duration
+	w     *world
+	queue []*read
 }
 
-func (p *prefillEngine) read(r *run, takes time.Duration) {
-	w := p.w
-	w.progress(r, sched.PhasePrefilling)
-	p.busyUntil = max(p.busyUntil, w.now+hop) + takes
-	w.at(p.busyUntil, func() {
-		w.progress(r, sched.PhaseTransferring)
-		w.at(w.now+w.Engines.Transfer, func() { r.engine.begin(r) })
-	})
+// read is a prompt that waits or is being read.
+type read struct {
+	run  *run
+	sent time.Duration
+	// begun is set once the engine has begun.
+	begun bool
+}
+
+func (p *prefillEngine) read(r *run) {
+	p.w.progress(r, sched.PhasePrefilling)
+	job := &read{run: r, sent: p.w.now}
+	p.queue = append(p.queue, job)
+	p.w.at(p.w.now+hop, p.begin)
+}
+
+// begin reads the first prompt of the queue, unless it is being read.
+func (p *prefillEngine) begin() {
+	if len(p.queue) == 0 || p.queue[0].begun {
+		return
+	}
+	job := p.queue[0]
+	job.begun = true
+	p.w.at(p.w.now+p.w.readingTime(job.run.caller.prompt, 1), func() { p.end(job) })
+}
+
+// end hands on a prompt that was read.
+func (p *prefillEngine) end(job *read) {
+	if len(p.queue) == 0 || p.queue[0] != job {
+		return
+	}
+	w, r := p.w, job.run
+	p.queue = p.queue[1:]
+	w.report(r, sched.Progress{Phase: sched.PhaseTransferring, PrefillTime: w.now - job.sent})
+	r.transfer = time.Duration(w.slow * float64(w.Engines.Transfer))
+	w.at(w.now+r.transfer, func() { r.engine.begin(r) })
+	p.begin()
+}
+
+// drop ends the reading of a prompt, or its wait.
+func (p *prefillEngine) drop(r *run) {
+	p.queue = slices.DeleteFunc(p.queue, func(job *read) bool { return job.run == r })
+	p.begin()
 }
 
 // decodeEngine writes answers, all at one pace that falls with their number.
@@ -48,7 +85,7 @@
 // pace is the tokens a second of each run.
 func (e *decodeEngine) pace() float64 {
 	step := e.w.Engines.Step + time.Duration(len(e.runs))*e.w.Engines.StepEach
-	return float64(time.Second) / float64(step)
+	return float64(time.Second) / (e.w.slow * float64(step))
 }
 
 // read has the engine read a prompt itself: its other runs stand still.
@@ -88,7 +125,7 @@
 	r.begun = true
 	e.runs = append(e.runs, r)
 	w.first(r.caller)
-	w.progress(r, sched.PhaseDecoding)
+	w.report(r, sched.Progress{Phase: sched.PhaseDecoding, TransferTime: r.transfer})
 	e.plan()
 }
 
--- a/core/overload/load.go
+++ b/core/overload/load.go
@@ -79,6 +79,8 @@
 	// of its time left for which it waits at most as it was told to.
 	Returns   int
 	WaitShare float64
+	// ServicePatience is the service's own; 0 for the default.
+	ServicePatience time.Duration
 	// AtOnce callers come back at once, whatever they are told: a share of all.
 	AtOnce float64
 }
@@ -95,4 +97,12 @@
 	PrefillRate float64
 	// Transfer is the time of a KV cache's way and the first token.
 	Transfer time.Duration
+	// Slow are the times in which all of them are slow, one at a time.
+	Slow []Slowness
+}
+
+// Slowness multiplies the time of all that engines do.
+type Slowness struct {
+	At, For time.Duration
+	Factor  float64
 }
--- a/core/overload/result.go
+++ b/core/overload/result.go
@@ -27,6 +27,8 @@
 	Returned, RefusedAgain int
 	// Refusals counts all of them, AtOnce those that came within 120 ms.
 	Refusals, AtOnce int
+	// ForGood counts the callers that were told that coming back is of no use.
+	ForGood int
 	// VainTokens were read for requests that were not served.
 	VainTokens int
 	// Preempted counts the requests that lost their memory.
@@ -74,7 +76,7 @@
 
 // result sums the callers up.
 func (w *world) result() *Result {
-	r := &Result{Asked: len(w.callers), VainTokens: w.vain, Preempted: w.preempted}
+	r := &Result{Asked: len(w.callers), ForGood: w.forGood, VainTokens: w.vain, Preempted: w.preempted}
 	for _, c := range w.callers {
 		second := int(c.arrived / time.Second)
 		for len(r.Seconds) <= second {
--- /dev/null
+++ b/core/overload/slowness_test.go
@@ -0,0 +1,73 @@
+package overload
+
+import (
+	"testing"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/sched"
+)
+
+const (
+	// inTimeAim is the share of requests that are to have their first token in
+	// time: 95 in 100, the stated aim.
+	inTimeAim = 0.95
+	// relief is how long after a slowness the aim must hold again: a caller that
+	// was refused in it waits about as long before it comes back.
+	relief = 2 * time.Second
+)
+
+// slowdown is ten seconds in which engines take so many times as long.
+func slowdown(factor float64) Slowness {
+	return Slowness{At: 5 * time.Second, For: 10 * time.Second, Factor: factor}
+}
+
+// slotDesk is a desk of 18 engines whose callers want a first token within
+// 360 ms, at a twentieth of what they can serve.
+func slotDesk(slow Slowness) Replay {
+	return Replay{
+		Load: Load{Length: 25 * time.Second, PerSecond: 20, Prompt: 200, Output: 5, Spread: 0.3, Most: 2},
+		Callers: Callers{
+			Target: 360 * time.Millisecond, ServicePatience: 360 * time.Millisecond, Patience: time.Minute,
+			Deadline: time.Minute, Returns: 1000, WaitShare: 1,
+		},
+		Engines: Engines{
+			Prefills: 9, Decodes: 9, Batch: 16, Memory: 1 << 20, Step: 5 * time.Millisecond,
+			PrefillRate: 20000, Transfer: 10 * time.Millisecond, Slow: []Slowness{slow},
+		},
+		New: func(pool id.Pool, self id.Process) sched.Scheduler {
+			return sched.NewLedger(sched.Options{Pool: pool, Self: self, Seed: 1})
+		},
+	}
+}
+
+// checkRelief fails the test if too few of those that arrive a while after the
+// slowness are answered in time.
+func checkRelief(t *testing.T, r Replay, res *Result) {
+	t.Helper()
+	slow := r.Engines.Slow[0]
+	sound := int((slow.At + slow.For + relief) / time.Second)
+	for i := sound; i < int(r.Load.Length/time.Second); i++ {
+		s := res.Seconds[i]
+		if got := share(s.InTime, s.Asked); got < inTimeAim {
+			t.Errorf("second %d, %v after the engines are sound: %.2f in time of %d (late %d, refused %d)",
+				i, time.Duration(i)*time.Second-slow.At-slow.For, got, s.Asked, s.Late, s.Refused)
+			return
+		}
+	}
+}
+
+// Callers of the scheduler for slots were told for good that a prompt of 79
+// tokens is too large, by engines that read 20,000 tokens a second, and all
+// others after them, while the engines stood idle.
+func TestASlownessThatIsOverRefusesNobody(t *testing.T) {
+	for _, factor := range []float64{10, 40, 100} {
+		r := slotDesk(slowdown(factor))
+		res := r.Run(1)
+		t.Logf("%v times as slow: of %d in time %d, late %d, refused for good %d", factor, res.Asked, res.InTime, res.Late, res.ForGood)
+		if res.ForGood > 0 {
+			t.Errorf("%v times as slow: %d callers told not to come back", factor, res.ForGood)
+		}
+		checkRelief(t, r, res)
+	}
+}
--- a/core/overload/world.go
+++ b/core/overload/world.go
@@ -10,6 +10,7 @@
 	"github.com/samphirequay/samphirequay/core/live"
 	"github.com/samphirequay/samphirequay/core/pairing"
 	"github.com/samphirequay/samphirequay/core/sched"
+	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
 // Replay is one load against one scheduler.
@@ -25,6 +26,7 @@
 const (
 	poolName    id.Pool    = "p"
 	serviceName id.Service = "s"
+	teamName    id.Team    = "t"
 	// settling is how long before the first arrival the scheduler begins.
 	settling = time.Second
 	// hop is the time of a message between a daemon and the pool's owner.
@@ -63,9 +65,14 @@
 	prefills  map[id.Endpoint]*prefillEngine
 	decodes   map[id.Endpoint]*decodeEngine
 
+	// slow is the factor that the engines' times are multiplied by now.
+	slow float64
+
 	refusalWaits []time.Duration
-	vain         int
-	preempted    int
+	// forGood counts the callers that were told not to come back.
+	forGood   int
+	vain      int
+	preempted int
 }
 
 // Run replays the load with a seed.
@@ -78,9 +85,14 @@
 		wants:     map[id.Request]*caller{},
 		prefills:  map[id.Endpoint]*prefillEngine{},
 		decodes:   map[id.Endpoint]*decodeEngine{},
+		slow:      1,
 	}
 	w.owner.w = w
 	w.configure()
+	for _, s := range r.Engines.Slow {
+		w.at(settling+s.At, func() { w.slowDown(s.Factor) })
+		w.at(settling+s.At+s.For, func() { w.slowDown(1) })
+	}
 	for i, a := range r.Load.arrivals(w.rng) {
 		c := &caller{arrival: a, number: i, arrived: a.at}
 		w.callers = append(w.callers, c)
@@ -92,8 +104,11 @@
 
 func (w *world) configure() {
 	doc := &live.Document{
-		Services: []live.Service{{Name: serviceName, Pool: poolName}},
-		Pools:    []live.Pool{{Name: poolName, EndpointSelector: "in=p"}},
+		Teams: []live.Team{{Name: teamName}},
+		Services: []live.Service{{
+			Name: serviceName, Pool: poolName, PatienceMS: int(w.Callers.ServicePatience.Milliseconds()),
+		}},
+		Pools: []live.Pool{{Name: poolName, EndpointSelector: "in=p"}},
 	}
 	add := func(role live.Role, n int) {
 		for i := range n {
@@ -101,6 +116,8 @@
 			doc.Endpoints = append(doc.Endpoints, live.Endpoint{
 				Name: name, Labels: live.Labels{"in": "p", live.LabelRole: string(role)},
 				Domain: id.Domain(fmt.Sprint(i % 3)), Slots: w.Engines.Batch, KVTokens: w.Engines.Memory,
+				PrefillTokensPerSecond: w.Engines.PrefillRate,
+				DecodeTokenMS:          float64(w.Engines.Step) / float64(time.Millisecond),
 			})
 			if role == live.RolePrefill {
 				w.prefills[name] = &prefillEngine{w: w}
@@ -142,7 +159,7 @@
 	attempt := c.attempt
 	w.at(w.now+w.Callers.Patience, func() { w.leave(c, attempt) })
 	want := sched.Want{
-		Request: c.attempt, Team: "t", Service: serviceName, Pool: poolName, From: asker,
+		Request: c.attempt, Team: teamName, Service: serviceName, Pool: poolName, From: asker,
 		PromptTokens: c.prompt, OutputTokens: c.guess, Priority: 5, Attempt: 1,
 		Target: w.Callers.Target, Patience: w.Callers.Patience - 500*time.Millisecond, Lifetime: w.Callers.Deadline,
 		Pause: w.Callers.Pause,
@@ -178,6 +195,9 @@
 	c.outcome = left
 	if c.run != nil {
 		w.vain += c.prompt
+		if p := w.prefills[c.run.grant.Prefill]; p != nil {
+			p.drop(c.run)
+		}
 		c.run.engine.drop(c.run)
 	}
 	w.owner.tell(func() []sched.Action { return w.scheduler.Withdraw(w.now, attempt) })
@@ -206,11 +226,26 @@
 		r.engine.read(r, w.readingTime(c.prompt, 0.5))
 		return
 	}
-	w.prefills[g.Prefill].read(r, w.readingTime(c.prompt, 1))
+	if g.StartIn > 0 {
+		w.at(w.now+g.StartIn, func() { w.prefills[g.Prefill].read(r) })
+		return
+	}
+	w.prefills[g.Prefill].read(r)
+}
+
+// slowDown changes the speed of all engines.
+func (w *world) slowDown(factor float64) {
+	for _, e := range w.decodes {
+		e.settle()
+	}
+	w.slow = factor
+	for _, e := range w.decodes {
+		e.plan()
+	}
 }
 
 func (w *world) readingTime(tokens int, speed float64) time.Duration {
-	return time.Duration(float64(tokens) / (speed * w.Engines.PrefillRate) * float64(time.Second))
+	return time.Duration(w.slow * float64(tokens) / (speed * w.Engines.PrefillRate) * float64(time.Second))
 }
 
 // refused has a caller come back, as it was told or at once.
@@ -221,6 +256,11 @@
 	}
 	w.refusalWaits = append(w.refusalWaits, w.now-c.at)
 	c.refusals++
+	if r.Code == verdict.CodeTooLarge {
+		w.forGood++
+		c.outcome = refused
+		return
+	}
 	if c.returns >= w.Callers.Returns {
 		c.outcome = refused
 		return
@@ -244,15 +284,14 @@
 }
 
 // progress tells the scheduler how a request fares.
-func (w *world) progress(r *run, phase sched.Phase) {
-	g := r.grant
+func (w *world) progress(r *run, phase sched.Phase) { w.report(r, sched.Progress{Phase: phase}) }
+
+// report tells the scheduler how a request fares, with what was measured.
+func (w *world) report(r *run, p sched.Progress) {
+	p.Request, p.Reservation, p.Endpoint = r.grant.Request, r.grant.Reservation, r.grant.Decode
+	p.PromptTokens, p.OutputTokens = r.caller.prompt, r.caller.output
 	w.at(w.now+hop, func() {
-		w.owner.tell(func() []sched.Action {
-			return w.scheduler.Progress(w.now, sched.Progress{
-				Request: g.Request, Reservation: g.Reservation, Phase: phase, Endpoint: g.Decode,
-				PromptTokens: r.caller.prompt, OutputTokens: r.caller.output,
-			})
-		})
+		w.owner.tell(func() []sched.Action { return w.scheduler.Progress(w.now, p) })
 	})
 }
 
