Let the estimates of engines grow old while nothing confirms them

Callers saw less capacity than the pool has: an engine that was slow for a while got no work any more once it was sound.

Cause: its prefill rate and token time are corrected only by work that it gets, and while other engines are estimated to be faster it gets none. The same fault as the pool's means, found by looking for what is learnt, decides who works, and is corrected only by work.

Estimates without a sample go back to the configured ones, most of the way in 4 s, as the balancer's do. They don't where work goes on, so an engine that is slow for long is still known to be; one without work is tried again after some seconds, at the price of a late answer if it is still slow.

--- a/core/sched/estimate.go
+++ b/core/sched/estimate.go
@@ -11,6 +11,8 @@
 
 // average is an exponentially weighted moving average with its mean deviation.
 type average struct {
+	// first is the first estimate: the configuration's, or a default.
+	first     float64
 	mean      float64
 	deviation float64
 	samples   int
@@ -20,7 +22,7 @@
 
 // newAverage starts from a first estimate, trusted to a fifth of its size.
 func newAverage(first float64) average {
-	return average{mean: first, deviation: first * smoothing}
+	return average{first: first, mean: first, deviation: first * smoothing}
 }
 
 // add takes a sample.
@@ -36,9 +38,30 @@
 
 // join takes a further first estimate into the mean of n of them.
 func (a *average) join(first float64, n int) {
+	a.first += (first - a.first) / float64(n)
 	a.mean += (first - a.mean) / float64(n)
 }
 
+const (
+	// relaxAfter is the time in which an estimate goes back most of the way to
+	// the first one while no sample comes. Without it an engine that was slow for
+	// a while got 0 of the 20 prompts that came ten seconds later.
+	relaxAfter = 4 * time.Second
+	// relaxEvery is how often that is looked at.
+	relaxEvery = 500 * time.Millisecond
+)
+
+// relax lets the average go back to its first estimate for the time that has
+// passed, if no sample came in it.
+func (a *average) relax(now, passed time.Duration) {
+	if a.samples == 0 || now-a.sampled < passed {
+		return
+	}
+	gone := 1 - math.Exp(-float64(passed)/float64(relaxAfter))
+	a.mean += gone * (a.first - a.mean)
+	a.deviation += gone * (smoothing*a.first - a.deviation)
+}
+
 // origin tells what the average rests on.
 func (a *average) origin(now time.Duration) string {
 	if a.samples == 0 {
--- a/core/sched/ledger.go
+++ b/core/sched/ledger.go
@@ -49,6 +49,8 @@
 	pool     poolEstimate
 	// awaited counts the granted requests that have yet to give a first token.
 	awaited int
+	// relaxed is when estimates were last looked at for their age.
+	relaxed time.Duration
 	blocked bool
 	// full are the endpoints that refused for lack of room lately.
 	full     []*endpoint
@@ -111,6 +113,7 @@
 		return
 	}
 	l.now = now
+	l.relax()
 }
 
 // finish does what the event made possible or due and checks the invariants.
--- a/core/sched/poolestimate.go
+++ b/core/sched/poolestimate.go
@@ -59,6 +59,13 @@
 	p.bestToken = min(p.bestToken, p.token.mean)
 }
 
+// relax lets the means that nothing confirms go back to the configured figures.
+func (p *poolEstimate) relax(now, passed time.Duration) {
+	p.rate.relax(now, passed)
+	p.token.relax(now, passed)
+	p.transfer.relax(now, passed)
+}
+
 // prefillTime predicts the prefill of some tokens.
 func (p *poolEstimate) prefillTime(tokens int) time.Duration {
 	return seconds(float64(max(1, tokens)) / p.rate.mean)
--- a/core/sched/trial_test.go
+++ b/core/sched/trial_test.go
@@ -2,12 +2,59 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
+// serve runs one request to its end on whatever it is granted and returns where
+// its prompt was read. A slow engine takes factor times as long for that.
+func serve(t *testing.T, l *Ledger, n int, slow id.Endpoint, factor float64) id.Endpoint {
+	t.Helper()
+	want := testWant(n, teamName(0))
+	g := onlyGrant(t, l.Want(l.now+ms, want))
+	took := 100 * ms
+	if g.Prefill == slow {
+		took = seconds(factor * took.Seconds())
+	}
+	p := progressOf(g, PhasePrefilling)
+	l.Progress(l.now+ms, p)
+	p.Phase, p.PromptTokens, p.PrefillTime = PhaseTransferring, want.PromptTokens, took
+	l.Progress(l.now+took, p)
+	l.Progress(l.now+ms, progressOf(g, PhaseDecoding))
+	l.Progress(l.now+400*ms, progressOf(g, PhaseDone))
+	return g.Prefill
+}
+
+// TestAnEngineThatWasSlowIsTriedAgain: its estimate is corrected only by work
+// that it gets, and it gets none while others are estimated to be faster. In ten
+// seconds it must be forgotten.
+func TestAnEngineThatWasSlowIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	const slow = id.Endpoint("prefill-000")
+	l := testLedger(t, testOptions(t), testDocument(4, 1))
+	n := 0
+	for range 20 {
+		n++
+		serve(t, l, n, slow, 10)
+	}
+	is.True(l.endpoints[slow].prefillRate.mean < 20_000) // it was seen to be slow
+
+	l.Tick(l.now + 10*time.Second)
+	got := 0
+	for range 20 {
+		n++
+		if serve(t, l, n, slow, 1) == slow {
+			got++
+		}
+	}
+	t.Logf("%d of 20 prompts went to the engine that was slow", got)
+	is.True(got >= 5) // half of its even share
+}
+
 // TestOneAtATimeIsTriedAgainstTheEstimates: where the means rule every request
 // out, one runs, and those that come meanwhile are told when to come back.
 func TestOneAtATimeIsTriedAgainstTheEstimates(t *testing.T) {
