Call no key wrong while the configuration is missing or behind

Cause: a daemon serves callers before it has a configuration, and its empty index knows no key and no service. What it lacks was taken for what does not exist.

--- a/core/revision/follower.go
+++ b/core/revision/follower.go
@@ -166,6 +166,12 @@
 	return f.failed && waited && newest && f.doc.Revision > 0
 }
 
+// Newest tells whether no later document is known of: what this one doesn't hold
+// doesn't exist, as far as anybody has said.
+func (f *Follower) Newest(now time.Duration) bool {
+	return f.Ready(now) && f.doc.Revision >= f.highest
+}
+
 // Next is when Tick is due.
 func (f *Follower) Next() time.Duration {
 	next := min(f.fetchAt, f.fetchEnds)
--- a/daemon/app/requests.go
+++ b/daemon/app/requests.go
@@ -40,6 +40,7 @@
 	d.front = front.New(front.Deps{
 		Self:         d.self,
 		Directory:    d.configs.Index,
+		Newest:       d.configs.Newest,
 		Completions:  completions,
 		PlainCalls:   plain,
 		Tokens:       d.tokens,
@@ -48,6 +49,7 @@
 		Entry:        d.entryAnswer,
 		Ready:        d.ready,
 		Arrived:      d.noteCaller,
+		Log:          d.logger.Event,
 		Logger:       httpLogger{d.logger},
 		Now:          d.now,
 		NewID:        newRequestID,
--- a/daemon/configs/configs.go
+++ b/daemon/configs/configs.go
@@ -56,6 +56,7 @@
 	follower *revision.Follower
 	index    atomic.Pointer[live.Index]
 	ready    atomic.Bool
+	newest   atomic.Bool
 	storeUp  atomic.Bool
 	revision *metrics.Gauge
 }
@@ -81,12 +82,17 @@
 // Ready says whether the configuration may be acted on.
 func (c *Configs) Ready() bool { return c.ready.Load() }
 
+// Newest says whether no later configuration is known of. Until then a name or a
+// key that it does not hold may be in force elsewhere.
+func (c *Configs) Newest() bool { return c.newest.Load() }
+
 // StoreUp says whether the last read of the store succeeded.
 func (c *Configs) StoreUp() bool { return c.storeUp.Load() }
 
 func (c *Configs) tick(now time.Duration) time.Duration {
 	c.perform(c.follower.Tick(now))
 	c.ready.Store(c.follower.Ready(now))
+	c.newest.Store(c.follower.Newest(now))
 	c.storeUp.Store(c.follower.StoreUp())
 	return c.follower.Next()
 }
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -57,7 +57,9 @@
 type Deps struct {
 	Self id.Process
 	// Directory is the configuration in force.
-	Directory   func() *live.Index
+	Directory func() *live.Index
+	// Newest says whether no later configuration is known of.
+	Newest      func() bool
 	Completions Completions
 	PlainCalls  PlainCalls
 	Tokens      Tokens
@@ -67,6 +69,8 @@
 	Entry func() opapi.EntryAnswer
 	// Ready says whether the daemon takes requests, and if not, why.
 	Ready func() (bool, string)
+	// Log takes a line for each request that is refused before it has an id.
+	Log func(event string, kv ...any)
 	// Logger takes what the HTTP library has to say.
 	Logger fasthttp.Logger
 	// Arrived is told of each request.
@@ -193,15 +197,28 @@
 // service finds a service that the team may use; the error repeats the name
 // that the caller gave.
 func (s *Server) service(team *live.Team, name string) (*live.Service, *verdict.Error) {
+	// Asked first: a configuration that comes in between must not count as known.
+	newest := s.Newest()
 	svc, err := s.Directory().ServiceFor(team, id.Service(name))
 	if err == nil {
 		return svc, nil
 	}
+	if !newest {
+		return nil, unsure()
+	}
 	named := *err
 	named.Message = fmt.Sprintf("%s: %.*q", err.Message, maxEcho, name)
 	return nil, &named
 }
 
+// unsure refuses what the configuration here does not hold, while it is missing
+// or known to be behind: it may be in force elsewhere. A daemon that had just
+// started told callers for good that their keys belong to no team.
+func unsure() *verdict.Error {
+	err := verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this daemon has no configuration yet, or not the newest one")
+	return err.WithRetryAfter(verdict.PassingRetryAfter)
+}
+
 // authenticate finds the team of the request's bearer key.
 func (s *Server) authenticate(ctx *fasthttp.RequestCtx) (*live.Team, *verdict.Error) {
 	header := string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization))
@@ -209,7 +226,11 @@
 	if !ok || key == "" {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "the Authorization header holds no bearer key")
 	}
+	newest := s.Newest()
 	team, ok := s.Directory().TeamByKey(key)
+	if !ok && !newest {
+		return nil, unsure()
+	}
 	if !ok {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "the bearer key belongs to no team")
 	}
--- a/daemon/front/fuzz_test.go
+++ b/daemon/front/fuzz_test.go
@@ -46,6 +46,8 @@
 	}
 	s := &Server{stats: newStats(metrics.New("fuzz"))}
 	s.Directory = func() *live.Index { return index }
+	s.Newest = func() bool { return true }
+	s.Log = func(string, ...any) {}
 	s.Tokens = ring
 	s.NewID = func() id.Request { return "fresh" }
 	s.MaxBodyBytes = 1 << 20
