Refuse nobody for good by an owner that has another configuration

Callers saw 404 or 403 from a daemon that had found their service and team in its own configuration, where the pool's owner did not know them yet (or any more): the fault of the keys, on the owner's side, found by looking for it.

Cause: the owner's refusal was passed on as it is, although the two daemons disagree and a change is on its way to one of them.

TestAnOwnerThatIsBehindRefusesNobodyForGood failed for both codes before.

--- a/core/pairing/asker.go
+++ b/core/pairing/asker.go
@@ -260,8 +260,21 @@
 		return Output{}
 	}
 	delete(a.entries, r.Request)
-	err := verdict.New(verdict.NotRun, r.Code, "%s", r.Reason).WithRetryAfter(r.RetryAfter)
-	return Output{Answers: []Answer{{Request: r.Request, Err: err}}}
+	return Output{Answers: []Answer{{Request: r.Request, Err: e.refusal(&r)}}}
+}
+
+// refusal is what the caller hears. What this daemon found in its configuration
+// and the owner's lacks is in force in one of the two: that passes within the
+// seconds that a change takes to spread, and is no reason to refuse for good.
+func (e *entry) refusal(r *sched.Refusal) *verdict.Error {
+	switch r.Code {
+	case verdict.CodeUnknownService, verdict.CodeForbidden:
+		err := verdict.New(verdict.NotRun, verdict.CodeUnavailable,
+			"%s, which schedules pool %s, has another configuration: %s", e.owner, e.want.Pool, r.Reason)
+		return err.WithRetryAfter(verdict.PassingRetryAfter)
+	default:
+		return verdict.New(verdict.NotRun, r.Code, "%s", r.Reason).WithRetryAfter(r.RetryAfter)
+	}
 }
 
 // Members takes the live daemons. Requests of pools whose owner changed go to
--- a/core/pairing/asker_test.go
+++ b/core/pairing/asker_test.go
@@ -211,3 +211,22 @@
 	is.Equal(adopt.For, 3*time.Second)
 	is.Equal(adopt.Want.Age, 4100*time.Millisecond)
 }
+
+// TestAnOwnerThatIsBehindRefusesNobodyForGood: this daemon has found the service
+// and the team in its configuration; an owner that does not know them has another
+// one, and the caller must be told to come back.
+func TestAnOwnerThatIsBehindRefusesNobodyForGood(t *testing.T) {
+	for _, code := range []verdict.Code{verdict.CodeUnknownService, verdict.CodeForbidden} {
+		t.Run(string(code), func(t *testing.T) {
+			is := is.New(t)
+			a := New(id.Process{Daemon: "d1", Incarnation: 1}, Options{Local: true})
+			a.Ask(0, sched.Want{Request: "r", Pool: "p"}, time.Second)
+			out := a.Refused("d1", sched.Refusal{Request: "r", Code: code, Reason: "not here"})
+			is.Equal(len(out.Answers), 1)
+			err := out.Answers[0].Err
+			is.Equal(err.Code, verdict.CodeUnavailable)
+			is.Equal(err.Verdict, verdict.NotRun)
+			is.True(err.RetryAfter > 0)
+		})
+	}
+}
