Refuse connections beyond the bound with code, verdict and advice

Callers that connected beyond limits.max_connections saw a bare 503 of the HTTP library: no code, no verdict, no advice when to come back, and so could not know that their request had not run. Found by looking for errors of a daemon without a code, behind those that turned out to be a stranger's.

Cause: the bound was the library's own number of served connections, and the library answers beyond it before any handler runs.

An eighth more connections are taken, marked when they are accepted, refused at their first request as overloaded, not run, come back in 1 s, and closed. The bound by IP number was checked and documented and bounded nothing; it is kept in the same place.

--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -121,6 +121,8 @@
 		wired:  make(chan struct{}),
 		closed: make(chan struct{}),
 	}
+	d.connections.most = set.Limits.MaxConnections
+	d.connections.mostOfIP = set.Limits.MaxConnectionsPerIP
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	if opts.Seed == 0 {
 		opts.Seed = uint64(d.self.Incarnation)
--- a/daemon/app/conns.go
+++ b/daemon/app/conns.go
@@ -1,15 +1,20 @@
 package app
 
 import (
+	"crypto/tls"
 	"net"
 	"sync"
 )
 
 // connections remembers the callers' open connections, so that Kill can break
-// them as the end of the process would.
+// them as the end of the process would, and those beyond the bounds be refused.
 type connections struct {
+	// most bounds them, mostOfIP those from one address.
+	most, mostOfIP int
+
 	mu   sync.Mutex
 	open map[*trackedConn]struct{}
+	ips  map[string]int
 }
 
 // trackingListener tells connections of each one that it accepts.
@@ -22,6 +27,9 @@
 type trackedConn struct {
 	*net.TCPConn
 	list *connections
+	ip   string
+	// surplus is set where the bounds were reached before it came.
+	surplus bool
 }
 
 // Accept implements net.Listener.
@@ -39,23 +47,50 @@
 
 func (c *connections) add(tcp *net.TCPConn) *trackedConn {
 	t := &trackedConn{TCPConn: tcp, list: c}
+	if at, ok := tcp.RemoteAddr().(*net.TCPAddr); ok {
+		t.ip = at.IP.String()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.open == nil {
 		c.open = make(map[*trackedConn]struct{})
+		c.ips = make(map[string]int)
 	}
+	t.surplus = len(c.open) >= c.most || c.ips[t.ip] >= c.mostOfIP
 	c.open[t] = struct{}{}
+	c.ips[t.ip]++
 	return t
 }
 
+// surplus says whether a connection is beyond the bounds.
+func surplus(conn net.Conn) bool {
+	if secured, ok := conn.(*tls.Conn); ok {
+		conn = secured.NetConn()
+	}
+	tracked, ok := conn.(*trackedConn)
+	return ok && tracked.surplus
+}
+
 // Close implements net.Conn.
 func (t *trackedConn) Close() error {
-	t.list.mu.Lock()
-	delete(t.list.open, t)
-	t.list.mu.Unlock()
+	t.list.remove(t)
 	return t.TCPConn.Close()
 }
 
+// remove forgets a connection, once.
+func (c *connections) remove(t *trackedConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.open[t]; !ok {
+		return
+	}
+	delete(c.open, t)
+	c.ips[t.ip]--
+	if c.ips[t.ip] == 0 {
+		delete(c.ips, t.ip)
+	}
+}
+
 // closeAll breaks all connections at once.
 func (c *connections) closeAll() {
 	c.mu.Lock()
--- a/daemon/app/requests.go
+++ b/daemon/app/requests.go
@@ -54,6 +54,7 @@
 		Now:          d.now,
 		NewID:        newRequestID,
 		MaxBodyBytes: d.set.Limits.MaxBodyBytes,
+		Surplus:      surplus,
 		MaxConns:     d.set.Limits.MaxConnections,
 	})
 	d.operator = operator.New(operatorBacking{d}, d.set.OperatorKeyHashes, d.logger.Event)
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -33,6 +33,11 @@
 	// bodySlack is how far over the bound a body is still read, so that its
 	// sender gets an answer and not a broken connection.
 	bodySlack = 4 << 20
+	// surplusShare is the part of the bound on connections, and leastSurplus the
+	// least number, that are taken beyond it in order to be refused properly. The
+	// HTTP library's own refusal beyond that has neither code, verdict nor advice.
+	surplusShare = 8
+	leastSurplus = 16
 	// bearer begins the Authorization header.
 	bearer = "Bearer "
 )
@@ -81,8 +86,10 @@
 	NewID func() id.Request
 	// MaxBodyBytes bounds any request's body.
 	MaxBodyBytes int
-	// MaxConns bounds the callers' connections.
+	// MaxConns bounds the callers' connections; Surplus says whether one is
+	// beyond that.
 	MaxConns int
+	Surplus  func(conn net.Conn) bool
 }
 
 // Server serves callers.
@@ -104,7 +111,7 @@
 		ErrorHandler:          s.protocolError,
 		Name:                  "samphirequay",
 		MaxRequestBodySize:    d.MaxBodyBytes + bodySlack,
-		Concurrency:           d.MaxConns,
+		Concurrency:           d.MaxConns + max(leastSurplus, d.MaxConns/surplusShare),
 		ReadTimeout:           readTimeout,
 		IdleTimeout:           idleTimeout,
 		NoDefaultServerHeader: true,
@@ -140,6 +147,10 @@
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
+	if s.Surplus(ctx.Conn()) {
+		s.refuseConn(ctx)
+		return
+	}
 	switch {
 	case path == opapi.PathCompletions:
 		s.Arrived()
@@ -160,6 +171,13 @@
 	}
 }
 
+// refuseConn refuses a request on a connection beyond the bound, and closes it.
+func (s *Server) refuseConn(ctx *fasthttp.RequestCtx) {
+	ctx.SetConnectionClose()
+	err := verdict.New(verdict.NotRun, verdict.CodeOverloaded, "this daemon has as many connections as it takes")
+	s.reject(ctx, err.WithRetryAfter(verdict.PassingRetryAfter))
+}
+
 func (s *Server) ready(ctx *fasthttp.RequestCtx) {
 	ok, why := s.Ready()
 	if !ok {
