Give errors of plain services a verdict

Callers of a plain service whose endpoint gave an error of its own saw its status and body without a verdict: nothing told them whether the call may have run.

Cause: such an answer is passed on as it is, and only the daemon's own errors bore the header. It is may-have-run, since the endpoint did not say that it did not run, and ran where the answer is a stored one. TestAServicesOwnErrorBearsAVerdict failed before.

--- /dev/null
+++ b/daemon/front/answer_test.go
@@ -0,0 +1,36 @@
+package front
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/opapi"
+	"github.com/samphirequay/samphirequay/daemon/plaincall"
+)
+
+// TestAServicesOwnErrorBearsAVerdict: what a plain service answers is passed on
+// as it is; of an error the caller must learn whether its call may have run.
+func TestAServicesOwnErrorBearsAVerdict(t *testing.T) {
+	cases := []struct {
+		status   int
+		replayed bool
+		want     string
+	}{
+		{fasthttp.StatusOK, false, ""},
+		{fasthttp.StatusNotFound, false, verdict.MayHaveRun.String()},
+		{fasthttp.StatusInternalServerError, false, verdict.MayHaveRun.String()},
+		{fasthttp.StatusInternalServerError, true, verdict.Ran.String()},
+	}
+	for _, c := range cases {
+		is := is.New(t)
+		ctx := &fasthttp.RequestCtx{}
+		answer := &plaincall.Answer{Replayed: c.replayed}
+		answer.Status = c.status
+		writeAnswer(ctx, &plaincall.Call{ID: "r"}, answer)
+		is.Equal(ctx.Response.StatusCode(), c.status)
+		is.Equal(string(ctx.Response.Header.Peek(opapi.HeaderVerdict)), c.want)
+	}
+}
--- a/daemon/front/services.go
+++ b/daemon/front/services.go
@@ -59,9 +59,21 @@
 	if a.Replayed {
 		ctx.Response.Header.Set(headerReplayed, "true")
 	}
+	if a.Status >= fasthttp.StatusBadRequest {
+		ctx.Response.Header.Set(opapi.HeaderVerdict, verdictOf(a).String())
+	}
 	ctx.SetBody(a.Body)
 }
 
+// verdictOf is the verdict of an error that the service gave itself: it has not
+// said that the call did not run, or the answer would be no answer here.
+func verdictOf(a *plaincall.Answer) verdict.Verdict {
+	if a.Replayed {
+		return verdict.Ran
+	}
+	return verdict.MayHaveRun
+}
+
 func (s *Server) classifyCall(ctx *fasthttp.RequestCtx, path string) (*plaincall.Call, *verdict.Error) {
 	team, err := s.authenticate(ctx)
 	if err != nil {
