Replay slowness against the memory scheduler and plain calls

Looked at for the fault of the prompts refused for good: whatever is learnt, decides whether work runs, and is corrected only by work that ran.

The scheduler for memory does not sustain it. Bound: the 12 s that the platform allows for a recovery. Nor does the learnt time of plain calls keep anybody from a free slot.

A first replay showed requests late again 14 s behind a slowness of 40 times. That was the replay's: a decode engine went on reading the prompts of callers who had left, one behind another, and its answers stood still meanwhile.

--- a/core/overload/engines.go
+++ b/core/overload/engines.go
@@ -26,7 +26,7 @@
 	queue []*read
 }
 
-// read is a prompt that waits or is being read.
+// read is a prompt that waits or is being read, by an engine of either kind.
 type read struct {
 	run  *run
 	sent time.Duration
@@ -76,7 +76,9 @@
 	runs []*run
 	// settled is up to when the runs' tokens are counted.
 	settled time.Duration
-	// readUntil is when the prompt that the engine reads itself is read.
+	// reads are the prompts that the engine reads itself, one after another;
+	// readUntil is when the first of them is read.
+	reads     []*read
 	readUntil time.Duration
 	// round numbers the changes: an event of an earlier one is stale.
 	round int
@@ -89,14 +91,36 @@
 }
 
 // read has the engine read a prompt itself: its other runs stand still.
-func (e *decodeEngine) read(r *run, takes time.Duration) {
+func (e *decodeEngine) read(r *run) {
+	e.reads = append(e.reads, &read{run: r})
+	e.readNext()
+}
+
+// readNext reads the first prompt, unless it is being read.
+func (e *decodeEngine) readNext() {
+	if len(e.reads) == 0 || e.reads[0].begun {
+		return
+	}
+	job := e.reads[0]
+	job.begun = true
+	takes := e.w.readingTime(job.run.caller.prompt, 0.5)
 	e.settle()
-	e.readUntil = max(e.readUntil, e.w.now) + takes
+	e.readUntil = e.w.now + takes
 	for _, other := range e.runs {
 		e.stall(other, takes)
 	}
 	e.plan()
-	e.w.at(e.readUntil, func() { e.begin(r) })
+	e.w.at(e.readUntil, func() { e.readEnd(job) })
+}
+
+// readEnd begins the answer to a prompt that was read.
+func (e *decodeEngine) readEnd(job *read) {
+	if len(e.reads) == 0 || e.reads[0] != job {
+		return
+	}
+	e.reads = e.reads[1:]
+	e.begin(job.run)
+	e.readNext()
 }
 
 // stall has a run stand still; it is late if that is longer than its caller
@@ -211,5 +235,10 @@
 	e.settle()
 	e.runs = slices.DeleteFunc(e.runs, func(x *run) bool { return x == r })
 	r.caller.run = nil
+	if len(e.reads) > 0 && e.reads[0].run == r {
+		e.readUntil = e.w.now
+	}
+	e.reads = slices.DeleteFunc(e.reads, func(job *read) bool { return job.run == r })
 	e.plan()
+	e.readNext()
 }
--- a/core/overload/slowness_test.go
+++ b/core/overload/slowness_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/kvsched"
 	"github.com/samphirequay/samphirequay/core/sched"
 )
 
@@ -12,9 +13,12 @@
 	// inTimeAim is the share of requests that are to have their first token in
 	// time: 95 in 100, the stated aim.
 	inTimeAim = 0.95
-	// relief is how long after a slowness the aim must hold again: a caller that
-	// was refused in it waits about as long before it comes back.
-	relief = 2 * time.Second
+	// relief is how long after a slowness the aim must hold again where engines are
+	// nearly idle: a caller that was refused in it waits about as long before it
+	// comes back. Engines that are well used have a backlog to serve first; for
+	// them it is what the platform allows for a recovery.
+	relief       = 2 * time.Second
+	reliefLoaded = 12 * time.Second
 )
 
 // slowdown is ten seconds in which engines take so many times as long.
@@ -43,7 +47,7 @@
 
 // checkRelief fails the test if too few of those that arrive a while after the
 // slowness are answered in time.
-func checkRelief(t *testing.T, r Replay, res *Result) {
+func checkRelief(t *testing.T, r Replay, res *Result, relief time.Duration) {
 	t.Helper()
 	slow := r.Engines.Slow[0]
 	sound := int((slow.At + slow.For + relief) / time.Second)
@@ -78,6 +82,30 @@
 		if res.ForGood > 0 {
 			t.Errorf("%v times as slow: %d callers told not to come back", factor, res.ForGood)
 		}
-		checkRelief(t, r, res)
+		checkRelief(t, r, res, relief)
+	}
+}
+
+// TestTheMemorySchedulerForgetsASlowness: what the scheduler for engines bound by
+// memory learns (the lead to a first token, rates, the pace of answers, how fast
+// its queue is served) is corrected by work that goes on, however slow engines
+// were. The callers that a backlog of ten seconds leaves are served first.
+func TestTheMemorySchedulerForgetsASlowness(t *testing.T) {
+	for _, factor := range []float64{5, 40, 400} {
+		for seed := uint64(1); seed <= seeds; seed++ {
+			r := desk()
+			r.Load.Length = 40 * time.Second
+			r.Callers.Returns = 1000
+			r.Engines.Slow = []Slowness{slowdown(factor)}
+			r.New = func(pool id.Pool, self id.Process) sched.Scheduler {
+				return kvsched.New(kvsched.Options{Pool: pool, Self: self})
+			}
+			res := r.Run(seed)
+			t.Logf("%v times as slow, seed %d: of %d in time %d, late %d, left %d", factor, seed, res.Asked, res.InTime, res.Late, res.Left)
+			if res.ForGood > 0 {
+				t.Errorf("%v times as slow, seed %d: %d callers told not to come back", factor, seed, res.ForGood)
+			}
+			checkRelief(t, r, res, reliefLoaded)
+		}
 	}
 }
--- a/core/overload/world.go
+++ b/core/overload/world.go
@@ -223,7 +223,7 @@
 	r := &run{caller: c, grant: g, engine: w.decodes[g.Decode]}
 	c.run = r
 	if g.Prefill == "" {
-		r.engine.read(r, w.readingTime(c.prompt, 0.5))
+		r.engine.read(r)
 		return
 	}
 	if g.StartIn > 0 {
--- a/core/sched/trial_test.go
+++ b/core/sched/trial_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
@@ -87,3 +88,28 @@
 	is.Equal(refusal.Code, verdict.CodeOverloaded)
 	is.True(refusal.RetryAfter > 0)
 }
+
+// TestSlowCallsRefuseNobodyBehindThem: the time that plain calls hold their slots
+// is learnt from them, too. It must keep nobody from a slot that is free.
+func TestSlowCallsRefuseNobodyBehindThem(t *testing.T) {
+	is := is.New(t)
+	doc := testDocument(0, 1)
+	doc.Services[0].Type = live.ServicePlain
+	doc.Services[0].PatienceMS = 100
+	doc.Endpoints = []live.Endpoint{{
+		Name: "desk-1", Labels: live.Labels{"pool": "packets", live.LabelRole: string(live.RolePlain)}, Slots: 2,
+	}}
+	l := testLedger(t, testOptions(t), doc)
+	for n := range 20 {
+		g := onlyGrant(t, l.Want(l.now+ms, testWant(n, teamName(0))))
+		l.Progress(l.now+ms, progressOf(g, PhaseDecoding))
+		l.Progress(l.now+10*time.Second, progressOf(g, PhaseDone))
+	}
+	is.True(l.services[testService].estimate.callSeconds.mean > 9)
+
+	for n := range 20 {
+		g := onlyGrant(t, l.Want(l.now+ms, testWant(100+n, teamName(0))))
+		l.Progress(l.now+ms, progressOf(g, PhaseDecoding))
+		l.Progress(l.now+15*ms, progressOf(g, PhaseDone))
+	}
+}
