--- a/daemon/front/errors.go
+++ b/daemon/front/errors.go
@@ -48,7 +48,8 @@
 // reject refuses a request before it got an id.
 func (s *Server) reject(ctx *fasthttp.RequestCtx, err *verdict.Error) {
 	s.stats.refused.Add(string(err.Code), 1)
-	s.Log("rejected", "path", string(ctx.Path()), "code", err.Code, "why", err.Message,
+	path := ctx.Path()
+	s.Log("rejected", "path", string(path[:min(len(path), maxEcho)]), "code", err.Code, "why", err.Message,
 		"revision", s.Directory().Document().Revision, "newest", s.Newest())
 	writeError(ctx, err, "")
 }
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -209,7 +209,7 @@
 	httpjson.Write(ctx, fasthttp.StatusOK, list)
 }
 
-// maxEcho bounds what an error repeats of a caller's own words, in bytes.
+// maxEcho bounds what an error or a log line repeats of a caller's own words, in bytes.
 const maxEcho = 64
 
 // service finds a service that the team may use; the error repeats the name
