Let one reader serve both kinds of engine in the replay

The prefill engine and the decode engine of the replay each had a queue of prompts with its own begin, end and drop, written twice in this change: the same steps, but for what happens when a reading begins and ends. They share one, which is told both.

--- a/core/overload/engines.go
+++ b/core/overload/engines.go
@@ -19,14 +19,20 @@
 	written float64
 }
 
-// prefillEngine reads prompts one after another. One whose caller has gone is
-// dropped, while it is read too.
-type prefillEngine struct {
-	w     *world
+// reader reads prompts one after another, for an engine of either kind. One whose
+// caller has gone is dropped, while it is read too.
+type reader struct {
+	w *world
+	// speed is the share of the prefill rate at which it reads.
+	speed float64
 	queue []*read
+	// begins, if set, is told how long a prompt takes when its reading begins; ends
+	// takes one that was read.
+	begins func(takes time.Duration)
+	ends   func(job *read)
 }
 
-// read is a prompt that waits or is being read, by an engine of either kind.
+// read is a prompt that waits or is being read.
 type read struct {
 	run  *run
 	sent time.Duration
@@ -34,40 +40,70 @@
 	begun bool
 }
 
-func (p *prefillEngine) read(r *run) {
-	p.w.progress(r, sched.PhasePrefilling)
-	job := &read{run: r, sent: p.w.now}
-	p.queue = append(p.queue, job)
-	p.w.at(p.w.now+hop, p.begin)
-}
+// add has a prompt wait; next begins with it.
+func (q *reader) add(r *run) { q.queue = append(q.queue, &read{run: r, sent: q.w.now}) }
 
-// begin reads the first prompt of the queue, unless it is being read.
-func (p *prefillEngine) begin() {
-	if len(p.queue) == 0 || p.queue[0].begun {
+// next begins with the first prompt of the queue, unless it is being read.
+func (q *reader) next() {
+	if len(q.queue) == 0 || q.queue[0].begun {
 		return
 	}
-	job := p.queue[0]
+	job := q.queue[0]
 	job.begun = true
-	p.w.at(p.w.now+p.w.readingTime(job.run.caller.prompt, 1), func() { p.end(job) })
+	takes := q.w.readingTime(job.run.caller.prompt, q.speed)
+	if q.begins != nil {
+		q.begins(takes)
+	}
+	q.w.at(q.w.now+takes, func() { q.end(job) })
 }
 
-// end hands on a prompt that was read.
-func (p *prefillEngine) end(job *read) {
-	if len(p.queue) == 0 || p.queue[0] != job {
+// end hands on a prompt that was read, if it was not dropped.
+func (q *reader) end(job *read) {
+	if len(q.queue) == 0 || q.queue[0] != job {
 		return
 	}
+	q.queue = q.queue[1:]
+	q.ends(job)
+	q.next()
+}
+
+// drop takes a prompt out; reading says that the engine was at it.
+func (q *reader) drop(r *run) (reading bool) {
+	reading = len(q.queue) > 0 && q.queue[0].run == r
+	q.queue = slices.DeleteFunc(q.queue, func(job *read) bool { return job.run == r })
+	return reading
+}
+
+// prefillEngine reads prompts.
+type prefillEngine struct {
+	w     *world
+	reads reader
+}
+
+func newPrefillEngine(w *world) *prefillEngine {
+	p := &prefillEngine{w: w}
+	p.reads = reader{w: w, speed: 1, ends: p.end}
+	return p
+}
+
+func (p *prefillEngine) read(r *run) {
+	p.w.progress(r, sched.PhasePrefilling)
+	p.reads.add(r)
+	p.w.at(p.w.now+hop, p.reads.next)
+}
+
+// end hands on a prompt that was read.
+func (p *prefillEngine) end(job *read) {
 	w, r := p.w, job.run
-	p.queue = p.queue[1:]
 	w.report(r, sched.Progress{Phase: sched.PhaseTransferring, PrefillTime: w.now - job.sent})
 	r.transfer = time.Duration(w.slow * float64(w.Engines.Transfer))
 	w.at(w.now+r.transfer, func() { r.engine.begin(r) })
-	p.begin()
 }
 
 // drop ends the reading of a prompt, or its wait.
 func (p *prefillEngine) drop(r *run) {
-	p.queue = slices.DeleteFunc(p.queue, func(job *read) bool { return job.run == r })
-	p.begin()
+	p.reads.drop(r)
+	p.reads.next()
 }
 
 // decodeEngine writes answers, all at one pace that falls with their number.
@@ -76,14 +112,23 @@
 	runs []*run
 	// settled is up to when the runs' tokens are counted.
 	settled time.Duration
-	// reads are the prompts that the engine reads itself, one after another;
-	// readUntil is when the first of them is read.
-	reads     []*read
+	// reads are the prompts that the engine reads itself; readUntil is when the
+	// first of them is read.
+	reads     reader
 	readUntil time.Duration
 	// round numbers the changes: an event of an earlier one is stale.
 	round int
 }
 
+func newDecodeEngine(w *world) *decodeEngine {
+	e := &decodeEngine{w: w}
+	e.reads = reader{w: w, speed: wholeSpeed, begins: e.readBegins, ends: func(job *read) { e.begin(job.run) }}
+	return e
+}
+
+// wholeSpeed is the share of the prefill rate at which a decode engine reads.
+const wholeSpeed = 0.5
+
 // pace is the tokens a second of each run.
 func (e *decodeEngine) pace() float64 {
 	step := e.w.Engines.Step + time.Duration(len(e.runs))*e.w.Engines.StepEach
@@ -92,35 +137,18 @@
 
 // read has the engine read a prompt itself: its other runs stand still.
 func (e *decodeEngine) read(r *run) {
-	e.reads = append(e.reads, &read{run: r})
-	e.readNext()
+	e.reads.add(r)
+	e.reads.next()
 }
 
-// readNext reads the first prompt, unless it is being read.
-func (e *decodeEngine) readNext() {
-	if len(e.reads) == 0 || e.reads[0].begun {
-		return
-	}
-	job := e.reads[0]
-	job.begun = true
-	takes := e.w.readingTime(job.run.caller.prompt, 0.5)
+// readBegins has the other runs stand still.
+func (e *decodeEngine) readBegins(takes time.Duration) {
 	e.settle()
 	e.readUntil = e.w.now + takes
 	for _, other := range e.runs {
 		e.stall(other, takes)
 	}
 	e.plan()
-	e.w.at(e.readUntil, func() { e.readEnd(job) })
-}
-
-// readEnd begins the answer to a prompt that was read.
-func (e *decodeEngine) readEnd(job *read) {
-	if len(e.reads) == 0 || e.reads[0] != job {
-		return
-	}
-	e.reads = e.reads[1:]
-	e.begin(job.run)
-	e.readNext()
 }
 
 // stall has a run stand still; it is late if that is longer than its caller
@@ -220,7 +248,7 @@
 	tokens := last.caller.prompt + int(last.written)
 	w.vain += tokens
 	e.stall(last, w.Callers.Pause+1)
-	takes := w.readingTime(tokens, 0.5)
+	takes := w.readingTime(tokens, wholeSpeed)
 	w.at(w.now+takes, func() {
 		if last.caller.run == last {
 			e.settle()
@@ -235,10 +263,9 @@
 	e.settle()
 	e.runs = slices.DeleteFunc(e.runs, func(x *run) bool { return x == r })
 	r.caller.run = nil
-	if len(e.reads) > 0 && e.reads[0].run == r {
+	if e.reads.drop(r) {
 		e.readUntil = e.w.now
 	}
-	e.reads = slices.DeleteFunc(e.reads, func(job *read) bool { return job.run == r })
 	e.plan()
-	e.readNext()
+	e.reads.next()
 }
--- a/core/overload/world.go
+++ b/core/overload/world.go
@@ -120,10 +120,10 @@
 				DecodeTokenMS:          float64(w.Engines.Step) / float64(time.Millisecond),
 			})
 			if role == live.RolePrefill {
-				w.prefills[name] = &prefillEngine{w: w}
+				w.prefills[name] = newPrefillEngine(w)
 				continue
 			}
-			w.decodes[name] = &decodeEngine{w: w}
+			w.decodes[name] = newDecodeEngine(w)
 		}
 	}
 	add(live.RolePrefill, w.Engines.Prefills)
