--- a/cmd/internal/fleet/address.go
+++ b/cmd/internal/fleet/address.go
@@ -36,7 +36,7 @@
 }
 
 func (a *address) bind() error {
-	// The daemon binds the same address, and so does the one that follows it.
+	// The daemon binds the same address, and listens there.
 	if err := syscall.SetsockoptInt(a.fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
 		return eris.Wrap(err, "take an address: SO_REUSEADDR")
 	}
--- a/core/pairing/asker.go
+++ b/core/pairing/asker.go
@@ -27,8 +27,6 @@
 	// DefaultMargin is added to a request's patience before the asker gives up
 	// on its owner by itself.
 	DefaultMargin = 100 * time.Millisecond
-	// unreachableRetryAfter is advised when a pool's owner gave no answer.
-	unreachableRetryAfter = time.Second
 )
 
 // Message is what the asker wants sent to a pool's owner. One field is set.
@@ -337,7 +335,7 @@
 	out := a.Withdraw(e.want.Request)
 	err := verdict.New(verdict.NotRun, verdict.CodeUnavailable,
 		"no answer from %s, which schedules pool %s", e.owner, e.want.Pool)
-	out.Answers = append(out.Answers, Answer{Request: e.want.Request, Err: err.WithRetryAfter(unreachableRetryAfter)})
+	out.Answers = append(out.Answers, Answer{Request: e.want.Request, Err: err.WithRetryAfter(verdict.PassingRetryAfter)})
 	return out
 }
 
--- a/core/revision/follow_peers.go
+++ b/core/revision/follow_peers.go
@@ -30,7 +30,7 @@
 // planFetch plans to ask a peer that is ahead, after a random pause that
 // spreads the daemons.
 func (f *Follower) planFetch(now time.Duration) {
-	if f.highest <= f.doc.Revision || f.fetch != nil || f.fetchAt != never {
+	if !f.behind() || f.fetch != nil || f.fetchAt != never {
 		return
 	}
 	f.fetchAt = now + time.Duration(f.rng.Float64()*float64(f.cfg.PeerDelay))
@@ -72,7 +72,7 @@
 	if !r.Failed {
 		out = f.takeAll(r.Snapshot, r.Records, string(peer))
 	}
-	if f.doc.Revision == before && f.highest > f.doc.Revision {
+	if f.doc.Revision == before && f.behind() {
 		// It had nothing after all: ask again, but not at once.
 		f.fetchAt = now + f.cfg.PeerTimeout
 	}
--- a/core/revision/follower.go
+++ b/core/revision/follower.go
@@ -159,7 +159,7 @@
 // StartGrace is over, the store's word is enough.
 func (f *Follower) Ready(now time.Duration) bool {
 	waited := now-f.started >= f.cfg.StartGrace
-	newest := f.doc.Revision >= f.highest
+	newest := !f.behind()
 	if f.confirmed {
 		return newest || waited
 	}
@@ -169,9 +169,12 @@
 // Newest tells whether no later document is known of: what this one doesn't hold
 // doesn't exist, as far as anybody has said.
 func (f *Follower) Newest(now time.Duration) bool {
-	return f.Ready(now) && f.doc.Revision >= f.highest
+	return f.Ready(now) && !f.behind()
 }
 
+// behind tells whether a peer has a later document.
+func (f *Follower) behind() bool { return f.highest > f.doc.Revision }
+
 // Next is when Tick is due.
 func (f *Follower) Next() time.Duration {
 	next := min(f.fetchAt, f.fetchEnds)
--- a/core/sched/admission.go
+++ b/core/sched/admission.go
@@ -39,8 +39,8 @@
 		first = min(first, least)
 	}
 	wait := l.predictWait(s, t, clampPriority(w.Priority), first)
-	if late := w.Age + wait + first - s.patience; late > 0 {
-		return nil, l.noTime(&w, s, wait, first)
+	if refusal := l.noTime(&w, s, wait, first); refusal != nil {
+		return nil, refusal
 	}
 	arrived := l.now - w.Age
 	return &waiting{
@@ -59,6 +59,9 @@
 // corrected by the requests that are tried in spite of them.
 func (l *Ledger) noTime(w *Want, s *service, wait, first time.Duration) *Refusal {
 	late := w.Age + wait + first - s.patience
+	if late <= 0 {
+		return nil
+	}
 	if w.Age+first > s.patience {
 		// Estimates alone say so, which hold only until the next request is tried.
 		late = min(late, verdict.PassingRetryAfter)
--- a/core/sched/estimate.go
+++ b/core/sched/estimate.go
@@ -62,6 +62,20 @@
 	a.deviation += gone * (smoothing*a.first - a.deviation)
 }
 
+// relax lets the estimates of the pool and its endpoints grow old.
+func (l *Ledger) relax() {
+	passed := l.now - l.relaxed
+	if passed < relaxEvery {
+		return
+	}
+	l.relaxed = l.now
+	l.pool.relax(l.now, passed)
+	for _, e := range l.endpoints {
+		e.prefillRate.relax(l.now, passed)
+		e.tokenTime.relax(l.now, passed)
+	}
+}
+
 // origin tells what the average rests on.
 func (a *average) origin(now time.Duration) string {
 	if a.samples == 0 {
--- a/core/sched/trial.go
+++ b/core/sched/trial.go
@@ -24,17 +24,3 @@
 		l.awaited--
 	}
 }
-
-// relax lets estimates grow old.
-func (l *Ledger) relax() {
-	passed := l.now - l.relaxed
-	if passed < relaxEvery {
-		return
-	}
-	l.relaxed = l.now
-	l.pool.relax(l.now, passed)
-	for _, e := range l.endpoints {
-		e.prefillRate.relax(l.now, passed)
-		e.tokenTime.relax(l.now, passed)
-	}
-}
--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -90,7 +90,7 @@
 	operatorLn net.Listener
 	debugLn    net.Listener
 
-	connections connections
+	connections *connections
 	entryMu     sync.Mutex
 	entryRand   *rand.Rand
 
@@ -121,8 +121,7 @@
 		wired:  make(chan struct{}),
 		closed: make(chan struct{}),
 	}
-	d.connections.most = set.Limits.MaxConnections
-	d.connections.mostOfIP = set.Limits.MaxConnectionsPerIP
+	d.connections = newConnections(set.Limits.MaxConnections, set.Limits.MaxConnectionsPerIP)
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	if opts.Seed == 0 {
 		opts.Seed = uint64(d.self.Incarnation)
--- a/daemon/app/conns.go
+++ b/daemon/app/conns.go
@@ -17,6 +17,14 @@
 	ips  map[string]int
 }
 
+func newConnections(most, mostOfIP int) *connections {
+	return &connections{
+		most: most, mostOfIP: mostOfIP,
+		open: make(map[*trackedConn]struct{}),
+		ips:  make(map[string]int),
+	}
+}
+
 // trackingListener tells connections of each one that it accepts.
 type trackingListener struct {
 	net.Listener
@@ -52,10 +60,6 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.open == nil {
-		c.open = make(map[*trackedConn]struct{})
-		c.ips = make(map[string]int)
-	}
 	t.surplus = len(c.open) >= c.most || c.ips[t.ip] >= c.mostOfIP
 	c.open[t] = struct{}{}
 	c.ips[t.ip]++
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -215,24 +215,25 @@
 // service finds a service that the team may use; the error repeats the name
 // that the caller gave.
 func (s *Server) service(team *live.Team, name string) (*live.Service, *verdict.Error) {
-	// Asked first: a configuration that comes in between must not count as known.
 	newest := s.Newest()
 	svc, err := s.Directory().ServiceFor(team, id.Service(name))
 	if err == nil {
 		return svc, nil
 	}
-	if !newest {
-		return nil, unsure()
-	}
 	named := *err
 	named.Message = fmt.Sprintf("%s: %.*q", err.Message, maxEcho, name)
-	return nil, &named
+	return nil, missing(newest, &named)
 }
 
-// unsure refuses what the configuration here does not hold, while it is missing
-// or known to be behind: it may be in force elsewhere. A daemon that had just
-// started told callers for good that their keys belong to no team.
-func unsure() *verdict.Error {
+// missing refuses what the configuration here does not hold. While that is
+// missing itself, or known to be behind, it may be in force elsewhere, and the
+// caller is to come back: a daemon that had just started told callers for good
+// that their keys belong to no team. Whether it is the newest is asked before the
+// look-up, so that one that comes in between does not count.
+func missing(newest bool, known *verdict.Error) *verdict.Error {
+	if newest {
+		return known
+	}
 	err := verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this daemon has no configuration yet, or not the newest one")
 	return err.WithRetryAfter(verdict.PassingRetryAfter)
 }
@@ -246,11 +247,8 @@
 	}
 	newest := s.Newest()
 	team, ok := s.Directory().TeamByKey(key)
-	if !ok && !newest {
-		return nil, unsure()
-	}
 	if !ok {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "the bearer key belongs to no team")
+		return nil, missing(newest, verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "the bearer key belongs to no team"))
 	}
 	bound := min(s.MaxBodyBytes, team.MaxBodyBytes)
 	if size := len(ctx.PostBody()); size > bound {
