Book the error answers of callers in one place

Calls and streams read an error answer and booked it by the same two steps, and a stream kept the address of its daemon beside the answer, which has it. readError books what it reads; an error event is booked from its answer.

--- a/cmd/internal/load/caller.go
+++ b/cmd/internal/load/caller.go
@@ -153,9 +153,7 @@
 
 // refused reads an error answer and decides whether the caller tries again.
 func (c *Caller) refused(resp *http.Response, rec *Record) attempt {
-	detail, body := readError(resp)
-	rec.Ending = endingOf(resp, detail, body)
-	return c.failed(detail, rec)
+	return c.failed(readError(resp, rec), rec)
 }
 
 // failed books an error and decides whether the caller tries again.
@@ -182,9 +180,9 @@
 // what it measures, does not become what is measured.
 const retryForeverPause = 50 * time.Millisecond
 
-// readError reads the JSON body of an error, and gives it as it came, too. What
-// it lacks is taken from the headers.
-func readError(resp *http.Response) (opapi.ErrorDetail, []byte) {
+// readError reads the JSON body of an error and books it as the request's last
+// one. What it lacks is taken from the headers.
+func readError(resp *http.Response, rec *Record) opapi.ErrorDetail {
 	var body opapi.ErrorBody
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxEntryBytes))
 	if err == nil {
@@ -196,7 +194,8 @@
 	if body.Error.RetryAfterMS == 0 {
 		body.Error.RetryAfterMS = retryAfter(resp).Milliseconds()
 	}
-	return body.Error, raw
+	rec.Ending = newEnding(resp, body.Error, raw)
+	return body.Error
 }
 
 // retryAfter reads the Retry-After header, in seconds.
--- a/cmd/internal/load/ending.go
+++ b/cmd/internal/load/ending.go
@@ -26,20 +26,15 @@
 	Body string `json:"body,omitempty"`
 }
 
-// newEnding keeps an error answer.
-func newEnding(daemon string, status int, detail opapi.ErrorDetail, body []byte) *Ending {
-	e := &Ending{Daemon: daemon, Status: status, Detail: detail}
+// newEnding keeps an error answer, or an error event of a stream.
+func newEnding(resp *http.Response, detail opapi.ErrorDetail, body []byte) *Ending {
+	e := &Ending{Daemon: resp.Request.URL.Host, Status: resp.StatusCode, Detail: detail}
 	if detail.Code == "" {
 		e.Body = string(body[:min(len(body), maxEndingBody)])
 	}
 	return e
 }
 
-// endingOf keeps an error answer that came in place of a success.
-func endingOf(resp *http.Response, detail opapi.ErrorDetail, body []byte) *Ending {
-	return newEnding(resp.Request.URL.Host, resp.StatusCode, detail, body)
-}
-
 // String gives the answer as key=value pairs.
 func (e *Ending) String() string {
 	line := fmt.Sprintf("status=%d code=%s verdict=%s retry_after_ms=%d daemon=%s id=%s why=%q",
--- a/cmd/internal/load/stream.go
+++ b/cmd/internal/load/stream.go
@@ -27,8 +27,6 @@
 	rec     *Record
 	begun   time.Time
 	last    time.Time
-	// address is the daemon of the present attempt.
-	address string
 	// accepted tells that the system took the request: an answer is owed.
 	accepted bool
 	// ended tells that the end of the answer came.
@@ -57,7 +55,6 @@
 
 // try sends the request once, or resumes it, and reads until the end or a break.
 func (s *stream) try(ctx context.Context, address string) attempt {
-	s.address = address
 	s.request.Delivered = s.answer.text()
 	body, err := json.Marshal(s.request)
 	if err != nil {
@@ -80,12 +77,12 @@
 		return s.refused(resp)
 	}
 	s.accepted = true
-	return s.read(ctx, resp.Body)
+	return s.read(ctx, resp)
 }
 
 // read takes events until the end of the answer, an error or a break.
-func (s *stream) read(ctx context.Context, body io.Reader) attempt {
-	events := newEventReader(body)
+func (s *stream) read(ctx context.Context, resp *http.Response) attempt {
+	events := newEventReader(resp.Body)
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) && s.ended {
@@ -96,7 +93,7 @@
 			return attempt{broke: !hungUp(ctx, err), done: s.ended}
 		}
 		if e.name == eventError {
-			return s.streamError(e)
+			return s.streamError(resp, e)
 		}
 		s.take(e)
 	}
@@ -104,18 +101,16 @@
 
 // refused handles an error answer in place of a stream.
 func (s *stream) refused(resp *http.Response) attempt {
-	detail, body := readError(resp)
-	s.rec.Ending = endingOf(resp, detail, body)
-	return s.failed(detail)
+	return s.failed(readError(resp, s.rec))
 }
 
 // streamError handles an error event.
-func (s *stream) streamError(e event) attempt {
+func (s *stream) streamError(resp *http.Response, e event) attempt {
 	var body opapi.ErrorBody
 	if err := json.Unmarshal([]byte(e.data), &body); err != nil {
 		return attempt{broke: true}
 	}
-	s.rec.Ending = newEnding(s.address, http.StatusOK, body.Error, []byte(e.data))
+	s.rec.Ending = newEnding(resp, body.Error, []byte(e.data))
 	return s.failed(body.Error)
 }
 
