--- a/cmd/internal/soak/doc.go
+++ b/cmd/internal/soak/doc.go
@@ -3,5 +3,5 @@
 // through its proxies are delayed, reset, cut one way or silenced, processes
 // are stopped, killed and told to end, in series that overlap. It checks what
 // daemons promise by what callers and runners see. What happens and when follows
-// from a seed; what comes of it depends on the machine as well.
+// from a seed; what comes of it depends on the host as well.
 package soak
--- a/cmd/internal/soak/process.go
+++ b/cmd/internal/soak/process.go
@@ -43,7 +43,7 @@
 	// leaseMS keeps orders of two holders apart, in milliseconds; short, so that
 	// the lease changes hands within a run.
 	leaseMS = 1000
-	// memoryMB bounds a process; a few hundred of them fit on one machine.
+	// memoryMB bounds a process; a few hundred of them fit on one host.
 	memoryMB = 64
 )
 
--- a/cmd/internal/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -40,7 +40,7 @@
 	// measured is for how long requests are counted then.
 	measured = 3 * time.Second
 	// leastServed is the share that must be served then, of the requests that no
-	// runner keeps from it. On a busy machine one or the other comes too late.
+	// runner keeps from it. On a busy host one or the other comes too late.
 	leastServed = 0.97
 	callerPause = 120 * time.Millisecond
 )
--- a/cmd/internal/soak/world.go
+++ b/cmd/internal/soak/world.go
@@ -28,7 +28,7 @@
 
 // drainTime is how long a runner may still get requests after the store has
 // accepted that it leaves, and configTime how long a route may take until it is
-// in force, each with what a busy machine adds.
+// in force, each with what a busy host adds.
 const (
 	drainTime  = 2*time.Second + slack
 	configTime = 2*time.Second + slack
