--- a/core/member/pace_test.go
+++ b/core/member/pace_test.go
@@ -29,6 +29,17 @@
 	return float64(f.messages) / d.Seconds() / float64(len(f.names))
 }
 
+// within asserts that something holds within a bound.
+func (f *fleet) within(t *testing.T, bound time.Duration, what string, holds func() bool) {
+	t.Helper()
+	is := is.New(t)
+	is.Helper()
+	took, ok := f.until(20*time.Second, holds)
+	is.True(ok)
+	t.Logf("%s after %v", what, took)
+	is.True(took <= bound)
+}
+
 // TestHeartbeatsDoNotGrowWithTheFleet: what daemons do apart from requests must
 // not take what small hosts need for them.
 func TestHeartbeatsDoNotGrowWithTheFleet(t *testing.T) {
@@ -51,20 +62,16 @@
 	}
 	f.loss = 0
 	f.stopped["host-003"] = true
-	took, ok := f.until(20*time.Second, func() bool { return f.everyone("host-003", Dead) })
-	is.True(ok)
-	t.Logf("dead after %v", took)
-	is.True(took <= 12*time.Second)
+	f.within(t, 12*time.Second, "dead", func() bool { return f.everyone("host-003", Dead) })
 }
 
 // TestAWatchedDaemonBeatsFasterInALargeFleetToo: callers wait for it.
 func TestAWatchedDaemonBeatsFasterInALargeFleetToo(t *testing.T) {
-	is := is.New(t)
 	f := paced(90, 60)
 	f.members["host-003"].SetLocal(Local{Watched: true})
 	f.run(3 * time.Second)
 	f.stopped["host-003"] = true
-	took, ok := f.until(20*time.Second, func() bool {
+	f.within(t, 800*time.Millisecond, "suspected by all", func() bool {
 		for _, name := range f.names {
 			if e, _ := f.members[name].Get("host-003"); name != "host-003" && e.State == Alive {
 				return false
@@ -72,22 +79,15 @@
 		}
 		return true
 	})
-	is.True(ok)
-	t.Logf("suspected by all after %v", took)
-	is.True(took <= 800*time.Millisecond)
 }
 
 // TestANewDaemonIsGreetedAtOnce, and need not wait until the others send again.
 func TestANewDaemonIsGreetedAtOnce(t *testing.T) {
-	is := is.New(t)
 	f := paced(90, 60)
 	f.stopped["host-003"] = true
 	f.run(20 * time.Second)
 	f.start("host-003", 2)
-	took, ok := f.until(10*time.Second, func() bool { return len(f.members["host-003"].Live()) == 90 })
-	is.True(ok)
-	t.Logf("knows all after %v", took)
-	is.True(took <= 100*time.Millisecond)
+	f.within(t, 100*time.Millisecond, "knows all", func() bool { return len(f.members["host-003"].Live()) == 90 })
 }
 
 // TestNobodyIsBelievedToBeatEverSoSlowly: what a daemon says of its pace is
