Test that nothing is sent to an engine that leaves, which fails

Ruled out: the way between. The reader's news reached the others in 18 ms, and the owner within 270 ms of its waking.

The test has an owner that grants leaving engines: for the prompt, for the answer, and where the leaving is learnt while the prompt is read.

--- /dev/null
+++ b/daemon/forward/leaving_test.go
@@ -0,0 +1,169 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/registry"
+	"github.com/samphirequay/samphirequay/core/route"
+	"github.com/samphirequay/samphirequay/core/sched"
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+// staleOwner is a pool's owner that was not run for a while: it grants engines
+// that have begun to leave meanwhile, unless it is told to avoid them.
+type staleOwner struct {
+	prefills, decodes []id.Endpoint
+	ended             []sched.Progress
+}
+
+// Pair implements Pairer.
+func (o *staleOwner) Pair(_ context.Context, w sched.Want, _ time.Duration) (sched.Grant, *verdict.Error) {
+	g := sched.Grant{Request: w.Request, Decode: firstNot(w.Avoid, o.decodes), Reservation: 1}
+	if !w.Prefilled {
+		g.Prefill = firstNot(w.Avoid, o.prefills)
+	}
+	if g.Decode == "" {
+		return g, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "no engine is left")
+	}
+	return g, nil
+}
+
+// Progress implements Pairer.
+func (o *staleOwner) Progress(p sched.Progress) { o.ended = append(o.ended, p) }
+
+func firstNot(avoid, all []id.Endpoint) id.Endpoint {
+	for _, e := range all {
+		if !slices.Contains(avoid, e) {
+			return e
+		}
+	}
+	return ""
+}
+
+// recorded are engines that note which of them were sent what.
+type recorded struct {
+	Endpoints
+	prefilled, decoded []id.Endpoint
+	// afterPrefill runs when a prompt has been read.
+	afterPrefill func()
+}
+
+// Prefill implements Endpoints.
+func (r *recorded) Prefill(_ context.Context, a *Attempt) (KV, *verdict.Error) {
+	r.prefilled = append(r.prefilled, a.Endpoint.Name)
+	if r.afterPrefill != nil {
+		r.afterPrefill()
+	}
+	return KV{Source: a.Endpoint.Address, Handle: "kv"}, nil
+}
+
+// Decode implements Endpoints.
+func (r *recorded) Decode(_ context.Context, a *Attempt, _ KV) (*Opened, *verdict.Error) {
+	r.decoded = append(r.decoded, a.Endpoint.Name)
+	return &Opened{Status: 200, Events: noEvents{}}, nil
+}
+
+// noEvents is a stream without events.
+type noEvents struct{}
+
+// Read implements io.Reader.
+func (noEvents) Read([]byte) (int, error) { return 0, io.EOF }
+
+// Close implements io.Closer.
+func (noEvents) Close() error { return nil }
+
+// SetReadDeadline implements EventStream.
+func (noEvents) SetReadDeadline(time.Time) error { return nil }
+
+// streamTest gives a pipeline before two prefill and two decode engines, and
+// what marks one of them as leaving.
+func streamTest(t *testing.T, engines *recorded, owner Pairer) (f *Forwarder, r *Request, leave func(id.Endpoint)) {
+	t.Helper()
+	f, r = newTest(t, engines)
+	routes, err := route.NewTable(route.Config{
+		Version:  1,
+		Services: []route.Service{{Name: "s", Engine: &route.Engine{HandleLife: time.Second}}},
+		Routes: []route.Route{{
+			Name: "stream", Host: "h", Prefix: "/stream/", Kind: route.Stream, MaxAttempts: 1,
+			Timeout: 10 * time.Second, Patience: 2 * time.Second, TargetLatency: time.Second,
+			Targets: []route.Target{{Service: "s"}},
+		}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	view := &View{Routes: routes, Endpoints: map[id.Endpoint]registry.Endpoint{}}
+	for _, name := range []id.Endpoint{"p1", "p2", "d1", "d2"} {
+		view.Endpoints[name] = registry.Endpoint{Name: name, Service: "s", Address: string(name), Slots: 6}
+	}
+	f.View = func() *View { return view }
+	f.Pairer = owner
+	r.Path, r.Target, r.CallerWaits = "/stream/x", "/stream/x", 10*time.Second
+	leave = func(name id.Endpoint) {
+		e := view.Endpoints[name]
+		e.Leaving = true
+		view.Endpoints[name] = e
+	}
+	return f, r, leave
+}
+
+// TestAnOwnerThatKnowsLessSendsNothingToALeavingEngine: the daemon of a pool's
+// owner was frozen for seven seconds. When it woke, it granted engines whose
+// leaving the store had accepted 3.07 s before, which all other daemons had
+// known of since 13 ms after that; they sent the requests there all the same,
+// which engines that leave do not have to serve. Lines of the owner:
+//
+//	member_stalled late=6.797878117s
+//	endpoint_changed endpoint=... leaving=true   (3.18 s after the others)
+func TestAnOwnerThatKnowsLessSendsNothingToALeavingEngine(t *testing.T) {
+	t.Run("decode", func(t *testing.T) {
+		is := is.New(t)
+		engines := &recorded{}
+		owner := &staleOwner{prefills: []id.Endpoint{"p1"}, decodes: []id.Endpoint{"d1", "d2"}}
+		f, r, leave := streamTest(t, engines, owner)
+		leave("d1")
+		_, err := f.Run(context.Background(), r)
+		is.True(err == nil)
+		is.Equal(engines.decoded, []id.Endpoint{"d2"})
+		is.Equal(engines.prefilled, []id.Endpoint{"p1"}) // the prompt is read once
+		is.Equal(owner.ended[len(owner.ended)-2].Phase, sched.PhaseCancelled)
+	})
+	t.Run("prefill", func(t *testing.T) {
+		is := is.New(t)
+		engines := &recorded{}
+		owner := &staleOwner{prefills: []id.Endpoint{"p1", "p2"}, decodes: []id.Endpoint{"d1"}}
+		f, r, leave := streamTest(t, engines, owner)
+		leave("p1")
+		_, err := f.Run(context.Background(), r)
+		is.True(err == nil)
+		is.Equal(engines.prefilled, []id.Endpoint{"p2"})
+	})
+	t.Run("leaving while the prompt is read", func(t *testing.T) {
+		is := is.New(t)
+		engines := &recorded{}
+		owner := &staleOwner{prefills: []id.Endpoint{"p1"}, decodes: []id.Endpoint{"d1", "d2"}}
+		f, r, leave := streamTest(t, engines, owner)
+		engines.afterPrefill = func() { leave("d1") }
+		_, err := f.Run(context.Background(), r)
+		is.True(err == nil)
+		is.Equal(engines.decoded, []id.Endpoint{"d2"})
+	})
+	t.Run("no other engine", func(t *testing.T) {
+		is := is.New(t)
+		engines := &recorded{}
+		owner := &staleOwner{prefills: []id.Endpoint{"p1"}, decodes: []id.Endpoint{"d1"}}
+		f, r, leave := streamTest(t, engines, owner)
+		leave("d1")
+		_, err := f.Run(context.Background(), r)
+		is.True(err != nil)
+		is.Equal(err.Verdict, verdict.NotRun) // and the caller is told so
+		is.Equal(len(engines.decoded), 0)
+	})
+}
