Send nothing to an engine that leaves, whatever the pool's owner granted

What callers saw: requests sent to engines up to 3.37 s after the store had accepted that these leave, where 3 s are allowed; such an engine may end before the answer does.

Cause: the daemon that sends looked up only where the granted engine is, not whether it leaves, and so rested on the knowledge of the pool's owner. An owner whose host was frozen for 7 s wakes with the endpoints of before, and grants them until it has read the news.

Now the sender looks at its own knowledge before the prompt and before the answer: a grant of an engine that is gone or leaves is given back to the owner (grant_given_back), the engine is left out of the next want, and another one is asked for; a prompt that was read goes to another engine with its KV cache, and is freed where there is none. Whoever sends in touch with the store thus keeps the bound whatever any owner believes. The caller hears nothing of it where another engine is free, and otherwise that the request was not run.

Looked at as well: plain calls choose from the sender's own list at each attempt; orders to engines read the engine's own state right before, under a lease. A woken owner grants by a ledger that is as old as its sleep until the others tell it of its death; engines refuse what they have no room for, and the request goes elsewhere.

TestAnOwnerThatKnowsLessSendsNothingToALeavingEngine, red before, passes and is off the list; it asks besides that no prompt is read for nothing.

--- a/daemon/forward/decode.go
+++ b/daemon/forward/decode.go
@@ -47,9 +47,9 @@
 
 func (g *generation) decodeOnce(ctx context.Context, kv KV) (*Opened, *verdict.Error) {
 	f := g.f
-	engine, ok := f.View().Endpoints[g.grant.Decode]
-	if !ok {
-		return nil, g.missing(g.grant.Decode)
+	engine, err := g.granted(g.grant.Decode)
+	if err != nil {
+		return nil, err
 	}
 	begun := f.Now()
 	g.trace.attempts++
--- a/daemon/forward/leaving_test.go
+++ b/daemon/forward/leaving_test.go
@@ -53,6 +53,8 @@
 	prefilled, decoded []id.Endpoint
 	// afterPrefill runs when a prompt has been read.
 	afterPrefill func()
+	// freed takes a token for each KV cache that is freed.
+	freed chan struct{}
 }
 
 // Prefill implements Endpoints.
@@ -70,6 +72,9 @@
 	return &Opened{Status: 200, Events: noEvents{}}, nil
 }
 
+// Free implements Endpoints.
+func (r *recorded) Free(context.Context, registry.Endpoint, KV) { r.freed <- struct{}{} }
+
 // noEvents is a stream without events.
 type noEvents struct{}
 
@@ -133,7 +138,7 @@
 		is.True(err == nil)
 		is.Equal(engines.decoded, []id.Endpoint{"d2"})
 		is.Equal(engines.prefilled, []id.Endpoint{"p1"}) // the prompt is read once
-		is.Equal(owner.ended[len(owner.ended)-2].Phase, sched.PhaseCancelled)
+		is.Equal(owner.ended[0].Phase, sched.PhaseCancelled) // the owner has its grant back
 	})
 	t.Run("prefill", func(t *testing.T) {
 		is := is.New(t)
@@ -165,5 +170,18 @@
 		is.True(err != nil)
 		is.Equal(err.Verdict, verdict.NotRun) // and the caller is told so
 		is.Equal(len(engines.decoded), 0)
+		is.Equal(len(engines.prefilled), 0) // nor is its prompt read
+	})
+	t.Run("none is left when the prompt was read", func(t *testing.T) {
+		is := is.New(t)
+		engines := &recorded{freed: make(chan struct{}, 1)}
+		owner := &staleOwner{prefills: []id.Endpoint{"p1"}, decodes: []id.Endpoint{"d1"}}
+		f, r, leave := streamTest(t, engines, owner)
+		engines.afterPrefill = func() { leave("d1") }
+		_, err := f.Run(context.Background(), r)
+		is.True(err != nil)
+		is.Equal(err.Verdict, verdict.NotRun)
+		is.Equal(len(engines.decoded), 0)
+		<-engines.freed // no memory is held for it
 	})
 }
--- a/daemon/forward/stream.go
+++ b/daemon/forward/stream.go
@@ -191,6 +191,10 @@
 	if err := g.pair(ctx, 0); err != nil {
 		return KV{}, 0, err
 	}
+	if _, err := g.granted(g.grant.Decode); err != nil {
+		// Before its prompt is read for nothing.
+		return KV{}, 0, err
+	}
 	if g.grant.Prefill == "" {
 		g.trace.prefill = g.grant.Decode
 		return KV{}, g.f.Now(), nil
@@ -201,9 +205,9 @@
 // prefill has the prompt read.
 func (g *generation) prefill(ctx context.Context) (KV, time.Duration, *verdict.Error) {
 	f := g.f
-	engine, ok := f.View().Endpoints[g.grant.Prefill]
-	if !ok {
-		return KV{}, 0, g.missing(g.grant.Prefill)
+	engine, err := g.granted(g.grant.Prefill)
+	if err != nil {
+		return KV{}, 0, err
 	}
 	g.trace.prefill = engine.Name
 	g.progress(sched.Progress{Phase: sched.PhasePrefilling})
@@ -232,11 +236,24 @@
 	return &out
 }
 
-// missing ends an attempt whose engine is no longer registered here.
-func (g *generation) missing(name id.Endpoint) *verdict.Error {
+// granted looks up an engine that the pool's owner granted. Where it is gone or
+// leaves, by this daemon's own knowledge, the grant is given back: an owner that
+// was not run for a while, or is cut off from the news, grants engines that must
+// get no new work.
+func (g *generation) granted(name id.Endpoint) (registry.Endpoint, *verdict.Error) {
+	engine, known := g.f.View().Endpoints[name]
+	if known && !engine.Leaving {
+		return engine, nil
+	}
+	why := "is no longer registered"
+	if known {
+		why = "is leaving"
+	}
+	g.f.Log.Event("grant_given_back", "request", g.request.ID, "endpoint", name, "owner", g.grant.Owner,
+		"reservation", g.grant.Reservation, "why", why)
 	g.progress(sched.Progress{Phase: sched.PhaseCancelled})
 	g.avoid = append(g.avoid, name)
-	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "engine %s is no longer registered", name)
+	return engine, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "engine %s %s", name, why)
 }
 
 func (g *generation) attempt(e registry.Endpoint) *Attempt {
