Let each daemon of a large fleet watch a few neighbours

Cause: on the users' platform each daemon exchanges heartbeats with each other one. At 90 daemons that is 62 messages a second and a connection to each of 89 others; to keep to it at 195, heartbeats come every 3.2 s, so that a dead daemon is suspected after 10 s and dead after 20 s.

Change: with more than MeshUpTo others, a daemon has a neighbour on either side on each of three hash rings, ordered by rendezvous scores, so that all who know the same daemons choose alike and neighbours watch one another. Heartbeats go to these six, and to whoever watches this daemon by another view. A neighbour that is silent is asked about at its other neighbours first; suspicions, deaths, starts, leavings, new epochs and what others must know of a daemon (that it is ready, watched, without the store) go on from neighbour to neighbour, up to 24 pieces on a heartbeat, sooner than the next one is due. A digest of who is there finds views that differ, and a daemon that has come back from beyond a cut is asked for all that it knows. The dead are tried by those who would be their neighbours. Watched daemons, and those that keep connections to all, still send to all; a daemon says that it is watched only after half a second.

Weighed: the Partial mode of this package probes all others in turn, so that in 78 s it would have connected to each of 194; CYCLON's shuffle (Voulgaris, Gavidia, van Steen) finds random partners where nobody has a list of all, and here the platform's store has one, from which rings follow without a message. A small fleet is as before.

Tests: rings_test.go, at 30, 100 and some at 300 daemons; the tests of failures run at 30 and 100 in this mode too. The first tries failed them: a daemon beyond a cut took its neighbours' replacements for the fleet, told others of whom it could not reach, and came back with stale beats that nobody could refute.

--- a/core/member/config.go
+++ b/core/member/config.go
@@ -35,6 +35,16 @@
 	// them grows, and the others' patience with it. Mesh only; 0 for no bound.
 	MostSent    float64
 	MostWatched float64
+	// MeshUpTo is in how large a fleet, by the number of other daemons, all
+	// exchange heartbeats with all. In a larger one each daemon has two neighbours
+	// on each of Rings hash rings, which watch one another and pass news on: what
+	// a daemon sends does not grow with the fleet. Mesh only; 0 for no bound.
+	MeshUpTo int
+	Rings    int
+	// NearPeriod takes the place of Period between neighbours, and SpreadPause is
+	// the least time between heartbeats that pass news on.
+	NearPeriod  time.Duration
+	SpreadPause time.Duration
 	// PartitionedFor is how long a silent daemon may stay partitioned before
 	// it is dead after all.
 	PartitionedFor time.Duration
@@ -74,6 +84,9 @@
 		Period:          250 * time.Millisecond,
 		SuspectAfter:    time.Second,
 		DeadAfter:       2500 * time.Millisecond,
+		Rings:           3,
+		NearPeriod:      600 * time.Millisecond,
+		SpreadPause:     100 * time.Millisecond,
 		PartitionedFor:  time.Minute,
 		Forget:          10 * time.Minute,
 		StallAfter:      500 * time.Millisecond,
--- /dev/null
+++ b/core/member/gossip.go
@@ -0,0 +1,279 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Bounds of what neighbours tell one another.
+const (
+	// newsRepeats is in how many heartbeats a piece of news goes to each
+	// neighbour: a datagram may be lost, and each daemon has several neighbours.
+	newsRepeats = 3
+	// mostNews bounds the pieces of news on one heartbeat.
+	mostNews = 24
+	// agreeWithin is how long a neighbour may know other daemons than this one
+	// before it is asked for all that it knows: news take less.
+	agreeWithin = 2 * time.Second
+	// syncPause is the least time between two such questions, startSync while
+	// most daemons were not heard of yet.
+	syncPause = 3 * time.Second
+	startSync = 400 * time.Millisecond
+	// beyondPause is the least time between two such questions to daemons that
+	// have come back.
+	beyondPause = time.Second
+	// rejoinFor is how long a daemon that was isolated asks its neighbours, one
+	// after another, for all that they know.
+	rejoinFor = 5 * time.Second
+	// linkEvery is the time between heartbeats to all others of a daemon that
+	// keeps connections to them; connections rest for longer.
+	linkEvery = 2 * time.Second
+	// settleWatched is how long a daemon must want to be watched before it says
+	// so: one that has just started may take itself for an owner until it has
+	// heard of the others, and would connect to all of them.
+	settleWatched = 500 * time.Millisecond
+	// tellAllFor is how long all are told that a daemon is watched no more.
+	tellAllFor = 2 * time.Second
+	// unmetFor is how long a listed daemon that nobody has heard of is waited for.
+	unmetFor = 10 * time.Second
+)
+
+// beatNear sends heartbeats to the neighbours, to those that watch this daemon
+// and, where it keeps connections to all others, to these.
+func (m *Membership) beatNear(now time.Duration) {
+	news := m.takeNews()
+	m.rings.digest = m.digest()
+	m.heardOf = 0
+	toAll := m.self.Watched || now < m.rings.tellAllUntil
+	for _, name := range m.order {
+		p := m.peers[name]
+		if !m.onRings(p) {
+			m.tryGap(now, p)
+			continue
+		}
+		if p.met {
+			m.heardOf++
+		}
+		switch {
+		case p.near || now < p.askedUntil:
+			m.sendNear(now, p, news)
+		case toAll && p.met:
+			m.sendLink(now, p)
+		}
+	}
+	m.keepLinks(now)
+	if len(m.rings.news) > 0 {
+		m.due = min(m.due, now+m.cfg.SpreadPause)
+	}
+}
+
+func (m *Membership) sendNear(now time.Duration, p *peer, news []Entry) {
+	p.sentAt = now
+	m.send(p, Message{Kind: Heartbeat, Watching: p.near, Digest: m.rings.digest, Entries: slices.Clone(news)})
+}
+
+func (m *Membership) sendLink(now time.Duration, p *peer) {
+	p.sentAt = now
+	m.send(p, Message{Kind: Heartbeat})
+}
+
+// tryGap sends a message now and then to a daemon that is gone and would be a
+// neighbour: so it learns, when it comes back, what is held of it.
+func (m *Membership) tryGap(now time.Duration, p *peer) {
+	if !p.gap || now < p.revive {
+		return
+	}
+	p.revive = now + m.cfg.ReviveEvery
+	m.send(p, Message{Kind: Heartbeat, Watching: true})
+}
+
+// keepLinks keeps the connections to all others alive: each gets a heartbeat
+// every linkEvery, a part of them in each period.
+func (m *Membership) keepLinks(now time.Duration) {
+	if !m.rings.linked || m.self.Watched || len(m.order) == 0 {
+		return
+	}
+	share := float64(m.ownPeriod()) / float64(linkEvery)
+	for range min(len(m.order), 1+int(share*float64(len(m.order)))) {
+		p := m.peers[m.order[m.rings.linkAt%len(m.order)]]
+		m.rings.linkAt++
+		if p.met && !p.absent() && now-p.sentAt >= linkEvery/2 {
+			m.sendLink(now, p)
+		}
+	}
+}
+
+// tell has news of a peer sent on to the neighbours, soon.
+func (m *Membership) tell(e Entry) {
+	r := &m.rings
+	if e.Process.Daemon == m.self.Process.Daemon {
+		// Each heartbeat says it.
+		m.hurryNews()
+		return
+	}
+	same := func(u update) bool { return u.entry.Process.Daemon == e.Process.Daemon }
+	if at := slices.IndexFunc(r.news, same); at >= 0 {
+		r.news = slices.Delete(r.news, at, at+1)
+	}
+	if len(r.news) < maxUpdates {
+		r.news = append(r.news, update{entry: e})
+		m.hurryNews()
+	}
+}
+
+// hurryNews brings the next heartbeats forward to when news may go out.
+func (m *Membership) hurryNews() { m.due = min(m.due, m.beatAt+m.cfg.SpreadPause) }
+
+// takeNews is what the neighbours are told in one heartbeat: bad news first,
+// then what was told least often.
+func (m *Membership) takeNews() []Entry {
+	r := &m.rings
+	if len(r.news) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(r.news, func(a, b update) int {
+		return cmp.Or(cmp.Compare(urgency(a), urgency(b)), cmp.Compare(a.sent, b.sent))
+	})
+	out := make([]Entry, min(mostNews, len(r.news)))
+	for i := range out {
+		r.news[i].sent++
+		out[i] = r.news[i].entry
+	}
+	r.news = slices.DeleteFunc(r.news, func(u update) bool { return u.sent >= newsRepeats })
+	return out
+}
+
+// noteworthy says whether a daemon tells of itself what all others must know.
+func noteworthy(old, now Entry) bool {
+	return old.Watched != now.Watched || old.StoreLost != now.StoreLost ||
+		(old.Revision == 0) != (now.Revision == 0) || old.CallerAddress != now.CallerAddress
+}
+
+// digest sums up who is there: equal ones mean the same daemons in the same
+// starts and epochs.
+func (m *Membership) digest() uint64 {
+	sum := entryDigest(&m.self)
+	for _, p := range m.peers {
+		if p.met && !p.absent() {
+			sum ^= entryDigest(&p.entry)
+		}
+	}
+	return sum
+}
+
+func entryDigest(e *Entry) uint64 {
+	const spread, odd = 0x9e3779b97f4a7c15, 0xff51afd7ed558ccd
+	sum := xxhash.Sum64String(string(e.Process.Daemon)) ^ (uint64(e.Process.Incarnation) * spread) ^ (uint64(e.Epoch) * odd)
+	return sum * spread
+}
+
+// compare takes a neighbour's digest. One that has differed for long has missed
+// news, or this daemon has.
+func (m *Membership) compare(now time.Duration, p *peer, digest uint64) {
+	if digest == 0 || digest == m.rings.digest {
+		p.agreedAt = now
+		return
+	}
+	if now-p.agreedAt < agreeWithin || now < m.rings.syncAt {
+		return
+	}
+	m.rings.syncAt = now + syncPause
+	m.send(p, Message{Kind: Sync})
+}
+
+// syncNear asks a neighbour for all that it knows while listed daemons were not
+// heard of: at the daemon's own start, and at that of a whole fleet.
+func (m *Membership) syncNear(now time.Duration) {
+	rejoins := now < m.rings.rejoinUntil
+	if now < m.rings.syncAt && !rejoins {
+		return
+	}
+	unmet := 0
+	var near []*peer
+	for _, name := range m.order {
+		p := m.peers[name]
+		if !p.met && !p.absent() {
+			unmet++
+		}
+		if p.near && p.met && p.entry.State == Alive {
+			near = append(near, p)
+		}
+	}
+	if unmet == 0 && !rejoins || len(near) == 0 {
+		return
+	}
+	m.rings.syncAt = now + syncPause
+	if 2*unmet > len(m.order) {
+		m.rings.syncAt = now + startSync
+	}
+	m.send(near[m.rng.IntN(len(near))], Message{Kind: Sync})
+}
+
+// askBeyond asks a daemon that has come back for all that it knows: it may have
+// been cut off together with others.
+func (m *Membership) askBeyond(now time.Duration, p *peer) {
+	if !m.rings.on || now < m.rings.beyondAt {
+		return
+	}
+	m.rings.beyondAt = now + beyondPause
+	m.send(p, Message{Kind: Sync})
+}
+
+// claimed notes a heartbeat of a daemon that watches this one.
+func (m *Membership) claimed(now time.Duration, p *peer, msg Message) {
+	if msg.Watching {
+		if now >= p.askedUntil {
+			m.hurryNews()
+		}
+		p.askedUntil = now + m.suspectAfter(p)
+	}
+	if p.near {
+		m.compare(now, p, msg.Digest)
+	}
+}
+
+// takeWatched says that this daemon is watched once it has wanted to be for a
+// while, and that it is no more at once.
+func (m *Membership) takeWatched(now time.Duration) {
+	r := &m.rings
+	if !r.wantsWatched {
+		r.wantedAt = 0
+	} else if r.wantedAt == 0 {
+		r.wantedAt = now
+	}
+	watched := r.wantsWatched && (!r.on || now-r.wantedAt >= settleWatched)
+	if watched == m.self.Watched {
+		return
+	}
+	if r.on && !watched {
+		r.tellAllUntil = now + tellAllFor
+	}
+	m.self.Watched = watched
+	m.hurry()
+}
+
+// judgeHearsay moves along a peer that this daemon does not watch: those who do
+// tell of it, and are waited for.
+func (m *Membership) judgeHearsay(now time.Duration, p *peer) {
+	switch {
+	case !p.met && now-p.since >= unmetFor:
+		m.set(now, p, Dead, "listed and never heard")
+	case p.met && p.entry.State == Suspect && now-p.since >= m.hearsayPatience():
+		m.giveUp(now, p)
+	case p.met && p.entry.State == Alive && m.isolated && now-p.heard >= m.deadAfter(p) && m.domainSilent(now, p):
+		// None of those who are left watches it.
+		m.giveUp(now, p)
+	}
+}
+
+// hearsayPatience is how long the word of those who watch a suspect daemon is
+// waited for. Those beyond a cut can't give it.
+func (m *Membership) hearsayPatience() time.Duration {
+	if m.isolated {
+		return m.cfg.DeadAfter
+	}
+	return 3 * m.cfg.DeadAfter
+}
--- a/core/member/judge.go
+++ b/core/member/judge.go
@@ -23,31 +23,76 @@
 	if m.cfg.Mode == Partial {
 		return p.entry.State == Suspect || p.entry.State == Partitioned
 	}
-	return now-p.heard >= m.suspectAfter(p)
+	if !m.watches(p) {
+		return p.entry.State == Suspect || p.entry.State == Partitioned
+	}
+	return m.silence(now, p) >= m.suspectAfter(p)
 }
 
 // judgeSelf finds out whether this daemon has lost most of the fleet at once.
 func (m *Membership) judgeSelf(now time.Duration) {
-	known, lost := 0, 0
+	all, near := m.countLost(now)
+	isolated := all.most() || near.most()
+	switch {
+	case m.cfg.Mode == Partial:
+		isolated = m.partial.failing()
+	case m.rings.on && m.isolated && (2*near.reached <= near.known || all.beyond > 0 && near.reachedBeyond == 0):
+		// Those it lost were replaced by others, which it has not heard either, or by
+		// those of its own failure domain, which may be cut off as a whole.
+		isolated = true
+	}
+	if isolated == m.isolated {
+		return
+	}
+	m.isolated, m.isolatedAt = isolated, now
+	m.rings.old = true
+	m.rings.rejoinUntil = 0
+	if !isolated {
+		// What the others found out meanwhile is to be learnt.
+		m.rings.rejoinUntil = now + rejoinFor
+	}
+	m.emit(Action{Isolated: &Isolated{Now: isolated, Silent: all.lost, Known: all.known}})
+}
+
+// group counts the daemons of a group, those of them that are silent, and those
+// that were heard since this daemon was isolated; beyond and reachedBeyond are
+// those in other failure domains.
+type group struct{ known, lost, reached, beyond, reachedBeyond int }
+
+func (g *group) add(lost, reached, beyond bool) {
+	g.known++
+	g.lost += count(lost)
+	g.reached += count(reached)
+	g.beyond += count(beyond)
+	g.reachedBeyond += count(reached && beyond)
+}
+
+func count(yes bool) int {
+	if yes {
+		return 1
+	}
+	return 0
+}
+
+// most says whether more than half of a group is lost.
+func (g group) most() bool { return g.lost >= minGroup && 2*g.lost > g.known }
+
+// countLost counts all that were heard of, and this daemon's neighbours.
+func (m *Membership) countLost(now time.Duration) (all, near group) {
 	for _, name := range m.order {
 		p := m.peers[name]
 		if !p.met || p.entry.State == Dead {
 			continue
 		}
-		known++
-		if m.silent(now, p) {
-			lost++
+		lost := m.silent(now, p)
+		reached := !lost && p.direct > m.isolatedAt
+		beyond := p.entry.Domain != m.self.Domain
+		all.add(lost, reached, beyond)
+		if p.near {
+			near.add(lost, reached, beyond)
 		}
 	}
-	isolated := lost >= minGroup && 2*lost > known
-	if m.cfg.Mode == Partial {
-		isolated = m.partial.failing()
-	}
-	if isolated == m.isolated {
-		return
-	}
-	m.isolated = isolated
-	m.emit(Action{Isolated: &Isolated{Now: isolated, Silent: lost, Known: known}})
+	return all, near
 }
 
 // judgePeer applies the time limits to one peer.
@@ -68,19 +113,35 @@
 		m.judgeSuspect(now, p)
 		return
 	}
-	silence := now - p.heard
-	if silence < m.suspectAfter(p) {
+	if !m.watches(p) {
+		m.judgeHearsay(now, p)
+		return
+	}
+	silence, suspectAfter := m.silence(now, p), m.suspectAfter(p)
+	if m.rings.on && silence >= suspectAfter/2 {
+		// Its other neighbours may have heard it: nobody else then learns of a
+		// suspicion that is none.
+		m.askAbout(now, p)
+	}
+	if silence < suspectAfter {
 		return
 	}
 	if p.entry.State == Alive {
 		m.set(now, p, Suspect, "silent")
 	}
 	m.askAbout(now, p)
-	if silence >= m.deadAfter(p) {
+	if m.cutOff(p) || silence >= m.deadAfter(p) {
 		m.giveUp(now, p)
 	}
 }
 
+// cutOff says whether a peer is one of those that this daemon, isolated in a
+// large fleet, has not heard since. There are many to find out about, a few at a
+// time.
+func (m *Membership) cutOff(p *peer) bool {
+	return m.rings.on && m.isolated && p.direct < m.isolatedAt
+}
+
 // judgeSuspect, in Partial mode, lets a suspicion run out. Whoever raised it
 // has gone on probing and judges; the others wait for its word, and give up on
 // their own only if it does not come.
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -32,13 +32,18 @@
 	beatAt   time.Duration
 	heardOf  int
 	isolated bool
-	relays   map[uint64]relay
-	seq      uint64
-	out      []Action
+	// isolatedAt is when isolated was set or cleared.
+	isolatedAt time.Duration
+	relays     map[uint64]relay
+	seq        uint64
+	out        []Action
 	// bulk is set while a SyncReply is merged: old news, not to be sent on.
 	bulk bool
 
 	partial partial
+	rings   rings
+	// at is this daemon's own position on each ring.
+	at []uint64
 }
 
 // peer is what is known of one other daemon.
@@ -66,6 +71,8 @@
 	// mine is set, in Partial mode, on a daemon that this one's own probes
 	// made suspect: this one probes on, and judges it.
 	mine bool
+
+	place
 }
 
 // relay remembers for whom a probe was sent on.
@@ -89,6 +96,7 @@
 		lookAt:  now,
 		relays:  map[uint64]relay{},
 		partial: newPartial(now),
+		at:      cfg.positions(self.Process.Daemon),
 	}
 }
 
@@ -99,26 +107,41 @@
 	Settings uint64
 	// Watched is set while other daemons wait for this one.
 	Watched bool
+	// Linked is set while the daemon keeps connections to all others, since it may
+	// have to reach them at once.
+	Linked bool
 	// StoreLost is set while the platform's store does not answer this daemon.
 	StoreLost bool
 }
 
 // SetLocal sets what the next messages say.
 func (m *Membership) SetLocal(l Local) {
+	if m.rings.on && (l.Revision == 0) != (m.self.Revision == 0) {
+		// It can take duties from now on, or no more.
+		m.hurryNews()
+	}
 	m.self.Revision = l.Revision
 	m.self.InFlight = l.InFlight
 	m.self.Settings = l.Settings
-	watched := l.Watched && m.cfg.WatchedPeriod > 0
-	if watched != m.self.Watched || l.StoreLost != m.self.StoreLost {
+	m.rings.wantsWatched = l.Watched && m.cfg.WatchedPeriod > 0
+	m.rings.linked = l.Linked
+	if !m.rings.on {
+		m.takeWatched(m.beatAt)
+	}
+	if l.StoreLost != m.self.StoreLost {
 		m.hurry()
 	}
-	m.self.Watched = watched
 	m.self.StoreLost = l.StoreLost
 }
 
 // hurry brings the next heartbeats forward to when a small fleet would have
 // them: the others act on what they say.
-func (m *Membership) hurry() { m.due = min(m.due, m.beatAt+m.basePeriod()) }
+func (m *Membership) hurry() {
+	m.due = min(m.due, m.beatAt+m.basePeriod())
+	if m.rings.on {
+		m.hurryNews()
+	}
+}
 
 // Leave says that this daemon stops soon.
 func (m *Membership) Leave(now time.Duration) []Action {
@@ -164,6 +187,10 @@
 // Tick does what is due: send, judge the silent, ask about them.
 func (m *Membership) Tick(now time.Duration) []Action {
 	m.noteStall(now)
+	m.takeWatched(now)
+	if m.rings.old {
+		m.chooseNeighbours(now)
+	}
 	if now >= m.due {
 		m.beatAt = now
 		period := m.ownPeriod()
@@ -194,6 +221,9 @@
 	if m.self.Watched {
 		most = m.cfg.MostWatched
 	}
+	if m.rings.on && !m.self.Watched {
+		return max(m.basePeriod(), m.cfg.NearPeriod)
+	}
 	if most <= 0 || m.cfg.Mode != Mesh {
 		return m.basePeriod()
 	}
@@ -217,6 +247,11 @@
 		m.reviveOne(now)
 		return
 	}
+	if m.rings.on {
+		m.syncNear(now)
+		m.beatNear(now)
+		return
+	}
 	m.beat(now)
 }
 
@@ -233,6 +268,7 @@
 		p.heard += late
 		p.direct += late
 		p.since += late
+		p.nearSince += late
 	}
 	m.partial.shift(late)
 	m.emit(Action{Stalled: &Stalled{Late: late}})
@@ -282,7 +318,7 @@
 	case Dead, Paused:
 		return true
 	case Suspect, Partitioned:
-		return m.cfg.Mode == Partial
+		return m.gossips()
 	default:
 		return false
 	}
@@ -298,6 +334,8 @@
 	}
 	p := &peer{heard: now, direct: now - m.cfg.DeadAfter, since: now, revive: now, asked: now - m.cfg.DeadAfter}
 	p.entry = Entry{Process: id.Process{Daemon: name}, State: Suspect}
+	p.at = m.cfg.positions(name)
+	m.rings.old = true
 	m.peers[name] = p
 	at, _ := slices.BinarySearch(m.order, name)
 	m.order = slices.Insert(m.order, at, name)
@@ -306,6 +344,7 @@
 
 func (m *Membership) forget(name id.Daemon) {
 	delete(m.peers, name)
+	m.rings.old = true
 	if at, ok := slices.BinarySearch(m.order, name); ok {
 		m.order = slices.Delete(m.order, at, at+1)
 	}
@@ -334,6 +373,11 @@
 	for _, name := range m.order {
 		m.show(m.peers[name], "host list")
 	}
+	if m.rings.old {
+		// Those that are new here should not wait for the next heartbeats.
+		m.chooseNeighbours(now)
+		m.hurryNews()
+	}
 	return m.flush()
 }
 
@@ -364,9 +408,11 @@
 func (m *Membership) set(now time.Duration, p *peer, s State, reason string) {
 	if p.entry.State != s {
 		p.entry.State = s
+		m.rings.old = true
 		p.since = now
 		p.mine = false
-		if p.met {
+		if p.met && !(m.rings.on && m.isolated && s == Partitioned) {
+			// What one that is cut off can't reach says nothing to the others.
 			m.enqueue(p.entry)
 		}
 	}
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -11,18 +12,48 @@
 	"github.com/samphirequay/samphirequay/core/revision/table/tabletest"
 )
 
-// sizes of the fleets that the failures are tried on.
-var sizes = map[Mode][]int{Mesh: {9}, Partial: {9, 60}}
+// kind is a kind of fleet that the failures are tried on.
+type kind struct {
+	name  string
+	mode  Mode
+	rings bool
+	sizes []int
+}
+
+var kinds = []kind{
+	{name: "mesh", mode: Mesh, sizes: []int{9}},
+	{name: "partial", mode: Partial, sizes: []int{9, 60}},
+	{name: "rings", mode: Mesh, rings: true, sizes: []int{30, 100}},
+}
+
+// withRings has each daemon watch a few neighbours, as on the platform.
+func withRings(c *Config) {
+	c.Period = 400 * time.Millisecond
+	c.SuspectAfter = 1300 * time.Millisecond
+	c.StallAfter = 600 * time.Millisecond
+	c.WatchedPeriod = 120 * time.Millisecond
+	c.WatchedSuspect = 390 * time.Millisecond
+	c.WatchedDead = 1500 * time.Millisecond
+	c.MostSent, c.MostWatched = 60, 600
+	c.MeshUpTo = 24
+}
+
+func (k *kind) fleet(n, domains int, seed uint64) *fleet {
+	if k.rings {
+		return newFleetWith(withRings, k.mode, n, domains, seed)
+	}
+	return newFleet(k.mode, n, domains, seed)
+}
 
 // each runs a test on a steady fleet of each mode, size and some seeds.
 func each(t *testing.T, run func(*testing.T, *is.I, *fleet)) {
-	for mode, counts := range sizes {
-		for _, n := range counts {
+	for _, k := range kinds {
+		for _, n := range k.sizes {
 			for seed := range uint64(2) {
-				t.Run(string(mode), func(t *testing.T) {
+				t.Run(fmt.Sprintf("%s/%d/%d", k.name, n, seed), func(t *testing.T) {
 					t.Parallel()
 					is := is.New(t)
-					f := newFleet(mode, n, 4, seed)
+					f := k.fleet(n, 4, seed)
 					_, ok := f.until(20*time.Second, f.steady)
 					is.True(ok) // the fleet finds itself
 					run(t, is, f)
@@ -204,10 +235,10 @@
 // asserts that a daemon which others took for dead is never live again in its
 // old epoch, and that the fleet finds itself when the faults end.
 func TestRandomFaults(t *testing.T) {
-	for _, mode := range []Mode{Mesh, Partial} {
+	for _, k := range kinds {
 		for seed := range tabletest.Seeds(20) {
 			is := is.New(t)
-			f := newFleet(mode, 9, 4, seed)
+			f := k.fleet(k.sizes[0], 4, seed)
 			f.loss = 0.05
 			for range 12 {
 				name := f.names[f.rng.IntN(len(f.names))]
@@ -232,7 +263,7 @@
 			_, ok := f.until(90*time.Second, f.steady)
 			if !ok {
 				for _, n := range f.names {
-					t.Log(mode, seed, n, f.states(n), f.members[n].Self(), f.members[n].Halted())
+					t.Log(k.name, seed, n, f.states(n), f.members[n].Self(), f.members[n].Halted())
 				}
 			}
 			is.True(ok)
--- a/core/member/mesh.go
+++ b/core/member/mesh.go
@@ -38,9 +38,16 @@
 
 // helpers chooses up to n alive peers other than p at random.
 func (m *Membership) helpers(p *peer, n int) []*peer {
+	candidates := make([]*peer, 0, len(m.order))
+	if m.rings.on {
+		candidates = m.watchers(p)
+	} else {
+		for _, name := range m.order {
+			candidates = append(candidates, m.peers[name])
+		}
+	}
 	var alive []*peer
-	for _, name := range m.order {
-		q := m.peers[name]
+	for _, q := range candidates {
 		if q != p && q.met && q.entry.State == Alive {
 			alive = append(alive, q)
 		}
--- a/core/member/messages.go
+++ b/core/member/messages.go
@@ -118,6 +118,11 @@
 	About id.Daemon `cbor:"4,keyasint,omitempty"`
 	// Entries tell of other daemons, or tell the receiver about itself.
 	Entries []Entry `cbor:"5,keyasint,omitempty"`
+	// Watching, on a Heartbeat, asks the receiver for heartbeats: the sender
+	// judges it by its silence.
+	Watching bool `cbor:"6,keyasint,omitempty"`
+	// Digest, on a Heartbeat between neighbours, sums up who is there.
+	Digest uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Host is one entry of the platform's host list.
--- a/core/member/partial.go
+++ b/core/member/partial.go
@@ -203,9 +203,16 @@
 	}
 }
 
+// gossips says whether changes are told from daemon to daemon.
+func (m *Membership) gossips() bool { return m.cfg.Mode == Partial || m.rings.on }
+
 // enqueue has news sent on with the next messages.
 func (m *Membership) enqueue(e Entry) {
-	if m.cfg.Mode != Partial || m.bulk {
+	if !m.gossips() || m.bulk {
+		return
+	}
+	if m.rings.on {
+		m.tell(e)
 		return
 	}
 	s := &m.partial
--- a/core/member/receive.go
+++ b/core/member/receive.go
@@ -38,6 +38,7 @@
 	}
 	switch msg.Kind {
 	case Heartbeat:
+		m.claimed(now, p, msg)
 		if m.tells(p) && p.entry.State != Suspect {
 			m.send(p, Message{Kind: Ack})
 		}
@@ -79,7 +80,7 @@
 		m.self.Epoch = e.Epoch
 		m.halt(by, false)
 	case Suspect, Partitioned:
-		if m.cfg.Mode == Partial && !m.halted {
+		if m.gossips() && !m.halted {
 			m.self.Epoch = e.Epoch + 1
 			m.enqueue(m.self)
 		}
@@ -101,11 +102,16 @@
 		return true
 	}
 	fresh := e.Beat > p.entry.Beat
+	news := fresh && noteworthy(p.entry, e)
 	if fresh {
 		takeReport(&p.entry, e)
 	}
+	if news {
+		m.enqueue(p.entry)
+	}
 	if direct {
 		p.direct = now
+		p.noteWatched(now)
 	}
 	if e.State == Leaving && !p.said {
 		p.said = true
@@ -115,6 +121,16 @@
 	return true
 }
 
+// noteWatched notes since when a daemon has said to this one that it is watched.
+func (p *peer) noteWatched(now time.Duration) {
+	switch {
+	case !p.entry.Watched:
+		p.watchedAt = 0
+	case p.watchedAt == 0:
+		p.watchedAt = max(now, 1)
+	}
+}
+
 // takeReport copies what a daemon says of itself, but for state and epoch.
 func takeReport(to *Entry, e Entry) {
 	to.Beat = e.Beat
@@ -138,10 +154,13 @@
 		p.entry.State = Alive
 	}
 	p.heard, p.since = now, now
+	p.watchedAt, p.revive = 0, now
 	if direct {
 		p.direct = now
+		p.noteWatched(now)
 	}
 	p.shown = 0
+	m.rings.old = true
 	m.enqueue(e)
 	m.show(p, "first heard")
 	if direct && m.cfg.Mode == Mesh && !m.halted {
@@ -161,6 +180,10 @@
 		p.entry.Epoch = e.Epoch
 		p.heard = now
 		m.set(now, p, said, "a new epoch")
+		if m.rings.on {
+			// Also where it changes nothing here: others may hold it for suspect.
+			m.enqueue(p.entry)
+		}
 		return
 	}
 	if e.Epoch < p.entry.Epoch {
@@ -169,16 +192,32 @@
 	if fresh || direct {
 		m.evidence(now, p, e, direct)
 	}
+	if m.rejoins(now, p, said) {
+		p.heard = now
+		m.set(now, p, said, "reported by a peer")
+	}
 	if !direct && m.adopts(p, e, said) {
 		m.set(now, p, said, "reported by a peer")
 	}
 }
 
+// rejoins decides whether a daemon that could not be reached is alive by a peer's
+// word: this one was cut off, and the others were not.
+func (m *Membership) rejoins(now time.Duration, p *peer, said State) bool {
+	lost := p.entry.State == Partitioned || p.entry.State == Suspect && !m.watches(p)
+	return lost && said == Alive && m.bulk && now < m.rings.rejoinUntil
+}
+
 // adopts decides whether to take a peer's word about another daemon. A death
 // counts, unless this daemon is cut off, so that the daemon learns of it
 // wherever it turns; a suspicion counts unless this one has newer evidence.
 func (m *Membership) adopts(p *peer, e Entry, said State) bool {
-	if m.cfg.Mode != Partial || said <= p.entry.State {
+	if !m.gossips() || said <= p.entry.State {
+		return false
+	}
+	if m.rings.on && (said == Partitioned || m.bulk && said == Suspect || said == Suspect && m.watches(p)) {
+		// Who can reach a daemon differs from one to the next, an old suspicion is
+		// refuted by now, and of one that is watched its own silence tells more.
 		return false
 	}
 	if said == Dead {
@@ -190,6 +229,9 @@
 // evidence takes proof that the process ran. A dead one must first learn that
 // it was declared dead: it is paused until it answers with a new epoch.
 func (m *Membership) evidence(now time.Duration, p *peer, e Entry, direct bool) {
+	if direct && p.absent() {
+		m.askBeyond(now, p)
+	}
 	switch p.entry.State {
 	case Dead:
 		if direct {
--- /dev/null
+++ b/core/member/rings_test.go
@@ -0,0 +1,287 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/id"
+)
+
+// Bounds of a large fleet, from what the platform asks: a daemon that is gone
+// must be known of within the time in which a host counts as out of touch, a
+// fleet must be whole before its traffic starts and after a recovery.
+const (
+	knownGoneWithin = 5 * time.Second
+	wholeWithin     = 10 * time.Second
+	recoveredWithin = 15 * time.Second
+)
+
+// largeFleets runs a test on steady fleets in which each daemon watches a few
+// neighbours.
+func largeFleets(t *testing.T, run func(*testing.T, *is.I, *fleet)) {
+	fleetsOf(t, []int{30, 100}, run)
+}
+
+func fleetsOf(t *testing.T, sizes []int, run func(*testing.T, *is.I, *fleet)) {
+	for _, n := range sizes {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newFleetWith(withRings, Mesh, n, 6, uint64(n))
+			f.within(t, wholeWithin, "all know all", f.steady)
+			run(t, is, f)
+		})
+	}
+}
+
+// allSee says whether all running daemons see each of some in a state.
+func (f *fleet) allSee(names []id.Daemon, s State) bool {
+	for _, name := range names {
+		if !f.everyone(name, s) {
+			return false
+		}
+	}
+	return true
+}
+
+// TestWhatADaemonSendsDoesNotGrowWithTheFleet: at rest.
+func TestWhatADaemonSendsDoesNotGrowWithTheFleet(t *testing.T) {
+	is := is.New(t)
+	sent := func(n int) (messages, bytes float64) {
+		f := newFleetWith(withRings, Mesh, n, 6, 1)
+		f.within(t, wholeWithin, "all know all", f.steady)
+		f.run(10 * time.Second) // the news of the start have died down
+		f.bytes = 0
+		messages = f.sentPerDaemon(10 * time.Second)
+		return messages, float64(f.bytes) / 10 / float64(n)
+	}
+	messages30, bytes30 := sent(30)
+	messages300, bytes300 := sent(300)
+	t.Logf("a daemon and second: %.1f messages, %.0f bytes at 30; %.1f, %.0f at 300", messages30, bytes30, messages300, bytes300)
+	is.True(messages300 <= 1.3*messages30)
+	is.True(bytes300 <= 1.3*bytes30)
+}
+
+func TestADeadDaemonIsKnownOfByAllOfALargeFleet(t *testing.T) {
+	fleetsOf(t, []int{30, 100, 300}, func(t *testing.T, is *is.I, f *fleet) {
+		f.loss = 0.01
+		f.stopped["host-003"] = true
+		f.within(t, knownGoneWithin, "dead", func() bool { return f.everyone("host-003", Dead) })
+		for _, name := range f.names {
+			is.True(name == "host-003" || f.deaths(name) == 0)
+		}
+	})
+}
+
+// TestHalfOfALargeFleetDiesAtOnce: a daemon all of whose neighbours died with it
+// is found out by those that take their place.
+func TestHalfOfALargeFleetDiesAtOnce(t *testing.T) {
+	fleetsOf(t, []int{30, 100, 300}, func(t *testing.T, is *is.I, f *fleet) {
+		var dead, left []id.Daemon
+		for i, name := range f.names {
+			if i%2 == 0 {
+				f.stopped[name] = true
+				dead = append(dead, name)
+			} else {
+				left = append(left, name)
+			}
+		}
+		f.within(t, recoveredWithin, "half are live for nobody", func() bool { return !f.anyLive(dead, left) && f.allSee(left, Alive) })
+		for _, name := range left {
+			is.Equal(f.declared[name], 0)
+		}
+		for _, name := range dead {
+			f.start(name, 2)
+		}
+		f.within(t, recoveredWithin, "all know all", f.steady)
+	})
+}
+
+// TestAWholeLargeFleetLosesPower: all are back within a second, in new starts.
+func TestAWholeLargeFleetLosesPower(t *testing.T) {
+	largeFleets(t, func(t *testing.T, _ *is.I, f *fleet) {
+		for _, name := range f.names {
+			f.stopped[name] = true
+		}
+		f.run(time.Second)
+		f.wire, f.senders = nil, nil
+		for i, name := range f.names {
+			if i%10 == 0 {
+				f.run(tick)
+			}
+			f.start(name, 2)
+		}
+		f.within(t, wholeWithin, "all know all", f.steady)
+	})
+}
+
+// TestMostOfALargeFleetIsAddedAtOnce: three times as many as there are.
+func TestMostOfALargeFleetIsAddedAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFleetWith(withRings, Mesh, 40, 6, 1)
+	f.within(t, wholeWithin, "all know all", f.steady)
+	for i := range 120 {
+		name := id.Daemon(fmt.Sprintf("new-%03d", i))
+		f.domains[name] = id.Domain(fmt.Sprintf("domain-%d", i%6))
+		f.names = append(f.names, name)
+		f.start(name, 1)
+	}
+	f.within(t, wholeWithin, "all know all", f.steady)
+	for _, name := range f.names {
+		is.Equal(f.deaths(name), 0)
+	}
+}
+
+// TestAFailureDomainOfALargeFleetIsCutOff and comes back.
+func TestAFailureDomainOfALargeFleetIsCutOff(t *testing.T) {
+	fleetsOf(t, []int{30, 100, 300}, func(t *testing.T, is *is.I, f *fleet) {
+		cut := f.domains["host-001"]
+		var there, elsewhere []id.Daemon
+		for _, name := range f.names {
+			if f.domains[name] == cut {
+				there = append(there, name)
+			} else {
+				elsewhere = append(elsewhere, name)
+			}
+		}
+		f.lost = func(from, to id.Daemon) bool { return (f.domains[from] == cut) != (f.domains[to] == cut) }
+		f.within(t, recoveredWithin, "nobody there is live elsewhere, and all there know that they are cut off", func() bool {
+			for _, name := range there {
+				if !f.members[name].Isolated() {
+					return false
+				}
+			}
+			return !f.anyLive(there, elsewhere)
+		})
+		f.lost = nil
+		f.within(t, recoveredWithin, "all know all", f.steady)
+		is.True(f.anyLive(there, elsewhere))
+	})
+}
+
+// anyLive says whether any of some daemons is live for any of others.
+func (f *fleet) anyLive(some, others []id.Daemon) bool {
+	for _, by := range others {
+		for _, about := range some {
+			if e, _ := f.members[by].Get(about); e.State == Alive {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// TestALargeFleetIsCutInHalves and heals: no half is left with a view of its own.
+func TestALargeFleetIsCutInHalves(t *testing.T) {
+	largeFleets(t, func(t *testing.T, _ *is.I, f *fleet) {
+		half := map[id.Daemon]bool{}
+		for i, name := range f.names {
+			half[name] = i%2 == 0
+		}
+		f.lost = func(from, to id.Daemon) bool { return half[from] != half[to] }
+		f.run(20 * time.Second)
+		f.lost = nil
+		f.within(t, 2*recoveredWithin, "all know all", f.steady)
+	})
+}
+
+// TestTheOwnerOfAPoolIsWatchedByAllOfALargeFleet: requests wait for it.
+func TestTheOwnerOfAPoolIsWatchedByAllOfALargeFleet(t *testing.T) {
+	largeFleets(t, func(t *testing.T, is *is.I, f *fleet) {
+		f.members["host-003"].SetLocal(Local{Watched: true, Revision: 1})
+		f.run(3 * time.Second)
+		f.stopped["host-003"] = true
+		f.within(t, 2500*time.Millisecond, "live for nobody", func() bool { return f.states("host-003")[Alive] == 0 })
+		for _, name := range f.names {
+			is.True(name == "host-003" || f.deaths(name) == 0)
+		}
+	})
+}
+
+// TestOneBadPathToTheOwnerMovesNoPool: whoever does not hear it for a moment
+// keeps that to itself.
+func TestOneBadPathToTheOwnerMovesNoPool(t *testing.T) {
+	largeFleets(t, func(t *testing.T, is *is.I, f *fleet) {
+		f.members["host-003"].SetLocal(Local{Watched: true, Revision: 1})
+		f.run(3 * time.Second)
+		f.lost = func(from, to id.Daemon) bool { return from == "host-003" && to == "host-007" }
+		for range 100 {
+			f.run(100 * time.Millisecond)
+			is.True(f.states("host-003")[Suspect] <= 1)
+		}
+		is.Equal(f.deaths("host-003"), 0)
+	})
+}
+
+// TestADaemonThatIsWatchedNoMoreIsNotTakenForSilent by those whom it told often.
+func TestADaemonThatIsWatchedNoMoreIsNotTakenForSilent(t *testing.T) {
+	largeFleets(t, func(t *testing.T, is *is.I, f *fleet) {
+		f.members["host-003"].SetLocal(Local{Watched: true, Revision: 1})
+		f.run(3 * time.Second)
+		f.members["host-003"].SetLocal(Local{Revision: 1})
+		for range 50 {
+			f.run(100 * time.Millisecond)
+			is.Equal(f.states("host-003")[Suspect], 0)
+		}
+	})
+}
+
+// TestWhatADaemonBecomesIsKnownOfByAll: whether it can take duties, reaches the
+// store, and leaves, in the time until entry answers may name it no more.
+func TestWhatADaemonBecomesIsKnownOfByAll(t *testing.T) {
+	largeFleets(t, func(t *testing.T, is *is.I, f *fleet) {
+		m := f.members["host-003"]
+		m.SetLocal(Local{Revision: 7, StoreLost: true})
+		f.within(t, 2*time.Second, "ready, without the store", func() bool {
+			for _, name := range f.names {
+				if e, _ := f.members[name].Get("host-003"); e.Revision == 0 || !e.StoreLost {
+					return false
+				}
+			}
+			return true
+		})
+		f.act("host-003", m.Leave(f.now))
+		f.within(t, 2*time.Second, "leaving", func() bool { return f.everyone("host-003", Leaving) })
+	})
+}
+
+// TestBusyDaemonsOfALargeFleetKillNobody: each is not run for up to half a second,
+// again and again.
+func TestBusyDaemonsOfALargeFleetKillNobody(t *testing.T) {
+	largeFleets(t, func(t *testing.T, is *is.I, f *fleet) {
+		f.loss = 0.02
+		for step := range 60 {
+			clear(f.paused)
+			for i, name := range f.names {
+				// Never twice in a row.
+				f.paused[name] = i%2 == step%2 && f.rng.IntN(2) == 0
+			}
+			f.run(500 * time.Millisecond)
+		}
+		clear(f.paused)
+		for _, name := range f.names {
+			is.Equal(f.deaths(name), 0)
+			is.Equal(f.declared[name], 0)
+		}
+	})
+}
+
+// TestALinkedDaemonReachesAllAtRest: it must not have to connect to all when it
+// takes over.
+func TestALinkedDaemonReachesAllAtRest(t *testing.T) {
+	largeFleets(t, func(t *testing.T, is *is.I, f *fleet) {
+		f.members["host-003"].SetLocal(Local{Linked: true})
+		reached := map[id.Daemon]bool{}
+		f.lost = func(from, to id.Daemon) bool {
+			if from == "host-003" {
+				reached[to] = true
+			}
+			return false
+		}
+		f.run(2 * linkEvery)
+		is.Equal(len(reached), len(f.names)-1)
+	})
+}
