Connect daemons of a large fleet by need, and let few follow the store at a start

Cause: with a mesh of 90 daemons each has 89 connections with a keepalive every 2 s and heartbeats, and each change of a small evidence or news goes from whoever has it to all. At a start all dial all, and all follow the store's three tables until they know of three that do, while each change of a table ends a call of each of them.

Change, above 24 other daemons: heartbeats between neighbours (core/member); a connection is made when there is something to say and ends when it rests, and what is held of a peer goes with it (peer.Config.Address). Hubs are connected to all: the owners of pools, the next in rank, which others must reach at once when an owner dies, and those that tell of the store's tables; nobody is a hub before it has been chosen for a second. Evidence goes by those that tell all. At any size: a daemon that has started reads each table once and then waits 1.5 s to hear of the others before it follows the store, also before there is a configuration, unless it is the only one that ever enrolled; and it waits a moment for another one to make the fleet's CA.

Two tests of the readers' decision begin behind the new wait; what they ask is as before. A line daemon_spent every 10 s and the counter store_calls tell what a daemon spends on others and on the store.

--- a/core/readers/readers.go
+++ b/core/readers/readers.go
@@ -24,7 +24,7 @@
 	key = "store"
 )
 
-// Candidate is a daemon that is alive and knows a configuration.
+// Candidate is a daemon that is alive.
 type Candidate struct {
 	Daemon id.Daemon
 	Domain id.Domain
@@ -67,9 +67,21 @@
 	return chosen[:min(Count, len(chosen))]
 }
 
-// Decision says whether one daemon reads. It begins with reading.
+// startWait is how long a daemon that has started waits to hear of the others
+// before it follows the store: it has just read its tables, and where a whole
+// fleet starts, all would follow them until they know of one another.
+const startWait = 1500 * time.Millisecond
+
+// Decision says whether one daemon reads. It begins without.
 type Decision struct {
 	self id.Daemon
+	// begun is set at the first decision, at beganAt.
+	begun   bool
+	beganAt time.Duration
+	// waited is set once the wait of the start is over.
+	waited bool
+	reads  bool
+	chosen  []id.Daemon
 	// since is when enough others began to read; meaningless unless others is set.
 	since  time.Duration
 	others bool
@@ -87,19 +99,33 @@
 // anew.
 func (d *Decision) Tells() bool { return d.tells }
 
-// Decide tells whether the daemon reads, given the candidates of the moment.
-// It begins at once where it is chosen or others are too few, and leaves it to
+// Chosen are the daemons that read for all, as of the last decision.
+func (d *Decision) Chosen() []id.Daemon { return d.chosen }
+
+// Waited says whether the daemon has waited to hear of others, and decides.
+func (d *Decision) Waited() bool { return d.waited }
+
+// Decide tells whether the daemon reads, given the candidates of the moment and
+// whether it is the only one that ever enrolled. Behind the wait of its start it
+// begins at once where it is chosen or others are too few, and leaves it to
 // others once these have been enough for a while.
-func (d *Decision) Decide(now time.Duration, candidates []Candidate) bool {
-	chosen := Choose(candidates)
-	d.tells = len(chosen) < Count || slices.Contains(chosen, d.self)
-	if d.tells {
+func (d *Decision) Decide(now time.Duration, candidates []Candidate, only bool) bool {
+	if !d.begun {
+		d.begun, d.beganAt = true, now
+	}
+	d.waited = d.waited || only || now-d.beganAt >= startWait
+	d.chosen = Choose(candidates)
+	needed := len(d.chosen) < Count || slices.Contains(d.chosen, d.self)
+	d.tells = needed && d.waited
+	if needed {
 		d.others = false
-		return true
+		d.reads = d.tells
+		return d.reads
 	}
 	if !d.others {
 		d.others = true
 		d.since = now
 	}
-	return now-d.since < settle
+	d.reads = d.reads && now-d.since < settle
+	return d.reads
 }
--- a/core/readers/readers_test.go
+++ b/core/readers/readers_test.go
@@ -81,30 +81,55 @@
 		}
 	}
 	d := NewDecision(idle)
-	is.True(d.Decide(0, all[:1])) // it knows hardly anyone yet
+	d.Decide(0, all[:1], false)
+	is.True(d.Decide(startWait, all[:1], false)) // it knows hardly anyone yet
 	is.True(d.Tells())
-	is.True(d.Decide(time.Second, all))
+	met := startWait + time.Second
+	is.True(d.Decide(met, all, false))
 	is.True(!d.Tells()) // it reads on for itself: the others have just begun
-	is.True(d.Decide(time.Second+settle-1, all))
-	is.True(!d.Decide(time.Second+settle, all))
+	is.True(d.Decide(met+settle-1, all, false))
+	is.True(!d.Decide(met+settle, all, false))
 	// Two readers fall silent: others take their place, and it need not read
 	// unless it is the next.
 	left := without(all, chosen[0], chosen[1])
-	is.Equal(d.Decide(10*time.Second, left), slices.Contains(Choose(left), idle))
+	is.Equal(d.Decide(10*time.Second, left, false), slices.Contains(Choose(left), idle))
 	// All but itself do: it reads at once.
-	is.True(d.Decide(20*time.Second, []Candidate{{Daemon: idle}}))
+	is.True(d.Decide(20*time.Second, []Candidate{{Daemon: idle}}, false))
 }
 
 func TestAChosenDaemonGoesOnReading(t *testing.T) {
 	is := is.New(t)
 	all := fleet(9, 4)
 	d := NewDecision(Choose(all)[0])
+	d.Decide(0, all, false)
 	for s := range 100 {
-		is.True(d.Decide(time.Duration(s)*time.Second, all))
+		is.True(d.Decide(startWait+time.Duration(s)*time.Second, all, false))
 		is.True(d.Tells())
 	}
 }
 
+// TestFewReadWhileAWholeFleetStarts: where all daemons follow the store until
+// they know of one another, each change of its tables costs a call of each.
+func TestFewReadWhileAWholeFleetStarts(t *testing.T) {
+	is := is.New(t)
+	all := fleet(60, 5)
+	reading := map[id.Daemon]bool{}
+	for _, c := range all {
+		d := NewDecision(c.Daemon)
+		for now := time.Duration(0); now < 10*time.Second; now += 100 * time.Millisecond {
+			known := all
+			if now < time.Second {
+				known = all[:1+int(now/(100*time.Millisecond))] // they meet within a second
+			}
+			if d.Decide(now, known, false) {
+				reading[c.Daemon] = true
+			}
+			is.True(now >= startWait || !d.Tells())
+		}
+	}
+	is.Equal(len(reading), Count)
+}
+
 // TestReadersStandOnTheLargestHosts: each change goes from a reader to all
 // others, which a narrow link takes a second for.
 func TestReadersStandOnTheLargestHosts(t *testing.T) {
--- a/daemon/feed/feed.go
+++ b/daemon/feed/feed.go
@@ -87,6 +87,8 @@
 	// Learnt is told of the changes that came from the store itself, after
 	// Changed. Nil if nobody is to be told.
 	Learnt func(n News)
+	// Idle has the table read once and then followed only when SetIdle says so.
+	Idle bool
 	// Lost and Back are told when the store stops and begins again to answer.
 	Lost func(err error)
 	Back func()
@@ -136,6 +138,7 @@
 		cfg:   cfg,
 		rows:  map[string]table.Row{},
 		whole: true,
+		idle:  cfg.Idle,
 		done:  make(chan struct{}),
 		wake:  make(chan struct{}, 1),
 	}
--- a/daemon/forward/leaving_test.go
+++ b/daemon/forward/leaving_test.go
@@ -137,7 +137,7 @@
 		_, err := f.Run(context.Background(), r)
 		is.True(err == nil)
 		is.Equal(engines.decoded, []id.Endpoint{"d2"})
-		is.Equal(engines.prefilled, []id.Endpoint{"p1"}) // the prompt is read once
+		is.Equal(engines.prefilled, []id.Endpoint{"p1"})     // the prompt is read once
 		is.Equal(owner.ended[0].Phase, sched.PhaseCancelled) // the owner has its grant back
 	})
 	t.Run("prefill", func(t *testing.T) {
--- a/daemon/gateway/document.go
+++ b/daemon/gateway/document.go
@@ -10,6 +10,20 @@
 // labelService is the label that puts an engine in its service's pool.
 const labelService = "samphirequay/service"
 
+// poolNames lists the pools: one for each service with engines.
+func poolNames(routes *route.Table) []id.Pool {
+	if routes == nil {
+		return nil
+	}
+	var names []id.Pool
+	for _, s := range routes.Config().Services {
+		if s.Engine != nil {
+			names = append(names, id.Pool(s.Name))
+		}
+	}
+	return names
+}
+
 // document is the schedulers' view of what is known: one pool for each service
 // with engines, and the engines that are registered.
 func document(routes *route.Table, entries []registry.Endpoint) *live.Document {
--- a/daemon/gateway/enroll.go
+++ b/daemon/gateway/enroll.go
@@ -34,6 +34,9 @@
 	// enrollRetry and enrollRetryMost bound the pause after a failed enrolment.
 	enrollRetry     = 50 * time.Millisecond
 	enrollRetryMost = 500 * time.Millisecond
+	// authorityWait bounds the wait for another daemon to make the fleet's CA: of
+	// those that start together, all would else write one, and read again.
+	authorityWait = 250 * time.Millisecond
 	// shortWorkers bounds the store calls and orders that run at once.
 	shortWorkers = 64
 )
@@ -117,6 +120,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if row.Version == 0 && d.sleep(time.Duration(d.rand.Int64N(int64(authorityWait)))) {
+		row, err = d.read(keyAuthority)
+	}
+	if err != nil {
+		return nil, err
+	}
 	if row.Version == 0 {
 		return d.makeAuthority()
 	}
@@ -186,8 +195,8 @@
 		NewManager: func(p id.Pool) *pool.Manager { return d.newManager(f, p) },
 		Sender:     f.links(),
 		Poison:     d.poison,
-		Spread:     func(s poison.State) { f.links().SendEvidence(f.members.Others(), s) },
-		Relay:      func(s poison.State) { f.links().RelayEvidence(f.members.Others(), s) },
+		Spread:     func(s poison.State) { d.spreadEvidence(f, s) },
+		Relay:      func(s poison.State) { d.relayEvidence(f, s) },
 		Epoch:      *d.epoch.Load(),
 		Behind:     d.behind("broker"),
 		Metrics:    d.metrics,
@@ -208,6 +217,7 @@
 				Revision:  d.revision(),
 				InFlight:  int(d.inFlight.Load()),
 				Watched:   f.owner.Load(),
+				Linked:    f.linked.Load(),
 				StoreLost: d.storeLost(),
 			}
 		},
@@ -222,6 +232,7 @@
 	d.fleet.Store(f)
 	close(wired)
 	go d.shareReading(f)
+	go d.tellSpent(f)
 	d.logger.Event("daemon_enrolled", "incarnation", self.Incarnation)
 	d.knowledge.mu.Lock()
 	defer d.knowledge.mu.Unlock()
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -142,8 +142,12 @@
 	orderer   *orderer
 	// owner is set while this daemon owns a pool.
 	owner atomic.Bool
-	// tells is set while this daemon tells the others of the store's tables.
-	tells atomic.Bool
+	// tells is set while this daemon tells the others of the store's tables, and
+	// readers are those that do.
+	tells   atomic.Bool
+	readers atomic.Pointer[[]id.Daemon]
+	// linked is set while this daemon keeps connections to all others.
+	linked atomic.Bool
 	// pursuit brings the tables up to what other daemons know of them.
 	pursuit pursuit
 }
--- a/daemon/gateway/knowledge.go
+++ b/daemon/gateway/knowledge.go
@@ -71,6 +71,7 @@
 		Retry:   feedRetry,
 		Changed: changed,
 		Learnt:  d.tellNews,
+		Idle:    true,
 		Lost: func(err error) {
 			d.logger.Warn("dependency_lost", "dependency", "store", "table", name, "why", err)
 			d.tellRegistry(name, func(l *registry.List) { l.StoreLost() })
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -54,6 +54,9 @@
 	// taken a second cost .03 of a core (60 daemons).
 	mostHeartbeats = 60
 	mostWatched    = 600
+	// meshUpTo is up to how many other daemons all exchange heartbeats with all:
+	// as many as get one every memberPeriod within mostHeartbeats.
+	meshUpTo = 24
 	// goneGrace is how long a dead daemon's grants stay reserved: its engines
 	// notice its end by then.
 	goneGrace = time.Second
@@ -71,10 +74,11 @@
 	peerRing       = 256
 	peerCalls      = 32
 	peerMaxMessage = 1 << 20
-	peerKeepalive  = 2 * time.Second
-	peerIdle       = 5 * time.Second
-	peerDial       = time.Second
-	peerBackoff    = 400 * time.Millisecond
+	// Heartbeats keep the connections that are needed alive; the others end.
+	peerKeepalive = -1
+	peerIdle      = 5 * time.Second
+	peerDial      = time.Second
+	peerBackoff   = 400 * time.Millisecond
 )
 
 func memberConfig() member.Config {
@@ -88,6 +92,7 @@
 	cfg.WatchedDead = watchedDead
 	cfg.MostSent = mostHeartbeats
 	cfg.MostWatched = mostWatched
+	cfg.MeshUpTo = meshUpTo
 	return cfg
 }
 
@@ -99,6 +104,7 @@
 		Handler:     &peerHandler{Handler: link.Handler{Receiver: receiver{d, f}, Wired: wired}, d: d},
 		KindName:    link.KindName(kindNames),
 		Registry:    d.metrics,
+		Address:     func(name id.Daemon) string { return f.members.Address(name) },
 		Report:      d.logger.Event,
 		RingSize:    peerRing,
 		CallWorkers: peerCalls,
--- a/daemon/gateway/reading.go
+++ b/daemon/gateway/reading.go
@@ -59,25 +59,38 @@
 // to 308 with 9 daemons, from 7,147 to 1,999 in 40 s with 79 (one run each).
 func (d *Daemon) shareReading(f *fleet) {
 	decision := readers.NewDecision(f.self.Daemon)
-	reads := true
+	reads, told := false, false
+	var hub hub
 	d.every(readersLook, func() {
-		now := decision.Decide(d.now(), readingCandidates(f.members.Entries()))
+		candidates := readingCandidates(f.members.Entries())
+		now := decision.Decide(d.now(), candidates, !decision.Waited() && f.onlyOne())
+		chosen := decision.Chosen()
+		f.readers.Store(&chosen)
 		f.tells.Store(decision.Tells())
-		if now != reads {
+		f.linked.Store(hub.settled(d.now(), decision.Tells() || d.standsBy(f.self.Daemon, candidates)))
+		if now != reads || decision.Waited() && !told {
 			d.logger.Event("store_reading_changed", "reads", now)
 		}
-		reads = now
+		reads, told = now, told || decision.Waited()
 		for _, follower := range d.followers() {
 			follower.SetIdle(!reads)
 		}
 	})
 }
 
-// readingCandidates are the daemons that can read for others.
+// onlyOne says whether no other daemon has ever enrolled.
+func (f *fleet) onlyOne() bool {
+	hosts, known := f.hosts.State()
+	return known && len(hosts.Rows) <= 1
+}
+
+// readingCandidates are the daemons that can read for others, also those that
+// have no configuration yet: before there is one, each would else read, and tell
+// all others.
 func readingCandidates(entries []member.Entry) []readers.Candidate {
 	var out []readers.Candidate
 	for _, e := range entries {
-		if e.State == member.Alive && e.Revision > 0 {
+		if e.State == member.Alive && e.Process.Incarnation > 0 {
 			out = append(out, readers.Candidate{
 				Daemon: e.Process.Daemon, Domain: e.Domain, StoreLost: e.StoreLost, Capacity: e.Capacity,
 			})
--- a/daemon/members/members.go
+++ b/daemon/members/members.go
@@ -85,6 +85,7 @@
 type view struct {
 	entries []member.Entry
 	states  map[id.Daemon]member.Entry
+	large   bool
 }
 
 // Start starts the duty.
@@ -140,6 +141,13 @@
 	return out
 }
 
+// Address is where a daemon is reached; empty if that is not known.
+func (m *Members) Address(d id.Daemon) string { return m.snapshot.Load().states[d].Address }
+
+// Large says whether the fleet is so large that daemons exchange heartbeats with
+// their neighbours only, and are not connected to all others.
+func (m *Members) Large() bool { return m.snapshot.Load().large }
+
 // Alive says whether a process may still act: it is not known to have ended.
 func (m *Members) Alive(p id.Process) bool {
 	e, ok := m.snapshot.Load().states[p.Daemon]
@@ -218,7 +226,7 @@
 
 func (m *Members) publish() {
 	entries := m.core.View()
-	v := &view{entries: entries, states: make(map[id.Daemon]member.Entry, len(entries))}
+	v := &view{entries: entries, states: make(map[id.Daemon]member.Entry, len(entries)), large: m.core.Large()}
 	for _, e := range entries {
 		v.states[e.Process.Daemon] = e
 	}
--- a/daemon/peer/fault_test.go
+++ b/daemon/peer/fault_test.go
@@ -208,3 +208,47 @@
 	waitDisconnected(t, a, 1)
 	callUntilUp(t, a, "b") // made again on use
 }
+
+// TestAPeerIsConnectedToOnUseAndForgottenAfter: in a large fleet a daemon must not
+// hold something for each other one.
+func TestAPeerIsConnectedToOnUseAndForgottenAfter(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	b, atB := f.listen("b", nil)
+	a, _ := f.listen("a", func(c *Config) {
+		c.Address = func(name id.Daemon) string {
+			if name == "b" {
+				return b.Address()
+			}
+			return ""
+		}
+	})
+	is.True(errors.Is(a.Send("c", kindNote, "x"), ErrUnknownPeer))
+	is.NoErr(a.Send("b", kindNote, "hello")) // nobody has set b
+	is.Equal(next(t, atB.notes).text, "hello")
+
+	later := time.Now().Add(time.Hour)
+	a.forgetUnusedBefore(later)
+	is.Equal(len(a.Peers()), 1) // it is connected
+	for _, c := range a.connections() {
+		c.close(codeClosed, "test")
+	}
+	waitDisconnected(t, a, 1)
+	a.forgetUnusedBefore(time.Now().Add(-time.Hour))
+	is.Equal(len(a.Peers()), 1) // it was used
+	a.forgetUnusedBefore(later)
+	is.Equal(len(a.Peers()), 0)
+	is.NoErr(a.Send("b", kindNote, "again"))
+	is.Equal(next(t, atB.notes).text, "again")
+}
+
+// connections lists the open connections.
+func (t *Transport) connections() []*conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []*conn
+	for c := range t.conns {
+		out = append(out, c)
+	}
+	return out
+}
--- a/daemon/peer/peer.go
+++ b/daemon/peer/peer.go
@@ -87,6 +87,11 @@
 	KindName func(Kind) string
 	// Registry takes the metrics.
 	Registry *metrics.Registry
+	// Address gives the address of a daemon that was not set as a peer, empty if it
+	// is not known; may be nil. Such a peer is connected to on use, and forgotten
+	// once it was not used for a while: a daemon then holds as much as it talks to
+	// others, however many there are.
+	Address func(name id.Daemon) string
 	// Report is told of connections that begin and end; may be nil.
 	Report func(event string, kv ...any)
 
--- a/daemon/peer/peers.go
+++ b/daemon/peer/peers.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"time"
+
 	"github.com/rotisserie/eris"
 
 	"github.com/samphirequay/samphirequay/core/id"
@@ -97,7 +99,59 @@
 	}
 	r, ok := t.remotes[name]
 	if !ok {
+		return t.lookUpLocked(name)
+	}
+	r.used()
+	return r, nil
+}
+
+// lookUpLocked adds a peer whose address is known elsewhere.
+func (t *Transport) lookUpLocked(name id.Daemon) (*remote, error) {
+	address := ""
+	if t.cfg.Address != nil && name != t.cfg.Self.Daemon {
+		address = t.cfg.Address(name)
+	}
+	if address == "" {
 		return nil, eris.Wrapf(ErrUnknownPeer, "peer %s", name)
 	}
+	r, err := t.remoteLocked(name)
+	if err != nil {
+		return nil, err
+	}
+	r.setAddress(address)
 	return r, nil
 }
+
+// Bounds of what is kept of peers that are not talked to.
+const (
+	// forgetUnused is how long a peer without a connection may be unused, and
+	// forgetLook how often unused ones are looked for.
+	forgetUnused = 15 * time.Second
+	forgetLook   = 5 * time.Second
+)
+
+// forgetUnusedPeers drops peers that were not used for a while and are not
+// connected, until the transport is closed.
+func (t *Transport) forgetUnusedPeers() {
+	ticker := time.NewTicker(forgetLook)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-ticker.C:
+			t.forgetUnusedBefore(time.Now().Add(-forgetUnused))
+		}
+	}
+}
+
+func (t *Transport) forgetUnusedBefore(then time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, r := range t.remotes {
+		if r.unusedSince(then) {
+			delete(t.remotes, name)
+			r.cancel()
+		}
+	}
+}
--- a/daemon/peer/remote.go
+++ b/daemon/peer/remote.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -38,6 +39,10 @@
 	conns       map[*conn]struct{}
 	waiting     []chan outcome
 	datagramsOn bool
+
+	// usedAt is when something was last to be sent to the peer, in Unix
+	// nanoseconds.
+	usedAt atomic.Int64
 }
 
 // outcome of waiting for a connection.
@@ -60,9 +65,21 @@
 	r.backoff.InitialInterval = t.cfg.BackoffMin
 	r.backoff.MaxInterval = t.cfg.BackoffMax
 	r.ctx, r.cancel = context.WithCancel(t.ctx)
+	r.used()
 	return r
 }
 
+// used notes that something is to be sent to the peer.
+func (r *remote) used() { r.usedAt.Store(time.Now().UnixNano()) }
+
+// unusedSince says whether the peer has no connection, and nothing was to be
+// sent to it since then.
+func (r *remote) unusedSince(then time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.conns) == 0 && r.messages.Len() == 0 && r.usedAt.Load() < then.UnixNano()
+}
+
 // signal leaves a token in a channel of size one.
 func signal(c chan struct{}) {
 	select {
--- a/daemon/peer/transport.go
+++ b/daemon/peer/transport.go
@@ -84,6 +84,9 @@
 		return nil, err
 	}
 	t.spawn(t.accept)
+	if cfg.Address != nil {
+		t.spawn(t.forgetUnusedPeers)
+	}
 	return t, nil
 }
 
