Call a daemon of a large fleet watched only after 1.5 s, and keep evidence until it can go

Cause: after a start of all 90 daemons each took itself for the owner of the pool until it had heard of others, and the look at owned pools holds that for half a second more.

Change: 1.5 s. Evidence that is new before a daemon knows who tells all waits half a second and is sent then; it went to this daemon itself or to all. A daemon that has been gone for a minute is tried every 10 s, no longer every 2 s.

--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -34,9 +34,13 @@
 	// settleWatched is how long a daemon must want to be watched before it says
 	// so: one that has just started may take itself for an owner until it has
 	// heard of the others, and would connect to all of them.
-	settleWatched = 500 * time.Millisecond
+	settleWatched = 1500 * time.Millisecond
 	// tellAllFor is how long all are told that a daemon is watched no more.
 	tellAllFor = 2 * time.Second
+	// longGone is after how long a daemon that is gone is tried only every
+	// longGoneEvery: most won't come back under their name.
+	longGone      = time.Minute
+	longGoneEvery = 10 * time.Second
 	// unmetFor is how long a listed daemon that nobody has heard of is waited for.
 	unmetFor = 10 * time.Second
 )
@@ -87,6 +91,9 @@
 		return
 	}
 	p.revive = now + m.cfg.ReviveEvery
+	if now-p.since >= longGone {
+		p.revive = now + longGoneEvery
+	}
 	m.send(p, Message{Kind: Heartbeat, Watching: true})
 }
 
--- a/core/readers/readers.go
+++ b/core/readers/readers.go
@@ -81,7 +81,7 @@
 	// waited is set once the wait of the start is over.
 	waited bool
 	reads  bool
-	chosen  []id.Daemon
+	chosen []id.Daemon
 	// since is when enough others began to read; meaningless unless others is set.
 	since  time.Duration
 	others bool
--- a/daemon/gateway/hub.go
+++ b/daemon/gateway/hub.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/capacity"
@@ -53,14 +54,37 @@
 	return false
 }
 
+// evidenceRetry is how long evidence waits while this daemon does not know yet
+// who tells all.
+const evidenceRetry = 500 * time.Millisecond
+
 // spreadEvidence tells the others of evidence that is new here: all of them, or
 // in a large fleet the daemons that tell all.
 func (d *Daemon) spreadEvidence(f *fleet, s poison.State) {
-	to := f.members.Others()
-	if chosen := f.readers.Load(); f.members.Large() && !f.tells.Load() && chosen != nil && len(*chosen) > 0 {
-		to = *chosen
+	if !f.members.Large() || f.tells.Load() {
+		f.links().SendEvidence(f.members.Others(), s)
+		return
+	}
+	to := f.otherReaders()
+	if len(to) > 0 {
+		f.links().SendEvidence(to, s)
+		return
+	}
+	time.AfterFunc(evidenceRetry, func() {
+		if d.ctx.Err() == nil {
+			d.spreadEvidence(f, s)
+		}
+	})
+}
+
+// otherReaders are the other daemons that tell of the store's tables, as far as
+// they are known.
+func (f *fleet) otherReaders() []id.Daemon {
+	chosen := f.readers.Load()
+	if chosen == nil {
+		return nil
 	}
-	f.links().SendEvidence(to, s)
+	return slices.DeleteFunc(slices.Clone(*chosen), func(d id.Daemon) bool { return d == f.self.Daemon })
 }
 
 // relayEvidence passes on what another daemon told: to all where this one tells
