Begin no dial while the peers' transport closes

Symptom: TestADaemonDialsFewPeersAtOnce saw five peers dialled where four may be, in a run of all tests with -race beside other plays (load average 15).

Cause: Close ends the transport's context, whose children end one after the other. A dial whose context is ended gives its turn back; a peer that waits for one, whose own context has not ended yet, takes it and dials.

--- a/daemon/peer/dial.go
+++ b/daemon/peer/dial.go
@@ -115,6 +115,12 @@
 	for r.live() == nil {
 		select {
 		case r.t.dials <- struct{}{}:
+			if r.t.ctx.Err() != nil {
+				// A dial that the end of the transport ended gave its turn back; this
+				// peer's own context may end a moment later.
+				<-r.t.dials
+				return nil, false
+			}
 			return r.dialTurn(), true
 		case <-r.changed:
 		case <-r.ctx.Done():
