Ask for heartbeats in a small fleet too, and say what words count in a large one

A daemon that knows of at most 24 others hears from all of them and judges them by their silence; one that knows of more watches six. While a fleet grows past that, the first would have taken the second for dead: heartbeats ask for an answer in a small fleet as well. A daemon that is watched no more, as others say, is no longer judged by the heartbeats that it once sent here. TestAFleetGrowsLarge: from 15 to 40, nobody is taken for dead.

Names: judgeUnwatched, noteHeartbeat, askReturned, stale, wordCounts for what was said by metaphors or in one long condition.

--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -22,9 +22,9 @@
 	// most daemons were not heard of yet.
 	syncPause = 3 * time.Second
 	startSync = 400 * time.Millisecond
-	// beyondPause is the least time between two such questions to daemons that
+	// returnedPause is the least time between two such questions to daemons that
 	// have come back.
-	beyondPause = time.Second
+	returnedPause = time.Second
 	// rejoinFor is how long a daemon that was isolated asks its neighbours, one
 	// after another, for all that they know.
 	rejoinFor = 5 * time.Second
@@ -219,18 +219,21 @@
 	m.send(near[m.rng.IntN(len(near))], Message{Kind: Sync})
 }
 
-// askBeyond asks a daemon that has come back for all that it knows: it may have
+// askReturned asks a daemon that has come back for all that it knows: it may have
 // been cut off together with others.
-func (m *Membership) askBeyond(now time.Duration, p *peer) {
-	if !m.rings.on || now < m.rings.beyondAt {
+func (m *Membership) askReturned(now time.Duration, p *peer) {
+	if !m.rings.on || now < m.rings.returnedAskAt {
 		return
 	}
-	m.rings.beyondAt = now + beyondPause
+	m.rings.returnedAskAt = now + returnedPause
 	m.send(p, Message{Kind: Sync})
 }
 
-// claimed notes a heartbeat of a daemon that watches this one.
-func (m *Membership) claimed(now time.Duration, p *peer, msg Message) {
+// noteHeartbeat notes a heartbeat of a daemon that watches this one.
+func (m *Membership) noteHeartbeat(now time.Duration, p *peer, msg Message) {
+	if !m.rings.on {
+		return
+	}
 	if msg.Watching {
 		if now >= p.askedUntil {
 			m.hurryNews()
@@ -262,13 +265,13 @@
 	m.hurry()
 }
 
-// judgeHearsay moves along a peer that this daemon does not watch: those who do
+// judgeUnwatched moves along a peer that this daemon does not watch: those who do
 // tell of it, and are waited for.
-func (m *Membership) judgeHearsay(now time.Duration, p *peer) {
+func (m *Membership) judgeUnwatched(now time.Duration, p *peer) {
 	switch {
 	case !p.met && now-p.since >= unmetFor:
 		m.set(now, p, Dead, "listed and never heard")
-	case p.met && p.entry.State == Suspect && now-p.since >= m.hearsayPatience():
+	case p.met && p.entry.State == Suspect && now-p.since >= m.unwatchedPatience():
 		m.giveUp(now, p)
 	case p.met && p.entry.State == Alive && m.isolated && now-p.heard >= m.deadAfter(p) && m.domainSilent(now, p):
 		// None of those who are left watches it.
@@ -276,9 +279,9 @@
 	}
 }
 
-// hearsayPatience is how long the word of those who watch a suspect daemon is
+// unwatchedPatience is how long the word of those who watch a suspect daemon is
 // waited for. Those beyond a cut can't give it.
-func (m *Membership) hearsayPatience() time.Duration {
+func (m *Membership) unwatchedPatience() time.Duration {
 	if m.isolated {
 		return m.cfg.DeadAfter
 	}
--- a/core/member/judge.go
+++ b/core/member/judge.go
@@ -45,7 +45,7 @@
 		return
 	}
 	m.isolated, m.isolatedAt = isolated, now
-	m.rings.old = true
+	m.rings.stale = true
 	m.rings.rejoinUntil = 0
 	if !isolated {
 		// What the others found out meanwhile is to be learnt.
@@ -114,7 +114,7 @@
 		return
 	}
 	if !m.watches(p) {
-		m.judgeHearsay(now, p)
+		m.judgeUnwatched(now, p)
 		return
 	}
 	silence, suspectAfter := m.silence(now, p), m.suspectAfter(p)
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -188,7 +188,7 @@
 func (m *Membership) Tick(now time.Duration) []Action {
 	m.noteStall(now)
 	m.takeWatched(now)
-	if m.rings.old {
+	if m.rings.stale {
 		m.chooseNeighbours(now)
 	}
 	if now >= m.due {
@@ -335,7 +335,7 @@
 	p := &peer{heard: now, direct: now - m.cfg.DeadAfter, since: now, revive: now, asked: now - m.cfg.DeadAfter}
 	p.entry = Entry{Process: id.Process{Daemon: name}, State: Suspect}
 	p.at = m.cfg.positions(name)
-	m.rings.old = true
+	m.rings.stale = true
 	m.peers[name] = p
 	at, _ := slices.BinarySearch(m.order, name)
 	m.order = slices.Insert(m.order, at, name)
@@ -344,7 +344,7 @@
 
 func (m *Membership) forget(name id.Daemon) {
 	delete(m.peers, name)
-	m.rings.old = true
+	m.rings.stale = true
 	if at, ok := slices.BinarySearch(m.order, name); ok {
 		m.order = slices.Delete(m.order, at, at+1)
 	}
@@ -373,7 +373,7 @@
 	for _, name := range m.order {
 		m.show(m.peers[name], "host list")
 	}
-	if m.rings.old {
+	if m.rings.stale {
 		// Those that are new here should not wait for the next heartbeats.
 		m.chooseNeighbours(now)
 		m.hurryNews()
@@ -408,7 +408,7 @@
 func (m *Membership) set(now time.Duration, p *peer, s State, reason string) {
 	if p.entry.State != s {
 		p.entry.State = s
-		m.rings.old = true
+		m.rings.stale = true
 		p.since = now
 		p.mine = false
 		if p.met && !(m.rings.on && m.isolated && s == Partitioned) {
--- a/core/member/mesh.go
+++ b/core/member/mesh.go
@@ -19,7 +19,8 @@
 		if p.met && p.entry.State != Dead {
 			m.heardOf++
 		}
-		m.send(p, Message{Kind: Heartbeat, Entries: append([]Entry(nil), sample...)})
+		// A peer that knows of more daemons may watch a few neighbours only.
+		m.send(p, Message{Kind: Heartbeat, Watching: m.cfg.MeshUpTo > 0, Entries: append([]Entry(nil), sample...)})
 	}
 }
 
--- a/core/member/receive.go
+++ b/core/member/receive.go
@@ -38,7 +38,7 @@
 	}
 	switch msg.Kind {
 	case Heartbeat:
-		m.claimed(now, p, msg)
+		m.noteHeartbeat(now, p, msg)
 		if m.tells(p) && p.entry.State != Suspect {
 			m.send(p, Message{Kind: Ack})
 		}
@@ -106,6 +106,9 @@
 	if fresh {
 		takeReport(&p.entry, e)
 	}
+	if !p.entry.Watched {
+		p.watchedAt = 0
+	}
 	if news {
 		m.enqueue(p.entry)
 	}
@@ -123,10 +126,7 @@
 
 // noteWatched notes since when a daemon has said to this one that it is watched.
 func (p *peer) noteWatched(now time.Duration) {
-	switch {
-	case !p.entry.Watched:
-		p.watchedAt = 0
-	case p.watchedAt == 0:
+	if p.entry.Watched && p.watchedAt == 0 {
 		p.watchedAt = max(now, 1)
 	}
 }
@@ -160,7 +160,7 @@
 		p.noteWatched(now)
 	}
 	p.shown = 0
-	m.rings.old = true
+	m.rings.stale = true
 	m.enqueue(e)
 	m.show(p, "first heard")
 	if direct && m.cfg.Mode == Mesh && !m.halted {
@@ -215,9 +215,7 @@
 	if !m.gossips() || said <= p.entry.State {
 		return false
 	}
-	if m.rings.on && (said == Partitioned || m.bulk && said == Suspect || said == Suspect && m.watches(p)) {
-		// Who can reach a daemon differs from one to the next, an old suspicion is
-		// refuted by now, and of one that is watched its own silence tells more.
+	if m.rings.on && !m.wordCounts(p, said) {
 		return false
 	}
 	if said == Dead {
@@ -226,11 +224,27 @@
 	return e.Beat >= p.entry.Beat
 }
 
+// wordCounts says whether another daemon's word about a state is worth anything
+// in a large fleet.
+func (m *Membership) wordCounts(p *peer, said State) bool {
+	switch said {
+	case Partitioned:
+		// Who can reach a daemon differs from one to the next.
+		return false
+	case Suspect:
+		// An old suspicion is refuted by now, and of a daemon that is watched here
+		// its own silence tells more.
+		return !m.bulk && !m.watches(p)
+	default:
+		return true
+	}
+}
+
 // evidence takes proof that the process ran. A dead one must first learn that
 // it was declared dead: it is paused until it answers with a new epoch.
 func (m *Membership) evidence(now time.Duration, p *peer, e Entry, direct bool) {
 	if direct && p.absent() {
-		m.askBeyond(now, p)
+		m.askReturned(now, p)
 	}
 	switch p.entry.State {
 	case Dead:
--- a/core/member/rings.go
+++ b/core/member/rings.go
@@ -13,8 +13,8 @@
 type rings struct {
 	// on is set while the fleet is so large.
 	on bool
-	// old is set when the neighbours must be chosen anew.
-	old bool
+	// stale is set when the neighbours must be chosen anew.
+	stale bool
 	// news waits to be told to the neighbours.
 	news []update
 	// digest is what this daemon knows of who is there, as last told.
@@ -24,8 +24,8 @@
 	rejoinUntil time.Duration
 	// syncAt is when a neighbour may be asked for all that it knows.
 	syncAt time.Duration
-	// beyondAt is when one that has come back may be asked.
-	beyondAt time.Duration
+	// returnedAskAt is when one that has come back may be asked.
+	returnedAskAt time.Duration
 	// wantsWatched is what the daemon last said of itself, wantedAt since when;
 	// linked is set while it keeps connections to all others.
 	wantsWatched bool
@@ -80,7 +80,7 @@
 // All daemons that know the same others choose alike, so that those who watch a
 // daemon are those whom it watches.
 func (m *Membership) chooseNeighbours(now time.Duration) {
-	m.rings.old = false
+	m.rings.stale = false
 	m.rings.on = m.cfg.MeshUpTo > 0 && len(m.order) > m.cfg.MeshUpTo
 	before := make(map[*peer]bool, 2*m.cfg.Rings)
 	for _, p := range m.peers {
--- a/core/member/rings_test.go
+++ b/core/member/rings_test.go
@@ -135,6 +135,26 @@
 	}
 }
 
+// TestAFleetGrowsLarge: those who know of few others yet, and hear from all in a
+// small fleet, must not take for dead who watches a few neighbours only.
+func TestAFleetGrowsLarge(t *testing.T) {
+	is := is.New(t)
+	f := newFleetWith(withRings, Mesh, 15, 6, 1)
+	f.within(t, wholeWithin, "all know all", f.steady)
+	for i := range 25 {
+		name := id.Daemon(fmt.Sprintf("new-%03d", i))
+		f.domains[name] = id.Domain(fmt.Sprintf("domain-%d", i%6))
+		f.names = append(f.names, name)
+		f.start(name, 1)
+		f.run(200 * time.Millisecond)
+	}
+	f.within(t, wholeWithin, "all know all", f.steady)
+	f.run(5 * time.Second)
+	for _, name := range f.names {
+		is.Equal(f.deaths(name), 0)
+	}
+}
+
 // TestAFailureDomainOfALargeFleetIsCutOff and comes back.
 func TestAFailureDomainOfALargeFleetIsCutOff(t *testing.T) {
 	fleetsOf(t, []int{30, 100, 300}, func(t *testing.T, is *is.I, f *fleet) {
--- a/daemon/gateway/reading.go
+++ b/daemon/gateway/reading.go
@@ -60,14 +60,14 @@
 func (d *Daemon) shareReading(f *fleet) {
 	decision := readers.NewDecision(f.self.Daemon)
 	reads, told := false, false
-	var hub hub
+	var asHub hub
 	d.every(readersLook, func() {
 		candidates := readingCandidates(f.members.Entries())
 		now := decision.Decide(d.now(), candidates, !decision.Waited() && f.onlyOne())
 		chosen := decision.Chosen()
 		f.readers.Store(&chosen)
 		f.tells.Store(decision.Tells())
-		f.linked.Store(hub.settled(d.now(), decision.Tells() || d.standsBy(f.self.Daemon, candidates)))
+		f.linked.Store(asHub.settled(d.now(), decision.Tells() || d.standsBy(f.self.Daemon, candidates)))
 		if now != reads || decision.Waited() && !told {
 			d.logger.Event("store_reading_changed", "reads", now)
 		}
