Tell all that a daemon is watched no more only where it had told all that it is

Cause: a daemon that has just started knows nobody, takes itself for the pool's owner and says at once that it is watched, as in a small fleet. When it knows of more than 24 it is watched no more until that has settled, and the change had it tell all it had met so for two seconds.

Change: all are told only where all were told the opposite.

--- a/core/member/fleet_test.go
+++ b/core/member/fleet_test.go
@@ -71,10 +71,15 @@
 }
 
 func (f *fleet) start(name id.Daemon, inc id.Incarnation) {
+	f.startAlone(name, inc)
+	f.act(name, f.members[name].Hosts(f.now, f.hosts()))
+}
+
+// startAlone starts a daemon that has no list of the others yet.
+func (f *fleet) startAlone(name id.Daemon, inc id.Incarnation) {
 	self := Entry{Process: id.Process{Daemon: name, Incarnation: inc}, Domain: f.domains[name], Address: "10.20.30.40:7000"}
 	f.members[name] = New(f.cfg, self, f.now, rand.New(rand.NewPCG(f.rng.Uint64(), uint64(inc))))
 	delete(f.stopped, name)
-	f.act(name, f.members[name].Hosts(f.now, f.hosts()))
 }
 
 func (f *fleet) hosts() []Host {
--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -52,6 +52,7 @@
 	m.rings.digest = m.digest()
 	m.heardOf = 0
 	toAll := m.self.Watched || now < m.rings.tellAllUntil
+	m.rings.toldAll = m.rings.toldAll || m.self.Watched
 	for _, name := range m.order {
 		p := m.peers[name]
 		if !m.onRings(p) {
@@ -258,9 +259,10 @@
 	if watched == m.self.Watched {
 		return
 	}
-	if r.on && !watched {
+	if r.toldAll && !watched {
 		r.tellAllUntil = now + tellAllFor
 	}
+	r.toldAll = false
 	m.self.Watched = watched
 	m.hurry()
 }
--- a/core/member/rings.go
+++ b/core/member/rings.go
@@ -31,7 +31,9 @@
 	wantsWatched bool
 	wantedAt     time.Duration
 	linked       bool
-	// tellAllUntil is until when all are told that the daemon is watched no more.
+	// toldAll is set once all have been told that the daemon is watched, and
+	// tellAllUntil is until when they are told that it is no more.
+	toldAll      bool
 	tellAllUntil time.Duration
 	// linkAt is where in the order the next heartbeats to all others go on.
 	linkAt int
--- a/core/member/rings_test.go
+++ b/core/member/rings_test.go
@@ -118,6 +118,48 @@
 	})
 }
 
+// TestAStartConnectsNobodyToAll: each daemon takes itself for the owner of a pool
+// until it has heard of the others, and all start together.
+func TestAStartConnectsNobodyToAll(t *testing.T) {
+	largeFleets(t, func(t *testing.T, is *is.I, f *fleet) {
+		reached := map[id.Daemon]map[id.Daemon]bool{}
+		f.lost = func(from, to id.Daemon) bool {
+			if reached[from] == nil {
+				reached[from] = map[id.Daemon]bool{}
+			}
+			reached[from][to] = true
+			return false
+		}
+		for _, name := range f.names {
+			f.stopped[name] = true
+		}
+		f.wire, f.senders = nil, nil
+		for i, name := range f.names {
+			if i%10 == 0 {
+				f.run(tick)
+			}
+			// The list of all daemons comes a moment after the first messages.
+			f.startAlone(name, 2)
+		}
+		for step := range 50 {
+			for _, name := range f.names {
+				f.members[name].SetLocal(Local{Watched: step < 10, Revision: 1})
+				if step == 3 {
+					f.act(name, f.members[name].Hosts(f.now, f.hosts()))
+				}
+			}
+			f.run(100 * time.Millisecond)
+		}
+		total := 0
+		for _, to := range reached {
+			total += len(to)
+		}
+		mean := float64(total) / float64(len(f.names))
+		t.Logf("a daemon sends to %.1f others in 5 s", mean)
+		is.True(mean <= float64(f.cfg.MeshUpTo))
+	})
+}
+
 // TestMostOfALargeFleetIsAddedAtOnce: three times as many as there are.
 func TestMostOfALargeFleetIsAddedAtOnce(t *testing.T) {
 	is := is.New(t)
