--- a/core/readers/readers.go
+++ b/core/readers/readers.go
@@ -94,9 +94,8 @@
 
 // Tells says whether the daemon tells the others of what it reads: where it is
 // chosen, or others are too few. One that only reads on until the others have
-// settled keeps it to itself: where all tell, 90 daemons that start together
-// send each other 2,200 messages with gaps before them, and each has a table read
-// anew.
+// settled keeps it to itself: news with gaps before them have each of the others
+// read a table anew.
 func (d *Decision) Tells() bool { return d.tells }
 
 // Chosen are the daemons that read for all, as of the last decision.
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -48,10 +48,9 @@
 	watchedPeriod  = 120 * time.Millisecond
 	watchedSuspect = 390 * time.Millisecond
 	watchedDead    = 1500 * time.Millisecond
-	// mostHeartbeats is how many heartbeats a daemon sends in a second at most,
-	// mostWatched an owner of pools: from 25 and 73 daemons on they come less
-	// often. Every 400 ms, 90 daemons send 222 a second each, and 475 sent or
-	// taken a second cost .03 of a core (60 daemons).
+	// mostHeartbeats is how many heartbeats a daemon of a small fleet sends in a
+	// second at most, mostWatched an owner of pools in a fleet of any size: where
+	// they would be more, they come less often.
 	mostHeartbeats = 60
 	mostWatched    = 600
 	// meshUpTo is up to how many other daemons all exchange heartbeats with all:
--- a/daemon/gateway/reading.go
+++ b/daemon/gateway/reading.go
@@ -55,8 +55,7 @@
 func (d *Daemon) storeLost() bool { return d.configs.Lost() || d.endpoints.Lost() }
 
 // shareReading decides again and again whether this daemon follows the store or
-// leaves it to others. That lowered the store calls of a calm minute from 709
-// to 308 with 9 daemons, from 7,147 to 1,999 in 40 s with 79 (one run each).
+// leaves it to others, so that calls to the store don't grow with the fleet.
 func (d *Daemon) shareReading(f *fleet) {
 	decision := readers.NewDecision(f.self.Daemon)
 	reads, told := false, false
--- a/daemon/peer/dial.go
+++ b/daemon/peer/dial.go
@@ -106,11 +106,9 @@
 // enterDial waits for this peer's turn to be dialled; ok is false where a
 // connection has come meanwhile, or the peer is closed. leave ends the turn.
 //
-// Where all daemons of a fleet start at once, each dials all others. All at the
+// Where all daemons of a fleet start at once, each dials many others. All at the
 // same time they take longer than a dial may, so that what was spent on them is
-// thrown away and they are dialled once more: with 60 daemons on four processors
-// the mesh was whole after 12 s and 47 s of processor time, and is after 4 s and
-// 11 s.
+// thrown away and they are dialled once more.
 func (r *remote) enterDial() (leave func(), ok bool) {
 	for r.live() == nil {
 		select {
