Keep news that wait to be sent on in one queue for both ways of telling them

The rings of a large fleet and the Partial mode each had a queue of updates, with the same replacing of older ones, order and dropping. news (core/member/news.go) serves both; they differ in how many go with a message and how often. A peer's silence was tested by two conditions with one result, and a silent one asked about in two places: once each now.

--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -48,7 +47,7 @@
 // beatNear sends heartbeats to the neighbours, to those that watch this daemon
 // and, where it keeps connections to all others, to these.
 func (m *Membership) beatNear(now time.Duration) {
-	news := m.takeNews()
+	news := m.rings.news.take(mostNews, newsRepeats)
 	m.rings.digest = m.digest()
 	m.heardOf = 0
 	toAll := m.self.Watched || now < m.rings.tellAllUntil
@@ -116,44 +115,16 @@
 
 // tell has news of a peer sent on to the neighbours, soon.
 func (m *Membership) tell(e Entry) {
-	r := &m.rings
-	if e.Process.Daemon == m.self.Process.Daemon {
-		// Each heartbeat says it.
-		m.hurryNews()
-		return
-	}
-	same := func(u update) bool { return u.entry.Process.Daemon == e.Process.Daemon }
-	if at := slices.IndexFunc(r.news, same); at >= 0 {
-		r.news = slices.Delete(r.news, at, at+1)
-	}
-	if len(r.news) < maxUpdates {
-		r.news = append(r.news, update{entry: e})
-		m.hurryNews()
+	if e.Process.Daemon != m.self.Process.Daemon {
+		// Each heartbeat tells of this daemon itself.
+		m.rings.news.put(e)
 	}
+	m.hurryNews()
 }
 
 // hurryNews brings the next heartbeats forward to when news may go out.
 func (m *Membership) hurryNews() { m.due = min(m.due, m.beatAt+m.cfg.SpreadPause) }
 
-// takeNews is what the neighbours are told in one heartbeat: bad news first,
-// then what was told least often.
-func (m *Membership) takeNews() []Entry {
-	r := &m.rings
-	if len(r.news) == 0 {
-		return nil
-	}
-	slices.SortStableFunc(r.news, func(a, b update) int {
-		return cmp.Or(cmp.Compare(urgency(a), urgency(b)), cmp.Compare(a.sent, b.sent))
-	})
-	out := make([]Entry, min(mostNews, len(r.news)))
-	for i := range out {
-		r.news[i].sent++
-		out[i] = r.news[i].entry
-	}
-	r.news = slices.DeleteFunc(r.news, func(u update) bool { return u.sent >= newsRepeats })
-	return out
-}
-
 // noteworthy says whether a daemon tells of itself what all others must know.
 func noteworthy(old, now Entry) bool {
 	return old.Watched != now.Watched || old.StoreLost != now.StoreLost ||
--- a/core/member/judge.go
+++ b/core/member/judge.go
@@ -20,10 +20,7 @@
 
 // silent tells whether a peer that counts has been silent long enough to suspect it.
 func (m *Membership) silent(now time.Duration, p *peer) bool {
-	if m.cfg.Mode == Partial {
-		return p.entry.State == Suspect || p.entry.State == Partitioned
-	}
-	if !m.watches(p) {
+	if m.cfg.Mode == Partial || !m.watches(p) {
 		return p.entry.State == Suspect || p.entry.State == Partitioned
 	}
 	return m.silence(now, p) >= m.suspectAfter(p)
@@ -118,9 +115,13 @@
 		return
 	}
 	silence, suspectAfter := m.silence(now, p), m.suspectAfter(p)
-	if m.rings.on && silence >= suspectAfter/2 {
+	askAfter := suspectAfter
+	if m.rings.on {
 		// Its other neighbours may have heard it: nobody else then learns of a
 		// suspicion that is none.
+		askAfter /= 2
+	}
+	if silence >= askAfter {
 		m.askAbout(now, p)
 	}
 	if silence < suspectAfter {
@@ -129,7 +130,6 @@
 	if p.entry.State == Alive {
 		m.set(now, p, Suspect, "silent")
 	}
-	m.askAbout(now, p)
 	if m.cutOff(p) || silence >= m.deadAfter(p) {
 		m.giveUp(now, p)
 	}
--- a/core/member/partial.go
+++ b/core/member/partial.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"cmp"
 	"math/bits"
 	"slices"
 	"time"
@@ -17,8 +16,6 @@
 	// spreadFactor times the logarithm of the fleet's size is how often an
 	// update is sent on.
 	spreadFactor = 3
-	// maxUpdates bounds the updates that wait to be sent on.
-	maxUpdates = 1024
 )
 
 // partial is the state that only the Partial mode has.
@@ -28,7 +25,7 @@
 	probes []probe
 	// results holds the newest probes' success.
 	results []bool
-	queue   []update
+	queue   news
 	view    []neighbour
 	sent    []id.Daemon
 	shuffle time.Duration
@@ -45,12 +42,6 @@
 	ends     time.Duration
 }
 
-// update is news to be sent on with other messages.
-type update struct {
-	entry Entry
-	sent  int
-}
-
 // neighbour is one slot of the sample that shuffles exchange.
 type neighbour struct {
 	name id.Daemon
@@ -215,41 +206,10 @@
 		m.tell(e)
 		return
 	}
-	s := &m.partial
-	at := slices.IndexFunc(s.queue, func(u update) bool { return u.entry.Process.Daemon == e.Process.Daemon })
-	if at >= 0 {
-		s.queue = slices.Delete(s.queue, at, at+1)
-	}
-	if len(s.queue) < maxUpdates {
-		s.queue = append(s.queue, update{entry: e})
-	}
+	m.partial.queue.put(e)
 }
 
-// urgency puts bad news before the rest.
-func urgency(u update) int {
-	if u.entry.State == Alive {
-		return 1
-	}
-	return 0
-}
-
-// updates takes bad news first, then what was sent least often, and drops what was sent
-// often enough for all to have heard of it.
+// updates is what goes with one message, until all have heard of it.
 func (m *Membership) updates() []Entry {
-	s := &m.partial
-	if len(s.queue) == 0 {
-		return nil
-	}
-	slices.SortStableFunc(s.queue, func(a, b update) int {
-		return cmp.Or(cmp.Compare(urgency(a), urgency(b)), cmp.Compare(a.sent, b.sent))
-	})
-	n := min(m.cfg.Updates, len(s.queue))
-	out := make([]Entry, 0, n+1)
-	for i := range n {
-		s.queue[i].sent++
-		out = append(out, s.queue[i].entry)
-	}
-	limit := spreadFactor * bits.Len(uint(len(m.order)+1))
-	s.queue = slices.DeleteFunc(s.queue, func(u update) bool { return u.sent >= limit })
-	return out
+	return m.partial.queue.take(m.cfg.Updates, spreadFactor*bits.Len(uint(len(m.order)+1)))
 }
--- a/core/member/rings.go
+++ b/core/member/rings.go
@@ -16,7 +16,7 @@
 	// stale is set when the neighbours must be chosen anew.
 	stale bool
 	// news waits to be told to the neighbours.
-	news []update
+	news news
 	// digest is what this daemon knows of who is there, as last told.
 	digest uint64
 	// rejoinUntil is until when this daemon, which was isolated, takes over what
