--- a/core/member/member.go
+++ b/core/member/member.go
@@ -2,8 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
@@ -46,35 +44,6 @@
 	at []uint64
 }
 
-// peer is what is known of one other daemon.
-type peer struct {
-	entry Entry
-	// met is set once the daemon was heard of by a message.
-	met bool
-	// heard is when the newest evidence of its running came; direct is when
-	// it came from the daemon itself.
-	heard  time.Duration
-	direct time.Duration
-	// since is when entry.State was set.
-	since time.Duration
-	// said is set once the daemon itself, in this incarnation, said that it leaves.
-	said bool
-	// listed and listedLeaving are the host list's word.
-	listed        bool
-	listedLeaving bool
-	// shown is the state that was last reported.
-	shown State
-	// revive is when a dead daemon is sent a message again; asked when peers
-	// were last asked about it.
-	revive time.Duration
-	asked  time.Duration
-	// mine is set, in Partial mode, on a daemon that this one's own probes
-	// made suspect: this one probes on, and judges it.
-	mine bool
-
-	place
-}
-
 // relay remembers for whom a probe was sent on.
 type relay struct {
 	asker id.Daemon
@@ -324,32 +293,6 @@
 	}
 }
 
-// peerNamed returns the peer of that name, making it if there is room.
-func (m *Membership) peerNamed(now time.Duration, name id.Daemon) *peer {
-	if p, ok := m.peers[name]; ok {
-		return p
-	}
-	if len(m.peers) >= m.cfg.MaxMembers || name == "" {
-		return nil
-	}
-	p := &peer{heard: now, direct: now - m.cfg.DeadAfter, since: now, revive: now, asked: now - m.cfg.DeadAfter}
-	p.entry = Entry{Process: id.Process{Daemon: name}, State: Suspect}
-	p.at = m.cfg.positions(name)
-	m.rings.stale = true
-	m.peers[name] = p
-	at, _ := slices.BinarySearch(m.order, name)
-	m.order = slices.Insert(m.order, at, name)
-	return p
-}
-
-func (m *Membership) forget(name id.Daemon) {
-	delete(m.peers, name)
-	m.rings.stale = true
-	if at, ok := slices.BinarySearch(m.order, name); ok {
-		m.order = slices.Delete(m.order, at, at+1)
-	}
-}
-
 // Hosts merges the host list. A host that it calls leaving is leaving; one
 // that it lacks is not dead for that alone.
 func (m *Membership) Hosts(now time.Duration, hosts []Host) []Action {
@@ -380,46 +323,3 @@
 	}
 	return m.flush()
 }
-
-// state is a peer's state with its leaving taken in.
-func (p *peer) state() State {
-	leaving := p.said || p.listedLeaving
-	if leaving && p.entry.State != Dead && p.entry.State != Partitioned {
-		return Leaving
-	}
-	return p.entry.State
-}
-
-// show reports a peer's state if it changed.
-func (m *Membership) show(p *peer, reason string) {
-	to := p.state()
-	if to == p.shown {
-		return
-	}
-	from := p.shown
-	p.shown = to
-	if !p.met && from == 0 && to == Suspect {
-		return
-	}
-	m.emit(Action{Changed: &Changed{Process: p.entry.Process, Domain: p.entry.Domain, From: from, To: to, Reason: reason}})
-}
-
-// set changes a peer's own state and spreads the news.
-func (m *Membership) set(now time.Duration, p *peer, s State, reason string) {
-	if p.entry.State != s {
-		p.entry.State = s
-		m.rings.stale = true
-		p.since = now
-		p.mine = false
-		if p.met && !(m.rings.on && m.isolated && s == Partitioned) {
-			// What one that is cut off can't reach says nothing to the others.
-			m.enqueue(p.entry)
-		}
-	}
-	m.show(p, reason)
-}
-
-// compareNames orders entries by daemon.
-func compareNames(a, b Entry) int {
-	return strings.Compare(string(a.Process.Daemon), string(b.Process.Daemon))
-}
