Read counters and pools by what is there for it

daemon_spent read a map of counters by writing it as JSON and taking that apart, and sorted it, though the map gives its keys in order: CounterMap.Do, by which Total sums as well. The look at owned pools, twice a second, made a whole document of the configuration to read the pools' names, which poolNames lists. Lines are as before.

--- a/daemon/gateway/orderer.go
+++ b/daemon/gateway/orderer.go
@@ -112,10 +112,8 @@
 }
 
 func (o *orderer) lookAtPools(now time.Duration) {
-	doc := document(o.d.knowledge.current().Routes, nil)
 	owned := map[id.Pool]bool{}
-	for i := range doc.Pools {
-		name := doc.Pools[i].Name
+	for _, name := range poolNames(o.d.knowledge.current().Routes) {
 		if o.lookAtPool(now, name) {
 			owned[name] = true
 		}
--- a/daemon/gateway/spent.go
+++ b/daemon/gateway/spent.go
@@ -1,12 +1,12 @@
 package gateway
 
 import (
-	"encoding/json"
 	"fmt"
 	runtimemetrics "runtime/metrics"
-	"slices"
 	"strings"
 	"time"
+
+	"github.com/samphirequay/samphirequay/daemon/metrics"
 )
 
 // spentEvery is the time between the lines that tell what a daemon spends apart
@@ -50,18 +50,11 @@
 
 // counts gives the counters of a map of the metrics as NAME:COUNT, by name.
 func (d *Daemon) counts(name string) string {
-	v := d.metrics.Get(name)
-	if v == nil {
+	counters, ok := d.metrics.Get(name).(*metrics.CounterMap)
+	if !ok {
 		return ""
 	}
-	values := map[string]int64{}
-	if err := json.Unmarshal([]byte(v.String()), &values); err != nil {
-		return "unreadable"
-	}
-	out := make([]string, 0, len(values))
-	for k, n := range values {
-		out = append(out, fmt.Sprintf("%s:%d", k, n))
-	}
-	slices.Sort(out)
+	var out []string
+	counters.Do(func(key string, n int64) { out = append(out, fmt.Sprintf("%s:%d", key, n)) })
 	return strings.Join(out, ",")
 }
--- a/daemon/metrics/types.go
+++ b/daemon/metrics/types.go
@@ -45,14 +45,19 @@
 	return v.Value()
 }
 
-// Total returns the sum over all keys.
-func (c *CounterMap) Total() int64 {
-	var total int64
+// Do calls f for each key, in order, with its counter.
+func (c *CounterMap) Do(f func(key string, n int64)) {
 	c.values.Do(func(kv expvar.KeyValue) {
 		if v, ok := kv.Value.(*expvar.Int); ok {
-			total += v.Value()
+			f(kv.Key, v.Value())
 		}
 	})
+}
+
+// Total returns the sum over all keys.
+func (c *CounterMap) Total() int64 {
+	var total int64
+	c.Do(func(_ string, n int64) { total += n })
 	return total
 }
 
