--- a/core/member/rings_test.go
+++ b/core/member/rings_test.go
@@ -161,17 +161,23 @@
 	})
 }
 
-// TestMostOfALargeFleetIsAddedAtOnce: three times as many as there are.
-func TestMostOfALargeFleetIsAddedAtOnce(t *testing.T) {
-	is := is.New(t)
-	f := newFleetWith(withRings, Mesh, 40, 6, 1)
-	f.within(t, wholeWithin, "all know all", f.steady)
-	for i := range 120 {
+// add starts n more daemons, one after each pause.
+func (f *fleet) add(n int, pause time.Duration) {
+	for i := range n {
 		name := id.Daemon(fmt.Sprintf("new-%03d", i))
 		f.domains[name] = id.Domain(fmt.Sprintf("domain-%d", i%6))
 		f.names = append(f.names, name)
 		f.start(name, 1)
+		f.run(pause)
 	}
+}
+
+// TestMostOfALargeFleetIsAddedAtOnce: three times as many as there are.
+func TestMostOfALargeFleetIsAddedAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFleetWith(withRings, Mesh, 40, 6, 1)
+	f.within(t, wholeWithin, "all know all", f.steady)
+	f.add(120, 0)
 	f.within(t, wholeWithin, "all know all", f.steady)
 	for _, name := range f.names {
 		is.Equal(f.deaths(name), 0)
@@ -184,13 +190,7 @@
 	is := is.New(t)
 	f := newFleetWith(withRings, Mesh, 15, 6, 1)
 	f.within(t, wholeWithin, "all know all", f.steady)
-	for i := range 25 {
-		name := id.Daemon(fmt.Sprintf("new-%03d", i))
-		f.domains[name] = id.Domain(fmt.Sprintf("domain-%d", i%6))
-		f.names = append(f.names, name)
-		f.start(name, 1)
-		f.run(200 * time.Millisecond)
-	}
+	f.add(25, 200*time.Millisecond)
 	f.within(t, wholeWithin, "all know all", f.steady)
 	f.run(5 * time.Second)
 	for _, name := range f.names {
