Say in comments what a change prevents, not what a run showed

Four comments told figures of runs: the kept address of a place, the passing codes, the trial against estimates, the age of estimates.

--- a/cmd/internal/fleet/address.go
+++ b/cmd/internal/fleet/address.go
@@ -10,9 +10,8 @@
 // address is a TCP address of the loopback interface that a place keeps whether
 // or not its daemon runs, as a host keeps its own: a bound socket on which
 // nothing listens, so that a connection to it is refused while there is no
-// daemon, and nobody else is given the port. Without it, in 5 of 360 runs beside
-// 39 other fleets, callers of a killed daemon were answered by another fleet's
-// engine that had got its port.
+// daemon, and nobody else is given the port. Without it, callers of a killed daemon may be
+// answered by another fleet's engine that has got its port.
 type address struct {
 	fd   int
 	port int
--- a/core/sched/estimate.go
+++ b/core/sched/estimate.go
@@ -45,7 +45,7 @@
 const (
 	// relaxAfter is the time in which an estimate goes back most of the way to
 	// the first one while no sample comes. Without it an engine that was slow for
-	// a while got 0 of the 20 prompts that came ten seconds later.
+	// a while gets no prompts for good.
 	relaxAfter = 4 * time.Second
 	// relaxEvery is how often that is looked at.
 	relaxEvery = 500 * time.Millisecond
--- a/core/sched/trial.go
+++ b/core/sched/trial.go
@@ -8,9 +8,8 @@
 // them, and where the pool at its best could still serve it in time, given how
 // long after its arrival that would be.
 //
-// Without it, ten seconds in which engines are 40 times as slow leave means by
-// which every prompt is refused, and no sample comes that would correct them: in
-// a replay, nobody was served in the ten seconds behind it.
+// Without it, a few seconds in which engines are slow leave means by which every
+// prompt is refused, and no sample comes that would correct them.
 func (l *Ledger) tries(s *service, atBest time.Duration) bool {
 	return !s.plain && l.awaited == 0 && atBest <= s.patience
 }
--- a/core/verdict/verdict.go
+++ b/core/verdict/verdict.go
@@ -86,9 +86,8 @@
 const PassingRetryAfter = time.Second
 
 // Passing says whether what kept a request from running passes by itself: its
-// caller should come back. On one processor shared by 14 fleets, 16 of 20
-// requests were refused for one of these, none with an advice to come back. What
-// is left is the caller's own fault, or would be the same the next time.
+// caller should come back. What is left is the caller's own fault, or would be
+// the same the next time.
 func (c Code) Passing() bool {
 	switch c {
 	case CodeKVGone, CodeDeadline, CodeUnavailable, CodeLeaving, // an engine, or this daemon, for now
