Keep keys in one ring of hashes for both ways through the product

A team's keys are looked up by the gateway too, which has teams of its own. core/apikey holds the hashes; core/live uses it in place of a map of its own.

--- /dev/null
+++ b/core/apikey/apikey_test.go
@@ -0,0 +1,43 @@
+package apikey
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestAKeyBelongsToOneOwner(t *testing.T) {
+	is := is.New(t)
+	r := NewRing[string]()
+	is.NoErr(r.Add(Of([]byte("k1")), "desk"))
+	is.NoErr(r.Add(Of([]byte("k2")), "desk"))
+	is.NoErr(r.Add(Of([]byte("k1")), "desk")) // twice in one team is no conflict
+	is.Equal(r.Add(Of([]byte("k1")), "trek"), ErrTaken)
+	is.Equal(r.Add(Of(nil), "trek"), ErrEmpty)
+	owner, ok := r.Owner(Of([]byte("k2")))
+	is.True(ok)
+	is.Equal(owner, "desk")
+	_, ok = r.Owner(Of([]byte("k3")))
+	is.True(!ok)
+	is.Equal(r.Len(), 2)
+}
+
+func TestAHashIsReadAsItIsWritten(t *testing.T) {
+	is := is.New(t)
+	h := Of([]byte("key"))
+	read, err := Parse(h.String())
+	is.NoErr(err)
+	is.Equal(read, h)
+	_, err = Parse("abc")
+	is.True(err != nil)
+	_, err = Parse(h.String() + "00")
+	is.True(err != nil)
+}
+
+func TestALookUpAllocatesNothing(t *testing.T) {
+	is := is.New(t)
+	r := NewRing[string]()
+	is.NoErr(r.Add(Of([]byte("k1")), "desk"))
+	key := []byte("k1")
+	is.Equal(testing.AllocsPerRun(100, func() { r.Owner(Of(key)) }), 0.0)
+}
--- a/core/live/check.go
+++ b/core/live/check.go
@@ -1,7 +1,6 @@
 package live
 
 import (
-	"encoding/hex"
 	"fmt"
 	"net/netip"
 	"strings"
@@ -9,6 +8,7 @@
 
 	"k8s.io/apimachinery/pkg/labels"
 
+	"github.com/samphirequay/samphirequay/core/apikey"
 	"github.com/samphirequay/samphirequay/core/id"
 )
 
@@ -24,8 +24,6 @@
 	MaxBody = 64 << 20
 	// MaxSlots bounds Endpoint.Slots.
 	MaxSlots = 1 << 16
-	// keyHashBytes is the length of a SHA-256 hash.
-	keyHashBytes = 32
 )
 
 // Fault is one thing wrong with a document.
@@ -140,9 +138,8 @@
 func (it item) keyHashes(t Team, seen map[string]id.Team) {
 	for j, h := range t.KeyHashes {
 		field := fmt.Sprintf("key_hashes[%d]", j)
-		raw, err := hex.DecodeString(h)
-		if err != nil || len(raw) != keyHashBytes {
-			it.fault(field, "is not %d hex digits", 2*keyHashBytes)
+		if _, err := apikey.Parse(h); err != nil {
+			it.fault(field, "%s", err)
 			continue
 		}
 		key := strings.ToLower(h)
--- a/core/live/index.go
+++ b/core/live/index.go
@@ -1,26 +1,21 @@
 package live
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"slices"
 	"strings"
 
 	"k8s.io/apimachinery/pkg/labels"
 
+	"github.com/samphirequay/samphirequay/core/apikey"
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
-// keyHash is the SHA-256 hash of a bearer key.
-type keyHash [sha256.Size]byte
-
 // Index answers look-ups in one Document. It is built once per Document and
 // never changes, so any number of readers may share it.
 type Index struct {
 	doc       *Document
-	keys      map[keyHash]keyOwner
+	keys      *apikey.Ring[*Team]
 	teams     map[id.Team]*Team
 	services  map[id.Service]serviceRule
 	pools     map[id.Pool]*Pool
@@ -29,11 +24,6 @@
 	links     map[linkEnds]*Link
 }
 
-type keyOwner struct {
-	hash keyHash
-	team *Team
-}
-
 type serviceRule struct {
 	service *Service
 	teams   labels.Selector
@@ -42,17 +32,14 @@
 type linkEnds struct{ from, to id.Domain }
 
 // HashKey returns the hash that Team.KeyHashes holds for a bearer key.
-func HashKey(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
+func HashKey(key string) string { return apikey.Of([]byte(key)).String() }
 
 // NewIndex builds the index of a normalized document without faults. A
 // selector that cannot be parsed matches nothing.
 func NewIndex(doc *Document) *Index {
 	x := &Index{
 		doc:       doc,
-		keys:      map[keyHash]keyOwner{},
+		keys:      apikey.NewRing[*Team](),
 		teams:     map[id.Team]*Team{},
 		services:  map[id.Service]serviceRule{},
 		pools:     map[id.Pool]*Pool{},
@@ -76,12 +63,10 @@
 		t := &x.doc.Teams[i]
 		x.teams[t.Name] = t
 		for _, text := range t.KeyHashes {
-			raw, err := hex.DecodeString(text)
-			if err != nil || len(raw) != sha256.Size {
-				continue
+			if h, err := apikey.Parse(text); err == nil {
+				// A document without faults has no key twice.
+				_ = x.keys.Add(h, t)
 			}
-			h := keyHash(raw)
-			x.keys[h] = keyOwner{hash: h, team: t}
 		}
 	}
 }
@@ -142,17 +127,8 @@
 // Document returns the document that the index was built from.
 func (x *Index) Document() *Document { return x.doc }
 
-// TeamByKey returns the team that a presented bearer key belongs to. The time
-// it takes depends only on the hash of the key, which a caller can't steer
-// towards a stored one.
-func (x *Index) TeamByKey(key string) (*Team, bool) {
-	h := keyHash(sha256.Sum256([]byte(key)))
-	owner, ok := x.keys[h]
-	if !ok || subtle.ConstantTimeCompare(owner.hash[:], h[:]) != 1 {
-		return nil, false
-	}
-	return owner.team, true
-}
+// TeamByKey returns the team that a presented bearer key belongs to.
+func (x *Index) TeamByKey(key string) (*Team, bool) { return x.keys.Owner(apikey.Of([]byte(key))) }
 
 // Team returns a team by name.
 func (x *Index) Team(name id.Team) (*Team, bool) {
