Tell how old a daemon's configuration may be, by proofs that nothing makes younger

Cause: a key that was taken away must not work beyond a bound at any daemon, whatever it can reach. A proof says which configuration was the newest at a moment of the store's clock, which each daemon relates to its own by bounds from its calls to the store. Handed on it stays as it is: a message that is held up, or a host that stands still, doesn't make it younger, which an age in a message would be.

The simulation has 12 daemons with clocks up to 90 ppm off, freezes and cuts of up to 12 s, proofs that arrive late and tables from daemons that are behind: 40 seeds, no daemon ever takes an old configuration for a fresh one.

--- /dev/null
+++ b/core/freshness/clock.go
@@ -0,0 +1,57 @@
+// Package freshness tells how old a daemon's configuration may be. A proof that
+// a configuration was the newest one comes from the store; it is dated by the
+// store's clock, which never jumps, and handed on unchanged. Nothing makes it
+// younger: not a message that was held up, nor a host that stood still. It has
+// no I/O.
+package freshness
+
+import "time"
+
+// Clock relates the store's clock to the daemon's own. Each call to the store
+// bounds the difference: the clock was read between the call and its answer.
+type Clock struct {
+	known bool
+	// least and most bound the store's clock minus the daemon's, as of at.
+	least, most time.Duration
+	at          time.Duration
+}
+
+// drift is by how much two clocks may part in a second.
+const drift = 200 * time.Microsecond
+
+// Sample takes what the store's clock showed in the answer to a call.
+func (c *Clock) Sample(sent, received, shown time.Duration) {
+	least, most := shown-received, shown-sent
+	if c.known {
+		oldLeast, oldMost := c.bounds(received)
+		least, most = max(least, oldLeast), min(most, oldMost)
+	}
+	if !c.known || least > most {
+		// Bounds that exclude each other: the store's clock began anew.
+		least, most = shown-received, shown-sent
+	}
+	c.known, c.least, c.most, c.at = true, least, most, received
+}
+
+// bounds are those of the difference at a later moment.
+func (c *Clock) bounds(now time.Duration) (least, most time.Duration) {
+	slack := time.Duration(float64(drift) * max(0, (now-c.at).Seconds()))
+	return c.least - slack, c.most + slack
+}
+
+// Shown is what the store's clock showed at least at a moment of the daemon's;
+// ok is false before the first sample.
+func (c *Clock) Shown(at time.Duration) (shown time.Duration, ok bool) {
+	least, _ := c.bounds(at)
+	return at + least, c.known
+}
+
+// Earliest is the first moment of the daemon's at which the store's clock can
+// have shown a time; ok is false before the first sample.
+func (c *Clock) Earliest(now, shown time.Duration) (at time.Duration, ok bool) {
+	_, most := c.bounds(now)
+	return shown - most, c.known
+}
+
+// SampledAt is when the last sample was taken.
+func (c *Clock) SampledAt() (at time.Duration, ok bool) { return c.at, c.known }
--- /dev/null
+++ b/core/freshness/freshness.go
@@ -0,0 +1,96 @@
+package freshness
+
+import "time"
+
+// Proof says that at a moment no configuration newer than Version was accepted.
+type Proof struct {
+	// Version of the configuration.
+	Version uint64 `cbor:"1,keyasint"`
+	// At is the moment, by the store's clock.
+	At time.Duration `cbor:"2,keyasint"`
+}
+
+// Tracker holds what one daemon knows of how fresh its configuration is. It is
+// not safe for concurrent use.
+type Tracker struct {
+	clock   Clock
+	version uint64
+	// newest is the newest proof that the configuration in force fulfils, since
+	// is its moment in the daemon's time.
+	newest  Proof
+	since   time.Duration
+	covered bool
+	// ahead is the newest proof of a configuration that is not in force here yet.
+	ahead      Proof
+	aheadSince time.Duration
+}
+
+// Sample takes what the store's clock showed in the answer to a call.
+func (t *Tracker) Sample(sent, received, shown time.Duration) { t.clock.Sample(sent, received, shown) }
+
+// SampledAt is when the store's clock was last seen.
+func (t *Tracker) SampledAt() (at time.Duration, ok bool) { return t.clock.SampledAt() }
+
+// InForce notes the configuration that is in force from now on.
+func (t *Tracker) InForce(version uint64) {
+	if version <= t.version {
+		return
+	}
+	t.version = version
+	if t.ahead.Version > 0 && t.ahead.Version <= version {
+		t.cover(t.ahead, t.aheadSince)
+		t.ahead = Proof{}
+	}
+}
+
+// Confirm notes that the store itself had nothing newer than the configuration
+// in force at a moment of the daemon's: when the call to the store began.
+func (t *Tracker) Confirm(since time.Duration) {
+	if t.version == 0 {
+		return
+	}
+	// Without a sample of the store's clock the proof is good here only.
+	proof := Proof{}
+	if at, ok := t.clock.Shown(since); ok {
+		proof = Proof{Version: t.version, At: at}
+	}
+	t.cover(proof, since)
+}
+
+// Learn takes another daemon's proof.
+func (t *Tracker) Learn(now time.Duration, p Proof) {
+	since, ok := t.clock.Earliest(now, p.At)
+	if !ok || p.Version == 0 {
+		return
+	}
+	// No proof is of the future, whatever clock dated it.
+	since = min(since, now)
+	if p.Version <= t.version {
+		t.cover(p, since)
+		return
+	}
+	if t.ahead.Version == 0 || since > t.aheadSince {
+		t.ahead, t.aheadSince = p, since
+	}
+}
+
+// cover takes a proof that the configuration in force fulfils.
+func (t *Tracker) cover(p Proof, since time.Duration) {
+	if t.covered && since <= t.since {
+		return
+	}
+	t.covered, t.since = true, since
+	if p.Version > 0 {
+		t.newest = p
+	}
+}
+
+// Since is the last moment, in the daemon's time, at which the configuration in
+// force is known to have been the newest; ok is false where none is known.
+func (t *Tracker) Since() (since time.Duration, ok bool) { return t.since, t.covered }
+
+// Newest is the proof to hand on; ok is false where there is none.
+func (t *Tracker) Newest() (p Proof, ok bool) { return t.newest, t.newest.Version > 0 }
+
+// Behind says whether a newer configuration than the one in force was accepted.
+func (t *Tracker) Behind() bool { return t.ahead.Version > t.version }
--- /dev/null
+++ b/core/freshness/freshness_test.go
@@ -0,0 +1,201 @@
+package freshness
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestAProofIsNoYoungerThanItIs(t *testing.T) {
+	is := is.New(t)
+	var reader, other Tracker
+	reader.InForce(7)
+	other.InForce(7)
+	reader.Sample(1*time.Second, 1004*time.Millisecond, 101*time.Second)
+	other.Sample(5*time.Second, 5010*time.Millisecond, 101*time.Second)
+	reader.Confirm(2 * time.Second)
+	p, ok := reader.Newest()
+	is.True(ok)
+	is.Equal(p.Version, uint64(7))
+	is.True(p.At <= 102*time.Second && p.At >= 101900*time.Millisecond)
+	other.Learn(9*time.Second, p) // it was on its way for three seconds
+	since, ok := other.Since()
+	is.True(ok)
+	is.True(since <= 6*time.Second && since >= 5900*time.Millisecond)
+	other.Learn(20*time.Second, p) // hearing it again changes nothing
+	again, _ := other.Since()
+	is.Equal(again, since)
+}
+
+func TestAProofOfANewerConfigurationCountsOnceThatIsInForce(t *testing.T) {
+	is := is.New(t)
+	var x Tracker
+	x.Sample(0, 0, 100*time.Second)
+	x.InForce(7)
+	x.Confirm(time.Second)
+	x.Learn(3*time.Second, Proof{Version: 9, At: 102 * time.Second})
+	is.True(x.Behind())
+	since, _ := x.Since()
+	is.Equal(since, time.Second)
+	x.InForce(9)
+	is.True(!x.Behind())
+	since, _ = x.Since()
+	is.True(since > 1900*time.Millisecond)
+}
+
+func TestWithoutTheStoresClockNothingIsLearnt(t *testing.T) {
+	is := is.New(t)
+	var x Tracker
+	x.InForce(7)
+	x.Learn(time.Second, Proof{Version: 7, At: time.Hour})
+	_, ok := x.Since()
+	is.True(!ok)
+	x.Confirm(2 * time.Second) // its own call to the store is enough
+	since, ok := x.Since()
+	is.True(ok)
+	is.Equal(since, 2*time.Second)
+	_, ok = x.Newest()
+	is.True(!ok)
+}
+
+func TestAClockThatBeganAnewIsTakenAsItIs(t *testing.T) {
+	is := is.New(t)
+	var c Clock
+	c.Sample(0, time.Millisecond, time.Hour)
+	c.Sample(time.Second, 1001*time.Millisecond, time.Second)
+	at, ok := c.Earliest(2*time.Second, time.Second)
+	is.True(ok)
+	is.True(at <= 1001*time.Millisecond && at >= 900*time.Millisecond)
+}
+
+// simulated is a fleet with a store: daemons whose clocks run at a pace of their
+// own, that read the store or hear of one another, freeze, and are cut off.
+type simulated struct {
+	rng *rand.Rand
+	now time.Duration
+	// accepted are the moments at which each configuration, by version, was.
+	accepted []time.Duration
+	daemons  []*simulatedDaemon
+}
+
+type simulatedDaemon struct {
+	Tracker
+	pace   float64
+	offset time.Duration
+	frozen time.Duration
+	cut    time.Duration
+	// inbox holds proofs that are on their way, or wait behind a freeze.
+	inbox []Proof
+}
+
+// clock is the daemon's own at a moment.
+func (d *simulatedDaemon) clock(at time.Duration) time.Duration {
+	return d.offset + time.Duration(float64(at)*d.pace)
+}
+
+const storeOffset = 1000 * time.Second
+
+func (s *simulated) version() uint64 { return uint64(len(s.accepted)) }
+
+// read has a daemon read the store: the call takes a while, within which the
+// store answers.
+func (s *simulated) read(d *simulatedDaemon) {
+	took := time.Duration(s.rng.Int64N(int64(80 * time.Millisecond)))
+	answered := s.now + time.Duration(s.rng.Int64N(int64(took)+1))
+	version := uint64(0)
+	for _, at := range s.accepted {
+		if at <= answered {
+			version++
+		}
+	}
+	d.InForce(version)
+	d.Sample(d.clock(s.now), d.clock(s.now+took), storeOffset+answered)
+	d.Confirm(d.clock(s.now))
+}
+
+func (s *simulated) step() {
+	s.now += 100 * time.Millisecond
+	if s.rng.IntN(40) == 0 {
+		s.accepted = append(s.accepted, s.now)
+	}
+	for i, d := range s.daemons {
+		if s.rng.IntN(200) == 0 {
+			d.frozen = s.now + time.Duration(s.rng.Int64N(int64(12*time.Second)))
+		}
+		if s.rng.IntN(100) == 0 {
+			d.cut = s.now + time.Duration(s.rng.Int64N(int64(12*time.Second)))
+		}
+		if s.now < d.frozen {
+			continue
+		}
+		for _, p := range d.inbox {
+			d.Learn(d.clock(s.now), p)
+		}
+		d.inbox = d.inbox[:0]
+		if i < 2 && s.now >= d.cut {
+			s.read(d)
+		}
+		s.tell(d)
+		if s.rng.IntN(30) == 0 && s.now >= d.cut {
+			// The tables come from another daemon, which may be behind itself.
+			from := s.daemons[s.rng.IntN(len(s.daemons))]
+			d.InForce(from.version)
+		}
+	}
+}
+
+// tell hands a daemon's proof on; what a cut holds up arrives later.
+func (s *simulated) tell(d *simulatedDaemon) {
+	p, ok := d.Newest()
+	if !ok || s.rng.IntN(3) > 0 {
+		return
+	}
+	to := s.daemons[s.rng.IntN(len(s.daemons))]
+	to.inbox = append(to.inbox, p)
+}
+
+// TestNoDaemonTakesAnOldConfigurationForFresh: whatever is frozen, cut off or
+// held up, and at whatever pace the clocks run, each configuration that was
+// accepted up to the moment a daemon names is in force there.
+func TestNoDaemonTakesAnOldConfigurationForFresh(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			s := &simulated{rng: rand.New(rand.NewPCG(seed, 9)), accepted: []time.Duration{0}}
+			for i := range 12 {
+				pace := 1 + (s.rng.Float64()-0.5)*1.8e-4
+				s.daemons = append(s.daemons, &simulatedDaemon{pace: pace, offset: time.Duration(i) * time.Hour})
+				s.read(s.daemons[i]) // each reads once as it starts
+			}
+			claims := 0
+			for range 1200 {
+				s.step()
+				claims += checkClaims(t, s)
+			}
+			if claims < 1000 {
+				t.Fatalf("only %d claims of a fresh configuration", claims)
+			}
+		})
+	}
+}
+
+func checkClaims(t *testing.T, s *simulated) int {
+	t.Helper()
+	claims := 0
+	for i, d := range s.daemons {
+		since, ok := d.Since()
+		if !ok {
+			continue
+		}
+		claims++
+		for v, at := range s.accepted {
+			if d.clock(at) <= since && uint64(v+1) > d.version {
+				t.Fatalf("at %v daemon %d claims that %d was the newest until %v, but %d was accepted at %v",
+					s.now, i, d.version, since, v+1, d.clock(at))
+			}
+		}
+	}
+	return claims
+}
