--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -127,7 +127,7 @@
 
 // noteworthy says whether a daemon tells of itself what all others must know.
 func noteworthy(old, now Entry) bool {
-	return old.Watched != now.Watched || old.StoreLost != now.StoreLost ||
+	return old.Watched != now.Watched || old.StoreLost != now.StoreLost || old.Stale != now.Stale ||
 		(old.Revision == 0) != (now.Revision == 0) || old.CallerAddress != now.CallerAddress
 }
 
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/samphirequay/samphirequay/core/freshness"
 	"github.com/samphirequay/samphirequay/core/id"
 )
 
@@ -15,6 +16,7 @@
 	// halted is set from DeclaredDead until Resume.
 	halted  bool
 	leaving bool
+	proof   *freshness.Proof
 
 	peers map[id.Daemon]*peer
 	// order holds the names of peers, sorted, so that nothing depends on the
@@ -81,6 +83,11 @@
 	Linked bool
 	// StoreLost is set while the platform's store does not answer this daemon.
 	StoreLost bool
+	// Stale is set while its configuration may be too old to take keys.
+	Stale bool
+	// Proof of how fresh a configuration is goes along with each message; nil for
+	// none.
+	Proof *freshness.Proof
 }
 
 // SetLocal sets what the next messages say.
@@ -101,6 +108,11 @@
 		m.hurry()
 	}
 	m.self.StoreLost = l.StoreLost
+	if l.Stale != m.self.Stale {
+		m.hurry()
+	}
+	m.self.Stale = l.Stale
+	m.proof = l.Proof
 }
 
 // hurry brings the next heartbeats forward to when a small fleet would have
@@ -270,6 +282,7 @@
 		return
 	}
 	msg.From = m.self
+	msg.Proof = m.proof
 	if p.met && m.tells(p) {
 		told := p.entry
 		if told.State == Paused {
--- a/core/member/messages.go
+++ b/core/member/messages.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/capacity"
+	"github.com/samphirequay/samphirequay/core/freshness"
 	"github.com/samphirequay/samphirequay/core/id"
 )
 
@@ -80,6 +81,8 @@
 	// Period is the longest time until the daemon's next heartbeat, where that is
 	// longer than the configured one; Mesh only.
 	Period time.Duration `cbor:"14,keyasint,omitempty"`
+	// Stale says that the daemon's configuration may be too old to take keys.
+	Stale bool `cbor:"15,keyasint,omitempty"`
 }
 
 // Kind is the kind of a Message.
@@ -123,6 +126,8 @@
 	Watching bool `cbor:"6,keyasint,omitempty"`
 	// Digest, on a Heartbeat between neighbours, sums up who is there.
 	Digest uint64 `cbor:"7,keyasint,omitempty"`
+	// Proof is the newest that the sender has of how fresh a configuration is.
+	Proof *freshness.Proof `cbor:"8,keyasint,omitempty"`
 }
 
 // Host is one entry of the platform's host list.
--- a/core/member/receive.go
+++ b/core/member/receive.go
@@ -136,7 +136,7 @@
 	to.Beat = e.Beat
 	to.Domain, to.Address, to.CallerAddress = e.Domain, e.Address, e.CallerAddress
 	to.Revision, to.InFlight, to.Settings = e.Revision, e.InFlight, e.Settings
-	to.Watched, to.StoreLost = e.Watched, e.StoreLost
+	to.Watched, to.StoreLost, to.Stale = e.Watched, e.StoreLost, e.Stale
 	to.Period = e.Period
 }
 
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -6,7 +6,9 @@
 import (
 	"time"
 
+	"github.com/samphirequay/samphirequay/core/apikey"
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/quota"
 )
 
 // Kind says what may be done with a request of a route.
@@ -79,6 +81,8 @@
 	MaxAttempts int
 	// Resumable streams may go on at another endpoint.
 	Resumable bool
+	// Public routes ask for no key.
+	Public bool
 }
 
 // Repeatable says whether a request may run more than once.
@@ -109,11 +113,27 @@
 	Engine *Engine
 }
 
+// Team is a party that sends requests with keys of its own.
+type Team struct {
+	Name id.Team
+	// Keys are hashes of the keys that its callers send.
+	Keys []apikey.Hash
+	// Priority of its requests, where OwnPriority says that it has one: it goes
+	// before that of the route.
+	Priority    int
+	OwnPriority bool
+	// Limit is how much of its requests may run, over all daemons together.
+	Limit quota.Limit
+}
+
 // Config is one whole routing configuration.
 type Config struct {
 	// Version grows with each accepted change, in uneven steps.
 	Version  uint64
 	Routes   []Route
 	Services []Service
-	Limits   Limits
+	// Teams whose keys requests need on routes that are not public. Without any,
+	// no request needs a key.
+	Teams  []Team
+	Limits Limits
 }
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/samphirequay/samphirequay/core/apikey"
 	"github.com/samphirequay/samphirequay/core/id"
 )
 
@@ -17,12 +18,25 @@
 	config   Config
 	hosts    map[string][]*Route
 	services map[id.Service]*Service
+	teams    map[id.Team]*Team
+	keys     *apikey.Ring[*Team]
 }
 
 // NewTable indexes a configuration; it must not be changed afterwards. An error
 // names the first item that can't work.
 func NewTable(c Config) (*Table, error) {
-	t := &Table{config: c, hosts: map[string][]*Route{}, services: map[id.Service]*Service{}}
+	t := &Table{
+		config:   c,
+		hosts:    map[string][]*Route{},
+		services: map[id.Service]*Service{},
+		teams:    map[id.Team]*Team{},
+		keys:     apikey.NewRing[*Team](),
+	}
+	for i := range c.Teams {
+		if err := t.addTeam(&c.Teams[i]); err != nil {
+			return nil, err
+		}
+	}
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
 	}
@@ -55,6 +69,37 @@
 	return nil
 }
 
+func (t *Table) addTeam(team *Team) error {
+	if team.Name == "" {
+		return fmt.Errorf("a team has no name")
+	}
+	if t.teams[team.Name] != nil {
+		return fmt.Errorf("there are two teams named %q", team.Name)
+	}
+	t.teams[team.Name] = team
+	if err := team.Limit.Check(); err != nil {
+		return fmt.Errorf("team %q: %w", team.Name, err)
+	}
+	for i, key := range team.Keys {
+		if err := t.keys.Add(key, team); err != nil {
+			return fmt.Errorf("team %q: key %d %w", team.Name, i, err)
+		}
+	}
+	return nil
+}
+
+// Walled says whether requests need a key: there are teams.
+func (t *Table) Walled() bool { return len(t.teams) > 0 }
+
+// Team returns a team by name, or nil.
+func (t *Table) Team(name id.Team) *Team { return t.teams[name] }
+
+// Owner returns the team that a key belongs to, or nil.
+func (t *Table) Owner(key apikey.Hash) *Team {
+	team, _ := t.keys.Owner(key)
+	return team
+}
+
 // Config is the configuration that the table was made of.
 func (t *Table) Config() *Config { return &t.config }
 
--- a/daemon/feed/feed.go
+++ b/daemon/feed/feed.go
@@ -87,6 +87,11 @@
 	// Learnt is told of the changes that came from the store itself, after
 	// Changed. Nil if nobody is to be told.
 	Learnt func(n News)
+	// Confirmed, if set, is told after Changed that the store, when a call to it
+	// began, had nothing newer than what is known; by Now.
+	Confirmed func(since time.Duration)
+	// Now is the daemon's time.
+	Now func() time.Duration
 	// Idle has the table read once and then followed only when SetIdle says so.
 	Idle bool
 	// Lost and Back are told when the store stops and begins again to answer.
@@ -118,6 +123,8 @@
 	begun bool
 	// wake ends an idle wait.
 	wake chan struct{}
+	// wait is the longest that one call waits for changes.
+	wait time.Duration
 }
 
 const (
@@ -141,6 +148,7 @@
 		idle:  cfg.Idle,
 		done:  make(chan struct{}),
 		wake:  make(chan struct{}, 1),
+		wait:  cfg.Wait,
 	}
 	f.state.Name = cfg.Name
 	f.ctx, f.stop = context.WithCancel(context.Background())
@@ -271,11 +279,13 @@
 func (f *Follower) readWhole(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	begun := f.now()
 	snapshot, err := f.cfg.Source.Read(ctx, f.cfg.Name)
 	if err != nil {
 		return err
 	}
 	f.note(nil)
+	defer f.confirm(begun)
 	f.mu.Lock()
 	f.whole = false
 	if f.known && snapshot.Position < f.state.Position {
@@ -297,6 +307,7 @@
 	wait, limit := f.patience()
 	ctx, cancel := context.WithTimeout(parent, limit)
 	defer cancel()
+	begun := f.now()
 	delta, err := f.cfg.Source.Changes(ctx, f.cfg.Name, after, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		f.mu.Lock()
@@ -309,14 +320,33 @@
 	}
 	f.note(nil)
 	if len(delta.Changes) == 0 {
+		f.confirm(begun)
 		return false, nil
 	}
 	news := News{Name: f.cfg.Name, After: after, Position: delta.Position, Changes: delta.Changes}
-	changed, err = f.apply(news)
-	if err == nil && f.cfg.Learnt != nil {
+	if changed, err = f.apply(news); err != nil {
+		return changed, err
+	}
+	if f.cfg.Learnt != nil {
 		f.cfg.Learnt(news)
 	}
-	return changed, err
+	f.confirm(begun)
+	return changed, nil
+}
+
+// now is the daemon's time; 0 where nobody asks for it.
+func (f *Follower) now() time.Duration {
+	if f.cfg.Now == nil {
+		return 0
+	}
+	return f.cfg.Now()
+}
+
+// confirm tells that all that the store had when a call began is known.
+func (f *Follower) confirm(begun time.Duration) {
+	if f.cfg.Confirmed != nil {
+		f.cfg.Confirmed(begun)
+	}
 }
 
 // patience is how long the next call waits for changes, and how long it may take.
@@ -327,7 +357,7 @@
 		f.begun = false
 		return 0, lostTimeout
 	}
-	half := f.cfg.Wait / 2
+	half := f.wait / 2
 	wait = half + time.Duration(f.cfg.Rand.Int64N(int64(half)+1))
 	return wait, wait + callSlack
 }
--- a/daemon/feed/others.go
+++ b/daemon/feed/others.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/samphirequay/samphirequay/core/revision/table"
 )
@@ -25,6 +26,13 @@
 	}
 }
 
+// SetWait bounds how long a call waits for changes, from the next call on.
+func (f *Follower) SetWait(wait time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.wait = wait
+}
+
 // Refresh reads the table whole at once, on another connection than the one
 // that waits for changes.
 func (f *Follower) Refresh() {
--- /dev/null
+++ b/daemon/forward/access.go
@@ -0,0 +1,139 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/quota"
+	"github.com/samphirequay/samphirequay/core/route"
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+const (
+	// staleRetryAfter is advised by a daemon whose configuration may be too old:
+	// proofs come several times a second, and other daemons may have one.
+	staleRetryAfter = 300 * time.Millisecond
+	// payShare of the time that is left may pass until the keeper of a team's
+	// account has answered.
+	payShare = 0.3
+)
+
+// authenticate finds the team that a request's key belongs to.
+func (f *Forwarder) authenticate(r *Request, t *trace, routes *route.Table) *verdict.Error {
+	t.walled = routes.Walled()
+	if !t.walled {
+		return nil
+	}
+	if r.HasKey {
+		t.team = routes.Owner(r.Key)
+	}
+	switch {
+	case t.team != nil:
+		return f.fresh(t)
+	case t.route.Public:
+		return nil
+	case f.Freshness.Behind():
+		f.Freshness.Refresh()
+		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the key is not known, and the configuration may be out of date").
+			WithRetryAfter(staleRetryAfter)
+	case !r.HasKey:
+		return verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "the request has no key of a team")
+	default:
+		return verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "the key belongs to no team")
+	}
+}
+
+// fresh refuses a request with a key while the key may have been revoked longer
+// ago than is allowed.
+func (f *Forwarder) fresh(t *trace) *verdict.Error {
+	ok, age := f.Freshness.Fresh()
+	if ok {
+		return nil
+	}
+	f.stats.stale.Inc()
+	t.reason = "the configuration may be too old"
+	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "whether the key is still good is not known: the configuration is %s old", age.Round(time.Millisecond)).
+		WithRetryAfter(staleRetryAfter)
+}
+
+// stillAllowed looks at a request's key again right before the request goes to an
+// endpoint: it may have waited while the key was revoked. Work that has begun is
+// finished.
+func (f *Forwarder) stillAllowed(r *Request, t *trace) *verdict.Error {
+	if t.team == nil || t.begun {
+		return nil
+	}
+	owner := f.View().Routes.Owner(r.Key)
+	if owner == nil || owner.Name != t.team.Name {
+		return verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "the key was taken away").WithCause(errNotAllowed)
+	}
+	if err := f.fresh(t); err != nil {
+		return err.WithCause(errNotAllowed)
+	}
+	return nil
+}
+
+// errNotAllowed is the cause of refusals for a request's key: other endpoints
+// would make no difference.
+var errNotAllowed = errors.New("the request's key is not known to be good")
+
+func notAllowed(err *verdict.Error) bool { return errors.Is(err.Cause, errNotAllowed) }
+
+// pay charges a request to its team.
+func (f *Forwarder) pay(ctx context.Context, r *Request, t *trace) *verdict.Error {
+	if t.team == nil || !t.team.Limit.Limited() {
+		return nil
+	}
+	limit := t.team.Limit
+	cost := limit.Cost(quota.Size{Known: r.Sized, Prompt: r.PromptTokens, Output: r.OutputTokens})
+	patience := time.Duration(payShare * float64(f.left(r, t.route)))
+	if err := f.Payer.Pay(ctx, t.team.Name, limit, cost, patience); err != nil {
+		return err
+	}
+	t.paid = cost
+	return nil
+}
+
+// refund gives back what a request has paid that has not run.
+func (f *Forwarder) refund(t *trace, err *verdict.Error) {
+	if t.paid > 0 && err != nil && err.Verdict == verdict.NotRun {
+		f.Payer.Return(t.team.Name, t.paid)
+	}
+}
+
+// teamName is the name of the request's team; empty without one.
+func (t *trace) teamName() id.Team {
+	if t.team == nil {
+		return ""
+	}
+	return t.team.Name
+}
+
+// share is whom the pools' owners count a request for: its team, or its route
+// where there are no teams.
+func (t *trace) share() id.Team {
+	if t.team == nil {
+		return id.Team(t.route.Name)
+	}
+	return t.team.Name
+}
+
+// urgency is the rank of the request, 0 (first) to highestPriority: a team's own
+// goes before that of the route.
+func (t *trace) urgency() int {
+	rank := t.route.Priority
+	if t.team != nil && t.team.OwnPriority {
+		rank = t.team.Priority
+	}
+	return min(max(0, rank), highestPriority)
+}
+
+// credentials of the caller are an endpoint's only where there are no teams.
+func (t *trace) credentials(r *Request) []Field {
+	if t.walled {
+		return nil
+	}
+	return r.Credentials
+}
--- a/daemon/forward/call.go
+++ b/daemon/forward/call.go
@@ -34,6 +34,9 @@
 	var last *Reply
 	var failure *verdict.Error
 	for {
+		if err := f.stillAllowed(r, t); err != nil {
+			return orEarlier(last, failure, err)
+		}
 		endpoint, err := f.pick(s.Name, avoid)
 		if err != nil {
 			return orEarlier(last, failure, err)
@@ -105,13 +108,16 @@
 	t.attempts++
 	t.endpoint = e.Name
 	reply, err := f.Endpoints.Call(ctx, &Attempt{
-		Request:  r,
-		Endpoint: e,
-		Left:     limit - begun,
-		Until:    until,
-		MaxConns: f.connections(s),
-		Once:     !t.route.Repeatable(),
+		Request:     r,
+		Endpoint:    e,
+		Left:        limit - begun,
+		Until:       until,
+		MaxConns:    f.connections(s),
+		Once:        !t.route.Repeatable(),
+		Team:        t.teamName(),
+		Credentials: t.credentials(r),
 	})
+	t.begun = t.begun || err == nil || err.Verdict != verdict.NotRun
 	took := f.Now() - begun
 	f.done(e, begun, outcomeOf(reply, err))
 	if err != nil {
--- a/daemon/forward/decode.go
+++ b/daemon/forward/decode.go
@@ -32,7 +32,7 @@
 
 // mayDecodeElsewhere says whether the same KV cache may go to another engine.
 func (g *generation) mayDecodeElsewhere(ctx context.Context, err *verdict.Error, readAt time.Duration) bool {
-	if ctx.Err() != nil || g.grant.Prefill == "" || err.Code == verdict.CodeKVGone || g.kvLeft(readAt) <= 0 {
+	if ctx.Err() != nil || notAllowed(err) || g.grant.Prefill == "" || err.Code == verdict.CodeKVGone || g.kvLeft(readAt) <= 0 {
 		return false
 	}
 	return err.Code == verdict.CodeUnavailable || g.f.repeat(g.service.Name)
@@ -48,6 +48,9 @@
 func (g *generation) decodeOnce(ctx context.Context, kv KV) (*Opened, *verdict.Error) {
 	f := g.f
 	engine, err := g.granted(g.grant.Decode)
+	if err == nil {
+		err = g.allowed()
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -63,11 +66,13 @@
 	if err != nil {
 		if err.Verdict != verdict.NotRun {
 			g.ran++
+			g.trace.begun = true
 		}
 		g.failed(engine, err, stepDecode, f.Now()-begun)
 		return nil, err
 	}
 	g.ran++
+	g.trace.begun = true
 	g.progress(sched.Progress{Phase: sched.PhaseDecoding, Endpoint: engine.Name})
 	return opened, nil
 }
--- a/daemon/forward/forward.go
+++ b/daemon/forward/forward.go
@@ -35,6 +35,9 @@
 	Misdirected func(e registry.Endpoint)
 	// Stale says whether the configuration may be out of date.
 	Stale func() bool
+	// Freshness and Payer matter only where the configuration has teams.
+	Freshness Freshness
+	Payer     Payer
 	// TooLate says whether the daemon stops so soon that a stream may not end
 	// before.
 	TooLate func() bool
@@ -61,9 +64,15 @@
 
 // trace is what the line of a request tells.
 type trace struct {
-	route    *route.Route
-	service  id.Service
-	config   uint64
+	route   *route.Route
+	service id.Service
+	config  uint64
+	// team is nil for a request without a key.
+	team   *route.Team
+	walled bool
+	paid   float64
+	// begun is set once an endpoint may run the request.
+	begun    bool
 	registry uint64
 	attempts int
 	endpoint id.Endpoint
@@ -83,6 +92,7 @@
 func (f *Forwarder) Run(ctx context.Context, r *Request) (*Reply, *verdict.Error) {
 	t := &trace{}
 	reply, err := f.dispatch(ctx, r, t)
+	f.refund(t, err)
 	if reply != nil && reply.Events != nil {
 		// The stream writes its line when it ends.
 		return reply, nil
@@ -105,6 +115,9 @@
 	if t.route == nil {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnknownService, "no route for this host and path")
 	}
+	if err := f.authenticate(r, t, view.Routes); err != nil {
+		return nil, err
+	}
 	t.service = t.route.Choose(r.ID)
 	service := view.Routes.Service(t.service)
 	if t.route.Kind == route.Stream && f.TooLate() {
@@ -115,6 +128,10 @@
 	}
 	f.counted(t.service)
 	ctx, cancel := context.WithTimeout(ctx, f.limit(r, t.route)-f.Now())
+	if err := f.pay(ctx, r, t); err != nil {
+		cancel()
+		return nil, err
+	}
 	switch {
 	case t.route.Kind == route.Stream && service.Engine != nil:
 		return f.stream(ctx, cancel, r, t, service)
--- a/daemon/forward/plainstream.go
+++ b/daemon/forward/plainstream.go
@@ -19,6 +19,10 @@
 func (f *Forwarder) plainStream(ctx context.Context, cancel context.CancelFunc, r *Request, t *trace, s *route.Service) (*Reply, *verdict.Error) {
 	var avoid []id.Endpoint
 	for refused := 1; ; refused++ {
+		if err := f.stillAllowed(r, t); err != nil {
+			cancel()
+			return nil, err
+		}
 		endpoint, err := f.pick(s.Name, avoid)
 		if err != nil {
 			cancel()
@@ -30,6 +34,7 @@
 		limit := f.limit(r, t.route)
 		opened, err := f.Endpoints.Decode(ctx, &Attempt{
 			Request: r, Endpoint: endpoint, Left: limit - begun, Until: limit, MaxConns: f.connections(s), Once: true, LastEvent: r.LastEvent,
+			Team: t.teamName(), Credentials: t.credentials(r),
 		}, KV{})
 		if err == nil {
 			return f.openedPlain(ctx, cancel, r, t, endpoint, begun, opened), nil
--- a/daemon/forward/record.go
+++ b/daemon/forward/record.go
@@ -17,6 +17,9 @@
 		kv = append(kv, "route", t.route.Name, "service", t.service, "kind", t.route.Kind,
 			"target", t.route.TargetLatency, "print", shortPrint(r, t))
 	}
+	if t.team != nil {
+		kv = append(kv, "team", t.team.Name)
+	}
 	kv = append(kv, "config", t.config, "registry", t.registry, "attempts", t.attempts, "endpoint", t.endpoint)
 	if t.prefill != "" {
 		kv = append(kv, "prefill", t.prefill, "waited", t.waited, "read", t.read, "first", t.first)
--- a/daemon/forward/stream.go
+++ b/daemon/forward/stream.go
@@ -104,6 +104,8 @@
 		g.trace.reason = "it may not run again"
 	case f.judge(g.request, g.trace) != nil:
 		// judge has set the reason.
+	case notAllowed(err):
+		g.trace.reason = "its key is no longer good"
 	case refusedByOwner(err):
 		g.trace.reason = "the pool's owner refused"
 	case g.pairings >= maxPairings:
@@ -139,7 +141,7 @@
 	}
 	want := sched.Want{
 		Request:      id.Request(fmt.Sprintf("%s.%d", r.ID, g.pairings)),
-		Team:         id.Team(rt.Name),
+		Team:         g.trace.share(),
 		Service:      g.service.Name,
 		Pool:         id.Pool(g.service.Name),
 		From:         f.Self(),
@@ -181,9 +183,7 @@
 // count from 0, the most urgent.
 const highestPriority = 9
 
-func (g *generation) priority() int {
-	return max(0, highestPriority-max(0, g.trace.route.Priority))
-}
+func (g *generation) priority() int { return highestPriority - g.trace.urgency() }
 
 // begin gets engines and has the prompt read, unless the decode engine is to
 // read it.
@@ -206,6 +206,9 @@
 func (g *generation) prefill(ctx context.Context) (KV, time.Duration, *verdict.Error) {
 	f := g.f
 	engine, err := g.granted(g.grant.Prefill)
+	if err == nil {
+		err = g.allowed()
+	}
 	if err != nil {
 		return KV{}, 0, err
 	}
@@ -256,16 +259,27 @@
 	return engine, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "engine %s %s", name, why)
 }
 
+// allowed gives a grant back where the request's key is no longer good.
+func (g *generation) allowed() *verdict.Error {
+	err := g.f.stillAllowed(g.request, g.trace)
+	if err != nil {
+		g.progress(sched.Progress{Phase: sched.PhaseCancelled})
+	}
+	return err
+}
+
 func (g *generation) attempt(e registry.Endpoint) *Attempt {
 	f := g.f
 	limit := f.limit(g.request, g.trace.route)
 	return &Attempt{
-		Request:   g.request,
-		Endpoint:  e,
-		Left:      limit - f.Now(),
-		Until:     limit,
-		MaxConns:  f.connections(g.service),
-		LastEvent: g.last,
-		Urgency:   min(max(0, g.trace.route.Priority), highestPriority),
+		Request:     g.request,
+		Endpoint:    e,
+		Left:        limit - f.Now(),
+		Until:       limit,
+		MaxConns:    f.connections(g.service),
+		LastEvent:   g.last,
+		Urgency:     g.trace.urgency(),
+		Team:        g.trace.teamName(),
+		Credentials: g.trace.credentials(g.request),
 	}
 }
--- a/daemon/forward/types.go
+++ b/daemon/forward/types.go
@@ -10,7 +10,9 @@
 	"io"
 	"time"
 
+	"github.com/samphirequay/samphirequay/core/apikey"
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/quota"
 	"github.com/samphirequay/samphirequay/core/registry"
 	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/core/sched"
@@ -28,16 +30,23 @@
 	// Host and Path choose the route. Target is the path with its query, byte
 	// for byte as the caller sent it.
 	Host, Path, Target string
-	// Header holds the fields to pass on.
-	Header []Field
-	Body   []byte
+	// Header holds the fields to pass on, Credentials those to pass on only where
+	// the configuration has no teams.
+	Header, Credentials []Field
+	Body                []byte
+	// Key is the hash of the key that the caller sent, where HasKey says that it
+	// sent one.
+	Key    apikey.Hash
+	HasKey bool
 	// Arrived is the daemon's time at the arrival.
 	Arrived time.Duration
 	// CallerWaits is how long from then on the caller waits; 0 if not said.
 	CallerWaits time.Duration
-	// PromptTokens and OutputTokens are the size of a generation, and
-	// ExpectedOutput the caller's guess of what will be used; 0 if not said.
+	// PromptTokens and OutputTokens are the size of a generation, where Sized says
+	// that the caller named it, and ExpectedOutput the caller's guess of what will
+	// be used; 0 if not said.
 	PromptTokens, OutputTokens, ExpectedOutput int
+	Sized                                      bool
 	// Caller is the address of the caller's host, and Prompt names the parts of
 	// a generation's prompt; empty if not said.
 	Caller, Prompt string
@@ -90,6 +99,10 @@
 	LastEvent string
 	// Urgency of a generation, 0 (first) to 9.
 	Urgency int
+	// Team is told to the endpoint; empty where there is none.
+	Team id.Team
+	// Credentials of the caller are passed on where there are no teams.
+	Credentials []Field
 }
 
 // EventStream is the body of a stream at an endpoint.
@@ -130,6 +143,29 @@
 	Progress(p sched.Progress)
 }
 
+// Payer holds teams to their limits over all daemons; daemon/quotas implements
+// it.
+type Payer interface {
+	// Pay has a request charged to its team, or refuses it. patience bounds the
+	// wait for the daemon that keeps the team's account.
+	Pay(ctx context.Context, team id.Team, limit quota.Limit, cost float64, patience time.Duration) *verdict.Error
+	// Return gives back what was paid for a request that has not run. It doesn't
+	// wait.
+	Return(team id.Team, cost float64)
+}
+
+// Freshness says how old the configuration may be.
+type Freshness interface {
+	// Fresh says whether no key that this daemon still takes was revoked longer
+	// ago than allowed, and how old the configuration may be.
+	Fresh() (fresh bool, age time.Duration)
+	// Behind says whether a newer configuration may be known elsewhere.
+	Behind() bool
+	// Refresh has the configuration read soon. It doesn't wait, and however often
+	// it is called, reads are few.
+	Refresh()
+}
+
 // View is what the daemon knows when a request arrives.
 type View struct {
 	// Routes is the configuration in force; nil before there is one.
--- a/daemon/gateway/enroll.go
+++ b/daemon/gateway/enroll.go
@@ -86,11 +86,13 @@
 func (d *Daemon) read(key string) (table.Row, error) {
 	ctx, cancel := context.WithTimeout(d.ctx, enrollTimeout)
 	defer cancel()
+	sent := d.now()
 	reply := d.platform.Store.Run(ctx, table.Request{Keys: []string{key}})
 	if reply.Status != table.Done {
 		return table.Row{}, eris.Errorf("reading row %s: %s", key, reply.Status)
 	}
 	if reply.Clock > 0 {
+		d.freshness.sample(sent, d.now(), reply.Clock)
 		d.dateBy(time.Unix(0, 0).Add(reply.Clock))
 	}
 	return reply.Row(key), nil
@@ -203,6 +205,7 @@
 		Now:        d.now,
 		Ready:      wired,
 	})
+	f.quotas = d.newQuotas(f, wired)
 	f.members = members.Start(members.Config{
 		Core: memberConfig(),
 		Self: member.Entry{
@@ -219,6 +222,8 @@
 				Watched:   f.owner.Load(),
 				Linked:    f.linked.Load(),
 				StoreLost: d.storeLost(),
+				Stale:     d.stale(),
+				Proof:     d.freshness.proof(),
 			}
 		},
 		Log:    d.logger.Event,
@@ -232,6 +237,7 @@
 	d.fleet.Store(f)
 	close(wired)
 	go d.shareReading(f)
+	go d.keepTime()
 	go d.tellSpent(f)
 	d.logger.Event("daemon_enrolled", "incarnation", self.Incarnation)
 	d.knowledge.mu.Lock()
--- a/daemon/gateway/entry.go
+++ b/daemon/gateway/entry.go
@@ -48,13 +48,19 @@
 	return slices.ContainsFunc(a.Addresses, func(x entry.Address) bool { return x.Daemon == self })
 }
 
-// candidates are the daemons that can serve: those that have a configuration.
+// candidates are the daemons that can serve: those that have a configuration, and
+// unless none is left know that it is fresh enough to take keys.
 func (d *Daemon) candidates(f *fleet) []entry.Candidate {
 	var out []entry.Candidate
-	for _, e := range f.members.Entries() {
+	entries := f.members.Entries()
+	allStale := !slices.ContainsFunc(entries, func(e member.Entry) bool { return e.State == member.Alive && !e.Stale })
+	for _, e := range entries {
 		if e.Revision == 0 && e.Process.Daemon != f.self.Daemon {
 			continue
 		}
+		if e.Stale && !allStale {
+			continue
+		}
 		out = append(out, entry.Candidate{
 			Daemon:  e.Process.Daemon,
 			Domain:  e.Domain,
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -34,6 +34,7 @@
 	"github.com/samphirequay/samphirequay/daemon/members"
 	"github.com/samphirequay/samphirequay/daemon/metrics"
 	"github.com/samphirequay/samphirequay/daemon/peer"
+	"github.com/samphirequay/samphirequay/daemon/quotas"
 	"github.com/samphirequay/samphirequay/daemon/store"
 )
 
@@ -124,6 +125,8 @@
 	unusable *metrics.CounterMap
 	ended    sync.Once
 
+	// freshness is how old the configuration may be.
+	freshness configFreshness
 	// fleet is nil until the daemon has enrolled.
 	fleet    atomic.Pointer[fleet]
 	stopping atomic.Pointer[leaving.Stop]
@@ -138,6 +141,7 @@
 	transport *peer.Transport
 	members   *members.Members
 	broker    *broker.Broker
+	quotas    *quotas.Quotas
 	hosts     *feed.Follower
 	orderer   *orderer
 	// owner is set while this daemon owns a pool.
@@ -225,6 +229,8 @@
 		},
 		Misdirected: d.inspect,
 		Stale:       func() bool { return d.configs.Lost() },
+		Freshness:   freshnessOf{d},
+		Payer:       payer{d},
 		TooLate:     d.tooLate,
 		Daemons:     d.daemons,
 		Log:         d.logger,
--- a/daemon/gateway/knowledge.go
+++ b/daemon/gateway/knowledge.go
@@ -57,7 +57,9 @@
 // follow starts to follow the store's tables.
 func (d *Daemon) follow() {
 	tables := d.platform.Adapter.Tables()
-	d.configs = feed.Start(d.followerConfig(tables.Config, d.configChanged))
+	configs := d.followerConfig(tables.Config, d.configChanged)
+	configs.Confirmed = d.configConfirmed
+	d.configs = feed.Start(configs)
 	d.endpoints = feed.Start(d.followerConfig(tables.Endpoints, d.endpointsChanged))
 	go d.watchRegistry()
 }
@@ -71,6 +73,7 @@
 		Retry:   feedRetry,
 		Changed: changed,
 		Learnt:  d.tellNews,
+		Now:     d.now,
 		Idle:    true,
 		Lost: func(err error) {
 			d.logger.Warn("dependency_lost", "dependency", "store", "table", name, "why", err)
@@ -128,8 +131,9 @@
 		return
 	}
 	k.routes = routes
+	d.freshness.inForce(config.Version)
 	d.logger.Event("config_in_force", "version", config.Version, "row", s.Version,
-		"routes", len(config.Routes), "services", len(config.Services))
+		"routes", len(config.Routes), "services", len(config.Services), "teams", len(config.Teams))
 	d.publish()
 }
 
@@ -238,6 +242,7 @@
 	d.forwarder.Configure(entries)
 	if f := d.fleet.Load(); f != nil {
 		f.broker.SetDocument(document(k.routes, entries))
+		f.quotas.SetKey(keeperKey(k.routes))
 	}
 	d.inspectDisputed()
 }
--- a/daemon/gateway/learn.go
+++ b/daemon/gateway/learn.go
@@ -22,7 +22,9 @@
 	if len(daemons) == 0 {
 		daemons = []id.Daemon{l.f.self.Daemon}
 	}
-	l.f.broker.SetMembers(ableAmong(daemons, l.f.members.Entries()))
+	able := ableAmong(daemons, l.f.members.Entries())
+	l.f.broker.SetMembers(able)
+	l.f.quotas.SetMembers(able)
 }
 
 // ableAmong are the daemons that pools' owners are chosen among: those on the
--- /dev/null
+++ b/daemon/gateway/limits.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/member"
+	"github.com/samphirequay/samphirequay/core/quota"
+	"github.com/samphirequay/samphirequay/core/route"
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/quotas"
+)
+
+// keeperOfPlain is what the keeper of teams' accounts is chosen by where there
+// are no pools.
+const keeperOfPlain = "quotas"
+
+// keeperKey is what the keeper of teams' accounts is chosen by: it owns the
+// first of the pools, so that daemons are connected to it anyway.
+func keeperKey(routes *route.Table) string {
+	names := poolNames(routes)
+	if len(names) == 0 {
+		return keeperOfPlain
+	}
+	return string(slices.Min(names))
+}
+
+// newQuotas starts the duty that holds teams to their limits.
+func (d *Daemon) newQuotas(f *fleet, wired <-chan struct{}) *quotas.Quotas {
+	return quotas.New(quotas.Config{
+		Self:  f.self.Daemon,
+		Send:  func(to id.Daemon, e *quotas.Envelope) error { return f.transport.Send(to, kindQuota, e) },
+		Limit: d.limitOf,
+		Tolerance: quota.Tolerance{
+			Window:    Seconds(d.set.Bounds.QuotaWindowS),
+			Overshoot: d.set.Bounds.QuotaOvershoot,
+			Slack:     d.set.Bounds.QuotaSlack,
+		},
+		Fleet:   f.count,
+		Log:     d.logger.Event,
+		Metrics: d.metrics,
+		Now:     d.now,
+		Ready:   wired,
+	})
+}
+
+// limitOf is a team's by the configuration in force.
+func (d *Daemon) limitOf(name id.Team) (quota.Limit, bool) {
+	routes := d.knowledge.current().Routes
+	if routes == nil {
+		return quota.Limit{}, false
+	}
+	team := routes.Team(name)
+	if team == nil {
+		return quota.Limit{}, false
+	}
+	return team.Limit, true
+}
+
+// count counts the daemons that may be at work, and those that are heard.
+func (f *fleet) count() quotas.Fleet {
+	out := quotas.Fleet{}
+	for _, e := range f.members.Entries() {
+		if e.State == member.Dead {
+			continue
+		}
+		out.Daemons++
+		if e.State == member.Alive || e.State == member.Leaving {
+			out.Reached++
+		}
+	}
+	return out
+}
+
+// payer implements forward.Payer with the fleet's quotas.
+type payer struct{ d *Daemon }
+
+// Pay implements forward.Payer.
+func (p payer) Pay(ctx context.Context, team id.Team, limit quota.Limit, cost float64, patience time.Duration) *verdict.Error {
+	f := p.d.fleet.Load()
+	if f == nil {
+		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this daemon is not enrolled in the fleet yet")
+	}
+	return f.quotas.Pay(ctx, team, limit, cost, patience)
+}
+
+// Return implements forward.Payer.
+func (p payer) Return(team id.Team, cost float64) {
+	if f := p.d.fleet.Load(); f != nil {
+		f.quotas.Return(team, cost)
+	}
+}
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -6,6 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/samphirequay/samphirequay/core/freshness"
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/member"
 	"github.com/samphirequay/samphirequay/core/poison"
@@ -14,6 +15,7 @@
 	"github.com/samphirequay/samphirequay/daemon/keys"
 	"github.com/samphirequay/samphirequay/daemon/link"
 	"github.com/samphirequay/samphirequay/daemon/peer"
+	"github.com/samphirequay/samphirequay/daemon/quotas"
 )
 
 // The kinds of messages that only this daemon has.
@@ -23,9 +25,13 @@
 	kindTables = link.FirstFree + iota
 	// kindNews tells of changes of the store's tables: one-way, tableNews.
 	kindNews
+	// kindQuota is about teams' limits: one-way, quotas.Envelope.
+	kindQuota
+	// kindProof tells how fresh the configuration is: datagram, freshness.Proof.
+	kindProof
 )
 
-var kindNames = map[peer.Kind]string{kindTables: "tables", kindNews: "news"}
+var kindNames = map[peer.Kind]string{kindTables: "tables", kindNews: "news", kindQuota: "quota", kindProof: "proof"}
 
 // tablesReply is what a daemon knows of the store's tables.
 type tablesReply struct {
@@ -100,7 +106,7 @@
 		Self:        f.self,
 		Listen:      d.set.Listen.Peers,
 		Keys:        material,
-		Handler:     &peerHandler{Handler: link.Handler{Receiver: receiver{d, f}, Wired: wired}, d: d},
+		Handler:     &peerHandler{Handler: link.Handler{Receiver: receiver{d, f}, Wired: wired}, d: d, f: f},
 		KindName:    link.KindName(kindNames),
 		Registry:    d.metrics,
 		Address:     func(name id.Daemon) string { return f.members.Address(name) },
@@ -119,6 +125,7 @@
 type peerHandler struct {
 	link.Handler
 	d *Daemon
+	f *fleet
 }
 
 // receiver implements link.Receiver.
@@ -131,7 +138,12 @@
 func (r receiver) Broker(from id.Daemon, e *broker.Envelope) { r.f.broker.Receive(from, e) }
 
 // Member implements link.Receiver.
-func (r receiver) Member(m member.Message) { r.f.members.Receive(m) }
+func (r receiver) Member(m member.Message) {
+	if m.Proof != nil {
+		r.d.learnProof(*m.Proof)
+	}
+	r.f.members.Receive(m)
+}
 
 // Evidence implements link.Receiver.
 func (r receiver) Evidence(s poison.State) {
@@ -155,19 +167,45 @@
 
 // HandleOneWay implements that method of peer.Handler.
 func (h *peerHandler) HandleOneWay(from id.Daemon, kind peer.Kind, body []byte) {
-	if kind != kindNews {
+	switch kind {
+	case kindNews:
+		var n tableNews
+		if h.decode(from, body, &n) {
+			h.d.takeNews(from, n)
+		}
+	case kindQuota:
+		var e quotas.Envelope
+		if h.decode(from, body, &e) {
+			h.f.quotas.Receive(from, &e)
+		}
+	default:
 		h.Handler.HandleOneWay(from, kind, body)
+	}
+}
+
+// HandleDatagram implements that method of peer.Handler.
+func (h *peerHandler) HandleDatagram(from id.Daemon, kind peer.Kind, body []byte) {
+	if kind != kindProof {
+		h.Handler.HandleDatagram(from, kind, body)
 		return
 	}
+	var p freshness.Proof
+	if h.decode(from, body, &p) {
+		h.d.learnProof(p)
+	}
+}
+
+// decode reads a message of this package; it says false for one that can't be
+// taken, now or ever.
+func (h *peerHandler) decode(from id.Daemon, body []byte, msg any) bool {
 	if !h.Open() {
-		return
+		return false
 	}
-	var n tableNews
-	if err := peer.Decode(body, &n); err != nil {
+	if err := peer.Decode(body, msg); err != nil {
 		h.Receiver.Refused(from, err)
-		return
+		return false
 	}
-	h.d.takeNews(from, n)
+	return true
 }
 
 // links sends messages to other daemons.
--- a/daemon/gateway/reading.go
+++ b/daemon/gateway/reading.go
@@ -74,6 +74,7 @@
 		for _, follower := range d.followers() {
 			follower.SetIdle(!reads)
 		}
+		d.configs.SetWait(d.configWait())
 	})
 }
 
--- a/daemon/gateway/settings.go
+++ b/daemon/gateway/settings.go
@@ -63,6 +63,16 @@
 	RepeatRatio   float64 `json:"repeat_ratio" validate:"min=0"`
 	RepeatSlack   float64 `json:"repeat_slack" validate:"min=0"`
 	RepeatWindowS float64 `json:"repeat_window_s" validate:"min=0.1"`
+	// RevokeMS is how long after a key was taken away a request with it may still
+	// be sent on, in milliseconds, at any daemon whatever it can reach. Default: no
+	// bound.
+	RevokeMS float64 `json:"revoke_ms" validate:"min=0"`
+	// QuotaSlack (units) and QuotaOvershoot (a share of what the limit allows) are
+	// by how much a team's limit may be exceeded in any QuotaWindowS (seconds), over
+	// all daemons. Default: by nothing.
+	QuotaSlack     float64 `json:"quota_slack" validate:"min=0"`
+	QuotaOvershoot float64 `json:"quota_overshoot" validate:"min=0"`
+	QuotaWindowS   float64 `json:"quota_window_s" validate:"min=0"`
 }
 
 // Load reads and checks the settings in a file.
--- a/daemon/gateway/stop.go
+++ b/daemon/gateway/stop.go
@@ -96,6 +96,7 @@
 		f.hosts.Close()
 		f.members.Close()
 		f.broker.Close()
+		f.quotas.Close()
 		f.transport.Close()
 	}
 	d.watcher.Close()
--- /dev/null
+++ b/daemon/quotas/messages.go
@@ -0,0 +1,61 @@
+package quotas
+
+import (
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/quota"
+)
+
+// Envelope is what daemons send one another about teams' limits. One field is
+// set.
+type Envelope struct {
+	Ask    *Ask    `cbor:"1,keyasint,omitempty"`
+	Reply  *Reply  `cbor:"2,keyasint,omitempty"`
+	Settle *Settle `cbor:"3,keyasint,omitempty"`
+	Shut   *Shut   `cbor:"4,keyasint,omitempty"`
+	Return *Return `cbor:"5,keyasint,omitempty"`
+}
+
+// Ask asks the keeper to charge a request to a team.
+type Ask struct {
+	// Seq pairs the reply with the question, within the asker.
+	Seq  uint64  `cbor:"1,keyasint"`
+	Team id.Team `cbor:"2,keyasint"`
+	// Limit is the team's by the asker's configuration, for a keeper that does
+	// not know the team yet.
+	Limit quota.Limit `cbor:"3,keyasint"`
+	Cost  float64     `cbor:"4,keyasint"`
+}
+
+// Reply answers an Ask.
+type Reply struct {
+	Seq     uint64 `cbor:"1,keyasint"`
+	Granted bool   `cbor:"2,keyasint,omitempty"`
+	// Wait is how long it takes until there is room, where nothing was granted.
+	Wait time.Duration `cbor:"3,keyasint,omitempty"`
+	// Balance of the team's account, in the limit's units.
+	Balance float64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Settle tells the keeper what was spent ahead of its word.
+type Settle struct {
+	Debts []quota.Debt `cbor:"1,keyasint"`
+}
+
+// Shut tells a daemon which of the teams that it settled for are in debt.
+type Shut struct {
+	Teams []ShutTeam `cbor:"1,keyasint"`
+}
+
+// ShutTeam is a team in debt, and for how long it will be.
+type ShutTeam struct {
+	Team id.Team       `cbor:"1,keyasint"`
+	Wait time.Duration `cbor:"2,keyasint"`
+}
+
+// Return gives back what was granted for a request that has not run.
+type Return struct {
+	Team id.Team `cbor:"1,keyasint"`
+	Cost float64 `cbor:"2,keyasint"`
+}
--- /dev/null
+++ b/daemon/quotas/quotas.go
@@ -0,0 +1,377 @@
+// Package quotas is the duty that holds teams to their limits over all daemons.
+// For each team one daemon, the keeper, has an account (core/quota); the keeper
+// is the owner of a pool, to which all daemons are connected anyway. A request
+// is charged before it is sent: a large one waits for the keeper's word, a small
+// one is paid ahead and settled a little later.
+package quotas
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/quota"
+	"github.com/samphirequay/samphirequay/core/rendezvous"
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/duty"
+	"github.com/samphirequay/samphirequay/daemon/metrics"
+)
+
+const (
+	// settleEvery is the time between two settlements with the keeper.
+	settleEvery = 500 * time.Millisecond
+	// lookEvery is the time between two counts of the daemons.
+	lookEvery = 250 * time.Millisecond
+	// askAgain is how long an answer may take before the question is sent again:
+	// the keeper may have changed, or the message is lost.
+	askAgain = 150 * time.Millisecond
+	// silentRetryAfter is advised where the keeper does not answer.
+	silentRetryAfter = 200 * time.Millisecond
+	// mostAsked bounds the requests that wait for the keeper.
+	mostAsked = 4096
+	// leastSpread is the shortest spread of callers who are told to come back.
+	leastSpread = 100 * time.Millisecond
+	// ringSize bounds the work that waits for the duty.
+	ringSize = 1024
+)
+
+// Fleet is what the duty must know of the other daemons.
+type Fleet struct {
+	// Daemons is how many may be at work, Reached how many of them are heard.
+	Daemons, Reached int
+}
+
+// Config of a Quotas.
+type Config struct {
+	Self id.Daemon
+	// Send sends a message to another daemon without waiting. What is lost is
+	// asked again.
+	Send func(to id.Daemon, e *Envelope) error
+	// Limit is a team's by the configuration in force here.
+	Limit func(team id.Team) (quota.Limit, bool)
+	// Tolerance is by how much limits may be exceeded.
+	Tolerance quota.Tolerance
+	// Fleet counts the daemons.
+	Fleet   func() Fleet
+	Log     func(event string, kv ...any)
+	Metrics *metrics.Registry
+	Now     func() time.Duration
+	// Ready holds the duty back until it is closed.
+	Ready <-chan struct{}
+}
+
+// Quotas is the running duty.
+type Quotas struct {
+	cfg  Config
+	duty *duty.Duty
+
+	// key is what the keeper is chosen by among the members.
+	key     string
+	members []id.Daemon
+	keeper  id.Daemon
+	ledger  *quota.Ledger
+	purse   *quota.Purse
+	// share is the part of the limits that this daemon may grant as the keeper.
+	share    float64
+	asked    map[uint64]*asked
+	seq      atomic.Uint64
+	settleAt time.Duration
+	// lookAt is when the daemons are counted next.
+	lookAt time.Duration
+
+	accounts *metrics.Gauge
+	refusals *metrics.Counter
+	silent   *metrics.Counter
+}
+
+// asked is a request that waits for the keeper.
+type asked struct {
+	ask    Ask
+	sentAt time.Duration
+	answer chan<- Reply
+}
+
+// New returns a Quotas whose duty is running.
+func New(cfg Config) *Quotas {
+	q := &Quotas{
+		cfg:      cfg,
+		ledger:   quota.NewLedger(cfg.Tolerance),
+		purse:    quota.NewPurse(),
+		asked:    map[uint64]*asked{},
+		refusals: cfg.Metrics.Counter("quota_refusals", metrics.UnitCount, "Requests that were refused since their team is at its limit."),
+		silent:   cfg.Metrics.Counter("quota_keeper_silent", metrics.UnitCount, "Requests that were refused since the keeper of their team's account did not answer."),
+	}
+	q.accounts = cfg.Metrics.Gauge("quota_accounts", metrics.UnitCount, "Accounts of teams that this daemon keeps.")
+	q.duty = duty.Start(duty.Config{Name: "quotas", Ring: ringSize, Now: cfg.Now, Tick: q.tick, Metrics: cfg.Metrics, Ready: cfg.Ready})
+	return q
+}
+
+// Close ends the duty.
+func (q *Quotas) Close() { q.duty.Close() }
+
+// SetMembers takes the daemons that the keeper is chosen among.
+func (q *Quotas) SetMembers(members []id.Daemon) {
+	q.duty.Post(func(now time.Duration) {
+		q.members = members
+		q.choose(now)
+	})
+}
+
+// SetKey takes what the keeper is chosen by: the owner of the pool of that name
+// keeps the accounts.
+func (q *Quotas) SetKey(key string) {
+	q.duty.Post(func(now time.Duration) {
+		q.key = key
+		// A new configuration may have raised limits.
+		q.purse.Open()
+		q.choose(now)
+	})
+}
+
+// choose finds the keeper. One that has changed is asked again what waits.
+func (q *Quotas) choose(now time.Duration) {
+	keeper := rendezvous.Owner(q.key, q.members)
+	if keeper == q.keeper {
+		return
+	}
+	q.cfg.Log("quota_keeper_changed", "keeper", keeper, "before", q.keeper, "accounts", q.ledger.Len())
+	q.keeper = keeper
+	// What other keepers grant meanwhile is not known here.
+	q.ledger = quota.NewLedger(q.cfg.Tolerance)
+	q.purse.Open()
+	for _, a := range q.asked {
+		q.ask(now, a)
+	}
+}
+
+func (q *Quotas) tick(now time.Duration) time.Duration {
+	if now >= q.lookAt {
+		q.lookAt = now + lookEvery
+		q.look()
+		q.accounts.Set(float64(q.ledger.Len()))
+	}
+	next := q.settleAt
+	if now >= q.settleAt {
+		q.settleAt = now + settleEvery
+		next = q.settleAt
+		q.settle(now)
+	}
+	for _, a := range q.asked {
+		if now-a.sentAt >= askAgain {
+			q.ask(now, a)
+		}
+		next = min(next, a.sentAt+askAgain)
+	}
+	return next
+}
+
+// look takes how many daemons there are.
+func (q *Quotas) look() {
+	f := q.cfg.Fleet()
+	daemons := float64(max(1, f.Daemons))
+	q.share = min(1, float64(max(1, f.Reached))/daemons)
+	q.purse.SetAhead(q.cfg.Tolerance.Ahead(f.Daemons))
+}
+
+// settle tells the keeper what was spent ahead.
+func (q *Quotas) settle(now time.Duration) {
+	if q.keeper == "" {
+		return
+	}
+	debts := q.purse.Settle(now)
+	if len(debts) == 0 {
+		return
+	}
+	settle := &Settle{Debts: debts}
+	if q.keeper == q.cfg.Self {
+		q.takeShut(now, q.owe(now, settle))
+		return
+	}
+	if err := q.cfg.Send(q.keeper, &Envelope{Settle: settle}); err != nil {
+		q.cfg.Log("quota_not_settled", "keeper", q.keeper, "teams", len(debts), "why", err)
+	}
+}
+
+// ask asks the keeper, or answers where that is this daemon.
+func (q *Quotas) ask(now time.Duration, a *asked) {
+	a.sentAt = now
+	switch q.keeper {
+	case "":
+	case q.cfg.Self:
+		q.takeReply(now, q.decide(now, &a.ask))
+	default:
+		// What can't be sent is asked again.
+		_ = q.cfg.Send(q.keeper, &Envelope{Ask: &a.ask})
+	}
+}
+
+// Receive takes a message from another daemon.
+func (q *Quotas) Receive(from id.Daemon, e *Envelope) {
+	q.duty.Post(func(now time.Duration) { q.handle(now, from, e) })
+}
+
+func (q *Quotas) handle(now time.Duration, from id.Daemon, e *Envelope) {
+	switch {
+	case e.Ask != nil:
+		q.reply(from, &Envelope{Reply: q.decide(now, e.Ask)})
+	case e.Settle != nil:
+		if shut := q.owe(now, e.Settle); len(shut.Teams) > 0 {
+			q.reply(from, &Envelope{Shut: shut})
+		}
+	case e.Return != nil:
+		q.giveBack(now, e.Return)
+	case e.Reply != nil:
+		q.takeReply(now, e.Reply)
+	case e.Shut != nil:
+		q.takeShut(now, e.Shut)
+	}
+}
+
+func (q *Quotas) reply(to id.Daemon, e *Envelope) {
+	if err := q.cfg.Send(to, e); err != nil {
+		q.cfg.Log("quota_answer_lost", "peer", to, "why", err)
+	}
+}
+
+// charge fills in what the ledger must know; ok is false for a team without a
+// limit.
+func (q *Quotas) charge(team id.Team, cost float64, known *quota.Limit) (c quota.Charge, ok bool) {
+	limit, found := q.cfg.Limit(team)
+	if !found && known != nil {
+		limit = *known
+	}
+	return quota.Charge{Team: team, Limit: limit, Cost: cost, Share: q.share}, limit.Limited()
+}
+
+// decide answers a question, as the keeper.
+func (q *Quotas) decide(now time.Duration, a *Ask) *Reply {
+	c, limited := q.charge(a.Team, a.Cost, &a.Limit)
+	if !limited {
+		return &Reply{Seq: a.Seq, Granted: true}
+	}
+	granted, wait := q.ledger.Take(now, c)
+	balance, _ := q.ledger.Balance(a.Team)
+	return &Reply{Seq: a.Seq, Granted: granted, Wait: wait, Balance: balance}
+}
+
+// owe takes what was spent ahead, as the keeper, and tells who is in debt.
+func (q *Quotas) owe(now time.Duration, s *Settle) *Shut {
+	shut := &Shut{}
+	for _, d := range s.Debts {
+		c, limited := q.charge(d.Team, d.Cost, nil)
+		if !limited {
+			continue
+		}
+		if wait := q.ledger.Owe(now, c); wait > 0 {
+			shut.Teams = append(shut.Teams, ShutTeam{Team: d.Team, Wait: wait})
+		}
+	}
+	return shut
+}
+
+func (q *Quotas) giveBack(now time.Duration, r *Return) {
+	if c, limited := q.charge(r.Team, r.Cost, nil); limited {
+		q.ledger.Return(now, c)
+	}
+}
+
+// takeReply hands the keeper's word to the request that waits for it.
+func (q *Quotas) takeReply(now time.Duration, r *Reply) {
+	a := q.asked[r.Seq]
+	if a == nil {
+		return
+	}
+	delete(q.asked, r.Seq)
+	if !r.Granted {
+		q.purse.Shut(now, a.ask.Team, r.Wait)
+	}
+	a.answer <- *r
+}
+
+func (q *Quotas) takeShut(now time.Duration, s *Shut) {
+	for _, t := range s.Teams {
+		q.purse.Shut(now, t.Team, t.Wait)
+	}
+}
+
+// Pay charges a request to its team, or refuses it. patience bounds the wait for
+// the keeper.
+func (q *Quotas) Pay(ctx context.Context, team id.Team, limit quota.Limit, cost float64, patience time.Duration) *verdict.Error {
+	answers := make(chan Reply, 1)
+	a := &asked{ask: Ask{Seq: q.seq.Add(1), Team: team, Limit: limit, Cost: cost}, answer: answers}
+	if !q.duty.PostContext(ctx, func(now time.Duration) { q.begin(now, a) }) {
+		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this daemon takes no requests now")
+	}
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case r := <-answers:
+		return q.verdict(team, r)
+	case <-ctx.Done():
+		q.forget(a)
+		return verdict.New(verdict.NotRun, verdict.CodeCallerGone, "the caller is gone").WithCause(context.Cause(ctx))
+	case <-timer.C:
+	case <-q.duty.Context().Done():
+	}
+	q.forget(a)
+	q.silent.Inc()
+	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "what team %s may still have run is not known", team).
+		WithRetryAfter(silentRetryAfter)
+}
+
+// begin pays for a request ahead, or asks the keeper.
+func (q *Quotas) begin(now time.Duration, a *asked) {
+	answer, wait := q.purse.Spend(now, a.ask.Team, a.ask.Cost)
+	switch {
+	case answer == quota.Paid:
+		a.answer <- Reply{Granted: true}
+	case answer == quota.Refused:
+		a.answer <- Reply{Wait: wait}
+	case len(q.asked) >= mostAsked:
+		a.answer <- Reply{Wait: silentRetryAfter}
+	default:
+		q.asked[a.ask.Seq] = a
+		q.ask(now, a)
+	}
+}
+
+// forget drops a question whose answer nobody waits for. What the keeper may
+// have granted stays charged: it is not known.
+func (q *Quotas) forget(a *asked) {
+	q.duty.PostLater(func(time.Duration) { delete(q.asked, a.ask.Seq) })
+}
+
+// verdict is what the keeper's word means for a request.
+func (q *Quotas) verdict(team id.Team, r Reply) *verdict.Error {
+	if r.Granted {
+		return nil
+	}
+	q.refusals.Inc()
+	// Spread over as much time again: all that was refused comes back.
+	after := r.Wait + time.Duration(rand.Int64N(int64(max(r.Wait, leastSpread))))
+	return verdict.New(verdict.NotRun, verdict.CodeTeamLimit, "team %s is at its limit", team).
+		WithRetryAfter(after).WithCause(eris.Errorf("its account holds %.0f", r.Balance))
+}
+
+// Return gives back what was paid for a request that has not run.
+func (q *Quotas) Return(team id.Team, cost float64) {
+	q.duty.PostLater(func(now time.Duration) {
+		if q.purse.Return(team, cost) {
+			return
+		}
+		back := &Return{Team: team, Cost: cost}
+		switch q.keeper {
+		case "":
+		case q.cfg.Self:
+			q.giveBack(now, back)
+		default:
+			if err := q.cfg.Send(q.keeper, &Envelope{Return: back}); err != nil {
+				q.cfg.Log("quota_not_returned", "keeper", q.keeper, "team", team, "why", err)
+			}
+		}
+	})
+}
