Have the soak check keys, revocation and limits

Runners check the team's name and that no key reaches them. A request sent more than the bound after its key was taken away must not run, whatever touches the daemon.

--- a/cmd/internal/soak/caller.go
+++ b/cmd/internal/soak/caller.go
@@ -46,11 +46,12 @@
 }
 
 // request gives a request as it goes over the wire.
-func (k callKind) request(id string) string {
+func (k callKind) request(id, key string) string {
 	r := platformtest.Request{Method: k.method, Target: k.path + "x", Host: callHost, ID: id, Body: id, Patience: callerPatience}
 	if k.stream {
 		r.Fields = platformtest.Generation(id)
 	}
+	r.Fields = append(r.Fields, "Authorization: Token "+key)
 	return r.Text()
 }
 
@@ -60,6 +61,7 @@
 	name  string
 	rng   *rand.Rand
 	judge *Judge
+	teams *teams
 	conns map[*process]net.Conn
 	sent  int
 	// asked counts the requests that are to be served, served those that were.
@@ -74,6 +76,7 @@
 		name:   fmt.Sprintf("c%d", number),
 		rng:    rand.New(rand.NewPCG(r.cfg.Seed, uint64(number+2))),
 		judge:  r.judge,
+		teams:  r.world.teams,
 		conns:  map[*process]net.Conn{},
 		served: &r.served,
 		asked:  &r.asked,
@@ -100,7 +103,7 @@
 
 // count counts a request that sound daemons serve, whatever runners do to it.
 func (c *caller) count(o outcome) {
-	if o.left || failsAtRunners(o.id, o.kind) {
+	if o.left || failsAtRunners(o.id, o.kind) || !steady(o.id) {
 		return
 	}
 	c.asked.Add(1)
@@ -129,7 +132,8 @@
 // call sends one request and reads its answer.
 func (c *caller) call(p *process, k callKind, id string) outcome {
 	begun := time.Now()
-	o := outcome{id: id, kind: k}
+	o := outcome{id: id, kind: k, sent: begun}
+	o.key, o.turn = c.teams.keyOf(c.name, c.rng.IntN)
 	calm := p.calm(begun)
 	c.renew()
 	conn := c.conns[p]
@@ -157,7 +161,7 @@
 	if err := conn.SetDeadline(time.Now().Add(callerPatience)); err != nil {
 		return false
 	}
-	if _, err := io.WriteString(conn, k.request(o.id)); err != nil {
+	if _, err := io.WriteString(conn, k.request(o.id, o.key)); err != nil {
 		return false
 	}
 	if c.rng.IntN(leavesEach) == 0 {
--- a/cmd/internal/soak/judge.go
+++ b/cmd/internal/soak/judge.go
@@ -19,6 +19,8 @@
 	// said not to have run, and those that may run once.
 	refused []string
 	once    []string
+	// turning are the requests of the team whose key is replaced.
+	turning []sentWith
 }
 
 // NewJudge returns a Judge that has found nothing.
@@ -45,6 +47,11 @@
 type outcome struct {
 	id   string
 	kind callKind
+	// sent is when it was sent, with which key; turn is which of the turning
+	// team's, -1 for another's.
+	sent time.Time
+	key  string
+	turn int
 	// answer has no status where the connection ended without one.
 	answer platformtest.Answer
 	took   time.Duration
@@ -67,6 +74,9 @@
 	if o.answer.Status == http.StatusServiceUnavailable || o.answer.Status == http.StatusTooManyRequests {
 		j.refused = append(j.refused, o.id)
 	}
+	if o.turn >= 0 {
+		j.turning = append(j.turning, sentWith{id: o.id, turn: o.turn, at: o.sent})
+	}
 	j.mu.Unlock()
 	if o.answered() {
 		j.takeAnswer(o)
@@ -77,6 +87,9 @@
 	if o.answer.Status == http.StatusNotFound || o.answer.Status == http.StatusBadRequest {
 		j.broken("denied: %s (%s) got %d", o.id, o.kind.name, o.answer.Status)
 	}
+	if steady(o.id) && refusedTeam(o.answer.Status) {
+		j.broken("denied: %s (%s), whose team has a good key and no limit, got %d", o.id, o.kind.name, o.answer.Status)
+	}
 }
 
 func (j *Judge) takeAnswer(o outcome) {
@@ -102,6 +115,7 @@
 			j.broken("refused: %s was said not to have run and ran %d times", id, n)
 		}
 	}
+	w.teams.settle(j, w, j.turning)
 	for _, p := range j.processes {
 		for _, end := range p.ownEnds() {
 			j.broken("ended: %s", end)
--- a/cmd/internal/soak/process.go
+++ b/cmd/internal/soak/process.go
@@ -72,6 +72,7 @@
 		},
 		Log: settings.Log{Level: "info"},
 	}
+	teamBounds(&p.set.Bounds)
 	if p.callers, err = platformtest.StartProxy(p.set.Listen.Callers); err != nil {
 		return nil, err
 	}
--- a/cmd/internal/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -69,6 +69,7 @@
 	done := make(chan struct{})
 	var callers sync.WaitGroup
 	r.startCallers(done, &callers)
+	callers.Go(func() { r.turnKeys(done) })
 	err := r.inject(ctx)
 	if err == nil {
 		r.recover(ctx)
@@ -136,6 +137,20 @@
 	}
 }
 
+// turnKeys replaces the turning team's key again and again, whatever else goes on.
+func (r *run) turnKeys(done <-chan struct{}) {
+	ticker := time.NewTicker(turnEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+			r.world.turnKey()
+		}
+	}
+}
+
 // inject plays the faults; all are over when it returns.
 func (r *run) inject(ctx context.Context) error {
 	rng := rand.New(rand.NewPCG(r.cfg.Seed, 1))
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -14,7 +15,7 @@
 func TestTheJudgeFindsPlantedFaults(t *testing.T) {
 	whole := func(kind int, id string) outcome {
 		k := kinds[kind]
-		return outcome{id: id, kind: k, answer: platformtest.Answer{Status: 200, Signed: true, Whole: true, Request: id, Body: k.body(id)}}
+		return outcome{id: id, kind: k, turn: -1, answer: platformtest.Answer{Status: 200, Signed: true, Whole: true, Request: id, Body: k.body(id)}}
 	}
 	cases := map[string]struct {
 		plant func(o *outcome)
@@ -34,21 +35,41 @@
 		"refused":                 {func(o *outcome) { o.answer.Status = 503 }, 1, 0, false},
 		"unknown route":           {func(o *outcome) { o.answer.Status = 404 }, 0, 0, true},
 		"too late":                {func(o *outcome) { o.calm, o.took = true, time.Minute }, 0, 1, true},
+		"a good key refused":      {func(o *outcome) { o.answer.Status = 401 }, 0, 0, true},
+		"no limit, and refused":   {func(o *outcome) { o.answer.Status = 429 }, 0, 0, true},
 		"too late in a fault":     {func(o *outcome) { o.took = time.Minute }, 0, 1, false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			j := NewJudge()
-			o := whole(c.kind, "c1-5")
+			o := whole(c.kind, "c5-5")
 			c.plant(&o)
 			j.take(o)
-			j.settle(&world{ran: map[string]int{"c1-5": c.runs}})
+			j.settle(&world{ran: map[string]int{"c5-5": c.runs}, teams: newTeams()})
 			is.Equal(len(j.found) > 0, c.found)
 		})
 	}
 }
 
+// TestTheJudgeFindsRevokedKeysThatRunAndLimitsThatDoNotHold.
+func TestTheJudgeFindsRevokedKeysThatRunAndLimitsThatDoNotHold(t *testing.T) {
+	is := is.New(t)
+	found := func(late time.Duration, small int) int {
+		j, x := NewJudge(), newTeams()
+		x.next()()
+		sent := []sentWith{{id: "c0-1", turn: 0, at: x.revoked[0].Add(late)}, {id: "c0-2", turn: 1, at: x.revoked[0].Add(time.Hour)}}
+		for i := range small {
+			x.ran(fmt.Sprint("c1-", i))
+		}
+		x.settle(j, &world{ran: map[string]int{"c0-1": 1, "c0-2": 1}}, sent)
+		return len(j.found)
+	}
+	is.Equal(found(revokeTime, 19), 0)
+	is.Equal(found(revokeTime+time.Millisecond, 0), 1)
+	is.Equal(found(0, 20), 1) // 10 that the limit allows, 9 that may exceed it
+}
+
 // TestASeedAlwaysPlansTheSameFaults in the same order.
 func TestASeedAlwaysPlansTheSameFaults(t *testing.T) {
 	is := is.New(t)
--- a/cmd/internal/soak/world.go
+++ b/cmd/internal/soak/world.go
@@ -57,6 +57,7 @@
 	// ran counts the runs of each request.
 	ran   map[string]int
 	judge *Judge
+	teams *teams
 }
 
 // plainRunners is how many plain runners a fleet needs: with fewer, what some
@@ -71,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{store: store, ran: map[string]int{}, judge: judge, version: 1}
+	w := &world{store: store, ran: map[string]int{}, judge: judge, version: 1, teams: newTeams()}
 	w.routes = []any{
 		route("idempotent", pathIdem, "idempotent", plainSvc, false),
 		route("once", pathOnce, "non_idempotent", plainSvc, false),
@@ -103,6 +104,7 @@
 		"version":  w.version,
 		"routes":   w.routes,
 		"services": []any{platformtest.PlainService(plainSvc, 200), platformtest.EngineService(engineSvc, 200, 16, 3)},
+		"tenants":  w.teams.rows(),
 	})
 }
 
@@ -116,6 +118,15 @@
 	return path
 }
 
+// turnKey replaces the turning team's key.
+func (w *world) turnKey() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	accepted := w.teams.next()
+	w.configure()
+	accepted()
+}
+
 // addRunner starts and registers a runner.
 func (w *world) addRunner(service, stage string) error {
 	w.mu.Lock()
@@ -144,6 +155,9 @@
 // answer is a runner's answer: it names the request, so that a mixed up answer
 // shows, and every run is counted.
 func (w *world) answer(r *runner, x *platformtest.Exchange) {
+	if x.RequestID() != "" {
+		w.teams.seen(w.judge, x)
+	}
 	if !x.MeantToRun() {
 		x.Usual()
 		return
@@ -154,6 +168,7 @@
 		return
 	}
 	runs := w.note(r, x.RequestID())
+	w.teams.ran(x.RequestID())
 	if r.Stage() == "" && number%failedEach == 0 {
 		x.Whole(http.StatusInternalServerError, "failed", x.Signed())
 		return
