Hold teams of the own interface to limits as well

A team may have limit_per_second, limit_burst, limit_by_tokens and limit_plain_tokens. Both ways through the product charge the same accounts (core/quota, daemon/quotas); the own interface does it in a filter before its completions and its plain calls. A caller that comes back for the rest of an answer pays nothing.

--- a/cmd/internal/cli/configcmd/meanings.go
+++ b/cmd/internal/cli/configcmd/meanings.go
@@ -2,13 +2,17 @@
 
 // meanings explains each field of the live configuration.
 var meanings = map[string]string{
-	"team.name":             "unique name",
-	"team.labels":           "labels that a service's team_selector matches",
-	"team.key_hashes":       "SHA-256 hashes, in hex, of the team's bearer keys; see keys hash",
-	"team.weight":           "share against other teams under contention",
-	"team.max_in_flight":    "most requests in the system at once, over all daemons",
-	"team.max_body_bytes":   "largest body of one request, in bytes",
-	"team.retry_per_second": "most retries a second that the system makes for the team",
+	"team.name":               "unique name",
+	"team.labels":             "labels that a service's team_selector matches",
+	"team.key_hashes":         "SHA-256 hashes, in hex, of the team's bearer keys; see keys hash",
+	"team.weight":             "share against other teams under contention",
+	"team.max_in_flight":      "most requests in the system at once, over all daemons",
+	"team.max_body_bytes":     "largest body of one request, in bytes",
+	"team.retry_per_second":   "most retries a second that the system makes for the team",
+	"team.limit_per_second":   "most units a second that may run, over all daemons; 0 for no limit",
+	"team.limit_burst":        "units that may come at once beyond that; default: those of a second",
+	"team.limit_by_tokens":    "units are tokens in place of requests",
+	"team.limit_plain_tokens": "tokens that a plain call counts",
 
 	"service.name":                  "unique name; what callers give as the model of a completion",
 	"service.labels":                "labels of the service; samphirequay/lift-quarantine lifts quarantines",
--- a/core/live/check.go
+++ b/core/live/check.go
@@ -132,6 +132,9 @@
 		it.between("max_in_flight", float64(t.MaxInFlight), 1, 1e6)
 		it.between("max_body_bytes", float64(t.MaxBodyBytes), 1, MaxBody)
 		it.between("retry_per_second", t.RetryPerSecond, 0, 1e6)
+		it.between("limit_per_second", t.LimitPerSecond, 0, 1e12)
+		it.between("limit_burst", t.LimitBurst, 0, 1e12)
+		it.between("limit_plain_tokens", t.LimitPlainTokens, 0, 1e9)
 	}
 }
 
--- a/core/live/live.go
+++ b/core/live/live.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/quota"
 )
 
 // Kind names the kind of an item.
@@ -76,6 +77,25 @@
 	// RetryPerSecond bounds the retries that the system makes for the team.
 	// Default 5 a second.
 	RetryPerSecond float64 `json:"retry_per_second,omitempty"`
+	// LimitPerSecond is how many units the team may have run in a second, over all
+	// daemons together: requests, or tokens where LimitByTokens is set. Default: no
+	// limit.
+	LimitPerSecond float64 `json:"limit_per_second,omitempty"`
+	// LimitBurst is how many units may come at once beyond that. Default: as many
+	// as LimitPerSecond.
+	LimitBurst float64 `json:"limit_burst,omitempty"`
+	// LimitByTokens counts a completion as the tokens of its prompt and the most of
+	// its answer, and a plain call as LimitPlainTokens.
+	LimitByTokens bool `json:"limit_by_tokens,omitempty"`
+	// LimitPlainTokens is what a plain call counts. Default 200.
+	LimitPlainTokens float64 `json:"limit_plain_tokens,omitempty"`
+}
+
+// Limit is the team's limit over all daemons.
+func (t *Team) Limit() quota.Limit {
+	return quota.Limit{
+		Rate: t.LimitPerSecond, Burst: t.LimitBurst, ByTokens: t.LimitByTokens, PlainTokens: t.LimitPlainTokens,
+	}
 }
 
 // ServiceType tells a model service from a plain one.
@@ -196,6 +216,7 @@
 	DefaultMaxInFlight      = 256
 	DefaultMaxBodyBytes     = 1 << 20
 	DefaultRetryPerSecond   = 5.0
+	DefaultLimitPlainTokens = 200.0
 	DefaultFirstTokenMS     = 360
 	DefaultTokenPaceMS      = 50
 	DefaultWasteWeight      = 0.5
--- a/core/live/normalize.go
+++ b/core/live/normalize.go
@@ -63,6 +63,8 @@
 	t.MaxInFlight = orDefault(t.MaxInFlight, DefaultMaxInFlight)
 	t.MaxBodyBytes = orDefault(t.MaxBodyBytes, DefaultMaxBodyBytes)
 	t.RetryPerSecond = orDefault(t.RetryPerSecond, DefaultRetryPerSecond)
+	t.LimitBurst = orDefault(t.LimitBurst, t.LimitPerSecond)
+	t.LimitPlainTokens = orDefault(t.LimitPlainTokens, DefaultLimitPlainTokens)
 }
 
 func normalizeService(s *Service) {
--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -35,6 +35,7 @@
 	"github.com/samphirequay/samphirequay/daemon/operator"
 	"github.com/samphirequay/samphirequay/daemon/peer"
 	"github.com/samphirequay/samphirequay/daemon/placer"
+	"github.com/samphirequay/samphirequay/daemon/quotas"
 	"github.com/samphirequay/samphirequay/daemon/reports"
 	"github.com/samphirequay/samphirequay/daemon/settings"
 	"github.com/samphirequay/samphirequay/daemon/store"
@@ -77,6 +78,7 @@
 	claims    *claims.Claims
 	cancels   *cancels.Cancels
 	broker    *broker.Broker
+	quotas    *quotas.Quotas
 	placer    *placer.Placer
 	reports   *reports.Reports
 	retries   *retrier
--- a/daemon/app/fleet.go
+++ b/daemon/app/fleet.go
@@ -22,6 +22,7 @@
 		daemons = []id.Daemon{l.d.self.Daemon}
 	}
 	l.d.broker.SetMembers(daemons)
+	l.d.quotas.SetMembers(daemons)
 	l.d.claims.SetMembers(daemons)
 	for _, e := range l.d.members.Entries() {
 		if e.State != member.Dead {
--- /dev/null
+++ b/daemon/app/limits.go
@@ -0,0 +1,113 @@
+package app
+
+import (
+	"context"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/prefixhash"
+	"github.com/samphirequay/samphirequay/core/quota"
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/completion"
+	"github.com/samphirequay/samphirequay/daemon/front"
+	"github.com/samphirequay/samphirequay/daemon/plaincall"
+	"github.com/samphirequay/samphirequay/daemon/quotas"
+)
+
+const (
+	// limitWindow and limitOvershoot are by how much teams' limits may be
+	// exceeded: by a tenth in any ten seconds.
+	limitWindow    = 10 * time.Second
+	limitOvershoot = 0.1
+	// payPatience bounds the wait for the daemon that keeps a team's account.
+	payPatience = time.Second
+	// keeperKey is what that daemon is chosen by.
+	keeperKey = "quotas"
+)
+
+// newQuotas starts the duty that holds teams to their limits.
+func (d *Daemon) newQuotas() *quotas.Quotas {
+	q := quotas.New(quotas.Config{
+		Self:      d.self.Daemon,
+		Send:      func(to id.Daemon, e *quotas.Envelope) error { return d.transport.Send(to, kindQuota, e) },
+		Limit:     d.limitOf,
+		Tolerance: quota.Tolerance{Window: limitWindow, Overshoot: limitOvershoot},
+		Fleet:     d.countFleet,
+		Log:       d.logger.Event,
+		Metrics:   d.metrics,
+		Now:       d.now,
+		Ready:     d.wired,
+	})
+	q.SetKey(keeperKey)
+	return q
+}
+
+// limitOf is a team's limit by the configuration in force.
+func (d *Daemon) limitOf(name id.Team) (quota.Limit, bool) {
+	team, ok := d.configs.Index().Team(name)
+	if !ok {
+		return quota.Limit{}, false
+	}
+	return team.Limit(), true
+}
+
+// countFleet counts the daemons that may be at work, and those that are heard.
+func (d *Daemon) countFleet() quotas.Fleet { return quotas.Count(d.members.Entries()) }
+
+// limitedCompletions holds completions to their teams' limits.
+type limitedCompletions struct {
+	next   front.Completions
+	quotas *quotas.Quotas
+}
+
+// Run implements front.Completions. A caller that comes back for the rest of an
+// answer has paid for it.
+func (l limitedCompletions) Run(ctx context.Context, job *completion.Job, sink completion.Sink) *verdict.Error {
+	if job.Resume != nil {
+		return l.next.Run(ctx, job, sink)
+	}
+	size := quota.Size{Known: true, Prompt: prefixhash.EstimateTokens(job.Prompt), Output: job.MaxTokens}
+	refund, err := pay(ctx, l.quotas, job.Team, size)
+	if err != nil {
+		return err
+	}
+	err = l.next.Run(ctx, job, sink)
+	refund(err)
+	return err
+}
+
+// limitedCalls holds plain calls to their teams' limits.
+type limitedCalls struct {
+	next   front.PlainCalls
+	quotas *quotas.Quotas
+}
+
+// Run implements front.PlainCalls.
+func (l limitedCalls) Run(ctx context.Context, call *plaincall.Call) (*plaincall.Answer, *verdict.Error) {
+	refund, err := pay(ctx, l.quotas, call.Team, quota.Size{})
+	if err != nil {
+		return nil, err
+	}
+	answer, err := l.next.Run(ctx, call)
+	refund(err)
+	return answer, err
+}
+
+// pay charges a request to its team. refund gives the charge back where the
+// request ended without having run.
+func pay(ctx context.Context, q *quotas.Quotas, team *live.Team, size quota.Size) (refund func(*verdict.Error), err *verdict.Error) {
+	limit := team.Limit()
+	if !limit.Limited() {
+		return func(*verdict.Error) {}, nil
+	}
+	cost := limit.Cost(size)
+	if err := q.Pay(ctx, team.Name, limit, cost, payPatience); err != nil {
+		return nil, err
+	}
+	return func(err *verdict.Error) {
+		if err != nil && err.Verdict == verdict.NotRun {
+			q.Return(team.Name, cost)
+		}
+	}, nil
+}
--- a/daemon/app/peers.go
+++ b/daemon/app/peers.go
@@ -15,6 +15,7 @@
 	"github.com/samphirequay/samphirequay/daemon/link"
 	"github.com/samphirequay/samphirequay/daemon/opapi"
 	"github.com/samphirequay/samphirequay/daemon/peer"
+	"github.com/samphirequay/samphirequay/daemon/quotas"
 )
 
 // The kinds of messages between daemons.
@@ -25,6 +26,7 @@
 	kindClaim                           // call: claims.BeginCall -> claims.BeginReply
 	kindOutcome                         // call: claims.FinishCall -> claims.FinishReply
 	kindRecord                          // call: revision.Record -> recordReply
+	kindQuota                           // one-way: quotas.Envelope
 )
 
 // kindNames name the kinds in metrics.
@@ -35,6 +37,7 @@
 	kindClaim:   "claim",
 	kindOutcome: "outcome",
 	kindRecord:  "record",
+	kindQuota:   "quota",
 }
 
 // peerCallTimeout bounds a question to another daemon.
@@ -62,6 +65,23 @@
 	return &peerHandler{Handler: link.Handler{Receiver: receiver{d}, Wired: d.wired}, d: d}
 }
 
+// HandleOneWay implements that method of peer.Handler.
+func (h *peerHandler) HandleOneWay(from id.Daemon, kind peer.Kind, body []byte) {
+	if kind != kindQuota {
+		h.Handler.HandleOneWay(from, kind, body)
+		return
+	}
+	if !h.Open() {
+		return
+	}
+	var e quotas.Envelope
+	if err := peer.Decode(body, &e); err != nil {
+		h.Receiver.Refused(from, err)
+		return
+	}
+	h.d.quotas.Receive(from, &e)
+}
+
 // receiver implements link.Receiver.
 type receiver struct{ d *Daemon }
 
--- a/daemon/app/start.go
+++ b/daemon/app/start.go
@@ -145,6 +145,7 @@
 		Now:        d.now,
 		Ready:      d.wired,
 	})
+	d.quotas = d.newQuotas()
 	d.claims = claims.Start(claims.Config{
 		Self:       d.self,
 		Writers:    claimWriters{d},
--- a/daemon/gateway/limits.go
+++ b/daemon/gateway/limits.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
-	"github.com/samphirequay/samphirequay/core/member"
 	"github.com/samphirequay/samphirequay/core/quota"
 	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/core/verdict"
@@ -38,7 +37,7 @@
 			Overshoot: d.set.Bounds.QuotaOvershoot,
 			Slack:     d.set.Bounds.QuotaSlack,
 		},
-		Fleet:   f.count,
+		Fleet:   func() quotas.Fleet { return quotas.Count(f.members.Entries()) },
 		Log:     d.logger.Event,
 		Metrics: d.metrics,
 		Now:     d.now,
@@ -59,21 +58,6 @@
 	return team.Limit, true
 }
 
-// count counts the daemons that may be at work, and those that are heard.
-func (f *fleet) count() quotas.Fleet {
-	out := quotas.Fleet{}
-	for _, e := range f.members.Entries() {
-		if e.State == member.Dead {
-			continue
-		}
-		out.Daemons++
-		if e.State == member.Alive || e.State == member.Leaving {
-			out.Reached++
-		}
-	}
-	return out
-}
-
 // payer implements forward.Payer with the fleet's quotas.
 type payer struct{ d *Daemon }
 
--- a/daemon/quotas/quotas.go
+++ b/daemon/quotas/quotas.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/member"
 	"github.com/samphirequay/samphirequay/core/quota"
 	"github.com/samphirequay/samphirequay/core/rendezvous"
 	"github.com/samphirequay/samphirequay/core/verdict"
@@ -45,6 +46,21 @@
 	Daemons, Reached int
 }
 
+// Count counts the daemons of a membership's view.
+func Count(entries []member.Entry) Fleet {
+	out := Fleet{}
+	for _, e := range entries {
+		if e.State == member.Dead {
+			continue
+		}
+		out.Daemons++
+		if e.State == member.Alive || e.State == member.Leaving {
+			out.Reached++
+		}
+	}
+	return out
+}
+
 // Config of a Quotas.
 type Config struct {
 	Self id.Daemon
