--- a/daemon/forward/access.go
+++ b/daemon/forward/access.go
@@ -49,6 +49,7 @@
 // ago than is allowed.
 func (f *Forwarder) fresh(t *trace) *verdict.Error {
 	ok, age := f.Freshness.Fresh()
+	t.configAge = age
 	if ok {
 		return nil
 	}
--- a/daemon/forward/forward.go
+++ b/daemon/forward/forward.go
@@ -71,6 +71,9 @@
 	team   *route.Team
 	walled bool
 	paid   float64
+	// configAge is how old the configuration may have been when the key was last
+	// looked at.
+	configAge time.Duration
 	// begun is set once an endpoint may run the request.
 	begun    bool
 	registry uint64
--- a/daemon/forward/record.go
+++ b/daemon/forward/record.go
@@ -18,7 +18,7 @@
 			"target", t.route.TargetLatency, "print", shortPrint(r, t))
 	}
 	if t.team != nil {
-		kv = append(kv, "team", t.team.Name)
+		kv = append(kv, "team", t.team.Name, "config_age", t.configAge)
 	}
 	kv = append(kv, "config", t.config, "registry", t.registry, "attempts", t.attempts, "endpoint", t.endpoint)
 	if t.prefill != "" {
--- a/daemon/gateway/document.go
+++ b/daemon/gateway/document.go
@@ -32,6 +32,7 @@
 		return doc
 	}
 	config := routes.Config()
+	doc.Teams = shareOut(config.Teams)
 	for i := range config.Services {
 		s := &config.Services[i]
 		if s.Engine == nil {
@@ -50,6 +51,25 @@
 	return doc
 }
 
+// shareOut weighs the teams by their limits: what the operator grants each of them
+// is also its part where there is too little for all. Where a team has no limit,
+// or limits count different things, all weigh the same.
+func shareOut(teams []route.Team) []live.Team {
+	out := make([]live.Team, len(teams))
+	alike := true
+	for i, t := range teams {
+		out[i] = live.Team{Name: t.Name, Weight: t.Limit.Rate}
+		alike = alike && t.Limit.Limited() && t.Limit.ByTokens == teams[0].Limit.ByTokens
+	}
+	if alike {
+		return out
+	}
+	for i := range out {
+		out[i].Weight = 1
+	}
+	return out
+}
+
 func engine(e registry.Endpoint, s *route.Service) live.Endpoint {
 	labels := live.Labels{labelService: string(e.Service), live.LabelRole: string(e.Role)}
 	if e.Leaving {
--- a/daemon/quotas/messages.go
+++ b/daemon/quotas/messages.go
@@ -36,6 +36,10 @@
 	Wait time.Duration `cbor:"3,keyasint,omitempty"`
 	// Balance of the team's account, in the limit's units.
 	Balance float64 `cbor:"4,keyasint,omitempty"`
+	// keeper is whose word it is, filled in where it is received; remembered is set
+	// on one that repeats an earlier word.
+	keeper     id.Daemon
+	remembered bool
 }
 
 // Settle tells the keeper what was spent ahead of its word.
--- a/daemon/quotas/quotas.go
+++ b/daemon/quotas/quotas.go
@@ -305,7 +305,9 @@
 	if !r.Granted {
 		q.purse.Shut(now, a.ask.Team, r.Wait)
 	}
-	a.answer <- *r
+	answer := *r
+	answer.keeper = q.keeper
+	a.answer <- answer
 }
 
 func (q *Quotas) takeShut(now time.Duration, s *Shut) {
@@ -346,7 +348,7 @@
 	case answer == quota.Paid:
 		a.answer <- Reply{Granted: true}
 	case answer == quota.Refused:
-		a.answer <- Reply{Wait: wait}
+		a.answer <- Reply{Wait: wait, keeper: q.keeper, remembered: true}
 	case len(q.asked) >= mostAsked:
 		a.answer <- Reply{Wait: silentRetryAfter}
 	default:
@@ -370,7 +372,15 @@
 	// Spread over as much time again: all that was refused comes back.
 	after := r.Wait + time.Duration(rand.Int64N(int64(max(r.Wait, leastSpread))))
 	return verdict.New(verdict.NotRun, verdict.CodeTeamLimit, "team %s is at its limit", team).
-		WithRetryAfter(after).WithCause(eris.Errorf("its account holds %.0f", r.Balance))
+		WithRetryAfter(after).WithCause(r.why())
+}
+
+// why tells on-call engineers who refused, and by what.
+func (r *Reply) why() error {
+	if r.remembered {
+		return eris.Errorf("%s, which keeps its account, said so a moment ago", r.keeper)
+	}
+	return eris.Errorf("its account at %s holds %.0f", r.keeper, r.Balance)
 }
 
 // Return gives back what was paid for a request that has not run.
