Order requests of one priority by their teams' shares

Cause: below its limit a large team may still fill the pool before the others. The order was by age alone. Now requests of one rank are granted by start-time fair queueing over tokens, each team with the weight of its limit; without teams nothing changes. The forecast at arrival counts only what the shares put before a request.

--- a/core/kvsched/admission.go
+++ b/core/kvsched/admission.go
@@ -1,6 +1,7 @@
 package kvsched
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,13 +21,7 @@
 	if !l.on(ArrivalRefusal) || l.roomForLate() {
 		return nil
 	}
-	ahead := w.tokens
-	for _, other := range l.queue {
-		if !other.tooLate && other.want.Priority >= w.want.Priority {
-			ahead += other.tokens
-		}
-	}
-	wait, ok := l.drain.wait(l.now, ahead)
+	wait, ok := l.drain.wait(l.now, l.ahead(w))
 	wait = time.Duration(float64(wait) / doubt)
 	if !ok || l.now+wait+l.lead.expected(w.want.PromptTokens) <= w.target {
 		return nil
@@ -35,6 +30,24 @@
 	return l.refuse(w.want, verdict.CodeOverloaded, spread(after, w.want.Request), lacksTime)
 }
 
+// ahead is what a request that has just come has before it, with itself, in
+// tokens.
+func (l *Ledger) ahead(w *waiting) int {
+	shared := l.sharesByTeam()
+	if shared {
+		l.inOrder(append(slices.Clone(l.queue), w))
+	}
+	ahead := w.tokens
+	for _, other := range l.queue {
+		before := other.want.Priority > w.want.Priority ||
+			other.want.Priority == w.want.Priority && (!shared || other.place <= w.place)
+		if !other.tooLate && before {
+			ahead += other.tokens
+		}
+	}
+	return ahead
+}
+
 // doubt is the factor by which the forecast must miss the target: some of those
 // before are larger than they say, or leave. Without it, 2 to 3 in 100 fewer
 // streams were in time in such a burst.
--- a/core/kvsched/ledger.go
+++ b/core/kvsched/ledger.go
@@ -39,10 +39,11 @@
 	ended   *simplelru.LRU[id.Request, *sched.Refusal]
 	serial  uint64
 
-	flow  flow
-	drain drain
-	pace  pace
-	lead  lead
+	shares shares
+	flow   flow
+	drain  drain
+	pace   pace
+	lead   lead
 	// guesses of all requests that came.
 	guesses guesses
 	// nextExpiry is no later than the end of the reservation that expires first.
@@ -69,6 +70,8 @@
 	// tooLate is as of the last look at the queue.
 	tooLate bool
 	arrived time.Duration
+	// place is the request's among those of its priority, by its team's share.
+	place float64
 	// target, patience and lifetime are the times up to which it is in time,
 	// may wait, and has a caller.
 	target, patience, lifetime time.Duration
@@ -110,6 +113,7 @@
 		granted:   map[id.Request]*reservation{},
 		ended:     ended,
 		serial:    o.FirstReservation,
+		shares:    newShares(),
 
 		nextExpiry: never,
 	}
@@ -148,6 +152,7 @@
 			l.services[doc.Services[i].Name] = &doc.Services[i]
 		}
 	}
+	l.shares.configure(doc)
 	l.configureEndpoints(doc)
 	l.stirred = true
 	return l.finish(nil)
--- a/core/kvsched/mechanisms.go
+++ b/core/kvsched/mechanisms.go
@@ -24,11 +24,13 @@
 	KeptEngine Mechanism = "kept-engine"
 	// GuessShrink draws the guessed length of an answer towards the average.
 	GuessShrink Mechanism = "guess-shrink"
+	// TeamShares orders requests of one priority by their teams' shares.
+	TeamShares Mechanism = "team-shares"
 )
 
 // Mechanisms lists all of them.
 func Mechanisms() []Mechanism {
-	return []Mechanism{LearnedLead, ArrivalRefusal, PrefilledWait, WholeReading, PauseBound, KeptEngine, GuessShrink}
+	return []Mechanism{LearnedLead, ArrivalRefusal, PrefilledWait, WholeReading, PauseBound, KeptEngine, GuessShrink, TeamShares}
 }
 
 // on says whether a mechanism is in use.
--- a/core/kvsched/pump.go
+++ b/core/kvsched/pump.go
@@ -38,21 +38,38 @@
 	return actions
 }
 
-// sortQueue puts those whose prompt was read first, then those in time, then by priority, then by age.
+// sortQueue puts those whose prompt was read first, then those in time, then by
+// priority, then by their teams' shares, then by age.
 func (l *Ledger) sortQueue() {
 	for _, w := range l.queue {
 		w.tooLate = !w.want.Prefilled && l.late(w)
 	}
-	slices.SortStableFunc(l.queue, func(a, b *waiting) int {
-		return cmp.Or(
-			falseFirst(!a.want.Prefilled, !b.want.Prefilled),
-			falseFirst(a.tooLate, b.tooLate),
-			cmp.Compare(b.want.Priority, a.want.Priority),
-			cmp.Compare(a.arrived, b.arrived),
-		)
-	})
+	l.inOrder(l.queue)
 }
 
+// inOrder sorts requests into the order in which they are granted.
+func (l *Ledger) inOrder(queue []*waiting) {
+	slices.SortStableFunc(queue, func(a, b *waiting) int { return cmp.Or(byRank(a, b), cmp.Compare(a.arrived, b.arrived)) })
+	if !l.sharesByTeam() {
+		return
+	}
+	l.shares.place(queue)
+	slices.SortStableFunc(queue, func(a, b *waiting) int { return cmp.Or(byRank(a, b), cmp.Compare(a.place, b.place)) })
+}
+
+// byRank puts what goes before all others first, whatever its team and age.
+func byRank(a, b *waiting) int {
+	return cmp.Or(
+		falseFirst(!a.want.Prefilled, !b.want.Prefilled),
+		falseFirst(a.tooLate, b.tooLate),
+		cmp.Compare(b.want.Priority, a.want.Priority),
+	)
+}
+
+// sharesByTeam says whether the requests' teams matter for their order: there
+// are any.
+func (l *Ledger) sharesByTeam() bool { return l.on(TeamShares) && l.shares.any() }
+
 func falseFirst(a, b bool) int {
 	switch {
 	case a == b:
@@ -312,6 +329,7 @@
 		w.tokens, len(decode.decodes), l.held(decode), decode.memory)
 	decode.take(r)
 	l.hold(r)
+	l.shares.granted(w)
 	if l.waiting[w.want.Request] != nil {
 		l.unqueue(w)
 		l.drain.granted(w.tokens)
--- /dev/null
+++ b/core/kvsched/shares.go
@@ -0,0 +1,79 @@
+package kvsched
+
+import (
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+)
+
+// shares orders the requests of one priority so that each team gets memory by its
+// weight, whatever the others send: start-time fair queueing over the tokens that
+// were granted. It answers the load in which one team sends many times as much as
+// the others and would fill the queue before them. Teams that leave their part
+// unused give it to the rest.
+type shares struct {
+	weights map[id.Team]float64
+	// used is what each team was granted, by weight; those that have less than
+	// floor, the place of the last one granted, count as much as that: what was
+	// left unused earlier is not made up for.
+	used  map[id.Team]float64
+	floor float64
+}
+
+func newShares() shares {
+	return shares{weights: map[id.Team]float64{}, used: map[id.Team]float64{}}
+}
+
+// configure takes the teams' weights.
+func (s *shares) configure(doc *live.Document) {
+	clear(s.weights)
+	for _, t := range doc.Teams {
+		s.weights[t.Name] = t.Weight
+	}
+}
+
+// any says whether there are teams.
+func (s *shares) any() bool { return len(s.weights) > 0 }
+
+// place gives each of the requests its place among those of its rank. They must
+// come by rank, then by age.
+func (s *shares) place(queue []*waiting) {
+	next := make(map[id.Team]float64, len(s.used))
+	for _, w := range queue {
+		team := w.want.Team
+		at, seen := next[team]
+		if !seen {
+			at = max(s.used[team], s.floor)
+		}
+		w.place = at
+		next[team] = at + s.cost(w)
+	}
+}
+
+// granted notes that a request was granted.
+func (s *shares) granted(w *waiting) {
+	team := w.want.Team
+	at := max(s.used[team], s.floor)
+	s.used[team] = at + s.cost(w)
+	s.floor = max(s.floor, min(w.place, at))
+	if len(s.used) > mostShares {
+		// Those at or below the floor count the same when they come again.
+		for name, used := range s.used {
+			if used <= s.floor {
+				delete(s.used, name)
+			}
+		}
+	}
+}
+
+// mostShares is how many teams are remembered until those that have used nothing
+// lately are forgotten.
+const mostShares = 1024
+
+// cost is what a request takes of its team's share.
+func (s *shares) cost(w *waiting) float64 {
+	weight := s.weights[w.want.Team]
+	if weight <= 0 {
+		weight = 1
+	}
+	return float64(w.tokens) / weight
+}
