Let the duty of limits rest while nothing is owed, and test it

It looked at the fleet four times a second on each daemon, also where no team has a limit, and proofs of freshness rode on heartbeats where there are no teams.

--- a/daemon/gateway/freshness.go
+++ b/daemon/gateway/freshness.go
@@ -127,6 +127,14 @@
 	}
 }
 
+// proofToTell goes along with heartbeats where there are teams.
+func (d *Daemon) proofToTell() *freshness.Proof {
+	if !d.walled() {
+		return nil
+	}
+	return d.freshness.proof()
+}
+
 func (d *Daemon) learnProof(p freshness.Proof) { d.freshness.learn(d.now(), p) }
 
 // keepTime looks at the store's clock now and then: the daemon's own runs at
--- a/daemon/gateway/settings.go
+++ b/daemon/gateway/settings.go
@@ -29,7 +29,7 @@
 	MemoryMB float64 `json:"memory_mb" validate:"min=16"`
 	// Disable switches mechanisms of the scheduler off, to measure what they are
 	// worth; not for production. Default: none.
-	Disable []kvsched.Mechanism `json:"disable,omitempty" validate:"dive,oneof=learned-lead arrival-refusal prefilled-wait whole-reading pause-bound kept-engine guess-shrink"`
+	Disable []kvsched.Mechanism `json:"disable,omitempty" validate:"dive,oneof=learned-lead arrival-refusal prefilled-wait whole-reading pause-bound kept-engine guess-shrink team-shares"`
 	// Log sets what is logged, to standard output.
 	Log settings.Log `json:"log"`
 }
--- a/daemon/quotas/quotas.go
+++ b/daemon/quotas/quotas.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -23,7 +24,8 @@
 )
 
 const (
-	// settleEvery is the time between two settlements with the keeper.
+	// settleEvery is how long what was paid ahead waits to be settled with the
+	// keeper, together with what comes meanwhile.
 	settleEvery = 500 * time.Millisecond
 	// lookEvery is the time between two counts of the daemons.
 	lookEvery = 250 * time.Millisecond
@@ -92,9 +94,11 @@
 	ledger  *quota.Ledger
 	purse   *quota.Purse
 	// share is the part of the limits that this daemon may grant as the keeper.
-	share    float64
-	asked    map[uint64]*asked
-	seq      atomic.Uint64
+	share float64
+	asked map[uint64]*asked
+	seq   atomic.Uint64
+	// owes is set while something was paid ahead, settleAt is when it is settled.
+	owes     bool
 	settleAt time.Duration
 	// lookAt is when the daemons are counted next.
 	lookAt time.Duration
@@ -165,16 +169,12 @@
 }
 
 func (q *Quotas) tick(now time.Duration) time.Duration {
-	if now >= q.lookAt {
-		q.lookAt = now + lookEvery
-		q.look()
-		q.accounts.Set(float64(q.ledger.Len()))
+	if q.owes && now >= q.settleAt {
+		q.settle(now)
 	}
-	next := q.settleAt
-	if now >= q.settleAt {
-		q.settleAt = now + settleEvery
+	next := never
+	if q.owes {
 		next = q.settleAt
-		q.settle(now)
 	}
 	for _, a := range q.asked {
 		if now-a.sentAt >= askAgain {
@@ -185,19 +185,30 @@
 	return next
 }
 
-// look takes how many daemons there are.
-func (q *Quotas) look() {
+// never is the time of what isn't due.
+const never = time.Duration(math.MaxInt64)
+
+// look takes how many daemons there are, now and then: only while there are
+// requests.
+func (q *Quotas) look(now time.Duration) {
+	if now < q.lookAt {
+		return
+	}
+	q.lookAt = now + lookEvery
 	f := q.cfg.Fleet()
 	daemons := float64(max(1, f.Daemons))
 	q.share = min(1, float64(max(1, f.Reached))/daemons)
 	q.purse.SetAhead(q.cfg.Tolerance.Ahead(f.Daemons))
+	q.accounts.Set(float64(q.ledger.Len()))
 }
 
 // settle tells the keeper what was spent ahead.
 func (q *Quotas) settle(now time.Duration) {
 	if q.keeper == "" {
+		q.settleAt = now + settleEvery
 		return
 	}
+	q.owes = false
 	debts := q.purse.Settle(now)
 	if len(debts) == 0 {
 		return
@@ -255,7 +266,8 @@
 
 // charge fills in what the ledger must know; ok is false for a team without a
 // limit.
-func (q *Quotas) charge(team id.Team, cost float64, known *quota.Limit) (c quota.Charge, ok bool) {
+func (q *Quotas) charge(now time.Duration, team id.Team, cost float64, known *quota.Limit) (c quota.Charge, ok bool) {
+	q.look(now)
 	limit, found := q.cfg.Limit(team)
 	if !found && known != nil {
 		limit = *known
@@ -265,7 +277,7 @@
 
 // decide answers a question, as the keeper.
 func (q *Quotas) decide(now time.Duration, a *Ask) *Reply {
-	c, limited := q.charge(a.Team, a.Cost, &a.Limit)
+	c, limited := q.charge(now, a.Team, a.Cost, &a.Limit)
 	if !limited {
 		return &Reply{Seq: a.Seq, Granted: true}
 	}
@@ -278,7 +290,7 @@
 func (q *Quotas) owe(now time.Duration, s *Settle) *Shut {
 	shut := &Shut{}
 	for _, d := range s.Debts {
-		c, limited := q.charge(d.Team, d.Cost, nil)
+		c, limited := q.charge(now, d.Team, d.Cost, nil)
 		if !limited {
 			continue
 		}
@@ -290,7 +302,7 @@
 }
 
 func (q *Quotas) giveBack(now time.Duration, r *Return) {
-	if c, limited := q.charge(r.Team, r.Cost, nil); limited {
+	if c, limited := q.charge(now, r.Team, r.Cost, nil); limited {
 		q.ledger.Return(now, c)
 	}
 }
@@ -343,9 +355,11 @@
 
 // begin pays for a request ahead, or asks the keeper.
 func (q *Quotas) begin(now time.Duration, a *asked) {
+	q.look(now)
 	answer, wait := q.purse.Spend(now, a.ask.Team, a.ask.Cost)
 	switch {
 	case answer == quota.Paid:
+		q.settleSoon(now)
 		a.answer <- Reply{Granted: true}
 	case answer == quota.Refused:
 		a.answer <- Reply{Wait: wait, keeper: q.keeper, remembered: true}
@@ -357,6 +371,14 @@
 	}
 }
 
+// settleSoon has what was paid ahead settled in a while.
+func (q *Quotas) settleSoon(now time.Duration) {
+	if !q.owes {
+		q.owes = true
+		q.settleAt = now + settleEvery
+	}
+}
+
 // forget drops a question whose answer nobody waits for. What the keeper may
 // have granted stays charged: it is not known.
 func (q *Quotas) forget(a *asked) {
--- /dev/null
+++ b/daemon/quotas/quotas_test.go
@@ -0,0 +1,169 @@
+package quotas
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/quota"
+	"github.com/samphirequay/samphirequay/core/rendezvous"
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/metrics"
+)
+
+const (
+	desk = id.Team("desk")
+	key  = "pool"
+	// patience is longer than any test waits for an answer that comes.
+	patience = 20 * time.Second
+)
+
+// bounded is a limit that gives nothing more within a test, once its account is
+// empty.
+var bounded = quota.Limit{Rate: 1e-9, Burst: 8}
+
+// fleet is some duties in one process; messages to those in mute are lost.
+type fleet struct {
+	mu      sync.Mutex
+	mute    map[id.Daemon]bool
+	members []id.Daemon
+	duties  map[id.Daemon]*Quotas
+	limit   quota.Limit
+}
+
+func newFleet(t *testing.T, tolerance quota.Tolerance, names ...id.Daemon) *fleet {
+	t.Helper()
+	f := &fleet{mute: map[id.Daemon]bool{}, members: names, duties: map[id.Daemon]*Quotas{}, limit: bounded}
+	begun := time.Now()
+	for _, name := range names {
+		q := New(Config{
+			Self:      name,
+			Send:      func(to id.Daemon, e *Envelope) error { return f.send(name, to, e) },
+			Limit:     func(id.Team) (quota.Limit, bool) { return f.limit, true },
+			Tolerance: tolerance,
+			Fleet:     func() Fleet { return Fleet{Daemons: len(names), Reached: len(names)} },
+			Log:       func(string, ...any) {},
+			Metrics:   metrics.New(string(name)),
+			Now:       func() time.Duration { return time.Since(begun) },
+		})
+		t.Cleanup(q.Close)
+		q.SetKey(key)
+		f.duties[name] = q
+	}
+	for _, q := range f.duties {
+		q.SetMembers(names)
+	}
+	for _, q := range f.duties {
+		// They have all taken their members.
+		q.duty.Query(func(time.Duration) {})
+	}
+	return f
+}
+
+func (f *fleet) send(from, to id.Daemon, e *Envelope) error {
+	f.mu.Lock()
+	lost := f.mute[to] || f.mute[from]
+	f.mu.Unlock()
+	if !lost {
+		go f.duties[to].Receive(from, e)
+	}
+	return nil
+}
+
+// keeper and another one.
+func (f *fleet) keeper() (keeper, other id.Daemon) {
+	keeper = rendezvous.Owner(key, f.members)
+	for _, name := range f.members {
+		if name != keeper {
+			return keeper, name
+		}
+	}
+	return keeper, keeper
+}
+
+func (f *fleet) pay(name id.Daemon, cost float64) *verdict.Error {
+	return f.duties[name].Pay(context.Background(), desk, f.limit, cost, patience)
+}
+
+func TestAllDaemonsSpendFromOneAccount(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, quota.Tolerance{}, "a", "b", "c")
+	granted := 0
+	for range 4 {
+		for _, name := range f.members {
+			err := f.pay(name, 1)
+			if err == nil {
+				granted++
+				continue
+			}
+			is.Equal(err.Code, verdict.CodeTeamLimit)
+			is.Equal(err.Verdict, verdict.NotRun)
+			is.True(err.RetryAfter > 0)
+		}
+	}
+	is.True(granted == 4 || granted == 5) // half of the burst, and one that leaves a debt
+}
+
+func TestWhatHasNotRunIsGivenBack(t *testing.T) {
+	f := newFleet(t, quota.Tolerance{}, "a", "b")
+	_, other := f.keeper()
+	paid := 0.0
+	for f.pay(other, 4) == nil {
+		paid += 4
+	}
+	f.duties[other].Return(desk, paid)
+	for f.pay(other, 4) != nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func TestASmallRequestDoesNotWaitForTheKeeper(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, quota.Tolerance{Slack: 80}, "a", "b")
+	keeper, other := f.keeper()
+	f.mute[keeper] = true
+	for range 10 {
+		is.Equal(f.pay(other, 1), nil) // a quarter of the slack, half of it here
+	}
+	err := f.duties[other].Pay(context.Background(), desk, f.limit, 1, time.Millisecond)
+	is.Equal(err.Code, verdict.CodeUnavailable)
+	is.Equal(err.Verdict, verdict.NotRun)
+}
+
+// TestAnotherKeeperAnswersWhatTheSilentOneDidNot: the request waits meanwhile.
+func TestAnotherKeeperAnswersWhatTheSilentOneDidNot(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, quota.Tolerance{}, "a", "b", "c")
+	keeper, other := f.keeper()
+	f.mu.Lock()
+	f.mute[keeper] = true
+	f.mu.Unlock()
+	answer := make(chan *verdict.Error, 1)
+	go func() { answer <- f.pay(other, 1) }()
+	var left []id.Daemon
+	for _, name := range f.members {
+		if name != keeper {
+			left = append(left, name)
+		}
+	}
+	for _, name := range left {
+		f.duties[name].SetMembers(left)
+	}
+	is.Equal(<-answer, nil)
+}
+
+func TestACallerThatLeavesWaitsForNobody(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, quota.Tolerance{}, "a", "b")
+	keeper, other := f.keeper()
+	f.mute[keeper] = true
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	err := f.duties[other].Pay(ctx, desk, f.limit, 1, patience)
+	is.True(err != nil)
+	is.Equal(err.Verdict, verdict.NotRun)
+}
