--- a/cmd/internal/account/account.go
+++ b/cmd/internal/account/account.go
@@ -95,7 +95,9 @@
 
 // Reason counts attempts that ended unanswered in one way.
 type Reason struct {
-	Route   string `json:"route"`
+	Route string `json:"route"`
+	// Team is whose limit ended them; empty for other outcomes.
+	Team    string `json:"team,omitempty"`
 	Outcome string `json:"outcome"`
 	Reason  string `json:"reason"`
 	Count   int    `json:"count"`
--- a/cmd/internal/account/build.go
+++ b/cmd/internal/account/build.go
@@ -202,7 +202,11 @@
 	counts := map[Reason]int{}
 	for _, a := range attempts {
 		if a.outcome != outcomeAnswered {
-			counts[Reason{Route: a.route, Outcome: a.outcome, Reason: a.reason}]++
+			r := Reason{Route: a.route, Outcome: a.outcome, Reason: a.reason}
+			if a.outcome == outcomeTeamLimit {
+				r.Team = a.team
+			}
+			counts[r]++
 		}
 	}
 	var out []Reason
@@ -211,7 +215,7 @@
 		out = append(out, r)
 	}
 	slices.SortFunc(out, func(x, y Reason) int {
-		return cmp.Or(cmp.Compare(y.Count, x.Count), cmp.Compare(x.Route, y.Route), cmp.Compare(x.Outcome, y.Outcome), cmp.Compare(x.Reason, y.Reason))
+		return cmp.Or(cmp.Compare(y.Count, x.Count), cmp.Compare(x.Route, y.Route), cmp.Compare(x.Team, y.Team), cmp.Compare(x.Outcome, y.Outcome), cmp.Compare(x.Reason, y.Reason))
 	})
 	return out
 }
--- a/cmd/internal/account/read.go
+++ b/cmd/internal/account/read.go
@@ -23,6 +23,8 @@
 const (
 	outcomeAnswered = "answered"
 	outcomeLeft     = "caller_gone"
+	// outcomeTeamLimit is that of a request beyond its team's limit.
+	outcomeTeamLimit = "team_limit"
 	// outcomeNoEnd is the account's own word for an end that is not logged.
 	outcomeNoEnd  = "no_end"
 	verdictNotRun = "not-run"
@@ -36,6 +38,7 @@
 // attempt is one attempt of a caller, as its daemon logged its end.
 type attempt struct {
 	id, route, service, kind string
+	team                     string
 	print                    string
 	arrived                  time.Time
 	took                     time.Duration
@@ -128,6 +131,7 @@
 		target:  f.duration("target"),
 		outcome: f.text("outcome"),
 		reason:  f.text("reason"),
+		team:    f.text("team"),
 		notRun:  f.text("verdict") == verdictNotRun,
 		inTime:  f.text("in_time") == "true",
 		queue:   f.optional("waited"),
--- a/cmd/internal/cli/reportcmd/report.go
+++ b/cmd/internal/cli/reportcmd/report.go
@@ -186,9 +186,9 @@
 }
 
 func reasonRows(a *account.Account) output.Rows {
-	rows := output.Rows{Header: []string{"ROUTE", "COUNT", "OUTCOME", "REASON"}}
+	rows := output.Rows{Header: []string{"ROUTE", "TEAM", "COUNT", "OUTCOME", "REASON"}}
 	for _, r := range a.Reasons {
-		rows.Add(r.Route, strconv.Itoa(r.Count), r.Outcome, r.Reason)
+		rows.Add(r.Route, r.Team, strconv.Itoa(r.Count), r.Outcome, r.Reason)
 	}
 	return rows
 }
