--- a/daemon/feed/feed.go
+++ b/daemon/feed/feed.go
@@ -82,6 +82,11 @@
 	Gather time.Duration
 	// Retry bounds the pause after a failed call; the pause doubles up to it.
 	Retry time.Duration
+	// IdleRetry takes its place once the table is known and while other daemons tell
+	// of the changes: a store
+	// that serves them and refuses this one is not asked more often than needed to
+	// see that it answers again. Default Retry.
+	IdleRetry time.Duration
 	// Changed is told of each new state; it must not block for long.
 	Changed func(s State)
 	// Learnt is told of the changes that came from the store itself, after
@@ -222,13 +227,36 @@
 			}
 			continue
 		}
-		if !f.sleep(pause/2 + time.Duration(f.cfg.Rand.Int64N(int64(pause)))) {
+		if !f.pause(pause/2 + time.Duration(f.cfg.Rand.Int64N(int64(pause)))) {
 			return
 		}
-		pause = min(2*pause, f.cfg.Retry)
+		pause = min(2*pause, f.mostPause())
 	}
 }
 
+// mostPause bounds the pause after a failed call.
+func (f *Follower) mostPause() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.idle && f.known && f.cfg.IdleRetry > 0 {
+		return f.cfg.IdleRetry
+	}
+	return f.cfg.Retry
+}
+
+// pause waits after a failed call, less where a call is asked for.
+func (f *Follower) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-f.ctx.Done():
+		return false
+	case <-f.wake:
+	case <-timer.C:
+	}
+	return true
+}
+
 // wholeDue says whether the table is to be read whole next.
 func (f *Follower) wholeDue() bool {
 	f.mu.Lock()
--- a/daemon/feed/others_test.go
+++ b/daemon/feed/others_test.go
@@ -170,3 +170,19 @@
 		t.Fatal("nothing came")
 	}
 }
+
+// TestAFollowerThatOthersTellAsksARefusingStoreSeldom, once it knows the table:
+// those that the others rely on, or that know nothing yet, ask as often as ever.
+func TestAFollowerThatOthersTellAsksARefusingStoreSeldom(t *testing.T) {
+	is := is.New(t)
+	s := newSource()
+	f := follow(t, s)
+	f.cfg.IdleRetry = time.Hour
+	f.SetIdle(true)
+	is.Equal(f.mostPause(), f.cfg.Retry) // it knows nothing yet
+	give(t, s.reads, read(9, row("a", 3)))
+	next(t, f.states)
+	is.Equal(f.mostPause(), time.Hour)
+	f.SetIdle(false)
+	is.Equal(f.mostPause(), f.cfg.Retry)
+}
--- a/daemon/gateway/knowledge.go
+++ b/daemon/gateway/knowledge.go
@@ -25,6 +25,9 @@
 	feedGather = 350 * time.Millisecond
 	// feedRetry bounds the pause after a failed call to the store.
 	feedRetry = 400 * time.Millisecond
+	// idleRetry takes its place for a daemon that others tell of the changes: in a
+	// fleet of which the store refuses a third, their calls were most of all calls.
+	idleRetry = 2 * time.Second
 	// registryLook is how often lapsed entries of the registry are looked at.
 	registryLook = 400 * time.Millisecond
 )
@@ -66,15 +69,17 @@
 
 func (d *Daemon) followerConfig(name string, changed func(feed.State)) feed.Config {
 	return feed.Config{
-		Name:    name,
-		Source:  d.platform.Source,
-		Wait:    feedWait,
-		Gather:  feedGather,
-		Retry:   feedRetry,
-		Changed: changed,
-		Learnt:  d.tellNews,
-		Now:     d.now,
-		Idle:    true,
+		Name:   name,
+		Source: d.platform.Source,
+		Wait:   feedWait,
+		Gather: feedGather,
+		Retry:  feedRetry,
+
+		IdleRetry: idleRetry,
+		Changed:   changed,
+		Learnt:    d.tellNews,
+		Now:       d.now,
+		Idle:      true,
 		Lost: func(err error) {
 			d.logger.Warn("dependency_lost", "dependency", "store", "table", name, "why", err)
 			d.tellRegistry(name, func(l *registry.List) { l.StoreLost() })
