Have refused requests come back one after another as their team's account fills

Cause: all that a team's limit refused was told the same moment, the one at which the account holds something again, and most was refused again. The keeper now books the account's income for those that it refuses; a daemon that repeats the keeper's word repeats its advice, not only the second for which it is believed.

--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -29,6 +29,9 @@
 	at    time.Duration
 	limit Limit
 	share float64
+	// bookedUntil is up to when the account's income is spoken for by those that
+	// were told to come back.
+	bookedUntil time.Duration
 }
 
 // NewLedger returns a ledger without accounts.
@@ -46,17 +49,41 @@
 	Share float64
 }
 
-// Take grants the cost if there is room. Otherwise wait is how long it takes
-// until there is.
-func (l *Ledger) Take(now time.Duration, c Charge) (ok bool, wait time.Duration) {
+// Refusal says when there will be room.
+type Refusal struct {
+	// Wait is how long it takes until there is some.
+	Wait time.Duration
+	// Back is when the refused request should come back: behind those that were
+	// refused before it.
+	Back time.Duration
+}
+
+// Take grants the cost if there is room.
+func (l *Ledger) Take(now time.Duration, c Charge) (ok bool, r Refusal) {
 	a := l.account(now, c)
 	if !a.allows(c.Cost) {
-		return false, a.wait(c.Cost)
+		return false, a.refuse(now, c.Cost)
 	}
 	a.balance -= c.Cost
-	return true, 0
+	return true, Refusal{}
+}
+
+// refuse tells a request when to come back. Those that are refused together come
+// back one after another, as the account fills.
+func (a *account) refuse(now time.Duration, cost float64) Refusal {
+	r := Refusal{Wait: a.wait(cost)}
+	at := max(now+r.Wait, a.bookedUntil)
+	r.Back = min(at-now, longestWait)
+	if rate := a.limit.Rate * a.share; rate > 0 {
+		a.bookedUntil = min(at+time.Duration(cost/rate*float64(time.Second)), now+mostBooked)
+	}
+	return r
 }
 
+// mostBooked is how far ahead those that were refused are told apart: callers
+// wait no longer.
+const mostBooked = 8 * time.Second
+
 // Owe charges what was spent already, and says how long the account is in debt.
 func (l *Ledger) Owe(now time.Duration, c Charge) time.Duration {
 	a := l.account(now, c)
--- a/core/quota/purse.go
+++ b/core/quota/purse.go
@@ -24,6 +24,8 @@
 	// shutUntil is until when the keeper has nothing to grant, tightUntil until
 	// when each request asks it first.
 	shutUntil, tightUntil time.Duration
+	// backAt is when those that are refused should come back.
+	backAt time.Duration
 	// used is when the team last had a request here.
 	used time.Duration
 }
@@ -63,7 +65,7 @@
 	k := p.pocket(now, team)
 	switch {
 	case now < k.shutUntil:
-		return Refused, k.shutUntil - now
+		return Refused, max(k.backAt, k.shutUntil) - now
 	case now < k.tightUntil || k.debt+cost > p.ahead:
 		return Ask, 0
 	}
@@ -72,9 +74,10 @@
 }
 
 // Shut notes that the keeper has nothing to grant to a team for a while.
-func (p *Purse) Shut(now time.Duration, team id.Team, wait time.Duration) {
+func (p *Purse) Shut(now time.Duration, team id.Team, r Refusal) {
 	k := p.pocket(now, team)
-	k.shutUntil = now + min(wait, longestShut)
+	k.shutUntil = now + min(r.Wait, longestShut)
+	k.backAt = now + r.Back
 	k.tightUntil = k.shutUntil + tightFor
 }
 
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -33,9 +33,9 @@
 	l := NewLedger(Tolerance{})
 	ok, _ := l.Take(0, charge(150)) // half of the burst is there, and a debt of 50 is left
 	is.True(ok)
-	ok, wait := l.Take(0, charge(1))
+	ok, refused := l.Take(0, charge(1))
 	is.True(!ok)
-	is.Equal(wait, 500*time.Millisecond)
+	is.Equal(refused.Wait, 500*time.Millisecond)
 	ok, _ = l.Take(501*time.Millisecond, charge(1))
 	is.True(ok)
 	l.Return(501*time.Millisecond, charge(1))
@@ -95,7 +95,7 @@
 	is.True(!p.Return(desk, 200)) // the keeper's now
 	is.Equal(len(p.Settle(0)), 0)
 
-	p.Shut(0, desk, 300*time.Millisecond)
+	p.Shut(0, desk, Refusal{Wait: 300 * time.Millisecond})
 	a, wait := p.Spend(100*time.Millisecond, desk, 1)
 	is.Equal(a, Refused)
 	is.Equal(wait, 200*time.Millisecond)
@@ -104,7 +104,7 @@
 	a, _ = p.Spend(300*time.Millisecond+tightFor, desk, 1)
 	is.Equal(a, Paid)
 
-	p.Shut(10*time.Second, desk, time.Hour)
+	p.Shut(10*time.Second, desk, Refusal{Wait: time.Hour})
 	p.Open()
 	a, _ = p.Spend(10*time.Second, desk, 1)
 	is.Equal(a, Ask)
@@ -128,3 +128,23 @@
 	is.True(granted <= 100*length.Seconds()+200+0.5*240+10)
 	is.True(granted >= 100*length.Seconds())
 }
+
+// TestThoseThatAreRefusedTogetherComeBackOneAfterAnother, as the account fills.
+func TestThoseThatAreRefusedTogetherComeBackOneAfterAnother(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger(Tolerance{})
+	_, _ = l.Take(0, charge(100)) // the account is empty
+	last := time.Duration(0)
+	for range 5 {
+		ok, refused := l.Take(0, charge(50))
+		is.True(!ok)
+		is.True(refused.Back >= last)
+		last = refused.Back + 500*time.Millisecond // what the request takes of the rate
+	}
+	for range 1000 {
+		_, _ = l.Take(0, charge(50))
+	}
+	_, refused := l.Take(0, charge(50))
+	is.True(refused.Back <= mostBooked)
+	is.Equal(refused.Wait, shortestWait) // whoever comes first finds room as ever
+}
--- a/core/quota/ways_test.go
+++ b/core/quota/ways_test.go
@@ -137,11 +137,11 @@
 func (a *accounts) ask(w *world, daemon int, team id.Team, cost float64, done func(bool), tries int) {
 	answered := false
 	w.send(a.keeper, func() {
-		ok, wait := a.ledger.Take(w.now, Charge{Team: team, Limit: w.limits[team], Cost: cost, Share: 1})
+		ok, refused := a.ledger.Take(w.now, Charge{Team: team, Limit: w.limits[team], Cost: cost, Share: 1})
 		w.send(daemon, func() {
 			answered = true
 			if !ok {
-				a.purses[daemon].Shut(w.now, team, wait)
+				a.purses[daemon].Shut(w.now, team, refused)
 			}
 			done(ok)
 		})
@@ -170,7 +170,7 @@
 		for _, d := range debts {
 			wait := a.ledger.Owe(w.now, Charge{Team: d.Team, Limit: w.limits[d.Team], Cost: d.Cost, Share: 1})
 			if wait > 0 {
-				w.send(daemon, func() { a.purses[daemon].Shut(w.now, d.Team, wait) })
+				w.send(daemon, func() { a.purses[daemon].Shut(w.now, d.Team, Refusal{Wait: wait, Back: wait}) })
 			}
 		}
 	})
--- a/daemon/quotas/quotas.go
+++ b/daemon/quotas/quotas.go
@@ -281,9 +281,9 @@
 	if !limited {
 		return &Reply{Seq: a.Seq, Granted: true}
 	}
-	granted, wait := q.ledger.Take(now, c)
+	granted, refused := q.ledger.Take(now, c)
 	balance, _ := q.ledger.Balance(a.Team)
-	return &Reply{Seq: a.Seq, Granted: granted, Wait: wait, Balance: balance}
+	return &Reply{Seq: a.Seq, Granted: granted, Wait: refused.Wait, Back: refused.Back, Balance: balance}
 }
 
 // owe takes what was spent ahead, as the keeper, and tells who is in debt.
@@ -315,7 +315,7 @@
 	}
 	delete(q.asked, r.Seq)
 	if !r.Granted {
-		q.purse.Shut(now, a.ask.Team, r.Wait)
+		q.purse.Shut(now, a.ask.Team, quota.Refusal{Wait: r.Wait, Back: r.Back})
 	}
 	answer := *r
 	answer.keeper = q.keeper
@@ -324,7 +324,7 @@
 
 func (q *Quotas) takeShut(now time.Duration, s *Shut) {
 	for _, t := range s.Teams {
-		q.purse.Shut(now, t.Team, t.Wait)
+		q.purse.Shut(now, t.Team, quota.Refusal{Wait: t.Wait, Back: t.Wait})
 	}
 }
 
@@ -362,9 +362,9 @@
 		q.settleSoon(now)
 		a.answer <- Reply{Granted: true}
 	case answer == quota.Refused:
-		a.answer <- Reply{Wait: wait, keeper: q.keeper, remembered: true}
+		a.answer <- Reply{Back: wait, keeper: q.keeper, remembered: true}
 	case len(q.asked) >= mostAsked:
-		a.answer <- Reply{Wait: silentRetryAfter}
+		a.answer <- Reply{Back: silentRetryAfter, keeper: q.keeper}
 	default:
 		q.asked[a.ask.Seq] = a
 		q.ask(now, a)
@@ -391,8 +391,11 @@
 		return nil
 	}
 	q.refusals.Inc()
-	// Spread over as much time again: all that was refused comes back.
-	after := r.Wait + time.Duration(rand.Int64N(int64(max(r.Wait, leastSpread))))
+	after := r.Back
+	if r.remembered {
+		// Others here are told the same.
+		after += time.Duration(rand.Int64N(int64(max(r.Back, leastSpread))))
+	}
 	return verdict.New(verdict.NotRun, verdict.CodeTeamLimit, "team %s is at its limit", team).
 		WithRetryAfter(after).WithCause(r.why())
 }
