--- a/daemon/quotas/quotas.go
+++ b/daemon/quotas/quotas.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/rotisserie/eris"
 
 	"github.com/samphirequay/samphirequay/core/id"
@@ -36,6 +37,9 @@
 	silentRetryAfter = 200 * time.Millisecond
 	// mostAsked bounds the requests that wait for the keeper.
 	mostAsked = 4096
+	// mostAnswered is how many answers the keeper remembers: those of a second and
+	// more, within which a question may come again.
+	mostAnswered = 2048
 	// leastSpread is the shortest spread of callers who are told to come back.
 	leastSpread = 100 * time.Millisecond
 	// ringSize bounds the work that waits for the duty.
@@ -97,6 +101,8 @@
 	share float64
 	asked map[uint64]*asked
 	seq   atomic.Uint64
+	// answered are the last answers that this daemon gave as the keeper.
+	answered *simplelru.LRU[question, *Reply]
 	// owes is set while something was paid ahead, settleAt is when it is settled.
 	owes     bool
 	settleAt time.Duration
@@ -117,7 +123,12 @@
 
 // New returns a Quotas whose duty is running.
 func New(cfg Config) *Quotas {
+	answered, err := simplelru.NewLRU[question, *Reply](mostAnswered, nil)
+	if err != nil {
+		panic("quotas: memory of answers: " + err.Error())
+	}
 	q := &Quotas{
+		answered: answered,
 		cfg:      cfg,
 		ledger:   quota.NewLedger(cfg.Tolerance),
 		purse:    quota.NewPurse(),
@@ -126,6 +137,8 @@
 		silent:   cfg.Metrics.Counter("quota_keeper_silent", metrics.UnitCount, "Requests that were refused since the keeper of their team's account did not answer."),
 	}
 	q.accounts = cfg.Metrics.Gauge("quota_accounts", metrics.UnitCount, "Accounts of teams that this daemon keeps.")
+	// A daemon that starts again must not go on with the numbers that it had.
+	q.seq.Store(rand.Uint64())
 	q.duty = duty.Start(duty.Config{Name: "quotas", Ring: ringSize, Now: cfg.Now, Tick: q.tick, Metrics: cfg.Metrics, Ready: cfg.Ready})
 	return q
 }
@@ -244,7 +257,7 @@
 func (q *Quotas) handle(now time.Duration, from id.Daemon, e *Envelope) {
 	switch {
 	case e.Ask != nil:
-		q.reply(from, &Envelope{Reply: q.decide(now, e.Ask)})
+		q.reply(from, &Envelope{Reply: q.decideOnce(now, from, e.Ask)})
 	case e.Settle != nil:
 		if shut := q.owe(now, e.Settle); len(shut.Teams) > 0 {
 			q.reply(from, &Envelope{Shut: shut})
@@ -275,6 +288,24 @@
 	return quota.Charge{Team: team, Limit: limit, Cost: cost, Share: q.share}, limit.Limited()
 }
 
+// question names one question of one daemon.
+type question struct {
+	from id.Daemon
+	seq  uint64
+}
+
+// decideOnce answers a question. One that comes again, since its answer was late
+// or lost, is not charged again.
+func (q *Quotas) decideOnce(now time.Duration, from id.Daemon, a *Ask) *Reply {
+	asked := question{from: from, seq: a.Seq}
+	if before, known := q.answered.Get(asked); known {
+		return before
+	}
+	r := q.decide(now, a)
+	q.answered.Add(asked, r)
+	return r
+}
+
 // decide answers a question, as the keeper.
 func (q *Quotas) decide(now time.Duration, a *Ask) *Reply {
 	c, limited := q.charge(now, a.Team, a.Cost, &a.Limit)
--- a/daemon/quotas/quotas_test.go
+++ b/daemon/quotas/quotas_test.go
@@ -167,3 +167,19 @@
 	is.True(err != nil)
 	is.Equal(err.Verdict, verdict.NotRun)
 }
+
+// TestAQuestionThatComesAgainIsChargedOnce: its answer was late, or lost.
+func TestAQuestionThatComesAgainIsChargedOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, quota.Tolerance{}, "a", "b")
+	keeper, other := f.keeper()
+	ask := &Ask{Seq: 7, Team: desk, Limit: f.limit, Cost: 1}
+	balance := 0.0
+	for range 5 {
+		f.duties[keeper].duty.Query(func(now time.Duration) {
+			is.True(f.duties[keeper].decideOnce(now, other, ask).Granted)
+			balance, _ = f.duties[keeper].ledger.Balance(desk)
+		})
+	}
+	is.True(balance >= 3) // of the four that were there
+}
