--- a/core/freshness/freshness_test.go
+++ b/core/freshness/freshness_test.go
@@ -98,8 +98,6 @@
 
 const storeOffset = 1000 * time.Second
 
-func (s *simulated) version() uint64 { return uint64(len(s.accepted)) }
-
 // read has a daemon read the store: the call takes a while, within which the
 // store answers.
 func (s *simulated) read(d *simulatedDaemon) {
--- a/core/quota/ways_test.go
+++ b/core/quota/ways_test.go
@@ -198,7 +198,6 @@
 type lent struct {
 	balance, rate, use float64
 	at, asked          time.Duration
-	known              bool
 }
 
 // term is how long a lease is good, and after how long it is asked for again.
