--- a/cmd/internal/soak/caller.go
+++ b/cmd/internal/soak/caller.go
@@ -51,7 +51,7 @@
 	if k.stream {
 		r.Fields = platformtest.Generation(id)
 	}
-	r.Fields = append(r.Fields, "Authorization: Token "+key)
+	r.Fields = append(r.Fields, platformtest.KeyField(key))
 	return r.Text()
 }
 
--- a/cmd/internal/soak/teams.go
+++ b/cmd/internal/soak/teams.go
@@ -67,9 +67,9 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	return []any{
-		map[string]any{"name": steadyTeam, "apiKeys": []string{"steady-key"}},
-		map[string]any{"name": turningTeam, "apiKeys": []string{x.keys[len(x.keys)-1]}},
-		map[string]any{"name": smallTeam, "apiKeys": []string{"small-key"}, "ratePerS": smallRate, "burst": smallBurst},
+		platformtest.Team(steadyTeam, 0, 0, "steady-key"),
+		platformtest.Team(turningTeam, 0, 0, x.keys[len(x.keys)-1]),
+		platformtest.Team(smallTeam, smallRate, smallBurst, "small-key"),
 	}
 }
 
@@ -123,11 +123,10 @@
 
 // seen checks what a runner is told of a request's team.
 func (x *teams) seen(j *Judge, e *platformtest.Exchange) {
-	h := &e.Request.Header
-	if key := h.Peek("Authorization"); len(key) > 0 {
+	if e.Key() != "" {
 		j.broken("unasked: %s reached %s with its key", e.RequestID(), e.ID)
 	}
-	if team := string(h.Peek("Tenant")); team != teamOf(e.RequestID()) {
+	if team := e.Team(); team != teamOf(e.RequestID()) {
 		j.broken("unasked: %s reached %s as one of team %q", e.RequestID(), e.ID, team)
 	}
 }
