--- a/daemon/quotas/messages.go
+++ b/daemon/quotas/messages.go
@@ -39,9 +39,10 @@
 	// Balance of the team's account, in the limit's units.
 	Balance float64 `cbor:"4,keyasint,omitempty"`
 	// keeper is whose word it is, filled in where it is received; remembered is set
-	// on one that repeats an earlier word.
+	// on one that repeats an earlier word, notAsked where too many questions wait.
 	keeper     id.Daemon
 	remembered bool
+	notAsked   bool
 }
 
 // Settle tells the keeper what was spent ahead of its word.
--- /dev/null
+++ b/daemon/quotas/pay.go
@@ -0,0 +1,127 @@
+package quotas
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/quota"
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+const (
+	// silentRetryAfter is advised where the keeper does not answer.
+	silentRetryAfter = 200 * time.Millisecond
+	// leastSpread is the shortest spread of callers who are told to come back.
+	leastSpread = 100 * time.Millisecond
+)
+
+// Pay charges a request to its team, or refuses it. patience bounds the wait for
+// the keeper.
+func (q *Quotas) Pay(ctx context.Context, team id.Team, limit quota.Limit, cost float64, patience time.Duration) *verdict.Error {
+	answers := make(chan Reply, 1)
+	a := &asked{ask: Ask{Seq: q.seq.Add(1), Team: team, Limit: limit, Cost: cost}, answer: answers}
+	if !q.duty.PostContext(ctx, func(now time.Duration) { q.begin(now, a) }) {
+		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this daemon takes no requests now")
+	}
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case r := <-answers:
+		return q.verdict(team, r)
+	case <-ctx.Done():
+		q.forget(a)
+		return verdict.New(verdict.NotRun, verdict.CodeCallerGone, "the caller is gone").WithCause(context.Cause(ctx))
+	case <-timer.C:
+	case <-q.duty.Context().Done():
+	}
+	q.forget(a)
+	return q.notKnown(team)
+}
+
+// notKnown refuses a request whose team's account can't be asked about.
+func (q *Quotas) notKnown(team id.Team) *verdict.Error {
+	q.silent.Inc()
+	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "what team %s may still have run is not known", team).
+		WithRetryAfter(silentRetryAfter)
+}
+
+// begin pays for a request ahead, or asks the keeper.
+func (q *Quotas) begin(now time.Duration, a *asked) {
+	q.look(now)
+	answer, wait := q.purse.Spend(now, a.ask.Team, a.ask.Cost)
+	switch {
+	case answer == quota.Paid:
+		q.settleSoon(now)
+		a.answer <- Reply{Granted: true}
+	case answer == quota.Refused:
+		a.answer <- Reply{Back: wait, keeper: q.keeper, remembered: true}
+	case len(q.asked) >= mostAsked:
+		a.answer <- Reply{notAsked: true}
+	default:
+		q.asked[a.ask.Seq] = a
+		q.ask(now, a)
+	}
+}
+
+// settleSoon has what was paid ahead settled in a while.
+func (q *Quotas) settleSoon(now time.Duration) {
+	if !q.owes {
+		q.owes = true
+		q.settleAt = now + settleEvery
+	}
+}
+
+// forget drops a question whose answer nobody waits for. What the keeper may
+// have granted stays charged: it is not known.
+func (q *Quotas) forget(a *asked) {
+	q.duty.PostLater(func(time.Duration) { delete(q.asked, a.ask.Seq) })
+}
+
+// verdict is what the keeper's word means for a request.
+func (q *Quotas) verdict(team id.Team, r Reply) *verdict.Error {
+	switch {
+	case r.Granted:
+		return nil
+	case r.notAsked:
+		return q.notKnown(team)
+	}
+	q.refusals.Inc()
+	after := r.Back
+	if r.remembered {
+		// Others here are told the same.
+		after += time.Duration(rand.Int64N(int64(max(r.Back, leastSpread))))
+	}
+	return verdict.New(verdict.NotRun, verdict.CodeTeamLimit, "team %s is at its limit", team).
+		WithRetryAfter(after).WithCause(r.why())
+}
+
+// Return gives back what was paid for a request that has not run.
+func (q *Quotas) Return(team id.Team, cost float64) {
+	q.duty.PostLater(func(now time.Duration) {
+		if q.purse.Return(team, cost) {
+			return
+		}
+		back := &Return{Team: team, Cost: cost}
+		switch q.keeper {
+		case "":
+		case q.cfg.Self:
+			q.giveBack(now, back)
+		default:
+			if err := q.cfg.Send(q.keeper, &Envelope{Return: back}); err != nil {
+				q.cfg.Log("quota_not_returned", "keeper", q.keeper, "team", team, "why", err)
+			}
+		}
+	})
+}
+
+// why tells on-call engineers who refused, and by what.
+func (r *Reply) why() error {
+	if r.remembered {
+		return eris.Errorf("%s, which keeps its account, said so a moment ago", r.keeper)
+	}
+	return eris.Errorf("its account at %s holds %.0f", r.keeper, r.Balance)
+}
--- a/daemon/quotas/quotas.go
+++ b/daemon/quotas/quotas.go
@@ -6,20 +6,17 @@
 package quotas
 
 import (
-	"context"
 	"math"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
-	"github.com/rotisserie/eris"
 
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/member"
 	"github.com/samphirequay/samphirequay/core/quota"
 	"github.com/samphirequay/samphirequay/core/rendezvous"
-	"github.com/samphirequay/samphirequay/core/verdict"
 	"github.com/samphirequay/samphirequay/daemon/duty"
 	"github.com/samphirequay/samphirequay/daemon/metrics"
 )
@@ -33,15 +30,8 @@
 	// askAgain is how long an answer may take before the question is sent again:
 	// the keeper may have changed, or the message is lost.
 	askAgain = 150 * time.Millisecond
-	// silentRetryAfter is advised where the keeper does not answer.
-	silentRetryAfter = 200 * time.Millisecond
 	// mostAsked bounds the requests that wait for the keeper.
 	mostAsked = 4096
-	// mostAnswered is how many answers the keeper remembers: those of a second and
-	// more, within which a question may come again.
-	mostAnswered = 2048
-	// leastSpread is the shortest spread of callers who are told to come back.
-	leastSpread = 100 * time.Millisecond
 	// ringSize bounds the work that waits for the duty.
 	ringSize = 1024
 )
@@ -271,73 +261,6 @@
 	}
 }
 
-func (q *Quotas) reply(to id.Daemon, e *Envelope) {
-	if err := q.cfg.Send(to, e); err != nil {
-		q.cfg.Log("quota_answer_lost", "peer", to, "why", err)
-	}
-}
-
-// charge fills in what the ledger must know; ok is false for a team without a
-// limit.
-func (q *Quotas) charge(now time.Duration, team id.Team, cost float64, known *quota.Limit) (c quota.Charge, ok bool) {
-	q.look(now)
-	limit, found := q.cfg.Limit(team)
-	if !found && known != nil {
-		limit = *known
-	}
-	return quota.Charge{Team: team, Limit: limit, Cost: cost, Share: q.share}, limit.Limited()
-}
-
-// question names one question of one daemon.
-type question struct {
-	from id.Daemon
-	seq  uint64
-}
-
-// decideOnce answers a question. One that comes again, since its answer was late
-// or lost, is not charged again.
-func (q *Quotas) decideOnce(now time.Duration, from id.Daemon, a *Ask) *Reply {
-	asked := question{from: from, seq: a.Seq}
-	if before, known := q.answered.Get(asked); known {
-		return before
-	}
-	r := q.decide(now, a)
-	q.answered.Add(asked, r)
-	return r
-}
-
-// decide answers a question, as the keeper.
-func (q *Quotas) decide(now time.Duration, a *Ask) *Reply {
-	c, limited := q.charge(now, a.Team, a.Cost, &a.Limit)
-	if !limited {
-		return &Reply{Seq: a.Seq, Granted: true}
-	}
-	granted, refused := q.ledger.Take(now, c)
-	balance, _ := q.ledger.Balance(a.Team)
-	return &Reply{Seq: a.Seq, Granted: granted, Wait: refused.Wait, Back: refused.Back, Balance: balance}
-}
-
-// owe takes what was spent ahead, as the keeper, and tells who is in debt.
-func (q *Quotas) owe(now time.Duration, s *Settle) *Shut {
-	shut := &Shut{}
-	for _, d := range s.Debts {
-		c, limited := q.charge(now, d.Team, d.Cost, nil)
-		if !limited {
-			continue
-		}
-		if wait := q.ledger.Owe(now, c); wait > 0 {
-			shut.Teams = append(shut.Teams, ShutTeam{Team: d.Team, Wait: wait})
-		}
-	}
-	return shut
-}
-
-func (q *Quotas) giveBack(now time.Duration, r *Return) {
-	if c, limited := q.charge(now, r.Team, r.Cost, nil); limited {
-		q.ledger.Return(now, c)
-	}
-}
-
 // takeReply hands the keeper's word to the request that waits for it.
 func (q *Quotas) takeReply(now time.Duration, r *Reply) {
 	a := q.asked[r.Seq]
@@ -358,102 +281,3 @@
 		q.purse.Shut(now, t.Team, quota.Refusal{Wait: t.Wait, Back: t.Wait})
 	}
 }
-
-// Pay charges a request to its team, or refuses it. patience bounds the wait for
-// the keeper.
-func (q *Quotas) Pay(ctx context.Context, team id.Team, limit quota.Limit, cost float64, patience time.Duration) *verdict.Error {
-	answers := make(chan Reply, 1)
-	a := &asked{ask: Ask{Seq: q.seq.Add(1), Team: team, Limit: limit, Cost: cost}, answer: answers}
-	if !q.duty.PostContext(ctx, func(now time.Duration) { q.begin(now, a) }) {
-		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this daemon takes no requests now")
-	}
-	timer := time.NewTimer(patience)
-	defer timer.Stop()
-	select {
-	case r := <-answers:
-		return q.verdict(team, r)
-	case <-ctx.Done():
-		q.forget(a)
-		return verdict.New(verdict.NotRun, verdict.CodeCallerGone, "the caller is gone").WithCause(context.Cause(ctx))
-	case <-timer.C:
-	case <-q.duty.Context().Done():
-	}
-	q.forget(a)
-	q.silent.Inc()
-	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "what team %s may still have run is not known", team).
-		WithRetryAfter(silentRetryAfter)
-}
-
-// begin pays for a request ahead, or asks the keeper.
-func (q *Quotas) begin(now time.Duration, a *asked) {
-	q.look(now)
-	answer, wait := q.purse.Spend(now, a.ask.Team, a.ask.Cost)
-	switch {
-	case answer == quota.Paid:
-		q.settleSoon(now)
-		a.answer <- Reply{Granted: true}
-	case answer == quota.Refused:
-		a.answer <- Reply{Back: wait, keeper: q.keeper, remembered: true}
-	case len(q.asked) >= mostAsked:
-		a.answer <- Reply{Back: silentRetryAfter, keeper: q.keeper}
-	default:
-		q.asked[a.ask.Seq] = a
-		q.ask(now, a)
-	}
-}
-
-// settleSoon has what was paid ahead settled in a while.
-func (q *Quotas) settleSoon(now time.Duration) {
-	if !q.owes {
-		q.owes = true
-		q.settleAt = now + settleEvery
-	}
-}
-
-// forget drops a question whose answer nobody waits for. What the keeper may
-// have granted stays charged: it is not known.
-func (q *Quotas) forget(a *asked) {
-	q.duty.PostLater(func(time.Duration) { delete(q.asked, a.ask.Seq) })
-}
-
-// verdict is what the keeper's word means for a request.
-func (q *Quotas) verdict(team id.Team, r Reply) *verdict.Error {
-	if r.Granted {
-		return nil
-	}
-	q.refusals.Inc()
-	after := r.Back
-	if r.remembered {
-		// Others here are told the same.
-		after += time.Duration(rand.Int64N(int64(max(r.Back, leastSpread))))
-	}
-	return verdict.New(verdict.NotRun, verdict.CodeTeamLimit, "team %s is at its limit", team).
-		WithRetryAfter(after).WithCause(r.why())
-}
-
-// why tells on-call engineers who refused, and by what.
-func (r *Reply) why() error {
-	if r.remembered {
-		return eris.Errorf("%s, which keeps its account, said so a moment ago", r.keeper)
-	}
-	return eris.Errorf("its account at %s holds %.0f", r.keeper, r.Balance)
-}
-
-// Return gives back what was paid for a request that has not run.
-func (q *Quotas) Return(team id.Team, cost float64) {
-	q.duty.PostLater(func(now time.Duration) {
-		if q.purse.Return(team, cost) {
-			return
-		}
-		back := &Return{Team: team, Cost: cost}
-		switch q.keeper {
-		case "":
-		case q.cfg.Self:
-			q.giveBack(now, back)
-		default:
-			if err := q.cfg.Send(q.keeper, &Envelope{Return: back}); err != nil {
-				q.cfg.Log("quota_not_returned", "keeper", q.keeper, "team", team, "why", err)
-			}
-		}
-	})
-}
