--- a/core/kvsched/admission.go
+++ b/core/kvsched/admission.go
@@ -13,10 +13,7 @@
 // refuseAtArrival refuses a request at once that would miss its target behind
 // those before it, at the rate at which the queue has been served. Its caller
 // knows so within milliseconds and can come back when the burst is over, and no
-// engine stands idle for it, since others wait. With a burst of three times the
-// load for 8 s as many streams were in time as where all wait until their target
-// has passed, and the mean worth of three seeds was .485, .422 and .359 on three
-// deployments, against .485, .424 and .323.
+// engine stands idle for it, since others wait.
 func (l *Ledger) refuseAtArrival(w *waiting) []sched.Action {
 	if !l.on(ArrivalRefusal) || l.roomForLate() {
 		return nil
@@ -49,8 +46,8 @@
 }
 
 // doubt is the factor by which the forecast must miss the target: some of those
-// before are larger than they say, or leave. Without it, 2 to 3 in 100 fewer
-// streams were in time in such a burst.
+// before are larger than they say, or leave, and one that is refused for them could
+// have been in time.
 const doubt = 1.6
 
 // lacksTime is why a request is refused at its arrival.
--- a/core/kvsched/lead.go
+++ b/core/kvsched/lead.go
@@ -19,9 +19,9 @@
 )
 
 // lead learns how long after its grant a request has its first token, beyond
-// the reading of its prompt by an engine that nothing is known of. With a fixed
-// time of 30 ms, half of those granted at the last moment in a burst were late:
-// it was 100 ms.
+// the reading of its prompt by an engine that nothing is known of: in a burst it
+// takes several times as long as on a calm day, and requests that are granted at
+// the last moment by a fixed time are late.
 type lead struct {
 	mean, deviation float64
 	known           bool
--- a/core/kvsched/memory.go
+++ b/core/kvsched/memory.go
@@ -64,9 +64,9 @@
 const claimsLife = poll
 
 // claimsOf gives the claims of an engine's requests, the one with the most left
-// first. They are worked out anew only where something has changed: with 90
-// engines a pool's owner spent three quarters of its time on working them out
-// for each waiting request at each event.
+// first. They are worked out anew only where something has changed: the owner of a
+// large pool would else spend most of its time on working them out for each
+// waiting request at each event.
 func (l *Ledger) claimsOf(e *endpoint) []claim {
 	if !e.claimsOld && l.now-e.claimsAt < claimsLife {
 		return e.claims
--- a/core/kvsched/rate.go
+++ b/core/kvsched/rate.go
@@ -17,8 +17,8 @@
 
 // prefillRate averages how fast an engine reads prompts, as all tokens over all
 // time: two prompts may end within a millisecond of each other, and a mean of
-// single rates then comes out many times too high. Such a mean had engines
-// given six prompts at once whose reads took 0.7 to 0.9 s instead of 0.2 s.
+// single rates then comes out many times too high, and engines are given more
+// prompts at once than they read in time.
 type prefillRate struct {
 	tokens  float64
 	seconds float64
