--- a/core/capacity/capacity.go
+++ b/core/capacity/capacity.go
@@ -16,10 +16,9 @@
 
 // ableShare of the most that any host grants makes a host able. A half keeps
 // hosts of one kind together, whose figures differ a little, and keeps out those
-// of the next smaller kind. Of hosts with .192 core and 10 Mbit/s or .8 core and
-// 200 Mbit/s, an owner of 90 engines on a small one falls 0.8 s behind its
-// messages in a burst, and followers of the store there, for whose link 16 KB to
-// 89 others are 1.1 s, were silent for all others three times in 12 s.
+// of the next smaller kind: an owner of many engines on a small host falls behind
+// its messages in a burst, and a reader on a narrow link is silent for all others
+// while it tells them of a large change.
 const ableShare = 0.5
 
 // Able keeps those of the candidates that are able to do a duty for all: with at
--- a/core/kvsched/want.go
+++ b/core/kvsched/want.go
@@ -109,9 +109,9 @@
 }
 
 // takePrefilled grants a decode engine to a request whose prompt was read. Where
-// none has room it waits before all others, as long as its KV cache lives: in
-// a burst in which a quarter of the engines was lost, 60 prompts a day were read
-// in vain because no engine had room at that moment.
+// none has room it waits before all others, as long as its KV cache lives: where
+// engines are lost in a burst, no other one may have room at that moment, and the
+// prompt would have been read in vain.
 func (l *Ledger) takePrefilled(w *waiting) []sched.Action {
 	decode, cause := l.chooseDecode(w, nil)
 	if decode != nil && l.now >= l.settled {
--- a/daemon/gateway/knowledge.go
+++ b/daemon/gateway/knowledge.go
@@ -25,8 +25,8 @@
 	feedGather = 350 * time.Millisecond
 	// feedRetry bounds the pause after a failed call to the store.
 	feedRetry = 400 * time.Millisecond
-	// idleRetry takes its place for a daemon that others tell of the changes: in a
-	// fleet of which the store refuses a third, their calls were most of all calls.
+	// idleRetry takes its place for a daemon that others tell of the changes: where
+	// the store refuses many daemons, their calls would be most of all.
 	idleRetry = 2 * time.Second
 	// registryLook is how often lapsed entries of the registry are looked at.
 	registryLook = 400 * time.Millisecond
--- a/daemon/gateway/learn.go
+++ b/daemon/gateway/learn.go
@@ -96,9 +96,8 @@
 }
 
 // pursue learns what other daemons know more of the store's tables, one attempt
-// after another. With an attempt for each of the others that know more, 90
-// daemons make 1,360 attempts in 24 s of trouble, with two reads of the store
-// each.
+// after another: an attempt for each of the others that know more, with two reads
+// of the store each, would grow with the square of the fleet.
 func (d *Daemon) pursue(f *fleet) {
 	pause := behindFor
 	for tries := 0; ; tries++ {
--- a/daemon/peer/peer.go
+++ b/daemon/peer/peer.go
@@ -65,10 +65,9 @@
 	DefaultCallWorkers  = 512
 	DefaultMaxPeers     = 1024
 	DefaultWriteTimeout = 5 * time.Second
-	// DefaultDialsAtOnce and DefaultDialTurn: a handshake takes about 2 ms of
-	// processor time at either end. 60 daemons in one process that dial 8 at once,
-	// for 250 ms each, still throw handshakes away on three processors; 4 and
-	// 500 ms had none to throw away on three and on four.
+	// DefaultDialsAtOnce and DefaultDialTurn: each handshake costs processor time at
+	// either end, and where many daemons start together those that take too long are
+	// thrown away and begun again.
 	DefaultDialsAtOnce = 4
 	DefaultDialTurn    = 500 * time.Millisecond
 )
