Have the soak's runners register the stage that they were ordered to

By the owner's lines two changes of role were ordered and taken, and ended with 'no change was seen in time': the stand-ins kept their old entries, so that the owner went on to order the engines that were left. Ruled out: the busy host (the daemons were run in time, no duty was behind).

--- a/cmd/internal/soak/world.go
+++ b/cmd/internal/soak/world.go
@@ -35,6 +35,12 @@
 	slack      = 1500 * time.Millisecond
 )
 
+// The states that runners register.
+const (
+	stateReady   = "ready"
+	stateLeaving = "draining"
+)
+
 // runner is a stand-in behind a proxy of its own.
 type runner struct {
 	*platformtest.Runner
@@ -144,7 +150,7 @@
 	made := &runner{Runner: r, proxy: proxy}
 	r.Answer(func(x *platformtest.Exchange) { w.answer(made, x) })
 	w.runners = append(w.runners, made)
-	w.register(made, "ready")
+	w.register(made, stateReady)
 	return nil
 }
 
@@ -152,6 +158,17 @@
 	w.store.Register(r.Runner, state, r.proxy.Address())
 }
 
+// tellStage registers a runner anew that has changed its stage.
+func (w *world) tellStage(r *runner) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	state := stateReady
+	if !r.leaving.IsZero() {
+		state = stateLeaving
+	}
+	w.register(r, state)
+}
+
 // answer is a runner's answer: it names the request, so that a mixed up answer
 // shows, and every run is counted.
 func (w *world) answer(r *runner, x *platformtest.Exchange) {
@@ -159,7 +176,11 @@
 		w.teams.seen(w.judge, x)
 	}
 	if !x.MeantToRun() {
+		before := r.Stage()
 		x.Usual()
+		if r.Stage() != before {
+			w.tellStage(r)
+		}
 		return
 	}
 	number := requestNumber(x.RequestID())
@@ -251,7 +272,7 @@
 	}
 	r := sound[rng.IntN(len(sound))]
 	r.leaving = time.Now()
-	w.register(r, "draining")
+	w.register(r, stateLeaving)
 	w.mu.Unlock()
 	return w.addRunner(r.Service, r.Stage())
 }
