--- /dev/null
+++ b/daemon/gateway/freshness_test.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/freshness"
+)
+
+// TestAFloodOfUnknownKeysBecomesFewReads, however many requests bring one.
+func TestAFloodOfUnknownKeysBecomesFewReads(t *testing.T) {
+	is := is.New(t)
+	var c configFreshness
+	reads := 0
+	for at := time.Duration(0); at < time.Minute; at += time.Millisecond {
+		if c.mayRefresh(at) {
+			reads++
+		}
+	}
+	is.Equal(reads, int(time.Minute/refreshPause))
+}
+
+// TestAProofIsHandedOnAsItCame, with the version that it is about.
+func TestAProofIsHandedOnAsItCame(t *testing.T) {
+	is := is.New(t)
+	var c configFreshness
+	is.Equal(c.proof(), nil)
+	c.sample(0, time.Millisecond, time.Hour)
+	c.inForce(9)
+	c.learn(2*time.Second, freshness.Proof{Version: 7, At: time.Hour + time.Second})
+	is.Equal(*c.proof(), freshness.Proof{Version: 7, At: time.Hour + time.Second})
+	age, ok := c.age(3 * time.Second)
+	is.True(ok)
+	is.True(age >= 2*time.Second && age < 2100*time.Millisecond)
+	c.learn(3*time.Second, freshness.Proof{Version: 11, At: time.Hour + 2*time.Second})
+	is.True(c.behind()) // 11 is not in force here yet
+	is.Equal(c.proof().Version, uint64(7))
+}
