Carry the messages about limits in one place for both daemons

Both daemons decoded the quota messages by a case of their own beside daemon/link, which already does so for pools, membership and evidence. The kind, its name, its decoding and its sending are there now; each daemon only says who takes the message.

Counted once as well: how many daemons are at work (gateway.daemons and quotas.Count looped over the same entries), the key that the keeper is chosen by where there are no pools, and what a tick returns that has nothing due (broker and quotas).

Behaviour stays.

--- a/daemon/app/limits.go
+++ b/daemon/app/limits.go
@@ -22,15 +22,13 @@
 	limitOvershoot = 0.1
 	// payPatience bounds the wait for the daemon that keeps a team's account.
 	payPatience = time.Second
-	// keeperKey is what that daemon is chosen by.
-	keeperKey = "quotas"
 )
 
 // newQuotas starts the duty that holds teams to their limits.
 func (d *Daemon) newQuotas() *quotas.Quotas {
-	q := quotas.New(quotas.Config{
+	return quotas.New(quotas.Config{
 		Self:      d.self.Daemon,
-		Send:      func(to id.Daemon, e *quotas.Envelope) error { return d.transport.Send(to, kindQuota, e) },
+		Send:      d.links().SendQuota,
 		Limit:     d.limitOf,
 		Tolerance: quota.Tolerance{Window: limitWindow, Overshoot: limitOvershoot},
 		Fleet:     d.countFleet,
@@ -39,8 +37,6 @@
 		Now:       d.now,
 		Ready:     d.wired,
 	})
-	q.SetKey(keeperKey)
-	return q
 }
 
 // limitOf is a team's limit by the configuration in force.
--- a/daemon/app/peers.go
+++ b/daemon/app/peers.go
@@ -26,7 +26,6 @@
 	kindClaim                           // call: claims.BeginCall -> claims.BeginReply
 	kindOutcome                         // call: claims.FinishCall -> claims.FinishReply
 	kindRecord                          // call: revision.Record -> recordReply
-	kindQuota                           // one-way: quotas.Envelope
 )
 
 // kindNames name the kinds in metrics.
@@ -37,7 +36,6 @@
 	kindClaim:   "claim",
 	kindOutcome: "outcome",
 	kindRecord:  "record",
-	kindQuota:   "quota",
 }
 
 // peerCallTimeout bounds a question to another daemon.
@@ -65,23 +63,6 @@
 	return &peerHandler{Handler: link.Handler{Receiver: receiver{d}, Wired: d.wired}, d: d}
 }
 
-// HandleOneWay implements that method of peer.Handler.
-func (h *peerHandler) HandleOneWay(from id.Daemon, kind peer.Kind, body []byte) {
-	if kind != kindQuota {
-		h.Handler.HandleOneWay(from, kind, body)
-		return
-	}
-	if !h.Open() {
-		return
-	}
-	var e quotas.Envelope
-	if err := peer.Decode(body, &e); err != nil {
-		h.Receiver.Refused(from, err)
-		return
-	}
-	h.d.quotas.Receive(from, &e)
-}
-
 // receiver implements link.Receiver.
 type receiver struct{ d *Daemon }
 
@@ -94,6 +75,9 @@
 // Evidence implements link.Receiver.
 func (r receiver) Evidence(s poison.State) { r.d.broker.MergeEvidence(s) }
 
+// Quota implements link.Receiver.
+func (r receiver) Quota(from id.Daemon, e *quotas.Envelope) { r.d.quotas.Receive(from, e) }
+
 // Refused implements link.Receiver.
 func (r receiver) Refused(from id.Daemon, why error) {
 	r.d.logger.Warn("peer_message_refused", "from", from, "err", why)
--- a/daemon/broker/broker.go
+++ b/daemon/broker/broker.go
@@ -1,7 +1,6 @@
 package broker
 
 import (
-	"math"
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
@@ -98,14 +97,11 @@
 // spreadEvery gathers evidence, well below the time in which a verdict settles.
 const spreadEvery = 250 * time.Millisecond
 
-// never is the time of what isn't due.
-const never = time.Duration(math.MaxInt64)
-
 // spread sends evidence that is new since the last time, and returns when it
 // wants to be called again.
 func (b *Broker) spread(now time.Duration) time.Duration {
 	if !b.evidence.waits() {
-		return never
+		return duty.Never
 	}
 	if now < b.spreadAt {
 		return b.spreadAt
@@ -118,7 +114,7 @@
 	if !empty(learnt) {
 		b.cfg.Relay(learnt)
 	}
-	return never
+	return duty.Never
 }
 
 // EvidenceChanged has new evidence spread. It doesn't wait.
--- a/daemon/duty/duty.go
+++ b/daemon/duty/duty.go
@@ -6,12 +6,16 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/samphirequay/samphirequay/daemon/metrics"
 	"github.com/samphirequay/samphirequay/daemon/ring"
 )
 
+// Never is what a tick returns that has nothing due.
+const Never = time.Duration(math.MaxInt64)
+
 const (
 	// DefaultRing bounds the pieces of work that wait.
 	DefaultRing = 1024
--- a/daemon/gateway/entry.go
+++ b/daemon/gateway/entry.go
@@ -7,6 +7,7 @@
 	"github.com/samphirequay/samphirequay/core/entry"
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/member"
+	"github.com/samphirequay/samphirequay/daemon/quotas"
 )
 
 // maxNamed bounds the addresses of an entry answer; callers pick among them at
@@ -71,6 +72,9 @@
 	return out
 }
 
+// count counts the daemons of the fleet.
+func (f *fleet) count() quotas.Fleet { return quotas.Count(f.members.Entries()) }
+
 // daemons is how many daemons share the bounds that hold for all together. One
 // that is silent may still be at work.
 func (d *Daemon) daemons() int {
@@ -78,11 +82,5 @@
 	if f == nil {
 		return 1
 	}
-	n := 0
-	for _, e := range f.members.Entries() {
-		if e.State != member.Dead {
-			n++
-		}
-	}
-	return max(1, n)
+	return max(1, f.count().Daemons)
 }
--- a/daemon/gateway/limits.go
+++ b/daemon/gateway/limits.go
@@ -12,16 +12,12 @@
 	"github.com/samphirequay/samphirequay/daemon/quotas"
 )
 
-// keeperOfPlain is what the keeper of teams' accounts is chosen by where there
-// are no pools.
-const keeperOfPlain = "quotas"
-
 // keeperKey is what the keeper of teams' accounts is chosen by: it owns the
 // first of the pools, so that daemons are connected to it anyway.
 func keeperKey(routes *route.Table) string {
 	names := poolNames(routes)
 	if len(names) == 0 {
-		return keeperOfPlain
+		return quotas.DefaultKey
 	}
 	return string(slices.Min(names))
 }
@@ -30,14 +26,14 @@
 func (d *Daemon) newQuotas(f *fleet, wired <-chan struct{}) *quotas.Quotas {
 	return quotas.New(quotas.Config{
 		Self:  f.self.Daemon,
-		Send:  func(to id.Daemon, e *quotas.Envelope) error { return f.transport.Send(to, kindQuota, e) },
+		Send:  f.links().SendQuota,
 		Limit: d.limitOf,
 		Tolerance: quota.Tolerance{
 			Window:    Seconds(d.set.Bounds.QuotaWindowS),
 			Overshoot: d.set.Bounds.QuotaOvershoot,
 			Slack:     d.set.Bounds.QuotaSlack,
 		},
-		Fleet:   func() quotas.Fleet { return quotas.Count(f.members.Entries()) },
+		Fleet:   f.count,
 		Log:     d.logger.Event,
 		Metrics: d.metrics,
 		Now:     d.now,
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -25,13 +25,11 @@
 	kindTables = link.FirstFree + iota
 	// kindNews tells of changes of the store's tables: one-way, tableNews.
 	kindNews
-	// kindQuota is about teams' limits: one-way, quotas.Envelope.
-	kindQuota
 	// kindProof tells how fresh the configuration is: datagram, freshness.Proof.
 	kindProof
 )
 
-var kindNames = map[peer.Kind]string{kindTables: "tables", kindNews: "news", kindQuota: "quota", kindProof: "proof"}
+var kindNames = map[peer.Kind]string{kindTables: "tables", kindNews: "news", kindProof: "proof"}
 
 // tablesReply is what a daemon knows of the store's tables.
 type tablesReply struct {
@@ -106,7 +104,7 @@
 		Self:        f.self,
 		Listen:      d.set.Listen.Peers,
 		Keys:        material,
-		Handler:     &peerHandler{Handler: link.Handler{Receiver: receiver{d, f}, Wired: wired}, d: d, f: f},
+		Handler:     &peerHandler{Handler: link.Handler{Receiver: receiver{d, f}, Wired: wired}, d: d},
 		KindName:    link.KindName(kindNames),
 		Registry:    d.metrics,
 		Address:     func(name id.Daemon) string { return f.members.Address(name) },
@@ -125,7 +123,6 @@
 type peerHandler struct {
 	link.Handler
 	d *Daemon
-	f *fleet
 }
 
 // receiver implements link.Receiver.
@@ -152,6 +149,9 @@
 	}
 }
 
+// Quota implements link.Receiver.
+func (r receiver) Quota(from id.Daemon, e *quotas.Envelope) { r.f.quotas.Receive(from, e) }
+
 // Refused implements link.Receiver.
 func (r receiver) Refused(from id.Daemon, why error) {
 	r.d.logger.Warn("peer_message_refused", "from", from, "why", why)
@@ -167,19 +167,13 @@
 
 // HandleOneWay implements that method of peer.Handler.
 func (h *peerHandler) HandleOneWay(from id.Daemon, kind peer.Kind, body []byte) {
-	switch kind {
-	case kindNews:
-		var n tableNews
-		if h.decode(from, body, &n) {
-			h.d.takeNews(from, n)
-		}
-	case kindQuota:
-		var e quotas.Envelope
-		if h.decode(from, body, &e) {
-			h.f.quotas.Receive(from, &e)
-		}
-	default:
+	if kind != kindNews {
 		h.Handler.HandleOneWay(from, kind, body)
+		return
+	}
+	var n tableNews
+	if h.decode(from, body, &n) {
+		h.d.takeNews(from, n)
 	}
 }
 
--- a/daemon/link/link.go
+++ b/daemon/link/link.go
@@ -1,6 +1,6 @@
 // Package link carries the messages that every fleet of daemons exchanges, over
-// the peers' transport: those of pools, of the membership, and evidence about
-// requests that crash endpoints.
+// the peers' transport: those of pools, of the membership, of teams' limits, and
+// evidence about requests that crash endpoints.
 package link
 
 import (
@@ -13,6 +13,7 @@
 	"github.com/samphirequay/samphirequay/core/poison"
 	"github.com/samphirequay/samphirequay/daemon/broker"
 	"github.com/samphirequay/samphirequay/daemon/peer"
+	"github.com/samphirequay/samphirequay/daemon/quotas"
 )
 
 // The kinds of messages that this package carries.
@@ -20,6 +21,7 @@
 	KindBroker   peer.Kind = iota + 1 // one-way: broker.Envelope
 	KindMember                        // datagram: member.Message
 	KindEvidence                      // one-way: poison.State
+	KindQuota                         // one-way: quotas.Envelope
 	// FirstFree is the first kind for other messages.
 	FirstFree peer.Kind = 16
 )
@@ -29,6 +31,7 @@
 	KindBroker:   "broker",
 	KindMember:   "member",
 	KindEvidence: "evidence",
+	KindQuota:    "quota",
 }
 
 // KindName names a kind in metrics; others names those from FirstFree on.
@@ -49,6 +52,8 @@
 	Member(m member.Message)
 	// Evidence takes evidence about requests that crash endpoints.
 	Evidence(s poison.State)
+	// Quota takes a message about teams' limits.
+	Quota(from id.Daemon, e *quotas.Envelope)
 	// Refused is told of a message that can't be taken.
 	Refused(from id.Daemon, why error)
 }
@@ -86,6 +91,11 @@
 		if h.decode(from, body, &s) {
 			h.Receiver.Evidence(s)
 		}
+	case KindQuota:
+		var e quotas.Envelope
+		if h.decode(from, body, &e) {
+			h.Receiver.Quota(from, &e)
+		}
 	case KindMember:
 		h.member(from, body)
 	}
@@ -127,6 +137,11 @@
 	return s.Transport.Send(to, KindBroker, e)
 }
 
+// SendQuota sends a message about teams' limits, as quotas.Config asks for.
+func (s Sender) SendQuota(to id.Daemon, e *quotas.Envelope) error {
+	return s.Transport.Send(to, KindQuota, e)
+}
+
 // SendMember implements members.Sender. A message too large for a datagram
 // goes by the one-way stream. Errors are not handled: the membership repeats
 // its messages.
--- a/daemon/quotas/quotas.go
+++ b/daemon/quotas/quotas.go
@@ -6,7 +6,6 @@
 package quotas
 
 import (
-	"math"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -21,6 +20,10 @@
 	"github.com/samphirequay/samphirequay/daemon/metrics"
 )
 
+// DefaultKey is what the keeper is chosen by until SetKey, and where there are
+// no pools.
+const DefaultKey = "quotas"
+
 const (
 	// settleEvery is how long what was paid ahead waits to be settled with the
 	// keeper, together with what comes meanwhile.
@@ -120,6 +123,7 @@
 	q := &Quotas{
 		answered: answered,
 		cfg:      cfg,
+		key:      DefaultKey,
 		ledger:   quota.NewLedger(cfg.Tolerance),
 		purse:    quota.NewPurse(),
 		asked:    map[uint64]*asked{},
@@ -175,7 +179,7 @@
 	if q.owes && now >= q.settleAt {
 		q.settle(now)
 	}
-	next := never
+	next := duty.Never
 	if q.owes {
 		next = q.settleAt
 	}
@@ -188,9 +192,6 @@
 	return next
 }
 
-// never is the time of what isn't due.
-const never = time.Duration(math.MaxInt64)
-
 // look takes how many daemons there are, now and then: only while there are
 // requests.
 func (q *Quotas) look(now time.Duration) {
