Do once what each request and each registry change did twice

- A change of the registry set the quotas' key again, and with it forgot which teams were just refused: only new routes, and joining, do now.
- An arrival sorted the queue twice to count who is ahead, though only the places are needed, not the final order.
- The least pause between two reads for unknown keys is one field, not two; the proof that is told has one check of whether there are teams.
- Key hashes are compared as hashes where a document is checked.
- freshness: SampledAt had no caller.
- The soak wrote the configuration's field names itself; the stand-ins' package does.

--- a/cmd/internal/soak/world.go
+++ b/cmd/internal/soak/world.go
@@ -35,12 +35,6 @@
 	slack      = 1500 * time.Millisecond
 )
 
-// The states that runners register.
-const (
-	stateReady   = "ready"
-	stateLeaving = "draining"
-)
-
 // runner is a stand-in behind a proxy of its own.
 type runner struct {
 	*platformtest.Runner
@@ -106,12 +100,8 @@
 // configure writes the configuration under a higher version.
 func (w *world) configure() {
 	w.version += 1 + w.version%3
-	w.store.Configure(map[string]any{
-		"version":  w.version,
-		"routes":   w.routes,
-		"services": []any{platformtest.PlainService(plainSvc, 200), platformtest.EngineService(engineSvc, 200, 16, 3)},
-		"tenants":  w.teams.rows(),
-	})
+	services := []any{platformtest.PlainService(plainSvc, 200), platformtest.EngineService(engineSvc, 200, 16, 3)}
+	w.store.Configure(platformtest.Config(w.version, w.routes, services, w.teams.rows()))
 }
 
 // addRoute adds a route and returns its path.
@@ -150,7 +140,7 @@
 	made := &runner{Runner: r, proxy: proxy}
 	r.Answer(func(x *platformtest.Exchange) { w.answer(made, x) })
 	w.runners = append(w.runners, made)
-	w.register(made, stateReady)
+	w.register(made, platformtest.StateReady)
 	return nil
 }
 
@@ -162,9 +152,9 @@
 func (w *world) tellStage(r *runner) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	state := stateReady
+	state := platformtest.StateReady
 	if !r.leaving.IsZero() {
-		state = stateLeaving
+		state = platformtest.StateLeaving
 	}
 	w.register(r, state)
 }
@@ -272,7 +262,7 @@
 	}
 	r := sound[rng.IntN(len(sound))]
 	r.leaving = time.Now()
-	w.register(r, stateLeaving)
+	w.register(r, platformtest.StateLeaving)
 	w.mu.Unlock()
 	return w.addRunner(r.Service, r.Stage())
 }
--- a/core/freshness/clock.go
+++ b/core/freshness/clock.go
@@ -52,6 +52,3 @@
 	_, most := c.bounds(now)
 	return shown - most, c.known
 }
-
-// SampledAt is when the last sample was taken.
-func (c *Clock) SampledAt() (at time.Duration, ok bool) { return c.at, c.known }
--- a/core/freshness/freshness.go
+++ b/core/freshness/freshness.go
@@ -28,9 +28,6 @@
 // Sample takes what the store's clock showed in the answer to a call.
 func (t *Tracker) Sample(sent, received, shown time.Duration) { t.clock.Sample(sent, received, shown) }
 
-// SampledAt is when the store's clock was last seen.
-func (t *Tracker) SampledAt() (at time.Duration, ok bool) { return t.clock.SampledAt() }
-
 // InForce notes the configuration that is in force from now on.
 func (t *Tracker) InForce(version uint64) {
 	if version <= t.version {
--- a/core/kvsched/admission.go
+++ b/core/kvsched/admission.go
@@ -32,7 +32,9 @@
 func (l *Ledger) ahead(w *waiting) int {
 	shared := l.sharesByTeam()
 	if shared {
-		l.inOrder(append(slices.Clone(l.queue), w))
+		queue := append(slices.Clone(l.queue), w)
+		byAge(queue)
+		l.shares.place(queue)
 	}
 	ahead := w.tokens
 	for _, other := range l.queue {
--- a/core/kvsched/pump.go
+++ b/core/kvsched/pump.go
@@ -49,7 +49,7 @@
 
 // inOrder sorts requests into the order in which they are granted.
 func (l *Ledger) inOrder(queue []*waiting) {
-	slices.SortStableFunc(queue, func(a, b *waiting) int { return cmp.Or(byRank(a, b), cmp.Compare(a.arrived, b.arrived)) })
+	byAge(queue)
 	if !l.sharesByTeam() {
 		return
 	}
@@ -57,6 +57,11 @@
 	slices.SortStableFunc(queue, func(a, b *waiting) int { return cmp.Or(byRank(a, b), cmp.Compare(a.place, b.place)) })
 }
 
+// byAge sorts requests by rank, then by age.
+func byAge(queue []*waiting) {
+	slices.SortStableFunc(queue, func(a, b *waiting) int { return cmp.Or(byRank(a, b), cmp.Compare(a.arrived, b.arrived)) })
+}
+
 // byRank puts what goes before all others first, whatever its team and age.
 func byRank(a, b *waiting) int {
 	return cmp.Or(
--- a/core/live/check.go
+++ b/core/live/check.go
@@ -123,7 +123,7 @@
 
 func (c *checker) teams(doc *Document) {
 	names := map[string]bool{}
-	hashes := map[string]id.Team{}
+	hashes := map[apikey.Hash]bool{}
 	for i, t := range doc.Teams {
 		it := c.at(KindTeam, "teams", i, string(t.Name), names)
 		it.labels(t.Labels)
@@ -138,18 +138,18 @@
 	}
 }
 
-func (it item) keyHashes(t Team, seen map[string]id.Team) {
+func (it item) keyHashes(t Team, seen map[apikey.Hash]bool) {
 	for j, h := range t.KeyHashes {
 		field := fmt.Sprintf("key_hashes[%d]", j)
-		if _, err := apikey.Parse(h); err != nil {
+		hash, err := apikey.Parse(h)
+		if err != nil {
 			it.fault(field, "%s", err)
 			continue
 		}
-		key := strings.ToLower(h)
-		if _, twice := seen[key]; twice {
+		if seen[hash] {
 			it.fault(field, "the key is in use already")
 		}
-		seen[key] = t.Name
+		seen[hash] = true
 	}
 }
 
--- a/daemon/forward/stream.go
+++ b/daemon/forward/stream.go
@@ -205,10 +205,7 @@
 // prefill has the prompt read.
 func (g *generation) prefill(ctx context.Context) (KV, time.Duration, *verdict.Error) {
 	f := g.f
-	engine, err := g.granted(g.grant.Prefill)
-	if err == nil {
-		err = g.allowed()
-	}
+	engine, err := g.mayUse(g.grant.Prefill)
 	if err != nil {
 		return KV{}, 0, err
 	}
@@ -259,6 +256,15 @@
 	return engine, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "engine %s %s", name, why)
 }
 
+// mayUse looks up an engine for a request whose key is still good.
+func (g *generation) mayUse(name id.Endpoint) (registry.Endpoint, *verdict.Error) {
+	engine, err := g.granted(name)
+	if err == nil {
+		err = g.allowed()
+	}
+	return engine, err
+}
+
 // allowed gives a grant back where the request's key is no longer good.
 func (g *generation) allowed() *verdict.Error {
 	err := g.f.stillAllowed(g.request, g.trace)
--- a/daemon/gateway/enroll.go
+++ b/daemon/gateway/enroll.go
@@ -243,6 +243,7 @@
 	d.knowledge.mu.Lock()
 	defer d.knowledge.mu.Unlock()
 	d.publish()
+	f.quotas.SetKey(keeperKey(d.knowledge.routes))
 	return nil
 }
 
--- a/daemon/gateway/freshness.go
+++ b/daemon/gateway/freshness.go
@@ -29,10 +29,10 @@
 // configFreshness is how old the configuration may be. It is safe for concurrent
 // use.
 type configFreshness struct {
-	mu          sync.Mutex
-	tracker     freshness.Tracker
-	refreshedAt time.Duration
-	refreshed   bool
+	mu      sync.Mutex
+	tracker freshness.Tracker
+	// refreshAt is when the next read for unknown keys may begin.
+	refreshAt time.Duration
 }
 
 func (c *configFreshness) inForce(version uint64) {
@@ -88,10 +88,10 @@
 func (c *configFreshness) mayRefresh(now time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.refreshed && now-c.refreshedAt < refreshPause {
+	if now < c.refreshAt {
 		return false
 	}
-	c.refreshed, c.refreshedAt = true, now
+	c.refreshAt = now + refreshPause
 	return true
 }
 
@@ -114,10 +114,10 @@
 func (d *Daemon) configConfirmed(since time.Duration) {
 	d.freshness.confirm(since)
 	f := d.fleet.Load()
-	if f == nil || !f.tells.Load() || !d.walled() {
+	if f == nil || !f.tells.Load() {
 		return
 	}
-	p := d.freshness.proof()
+	p := d.proofToTell()
 	if p == nil {
 		return
 	}
@@ -127,7 +127,8 @@
 	}
 }
 
-// proofToTell goes along with heartbeats where there are teams.
+// proofToTell is what other daemons are told of the configuration in force; nil
+// where there are no teams, or nothing is proved.
 func (d *Daemon) proofToTell() *freshness.Proof {
 	if !d.walled() {
 		return nil
--- a/daemon/gateway/knowledge.go
+++ b/daemon/gateway/knowledge.go
@@ -69,12 +69,11 @@
 
 func (d *Daemon) followerConfig(name string, changed func(feed.State)) feed.Config {
 	return feed.Config{
-		Name:   name,
-		Source: d.platform.Source,
-		Wait:   feedWait,
-		Gather: feedGather,
-		Retry:  feedRetry,
-
+		Name:      name,
+		Source:    d.platform.Source,
+		Wait:      feedWait,
+		Gather:    feedGather,
+		Retry:     feedRetry,
 		IdleRetry: idleRetry,
 		Changed:   changed,
 		Learnt:    d.tellNews,
@@ -247,7 +246,9 @@
 	d.forwarder.Configure(entries)
 	if f := d.fleet.Load(); f != nil {
 		f.broker.SetDocument(document(k.routes, entries))
-		f.quotas.SetKey(keeperKey(k.routes))
+		if old.Routes != k.routes {
+			f.quotas.SetKey(keeperKey(k.routes))
+		}
 	}
 	d.inspectDisputed()
 }
