--- a/cmd/internal/cli/itemcmd/table.go
+++ b/cmd/internal/cli/itemcmd/table.go
@@ -11,7 +11,7 @@
 
 // headers are the columns of each kind.
 var headers = map[live.Kind][]string{
-	live.KindTeam:     {"NAME", "WEIGHT", "IN-FLIGHT", "KEYS", "LABELS"},
+	live.KindTeam:     {"NAME", "WEIGHT", "IN-FLIGHT", "LIMIT", "KEYS", "LABELS"},
 	live.KindService:  {"NAME", "TYPE", "POOL", "FIRST-MS", "PACE-MS", "TEAMS", "LABELS"},
 	live.KindPool:     {"NAME", "MODEL", "ENDPOINTS", "MIN-PREFILL", "MIN-DECODE", "LABELS"},
 	live.KindEndpoint: {"NAME", "ADDRESS", "DOMAIN", "SLOTS", "FENCING", "LABELS"},
@@ -30,7 +30,7 @@
 func cells(value any) []string {
 	switch v := value.(type) {
 	case *live.Team:
-		return []string{string(v.Name), number(v.Weight), strconv.Itoa(v.MaxInFlight), strconv.Itoa(len(v.KeyHashes)), common.LabelText(v.Labels)}
+		return []string{string(v.Name), number(v.Weight), strconv.Itoa(v.MaxInFlight), limit(v), strconv.Itoa(len(v.KeyHashes)), common.LabelText(v.Labels)}
 	case *live.Service:
 		return []string{string(v.Name), string(v.Type), string(v.Pool), strconv.Itoa(v.FirstTokenTargetMS), strconv.Itoa(v.TokenPaceTargetMS), orDash(v.TeamSelector), common.LabelText(v.Labels)}
 	case *live.Pool:
@@ -44,6 +44,18 @@
 	}
 }
 
+// limit shows a team's limit as RATE+BURST, in tokens or requests.
+func limit(t *live.Team) string {
+	if !t.Limit().Limited() {
+		return "-"
+	}
+	unit := "requests/s"
+	if t.LimitByTokens {
+		unit = "tokens/s"
+	}
+	return number(t.LimitPerSecond) + "+" + number(t.LimitBurst) + " " + unit
+}
+
 func number(v float64) string { return strconv.FormatFloat(v, 'g', 6, 64) }
 
 func orDash(text string) string {
