Try another endpoint where a connection is not made in time

Callers saw: one of 20 requests refused with "deadline", not run, on a busy machine, with engines free; in service each request that is sent to a host which lost power or is cut off.

Cause: endpoint/client gave every timeout the code deadline, also that of its own dial (500 ms), while most of the request's time was left. core/retry does not repeat what the request's own time ended, and the owner of the pool took the endpoint for failing, not for unreachable. A dial of 500 ms left nothing of a patience of 360 ms besides.

A listener with a full backlog brings it about: all five kinds of calls gave deadline.

Why it holds: a dial that fails never sent a byte, so the code unavailable, not run, is certain; it is on the list of what another attempt may cure, and 150 ms leave 210 ms of the patience. Whether the context has ended is asked where a dial fails, so that the request's own end is still its deadline.

--- a/endpoint/client/dedicated.go
+++ b/endpoint/client/dedicated.go
@@ -53,7 +53,7 @@
 
 // acquire takes one of the bounded places for dedicated connections.
 func (e *Engine) acquire(ctx context.Context, what string) (func(), error) {
-	if err := ctx.Err(); err != nil {
+	if err := ended(ctx); err != nil {
 		return nil, transportError(e.address, what, &notSentError{cause: err})
 	}
 	select {
@@ -87,7 +87,7 @@
 
 // fail gives an error its verdict; the end of the context is named as cause.
 func (d *dedicated) fail(err error) error {
-	cause := d.ctx.Err()
+	cause := ended(d.ctx)
 	if cause == nil {
 		return transportError(d.address, d.what, err)
 	}
--- a/endpoint/client/errors.go
+++ b/endpoint/client/errors.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"net"
-	"os"
 	"strconv"
 	"time"
 
@@ -35,6 +34,27 @@
 // Unwrap gives the cause.
 func (e *notSentError) Unwrap() error { return e.cause }
 
+// endedError says that the call's context had ended.
+type endedError struct{ cause error }
+
+// Error implements error.
+func (e *endedError) Error() string { return e.cause.Error() }
+
+// Unwrap gives the cause.
+func (e *endedError) Unwrap() error { return e.cause }
+
+// ended is how a context ended; nil while it goes on. A deadline that has passed
+// counts at once: other timers may tell of it before the context does.
+func ended(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return &endedError{cause: err}
+	}
+	if deadline, ok := ctx.Deadline(); ok && !time.Now().Before(deadline) {
+		return &endedError{cause: context.DeadlineExceeded}
+	}
+	return nil
+}
+
 // transportError turns a failed exchange into an error with a verdict.
 func transportError(address, what string, err error) error {
 	var notSent *notSentError
@@ -45,20 +65,23 @@
 	return verdict.New(v, transportCode(err, v), "%s at %s failed", what, address).WithCause(err)
 }
 
-// transportCode names the cause of a failed exchange.
+// transportCode names the cause of a failed exchange. A connection that was not
+// made in time is the endpoint's failure, which another one may cure; only the
+// end of the request's own time is its deadline.
 func transportCode(err error, v verdict.Verdict) verdict.Code {
+	var ended *endedError
 	var netErr net.Error
 	switch {
 	case errors.Is(err, context.Canceled):
 		return verdict.CodeCallerGone
+	case errors.As(err, &ended):
+		return verdict.CodeDeadline
 	case errors.Is(err, fasthttp.ErrNoFreeConns):
 		return verdict.CodeOverloaded
-	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, fasthttp.ErrTimeout):
-		return verdict.CodeDeadline
-	case errors.As(err, &netErr) && netErr.Timeout():
-		return verdict.CodeDeadline
 	case v == verdict.NotRun:
 		return verdict.CodeUnavailable
+	case errors.Is(err, fasthttp.ErrTimeout), errors.As(err, &netErr) && netErr.Timeout():
+		return verdict.CodeDeadline
 	default:
 		return verdict.CodeEndpointFailed
 	}
--- a/endpoint/client/options.go
+++ b/endpoint/client/options.go
@@ -8,7 +8,9 @@
 
 // Defaults of Options.
 const (
-	DefaultDialTimeout      = 500 * time.Millisecond
+	// DefaultDialTimeout is many round trips between failure domains, and leaves
+	// a request time for another endpoint.
+	DefaultDialTimeout      = 150 * time.Millisecond
 	DefaultTimeout          = 30 * time.Second
 	DefaultMaxConns         = 256
 	DefaultMaxResponseBytes = 8 << 20
--- a/endpoint/client/pooled.go
+++ b/endpoint/client/pooled.go
@@ -47,10 +47,13 @@
 func dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: timeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, &notSentError{cause: err}
+	if err == nil {
+		return conn, nil
+	}
+	if over := ended(ctx); over != nil {
+		err = over
 	}
-	return conn, nil
+	return nil, &notSentError{cause: err}
 }
 
 // reply is a whole response, copied out of the library's buffers.
@@ -63,7 +66,7 @@
 // call goes on unattended until its deadline and its reply is dropped. The
 // caller releases the response.
 func (p *pooled) exchange(ctx context.Context, what string, req *fasthttp.Request) (*fasthttp.Response, error) {
-	if err := ctx.Err(); err != nil {
+	if err := ended(ctx); err != nil {
 		fasthttp.ReleaseRequest(req)
 		return nil, transportError(p.address, what, &notSentError{cause: err})
 	}
@@ -78,7 +81,7 @@
 	}()
 	select {
 	case <-ctx.Done():
-		return nil, transportError(p.address, what, ctx.Err())
+		return nil, transportError(p.address, what, ended(ctx))
 	case r := <-done:
 		if r.err != nil {
 			return nil, transportError(p.address, what, r.err)
