Let answers that have arrived go before time limits that have passed

Callers saw: a request that ended with "deadline", may have run, 4 s after its decode was sent, beside load: nothing may send it again.

Cause: limits of an exchange are deadlines of the clock. A daemon that was held up (no processor, a freeze) finds them due when it goes on; a read behind its deadline is refused before its socket is looked at, and the context's timer closes the connection.

Why it holds: behind the deadline a read is tried once without waiting, so that the limit ends only an exchange of which nothing has arrived; no wait gets longer. The clients of both ways through the product and of the store are on it.

The fuzz test wraps its connection, as the type asks; its checks are as they were. Tests of endpoint, daemon, platform, standin and cmd/internal/fleet under -race: ok.

--- a/daemon/upstream/socket.go
+++ b/daemon/upstream/socket.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/samphirequay/samphirequay/endpoint/netconn"
 )
 
 const (
@@ -20,8 +22,8 @@
 )
 
 // dialer returns one whose connections notice a silent other side.
-func dialer(timeout time.Duration) net.Dialer {
-	return net.Dialer{
+func dialer(timeout time.Duration) netconn.Dialer {
+	return netconn.Dialer{Dialer: net.Dialer{
 		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
@@ -30,7 +32,7 @@
 			Count:    probeCount,
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error { return SetUserTimeout(raw) },
-	}
+	}}
 }
 
 // SetUserTimeout bounds how long bytes sent on a connection may stay
@@ -48,12 +50,8 @@
 
 // quiet says whether an unused connection has neither been closed nor got
 // bytes that nobody asked for.
-func quiet(c net.Conn) bool {
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
+func quiet(c syscall.Conn) bool {
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -9,7 +9,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"os"
 	"sync"
 	"time"
@@ -19,6 +18,7 @@
 	"github.com/samphirequay/samphirequay/core/defaults"
 	"github.com/samphirequay/samphirequay/core/verdict"
 	"github.com/samphirequay/samphirequay/daemon/metrics"
+	"github.com/samphirequay/samphirequay/endpoint/netconn"
 )
 
 // Options of a Pool; zero fields take the defaults.
@@ -59,7 +59,7 @@
 // Pool keeps connections to endpoints. It is safe for concurrent use.
 type Pool struct {
 	opts   Options
-	dialer net.Dialer
+	dialer netconn.Dialer
 
 	mu    sync.Mutex
 	hosts map[string]*host
@@ -77,7 +77,7 @@
 
 // conn is one connection.
 type conn struct {
-	net.Conn
+	*netconn.Conn
 	reader *bufio.Reader
 	// until is when it is too old to be used again; unused since idleSince.
 	until     time.Time
@@ -119,8 +119,9 @@
 // maxForeign is how many answers to other requests are skipped on a connection.
 const maxForeign = 2
 
-// Do sends the request and reads the answer, which must be closed. The end of
-// ctx closes the connection at once.
+// Do sends the request and reads the answer, which must be closed. A caller's
+// leaving closes the connection at once; the deadline of ctx leaves what has
+// arrived.
 func (p *Pool) Do(ctx context.Context, c *Call) (*Answer, *verdict.Error) {
 	if err := ctx.Err(); err != nil {
 		return nil, notRun(c, endedCode(err), err)
@@ -130,7 +131,7 @@
 		return nil, err
 	}
 	a := &Answer{pool: p, address: c.Address, conn: used, resp: fasthttp.AcquireResponse()}
-	a.stop = context.AfterFunc(ctx, func() { _ = used.Close() })
+	a.stop = used.EndWith(ctx)
 	if err := a.exchange(ctx, c); err != nil {
 		a.Close()
 		return nil, err
@@ -146,7 +147,7 @@
 	if !p.reserve(c) {
 		return nil, notRun(c, verdict.CodeOverloaded, errors.New("all connections to it are in use"))
 	}
-	made, err := p.dialer.DialContext(ctx, "tcp", c.Address)
+	made, err := p.dialer.Dial(ctx, c.Address)
 	if err != nil {
 		p.forget(c.Address)
 		return nil, notRun(c, verdict.CodeUnavailable, err)
@@ -206,7 +207,7 @@
 		if c.Careful {
 			old = old || now.Sub(k.idleSince) > k.until.Sub(k.idleSince)/carefulShare
 		}
-		if old || !quiet(k.Conn) {
+		if old || !quiet(k) {
 			_ = k.Close()
 			p.forget(c.Address)
 			continue
--- a/endpoint/client/dedicated.go
+++ b/endpoint/client/dedicated.go
@@ -9,16 +9,18 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/endpoint/netconn"
 	"github.com/valyala/fasthttp"
 )
 
-// dedicated is one exchange on a connection of its own. Closing it, or the end
-// of its context, aborts the connection at once.
+// dedicated is one exchange on a connection of its own. Closing it, or its
+// caller's leaving, aborts the connection at once; the deadline of its context
+// leaves what has arrived.
 type dedicated struct {
 	ctx     context.Context
 	address string
 	what    string
-	conn    net.Conn
+	conn    *netconn.Conn
 	reader  *bufio.Reader
 	resp    *fasthttp.Response
 	stop    func() bool
@@ -41,7 +43,7 @@
 	}
 	d := &dedicated{ctx: ctx, address: e.address, what: what, conn: conn, reader: bufio.NewReader(conn), release: release}
 	d.resp = fasthttp.AcquireResponse()
-	d.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	d.stop = conn.EndWith(ctx)
 	req.SetHost(e.address)
 	if err := d.send(req, deadline); err != nil {
 		d.Close()
--- a/endpoint/client/fuzz_test.go
+++ b/endpoint/client/fuzz_test.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/endpoint/netconn"
 	"github.com/samphirequay/samphirequay/endpoint/wire"
 )
 
@@ -38,7 +39,7 @@
 	f.Add([]byte("HTTP/1.1 409\r\nX-Endpoint-Incarnation: -1\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		d := &dedicated{
-			ctx: context.Background(), address: "a", what: "w", conn: fuzzConn{},
+			ctx: context.Background(), address: "a", what: "w", conn: netconn.New(fuzzConn{}),
 			reader: bufio.NewReader(bytes.NewReader(data)), resp: fasthttp.AcquireResponse(),
 			stop: func() bool { return true }, release: func() {},
 		}
--- a/endpoint/client/pooled.go
+++ b/endpoint/client/pooled.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"strconv"
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/endpoint/netconn"
 	"github.com/samphirequay/samphirequay/endpoint/wire"
 	"github.com/valyala/fasthttp"
 )
@@ -32,7 +34,11 @@
 		NoDefaultUserAgentHeader:  true,
 		DisablePathNormalizing:    true,
 		Dial: func(addr string) (net.Conn, error) {
-			return dial(context.Background(), addr, opt.DialTimeout)
+			conn, err := dial(context.Background(), addr, opt.DialTimeout)
+			if err != nil {
+				return nil, err // a nil *Conn is no nil net.Conn
+			}
+			return conn, nil
 		},
 	}
 	return &pooled{address: address, opt: opt, host: host}
@@ -44,9 +50,9 @@
 }
 
 // dial opens a connection; a failure is certain not to have sent a byte.
-func dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: timeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+func dial(ctx context.Context, address string, timeout time.Duration) (*netconn.Conn, error) {
+	dialer := netconn.Dialer{Dialer: net.Dialer{Timeout: timeout}}
+	conn, err := dialer.Dial(ctx, address)
 	if err == nil {
 		return conn, nil
 	}
@@ -62,8 +68,8 @@
 	err  error
 }
 
-// exchange sends the request once. It takes req over. When ctx ends first, the
-// call goes on unattended until its deadline and its reply is dropped. The
+// exchange sends the request once. It takes req over. When the caller leaves,
+// the call goes on unattended until its deadline and its reply is dropped. The
 // caller releases the response.
 func (p *pooled) exchange(ctx context.Context, what string, req *fasthttp.Request) (*fasthttp.Response, error) {
 	if err := ended(ctx); err != nil {
@@ -81,14 +87,23 @@
 	}()
 	select {
 	case <-ctx.Done():
-		return nil, transportError(p.address, what, ended(ctx))
-	case r := <-done:
-		if r.err != nil {
-			return nil, transportError(p.address, what, r.err)
+		if errors.Is(ctx.Err(), context.Canceled) {
+			return nil, transportError(p.address, what, ended(ctx))
 		}
-		p.report(r.resp)
-		return r.resp, nil
+		// The deadline ends the call below as well, unless its reply has arrived.
+		return p.finish(what, <-done)
+	case r := <-done:
+		return p.finish(what, r)
+	}
+}
+
+// finish gives a reply to the caller.
+func (p *pooled) finish(what string, r reply) (*fasthttp.Response, error) {
+	if r.err != nil {
+		return nil, transportError(p.address, what, r.err)
 	}
+	p.report(r.resp)
+	return r.resp, nil
 }
 
 // report tells the incarnation that a response carries.
--- /dev/null
+++ b/endpoint/netconn/conn_test.go
@@ -0,0 +1,130 @@
+package netconn
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// pair returns both ends of a connection, the first one wrapped.
+func pair(t *testing.T) (*Conn, net.Conn) {
+	t.Helper()
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	dialled, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	accepted, err := listener.Accept()
+	is.NoErr(err)
+	t.Cleanup(func() {
+		_ = dialled.Close()
+		_ = accepted.Close()
+	})
+	return New(dialled), accepted
+}
+
+// awaitArrival waits until bytes, or the end, lie in the connection's socket.
+func awaitArrival(t *testing.T, c *Conn) {
+	t.Helper()
+	is := is.New(t)
+	raw, err := c.SyscallConn()
+	is.NoErr(err)
+	is.NoErr(raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return !errors.Is(err, syscall.EAGAIN)
+	}))
+}
+
+// TestAnAnswerThatHasArrivedGoesBeforeADeadline: the process was held up past
+// the deadline while the answer came.
+func TestAnAnswerThatHasArrivedGoesBeforeADeadline(t *testing.T) {
+	is := is.New(t)
+	c, other := pair(t)
+	_, err := other.Write([]byte("answer"))
+	is.NoErr(err)
+	awaitArrival(t, c)
+	is.NoErr(c.SetReadDeadline(longAgo))
+	var b [16]byte
+	n, err := c.Read(b[:])
+	is.NoErr(err)
+	is.Equal(string(b[:n]), "answer")
+
+	_, err = c.Read(b[:]) // the deadline stands where nothing has arrived
+	is.True(errors.Is(err, os.ErrDeadlineExceeded))
+}
+
+// TestAnEndThatHasArrivedGoesBeforeADeadline: an answer without a length ends
+// with its connection.
+func TestAnEndThatHasArrivedGoesBeforeADeadline(t *testing.T) {
+	is := is.New(t)
+	c, other := pair(t)
+	is.NoErr(other.Close())
+	awaitArrival(t, c)
+	is.NoErr(c.SetReadDeadline(longAgo))
+	_, err := c.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+}
+
+func TestAnExpiredConnectionGivesWhatHasArrived(t *testing.T) {
+	is := is.New(t)
+	c, other := pair(t)
+	_, err := other.Write([]byte("an"))
+	is.NoErr(err)
+	awaitArrival(t, c)
+	c.Expire()
+	is.NoErr(c.SetReadDeadline(time.Now().Add(time.Hour))) // no reader waits on
+	var b [16]byte
+	n, err := c.Read(b[:])
+	is.NoErr(err)
+	is.Equal(n, 2)
+	_, err = c.Read(b[:])
+	is.True(errors.Is(err, os.ErrDeadlineExceeded))
+	_, err = c.Write([]byte("more"))
+	is.True(errors.Is(err, os.ErrDeadlineExceeded))
+}
+
+// TestADeadlineOfTheContextKeepsWhatHasArrived, while a caller who left needs
+// nothing any more.
+func TestADeadlineOfTheContextKeepsWhatHasArrived(t *testing.T) {
+	is := is.New(t)
+	c, other := pair(t)
+	_, err := other.Write([]byte("answer"))
+	is.NoErr(err)
+	awaitArrival(t, c)
+	ctx, cancel := context.WithDeadline(context.Background(), longAgo)
+	defer cancel()
+	is.True(!c.EndWith(ctx)())
+	var b [16]byte
+	n, err := c.Read(b[:])
+	is.NoErr(err)
+	is.Equal(string(b[:n]), "answer")
+	_, err = c.Read(b[:])
+	is.True(errors.Is(err, os.ErrDeadlineExceeded)) // not closed
+
+	gone, leave := context.WithCancel(context.Background())
+	c.EndWith(gone)
+	leave()
+	_, err = other.Read(b[:]) // closed
+	is.Equal(err, io.EOF)
+}
+
+func TestExpireEndsAReadThatWaits(t *testing.T) {
+	is := is.New(t)
+	c, _ := pair(t)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := c.Read(make([]byte, 1))
+		ended <- err
+	}()
+	c.Expire()
+	is.True(errors.Is(<-ended, os.ErrDeadlineExceeded))
+}
