Blame no endpoint for a caller who left while its connection was made

Callers saw: an endpoint kept free of work although it was well, so that others waited or went farther.

Cause: daemon/upstream called each dial that failed "unavailable", also one that ended since its caller hung up; the balancer then counts the endpoint as unreachable, and so does the owner of a pool. Found by looking for the fault of the dials elsewhere; how often it happens in service was not measured.

TestACallerWhoLeavesBlamesNoEndpoint failed before (unavailable for caller_gone). A silent endpoint is still unavailable, which the test checks. Tests of upstream, forward, gateway and platform under -race: ok.

--- /dev/null
+++ b/daemon/upstream/connect_test.go
@@ -0,0 +1,46 @@
+package upstream
+
+import (
+	"context"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/metrics"
+	"github.com/samphirequay/samphirequay/standin"
+)
+
+// dialSilent sends a request to an address that answers no attempt to connect;
+// during is called once the dial has begun.
+func dialSilent(t *testing.T, ctx context.Context, during func()) *verdict.Error {
+	t.Helper()
+	is := is.New(t)
+	full, err := standin.NewFullBacklog("127.0.0.1:0")
+	is.NoErr(err)
+	defer full.Close()
+	p := New(Options{Metrics: metrics.New("test"), DialTimeout: 50 * time.Millisecond})
+	defer p.Close()
+	p.dialer.Control = func(string, string, syscall.RawConn) error {
+		during()
+		return nil
+	}
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	_, failure := p.Do(ctx, &Call{Address: full.Addr(), Request: req, Until: time.Now().Add(time.Minute)})
+	is.True(failure != nil)
+	is.Equal(failure.Verdict, verdict.NotRun)
+	return failure
+}
+
+// TestACallerWhoLeavesBlamesNoEndpoint: the endpoint had not failed to take the
+// connection when its caller left; blamed for it, it would get no work.
+func TestACallerWhoLeavesBlamesNoEndpoint(t *testing.T) {
+	is := is.New(t)
+	ctx, leave := context.WithCancel(context.Background())
+	is.Equal(dialSilent(t, ctx, leave).Code, verdict.CodeCallerGone)
+	is.Equal(dialSilent(t, context.Background(), func() {}).Code, verdict.CodeUnavailable)
+}
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -150,12 +150,21 @@
 	made, err := p.dialer.Dial(ctx, c.Address)
 	if err != nil {
 		p.forget(c.Address)
-		return nil, notRun(c, verdict.CodeUnavailable, err)
+		return nil, notRun(c, dialCode(ctx), err)
 	}
 	p.dialled.Inc()
 	return &conn{Conn: made, reader: bufio.NewReader(made)}, nil
 }
 
+// dialCode names the cause of a failed dial: a caller who left tells nothing
+// about the endpoint.
+func dialCode(ctx context.Context) verdict.Code {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return verdict.CodeCallerGone
+	}
+	return verdict.CodeUnavailable
+}
+
 // reserve counts a new connection, if the bound allows it.
 func (p *Pool) reserve(c *Call) bool {
 	p.mu.Lock()
