Take up an answer whose head did not come, where the engine holds it

Callers saw: "deadline" or "endpoint_failed", may have run, for a request that its engine was answering; nobody may send it again, and where it was retried the prompt was read twice.

Cause: a decode order that gave no stream counted as lost. The engine names the attempt and keeps its answer, but was asked for it only where the caller came back.

Why it holds: the resume names the attempt, so what is followed is this request's answer behind what was delivered; an engine that does not hold it says so, and the failure stays what it was (TestWhatIsNotHeldIsNotTakenUp).

The fakes of fail_test.go are made by two functions now, so that both files use them; its checks are as they were.

--- a/daemon/completion/attempt.go
+++ b/daemon/completion/attempt.go
@@ -118,12 +118,35 @@
 	sent := a.Now()
 	ts, err := a.Engines.Decode(ctx, a.decode, a.decodeRequest())
 	if err != nil {
-		return a.decodeRefused(ctx, asVerdict(err))
+		failure := asVerdict(err)
+		if ts = a.takeUp(ctx, failure); ts == nil {
+			return a.decodeRefused(ctx, failure)
+		}
 	}
 	defer ts.Close()
 	return a.follow(ctx, ts, sent)
 }
 
+// takeUp asks the engine for the answer to a decode order whose response was
+// lost or late: what may have run can't be sent again, but if the engine holds
+// it, it can be followed. nil if the engine doesn't.
+func (a *attempt) takeUp(ctx context.Context, failure *verdict.Error) TokenStream {
+	if failure.Verdict == verdict.NotRun || ctx.Err() != nil {
+		return nil
+	}
+	ts, err := a.Engines.Resume(ctx, a.decode, a.want.Request, a.p.seq.Delivered(), a.Self)
+	outcome := "taken_up"
+	if err != nil {
+		outcome = err.Error()
+	}
+	a.Recorder.Decision("request", string(a.p.job.ID), "head_missed",
+		"attempt", a.want.Request, "endpoint", a.decode.Name, "code", failure.Code, "err", failure.Error(), "outcome", outcome)
+	if err != nil {
+		return nil
+	}
+	return ts
+}
+
 // bind settles which endpoint decodes.
 func (a *attempt) bind(ctx context.Context) *verdict.Error {
 	began := a.Now()
--- a/daemon/completion/fail_test.go
+++ b/daemon/completion/fail_test.go
@@ -105,13 +105,20 @@
 func (s *fakeStream) Close() error                { return nil }
 func (s *fakeStream) Incarnation() id.Incarnation { return 7 }
 
-func (f *fakes) run(resume *ResumePoint) *verdict.Error {
-	r := New(Deps{
-		Pairer: f, Engines: fakeEngines{f}, Cancels: f, Retries: f, Recorder: f, Catalog: f,
+// deps are a Runner's, with these engines.
+func (f *fakes) deps(engines Engines) Deps {
+	return Deps{
+		Pairer: f, Engines: engines, Cancels: f, Retries: f, Recorder: f, Catalog: f,
 		Now: func() time.Duration { return f.now }, NewID: func() id.Request { return "attempt" },
-	})
-	job := &Job{ID: "job", Team: &live.Team{}, Service: &live.Service{PatienceMS: 1000, TimeoutMS: 10000}, Prompt: "p", MaxTokens: 8, Resume: resume}
-	return r.Run(context.Background(), job, f)
+	}
+}
+
+func testJob(resume *ResumePoint) *Job {
+	return &Job{ID: "job", Team: &live.Team{}, Service: &live.Service{PatienceMS: 1000, TimeoutMS: 10000}, Prompt: "p", MaxTokens: 8, Resume: resume}
+}
+
+func (f *fakes) run(resume *ResumePoint) *verdict.Error {
+	return New(f.deps(fakeEngines{f})).Run(context.Background(), testJob(resume), f)
 }
 
 // TestBrokenAnswerAdvisesToResume breaks an answer off after its beginning, and
--- /dev/null
+++ b/daemon/completion/takeup_test.go
@@ -0,0 +1,81 @@
+package completion
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/sched"
+	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
+)
+
+// headless engines take a decode order whose answer's head never comes.
+type headless struct {
+	fakeEngines
+	// decode is how the order ended.
+	decode *verdict.Error
+	// resume is how a resume ends; nil for the answer.
+	resume  *verdict.Error
+	resumed []id.Request
+	decodes int
+}
+
+func (h *headless) Decode(context.Context, *live.Endpoint, *wire.DecodeRequest) (TokenStream, error) {
+	h.decodes++
+	return nil, h.decode
+}
+
+func (h *headless) Resume(ctx context.Context, e *live.Endpoint, attempt id.Request, after int, owner id.Process) (TokenStream, error) {
+	h.resumed = append(h.resumed, attempt)
+	if h.resume != nil {
+		return nil, h.resume
+	}
+	return h.fakeEngines.Resume(ctx, e, attempt, after, owner)
+}
+
+// runHeadless serves one job.
+func runHeadless(h *headless) *verdict.Error {
+	r := New(h.fakes.deps(h))
+	return r.Run(context.Background(), testJob(nil), h.fakes)
+}
+
+// TestAnAnswerWhoseHeadDidNotComeIsTakenUp: the engine runs the request, and the
+// daemon or the engine was held up past the time limit, or the connection broke.
+// Given up, the request may have run, so that nobody may send it again.
+func TestAnAnswerWhoseHeadDidNotComeIsTakenUp(t *testing.T) {
+	for _, code := range []verdict.Code{verdict.CodeDeadline, verdict.CodeEndpointFailed} {
+		t.Run(string(code), func(t *testing.T) {
+			is := is.New(t)
+			f := &fakes{tokens: 3, finish: true}
+			h := &headless{fakeEngines: fakeEngines{f}, decode: verdict.New(verdict.MayHaveRun, code, "no head")}
+			is.True(runHeadless(h) == nil)
+			is.Equal(h.resumed, []id.Request{"attempt"})
+			last := f.progress[len(f.progress)-1]
+			is.Equal(last.Phase, sched.PhaseDone)
+			is.Equal(last.OutputTokens, 3)
+		})
+	}
+}
+
+// TestWhatIsNotHeldIsNotTakenUp: one question is asked, and the failure stays
+// what it was; what has certainly not run is not asked for.
+func TestWhatIsNotHeldIsNotTakenUp(t *testing.T) {
+	is := is.New(t)
+	unknown := verdict.New(verdict.MayHaveRun, "unknown_request", "the engine holds no such request")
+	h := &headless{
+		fakeEngines: fakeEngines{&fakes{}}, resume: unknown,
+		decode: verdict.New(verdict.MayHaveRun, verdict.CodeDeadline, "no head"),
+	}
+	err := runHeadless(h)
+	is.Equal(err.Code, verdict.CodeDeadline)
+	is.Equal(err.Verdict, verdict.MayHaveRun)
+	is.Equal(len(h.resumed), 1)
+
+	h = &headless{fakeEngines: fakeEngines{&fakes{}}, decode: verdict.New(verdict.NotRun, verdict.CodeOverloaded, "full")}
+	is.Equal(runHeadless(h).Verdict, verdict.NotRun)
+	is.Equal(len(h.resumed), 0)
+}
