Wait on for a pool's owner where this daemon was held up

Cause: the asker gives up by the clock. A tick that comes late since the daemon got no processor finds requests out of patience and gives them up before it has taken in the owner's grant.

Why it holds: the want goes out again at that tick and an owner that lives answers within milliseconds; 250 ms more, once, and only behind a tick that came 100 ms late, so that a silent owner is given up as before (TestAnOwnerThatStaysSilentIsGivenUp). core/pairing, core/overload, core/randomrun, daemon/broker under -race: ok.

--- a/core/pairing/asker.go
+++ b/core/pairing/asker.go
@@ -27,6 +27,12 @@
 	// DefaultMargin is added to a request's patience before the asker gives up
 	// on its owner by itself.
 	DefaultMargin = 100 * time.Millisecond
+	// lateTick is how far behind its time a tick comes only where this daemon
+	// was held up.
+	lateTick = 100 * time.Millisecond
+	// heldUpGrace is how long a request that ran out of patience meanwhile waits
+	// on: its owner's answer may lie ready.
+	heldUpGrace = DefaultResend
 )
 
 // Message is what the asker wants sent to a pool's owner. One field is set.
@@ -81,6 +87,8 @@
 	// resend is how long after sentAt the want is sent again.
 	resend time.Duration
 	giveUp time.Duration
+	// graced is set once giveUp was put off.
+	graced bool
 	owner  id.Daemon
 	grant  *sched.Grant
 	phase  sched.Phase
@@ -305,24 +313,30 @@
 // Next is when Tick is due; far away when nothing waits for an answer.
 func (a *Asker) Next() time.Duration { return a.due }
 
-// Tick sends unanswered Wants again and gives up on those out of patience. It
-// looks through the entries only when one may be due.
+// Tick sends unanswered Wants again and gives up on those out of patience, but
+// not for time in which this daemon was held up. It looks through the entries
+// only when one may be due.
 func (a *Asker) Tick(now time.Duration) Output {
 	a.now = max(a.now, now)
 	var out Output
 	if now < a.due {
 		return out
 	}
+	heldUp := now > a.due+lateTick
 	a.due = never
 	for _, r := range a.sorted() {
 		e := a.entries[r]
 		if e.grant != nil {
 			continue
 		}
-		if now >= e.giveUp {
+		if now >= e.giveUp && (!heldUp || e.graced) {
 			out.append(a.abandon(e))
 			continue
 		}
+		if now >= e.giveUp {
+			e.graced = true
+			e.giveUp = now + heldUpGrace
+		}
 		if now-e.sentAt >= e.resend {
 			out.append(a.sendWant(now, e, min(2*e.resend, max(resendMost, e.resend))))
 		}
