Tell what has not run with 503, not with 502 or 504

Callers saw: 504 for a request that had certainly not run. The verdict and the advice to come back stood in header and body, but one who knows only HTTP must take 504 for "may have run" and may not send the request again.

Cause: the status was chosen by the code alone. The users' platform chooses it by the verdict already. Found with the endings of the known failure (504, deadline, not-run). TestWhatHasNotRunIsNoGatewayError failed before (504 for 503).

--- a/daemon/front/errors.go
+++ b/daemon/front/errors.go
@@ -10,8 +10,18 @@
 	"github.com/samphirequay/samphirequay/daemon/httpjson"
 )
 
-// statusOf maps a code to an HTTP status.
-func statusOf(code verdict.Code) int {
+// statusOf maps an error to an HTTP status. 502 and 504 promise nothing to a
+// caller who knows only HTTP, so that they stand for what may have run alone.
+func statusOf(err *verdict.Error) int {
+	status := statusOfCode(err.Code)
+	if err.Verdict == verdict.NotRun && status > fasthttp.StatusInternalServerError {
+		return fasthttp.StatusServiceUnavailable
+	}
+	return status
+}
+
+// statusOfCode maps a code to an HTTP status.
+func statusOfCode(code verdict.Code) int {
 	switch code {
 	case verdict.CodeBadRequest:
 		return fasthttp.StatusBadRequest
@@ -42,7 +52,7 @@
 
 // writeError answers with an error; nothing was written before.
 func writeError(ctx *fasthttp.RequestCtx, err *verdict.Error, request id.Request) {
-	httpjson.WriteError(ctx, statusOf(err.Code), err, request)
+	httpjson.WriteError(ctx, statusOf(err), err, request)
 }
 
 // reject refuses a request before it got an id.
--- /dev/null
+++ b/daemon/front/errors_test.go
@@ -0,0 +1,31 @@
+package front
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+// TestWhatHasNotRunIsNoGatewayError: a caller who knows only HTTP may send a
+// request again behind 503, and must take 502 and 504 for "may have run".
+func TestWhatHasNotRunIsNoGatewayError(t *testing.T) {
+	cases := []struct {
+		verdict verdict.Verdict
+		code    verdict.Code
+		want    int
+	}{
+		{verdict.NotRun, verdict.CodeDeadline, fasthttp.StatusServiceUnavailable},
+		{verdict.NotRun, verdict.CodeEndpointFailed, fasthttp.StatusServiceUnavailable},
+		{verdict.MayHaveRun, verdict.CodeDeadline, fasthttp.StatusGatewayTimeout},
+		{verdict.MayHaveRun, verdict.CodeEndpointFailed, fasthttp.StatusBadGateway},
+		{verdict.NotRun, verdict.CodeTeamLimit, fasthttp.StatusTooManyRequests},
+		{verdict.NotRun, verdict.CodeInternal, fasthttp.StatusInternalServerError},
+	}
+	for _, c := range cases {
+		is := is.New(t)
+		is.Equal(statusOf(verdict.New(c.verdict, c.code, "failed")), c.want)
+	}
+}
