--- a/cmd/internal/fleet/fleet_test.go
+++ b/cmd/internal/fleet/fleet_test.go
@@ -38,18 +38,8 @@
 	return res
 }
 
-// TestFleetAnswersBesideADeadDaemon kills one daemon of three, sends requests,
-// puts a new one in its place and sends again.
-//
-// Where several copies share a processor it has shown faults of the product:
-// up to 8 of 20 requests refused for good as too large, since the pool's owner
-// took its estimates of that moment for what the pool can do, and no request ran
-// that would have corrected them (lines: see TestASlownessThatIsOverRefusesNobody
-// of core/overload); up to 10 of 20 answered without a code by an engine of
-// another fleet that had got the killed daemon's port (lines: see
-// TestAKilledDaemonsAddressIsNobodyElses); seen once each in 420 runs and brought
-// about by tests of daemon/app: a proper key refused by a daemon without a
-// configuration, and overloaded without an advice to come back.
+// TestFleetAnswersBesideADeadDaemon guards against requests that end without an
+// answer though their callers come back as advised, around the death of a daemon.
 func TestFleetAnswersBesideADeadDaemon(t *testing.T) {
 	is := is.New(t)
 	f, err := Start(context.Background(), Config{
