Follow an answer on whose connection broke, where the engine holds it

Callers saw: nothing but a pause; the prompt was read again at another engine, in vain where the first one wrote on. The same fault as with an answer whose head did not come, found by looking for it elsewhere.

Cause: a broken connection counted as a broken engine. Why it holds: the resume names the attempt and the events behind what was delivered; it is asked for only where tokens came since the last time and the connection broke, not where the engine stalls, and a start of the engine in between ends it. TestAnAnswerWhoseConnectionBreaksIsFollowed failed before; TestAnEngineThatStallsIsLeft keeps the other side.

--- a/daemon/completion/attempt.go
+++ b/daemon/completion/attempt.go
@@ -123,13 +123,12 @@
 			return a.decodeRefused(ctx, failure)
 		}
 	}
-	defer ts.Close()
 	return a.follow(ctx, ts, sent)
 }
 
-// takeUp asks the engine for the answer to a decode order whose response was
-// lost or late: what may have run can't be sent again, but if the engine holds
-// it, it can be followed. nil if the engine doesn't.
+// takeUp asks the engine for an answer whose beginning was lost or late, or whose
+// connection broke: what may have run can't be sent again, but if the engine
+// holds it, it can be followed. nil if the engine doesn't.
 func (a *attempt) takeUp(ctx context.Context, failure *verdict.Error) TokenStream {
 	if failure.Verdict == verdict.NotRun || ctx.Err() != nil {
 		return nil
@@ -139,7 +138,7 @@
 	if err != nil {
 		outcome = err.Error()
 	}
-	a.Recorder.Decision("request", string(a.p.job.ID), "head_missed",
+	a.Recorder.Decision("request", string(a.p.job.ID), "stream_missed",
 		"attempt", a.want.Request, "endpoint", a.decode.Name, "code", failure.Code, "err", failure.Error(), "outcome", outcome)
 	if err != nil {
 		return nil
@@ -210,16 +209,26 @@
 	a.Cancels.Cancel(a.decode, a.want.Request, func() { a.release(p) })
 }
 
-// follow delivers the stream's tokens until its end. The owner is told how many
-// came by this attempt: what others wrote before tells nothing about its pace.
+// follow delivers the stream's tokens until its end, and closes it. The owner is
+// told how many came by this attempt: what others wrote before tells nothing
+// about its pace.
 func (a *attempt) follow(ctx context.Context, ts TokenStream, sent time.Duration) *verdict.Error {
+	defer func() { _ = ts.Close() }()
 	a.p.seq.Switch(a.want.Request)
 	began := false
 	before := a.p.seq.Delivered()
+	resumedAt := before
 	for {
 		ev, err := ts.Next()
 		if err != nil {
-			return a.streamFailed(ctx, asVerdict(err))
+			failure := asVerdict(err)
+			next := a.reconnect(ctx, ts, failure, resumedAt)
+			if next == nil {
+				return a.streamFailed(ctx, failure)
+			}
+			_ = ts.Close()
+			ts, resumedAt = next, a.p.seq.Delivered()
+			continue
 		}
 		if !began {
 			began = true
@@ -237,6 +246,23 @@
 	}
 }
 
+// reconnect follows an answer on whose connection broke, if tokens came since the
+// last time. An engine that stalls is left for another one at once.
+func (a *attempt) reconnect(ctx context.Context, broken TokenStream, failure *verdict.Error, resumedAt int) TokenStream {
+	if failure.Code != verdict.CodeEndpointFailed || a.p.seq.Delivered() == resumedAt {
+		return nil
+	}
+	ts := a.takeUp(ctx, failure)
+	if ts == nil {
+		return nil
+	}
+	if ts.Incarnation() != broken.Incarnation() {
+		_ = ts.Close()
+		return nil
+	}
+	return ts
+}
+
 func transferTime(ev wire.TokenEvent, elapsed time.Duration) time.Duration {
 	if ev.TransferMS > 0 {
 		return time.Duration(ev.TransferMS * float64(time.Millisecond))
--- a/daemon/completion/rejoin.go
+++ b/daemon/completion/rejoin.go
@@ -20,8 +20,8 @@
 	if err != nil {
 		return asVerdict(err)
 	}
-	defer ts.Close()
 	if ts.Incarnation() != rp.Incarnation {
+		_ = ts.Close()
 		return verdict.New(verdict.MayHaveRun, verdict.CodeEndpointFailed, "endpoint %s was restarted", rp.Endpoint)
 	}
 	a := &attempt{Runner: r, p: p, decode: endpoint}
--- a/daemon/completion/takeup_test.go
+++ b/daemon/completion/takeup_test.go
@@ -79,3 +79,58 @@
 	is.Equal(runHeadless(h).Verdict, verdict.NotRun)
 	is.Equal(len(h.resumed), 0)
 }
+
+// brokenOnce engines break the first stream of an attempt behind some tokens;
+// what they hold can be followed to its end.
+type brokenOnce struct {
+	fakeEngines
+	behind  int
+	err     *verdict.Error
+	resumes []int
+}
+
+func (b *brokenOnce) Decode(_ context.Context, _ *live.Endpoint, r *wire.DecodeRequest) (TokenStream, error) {
+	return &breaking{fakeStream: fakeStream{fakes: b.fakes, request: r.Request, at: r.Continue}, behind: b.behind, err: b.err}, nil
+}
+
+func (b *brokenOnce) Resume(ctx context.Context, e *live.Endpoint, attempt id.Request, after int, owner id.Process) (TokenStream, error) {
+	b.resumes = append(b.resumes, after)
+	return b.fakeEngines.Resume(ctx, e, attempt, after, owner)
+}
+
+// breaking is a stream that ends with an error behind some tokens.
+type breaking struct {
+	fakeStream
+	behind int
+	err    *verdict.Error
+}
+
+func (s *breaking) Next() (wire.TokenEvent, error) {
+	if s.sent == s.behind {
+		return wire.TokenEvent{}, s.err
+	}
+	return s.fakeStream.Next()
+}
+
+// TestAnAnswerWhoseConnectionBreaksIsFollowed: the engine writes on behind a
+// broken connection. Read again elsewhere, the prompt would have been read in
+// vain here.
+func TestAnAnswerWhoseConnectionBreaksIsFollowed(t *testing.T) {
+	is := is.New(t)
+	f := &fakes{tokens: 5, finish: true}
+	b := &brokenOnce{fakeEngines: fakeEngines{f}, behind: 2, err: verdict.New(verdict.MayHaveRun, verdict.CodeEndpointFailed, "reset")}
+	is.True(New(f.deps(b)).Run(context.Background(), testJob(nil), f) == nil)
+	is.Equal(b.resumes, []int{2})
+	is.Equal(len(f.wants), 1) // no other pair was asked for
+	is.Equal(f.progress[len(f.progress)-1].Phase, sched.PhaseDone)
+}
+
+// TestAnEngineThatStallsIsLeft: one that sends nothing for the time between two
+// tokens is not waited for once more.
+func TestAnEngineThatStallsIsLeft(t *testing.T) {
+	is := is.New(t)
+	f := &fakes{tokens: 5}
+	b := &brokenOnce{fakeEngines: fakeEngines{f}, behind: 2, err: verdict.New(verdict.MayHaveRun, verdict.CodeDeadline, "silent")}
+	is.True(New(f.deps(b)).Run(context.Background(), testJob(nil), f) != nil)
+	is.Equal(len(b.resumes), 0)
+}
