--- /dev/null
+++ b/daemon/app/reset_test.go
@@ -0,0 +1,29 @@
+package app
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/standin"
+)
+
+// TestAnAnswerSurvivesItsEnginesConnection: the network between daemon and engine
+// breaks in the midst of an answer. The engine writes on, and the prompt is read
+// once.
+func TestAnAnswerSurvivesItsEnginesConnection(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(t, 1, twoOfEach(), nil)
+	f.slowTokens(4)
+	const tokens = 40
+	prompt := strings.Repeat("certificate of quality, flash point 71 C. ", 20)
+	resp := f.startStream(f.daemons[0], prompt, tokens)
+	defer resp.Body.Close()
+	f.lastPaired(standin.RoleDecode).ResetConnections()
+	text, _, ended := readStream(t, resp, 0)
+	is.True(ended)
+	is.Equal(text, standin.Answer(prompt, tokens))
+	is.True(strings.Contains(f.log.String(), "outcome=taken_up"))
+	is.Equal(strings.Count(f.log.String(), "event=prefilled"), 1)
+}
--- a/standin/backlog.go
+++ b/standin/backlog.go
@@ -103,3 +103,7 @@
 // FillBacklog makes the endpoint answer no further attempt to connect until it
 // is closed; connections that are open go on.
 func (e *endpoint) FillBacklog() error { return e.server.FillBacklog() }
+
+// ResetConnections resets the connections that are open now, as a network does
+// that breaks; the endpoint goes on with its work.
+func (e *endpoint) ResetConnections() { e.server.ResetConnections() }
--- a/standin/server.go
+++ b/standin/server.go
@@ -111,18 +111,26 @@
 	if listener != nil {
 		listener.dead = true
 	}
+	s.mu.Unlock()
+	if listener != nil {
+		_ = listener.Close()
+	}
+	s.ResetConnections()
+	return aborts
+}
+
+// ResetConnections resets the connections that are open now, as a network does
+// that breaks; the stand-in goes on with its work.
+func (s *Server) ResetConnections() {
+	s.mu.Lock()
 	conns := make([]*trackedConn, 0, len(s.conns))
 	for c := range s.conns {
 		conns = append(conns, c)
 	}
 	s.mu.Unlock()
-	if listener != nil {
-		_ = listener.Close()
-	}
 	for _, c := range conns {
 		c.reset()
 	}
-	return aborts
 }
 
 // reopen listens again at the same address behind an abort; it tries until it
