Give the plain calls of the test time for a second attempt on a busy host

Their patience was 360 ms, of which a connection that is not made takes 150: the verdict would have hung on the speed of the machine. The stand-ins' document can state the patience of plain calls as it does for completions.

--- a/daemon/app/connect_test.go
+++ b/daemon/app/connect_test.go
@@ -32,6 +32,7 @@
 	cfg.Plains = cfg.Plains[:2]
 	// Time enough for a second attempt on a busy host.
 	cfg.PatienceMS = 10_000
+	cfg.PlainPatienceMS = 10_000
 	return cfg
 }
 
--- a/standin/document.go
+++ b/standin/document.go
@@ -36,9 +36,10 @@
 	}
 	if cfg.PlainService != "" {
 		out = append(out, live.Service{
-			Name: id.Service(cfg.PlainService),
-			Type: live.ServicePlain,
-			Pool: id.Pool(cfg.PlainService),
+			Name:       id.Service(cfg.PlainService),
+			Type:       live.ServicePlain,
+			Pool:       id.Pool(cfg.PlainService),
+			PatienceMS: cfg.PlainPatienceMS,
 		})
 	}
 	return out
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -40,11 +40,12 @@
 	ModelService, PlainService string
 	// WasteWeight of the model service, see package live.
 	WasteWeight float64
-	// PatienceMS of the model service; 0 leaves the default.
-	PatienceMS int
-	Engines    []EngineConfig
-	Plains     []PlainConfig
-	Table      TableConfig
+	// PatienceMS of the model service and PlainPatienceMS of the plain one; 0
+	// leaves the default.
+	PatienceMS, PlainPatienceMS int
+	Engines                     []EngineConfig
+	Plains                      []PlainConfig
+	Table                       TableConfig
 	// Hosts is the first host list; HostsLag is how late changes show.
 	Hosts          []wire.Host
 	HostsLag       time.Duration
