Say of requests without an end whether they were lost with their daemon

The report counted them as NO END and left on call to guess. Their reason is told by the daemon's own lines: it started again behind the grant, logged nothing more, or went on and tells no end. TestARequestWithoutAnEndIsToldWhy.

--- a/cmd/internal/account/build.go
+++ b/cmd/internal/account/build.go
@@ -58,6 +58,7 @@
 	}
 	for id, a := range b.granted {
 		if !ended[id] {
+			a.reason = b.untold(a)
 			b.attempts = append(b.attempts, a)
 		}
 	}
--- /dev/null
+++ b/cmd/internal/account/ends.go
@@ -0,0 +1,63 @@
+package account
+
+import (
+	"time"
+
+	"github.com/samphirequay/samphirequay/cmd/internal/logstory"
+)
+
+// The reasons of attempts whose end is not logged.
+const (
+	// reasonLost: the daemon started again behind the grant.
+	reasonLost = "lost with its daemon, which started again"
+	// reasonSilent: the daemon logged nothing more.
+	reasonSilent = "lost with its daemon, which logged nothing more"
+	// reasonUntold: the daemon went on; its line was dropped, or the request
+	// still ran when the logs ended.
+	reasonUntold = "its daemon went on and tells no end"
+)
+
+// silentAfter is how long before the end of all logs a daemon's last line counts
+// as its own end: one that lives tells something each 10 s.
+const silentAfter = 12 * time.Second
+
+// life is what a daemon's lines tell of its processes.
+type life struct {
+	starts []time.Time
+	last   time.Time
+}
+
+// seen notes a line of a daemon.
+func (b *builder) seen(l *logstory.Line) {
+	d := b.lives[l.Daemon]
+	if d == nil {
+		d = &life{}
+		b.lives[l.Daemon] = d
+	}
+	if l.Event == eventStarted {
+		d.starts = append(d.starts, l.At)
+	}
+	d.last = later(d.last, l.At)
+	b.last = later(b.last, l.At)
+}
+
+// untold is why the end of an attempt is not logged.
+func (b *builder) untold(a *attempt) string {
+	d := b.lives[a.daemon]
+	for _, start := range d.starts {
+		if start.After(a.arrived) {
+			return reasonLost
+		}
+	}
+	if b.last.Sub(d.last) > silentAfter {
+		return reasonSilent
+	}
+	return reasonUntold
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/cmd/internal/account/ends_test.go
@@ -0,0 +1,44 @@
+package account
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestARequestWithoutAnEndIsToldWhy: on call must see whether the daemon died
+// under it, or its line is missing.
+func TestARequestWithoutAnEndIsToldWhy(t *testing.T) {
+	is := is.New(t)
+	line := func(at, daemon, rest string) string {
+		return "ts=2026-12-03T10:00:" + at + "Z daemon=" + daemon + " level=info " + rest + "\n"
+	}
+	granted := func(at, daemon, id string) string {
+		return line(at, daemon, "event=granted request="+id+" route=r print="+id)
+	}
+	ended := line("20.0", "d3", "event=request request=x4 route=r service=s kind=stream target=900ms print=x4 took=100ms first=80ms outcome=answered status=200 in_time=true")
+	text := granted("01.0", "d1", "x1") + line("02.0", "d1", "event=daemon_started") + line("20.0", "d1", "event=pool_lost") +
+		granted("03.0", "d2", "x2") +
+		granted("04.0", "d3", "x3") + ended
+	a, err := Make(read(t, text), Options{})
+	is.NoErr(err)
+	is.Equal(a.Routes[0].Counts, Counts{Asked: 4, InTime: 1, NoEnd: 3})
+	why := map[string]int{}
+	for _, r := range a.Reasons {
+		is.Equal(r.Outcome, outcomeNoEnd)
+		why[r.Reason] = r.Count
+	}
+	is.Equal(why, map[string]int{reasonLost: 1, reasonSilent: 1, reasonUntold: 1})
+}
+
+// TestAStartBeforeTheGrantLosesNothing: it was the start of the daemon that
+// granted.
+func TestAStartBeforeTheGrantLosesNothing(t *testing.T) {
+	is := is.New(t)
+	text := "ts=2026-12-03T10:00:01Z daemon=d1 level=info event=daemon_started\n" +
+		"ts=2026-12-03T10:00:02Z daemon=d1 level=info event=granted request=x route=r print=x\n" +
+		"ts=2026-12-03T10:00:03Z daemon=d1 level=info event=request request=y route=r service=s kind=stream target=900ms print=y took=100ms outcome=answered status=200 in_time=true\n"
+	a, err := Make(read(t, text), Options{})
+	is.NoErr(err)
+	is.Equal(a.Reasons[0].Reason, reasonUntold)
+}
--- a/cmd/internal/account/read.go
+++ b/cmd/internal/account/read.go
@@ -17,6 +17,7 @@
 	eventWasted    = "prefill_wasted"
 	eventResumed   = "stream_resumed"
 	eventPoolState = "pool_state"
+	eventStarted   = "daemon_started"
 )
 
 // Words of the fields.
@@ -38,6 +39,7 @@
 // attempt is one attempt of a caller, as its daemon logged its end.
 type attempt struct {
 	id, route, service, kind string
+	daemon                   string
 	team                     string
 	print                    string
 	arrived                  time.Time
@@ -65,6 +67,9 @@
 	vain    []vainRead
 	pools   []poolLine
 	bad     int
+	// lives are the daemons that logged, by name; last is the newest line.
+	lives map[string]*life
+	last  time.Time
 }
 
 // vainRead is one prompt that was read in vain.
@@ -80,12 +85,13 @@
 }
 
 func newBuilder(o Options) *builder {
-	return &builder{options: o, retries: map[string]time.Duration{}, granted: map[string]*attempt{}}
+	return &builder{options: o, retries: map[string]time.Duration{}, granted: map[string]*attempt{}, lives: map[string]*life{}}
 }
 
 // take reads one line. One whose fields can't be read counts as unreadable.
 func (b *builder) take(l *logstory.Line) {
 	f := fields{values: l.Fields}
+	b.seen(l)
 	switch l.Event {
 	case eventRequest:
 		b.request(l, &f)
@@ -114,6 +120,7 @@
 	}
 	b.granted[id] = &attempt{
 		id: id, route: f.text("route"), kind: kindStream, print: f.text("print"), arrived: l.At, outcome: outcomeNoEnd,
+		daemon: l.Daemon,
 	}
 }
 
