Bound what is read behind a deadline that has passed

Reading what has arrived let an endpoint that never stops sending hold a request past its time for good. Found on reading the change once more. 1 MiB is read behind one deadline at the most. TestAFloodEndsWithItsDeadline does not end without the bound (stopped after 20 s).

--- a/endpoint/client/errors.go
+++ b/endpoint/client/errors.go
@@ -69,12 +69,12 @@
 // made in time is the endpoint's failure, which another one may cure; only the
 // end of the request's own time is its deadline.
 func transportCode(err error, v verdict.Verdict) verdict.Code {
-	var ended *endedError
+	var over *endedError
 	var netErr net.Error
 	switch {
 	case errors.Is(err, context.Canceled):
 		return verdict.CodeCallerGone
-	case errors.As(err, &ended):
+	case errors.As(err, &over):
 		return verdict.CodeDeadline
 	case errors.Is(err, fasthttp.ErrNoFreeConns):
 		return verdict.CodeOverloaded
--- a/endpoint/netconn/conn.go
+++ b/endpoint/netconn/conn.go
@@ -18,6 +18,10 @@
 // longAgo is a deadline that has passed.
 var longAgo = time.Unix(1, 0)
 
+// maxLateBytes are read behind one deadline at the most, so that an endpoint
+// which never stops sending can't hold a request past its time.
+const maxLateBytes = 1 << 20
+
 // Conn is a TCP connection whose reads prefer bytes that have arrived to a
 // deadline that has passed. The net.Conn methods are those of its connection.
 type Conn struct {
@@ -25,6 +29,8 @@
 
 	mu      sync.Mutex
 	expired bool
+	// late is how many bytes were read behind the present deadline.
+	late int
 }
 
 // New wraps a connection.
@@ -46,8 +52,8 @@
 	return 0, err
 }
 
-// arrived reads once without waiting. ready is false if nothing was there; no
-// bytes that are ready are the connection's end.
+// arrived reads once without waiting. ready is false if nothing was there; with
+// ready, an n of 0 is the connection's end.
 func (c *Conn) arrived(b []byte) (n int, ready bool) {
 	raw, err := c.SyscallConn()
 	if err != nil || len(b) == 0 {
@@ -56,10 +62,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// A deadline that has passed forbids the read below, too.
-	if c.Conn.SetReadDeadline(time.Time{}) != nil {
+	if c.late == maxLateBytes || c.Conn.SetReadDeadline(time.Time{}) != nil {
 		return 0, false
 	}
 	defer func() { _ = c.Conn.SetReadDeadline(longAgo) }()
+	b = b[:min(len(b), maxLateBytes-c.late)]
 	var failed error
 	err = raw.Read(func(fd uintptr) bool {
 		n, failed = syscall.Read(int(fd), b)
@@ -68,6 +75,7 @@
 	if err != nil || failed != nil {
 		return 0, false
 	}
+	c.late += n
 	return n, true
 }
 
@@ -99,6 +107,7 @@
 	if c.expired {
 		return nil
 	}
+	c.late = 0
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -109,6 +118,7 @@
 	if c.expired {
 		return nil
 	}
+	c.late = 0
 	return c.Conn.SetDeadline(t)
 }
 
--- a/endpoint/netconn/conn_test.go
+++ b/endpoint/netconn/conn_test.go
@@ -44,6 +44,22 @@
 	}))
 }
 
+// awaitData waits until bytes lie in the socket of a connection whose deadline has
+// passed.
+func awaitData(t *testing.T, c *Conn) {
+	t.Helper()
+	is := is.New(t)
+	raw, err := c.SyscallConn()
+	is.NoErr(err)
+	for empty := true; empty; {
+		is.NoErr(raw.Control(func(fd uintptr) {
+			var one [1]byte
+			_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			empty = errors.Is(err, syscall.EAGAIN)
+		}))
+	}
+}
+
 // TestAnAnswerThatHasArrivedGoesBeforeADeadline: the process was held up past
 // the deadline while the answer came.
 func TestAnAnswerThatHasArrivedGoesBeforeADeadline(t *testing.T) {
@@ -74,6 +90,38 @@
 	is.Equal(err, io.EOF)
 }
 
+// TestAFloodEndsWithItsDeadline: an endpoint that never stops sending must not
+// hold a request past its time for longer than what lies in a socket takes.
+func TestAFloodEndsWithItsDeadline(t *testing.T) {
+	is := is.New(t)
+	c, other := pair(t)
+	go func() {
+		block := make([]byte, 64<<10)
+		for {
+			if _, err := other.Write(block); err != nil {
+				return
+			}
+		}
+	}()
+	is.NoErr(c.SetReadDeadline(longAgo))
+	got := 0
+	b := make([]byte, 4096)
+	for got <= maxLateBytes {
+		awaitData(t, c)
+		n, err := c.Read(b)
+		if err != nil {
+			is.True(errors.Is(err, os.ErrDeadlineExceeded))
+			break
+		}
+		got += n
+	}
+	is.Equal(got, maxLateBytes)
+
+	is.NoErr(c.SetReadDeadline(time.Time{})) // new time, new bytes
+	_, err := c.Read(b)
+	is.NoErr(err)
+}
+
 func TestAnExpiredConnectionGivesWhatHasArrived(t *testing.T) {
 	is := is.New(t)
 	c, other := pair(t)
