--- a/cmd/internal/account/ends_test.go
+++ b/cmd/internal/account/ends_test.go
@@ -42,3 +42,19 @@
 	is.NoErr(err)
 	is.Equal(a.Reasons[0].Reason, reasonUntold)
 }
+
+// TestADecodeThatBrokeReadItsPromptInVain: its KV cache is gone with it; one that
+// was refused left the cache to another engine.
+func TestADecodeThatBrokeReadItsPromptInVain(t *testing.T) {
+	is := is.New(t)
+	failed := func(step, verdict, code string) string {
+		return "ts=2026-12-03T10:00:02Z daemon=d1 level=info event=attempt_failed request=x step=" + step +
+			" took=10ms tokens=3000 verdict=" + verdict + " code=" + code + "\n"
+	}
+	text := failed("decode", "may-have-run", "endpoint_failed") + failed("decode", "not-run", "overloaded") +
+		failed("prefill", "may-have-run", "endpoint_failed") +
+		"ts=2026-12-03T10:00:03Z daemon=d1 level=info event=request request=y route=r service=s kind=stream target=900ms print=y took=2s outcome=answered status=200 in_time=true\n"
+	a, err := Make(read(t, text), Options{})
+	is.NoErr(err)
+	is.Equal(a.Vain, []Vain{{Cause: "decode broke: endpoint_failed", Count: 1, Tokens: 3000}})
+}
--- a/cmd/internal/account/read.go
+++ b/cmd/internal/account/read.go
@@ -30,6 +30,7 @@
 	outcomeNoEnd  = "no_end"
 	verdictNotRun = "not-run"
 	stepPrefill   = "prefill"
+	stepDecode    = "decode"
 	kindStream    = "stream"
 )
 
@@ -159,14 +160,24 @@
 }
 
 // failed takes a failed sending. A prefill that was given up may have been read
-// all the same.
+// all the same, and the KV cache that a decode took is gone with it; a decode that
+// has not run left it to another one.
 func (b *builder) failed(l *logstory.Line, f *fields) {
 	b.retries[f.text("request")] += f.duration("took")
-	if f.text("step") != stepPrefill {
-		return
-	}
-	if code := f.text("code"); code == "deadline" || code == outcomeLeft {
-		b.vain = append(b.vain, vainRead{at: l.At, cause: "prefill given up: " + code, tokens: f.number("tokens")})
+	code := f.text("code")
+	cause := ""
+	switch f.text("step") {
+	case stepPrefill:
+		if code == "deadline" || code == outcomeLeft {
+			cause = "prefill given up: " + code
+		}
+	case stepDecode:
+		if f.text("verdict") != verdictNotRun {
+			cause = "decode broke: " + code
+		}
+	}
+	if cause != "" {
+		b.vain = append(b.vain, vainRead{at: l.At, cause: cause, tokens: f.number("tokens")})
 	}
 }
 
