Keep one copy of the messages between core and table

core/claim had its own conditions, puts, transactions, rows and results beside those of core/revision/table, and daemon/claims copied one into the other. Claims take and give the common ones. Behaviour as before: the tests' checks are the same, their model of the table is called memTable, since the package of that name is imported. core/claim and daemon/claims under -race: ok. The users' platform does not use claims.

--- a/core/claim/claims_test.go
+++ b/core/claim/claims_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/revision/table"
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
@@ -25,14 +26,14 @@
 // bench is one Claims on a table without faults.
 type bench struct {
 	*Claims
-	table *table
+	table *memTable
 	now   time.Duration
 	jump  time.Duration
 }
 
-func newBench(t *table) *bench {
+func newBench(t *memTable) *bench {
 	if t == nil {
-		t = &table{rows: map[string]StoredRow{}, history: map[string][]StoredRow{}}
+		t = &memTable{rows: map[string]table.Row{}, history: map[string][]table.Row{}}
 	}
 	return &bench{Claims: New(Config{OwnerAlive: func(p id.Process) bool { return p == live }}), table: t}
 }
@@ -49,7 +50,7 @@
 			case a.Transact != nil:
 				actions = append(actions, b.StoreReply(b.now, a.Transact.ID, b.table.transact(a.Transact.Transaction))...)
 			case a.Read != nil:
-				var rows []StoredRow
+				var rows []table.Row
 				for _, k := range a.Read.Keys {
 					rows = append(rows, b.table.rows[k])
 				}
@@ -74,7 +75,7 @@
 
 func (b *bench) put(r Row) {
 	value, _ := EncodeRow(r)
-	b.table.transact(Transaction{Puts: []Put{{Key: RowKey("t", "s", "k"), Value: value}}})
+	b.table.transact(table.Transaction{Puts: []table.Put{{Key: RowKey("t", "s", "k"), Value: value}}})
 }
 
 func TestRefusals(t *testing.T) {
@@ -119,12 +120,12 @@
 	is.Equal(replay.ObjectBytes, len(body))
 	is.Equal(replay.Object, objectName("a"))
 
-	rows := []StoredRow{b.table.rows[claim.Row]}
+	rows := []table.Row{b.table.rows[claim.Row]}
 	alive := func(id.Process) bool { return true }
 	tx, _ := Sweep(start.Add(24*time.Hour), rows, alive)
 	is.Equal(len(tx.Puts), 0)
 	tx, objects := Sweep(start.Add(26*time.Hour), rows, alive)
-	is.Equal(tx.Conditions, []Condition{{Key: claim.Row, Version: rows[0].Version}})
+	is.Equal(tx.Conditions, []table.Condition{{Key: claim.Row, Version: rows[0].Version}})
 	is.Equal(objects, []string{objectName("a")})
 }
 
@@ -191,7 +192,7 @@
 	b := newBench(nil)
 	b.put(Row{State: StateReleased, Token: "old"})
 	row := RowKey("t", "s", "k")
-	late := Transaction{Conditions: []Condition{{Key: row, Version: b.table.rows[row].Version}}, Puts: []Put{{Key: row, Value: []byte("late")}}}
+	late := table.Transaction{Conditions: []table.Condition{{Key: row, Version: b.table.rows[row].Version}}, Puts: []table.Put{{Key: row, Value: []byte("late")}}}
 	out := b.settle(b.Release(0, Claim{Row: row, Token: "a", Owner: live}))
 	is.True(out[0].Settled.Stored)
 	is.True(!b.table.transact(late).Applied)
--- a/core/claim/commit.go
+++ b/core/claim/commit.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/samphirequay/samphirequay/core/revision/table"
 )
 
 const (
@@ -107,7 +109,7 @@
 }
 
 func (c *Claims) sendCommit() {
-	var t Transaction
+	var t table.Transaction
 	var ops []*op
 	size := 0
 	for _, o := range c.commit.waiting {
@@ -116,8 +118,8 @@
 		}
 		value := c.encode(o)
 		size += len(value)
-		t.Conditions = append(t.Conditions, Condition{Key: o.row, Version: o.cond})
-		t.Puts = append(t.Puts, Put{Key: o.row, Value: value})
+		t.Conditions = append(t.Conditions, table.Condition{Key: o.row, Version: o.cond})
+		t.Puts = append(t.Puts, table.Put{Key: o.row, Value: value})
 		ops = append(ops, o)
 	}
 	c.commit.waiting = slices.Delete(c.commit.waiting, 0, len(ops))
--- a/core/claim/decide.go
+++ b/core/claim/decide.go
@@ -4,11 +4,12 @@
 	"slices"
 	"time"
 
+	"github.com/samphirequay/samphirequay/core/revision/table"
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
 // StoreReply takes the store's reply to a transaction.
-func (c *Claims) StoreReply(now time.Duration, id CallID, r Result) []Action {
+func (c *Claims) StoreReply(now time.Duration, id CallID, r table.Reply) []Action {
 	c.advance(now)
 	k := c.endCall(id)
 	if k == nil {
@@ -96,14 +97,14 @@
 }
 
 // ReadReply takes the rows of a read. Rows that it lacks do not exist.
-func (c *Claims) ReadReply(now time.Duration, id CallID, rows []StoredRow) []Action {
+func (c *Claims) ReadReply(now time.Duration, id CallID, rows []table.Row) []Action {
 	c.advance(now)
 	k := c.endCall(id)
 	if k == nil {
 		return c.flush()
 	}
 	c.storeWorks()
-	byKey := make(map[string]StoredRow, len(rows))
+	byKey := make(map[string]table.Row, len(rows))
 	for _, r := range rows {
 		byKey[r.Key] = r
 	}
@@ -116,7 +117,7 @@
 }
 
 // read decides on a row as read; the read may be stale.
-func (c *Claims) read(o *op, stored StoredRow) {
+func (c *Claims) read(o *op, stored table.Row) {
 	if stored.Version == 0 {
 		c.absent(o)
 		return
--- a/core/claim/messages.go
+++ b/core/claim/messages.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/revision/table"
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
@@ -73,41 +74,6 @@
 // CallID numbers a call to the store within one Claims.
 type CallID uint64
 
-// Condition guards a transaction: the version a row must have, 0 for none.
-type Condition struct {
-	Key     string
-	Version uint64
-}
-
-// Put writes a row, or deletes it.
-type Put struct {
-	Key    string
-	Value  []byte
-	Delete bool
-}
-
-// Transaction applies all puts if all conditions hold, else none.
-type Transaction struct {
-	Conditions []Condition
-	Puts       []Put
-}
-
-// Result is the store's reply to a transaction.
-type Result struct {
-	Applied bool
-	// Failed lists the keys whose condition did not hold.
-	Failed []string
-	// Versions of the written rows, in the order of the puts.
-	Versions []uint64
-}
-
-// StoredRow is a row as read; Version 0 means that it does not exist.
-type StoredRow struct {
-	Key     string
-	Value   []byte
-	Version uint64
-}
-
 // Action is one thing that the caller of Claims shall do. Exactly one field is set.
 type Action struct {
 	// Transact asks for a transaction; the reply goes to StoreReply or StoreFailed.
@@ -130,7 +96,7 @@
 // by itself is a fault.
 type Transact struct {
 	ID          CallID
-	Transaction Transaction
+	Transaction table.Transaction
 }
 
 // Read reads rows by key.
--- a/core/claim/model_test.go
+++ b/core/claim/model_test.go
@@ -7,18 +7,19 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/revision/table"
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
-// table models the platform's table with all its faults.
-type table struct {
-	rows    map[string]StoredRow
-	history map[string][]StoredRow
+// memTable models the platform's table with all its faults.
+type memTable struct {
+	rows    map[string]table.Row
+	history map[string][]table.Row
 	version uint64
 }
 
-func (t *table) transact(tx Transaction) Result {
-	var r Result
+func (t *memTable) transact(tx table.Transaction) table.Reply {
+	var r table.Reply
 	for _, c := range tx.Conditions {
 		if t.rows[c.Key].Version != c.Version {
 			r.Failed = append(r.Failed, c.Key)
@@ -30,7 +31,7 @@
 	r.Applied = true
 	for _, p := range tx.Puts {
 		t.version++
-		row := StoredRow{Key: p.Key, Value: p.Value, Version: t.version}
+		row := table.Row{Key: p.Key, Value: p.Value, Version: t.version}
 		t.rows[p.Key] = row
 		t.history[p.Key] = append(t.history[p.Key], row)
 		r.Versions = append(r.Versions, t.version)
@@ -39,12 +40,12 @@
 }
 
 // read gives a row, or a stale copy of it.
-func (t *table) read(key string, stale bool, rng *rand.Rand) StoredRow {
+func (t *memTable) read(key string, stale bool, rng *rand.Rand) table.Row {
 	if old := t.history[key]; stale && len(old) > 0 {
 		if at := rng.IntN(len(old) + 1); at < len(old) {
 			return old[at]
 		}
-		return StoredRow{Key: key}
+		return table.Row{Key: key}
 	}
 	return t.rows[key]
 }
@@ -96,7 +97,7 @@
 	now      time.Duration
 	queue    events
 	order    int
-	table    *table
+	table    *memTable
 	daemons  []*daemon
 	attempts map[Token]*attempt
 	tokens   []Token
@@ -113,7 +114,7 @@
 func newSimulation(seed uint64, f faults) *simulation {
 	s := &simulation{
 		rng: rand.New(rand.NewPCG(seed, 1)), faults: f,
-		table:    &table{rows: map[string]StoredRow{}, history: map[string][]StoredRow{}},
+		table:    &memTable{rows: map[string]table.Row{}, history: map[string][]table.Row{}},
 		attempts: map[Token]*attempt{}, runs: map[string]int{},
 		answers: map[string]string{}, ended: map[string]verdict.Verdict{},
 		gap: []time.Duration{time.Nanosecond, DefaultGap, 4 * DefaultGap}[seed%3],
@@ -219,7 +220,7 @@
 		return
 	}
 	s.in(s.latency(), func() {
-		var rows []StoredRow
+		var rows []table.Row
 		for _, key := range r.Keys {
 			rows = append(rows, s.table.read(key, s.chance(s.faults.stale), s.rng))
 		}
--- a/core/claim/sweep.go
+++ b/core/claim/sweep.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/revision/table"
 )
 
 // SweepGrace is how long past its expiry a row stays: no write of its time can
@@ -14,8 +15,8 @@
 // over, at most DefaultMaxBatch, and the names of the bodies to delete after
 // it was applied. The sweeping daemon pages through RowPrefix with it. A
 // claimed row of a live owner stays.
-func Sweep(wall time.Time, rows []StoredRow, ownerAlive func(id.Process) bool) (Transaction, []string) {
-	var t Transaction
+func Sweep(wall time.Time, rows []table.Row, ownerAlive func(id.Process) bool) (table.Transaction, []string) {
+	var t table.Transaction
 	var objects []string
 	for _, stored := range rows {
 		if len(t.Puts) == DefaultMaxBatch {
@@ -25,8 +26,8 @@
 		if err != nil || !sweepable(row, wall, ownerAlive) {
 			continue
 		}
-		t.Conditions = append(t.Conditions, Condition{Key: stored.Key, Version: stored.Version})
-		t.Puts = append(t.Puts, Put{Key: stored.Key, Delete: true})
+		t.Conditions = append(t.Conditions, table.Condition{Key: stored.Key, Version: stored.Version})
+		t.Puts = append(t.Puts, table.Put{Key: stored.Key, Delete: true})
 		if a := row.Outcome.Answer; a != nil && a.Object != "" {
 			objects = append(objects, a.Object)
 		}
--- a/daemon/claims/claims.go
+++ b/daemon/claims/claims.go
@@ -209,25 +209,14 @@
 }
 
 func (c *Claims) transact(t *claim.Transact) {
-	q := table.Request{Transaction: &table.Transaction{}}
-	for _, cond := range t.Transaction.Conditions {
-		q.Transaction.Conditions = append(q.Transaction.Conditions, table.Condition(cond))
-	}
-	for _, p := range t.Transaction.Puts {
-		q.Transaction.Puts = append(q.Transaction.Puts, table.Put(p))
-	}
-	c.call(t.ID, q, func(now time.Duration, r table.Reply) []claim.Action {
-		return c.core.StoreReply(now, t.ID, claim.Result{Applied: r.Applied, Failed: r.Failed, Versions: r.Versions})
+	c.call(t.ID, table.Request{Transaction: &t.Transaction}, func(now time.Duration, r table.Reply) []claim.Action {
+		return c.core.StoreReply(now, t.ID, r)
 	})
 }
 
 func (c *Claims) read(r *claim.Read) {
 	c.call(r.ID, table.Request{Keys: r.Keys}, func(now time.Duration, reply table.Reply) []claim.Action {
-		rows := make([]claim.StoredRow, 0, len(reply.Rows))
-		for _, row := range reply.Rows {
-			rows = append(rows, claim.StoredRow(row))
-		}
-		return c.core.ReadReply(now, r.ID, rows)
+		return c.core.ReadReply(now, r.ID, reply.Rows)
 	})
 }
 
