Read only those entries of endpoints that have changed

Cause: each change of the table of endpoints, gathered for 350 ms, had a daemon read every entry anew.

A row is read again when its version changes, which the store gives anew with each writing. Behaviour as before.

--- a/daemon/gateway/knowledge.go
+++ b/daemon/gateway/knowledge.go
@@ -40,6 +40,8 @@
 	list     *registry.List
 	routes   *route.Table
 	versions map[string]uint64
+	// entries are the rows of the table of endpoints as they were read.
+	entries entryCache
 	// badRows are the versions of rows that could not be read, so that each is
 	// logged once.
 	badRows map[string]uint64
@@ -170,14 +172,13 @@
 	}
 	entries := make([]registry.Endpoint, 0, len(s.Rows))
 	var unreadable []id.Instance
-	for _, row := range s.Rows {
-		e, err := d.platform.Adapter.Endpoint(row)
-		if err != nil {
-			d.badEntry(row, err)
-			unreadable = append(unreadable, id.Instance(row.Key))
+	for _, e := range k.entries.update(s.Rows, d.platform.Adapter.Endpoint) {
+		if e.err != nil {
+			d.badEntry(e.row, e.err)
+			unreadable = append(unreadable, id.Instance(e.row.Key))
 			continue
 		}
-		entries = append(entries, e)
+		entries = append(entries, e.endpoint)
 	}
 	k.list.Set(d.now(), entries, unreadable...)
 	d.publish()
