Write requests to endpoints by one piece of code

Both clients counted the bytes of a request that were handed to its connection, each with a writer of its own. The connections under both do it now (Conn.WriteRequest). Behaviour as before; no test is changed. endpoint, daemon/upstream, daemon/forward under -race: ok.

--- a/daemon/upstream/answer.go
+++ b/daemon/upstream/answer.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -36,31 +35,13 @@
 // Body is the whole body of an answer that is no stream, valid until Close.
 func (a *Answer) Body() []byte { return a.resp.Body() }
 
-// countingWriter counts the bytes that were handed to the connection.
-type countingWriter struct {
-	to      io.Writer
-	written int
-}
-
-// Write implements io.Writer.
-func (w *countingWriter) Write(b []byte) (int, error) {
-	n, err := w.to.Write(b)
-	w.written += n
-	return n, err
-}
-
 // exchange writes the request and reads the answer that belongs to it.
 func (a *Answer) exchange(ctx context.Context, c *Call) *verdict.Error {
 	if err := a.conn.SetDeadline(c.Until); err != nil {
 		return notRun(c, verdict.CodeUnavailable, err)
 	}
-	counter := &countingWriter{to: a.conn}
-	writer := bufio.NewWriter(counter)
-	err := c.Request.Write(writer)
-	if err == nil {
-		err = writer.Flush()
-	}
-	if err != nil && counter.written == 0 {
+	sent, err := a.conn.WriteRequest(c.Request)
+	if err != nil && !sent {
 		return notRun(c, verdict.CodeUnavailable, err)
 	}
 	if err != nil {
--- a/endpoint/client/dedicated.go
+++ b/endpoint/client/dedicated.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"net"
 	"sync"
 	"time"
 
@@ -71,13 +70,8 @@
 	if err := d.conn.SetDeadline(deadline); err != nil {
 		return err
 	}
-	counter := &countingWriter{conn: d.conn}
-	writer := bufio.NewWriter(counter)
-	err := req.Write(writer)
-	if err == nil {
-		err = writer.Flush()
-	}
-	if err != nil && counter.written == 0 {
+	sent, err := d.conn.WriteRequest(req)
+	if err != nil && !sent {
 		return &notSentError{cause: err}
 	}
 	if err != nil {
@@ -108,16 +102,3 @@
 		d.release()
 	})
 }
-
-// countingWriter counts the bytes that were handed to the connection.
-type countingWriter struct {
-	conn    net.Conn
-	written int
-}
-
-// Write implements io.Writer.
-func (w *countingWriter) Write(b []byte) (int, error) {
-	n, err := w.conn.Write(b)
-	w.written += n
-	return n, err
-}
--- /dev/null
+++ b/endpoint/netconn/write.go
@@ -0,0 +1,33 @@
+package netconn
+
+import (
+	"bufio"
+	"io"
+
+	"github.com/valyala/fasthttp"
+)
+
+// WriteRequest writes a request. sent says whether a byte of it was handed to
+// the connection: where none was, the request has certainly not run.
+func (c *Conn) WriteRequest(req *fasthttp.Request) (sent bool, err error) {
+	counter := &countingWriter{to: c}
+	writer := bufio.NewWriter(counter)
+	err = req.Write(writer)
+	if err == nil {
+		err = writer.Flush()
+	}
+	return counter.written > 0, err
+}
+
+// countingWriter counts the bytes that were handed on.
+type countingWriter struct {
+	to      io.Writer
+	written int
+}
+
+// Write implements io.Writer.
+func (w *countingWriter) Write(b []byte) (int, error) {
+	n, err := w.to.Write(b)
+	w.written += n
+	return n, err
+}
