--- a/cmd/internal/account/ends.go
+++ b/cmd/internal/account/ends.go
@@ -21,11 +21,9 @@
 // as its own end: one that lives tells something each 10 s.
 const silentAfter = 12 * time.Second
 
-// life is what a daemon's lines tell of its processes.
-type life struct {
-	starts []time.Time
-	last   time.Time
-}
+// life is what a daemon's lines tell of its processes: when the last one started,
+// and when it last logged.
+type life struct{ started, last time.Time }
 
 // seen notes a line of a daemon.
 func (b *builder) seen(l *logstory.Line) {
@@ -35,7 +33,7 @@
 		b.lives[l.Daemon] = d
 	}
 	if l.Event == eventStarted {
-		d.starts = append(d.starts, l.At)
+		d.started = later(d.started, l.At)
 	}
 	d.last = later(d.last, l.At)
 	b.last = later(b.last, l.At)
@@ -44,15 +42,14 @@
 // untold is why the end of an attempt is not logged.
 func (b *builder) untold(a *attempt) string {
 	d := b.lives[a.daemon]
-	for _, start := range d.starts {
-		if start.After(a.arrived) {
-			return reasonLost
-		}
-	}
-	if b.last.Sub(d.last) > silentAfter {
+	switch {
+	case d.started.After(a.arrived):
+		return reasonLost
+	case b.last.Sub(d.last) > silentAfter:
 		return reasonSilent
+	default:
+		return reasonUntold
 	}
-	return reasonUntold
 }
 
 func later(a, b time.Time) time.Time {
--- a/core/pairing/asker.go
+++ b/core/pairing/asker.go
@@ -329,11 +329,11 @@
 		if e.grant != nil {
 			continue
 		}
-		if now >= e.giveUp && (!heldUp || e.graced) {
-			out.append(a.abandon(e))
-			continue
-		}
 		if now >= e.giveUp {
+			if !heldUp || e.graced {
+				out.append(a.abandon(e))
+				continue
+			}
 			e.graced = true
 			e.giveUp = now + heldUpGrace
 		}
--- a/daemon/completion/runner.go
+++ b/daemon/completion/runner.go
@@ -98,6 +98,7 @@
 }
 
 func (r *Runner) attempts(ctx context.Context, p *progress) *verdict.Error {
+	p.since = pairing.WaitsSince(p.since, r.Now(), p.job.Service.Patience())
 	for n := 1; ; n++ {
 		err := r.attempt(ctx, p, n)
 		if err == nil {
@@ -170,9 +171,6 @@
 
 // attempt runs the pipeline once: pair, wait, prefill, decode.
 func (r *Runner) attempt(ctx context.Context, p *progress, n int) *verdict.Error {
-	if n == 1 {
-		p.since = pairing.WaitsSince(p.since, r.Now(), p.job.Service.Patience())
-	}
 	w := r.want(p, n)
 	patience := r.patience(p)
 	if patience <= 0 || r.remaining(p.job) <= 0 {
--- a/daemon/plaincall/runner.go
+++ b/daemon/plaincall/runner.go
@@ -36,7 +36,8 @@
 func (r *Runner) Run(ctx context.Context, call *Call) (*Answer, *verdict.Error) {
 	ctx, cancel := context.WithTimeout(ctx, call.Service.Timeout())
 	defer cancel()
-	s := &state{call: call, since: call.Arrived, worst: verdict.NotRun}
+	since := pairing.WaitsSince(call.Arrived, r.Now(), call.Service.Patience())
+	s := &state{call: call, since: since, worst: verdict.NotRun}
 	for n := 1; ; n++ {
 		answer, err := r.attempt(ctx, s, n)
 		if err == nil {
@@ -97,9 +98,6 @@
 
 // attempt runs the pipeline once: pair, claim, send.
 func (r *Runner) attempt(ctx context.Context, s *state, n int) (*Answer, *verdict.Error) {
-	if n == 1 {
-		s.since = pairing.WaitsSince(s.since, r.Now(), s.call.Service.Patience())
-	}
 	w := r.want(s, n)
 	patience := r.patience(s)
 	if patience <= 0 {
--- a/endpoint/client/pooled.go
+++ b/endpoint/client/pooled.go
@@ -85,20 +85,16 @@
 		fasthttp.ReleaseRequest(req)
 		done <- reply{resp: resp, err: err}
 	}()
+	var r reply
 	select {
+	case r = <-done:
 	case <-ctx.Done():
 		if errors.Is(ctx.Err(), context.Canceled) {
 			return nil, transportError(p.address, what, ended(ctx))
 		}
-		// The deadline ends the call below as well, unless its reply has arrived.
-		return p.finish(what, <-done)
-	case r := <-done:
-		return p.finish(what, r)
+		// The deadline ends the call as well, unless its reply has arrived.
+		r = <-done
 	}
-}
-
-// finish gives a reply to the caller.
-func (p *pooled) finish(what string, r reply) (*fasthttp.Response, error) {
 	if r.err != nil {
 		return nil, transportError(p.address, what, r.err)
 	}
--- a/endpoint/netconn/conn_test.go
+++ b/endpoint/netconn/conn_test.go
@@ -31,22 +31,9 @@
 	return New(dialled), accepted
 }
 
-// awaitArrival waits until bytes, or the end, lie in the connection's socket.
+// awaitArrival waits until bytes, or the end, lie in the connection's socket,
+// whatever its deadline.
 func awaitArrival(t *testing.T, c *Conn) {
-	t.Helper()
-	is := is.New(t)
-	raw, err := c.SyscallConn()
-	is.NoErr(err)
-	is.NoErr(raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return !errors.Is(err, syscall.EAGAIN)
-	}))
-}
-
-// awaitData waits until bytes lie in the socket of a connection whose deadline has
-// passed.
-func awaitData(t *testing.T, c *Conn) {
 	t.Helper()
 	is := is.New(t)
 	raw, err := c.SyscallConn()
@@ -107,7 +94,7 @@
 	got := 0
 	b := make([]byte, 4096)
 	for got <= maxLateBytes {
-		awaitData(t, c)
+		awaitArrival(t, c)
 		n, err := c.Read(b)
 		if err != nil {
 			is.True(errors.Is(err, os.ErrDeadlineExceeded))
