Name in the lines which endpoints are kept though the store no longer lists them

No line told that an entry is kept as lapsed, since when, by whose word, and what was sent there: without it a daemon that keeps an endpoint which all others have dropped looks like one that has not heard of its end. endpoint_changed has unlisted, endpoint_gone unlisted_for, a request the number of its sendings to such endpoints; store_absence_told names the peer that gave a grace. What is decided is as before.

--- a/core/registry/endpoint.go
+++ b/core/registry/endpoint.go
@@ -28,6 +28,9 @@
 	Role live.Role
 	// Leaving is the endpoint's own word that it takes no new work.
 	Leaving bool
+	// Unlisted is set while the store no longer has the entry and it is kept, since
+	// it may have lapsed only because the store was away.
+	Unlisted bool
 }
 
 // Incarnation names one start of an instance. Where endpoints do not say when
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -99,6 +99,7 @@
 	for _, e := range entries {
 		if known, ok := latest[e.Instance]; ok && e.older(&known) {
 			e = known
+			e.Unlisted = false
 		}
 		l.listed[e.Name] = e
 	}
@@ -129,6 +130,7 @@
 func (l *List) keepLapsed(old map[id.Endpoint]Endpoint, unreadable []id.Instance) {
 	for name, e := range old {
 		if _, still := l.listed[name]; !still && !e.Leaving {
+			e.Unlisted = true
 			l.lapsed[name] = e
 		}
 	}
@@ -222,6 +224,7 @@
 	for _, entries := range []map[id.Endpoint]Endpoint{l.listed, l.lapsed} {
 		for _, e := range entries {
 			if told, ok := l.restarted[e.Instance]; ok && e.older(&told) {
+				told.Unlisted = e.Unlisted
 				e = told
 			}
 			if !l.displaced.Contains(e.place()) {
--- a/daemon/forward/forward.go
+++ b/daemon/forward/forward.go
@@ -78,6 +78,8 @@
 	begun    bool
 	registry uint64
 	attempts int
+	// unlisted counts the sendings to endpoints that the store no longer lists.
+	unlisted int
 	endpoint id.Endpoint
 	prefill  id.Endpoint
 	waited   time.Duration
--- a/daemon/forward/record.go
+++ b/daemon/forward/record.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"time"
 
+	"github.com/samphirequay/samphirequay/core/registry"
 	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
@@ -24,6 +25,9 @@
 	if t.prefill != "" {
 		kv = append(kv, "prefill", t.prefill, "waited", t.waited, "read", t.read, "first", t.first)
 	}
+	if t.unlisted > 0 {
+		kv = append(kv, "unlisted", t.unlisted)
+	}
 	if reply != nil {
 		status = reply.Status
 		if reply.Failed() {
@@ -46,6 +50,14 @@
 	f.Log.Event("request", kv...)
 }
 
+// noteSent counts what is sent to an endpoint that the store no longer lists.
+func (f *Forwarder) noteSent(t *trace, e registry.Endpoint) {
+	if e.Unlisted {
+		t.unlisted++
+		f.stats.unlisted.Inc()
+	}
+}
+
 // printBytes of a fingerprint tell the requests of a day apart: among a million,
 // two are alike with a chance of 3 in 100 million.
 const printBytes = 8
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -205,6 +205,9 @@
 	})
 	d.knowledge = newKnowledge()
 	d.unusable = d.metrics.CounterMap("registry_entries_unusable", metrics.UnitCount, "Changes of registered entries that name no endpoint to use, by reason.")
+	d.metrics.GaugeFunc("registry_unlisted", metrics.UnitCount, "Endpoints that the store no longer lists and that are kept, since they may have lapsed with it.", func() float64 {
+		return float64(d.knowledge.current().Lapsed)
+	})
 	d.forwarder = forward.New(forward.Deps{
 		Self:      d.self,
 		Domain:    d.set.Domain,
--- a/daemon/gateway/knowledge.go
+++ b/daemon/gateway/knowledge.go
@@ -45,6 +45,8 @@
 	// badRows are the versions of rows that could not be read, so that each is
 	// logged once.
 	badRows map[string]uint64
+	// unlistedSince is since when endpoints are kept that the store no longer lists.
+	unlistedSince map[id.Endpoint]time.Duration
 }
 
 func newKnowledge() *knowledge {
@@ -52,6 +54,8 @@
 		list:     registry.New(),
 		versions: map[string]uint64{},
 		badRows:  map[string]uint64{},
+
+		unlistedSince: map[id.Endpoint]time.Duration{},
 	}
 	k.view.Store(&forward.View{})
 	return k
@@ -284,16 +288,40 @@
 	for name, e := range now {
 		if before, known := old[name]; !known || before != e {
 			d.logger.Event("endpoint_changed", "endpoint", name, "service", e.Service, "address", e.Address,
-				"role", e.Role, "leaving", e.Leaving, "known", known)
+				"role", e.Role, "leaving", e.Leaving, "unlisted", e.Unlisted, "known", known)
 		}
+		d.noteUnlisted(e)
 	}
 	for name, e := range old {
 		if _, still := now[name]; !still {
-			d.logger.Event("endpoint_gone", "endpoint", name, "service", e.Service, "address", e.Address)
+			d.logger.Event("endpoint_gone", "endpoint", name, "service", e.Service, "address", e.Address,
+				"unlisted_for", d.unlistedFor(name))
 		}
 	}
 }
 
+// noteUnlisted notes since when an endpoint is kept that the store no longer
+// lists; the lock is held.
+func (d *Daemon) noteUnlisted(e registry.Endpoint) {
+	since := d.knowledge.unlistedSince
+	if !e.Unlisted {
+		delete(since, e.Name)
+	} else if _, known := since[e.Name]; !known {
+		since[e.Name] = d.now()
+	}
+}
+
+// unlistedFor is how long an endpoint that is gone was kept though the store no
+// longer listed it; the lock is held.
+func (d *Daemon) unlistedFor(name id.Endpoint) time.Duration {
+	since, ok := d.knowledge.unlistedSince[name]
+	if !ok {
+		return 0
+	}
+	delete(d.knowledge.unlistedSince, name)
+	return d.now() - since
+}
+
 // revision grows with each change of the followed tables that the daemon knows;
 // 0 until it can serve. It is a sum, so that a daemon that has missed a change
 // of one table is behind the others whatever it knows of the other one.
--- a/daemon/gateway/learn.go
+++ b/daemon/gateway/learn.go
@@ -8,7 +8,6 @@
 	"github.com/samphirequay/samphirequay/core/capacity"
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/member"
-	"github.com/samphirequay/samphirequay/core/registry"
 )
 
 // fleetListener tells the duties what the membership found.
@@ -137,7 +136,7 @@
 		d.logger.Warn("tables_not_learnt", "peer", from, "why", err)
 		return
 	}
-	d.tellRegistry(d.endpoints.Name(), func(l *registry.List) { l.Returned(d.now(), reply.Grace) })
+	d.learnAbsence(from, d.endpoints.Name(), reply.Grace)
 	if d.adopt(reply.States) {
 		d.logger.Event("tables_learnt", "peer", from, "revision", d.revision())
 	}
--- a/daemon/gateway/reading.go
+++ b/daemon/gateway/reading.go
@@ -122,9 +122,18 @@
 	return d.knowledge.list.Grace(d.now())
 }
 
+// learnAbsence notes that the store was away by the word of another daemon.
+func (d *Daemon) learnAbsence(from id.Daemon, table string, grace time.Duration) {
+	if grace <= 0 {
+		return
+	}
+	d.logger.Event("store_absence_told", "peer", from, "table", table, "grace", grace)
+	d.tellRegistry(table, func(l *registry.List) { l.Returned(d.now(), grace) })
+}
+
 // takeNews takes what another daemon tells of the store's tables.
 func (d *Daemon) takeNews(from id.Daemon, n tableNews) {
-	d.tellRegistry(n.News.Name, func(l *registry.List) { l.Returned(d.now(), n.Grace) })
+	d.learnAbsence(from, n.News.Name, n.Grace)
 	follower := d.follower(n.News.Name)
 	if follower == nil {
 		return
