--- a/core/registry/incarnation_test.go
+++ b/core/registry/incarnation_test.go
@@ -20,8 +20,8 @@
 func TestALaterStartReplacesTheFormerOne(t *testing.T) {
 	is := is.New(t)
 	l := New()
-	l.Set(0, []Endpoint{started("a", 100, "1")})
-	l.Set(time.Second, []Endpoint{started("a", 200, "1")})
+	l.Set(0, 1, []Endpoint{started("a", 100, "1")})
+	l.Set(time.Second, 1, []Endpoint{started("a", 200, "1")})
 	is.Equal(names(l), []id.Endpoint{"a@200"})
 }
 
@@ -30,17 +30,17 @@
 func TestALateHeartbeatOfAFormerStartChangesNothing(t *testing.T) {
 	is := is.New(t)
 	l := New()
-	l.Set(0, []Endpoint{started("a", 200, "1")})
-	l.Set(time.Second, []Endpoint{started("a", 100, "1")})
+	l.Set(0, 1, []Endpoint{started("a", 200, "1")})
+	l.Set(time.Second, 1, []Endpoint{started("a", 100, "1")})
 	is.Equal(names(l), []id.Endpoint{"a@200"})
 }
 
 func TestAFormerStartIsNotKeptWhileTheStoreIsAway(t *testing.T) {
 	is := is.New(t)
 	l := New()
-	l.Set(0, []Endpoint{started("a", 100, "1")})
+	l.Set(0, 1, []Endpoint{started("a", 100, "1")})
 	l.StoreLost()
-	l.Set(time.Second, []Endpoint{started("a", 200, "2")})
+	l.Set(time.Second, 1, []Endpoint{started("a", 200, "2")})
 	is.Equal(names(l), []id.Endpoint{"a@200"})
 }
 
@@ -50,15 +50,15 @@
 	is := is.New(t)
 	l := New()
 	former, present := entry("a", "1"), entry("b", "1")
-	l.Set(0, []Endpoint{former, present})
+	l.Set(0, 1, []Endpoint{former, present})
 	is.Equal(l.Disputed(), []Endpoint{former, present})
 	is.True(l.Displace(former))
 	is.True(!l.Displace(former))
 	is.Equal(len(l.Disputed()), 0)
-	l.Set(time.Second, []Endpoint{present})
-	l.Set(2*time.Second, []Endpoint{former, present})
+	l.Set(time.Second, 1, []Endpoint{present})
+	l.Set(2*time.Second, 1, []Endpoint{former, present})
 	is.Equal(names(l), []id.Endpoint{"b"})
-	l.Set(3*time.Second, []Endpoint{entry("a", "2"), present})
+	l.Set(3*time.Second, 1, []Endpoint{entry("a", "2"), present})
 	is.Equal(names(l), []id.Endpoint{"a", "b"})
 }
 
@@ -66,17 +66,17 @@
 func TestAnEndpointsOwnWordGoesBeforeItsEntry(t *testing.T) {
 	is := is.New(t)
 	l := New()
-	l.Set(0, []Endpoint{started("a", 100, "1")})
+	l.Set(0, 1, []Endpoint{started("a", 100, "1")})
 	is.True(l.Restarted("a", 200, live.RolePrefill))
 	is.True(!l.Restarted("a", 200, live.RolePrefill))
 	is.True(!l.Restarted("a", 150, live.RolePrefill))
 	is.Equal(names(l), []id.Endpoint{"a@200"})
 	is.Equal(l.All()[0].Role, live.RolePrefill)
-	l.Set(time.Second, []Endpoint{started("a", 100, "1")})
+	l.Set(time.Second, 1, []Endpoint{started("a", 100, "1")})
 	is.Equal(names(l), []id.Endpoint{"a@200"})
-	l.Set(2*time.Second, []Endpoint{started("a", 200, "1")})
+	l.Set(2*time.Second, 1, []Endpoint{started("a", 200, "1")})
 	is.Equal(l.All()[0].Role, live.RoleDecode)
-	l.Set(3*time.Second, nil)
+	l.Set(3*time.Second, 1, nil)
 	is.Equal(len(l.All()), 0)
 	is.True(!l.Restarted("a", 300, live.RolePrefill))
 }
@@ -87,11 +87,11 @@
 	is := is.New(t)
 	l := New()
 	a, b := started("a", 100, "1"), started("b", 100, "2")
-	l.Set(0, []Endpoint{a, b})
+	l.Set(0, 1, []Endpoint{a, b})
 	l.StoreLost()
-	l.Set(time.Second, nil, "a")
+	l.Set(time.Second, 1, nil, "a")
 	is.Equal(names(l), []id.Endpoint{"b@100"})
-	l.Set(2*time.Second, nil)
+	l.Set(2*time.Second, 1, nil)
 	is.Equal(names(l), []id.Endpoint{"b@100"})
 }
 
@@ -132,13 +132,13 @@
 					break
 				}
 			default:
-				l.Tick(now)
+				l.Settle(now)
 			}
 			var entries []Endpoint
 			for _, e := range rows {
 				entries = append(entries, e)
 			}
-			l.Set(now, entries)
+			l.Set(now, 1, entries)
 			checkRestarts(t, l, shown, displaced)
 		}
 	})
--- /dev/null
+++ b/core/registry/outages_test.go
@@ -0,0 +1,337 @@
+package registry
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/uptime"
+)
+
+// The simulated fleet moves in steps of simStep.
+const (
+	simStep = 100 * time.Millisecond
+	// simAsk is the pause between two questions to others.
+	simAsk = 400 * time.Millisecond
+	// simInTouch is for how long a daemon must have been without trouble for the
+	// bound on endpoints that have left to hold for it, simDrain that bound.
+	simInTouch = 3 * time.Second
+	simDrain   = 2 * time.Second
+	// simReaders of the daemons follow the store and tell the others.
+	simReaders = 3
+	// simSeen is how long the others take to see that a daemon is cut off.
+	simSeen = 1500 * time.Millisecond
+	// notYet is when an endpoint is back whose entry has lapsed while the store is
+	// still away.
+	notYet = time.Duration(math.MaxInt64)
+)
+
+// simDaemon is one daemon of a simulated fleet.
+type simDaemon struct {
+	*List
+	reader bool
+	// lost is set while its last call failed; retryAt is when it calls again.
+	lost    bool
+	retryAt time.Duration
+	// refusedUntil and cutUntil end its troubles: with the store alone, or with the
+	// other daemons as well. calmSince is when the last one ended.
+	refusedUntil, cutUntil, calmSince time.Duration
+	// cutSince is when the last cut began.
+	cutSince time.Duration
+	unbroken bool
+	known    uint64
+}
+
+// simEndpoint is one endpoint: whether it is there, and whether it is listed.
+type simEndpoint struct {
+	name   id.Endpoint
+	listed bool
+	// leftAt is when it left without a word; 0 for one that is there.
+	leftAt time.Duration
+	// backAt is when it registers again what lapsed with the store.
+	backAt time.Duration
+}
+
+// simFleet is a store, endpoints and daemons.
+type simFleet struct {
+	rng       *rand.Rand
+	now       time.Duration
+	version   uint64
+	downUntil time.Duration
+	upSince   time.Duration
+	daemons   []*simDaemon
+	endpoints []*simEndpoint
+}
+
+func newSimFleet(seed uint64, daemons int) *simFleet {
+	s := &simFleet{rng: rand.New(rand.NewPCG(seed, 7)), now: 20 * time.Second, version: 1}
+	for i := range 6 {
+		s.endpoints = append(s.endpoints, &simEndpoint{name: id.Endpoint(fmt.Sprint("e", i)), listed: true})
+	}
+	for i := range daemons {
+		d := &simDaemon{List: New(), reader: i < simReaders}
+		d.Set(s.now, s.version, s.entries())
+		d.known = s.version
+		s.daemons = append(s.daemons, d)
+	}
+	return s
+}
+
+func (s *simFleet) entries() []Endpoint {
+	var out []Endpoint
+	for _, e := range s.endpoints {
+		if e.listed {
+			out = append(out, Endpoint{Name: e.name, Address: string(e.name)})
+		}
+	}
+	return out
+}
+
+func (s *simFleet) down() bool { return s.now < s.downUntil }
+
+// between is a random time.
+func (s *simFleet) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(s.rng.Int64N(int64(most-least)))
+}
+
+// trouble begins some, with the store, a daemon's way to it, or a daemon's way to
+// all.
+func (s *simFleet) trouble(outages bool) {
+	if outages && !s.down() && s.rng.IntN(150) == 0 {
+		s.downUntil = s.now + s.between(time.Second, 8*time.Second)
+		if s.rng.IntN(3) == 0 {
+			s.downUntil = s.now + s.between(200*time.Millisecond, 900*time.Millisecond)
+		}
+	}
+	for _, d := range s.daemons {
+		switch s.rng.IntN(400) {
+		case 0:
+			d.refusedUntil = s.now + s.between(time.Second, 12*time.Second)
+		case 1:
+			d.cutSince = s.now
+			d.cutUntil = s.now + s.between(time.Second, 8*time.Second)
+		}
+		if s.now < d.refusedUntil || s.now < d.cutUntil {
+			d.calmSince = s.now
+		}
+	}
+}
+
+// register moves the endpoints' entries.
+func (s *simFleet) register() {
+	for _, e := range s.endpoints {
+		switch {
+		case e.leftAt > 0:
+		case s.down() && e.listed && s.rng.IntN(20) == 0:
+			e.listed, e.backAt = false, notYet
+			s.version++
+		case !s.down() && !e.listed && e.backAt == notYet:
+			e.backAt = s.now + s.between(0, 2*time.Second)
+		case !s.down() && !e.listed && s.now >= e.backAt:
+			e.listed = true
+			s.version++
+		case !s.down() && e.listed && s.now-s.upSince > simInTouch && s.rng.IntN(300) == 0:
+			e.listed, e.leftAt = false, s.now
+			s.version++
+		}
+	}
+}
+
+// choose chooses the readers anew: the first that are served, as far as the others
+// can see.
+func (s *simFleet) choose() {
+	chosen := 0
+	for _, d := range s.daemons {
+		cut := s.now < d.cutUntil && s.now-d.cutSince > simSeen
+		reader := chosen < simReaders && !d.lost && !cut
+		if reader {
+			chosen++
+		}
+		if !reader {
+			d.unbroken = false
+		}
+		d.reader = reader
+	}
+}
+
+// call has a daemon call the store.
+func (s *simFleet) call(d *simDaemon) {
+	if s.now < d.retryAt {
+		return
+	}
+	if s.down() || s.now < d.refusedUntil || s.now < d.cutUntil {
+		d.unbroken = false
+		d.retryAt = s.now + s.between(0, 3*time.Second)
+		if !d.lost {
+			d.lost = true
+			d.StoreLost()
+		}
+		return
+	}
+	if d.lost {
+		d.lost = false
+		d.StoreBack(s.now)
+	}
+	d.Answered(s.now, s.version, s.now, d.unbroken)
+	d.unbroken = true
+	if s.version > d.known {
+		s.take(d)
+		s.tell(d)
+	}
+	d.Current()
+}
+
+func (s *simFleet) take(d *simDaemon) {
+	d.known = s.version
+	d.Set(s.now, s.version, s.entries())
+}
+
+// tell has a reader tell the others of changes.
+func (s *simFleet) tell(from *simDaemon) {
+	if !from.reader || s.now < from.cutUntil {
+		return
+	}
+	word, may := from.Uptime(), from.Doubts(s.now)
+	for _, to := range s.daemons {
+		if to == from || s.now < to.cutUntil {
+			continue
+		}
+		to.Learn(s.now, word, word.Since, from.known)
+		if may {
+			to.MayReturn()
+		}
+		if s.version > to.known {
+			s.take(to)
+		}
+	}
+}
+
+// ask has a daemon ask the readers when the store answered them.
+func (s *simFleet) ask(d *simDaemon) {
+	d.Settle(s.now)
+	if _, ask := d.Ask(s.now); !ask || s.now < d.cutUntil {
+		return
+	}
+	for _, other := range s.daemons {
+		if other != d && other.reader && s.now >= other.cutUntil {
+			word := other.Uptime()
+			d.Learn(s.now, word, word.Since, other.known)
+		}
+	}
+}
+
+func (s *simFleet) step(outages bool) {
+	s.now += simStep
+	if s.down() {
+		s.upSince = s.now
+	}
+	s.trouble(outages)
+	s.register()
+	s.choose()
+	for _, d := range s.daemons {
+		if d.reader || d.lost || s.now < d.cutUntil {
+			s.call(d)
+		}
+		// Behind a cut a daemon catches up with what others know.
+		if s.now >= d.cutUntil && d.known < s.version && d.lost {
+			s.tellOne(d)
+		}
+		if s.now%simAsk == 0 {
+			s.ask(d)
+		}
+	}
+}
+
+// tellOne has a daemon that the store does not answer learn the table of a reader
+// that knows all.
+func (s *simFleet) tellOne(d *simDaemon) {
+	for _, other := range s.daemons {
+		if other != d && other.reader && s.now >= other.cutUntil && other.known == s.version {
+			word := other.Uptime()
+			d.Learn(s.now, word, word.Since, other.known)
+			s.take(d)
+			return
+		}
+	}
+}
+
+// witnessed says whether some daemon was served all the while since an endpoint
+// left, and before. Where none was, nobody can tell whether the store was there.
+func (s *simFleet) witnessed(e *simEndpoint) bool {
+	for _, d := range s.daemons {
+		own := d.absence.own
+		if s.now >= d.cutUntil && own.Known() && own.Since+uptime.ReturnGrace <= e.leftAt && s.now-own.Last <= simStep {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *simDaemon) has(name id.Endpoint) bool {
+	for _, e := range d.All() {
+		if e.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// TestRandomTroubleKeepsNobodyWhoLeft: no daemon without trouble of its own still
+// uses an endpoint that left without a word while the store was there, whatever
+// refused it, or cut it off, meanwhile. Some daemon must have been served.
+func TestRandomTroubleKeepsNobodyWhoLeft(t *testing.T) {
+	checked := 0
+	for seed := range uint64(60) {
+		s := newSimFleet(seed, 6)
+		for range 900 {
+			s.step(false)
+			for i, d := range s.daemons {
+				for _, e := range s.endpoints {
+					calm := s.now-d.calmSince > simInTouch
+					if e.leftAt == 0 || !calm || s.now-e.leftAt <= simDrain || !s.witnessed(e) {
+						continue
+					}
+					checked++
+					if d.has(e.name) {
+						t.Fatalf("seed %d: at %s daemon %d has %s, which left at %s", seed, s.now, i, e.name, e.leftAt)
+					}
+				}
+			}
+		}
+	}
+	if checked == 0 {
+		t.Fatal("no endpoint left")
+	}
+}
+
+// TestRandomOutagesLoseNobody: an endpoint whose entry lapsed while the store was
+// away is used on by all daemons that it was known to.
+func TestRandomOutagesLoseNobody(t *testing.T) {
+	lapsed := 0
+	for seed := range uint64(60) {
+		s := newSimFleet(seed, 6)
+		for range 900 {
+			s.step(true)
+			for i, d := range s.daemons {
+				for _, e := range s.endpoints {
+					if e.leftAt > 0 {
+						continue
+					}
+					if !e.listed {
+						lapsed++
+					}
+					if !d.has(e.name) {
+						t.Fatalf("seed %d: at %s daemon %d lost %s: down until %s, back at %s; %+v",
+							seed, s.now, i, e.name, s.downUntil, e.backAt, d.absence)
+					}
+				}
+			}
+		}
+	}
+	if lapsed == 0 {
+		t.Fatal("no entry lapsed")
+	}
+}
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -8,7 +8,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -19,13 +18,6 @@
 	"github.com/samphirequay/samphirequay/core/live"
 )
 
-// returnGrace is how long after the store's return an endpoint may take to
-// register again; the platform promises about two seconds.
-const returnGrace = 2300 * time.Millisecond
-
-// never is the time of what isn't due.
-const never = time.Duration(math.MaxInt64)
-
 // rememberedPlaces bounds what is remembered of endpoints that are not where
 // their entries say: some hours of restarts at 900 endpoints.
 const rememberedPlaces = 1024
@@ -33,16 +25,16 @@
 // List is the registry as one daemon knows it. It is not safe for concurrent use.
 type List struct {
 	listed map[id.Endpoint]Endpoint
+	// position is the version of the store up to which the list is known.
+	position uint64
 	// lapsed entries are missing from the store's list and kept for now.
-	lapsed map[id.Endpoint]Endpoint
+	lapsed map[id.Endpoint]lapse
 	// restarted are endpoints that told of a later start than their entry, by
 	// instance, until their entry follows.
 	restarted map[id.Instance]Endpoint
 	// displaced are the places at which another process answered.
 	displaced *simplelru.LRU[place, struct{}]
-	away      bool
-	// until is when lapsed entries are dropped; meaningless while away.
-	until time.Duration
+	absence   absence
 }
 
 // New returns an empty List.
@@ -53,48 +45,20 @@
 	}
 	return &List{
 		listed:    map[id.Endpoint]Endpoint{},
-		lapsed:    map[id.Endpoint]Endpoint{},
+		lapsed:    map[id.Endpoint]lapse{},
 		restarted: map[id.Instance]Endpoint{},
 		displaced: displaced,
 	}
 }
 
-// StoreLost notes that the store can't be reached.
-func (l *List) StoreLost() { l.away = true }
-
-// StoreBack notes that the store answers again.
-func (l *List) StoreBack(now time.Duration) {
-	if !l.away {
-		return
-	}
-	l.away = false
-	l.until = now + returnGrace
-}
-
-// Grace is how long entries that have gone may still come back; 0 where the
-// store was not away lately.
-func (l *List) Grace(now time.Duration) time.Duration {
-	if l.away {
-		return returnGrace
-	}
-	return max(0, l.until-now)
-}
-
-// Returned notes that the store was away, as another daemon found out, and that
-// entries which have gone may come back within grace.
-func (l *List) Returned(now, grace time.Duration) {
-	if grace > 0 {
-		l.until = max(l.until, now+min(grace, returnGrace))
-	}
-}
-
-// Set takes the store's whole list, and the instances whose entries can't be
-// read: they are gone. Entries that are missing from it are kept for a while if
-// they may have lapsed only because the store was away. An entry of an earlier
-// start than is known of its instance is that of a process which has ended.
-func (l *List) Set(now time.Duration, entries []Endpoint, unreadable ...id.Instance) {
-	old := l.listed
-	latest := latestStarts(old, l.lapsed)
+// Set takes the store's whole list as of a position, and the instances whose
+// entries can't be read: they are gone. Entries that are missing from it are kept
+// for a while if they may have lapsed only because the store was away. An entry
+// of an earlier start than is known of its instance is that of a process which
+// has ended.
+func (l *List) Set(now time.Duration, position uint64, entries []Endpoint, unreadable ...id.Instance) {
+	old, behind := l.listed, l.position
+	latest := latestStarts(old, l.lapsedEntries())
 	l.listed = make(map[id.Endpoint]Endpoint, len(entries))
 	for _, e := range entries {
 		if known, ok := latest[e.Instance]; ok && e.older(&known) {
@@ -103,11 +67,12 @@
 		}
 		l.listed[e.Name] = e
 	}
-	if l.away || now < l.until {
-		l.keepLapsed(old, unreadable)
-	} else {
-		clear(l.lapsed)
+	l.position = position
+	if l.absence.possible(now) {
+		l.keepLapsed(old, behind)
 	}
+	l.dropUnreadable(unreadable)
+	l.Settle(now)
 	l.dropReplaced()
 	l.dropFollowed()
 }
@@ -126,15 +91,20 @@
 	return latest
 }
 
-// keepLapsed moves the entries that have gone, and did not say so, aside.
-func (l *List) keepLapsed(old map[id.Endpoint]Endpoint, unreadable []id.Instance) {
+// keepLapsed moves the entries that have gone since a position, and did not say
+// so, aside.
+func (l *List) keepLapsed(old map[id.Endpoint]Endpoint, behind uint64) {
 	for name, e := range old {
 		if _, still := l.listed[name]; !still && !e.Leaving {
 			e.Unlisted = true
-			l.lapsed[name] = e
+			l.lapsed[name] = lapse{entry: e, behind: behind, missing: l.position}
 		}
 	}
-	maps.DeleteFunc(l.lapsed, func(_ id.Endpoint, e Endpoint) bool { return slices.Contains(unreadable, e.Instance) })
+}
+
+// dropUnreadable drops the kept entries of instances whose entry can't be read.
+func (l *List) dropUnreadable(unreadable []id.Instance) {
+	maps.DeleteFunc(l.lapsed, func(_ id.Endpoint, p lapse) bool { return slices.Contains(unreadable, p.entry.Instance) })
 }
 
 // dropReplaced drops lapsed entries that are listed again, whose instance has
@@ -146,9 +116,9 @@
 		taken[e.Address] = true
 		instances[e.Instance] = e.Instance != ""
 	}
-	maps.DeleteFunc(l.lapsed, func(name id.Endpoint, e Endpoint) bool {
+	maps.DeleteFunc(l.lapsed, func(name id.Endpoint, p lapse) bool {
 		_, listed := l.listed[name]
-		return listed || taken[e.Address] || instances[e.Instance]
+		return listed || taken[p.entry.Address] || instances[p.entry.Instance]
 	})
 }
 
@@ -165,7 +135,7 @@
 
 // entry is the entry of an instance, listed or lapsed.
 func (l *List) entry(instance id.Instance) (Endpoint, bool) {
-	for _, entries := range []map[id.Endpoint]Endpoint{l.listed, l.lapsed} {
+	for _, entries := range []map[id.Endpoint]Endpoint{l.listed, l.lapsedEntries()} {
 		for _, e := range entries {
 			if e.Instance == instance {
 				return e, true
@@ -197,31 +167,13 @@
 	return true
 }
 
-// Tick drops the lapsed entries whose time is over; it says whether there were
-// any.
-func (l *List) Tick(now time.Duration) bool {
-	if now < l.Next() {
-		return false
-	}
-	clear(l.lapsed)
-	return true
-}
-
-// Next is when Tick is due.
-func (l *List) Next() time.Duration {
-	if l.away || len(l.lapsed) == 0 {
-		return never
-	}
-	return l.until
-}
-
 // Lapsed is how many entries are kept though the store lists them no more.
 func (l *List) Lapsed() int { return len(l.lapsed) }
 
 // All lists the endpoints that count as there, by name.
 func (l *List) All() []Endpoint {
 	out := make([]Endpoint, 0, len(l.listed)+len(l.lapsed))
-	for _, entries := range []map[id.Endpoint]Endpoint{l.listed, l.lapsed} {
+	for _, entries := range []map[id.Endpoint]Endpoint{l.listed, l.lapsedEntries()} {
 		for _, e := range entries {
 			if told, ok := l.restarted[e.Instance]; ok && e.older(&told) {
 				told.Unlisted = e.Unlisted
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/uptime"
 )
 
 func names(l *List) []id.Endpoint {
@@ -22,59 +23,180 @@
 func TestAnEntryThatGoesWhileTheStoreIsThereIsGone(t *testing.T) {
 	is := is.New(t)
 	l := New()
-	l.Set(0, []Endpoint{entry("a", "1"), entry("b", "2")})
-	l.Set(time.Second, []Endpoint{entry("b", "2")})
+	l.Set(0, 1, []Endpoint{entry("a", "1"), entry("b", "2")})
+	l.Set(time.Second, 1, []Endpoint{entry("b", "2")})
 	is.Equal(names(l), []id.Endpoint{"b"})
 }
 
 func TestLapsedEntriesAreKeptUntilTheyMayHaveComeBack(t *testing.T) {
 	is := is.New(t)
 	l := New()
-	l.Set(0, []Endpoint{entry("a", "1"), entry("b", "2"), entry("c", "3")})
+	l.Set(0, 1, []Endpoint{entry("a", "1"), entry("b", "2"), entry("c", "3")})
 	l.StoreLost()
 	l.StoreBack(10 * time.Second)
-	l.Set(10*time.Second, nil)
+	l.Answered(10*time.Second, 1, time.Minute, false)
+	l.Set(10*time.Second, 1, nil)
 	is.Equal(names(l), []id.Endpoint{"a", "b", "c"})
-	l.Set(11*time.Second, []Endpoint{entry("a", "1")})
+	l.Set(11*time.Second, 1, []Endpoint{entry("a", "1")})
 	is.Equal(l.Lapsed(), 2)
-	is.True(!l.Tick(12 * time.Second))
-	is.Equal(l.Next(), 10*time.Second+returnGrace)
-	is.True(l.Tick(l.Next()))
+	is.True(!l.Settle(12 * time.Second))
+	end := 10*time.Second + uptime.ReturnGrace
+	l.Answered(end-1, 1, time.Minute+uptime.ReturnGrace-1, true)
+	is.True(!l.Settle(end - 1))
+	is.True(!l.Due(end - 1))
+	is.True(l.Due(end))
+	l.Answered(end, 1, time.Minute+uptime.ReturnGrace, true)
+	is.True(l.Settle(end))
+	is.True(!l.Due(end))
 	is.Equal(names(l), []id.Endpoint{"a"})
 }
 
 func TestALapsedEntryThatSaidItLeavesIsGone(t *testing.T) {
 	is := is.New(t)
 	l := New()
-	l.Set(0, []Endpoint{{Name: "a", Address: "1", Leaving: true}, entry("b", "2")})
+	l.Set(0, 1, []Endpoint{{Name: "a", Address: "1", Leaving: true}, entry("b", "2")})
 	l.StoreLost()
-	l.Set(time.Second, nil)
+	l.Set(time.Second, 1, nil)
 	is.Equal(names(l), []id.Endpoint{"b"})
 }
 
 func TestALapsedEntryWhoseAddressIsTakenIsGone(t *testing.T) {
 	is := is.New(t)
 	l := New()
-	l.Set(0, []Endpoint{entry("a", "1")})
+	l.Set(0, 1, []Endpoint{entry("a", "1")})
 	l.StoreLost()
-	l.Set(time.Second, []Endpoint{entry("z", "1")})
+	l.Set(time.Second, 1, []Endpoint{entry("z", "1")})
 	is.Equal(names(l), []id.Endpoint{"z"})
 }
 
-func TestEntriesGetTheGraceThatAnotherDaemonGivesThem(t *testing.T) {
+// served is a span of the store by the clock that the tests' daemons share.
+func served(from, until uint64, since, last time.Duration) uptime.Span {
+	return uptime.Span{From: from, Until: until, Since: since, Last: last}
+}
+
+func TestEntriesMayReturnByAnotherDaemonsWord(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	is.True(!l.Doubts(0))
+	l.Set(0, 10, []Endpoint{{Name: "a", Address: "1"}})
+	back := served(0, 11, time.Second, time.Second)
+	l.Learn(1100*time.Millisecond, back, back.Since, 0)
+	l.MayReturn()
+	l.Set(1100*time.Millisecond, 11, nil)
+	is.Equal(l.Lapsed(), 1)
+	is.True(l.Doubts(1100 * time.Millisecond))
+	// Hearing the same again, or later from somebody else, does not add to the time.
+	l.Learn(3*time.Second, back, back.Since, 0)
+	l.MayReturn()
+	end := back.Since + uptime.ReturnGrace
+	for _, asks := range []struct {
+		at  time.Duration
+		ask bool
+	}{{1200 * time.Millisecond, true}, {end - 1, false}, {end, true}} {
+		_, ask := l.Ask(asks.at)
+		is.Equal(ask, asks.ask)
+	}
+	is.True(!l.Learn(end, served(0, 11, back.Since, end-1), back.Since, 0))
+	is.True(l.Learn(end, served(11, 11, back.Since, end), back.Since, 0))
+	is.Equal(l.Lapsed(), 0)
+	l.Learn(4*time.Second, served(11, 14, time.Second, 4*time.Second), time.Second, 0) // the store was not away
+	l.Set(4*time.Second, 12, []Endpoint{{Name: "b", Address: "2"}})
+	l.Set(4*time.Second, 13, nil)
+	is.Equal(l.Lapsed(), 0)
+}
+
+// TestADaemonThatTheStoreRefusesDropsWhatWentWhileOthersWereServed, also where it
+// hears of the removal first and of the store afterwards.
+func TestADaemonThatTheStoreRefusesDropsWhatWentWhileOthersWereServed(t *testing.T) {
+	is := is.New(t)
+	for _, first := range []bool{true, false} {
+		l := New()
+		l.Set(0, 10, []Endpoint{entry("a", "1"), entry("b", "2")})
+		l.StoreLost()
+		word := served(3, 12, -time.Minute, 5*time.Second)
+		if first {
+			l.Learn(5*time.Second, word, word.Since, 0)
+		}
+		l.Set(5*time.Second, 12, []Endpoint{entry("b", "2")})
+		if !first {
+			is.Equal(names(l), []id.Endpoint{"a", "b"})
+			upTo, ask := l.Ask(5 * time.Second)
+			is.True(ask)
+			is.Equal(upTo, uint64(12))
+			is.True(l.Learn(5*time.Second, word, word.Since, 0))
+		}
+		is.Equal(names(l), []id.Endpoint{"b"})
+		_, ask := l.Ask(5 * time.Second)
+		is.True(!ask)
+	}
+}
+
+// TestTheTimeForComingBackCountsFromTheStoresReturn, not from the daemon's own
+// first answer: it may be asked seconds later.
+func TestTheTimeForComingBackCountsFromTheStoresReturn(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.Set(0, 10, []Endpoint{entry("a", "1")})
+	l.StoreLost()
+	l.StoreBack(10 * time.Second)
+	l.Answered(10*time.Second, 20, 10*time.Second, false)
+	l.Set(10*time.Second, 20, nil)
+	is.Equal(l.Lapsed(), 1)
+	// Others were served from 8 s on.
+	end := 8*time.Second + uptime.ReturnGrace
+	is.True(!l.Learn(10100*time.Millisecond, served(0, 20, 8*time.Second, 10*time.Second), 8*time.Second, 0))
+	is.True(!l.Learn(end-1, served(0, 20, 8*time.Second, end-1), 8*time.Second, 0))
+	is.True(l.Learn(end, served(20, 20, 8*time.Second, end), 8*time.Second, 0))
+}
+
+// TestAnEntryThatLapsedInAnOutageOfAllIsKept by a daemon that hears from others
+// when the store was back, until these were served for as long as entries may take
+// to return.
+func TestAnEntryThatLapsedInAnOutageOfAllIsKept(t *testing.T) {
 	is := is.New(t)
 	l := New()
-	is.Equal(l.Grace(0), time.Duration(0))
-	l.Set(0, []Endpoint{{Name: "a", Address: "1"}})
-	l.Returned(time.Second, 500*time.Millisecond)
-	l.Set(time.Second, nil)
+	l.Set(0, 10, []Endpoint{entry("a", "1")})
+	l.StoreLost()
+	// The store was back for a second and gone again.
+	l.Learn(6*time.Second, served(0, 12, 5*time.Second, 6*time.Second), 5*time.Second, 0)
+	l.Set(6*time.Second, 12, nil)
+	is.True(!l.Settle(20 * time.Second))
+	is.True(!l.Learn(31*time.Second, served(0, 14, 30*time.Second, 31*time.Second), 30*time.Second, 0))
 	is.Equal(l.Lapsed(), 1)
-	is.Equal(l.Grace(time.Second), 500*time.Millisecond)
-	is.True(!l.Tick(1499 * time.Millisecond))
-	is.True(l.Tick(1500 * time.Millisecond))
+	is.True(l.Learn(33*time.Second, served(14, 15, 30*time.Second, 33*time.Second), 30*time.Second, 0))
 	is.Equal(l.Lapsed(), 0)
-	l.Returned(2*time.Second, 0) // the store was not away
-	l.Set(2*time.Second, []Endpoint{{Name: "b", Address: "2"}})
-	l.Set(2*time.Second, nil)
+}
+
+// TestWhatLapsesRightBehindTheStoresReturnIsKept: its heartbeats may not have been
+// heard yet, whoever was served since.
+func TestWhatLapsesRightBehindTheStoresReturnIsKept(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.Set(0, 10, []Endpoint{entry("a", "1")})
+	l.StoreLost()
+	l.StoreBack(10 * time.Second)
+	l.Answered(10*time.Second, 20, 10*time.Second, false)
+	l.Current() // nothing has changed
+	l.Answered(11*time.Second, 25, 11*time.Second, true)
+	l.Set(11*time.Second, 25, nil)
+	l.Learn(11*time.Second, served(0, 25, 10*time.Second, 11*time.Second), 10*time.Second, 0)
+	is.Equal(l.Lapsed(), 1)
+	end := 10*time.Second + uptime.ReturnGrace
+	l.Answered(end, 25, end, true)
+	is.True(l.Settle(end))
+}
+
+// TestADaemonThatIsBehindKeepsWhatMayBeBack: its list does not show what has
+// registered again since.
+func TestADaemonThatIsBehindKeepsWhatMayBeBack(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.Set(0, 10, []Endpoint{entry("a", "1")})
+	l.StoreLost()
+	l.Set(6*time.Second, 12, nil)
+	is.True(!l.Learn(9*time.Second, served(14, 18, 5*time.Second, 9*time.Second), 5*time.Second, 15))
+	is.Equal(l.Lapsed(), 1)
+	l.Set(9*time.Second, 15, []Endpoint{entry("a", "1")})
 	is.Equal(l.Lapsed(), 0)
+	is.Equal(names(l), []id.Endpoint{"a"})
 }
--- /dev/null
+++ b/core/uptime/uptime_test.go
@@ -0,0 +1,102 @@
+package uptime
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestASpanGrowsWithEachAnswerAndEndsWithAFailure(t *testing.T) {
+	is := is.New(t)
+	var s Span
+	is.True(!s.Known())
+	is.True(!s.Covers(0, 0))
+	s = s.Answered(10, time.Second, true)
+	is.Equal(s, Span{Until: 10, Since: time.Second, Last: time.Second})
+	is.True(!s.Covers(10, 10)) // what lapsed before it may not be back yet
+	s = s.Answered(12, time.Second+ReturnGrace, true)
+	s = s.Answered(14, 5*time.Second, true)
+	is.Equal(s, Span{From: 12, Until: 14, Since: time.Second, Last: 5 * time.Second})
+	is.True(s.Covers(12, 14))
+	is.True(s.Covers(13, 14))
+	is.True(!s.Covers(11, 13))
+	is.True(!s.Covers(12, 15))
+	s = s.Answered(20, 9*time.Second, false)
+	is.Equal(s, Span{Until: 20, Since: 9 * time.Second, Last: 9 * time.Second})
+}
+
+func TestAStoreWhoseClockOrVersionsBeganAnewBeginsANewSpan(t *testing.T) {
+	is := is.New(t)
+	s := Span{}.Answered(10, time.Minute, true)
+	is.Equal(s.Answered(11, time.Second, true).Since, time.Second)
+	is.Equal(s.Answered(3, 2*time.Minute, true).Since, 2*time.Minute)
+}
+
+func TestSpansThatOverlapAddUp(t *testing.T) {
+	is := is.New(t)
+	early := Span{From: 10, Until: 20, Since: 1 * time.Second, Last: 5 * time.Second}
+	late := Span{From: 17, Until: 30, Since: 4 * time.Second, Last: 9 * time.Second}
+	both := Span{From: 10, Until: 30, Since: 1 * time.Second, Last: 9 * time.Second}
+	is.Equal(Join(early, late), both)
+	is.Equal(Join(late, early), both)
+	apart := Span{Until: 21, Since: 6 * time.Second, Last: 7 * time.Second}
+	is.Equal(Join(early, apart), apart)
+	is.Equal(Join(apart, early), apart)
+	is.Equal(Join(early, Span{}), early)
+	is.Equal(Join(Span{}, early), early)
+	inner := Span{Until: 13, Since: 2 * time.Second, Last: 3 * time.Second}
+	is.Equal(Join(early, inner), early)
+	is.Equal(Join(inner, early), early)
+	begun := Span{Until: 24, Since: 5 * time.Second, Last: 6 * time.Second}
+	is.Equal(Join(begun, early), Span{From: 10, Until: 24, Since: 1 * time.Second, Last: 6 * time.Second})
+}
+
+// TestRandomSpansClaimNoOutage: daemons call a store that is away at times, fail
+// or are cut off, and join what others tell: no span covers a change that was
+// made while the store answered nobody.
+func TestRandomSpansClaimNoOutage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const daemons = 3
+		var spans [daemons]Span
+		var unbroken [daemons]bool
+		version, clock := uint64(1), time.Duration(0)
+		away := false
+		var during []uint64 // changes made while the store was away
+		for range rapid.IntRange(10, 80).Draw(t, "steps") {
+			clock += time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond
+			d := rapid.IntRange(0, daemons-1).Draw(t, "daemon")
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				version++
+				if away {
+					during = append(during, version)
+				}
+			case 1:
+				if away = !away; away {
+					// Whoever calls while it is away learns it by the failure.
+					unbroken = [daemons]bool{}
+				}
+			case 2:
+				if away {
+					unbroken[d] = false
+					break
+				}
+				spans[d] = spans[d].Answered(version, clock, unbroken[d])
+				unbroken[d] = true
+			case 3:
+				spans[d] = Join(spans[d], spans[rapid.IntRange(0, daemons-1).Draw(t, "from")])
+			case 4:
+				unbroken[d] = false // this one alone is cut off
+			}
+			for _, s := range spans {
+				for _, v := range during {
+					if s.Covers(v-1, v) {
+						t.Fatalf("%+v covers change %d, made while the store was away", s, v)
+					}
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/daemon/feed/calls_test.go
@@ -0,0 +1,113 @@
+package feed
+
+import (
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// timed is a Follower whose time the test hands in, and whose answers it reads.
+type timed struct {
+	*Follower
+	now     atomic.Int64
+	answers chan Answer
+}
+
+func followTimed(t *testing.T, s *source) *timed {
+	t.Helper()
+	f := &timed{answers: make(chan Answer, 16)}
+	f.Follower = Start(Config{
+		Name: "t", Source: s, Wait: testBound, Retry: time.Millisecond,
+		Now:      func() time.Duration { return time.Duration(f.now.Load()) },
+		Answered: func(a Answer) { f.answers <- a },
+		Changed:  func(State) {},
+		Lost:     func(error) {},
+		Back:     func() {},
+		Rand:     testRand(),
+	})
+	t.Cleanup(f.Close)
+	return f
+}
+
+func (f *timed) pass(d time.Duration) { f.now.Add(int64(d)) }
+
+// delta is an answer without changes; first is done before.
+func delta(newest uint64, clock time.Duration, first func()) func() (Delta, error) {
+	return func() (Delta, error) {
+		first()
+		return Delta{Position: newest, Clock: clock}, nil
+	}
+}
+
+func nothing() {}
+
+// TestAnAnswerIsUnbrokenOnlyBehindAnother: not behind a failure, a rest, or time in
+// which the process was held up.
+func TestAnAnswerIsUnbrokenOnlyBehindAnother(t *testing.T) {
+	is := is.New(t)
+	s := newSource()
+	f := followTimed(t, s)
+	give(t, s.reads, read(9, row("a", 3)))
+	is.Equal(next(t, f.answers), Answer{Newest: 9})
+	give(t, s.changes, delta(12, time.Minute, func() { f.pass(time.Second) }))
+	is.Equal(next(t, f.answers), Answer{Newest: 12, Clock: time.Minute, Unbroken: true})
+
+	give(t, s.changes, func() (Delta, error) { return Delta{}, errors.New("refused") })
+	give(t, s.changes, delta(13, time.Minute, nothing))
+	is.True(!next(t, f.answers).Unbroken)
+
+	give(t, s.changes, delta(13, time.Minute, func() { f.pass(2 * testBound) }))
+	is.True(!next(t, f.answers).Unbroken) // it took longer than it may
+
+	give(t, s.changes, delta(13, time.Minute, nothing))
+	is.True(next(t, f.answers).Unbroken)
+}
+
+// TestCallsThatWereNotMadeBreakTheRow: nobody was asked meanwhile.
+func TestCallsThatWereNotMadeBreakTheRow(t *testing.T) {
+	is := is.New(t)
+	var c calls
+	is.True(!c.answered(0, 1, testBound))
+	is.True(c.answered(1+mostBetween, 2+mostBetween, testBound))
+	is.True(!c.answered(3+2*mostBetween, 4+2*mostBetween, testBound))
+	c.broken()
+	is.True(!c.answered(5+2*mostBetween, 6+2*mostBetween, testBound))
+	is.True(c.answered(6+2*mostBetween, 7+2*mostBetween, testBound))
+}
+
+// TestAPollGivesUpTheCallThatWaits and asks at once, which breaks nothing.
+func TestAPollGivesUpTheCallThatWaits(t *testing.T) {
+	is := is.New(t)
+	s := newSource()
+	f := followTimed(t, s)
+	give(t, s.reads, read(9, row("a", 3)))
+	next(t, f.answers)
+	give(t, s.changes, delta(9, time.Minute, nothing))
+	next(t, f.answers)
+	s.awaitCalls(t, 2)
+	is.True(s.lastWait() > 0)
+	f.Poll()
+	s.awaitCalls(t, 3)
+	is.Equal(s.lastWait(), time.Duration(0))
+	give(t, s.changes, delta(9, time.Minute, nothing))
+	is.True(next(t, f.answers).Unbroken)
+}
+
+// awaitCalls waits until n calls for changes were begun.
+func (s *source) awaitCalls(t *testing.T, n int) {
+	t.Helper()
+	for end := time.Now().Add(testBound); ; time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		begun := len(s.waits)
+		s.mu.Unlock()
+		if begun >= n {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d calls were begun, not %d", begun, n)
+		}
+	}
+}
--- a/daemon/feed/feed.go
+++ b/daemon/feed/feed.go
@@ -38,6 +38,9 @@
 	wake chan struct{}
 	// wait is the longest that one call waits for changes.
 	wait time.Duration
+	// calls are those to the store, one after another; used by the goroutine that
+	// makes them.
+	calls calls
 }
 
 const (
@@ -179,6 +182,7 @@
 	f.mu.Lock()
 	if f.idle && !f.whole && !f.lost {
 		f.mu.Unlock()
+		f.calls.broken()
 		f.rest()
 		return false, nil
 	}
@@ -196,8 +200,12 @@
 	}
 	interrupted := err != nil && ctx.Err() != nil
 	if interrupted || f.ctx.Err() != nil {
+		f.calls.ended(f.now())
 		return changed, nil
 	}
+	if err != nil {
+		f.calls.broken()
+	}
 	f.note(err)
 	return changed, err
 }
@@ -211,6 +219,7 @@
 		return err
 	}
 	f.note(nil)
+	f.answered(begun, readTimeout, snapshot.Position, snapshot.Clock)
 	defer f.confirm(begun)
 	f.mu.Lock()
 	f.whole = false
@@ -239,12 +248,14 @@
 		f.mu.Lock()
 		f.whole = true
 		f.mu.Unlock()
+		f.calls.ended(f.now())
 		return false, nil
 	}
 	if err != nil {
 		return false, err
 	}
 	f.note(nil)
+	f.answered(begun, limit, delta.Position, delta.Clock)
 	if len(delta.Changes) == 0 {
 		f.confirm(begun)
 		return false, nil
--- a/daemon/feed/others.go
+++ b/daemon/feed/others.go
@@ -33,6 +33,18 @@
 	f.wait = wait
 }
 
+// Poll asks the store for changes at once, if it is followed: a call that waits
+// for some is given up.
+func (f *Follower) Poll() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.idle || f.whole || f.lost {
+		return
+	}
+	f.begun = true
+	f.interruptWait()
+}
+
 // Refresh reads the table whole at once, on another connection than the one
 // that waits for changes.
 func (f *Follower) Refresh() {
--- a/daemon/feed/types.go
+++ b/daemon/feed/types.go
@@ -25,12 +25,27 @@
 	Rows []table.Row
 	// Position is behind which the changes follow.
 	Position uint64
+	// Clock is what the store's clock showed.
+	Clock time.Duration
 }
 
 // Delta holds the changes behind a position, oldest first.
 type Delta struct {
 	Changes  []Change
 	Position uint64
+	// Clock is what the store's clock showed.
+	Clock time.Duration
+}
+
+// Answer is what an answer of the store tells of the store itself.
+type Answer struct {
+	// Newest is the version of its newest change.
+	Newest uint64
+	// Clock is what its clock showed.
+	Clock time.Duration
+	// Unbroken says that the call followed another one that was answered, or that
+	// was given up before its time, with no pause to speak of between.
+	Unbroken bool
 }
 
 // Source reads tables.
@@ -86,6 +101,8 @@
 	// Learnt is told of the changes that came from the store itself, after
 	// Changed. Nil if nobody is to be told.
 	Learnt func(n News)
+	// Answered, if set, is told of each answer of the store, before Changed.
+	Answered func(a Answer)
 	// Confirmed, if set, is told after Changed that the store, when a call to it
 	// began, had nothing newer than what is known; by Now.
 	Confirmed func(since time.Duration)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -125,6 +125,8 @@
 	unusable *metrics.CounterMap
 	ended    sync.Once
 
+	// asking is set while others are asked when the store answered.
+	asking atomic.Bool
 	// freshness is how old the configuration may be.
 	freshness configFreshness
 	// fleet is nil until the daemon has enrolled.
--- a/daemon/gateway/knowledge.go
+++ b/daemon/gateway/knowledge.go
@@ -69,7 +69,10 @@
 	configs := d.followerConfig(tables.Config, d.configChanged)
 	configs.Confirmed = d.configConfirmed
 	d.configs = feed.Start(configs)
-	d.endpoints = feed.Start(d.followerConfig(tables.Endpoints, d.endpointsChanged))
+	endpoints := d.followerConfig(tables.Endpoints, d.endpointsChanged)
+	endpoints.Answered = d.storeAnswered
+	endpoints.Confirmed = d.endpointsConfirmed
+	d.endpoints = feed.Start(endpoints)
 	go d.watchRegistry()
 }
 
@@ -184,7 +187,7 @@
 		}
 		entries = append(entries, e.endpoint)
 	}
-	k.list.Set(d.now(), entries, unreadable...)
+	k.list.Set(d.now(), s.Position, entries, unreadable...)
 	d.publish()
 }
 
@@ -196,17 +199,34 @@
 	}
 }
 
-// watchRegistry drops lapsed entries when their time is over.
+// watchRegistry drops lapsed entries when their time is over, and asks the store
+// and others for what it takes to tell.
 func (d *Daemon) watchRegistry() {
 	d.every(registryLook, func() {
-		d.knowledge.mu.Lock()
-		defer d.knowledge.mu.Unlock()
-		if d.knowledge.list.Tick(d.now()) {
-			d.publish()
+		upTo, ask, due := d.settleRegistry()
+		if due {
+			d.endpoints.Poll()
+		}
+		if ask {
+			d.askUptime(upTo)
 		}
 	})
 }
 
+// settleRegistry drops lapsed entries when their time is over. It says whether
+// others are to be asked when the store answered, and up to which of its
+// versions, and whether the store's next answer may tell.
+func (d *Daemon) settleRegistry() (upTo uint64, ask, due bool) {
+	k, now := d.knowledge, d.now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.list.Settle(now) {
+		d.publish()
+	}
+	upTo, ask = k.list.Ask(now)
+	return upTo, ask, k.list.Due(now)
+}
+
 // every does something again and again until the daemon ends.
 func (d *Daemon) every(pause time.Duration, do func()) {
 	ticker := time.NewTicker(pause)
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -27,15 +27,18 @@
 	kindNews
 	// kindProof tells how fresh the configuration is: datagram, freshness.Proof.
 	kindProof
+	// kindUptime asks a daemon when the store answered it: a call, uptimeQuery ->
+	// storeWord.
+	kindUptime
 )
 
-var kindNames = map[peer.Kind]string{kindTables: "tables", kindNews: "news", kindProof: "proof"}
+var kindNames = map[peer.Kind]string{kindTables: "tables", kindNews: "news", kindProof: "proof", kindUptime: "uptime"}
 
 // tablesReply is what a daemon knows of the store's tables.
 type tablesReply struct {
 	States []feed.State `cbor:"1,keyasint"`
-	// Grace is how long entries that have gone may still come back.
-	Grace time.Duration `cbor:"2,keyasint,omitempty"`
+	// Store is what the daemon knows of the store's own state.
+	Store storeWord `cbor:"2,keyasint"`
 }
 
 type tablesQuery struct{}
@@ -158,11 +161,16 @@
 }
 
 // HandleCall implements peer.Handler.
-func (h *peerHandler) HandleCall(_ context.Context, from id.Daemon, kind peer.Kind, _ []byte) ([]byte, error) {
-	if !h.Open() || kind != kindTables {
-		return nil, eris.Errorf("no answer to a call of kind %d from %s", kind, from)
+func (h *peerHandler) HandleCall(_ context.Context, from id.Daemon, kind peer.Kind, body []byte) ([]byte, error) {
+	var q uptimeQuery
+	switch {
+	case !h.Open():
+	case kind == kindTables:
+		return peer.Encode(&tablesReply{States: h.d.tableStates(), Store: *h.d.storeWord()})
+	case kind == kindUptime && h.decode(from, body, &q):
+		return peer.Encode(h.d.answerUptime(q))
 	}
-	return peer.Encode(&tablesReply{States: h.d.tableStates(), Grace: h.d.registryGrace()})
+	return nil, eris.Errorf("no answer to a call of kind %d from %s", kind, from)
 }
 
 // HandleOneWay implements that method of peer.Handler.
--- a/daemon/gateway/reading.go
+++ b/daemon/gateway/reading.go
@@ -8,7 +8,6 @@
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/member"
 	"github.com/samphirequay/samphirequay/core/readers"
-	"github.com/samphirequay/samphirequay/core/registry"
 	"github.com/samphirequay/samphirequay/daemon/feed"
 )
 
@@ -26,9 +25,9 @@
 // tableNews is what a daemon that reads the store's tables tells the others.
 type tableNews struct {
 	News feed.News `cbor:"1,keyasint"`
-	// Grace is how long entries that have gone may still come back, since the
-	// store was away.
-	Grace time.Duration `cbor:"2,keyasint,omitempty"`
+	// Store, on news of the endpoints, is what the sender knows of the store's own
+	// state.
+	Store *storeWord `cbor:"2,keyasint,omitempty"`
 }
 
 // followers lists those of the daemon's tables; the fleet's own is there once
@@ -112,28 +111,18 @@
 	if size > newsMaxBytes {
 		n.Changes = nil
 	}
-	f.sendAll(kindNews, &tableNews{News: n, Grace: d.registryGrace()})
-}
-
-// registryGrace is how long lapsed entries may still come back.
-func (d *Daemon) registryGrace() time.Duration {
-	d.knowledge.mu.Lock()
-	defer d.knowledge.mu.Unlock()
-	return d.knowledge.list.Grace(d.now())
-}
-
-// learnAbsence notes that the store was away by the word of another daemon.
-func (d *Daemon) learnAbsence(from id.Daemon, table string, grace time.Duration) {
-	if grace <= 0 {
-		return
+	news := tableNews{News: n}
+	if n.Name == d.endpoints.Name() {
+		news.Store = d.storeWord()
 	}
-	d.logger.Event("store_absence_told", "peer", from, "table", table, "grace", grace)
-	d.tellRegistry(table, func(l *registry.List) { l.Returned(d.now(), grace) })
+	f.sendAll(kindNews, &news)
 }
 
 // takeNews takes what another daemon tells of the store's tables.
 func (d *Daemon) takeNews(from id.Daemon, n tableNews) {
-	d.learnAbsence(from, n.News.Name, n.Grace)
+	if n.Store != nil {
+		d.takeStoreWord(from, *n.Store)
+	}
 	follower := d.follower(n.News.Name)
 	if follower == nil {
 		return
--- /dev/null
+++ b/daemon/gateway/uptime.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/uptime"
+	"github.com/samphirequay/samphirequay/daemon/feed"
+)
+
+// storeWord is what one daemon tells others of the store's own state.
+type storeWord struct {
+	// Uptime is the newest span in which the store is known to have answered.
+	Uptime uptime.Span `cbor:"1,keyasint"`
+	// Listed is the version of the store up to which the sender knows the endpoints.
+	Listed uint64 `cbor:"2,keyasint,omitempty"`
+	// MayReturn says that entries which have gone may have lapsed before the span.
+	MayReturn bool `cbor:"3,keyasint,omitempty"`
+}
+
+// uptimeQuery asks when the store answered.
+type uptimeQuery struct {
+	// UpTo is the version of the store up to which that matters.
+	UpTo uint64 `cbor:"1,keyasint"`
+}
+
+// mostAsked is how many others a daemon asks at a time: those that read the
+// store for all.
+const mostAsked = 3
+
+// storeAnswered notes an answer of the store.
+func (d *Daemon) storeAnswered(a feed.Answer) {
+	k := d.knowledge
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.list.Answered(d.now(), a.Newest, a.Clock, a.Unbroken)
+}
+
+// endpointsConfirmed notes that the endpoints are known as the store has them.
+func (d *Daemon) endpointsConfirmed(time.Duration) {
+	k := d.knowledge
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.list.Current()
+}
+
+func (d *Daemon) storeWord() *storeWord {
+	s, _ := d.endpoints.State()
+	k := d.knowledge
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return &storeWord{Uptime: k.list.Uptime(), Listed: s.Position, MayReturn: k.list.Doubts(d.now())}
+}
+
+// takeStoreWord takes what another daemon knows of the store's own state.
+func (d *Daemon) takeStoreWord(from id.Daemon, w storeWord) {
+	since := d.freshness.earliest(d.now(), w.Uptime.Since)
+	k := d.knowledge
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.list.Learn(d.now(), w.Uptime, since, w.Listed) {
+		d.logger.Event("store_was_there", "peer", from, "from", w.Uptime.From, "until", w.Uptime.Until,
+			"length", w.Uptime.Length())
+		d.publish()
+	}
+	if w.MayReturn {
+		d.mayReturn(from)
+	}
+}
+
+// mayReturn notes by another daemon's word that entries may have lapsed with the
+// store; the lock is held.
+func (d *Daemon) mayReturn(from id.Daemon) {
+	list, now := d.knowledge.list, d.now()
+	doubted := list.Doubts(now)
+	list.MayReturn()
+	if !doubted && list.Doubts(now) {
+		d.logger.Event("store_absence_told", "peer", from)
+	}
+}
+
+// answerUptime tells another daemon when the store answered. Where its last answer
+// is too old to tell, the store is asked at once, so that the next question finds
+// more.
+func (d *Daemon) answerUptime(q uptimeQuery) *storeWord {
+	w := d.storeWord()
+	if w.Uptime.Until < q.UpTo || w.Uptime.Length() < uptime.ReturnGrace {
+		d.endpoints.Poll()
+	}
+	return w
+}
+
+// askUptime asks others when the store answered, one question at a time: entries
+// are kept by what this daemon alone knows of it.
+func (d *Daemon) askUptime(upTo uint64) {
+	f := d.fleet.Load()
+	if f == nil || !d.asking.CompareAndSwap(false, true) {
+		return
+	}
+	var asked sync.WaitGroup
+	for _, other := range f.askedForUptime() {
+		asked.Go(func() { d.askUptimeOf(f, other, upTo) })
+	}
+	go func() {
+		asked.Wait()
+		d.asking.Store(false)
+	}()
+}
+
+// askedForUptime are those that read the store for all, or others where these
+// can't be told.
+func (f *fleet) askedForUptime() []id.Daemon {
+	var out []id.Daemon
+	if chosen := f.readers.Load(); chosen != nil {
+		out = append(out, *chosen...)
+	}
+	out = append(out, f.members.Others()...)
+	asked := map[id.Daemon]bool{f.self.Daemon: true}
+	kept := out[:0]
+	for _, other := range out {
+		if !asked[other] && len(kept) < mostAsked {
+			kept = append(kept, other)
+		}
+		asked[other] = true
+	}
+	return kept
+}
+
+func (d *Daemon) askUptimeOf(f *fleet, other id.Daemon, upTo uint64) {
+	ctx, cancel := context.WithTimeout(d.ctx, tablesTimeout)
+	defer cancel()
+	var w storeWord
+	if err := f.transport.Call(ctx, other, kindUptime, &uptimeQuery{UpTo: upTo}, &w); err != nil {
+		d.logger.Warn("uptime_not_learnt", "peer", other, "why", err)
+		return
+	}
+	w.MayReturn = false // the question is about the past only
+	d.takeStoreWord(other, w)
+	if s, _ := d.endpoints.State(); s.Position < w.Listed {
+		d.endpoints.Refresh()
+	}
+}
