Doubt the first answer of a store that others have been without

What callers would meet: in a large fleet most daemons do not call the store during an outage. One that begins to read right at its return has seen no call fail, took the entries that had lapsed meanwhile for gone, and told the others so without a doubt: endpoints that serve on were dropped by the whole fleet.

Whether the store was away was known only to those whose own calls had failed.

Now a daemon whose call does not follow another one doubts its first answer where others have said for a second that the store does not answer them.

--- a/core/registry/lapse.go
+++ b/core/registry/lapse.go
@@ -55,6 +55,13 @@
 		return
 	}
 	a.away = false
+	l.Suspect(now)
+}
+
+// Suspect notes that the store may have been away until now: this daemon has not
+// called it meanwhile, and others that did got no answer.
+func (l *List) Suspect(now time.Duration) {
+	a := &l.absence
 	a.ownUntil = now + uptime.ReturnGrace
 	a.until = max(a.until, a.ownUntil)
 }
--- a/daemon/gateway/reading.go
+++ b/daemon/gateway/reading.go
@@ -60,7 +60,9 @@
 	reads, told := false, false
 	var asHub hub
 	d.every(readersLook, func() {
-		candidates := readingCandidates(f.members.Entries())
+		entries := f.members.Entries()
+		f.noteLost(d.now(), entries)
+		candidates := readingCandidates(entries)
 		now := decision.Decide(d.now(), candidates, !decision.Waited() && f.onlyOne())
 		chosen := decision.Chosen()
 		f.readers.Store(&chosen)
--- a/daemon/gateway/uptime.go
+++ b/daemon/gateway/uptime.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/member"
 	"github.com/samphirequay/samphirequay/core/uptime"
 	"github.com/samphirequay/samphirequay/daemon/feed"
 )
@@ -30,14 +32,46 @@
 // store for all.
 const mostAsked = 3
 
-// storeAnswered notes an answer of the store.
+// lostLeast is for how long other daemons must have been without the store for
+// this one to doubt its first answer: less time than entries need to lapse, and
+// more than it takes to read in place of others that the store refuses alone.
+const lostLeast = time.Second
+
+// storeAnswered notes an answer of the store. One that does not follow another
+// may be the first behind an outage that this daemon has not seen.
 func (d *Daemon) storeAnswered(a feed.Answer) {
+	suspect := !a.Unbroken && d.othersLost()
 	k := d.knowledge
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if suspect {
+		k.list.Suspect(d.now())
+	}
 	k.list.Answered(d.now(), a.Newest, a.Clock, a.Unbroken)
 }
 
+// othersLost says whether others have been without the store for a while.
+func (d *Daemon) othersLost() bool {
+	f := d.fleet.Load()
+	if f == nil {
+		return false
+	}
+	since := time.Duration(f.lostSince.Load())
+	return since > 0 && d.now()-since >= lostLeast
+}
+
+// noteLost notes since when others have been without the store.
+func (f *fleet) noteLost(now time.Duration, entries []member.Entry) {
+	lost := slices.ContainsFunc(entries, func(e member.Entry) bool {
+		return e.State == member.Alive && e.StoreLost && e.Process.Daemon != f.self.Daemon
+	})
+	if !lost {
+		f.lostSince.Store(0)
+		return
+	}
+	f.lostSince.CompareAndSwap(0, int64(now))
+}
+
 // endpointsConfirmed notes that the endpoints are known as the store has them.
 func (d *Daemon) endpointsConfirmed(time.Duration) {
 	k := d.knowledge
