Tell the others what a whole read of a table changed

What callers met: where the store had forgotten its changes, the three daemons that read it read the endpoints whole and had nothing to tell; the others went on sending to an endpoint that had left, until the table's next change.

Only changes that came as such were told, and a removed row that is found missing did not count in the revision by which daemons see that they are behind.

Why it holds. A follower on whom others rely tells the difference between what it knew and what it read as changes; the removed rows bear the version of the read, which counts in the revision here and there alike, so that one that misses the news sees that it is behind.

--- a/daemon/feed/feed.go
+++ b/daemon/feed/feed.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -228,13 +229,42 @@
 		f.mu.Unlock()
 		return nil
 	}
+	news := f.difference(snapshot)
 	f.install(snapshot.Rows, snapshot.Position)
-	told := f.snapshot()
+	for _, c := range news.Changes {
+		f.state.Version = max(f.state.Version, c.Version)
+	}
+	state := f.snapshot()
 	f.mu.Unlock()
-	f.cfg.Changed(told)
+	f.cfg.Changed(state)
+	if len(news.Changes) > 0 && f.cfg.Learnt != nil {
+		f.cfg.Learnt(news)
+	}
 	return nil
 }
 
+// difference gives the changes that lead from what is known to a whole table, for
+// a follower that others rely on: where the store has forgotten its changes, those
+// that don't read it hear of a removed row from nobody else. The lock is held.
+func (f *Follower) difference(s Snapshot) News {
+	n := News{Name: f.cfg.Name, After: f.state.Position, Position: s.Position}
+	if !f.known || f.idle {
+		return n
+	}
+	gone := maps.Clone(f.rows)
+	for _, row := range s.Rows {
+		if row.Version > f.rows[row.Key].Version {
+			n.Changes = append(n.Changes, Change{Row: row})
+		}
+		delete(gone, row.Key)
+	}
+	for key := range gone {
+		// The version at which it was removed is not known.
+		n.Changes = append(n.Changes, Change{Row: table.Row{Key: key, Version: s.Position}, Removed: true})
+	}
+	return n
+}
+
 // readChanges waits for changes and says whether there were any. Where there are
 // none the position stays at the last change: only so do the news of one
 // daemon go on where those of another ended.
--- a/daemon/feed/feed_test.go
+++ b/daemon/feed/feed_test.go
@@ -213,3 +213,30 @@
 	case <-time.After(20 * time.Millisecond):
 	}
 }
+
+// TestAFollowerTellsWhatAWholeReadChanged: the store has forgotten its changes, and
+// those who rely on this one hear of a removed row from nobody else.
+func TestAFollowerTellsWhatAWholeReadChanged(t *testing.T) {
+	is := is.New(t)
+	s := newSource()
+	told := make(chan News, 16)
+	f := Start(Config{
+		Name: "t", Source: s, Wait: testBound, Retry: time.Millisecond,
+		Changed: func(State) {}, Learnt: func(n News) { told <- n },
+		Lost: func(error) {}, Back: func() {}, Rand: testRand(),
+	})
+	t.Cleanup(f.Close)
+	give(t, s.reads, read(9, row("a", 3), row("b", 5), row("c", 8)))
+	give(t, s.changes, func() (Delta, error) { return Delta{}, ErrHistoryGone })
+	give(t, s.reads, read(14, row("a", 3), row("c", 12)))
+	is.Equal(next(t, told), News{Name: "t", After: 9, Position: 14, Changes: []Change{
+		{Row: row("c", 12)}, {Row: table.Row{Key: "b", Version: 14}, Removed: true},
+	}})
+	is.Equal(f.Version(), uint64(14))
+
+	other := idleAt(t, newSource(), 9, row("a", 3), row("b", 5), row("c", 8))
+	fresh, err := other.Take(News{Name: "t", After: 9, Position: 14, Changes: []Change{{Row: table.Row{Key: "b", Version: 14}, Removed: true}}})
+	is.NoErr(err)
+	is.True(fresh)
+	is.Equal(other.Version(), f.Version())
+}
