Keep the spans before a break, and ask again for them

Where the store breaks all calls (its history is dropped) each daemon's span of answers begins anew, and the one before, which tells that an entry was removed while the store was there, was lost; a daemon that kept the entry by another's word had asked once, too early.

A daemon holds the three newest spans, its own and others', and tells all of them; one that keeps entries by others' word asks with a pause of 5 ms for each daemon of the fleet; a poll that is asked for does not give up the one before it.

--- a/core/freshness/freshness.go
+++ b/core/freshness/freshness.go
@@ -54,16 +54,6 @@
 	t.cover(proof, since)
 }
 
-// Earliest is the first moment of the daemon's time at which the store's clock
-// can have shown a time; now where its clock is not known.
-func (t *Tracker) Earliest(now, shown time.Duration) time.Duration {
-	at, ok := t.clock.Earliest(now, shown)
-	if !ok {
-		return now
-	}
-	return min(at, now)
-}
-
 // Learn takes another daemon's proof.
 func (t *Tracker) Learn(now time.Duration, p Proof) {
 	since, ok := t.clock.Earliest(now, p.At)
--- a/core/registry/incarnation_test.go
+++ b/core/registry/incarnation_test.go
@@ -132,7 +132,7 @@
 					break
 				}
 			default:
-				l.Settle(now)
+				l.Settle()
 			}
 			var entries []Endpoint
 			for _, e := range rows {
--- a/core/registry/lapse.go
+++ b/core/registry/lapse.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
@@ -15,16 +16,6 @@
 	behind, missing uint64
 }
 
-// known is a span in which the store answered.
-type known struct {
-	uptime.Span
-	// since is when it began by the daemon's own time.
-	since time.Duration
-	// listed is the version of the store up to which the list was known to the
-	// daemon that told of the span.
-	listed uint64
-}
-
 // absence is what is known of the store's being away. That a daemon's own calls
 // fail is no proof of it: others may be served meanwhile.
 type absence struct {
@@ -35,10 +26,17 @@
 	until time.Duration
 	// ownUntil is until where this daemon found out itself, and not by others' word.
 	ownUntil time.Duration
-	// asked is up to which version of the store others were asked.
-	asked uint64
-	// own is the span in which this daemon was served, told what others say.
-	own, told known
+	// returnedAt is when the store was back, by its clock, as others told last.
+	returnedAt time.Duration
+	// askAt is when others are asked again.
+	askAt time.Duration
+	// own is the span in which this daemon was served last, spans are all others,
+	// also those in which other daemons were.
+	own   uptime.Span
+	spans uptime.History
+	// listed is the newest version of the store up to which another daemon knows the
+	// list.
+	listed uint64
 }
 
 // possible says whether an entry that has gone now may have lapsed because the
@@ -69,92 +67,72 @@
 // Answered notes an answer of the store to this daemon: the version of its
 // newest change, and its clock. Unbroken says that the call followed another one
 // that was answered.
-func (l *List) Answered(now time.Duration, newest uint64, clock time.Duration, unbroken bool) {
-	own := &l.absence.own
-	span := own.Answered(newest, clock, unbroken)
-	if span.Since != own.Since {
-		own.since = now
+func (l *List) Answered(newest uint64, clock time.Duration, unbroken bool) {
+	a := &l.absence
+	next := a.own.Answered(newest, clock, unbroken)
+	if next.Since != a.own.Since {
+		a.spans = a.spans.Add(a.own)
 	}
-	own.Span = span
+	a.own = next
 }
 
 // Current notes that the list is known up to the last answer of the store to this
 // daemon.
 func (l *List) Current() { l.position = max(l.position, l.absence.own.Until) }
 
-// Uptime is the newest span that is known, to be told to others.
-func (l *List) Uptime() uptime.Span { return uptime.Join(l.absence.own.Span, l.absence.told.Span) }
+// Uptime is when the store is known to have answered, to be told to others.
+func (l *List) Uptime() uptime.History { return l.absence.spans.Add(l.absence.own) }
 
-// Learn takes another daemon's word of when the store answered, since when that
-// was by this daemon's time, and up to which version the list is known there. It
-// says whether entries were dropped for it.
-func (l *List) Learn(now time.Duration, s uptime.Span, since time.Duration, listed uint64) bool {
-	if !s.Known() {
-		return false
-	}
-	heard := known{Span: s, since: min(since, now), listed: listed}
-	dropped := l.settleBy(now, heard)
-	told := &l.absence.told
-	joined := uptime.Join(told.Span, s)
-	if joined.Since == s.Since {
-		told.since = heard.since
+// Learn takes another daemon's word of when the store answered, and up to which
+// version the list is known there. It says whether entries were dropped for it.
+func (l *List) Learn(told uptime.History, listed uint64) bool {
+	a := &l.absence
+	a.listed = max(a.listed, listed)
+	for _, s := range told {
+		a.spans = a.spans.Add(s)
 	}
-	told.Span, told.listed = joined, max(told.listed, listed)
-	return l.Settle(now) || dropped
+	return l.Settle()
 }
 
-// Listed is the version of the store up to which the list is known.
-func (l *List) Listed() uint64 { return l.position }
-
 // MayReturn notes by another daemon's word that the store was away: entries that
-// have gone since may come back within uptime.ReturnGrace of its return, which is when
-// the span began that Learn took last.
-func (l *List) MayReturn() {
-	a := &l.absence
-	if a.told.Known() {
-		a.until = max(a.until, a.told.since+uptime.ReturnGrace)
+// have gone since may come back until it has answered for uptime.ReturnGrace.
+// Hearing of the same return again adds nothing.
+func (l *List) MayReturn(now time.Duration) {
+	a, newest := &l.absence, l.Uptime().Newest()
+	if newest.Since == a.returnedAt {
+		return
 	}
+	a.returnedAt = newest.Since
+	a.until = max(a.until, now+uptime.ReturnGrace-newest.Length())
 }
 
 // Doubts says whether entries that have gone may come back.
 func (l *List) Doubts(now time.Duration) bool { return l.absence.possible(now) }
 
 // Ask says whether others are to be asked when the store answered them, and up to
-// which of its versions the answer is to reach. They are once for each entry that is kept
-// newly, and again and again where this daemon's own calls failed, or the time for
-// coming back is over.
-func (l *List) Ask(now time.Duration) (upTo uint64, ask bool) {
+// which of its versions the answer is to reach. They are at each call where this
+// daemon's own calls failed, or the time for coming back is over, and with a pause
+// between where it keeps entries by others' word, as all others may.
+func (l *List) Ask(now, pause time.Duration) (upTo uint64, ask bool) {
 	a := &l.absence
-	missing := l.missing()
-	ask = len(l.lapsed) > 0 && (missing > a.asked || a.away || now < a.ownUntil || now >= a.until)
-	a.asked = max(a.asked, missing)
-	return l.position, ask
-}
-
-// missing is the version of the store at which the newest of the kept entries was
-// found missing; 0 for none.
-func (l *List) missing() uint64 {
-	newest := uint64(0)
-	for _, p := range l.lapsed {
-		newest = max(newest, p.missing)
+	if len(l.lapsed) == 0 {
+		return l.position, false
 	}
-	return newest
+	if !a.away && now >= a.ownUntil && now < a.until && now < a.askAt {
+		return l.position, false
+	}
+	a.askAt = now + pause
+	return l.position, true
 }
 
 // Settle drops the kept entries that have gone for certain; it says whether there
 // were any.
-func (l *List) Settle(now time.Duration) bool {
-	byOwn := l.settleBy(now, l.absence.own)
-	return l.settleBy(now, l.absence.told) || byOwn
-}
-
-// settleBy drops the kept entries that a span shows to have gone: the store was
-// there when they were removed, or had been back for uptime.ReturnGrace and still did not
-// list them.
-func (l *List) settleBy(now time.Duration, k known) bool {
-	before := len(l.lapsed)
+func (l *List) Settle() bool {
+	spans, before := l.Uptime(), len(l.lapsed)
 	maps.DeleteFunc(l.lapsed, func(_ id.Endpoint, p lapse) bool {
-		return k.Covers(p.behind, p.missing) || l.overdue(now, k, p)
+		return slices.ContainsFunc(spans, func(s uptime.Span) bool {
+			return s.Covers(p.behind, p.missing) || l.overdue(s, p)
+		})
 	})
 	return len(l.lapsed) < before
 }
@@ -163,10 +141,9 @@
 // had for coming back after the store's return. The store must have answered for
 // all that time, since it may be gone again, and this daemon must know the list as
 // it was then.
-func (l *List) overdue(now time.Duration, k known, p lapse) bool {
-	over := now >= k.since+uptime.ReturnGrace && k.Length() >= uptime.ReturnGrace
-	asListed := k.listed <= l.position && l.position <= k.Until
-	return over && asListed && p.missing <= k.Until
+func (l *List) overdue(s uptime.Span, p lapse) bool {
+	asListed := l.absence.listed <= l.position && l.position <= s.Until
+	return s.Length() >= uptime.ReturnGrace && asListed && p.missing <= s.Until
 }
 
 // Due says whether the time for coming back is over for entries that are still
--- a/core/registry/outages_test.go
+++ b/core/registry/outages_test.go
@@ -187,7 +187,7 @@
 	if !d.unbroken && s.othersLost(d) {
 		d.Suspect(s.now)
 	}
-	d.Answered(s.now, s.version, s.now, d.unbroken)
+	d.Answered(s.version, s.now, d.unbroken)
 	d.unbroken = true
 	if s.version > d.known {
 		s.take(d)
@@ -222,9 +222,9 @@
 		if to == from || s.now < to.cutUntil {
 			continue
 		}
-		to.Learn(s.now, word, word.Since, from.known)
+		to.Learn(word, from.known)
 		if may {
-			to.MayReturn()
+			to.MayReturn(s.now)
 		}
 		if s.version > to.known {
 			s.take(to)
@@ -234,14 +234,14 @@
 
 // ask has a daemon ask the readers when the store answered them.
 func (s *simFleet) ask(d *simDaemon) {
-	d.Settle(s.now)
-	if _, ask := d.Ask(s.now); !ask || s.now < d.cutUntil {
+	d.Settle()
+	if _, ask := d.Ask(s.now, simAsk); !ask || s.now < d.cutUntil {
 		return
 	}
 	for _, other := range s.daemons {
 		if other != d && other.reader && s.now >= other.cutUntil {
 			word := other.Uptime()
-			d.Learn(s.now, word, word.Since, other.known)
+			d.Learn(word, other.known)
 		}
 	}
 }
@@ -276,7 +276,7 @@
 	for _, other := range s.daemons {
 		if other != d && other.reader && s.now >= other.cutUntil && other.known == s.version {
 			word := other.Uptime()
-			d.Learn(s.now, word, word.Since, other.known)
+			d.Learn(word, other.known)
 			s.take(d)
 			return
 		}
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -72,7 +72,7 @@
 		l.keepLapsed(old, behind)
 	}
 	l.dropUnreadable(unreadable)
-	l.Settle(now)
+	l.Settle()
 	l.dropReplaced()
 	l.dropFollowed()
 }
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -34,19 +34,19 @@
 	l.Set(0, 1, []Endpoint{entry("a", "1"), entry("b", "2"), entry("c", "3")})
 	l.StoreLost()
 	l.StoreBack(10 * time.Second)
-	l.Answered(10*time.Second, 1, time.Minute, false)
+	l.Answered(1, time.Minute, false)
 	l.Set(10*time.Second, 1, nil)
 	is.Equal(names(l), []id.Endpoint{"a", "b", "c"})
 	l.Set(11*time.Second, 1, []Endpoint{entry("a", "1")})
 	is.Equal(l.Lapsed(), 2)
-	is.True(!l.Settle(12 * time.Second))
+	is.True(!l.Settle())
 	end := 10*time.Second + uptime.ReturnGrace
-	l.Answered(end-1, 1, time.Minute+uptime.ReturnGrace-1, true)
-	is.True(!l.Settle(end - 1))
+	l.Answered(1, time.Minute+uptime.ReturnGrace-1, true)
+	is.True(!l.Settle())
 	is.True(!l.Due(end - 1))
 	is.True(l.Due(end))
-	l.Answered(end, 1, time.Minute+uptime.ReturnGrace, true)
-	is.True(l.Settle(end))
+	l.Answered(1, time.Minute+uptime.ReturnGrace, true)
+	is.True(l.Settle())
 	is.True(!l.Due(end))
 	is.Equal(names(l), []id.Endpoint{"a"})
 }
@@ -70,8 +70,8 @@
 }
 
 // served is a span of the store by the clock that the tests' daemons share.
-func served(from, until uint64, since, last time.Duration) uptime.Span {
-	return uptime.Span{From: from, Until: until, Since: since, Last: last}
+func served(from, until uint64, since, last time.Duration) uptime.History {
+	return uptime.History{{From: from, Until: until, Since: since, Last: last}}
 }
 
 func TestEntriesMayReturnByAnotherDaemonsWord(t *testing.T) {
@@ -80,26 +80,30 @@
 	is.True(!l.Doubts(0))
 	l.Set(0, 10, []Endpoint{{Name: "a", Address: "1"}})
 	back := served(0, 11, time.Second, time.Second)
-	l.Learn(1100*time.Millisecond, back, back.Since, 0)
-	l.MayReturn()
+	l.Learn(back, 0)
+	l.MayReturn(1100 * time.Millisecond)
 	l.Set(1100*time.Millisecond, 11, nil)
 	is.Equal(l.Lapsed(), 1)
 	is.True(l.Doubts(1100 * time.Millisecond))
 	// Hearing the same again, or later from somebody else, does not add to the time.
-	l.Learn(3*time.Second, back, back.Since, 0)
-	l.MayReturn()
-	end := back.Since + uptime.ReturnGrace
+	l.Learn(back, 0)
+	l.MayReturn(3 * time.Second)
+	until := 1100*time.Millisecond + uptime.ReturnGrace
 	for _, asks := range []struct {
 		at  time.Duration
 		ask bool
-	}{{1200 * time.Millisecond, true}, {end - 1, false}, {end, true}} {
-		_, ask := l.Ask(asks.at)
+	}{
+		{1200 * time.Millisecond, true}, {1300 * time.Millisecond, false}, {1900 * time.Millisecond, true},
+		{2500 * time.Millisecond, false}, {until, true}, {until + 1, true},
+	} {
+		_, ask := l.Ask(asks.at, 700*time.Millisecond)
 		is.Equal(ask, asks.ask)
 	}
-	is.True(!l.Learn(end, served(0, 11, back.Since, end-1), back.Since, 0))
-	is.True(l.Learn(end, served(11, 11, back.Since, end), back.Since, 0))
+	end := time.Second + uptime.ReturnGrace
+	is.True(!l.Learn(served(0, 11, time.Second, end-1), 0))
+	is.True(l.Learn(served(11, 11, time.Second, end), 0))
 	is.Equal(l.Lapsed(), 0)
-	l.Learn(4*time.Second, served(11, 14, time.Second, 4*time.Second), time.Second, 0) // the store was not away
+	l.Learn(served(11, 14, time.Second, 4*time.Second), 0) // the store was not away
 	l.Set(4*time.Second, 12, []Endpoint{{Name: "b", Address: "2"}})
 	l.Set(4*time.Second, 13, nil)
 	is.Equal(l.Lapsed(), 0)
@@ -115,18 +119,18 @@
 		l.StoreLost()
 		word := served(3, 12, -time.Minute, 5*time.Second)
 		if first {
-			l.Learn(5*time.Second, word, word.Since, 0)
+			l.Learn(word, 0)
 		}
 		l.Set(5*time.Second, 12, []Endpoint{entry("b", "2")})
 		if !first {
 			is.Equal(names(l), []id.Endpoint{"a", "b"})
-			upTo, ask := l.Ask(5 * time.Second)
+			upTo, ask := l.Ask(5*time.Second, 0)
 			is.True(ask)
 			is.Equal(upTo, uint64(12))
-			is.True(l.Learn(5*time.Second, word, word.Since, 0))
+			is.True(l.Learn(word, 0))
 		}
 		is.Equal(names(l), []id.Endpoint{"b"})
-		_, ask := l.Ask(5 * time.Second)
+		_, ask := l.Ask(5*time.Second, 0)
 		is.True(!ask)
 	}
 }
@@ -139,14 +143,14 @@
 	l.Set(0, 10, []Endpoint{entry("a", "1")})
 	l.StoreLost()
 	l.StoreBack(10 * time.Second)
-	l.Answered(10*time.Second, 20, 10*time.Second, false)
+	l.Answered(20, 10*time.Second, false)
 	l.Set(10*time.Second, 20, nil)
 	is.Equal(l.Lapsed(), 1)
 	// Others were served from 8 s on.
 	end := 8*time.Second + uptime.ReturnGrace
-	is.True(!l.Learn(10100*time.Millisecond, served(0, 20, 8*time.Second, 10*time.Second), 8*time.Second, 0))
-	is.True(!l.Learn(end-1, served(0, 20, 8*time.Second, end-1), 8*time.Second, 0))
-	is.True(l.Learn(end, served(20, 20, 8*time.Second, end), 8*time.Second, 0))
+	is.True(!l.Learn(served(0, 20, 8*time.Second, 10*time.Second), 0))
+	is.True(!l.Learn(served(0, 20, 8*time.Second, end-1), 0))
+	is.True(l.Learn(served(20, 20, 8*time.Second, end), 0))
 }
 
 // TestAnEntryThatLapsedInAnOutageOfAllIsKept by a daemon that hears from others
@@ -158,12 +162,12 @@
 	l.Set(0, 10, []Endpoint{entry("a", "1")})
 	l.StoreLost()
 	// The store was back for a second and gone again.
-	l.Learn(6*time.Second, served(0, 12, 5*time.Second, 6*time.Second), 5*time.Second, 0)
+	l.Learn(served(0, 12, 5*time.Second, 6*time.Second), 0)
 	l.Set(6*time.Second, 12, nil)
-	is.True(!l.Settle(20 * time.Second))
-	is.True(!l.Learn(31*time.Second, served(0, 14, 30*time.Second, 31*time.Second), 30*time.Second, 0))
+	is.True(!l.Settle())
+	is.True(!l.Learn(served(0, 14, 30*time.Second, 31*time.Second), 0))
 	is.Equal(l.Lapsed(), 1)
-	is.True(l.Learn(33*time.Second, served(14, 15, 30*time.Second, 33*time.Second), 30*time.Second, 0))
+	is.True(l.Learn(served(14, 15, 30*time.Second, 33*time.Second), 0))
 	is.Equal(l.Lapsed(), 0)
 }
 
@@ -175,15 +179,15 @@
 	l.Set(0, 10, []Endpoint{entry("a", "1")})
 	l.StoreLost()
 	l.StoreBack(10 * time.Second)
-	l.Answered(10*time.Second, 20, 10*time.Second, false)
+	l.Answered(20, 10*time.Second, false)
 	l.Current() // nothing has changed
-	l.Answered(11*time.Second, 25, 11*time.Second, true)
+	l.Answered(25, 11*time.Second, true)
 	l.Set(11*time.Second, 25, nil)
-	l.Learn(11*time.Second, served(0, 25, 10*time.Second, 11*time.Second), 10*time.Second, 0)
+	l.Learn(served(0, 25, 10*time.Second, 11*time.Second), 0)
 	is.Equal(l.Lapsed(), 1)
 	end := 10*time.Second + uptime.ReturnGrace
-	l.Answered(end, 25, end, true)
-	is.True(l.Settle(end))
+	l.Answered(25, end, true)
+	is.True(l.Settle())
 }
 
 // TestADaemonThatIsBehindKeepsWhatMayBeBack: its list does not show what has
@@ -194,7 +198,7 @@
 	l.Set(0, 10, []Endpoint{entry("a", "1")})
 	l.StoreLost()
 	l.Set(6*time.Second, 12, nil)
-	is.True(!l.Learn(9*time.Second, served(14, 18, 5*time.Second, 9*time.Second), 5*time.Second, 15))
+	is.True(!l.Learn(served(14, 18, 5*time.Second, 9*time.Second), 15))
 	is.Equal(l.Lapsed(), 1)
 	l.Set(9*time.Second, 15, []Endpoint{entry("a", "1")})
 	is.Equal(l.Lapsed(), 0)
--- a/core/uptime/uptime.go
+++ b/core/uptime/uptime.go
@@ -4,7 +4,11 @@
 // can. It has no I/O.
 package uptime
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // ReturnGrace is how long after the store's return what lapsed with it may take
 // to be written again; the platform promises about two seconds.
@@ -49,18 +53,50 @@
 // Length is how long the store answered.
 func (s Span) Length() time.Duration { return s.Last - s.Since }
 
-// Join is the span of both where they overlap in time, else the later one.
-func Join(a, b Span) Span {
-	if !a.Known() || b.Known() && b.Last > a.Last {
+// join is the span of both, which overlap in time.
+func join(a, b Span) Span {
+	if b.Last > a.Last {
 		a, b = b, a
 	}
-	// a ends last.
-	if !b.Known() || b.Last < a.Since {
-		return a
-	}
 	a.Since = min(a.Since, b.Since)
 	if a.From == 0 || b.From > 0 && b.From < a.From {
 		a.From = b.From
 	}
 	return a
 }
+
+func (s Span) overlaps(o Span) bool { return s.Since <= o.Last && o.Since <= s.Last }
+
+// kept is how many spans a History holds: one that follows an outage, and those
+// that tell of the removals before.
+const kept = 3
+
+// History holds the newest spans, oldest first; no two overlap.
+type History []Span
+
+// Add returns the history with one more span; those that overlap with it in time
+// are joined.
+func (h History) Add(s Span) History {
+	if !s.Known() {
+		return h
+	}
+	out := make(History, 0, len(h)+1)
+	for _, old := range h {
+		if old.overlaps(s) {
+			s = join(old, s)
+			continue
+		}
+		out = append(out, old)
+	}
+	out = append(out, s)
+	slices.SortFunc(out, func(a, b Span) int { return cmp.Compare(a.Last, b.Last) })
+	return out[max(0, len(out)-kept):]
+}
+
+// Newest is the last span; the zero Span where there is none.
+func (h History) Newest() Span {
+	if len(h) == 0 {
+		return Span{}
+	}
+	return h[len(h)-1]
+}
--- a/core/uptime/uptime_test.go
+++ b/core/uptime/uptime_test.go
@@ -1,6 +1,7 @@
 package uptime
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -39,18 +40,31 @@
 	early := Span{From: 10, Until: 20, Since: 1 * time.Second, Last: 5 * time.Second}
 	late := Span{From: 17, Until: 30, Since: 4 * time.Second, Last: 9 * time.Second}
 	both := Span{From: 10, Until: 30, Since: 1 * time.Second, Last: 9 * time.Second}
-	is.Equal(Join(early, late), both)
-	is.Equal(Join(late, early), both)
+	is.Equal(History{early}.Add(late), History{both})
+	is.Equal(History{late}.Add(early), History{both})
 	apart := Span{Until: 21, Since: 6 * time.Second, Last: 7 * time.Second}
-	is.Equal(Join(early, apart), apart)
-	is.Equal(Join(apart, early), apart)
-	is.Equal(Join(early, Span{}), early)
-	is.Equal(Join(Span{}, early), early)
+	is.Equal(History{early}.Add(apart), History{early, apart})
+	is.Equal(History{apart}.Add(early), History{early, apart})
+	is.Equal(History{early, apart}.Add(late), History{both})
+	is.Equal(History{early}.Add(Span{}), History{early})
+	is.Equal(History(nil).Add(early), History{early})
 	inner := Span{Until: 13, Since: 2 * time.Second, Last: 3 * time.Second}
-	is.Equal(Join(early, inner), early)
-	is.Equal(Join(inner, early), early)
+	is.Equal(History{early}.Add(inner), History{early})
+	is.Equal(History{inner}.Add(early), History{early})
 	begun := Span{Until: 24, Since: 5 * time.Second, Last: 6 * time.Second}
-	is.Equal(Join(begun, early), Span{From: 10, Until: 24, Since: 1 * time.Second, Last: 6 * time.Second})
+	is.Equal(History{begun}.Add(early), History{{From: 10, Until: 24, Since: 1 * time.Second, Last: 6 * time.Second}})
+}
+
+func TestAHistoryHoldsTheNewestSpans(t *testing.T) {
+	is := is.New(t)
+	var h History
+	is.True(!h.Newest().Known())
+	for i := range time.Duration(9) {
+		h = h.Add(Span{Until: uint64(i + 1), Since: 10 * i * time.Second, Last: (10*i + 5) * time.Second})
+	}
+	is.Equal(len(h), kept)
+	is.Equal(h[0].Until, uint64(7))
+	is.Equal(h.Newest().Until, uint64(9))
 }
 
 // TestRandomSpansClaimNoOutage: daemons call a store that is away at times, fail
@@ -59,7 +73,8 @@
 func TestRandomSpansClaimNoOutage(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const daemons = 3
-		var spans [daemons]Span
+		var own [daemons]Span
+		var known [daemons]History
 		var unbroken [daemons]bool
 		version, clock := uint64(1), time.Duration(0)
 		away := false
@@ -83,14 +98,18 @@
 					unbroken[d] = false
 					break
 				}
-				spans[d] = spans[d].Answered(version, clock, unbroken[d])
+				known[d] = known[d].Add(own[d])
+				own[d] = own[d].Answered(version, clock, unbroken[d])
+				known[d] = known[d].Add(own[d])
 				unbroken[d] = true
 			case 3:
-				spans[d] = Join(spans[d], spans[rapid.IntRange(0, daemons-1).Draw(t, "from")])
+				for _, s := range known[rapid.IntRange(0, daemons-1).Draw(t, "from")] {
+					known[d] = known[d].Add(s)
+				}
 			case 4:
 				unbroken[d] = false // this one alone is cut off
 			}
-			for _, s := range spans {
+			for _, s := range slices.Concat(known[0], known[1], known[2]) {
 				for _, v := range during {
 					if s.Covers(v-1, v) {
 						t.Fatalf("%+v covers change %d, made while the store was away", s, v)
--- a/daemon/feed/feed.go
+++ b/daemon/feed/feed.go
@@ -35,6 +35,8 @@
 	// begun is set when it stops being idle: the next call does not wait, so
 	// that a store that does not answer is noticed soon.
 	begun bool
+	// pollAt is when the next poll may begin.
+	pollAt time.Duration
 	// wake ends an idle wait.
 	wake chan struct{}
 	// wait is the longest that one call waits for changes.
--- a/daemon/feed/others.go
+++ b/daemon/feed/others.go
@@ -33,14 +33,20 @@
 	f.wait = wait
 }
 
-// Poll asks the store for changes at once, if it is followed: a call that waits
-// for some is given up.
+// pollPause is the least time between two polls: each gives up a call, and its
+// answer must come before the next one does.
+const pollPause = 300 * time.Millisecond
+
+// Poll asks the store for changes at once, if it is followed and was not polled
+// just before: a call that waits for some is given up.
 func (f *Follower) Poll() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.idle || f.whole || f.lost {
+	now := f.now()
+	if f.idle || f.whole || f.lost || f.begun || now < f.pollAt {
 		return
 	}
+	f.pollAt = now + pollPause
 	f.begun = true
 	f.interruptWait()
 }
--- a/daemon/gateway/freshness.go
+++ b/daemon/gateway/freshness.go
@@ -59,14 +59,6 @@
 	c.tracker.Learn(now, p)
 }
 
-// earliest is the first moment of the daemon's time at which the store's clock
-// can have shown a time; now where that is not known.
-func (c *configFreshness) earliest(now, shown time.Duration) time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.tracker.Earliest(now, shown)
-}
-
 // proof is the one to hand on; nil for none.
 func (c *configFreshness) proof() *freshness.Proof {
 	c.mu.Lock()
--- a/daemon/gateway/knowledge.go
+++ b/daemon/gateway/knowledge.go
@@ -217,13 +217,13 @@
 // others are to be asked when the store answered, and up to which of its
 // versions, and whether the store's next answer may tell.
 func (d *Daemon) settleRegistry() (upTo uint64, ask, due bool) {
-	k, now := d.knowledge, d.now()
+	k, now, pause := d.knowledge, d.now(), d.askPause()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.list.Settle(now) {
+	if k.list.Settle() {
 		d.publish()
 	}
-	upTo, ask = k.list.Ask(now)
+	upTo, ask = k.list.Ask(now, pause)
 	return upTo, ask, k.list.Due(now)
 }
 
--- a/daemon/gateway/uptime.go
+++ b/daemon/gateway/uptime.go
@@ -14,11 +14,11 @@
 
 // storeWord is what one daemon tells others of the store's own state.
 type storeWord struct {
-	// Uptime is the newest span in which the store is known to have answered.
-	Uptime uptime.Span `cbor:"1,keyasint"`
+	// Uptime is when the store is known to have answered.
+	Uptime uptime.History `cbor:"1,keyasint"`
 	// Listed is the version of the store up to which the sender knows the endpoints.
 	Listed uint64 `cbor:"2,keyasint,omitempty"`
-	// MayReturn says that entries which have gone may have lapsed before the span.
+	// MayReturn says that entries which have gone may have lapsed before the newest span.
 	MayReturn bool `cbor:"3,keyasint,omitempty"`
 }
 
@@ -28,6 +28,14 @@
 	UpTo uint64 `cbor:"1,keyasint"`
 }
 
+// askEach is the pause between questions for each daemon of the fleet: behind an
+// outage all of them may keep entries, and ask the same three.
+const askEach = 5 * time.Millisecond
+
+// askPause is the pause between two questions about entries that are kept by
+// others' word.
+func (d *Daemon) askPause() time.Duration { return time.Duration(d.daemons()) * askEach }
+
 // mostAsked is how many others a daemon asks at a time: those that read the
 // store for all.
 const mostAsked = 3
@@ -47,7 +55,7 @@
 	if suspect {
 		k.list.Suspect(d.now())
 	}
-	k.list.Answered(d.now(), a.Newest, a.Clock, a.Unbroken)
+	k.list.Answered(a.Newest, a.Clock, a.Unbroken)
 }
 
 // othersLost says whether others have been without the store for a while.
@@ -90,13 +98,12 @@
 
 // takeStoreWord takes what another daemon knows of the store's own state.
 func (d *Daemon) takeStoreWord(from id.Daemon, w storeWord) {
-	since := d.freshness.earliest(d.now(), w.Uptime.Since)
 	k := d.knowledge
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.list.Learn(d.now(), w.Uptime, since, w.Listed) {
-		d.logger.Event("store_was_there", "peer", from, "from", w.Uptime.From, "until", w.Uptime.Until,
-			"length", w.Uptime.Length())
+	if k.list.Learn(w.Uptime, w.Listed) {
+		newest := w.Uptime.Newest()
+		d.logger.Event("store_was_there", "peer", from, "from", newest.From, "until", newest.Until, "length", newest.Length())
 		d.publish()
 	}
 	if w.MayReturn {
@@ -109,7 +116,7 @@
 func (d *Daemon) mayReturn(from id.Daemon) {
 	list, now := d.knowledge.list, d.now()
 	doubted := list.Doubts(now)
-	list.MayReturn()
+	list.MayReturn(now)
 	if !doubted && list.Doubts(now) {
 		d.logger.Event("store_absence_told", "peer", from)
 	}
@@ -120,7 +127,8 @@
 // more.
 func (d *Daemon) answerUptime(q uptimeQuery) *storeWord {
 	w := d.storeWord()
-	if w.Uptime.Until < q.UpTo || w.Uptime.Length() < uptime.ReturnGrace {
+	newest := w.Uptime.Newest()
+	if newest.Until < q.UpTo || newest.Length() < uptime.ReturnGrace {
 		d.endpoints.Poll()
 	}
 	return w
