Wait for a pool's owner that says nothing for as long as another takes to replace it

What callers met: 503, "no answer from d5, which schedules pool ...", not run, for one of nine streams on a busy host (TestNineDaemonsAnswerStreams, load average 40 and more), although the owner was there and engines were free.

The asker gave up on a silent owner at the end of the time for which a request may wait for room (0.36 s and 0.1 s, 0.25 s more where it was held up itself). The owner refuses by itself what gets no room in that time; its silence means that it is held up, or gone, in which case the membership names another one to which the want goes. The caller could wait for a minute.

Tests that failed before: TestAnOwnerThatIsHeldUpCostsNoRequest, TestAnOwnerThatStaysSilentIsGivenUpInTime.

--- a/core/pairing/heldup_test.go
+++ b/core/pairing/heldup_test.go
@@ -39,3 +39,52 @@
 	is.Equal(out.Answers[0].Err.Verdict, verdict.NotRun)
 	is.Equal(a.Len(), 0)
 }
+
+// TestAnOwnerThatIsHeldUpCostsNoRequest whose caller can wait longer than it may
+// wait for room: the owner's grant comes late, and nobody refused it.
+func TestAnOwnerThatIsHeldUpCostsNoRequest(t *testing.T) {
+	is := is.New(t)
+	a := New(self, Options{})
+	a.Members(0, ownedBy(a, "d2"))
+	w := want("r")
+	w.Lifetime = time.Minute
+	a.Ask(0, w, patience)
+	for now := time.Duration(0); now < DefaultSilence; now += 50 * ms {
+		is.Equal(len(a.Tick(now).Answers), 0)
+	}
+	out := a.Granted(testPool, grantOf("d2", 1))
+	is.Equal(len(out.Answers), 1)
+	is.True(out.Answers[0].Grant != nil)
+}
+
+// TestAnOwnerThatStaysSilentIsGivenUpInTime: no later than the caller can wait.
+func TestAnOwnerThatStaysSilentIsGivenUpInTime(t *testing.T) {
+	is := is.New(t)
+	prefilled := New(self, Options{})
+	w := want("r")
+	w.Lifetime, w.Prefilled = time.Minute, true
+	prefilled.Ask(0, w, patience)
+	is.Equal(len(prefilled.Tick(0).Answers), 0)
+	is.Equal(prefilled.Next(), DefaultResend)
+	for now := 50 * ms; now < patience+DefaultMargin; now += 50 * ms {
+		is.Equal(len(prefilled.Tick(now).Answers), 0)
+	}
+	is.Equal(len(prefilled.Tick(patience+DefaultMargin).Answers), 1)
+	for lifetime, end := range map[time.Duration]time.Duration{
+		0:                            patience + DefaultMargin,
+		patience:                     patience + DefaultMargin,
+		patience + DefaultMargin + 9: patience + DefaultMargin + 9,
+		time.Minute:                  DefaultSilence,
+	} {
+		a := New(self, Options{})
+		w := want("r")
+		w.Lifetime = lifetime
+		a.Ask(0, w, patience)
+		for now := time.Duration(0); now < end; now += 50 * ms {
+			is.Equal(len(a.Tick(now).Answers), 0)
+		}
+		out := a.Tick(end)
+		is.Equal(len(out.Answers), 1)
+		is.Equal(out.Answers[0].Err.Verdict, verdict.NotRun)
+	}
+}
--- a/daemon/completion/runner.go
+++ b/daemon/completion/runner.go
@@ -206,6 +206,7 @@
 		Attempt:      n,
 		Suspect:      p.suspect,
 		Fingerprint:  job.Fingerprint,
+		Lifetime:     r.Now() - p.since + r.remaining(job),
 	}
 }
 
