Ask for endpoints often enough that silent readers are replaced in time

The three daemons that read the store for all noticed a connection that had gone silent after a call's wait of up to 3.5 s and 0.7 s more; only then others took their place. TestReadersThatTheStoreLeavesSilentAreReplacedInTime adds up the constants: 4.85 s before, 1.95 s now, for a bound of 2 s.

Calls for the endpoints now wait for 0.3 to 0.6 s. Those that were cut off keep an endpoint for up to 2.8 s where nobody was served when it left, as before.

--- a/daemon/feed/feed.go
+++ b/daemon/feed/feed.go
@@ -47,8 +47,8 @@
 }
 
 const (
-	// callSlack is what an answer may take beyond the time it was told to wait.
-	callSlack = 700 * time.Millisecond
+	// CallSlack is what an answer may take beyond the time it was told to wait.
+	CallSlack = 700 * time.Millisecond
 	// readTimeout bounds the reading of a whole table.
 	readTimeout = 1200 * time.Millisecond
 	// firstRetry is the first pause after a failed call.
@@ -328,7 +328,7 @@
 	}
 	half := f.wait / 2
 	wait = half + time.Duration(f.cfg.Rand.Int64N(int64(half)+1))
-	return wait, wait + callSlack
+	return wait, wait + CallSlack
 }
 
 // note tells when the store stops or begins again to answer.
--- a/daemon/gateway/knowledge.go
+++ b/daemon/gateway/knowledge.go
@@ -20,6 +20,10 @@
 	// feedWait is how long one call waits for changes: a connection to the
 	// store that has gone silent is noticed after that and a little more.
 	feedWait = 3500 * time.Millisecond
+	// endpointsWait is that for the endpoints: where connections of all those that
+	// read for others have gone silent, others take their place, and learn what has
+	// left, within the two seconds in which it must get no more.
+	endpointsWait = 600 * time.Millisecond
 	// feedGather is the pause after changes: much less than the two seconds in
 	// which a change must be in force.
 	feedGather = 350 * time.Millisecond
@@ -70,6 +74,7 @@
 	configs.Confirmed = d.configConfirmed
 	d.configs = feed.Start(configs)
 	endpoints := d.followerConfig(tables.Endpoints, d.endpointsChanged)
+	endpoints.Wait = endpointsWait
 	endpoints.Answered = d.storeAnswered
 	endpoints.Confirmed = d.endpointsConfirmed
 	d.endpoints = feed.Start(endpoints)
