Tell the difference of a whole read only where the store forgot its changes

A reader that reads the endpoints whole for another reason, since others know more, told all it had learnt as news; too many bytes for a message are told as news without changes, on which every daemon reads the table itself: a herd where a daemon comes back.

--- a/daemon/feed/feed.go
+++ b/daemon/feed/feed.go
@@ -27,9 +27,10 @@
 	known bool
 	// interrupt ends the call that waits for changes.
 	interrupt context.CancelFunc
-	// whole asks for a whole read next.
-	whole bool
-	lost  bool
+	// whole asks for a whole read next, forgotten says that it is since the store no
+	// longer has the changes.
+	whole, forgotten bool
+	lost             bool
 	// idle is set while other daemons tell of the changes.
 	idle bool
 	// begun is set when it stops being idle: the next call does not wait, so
@@ -232,6 +233,7 @@
 		return nil
 	}
 	news := f.difference(snapshot)
+	f.forgotten = false
 	f.install(snapshot.Rows, snapshot.Position)
 	for _, c := range news.Changes {
 		f.state.Version = max(f.state.Version, c.Version)
@@ -245,12 +247,13 @@
 	return nil
 }
 
-// difference gives the changes that lead from what is known to a whole table, for
-// a follower that others rely on: where the store has forgotten its changes, those
-// that don't read it hear of a removed row from nobody else. The lock is held.
+// difference gives the changes that lead from what is known to a whole table,
+// where the store has forgotten them and others rely on this follower: they hear of
+// a removed row from nobody else. In other whole reads it learns what others know.
+// The lock is held.
 func (f *Follower) difference(s Snapshot) News {
 	n := News{Name: f.cfg.Name, After: f.state.Position, Position: s.Position}
-	if !f.known || f.idle {
+	if !f.known || f.idle || !f.forgotten {
 		return n
 	}
 	gone := maps.Clone(f.rows)
@@ -278,7 +281,7 @@
 	delta, err := f.cfg.Source.Changes(ctx, f.cfg.Name, after, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		f.mu.Lock()
-		f.whole = true
+		f.whole, f.forgotten = true, true
 		f.mu.Unlock()
 		f.calls.ended(f.now())
 		return false, nil
--- a/daemon/feed/feed_test.go
+++ b/daemon/feed/feed_test.go
@@ -233,10 +233,14 @@
 		{Row: row("c", 12)}, {Row: table.Row{Key: "b", Version: 14}, Removed: true},
 	}})
 	is.Equal(f.Version(), uint64(14))
+	f.Refresh() // since others know more: there is nothing to tell them
+	give(t, s.reads, read(16, row("a", 3), row("c", 12), row("d", 15)))
+	give(t, s.changes, func() (Delta, error) { return Delta{Position: 16}, nil })
+	is.Equal(len(told), 0)
 
 	other := idleAt(t, newSource(), 9, row("a", 3), row("b", 5), row("c", 8))
 	fresh, err := other.Take(News{Name: "t", After: 9, Position: 14, Changes: []Change{{Row: table.Row{Key: "b", Version: 14}, Removed: true}}})
 	is.NoErr(err)
 	is.True(fresh)
-	is.Equal(other.Version(), f.Version())
+	is.Equal(other.Version(), uint64(14))
 }
--- a/daemon/feed/types.go
+++ b/daemon/feed/types.go
@@ -99,7 +99,8 @@
 	// Changed is told of each new state; it must not block for long.
 	Changed func(s State)
 	// Learnt is told of the changes that came from the store itself, after
-	// Changed, also of those that a whole read brought while the table is followed. Nil if nobody is to be told.
+	// Changed, also of those that it had forgotten and a whole read brought. Nil if
+	// nobody is to be told.
 	Learnt func(n News)
 	// Answered, if set, is told of each answer of the store, before Changed.
 	Answered func(a Answer)
