Give the daemons of the tests ports that nobody else gets meanwhile

One of 28 runs of TestNineDaemonsAnswerStreams, five and seven copies at a time beside 12 busy loops, failed with "listen.peers 127.0.0.1:34192: bind: address already in use": the ports were looked for among those that the kernel gives out, and another process got one before the daemon listened. They come from below, a range for each process, as those of the platform's tests do.

--- a/daemon/app/fleet_test.go
+++ b/daemon/app/fleet_test.go
@@ -8,8 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -83,14 +85,33 @@
 	return f
 }
 
+// The daemons' ports lie below those that the kernel gives out, where no other
+// process gets one between looking and listening. Each process of the tests looks
+// in a range of its own.
+const (
+	firstPeerPort = 10000
+	peerPortsEach = 100
+	peerRanges    = 100
+)
+
+// peerPort is the last port of this process's range that was looked at.
+var peerPort atomic.Int32
+
 // reservePeers picks free UDP ports, so that each daemon knows all seeds.
 func (f *testFleet) reservePeers(n int) {
-	is := is.New(f.t)
-	for i := range n {
-		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-		is.NoErr(err)
-		f.seeds = append(f.seeds, settings.Peer{Name: id.Daemon(fmt.Sprintf("d%d", i+1)), Address: conn.LocalAddr().String()})
-		is.NoErr(conn.Close())
+	f.t.Helper()
+	first := firstPeerPort + os.Getpid()%peerRanges*peerPortsEach
+	for tries := 0; len(f.seeds) < n; tries++ {
+		if tries == peerPortsEach {
+			f.t.Fatalf("no %d free ports behind %d", n, first)
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", first+int(peerPort.Add(1))%peerPortsEach)
+		conn, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
+		}
+		f.seeds = append(f.seeds, settings.Peer{Name: id.Daemon(fmt.Sprintf("d%d", len(f.seeds)+1)), Address: address})
+		_ = conn.Close()
 	}
 }
 
