--- a/daemon/gateway/learn.go
+++ b/daemon/gateway/learn.go
@@ -136,7 +136,7 @@
 		d.logger.Warn("tables_not_learnt", "peer", from, "why", err)
 		return
 	}
-	d.takeStoreWord(from, reply.Store)
+	d.takeStoreStatus(from, reply.Store)
 	if d.adopt(reply.States) {
 		d.logger.Event("tables_learnt", "peer", from, "revision", d.revision())
 	}
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -28,7 +28,7 @@
 	// kindProof tells how fresh the configuration is: datagram, freshness.Proof.
 	kindProof
 	// kindUptime asks a daemon when the store answered it: a call, uptimeQuery ->
-	// storeWord.
+	// storeStatus.
 	kindUptime
 )
 
@@ -38,7 +38,7 @@
 type tablesReply struct {
 	States []feed.State `cbor:"1,keyasint"`
 	// Store is what the daemon knows of the store's own state.
-	Store storeWord `cbor:"2,keyasint"`
+	Store storeStatus `cbor:"2,keyasint"`
 }
 
 type tablesQuery struct{}
@@ -166,7 +166,7 @@
 	switch {
 	case !h.Open():
 	case kind == kindTables:
-		return peer.Encode(&tablesReply{States: h.d.tableStates(), Store: *h.d.storeWord()})
+		return peer.Encode(&tablesReply{States: h.d.tableStates(), Store: *h.d.storeStatus()})
 	case kind == kindUptime && h.decode(from, body, &q):
 		return peer.Encode(h.d.answerUptime(q))
 	}
--- a/daemon/gateway/reading.go
+++ b/daemon/gateway/reading.go
@@ -27,7 +27,7 @@
 	News feed.News `cbor:"1,keyasint"`
 	// Store, on news of the endpoints, is what the sender knows of the store's own
 	// state.
-	Store *storeWord `cbor:"2,keyasint,omitempty"`
+	Store *storeStatus `cbor:"2,keyasint,omitempty"`
 }
 
 // followers lists those of the daemon's tables; the fleet's own is there once
@@ -115,7 +115,7 @@
 	}
 	news := tableNews{News: n}
 	if n.Name == d.endpoints.Name() {
-		news.Store = d.storeWord()
+		news.Store = d.storeStatus()
 	}
 	f.sendAll(kindNews, &news)
 }
@@ -123,7 +123,7 @@
 // takeNews takes what another daemon tells of the store's tables.
 func (d *Daemon) takeNews(from id.Daemon, n tableNews) {
 	if n.Store != nil {
-		d.takeStoreWord(from, *n.Store)
+		d.takeStoreStatus(from, *n.Store)
 	}
 	follower := d.follower(n.News.Name)
 	if follower == nil {
--- a/daemon/gateway/uptime.go
+++ b/daemon/gateway/uptime.go
@@ -12,8 +12,8 @@
 	"github.com/samphirequay/samphirequay/daemon/feed"
 )
 
-// storeWord is what one daemon tells others of the store's own state.
-type storeWord struct {
+// storeStatus is what one daemon tells others of the store's own state.
+type storeStatus struct {
 	// Uptime is when the store is known to have answered.
 	Uptime uptime.History `cbor:"1,keyasint"`
 	// Listed is the version of the store up to which the sender knows the endpoints.
@@ -88,16 +88,16 @@
 	k.list.Current()
 }
 
-func (d *Daemon) storeWord() *storeWord {
+func (d *Daemon) storeStatus() *storeStatus {
 	s, _ := d.endpoints.State()
 	k := d.knowledge
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return &storeWord{Uptime: k.list.Uptime(), Listed: s.Position, MayReturn: k.list.Doubts(d.now())}
+	return &storeStatus{Uptime: k.list.Uptime(), Listed: s.Position, MayReturn: k.list.Doubts(d.now())}
 }
 
-// takeStoreWord takes what another daemon knows of the store's own state.
-func (d *Daemon) takeStoreWord(from id.Daemon, w storeWord) {
+// takeStoreStatus takes what another daemon knows of the store's own state.
+func (d *Daemon) takeStoreStatus(from id.Daemon, w storeStatus) {
 	k := d.knowledge
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -125,8 +125,8 @@
 // answerUptime tells another daemon when the store answered. Where its last answer
 // is too old to tell, the store is asked at once, so that the next question finds
 // more.
-func (d *Daemon) answerUptime(q uptimeQuery) *storeWord {
-	w := d.storeWord()
+func (d *Daemon) answerUptime(q uptimeQuery) *storeStatus {
+	w := d.storeStatus()
 	newest := w.Uptime.Newest()
 	if newest.Until < q.UpTo || newest.Length() < uptime.ReturnGrace {
 		d.endpoints.Poll()
@@ -173,13 +173,13 @@
 func (d *Daemon) askUptimeOf(f *fleet, other id.Daemon, upTo uint64) {
 	ctx, cancel := context.WithTimeout(d.ctx, tablesTimeout)
 	defer cancel()
-	var w storeWord
+	var w storeStatus
 	if err := f.transport.Call(ctx, other, kindUptime, &uptimeQuery{UpTo: upTo}, &w); err != nil {
 		d.logger.Warn("uptime_not_learnt", "peer", other, "why", err)
 		return
 	}
 	w.MayReturn = false // the question is about the past only
-	d.takeStoreWord(other, w)
+	d.takeStoreStatus(other, w)
 	if s, _ := d.endpoints.State(); s.Position < w.Listed {
 		d.endpoints.Refresh()
 	}
