--- a/daemon/app/fleet_test.go
+++ b/daemon/app/fleet_test.go
@@ -97,11 +97,13 @@
 // peerPort is the last port of this process's range that was looked at.
 var peerPort atomic.Int32
 
-// reservePeers picks free UDP ports, so that each daemon knows all seeds.
+// reservePeers picks free UDP ports for n more daemons, so that each knows all
+// seeds.
 func (f *testFleet) reservePeers(n int) {
 	f.t.Helper()
 	first := firstPeerPort + os.Getpid()%peerRanges*peerPortsEach
-	for tries := 0; len(f.seeds) < n; tries++ {
+	most := len(f.seeds) + n
+	for tries := 0; len(f.seeds) < most; tries++ {
 		if tries == peerPortsEach {
 			f.t.Fatalf("no %d free ports behind %d", n, first)
 		}
