Keep with each entry what was kept beside it, and copy no table for a number

Read once more; behaviour as before, assertions as they were.

- The position of the endpoints' table was taken from a copy of all its rows, for each piece of news and each question of another daemon; the follower gives it.
- Every 0.4 s each daemon counted the fleet and joined spans, also where it keeps no entry; it looks at the published number first.
- Since when an entry is kept stood in a map beside the registry; it stands in the entry, in place of a mark.
- Four functions locked the list of endpoints each in its own lines beside one that did it for them.
- The wait for a silent owner was an option that nobody set; it is a constant.

--- a/core/pairing/asker.go
+++ b/core/pairing/asker.go
@@ -27,10 +27,10 @@
 	// DefaultMargin is added to a request's patience before the asker gives up
 	// on its owner by itself.
 	DefaultMargin = 100 * time.Millisecond
-	// DefaultSilence is for how long a request waits for an owner that says nothing,
+	// ownerSilence is for how long a request waits for an owner that says nothing,
 	// where its caller can wait as long: until the membership has put another one in
 	// the place of an owner that is gone.
-	DefaultSilence = 1500 * time.Millisecond
+	ownerSilence = 1500 * time.Millisecond
 	// lateTick is how far behind its time a tick comes only where this daemon
 	// was held up.
 	lateTick = 100 * time.Millisecond
@@ -82,8 +82,6 @@
 	Resend time.Duration
 	// Margin is added to a request's patience before giving up.
 	Margin time.Duration
-	// Silence is for how long an owner may say nothing.
-	Silence time.Duration
 }
 
 type entry struct {
@@ -125,9 +123,6 @@
 	if opts.Margin == 0 {
 		opts.Margin = DefaultMargin
 	}
-	if opts.Silence == 0 {
-		opts.Silence = DefaultSilence
-	}
 	return &Asker{
 		self:    self,
 		opts:    opts,
@@ -151,18 +146,18 @@
 // refuses what gets none in that time: one that says nothing is held up or gone.
 func (a *Asker) Ask(now time.Duration, w sched.Want, patience time.Duration) Output {
 	a.now = max(a.now, now)
-	e := &entry{want: w, askedAt: now, giveUp: now + max(patience+a.opts.Margin, a.silence(&w))}
+	e := &entry{want: w, askedAt: now, giveUp: now + max(patience+a.opts.Margin, silence(&w))}
 	a.entries[w.Request] = e
 	return a.sendWant(now, e, a.opts.Resend)
 }
 
 // silence is for how long a request waits for an owner that says nothing.
-func (a *Asker) silence(w *sched.Want) time.Duration {
+func silence(w *sched.Want) time.Duration {
 	if w.Prefilled {
 		// Its KV cache lapses at the end of its patience.
 		return 0
 	}
-	return min(a.opts.Silence, w.Lifetime-w.Age)
+	return min(ownerSilence, w.Lifetime-w.Age)
 }
 
 // sendWant sends a Want to the pool's owner, and again after resend.
--- a/core/registry/endpoint.go
+++ b/core/registry/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/live"
@@ -28,11 +29,15 @@
 	Role live.Role
 	// Leaving is the endpoint's own word that it takes no new work.
 	Leaving bool
-	// Unlisted is set while the store no longer has the entry and it is kept, since
-	// it may have lapsed only because the store was away.
-	Unlisted bool
+	// UnlistedSince is since when, by the daemon's time, the store no longer has the
+	// entry and it is kept, since it may have lapsed only because the store was away;
+	// 0 for a listed one.
+	UnlistedSince time.Duration
 }
 
+// Unlisted says whether the entry is kept though the store no longer has it.
+func (e *Endpoint) Unlisted() bool { return e.UnlistedSince > 0 }
+
 // Incarnation names one start of an instance. Where endpoints do not say when
 // they started, each start has an instance of its own.
 func Incarnation(instance id.Instance, born int64) id.Endpoint {
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -64,13 +64,13 @@
 	for _, e := range entries {
 		if known, ok := latest[e.Instance]; ok && e.older(&known) {
 			e = known
-			e.Unlisted = false
+			e.UnlistedSince = 0
 		}
 		l.listed[e.Name] = e
 	}
 	l.position = position
 	if l.absence.possible(now) {
-		l.keepLapsed(old, behind)
+		l.keepLapsed(now, old, behind)
 	}
 	l.dropUnreadable(unreadable)
 	l.Settle()
@@ -92,10 +92,10 @@
 
 // keepLapsed moves the entries that have gone since a position, and did not say
 // so, aside.
-func (l *List) keepLapsed(old map[id.Endpoint]Endpoint, behind uint64) {
+func (l *List) keepLapsed(now time.Duration, old map[id.Endpoint]Endpoint, behind uint64) {
 	for name, e := range old {
 		if _, still := l.listed[name]; !still && !e.Leaving {
-			e.Unlisted = true
+			e.UnlistedSince = now
 			l.lapsed[name] = lapse{entry: e, behind: behind, missing: l.position}
 		}
 	}
@@ -184,7 +184,7 @@
 	var out []Endpoint
 	for _, e := range l.entries() {
 		if told, ok := l.restarted[e.Instance]; ok && e.older(&told) {
-			told.Unlisted = e.Unlisted
+			told.UnlistedSince = e.UnlistedSince
 			e = told
 		}
 		if !l.displaced.Contains(e.place()) {
--- a/daemon/feed/feed.go
+++ b/daemon/feed/feed.go
@@ -102,6 +102,13 @@
 	return f.state.Version
 }
 
+// Position is that up to which the table is known; 0 before the first read.
+func (f *Follower) Position() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Position
+}
+
 // Lost says whether the store did not answer the last call.
 func (f *Follower) Lost() bool {
 	f.mu.Lock()
--- a/daemon/gateway/knowledge.go
+++ b/daemon/gateway/knowledge.go
@@ -49,8 +49,6 @@
 	// badRows are the versions of rows that could not be read, so that each is
 	// logged once.
 	badRows map[string]uint64
-	// unlistedSince is since when endpoints are kept that the store no longer lists.
-	unlistedSince map[id.Endpoint]time.Duration
 }
 
 func newKnowledge() *knowledge {
@@ -58,8 +56,6 @@
 		list:     registry.New(),
 		versions: map[string]uint64{},
 		badRows:  map[string]uint64{},
-
-		unlistedSince: map[id.Endpoint]time.Duration{},
 	}
 	k.view.Store(&forward.View{})
 	return k
@@ -111,9 +107,14 @@
 	if name != d.platform.Adapter.Tables().Endpoints {
 		return
 	}
+	d.withRegistry(tell)
+}
+
+// withRegistry does something with the list of endpoints, under its lock.
+func (d *Daemon) withRegistry(do func(l *registry.List)) {
 	d.knowledge.mu.Lock()
 	defer d.knowledge.mu.Unlock()
-	tell(d.knowledge.list)
+	do(d.knowledge.list)
 }
 
 // outdated says whether a table's state is older than what is in force; the
@@ -208,6 +209,9 @@
 // and others for what it takes to tell.
 func (d *Daemon) watchRegistry() {
 	d.every(registryLook, func() {
+		if d.knowledge.current().Lapsed == 0 {
+			return
+		}
 		upTo, ask, due := d.settleRegistry()
 		if due {
 			d.endpoints.Poll()
@@ -313,38 +317,23 @@
 	for name, e := range now {
 		if before, known := old[name]; !known || before != e {
 			d.logger.Event("endpoint_changed", "endpoint", name, "service", e.Service, "address", e.Address,
-				"role", e.Role, "leaving", e.Leaving, "unlisted", e.Unlisted, "known", known)
+				"role", e.Role, "leaving", e.Leaving, "unlisted", e.Unlisted(), "known", known)
 		}
-		d.noteUnlisted(e)
 	}
 	for name, e := range old {
 		if _, still := now[name]; !still {
 			d.logger.Event("endpoint_gone", "endpoint", name, "service", e.Service, "address", e.Address,
-				"unlisted_for", d.unlistedFor(name))
+				"unlisted_for", d.unlistedFor(e))
 		}
 	}
 }
 
-// noteUnlisted notes since when an endpoint is kept that the store no longer
-// lists; the lock is held.
-func (d *Daemon) noteUnlisted(e registry.Endpoint) {
-	since := d.knowledge.unlistedSince
-	if !e.Unlisted {
-		delete(since, e.Name)
-	} else if _, known := since[e.Name]; !known {
-		since[e.Name] = d.now()
-	}
-}
-
-// unlistedFor is how long an endpoint that is gone was kept though the store no
-// longer listed it; the lock is held.
-func (d *Daemon) unlistedFor(name id.Endpoint) time.Duration {
-	since, ok := d.knowledge.unlistedSince[name]
-	if !ok {
+// unlistedFor is how long an endpoint was kept though the store no longer listed it.
+func (d *Daemon) unlistedFor(e registry.Endpoint) time.Duration {
+	if !e.Unlisted() {
 		return 0
 	}
-	delete(d.knowledge.unlistedSince, name)
-	return d.now() - since
+	return d.now() - e.UnlistedSince
 }
 
 // revision grows with each change of the followed tables that the daemon knows;
--- a/daemon/gateway/uptime.go
+++ b/daemon/gateway/uptime.go
@@ -8,6 +8,7 @@
 
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/member"
+	"github.com/samphirequay/samphirequay/core/registry"
 	"github.com/samphirequay/samphirequay/core/uptime"
 	"github.com/samphirequay/samphirequay/daemon/feed"
 )
@@ -49,13 +50,12 @@
 // may be the first behind an outage that this daemon has not seen.
 func (d *Daemon) storeAnswered(a feed.Answer) {
 	suspect := !a.Unbroken && d.othersLost()
-	k := d.knowledge
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if suspect {
-		k.list.Suspect(d.now())
-	}
-	k.list.Answered(a.Newest, a.Clock, a.Unbroken)
+	d.withRegistry(func(l *registry.List) {
+		if suspect {
+			l.Suspect(d.now())
+		}
+		l.Answered(a.Newest, a.Clock, a.Unbroken)
+	})
 }
 
 // othersLost says whether others have been without the store for a while.
@@ -82,33 +82,30 @@
 
 // endpointsConfirmed notes that the endpoints are known as the store has them.
 func (d *Daemon) endpointsConfirmed(time.Duration) {
-	k := d.knowledge
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.list.Current()
+	d.withRegistry(func(l *registry.List) { l.Current() })
 }
 
+// storeStatus is what this daemon tells others.
 func (d *Daemon) storeStatus() *storeStatus {
-	s, _ := d.endpoints.State()
-	k := d.knowledge
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return &storeStatus{Uptime: k.list.Uptime(), Listed: s.Position, MayReturn: k.list.Doubts(d.now())}
+	status := storeStatus{Listed: d.endpoints.Position()}
+	d.withRegistry(func(l *registry.List) {
+		status.Uptime, status.MayReturn = l.Uptime(), l.Doubts(d.now())
+	})
+	return &status
 }
 
 // takeStoreStatus takes what another daemon knows of the store's own state.
-func (d *Daemon) takeStoreStatus(from id.Daemon, w storeStatus) {
-	k := d.knowledge
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.list.Learn(w.Uptime, w.Listed) {
-		newest := w.Uptime.Newest()
-		d.logger.Event("store_was_there", "peer", from, "from", newest.From, "until", newest.Until, "length", newest.Length())
-		d.publish()
-	}
-	if w.MayReturn {
-		d.mayReturn(from)
-	}
+func (d *Daemon) takeStoreStatus(from id.Daemon, told storeStatus) {
+	d.withRegistry(func(l *registry.List) {
+		if l.Learn(told.Uptime, told.Listed) {
+			newest := told.Uptime.Newest()
+			d.logger.Event("store_was_there", "peer", from, "from", newest.From, "until", newest.Until, "length", newest.Length())
+			d.publish()
+		}
+		if told.MayReturn {
+			d.mayReturn(from)
+		}
+	})
 }
 
 // mayReturn notes by another daemon's word that entries may have lapsed with the
@@ -126,12 +123,12 @@
 // is too old to tell, the store is asked at once, so that the next question finds
 // more.
 func (d *Daemon) answerUptime(q uptimeQuery) *storeStatus {
-	w := d.storeStatus()
-	newest := w.Uptime.Newest()
+	status := d.storeStatus()
+	newest := status.Uptime.Newest()
 	if newest.Until < q.UpTo || newest.Length() < uptime.ReturnGrace {
 		d.endpoints.Poll()
 	}
-	return w
+	return status
 }
 
 // askUptime asks others when the store answered, one question at a time: entries
@@ -173,14 +170,14 @@
 func (d *Daemon) askUptimeOf(f *fleet, other id.Daemon, upTo uint64) {
 	ctx, cancel := context.WithTimeout(d.ctx, tablesTimeout)
 	defer cancel()
-	var w storeStatus
-	if err := f.transport.Call(ctx, other, kindUptime, &uptimeQuery{UpTo: upTo}, &w); err != nil {
+	var told storeStatus
+	if err := f.transport.Call(ctx, other, kindUptime, &uptimeQuery{UpTo: upTo}, &told); err != nil {
 		d.logger.Warn("uptime_not_learnt", "peer", other, "why", err)
 		return
 	}
-	w.MayReturn = false // the question is about the past only
-	d.takeStoreStatus(other, w)
-	if s, _ := d.endpoints.State(); s.Position < w.Listed {
+	told.MayReturn = false // the question is about the past only
+	d.takeStoreStatus(other, told)
+	if d.endpoints.Position() < told.Listed {
 		d.endpoints.Refresh()
 	}
 }
