Log crashes with the standing of their request, and count repeats by arrival

The logs could not tell whether a request that crashes endpoints goes on because nothing is held against it, or because the evidence is cleared again; nor what the retry limit had allowed for which arrival. crash_recorded says what counts against the request now, forward_repeat_arrivals and forward_repeats_paid what arrived and what was allowed, and the line of a request both for itself. No decision changes.

--- a/core/poison/standing.go
+++ b/core/poison/standing.go
@@ -20,19 +20,31 @@
 
 func (l *Ledger) check(wall time.Time, f Fingerprint) Finding {
 	crashes := l.countedCrashes(wall, f)
-	n := len(crashes)
+	out := Finding{Crashes: len(crashes), Alone: crashesAlone(crashes)}
 	switch {
-	case n == 0:
-		return Finding{Standing: Clear}
+	case len(crashes) == 0:
+		out.Standing = Clear
 	case l.quarantined(wall, f, crashes):
-		return Finding{Standing: Quarantined, Crashes: n, Until: latestCrash(crashes).Add(l.cfg.Quarantine)}
+		out.Standing, out.Until = Quarantined, latestCrash(crashes).Add(l.cfg.Quarantine)
 	case l.quarantined(wall.Add(l.cfg.Settle), f, crashes):
-		return Finding{Standing: Held, Crashes: n, Until: latestCrash(crashes).Add(l.cfg.Settle)}
-	case n == 1:
-		return Finding{Standing: Suspected, Crashes: n}
+		out.Standing, out.Until = Held, latestCrash(crashes).Add(l.cfg.Settle)
+	case len(crashes) == 1:
+		out.Standing = Suspected
 	default:
-		return Finding{Standing: Isolated, Crashes: n}
+		out.Standing = Isolated
 	}
+	return out
+}
+
+// crashesAlone returns the number of crashes at which one request ran.
+func crashesAlone(crashes []Crash) int {
+	n := 0
+	for _, c := range crashes {
+		if len(c.Running) == 1 {
+			n++
+		}
+	}
+	return n
 }
 
 // countedCrashes returns the crashes that count against a fingerprint.
--- a/core/poison/types.go
+++ b/core/poison/types.go
@@ -137,6 +137,9 @@
 	Standing Standing
 	// Crashes is the number of crashes that count against the request.
 	Crashes int
+	// Alone is the number of those crashes at which no other request is known to
+	// have run, whether or not more reports of them may arrive.
+	Alone int
 	// Until is the end of Held or Quarantined.
 	Until time.Time
 }
--- a/daemon/forward/call.go
+++ b/daemon/forward/call.go
@@ -121,6 +121,7 @@
 		Team:        t.teamName(),
 		Credentials: t.credentials(r),
 	})
+	f.countArrival(t, stepCall, err)
 	t.mayHaveRun = t.mayHaveRun || err == nil || err.Verdict != verdict.NotRun
 	took := f.Now() - startedAt
 	f.done(e, startedAt, outcomeOf(reply, err))
@@ -182,7 +183,7 @@
 	if notRun && !refusedOnArrival(err) {
 		return true
 	}
-	if !f.takeRetry(s.Name) {
+	if !f.takeRetry(t, s.Name) {
 		t.reason = "the service's bound on repeats is reached"
 		return false
 	}
--- a/daemon/forward/decode.go
+++ b/daemon/forward/decode.go
@@ -36,7 +36,7 @@
 	if ctx.Err() != nil || keyRejected(err) || g.grant.Prefill == "" || err.Code == verdict.CodeKVGone || g.kvLeft(prefilledAt) <= 0 {
 		return false
 	}
-	return err.Code == verdict.CodeUnavailable || g.f.takeRetry(g.service.Name)
+	return err.Code == verdict.CodeUnavailable || g.f.takeRetry(g.trace, g.service.Name)
 }
 
 // kvLeft is how long a KV cache created at prefilledAt may still wait for a
@@ -62,6 +62,7 @@
 		attempt.Until = min(attempt.Until, startedAt+headerTimeout)
 	}
 	opened, err := f.Endpoints.Decode(ctx, attempt, kv)
+	f.countArrival(g.trace, stepDecode, err)
 	if err != nil {
 		if err.Verdict != verdict.NotRun {
 			g.runs++
--- a/daemon/forward/forward.go
+++ b/daemon/forward/forward.go
@@ -79,6 +79,7 @@
 	mayHaveRun bool
 	registry   uint64
 	attempts   int
+	arrivals   arrivals
 	// unlisted counts the attempts at endpoints that the store no longer lists.
 	unlisted       int
 	endpoint       id.Endpoint
@@ -188,15 +189,17 @@
 
 // takeRetry counts one more arrival of a request at an endpoint against the
 // service's retry limit; false if the limit is reached.
-func (f *Forwarder) takeRetry(service id.Service) bool {
+func (f *Forwarder) takeRetry(t *trace, service id.Service) bool {
 	daemons := f.Daemons()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	allowed := f.window(service).TakeRetry(f.Now(), daemons)
-	if !allowed {
+	if !f.window(service).TakeRetry(f.Now(), daemons) {
 		f.stats.deniedRetries.Inc()
+		return false
 	}
-	return allowed
+	t.arrivals.paid++
+	f.stats.paidRepeats.Add(string(service), 1)
+	return true
 }
 
 // Configure sets the registered endpoints.
--- a/daemon/forward/outcome.go
+++ b/daemon/forward/outcome.go
@@ -15,12 +15,6 @@
 	g.f.Pairer.Progress(p)
 }
 
-// Steps of a generation, as logged.
-const (
-	stepPrefill = "prefill"
-	stepDecode  = "decode"
-)
-
 // reportEngineFailure reports the failure of an engine to the pool's owner and
 // the log, and excludes the engine from further pairs.
 func (g *generation) reportEngineFailure(e registry.Endpoint, err *verdict.Error, step string, took time.Duration) {
--- a/daemon/forward/plainstream.go
+++ b/daemon/forward/plainstream.go
@@ -37,6 +37,7 @@
 			Request: r, Endpoint: endpoint, Left: limit - startedAt, Until: limit, MaxConns: f.maxConns(s), AtMostOnce: true, LastEvent: r.LastEvent,
 			Team: t.teamName(), Credentials: t.credentials(r),
 		}, KV{})
+		f.countArrival(t, stepCall, err)
 		if err == nil {
 			return f.openedPlain(ctx, cancel, r, t, endpoint, startedAt, opened), nil
 		}
--- a/daemon/forward/poison.go
+++ b/daemon/forward/poison.go
@@ -71,8 +71,12 @@
 // endpoint has a new name after a restart, so each crash counts once.
 func (f *Forwarder) recordCrash(r *Request, t *trace, e id.Endpoint) {
 	suspect := poison.Suspect{Fingerprint: fingerprintOf(r, t), Team: id.Team(t.route.Name)}
-	f.Evidence.Ledger.Crash(f.Evidence.WallClock(), poison.CrashID{Endpoint: e}, []poison.Suspect{suspect})
+	now := f.Evidence.WallClock()
+	f.Evidence.Ledger.Crash(now, poison.CrashID{Endpoint: e}, []poison.Suspect{suspect})
 	f.Evidence.Broadcast()
+	finding := f.Evidence.Ledger.Check(now, suspect.Fingerprint)
+	f.Log.Event("crash_recorded", "request", r.ID, "print", shortFingerprint(r, t), "endpoint", e,
+		"crashes", finding.Crashes, "alone", finding.Alone, "standing", finding.Standing)
 }
 
 // clearEvidence clears the evidence against a request that an endpoint has
--- a/daemon/forward/record.go
+++ b/daemon/forward/record.go
@@ -25,6 +25,9 @@
 	if t.prefill != "" {
 		kv = append(kv, "prefill", t.prefill, "waited", t.engineWait, "read", t.prefillTime, "first", t.firstEventTime)
 	}
+	if t.arrivals.repeats() > 0 || t.arrivals.paid > 0 {
+		kv = append(kv, "repeats", t.arrivals.repeats(), "repeats_paid", t.arrivals.paid)
+	}
 	if t.unlisted > 0 {
 		kv = append(kv, "unlisted", t.unlisted)
 	}
--- a/daemon/forward/relay.go
+++ b/daemon/forward/relay.go
@@ -129,7 +129,7 @@
 	if s.f.checkQuarantine(s.request, s.trace) != nil {
 		return false
 	}
-	return s.f.takeRetry(s.service.Name)
+	return s.f.takeRetry(s.trace, s.service.Name)
 }
 
 // fill reads until at least one more event is complete. It returns io.EOF at the
--- a/daemon/forward/stats.go
+++ b/daemon/forward/stats.go
@@ -10,6 +10,8 @@
 type stats struct {
 	outcomes       *metrics.CounterMap
 	deniedRetries  *metrics.Counter
+	paidRepeats    *metrics.CounterMap
+	repeatArrivals *metrics.CounterMap
 	wastedPrefills *metrics.Counter
 	refusedStale   *metrics.Counter
 	sentUnlisted   *metrics.Counter
@@ -23,6 +25,8 @@
 	return stats{
 		outcomes:       r.CounterMap("forward_outcomes", metrics.UnitCount, "Ended requests, by outcome."),
 		deniedRetries:  r.Counter("forward_repeats_unpaid", metrics.UnitCount, "Retries that the retry limit of a service did not allow."),
+		paidRepeats:    r.CounterMap("forward_repeats_paid", metrics.UnitCount, "Arrivals beyond the first of a request that the retry limit allowed, by service."),
+		repeatArrivals: r.CounterMap("forward_repeat_arrivals", metrics.UnitCount, "Arrivals of requests at endpoints beyond the first of each request, by service and step: call, prefill or decode."),
 		wastedPrefills: r.Counter("forward_prefills_wasted", metrics.UnitCount, "Prefills that no decode used."),
 		refusedStale:   r.Counter("forward_refused_stale", metrics.UnitCount, "Requests with a key that were refused since the configuration may have been too old."),
 		sentUnlisted:   r.Counter("forward_sent_unlisted", metrics.UnitCount, "Requests sent to endpoints that the store no longer lists and that are kept, since they may have lapsed with it."),
--- a/daemon/forward/stream.go
+++ b/daemon/forward/stream.go
@@ -116,7 +116,7 @@
 		g.trace.reason = "the pool's owner refused"
 	case g.pairings >= maxPairings:
 		g.trace.reason = "too many engines failed"
-	case err.Code != verdict.CodeUnavailable && !f.takeRetry(g.service.Name):
+	case err.Code != verdict.CodeUnavailable && !f.takeRetry(g.trace, g.service.Name):
 		g.trace.reason = "the service's bound on repeats is reached"
 	default:
 		return true
@@ -224,6 +224,7 @@
 	attempt := g.newAttempt(engine)
 	attempt.Until = min(attempt.Until, startedAt+minPrefillTimeout+time.Duration(g.request.PromptTokens)*prefillTimeoutPerToken)
 	kv, err := f.Endpoints.Prefill(ctx, attempt)
+	f.countArrival(g.trace, stepPrefill, err)
 	now := f.Now()
 	if err != nil {
 		g.reportEngineFailure(engine, err, stepPrefill, now-startedAt)
