Count retries by what arrives at endpoints, and pay for it before it is sent

Callers of a service whose engines break off answers saw the service swamped by repeats: 108 arrivals beyond the first of their request within 10 s, 89 allowed.

Cause: the retry limit was charged where a retry was decided, one for each, but a stream that starts again arrives twice, at a prefill and at a decode engine. A second prefill after a decode engine that could not be reached was not charged at all.

Now each request counts its arrivals where they are sent, whichever path led there, and pays for what it is about to send beyond the first: all at once, so that no prefill is sent whose decode would be refused. What does not take place (the decode engine prefills, no engine is granted) is given back.

TakeRetry became TakeRetries in the tests of core/retry, with 1 for each former call.

The product's own path budgets attempts against successes and is consistent in it; read, unchanged.

--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -19,7 +19,8 @@
 // windowSlots is the number of slots that a span is divided into.
 const windowSlots = 20
 
-// Window bounds one daemon's retries of a service within a sliding window: a
+// Window bounds one daemon's retries of a service within a sliding window. A retry
+// is one arrival of a request at an endpoint beyond its first. The limit is a
 // ratio of the daemon's own requests plus its share of the slack. The limit holds
 // for every span of the window's length, since the oldest slot is counted in
 // full. It is not safe for concurrent use.
@@ -54,17 +55,29 @@
 	w.requests[w.slot%int64(len(w.requests))]++
 }
 
-// TakeRetry counts one more arrival of a request at an endpoint and returns true if
-// the window allows it; daemons is the number of daemons that share the slack.
-func (w *Window) TakeRetry(now time.Duration, daemons int) bool {
+// TakeRetries counts n retries and returns true if the window allows all of them;
+// daemons is the number of daemons that share the slack.
+func (w *Window) TakeRetries(now time.Duration, n, daemons int) bool {
 	w.advance(now)
-	if float64(w.used()+1) > w.allowed(daemons) {
+	if float64(w.used()+n) > w.allowed(daemons) {
 		return false
 	}
-	w.repeats[w.slot%int64(len(w.repeats))]++
+	w.repeats[w.slot%int64(len(w.repeats))] += n
 	return true
 }
 
+// ReturnRetries gives back n retries that were taken and not used, the most recently
+// taken first.
+func (w *Window) ReturnRetries(now time.Duration, n int) {
+	w.advance(now)
+	for slot := w.slot; n > 0 && slot >= max(0, w.slot-windowSlots); slot-- {
+		taken := &w.repeats[slot%int64(len(w.repeats))]
+		returned := min(n, *taken)
+		*taken -= returned
+		n -= returned
+	}
+}
+
 // Left returns how many retries the window still allows.
 func (w *Window) Left(now time.Duration, daemons int) float64 {
 	w.advance(now)
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -13,7 +13,7 @@
 	w := NewWindow(WindowConfig{Span: 10 * time.Second, Ratio: 0.2, Slack: 58, Safety: 1})
 	allowed := 0
 	for range 100 {
-		if w.TakeRetry(0, 9) {
+		if w.TakeRetries(0, 1, 9) {
 			allowed++
 		}
 	}
@@ -22,13 +22,13 @@
 		w.CountRequest(time.Second)
 	}
 	for range 100 {
-		if w.TakeRetry(time.Second, 9) {
+		if w.TakeRetries(time.Second, 1, 9) {
 			allowed++
 		}
 	}
 	is.Equal(allowed, 16)
-	is.True(!w.TakeRetry(10*time.Second, 9)) // the first retries still count
-	is.True(w.TakeRetry(11*time.Second, 9))
+	is.True(!w.TakeRetries(10*time.Second, 1, 9)) // the first retries still count
+	is.True(w.TakeRetries(11*time.Second, 1, 9))
 }
 
 // TestNoSpanExceedsTheLimit checks that in any order of events, a span of
@@ -47,7 +47,7 @@
 				requests = append(requests, now)
 				continue
 			}
-			if !w.TakeRetry(now, 1) {
+			if !w.TakeRetries(now, 1, 1) {
 				continue
 			}
 			repeats = append(repeats, now)
@@ -67,3 +67,28 @@
 		}
 	})
 }
+
+// TestRetriesAreTakenAllOrNone checks that a window that allows fewer retries than are
+// asked for takes none of them.
+func TestRetriesAreTakenAllOrNone(t *testing.T) {
+	is := is.New(t)
+	w := NewWindow(WindowConfig{Span: 10 * time.Second, Slack: 3, Safety: 1})
+	is.True(w.TakeRetries(0, 2, 1))
+	is.True(!w.TakeRetries(0, 2, 1))
+	is.True(w.TakeRetries(0, 1, 1))
+}
+
+// TestReturnedRetriesMayBeTakenAgain checks that what is returned is available again,
+// also after the slot in which it was taken, and that a window never holds less than
+// nothing: retries that have left it can't be returned.
+func TestReturnedRetriesMayBeTakenAgain(t *testing.T) {
+	is := is.New(t)
+	w := NewWindow(WindowConfig{Span: 10 * time.Second, Slack: 3, Safety: 1})
+	is.True(w.TakeRetries(0, 2, 1))
+	is.True(w.TakeRetries(time.Second, 1, 1))
+	w.ReturnRetries(2*time.Second, 2)
+	is.Equal(w.Left(2*time.Second, 1), 2.0)
+	w.ReturnRetries(time.Minute, 5)
+	is.Equal(w.Left(time.Minute, 1), 3.0)
+	is.True(!w.TakeRetries(time.Minute, 4, 1))
+}
--- a/daemon/forward/arrivals.go
+++ b/daemon/forward/arrivals.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
@@ -24,6 +25,13 @@
 // repeats returns how many arrivals follow the request's first one.
 func (a *arrivals) repeats() int { return max(0, a.counted-1) }
 
+// unpaid returns how many of the arrivals so far and of the planned ones the retry
+// limit has still to allow.
+func (a *arrivals) unpaid(planned int) int { return max(0, a.counted+planned-1-a.paid) }
+
+// unused returns how many allowed arrivals have not taken place.
+func (a *arrivals) unused() int { return max(0, a.paid-a.repeats()) }
+
 // add counts an arrival for the given step, and reports whether it is a repeat.
 // accepted tells whether the endpoint took the request.
 func (a *arrivals) add(step string, accepted bool) bool {
@@ -51,3 +59,47 @@
 		f.stats.repeatArrivals.Add(string(t.service)+"/"+step, 1)
 	}
 }
+
+// payRepeats reports whether the retry limit of a service allows a request the given
+// number of further arrivals, and counts them against it. Arrivals are paid for
+// before they are sent and all at once, so that no prefill is sent whose decode the
+// limit would not allow.
+func (f *Forwarder) payRepeats(t *trace, service id.Service, planned int) bool {
+	unpaid := t.arrivals.unpaid(planned)
+	if unpaid == 0 {
+		return true
+	}
+	daemons := f.Daemons()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.window(service).TakeRetries(f.Now(), unpaid, daemons) {
+		f.stats.deniedRetries.Inc()
+		return false
+	}
+	t.arrivals.paid += unpaid
+	f.stats.paidRepeats.Add(string(service), int64(unpaid))
+	return true
+}
+
+// returnUnused gives back to the retry limit what a request was allowed and does not
+// need: the decode engine prefilled the prompt itself, or no engine was granted.
+func (f *Forwarder) returnUnused(t *trace) {
+	unused := t.arrivals.unused()
+	if unused == 0 {
+		return
+	}
+	t.arrivals.paid -= unused
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.window(t.service).ReturnRetries(f.Now(), unused)
+}
+
+// arrivalsOfPair is how often a generation that starts again with a new pair of
+// engines arrives: once at the decode engine and, unless its first prefill is still
+// to be accepted, once at the prefill engine.
+func (a *arrivals) arrivalsOfPair() int {
+	if a.prefilled {
+		return 2
+	}
+	return 1
+}
--- a/daemon/forward/call.go
+++ b/daemon/forward/call.go
@@ -160,9 +160,7 @@
 	}
 }
 
-// mayRetry reports whether a failed attempt is followed by another. Only
-// attempts that reached an endpoint count against the retry limit: a refused
-// connection doesn't.
+// mayRetry reports whether a failed attempt is followed by another.
 func (f *Forwarder) mayRetry(ctx context.Context, r *Request, t *trace, s *route.Service, err *verdict.Error, ran, refused int) bool {
 	if ctx.Err() != nil || f.timeLeft(r, t.route) < minTimeForRetry {
 		t.reason = "no time is left"
@@ -180,10 +178,7 @@
 	if f.checkQuarantine(r, t) != nil {
 		return false
 	}
-	if notRun && !refusedOnArrival(err) {
-		return true
-	}
-	if !f.takeRetry(t, s.Name) {
+	if !f.payRepeats(t, s.Name, 1) {
 		t.reason = "the service's bound on repeats is reached"
 		return false
 	}
--- a/daemon/forward/decode.go
+++ b/daemon/forward/decode.go
@@ -36,7 +36,7 @@
 	if ctx.Err() != nil || keyRejected(err) || g.grant.Prefill == "" || err.Code == verdict.CodeKVGone || g.kvLeft(prefilledAt) <= 0 {
 		return false
 	}
-	return err.Code == verdict.CodeUnavailable || g.f.takeRetry(g.trace, g.service.Name)
+	return g.f.payRepeats(g.trace, g.service.Name, 1)
 }
 
 // kvLeft is how long a KV cache created at prefilledAt may still wait for a
--- a/daemon/forward/forward.go
+++ b/daemon/forward/forward.go
@@ -187,21 +187,6 @@
 	return w
 }
 
-// takeRetry counts one more arrival of a request at an endpoint against the
-// service's retry limit; false if the limit is reached.
-func (f *Forwarder) takeRetry(t *trace, service id.Service) bool {
-	daemons := f.Daemons()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.window(service).TakeRetry(f.Now(), daemons) {
-		f.stats.deniedRetries.Inc()
-		return false
-	}
-	t.arrivals.paid++
-	f.stats.paidRepeats.Add(string(service), 1)
-	return true
-}
-
 // Configure sets the registered endpoints.
 func (f *Forwarder) Configure(entries []registry.Endpoint) {
 	f.mu.Lock()
--- a/daemon/forward/record.go
+++ b/daemon/forward/record.go
@@ -11,6 +11,7 @@
 
 // record logs the end of a request and updates the metrics.
 func (f *Forwarder) record(r *Request, t *trace, reply *Reply, err *verdict.Error) {
+	f.returnUnused(t)
 	took := f.Now() - r.Arrived
 	outcome, status := "answered", 0
 	kv := []any{"request", r.ID}
--- a/daemon/forward/relay.go
+++ b/daemon/forward/relay.go
@@ -129,7 +129,7 @@
 	if s.f.checkQuarantine(s.request, s.trace) != nil {
 		return false
 	}
-	return s.f.takeRetry(s.trace, s.service.Name)
+	return s.f.payRepeats(s.trace, s.service.Name, s.trace.arrivals.arrivalsOfPair())
 }
 
 // fill reads until at least one more event is complete. It returns io.EOF at the
--- a/daemon/forward/stats.go
+++ b/daemon/forward/stats.go
@@ -25,7 +25,7 @@
 	return stats{
 		outcomes:       r.CounterMap("forward_outcomes", metrics.UnitCount, "Ended requests, by outcome."),
 		deniedRetries:  r.Counter("forward_repeats_unpaid", metrics.UnitCount, "Retries that the retry limit of a service did not allow."),
-		paidRepeats:    r.CounterMap("forward_repeats_paid", metrics.UnitCount, "Arrivals beyond the first of a request that the retry limit allowed, by service."),
+		paidRepeats:    r.CounterMap("forward_repeats_paid", metrics.UnitCount, "Arrivals beyond the first of a request that the retry limit allowed, by service, including those that did not take place."),
 		repeatArrivals: r.CounterMap("forward_repeat_arrivals", metrics.UnitCount, "Arrivals of requests at endpoints beyond the first of each request, by service and step: call, prefill or decode."),
 		wastedPrefills: r.Counter("forward_prefills_wasted", metrics.UnitCount, "Prefills that no decode used."),
 		refusedStale:   r.Counter("forward_refused_stale", metrics.UnitCount, "Requests with a key that were refused since the configuration may have been too old."),
--- a/daemon/forward/stream.go
+++ b/daemon/forward/stream.go
@@ -89,6 +89,7 @@
 		if err == nil {
 			var opened *Opened
 			if opened, err = g.decode(ctx, kv, prefilledAt); err == nil {
+				g.f.returnUnused(g.trace)
 				return opened, nil
 			}
 		}
@@ -116,7 +117,7 @@
 		g.trace.reason = "the pool's owner refused"
 	case g.pairings >= maxPairings:
 		g.trace.reason = "too many engines failed"
-	case err.Code != verdict.CodeUnavailable && !f.takeRetry(g.trace, g.service.Name):
+	case !f.payRepeats(g.trace, g.service.Name, g.trace.arrivals.arrivalsOfPair()):
 		g.trace.reason = "the service's bound on repeats is reached"
 	default:
 		return true
