Quarantine a request that crashes endpoints although its neighbours never finish

A request that crashes each engine that begins to run it was sent to 27 more endpoints after the third, 43 ended in all, and each took the streams of other callers with it.

Cause: a crash with company convicted only once all the company had finished later. Streams that break with their engine mostly end with their caller, so that on a busy engine nothing was ever proven.

Now each report says how far the endpoint was with each answer. A crash is put down to the request that was least far, since they crash when they begin; a request that was being answered is suspected only where nothing else had begun. At the fifth crash the one that has crashed most is refused, whatever became of the others. Why it holds: neither rule needs another request to come back.

Tests of core/poison name the fields of Suspect, and merge reports with progress.

--- /dev/null
+++ b/core/poison/busy_test.go
@@ -0,0 +1,256 @@
+package poison
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/id"
+)
+
+// busyFleet simulates a fleet whose engines run several streams each. A crash ends
+// all of them: half are resumed elsewhere, the callers of the others do not come back.
+type busyFleet struct {
+	rng     *rand.Rand
+	now     time.Duration
+	ledgers []*Ledger
+	engines []*busyEngine
+	streams []*busyStream
+	// reports are on their way to all other daemons.
+	reports []busyReport
+	refused int
+}
+
+type busyEngine struct {
+	incarnation id.Incarnation
+	upAt        time.Duration
+}
+
+type busyStream struct {
+	suspect   Suspect
+	resumable bool
+	runs      int
+	daemon    int
+	engine    *busyEngine
+	startAt   time.Duration
+	// firstEventAt and endAt are times of the current run.
+	firstEventAt, endAt time.Duration
+	// deadly is set for a request that crashes its engine at endAt.
+	deadly *deadlyRequest
+	over   bool
+}
+
+// deadlyRequest is a request that its caller sends again and again.
+type deadlyRequest struct {
+	suspect Suspect
+	crashes int
+	// lateFrom is the time from which each further run counts as late.
+	lateFrom time.Duration
+	lateRuns int
+	// afterEvent is set if it produces an event before its engine crashes.
+	afterEvent bool
+	sendAt     time.Duration
+}
+
+type busyReport struct {
+	at    time.Duration
+	from  int
+	state State
+}
+
+const (
+	busyEngines     = 15
+	busyDaemons     = 5
+	engineRestart   = 3 * time.Second
+	evidenceDelay   = 300 * time.Millisecond
+	lateAfterThird  = 3 * time.Second
+	lateRunsAllowed = 3
+	maxRuns         = 3
+)
+
+func newBusyFleet(seed uint64) *busyFleet {
+	f := &busyFleet{rng: rand.New(rand.NewPCG(seed, 7))}
+	for range busyDaemons {
+		f.ledgers = append(f.ledgers, New(Config{AloneCrashes: 3}))
+	}
+	for range busyEngines {
+		f.engines = append(f.engines, &busyEngine{})
+	}
+	return f
+}
+
+func (f *busyFleet) wall() time.Time { return time.Unix(1_000_000, 0).Add(f.now) }
+
+func (f *busyFleet) between(from, to time.Duration) time.Duration {
+	return from + time.Duration(f.rng.Int64N(int64(to-from)))
+}
+
+// begin runs a stream at some engine, unless its daemon refuses it.
+func (f *busyFleet) begin(s *busyStream) {
+	standing := f.ledgers[s.daemon].Check(f.wall(), s.suspect.Fingerprint).Standing
+	if standing == Held || standing == Quarantined {
+		s.over = true
+		if s.deadly == nil {
+			f.refused++
+		}
+		return
+	}
+	up := slices.DeleteFunc(slices.Clone(f.engines), func(e *busyEngine) bool { return e.upAt > f.now })
+	if len(up) == 0 {
+		return
+	}
+	s.engine = up[f.rng.IntN(len(up))]
+	s.runs++
+	s.firstEventAt = f.now + f.between(30*time.Millisecond, 120*time.Millisecond)
+	s.endAt = f.now + f.between(time.Second, 5*time.Second)
+	if d := s.deadly; d != nil {
+		s.endAt = f.now + f.between(40*time.Millisecond, 100*time.Millisecond)
+		s.firstEventAt = s.endAt + time.Minute
+		if d.afterEvent {
+			s.firstEventAt = f.now
+		}
+		if d.crashes >= 3 && f.now >= d.lateFrom {
+			d.lateRuns++
+		}
+	}
+}
+
+// crash ends an engine and reports it by daemon.
+func (f *busyFleet) crash(e *busyEngine) {
+	number := slices.Index(f.engines, e)
+	crash := CrashID{Endpoint: id.Endpoint(fmt.Sprint("e", number)), Incarnation: e.incarnation}
+	for _, s := range f.streams {
+		if s.over || s.engine != e {
+			continue
+		}
+		suspect := s.suspect
+		suspect.Progress = ProgressOf(f.now >= s.firstEventAt, f.now-s.firstEventAt)
+		f.ledgers[s.daemon].Crash(f.wall(), crash, []Suspect{suspect})
+		s.engine = nil
+		s.over = !s.resumable || s.runs >= maxRuns
+		s.startAt = f.now + f.between(5*time.Millisecond, 50*time.Millisecond)
+	}
+	e.incarnation++
+	e.upAt = f.now + engineRestart
+}
+
+func (f *busyFleet) end(s *busyStream) {
+	if d := s.deadly; d != nil {
+		d.crashes++
+		if d.crashes == 3 {
+			d.lateFrom = f.now + lateAfterThird
+		}
+		f.crash(s.engine)
+		return
+	}
+	s.over = true
+	f.ledgers[s.daemon].Finished(f.wall(), s.suspect.Fingerprint)
+}
+
+// spread sends the evidence of each daemon to the others after evidenceDelay.
+func (f *busyFleet) spread(sent []uint64) {
+	for n, l := range f.ledgers {
+		state, next := l.Delta(sent[n])
+		if next != sent[n] {
+			sent[n] = next
+			f.reports = append(f.reports, busyReport{f.now + evidenceDelay, n, state})
+		}
+	}
+	f.reports = slices.DeleteFunc(f.reports, func(r busyReport) bool {
+		if r.at > f.now {
+			return false
+		}
+		for n, l := range f.ledgers {
+			if n != r.from {
+				l.Merge(f.wall(), r.state)
+			}
+		}
+		return true
+	})
+}
+
+// run simulates a span in which ordinary streams begin at a constant rate, the callers
+// of the deadly requests send them again and again, and chance engines crash at the
+// given interval; 0 for none.
+func (f *busyFleet) run(span time.Duration, deadly []*deadlyRequest, chance time.Duration) {
+	const step = 5 * time.Millisecond
+	sent := make([]uint64, len(f.ledgers))
+	for n := 0; f.now < span; f.now += step {
+		if f.rng.IntN(13) == 0 { // about 15 a second
+			n++
+			print := NewFingerprint("t", "s", []byte(fmt.Sprint("ordinary", n)))
+			f.add(&busyStream{suspect: Suspect{Fingerprint: print, Team: "t"}, resumable: f.rng.IntN(2) == 0})
+		}
+		for _, d := range deadly {
+			if f.now >= d.sendAt {
+				f.add(&busyStream{suspect: d.suspect, resumable: true, deadly: d})
+				d.sendAt = f.now + f.between(200*time.Millisecond, 1500*time.Millisecond)
+			}
+		}
+		for _, s := range f.streams {
+			switch {
+			case s.over:
+			case s.engine == nil && f.now >= s.startAt:
+				f.begin(s)
+			case s.engine != nil && f.now >= s.endAt:
+				f.end(s)
+			}
+		}
+		if chance > 0 && f.now > 0 && f.now%chance == 0 {
+			f.crash(f.engines[f.rng.IntN(len(f.engines))])
+		}
+		f.spread(sent)
+		f.streams = slices.DeleteFunc(f.streams, func(s *busyStream) bool { return s.over })
+	}
+}
+
+func (f *busyFleet) add(s *busyStream) {
+	s.daemon = f.rng.IntN(len(f.ledgers))
+	s.startAt = f.now
+	f.streams = append(f.streams, s)
+}
+
+// TestDeadlyRequestsOnBusyEngines checks that a request that crashes engines beside
+// others, which never finish, runs at most three more times later than three seconds
+// after its third crash, over the whole fleet, and that no other request is
+// quarantined. Half of the runs have two such requests, half have chance crashes, and
+// in a third of them the request produces an event before its engine crashes.
+func TestDeadlyRequestsOnBusyEngines(t *testing.T) {
+	is := is.New(t)
+	crashes, deadlyRequests, refused := 0, 0, 0
+	falselyRefused := map[Fingerprint]bool{}
+	for seed := range uint64(60) {
+		f := newBusyFleet(seed)
+		var deadly []*deadlyRequest
+		for n := range 1 + seed%2 {
+			print := NewFingerprint("t", "s", []byte(fmt.Sprint("deadly", n)))
+			deadly = append(deadly, &deadlyRequest{
+				suspect: Suspect{Fingerprint: print, Team: "t"}, afterEvent: seed%3 == 0, sendAt: time.Second,
+			})
+		}
+		chance := time.Duration(seed/2%2) * 4 * time.Second
+		f.run(20*time.Second, deadly, chance)
+		for _, d := range deadly {
+			deadlyRequests++
+			crashes += d.crashes
+			if d.lateRuns > lateRunsAllowed {
+				t.Fatalf("seed %d: %d late runs, %d crashes", seed, d.lateRuns, d.crashes)
+			}
+		}
+		for _, l := range f.ledgers {
+			for _, e := range l.List(f.wall()) {
+				if !slices.ContainsFunc(deadly, func(d *deadlyRequest) bool { return d.suspect.Fingerprint == e.Fingerprint }) {
+					falselyRefused[e.Fingerprint] = true
+					t.Logf("seed %d: %s quarantined after %d crashes", seed, e.Fingerprint, e.Crashes)
+				}
+			}
+		}
+		refused += f.refused
+	}
+	is.Equal(len(falselyRefused), 0)
+	t.Logf("%d deadly requests crashed %d engines; %d other requests were refused", deadlyRequests, crashes, refused)
+}
--- a/core/poison/ledger_test.go
+++ b/core/poison/ledger_test.go
@@ -13,13 +13,15 @@
 
 var (
 	wall = time.Unix(1_000_000, 0)
-	a, b = Suspect{NewFingerprint("t", "s", []byte("a")), "t"}, Suspect{NewFingerprint("t", "s", []byte("b")), "t"}
+	a, b = Suspect{Fingerprint: NewFingerprint("t", "s", []byte("a")), Team: "t"}, Suspect{Fingerprint: NewFingerprint("t", "s", []byte("b")), Team: "t"}
 )
 
 func crash(endpoint string) CrashID { return CrashID{Endpoint: id.Endpoint(endpoint), Incarnation: 1} }
 
 func states(t *rapid.T) []State {
-	suspects := rapid.SliceOfN(rapid.SampledFrom([]Suspect{a, b, {NewFingerprint("u", "s", nil), "u"}}), 0, 3)
+	answering := a
+	answering.Progress = Answering
+	suspects := rapid.SliceOfN(rapid.SampledFrom([]Suspect{a, answering, b, {Fingerprint: NewFingerprint("u", "s", nil), Team: "u"}}), 0, 3)
 	at := rapid.Int64Range(wall.UnixMilli()-1000, wall.UnixMilli())
 	one := rapid.Custom(func(t *rapid.T) State {
 		return State{
@@ -97,7 +99,7 @@
 	l := New(Config{})
 	var beside []Suspect
 	for i := range 3 {
-		other := Suspect{NewFingerprint("t", "s", []byte(fmt.Sprint(i))), "t"}
+		other := Suspect{Fingerprint: NewFingerprint("t", "s", []byte(fmt.Sprint(i))), Team: "t"}
 		beside = append(beside, other)
 		l.Crash(wall, crash(fmt.Sprint(i)), []Suspect{a, other})
 	}
@@ -108,6 +110,61 @@
 	is.Equal(l.Check(wall, a.Fingerprint).Standing, Quarantined)
 }
 
+// crashBeside records a crash at which a had just begun, beside n other requests that
+// never finish and had the given progress.
+func crashBeside(l *Ledger, at time.Time, number, n int, progress Progress) {
+	running := []Suspect{a}
+	for i := range n {
+		other := NewFingerprint("t", "s", []byte(fmt.Sprint(number, " ", i)))
+		running = append(running, Suspect{Fingerprint: other, Team: "t", Progress: progress})
+	}
+	l.Crash(at, crash(fmt.Sprint(number)), running)
+}
+
+// TestAnsweredNeighboursDoNotExcuse checks that a request is quarantined after it
+// crashed endpoints that were answering others, although those never finish.
+func TestAnsweredNeighboursDoNotExcuse(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{AloneCrashes: 3})
+	for n := range 3 {
+		crashBeside(l, wall, n, 2, Answering)
+	}
+	is.Equal(l.Check(wall, a.Fingerprint).Standing, Held)
+	is.Equal(l.Check(wall.Add(DefaultSettle), a.Fingerprint).Standing, Quarantined)
+	beside := NewFingerprint("t", "s", []byte("0 0"))
+	is.Equal(l.Check(wall.Add(DefaultSettle), beside).Standing, Clear)
+}
+
+// TestTheRequestThatCrashesMostIsQuarantined checks that a request is quarantined
+// although others had just begun at each of its crashes and never finish.
+func TestTheRequestThatCrashesMostIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{AloneCrashes: 3})
+	for n := range DefaultTopCrashes {
+		is.True(l.Check(wall, a.Fingerprint).Standing < Held)
+		crashBeside(l, wall, n, 2, Waiting)
+	}
+	is.Equal(l.Check(wall, a.Fingerprint).Standing, Quarantined)
+	is.Equal(l.Check(wall, NewFingerprint("t", "s", []byte("0 0"))).Standing, Suspected)
+}
+
+// TestAnAnsweredRequestIsSuspectedIfNothingElseHadBegun checks that a request that
+// crashes endpoints late is found too: at a crash where all were being answered, all
+// are suspected, once the reports of all daemons are in.
+func TestAnAnsweredRequestIsSuspectedIfNothingElseHadBegun(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{})
+	late := a
+	late.Progress = Answering
+	l.Crash(wall, crash("e"), []Suspect{late})
+	is.Equal(l.Check(wall, a.Fingerprint).Standing, Clear) // another daemon may still report one that had begun
+	is.Equal(l.Check(wall.Add(DefaultSettle), a.Fingerprint).Standing, Suspected)
+	l.Crash(wall, crash("e"), []Suspect{b})
+	is.Equal(l.Check(wall.Add(DefaultSettle), a.Fingerprint).Standing, Clear)
+	l.Finished(wall.Add(time.Second), b.Fingerprint)
+	is.Equal(l.Check(wall.Add(DefaultSettle), a.Fingerprint).Standing, Suspected)
+}
+
 func TestLiftAndExpiry(t *testing.T) {
 	is := is.New(t)
 	l := New(Config{})
@@ -137,7 +194,7 @@
 	l := New(Config{MaxCrashes: 10, MaxCleared: 10, MaxRunning: 2})
 	for i := range 100 {
 		now := wall.Add(time.Duration(i) * time.Second)
-		l.Crash(now, crash(fmt.Sprint(i)), []Suspect{a, b, {NewFingerprint("t", "s", []byte(fmt.Sprint(i))), "t"}})
+		l.Crash(now, crash(fmt.Sprint(i)), []Suspect{a, b, {Fingerprint: NewFingerprint("t", "s", []byte(fmt.Sprint(i))), Team: "t"}})
 		l.Lift(now, NewFingerprint("t", "s", []byte(fmt.Sprint(i))))
 	}
 	is.Equal(len(l.crashes), 10)
--- a/core/poison/standing.go
+++ b/core/poison/standing.go
@@ -7,11 +7,13 @@
 
 // Check returns how a request with the fingerprint is to be treated.
 //
-// One crash makes the request suspected. It is quarantined after AloneCrashes
-// crashes at which nothing else ran, after SharedCrashes crashes of which it was
-// alone at one, or after SharedCrashes crashes if all other requests at them have
-// since been cleared. A crash with a single request counts as alone once Settle has
-// passed: until then another daemon may still report a second request.
+// One crash that the request may have caused makes it suspected. It is quarantined
+// after AloneCrashes crashes that are put down to it alone, after SharedCrashes crashes
+// of which one is, after SharedCrashes crashes if all other requests at them have since
+// been cleared, or after TopCrashes crashes if nothing else that ran there has crashed
+// more endpoints. Only the third rule needs other requests to finish, which those that
+// break with their endpoint mostly never do. A crash counts as put down to one request
+// once Settle has passed: until then another daemon may report a second one.
 func (l *Ledger) Check(wall time.Time, f Fingerprint) Finding {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -19,8 +21,8 @@
 }
 
 func (l *Ledger) check(wall time.Time, f Fingerprint) Finding {
-	crashes := l.countedCrashes(wall, f)
-	out := Finding{Crashes: len(crashes), Alone: crashesAlone(crashes)}
+	crashes := l.suspectedCrashes(wall, f)
+	out := Finding{Crashes: len(crashes), Alone: crashesAlone(f, crashes)}
 	switch {
 	case len(crashes) == 0:
 		out.Standing = Clear
@@ -36,29 +38,40 @@
 	return out
 }
 
-// crashesAlone returns the number of crashes at which one request ran.
-func crashesAlone(crashes []Crash) int {
-	n := 0
-	for _, c := range crashes {
-		if len(c.Running) == 1 {
-			n++
-		}
-	}
-	return n
-}
-
-// countedCrashes returns the crashes that count against a fingerprint.
-func (l *Ledger) countedCrashes(wall time.Time, f Fingerprint) []Crash {
+// suspectedCrashes returns the crashes that count against a fingerprint: it may have
+// caused them, and has not been cleared since.
+func (l *Ledger) suspectedCrashes(wall time.Time, f Fingerprint) []Crash {
 	since := max(l.clearedAt(f), wall.Add(-l.cfg.Quarantine).UnixMilli())
 	var out []Crash
 	for _, id := range l.byFingerprint[f] {
-		if c := l.crashes[id].crash; c.AtUnixMS > since {
+		if c := l.crashes[id].crash; c.AtUnixMS > since && l.mayHaveCaused(wall, f, c) {
 			out = append(out, c)
 		}
 	}
 	return out
 }
 
+// mayHaveCaused reports whether a request that ran at a crash may have caused it. One
+// that was being answered is suspected only if nothing else there was still to be, or
+// had just begun, which is known once all reports have arrived.
+func (l *Ledger) mayHaveCaused(wall time.Time, f Fingerprint, c Crash) bool {
+	if progressAt(f, c) < Answering {
+		return true
+	}
+	return l.settled(wall, c) && !slices.ContainsFunc(c.Running, func(s Suspect) bool {
+		return s.Fingerprint != f && s.Progress < Answering && !l.clearedSince(s.Fingerprint, c)
+	})
+}
+
+// progressAt returns the progress of a request that ran at a crash.
+func progressAt(f Fingerprint, c Crash) Progress {
+	i := slices.IndexFunc(c.Running, func(s Suspect) bool { return s.Fingerprint == f })
+	return c.Running[i].Progress
+}
+
+// clearedSince reports whether a request was cleared after a crash.
+func (l *Ledger) clearedSince(f Fingerprint, c Crash) bool { return l.clearedAt(f) > c.AtUnixMS }
+
 func (l *Ledger) clearedAt(f Fingerprint) int64 {
 	at := l.allCleared.at
 	if m, ok := l.cleared[f]; ok {
@@ -68,28 +81,40 @@
 }
 
 func (l *Ledger) quarantined(wall time.Time, f Fingerprint, crashes []Crash) bool {
-	alone := 0
-	for _, c := range crashes {
-		if len(c.Running) == 1 && l.settled(wall, c) {
-			alone++
-		}
-	}
-	if alone >= l.cfg.AloneCrashes {
+	alone := crashesAlone(f, slices.DeleteFunc(slices.Clone(crashes), func(c Crash) bool { return !l.settled(wall, c) }))
+	switch {
+	case alone >= l.cfg.AloneCrashes:
 		return true
+	case len(crashes) >= l.cfg.SharedCrashes && (alone > 0 || l.othersCleared(f, crashes)):
+		return true
+	default:
+		return len(crashes) >= l.cfg.TopCrashes && l.crashesAsTop(wall, f, crashes) >= l.cfg.TopCrashes
 	}
-	return len(crashes) >= l.cfg.SharedCrashes && (alone > 0 || l.othersCleared(f, crashes))
 }
 
 func (l *Ledger) settled(wall time.Time, c Crash) bool {
 	return !wall.Before(time.UnixMilli(c.AtUnixMS).Add(l.cfg.Settle))
 }
 
+// crashesAlone returns the number of crashes that are put down to a request alone:
+// nothing else ran there, or the endpoint was further with all other answers.
+func crashesAlone(f Fingerprint, crashes []Crash) int {
+	n := 0
+	for _, c := range crashes {
+		own := progressAt(f, c)
+		if !slices.ContainsFunc(c.Running, func(s Suspect) bool { return s.Fingerprint != f && s.Progress <= own }) {
+			n++
+		}
+	}
+	return n
+}
+
 // othersCleared reports whether all other requests at those crashes were cleared
 // later.
 func (l *Ledger) othersCleared(f Fingerprint, crashes []Crash) bool {
 	for _, c := range crashes {
 		for _, s := range c.Running {
-			if s.Fingerprint != f && l.clearedAt(s.Fingerprint) <= c.AtUnixMS {
+			if s.Fingerprint != f && !l.clearedSince(s.Fingerprint, c) {
 				return false
 			}
 		}
@@ -97,6 +122,20 @@
 	return true
 }
 
+// crashesAsTop returns the number of crashes at which no other suspect has crashed
+// more endpoints than the request itself, which has crashes.
+func (l *Ledger) crashesAsTop(wall time.Time, f Fingerprint, crashes []Crash) int {
+	n := 0
+	for _, c := range crashes {
+		if !slices.ContainsFunc(c.Running, func(s Suspect) bool {
+			return s.Fingerprint != f && !l.clearedSince(s.Fingerprint, c) && len(l.suspectedCrashes(wall, s.Fingerprint)) > len(crashes)
+		}) {
+			n++
+		}
+	}
+	return n
+}
+
 // latestCrash returns the time of the latest crash.
 func latestCrash(crashes []Crash) time.Time {
 	var at int64
--- a/core/poison/types.go
+++ b/core/poison/types.go
@@ -60,10 +60,61 @@
 type Suspect struct {
 	Fingerprint Fingerprint `cbor:"1,keyasint"`
 	Team        id.Team     `cbor:"2,keyasint"`
+	// Progress is how far the endpoint was with the answer.
+	Progress Progress `cbor:"3,keyasint,omitempty"`
 }
 
+// Progress is how far an endpoint was with the answer to a request when it crashed. A
+// request that crashes endpoints does so when they begin to run it, so that the one
+// that was least far is the likeliest cause.
+type Progress uint8
+
+// The steps of an answer.
+const (
+	// Waiting: no part of the answer had come, or it is not known.
+	Waiting Progress = iota
+	// Begun: the first part had come less than SettledAnswer ago.
+	Begun
+	// Answering: the answer had been coming for longer.
+	Answering
+)
+
+// SettledAnswer is how long an answer must have been coming before its request is
+// only suspected of a crash if nothing else had just begun there.
+const SettledAnswer = 250 * time.Millisecond
+
+// String returns the name of the step for logs.
+func (p Progress) String() string {
+	switch p {
+	case Waiting:
+		return "waiting"
+	case Begun:
+		return "begun"
+	case Answering:
+		return "answering"
+	default:
+		return "unknown"
+	}
+}
+
+// ProgressOf returns the progress of an answer; started tells whether its first part
+// has come, and age how long ago.
+func ProgressOf(started bool, age time.Duration) Progress {
+	switch {
+	case !started:
+		return Waiting
+	case age < SettledAnswer:
+		return Begun
+	default:
+		return Answering
+	}
+}
+
+// compareSuspects orders suspects so that of two reports about one request the one in
+// which it had progressed least comes first.
 func compareSuspects(a, b Suspect) int {
-	return cmp.Or(compareFingerprints(a.Fingerprint, b.Fingerprint), cmp.Compare(a.Team, b.Team))
+	return cmp.Or(compareFingerprints(a.Fingerprint, b.Fingerprint), cmp.Compare(a.Team, b.Team),
+		cmp.Compare(a.Progress, b.Progress))
 }
 
 func compareFingerprints(a, b Fingerprint) int {
@@ -137,8 +188,8 @@
 	Standing Standing
 	// Crashes is the number of crashes that count against the request.
 	Crashes int
-	// Alone is the number of those crashes at which no other request is known to
-	// have run, whether or not more reports of them may arrive.
+	// Alone is the number of those crashes at which no other request is known that may
+	// have caused them, whether or not more reports of them may arrive.
 	Alone int
 	// Until is the end of Held or Quarantined.
 	Until time.Time
@@ -165,6 +216,9 @@
 	// SharedCrashes is after how many crashes a request is quarantined if it was
 	// alone at one of them, or if all other requests at them were cleared. Default 3.
 	SharedCrashes int
+	// TopCrashes is after how many crashes a request is quarantined if nothing else
+	// that ran there has crashed more endpoints. Default 5.
+	TopCrashes int
 	// MaxCrashes bounds the recorded crashes; the newest are kept. Default 1024.
 	MaxCrashes int
 	// MaxRunning bounds the requests recorded for one crash. Default 64.
@@ -179,6 +233,7 @@
 	DefaultSettle        = 2 * time.Second
 	DefaultAloneCrashes  = 2
 	DefaultSharedCrashes = 3
+	DefaultTopCrashes    = 5
 	DefaultMaxCrashes    = 1024
 	DefaultMaxRunning    = 64
 	DefaultMaxCleared    = 4096
@@ -192,6 +247,7 @@
 	defaults.Set(&c.Settle, DefaultSettle)
 	defaults.Set(&c.AloneCrashes, DefaultAloneCrashes)
 	defaults.Set(&c.SharedCrashes, DefaultSharedCrashes)
+	defaults.Set(&c.TopCrashes, DefaultTopCrashes)
 	defaults.Set(&c.MaxCrashes, DefaultMaxCrashes)
 	defaults.Set(&c.MaxRunning, DefaultMaxRunning)
 	defaults.Set(&c.MaxCleared, DefaultMaxCleared)
--- a/daemon/forward/plainstream.go
+++ b/daemon/forward/plainstream.go
@@ -8,6 +8,7 @@
 
 	"github.com/samphirequay/samphirequay/core/balance"
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/poison"
 	"github.com/samphirequay/samphirequay/core/registry"
 	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/core/verdict"
@@ -83,12 +84,17 @@
 	request *Request
 	trace   *trace
 	status  int
-	ended   error
+	// firstPartAt is when the first part of the body arrived; 0 before it.
+	firstPartAt time.Duration
+	ended       error
 }
 
 // Read implements io.Reader.
 func (b *plainBody) Read(p []byte) (int, error) {
 	n, err := b.EventStream.Read(p)
+	if n > 0 && b.firstPartAt == 0 {
+		b.firstPartAt = b.f.Now()
+	}
 	if err != nil {
 		b.ended = err
 	}
@@ -104,7 +110,7 @@
 	case errors.Is(b.ended, io.EOF):
 		b.f.clearEvidence(b.request, b.trace)
 	case broken:
-		b.f.recordCrash(b.request, b.trace, b.trace.endpoint)
+		b.f.recordCrash(b.request, b.trace, b.trace.endpoint, poison.ProgressOf(b.firstPartAt > 0, b.f.Now()-b.firstPartAt))
 	}
 	b.f.record(b.request, b.trace, &Reply{Status: b.status}, streamError(b.ctx, errors.Is(b.ended, io.EOF), b.ended))
 	return err
--- a/daemon/forward/poison.go
+++ b/daemon/forward/poison.go
@@ -63,20 +63,21 @@
 		f.ReportMisdirected(e)
 	}
 	if err.Code == verdict.CodeEndpointFailed && err.Verdict != verdict.NotRun {
-		f.recordCrash(r, t, e.Name)
+		f.recordCrash(r, t, e.Name, poison.Waiting)
 	}
 }
 
-// recordCrash records a crash of an endpoint as evidence against a request. An
-// endpoint has a new name after a restart, so each crash counts once.
-func (f *Forwarder) recordCrash(r *Request, t *trace, e id.Endpoint) {
-	suspect := poison.Suspect{Fingerprint: fingerprintOf(r, t), Team: id.Team(t.route.Name)}
+// recordCrash records a crash of an endpoint as evidence against a request; progress is
+// how far the endpoint was with its answer. An endpoint has a new name after a restart,
+// so each crash counts once.
+func (f *Forwarder) recordCrash(r *Request, t *trace, e id.Endpoint, progress poison.Progress) {
+	suspect := poison.Suspect{Fingerprint: fingerprintOf(r, t), Team: id.Team(t.route.Name), Progress: progress}
 	now := f.Evidence.WallClock()
 	f.Evidence.Ledger.Crash(now, poison.CrashID{Endpoint: e}, []poison.Suspect{suspect})
 	f.Evidence.Broadcast()
 	finding := f.Evidence.Ledger.Check(now, suspect.Fingerprint)
 	f.Log.Event("crash_recorded", "request", r.ID, "print", shortFingerprint(r, t), "endpoint", e,
-		"crashes", finding.Crashes, "alone", finding.Alone, "standing", finding.Standing)
+		"progress", progress, "crashes", finding.Crashes, "alone", finding.Alone, "standing", finding.Standing)
 }
 
 // clearEvidence clears the evidence against a request that an endpoint has
--- a/daemon/forward/relay.go
+++ b/daemon/forward/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/poison"
 	"github.com/samphirequay/samphirequay/core/sched"
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
@@ -31,8 +32,10 @@
 	events  int
 	// eventAt is when the last event arrived; 0 before the first.
 	eventAt time.Duration
-	ended   bool
-	readErr error
+	// engineEventAt is when the first event of the current engine arrived; 0 before it.
+	engineEventAt time.Duration
+	ended         bool
+	readErr       error
 }
 
 // start opens the stream and waits for its first event: until then a failure can
@@ -198,6 +201,9 @@
 		s.trace.maxGap = max(s.trace.maxGap, now-s.eventAt)
 	}
 	s.eventAt = now
+	if s.engineEventAt == 0 {
+		s.engineEventAt = now
+	}
 }
 
 // complete handles the regular end of the stream.
@@ -219,8 +225,9 @@
 	}
 	s.avoid = append(s.avoid, s.trace.endpoint)
 	if !errors.Is(cause, os.ErrDeadlineExceeded) {
-		s.f.recordCrash(s.request, s.trace, s.trace.endpoint)
+		s.f.recordCrash(s.request, s.trace, s.trace.endpoint, poison.ProgressOf(s.engineEventAt > 0, s.f.Now()-s.engineEventAt))
 	}
+	s.engineEventAt = 0
 	s.f.Log.Event("stream_broke", "request", s.request.ID, "endpoint", s.trace.endpoint, "behind", s.lastEvent, "why", cause)
 	s.progress(sched.Progress{Phase: sched.PhaseFailed, Endpoint: s.trace.endpoint})
 	s.grant = sched.Grant{}
