Know a request with a body by its content, whoever sends it again

Cause, by the record: at 8.1, 9.2 and 9.7 s requests of one route and one size (1,433 tokens; no other request of the log has it) crash engines under three fingerprints, b5a6, a5c2 and d9b6. The fingerprint held the caller's address and the names of the parts of the prompt, so that the same request sent again from elsewhere, or with its parts named anew, began with no crash against it. Which of the two it was, the lines could not tell; crash_recorded names the caller now. Suspected, not proven: the record shows no bodies.

Now the content decides, which is what stays the same. Without a body caller and prompt count as before (TestFingerprintIncludesCallerAndPrompt, unchanged).

--- a/daemon/forward/poison.go
+++ b/daemon/forward/poison.go
@@ -21,16 +21,22 @@
 	Broadcast func()
 }
 
-// fingerprintOf returns the fingerprint of a request: a hash of its caller,
-// route, service, method, target, prompt and body. The id is left out, since a
-// caller retries under another id. Without caller and prompt all streams of one
-// target would have the same fingerprint, and three crashes caused by different
-// streams would quarantine them all. The fingerprint is computed once per request.
+// fingerprintOf returns the fingerprint of a request: a hash of its team and of what
+// it asks for, which is the host, the method, the target and the body. All that may
+// differ when it comes again is left out: the id, the caller's host, the names of the
+// parts of its prompt, and the route and service that the configuration chooses.
+// Requests without a body have little content to tell them apart, so that caller and
+// prompt count as well: otherwise three crashes caused by different streams would
+// quarantine all streams of one target. The fingerprint is computed once per request.
 func fingerprintOf(r *Request, t *trace) poison.Fingerprint {
-	if t.fingerprint == (poison.Fingerprint{}) {
-		t.fingerprint = poison.NewFingerprint(id.Team(t.route.Name), t.service,
-			[]byte(r.Caller), []byte(r.Method), []byte(r.Target), []byte(r.Prompt), r.Body)
+	if t.fingerprint != (poison.Fingerprint{}) {
+		return t.fingerprint
 	}
+	content := [][]byte{[]byte(r.Host), []byte(r.Method), []byte(r.Target), r.Body}
+	if len(r.Body) == 0 {
+		content = append(content, []byte(r.Caller), []byte(r.Prompt))
+	}
+	t.fingerprint = poison.NewFingerprint(t.teamName(), "", content...)
 	return t.fingerprint
 }
 
@@ -76,8 +82,8 @@
 	f.Evidence.Ledger.Crash(now, poison.CrashID{Endpoint: e}, []poison.Suspect{suspect})
 	f.Evidence.Broadcast()
 	finding := f.Evidence.Ledger.Check(now, suspect.Fingerprint)
-	f.Log.Event("crash_recorded", "request", r.ID, "print", shortFingerprint(r, t), "endpoint", e,
-		"progress", progress, "crashes", finding.Crashes, "alone", finding.Alone, "standing", finding.Standing)
+	f.Log.Event("crash_recorded", "request", r.ID, "print", shortFingerprint(r, t), "caller", r.Caller,
+		"body_bytes", len(r.Body), "endpoint", e, "progress", progress, "crashes", finding.Crashes, "alone", finding.Alone, "standing", finding.Standing)
 }
 
 // clearEvidence clears the evidence against a request that an endpoint has
--- a/daemon/forward/poison_test.go
+++ b/daemon/forward/poison_test.go
@@ -94,3 +94,32 @@
 		is.True(len(s.sent) > before)
 	}
 }
+
+// TestRequestWithABodyIsKnownByItsContent guards against a request that crashes
+// endpoints under ever new fingerprints: it comes again from another host, with the
+// parts of its prompt named anew, and the route may have another name and service by
+// then.
+func TestRequestWithABodyIsKnownByItsContent(t *testing.T) {
+	is := is.New(t)
+	s := crashingOn("/again/x")
+	f, r := newTest(t, s)
+	r.Body = []byte("deadly")
+	changes := []func(){
+		func() { r.Caller = "10.0.0.1" },
+		func() { r.Caller = "10.0.0.2" },
+		func() { r.Prompt = "aa:20,bb:80" },
+		func() { r.Prompt = "aa:20,cc:80" },
+		func() { r.ID = "another" },
+	}
+	for _, change := range changes {
+		change()
+		_, err := f.Run(context.Background(), r)
+		is.True(err != nil)
+	}
+	is.Equal(len(s.sent), 3)
+	_, err := f.Run(context.Background(), r)
+	is.Equal(err.Code, verdict.CodeQuarantined)
+	r.Body = []byte("harmless")
+	_, err = f.Run(context.Background(), r)
+	is.Equal(err.Code, verdict.CodeEndpointFailed) // not refused
+}
