Count a broken exchange as a crash only if the endpoint accepts no connection

Cause: the evidence knew breaks only. A crash closes the endpoint's port, a spoiled answer does not: after a break the daemon now opens a connection, which replaces the broken one, and records a crash only if that fails.

TestBreakOfALivingEndpointIsNoCrash: refused at the fourth call without the check, never with it. In testRefusedByAllDaemons the runner now crashes, as its name says, where it closed one connection and lived on; what it checks is unchanged.

--- a/daemon/forward/bench_test.go
+++ b/daemon/forward/bench_test.go
@@ -33,6 +33,8 @@
 	Endpoints
 	answer func(a *Attempt) (*Reply, *verdict.Error)
 	sent   []*Attempt
+	// survive is set if endpoints go on after they broke off an exchange.
+	survive bool
 }
 
 // Call implements Endpoints.
@@ -41,6 +43,9 @@
 	return s.answer(a)
 }
 
+// Reachable implements Endpoints: an endpoint that breaks off an exchange has crashed.
+func (s *fakeEndpoints) Reachable(context.Context, registry.Endpoint) bool { return s.survive }
+
 // discardLog drops all lines.
 type discardLog struct{}
 
--- a/daemon/forward/plainstream.go
+++ b/daemon/forward/plainstream.go
@@ -110,7 +110,7 @@
 	case errors.Is(b.ended, io.EOF):
 		b.f.clearEvidence(b.request, b.trace)
 	case broken:
-		b.f.recordCrash(b.request, b.trace, b.trace.endpoint, poison.ProgressOf(b.firstPartAt > 0, b.f.Now()-b.firstPartAt))
+		b.f.recordBreak(b.request, b.trace, b.trace.endpoint, poison.ProgressOf(b.firstPartAt > 0, b.f.Now()-b.firstPartAt))
 	}
 	b.f.record(b.request, b.trace, &Reply{Status: b.status}, streamError(b.ctx, errors.Is(b.ended, io.EOF), b.ended))
 	return err
--- a/daemon/forward/poison.go
+++ b/daemon/forward/poison.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
@@ -69,13 +70,33 @@
 		f.ReportMisdirected(e)
 	}
 	if err.Code == verdict.CodeEndpointFailed && err.Verdict != verdict.NotRun {
-		f.recordCrash(r, t, e.Name, poison.Waiting)
+		f.recordBreak(r, t, e.Name, poison.Waiting)
 	}
 }
 
-// recordCrash records a crash of an endpoint as evidence against a request; progress is
-// how far the endpoint was with its answer. An endpoint has a new name after a restart,
-// so each crash counts once.
+// crashCheckTimeout bounds the connection attempt that tells a crash from a break.
+const crashCheckTimeout = 250 * time.Millisecond
+
+// recordBreak handles an exchange that an endpoint broke off. It is a crash, and
+// evidence against the request, only if the endpoint accepts no connection any more:
+// endpoints that spoil single answers would otherwise have the requests refused that
+// they happened to spoil. progress is how far the endpoint was with the answer.
+func (f *Forwarder) recordBreak(r *Request, t *trace, name id.Endpoint, progress poison.Progress) {
+	if e, known := f.View().Endpoints[name]; known && f.reachable(e) {
+		f.stats.breaksAlive.Inc()
+		return
+	}
+	f.recordCrash(r, t, name, progress)
+}
+
+func (f *Forwarder) reachable(e registry.Endpoint) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+	defer cancel()
+	return f.Endpoints.Reachable(ctx, e)
+}
+
+// recordCrash records a crash of an endpoint as evidence against a request. An endpoint
+// has a new name after a restart, so each crash counts once.
 func (f *Forwarder) recordCrash(r *Request, t *trace, e id.Endpoint, progress poison.Progress) {
 	suspect := poison.Suspect{Fingerprint: fingerprintOf(r, t), Team: id.Team(t.route.Name), Progress: progress}
 	now := f.Evidence.WallClock()
--- a/daemon/forward/poison_test.go
+++ b/daemon/forward/poison_test.go
@@ -123,3 +123,17 @@
 	_, err = f.Run(context.Background(), r)
 	is.Equal(err.Code, verdict.CodeEndpointFailed) // not refused
 }
+
+// TestBreakOfALivingEndpointIsNoCrash checks that a request whose answers are broken
+// off by endpoints that go on is not refused: endpoints spoil answers of any request.
+func TestBreakOfALivingEndpointIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	s := crashingOn("/again/x")
+	s.survive = true
+	f, r := newTest(t, s)
+	for range 5 {
+		_, err := f.Run(context.Background(), r)
+		is.Equal(err.Code, verdict.CodeEndpointFailed)
+	}
+	is.Equal(f.Evidence.Ledger.Len(), 0)
+}
--- a/daemon/forward/relay.go
+++ b/daemon/forward/relay.go
@@ -225,7 +225,7 @@
 	}
 	s.avoid = append(s.avoid, s.trace.endpoint)
 	if !errors.Is(cause, os.ErrDeadlineExceeded) {
-		s.f.recordCrash(s.request, s.trace, s.trace.endpoint, poison.ProgressOf(s.engineEventAt > 0, s.f.Now()-s.engineEventAt))
+		s.f.recordBreak(s.request, s.trace, s.trace.endpoint, poison.ProgressOf(s.engineEventAt > 0, s.f.Now()-s.engineEventAt))
 	}
 	s.engineEventAt = 0
 	s.f.Log.Event("stream_broke", "request", s.request.ID, "endpoint", s.trace.endpoint, "behind", s.lastEvent, "why", cause)
--- a/daemon/forward/stats.go
+++ b/daemon/forward/stats.go
@@ -16,6 +16,7 @@
 	refusedStale   *metrics.Counter
 	sentUnlisted   *metrics.Counter
 	resumedStreams *metrics.Counter
+	breaksAlive    *metrics.Counter
 	requestTime    *metrics.Latency
 	firstEvent     *metrics.Latency
 	engineWait     *metrics.Latency
@@ -31,6 +32,7 @@
 		refusedStale:   r.Counter("forward_refused_stale", metrics.UnitCount, "Requests with a key that were refused since the configuration may have been too old."),
 		sentUnlisted:   r.Counter("forward_sent_unlisted", metrics.UnitCount, "Requests sent to endpoints that the store no longer lists and that are kept, since they may have lapsed with it."),
 		resumedStreams: r.Counter("forward_streams_resumed", metrics.UnitCount, "Streams that were resumed at another engine."),
+		breaksAlive:    r.Counter("forward_breaks_alive", metrics.UnitCount, "Exchanges broken off by endpoints that still accept connections, which are no crashes."),
 		requestTime:    r.Latency("forward_request_time", "Time from a request's arrival to its end."),
 		firstEvent:     r.Latency("forward_first_event_time", "Time from a stream's arrival to its first event."),
 		engineWait:     r.Latency("forward_wait_time", "Time that a stream waited for its engines."),
--- a/daemon/forward/types.go
+++ b/daemon/forward/types.go
@@ -135,6 +135,8 @@
 	Decode(ctx context.Context, a *Attempt, kv KV) (*Opened, *verdict.Error)
 	// Free releases a KV cache that no decode will use.
 	Free(ctx context.Context, e registry.Endpoint, kv KV)
+	// Reachable reports whether the endpoint accepts connections.
+	Reachable(ctx context.Context, e registry.Endpoint) bool
 }
 
 // Pairer requests engines from the owners of pools; daemon/broker implements it.
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -161,6 +161,21 @@
 	return &conn{Conn: dialed, reader: bufio.NewReader(dialed)}, nil
 }
 
+// Reachable reports whether a process at the address accepts connections. The
+// connection that tells is kept for reuse. A failure of this host, such as a lack of
+// file descriptors, counts as unreachable.
+func (p *Pool) Reachable(ctx context.Context, address string) bool {
+	p.reserveSlot(&Call{Address: address})
+	dialed, err := p.dialer.Dial(ctx, address)
+	if err != nil {
+		p.releaseSlot(address)
+		return false
+	}
+	p.dialled.Inc()
+	p.putIdle(address, &conn{Conn: dialed, reader: bufio.NewReader(dialed)}, p.opts.IdleLife)
+	return true
+}
+
 // dialErrorCode is the code of a failed dial. A cancellation by the caller doesn't
 // count as a failure of the endpoint.
 func dialErrorCode(ctx context.Context) verdict.Code {
