Decode the rate limit that an endpoint's answer names, and log it

Nothing of a daemon told whether it had learnt of an endpoint's limit. The adapter decodes it, the forwarder logs each change (endpoint_limit) and counts the endpoints that name one. Nothing acts on it yet.

--- a/daemon/forward/call.go
+++ b/daemon/forward/call.go
@@ -120,6 +120,7 @@
 		AtMostOnce:  !t.route.Repeatable(),
 		Team:        t.teamName(),
 		Credentials: t.credentials(r),
+		OnLimit:     f.onLimit(e),
 	})
 	f.countArrival(t, stepCall, err)
 	t.mayHaveRun = t.mayHaveRun || err == nil || err.Verdict != verdict.NotRun
--- a/daemon/forward/forward.go
+++ b/daemon/forward/forward.go
@@ -55,12 +55,20 @@
 	// mu guards the balancer and windows.
 	mu      sync.Mutex
 	windows map[id.Service]*retry.Window
+	limits  limits
 	stats   stats
 }
 
 // New returns a Forwarder.
 func New(d Deps) *Forwarder {
-	return &Forwarder{Deps: d, windows: map[id.Service]*retry.Window{}, stats: newStats(d.Metrics)}
+	f := &Forwarder{
+		Deps:    d,
+		windows: map[id.Service]*retry.Window{},
+		limits:  limits{named: map[id.Endpoint]float64{}},
+		stats:   newStats(d.Metrics),
+	}
+	d.Metrics.GaugeFunc("forward_endpoints_limited", metrics.UnitCount, "Endpoints that name a rate limit.", f.limited)
+	return f
 }
 
 // trace is the state of one request that its log line reports.
--- a/daemon/forward/stream.go
+++ b/daemon/forward/stream.go
@@ -301,5 +301,6 @@
 		Urgency:     g.trace.urgency(),
 		Team:        g.trace.teamName(),
 		Credentials: g.trace.credentials(g.request),
+		OnLimit:     f.onLimit(e),
 	}
 }
--- a/daemon/forward/types.go
+++ b/daemon/forward/types.go
@@ -103,6 +103,19 @@
 	Team id.Team
 	// Credentials are the caller's, passed on only if there are no teams.
 	Credentials []Field
+	// OnLimit, if set, is called for each answer of the endpoint, a refusal included,
+	// with the rate limit that the answer names.
+	OnLimit func(l EndpointLimit)
+}
+
+// EndpointLimit is what an answer says of how much its endpoint takes.
+type EndpointLimit struct {
+	// PerSecond is the requests per second that the endpoint takes from all daemons
+	// together; 0 if the answer names no limit.
+	PerSecond float64
+	// Invalid is the text of a limit that can't be used; empty if there is none. The
+	// limit before it stays in force.
+	Invalid string
 }
 
 // EventStream is the body of a stream from an endpoint.
