Check an endpoint again after a call waited for its rate limit

An endpoint may begin to leave while a call waits for it, and must get nothing then; the key of the call may be taken away as well. Both are checked after the wait, in one place for calls and plain streams. TestAnEndpointThatLeavesDuringTheWaitGetsNothing: sent to the endpoint without the check.

--- a/daemon/forward/call.go
+++ b/daemon/forward/call.go
@@ -34,17 +34,10 @@
 	var last *Reply
 	var failure *verdict.Error
 	for {
-		if err := f.recheckKey(r, t); err != nil {
-			return finalResult(last, failure, err)
-		}
-		endpoint, wait, err := f.pickWithin(s.Name, avoid, f.limitWait(r, t.route))
+		endpoint, err := f.choose(ctx, r, t, s.Name, avoid)
 		if err != nil {
 			return finalResult(last, failure, err)
 		}
-		if err := sleep(ctx, wait); err != nil {
-			f.done(endpoint, f.Now(), balance.Neutral)
-			return finalResult(last, failure, err)
-		}
 		repeatable := t.route.Repeatable() && ran+1 < t.route.MaxAttempts
 		reply, err := f.try(ctx, r, t, s, endpoint, repeatable)
 		if err == nil && !reply.Failed() {
--- a/daemon/forward/limits.go
+++ b/daemon/forward/limits.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
+	"github.com/samphirequay/samphirequay/core/balance"
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/ratelimit"
 	"github.com/samphirequay/samphirequay/core/registry"
@@ -101,6 +103,29 @@
 	return true
 }
 
+// choose chooses an endpoint for a call and waits for its rate limit if that is the
+// only way. The request's key is checked again last, and so is the endpoint after a
+// wait: it may have begun to leave.
+func (f *Forwarder) choose(ctx context.Context, r *Request, t *trace, service id.Service, avoid []id.Endpoint) (registry.Endpoint, *verdict.Error) {
+	for {
+		if err := f.recheckKey(r, t); err != nil {
+			return registry.Endpoint{}, err
+		}
+		e, wait, err := f.pickWithin(service, avoid, f.limitWait(r, t.route))
+		if err != nil || wait == 0 {
+			return e, err
+		}
+		if err := sleep(ctx, wait); err != nil {
+			f.done(e, f.Now(), balance.Neutral)
+			return e, err
+		}
+		if now, known := f.View().Endpoints[e.Name]; known && !now.Leaving && f.recheckKey(r, t) == nil {
+			return now, nil
+		}
+		f.done(e, f.Now(), balance.Neutral)
+	}
+}
+
 // pickWithin chooses an endpoint whose limit leaves this daemon a request now or, if
 // there is none, after at most maxWait; the request is counted against the limit.
 func (f *Forwarder) pickWithin(service id.Service, avoid []id.Endpoint, maxWait time.Duration) (registry.Endpoint, time.Duration, *verdict.Error) {
@@ -177,7 +202,7 @@
 		return nil
 	case <-ctx.Done():
 		code := verdict.CodeCallerGone
-		if context.Cause(ctx) == context.DeadlineExceeded {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			code = verdict.CodeDeadline
 		}
 		return verdict.New(verdict.NotRun, code, "the request waited for an endpoint's rate limit")
--- a/daemon/forward/limits_test.go
+++ b/daemon/forward/limits_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"runtime"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/ratelimit"
+	"github.com/samphirequay/samphirequay/core/registry"
 	"github.com/samphirequay/samphirequay/core/sched"
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
@@ -140,3 +143,41 @@
 	}
 	return o.staleOwner.Pair(ctx, w, patience)
 }
+
+// TestAnEndpointThatLeavesDuringTheWaitGetsNothing checks that a call that waited for an
+// endpoint's limit is not sent there if the endpoint has begun to leave meanwhile.
+func TestAnEndpointThatLeavesDuringTheWaitGetsNothing(t *testing.T) {
+	is := is.New(t)
+	s := nameLimits(map[id.Endpoint]float64{"a": 2, "b": 2, "c": 2, "d": 2})
+	f, r := newTest(t, s)
+	r.CallerTimeout = time.Minute
+	var view atomic.Pointer[View]
+	view.Store(f.View())
+	f.View = view.Load
+	go func() {
+		for f.stats.limitAvoided.Value() == 0 {
+			runtime.Gosched()
+		}
+		view.Store(allLeaving(view.Load()))
+	}()
+	for f.stats.limitAvoided.Value() == 0 {
+		sent := len(s.sent)
+		_, err := f.Run(context.Background(), r)
+		if f.stats.limitAvoided.Value() > 0 {
+			is.True(err != nil)
+			is.Equal(err.Verdict, verdict.NotRun)
+			is.Equal(len(s.sent), sent)
+		}
+	}
+}
+
+// allLeaving returns a view in which all endpoints leave.
+func allLeaving(v *View) *View {
+	out := *v
+	out.Endpoints = map[id.Endpoint]registry.Endpoint{}
+	for name, e := range v.Endpoints {
+		e.Leaving = true
+		out.Endpoints[name] = e
+	}
+	return &out
+}
--- a/daemon/forward/plainstream.go
+++ b/daemon/forward/plainstream.go
@@ -20,20 +20,11 @@
 func (f *Forwarder) plainStream(ctx context.Context, cancel context.CancelFunc, r *Request, t *trace, s *route.Service) (*Reply, *verdict.Error) {
 	var avoid []id.Endpoint
 	for refused := 1; ; refused++ {
-		if err := f.recheckKey(r, t); err != nil {
-			cancel()
-			return nil, err
-		}
-		endpoint, wait, err := f.pickWithin(s.Name, avoid, f.limitWait(r, t.route))
+		endpoint, err := f.choose(ctx, r, t, s.Name, avoid)
 		if err != nil {
 			cancel()
 			return nil, err
 		}
-		if err := sleep(ctx, wait); err != nil {
-			f.done(endpoint, f.Now(), balance.Neutral)
-			cancel()
-			return nil, err
-		}
 		startedAt := f.Now()
 		t.attempts++
 		t.endpoint = endpoint.Name
