--- a/daemon/forward/stream.go
+++ b/daemon/forward/stream.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
-	"github.com/samphirequay/samphirequay/core/registry"
 	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/core/sched"
 	"github.com/samphirequay/samphirequay/core/verdict"
@@ -248,79 +247,3 @@
 	out.Verdict = verdict.NotRun
 	return &out
 }
-
-// grantedEngine looks up an engine that the pool's owner granted. If this
-// daemon's own registry has no such engine, or lists it as leaving, the grant is
-// returned: an owner that was frozen for a while, or has missed registry updates,
-// grants engines that must get no new work.
-func (g *generation) grantedEngine(name id.Endpoint) (registry.Endpoint, *verdict.Error) {
-	engine, known := g.f.View().Endpoints[name]
-	if known && !engine.Leaving {
-		return engine, nil
-	}
-	why := "is no longer registered"
-	if known {
-		why = "is leaving"
-	}
-	g.giveBack(name, why)
-	return engine, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "engine %s %s", name, why)
-}
-
-// usableEngine looks up a granted engine, checks the request's key again and counts
-// the request against the engine's rate limit.
-func (g *generation) usableEngine(name id.Endpoint) (registry.Endpoint, *verdict.Error) {
-	engine, err := g.grantedEngine(name)
-	if err == nil {
-		err = g.checkKey()
-	}
-	if err == nil {
-		err = g.takeEngineLimit(name)
-	}
-	return engine, err
-}
-
-// takeEngineLimit counts a request to a granted engine against the engine's rate limit.
-// If the limit leaves none, it gives the grant back.
-func (g *generation) takeEngineLimit(name id.Endpoint) *verdict.Error {
-	if g.f.takeLimit(name) {
-		return nil
-	}
-	g.giveBack(name, "has reached its rate limit")
-	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "engine %s has reached its rate limit", name)
-}
-
-// giveBack returns a grant to the pool's owner, and avoids one of its engines.
-func (g *generation) giveBack(name id.Endpoint, why string) {
-	g.f.Log.Event("grant_given_back", "request", g.request.ID, "endpoint", name, "owner", g.grant.Owner,
-		"reservation", g.grant.Reservation, "why", why)
-	g.progress(sched.Progress{Phase: sched.PhaseCancelled})
-	g.avoid = append(g.avoid, name)
-}
-
-// checkKey checks the request's key again and returns the grant if the key is no
-// longer valid.
-func (g *generation) checkKey() *verdict.Error {
-	err := g.f.recheckKey(g.request, g.trace)
-	if err != nil {
-		g.progress(sched.Progress{Phase: sched.PhaseCancelled})
-	}
-	return err
-}
-
-// newAttempt returns the attempt to send to the engine e.
-func (g *generation) newAttempt(e registry.Endpoint) *Attempt {
-	f := g.f
-	limit := f.deadline(g.request, g.trace.route)
-	return &Attempt{
-		Request:     g.request,
-		Endpoint:    e,
-		Left:        limit - f.Now(),
-		Until:       limit,
-		MaxConns:    f.maxConns(g.service),
-		LastEvent:   g.lastEvent,
-		Urgency:     g.trace.urgency(),
-		Team:        g.trace.teamName(),
-		Credentials: g.trace.credentials(g.request),
-		OnLimit:     f.onLimit(e),
-	}
-}
--- /dev/null
+++ b/daemon/gateway/forwarder.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"github.com/samphirequay/samphirequay/core/balance"
+	"github.com/samphirequay/samphirequay/core/retry"
+	"github.com/samphirequay/samphirequay/daemon/forward"
+)
+
+// crashesToRefuse is the number of crashes put down to a request alone, with no endpoint
+// finishing it, before all daemons refuse the request. Two may be chance when many
+// endpoints crash at once.
+const crashesToRefuse = 3
+
+// repeatSafety is the fraction of the bound on retries that the daemons use. Each
+// daemon computes its part from the membership, which lags behind changes.
+const repeatSafety = 0.75
+
+// newForwarder returns the forwarder of this daemon's requests.
+func (d *Daemon) newForwarder() *forward.Forwarder {
+	return forward.New(forward.Deps{
+		Self:      d.self,
+		Domain:    d.set.Domain,
+		View:      d.tables.current,
+		Endpoints: d.platform.Endpoints,
+		Pairer:    pairer{d},
+		Balancer:  balance.New(d.set.Domain, d.newRand()),
+		Evidence: forward.CrashEvidence{
+			Ledger:    d.poison,
+			WallClock: d.wall,
+			Broadcast: d.broadcastEvidence,
+		},
+		RetryLimit: retry.WindowConfig{
+			Span:   Seconds(d.set.Bounds.RepeatWindowS),
+			Ratio:  d.set.Bounds.RepeatRatio,
+			Slack:  d.set.Bounds.RepeatSlack,
+			Safety: repeatSafety,
+		},
+		RateLimits: forward.RateLimits{
+			Fleet:     d.fleetNames,
+			WallClock: d.wall,
+			Broadcast: d.spreadLimit,
+		},
+		ReportMisdirected: d.inspect,
+		Stale:             func() bool { return d.configs.Lost() },
+		Freshness:         freshnessAdapter{d},
+		Payer:             quotaCharger{d},
+		StopsTooSoon:      d.streamCutoffPassed,
+		Daemons:           d.daemons,
+		Log:               d.logger,
+		Metrics:           d.metrics,
+		Now:               d.now,
+	})
+}
+
+// broadcastEvidence triggers the sending of new crash evidence to the other daemons.
+func (d *Daemon) broadcastEvidence() {
+	if f := d.fleet.Load(); f != nil {
+		f.broker.EvidenceChanged()
+	}
+}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -16,12 +16,10 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 
-	"github.com/samphirequay/samphirequay/core/balance"
 	"github.com/samphirequay/samphirequay/core/entry"
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/poison"
 	"github.com/samphirequay/samphirequay/core/registry"
-	"github.com/samphirequay/samphirequay/core/retry"
 	"github.com/samphirequay/samphirequay/core/revision/table"
 	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/core/verdict"
@@ -215,56 +213,10 @@
 	d.metrics.GaugeFunc("registry_unlisted", metrics.UnitCount, "Endpoints that the store no longer lists and that are kept, since they may have lapsed with it.", func() float64 {
 		return float64(d.tables.current().Lapsed)
 	})
-	d.forwarder = forward.New(forward.Deps{
-		Self:      d.self,
-		Domain:    d.set.Domain,
-		View:      d.tables.current,
-		Endpoints: d.platform.Endpoints,
-		Pairer:    pairer{d},
-		Balancer:  balance.New(d.set.Domain, d.newRand()),
-		Evidence: forward.CrashEvidence{
-			Ledger:    d.poison,
-			WallClock: d.wall,
-			Broadcast: func() {
-				if f := d.fleet.Load(); f != nil {
-					f.broker.EvidenceChanged()
-				}
-			},
-		},
-		RetryLimit: retry.WindowConfig{
-			Span:   Seconds(d.set.Bounds.RepeatWindowS),
-			Ratio:  d.set.Bounds.RepeatRatio,
-			Slack:  d.set.Bounds.RepeatSlack,
-			Safety: repeatSafety,
-		},
-		RateLimits: forward.RateLimits{
-			Fleet:     d.fleetNames,
-			WallClock: d.wall,
-			Broadcast: d.spreadLimit,
-		},
-		ReportMisdirected: d.inspect,
-		Stale:             func() bool { return d.configs.Lost() },
-		Freshness:         freshnessAdapter{d},
-		Payer:             quotaCharger{d},
-		StopsTooSoon:      d.streamCutoffPassed,
-		Daemons:           d.daemons,
-		Log:               d.logger,
-		Metrics:           d.metrics,
-		Now:               d.now,
-	})
+	d.forwarder = d.newForwarder()
 	return nil
 }
 
-// crashesToRefuse is the number of endpoints that must have crashed while running a
-// request alone, with no endpoint finishing it, before all daemons refuse the request.
-// Two crashes may be chance: with endpoints that break off three in a hundred
-// responses, that happens to about one request in a thousand.
-const crashesToRefuse = 3
-
-// repeatSafety is the fraction of the bound on retries that the daemons use. Each
-// daemon computes its part from the membership, which lags behind changes.
-const repeatSafety = 0.75
-
 // Now returns the daemon's time: the time since the host booted. Unlike the
 // monotonic clock, it includes the time in which the host was suspended, so that
 // leases and deadlines expire during a suspension.
