Explain a request beside its endpoints' rate limits and crashes

explain joined what became of an endpoint, but not the rate limit that it named nor the crash that another request was blamed for, so that on-call engineers had to look for both by hand.

--- a/cmd/internal/logstory/timeline.go
+++ b/cmd/internal/logstory/timeline.go
@@ -24,7 +24,8 @@
 
 // endpointEvents are the events that report changes of an endpoint.
 var endpointEvents = []string{
-	"endpoint_changed", "endpoint_gone", "health_changed", "role_change_begun", "role_ordered", "role_change_ended",
+	"endpoint_changed", "endpoint_gone", "endpoint_limit", "crash_recorded", "health_changed", "role_change_begun", "role_ordered",
+	"role_change_ended",
 }
 
 // daemonEvents are the events that report the state of a daemon, its peers and its
