Bound what extreme and varying rate limits of endpoints do

A limit beyond what an int holds left one daemon to send, one close to zero made waits wrap around, and one that changes with each answer wrote a line for each. Found by reading the change again; TestExtremeLimits: one sender of three and no bound on the wait before.

--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -165,7 +165,14 @@
 	if missing <= 0 {
 		return 0, true
 	}
-	return time.Duration(missing / l.share(lim) * float64(time.Second)), true
+	return timeFor(missing, l.share(lim)), true
+}
+
+// timeFor returns the time in which a rate allows a number of requests. It is at most
+// limitLife, after which the limit must have been confirmed anyway.
+func timeFor(requests, perSecond float64) time.Duration {
+	seconds := min(requests/perSecond, limitLife.Seconds())
+	return time.Duration(seconds * float64(time.Second))
 }
 
 // Take counts a request that this daemon sends to an endpoint, now or after Wait.
@@ -196,7 +203,7 @@
 	if wait, ok := l.Wait(now, e); ok {
 		return wait
 	}
-	return time.Duration(float64(time.Second) / l.limits[e].PerSecond)
+	return timeFor(1, l.limits[e].PerSecond)
 }
 
 // Limited returns the number of endpoints with a limit.
@@ -221,7 +228,7 @@
 
 // senders is the number of daemons that send to an endpoint.
 func (l *Limiter) senders(lim *limit) int {
-	return max(1, min(l.size, int(lim.PerSecond/minShare)))
+	return max(1, int(min(float64(l.size), lim.PerSecond/minShare)))
 }
 
 // sends reports whether this daemon is one of them.
--- a/core/ratelimit/ratelimit_test.go
+++ b/core/ratelimit/ratelimit_test.go
@@ -255,3 +255,22 @@
 	}
 	is.Equal(l.Limited(0), 0)
 }
+
+// TestExtremeLimits checks limits far beyond what an endpoint can mean: a very large one
+// must hold nobody up, a very small one must not wrap around.
+func TestExtremeLimits(t *testing.T) {
+	is := is.New(t)
+	l := New("a")
+	l.SetDaemons(0, []id.Daemon{"a", "b", "c"})
+	l.Observe(0, Named{Endpoint: "large", PerSecond: math.MaxFloat64, AtUnixMS: 1})
+	l.Observe(0, Named{Endpoint: "small", PerSecond: math.SmallestNonzeroFloat64, AtUnixMS: 1})
+	is.Equal(l.senders(l.limits["large"]), 3)
+	for range 100 {
+		wait, ok := l.Wait(time.Second, "large")
+		is.True(ok && wait == 0)
+		l.Take(time.Second, "large")
+	}
+	l.Take(0, "small")
+	l.Take(0, "small")
+	is.Equal(l.NextFree(time.Second, "small"), limitLife)
+}
--- a/daemon/forward/limits.go
+++ b/daemon/forward/limits.go
@@ -41,12 +41,15 @@
 	f.mu.Lock()
 	changed, tell := f.limiter.Observe(f.Now(), named)
 	f.mu.Unlock()
-	if changed {
-		f.Log.Event("endpoint_limit", "endpoint", e, "per_second", l.PerSecond, "origin", "answer")
+	if !changed && !tell {
+		return
 	}
+	line := f.Log.Routine // for a limit that changes with each answer
 	if tell {
 		f.RateLimits.Broadcast(named)
+		line = f.Log.Event
 	}
+	line("endpoint_limit", "endpoint", e, "per_second", l.PerSecond, "origin", "answer")
 }
 
 // LearnLimit records a limit that another daemon was named. It reports whether it was
