Wait in TestBeginThatArrivesBehindItsRelease for the release that it means

The test waited until the table had applied any transaction, taking it for the release of key k. Reads of two keys answer in any order: where the read of k is answered last, the release of the other key is written first, the row of k is absent (version 0), and the late Begin rightly gets the claim. What it checks is as before, and that the row is released as well.

TestBeginThatOvertakesItsRelease holds the case that it had met by chance: such a Begin gets the claim, nothing runs under it, and the release frees the key.

--- a/daemon/claims/claims_test.go
+++ b/daemon/claims/claims_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/samphirequay/samphirequay/daemon/store"
 	"github.com/samphirequay/samphirequay/daemon/workpool"
 	"github.com/samphirequay/samphirequay/endpoint/client"
+	"github.com/samphirequay/samphirequay/endpoint/wire"
 	"github.com/samphirequay/samphirequay/standin"
 )
 
@@ -210,6 +212,42 @@
 	is.True(held != nil)
 }
 
+// state returns the state of a key's row in the table; 0 if there is no row.
+func (h *harness) state(key string) claim.State {
+	h.t.Helper()
+	rows := h.table.Read(wire.ReadRequest{Keys: []string{claim.RowKey("t", "stems", key)}}).Rows
+	if len(rows) == 0 || rows[0].Version == 0 {
+		return 0
+	}
+	row, err := claim.DecodeRow(rows[0].Value)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	return row.State
+}
+
+// TestBeginThatOvertakesItsRelease: a Begin whose owner has given up reaches the writer
+// before the owner's release is written. It gets the claim, under which nothing is
+// dispatched, and the release frees the key.
+func TestBeginThatOvertakesItsRelease(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 4)
+	h.writers[0].begin = func(ctx context.Context, to id.Daemon, call *BeginCall) (BeginReply, error) {
+		reply := h.daemons[h.writerOf("k")].HandleBegin(ctx, "d0", call)
+		is.True(reply.Claim != nil)
+		is.Equal(h.state("k"), claim.StateClaimed)
+		return BeginReply{}, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "no answer in time")
+	}
+	_, _, err := h.begin(0, "k")
+	is.Equal(err.Verdict, verdict.NotRun)
+	for end := time.Now().Add(testTimeout); h.state("k") == claim.StateClaimed && time.Now().Before(end); {
+		runtime.Gosched()
+	}
+	is.Equal(h.state("k"), claim.StateReleased)
+	held, _ := h.retryBegin(1, "k")
+	is.True(held != nil)
+}
+
 // TestBeginThatArrivesBehindItsRelease: the owner abandons and releases a call that
 // is still in flight to the writer. A Begin that arrives after the release must not
 // claim the key.
@@ -225,12 +263,11 @@
 	}
 	_, _, err := h.begin(0, "k")
 	is.Equal(err.Verdict, verdict.NotRun)
-	released := h.table.Counters().Applied
-	for end := time.Now().Add(testTimeout); released == 0 && time.Now().Before(end); {
-		_, _, err = h.begin(0, "another") // the owner writes these after its release
+	for end := time.Now().Add(testTimeout); h.state("k") == 0 && time.Now().Before(end); {
+		_, _, err = h.begin(0, "another")
 		is.Equal(err.Verdict, verdict.NotRun)
-		released = h.table.Counters().Applied
 	}
+	is.Equal(h.state("k"), claim.StateReleased)
 	reply := h.daemons[h.writerOf("k")].HandleBegin(context.Background(), "d0", late)
 	is.True(reply.Claim == nil)
 	is.Equal(reply.Refusal.Verdict, verdict.NotRun)
