--- a/daemon/forward/limits_test.go
+++ b/daemon/forward/limits_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"runtime"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -151,15 +149,13 @@
 	s := nameLimits(map[id.Endpoint]float64{"a": 2, "b": 2, "c": 2, "d": 2})
 	f, r := newTest(t, s)
 	r.CallerTimeout = time.Minute
-	var view atomic.Pointer[View]
-	view.Store(f.View())
-	f.View = view.Load
-	go func() {
-		for f.stats.limitAvoided.Value() == 0 {
-			runtime.Gosched()
+	present := f.View()
+	f.View = func() *View {
+		if f.stats.limitAvoided.Value() > 0 { // the call has begun to wait
+			return allLeaving(present)
 		}
-		view.Store(allLeaving(view.Load()))
-	}()
+		return present
+	}
 	for f.stats.limitAvoided.Value() == 0 {
 		sent := len(s.sent)
 		_, err := f.Run(context.Background(), r)
