Count in the soak what arrives beyond the first of each request, and add restarts

The soak checked no promise about retries. Runners now count, by service, the arrivals beyond the first of each request as the retry limit of the users counts them, callers count the requests they send, and the worst 10 s are held against 0.2 of the requests and 58, whatever faults there are.

The new scenario 'restarts' (SCENARIO=restarts) lets the runners accept one request in ten and kills at least two thirds of the daemons at once, every 1.5 to 3 s.

--- a/cmd/internal/soak/caller.go
+++ b/cmd/internal/soak/caller.go
@@ -46,6 +46,14 @@
 	return plainBody(id)
 }
 
+// service returns the service that requests of this kind are for.
+func (k requestKind) service() string {
+	if k.stream {
+		return engineSvc
+	}
+	return plainSvc
+}
+
 // request returns the bytes of an HTTP request of this kind.
 func (k requestKind) request(id, key string) string {
 	r := platformtest.Request{Method: k.method, Target: k.path + "x", Host: callHost, ID: id, Body: id, Patience: callerTimeout}
@@ -63,8 +71,10 @@
 	rng     *rand.Rand
 	checker *checker
 	teams   *teams
-	conns   map[*process]net.Conn
-	sent    int
+	// arrivals counts the requests that are sent.
+	arrivals *arrivals
+	conns    map[*process]net.Conn
+	sent     int
 	// expected counts the requests that must be served, served those of them that
 	// were served.
 	served, expected *atomic.Int64
@@ -80,6 +90,7 @@
 		rng:       rand.New(rand.NewPCG(r.cfg.Seed, uint64(number+2))),
 		checker:   r.checker,
 		teams:     r.simulation.teams,
+		arrivals:  r.simulation.arrivals,
 		conns:     map[*process]net.Conn{},
 		served:    &r.served,
 		expected:  &r.expected,
@@ -141,6 +152,7 @@
 	o.key, o.keyIndex = c.teams.keyOf(c.name, c.rng.IntN)
 	stableAtStart := p.stable(start)
 	c.reconnectOnce()
+	c.arrivals.recordRequest(k.service())
 	conn := c.conns[p]
 	if conn == nil {
 		dialled, err := net.DialTimeout("tcp", p.callerProxy.Address(), time.Second)
--- a/cmd/internal/soak/checker.go
+++ b/cmd/internal/soak/checker.go
@@ -117,6 +117,7 @@
 			c.violation("refused: %s was reported as not run and ran %d times", id, n)
 		}
 	}
+	sim.arrivals.check(c)
 	sim.teams.checkFinal(c, sim, c.rotating)
 	for _, p := range c.processes {
 		for _, exit := range p.unexpectedExits() {
--- a/cmd/internal/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"syscall"
 	"time"
@@ -17,8 +18,8 @@
 	inject          func()
 	// revert ends the fault; nil for an instantaneous fault.
 	revert func()
-	// process is the affected daemon; nil for a fault of the platform.
-	process *process
+	// processes are the affected daemons; none for a fault of the platform.
+	processes []*process
 	// planned is set for a planned change of the platform. It affects no component:
 	// all guarantees hold during the change.
 	planned bool
@@ -35,6 +36,49 @@
 
 // plan draws the faults of a run.
 func (r *run) plan(rng *rand.Rand, length time.Duration) []fault {
+	if r.cfg.Scenario == Restarts {
+		return r.planRestarts(rng, length)
+	}
+	return r.planMixed(rng, length)
+}
+
+// The pause between two kills of most daemons: long enough for the daemons to start
+// again and serve, and several times shorter than retryWindow.
+const (
+	minKillPause = 1500 * time.Millisecond
+	maxKillPause = 3 * time.Second
+)
+
+// planRestarts draws kills of most daemons, in random order.
+func (r *run) planRestarts(rng *rand.Rand, length time.Duration) []fault {
+	var out []fault
+	for at := maxKillPause; at < length; at += minKillPause + time.Duration(rng.Int64N(int64(maxKillPause-minKillPause))) {
+		f := r.killMost(rng)
+		f.start = at
+		out = append(out, f)
+	}
+	return out
+}
+
+// killMost returns a fault that kills at least two thirds of the daemons at once.
+func (r *run) killMost(rng *rand.Rand) fault {
+	all := len(r.processes)
+	least := (2*all + 2) / 3
+	killed := least + rng.IntN(all-least+1)
+	f := fault{name: fmt.Sprintf("kill %d of %d daemons", killed, all)}
+	for _, i := range rng.Perm(all)[:killed] {
+		f.processes = append(f.processes, r.processes[i])
+	}
+	f.inject = func() {
+		for _, p := range f.processes {
+			p.signal(syscall.SIGKILL)
+		}
+	}
+	return f
+}
+
+// planMixed draws single faults of all kinds.
+func (r *run) planMixed(rng *rand.Rand, length time.Duration) []fault {
 	var out []fault
 	for at := time.Duration(0); at < length; at += time.Duration(rng.Int64N(int64(2 * meanInterval))) {
 		f := r.randomFault(rng)
@@ -53,22 +97,22 @@
 	mode := modes[rng.IntN(len(modes))]
 	switch rng.IntN(9) {
 	case 0:
-		return fault{name: "kill " + p.name, process: p, inject: func() { p.signal(syscall.SIGKILL) }}
+		return fault{name: "kill " + p.name, processes: []*process{p}, inject: func() { p.signal(syscall.SIGKILL) }}
 	case 1:
-		return fault{name: "stop " + p.name, process: p, inject: func() { p.signal(syscall.SIGTERM) }}
+		return fault{name: "stop " + p.name, processes: []*process{p}, inject: func() { p.signal(syscall.SIGTERM) }}
 	case 2:
 		return fault{
-			name:    "pause " + p.name,
-			process: p,
-			inject:  func() { p.signal(syscall.SIGSTOP) },
-			revert:  func() { p.signal(syscall.SIGCONT) },
+			name:      "pause " + p.name,
+			processes: []*process{p},
+			inject:    func() { p.signal(syscall.SIGSTOP) },
+			revert:    func() { p.signal(syscall.SIGCONT) },
 		}
 	case 3:
-		return proxyFault("store connections of "+p.name, p, p.storeProxy, mode)
+		return proxyFault("store connections of "+p.name, p.storeProxy, mode, p)
 	case 4:
-		return proxyFault("caller connections of "+p.name, p, p.callerProxy, mode)
+		return proxyFault("caller connections of "+p.name, p.callerProxy, mode, p)
 	case 5:
-		return proxyFault("connections of runner "+target.ID, nil, target.proxy, mode)
+		return proxyFault("connections of runner "+target.ID, target.proxy, mode)
 	case 6:
 		return fault{name: "reset connections of runner " + target.ID, inject: target.proxy.Reset}
 	case 7:
@@ -98,27 +142,27 @@
 }
 
 // proxyFault returns a fault that sets the mode of a proxy. It affects the given
-// daemon, or the platform if that is nil.
-func proxyFault(name string, affected *process, proxy *platformtest.Proxy, m platformtest.Mode) fault {
+// daemons, or the platform if there are none.
+func proxyFault(name string, proxy *platformtest.Proxy, m platformtest.Mode, affected ...*process) fault {
 	modeNames := map[platformtest.Mode]string{
 		platformtest.Delay: "delayed", platformtest.Silence: "silent",
 		platformtest.OneWay: "cut one way", platformtest.Refuse: "refused",
 	}
 	return fault{
-		name:    name + " " + modeNames[m],
-		process: affected,
-		inject:  func() { proxy.Set(m) },
-		revert:  func() { proxy.Set(platformtest.Pass) },
+		name:      name + " " + modeNames[m],
+		processes: affected,
+		inject:    func() { proxy.Set(m) },
+		revert:    func() { proxy.Set(platformtest.Pass) },
 	}
 }
 
 // markAffected marks the components that a fault affects.
 func (r *run) markAffected(f fault) {
 	until := time.Now().Add(f.duration)
-	switch {
-	case f.process != nil:
-		f.process.markFault(until)
-	case !f.planned:
+	for _, p := range f.processes {
+		p.markFault(until)
+	}
+	if len(f.processes) == 0 && !f.planned {
 		r.simulation.markFault(until)
 	}
 }
--- a/cmd/internal/soak/process.go
+++ b/cmd/internal/soak/process.go
@@ -74,10 +74,10 @@
 		MemoryMB: memoryMB,
 		Bounds: gateway.Bounds{
 			GraceS: gracePeriodS, EntryLifetimeS: 2, LeaseMS: leaseMS,
-			RepeatRatio: 0.2, RepeatSlack: 58, RepeatWindowS: 10,
 		},
 		Log: settings.Log{Level: "info"},
 	}
+	retryBounds(&p.settings.Bounds)
 	teamBounds(&p.settings.Bounds)
 	if p.callerProxy, err = platformtest.StartProxy(p.settings.Listen.Callers); err != nil {
 		return nil, err
--- a/cmd/internal/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -25,6 +25,8 @@
 	Daemons int
 	// Callers is the number of concurrent callers.
 	Callers int
+	// Scenario selects the faults.
+	Scenario Scenario
 	// Duration is how long faults are injected.
 	Duration time.Duration
 	// Out receives a line for each fault and each violation, and the result.
@@ -46,6 +48,17 @@
 	meanCallerPause = 120 * time.Millisecond
 )
 
+// Scenario is a set of faults.
+type Scenario string
+
+const (
+	// Mixed draws single faults of all kinds.
+	Mixed Scenario = "mixed"
+	// Restarts kills most daemons at once, again and again, while the runners refuse
+	// nearly all requests.
+	Restarts Scenario = "restarts"
+)
+
 type run struct {
 	cfg        Config
 	simulation *simulation
@@ -158,6 +171,8 @@
 func (r *run) inject(ctx context.Context) error {
 	rng := rand.New(rand.NewPCG(r.cfg.Seed, 1))
 	start := time.Now()
+	r.simulation.overloaded.Store(r.cfg.Scenario == Restarts)
+	defer r.simulation.overloaded.Store(false)
 	var reverts sync.WaitGroup
 	defer reverts.Wait()
 	for _, f := range r.plan(rng, r.cfg.Duration) {
--- a/cmd/internal/soak/simulation.go
+++ b/cmd/internal/soak/simulation.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samphirequay/samphirequay/platform/platformtest"
@@ -58,6 +59,9 @@
 	runCounts map[string]int
 	checker   *checker
 	teams     *teams
+	arrivals  *arrivals
+	// overloaded is set while runners refuse nearly all requests.
+	overloaded atomic.Bool
 }
 
 // plainRunners returns the number of plain runners for a fleet. With fewer, the
@@ -72,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &simulation{store: store, runCounts: map[string]int{}, checker: c, version: 1, teams: newTeams()}
+	s := &simulation{store: store, runCounts: map[string]int{}, checker: c, version: 1, teams: newTeams(), arrivals: newArrivals()}
 	s.routes = []any{
 		route("idempotent", pathIdem, "idempotent", plainSvc, false),
 		route("once", pathOnce, "non_idempotent", plainSvc, false),
@@ -167,6 +171,12 @@
 	if x.RequestID() != "" {
 		s.teams.checkForwarded(s.checker, x)
 	}
+	if s.refuses(r, x) {
+		s.arrivals.recordArrival(r.Service, x.RequestID())
+		x.Refuse(http.StatusServiceUnavailable)
+		return
+	}
+	s.recordArrival(r, x)
 	if !x.ShouldRun() {
 		before := r.Stage()
 		x.AnswerNormally()
@@ -176,10 +186,6 @@
 		return
 	}
 	number := requestNumber(x.RequestID())
-	if number%refuseEvery == 0 {
-		x.Refuse(http.StatusServiceUnavailable)
-		return
-	}
 	runs := s.recordRun(r, x.RequestID())
 	s.teams.recordRun(x.RequestID())
 	if r.Stage() == "" && number%failEvery == 0 {
@@ -198,6 +204,31 @@
 	x.Stream(first, streamSize, true)
 }
 
+// refuses reports whether a runner refuses a request by design.
+func (s *simulation) refuses(r *runner, x *platformtest.Exchange) bool {
+	if x.IsControl() || x.Misdirected() {
+		return false
+	}
+	if s.overloaded.Load() && rand.IntN(acceptEvery) != 0 {
+		return true
+	}
+	return x.ShouldRun() && requestNumber(x.RequestID())%refuseEvery == 0
+}
+
+// recordArrival records what reaches a runner that does not refuse it by design.
+func (s *simulation) recordArrival(r *runner, x *platformtest.Exchange) {
+	switch {
+	case x.IsControl():
+	case x.WantsPrefill() && r.Stage() == "prefill" && !x.Misdirected():
+		s.arrivals.recordPrefill(r.Service, x.RequestID())
+	default:
+		s.arrivals.recordArrival(r.Service, x.RequestID())
+	}
+}
+
+// acceptEvery: overloaded runners accept one in so many requests.
+const acceptEvery = 10
+
 // Runners refuse each request whose number is a multiple of refuseEvery. Plain runners
 // fail the multiples of failEvery, and engines interrupt the first run of the multiples
 // of breakEvery in mid-stream.
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -46,7 +46,7 @@
 			o := whole(c.kind, "c5-5")
 			c.alter(&o)
 			check.check(o)
-			check.checkFinal(&simulation{runCounts: map[string]int{"c5-5": c.runs}, teams: newTeams()})
+			check.checkFinal(&simulation{runCounts: map[string]int{"c5-5": c.runs}, arrivals: newArrivals(), teams: newTeams()})
 			is.Equal(len(check.violations) > 0, c.found)
 		})
 	}
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -6,14 +6,15 @@
 #
 #   scripts/soak.sh SEED...
 #
-# Environment: DAEMONS (default 5), CALLERS (default 16), LENGTH (default 15s), OUT
-# (default: a new temporary directory).
+# Environment: DAEMONS (default 5), CALLERS (default 16), LENGTH (default 15s),
+# SCENARIO (mixed, the default, or restarts), OUT (default: a new temporary directory).
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 daemons=${DAEMONS:-5}
 callers=${CALLERS:-16}
 length=${LENGTH:-15s}
+scenario=${SCENARIO:-mixed}
 [ "$#" -gt 0 ] || { echo "soak.sh: no SEED given" >&2; exit 2; }
 
 out=${OUT:-$(mktemp -d)}
@@ -72,7 +73,7 @@
     supervisors+=($!)
   done
   if "$out/bin/samphirequay" soak --dir "$dir" --seed "$seed" --daemons "$daemons" \
-    --callers "$callers" --length "$length" >"$dir/soak.log" 2>&1; then
+    --callers "$callers" --length "$length" --scenario "$scenario" >"$dir/soak.log" 2>&1; then
     tail -n 1 "$dir/soak.log"
     stop_daemons
     rm -rf "$out/seed-$seed"
