Log by how many daemons and how long an account a retry was allowed

The lines of a request told how many retries its daemon had paid for, not by which share. Whether a process spends the share of its former one again, or takes the share of daemons that it does not count, could not be told apart.

--- a/daemon/forward/arrivals.go
+++ b/daemon/forward/arrivals.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"time"
+
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
@@ -20,6 +22,10 @@
 	prefilled bool
 	// paid is how many arrivals beyond the first the retry limit has allowed.
 	paid int
+	// sharers and accountAge describe the account that last paid: among how many daemons
+	// the slack was divided, and for how long this process had counted retries.
+	sharers    int
+	accountAge time.Duration
 }
 
 // repeats returns how many arrivals follow the request's first one.
@@ -77,6 +83,7 @@
 		return false
 	}
 	t.arrivals.paid += unpaid
+	t.arrivals.sharers, t.arrivals.accountAge = daemons, f.Now()-f.startedAt
 	f.stats.paidRepeats.Add(string(service), int64(unpaid))
 	return true
 }
--- a/daemon/forward/forward.go
+++ b/daemon/forward/forward.go
@@ -60,6 +60,8 @@
 	windows map[id.Service]*retry.Window
 	limiter *ratelimit.Limiter
 	stats   stats
+	// startedAt is when the Forwarder was created.
+	startedAt time.Duration
 }
 
 // New returns a Forwarder.
@@ -69,6 +71,8 @@
 		windows: map[id.Service]*retry.Window{},
 		limiter: ratelimit.New(d.Self().Daemon),
 		stats:   newStats(d.Metrics),
+
+		startedAt: d.Now(),
 	}
 	d.Metrics.GaugeFunc("forward_endpoints_limited", metrics.UnitCount, "Endpoints that name a rate limit.", f.limited)
 	return f
--- a/daemon/forward/record.go
+++ b/daemon/forward/record.go
@@ -28,7 +28,8 @@
 		kv = append(kv, "prefill", t.prefill, "waited", t.engineWait, "read", t.prefillTime, "first", t.firstEventTime)
 	}
 	if t.arrivals.repeats() > 0 || t.arrivals.paid > 0 {
-		kv = append(kv, "repeats", t.arrivals.repeats(), "repeats_paid", t.arrivals.paid)
+		kv = append(kv, "repeats", t.arrivals.repeats(), "repeats_paid", t.arrivals.paid,
+			"repeats_sharers", t.arrivals.sharers, "repeats_account_age", t.arrivals.accountAge)
 	}
 	if t.unlisted > 0 {
 		kv = append(kv, "unlisted", t.unlisted)
