Give a daemon none of the retries' slack until it knows the other daemons

A daemon now has no part of the slack before it has enrolled and its membership contains all daemons that the store lists. Retries that its own requests pay for stay allowed. An unknown fleet can only be larger than what is known, so none is the one safe share.

--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -21,7 +21,8 @@
 
 // Window bounds one daemon's retries of a service within a sliding window. A retry
 // is one arrival of a request at an endpoint beyond its first. The limit is a
-// ratio of the daemon's own requests plus its share of the slack. The limit holds
+// ratio of the daemon's own requests plus its share of the slack, which is divided
+// equally among a number of daemons, the sharers. The limit holds
 // for every span of the window's length, since the oldest slot is counted in
 // full. It is not safe for concurrent use.
 type Window struct {
@@ -56,10 +57,11 @@
 }
 
 // TakeRetries counts n retries and returns true if the window allows all of them;
-// daemons is the number of daemons that share the slack.
-func (w *Window) TakeRetries(now time.Duration, n, daemons int) bool {
+// sharers is the number of daemons that share the slack, 0 if this daemon may use none
+// of it.
+func (w *Window) TakeRetries(now time.Duration, n, sharers int) bool {
 	w.advance(now)
-	if float64(w.used()+n) > w.allowed(daemons) {
+	if float64(w.used()+n) > w.allowed(sharers) {
 		return false
 	}
 	w.repeats[w.slot%int64(len(w.repeats))] += n
@@ -79,9 +81,9 @@
 }
 
 // Left returns how many retries the window still allows.
-func (w *Window) Left(now time.Duration, daemons int) float64 {
+func (w *Window) Left(now time.Duration, sharers int) float64 {
 	w.advance(now)
-	return max(0, w.allowed(daemons)-float64(w.used()))
+	return max(0, w.allowed(sharers)-float64(w.used()))
 }
 
 func (w *Window) used() int {
@@ -92,10 +94,14 @@
 	return n
 }
 
-func (w *Window) allowed(daemons int) float64 {
+func (w *Window) allowed(sharers int) float64 {
 	n := 0
 	for _, r := range w.requests {
 		n += r
 	}
-	return w.cfg.Safety * (w.cfg.Ratio*float64(n) + w.cfg.Slack/float64(max(1, daemons)))
+	share := 0.0
+	if sharers > 0 {
+		share = w.cfg.Slack / float64(sharers)
+	}
+	return w.cfg.Safety * (w.cfg.Ratio*float64(n) + share)
 }
--- a/daemon/forward/arrivals.go
+++ b/daemon/forward/arrivals.go
@@ -75,15 +75,15 @@
 	if unpaid == 0 {
 		return true
 	}
-	daemons := f.Daemons()
+	sharers := f.RetrySharers()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.window(service).TakeRetries(f.Now(), unpaid, daemons) {
+	if !f.window(service).TakeRetries(f.Now(), unpaid, sharers) {
 		f.stats.deniedRetries.Inc()
 		return false
 	}
 	t.arrivals.paid += unpaid
-	t.arrivals.sharers, t.arrivals.accountAge = daemons, f.Now()-f.startedAt
+	t.arrivals.sharers, t.arrivals.accountAge = sharers, f.Now()-f.startedAt
 	f.stats.paidRepeats.Add(string(service), int64(unpaid))
 	return true
 }
--- a/daemon/forward/bench_test.go
+++ b/daemon/forward/bench_test.go
@@ -91,6 +91,7 @@
 		},
 		RetryLimit:   retry.WindowConfig{Span: 10 * time.Second, Ratio: 0.2, Slack: 10, Safety: 1},
 		Daemons:      func() int { return 2 },
+		RetrySharers: func() int { return 2 },
 		Stale:        func() bool { return false },
 		StopsTooSoon: func() bool { return false },
 		Log:          discardLog{},
--- a/daemon/forward/forward.go
+++ b/daemon/forward/forward.go
@@ -44,12 +44,15 @@
 	// StopsTooSoon reports whether the daemon stops so soon that a new stream may not
 	// end before.
 	StopsTooSoon func() bool
-	// Daemons returns how many daemons are alive; they share the slack of RetryLimit
-	// and the connections that an endpoint takes.
+	// Daemons returns how many daemons are alive; they share the connections that an
+	// endpoint takes.
 	Daemons func() int
-	Log     Log
-	Metrics *metrics.Registry
-	Now     func() time.Duration
+	// RetrySharers returns among how many daemons the slack of RetryLimit is divided; 0
+	// while this daemon may use none of it.
+	RetrySharers func() int
+	Log          Log
+	Metrics      *metrics.Registry
+	Now          func() time.Duration
 }
 
 // Forwarder serves requests. It is safe for concurrent use.
--- a/daemon/gateway/enroll.go
+++ b/daemon/gateway/enroll.go
@@ -204,6 +204,7 @@
 	cfg := d.followerConfig(tableDaemons, func(s feed.State) {
 		hosts := d.hosts(s)
 		f.alone.Store(len(hosts) == 0)
+		f.listed.Store(int64(len(hosts)) + 1)
 		f.members.SetHosts(hosts)
 	})
 	cfg.Wait = hostsWait
--- a/daemon/gateway/forwarder.go
+++ b/daemon/gateway/forwarder.go
@@ -47,6 +47,7 @@
 		Payer:             quotaCharger{d},
 		StopsTooSoon:      d.streamCutoffPassed,
 		Daemons:           d.daemons,
+		RetrySharers:      d.retrySharers,
 		Log:               d.logger,
 		Metrics:           d.metrics,
 		Now:               d.now,
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -156,6 +156,9 @@
 	evidence  *evidence.Syncer
 	// alone is set while the store lists no other daemon.
 	alone atomic.Bool
+	// listed is the number of daemons that the store lists, this one included; 0 until
+	// the list has been read.
+	listed atomic.Int64
 	// owner is set while this daemon owns a pool.
 	owner atomic.Bool
 	// broadcasts is set while this daemon sends changes of the store's tables to the
