--- /dev/null
+++ b/core/retry/slots.go
@@ -0,0 +1,50 @@
+package retry
+
+import "time"
+
+// slotsPerSpan is the number of slots that a span is divided into.
+const slotsPerSpan = 20
+
+// slots holds one number for each slot of a sliding span, and for the one slot before
+// it, so that the numbers of any span of that length are all there.
+type slots struct {
+	length time.Duration
+	values [slotsPerSpan + 1]int
+	newest int64
+}
+
+func newSlots(span time.Duration) slots { return slots{length: span / slotsPerSpan} }
+
+// advance clears the slots that have left the span.
+func (s *slots) advance(now time.Duration) {
+	slot := int64(now / s.length)
+	if slot-s.newest > slotsPerSpan {
+		clear(s.values[:])
+		s.newest = slot
+	}
+	for s.newest < slot {
+		s.newest++
+		*s.current() = 0
+	}
+}
+
+// current returns the newest slot.
+func (s *slots) current() *int { return &s.values[s.newest%int64(len(s.values))] }
+
+func (s *slots) sum() int {
+	n := 0
+	for _, v := range s.values {
+		n += v
+	}
+	return n
+}
+
+// take removes n from the numbers, or as much as they hold, the newest slots first.
+func (s *slots) take(n int) {
+	for slot := s.newest; n > 0 && slot >= max(0, s.newest-slotsPerSpan); slot-- {
+		value := &s.values[slot%int64(len(s.values))]
+		taken := min(n, *value)
+		*value -= taken
+		n -= taken
+	}
+}
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -16,44 +16,33 @@
 	Safety float64
 }
 
-// windowSlots is the number of slots that a span is divided into.
-const windowSlots = 20
-
 // Window bounds one daemon's retries of a service within a sliding window. A retry
 // is one arrival of a request at an endpoint beyond its first. The limit is a
 // ratio of the daemon's own requests plus its share of the slack, which is divided
-// equally among a number of daemons, the sharers. The limit holds
-// for every span of the window's length, since the oldest slot is counted in
-// full. It is not safe for concurrent use.
+// equally among a number of daemons, the sharers. The limit holds for every span of the
+// window's length, since the oldest slot is counted in full. It is not safe for
+// concurrent use.
 type Window struct {
 	cfg      WindowConfig
-	requests [windowSlots + 1]int
-	repeats  [windowSlots + 1]int
-	slot     int64
+	requests slots
+	repeats  slots
 }
 
 // NewWindow returns an empty Window.
-func NewWindow(cfg WindowConfig) *Window { return &Window{cfg: cfg} }
+func NewWindow(cfg WindowConfig) *Window {
+	return &Window{cfg: cfg, requests: newSlots(cfg.Span), repeats: newSlots(cfg.Span)}
+}
 
 // advance clears the slots that have left the window.
 func (w *Window) advance(now time.Duration) {
-	slot := int64(now / (w.cfg.Span / windowSlots))
-	if slot-w.slot > windowSlots {
-		clear(w.requests[:])
-		clear(w.repeats[:])
-		w.slot = slot
-	}
-	for w.slot < slot {
-		w.slot++
-		i := w.slot % int64(len(w.requests))
-		w.requests[i], w.repeats[i] = 0, 0
-	}
+	w.requests.advance(now)
+	w.repeats.advance(now)
 }
 
 // CountRequest counts a request of a caller.
 func (w *Window) CountRequest(now time.Duration) {
 	w.advance(now)
-	w.requests[w.slot%int64(len(w.requests))]++
+	*w.requests.current()++
 }
 
 // TakeRetries counts n retries and returns true if the window allows all of them;
@@ -61,10 +50,10 @@
 // of it.
 func (w *Window) TakeRetries(now time.Duration, n, sharers int) bool {
 	w.advance(now)
-	if float64(w.used()+n) > w.allowed(sharers) {
+	if float64(w.repeats.sum()+n) > w.allowed(sharers) {
 		return false
 	}
-	w.repeats[w.slot%int64(len(w.repeats))] += n
+	*w.repeats.current() += n
 	return true
 }
 
@@ -72,36 +61,19 @@
 // taken first.
 func (w *Window) ReturnRetries(now time.Duration, n int) {
 	w.advance(now)
-	for slot := w.slot; n > 0 && slot >= max(0, w.slot-windowSlots); slot-- {
-		taken := &w.repeats[slot%int64(len(w.repeats))]
-		returned := min(n, *taken)
-		*taken -= returned
-		n -= returned
-	}
+	w.repeats.take(n)
 }
 
 // Left returns how many retries the window still allows.
 func (w *Window) Left(now time.Duration, sharers int) float64 {
 	w.advance(now)
-	return max(0, w.allowed(sharers)-float64(w.used()))
-}
-
-func (w *Window) used() int {
-	n := 0
-	for _, r := range w.repeats {
-		n += r
-	}
-	return n
+	return max(0, w.allowed(sharers)-float64(w.repeats.sum()))
 }
 
 func (w *Window) allowed(sharers int) float64 {
-	n := 0
-	for _, r := range w.requests {
-		n += r
-	}
 	share := 0.0
 	if sharers > 0 {
 		share = w.cfg.Slack / float64(sharers)
 	}
-	return w.cfg.Safety * (w.cfg.Ratio*float64(n) + share)
+	return w.cfg.Safety * (w.cfg.Ratio*float64(w.requests.sum()) + share)
 }
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -51,7 +51,7 @@
 				continue
 			}
 			repeats = append(repeats, now)
-			slot := span / windowSlots
+			slot := span / slotsPerSpan
 			count := func(all []time.Duration, since time.Duration) (n int) {
 				for _, at := range all {
 					if at >= since {
