Give a process that starts none of the retries' slack for one window

Cause: the account of retries is the memory of one process. What the process has sent counts at the endpoints for another window; its successor began with an empty account and took its daemon's part of the slack anew, each time.

A process now has no part of the slack until one window after its start, and 2 s more in which all others learn of it. By then its former process can have nothing in the window. What it may use before comes from its own requests alone, which is the other half of the limit. When the whole fleet starts for the first time there is no former process: the setting first_start, together with a daemon's row that did not exist, lifts the wait.

The wait costs retries for 12 s after each restart of a daemon.

--- a/daemon/gateway/enroll.go
+++ b/daemon/gateway/enroll.go
@@ -72,10 +72,13 @@
 	if err != nil {
 		return err
 	}
-	incarnation, err := d.register()
+	incarnation, first, err := d.register()
 	if err != nil {
 		return err
 	}
+	if first && d.set.FirstStart {
+		d.retryShare.skipWait()
+	}
 	material, err := authority.Peer(d.set.Daemon)
 	if err != nil {
 		return err
@@ -83,25 +86,26 @@
 	return d.join(id.Process{Daemon: d.set.Daemon, Incarnation: incarnation}, keys.FromMaterial(material))
 }
 
-// register writes the daemon's row and returns its incarnation.
-func (d *Daemon) register() (id.Incarnation, error) {
+// register writes the daemon's row and returns its incarnation; first reports whether the
+// daemon has never enrolled before.
+func (d *Daemon) register() (incarnation id.Incarnation, first bool, err error) {
 	key := tableDaemons + "/" + string(d.set.Daemon)
 	row, err := d.readRow(key)
 	if err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	value, err := json.Marshal(daemonRow{Domain: d.set.Domain, Peers: d.set.Listen.Peers, Callers: d.set.Listen.Callers})
 	if err != nil {
-		return 0, eris.Wrap(err, "encode the daemon's row")
+		return 0, false, eris.Wrap(err, "encode the daemon's row")
 	}
 	version, written, err := d.writeRow(key, row.Version, value)
 	if err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	if !written {
-		return 0, eris.New("the daemon's row was changed concurrently")
+		return 0, false, eris.New("the daemon's row was changed concurrently")
 	}
-	return id.Incarnation(version), nil
+	return id.Incarnation(version), row.Version == 0, nil
 }
 
 // join starts the components that need the fleet: the peer transport, the broker,
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -119,12 +119,14 @@
 	configs   *feed.Follower
 	endpoints *feed.Follower
 	forwarder *forward.Forwarder
-	watcher   *hangup.Watcher
-	servers   []*fasthttp.Server
-	listeners []net.Listener
-	inFlight  atomic.Int64
-	probes    activeChecks
-	inspected activeChecks
+	// retryShare is this daemon's share of the slack of the retry limit.
+	retryShare *retryShare
+	watcher    *hangup.Watcher
+	servers    []*fasthttp.Server
+	listeners  []net.Listener
+	inFlight   atomic.Int64
+	probes     activeChecks
+	inspected  activeChecks
 	// unusable counts registered entries that describe no usable endpoint, by reason.
 	unusable *metrics.CounterMap
 	endOnce  sync.Once
@@ -228,6 +230,7 @@
 	d.metrics.GaugeFunc("registry_unlisted", metrics.UnitCount, "Endpoints that the store no longer lists and that are kept, since they may have lapsed with it.", func() float64 {
 		return float64(d.tables.current().Lapsed)
 	})
+	d.retryShare = newRetryShare(d.now(), Seconds(d.set.Bounds.RepeatWindowS))
 	d.forwarder = d.newForwarder()
 	d.provisionTunnels()
 	return nil
--- a/daemon/gateway/settings.go
+++ b/daemon/gateway/settings.go
@@ -20,6 +20,9 @@
 	Listen Listen `json:"listen"`
 	// Store is the platform's metadata store, as IP:port.
 	Store string `json:"store" validate:"required"`
+	// FirstStart is set while the whole fleet starts for the first time, so that no
+	// former process of any daemon has sent requests. Default: false.
+	FirstStart bool `json:"first_start"`
 	// Bounds are the platform's guarantees and requirements.
 	Bounds Bounds `json:"bounds"`
 	// Capacity is the host's capacity that the daemon may use. Duties that one daemon
