Let survivors take over a share of the retries one window later, and only a majority

Cause: the slack was divided by the daemons that are not known to be dead at this moment. Whoever survives took over the part of the dead at once, although what these had sent still counts; a daemon that was frozen or cut off for longer came back to a part that others had taken over; and each side of a partition divided the slack among its own.

Now the most daemons of the last window count; a daemon that does not reach the majority of what the fleet was within a minute has no part; one that was declared dead, or that had no part for longer than a window, waits for a window like one that starts. Daemons that the store lists and that were never heard count in the first minute of a process.

The line retry_share_changed tells each change and what it follows from.

--- a/core/retry/share.go
+++ b/core/retry/share.go
@@ -2,40 +2,85 @@
 
 import "time"
 
-// joinDelay is how long it takes at most until all daemons of a fleet know of one that
-// has joined it.
-const joinDelay = 2 * time.Second
+const (
+	// joinDelay is how long it takes at most until all daemons of a fleet know of one
+	// that has joined it.
+	joinDelay = 2 * time.Second
+	// quorumMemory is how long a fleet counts as large as it was: daemons that have
+	// been lost meanwhile may be on the other side of a partition. It is the time for
+	// which the membership counts silent daemons as partitioned.
+	quorumMemory = time.Minute
+)
+
+// Fleet is what a daemon knows of the daemons that share the slack, this one included.
+type Fleet struct {
+	// Daemons is the number of daemons that may be running; 0 if it is not known.
+	Daemons int
+	// Reached is the number of daemons that this one reaches.
+	Reached int
+}
 
 // Share determines which part of the fleet's slack one daemon may use, so that all
-// processes together use no more than the slack in any span. What a process has used is
-// forgotten when it ends, but its retries count for one span longer. Its successor
-// therefore has no part of the slack for that time. It is not safe for concurrent use.
+// processes together use no more than the slack in any span.
+//
+// What a process has used is forgotten when it ends, but its retries count for one span
+// longer. Its successor therefore has no part of the slack for that time. For the same
+// reason, the part of a daemon that is gone goes to the others one span later. A daemon
+// that doesn't reach the majority has no part, since the others may take it over.
+//
+// It is not safe for concurrent use.
 type Share struct {
 	span time.Duration
+	// joined is set once the daemon has known the fleet, firstStart while the fleet
+	// starts for the first time.
+	joined, firstStart bool
 	// usableFrom is when the daemon may begin to use its part.
 	usableFrom time.Duration
-	// sharers is the number of daemons that share the slack; 0 until it is known.
-	sharers int
+	// entitled reports whether the daemon reached the majority when it last observed
+	// the fleet, entitledAt is when it last did.
+	entitled   bool
+	entitledAt time.Duration
+	// largest holds the largest number of daemons in each slot of a span, quorum that in
+	// each slot of quorumMemory.
+	largest slots
+	quorum  slots
 }
 
-// NewShare returns the Share of a process that starts now; span is that of the windows.
-func NewShare(now, span time.Duration) *Share {
-	return &Share{span: span, usableFrom: now + span + joinDelay}
+// NewShare returns the Share of a process that starts; span is that of the windows.
+func NewShare(span time.Duration) *Share {
+	return &Share{span: span, largest: newSlots(span), quorum: newSlots(quorumMemory)}
 }
 
-// SkipWait makes the part usable at once. It is called if the whole fleet starts for the
-// first time, so that no former process has sent any retry.
-func (s *Share) SkipWait() { s.usableFrom = 0 }
+// SetFirstStart is called if the whole fleet starts for the first time: no former process
+// has sent any retry, and the part may be used at once.
+func (s *Share) SetFirstStart() { s.firstStart = true }
+
+// Restart is called if other daemons may have taken over this daemon's part: it has none
+// until what they have used meanwhile no longer counts.
+func (s *Share) Restart(now time.Duration) { s.usableFrom = now + s.span + joinDelay }
 
-// Observe records the number of daemons that share the slack, this one included; 0 if
-// it is not known.
-func (s *Share) Observe(sharers int) { s.sharers = sharers }
+// Observe records what the daemon knows of the fleet. It is called at least a few times
+// per span.
+func (s *Share) Observe(now time.Duration, f Fleet) {
+	s.largest.raise(now, f.Daemons)
+	s.quorum.raise(now, f.Daemons)
+	s.entitled = f.Daemons > 0 && 2*f.Reached > s.quorum.max()
+	if !s.entitled {
+		return
+	}
+	lapsed := s.joined && now-s.entitledAt > s.span
+	if lapsed || !s.joined && !s.firstStart {
+		s.Restart(now)
+	}
+	s.joined, s.entitledAt = true, now
+}
 
-// Sharers returns among how many daemons the slack is divided; 0 while this daemon may
-// use none of it.
+// Sharers returns among how many daemons the slack is divided: the most that were
+// observed within the last span. It is 0 while this daemon may use none of the slack.
 func (s *Share) Sharers(now time.Duration) int {
-	if now < s.usableFrom {
+	if !s.entitled || now < s.usableFrom || now-s.entitledAt > s.span {
 		return 0
 	}
-	return s.sharers
+	s.largest.advance(now)
+	return s.largest.max()
 }
--- a/core/retry/share_test.go
+++ b/core/retry/share_test.go
@@ -7,23 +7,99 @@
 	"github.com/matryer/is"
 )
 
-const testSpan = 10 * time.Second
+const (
+	testSpan  = 10 * time.Second
+	testStart = time.Minute
+	usableAt  = testStart + testSpan + joinDelay
+)
+
+// whole returns a fleet of the given size, all of which is reached.
+func whole(daemons int) Fleet { return Fleet{Daemons: daemons, Reached: daemons} }
+
+// observing returns a Share that observes a fleet of the given size up to a time.
+func observing(sharers int, until time.Duration) *Share {
+	s := NewShare(testSpan)
+	for at := testStart; at <= until; at += time.Second {
+		s.Observe(at, whole(sharers))
+	}
+	return s
+}
 
 // TestAProcessThatStartsHasNoShareUntilTheRetriesOfItsFormerOneAreOver checks when a
 // process may use its part of the slack, and that it needs to know the fleet for it.
 func TestAProcessThatStartsHasNoShareUntilTheRetriesOfItsFormerOneAreOver(t *testing.T) {
 	is := is.New(t)
-	const start = time.Minute
-	s := NewShare(start, testSpan)
-	s.Observe(9)
-	is.Equal(s.Sharers(start), 0)
-	is.Equal(s.Sharers(start+testSpan), 0) // the others may not all know of it yet
-	is.Equal(s.Sharers(start+testSpan+joinDelay), 9)
-	s.Observe(0)
-	is.Equal(s.Sharers(start+testSpan+joinDelay), 0)
-	first := NewShare(start, testSpan)
-	first.SkipWait()
-	is.Equal(first.Sharers(start), 0)
-	first.Observe(9)
-	is.Equal(first.Sharers(start), 9)
+	s := observing(9, testStart+testSpan)
+	is.Equal(s.Sharers(testStart), 0)
+	is.Equal(s.Sharers(testStart+testSpan), 0) // the others may not all know of it yet
+	s.Observe(usableAt, whole(9))
+	is.Equal(s.Sharers(usableAt), 9)
+	s.Observe(usableAt, whole(0))
+	is.Equal(s.Sharers(usableAt), 0)
+}
+
+// TestTheFirstStartOfAFleetNeedsNoWait checks that a daemon that can have no former
+// process uses its share as soon as it knows the fleet.
+func TestTheFirstStartOfAFleetNeedsNoWait(t *testing.T) {
+	is := is.New(t)
+	s := NewShare(testSpan)
+	s.SetFirstStart()
+	is.Equal(s.Sharers(testStart), 0)
+	s.Observe(testStart, whole(9))
+	is.Equal(s.Sharers(testStart), 9)
+}
+
+// TestTheSharesOfTheDeadAreTakenOverOneSpanLater guards against survivors that use the
+// part of a daemon whose own retries still count. A larger fleet counts at once.
+func TestTheSharesOfTheDeadAreTakenOverOneSpanLater(t *testing.T) {
+	is := is.New(t)
+	s := observing(9, usableAt)
+	for at := usableAt + time.Second; at <= usableAt+testSpan; at += time.Second {
+		s.Observe(at, whole(5))
+		is.Equal(s.Sharers(at), 9)
+	}
+	s.Observe(usableAt+testSpan+time.Second, whole(5))
+	is.Equal(s.Sharers(usableAt+testSpan+time.Second), 5)
+	s.Observe(usableAt+testSpan+time.Second, whole(12))
+	is.Equal(s.Sharers(usableAt+testSpan+time.Second), 12)
+}
+
+// TestAProcessThatWasFrozenForASpanStartsAnew guards against a daemon that wakes up and
+// uses a part that the others have taken over.
+func TestAProcessThatWasFrozenForASpanStartsAnew(t *testing.T) {
+	is := is.New(t)
+	s := observing(9, usableAt)
+	woke := usableAt + testSpan + time.Second
+	is.Equal(s.Sharers(woke), 0)
+	s.Observe(woke, whole(9))
+	is.Equal(s.Sharers(woke), 0)
+	for at := woke; at <= woke+testSpan+joinDelay; at += time.Second {
+		s.Observe(at, whole(9))
+	}
+	is.Equal(s.Sharers(woke+testSpan+joinDelay), 9)
+}
+
+// TestAMinorityHasNoShare guards against daemons on both sides of a partition that each
+// use all of the slack. Those that don't come back within quorumMemory are lost for good.
+func TestAMinorityHasNoShare(t *testing.T) {
+	is := is.New(t)
+	s := observing(9, usableAt)
+	cut := Fleet{Daemons: 9, Reached: 4}
+	s.Observe(usableAt+time.Second, cut)
+	is.Equal(s.Sharers(usableAt+time.Second), 0)
+	s.Observe(usableAt+2*time.Second, whole(9))
+	is.Equal(s.Sharers(usableAt+2*time.Second), 9) // nobody has taken its part over yet
+
+	alone := usableAt + 3*time.Second
+	for at := alone; at < alone+quorumMemory; at += time.Second {
+		s.Observe(at, whole(4))
+		is.Equal(s.Sharers(at), 0)
+	}
+	again := alone + quorumMemory + quorumMemory/slotsPerSpan
+	for at := again; at < again+testSpan+joinDelay; at += time.Second {
+		s.Observe(at, whole(4))
+		is.Equal(s.Sharers(at), 0)
+	}
+	s.Observe(again+testSpan+joinDelay, whole(4))
+	is.Equal(s.Sharers(again+testSpan+joinDelay), 4)
 }
--- a/core/retry/slots.go
+++ b/core/retry/slots.go
@@ -48,3 +48,18 @@
 		n -= taken
 	}
 }
+
+// raise raises the newest slot to n, if it holds less.
+func (s *slots) raise(now time.Duration, n int) {
+	s.advance(now)
+	current := s.current()
+	*current = max(*current, n)
+}
+
+func (s *slots) max() int {
+	most := 0
+	for _, v := range s.values {
+		most = max(most, v)
+	}
+	return most
+}
--- a/daemon/gateway/catchup.go
+++ b/daemon/gateway/catchup.go
@@ -54,6 +54,7 @@
 // StopActing implements members.Listener. A process that was superseded by a later
 // one of the same daemon ends itself.
 func (l fleetListener) StopActing(superseded bool) {
+	l.d.retryShare.restart(l.d.now())
 	if l.f.orderer != nil {
 		l.f.orderer.Halt()
 	}
--- a/daemon/gateway/enroll.go
+++ b/daemon/gateway/enroll.go
@@ -77,7 +77,7 @@
 		return err
 	}
 	if first && d.set.FirstStart {
-		d.retryShare.skipWait()
+		d.retryShare.setFirstStart()
 	}
 	material, err := authority.Peer(d.set.Daemon)
 	if err != nil {
--- a/daemon/gateway/reading.go
+++ b/daemon/gateway/reading.go
@@ -64,6 +64,7 @@
 	d.every(readersInterval, func() {
 		entries := f.members.Entries()
 		f.recordPeersLost(d.now(), entries)
+		d.logRetryShare(f)
 		candidates := readingCandidates(entries)
 		now := decision.Decide(d.now(), candidates, !decision.StartupOver() && f.onlyOne())
 		chosen := decision.Chosen()
--- a/daemon/gateway/retryshare.go
+++ b/daemon/gateway/retryshare.go
@@ -4,48 +4,123 @@
 	"sync"
 	"time"
 
+	"github.com/samphirequay/samphirequay/core/member"
 	"github.com/samphirequay/samphirequay/core/retry"
+	"github.com/samphirequay/samphirequay/daemon/quotas"
 )
 
 // retryShare is this daemon's share of the slack of the retry limit. It is safe for
 // concurrent use.
 type retryShare struct {
+	startedAt time.Duration
+
 	mu    sync.Mutex
 	share *retry.Share
 }
 
 func newRetryShare(now, span time.Duration) *retryShare {
-	return &retryShare{share: retry.NewShare(now, span)}
+	return &retryShare{startedAt: now, share: retry.NewShare(span)}
+}
+
+// setFirstStart makes the share usable as soon as the fleet is known.
+func (r *retryShare) setFirstStart() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.share.SetFirstStart()
+}
+
+// restart is called if others may have declared this daemon dead: they share what it
+// could use.
+func (r *retryShare) restart(now time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.share.Restart(now)
+}
+
+// fleetView is what a daemon knows of the fleet.
+type fleetView struct {
+	// entries are those of the membership, this daemon's included.
+	entries []member.Entry
+	// listed is the number of daemons that the store lists, this one included; 0 until
+	// the list has been read.
+	listed int
+	// isolated is set while the daemon has lost most of the fleet.
+	isolated bool
 }
 
-// skipWait makes the share usable at once.
-func (r *retryShare) skipWait() {
+// observe records what the daemon knows of the fleet.
+func (r *retryShare) observe(now time.Duration, v fleetView) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.share.SkipWait()
+	r.share.Observe(now, v.sharers(now-r.startedAt))
+}
+
+// sharers returns among how many daemons the slack is divided; 0 while this daemon may
+// use none of it.
+func (r *retryShare) sharers(now time.Duration) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.share.Sharers(now)
+}
+
+// unheardTime is how long after its start a daemon counts those that the store lists and
+// from which it has heard nothing: they may be on the other side of a partition, as
+// silent daemons may be for as long. After that they count as gone for good.
+const unheardTime = time.Minute
+
+// sharers returns the daemons that share the slack. They are unknown until the membership
+// contains all daemons that the store lists: a daemon that counted itself alone would use
+// all of the slack. age is that of this process.
+func (v fleetView) sharers(age time.Duration) retry.Fleet {
+	if v.listed == 0 || len(v.entries) < v.listed {
+		return retry.Fleet{}
+	}
+	counted := quotas.CountFleet(v.entries)
+	out := retry.Fleet{Daemons: counted.Daemons, Reached: counted.Reached}
+	if age < unheardTime {
+		out.Daemons += v.unheard()
+	}
+	if v.isolated {
+		// The membership of a large fleet takes a while to mark all that are lost.
+		out.Reached = 1
+	}
+	return out
+}
+
+// unheard returns the number of daemons that count as dead since nothing was ever heard
+// from them.
+func (v fleetView) unheard() int {
+	n := 0
+	for _, e := range v.entries {
+		if e.State == member.Dead && e.Process.Incarnation == 0 {
+			n++
+		}
+	}
+	return n
 }
 
 // retrySharers returns among how many daemons the slack of the retry limit is divided; 0
 // while this daemon may use none of it.
 func (d *Daemon) retrySharers() int {
-	d.retryShare.mu.Lock()
-	defer d.retryShare.mu.Unlock()
-	d.retryShare.share.Observe(d.knownDaemons())
-	return d.retryShare.share.Sharers(d.now())
-}
-
-// knownDaemons returns the number of daemons, or 0 until this daemon has enrolled and
-// knows the others: one that counted itself alone would use all of the slack.
-func (d *Daemon) knownDaemons() int {
-	f := d.fleet.Load()
-	if f == nil || !f.knowsListed() {
-		return 0
+	if f := d.fleet.Load(); f != nil {
+		d.retryShare.observe(d.now(), f.view())
+	}
+	return d.retryShare.sharers(d.now())
+}
+
+// logRetryShare logs this daemon's share of the slack whenever it has changed.
+func (d *Daemon) logRetryShare(f *fleet) {
+	sharers := d.retrySharers()
+	if before := f.loggedSharers.Swap(int64(sharers)); before == int64(sharers) {
+		return
 	}
-	return f.count().Daemons
+	v := f.view()
+	seen := v.sharers(d.now() - d.retryShare.startedAt)
+	d.logger.Event("retry_share_changed", "sharers", sharers, "daemons", seen.Daemons, "reached", seen.Reached,
+		"isolated", v.isolated, "listed", v.listed)
 }
 
-// knowsListed reports whether the membership contains all daemons that the store lists.
-func (f *fleet) knowsListed() bool {
-	listed := int(f.listed.Load())
-	return listed > 0 && len(f.members.Entries()) >= listed
+// view returns what the daemon knows of the fleet.
+func (f *fleet) view() fleetView {
+	return fleetView{entries: f.members.Entries(), listed: int(f.listed.Load()), isolated: f.members.Isolated()}
 }
--- a/daemon/members/members.go
+++ b/daemon/members/members.go
@@ -88,6 +88,7 @@
 	entries  []member.Entry
 	byDaemon map[id.Daemon]member.Entry
 	large    bool
+	isolated bool
 }
 
 // Start starts the duty.
@@ -150,6 +151,9 @@
 // with their neighbours and are not connected to all others.
 func (m *Members) Large() bool { return m.snapshot.Load().large }
 
+// Isolated reports whether this daemon has lost most of the fleet at once.
+func (m *Members) Isolated() bool { return m.snapshot.Load().isolated }
+
 // Alive reports whether a process may still act, that is, whether it is not known
 // to have ended.
 func (m *Members) Alive(p id.Process) bool {
@@ -203,6 +207,7 @@
 		m.cfg.Log("member_stalled", "late", a.Stalled.Late)
 	case a.Isolated != nil:
 		m.cfg.Log("member_isolated", "isolated", a.Isolated.Now, "silent", a.Isolated.Silent, "known", a.Isolated.Known)
+		m.publish()
 	case a.DeclaredDead != nil:
 		m.declaredDead(a.DeclaredDead)
 	}
@@ -231,7 +236,7 @@
 
 func (m *Members) publish() {
 	entries := m.core.View()
-	v := &view{entries: entries, byDaemon: make(map[id.Daemon]member.Entry, len(entries)), large: m.core.UsesRings()}
+	v := &view{entries: entries, byDaemon: make(map[id.Daemon]member.Entry, len(entries)), large: m.core.UsesRings(), isolated: m.core.Isolated()}
 	for _, e := range entries {
 		v.byDaemon[e.Process.Daemon] = e
 	}
