Count a retry from its arrival on, and not from its decision

Cause: a retry was dated when it was decided. A stream that starts again then waits for its pair of engines, for seconds in a busy pool, and what is decided when the window has moved on arrives together with it. What binds is what an endpoint sees.

A retry now counts as pending from its decision to the end of its attempt, which is after its arrival, and for a window from then on. Whatever the delays, those that were taken before the last one of a window are all counted when it is taken.

TestRetriedStreamsStayWithinTheServiceLimit checks in addition that nothing stays pending.

--- a/core/retry/slots.go
+++ b/core/retry/slots.go
@@ -39,16 +39,6 @@
 	return n
 }
 
-// take removes n from the numbers, or as much as they hold, the newest slots first.
-func (s *slots) take(n int) {
-	for slot := s.newest; n > 0 && slot >= max(0, s.newest-slotsPerSpan); slot-- {
-		value := &s.values[slot%int64(len(s.values))]
-		taken := min(n, *value)
-		*value -= taken
-		n -= taken
-	}
-}
-
 // raise raises the newest slot to n, if it holds less.
 func (s *slots) raise(now time.Duration, n int) {
 	s.advance(now)
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -25,7 +25,11 @@
 type Window struct {
 	cfg      WindowConfig
 	requests slots
-	repeats  slots
+	// repeats holds the retries that have arrived, pending counts those that were taken
+	// and have not: they may wait for an endpoint for seconds, and count from their
+	// arrival on.
+	repeats slots
+	pending int
 }
 
 // NewWindow returns an empty Window.
@@ -45,31 +49,37 @@
 	*w.requests.current()++
 }
 
-// TakeRetries counts n retries and returns true if the window allows all of them;
-// sharers is the number of daemons that share the slack, 0 if this daemon may use none
-// of it.
+// TakeRetries counts n retries that are about to be sent and returns true if the window
+// allows all of them; sharers is the number of daemons that share the slack, 0 if this
+// daemon may use none of it. Each retry that is taken is later recorded as arrived or
+// returned.
 func (w *Window) TakeRetries(now time.Duration, n, sharers int) bool {
 	w.advance(now)
-	if float64(w.repeats.sum()+n) > w.allowed(sharers) {
+	if float64(w.used()+n) > w.allowed(sharers) {
 		return false
 	}
-	*w.repeats.current() += n
+	w.pending += n
 	return true
 }
 
-// ReturnRetries gives back n retries that were taken and not used, the most recently
-// taken first.
-func (w *Window) ReturnRetries(now time.Duration, n int) {
+// RecordArrivals records that n retries that were taken have arrived.
+func (w *Window) RecordArrivals(now time.Duration, n int) {
 	w.advance(now)
-	w.repeats.take(n)
+	w.pending = max(0, w.pending-n)
+	*w.repeats.current() += n
 }
 
+// ReturnRetries gives back n retries that were taken and not sent.
+func (w *Window) ReturnRetries(n int) { w.pending = max(0, w.pending-n) }
+
 // Left returns how many retries the window still allows.
 func (w *Window) Left(now time.Duration, sharers int) float64 {
 	w.advance(now)
-	return max(0, w.allowed(sharers)-float64(w.repeats.sum()))
+	return max(0, w.allowed(sharers)-float64(w.used()))
 }
 
+func (w *Window) used() int { return w.pending + w.repeats.sum() }
+
 func (w *Window) allowed(sharers int) float64 {
 	share := 0.0
 	if sharers > 0 {
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -8,12 +8,21 @@
 	"pgregory.net/rapid"
 )
 
+// send takes and sends retries that arrive at once.
+func send(w *Window, now time.Duration, n, sharers int) bool {
+	if !w.TakeRetries(now, n, sharers) {
+		return false
+	}
+	w.RecordArrivals(now, n)
+	return true
+}
+
 func TestWindowAllowsItsShareOfTheSlack(t *testing.T) {
 	is := is.New(t)
 	w := NewWindow(WindowConfig{Span: 10 * time.Second, Ratio: 0.2, Slack: 58, Safety: 1})
 	allowed := 0
 	for range 100 {
-		if w.TakeRetries(0, 1, 9) {
+		if send(w, 0, 1, 9) {
 			allowed++
 		}
 	}
@@ -22,13 +31,13 @@
 		w.CountRequest(time.Second)
 	}
 	for range 100 {
-		if w.TakeRetries(time.Second, 1, 9) {
+		if send(w, time.Second, 1, 9) {
 			allowed++
 		}
 	}
 	is.Equal(allowed, 16)
-	is.True(!w.TakeRetries(10*time.Second, 1, 9)) // the first retries still count
-	is.True(w.TakeRetries(11*time.Second, 1, 9))
+	is.True(!send(w, 10*time.Second, 1, 9)) // the first retries still count
+	is.True(send(w, 11*time.Second, 1, 9))
 }
 
 // TestNoSpanExceedsTheLimit checks that in any order of events, a span of
@@ -47,7 +56,7 @@
 				requests = append(requests, now)
 				continue
 			}
-			if !w.TakeRetries(now, 1, 1) {
+			if !send(w, now, 1, 1) {
 				continue
 			}
 			repeats = append(repeats, now)
@@ -80,15 +89,52 @@
 
 // TestReturnedRetriesMayBeTakenAgain checks that what is returned is available again,
 // also after the slot in which it was taken, and that a window never holds less than
-// nothing: retries that have left it can't be returned.
+// nothing: no more can be returned than was taken.
 func TestReturnedRetriesMayBeTakenAgain(t *testing.T) {
 	is := is.New(t)
 	w := NewWindow(WindowConfig{Span: 10 * time.Second, Slack: 3, Safety: 1})
 	is.True(w.TakeRetries(0, 2, 1))
 	is.True(w.TakeRetries(time.Second, 1, 1))
-	w.ReturnRetries(2*time.Second, 2)
+	w.ReturnRetries(2)
 	is.Equal(w.Left(2*time.Second, 1), 2.0)
-	w.ReturnRetries(time.Minute, 5)
+	w.ReturnRetries(5)
 	is.Equal(w.Left(time.Minute, 1), 3.0)
 	is.True(!w.TakeRetries(time.Minute, 4, 1))
 }
+
+// TestRetriesThatArriveLateStayWithinTheLimit guards against retries that are counted when
+// they are allowed and arrive seconds later, together with those of the next window. The
+// retries wait for an endpoint for up to 4 s.
+func TestRetriesThatArriveLateStayWithinTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const slack = 6
+		w := NewWindow(WindowConfig{Span: testSpan, Slack: slack, Safety: 1})
+		var waiting, arrived []time.Duration
+		for now := time.Duration(0); now < 40*time.Second; now += 100 * time.Millisecond {
+			var rest []time.Duration
+			for _, at := range waiting {
+				if at > now {
+					rest = append(rest, at)
+					continue
+				}
+				w.RecordArrivals(now, 1)
+				arrived = append(arrived, now)
+			}
+			waiting = rest
+			if w.TakeRetries(now, 1, 1) {
+				waiting = append(waiting, now+time.Duration(rapid.IntRange(0, 40).Draw(t, "tenths"))*100*time.Millisecond)
+			}
+		}
+		for i, first := range arrived {
+			n := 0
+			for _, at := range arrived[i:] {
+				if at < first+testSpan {
+					n++
+				}
+			}
+			if n > slack {
+				t.Fatalf("%d retries arrive within %v from %v, %d are allowed", n, testSpan, first, slack)
+			}
+		}
+	})
+}
--- a/daemon/forward/arrivals.go
+++ b/daemon/forward/arrivals.go
@@ -61,9 +61,13 @@
 	if !reachedEndpoint(err) {
 		return
 	}
-	if t.arrivals.add(step, err == nil) {
-		f.stats.repeatArrivals.Add(string(t.service)+"/"+step, 1)
+	if !t.arrivals.add(step, err == nil) {
+		return
 	}
+	f.stats.repeatArrivals.Add(string(t.service)+"/"+step, 1)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.window(t.service).RecordArrivals(f.Now(), 1)
 }
 
 // payRepeats reports whether the retry limit of a service allows a request the given
@@ -98,7 +102,7 @@
 	t.arrivals.paid -= unused
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.window(t.service).ReturnRetries(f.Now(), unused)
+	f.window(t.service).ReturnRetries(unused)
 }
 
 // arrivalsOfPair is how often a generation that starts again with a new pair of
--- a/daemon/forward/arrivals_test.go
+++ b/daemon/forward/arrivals_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/registry"
+	"github.com/samphirequay/samphirequay/core/retry"
 	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/core/sched"
 	"github.com/samphirequay/samphirequay/core/verdict"
@@ -154,6 +155,8 @@
 			t.Logf("%d arrivals beyond the first of their request", got)
 			is.True(got > 0)
 			is.True(got <= 5+requests/5) // half of the slack of 10, and a fifth of the requests
+			unused := retry.NewWindow(f.RetryLimit).Left(0, 2)
+			is.Equal(f.window("s").Left(f.Now()+time.Hour, 2), unused) // no retry stays taken
 		})
 	}
 }
--- a/daemon/gateway/retryshare_test.go
+++ b/daemon/gateway/retryshare_test.go
@@ -155,6 +155,7 @@
 	p.share.observe(s.now, fleetView{entries: p.members.View(), listed: len(s.hosts), isolated: p.members.Isolated()})
 	for range s.perStep {
 		if p.window.TakeRetries(s.now, 1, p.share.sharers(s.now)) {
+			p.window.RecordArrivals(s.now, 1)
 			s.retries = append(s.retries, s.now)
 		}
 	}
