Start a retry budget of the product's own path with one second of its floor

A budget now begins with one second of its floor and is dated by the start of the process: a clock that had run for longer would have filled it at the first question.

--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -13,10 +13,14 @@
 	refilledAt time.Duration
 }
 
-func newBudget(rate, burst float64) *budget {
-	b := &budget{}
+// initialSeconds is what a budget holds at first, in seconds of its floor. It may replace
+// one that has just been used up, by a former process or for a team that was dropped.
+const initialSeconds = 1.0
+
+func newBudget(now time.Duration, rate, burst float64) *budget {
+	b := &budget{refilledAt: now}
 	b.setFloor(rate, burst)
-	b.tokens = b.capacity
+	b.tokens = min(b.capacity, max(1, rate*initialSeconds))
 	return b
 }
 
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -110,14 +110,14 @@
 	teams  *simplelru.LRU[id.Team, *budget]
 }
 
-// New returns a Retrier that draws its jitter from rng.
-func New(cfg Config, rng *rand.Rand) *Retrier {
+// New returns a Retrier that starts now and draws its jitter from rng.
+func New(now time.Duration, cfg Config, rng *rand.Rand) *Retrier {
 	cfg = cfg.withDefaults()
 	teams, err := simplelru.NewLRU[id.Team, *budget](cfg.MaxTeams, nil)
 	if err != nil {
 		panic(err) // the validation of settings must reject MaxTeams below 1
 	}
-	return &Retrier{cfg: cfg, rng: rng, global: newBudget(cfg.GlobalFloor, cfg.Burst), teams: teams}
+	return &Retrier{cfg: cfg, rng: rng, global: newBudget(now, cfg.GlobalFloor, cfg.Burst), teams: teams}
 }
 
 // SetTeamFloor sets a team's floor, in retries per second, in place of
@@ -203,8 +203,7 @@
 	if b, ok := r.teams.Get(team); ok {
 		return b
 	}
-	b := newBudget(r.cfg.TeamFloor, r.cfg.Burst)
-	b.refilledAt = now
+	b := newBudget(now, r.cfg.TeamFloor, r.cfg.Burst)
 	r.teams.Add(team, b)
 	return b
 }
--- a/daemon/app/adapters.go
+++ b/daemon/app/adapters.go
@@ -216,7 +216,7 @@
 const minAttemptTime = 100 * time.Millisecond
 
 func newRetrier(now func() time.Duration, rng *rand.Rand) *retrier {
-	return &retrier{core: retry.New(retry.Config{}, rng), now: now}
+	return &retrier{core: retry.New(now(), retry.Config{}, rng), now: now}
 }
 
 // Decide implements completion.Retrier. Its callers call it only for requests that
