Split six files that had grown, each by its jobs

The adapter's decoding of requests, the answers of the soak's runners, the view of the members, the messages of the requester, the reading of a feed, and the status and host list of the membership have files of their own. Declarations are moved, not changed.

--- /dev/null
+++ b/cmd/internal/soak/answers.go
@@ -0,0 +1,132 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/samphirequay/samphirequay/platform/platformtest"
+)
+
+// answer sends a runner's response to a request and counts the run. Responses
+// contain the request id, so that the checker detects swapped responses.
+func (s *simulation) answer(r *runner, x *platformtest.Exchange) {
+	if x.RequestID() != "" {
+		s.teams.checkForwarded(s.checker, x)
+	}
+	if s.refuses(r, x) {
+		s.arrivals.recordArrival(r.Service, x.RequestID())
+		x.Refuse(http.StatusServiceUnavailable)
+		return
+	}
+	s.recordArrival(r, x)
+	if !x.ShouldRun() {
+		before := r.Stage()
+		x.AnswerNormally()
+		if r.Stage() != before {
+			s.registerStage(r)
+		}
+		return
+	}
+	number := requestNumber(x.RequestID())
+	runs := s.recordRun(r, x.RequestID())
+	s.teams.recordRun(x.RequestID())
+	if r.Stage() == "" && number%failEvery == 0 {
+		x.Respond(http.StatusInternalServerError, "failed", x.Signed())
+		return
+	}
+	if r.Stage() == "" {
+		x.Respond(http.StatusOK, plainBody(x.RequestID()), x.Signed(), "Content-Type: text/plain")
+		return
+	}
+	first := x.FirstEvent()
+	if number%breakEvery == 0 && runs == 1 {
+		x.Stream(first, streamSize/2, false)
+		return
+	}
+	x.Stream(first, streamSize, true)
+}
+
+// refuses reports whether a runner refuses a request by design.
+func (s *simulation) refuses(r *runner, x *platformtest.Exchange) bool {
+	if x.IsControl() || x.Misdirected() {
+		return false
+	}
+	if s.overloaded.Load() && rand.IntN(acceptEvery) != 0 {
+		return true
+	}
+	return x.ShouldRun() && requestNumber(x.RequestID())%refuseEvery == 0
+}
+
+// recordArrival records what reaches a runner that does not refuse it by design.
+func (s *simulation) recordArrival(r *runner, x *platformtest.Exchange) {
+	switch {
+	case x.IsControl():
+	case x.WantsPrefill() && r.Stage() == "prefill" && !x.Misdirected():
+		s.arrivals.recordPrefill(r.Service, x.RequestID())
+	default:
+		s.arrivals.recordArrival(r.Service, x.RequestID())
+	}
+}
+
+// acceptEvery: overloaded runners accept one in so many requests.
+const acceptEvery = 10
+
+// Runners refuse each request whose number is a multiple of refuseEvery. Plain runners
+// fail the multiples of failEvery, and engines interrupt the first run of the multiples
+// of breakEvery in mid-stream.
+const (
+	refuseEvery = 17
+	failEvery   = 23
+	breakEvery  = 19
+)
+
+// failsByDesign reports whether the runners' refusals and failures keep a request
+// from being served.
+func failsByDesign(id string, k requestKind) bool {
+	n := requestNumber(id)
+	switch {
+	case n%refuseEvery == 0:
+		return true
+	case k.stream:
+		return n%breakEvery == 0 && !k.repeatable
+	default:
+		return n%failEvery == 0
+	}
+}
+
+// requestNumber returns the number at the end of a request id; 1 if there is none.
+func requestNumber(id string) int {
+	n, err := strconv.Atoi(id[strings.LastIndex(id, "-")+1:])
+	if err != nil {
+		return 1
+	}
+	return n
+}
+
+// plainBody returns the body of a plain runner's response to a request.
+func plainBody(request string) string { return "answer to " + request }
+
+// recordRun counts a run and returns the number of runs of the request so far. It
+// reports a violation if the runner received the request after drainTime, unless
+// a recent fault affects a daemon or the platform.
+func (s *simulation) recordRun(r *runner, request string) int {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runCounts[request]++
+	late := !r.leaving.IsZero() && now.After(r.leaving.Add(drainTime))
+	if late && s.checker.allStable(now) && s.stable(now) {
+		s.checker.violation("draining: %s ran at %s, %v after the runner was registered as leaving", request, r.ID, now.Sub(r.leaving))
+	}
+	return s.runCounts[request]
+}
+
+// runs returns the number of runs of a request.
+func (s *simulation) runs(request string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runCounts[request]
+}
--- a/core/pairing/requester.go
+++ b/core/pairing/requester.go
@@ -39,43 +39,6 @@
 	stallGrace = DefaultResend
 )
 
-// Message is a message to a pool's owner. Exactly one field besides To is set.
-type Message struct {
-	To       id.Daemon
-	Want     *sched.Want
-	Withdraw *Withdrawal
-	Progress *PoolProgress
-	Adopt    *sched.Adopt
-}
-
-// Withdrawal drops a request that waits or has a grant but has not started.
-type Withdrawal struct {
-	Pool    id.Pool    `cbor:"1,keyasint"`
-	Request id.Request `cbor:"2,keyasint"`
-}
-
-// PoolProgress is a Progress with its pool.
-type PoolProgress struct {
-	Pool     id.Pool        `cbor:"1,keyasint"`
-	Progress sched.Progress `cbor:"2,keyasint"`
-}
-
-// Answer is the result of a call of Request: a grant, or an error whose verdict is
-// NotRun.
-type Answer struct {
-	Request id.Request
-	Grant   *sched.Grant
-	Err     *verdict.Error
-}
-
-// Output is the result of an event: messages to send, and answers and bindings to
-// deliver.
-type Output struct {
-	Messages []Message
-	Answers  []Answer
-	Bindings []sched.Binding
-}
-
 // Options configure a Requester; zero durations mean the defaults.
 type Options struct {
 	// Local makes this daemon the owner of every pool, for policies without an
@@ -384,9 +347,3 @@
 	slices.Sort(rs)
 	return rs
 }
-
-func (o *Output) append(other Output) {
-	o.Messages = append(o.Messages, other.Messages...)
-	o.Answers = append(o.Answers, other.Answers...)
-	o.Bindings = append(o.Bindings, other.Bindings...)
-}
