Hand the account of retries on to the next process at a planned stop

With the wait of a process that starts, each planned restart took a daemon's share of the retries for 12 s.

A process that stops as planned knows what it has used. Once its requests have ended it writes that into its own row of the daemons' table, where the next process reads it anyway, together with its time by the store's clock, and uses the slack no more. The next process counts those retries as its own from its start and has its share at once, if the account is not older than a window. The row is written under the condition that no later process has registered, and the account is removed by the next registration.

The simulated fleets stop as planned as well ('stops').

--- a/core/retry/share.go
+++ b/core/retry/share.go
@@ -24,16 +24,16 @@
 // processes together use no more than the slack in any span.
 //
 // What a process has used is forgotten when it ends, but its retries count for one span
-// longer. Its successor therefore has no part of the slack for that time. For the same
+// longer. Unless it is told of them, its successor has no part of the slack for that time. For the same
 // reason, the part of a daemon that is gone goes to the others one span later. A daemon
 // that doesn't reach the majority has no part, since the others may take it over.
 //
 // It is not safe for concurrent use.
 type Share struct {
 	span time.Duration
-	// joined is set once the daemon has known the fleet, firstStart while the fleet
-	// starts for the first time.
-	joined, firstStart bool
+	// joined is set once the daemon has known the fleet, noWait if no former process
+	// has sent retries that this one doesn't know of.
+	joined, noWait bool
 	// usableFrom is when the daemon may begin to use its part.
 	usableFrom time.Duration
 	// entitled reports whether the daemon reached the majority when it last observed
@@ -51,9 +51,10 @@
 	return &Share{span: span, largest: newSlots(span), quorum: newSlots(quorumMemory)}
 }
 
-// SetFirstStart is called if the whole fleet starts for the first time: no former process
-// has sent any retry, and the part may be used at once.
-func (s *Share) SetFirstStart() { s.firstStart = true }
+// SkipWait makes the part usable as soon as the fleet is known. It is called if no former
+// process has sent retries that this one doesn't know of: the whole fleet starts for the
+// first time, or the former process has handed its account on within the last span.
+func (s *Share) SkipWait() { s.noWait = true }
 
 // Restart is called if other daemons may have taken over this daemon's part: it has none
 // until what they have used meanwhile no longer counts.
@@ -69,7 +70,7 @@
 		return
 	}
 	lapsed := s.joined && now-s.entitledAt > s.span
-	if lapsed || !s.joined && !s.firstStart {
+	if lapsed || !s.joined && !s.noWait {
 		s.Restart(now)
 	}
 	s.joined, s.entitledAt = true, now
--- a/core/retry/share_test.go
+++ b/core/retry/share_test.go
@@ -43,7 +43,7 @@
 func TestTheFirstStartOfAFleetNeedsNoWait(t *testing.T) {
 	is := is.New(t)
 	s := NewShare(testSpan)
-	s.SetFirstStart()
+	s.SkipWait()
 	is.Equal(s.Sharers(testStart), 0)
 	s.Observe(testStart, whole(9))
 	is.Equal(s.Sharers(testStart), 9)
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -78,6 +78,13 @@
 	return max(0, w.allowed(sharers)-float64(w.used()))
 }
 
+// Used returns the retries that count in the window, those included that were taken and
+// have not arrived.
+func (w *Window) Used(now time.Duration) int {
+	w.advance(now)
+	return w.used()
+}
+
 func (w *Window) used() int { return w.pending + w.repeats.sum() }
 
 func (w *Window) allowed(sharers int) float64 {
--- a/daemon/forward/arrivals.go
+++ b/daemon/forward/arrivals.go
@@ -105,6 +105,28 @@
 	f.window(t.service).ReturnRetries(unused)
 }
 
+// RetriesUsed returns how many retries of each service count in its window.
+func (f *Forwarder) RetriesUsed() map[id.Service]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := map[id.Service]int{}
+	for service, w := range f.windows {
+		if used := w.Used(f.Now()); used > 0 {
+			out[service] = used
+		}
+	}
+	return out
+}
+
+// AdoptRetries counts retries that the daemon's former process has sent.
+func (f *Forwarder) AdoptRetries(used map[id.Service]int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for service, n := range used {
+		f.window(service).RecordArrivals(f.Now(), n)
+	}
+}
+
 // arrivalsOfPair is how often a generation that starts again with a new pair of
 // engines arrives: once at the decode engine and, unless its first prefill is still
 // to be accepted, once at the prefill engine.
--- a/daemon/gateway/enroll.go
+++ b/daemon/gateway/enroll.go
@@ -47,6 +47,8 @@
 	Domain  id.Domain `json:"domain"`
 	Peers   string    `json:"peers"`
 	Callers string    `json:"callers"`
+	// Retries is set by a process that has stopped, and removed by the next one.
+	Retries *retryAccount `json:"retries,omitempty"`
 }
 
 // enroll joins the fleet, and retries until the store accepts the enrolment. The
@@ -72,12 +74,15 @@
 	if err != nil {
 		return err
 	}
-	incarnation, first, err := d.register()
+	former, incarnation, err := d.register()
 	if err != nil {
 		return err
 	}
-	if first && d.set.FirstStart {
-		d.retryShare.setFirstStart()
+	if former == nil && d.set.FirstStart {
+		d.retryShare.skipWait()
+	}
+	if former != nil {
+		d.adoptRetries(former.Retries)
 	}
 	material, err := authority.Peer(d.set.Daemon)
 	if err != nil {
@@ -86,26 +91,40 @@
 	return d.join(id.Process{Daemon: d.set.Daemon, Incarnation: incarnation}, keys.FromMaterial(material))
 }
 
-// register writes the daemon's row and returns its incarnation; first reports whether the
-// daemon has never enrolled before.
-func (d *Daemon) register() (incarnation id.Incarnation, first bool, err error) {
-	key := tableDaemons + "/" + string(d.set.Daemon)
-	row, err := d.readRow(key)
+// rowKey is the key of this daemon's row; row is its value.
+func (d *Daemon) rowKey() string { return tableDaemons + "/" + string(d.set.Daemon) }
+
+func (d *Daemon) row() daemonRow {
+	return daemonRow{Domain: d.set.Domain, Peers: d.set.Listen.Peers, Callers: d.set.Listen.Callers}
+}
+
+// register writes the daemon's row. It returns the row of the former process, nil if the
+// daemon has never enrolled, and the incarnation of this one.
+func (d *Daemon) register() (*daemonRow, id.Incarnation, error) {
+	row, err := d.readRow(d.rowKey())
 	if err != nil {
-		return 0, false, err
+		return nil, 0, err
 	}
-	value, err := json.Marshal(daemonRow{Domain: d.set.Domain, Peers: d.set.Listen.Peers, Callers: d.set.Listen.Callers})
+	value, err := json.Marshal(d.row())
 	if err != nil {
-		return 0, false, eris.Wrap(err, "encode the daemon's row")
+		return nil, 0, eris.Wrap(err, "encode the daemon's row")
 	}
-	version, written, err := d.writeRow(key, row.Version, value)
+	version, written, err := d.writeRow(d.rowKey(), row.Version, value)
 	if err != nil {
-		return 0, false, err
+		return nil, 0, err
 	}
 	if !written {
-		return 0, false, eris.New("the daemon's row was changed concurrently")
+		return nil, 0, eris.New("the daemon's row was changed concurrently")
+	}
+	if row.Version == 0 {
+		return nil, id.Incarnation(version), nil
+	}
+	former := &daemonRow{}
+	if err := json.Unmarshal(row.Value, former); err != nil {
+		// Only the account of retries is read from it, without which this process waits.
+		d.logger.Warn("former_row_unreadable", "why", err)
 	}
-	return id.Incarnation(version), row.Version == 0, nil
+	return former, id.Incarnation(version), nil
 }
 
 // join starts the components that need the fleet: the peer transport, the broker,
--- a/daemon/gateway/retryshare.go
+++ b/daemon/gateway/retryshare.go
@@ -16,17 +16,26 @@
 
 	mu    sync.Mutex
 	share *retry.Share
+	// handedOn is set once the share belongs to the next process.
+	handedOn bool
 }
 
 func newRetryShare(now, span time.Duration) *retryShare {
 	return &retryShare{startedAt: now, share: retry.NewShare(span)}
 }
 
-// setFirstStart makes the share usable as soon as the fleet is known.
-func (r *retryShare) setFirstStart() {
+// skipWait makes the share usable as soon as the fleet is known.
+func (r *retryShare) skipWait() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.share.SetFirstStart()
+	r.share.SkipWait()
+}
+
+// handOn leaves the share to the next process of this daemon.
+func (r *retryShare) handOn() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.handedOn = true
 }
 
 // restart is called if others may have declared this daemon dead: they share what it
@@ -60,6 +69,9 @@
 func (r *retryShare) sharers(now time.Duration) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.handedOn {
+		return 0
+	}
 	return r.share.Sharers(now)
 }
 
--- a/daemon/gateway/retryshare_test.go
+++ b/daemon/gateway/retryshare_test.go
@@ -46,6 +46,9 @@
 	// on.
 	startsAt, frozenUntil time.Duration
 	gone                  bool
+	// handedOn is what the last process handed on at handedOnAt; -1 if it did not.
+	handedOn   int
+	handedOnAt time.Duration
 }
 
 type simProcess struct {
@@ -82,7 +85,7 @@
 func (s *simFleet) addHost() {
 	n := len(s.hosts)
 	s.hosts = append(s.hosts, &simHost{
-		name: id.Daemon(fmt.Sprintf("d%03d", n)), domain: id.Domain(fmt.Sprint("domain-", n%4)), startsAt: s.now,
+		name: id.Daemon(fmt.Sprintf("d%03d", n)), domain: id.Domain(fmt.Sprint("domain-", n%4)), startsAt: s.now, handedOn: -1,
 	})
 }
 
@@ -107,6 +110,11 @@
 		share:   newRetryShare(s.now, retrySpan),
 		window:  retry.NewWindow(retry.WindowConfig{Span: retrySpan, Slack: retrySlack, Safety: 1}),
 	}
+	if h.handedOn >= 0 && s.now-h.handedOnAt <= retrySpan {
+		h.process.window.RecordArrivals(s.now, h.handedOn)
+		h.process.share.skipWait()
+	}
+	h.handedOn = -1
 	s.perform(h, h.process.members.MergeHosts(s.now, s.listed(h.name)))
 }
 
@@ -233,6 +241,14 @@
 			s.kill(h, s.between(200*time.Millisecond, 700*time.Millisecond))
 		}
 	},
+	"stops": func(s *simFleet) {
+		for _, h := range s.some(s.rng.Float64()) {
+			if s.acts(h) && h.process.share.sharers(s.now) > 0 {
+				h.handedOn, h.handedOnAt = h.process.window.Used(s.now), s.now
+			}
+			s.kill(h, s.between(200*time.Millisecond, 14*time.Second))
+		}
+	},
 	"outages": func(s *simFleet) {
 		down := s.between(time.Second, 25*time.Second)
 		for _, h := range s.some(s.rng.Float64()) {
@@ -289,8 +305,8 @@
 // them.
 func TestAllProcessesTogetherKeepTheSlackOfRetries(t *testing.T) {
 	schedules := map[string][]string{
-		"kills": {"kills"}, "outages": {"outages"}, "freezes": {"freezes"}, "cuts": {"cuts"}, "growth": {"growth"}, "losses": {"losses"},
-		"all": {"kills", "outages", "freezes", "cuts", "growth", "losses"},
+		"kills": {"kills"}, "stops": {"stops"}, "outages": {"outages"}, "freezes": {"freezes"}, "cuts": {"cuts"}, "growth": {"growth"}, "losses": {"losses"},
+		"all": {"kills", "stops", "outages", "freezes", "cuts", "growth", "losses"},
 	}
 	for name, faults := range schedules {
 		t.Run(name, func(t *testing.T) {
--- a/daemon/gateway/rows.go
+++ b/daemon/gateway/rows.go
@@ -31,6 +31,11 @@
 func (d *Daemon) writeRow(key string, version uint64, value []byte) (uint64, bool, error) {
 	ctx, cancel := context.WithTimeout(d.ctx, enrollTimeout)
 	defer cancel()
+	return d.replaceRow(ctx, key, version, value)
+}
+
+// replaceRow is writeRow within ctx.
+func (d *Daemon) replaceRow(ctx context.Context, key string, version uint64, value []byte) (uint64, bool, error) {
 	reply := d.platform.Store.Run(ctx, table.Request{Transaction: &table.Transaction{
 		Conditions: []table.Condition{{Key: key, Version: version}},
 		Puts:       []table.Put{{Key: key, Value: value}},
