Let a share that was handed on lapse if the fleet becomes known too late

Found by reading: a process adopts its former one's account when it registers, and has its share as soon as it knows the fleet. If the list of daemons could not be read for longer than the rest of the window, the others may have taken the share over meanwhile. TestTheFirstStartOfAFleetNeedsNoWait has the late case.

--- a/core/retry/share.go
+++ b/core/retry/share.go
@@ -24,16 +24,18 @@
 // processes together use no more than the slack in any span.
 //
 // What a process has used is forgotten when it ends, but its retries count for one span
-// longer. Unless it is told of them, its successor has no part of the slack for that time. For the same
-// reason, the part of a daemon that is gone goes to the others one span later. A daemon
-// that doesn't reach the majority has no part, since the others may take it over.
+// longer. Its successor has no part of the slack for that time, unless it is told of
+// them. For the same reason, the part of a daemon that is gone goes to the others one span
+// later. A daemon that doesn't reach the majority has no part, since the others may take
+// it over.
 //
 // It is not safe for concurrent use.
 type Share struct {
 	span time.Duration
-	// joined is set once the daemon has known the fleet, noWait if no former process
-	// has sent retries that this one doesn't know of.
-	joined, noWait bool
+	// joined is set once the daemon has known the fleet. If that happens by noWaitUntil,
+	// it need not wait.
+	joined      bool
+	noWaitUntil time.Duration
 	// usableFrom is when the daemon may begin to use its part.
 	usableFrom time.Duration
 	// entitled reports whether the daemon reached the majority when it last observed
@@ -53,8 +55,9 @@
 
 // SkipWait makes the part usable as soon as the fleet is known. It is called if no former
 // process has sent retries that this one doesn't know of: the whole fleet starts for the
-// first time, or the former process has handed its account on within the last span.
-func (s *Share) SkipWait() { s.noWait = true }
+// first time, or the former process has handed its account on. After until it has no
+// effect: the others may have taken the part over.
+func (s *Share) SkipWait(until time.Duration) { s.noWaitUntil = until }
 
 // Restart is called if other daemons may have taken over this daemon's part: it has none
 // until what they have used meanwhile no longer counts.
@@ -70,7 +73,7 @@
 		return
 	}
 	lapsed := s.joined && now-s.entitledAt > s.span
-	if lapsed || !s.joined && !s.noWait {
+	if lapsed || !s.joined && now > s.noWaitUntil {
 		s.Restart(now)
 	}
 	s.joined, s.entitledAt = true, now
--- a/core/retry/share_test.go
+++ b/core/retry/share_test.go
@@ -43,10 +43,15 @@
 func TestTheFirstStartOfAFleetNeedsNoWait(t *testing.T) {
 	is := is.New(t)
 	s := NewShare(testSpan)
-	s.SkipWait()
+	s.SkipWait(testStart + testSpan)
 	is.Equal(s.Sharers(testStart), 0)
 	s.Observe(testStart, whole(9))
 	is.Equal(s.Sharers(testStart), 9)
+
+	late := NewShare(testSpan)
+	late.SkipWait(testStart)
+	late.Observe(testStart+time.Second, whole(9))
+	is.Equal(late.Sharers(testStart+time.Second), 0) // the others may have taken its part over
 }
 
 // TestTheSharesOfTheDeadAreTakenOverOneSpanLater guards against survivors that use the
--- a/daemon/gateway/retryaccount.go
+++ b/daemon/gateway/retryaccount.go
@@ -55,10 +55,11 @@
 		return
 	}
 	age := d.wall().Sub(time.UnixMilli(a.AtUnixMS))
-	if age < 0 || age > Seconds(d.set.Bounds.RepeatWindowS) {
+	left := Seconds(d.set.Bounds.RepeatWindowS) - age
+	if age < 0 || left < 0 {
 		return
 	}
 	d.forwarder.AdoptRetries(a.Used)
-	d.retryShare.skipWait()
+	d.retryShare.skipWait(d.now() + left)
 	d.logger.Event("retries_adopted", "age", age, "services", len(a.Used))
 }
--- a/daemon/gateway/retryshare.go
+++ b/daemon/gateway/retryshare.go
@@ -24,11 +24,11 @@
 	return &retryShare{startedAt: now, share: retry.NewShare(span)}
 }
 
-// skipWait makes the share usable as soon as the fleet is known.
-func (r *retryShare) skipWait() {
+// skipWait makes the share usable as soon as the fleet is known, if that is by until.
+func (r *retryShare) skipWait(until time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.share.SkipWait()
+	r.share.SkipWait(until)
 }
 
 // handOn leaves the share to the next process of this daemon.
--- a/daemon/gateway/retryshare_test.go
+++ b/daemon/gateway/retryshare_test.go
@@ -110,9 +110,9 @@
 		share:   newRetryShare(s.now, retrySpan),
 		window:  retry.NewWindow(retry.WindowConfig{Span: retrySpan, Slack: retrySlack, Safety: 1}),
 	}
-	if h.handedOn >= 0 && s.now-h.handedOnAt <= retrySpan {
+	if h.handedOn >= 0 {
 		h.process.window.RecordArrivals(s.now, h.handedOn)
-		h.process.share.skipWait()
+		h.process.share.skipWait(h.handedOnAt + retrySpan)
 	}
 	h.handedOn = -1
 	s.perform(h, h.process.members.MergeHosts(s.now, s.listed(h.name)))
