Log why an account of retries is not handed on or not adopted

A process without a share, and an account that is too old, were passed over in silence: the next process then waits for a window, and its operator could not see why.

--- a/daemon/gateway/retryaccount.go
+++ b/daemon/gateway/retryaccount.go
@@ -27,7 +27,7 @@
 func (d *Daemon) handOnRetries() {
 	f := d.fleet.Load()
 	if f == nil || d.retrySharers() == 0 {
-		// A share that can't be used can't be handed on.
+		d.logger.Event("retries_not_handed_on", "why", "this process has no share")
 		return
 	}
 	d.retryShare.handOn()
@@ -57,6 +57,7 @@
 	age := d.wall().Sub(time.UnixMilli(a.AtUnixMS))
 	left := Seconds(d.set.Bounds.RepeatWindowS) - age
 	if age < 0 || left < 0 {
+		d.logger.Event("retries_not_adopted", "age", age, "why", "the account was not written within the window")
 		return
 	}
 	d.forwarder.AdoptRetries(a.Used)
