--- a/cmd/internal/soak/retries.go
+++ b/cmd/internal/soak/retries.go
@@ -97,6 +97,19 @@
 	}
 }
 
+// summary returns a line for each service: its retries in the whole run, to be compared
+// with those that the daemons have logged, and the window that came closest to the limit.
+func (a *arrivals) summary() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []string
+	for name, s := range a.services {
+		out = append(out, fmt.Sprintf("retries: %s got %d in all, at most %s", name, len(s.retries), s.worstWindow()))
+	}
+	slices.Sort(out)
+	return out
+}
+
 // window is a span of retryWindow, with the retries in it and those that are allowed.
 type window struct {
 	start   time.Time
--- a/cmd/internal/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -247,6 +247,9 @@
 	for _, line := range r.checker.violations {
 		fmt.Fprintf(r.cfg.Out, "BROKEN %s\n", line)
 	}
+	for _, line := range r.simulation.arrivals.summary() {
+		fmt.Fprintln(r.cfg.Out, line)
+	}
 	var outcomes []string
 	for label, n := range r.checker.outcomes {
 		outcomes = append(outcomes, fmt.Sprintf("%s: %d", label, n))
