Use one word for a daemon's share of the retries, and one source for the partition time

Comments of Share said part and share; two methods were called sharers and returned different things (sharingFleet now). Two constants repeated the time for which the membership counts silent daemons as partitioned; it is handed in now. The safety factor's comments told a reason that no longer holds. The logged number of sharers was kept in the fleet's state, read by one goroutine only. No decision changes.

--- a/core/retry/share.go
+++ b/core/retry/share.go
@@ -2,15 +2,9 @@
 
 import "time"
 
-const (
-	// joinDelay is how long it takes at most until all daemons of a fleet know of one
-	// that has joined it.
-	joinDelay = 2 * time.Second
-	// quorumMemory is how long a fleet counts as large as it was: daemons that have
-	// been lost meanwhile may be on the other side of a partition. It is the time for
-	// which the membership counts silent daemons as partitioned.
-	quorumMemory = time.Minute
-)
+// joinDelay is how long it takes at most until all daemons of a fleet know of one that has
+// joined it.
+const joinDelay = 2 * time.Second
 
 // Fleet is what a daemon knows of the daemons that share the slack, this one included.
 type Fleet struct {
@@ -20,14 +14,13 @@
 	Reached int
 }
 
-// Share determines which part of the fleet's slack one daemon may use, so that all
-// processes together use no more than the slack in any span.
+// Share determines one daemon's share of the fleet's slack, so that all processes together
+// use no more than the slack in any span.
 //
 // What a process has used is forgotten when it ends, but its retries count for one span
-// longer. Its successor has no part of the slack for that time, unless it is told of
-// them. For the same reason, the part of a daemon that is gone goes to the others one span
-// later. A daemon that doesn't reach the majority has no part, since the others may take
-// it over.
+// longer. Its successor has no share for that time, unless it is told of them. For the
+// same reason, the share of a daemon that is gone goes to the others one span later. A
+// daemon that doesn't reach the majority has no share, since the others may take it over.
 //
 // It is not safe for concurrent use.
 type Share struct {
@@ -36,30 +29,32 @@
 	// it need not wait.
 	joined      bool
 	noWaitUntil time.Duration
-	// usableFrom is when the daemon may begin to use its part.
+	// usableFrom is when the daemon may begin to use its share.
 	usableFrom time.Duration
 	// entitled reports whether the daemon reached the majority when it last observed
 	// the fleet, entitledAt is when it last did.
 	entitled   bool
 	entitledAt time.Duration
 	// largest holds the largest number of daemons in each slot of a span, quorum that in
-	// each slot of quorumMemory.
+	// each slot of the time for which silent daemons count as partitioned.
 	largest slots
 	quorum  slots
 }
 
-// NewShare returns the Share of a process that starts; span is that of the windows.
-func NewShare(span time.Duration) *Share {
-	return &Share{span: span, largest: newSlots(span), quorum: newSlots(quorumMemory)}
+// NewShare returns the Share of a process that starts. span is that of the windows. Daemons
+// that were lost within partitionedFor may be on the other side of a partition: the
+// majority is that of the largest fleet of this time.
+func NewShare(span, partitionedFor time.Duration) *Share {
+	return &Share{span: span, largest: newSlots(span), quorum: newSlots(partitionedFor)}
 }
 
-// SkipWait makes the part usable as soon as the fleet is known. It is called if no former
+// SkipWait makes the share usable as soon as the fleet is known. It is called if no former
 // process has sent retries that this one doesn't know of: the whole fleet starts for the
 // first time, or the former process has handed its account on. After until it has no
-// effect: the others may have taken the part over.
+// effect: the others may have taken the share over.
 func (s *Share) SkipWait(until time.Duration) { s.noWaitUntil = until }
 
-// Restart is called if other daemons may have taken over this daemon's part: it has none
+// Restart is called if other daemons may have taken over this daemon's share: it has none
 // until what they have used meanwhile no longer counts.
 func (s *Share) Restart(now time.Duration) { s.usableFrom = now + s.span + joinDelay }
 
--- a/core/retry/share_test.go
+++ b/core/retry/share_test.go
@@ -10,7 +10,9 @@
 const (
 	testSpan  = 10 * time.Second
 	testStart = time.Minute
-	usableAt  = testStart + testSpan + joinDelay
+	// testPartitioned is how long silent daemons count as partitioned.
+	testPartitioned = time.Minute
+	usableAt        = testStart + testSpan + joinDelay
 )
 
 // whole returns a fleet of the given size, all of which is reached.
@@ -18,7 +20,7 @@
 
 // observing returns a Share that observes a fleet of the given size up to a time.
 func observing(sharers int, until time.Duration) *Share {
-	s := NewShare(testSpan)
+	s := NewShare(testSpan, testPartitioned)
 	for at := testStart; at <= until; at += time.Second {
 		s.Observe(at, whole(sharers))
 	}
@@ -26,7 +28,7 @@
 }
 
 // TestAProcessThatStartsHasNoShareUntilTheRetriesOfItsFormerOneAreOver checks when a
-// process may use its part of the slack, and that it needs to know the fleet for it.
+// process may use its share of the slack, and that it needs to know the fleet for it.
 func TestAProcessThatStartsHasNoShareUntilTheRetriesOfItsFormerOneAreOver(t *testing.T) {
 	is := is.New(t)
 	s := observing(9, testStart+testSpan)
@@ -42,20 +44,20 @@
 // process uses its share as soon as it knows the fleet.
 func TestTheFirstStartOfAFleetNeedsNoWait(t *testing.T) {
 	is := is.New(t)
-	s := NewShare(testSpan)
+	s := NewShare(testSpan, testPartitioned)
 	s.SkipWait(testStart + testSpan)
 	is.Equal(s.Sharers(testStart), 0)
 	s.Observe(testStart, whole(9))
 	is.Equal(s.Sharers(testStart), 9)
 
-	late := NewShare(testSpan)
+	late := NewShare(testSpan, testPartitioned)
 	late.SkipWait(testStart)
 	late.Observe(testStart+time.Second, whole(9))
-	is.Equal(late.Sharers(testStart+time.Second), 0) // the others may have taken its part over
+	is.Equal(late.Sharers(testStart+time.Second), 0) // the others may have taken its share over
 }
 
 // TestTheSharesOfTheDeadAreTakenOverOneSpanLater guards against survivors that use the
-// part of a daemon whose own retries still count. A larger fleet counts at once.
+// share of a daemon whose own retries still count. A larger fleet counts at once.
 func TestTheSharesOfTheDeadAreTakenOverOneSpanLater(t *testing.T) {
 	is := is.New(t)
 	s := observing(9, usableAt)
@@ -70,7 +72,7 @@
 }
 
 // TestAProcessThatWasFrozenForASpanStartsAnew guards against a daemon that wakes up and
-// uses a part that the others have taken over.
+// uses a share that the others have taken over.
 func TestAProcessThatWasFrozenForASpanStartsAnew(t *testing.T) {
 	is := is.New(t)
 	s := observing(9, usableAt)
@@ -85,7 +87,7 @@
 }
 
 // TestAMinorityHasNoShare guards against daemons on both sides of a partition that each
-// use all of the slack. Those that don't come back within quorumMemory are lost for good.
+// use all of the slack. Those that don't come back within testPartitioned are lost for good.
 func TestAMinorityHasNoShare(t *testing.T) {
 	is := is.New(t)
 	s := observing(9, usableAt)
@@ -93,14 +95,14 @@
 	s.Observe(usableAt+time.Second, cut)
 	is.Equal(s.Sharers(usableAt+time.Second), 0)
 	s.Observe(usableAt+2*time.Second, whole(9))
-	is.Equal(s.Sharers(usableAt+2*time.Second), 9) // nobody has taken its part over yet
+	is.Equal(s.Sharers(usableAt+2*time.Second), 9) // nobody has taken its share over yet
 
 	alone := usableAt + 3*time.Second
-	for at := alone; at < alone+quorumMemory; at += time.Second {
+	for at := alone; at < alone+testPartitioned; at += time.Second {
 		s.Observe(at, whole(4))
 		is.Equal(s.Sharers(at), 0)
 	}
-	again := alone + quorumMemory + quorumMemory/slotsPerSpan
+	again := alone + testPartitioned + testPartitioned/slotsPerSpan
 	for at := again; at < again+testSpan+joinDelay; at += time.Second {
 		s.Observe(at, whole(4))
 		is.Equal(s.Sharers(at), 0)
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -11,8 +11,9 @@
 	// Slack is the number of additional retries per window, for all daemons
 	// together.
 	Slack float64
-	// Safety is the fraction of the limit that is used, since the retries of other
-	// daemons at the edge of the window are unknown.
+	// Safety is the fraction of the limit that is used. The rest covers requests that
+	// move between daemons within a window, and retries that an endpoint reads after
+	// their attempt has ended.
 	Safety float64
 }
 
@@ -25,22 +26,22 @@
 type Window struct {
 	cfg      WindowConfig
 	requests slots
-	// repeats holds the retries that have arrived, pending counts those that were taken
+	// arrived holds the retries that have arrived, pending counts those that were taken
 	// and have not: they may wait for an endpoint for seconds, and count from their
 	// arrival on.
-	repeats slots
+	arrived slots
 	pending int
 }
 
 // NewWindow returns an empty Window.
 func NewWindow(cfg WindowConfig) *Window {
-	return &Window{cfg: cfg, requests: newSlots(cfg.Span), repeats: newSlots(cfg.Span)}
+	return &Window{cfg: cfg, requests: newSlots(cfg.Span), arrived: newSlots(cfg.Span)}
 }
 
 // advance clears the slots that have left the window.
 func (w *Window) advance(now time.Duration) {
 	w.requests.advance(now)
-	w.repeats.advance(now)
+	w.arrived.advance(now)
 }
 
 // CountRequest counts a request of a caller.
@@ -66,7 +67,7 @@
 func (w *Window) RecordArrivals(now time.Duration, n int) {
 	w.advance(now)
 	w.pending = max(0, w.pending-n)
-	*w.repeats.current() += n
+	*w.arrived.current() += n
 }
 
 // ReturnRetries gives back n retries that were taken and not sent.
@@ -85,7 +86,7 @@
 	return w.used()
 }
 
-func (w *Window) used() int { return w.pending + w.repeats.sum() }
+func (w *Window) used() int { return w.pending + w.arrived.sum() }
 
 func (w *Window) allowed(sharers int) float64 {
 	share := 0.0
--- a/daemon/gateway/forwarder.go
+++ b/daemon/gateway/forwarder.go
@@ -11,8 +11,8 @@
 // endpoints crash at once.
 const crashesToRefuse = 3
 
-// repeatSafety is the fraction of the bound on retries that the daemons use. Each
-// daemon computes its part from the membership, which lags behind changes.
+// repeatSafety is the fraction of the bound on retries that the daemons use; see
+// retry.WindowConfig.
 const repeatSafety = 0.75
 
 // newForwarder returns the forwarder of this daemon's requests.
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -161,9 +161,6 @@
 	// listed is the number of daemons that the store lists, this one included; 0 until
 	// the list has been read.
 	listed atomic.Int64
-	// loggedSharers is the number of daemons that shared the retries' slack when it was
-	// last logged.
-	loggedSharers atomic.Int64
 	// owner is set while this daemon owns a pool.
 	owner atomic.Bool
 	// broadcasts is set while this daemon sends changes of the store's tables to the
--- a/daemon/gateway/reading.go
+++ b/daemon/gateway/reading.go
@@ -60,11 +60,12 @@
 func (d *Daemon) updateReading(f *fleet) {
 	decision := readers.NewDecision(f.self.Daemon)
 	reads, logged := false, false
+	sharers := 0
 	var asHub hub
 	d.every(readersInterval, func() {
 		entries := f.members.Entries()
 		f.recordPeersLost(d.now(), entries)
-		d.logRetryShare(f)
+		sharers = d.logRetryShare(f, sharers)
 		candidates := readingCandidates(entries)
 		now := decision.Decide(d.now(), candidates, !decision.StartupOver() && f.onlyOne())
 		chosen := decision.Chosen()
--- a/daemon/gateway/retryshare.go
+++ b/daemon/gateway/retryshare.go
@@ -21,7 +21,7 @@
 }
 
 func newRetryShare(now, span time.Duration) *retryShare {
-	return &retryShare{startedAt: now, share: retry.NewShare(span)}
+	return &retryShare{startedAt: now, share: retry.NewShare(span, memberConfig().PartitionedFor)}
 }
 
 // skipWait makes the share usable as soon as the fleet is known, if that is by until.
@@ -46,22 +46,11 @@
 	r.share.Restart(now)
 }
 
-// fleetView is what a daemon knows of the fleet.
-type fleetView struct {
-	// entries are those of the membership, this daemon's included.
-	entries []member.Entry
-	// listed is the number of daemons that the store lists, this one included; 0 until
-	// the list has been read.
-	listed int
-	// isolated is set while the daemon has lost most of the fleet.
-	isolated bool
-}
-
 // observe records what the daemon knows of the fleet.
 func (r *retryShare) observe(now time.Duration, v fleetView) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.share.Observe(now, v.sharers(now-r.startedAt))
+	r.share.Observe(now, v.sharingFleet(now-r.startedAt))
 }
 
 // sharers returns among how many daemons the slack is divided; 0 while this daemon may
@@ -75,21 +64,29 @@
 	return r.share.Sharers(now)
 }
 
-// unheardTime is how long after its start a daemon counts those that the store lists and
-// from which it has heard nothing: they may be on the other side of a partition, as
-// silent daemons may be for as long. After that they count as gone for good.
-const unheardTime = time.Minute
+// fleetView is what a daemon knows of the fleet.
+type fleetView struct {
+	// entries are those of the membership, this daemon's included.
+	entries []member.Entry
+	// listed is the number of daemons that the store lists, this one included; 0 until
+	// the list has been read.
+	listed int
+	// isolated is set while the daemon has lost most of the fleet.
+	isolated bool
+}
 
-// sharers returns the daemons that share the slack. They are unknown until the membership
-// contains all daemons that the store lists: a daemon that counted itself alone would use
-// all of the slack. age is that of this process.
-func (v fleetView) sharers(age time.Duration) retry.Fleet {
+// sharingFleet returns the daemons that share the slack. They are unknown until the
+// membership contains all daemons that the store lists: a daemon that counted itself alone
+// would use all of the slack. Daemons that are listed and were never heard may be on the
+// other side of a partition. They count until this process has run for as long as silent
+// daemons count as partitioned; age is how long it has run.
+func (v fleetView) sharingFleet(age time.Duration) retry.Fleet {
 	if v.listed == 0 || len(v.entries) < v.listed {
 		return retry.Fleet{}
 	}
 	counted := quotas.CountFleet(v.entries)
 	out := retry.Fleet{Daemons: counted.Daemons, Reached: counted.Reached}
-	if age < unheardTime {
+	if age < memberConfig().PartitionedFor {
 		out.Daemons += v.unheard()
 	}
 	if v.isolated {
@@ -120,16 +117,18 @@
 	return d.retryShare.sharers(d.now())
 }
 
-// logRetryShare logs this daemon's share of the slack whenever it has changed.
-func (d *Daemon) logRetryShare(f *fleet) {
+// logRetryShare logs this daemon's share of the slack if the number of sharers is another
+// one than before, and returns that number.
+func (d *Daemon) logRetryShare(f *fleet, before int) int {
 	sharers := d.retrySharers()
-	if before := f.loggedSharers.Swap(int64(sharers)); before == int64(sharers) {
-		return
+	if sharers == before {
+		return sharers
 	}
 	v := f.view()
-	seen := v.sharers(d.now() - d.retryShare.startedAt)
+	seen := v.sharingFleet(d.now() - d.retryShare.startedAt)
 	d.logger.Event("retry_share_changed", "sharers", sharers, "daemons", seen.Daemons, "reached", seen.Reached,
 		"isolated", v.isolated, "listed", v.listed)
+	return sharers
 }
 
 // view returns what the daemon knows of the fleet.
