Show the closest window of a soak's retries, and test the check of the limit

The summary compared with an empty window, which is always the farthest from the limit once there are requests, and printed that. The check of the limit itself was right; it had no test, and has one now.

--- a/cmd/internal/soak/retries.go
+++ b/cmd/internal/soak/retries.go
@@ -125,12 +125,12 @@
 }
 
 // worstWindow returns the window, among those that begin with a retry, whose retries
-// exceed the limit most or come closest to it.
+// exceed the limit most or come closest to it; an empty one if there was no retry.
 func (s *serviceArrivals) worstWindow() window {
 	worst := window{allowed: retrySlack}
-	for _, start := range s.retries {
+	for i, start := range s.retries {
 		w := window{start: start, retries: countFrom(s.retries, start), allowed: retryRatio*float64(s.requestsFor(start)) + retrySlack}
-		if w.excess() > worst.excess() {
+		if i == 0 || w.excess() > worst.excess() {
 			worst = w
 		}
 	}
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -71,6 +71,40 @@
 	is.Equal(violations(0, 20), 1) // the limit allows 10, the tolerance 9 more
 }
 
+// The checker must report a service that got more retries in a window than the requests of
+// the window, or of one shortly before it, allow; and the retries must be counted as
+// arrivals beyond the first, without the first prefill that was accepted.
+func TestCheckerFindsAnExceededRetryLimit(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	// 60 retries, where 58 and a fifth of the requests are allowed.
+	violations := func(requests int, sentAt, spread time.Duration) int {
+		a, check := newArrivals(), newChecker()
+		s := a.of(plainSvc)
+		for range requests {
+			s.requests = append(s.requests, start.Add(sentAt))
+		}
+		for i := range 60 {
+			s.retries = append(s.retries, start.Add(time.Duration(i)*spread))
+		}
+		a.check(check)
+		return len(check.violations)
+	}
+	is.Equal(violations(9, 0, time.Millisecond), 1)
+	is.Equal(violations(10, 0, time.Millisecond), 0)
+	is.Equal(violations(10, 60*time.Millisecond-retryWindow, time.Millisecond), 0) // before each of the windows
+	is.Equal(violations(10, -retryWindow-time.Millisecond, time.Millisecond), 1)
+	is.Equal(violations(0, 0, retryWindow/58+1), 0) // no window holds more than 58
+
+	a := newArrivals()
+	a.recordPrefill(engineSvc, "r")
+	a.recordArrival(engineSvc, "r")
+	is.Equal(len(a.of(engineSvc).retries), 0)
+	a.recordPrefill(engineSvc, "r")
+	a.recordArrival(engineSvc, "r")
+	is.Equal(len(a.of(engineSvc).retries), 2)
+}
+
 // A seed must always give the same faults in the same order.
 func TestPlanIsReproducible(t *testing.T) {
 	is := is.New(t)
