Hand on the windows of the retries, not only their number

The next process counted all that its former one had retried, as of now, and none of the requests that had paid for most of it, so that it could retry nothing for long.

The account now has the windows themselves, slot by slot: requests and retries with their ages. The next process goes on as the former one would. Since the slots of two processes don't begin at the same time, retries are dated a slot later and requests two slots earlier.

--- a/core/retry/slots.go
+++ b/core/retry/slots.go
@@ -31,6 +31,17 @@
 // current returns the newest slot.
 func (s *slots) current() *int { return &s.values[s.newest%int64(len(s.values))] }
 
+// at returns the slot that is the given number of slots older than the newest one; at most
+// slotsPerSpan.
+func (s *slots) at(age int) *int {
+	count := int64(len(s.values))
+	slot := (s.newest - int64(age)) % count
+	if slot < 0 {
+		slot += count
+	}
+	return &s.values[slot]
+}
+
 func (s *slots) sum() int {
 	n := 0
 	for _, v := range s.values {
@@ -53,3 +64,19 @@
 	}
 	return most
 }
+
+// newestFirst returns the numbers of all slots.
+func (s *slots) newestFirst() []int {
+	out := make([]int, len(s.values))
+	for age := range out {
+		out[age] = *s.at(age)
+	}
+	return out
+}
+
+// addAt adds n to the slot of the given age, unless that has left the span.
+func (s *slots) addAt(age, n int) {
+	if age <= slotsPerSpan {
+		*s.at(age) += n
+	}
+}
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -79,13 +79,6 @@
 	return max(0, w.allowed(sharers)-float64(w.used()))
 }
 
-// Used returns the retries that count in the window, those included that were taken and
-// have not arrived.
-func (w *Window) Used(now time.Duration) int {
-	w.advance(now)
-	return w.used()
-}
-
 func (w *Window) used() int { return w.pending + w.arrived.sum() }
 
 func (w *Window) allowed(sharers int) float64 {
@@ -95,3 +88,33 @@
 	}
 	return w.cfg.Safety * (w.cfg.Ratio*float64(w.requests.sum()) + share)
 }
+
+// WindowState is the content of a Window, for another process that goes on with it. Each
+// number is that of one slot, a twentieth of the span, the newest first.
+type WindowState struct {
+	Requests []int `json:"requests,omitempty"`
+	// Retries includes, in its newest slot, those that were taken and have not arrived.
+	Retries []int `json:"retries,omitempty"`
+}
+
+// State returns the content of the window.
+func (w *Window) State(now time.Duration) WindowState {
+	w.advance(now)
+	out := WindowState{Requests: w.requests.newestFirst(), Retries: w.arrived.newestFirst()}
+	out.Retries[0] += w.pending
+	return out
+}
+
+// Restore adds the content of another process's window, which is of the given age. The two
+// processes' slots needn't begin at the same time: retries are dated one slot later than
+// they may have arrived, and requests two slots earlier, so that the limit still holds.
+func (w *Window) Restore(now, age time.Duration, state WindowState) {
+	w.advance(now)
+	older := int(age / w.arrived.length)
+	for slot, n := range state.Retries {
+		w.arrived.addAt(max(0, older+slot-1), n)
+	}
+	for slot, n := range state.Requests {
+		w.requests.addAt(older+slot+2, n)
+	}
+}
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -138,3 +138,65 @@
 		}
 	})
 }
+
+// TestAWindowThatIsHandedOnStaysWithinTheLimit checks, in any order of events, that
+// processes which go on with the window of the one before them keep the limit as one
+// process does, although the clock of each begins at another time.
+func TestAWindowThatIsHandedOnStaysWithinTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := WindowConfig{Span: testSpan, Ratio: 0.2, Slack: 6, Safety: 1}
+		w := NewWindow(cfg)
+		var now, clock time.Duration
+		var requests, retries []time.Duration
+		count := func(all []time.Duration, since time.Duration) (n int) {
+			for _, at := range all {
+				if at >= since {
+					n++
+				}
+			}
+			return n
+		}
+		for range rapid.IntRange(1, 300).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 800).Draw(t, "pause")) * time.Millisecond
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0:
+				state := w.State(now + clock)
+				age := time.Duration(rapid.IntRange(0, 9000).Draw(t, "age")) * time.Millisecond
+				now += age
+				clock = time.Duration(rapid.IntRange(0, 100_000).Draw(t, "clock")) * time.Millisecond
+				w = NewWindow(cfg)
+				w.Restore(now+clock, age, state)
+			case 1, 2, 3, 4:
+				w.CountRequest(now + clock)
+				requests = append(requests, now)
+			default:
+				if !send(w, now+clock, 1, 1) {
+					continue
+				}
+				retries = append(retries, now)
+				limit := cfg.Slack + cfg.Ratio*float64(count(requests, now-testSpan-testSpan/slotsPerSpan))
+				if got := count(retries, now-testSpan+1); float64(got) > limit {
+					t.Fatalf("%d retries, the limit is %v", got, limit)
+				}
+			}
+		}
+	})
+}
+
+// TestAWindowThatIsHandedOnIsNotEmpty checks that the next process has the credit of the
+// former one's requests, and the retries that are under way.
+func TestAWindowThatIsHandedOnIsNotEmpty(t *testing.T) {
+	is := is.New(t)
+	cfg := WindowConfig{Span: testSpan, Ratio: 0.2, Slack: 3, Safety: 1}
+	w := NewWindow(cfg)
+	for range 20 {
+		w.CountRequest(time.Minute)
+	}
+	is.True(send(w, time.Minute, 2, 1))
+	is.True(w.TakeRetries(time.Minute, 1, 1))
+	next := NewWindow(cfg)
+	next.Restore(time.Second, time.Second, w.State(time.Minute))
+	is.Equal(next.Left(time.Second, 1), 4.0) // 3 and a fifth of 20, less 3
+	is.Equal(next.Left(8*time.Second, 1), 4.0)
+	is.Equal(next.Left(11*time.Second, 1), 3.0) // all have left the window
+}
--- a/daemon/forward/arrivals.go
+++ b/daemon/forward/arrivals.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/retry"
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
@@ -81,8 +82,8 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	// Under the lock: once the share has been handed on, RetriesUsed counts every retry
-	// that was allowed by it.
+	// Under the lock: once the share has been handed on, RetryWindows has every retry that
+	// was allowed by it.
 	sharers := f.RetrySharers()
 	if !f.window(service).TakeRetries(f.Now(), unpaid, sharers) {
 		f.stats.deniedRetries.Inc()
@@ -107,25 +108,25 @@
 	f.window(t.service).ReturnRetries(unused)
 }
 
-// RetriesUsed returns how many retries of each service count in its window.
-func (f *Forwarder) RetriesUsed() map[id.Service]int {
+// RetryWindows returns the contents of the windows of all services, for the daemon's next
+// process.
+func (f *Forwarder) RetryWindows() map[id.Service]retry.WindowState {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := map[id.Service]int{}
+	out := map[id.Service]retry.WindowState{}
 	for service, w := range f.windows {
-		if used := w.Used(f.Now()); used > 0 {
-			out[service] = used
-		}
+		out[service] = w.State(f.Now())
 	}
 	return out
 }
 
-// AdoptRetries counts retries that the daemon's former process has sent.
-func (f *Forwarder) AdoptRetries(used map[id.Service]int) {
+// RestoreRetryWindows goes on with the windows of the daemon's former process, whose
+// contents are of the given age.
+func (f *Forwarder) RestoreRetryWindows(age time.Duration, states map[id.Service]retry.WindowState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for service, n := range used {
-		f.window(service).RecordArrivals(f.Now(), n)
+	for service, state := range states {
+		f.window(service).Restore(f.Now(), age, state)
 	}
 }
 
--- a/daemon/gateway/retryaccount.go
+++ b/daemon/gateway/retryaccount.go
@@ -6,16 +6,17 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/retry"
 )
 
 // retryAccount is what a process hands on to the next one of its daemon at a planned stop,
-// in the daemon's row: the retries that still count against the daemon's share of the
-// slack. Without it the next process has no share for a window.
+// in the daemon's row: the windows of the retry limit. Without it the next process has no
+// share of the slack for a window.
 type retryAccount struct {
 	// AtUnixMS is when it was written, in milliseconds since 1970 by the store's clock.
 	AtUnixMS int64 `json:"at_ms"`
-	// Used is the number of retries of each service within the window.
-	Used map[id.Service]int `json:"used,omitempty"`
+	// Windows are the requests and retries of each service that still count.
+	Windows map[id.Service]retry.WindowState `json:"windows,omitempty"`
 }
 
 // handOnTimeout bounds the store call in which a stopping daemon hands its account on. It
@@ -32,7 +33,7 @@
 	}
 	d.retryShare.handOn()
 	row := d.row()
-	row.Retries = &retryAccount{AtUnixMS: d.wall().UnixMilli(), Used: d.forwarder.RetriesUsed()}
+	row.Retries = &retryAccount{AtUnixMS: d.wall().UnixMilli(), Windows: d.forwarder.RetryWindows()}
 	value, err := json.Marshal(row)
 	if err != nil {
 		d.logger.Warn("retries_not_handed_on", "why", err)
@@ -45,7 +46,7 @@
 		d.logger.Warn("retries_not_handed_on", "written", written, "why", err)
 		return
 	}
-	d.logger.Event("retries_handed_on", "services", len(row.Retries.Used))
+	d.logger.Event("retries_handed_on", "services", len(row.Retries.Windows))
 }
 
 // adoptRetries takes over the account of the former process. It must have been written
@@ -60,7 +61,7 @@
 		d.logger.Event("retries_not_adopted", "age", age, "why", "the account was not written within the window")
 		return
 	}
-	d.forwarder.AdoptRetries(a.Used)
+	d.forwarder.RestoreRetryWindows(age, a.Windows)
 	d.retryShare.skipWait(d.now() + left)
-	d.logger.Event("retries_adopted", "age", age, "services", len(a.Used))
+	d.logger.Event("retries_adopted", "age", age, "services", len(a.Windows))
 }
--- a/daemon/gateway/retryshare_test.go
+++ b/daemon/gateway/retryshare_test.go
@@ -46,8 +46,9 @@
 	// on.
 	startsAt, frozenUntil time.Duration
 	gone                  bool
-	// handedOn is what the last process handed on at handedOnAt; -1 if it did not.
-	handedOn   int
+	// handedOn is the window that the last process handed on at handedOnAt; nil if it did
+	// not.
+	handedOn   *retry.WindowState
 	handedOnAt time.Duration
 }
 
@@ -85,7 +86,7 @@
 func (s *simFleet) addHost() {
 	n := len(s.hosts)
 	s.hosts = append(s.hosts, &simHost{
-		name: id.Daemon(fmt.Sprintf("d%03d", n)), domain: id.Domain(fmt.Sprint("domain-", n%4)), startsAt: s.now, handedOn: -1,
+		name: id.Daemon(fmt.Sprintf("d%03d", n)), domain: id.Domain(fmt.Sprint("domain-", n%4)), startsAt: s.now,
 	})
 }
 
@@ -110,11 +111,11 @@
 		share:   newRetryShare(s.now, retrySpan),
 		window:  retry.NewWindow(retry.WindowConfig{Span: retrySpan, Slack: retrySlack, Safety: 1}),
 	}
-	if h.handedOn >= 0 {
-		h.process.window.RecordArrivals(s.now, h.handedOn)
+	if h.handedOn != nil {
+		h.process.window.Restore(s.now, s.now-h.handedOnAt, *h.handedOn)
 		h.process.share.skipWait(h.handedOnAt + retrySpan)
 	}
-	h.handedOn = -1
+	h.handedOn = nil
 	s.perform(h, h.process.members.MergeHosts(s.now, s.listed(h.name)))
 }
 
@@ -244,7 +245,8 @@
 	"stops": func(s *simFleet) {
 		for _, h := range s.some(s.rng.Float64()) {
 			if s.acts(h) && h.process.share.sharers(s.now) > 0 {
-				h.handedOn, h.handedOnAt = h.process.window.Used(s.now), s.now
+				state := h.process.window.State(s.now)
+				h.handedOn, h.handedOnAt = &state, s.now
 			}
 			s.kill(h, s.between(200*time.Millisecond, 14*time.Second))
 		}
