Let the daemons of a fleet's first start wait for each other before they share the slack

At the first start of a fleet each daemon had its share at once, and the first one to be asked divided the slack by those that it knew then, itself or one more.

At a first start a daemon now waits for the 2 s in which all others learn of one that has joined, and knows them. One that joins later than a window after its start waits as after any other start.

--- a/core/retry/share.go
+++ b/core/retry/share.go
@@ -2,9 +2,20 @@
 
 import "time"
 
-// joinDelay is how long it takes at most until all daemons of a fleet know of one that has
-// joined it.
-const joinDelay = 2 * time.Second
+// DefaultJoinDelay is how long it takes at most until all daemons of a fleet know of one
+// that has joined it.
+const DefaultJoinDelay = 2 * time.Second
+
+// ShareConfig sets the times of a Share.
+type ShareConfig struct {
+	// Span is that of the windows.
+	Span time.Duration
+	// PartitionedFor is how long daemons that were lost may be on the other side of a
+	// partition: the majority is that of the largest fleet of this time.
+	PartitionedFor time.Duration
+	// JoinDelay is how long it takes until all daemons know of one that has joined.
+	JoinDelay time.Duration
+}
 
 // Fleet is what a daemon knows of the daemons that share the slack, this one included.
 type Fleet struct {
@@ -24,11 +35,12 @@
 //
 // It is not safe for concurrent use.
 type Share struct {
-	span time.Duration
-	// joined is set once the daemon has known the fleet. If that happens by noWaitUntil,
-	// it need not wait.
-	joined      bool
-	noWaitUntil time.Duration
+	cfg ShareConfig
+	// joined is set once the daemon has known the fleet. If that happens by adoptedUntil,
+	// it goes on with the share of its former process; if by firstUntil, the fleet starts
+	// for the first time.
+	joined                   bool
+	adoptedUntil, firstUntil time.Duration
 	// usableFrom is when the daemon may begin to use its share.
 	usableFrom time.Duration
 	// entitled reports whether the daemon reached the majority when it last observed
@@ -41,22 +53,24 @@
 	quorum  slots
 }
 
-// NewShare returns the Share of a process that starts. span is that of the windows. Daemons
-// that were lost within partitionedFor may be on the other side of a partition: the
-// majority is that of the largest fleet of this time.
-func NewShare(span, partitionedFor time.Duration) *Share {
-	return &Share{span: span, largest: newSlots(span), quorum: newSlots(partitionedFor)}
+// NewShare returns the Share of a process that starts.
+func NewShare(cfg ShareConfig) *Share {
+	return &Share{cfg: cfg, largest: newSlots(cfg.Span), quorum: newSlots(cfg.PartitionedFor)}
 }
 
-// SkipWait makes the share usable as soon as the fleet is known. It is called if no former
-// process has sent retries that this one doesn't know of: the whole fleet starts for the
-// first time, or the former process has handed its account on. After until it has no
-// effect: the others may have taken the share over.
-func (s *Share) SkipWait(until time.Duration) { s.noWaitUntil = until }
+// Adopt is called if the former process has handed its windows on. The share is usable as
+// soon as the fleet is known, if that is by until: later, the others may have taken it
+// over.
+func (s *Share) Adopt(until time.Duration) { s.adoptedUntil = until }
+
+// SetFirstStart is called if the whole fleet starts for the first time. No former process
+// has sent retries, so that a daemon that knows the fleet by until need only wait until
+// the others know of it.
+func (s *Share) SetFirstStart(until time.Duration) { s.firstUntil = until }
 
 // Restart is called if other daemons may have taken over this daemon's share: it has none
 // until what they have used meanwhile no longer counts.
-func (s *Share) Restart(now time.Duration) { s.usableFrom = now + s.span + joinDelay }
+func (s *Share) Restart(now time.Duration) { s.usableFrom = now + s.cfg.Span + s.cfg.JoinDelay }
 
 // Observe records what the daemon knows of the fleet. It is called at least a few times
 // per span.
@@ -67,17 +81,32 @@
 	if !s.entitled {
 		return
 	}
-	lapsed := s.joined && now-s.entitledAt > s.span
-	if lapsed || !s.joined && now > s.noWaitUntil {
+	switch {
+	case !s.joined:
+		s.join(now)
+	case now-s.entitledAt > s.cfg.Span:
 		s.Restart(now)
 	}
 	s.joined, s.entitledAt = true, now
 }
 
+// join decides from when on a process may use its share that has just got to know the
+// fleet.
+func (s *Share) join(now time.Duration) {
+	switch {
+	case now <= s.adoptedUntil:
+		s.usableFrom = now
+	case now <= s.firstUntil:
+		s.usableFrom = now + s.cfg.JoinDelay
+	default:
+		s.Restart(now)
+	}
+}
+
 // Sharers returns among how many daemons the slack is divided: the most that were
 // observed within the last span. It is 0 while this daemon may use none of the slack.
 func (s *Share) Sharers(now time.Duration) int {
-	if !s.entitled || now < s.usableFrom || now-s.entitledAt > s.span {
+	if !s.entitled || now < s.usableFrom || now-s.entitledAt > s.cfg.Span {
 		return 0
 	}
 	s.largest.advance(now)
--- a/core/retry/share_test.go
+++ b/core/retry/share_test.go
@@ -12,15 +12,19 @@
 	testStart = time.Minute
 	// testPartitioned is how long silent daemons count as partitioned.
 	testPartitioned = time.Minute
-	usableAt        = testStart + testSpan + joinDelay
+	usableAt        = testStart + testSpan + DefaultJoinDelay
 )
 
+func newTestShare() *Share {
+	return NewShare(ShareConfig{Span: testSpan, PartitionedFor: testPartitioned, JoinDelay: DefaultJoinDelay})
+}
+
 // whole returns a fleet of the given size, all of which is reached.
 func whole(daemons int) Fleet { return Fleet{Daemons: daemons, Reached: daemons} }
 
 // observing returns a Share that observes a fleet of the given size up to a time.
 func observing(sharers int, until time.Duration) *Share {
-	s := NewShare(testSpan, testPartitioned)
+	s := newTestShare()
 	for at := testStart; at <= until; at += time.Second {
 		s.Observe(at, whole(sharers))
 	}
@@ -40,20 +44,38 @@
 	is.Equal(s.Sharers(usableAt), 0)
 }
 
-// TestTheFirstStartOfAFleetNeedsNoWait checks that a daemon that can have no former
-// process uses its share as soon as it knows the fleet.
-func TestTheFirstStartOfAFleetNeedsNoWait(t *testing.T) {
+// TestTheFirstStartOfAFleetWaitsForTheOthersOnly guards against daemons that each use all
+// of the slack before they know each other, and against a wait for former processes that
+// there were none of.
+func TestTheFirstStartOfAFleetWaitsForTheOthersOnly(t *testing.T) {
+	is := is.New(t)
+	s := newTestShare()
+	s.SetFirstStart(testStart + testSpan)
+	s.Observe(testStart, whole(1))
+	is.Equal(s.Sharers(testStart), 0)
+	s.Observe(testStart+DefaultJoinDelay, whole(9))
+	is.Equal(s.Sharers(testStart+DefaultJoinDelay), 9)
+
+	late := newTestShare()
+	late.SetFirstStart(testStart)
+	late.Observe(testStart+time.Second, whole(9))
+	is.Equal(late.Sharers(testStart+time.Second+DefaultJoinDelay), 0) // the others already use the slack
+}
+
+// TestAShareThatIsHandedOnIsUsableAtOnce checks that a process that knows what its former
+// one has used goes on with its share, unless the others may have taken it over.
+func TestAShareThatIsHandedOnIsUsableAtOnce(t *testing.T) {
 	is := is.New(t)
-	s := NewShare(testSpan, testPartitioned)
-	s.SkipWait(testStart + testSpan)
+	s := newTestShare()
+	s.Adopt(testStart + testSpan)
 	is.Equal(s.Sharers(testStart), 0)
 	s.Observe(testStart, whole(9))
 	is.Equal(s.Sharers(testStart), 9)
 
-	late := NewShare(testSpan, testPartitioned)
-	late.SkipWait(testStart)
+	late := newTestShare()
+	late.Adopt(testStart)
 	late.Observe(testStart+time.Second, whole(9))
-	is.Equal(late.Sharers(testStart+time.Second), 0) // the others may have taken its share over
+	is.Equal(late.Sharers(testStart+time.Second), 0)
 }
 
 // TestTheSharesOfTheDeadAreTakenOverOneSpanLater guards against survivors that use the
@@ -80,10 +102,10 @@
 	is.Equal(s.Sharers(woke), 0)
 	s.Observe(woke, whole(9))
 	is.Equal(s.Sharers(woke), 0)
-	for at := woke; at <= woke+testSpan+joinDelay; at += time.Second {
+	for at := woke; at <= woke+testSpan+DefaultJoinDelay; at += time.Second {
 		s.Observe(at, whole(9))
 	}
-	is.Equal(s.Sharers(woke+testSpan+joinDelay), 9)
+	is.Equal(s.Sharers(woke+testSpan+DefaultJoinDelay), 9)
 }
 
 // TestAMinorityHasNoShare guards against daemons on both sides of a partition that each
@@ -103,10 +125,10 @@
 		is.Equal(s.Sharers(at), 0)
 	}
 	again := alone + testPartitioned + testPartitioned/slotsPerSpan
-	for at := again; at < again+testSpan+joinDelay; at += time.Second {
+	for at := again; at < again+testSpan+DefaultJoinDelay; at += time.Second {
 		s.Observe(at, whole(4))
 		is.Equal(s.Sharers(at), 0)
 	}
-	s.Observe(again+testSpan+joinDelay, whole(4))
-	is.Equal(s.Sharers(again+testSpan+joinDelay), 4)
+	s.Observe(again+testSpan+DefaultJoinDelay, whole(4))
+	is.Equal(s.Sharers(again+testSpan+DefaultJoinDelay), 4)
 }
--- a/daemon/gateway/enroll.go
+++ b/daemon/gateway/enroll.go
@@ -79,7 +79,7 @@
 		return err
 	}
 	if former == nil && d.set.FirstStart {
-		d.retryShare.skipWait(d.now() + Seconds(d.set.Bounds.RepeatWindowS))
+		d.retryShare.setFirstStart(d.retryShare.startedAt + Seconds(d.set.Bounds.RepeatWindowS))
 	}
 	if former != nil {
 		d.adoptRetries(former.Retries)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/poison"
 	"github.com/samphirequay/samphirequay/core/registry"
+	"github.com/samphirequay/samphirequay/core/retry"
 	"github.com/samphirequay/samphirequay/core/revision/table"
 	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/core/verdict"
@@ -96,6 +97,9 @@
 	Wall func() time.Time
 	// PanicOnViolation makes a violated invariant panic, for tests.
 	PanicOnViolation bool
+	// FleetIsComplete makes a daemon that starts take all daemons that it knows for the
+	// whole fleet at once, and not when others have had the time to join, for tests.
+	FleetIsComplete bool
 }
 
 // Daemon is one running daemon.
@@ -230,7 +234,11 @@
 	d.metrics.GaugeFunc("registry_unlisted", metrics.UnitCount, "Endpoints that the store no longer lists and that are kept, since they may have lapsed with it.", func() float64 {
 		return float64(d.tables.current().Lapsed)
 	})
-	d.retryShare = newRetryShare(d.now(), Seconds(d.set.Bounds.RepeatWindowS))
+	joinDelay := retry.DefaultJoinDelay
+	if d.opts.FleetIsComplete {
+		joinDelay = 0
+	}
+	d.retryShare = newRetryShare(d.now(), Seconds(d.set.Bounds.RepeatWindowS), joinDelay)
 	d.forwarder = d.newForwarder()
 	d.provisionTunnels()
 	return nil
--- a/daemon/gateway/retryaccount.go
+++ b/daemon/gateway/retryaccount.go
@@ -62,6 +62,6 @@
 		return
 	}
 	d.forwarder.RestoreRetryWindows(age, a.Windows)
-	d.retryShare.skipWait(d.now() + left)
+	d.retryShare.adopt(d.now() + left)
 	d.logger.Event("retries_adopted", "age", age, "services", len(a.Windows))
 }
--- a/daemon/gateway/retryshare.go
+++ b/daemon/gateway/retryshare.go
@@ -20,15 +20,25 @@
 	handedOn bool
 }
 
-func newRetryShare(now, span time.Duration) *retryShare {
-	return &retryShare{startedAt: now, share: retry.NewShare(span, memberConfig().PartitionedFor)}
+func newRetryShare(now, span, joinDelay time.Duration) *retryShare {
+	return &retryShare{startedAt: now, share: retry.NewShare(retry.ShareConfig{
+		Span: span, PartitionedFor: memberConfig().PartitionedFor, JoinDelay: joinDelay,
+	})}
 }
 
-// skipWait makes the share usable as soon as the fleet is known, if that is by until.
-func (r *retryShare) skipWait(until time.Duration) {
+// adopt goes on with the share of the former process, if the fleet is known by until.
+func (r *retryShare) adopt(until time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.share.SkipWait(until)
+	r.share.Adopt(until)
+}
+
+// setFirstStart is called if the whole fleet starts for the first time. It has an effect if
+// the fleet is known by until.
+func (r *retryShare) setFirstStart(until time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.share.SetFirstStart(until)
 }
 
 // handOn leaves the share to the next process of this daemon.
--- a/daemon/gateway/retryshare_test.go
+++ b/daemon/gateway/retryshare_test.go
@@ -33,7 +33,6 @@
 	retries []time.Duration
 	// processes counts the processes so far; it gives them their incarnations.
 	processes uint64
-	perStep   int
 }
 
 // simHost is one host, on which one process runs at a time; process is nil while none
@@ -46,6 +45,8 @@
 	// on.
 	startsAt, frozenUntil time.Duration
 	gone                  bool
+	// enrolled is set once a process of the host has started: the store lists the host.
+	enrolled bool
 	// handedOn is the window that the last process handed on at handedOnAt; nil if it did
 	// not.
 	handedOn   *retry.WindowState
@@ -56,6 +57,10 @@
 	members *member.Membership
 	share   *retryShare
 	window  *retry.Window
+	// listed is the number of hosts that the store listed when the process last read the
+	// list, at readAt.
+	listed int
+	readAt time.Duration
 }
 
 type simMessage struct {
@@ -73,12 +78,17 @@
 	simSeeds   = 2
 	simDaemons = 9
 	simLength  = 70 * time.Second
+	// simBegin is when the fleet starts for the first time, its hosts within
+	// simStartSpread.
+	simBegin       = time.Hour
+	simStartSpread = 500 * time.Millisecond
 )
 
 func newSimFleet(seed uint64, size int) *simFleet {
-	s := &simFleet{rng: rand.New(rand.NewPCG(seed, 3)), now: time.Hour, side: map[id.Daemon]int{}, perStep: 3}
+	s := &simFleet{rng: rand.New(rand.NewPCG(seed, 3)), now: simBegin, side: map[id.Daemon]int{}}
 	for range size {
 		s.addHost()
+		s.hosts[len(s.hosts)-1].startsAt += s.between(0, simStartSpread)
 	}
 	return s
 }
@@ -90,11 +100,15 @@
 	})
 }
 
+// firstStart reports whether the fleet starts for the first time. Its hosts start within
+// simStartSpread.
+func (s *simFleet) firstStart() bool { return s.now < simBegin+simStartSpread }
+
 // listed returns the hosts as the store lists them.
 func (s *simFleet) listed(except id.Daemon) []member.Host {
 	var out []member.Host
 	for _, h := range s.hosts {
-		if h.name != except {
+		if h.enrolled && h.name != except {
 			out = append(out, member.Host{Name: h.name, Domain: h.domain, Address: string(h.name)})
 		}
 	}
@@ -108,15 +122,28 @@
 	}
 	h.process = &simProcess{
 		members: member.New(memberConfig(), self, s.now, rand.New(rand.NewPCG(s.processes, 4))),
-		share:   newRetryShare(s.now, retrySpan),
+		share:   newRetryShare(s.now, retrySpan, retry.DefaultJoinDelay),
 		window:  retry.NewWindow(retry.WindowConfig{Span: retrySpan, Slack: retrySlack, Safety: 1}),
 	}
+	if s.firstStart() {
+		h.process.share.setFirstStart(s.now + retrySpan)
+	}
 	if h.handedOn != nil {
 		h.process.window.Restore(s.now, s.now-h.handedOnAt, *h.handedOn)
-		h.process.share.skipWait(h.handedOnAt + retrySpan)
+		h.process.share.adopt(h.handedOnAt + retrySpan)
 	}
 	h.handedOn = nil
-	s.perform(h, h.process.members.MergeHosts(s.now, s.listed(h.name)))
+	h.enrolled = true
+	s.readList(h)
+}
+
+// listInterval is how often a process reads the store's list of hosts.
+const listInterval = time.Second
+
+func (s *simFleet) readList(h *simHost) {
+	hosts := s.listed(h.name)
+	h.process.listed, h.process.readAt = len(hosts)+1, s.now
+	s.perform(h, h.process.members.MergeHosts(s.now, hosts))
 }
 
 // perform carries out the actions of a host's membership.
@@ -161,12 +188,13 @@
 	if h.process == nil {
 		return
 	}
-	p.share.observe(s.now, fleetView{entries: p.members.View(), listed: len(s.hosts), isolated: p.members.Isolated()})
-	for range s.perStep {
-		if p.window.TakeRetries(s.now, 1, p.share.sharers(s.now)) {
-			p.window.RecordArrivals(s.now, 1)
-			s.retries = append(s.retries, s.now)
-		}
+	if s.now-p.readAt >= listInterval {
+		s.readList(h)
+	}
+	p.share.observe(s.now, fleetView{entries: p.members.View(), listed: p.listed, isolated: p.members.Isolated()})
+	for p.window.TakeRetries(s.now, 1, p.share.sharers(s.now)) {
+		p.window.RecordArrivals(s.now, 1)
+		s.retries = append(s.retries, s.now)
 	}
 }
 
