Log how a stream's end was marked, and what followed its last whole event

Neither a line nor a counter told how an endpoint's answer is framed, so that the hypotheses of the streams that end short looked the same. The lines of a stream and stream_broke have framed and tail_bytes now.

--- a/daemon/forward/decode.go
+++ b/daemon/forward/decode.go
@@ -73,6 +73,7 @@
 	}
 	g.runs++
 	g.trace.mayHaveRun = true
+	g.trace.unframed = opened.Unframed
 	g.progress(sched.Progress{Phase: sched.PhaseDecoding, Endpoint: engine.Name})
 	return opened, nil
 }
--- a/daemon/forward/forward.go
+++ b/daemon/forward/forward.go
@@ -107,7 +107,11 @@
 	firstEventTime time.Duration
 	// maxGap is the longest pause between a stream's events.
 	maxGap time.Duration
-	reason string
+	// unframed is Opened.Unframed of the stream's last engine or endpoint, tailBytes the
+	// number of bytes of the event that was incomplete when that stream ended.
+	unframed  bool
+	tailBytes int
+	reason    string
 	// fingerprint is the request's fingerprint; zero until fingerprintOf computes
 	// it.
 	fingerprint poison.Fingerprint
--- a/daemon/forward/record.go
+++ b/daemon/forward/record.go
@@ -27,6 +27,9 @@
 	if t.prefill != "" {
 		kv = append(kv, "prefill", t.prefill, "waited", t.engineWait, "read", t.prefillTime, "first", t.firstEventTime)
 	}
+	if t.firstEventTime > 0 {
+		kv = append(kv, "framed", !t.unframed, "tail_bytes", t.tailBytes)
+	}
 	if t.arrivals.repeats() > 0 || t.arrivals.paid > 0 {
 		kv = append(kv, "repeats", t.arrivals.repeats(), "repeats_paid", t.arrivals.paid,
 			"repeats_sharers", t.arrivals.sharers, "repeats_account_age", t.arrivals.accountAge)
--- a/daemon/forward/relay.go
+++ b/daemon/forward/relay.go
@@ -147,6 +147,7 @@
 		n, err := s.opened.Events.Read(buf[:])
 		s.pending = append(s.pending, buf[:n]...)
 		if errors.Is(err, io.EOF) {
+			s.trace.tailBytes = len(s.pending) - completeEventsLen(s.pending)
 			s.moveToReady(len(s.pending))
 			s.complete()
 			return io.EOF
@@ -218,6 +219,7 @@
 // request has ended.
 func (s *relay) dropEngine(cause error) {
 	_ = s.opened.Events.Close()
+	s.trace.tailBytes = len(s.pending)
 	s.pending = s.pending[:0]
 	if s.ctx.Err() != nil {
 		s.finish(sched.PhaseCancelled)
@@ -228,7 +230,8 @@
 		s.f.recordBreak(s.request, s.trace, s.trace.endpoint, poison.ProgressOf(s.engineEventAt > 0, s.f.Now()-s.engineEventAt))
 	}
 	s.engineEventAt = 0
-	s.f.Log.Event("stream_broke", "request", s.request.ID, "endpoint", s.trace.endpoint, "behind", s.lastEvent, "why", cause)
+	s.f.Log.Event("stream_broke", "request", s.request.ID, "endpoint", s.trace.endpoint, "behind", s.lastEvent,
+		"framed", !s.trace.unframed, "tail_bytes", s.trace.tailBytes, "why", cause)
 	s.progress(sched.Progress{Phase: sched.PhaseFailed, Endpoint: s.trace.endpoint})
 	s.grant = sched.Grant{}
 }
--- a/daemon/forward/types.go
+++ b/daemon/forward/types.go
@@ -132,6 +132,9 @@
 	// Body is set instead of Events if the endpoint answered with an error.
 	Body   []byte
 	Events EventStream
+	// Unframed is set if the stream has neither a length nor chunks and ends with its
+	// connection.
+	Unframed bool
 }
 
 // Endpoints sends requests to endpoints. The verdict of an error states whether
--- a/daemon/upstream/answer.go
+++ b/daemon/upstream/answer.go
@@ -32,6 +32,13 @@
 // Header is the answer's header, valid until Close.
 func (a *Answer) Header() *fasthttp.ResponseHeader { return &a.resp.Header }
 
+// Unframed reports whether the answer has neither a length nor chunks: it ends with its
+// connection, so that a break can look like the regular end. It applies to streams.
+func (a *Answer) Unframed() bool { return a.resp.Header.ContentLength() == unframedLength }
+
+// unframedLength is the content length that fasthttp reports for such an answer.
+const unframedLength = -2
+
 // Body is the whole body of an answer that is not streamed, valid until Close.
 func (a *Answer) Body() []byte { return a.resp.Body() }
 
@@ -94,7 +101,7 @@
 }
 
 // Read reads the body of a stream as it arrives. It returns io.EOF only at the
-// regular end of the body.
+// regular end of the body, or when the connection of an Unframed answer ends.
 func (a *Answer) Read(b []byte) (int, error) {
 	body := a.resp.BodyStream()
 	if body == nil {
@@ -143,8 +150,7 @@
 // idleLife is how long the connection may stay idle; false if it must be closed.
 func (a *Answer) idleLife() (time.Duration, bool) {
 	h := &a.resp.Header
-	unframed := h.ContentLength() == -2
-	if !a.complete || unframed || a.conn.tunnelled || h.ConnectionClose() || a.conn.reader.Buffered() > 0 {
+	if !a.complete || a.Unframed() || a.conn.tunnelled || h.ConnectionClose() || a.conn.reader.Buffered() > 0 {
 		return 0, false
 	}
 	timeout, ok := keepAliveTimeout(string(h.Peek("Keep-Alive")))
