Take the end of an unframed stream for its end only after a whole event of a live engine

What callers saw: a stream that an engine had broken off reached them as a complete answer, with a part of an event at its end.

Cause: an answer with neither a length nor chunks ends with its connection. The relay took io.EOF for the regular end, whatever was left of an event, wrote the last chunk, logged 'answered', told the pool's owner that all went well, and cleared the request of the crashes that count against it.

Now a body that ends inside an event is broken off, however it is framed. Without framing it is also broken off before its first event, and when its engine accepts no connection any more: a process that crashes closes its connections in order, mostly between two events. The break then goes the way of all breaks: resumed where that is allowed, else cut, and evidence if the engine has crashed. Why it holds: what vouches for an end is now the framing, or a whole event together with an engine that lives; an engine that lives and breaks off between two events can't be told from one that has finished, and remains.

Events end with an empty line whose ends are LF, CR LF or CR; before, events with CR LF were held back until the end of the stream, which this check would have taken for a break. An answer that states another format needs no whole event. A missing Content-Type is no longer reported as text/plain by the HTTP library.

--- a/daemon/forward/decode.go
+++ b/daemon/forward/decode.go
@@ -55,6 +55,7 @@
 	startedAt := f.Now()
 	g.trace.attempts++
 	g.trace.endpoint = engine.Name
+	g.engine = engine
 	f.countUnlisted(g.trace, engine)
 	attempt := g.newAttempt(engine)
 	attempt.AtMostOnce = !g.trace.route.Resumable
@@ -73,7 +74,7 @@
 	}
 	g.runs++
 	g.trace.mayHaveRun = true
-	g.trace.unframed = opened.Unframed
+	g.trace.unframed = opened.Events != nil && opened.Events.Unframed()
 	g.progress(sched.Progress{Phase: sched.PhaseDecoding, Endpoint: engine.Name})
 	return opened, nil
 }
--- /dev/null
+++ b/daemon/forward/events.go
@@ -0,0 +1,85 @@
+package forward
+
+import "bytes"
+
+// eventBuffer holds the bytes of a stream that do not make up a whole event yet.
+type eventBuffer struct {
+	partial []byte
+	// whole is the length of the whole events at the start of partial, which add has
+	// returned.
+	whole int
+}
+
+// add appends bytes of the stream and returns the whole events that they complete, valid
+// until the next call. Comment lines between events and empty lines count as whole.
+func (b *eventBuffer) add(p []byte) []byte {
+	b.partial = append(b.partial[:0], b.partial[b.whole:]...)
+	b.partial = append(b.partial, p...)
+	b.whole = completeEventsLen(b.partial)
+	return b.partial[:b.whole]
+}
+
+// rest returns the bytes of an event that is not whole, valid until the next call of add.
+func (b *eventBuffer) rest() []byte { return b.partial[b.whole:] }
+
+// reset drops all bytes.
+func (b *eventBuffer) reset() {
+	b.partial = b.partial[:0]
+	b.whole = 0
+}
+
+// completeEventsLen is the length of the complete events at the start of b, which starts
+// between two events.
+func completeEventsLen(b []byte) int {
+	complete := 0
+	inEvent := false
+	for rest := b; ; {
+		line, after, ended := cutLine(rest)
+		if !ended {
+			return complete
+		}
+		rest = after
+		switch {
+		case len(line) == 0:
+			inEvent = false
+		case line[0] != ':':
+			inEvent = true
+		}
+		if !inEvent {
+			complete = len(b) - len(rest)
+		}
+	}
+}
+
+// cutLine returns the first line of b without its end, and what follows. A line ends with
+// LF, CR LF or CR. ended is false if b holds no end of a line. A CR at the end of b counts
+// as one: a LF that follows later reads as an empty line, which adds nothing to a stream.
+func cutLine(b []byte) (line, after []byte, ended bool) {
+	i := bytes.IndexAny(b, "\r\n")
+	if i < 0 {
+		return nil, b, false
+	}
+	end := i + 1
+	if b[i] == '\r' && end < len(b) && b[end] == '\n' {
+		end++
+	}
+	return b[:i], b[end:], true
+}
+
+// idField starts the line with an event's id.
+var idField = []byte("id:")
+
+// eventIDs returns the number of ids in whole events, and the last one.
+func eventIDs(events []byte) (count int, last string) {
+	for {
+		line, after, ended := cutLine(events)
+		if !ended {
+			return count, last
+		}
+		events = after
+		if value, ok := bytes.CutPrefix(line, idField); ok {
+			last = string(bytes.TrimSpace(value))
+			count++
+		}
+	}
+}
--- /dev/null
+++ b/daemon/forward/events_test.go
@@ -0,0 +1,64 @@
+package forward
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestCompleteEvents(t *testing.T) {
+	cases := []struct {
+		name, whole, rest string
+	}{
+		{"nothing", "", ""},
+		{"one event", "id: 1\ndata: a\n\n", ""},
+		{"two and a part", "id: 1\n\nid: 2\n\n", "id: 3\n"},
+		{"without an empty line", "", "data: a\n"},
+		{"in the middle of a line", "data: a\n\n", "da"},
+		{"lines that end with CR LF", "id: 1\r\ndata: a\r\n\r\n", "id: 2\r\n"},
+		{"lines that end with CR", "id: 1\rdata: a\r\r", "id: 2\r"},
+		{"mixed ends of lines", "id: 1\r\ndata: a\n\r\n", ""},
+		{"a comment between events", "data: a\n\n: alive\n", ""},
+		{"a comment inside an event", "", "data: a\n: alive\n"},
+		{"empty lines", "\n\r\n\r", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(completeEventsLen([]byte(c.whole+c.rest)), len(c.whole))
+		})
+	}
+}
+
+func TestEventIDs(t *testing.T) {
+	is := is.New(t)
+	for _, end := range []string{"\n", "\r\n", "\r"} {
+		events := strings.ReplaceAll("id: 1\ndata: id: 9\n\ndata: b\nid:2 \n\n", "\n", end)
+		count, last := eventIDs([]byte(events))
+		is.Equal(count, 2)
+		is.Equal(last, "2")
+	}
+}
+
+// FuzzEventBufferKeepsTheStream checks that no byte is lost or moved, wherever reads
+// split the stream, and that the same bytes are whole in the end.
+func FuzzEventBufferKeepsTheStream(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: alive\nid: 3\rdata", uint8(1))
+	f.Add("\r\n\r\n\n\r", uint8(2))
+	f.Add("data: a\n\n", uint8(0))
+	f.Fuzz(func(t *testing.T, stream string, size uint8) {
+		var b eventBuffer
+		passed := ""
+		step := int(size%16) + 1
+		for at := 0; at < len(stream); at += step {
+			passed += string(b.add([]byte(stream[at:min(at+step, len(stream))])))
+		}
+		if passed+string(b.rest()) != stream {
+			t.Fatalf("passed %q and kept %q of %q", passed, b.rest(), stream)
+		}
+		if whole := completeEventsLen([]byte(stream)); len(passed) != whole {
+			t.Fatalf("passed %d bytes of %q, %d are whole", len(passed), stream, whole)
+		}
+	})
+}
--- a/daemon/forward/forward.go
+++ b/daemon/forward/forward.go
@@ -107,8 +107,8 @@
 	firstEventTime time.Duration
 	// maxGap is the longest pause between a stream's events.
 	maxGap time.Duration
-	// unframed is Opened.Unframed of the stream's last engine or endpoint, tailBytes the
-	// number of bytes of the event that was incomplete when that stream ended.
+	// unframed is set if the body of the last endpoint ends with its connection,
+	// tailBytes the number of bytes of the event that was incomplete at its end.
 	unframed  bool
 	tailBytes int
 	reason    string
--- a/daemon/forward/leaving_test.go
+++ b/daemon/forward/leaving_test.go
@@ -87,6 +87,12 @@
 // SetReadDeadline implements EventStream.
 func (emptyStream) SetReadDeadline(time.Time) error { return nil }
 
+// Unframed implements EventStream.
+func (emptyStream) Unframed() bool { return false }
+
+// NotEvents implements EventStream.
+func (emptyStream) NotEvents() bool { return false }
+
 // newStreamTest returns a Forwarder with two prefill and two decode engines, a
 // request, and a function that marks an engine as leaving.
 func newStreamTest(t *testing.T, engines *recordingEngines, owner Pairer) (f *Forwarder, r *Request, leave func(id.Endpoint)) {
--- a/daemon/forward/plainstream.go
+++ b/daemon/forward/plainstream.go
@@ -65,7 +65,7 @@
 		return &Reply{Status: opened.Status, Header: opened.Header, Body: opened.Body}
 	}
 	t.firstEventTime = f.Now() - r.Arrived
-	t.unframed = opened.Unframed
+	t.unframed = opened.Events.Unframed()
 	f.done(e, startedAt, balance.OK)
 	body := &plainBody{EventStream: opened.Events, f: f, ctx: ctx, cancel: cancel, request: r, trace: t, status: opened.Status}
 	return &Reply{Status: opened.Status, Header: opened.Header, Events: body}
--- a/daemon/forward/relay.go
+++ b/daemon/forward/relay.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -25,11 +24,11 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	opened *Opened
-	// pending holds the bytes of an incomplete event, ready the complete events
-	// that were not passed on yet.
-	pending []byte
-	ready   []byte
-	events  int
+	// buffer holds the bytes of an incomplete event, ready the complete events that
+	// were not passed on yet.
+	buffer eventBuffer
+	ready  []byte
+	events int
 	// eventAt is when the last event arrived; 0 before the first.
 	eventAt time.Duration
 	// engineEventAt is when the first event of the current engine arrived; 0 before it.
@@ -145,57 +144,40 @@
 			_ = s.opened.Events.SetReadDeadline(time.Now().Add(stallTimeout))
 		}
 		n, err := s.opened.Events.Read(buf[:])
-		s.pending = append(s.pending, buf[:n]...)
-		if errors.Is(err, io.EOF) {
-			s.trace.tailBytes = len(s.pending) - completeEventsLen(s.pending)
-			s.moveToReady(len(s.pending))
-			s.complete()
-			return io.EOF
-		}
-		if end := completeEventsLen(s.pending); end > 0 {
-			s.moveToReady(end)
-			if err == nil {
-				return nil
-			}
-		}
-		if err != nil {
+		events := s.buffer.add(buf[:n])
+		s.pass(events)
+		switch {
+		case errors.Is(err, io.EOF):
+			return s.endOfBody()
+		case err != nil:
 			return err
+		case len(events) > 0:
+			return nil
 		}
 	}
 }
 
-// moveToReady moves n bytes from pending to ready.
-func (s *relay) moveToReady(n int) {
-	events := s.pending[:n]
-	s.trackEvents(events)
-	s.ready = append(s.ready, events...)
-	s.pending = append(s.pending[:0], s.pending[n:]...)
-}
-
-// eventEnd is the empty line after an event; idField starts the line with the
-// event's id.
-var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
-)
-
-// completeEventsLen is the length of the complete events at the start of b.
-func completeEventsLen(b []byte) int {
-	i := bytes.LastIndex(b, eventEnd)
-	if i < 0 {
-		return 0
+// endOfBody handles the end of the engine's body. It returns io.EOF if that is the regular
+// end of the stream.
+func (s *relay) endOfBody() error {
+	if err := s.f.checkEnd(s.opened.Events, s.engine, s.engineEventAt > 0, s.buffer.rest()); err != nil {
+		return err
 	}
-	return i + len(eventEnd)
+	s.ready = append(s.ready, s.buffer.rest()...)
+	s.complete()
+	return io.EOF
 }
 
-// trackEvents counts the events, and stores the last event id and the longest
-// pause between events.
-func (s *relay) trackEvents(events []byte) {
-	for line := range bytes.Lines(events) {
-		if value, ok := bytes.CutPrefix(line, idField); ok {
-			s.lastEvent = string(bytes.TrimSpace(value))
-			s.events++
-		}
+// pass makes complete events ready to be passed on, and records the last event id and the
+// longest pause between events.
+func (s *relay) pass(events []byte) {
+	if len(events) == 0 {
+		return
+	}
+	s.ready = append(s.ready, events...)
+	if count, last := eventIDs(events); count > 0 {
+		s.events += count
+		s.lastEvent = last
 	}
 	now := s.f.Now()
 	if s.eventAt > 0 {
@@ -219,8 +201,8 @@
 // request has ended.
 func (s *relay) dropEngine(cause error) {
 	_ = s.opened.Events.Close()
-	s.trace.tailBytes = len(s.pending)
-	s.pending = s.pending[:0]
+	s.trace.tailBytes = len(s.buffer.rest())
+	s.buffer.reset()
 	if s.ctx.Err() != nil {
 		s.finish(sched.PhaseCancelled)
 		return
--- a/daemon/forward/stream.go
+++ b/daemon/forward/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/registry"
 	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/core/sched"
 	"github.com/samphirequay/samphirequay/core/verdict"
@@ -56,6 +57,8 @@
 	avoid    []id.Endpoint
 	// grant is the grant in use; its Request is the id of the Want.
 	grant sched.Grant
+	// engine is the decode engine of the last attempt.
+	engine registry.Endpoint
 	// worstErr is the error so far whose verdict guarantees least.
 	worstErr *verdict.Error
 }
--- /dev/null
+++ b/daemon/forward/streamend.go
@@ -0,0 +1,33 @@
+package forward
+
+import (
+	"errors"
+
+	"github.com/samphirequay/samphirequay/core/registry"
+)
+
+// Reasons why the end of an endpoint's body is not the end of its answer.
+var (
+	errInsideEvent  = errors.New("the stream ended inside an event")
+	errNoEvent      = errors.New("the connection ended before the first event")
+	errEndpointGone = errors.New("the connection ended, and the endpoint accepts no new one")
+)
+
+// checkEnd returns an error if a stream whose body has ended was broken off. begun is set
+// if a whole event has arrived, and rest holds the bytes after the last one.
+//
+// The end of an unframed answer is that of its connection, which a process that crashes
+// brings about as well. It is trusted after a whole event, of an endpoint that still runs.
+func (f *Forwarder) checkEnd(s EventStream, e registry.Endpoint, begun bool, rest []byte) error {
+	switch {
+	case !s.NotEvents() && len(rest) > 0:
+		return errInsideEvent
+	case !s.Unframed():
+		return nil
+	case !begun && len(rest) == 0:
+		return errNoEvent
+	case !f.reachable(e):
+		return errEndpointGone
+	}
+	return nil
+}
--- a/daemon/forward/types.go
+++ b/daemon/forward/types.go
@@ -118,11 +118,18 @@
 	Invalid string
 }
 
-// EventStream is the body of a stream from an endpoint.
+// EventStream is the body of a stream from an endpoint. Read returns io.EOF at its end,
+// and any other error if it is certainly broken off.
 type EventStream interface {
 	io.ReadCloser
 	// SetReadDeadline bounds the next reads.
 	SetReadDeadline(t time.Time) error
+	// Unframed reports whether the body has neither a length nor chunks: the end of its
+	// connection is its end, also if the endpoint has crashed.
+	Unframed() bool
+	// NotEvents reports whether the answer states a format other than a series of
+	// events.
+	NotEvents() bool
 }
 
 // Opened is an endpoint's answer to Decode, whose header has arrived.
@@ -132,9 +139,6 @@
 	// Body is set instead of Events if the endpoint answered with an error.
 	Body   []byte
 	Events EventStream
-	// Unframed is set if the stream has neither a length nor chunks and ends with its
-	// connection.
-	Unframed bool
 }
 
 // Endpoints sends requests to endpoints. The verdict of an error states whether
--- a/daemon/upstream/answer.go
+++ b/daemon/upstream/answer.go
@@ -67,6 +67,8 @@
 		a.resp.Reset()
 		a.resp.SkipBody = c.Request.Header.IsHead()
 		a.resp.StreamBody = c.Stream
+		// Without it the library reports a type for an answer that states none.
+		a.resp.Header.SetNoDefaultContentType(true)
 		if err := a.resp.ReadLimitBody(a.conn.reader, a.pool.opts.MaxBodyBytes); err != nil {
 			return err
 		}
