Trust the end of an unframed stream of an engine that leaves as planned

A server that shuts down closes its listener first and finishes its answers then. With the check that an engine still accepts connections, the whole unframed stream of such an engine would have been cut. An engine that has announced its leaving, or is no longer listed, is not asked. TestAWholeUnframedStreamOfALeavingEngineIsComplete fails without it.

--- a/daemon/forward/streamend.go
+++ b/daemon/forward/streamend.go
@@ -17,7 +17,8 @@
 // if a whole event has arrived, and rest holds the bytes after the last one.
 //
 // The end of an unframed answer is that of its connection, which a process that crashes
-// brings about as well. It is trusted after a whole event, of an endpoint that still runs.
+// brings about as well. It is trusted after a whole event, unless the endpoint seems to have
+// crashed.
 func (f *Forwarder) checkEnd(s EventStream, e registry.Endpoint, begun bool, rest []byte) error {
 	switch {
 	case !s.NotEvents() && len(rest) > 0:
@@ -26,8 +27,16 @@
 		return nil
 	case !begun && len(rest) == 0:
 		return errNoEvent
-	case !f.reachable(e):
+	case f.seemsCrashed(e):
 		return errEndpointGone
 	}
 	return nil
 }
+
+// seemsCrashed reports whether an endpoint accepts no connection any more, from this host
+// or another. One that leaves as planned may refuse new connections while it finishes its
+// answers.
+func (f *Forwarder) seemsCrashed(e registry.Endpoint) bool {
+	known, listed := f.View().Endpoints[e.Name]
+	return listed && !known.Leaving && !f.reachable(e)
+}
