Check the end of unframed streams of services without engines as well

The same cause as in the streams of engines: plainBody passed the end of the connection on as the end of the stream, also inside an event, before the first one and when the endpoint had crashed, and cleared the request of the crashes against it.

The bytes still pass as they arrive; only what follows the last whole event is kept.

--- a/daemon/forward/plainstream.go
+++ b/daemon/forward/plainstream.go
@@ -67,7 +67,7 @@
 	t.firstEventTime = f.Now() - r.Arrived
 	t.unframed = opened.Events.Unframed()
 	f.done(e, startedAt, balance.OK)
-	body := &plainBody{EventStream: opened.Events, f: f, ctx: ctx, cancel: cancel, request: r, trace: t, status: opened.Status}
+	body := &plainBody{EventStream: opened.Events, f: f, ctx: ctx, cancel: cancel, request: r, trace: t, endpoint: e, status: opened.Status}
 	return &Reply{Status: opened.Status, Header: opened.Header, Events: body}
 }
 
@@ -80,24 +80,44 @@
 	cancel  context.CancelFunc
 	request *Request
 	trace   *trace
-	status  int
+	// endpoint is the one that serves the stream.
+	endpoint registry.Endpoint
+	status   int
+	// buffer holds the bytes after the last whole event; begun is set once there was one.
+	buffer eventBuffer
+	begun  bool
 	// firstPartAt is when the first part of the body arrived; 0 before it.
 	firstPartAt time.Duration
-	ended       error
+	// ended is the error with which the body ended, io.EOF for its regular end.
+	ended error
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. Any error but io.EOF means that the stream is not complete.
 func (b *plainBody) Read(p []byte) (int, error) {
+	if b.ended != nil {
+		return 0, b.ended
+	}
 	n, err := b.EventStream.Read(p)
 	if n > 0 && b.firstPartAt == 0 {
 		b.firstPartAt = b.f.Now()
 	}
-	if err != nil {
-		b.ended = err
+	b.begun = len(b.buffer.add(p[:n])) > 0 || b.begun
+	if errors.Is(err, io.EOF) {
+		err = b.endOfBody()
 	}
+	b.ended = err
 	return n, err
 }
 
+// endOfBody returns io.EOF if the end of the body is the regular end of the stream.
+func (b *plainBody) endOfBody() error {
+	b.trace.tailBytes = len(b.buffer.rest())
+	if err := b.f.checkEnd(b.EventStream, b.endpoint, b.begun, b.buffer.rest()); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
 // Close implements io.Closer. It records the outcome of the request.
 func (b *plainBody) Close() error {
 	err := b.EventStream.Close()
