Log the software version that served a stream, and which stream its caller takes up

The lines could not tell a stream that a daemon continues itself from one that its caller takes up, nor which version served. A registered endpoint keeps the version of its software now, request, stream_broke, stream_resumed and endpoint_changed show it, and a request's line says behind which event and of which attempt its caller goes on. Nothing decides by it yet.

--- a/core/id/id.go
+++ b/core/id/id.go
@@ -19,6 +19,10 @@
 // Instance is the name that an endpoint itself uses; a restart may keep it.
 type Instance string
 
+// Software names a version of the software that an endpoint runs; empty if it is not
+// known. Versions have no order.
+type Software string
+
 // Domain names a failure domain.
 type Domain string
 
--- a/core/registry/endpoint.go
+++ b/core/registry/endpoint.go
@@ -27,6 +27,8 @@
 	Slots int
 	// Role of a model engine; empty for a plain endpoint.
 	Role live.Role
+	// Software is the version of the endpoint's software.
+	Software id.Software
 	// Leaving is set once the endpoint has announced that it accepts no new work.
 	Leaving bool
 	// UnlistedSince is since when, by the daemon's clock, the store no longer has
--- a/daemon/forward/decode.go
+++ b/daemon/forward/decode.go
@@ -55,6 +55,7 @@
 	startedAt := f.Now()
 	g.trace.attempts++
 	g.trace.endpoint = engine.Name
+	g.trace.software = engine.Software
 	g.engine = engine
 	f.countUnlisted(g.trace, engine)
 	attempt := g.newAttempt(engine)
--- a/daemon/forward/forward.go
+++ b/daemon/forward/forward.go
@@ -99,8 +99,10 @@
 	attempts   int
 	arrivals   arrivals
 	// unlisted counts the attempts at endpoints that the store no longer lists.
-	unlisted       int
-	endpoint       id.Endpoint
+	unlisted int
+	endpoint id.Endpoint
+	// software is the version of the endpoint's software at the last attempt.
+	software       id.Software
 	prefill        id.Endpoint
 	engineWait     time.Duration
 	prefillTime    time.Duration
--- a/daemon/forward/plainstream.go
+++ b/daemon/forward/plainstream.go
@@ -28,6 +28,7 @@
 		startedAt := f.Now()
 		t.attempts++
 		t.endpoint = endpoint.Name
+		t.software = endpoint.Software
 		f.countUnlisted(t, endpoint)
 		limit := f.deadline(r, t.route)
 		opened, err := f.Endpoints.Decode(ctx, &Attempt{
--- a/daemon/forward/record.go
+++ b/daemon/forward/record.go
@@ -30,6 +30,12 @@
 	if t.firstEventTime > 0 {
 		kv = append(kv, "framed", !t.unframed, "tail_bytes", t.tailBytes)
 	}
+	if t.software != "" {
+		kv = append(kv, "software", t.software)
+	}
+	if r.LastEvent != "" {
+		kv = append(kv, "behind", r.LastEvent, "resumes", r.Resumes)
+	}
 	if t.arrivals.repeats() > 0 || t.arrivals.paid > 0 {
 		kv = append(kv, "repeats", t.arrivals.repeats(), "repeats_paid", t.arrivals.paid,
 			"repeats_sharers", t.arrivals.sharers, "repeats_account_age", t.arrivals.accountAge)
--- a/daemon/forward/relay.go
+++ b/daemon/forward/relay.go
@@ -118,7 +118,7 @@
 	s.opened.Events = opened.Events
 	s.f.stats.resumedStreams.Inc()
 	s.f.Log.Event("stream_resumed", "request", s.request.ID, "behind", s.lastEvent, "endpoint", s.trace.endpoint,
-		"tokens", s.request.PromptTokens)
+		"software", s.trace.software, "tokens", s.request.PromptTokens)
 	return nil
 }
 
@@ -212,7 +212,7 @@
 		s.f.recordBreak(s.request, s.trace, s.trace.endpoint, poison.ProgressOf(s.engineEventAt > 0, s.f.Now()-s.engineEventAt))
 	}
 	s.engineEventAt = 0
-	s.f.Log.Event("stream_broke", "request", s.request.ID, "endpoint", s.trace.endpoint, "behind", s.lastEvent,
+	s.f.Log.Event("stream_broke", "request", s.request.ID, "endpoint", s.trace.endpoint, "software", s.trace.software, "behind", s.lastEvent,
 		"framed", !s.trace.unframed, "tail_bytes", s.trace.tailBytes, "why", cause)
 	s.progress(sched.Progress{Phase: sched.PhaseFailed, Endpoint: s.trace.endpoint})
 	s.grant = sched.Grant{}
--- a/daemon/gateway/endpointtable.go
+++ b/daemon/gateway/endpointtable.go
@@ -121,7 +121,7 @@
 	for name, e := range now {
 		if before, known := old[name]; !known || before != e {
 			d.logger.Event("endpoint_changed", "endpoint", name, "service", e.Service, "address", e.Address,
-				"role", e.Role, "leaving", e.Leaving, "unlisted", e.Unlisted(), "known", known)
+				"role", e.Role, "software", e.Software, "leaving", e.Leaving, "unlisted", e.Unlisted(), "known", known)
 		}
 	}
 	for name, e := range old {
