Continue a broken stream only at the software version that began it

What callers saw: an answer with events of two software versions of its engines, which do not fit together. In the record an engine of v1.2 crashes in the middle of an answer, and the daemon goes on at an engine of v1, within the same answer.

Cause: the version of an engine's software was read from its entry and dropped. A request for engines could not ask for one, the pool's owner could not tell two apart, and the daemon did not compare.

Now a stream is tied to the version whose event was passed on first; before that any engine will do. Its further requests for engines name the version, the owner grants only decode engines of it, and the daemon compares with its own tables before it sends: the owner may be of an older build or know an older entry. Where no engine of the version serves, it is refused at once; one that waits for its version does not hold up those behind it, and what finds no room there says nothing about the other engines.

--- a/core/kvsched/endpoint.go
+++ b/core/kvsched/endpoint.go
@@ -13,12 +13,14 @@
 
 // endpoint is the ledger's view of one engine.
 type endpoint struct {
-	name    id.Endpoint
-	domain  id.Domain
-	role    live.Role
-	slots   int
-	memory  int
-	leaving bool
+	name   id.Endpoint
+	domain id.Domain
+	role   live.Role
+	// software is the version of the engine's software; empty if unknown.
+	software id.Software
+	slots    int
+	memory   int
+	leaving  bool
 	// drained is set while placement keeps new work off this engine.
 	drained bool
 	// down is set when a connection fails and cleared by the next report of a
@@ -69,6 +71,7 @@
 		e.drained = false
 		e.down = false
 	}
+	e.software = id.Software(c.Labels[live.LabelSoftware])
 	e.slots = c.Slots
 	e.memory = int(memoryShare * float64(c.KVTokens))
 	e.leaving = c.Labels[live.LabelLeaving] == "true"
@@ -82,6 +85,12 @@
 // decodesHere reports whether the engine decodes answers.
 func (e *endpoint) decodesHere() bool { return e.role == live.RoleDecode || e.role == live.RoleWhole }
 
+// mayContinue reports whether the engine may write the events of a stream that a software
+// version began; empty for a new stream. The version of a prefill engine is not limited.
+func (e *endpoint) mayContinue(began id.Software) bool {
+	return began == "" || !e.decodesHere() || e.software == began
+}
+
 // prefillTime predicts how long the prefill of a prompt takes.
 func (e *endpoint) prefillTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / e.prefillRate.perSecond() * float64(time.Second))
--- a/core/kvsched/grant.go
+++ b/core/kvsched/grant.go
@@ -103,6 +103,10 @@
 	decode, cause := l.chooseInitialDecode(w)
 	if decode == nil {
 		w.blocked = cause
+		if cause == causeNoEngine && w.want.Software != "" {
+			// Only its own version can't be used: the others need not wait for it.
+			return nil, true
+		}
 		return nil, cause == causeNoMemory && l.passable(w)
 	}
 	if w.want.Prefilled {
@@ -298,7 +302,7 @@
 
 // usable reports whether an endpoint may serve this request at all.
 func (l *Ledger) usable(e *endpoint, w *waiting) bool {
-	if e.setAside || !e.available(l.now) || slices.Contains(w.want.Avoid, e.name) {
+	if e.setAside || !e.available(l.now) || slices.Contains(w.want.Avoid, e.name) || !e.mayContinue(w.want.Software) {
 		return false
 	}
 	return l.options.Health == nil || l.options.Health.Allowed(e.name)
--- a/core/kvsched/ledger.go
+++ b/core/kvsched/ledger.go
@@ -81,6 +81,10 @@
 	blocked string
 }
 
+// limited reports whether the request may not use all engines, so that the engines it finds
+// say nothing about other requests.
+func (w *waiting) limited() bool { return len(w.want.Avoid) > 0 || w.want.Software != "" }
+
 // reservation is a granted request.
 type reservation struct {
 	want   sched.Want
--- a/core/kvsched/scan.go
+++ b/core/kvsched/scan.go
@@ -38,11 +38,11 @@
 // evaluations: after a burst, hundreds of waiting requests fit on no engine.
 func (l *Ledger) chooseInitialDecode(w *waiting) (*endpoint, string) {
 	c := w.footprint()
-	if len(w.want.Avoid) == 0 && l.scan.fitsNowhere(c) {
+	if !w.limited() && l.scan.fitsNowhere(c) {
 		return nil, causeNoMemory
 	}
 	best, cause := l.chooseDecode(w, nil)
-	if cause == causeNoMemory && best == nil && len(w.want.Avoid) == 0 {
+	if cause == causeNoMemory && best == nil && !w.limited() {
 		l.scan.addTooLarge(c)
 	}
 	return best, cause
--- a/core/kvsched/want.go
+++ b/core/kvsched/want.go
@@ -1,8 +1,10 @@
 package kvsched
 
 import (
+	"slices"
 	"time"
 
+	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/live"
 	"github.com/samphirequay/samphirequay/core/sched"
 	"github.com/samphirequay/samphirequay/core/verdict"
@@ -100,6 +102,8 @@
 		}
 	}
 	switch {
+	case !l.serves(w.want.Software):
+		return l.refuse(w.want, verdict.CodeUnavailable, versionRetryAfter, "no engine runs the software version that began the stream")
 	case len(l.queue) >= l.options.MaxQueue:
 		return l.refuse(w.want, verdict.CodeOverloaded, l.releaseRate.retryAfter(l.now, l.backlog()), "the queue is full")
 	case largest > 0 && roundUpToBlocks(w.want.PromptTokens) > largest:
@@ -109,6 +113,17 @@
 	}
 }
 
+// versionRetryAfter is the retry delay while no engine runs the version that a stream needs:
+// a crashed engine takes seconds to return.
+const versionRetryAfter = time.Second
+
+// serves reports whether an engine can go on with a stream that a software version began.
+func (l *Ledger) serves(began id.Software) bool {
+	return began == "" || slices.ContainsFunc(l.order, func(e *endpoint) bool {
+		return e.decodesHere() && e.software == began && !e.leaving && !e.down
+	})
+}
+
 // grantOrQueuePrefilled grants a decode engine to an already prefilled request.
 // If none has enough memory, the request waits at the head of the queue until
 // its KV cache expires: when engines are lost in a burst, no other engine may
--- a/core/live/live.go
+++ b/core/live/live.go
@@ -28,6 +28,9 @@
 
 // Well-known labels, by which operators control the system.
 const (
+	// LabelSoftware is the version of an engine's software. A stream stays at the version
+	// that began it.
+	LabelSoftware = "samphirequay/software"
 	// LabelLeaving set to "true" on an endpoint drains it.
 	LabelLeaving = "samphirequay/leaving"
 	// LabelRole is the role of an endpoint: "prefill", "decode" or "plain".
--- a/core/sched/messages.go
+++ b/core/sched/messages.go
@@ -58,6 +58,8 @@
 	// Pause is the longest pause between events of the answer that the caller
 	// expects; 0 means no bound.
 	Pause time.Duration `cbor:"20,keyasint,omitempty"`
+	// Software requires a decode engine of this software version; empty for any.
+	Software id.Software `cbor:"21,keyasint,omitempty"`
 }
 
 // Grant answers a Want with the endpoints for the prefill and the decode. For a
--- a/daemon/forward/decode.go
+++ b/daemon/forward/decode.go
@@ -48,7 +48,10 @@
 
 func (g *generation) decodeOnce(ctx context.Context, kv KV) (*Opened, *verdict.Error) {
 	f := g.f
-	engine, err := g.usableEngine(g.grant.Decode)
+	engine, err := g.grantedDecode()
+	if err == nil {
+		err = g.takeEngine(engine.Name)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/forward/grant.go
+++ b/daemon/forward/grant.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"fmt"
+
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/registry"
 	"github.com/samphirequay/samphirequay/core/sched"
@@ -24,17 +26,26 @@
 	return engine, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "engine %s %s", name, why)
 }
 
-// usableEngine looks up a granted engine, checks the request's key again and counts
-// the request against the engine's rate limit.
-func (g *generation) usableEngine(name id.Endpoint) (registry.Endpoint, *verdict.Error) {
-	engine, err := g.grantedEngine(name)
-	if err == nil {
-		err = g.checkKey()
+// grantedDecode looks up the granted decode engine. It returns the grant as well if the
+// engine runs another software version than the one that began the stream: the owner may
+// know an older entry of it, or no versions.
+func (g *generation) grantedDecode() (registry.Endpoint, *verdict.Error) {
+	engine, err := g.grantedEngine(g.grant.Decode)
+	if err != nil || g.began == "" || engine.Software == g.began {
+		return engine, err
 	}
-	if err == nil {
-		err = g.takeEngineLimit(name)
+	why := fmt.Sprintf("runs software %s, and %s began the stream", engine.Software, g.began)
+	g.giveBack(engine.Name, why)
+	return engine, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "engine %s %s", engine.Name, why)
+}
+
+// takeEngine checks the request's key again and counts the request against the rate limit
+// of a granted engine.
+func (g *generation) takeEngine(name id.Endpoint) *verdict.Error {
+	if err := g.checkKey(); err != nil {
+		return err
 	}
-	return engine, err
+	return g.takeEngineLimit(name)
 }
 
 // takeEngineLimit counts a request to a granted engine against the engine's rate limit.
--- a/daemon/forward/relay.go
+++ b/daemon/forward/relay.go
@@ -175,6 +175,7 @@
 		return
 	}
 	s.ready = append(s.ready, events...)
+	s.began = s.engine.Software
 	if count, last := eventIDs(events); count > 0 {
 		s.events += count
 		s.lastEvent = last
--- a/daemon/forward/stream.go
+++ b/daemon/forward/stream.go
@@ -59,6 +59,9 @@
 	grant sched.Grant
 	// engine is the decode engine of the last attempt.
 	engine registry.Endpoint
+	// began is the software version that wrote the first event that was passed on: only
+	// that version may write the others. Empty before.
+	began id.Software
 	// worstErr is the error so far whose verdict guarantees least.
 	worstErr *verdict.Error
 }
@@ -167,6 +170,7 @@
 		Lifetime:     f.deadline(r, rt) - r.Arrived,
 		Prefilled:    prefilled,
 		Pause:        rt.TargetGap,
+		Software:     g.began,
 	}
 	grant, err := f.Pairer.Pair(ctx, want, max(patience-age, 0))
 	if err != nil {
@@ -202,7 +206,7 @@
 	if err := g.pair(ctx, 0); err != nil {
 		return KV{}, 0, err
 	}
-	if _, err := g.grantedEngine(g.grant.Decode); err != nil {
+	if _, err := g.grantedDecode(); err != nil {
 		// Checked before the prefill, which would be wasted.
 		return KV{}, 0, err
 	}
@@ -217,7 +221,10 @@
 // the time at which it was created.
 func (g *generation) prefill(ctx context.Context) (KV, time.Duration, *verdict.Error) {
 	f := g.f
-	engine, err := g.usableEngine(g.grant.Prefill)
+	engine, err := g.grantedEngine(g.grant.Prefill)
+	if err == nil {
+		err = g.takeEngine(engine.Name)
+	}
 	if err != nil {
 		return KV{}, 0, err
 	}
--- a/daemon/gateway/document.go
+++ b/daemon/gateway/document.go
@@ -73,6 +73,9 @@
 
 func engine(e registry.Endpoint, s *route.Service) live.Endpoint {
 	labels := live.Labels{labelService: string(e.Service), live.LabelRole: string(e.Role)}
+	if e.Software != "" {
+		labels[live.LabelSoftware] = string(e.Software)
+	}
 	if e.Leaving {
 		labels[live.LabelLeaving] = "true"
 	}
