Know elsewhere which software version began a stream that its caller takes up

Cause: what began a stream was known to nobody. A daemon keeps nothing of a request that has ended, told no other one, and the caller's hint (the attempt that brought the first event) was passed on unread.

Now each daemon records the version before the caller gets the first event, until 10 s after the caller's deadline. While a service has had several versions within the last minute, the record goes to four other daemons, the same for all that look for it (in a large fleet to those that broadcast); the records of one version are sent when a second one is listed, and at a planned stop. A daemon whose caller takes a stream up looks at its own records, else asks up to eight others for 200 ms at most. Without a record it goes by the versions that it or they have seen in the last minute, if that is one and its own list is current or another daemon has replied; else the request is refused at once, as not run. While a service has one version nothing is sent, and nothing asked but in the first minute of a process or while the store does not answer it. Streams of services without engines go the same way: endpoints of other versions are avoided.

--- a/daemon/forward/bench_test.go
+++ b/daemon/forward/bench_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/samphirequay/samphirequay/core/balance"
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/origin"
 	"github.com/samphirequay/samphirequay/core/poison"
 	"github.com/samphirequay/samphirequay/core/ratelimit"
 	"github.com/samphirequay/samphirequay/core/registry"
@@ -47,6 +48,15 @@
 // Reachable implements Endpoints: an endpoint that breaks off an exchange has crashed.
 func (s *fakeEndpoints) Reachable(context.Context, registry.Endpoint) bool { return s.survive }
 
+// sameVersion implements Origins for endpoints of one software version.
+type sameVersion struct{}
+
+// Began implements Origins.
+func (sameVersion) Began(origin.Record) {}
+
+// Find implements Origins.
+func (sameVersion) Find(context.Context, origin.Stream) (id.Software, bool) { return "", true }
+
 // discardLog drops all lines.
 type discardLog struct{}
 
@@ -83,6 +93,7 @@
 		View:      func() *View { return view },
 		Endpoints: endpoints,
 		Balancer:  balance.New("north", rand.New(rand.NewPCG(1, 1))),
+		Origins:   sameVersion{},
 		Evidence:  CrashEvidence{Ledger: poison.New(poison.Config{AloneCrashes: 3}), WallClock: func() time.Time { return time.Unix(1e9, 0) }, Await: func(context.Context) {}, Broadcast: func() {}},
 		RateLimits: RateLimits{
 			Fleet:     func() []id.Daemon { return []id.Daemon{"d"} },
--- a/daemon/forward/forward.go
+++ b/daemon/forward/forward.go
@@ -26,6 +26,7 @@
 	Endpoints Endpoints
 	Pairer    Pairer
 	Balancer  *balance.Balancer
+	Origins   Origins
 	// Evidence is the crash evidence shared with the other daemons.
 	Evidence CrashEvidence
 	// RetryLimit bounds the retries of each service.
@@ -101,8 +102,10 @@
 	// unlisted counts the attempts at endpoints that the store no longer lists.
 	unlisted int
 	endpoint id.Endpoint
-	// software is the version of the endpoint's software at the last attempt.
+	// software is the version of the endpoint's software at the last attempt, began the one
+	// that began the stream which the caller takes up; empty if it takes none up.
 	software       id.Software
+	began          id.Software
 	prefill        id.Endpoint
 	engineWait     time.Duration
 	prefillTime    time.Duration
@@ -162,6 +165,10 @@
 	}
 	f.countRequest(t.service)
 	ctx, cancel := context.WithTimeout(ctx, f.deadline(r, t.route)-f.Now())
+	if err := f.findOrigin(ctx, r, t); err != nil {
+		cancel()
+		return nil, err
+	}
 	if err := f.chargeTeam(ctx, r, t); err != nil {
 		cancel()
 		return nil, err
--- /dev/null
+++ b/daemon/forward/origin.go
@@ -0,0 +1,78 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/origin"
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+// Origins knows which software versions began streams, also those of other daemons;
+// daemon/origins implements it.
+type Origins interface {
+	// Began records what began a stream, before its first event is passed on.
+	Began(r origin.Record)
+	// Find returns the version that began a stream; ok is false if it is not known.
+	Find(ctx context.Context, s origin.Stream) (software id.Software, ok bool)
+}
+
+const (
+	// originGrace is how long a record is kept beyond the caller's deadline: clocks differ,
+	// and the answer to the last attempt may be under way.
+	originGrace = 10 * time.Second
+	// originRetryAfter is the Retry-After for a stream of unknown origin: a daemon that was
+	// not reached may be back by then.
+	originRetryAfter = time.Second
+)
+
+// streamOf identifies the stream that a request begins or takes up.
+func streamOf(r *Request, t *trace) origin.Stream {
+	s := origin.Stream{Request: r.ID, Service: t.service, Team: t.teamName()}
+	if r.LastEvent != "" {
+		s.Request = r.Resumes
+	}
+	return s
+}
+
+// findOrigin sets the software version to which a request that takes a stream up is tied.
+// It refuses the request if the version isn't known: events of two versions do not fit
+// together.
+func (f *Forwarder) findOrigin(ctx context.Context, r *Request, t *trace) *verdict.Error {
+	if r.LastEvent == "" {
+		return nil
+	}
+	began, ok := f.Origins.Find(ctx, streamOf(r, t))
+	if ok {
+		t.began = began
+		return nil
+	}
+	t.reason = "it is not known which software version began the stream"
+	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "%s", t.reason).WithRetryAfter(originRetryAfter)
+}
+
+// recordOrigin records what has just begun, or gone on with, a request's stream.
+func (f *Forwarder) recordOrigin(r *Request, t *trace, software id.Software) {
+	s := streamOf(r, t)
+	if s.Request == "" {
+		// Its caller may name this attempt from now on.
+		s.Request = r.ID
+	}
+	f.Origins.Began(origin.Record{Stream: s, Software: software, Left: f.timeLeft(r, t.route) + originGrace})
+}
+
+// otherVersions returns the endpoints of a service that may not go on with a stream that a
+// software version began; none if began is empty.
+func (f *Forwarder) otherVersions(service id.Service, began id.Software) []id.Endpoint {
+	if began == "" {
+		return nil
+	}
+	var out []id.Endpoint
+	for name, e := range f.View().Endpoints {
+		if e.Service == service && e.Software != began {
+			out = append(out, name)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/daemon/forward/origin_test.go
@@ -0,0 +1,99 @@
+package forward
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/origin"
+	"github.com/samphirequay/samphirequay/core/registry"
+	"github.com/samphirequay/samphirequay/core/verdict"
+)
+
+// knownOrigin implements Origins for a stream that a version began; it is unknown if empty.
+type knownOrigin struct {
+	sameVersion
+	software id.Software
+}
+
+// Find implements Origins.
+func (o knownOrigin) Find(context.Context, origin.Stream) (id.Software, bool) {
+	return o.software, o.software != ""
+}
+
+// setVersions sets the software versions of engines.
+func setVersions(f *Forwarder, versions map[id.Endpoint]id.Software) {
+	view := f.View()
+	for name, v := range versions {
+		e := view.Endpoints[name]
+		e.Software = v
+		view.Endpoints[name] = e
+	}
+}
+
+// TestAGrantOfAnotherVersionIsReturned guards against a pool's owner that knows an older
+// entry of an engine, or no versions at all.
+func TestAGrantOfAnotherVersionIsReturned(t *testing.T) {
+	is := is.New(t)
+	engines := &recordingEngines{}
+	owner := &staleOwner{prefills: []id.Endpoint{"p1", "p2"}, decodes: []id.Endpoint{"d1", "d2"}}
+	f, r, _ := newStreamTest(t, engines, owner)
+	setVersions(f, map[id.Endpoint]id.Software{"d1": "v2", "d2": "v1"})
+	f.Origins = knownOrigin{software: "v1"}
+	r.LastEvent, r.Resumes = "3", "first"
+	reply, err := f.Run(context.Background(), r)
+	is.True(err == nil)
+	is.NoErr(reply.Events.Close())
+	is.Equal(engines.decoded, []id.Endpoint{"d2"})
+	is.Equal(len(engines.prefilled), 1) // the other grant was returned before its prefill
+}
+
+// TestAnEngineThatChangesItsVersionDuringThePrefillGetsNoStream covers an entry that changes
+// between the choice of an engine and the request to it.
+func TestAnEngineThatChangesItsVersionDuringThePrefillGetsNoStream(t *testing.T) {
+	is := is.New(t)
+	engines := &recordingEngines{freed: make(chan struct{}, 4)}
+	owner := &staleOwner{prefills: []id.Endpoint{"p1"}, decodes: []id.Endpoint{"d1"}}
+	f, r, _ := newStreamTest(t, engines, owner)
+	setVersions(f, map[id.Endpoint]id.Software{"d1": "v1", "d2": "v1"})
+	engines.afterPrefill = func() { setVersions(f, map[id.Endpoint]id.Software{"d1": "v2"}) }
+	f.Origins = knownOrigin{software: "v1"}
+	r.LastEvent, r.Resumes = "3", "first"
+	_, err := f.Run(context.Background(), r)
+	is.Equal(err.Verdict, verdict.NotRun)
+	is.Equal(len(engines.decoded), 0)
+	<-engines.freed
+}
+
+// TestAStreamOfUnknownOriginIsRefusedAsNotRun checks that nothing reaches an engine.
+func TestAStreamOfUnknownOriginIsRefusedAsNotRun(t *testing.T) {
+	is := is.New(t)
+	engines := &recordingEngines{}
+	f, r, _ := newStreamTest(t, engines, &staleOwner{prefills: []id.Endpoint{"p1"}, decodes: []id.Endpoint{"d1"}})
+	f.Origins = knownOrigin{}
+	r.LastEvent = "3"
+	_, err := f.Run(context.Background(), r)
+	is.Equal(err.Verdict, verdict.NotRun)
+	is.Equal(err.Code, verdict.CodeUnavailable)
+	is.Equal(err.RetryAfter, originRetryAfter)
+	is.Equal(len(engines.prefilled), 0)
+}
+
+// TestOtherVersionsOfAPlainServiceAreAvoided checks the choice of a plain endpoint for a
+// stream that is taken up.
+func TestOtherVersionsOfAPlainServiceAreAvoided(t *testing.T) {
+	is := is.New(t)
+	f, _ := newTest(t, &fakeEndpoints{})
+	setVersions(f, map[id.Endpoint]id.Software{"a": "v1", "b": "v2", "c": "v2", "d": "v1"})
+	f.View().Endpoints["e"] = registry.Endpoint{Name: "e", Service: "other", Software: "v2"}
+	is.Equal(len(f.otherVersions("s", "")), 0)
+	avoid := f.otherVersions("s", "v1")
+	is.Equal(len(avoid), 2)
+	for range 8 {
+		e, err := f.pick("s", avoid)
+		is.True(err == nil)
+		is.True(e.Name == "a" || e.Name == "d")
+	}
+}
--- a/daemon/forward/plainstream.go
+++ b/daemon/forward/plainstream.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/balance"
-	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/poison"
 	"github.com/samphirequay/samphirequay/core/registry"
 	"github.com/samphirequay/samphirequay/core/route"
@@ -18,7 +17,7 @@
 // one after another for as long as the request has certainly not run; a stream
 // that has begun is passed on as it arrives.
 func (f *Forwarder) plainStream(ctx context.Context, cancel context.CancelFunc, r *Request, t *trace, s *route.Service) (*Reply, *verdict.Error) {
-	var avoid []id.Endpoint
+	avoid := f.otherVersions(s.Name, t.began)
 	for refused := 1; ; refused++ {
 		endpoint, err := f.choose(ctx, r, t, s.Name, avoid)
 		if err != nil {
@@ -67,6 +66,7 @@
 	}
 	t.firstEventTime = f.Now() - r.Arrived
 	t.unframed = opened.Events.Unframed()
+	f.recordOrigin(r, t, e.Software)
 	f.done(e, startedAt, balance.OK)
 	body := &plainBody{EventStream: opened.Events, f: f, ctx: ctx, cancel: cancel, request: r, trace: t, endpoint: e, status: opened.Status}
 	return &Reply{Status: opened.Status, Header: opened.Header, Events: body}
--- a/daemon/forward/record.go
+++ b/daemon/forward/record.go
@@ -34,7 +34,7 @@
 		kv = append(kv, "software", t.software)
 	}
 	if r.LastEvent != "" {
-		kv = append(kv, "behind", r.LastEvent, "resumes", r.Resumes)
+		kv = append(kv, "behind", r.LastEvent, "resumes", r.Resumes, "began", t.began)
 	}
 	if t.arrivals.repeats() > 0 || t.arrivals.paid > 0 {
 		kv = append(kv, "repeats", t.arrivals.repeats(), "repeats_paid", t.arrivals.paid,
--- a/daemon/forward/relay.go
+++ b/daemon/forward/relay.go
@@ -175,7 +175,10 @@
 		return
 	}
 	s.ready = append(s.ready, events...)
-	s.began = s.engine.Software
+	if s.eventAt == 0 {
+		s.began = s.engine.Software
+		s.f.recordOrigin(s.request, s.trace, s.began)
+	}
 	if count, last := eventIDs(events); count > 0 {
 		s.events += count
 		s.lastEvent = last
--- a/daemon/forward/stream.go
+++ b/daemon/forward/stream.go
@@ -68,7 +68,7 @@
 
 // stream serves a stream. It returns once the first event has arrived.
 func (f *Forwarder) stream(ctx context.Context, cancel context.CancelFunc, r *Request, t *trace, s *route.Service) (*Reply, *verdict.Error) {
-	g := &generation{f: f, request: r, trace: t, service: s, lastEvent: r.LastEvent}
+	g := &generation{f: f, request: r, trace: t, service: s, lastEvent: r.LastEvent, began: t.began}
 	rel := &relay{generation: g, ctx: ctx, cancel: cancel}
 	if err := rel.start(); err != nil {
 		cancel()
--- a/daemon/gateway/forwarder.go
+++ b/daemon/gateway/forwarder.go
@@ -24,6 +24,7 @@
 		Endpoints: d.platform.Endpoints,
 		Pairer:    pairer{d},
 		Balancer:  balance.New(d.set.Domain, d.newRand()),
+		Origins:   d.origins,
 		Evidence: forward.CrashEvidence{
 			Ledger:    d.poison,
 			WallClock: d.wall,
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -33,6 +33,7 @@
 	"github.com/samphirequay/samphirequay/daemon/logline"
 	"github.com/samphirequay/samphirequay/daemon/members"
 	"github.com/samphirequay/samphirequay/daemon/metrics"
+	"github.com/samphirequay/samphirequay/daemon/origins"
 	"github.com/samphirequay/samphirequay/daemon/peer"
 	"github.com/samphirequay/samphirequay/daemon/quotas"
 	"github.com/samphirequay/samphirequay/daemon/store"
@@ -123,6 +124,8 @@
 	configs   *feed.Follower
 	endpoints *feed.Follower
 	forwarder *forward.Forwarder
+	// origins knows which software versions began streams.
+	origins *origins.Origins
 	// retryShare is this daemon's share of the slack of the retry limit.
 	retryShare *retryShare
 	watcher    *hangup.Watcher
@@ -239,6 +242,7 @@
 		joinDelay = 0
 	}
 	d.retryShare = newRetryShare(d.now(), Seconds(d.set.Bounds.RepeatWindowS), joinDelay)
+	d.origins = d.newOrigins()
 	d.forwarder = d.newForwarder()
 	d.provisionTunnels()
 	return nil
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -15,6 +15,7 @@
 	"github.com/samphirequay/samphirequay/daemon/feed"
 	"github.com/samphirequay/samphirequay/daemon/keys"
 	"github.com/samphirequay/samphirequay/daemon/link"
+	"github.com/samphirequay/samphirequay/daemon/origins"
 	"github.com/samphirequay/samphirequay/daemon/peer"
 	"github.com/samphirequay/samphirequay/daemon/quotas"
 )
@@ -34,9 +35,17 @@
 	kindUptime
 	// kindLimit carries a rate limit that an endpoint names: one-way, ratelimit.Named.
 	kindLimit
+	// kindOrigins carries records of what began streams: one-way, origins.Batch.
+	kindOrigins
+	// kindOriginQuery asks a daemon what began a stream: a call, origins.Query ->
+	// origins.Reply.
+	kindOriginQuery
 )
 
-var kindNames = map[peer.Kind]string{kindTables: "tables", kindNews: "news", kindProof: "proof", kindUptime: "uptime", kindLimit: "limit"}
+var kindNames = map[peer.Kind]string{
+	kindTables: "tables", kindNews: "news", kindProof: "proof", kindUptime: "uptime", kindLimit: "limit",
+	kindOrigins: "origins", kindOriginQuery: "origin_query",
+}
 
 // tablesReply holds a daemon's states of the store's tables.
 type tablesReply struct {
@@ -175,6 +184,7 @@
 // HandleCall implements peer.Handler.
 func (h *peerHandler) HandleCall(_ context.Context, from id.Daemon, kind peer.Kind, body []byte) ([]byte, error) {
 	var q uptimeQuery
+	var stream origins.Query
 	switch {
 	case !h.Accepting():
 	case kind == link.KindEvidenceQuery:
@@ -183,6 +193,8 @@
 		return peer.Encode(&tablesReply{States: h.d.tableStates(), Store: *h.d.storeStatus()})
 	case kind == kindUptime && h.decode(from, body, &q):
 		return peer.Encode(h.d.answerUptime(q))
+	case kind == kindOriginQuery && h.decode(from, body, &stream):
+		return peer.Encode(h.d.origins.Answer(&stream))
 	}
 	return nil, eris.Errorf("no answer to a call of kind %d from %s", kind, from)
 }
@@ -200,6 +212,11 @@
 		if h.decode(from, body, &n) {
 			h.d.learnLimit(n)
 		}
+	case kindOrigins:
+		var b origins.Batch
+		if h.decode(from, body, &b) {
+			h.d.origins.Receive(&b)
+		}
 	default:
 		h.Handler.HandleOneWay(from, kind, body)
 	}
--- a/daemon/gateway/stop.go
+++ b/daemon/gateway/stop.go
@@ -69,6 +69,7 @@
 		return
 	}
 	d.logger.Event("daemon_closing", "why", why, "in_flight", inFlight())
+	d.origins.HandOver()
 	d.handOnRetries()
 	d.shutdown()
 }
--- a/daemon/gateway/tables.go
+++ b/daemon/gateway/tables.go
@@ -201,6 +201,7 @@
 	d.logRegistryChanges(old.Endpoints, byName)
 	d.closeGoneConnections(old.Endpoints, byName)
 	d.forwarder.Configure(entries)
+	d.origins.Observe(listedVersions(entries))
 	if f := d.fleet.Load(); f != nil {
 		f.broker.SetDocument(document(k.routes, entries))
 		if old.Routes != k.routes {
--- /dev/null
+++ b/daemon/origins/origins.go
@@ -0,0 +1,256 @@
+// Package origins keeps known, beyond the life of the daemon that serves a stream, which
+// software version began it. While a service has several versions, each daemon sends what
+// it begins to a few others, and a daemon whose caller takes a stream up asks these.
+package origins
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/origin"
+	"github.com/samphirequay/samphirequay/daemon/metrics"
+)
+
+const (
+	// replicas is how many other daemons get the record of a stream. A failure domain or
+	// half of a fleet may be lost in one moment.
+	replicas = 4
+	// maxAsked is how many daemons are asked for a record: more than got it, since daemons
+	// that have joined meanwhile rank among them.
+	maxAsked = 2 * replicas
+	// askTimeout bounds the search for a record: a few round trips to daemons that are well.
+	askTimeout = 200 * time.Millisecond
+	// maxBatch bounds the records of a message.
+	maxBatch = 512
+)
+
+// Batch holds records that a daemon sends to another one.
+type Batch struct {
+	Records []origin.Record `cbor:"1,keyasint"`
+}
+
+// Query asks a daemon what began a stream.
+type Query struct {
+	Stream origin.Stream `cbor:"1,keyasint"`
+}
+
+// Reply answers a Query.
+type Reply struct {
+	// Record is nil if the daemon has none.
+	Record *origin.Record `cbor:"1,keyasint,omitempty"`
+	// Versions are those of the service that the daemon has seen of late.
+	Versions []id.Software `cbor:"2,keyasint,omitempty"`
+}
+
+// Config sets up an Origins.
+type Config struct {
+	// Holders returns the other daemons that keep the record of a stream, the best first.
+	Holders func(s origin.Stream) []id.Daemon
+	// Current reports whether this daemon's list of endpoints is up to date. Otherwise a
+	// version may have begun streams that it has never seen.
+	Current func() bool
+	// Send sends records to a daemon, without blocking. Lost ones are not sent again.
+	Send func(to id.Daemon, b *Batch)
+	// Ask sends a query to a daemon.
+	Ask     func(ctx context.Context, to id.Daemon, q *Query) (*Reply, error)
+	Log     func(event string, kv ...any)
+	Metrics *metrics.Registry
+	Now     func() time.Duration
+}
+
+// Origins knows what began the streams of this daemon and of others. It is safe for
+// concurrent use.
+type Origins struct {
+	cfg Config
+
+	mu      sync.Mutex
+	ledger  *origin.Ledger
+	history *origin.History
+
+	sent, asked, unknown *metrics.Counter
+}
+
+// New returns an Origins without records.
+func New(cfg Config) *Origins {
+	return &Origins{
+		cfg:     cfg,
+		ledger:  origin.NewLedger(),
+		history: origin.NewHistory(cfg.Now()),
+		sent:    cfg.Metrics.Counter("origins_sent", metrics.UnitCount, "Records of what began a stream that were sent to other daemons."),
+		asked:   cfg.Metrics.Counter("origins_asked", metrics.UnitCount, "Streams taken up by callers for which other daemons were asked."),
+		unknown: cfg.Metrics.Counter("origins_unknown", metrics.UnitCount, "Streams taken up by callers of which nobody knew what began them."),
+	}
+}
+
+// Observe tells which software versions of each service are listed. When a second one
+// appears, the streams that the first one has begun become worth knowing elsewhere.
+func (o *Origins) Observe(listed map[id.Service]map[id.Software]bool) {
+	now := o.cfg.Now()
+	o.mu.Lock()
+	added := o.history.Observe(now, listed)
+	var records []origin.Record
+	if added {
+		records = o.shared(now)
+	}
+	o.mu.Unlock()
+	o.send(records)
+}
+
+// shared returns the records of services with several versions; the lock must be held.
+func (o *Origins) shared(now time.Duration) []origin.Record {
+	return slices.DeleteFunc(o.ledger.All(now), func(r origin.Record) bool {
+		return len(o.history.Versions(now, r.Stream.Service)) < 2
+	})
+}
+
+// Began records what began a stream. It is called before the caller gets the first event,
+// so that no caller can take up a stream that others do not know.
+func (o *Origins) Began(r origin.Record) {
+	now := o.cfg.Now()
+	o.mu.Lock()
+	o.ledger.Add(now, r)
+	several := len(o.history.Versions(now, r.Stream.Service)) > 1
+	o.mu.Unlock()
+	if several {
+		o.send([]origin.Record{r})
+	}
+}
+
+// HandOver sends all records to other daemons, before this one stops as planned.
+func (o *Origins) HandOver() {
+	now := o.cfg.Now()
+	o.mu.Lock()
+	records := o.shared(now)
+	o.mu.Unlock()
+	o.send(records)
+}
+
+// send sends records to their holders.
+func (o *Origins) send(records []origin.Record) {
+	batches := map[id.Daemon]*Batch{}
+	for _, r := range records {
+		holders := o.cfg.Holders(r.Stream)
+		for _, to := range holders[:min(replicas, len(holders))] {
+			b := batches[to]
+			if b == nil {
+				b = &Batch{}
+				batches[to] = b
+			}
+			b.Records = append(b.Records, r)
+			if len(b.Records) == maxBatch {
+				o.cfg.Send(to, b)
+				delete(batches, to)
+			}
+		}
+	}
+	o.sent.Add(int64(len(records)))
+	for to, b := range batches {
+		o.cfg.Send(to, b)
+	}
+}
+
+// Receive adds records of another daemon.
+func (o *Origins) Receive(b *Batch) {
+	now := o.cfg.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, r := range b.Records {
+		o.ledger.Add(now, r)
+	}
+}
+
+// Answer answers another daemon's query.
+func (o *Origins) Answer(q *Query) *Reply {
+	now := o.cfg.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r := &Reply{Versions: o.history.Versions(now, q.Stream.Service)}
+	if record, ok := o.ledger.Find(now, q.Stream); ok {
+		r.Record = &record
+	}
+	return r
+}
+
+// Find returns the software version that began a stream. Without a record it is known only
+// if the service has had one version of late. ok is false if it is not known.
+func (o *Origins) Find(ctx context.Context, s origin.Stream) (software id.Software, ok bool) {
+	now := o.cfg.Now()
+	o.mu.Lock()
+	record, found := o.ledger.Find(now, s)
+	versions := o.history.Versions(now, s.Service)
+	complete := o.history.Complete(now)
+	o.mu.Unlock()
+	switch {
+	case found:
+		return record.Software, true
+	case len(versions) == 1 && complete && o.cfg.Current():
+		return versions[0], true
+	}
+	told := o.askHolders(ctx, s)
+	versions = union(versions, told.versions)
+	switch {
+	case told.record != nil:
+		o.Receive(&Batch{Records: []origin.Record{*told.record}})
+		return told.record.Software, true
+	case len(versions) == 1 && (told.answered || o.cfg.Current()):
+		return versions[0], true
+	}
+	o.unknown.Inc()
+	o.cfg.Log("origin_unknown", "resumes", s.Request, "service", s.Service, "versions", versions)
+	return "", false
+}
+
+// told is what other daemons have said of a stream.
+type told struct {
+	// record is nil if none of them has one.
+	record *origin.Record
+	// versions are those of the service that they have seen, answered is set if any daemon
+	// has replied.
+	versions []id.Software
+	answered bool
+}
+
+// askHolders asks other daemons for the record of a stream until one has it or all have
+// replied.
+func (o *Origins) askHolders(ctx context.Context, s origin.Stream) told {
+	holders := o.cfg.Holders(s)
+	holders = holders[:min(maxAsked, len(holders))]
+	o.asked.Inc()
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	// The channel has room for all replies, so that no question outlives the search blocked.
+	replies := make(chan *Reply, len(holders))
+	for _, to := range holders {
+		go func() {
+			reply, err := o.cfg.Ask(ctx, to, &Query{Stream: s})
+			if err != nil {
+				reply = nil
+			}
+			replies <- reply
+		}()
+	}
+	var out told
+	for range holders {
+		reply := <-replies
+		if reply == nil {
+			continue
+		}
+		out.answered = true
+		out.versions = union(out.versions, reply.Versions)
+		if reply.Record != nil {
+			out.record = reply.Record
+			return out
+		}
+	}
+	return out
+}
+
+// union returns the versions that are in either list, sorted.
+func union(a, b []id.Software) []id.Software {
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
