Check the end of plain answers without a length as well

The same cause as in streams: the HTTP library reads a body without a length until its connection ends, and the daemon passed it on with the length of what had come, also if the endpoint had crashed in the middle of it, as the crash of a process mostly ends its connections in order.

A success without a length counts now only if its endpoint still accepts connections, or leaves as planned; else it is an attempt that may have run, to be repeated where that is allowed, and evidence of a crash. The connection that is opened for it takes the place of the one that has ended. The body is read apart from the header, since the library forgets that a body had no length; the copy that this costs replaces another one.

Looked at and left: the answer to a prefill and the store's answers are JSON and can't be read in part; tunnels pass a reset on as one; the product's own endpoints end their streams by a terminal event.

--- a/daemon/forward/streamend.go
+++ b/daemon/forward/answerend.go
@@ -4,6 +4,7 @@
 	"errors"
 
 	"github.com/samphirequay/samphirequay/core/registry"
+	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
 // Reasons why the end of an endpoint's body is not the end of its answer.
@@ -33,6 +34,15 @@
 	return nil
 }
 
+// checkReply returns an error in place of a success that may have been broken off: its body
+// ended with the connection of an endpoint that seems to have crashed.
+func (f *Forwarder) checkReply(r *Reply, e registry.Endpoint) (*Reply, *verdict.Error) {
+	if !r.Unframed || r.Failed() || !f.seemsCrashed(e) {
+		return r, nil
+	}
+	return nil, verdict.New(verdict.MayHaveRun, verdict.CodeEndpointFailed, "the answer of %s may be incomplete", e.Name).WithCause(errEndpointGone)
+}
+
 // seemsCrashed reports whether an endpoint accepts no connection any more, from this host
 // or another. One that leaves as planned may refuse new connections while it finishes its
 // answers.
--- a/daemon/forward/call.go
+++ b/daemon/forward/call.go
@@ -119,6 +119,9 @@
 		OnLimit:     f.onLimit(e),
 	})
 	f.countArrival(t, stepCall, err)
+	if err == nil {
+		reply, err = f.checkReply(reply, e)
+	}
 	t.mayHaveRun = t.mayHaveRun || err == nil || err.Verdict != verdict.NotRun
 	took := f.Now() - startedAt
 	f.done(e, startedAt, outcomeOf(reply, err))
--- a/daemon/upstream/answer.go
+++ b/daemon/upstream/answer.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -21,6 +22,8 @@
 	conn         *conn
 	resp         *fasthttp.Response
 	stopWatching func() bool
+	// body is the body of an answer that is not streamed.
+	body []byte
 	// complete is set once the answer was read to its end.
 	complete bool
 	once     sync.Once
@@ -33,14 +36,14 @@
 func (a *Answer) Header() *fasthttp.ResponseHeader { return &a.resp.Header }
 
 // Unframed reports whether the answer has neither a length nor chunks: it ends with its
-// connection, so that a break can look like the regular end. It applies to streams.
+// connection, so that a break can look like the regular end.
 func (a *Answer) Unframed() bool { return a.resp.Header.ContentLength() == unframedLength }
 
 // unframedLength is the content length that fasthttp reports for such an answer.
 const unframedLength = -2
 
-// Body is the whole body of an answer that is not streamed, valid until Close.
-func (a *Answer) Body() []byte { return a.resp.Body() }
+// Body is the whole body of an answer that is not streamed; it belongs to the caller.
+func (a *Answer) Body() []byte { return a.body }
 
 // exchange writes the request and reads the answer that belongs to it.
 func (a *Answer) exchange(ctx context.Context, c *Call) *verdict.Error {
@@ -57,22 +60,47 @@
 	if err := a.read(c); err != nil {
 		return mayHaveRun(ctx, c, err)
 	}
+	if c.Stream {
+		return nil
+	}
+	if err := a.readBody(); err != nil {
+		return mayHaveRun(ctx, c, err)
+	}
+	return nil
+}
+
+// readBody reads the body of an answer that is not streamed.
+func (a *Answer) readBody() error {
+	limit := a.pool.opts.MaxBodyBytes
+	length := a.resp.Header.ContentLength()
+	if length > limit {
+		return fasthttp.ErrBodyTooLarge
+	}
+	body := bytes.NewBuffer(make([]byte, 0, max(0, length)+bytes.MinRead))
+	if _, err := body.ReadFrom(io.LimitReader(a, int64(limit)+1)); err != nil {
+		return err
+	}
+	if body.Len() > limit {
+		return fasthttp.ErrBodyTooLarge
+	}
+	a.body = body.Bytes()
 	return nil
 }
 
-// read reads answers up to the one that belongs to the request: a late answer to
-// an earlier request may precede it.
+// read reads the header of the answer that belongs to the request: a late answer to an
+// earlier request may precede it. The body is left unread, since the library forgets
+// whether a body that it has read was unframed.
 func (a *Answer) read(c *Call) error {
 	for range maxForeignAnswers + 1 {
 		a.resp.Reset()
 		a.resp.SkipBody = c.Request.Header.IsHead()
-		a.resp.StreamBody = c.Stream
+		a.resp.StreamBody = true
 		// Without it the library reports a type for an answer that states none.
 		a.resp.Header.SetNoDefaultContentType(true)
 		if err := a.resp.ReadLimitBody(a.conn.reader, a.pool.opts.MaxBodyBytes); err != nil {
 			return err
 		}
-		a.complete = !c.Stream || a.resp.SkipBody
+		a.complete = a.resp.BodyStream() == nil
 		if !a.isForeign(c) {
 			return nil
 		}
