Keep the header of the first engine if a stream breaks with its first event

An engine's first event and the break may come in one read. The relay then opened the stream anew as if nothing had come, and the caller got the event of one engine under the header and signature of another. A stream has begun with its first event now; the break is handled when its reader asks for more.

TestAStreamThatBreaksWithItsFirstEventKeepsItsFirstEngine failed before (stamp.i-d2 for an answer that i-d1 began).

--- a/daemon/forward/relay.go
+++ b/daemon/forward/relay.go
@@ -34,7 +34,10 @@
 	// engineEventAt is when the first event of the current engine arrived; 0 before it.
 	engineEventAt time.Duration
 	ended         bool
-	readErr       error
+	// fillErr is the error that came with the first event. The stream has begun, so that
+	// it is handled when its reader asks for more.
+	fillErr error
+	readErr error
 }
 
 // start opens the stream and waits for its first event: until then a failure can
@@ -51,7 +54,8 @@
 			return nil
 		}
 		cause := s.fill()
-		if cause == nil || errors.Is(cause, io.EOF) {
+		if cause == nil || errors.Is(cause, io.EOF) || len(s.ready) > 0 {
+			s.fillErr = cause
 			now := s.f.Now()
 			s.trace.firstEventTime = now - s.request.Arrived
 			s.f.stats.firstEvent.Record(s.trace.firstEventTime)
@@ -99,7 +103,11 @@
 // next reads more events, from another engine if the current one failed and the
 // stream may be resumed.
 func (s *relay) next() error {
-	err := s.fill()
+	err := s.fillErr
+	s.fillErr = nil
+	if err == nil {
+		err = s.fill()
+	}
 	if err == nil || errors.Is(err, io.EOF) {
 		return nil
 	}
