Let the soak end answers with their connections and run two software versions

Runners answer each third request without a length or chunks, and break off inside an event where they break off; engines are of two versions side by side, so that there are twice as many. Callers take broken streams up at other daemons, up to three times. The simulation records which version wrote each stream's events; one that goes on at another version is a violation, as a short stream that looks complete was before.

--- a/cmd/internal/soak/answers.go
+++ b/cmd/internal/soak/answers.go
@@ -38,15 +38,45 @@
 		return
 	}
 	if r.Stage() == "" {
-		x.Respond(http.StatusOK, plainBody(x.RequestID()), x.Signed(), "Content-Type: text/plain")
+		respondPlain(x, number%unframedEvery == 0)
 		return
 	}
-	first := x.FirstEvent()
+	s.versions.recordRun(s.checker, r, x)
+	to := streamSize
 	if number%breakEvery == 0 && runs == 1 {
-		x.Stream(first, streamSize/2, false)
+		to = streamSize / 2
+	}
+	if number%unframedEvery == 0 {
+		streamUnframed(x, to)
+		return
+	}
+	x.Stream(x.FirstEvent(), to, to == streamSize)
+}
+
+// respondPlain answers a plain call, without a length if unframed is set.
+func respondPlain(x *platformtest.Exchange, unframed bool) {
+	body := plainBody(x.RequestID())
+	if !unframed {
+		x.Respond(http.StatusOK, body, x.Signed(), "Content-Type: text/plain")
 		return
 	}
-	x.Stream(first, streamSize, true)
+	x.Write(x.Head(http.StatusOK, x.Signed(), "Content-Type: text/plain") + "\r\n" + body)
+	_ = x.Conn.Close()
+}
+
+// streamUnframed answers with the events up to one, without chunks. If more would follow, it
+// breaks off inside the next one.
+func streamUnframed(x *platformtest.Exchange, to int) {
+	x.BeginUnframedStream()
+	for n := x.FirstEvent(); n <= to; n++ {
+		x.Write(platformtest.Event(n))
+		time.Sleep(x.Gap)
+	}
+	if to < streamSize {
+		next := platformtest.Event(to + 1)
+		x.Write(next[:len(next)-1])
+	}
+	_ = x.Conn.Close()
 }
 
 // refuses reports whether a runner refuses a request by design.
@@ -76,11 +106,13 @@
 
 // Runners refuse each request whose number is a multiple of refuseEvery. Plain runners
 // fail the multiples of failEvery, and engines interrupt the first run of the multiples
-// of breakEvery in mid-stream.
+// of breakEvery in mid-stream. Answers to the multiples of unframedEvery end with their
+// connection.
 const (
-	refuseEvery = 17
-	failEvery   = 23
-	breakEvery  = 19
+	refuseEvery   = 17
+	failEvery     = 23
+	breakEvery    = 19
+	unframedEvery = 3
 )
 
 // failsByDesign reports whether the runners' refusals and failures keep a request
--- a/cmd/internal/soak/caller.go
+++ b/cmd/internal/soak/caller.go
@@ -38,10 +38,11 @@
 	{name: "resume", method: "POST", path: pathResume, stream: true, repeatable: true},
 }
 
-// body returns the expected body of the response to a request of this kind.
-func (k requestKind) body(id string) string {
+// body returns the expected body of the response to a request of this kind, which begins
+// after an event.
+func (k requestKind) body(id string, after int) string {
 	if k.stream {
-		return platformtest.Events(1, streamSize)
+		return platformtest.Events(after+1, streamSize)
 	}
 	return plainBody(id)
 }
@@ -54,13 +55,17 @@
 	return plainSvc
 }
 
-// request returns the bytes of an HTTP request of this kind.
-func (k requestKind) request(id, key string) string {
-	r := platformtest.Request{Method: k.method, Target: k.path + "x", Host: callHost, ID: id, Body: id, Patience: callerTimeout}
+// request returns the bytes of the HTTP request of an outcome.
+func (o *outcome) request() string {
+	k := o.kind
+	r := platformtest.Request{Method: k.method, Target: k.path + "x", Host: callHost, ID: o.id, Body: o.id, Patience: callerTimeout}
 	if k.stream {
-		r.Fields = platformtest.Generation(id)
+		r.Fields = platformtest.Generation(o.id)
 	}
-	r.Fields = append(r.Fields, platformtest.KeyField(key))
+	if o.after > 0 {
+		r.Fields = append(r.Fields, fmt.Sprintf("Last-Event-Id: %d", o.after), "Resumes: "+o.resumes)
+	}
+	r.Fields = append(r.Fields, platformtest.KeyField(o.key))
 	return r.Text()
 }
 
@@ -73,6 +78,7 @@
 	teams   *teams
 	// arrivals counts the requests that are sent.
 	arrivals *arrivals
+	versions *versions
 	conns    map[*process]net.Conn
 	sent     int
 	// expected counts the requests that must be served, served those of them that
@@ -91,6 +97,7 @@
 		checker:   r.checker,
 		teams:     r.simulation.teams,
 		arrivals:  r.simulation.arrivals,
+		versions:  r.simulation.versions,
 		conns:     map[*process]net.Conn{},
 		served:    &r.served,
 		expected:  &r.expected,
@@ -109,10 +116,33 @@
 		case <-time.After(time.Duration(c.rng.Int64N(int64(2 * pause)))):
 		}
 		p := processes[c.rng.IntN(len(processes))]
-		c.sent++
-		o := c.call(p, kinds[c.rng.IntN(len(kinds))], fmt.Sprintf("%s-%d", c.name, c.sent))
+		o := c.call(p, kinds[c.rng.IntN(len(kinds))], c.nextID())
 		c.count(o)
 		c.checker.check(o)
+		c.takeUp(o, processes)
+	}
+}
+
+func (c *caller) nextID() string {
+	c.sent++
+	return fmt.Sprintf("%s-%d", c.name, c.sent)
+}
+
+// maxTakeUps bounds how often a caller takes one stream up.
+const maxTakeUps = 3
+
+// takeUp goes on with a stream that has broken off, at random daemons.
+func (c *caller) takeUp(o outcome, processes []*process) {
+	first, after := o.id, 0
+	for range maxTakeUps {
+		after += platformtest.CountEvents(o.answer.Body)
+		if !o.kind.stream || !o.kind.repeatable || o.answered() || after == 0 || after == streamSize {
+			return
+		}
+		p := processes[c.rng.IntN(len(processes))]
+		o = c.send(p, outcome{id: c.nextID(), kind: o.kind, after: after, resumes: first})
+		c.checker.check(o)
+		c.versions.recordTakeUp(o.answered())
 	}
 }
 
@@ -147,12 +177,17 @@
 
 // call sends one request to a daemon and returns the outcome.
 func (c *caller) call(p *process, k requestKind, id string) outcome {
+	return c.send(p, outcome{id: id, kind: k})
+}
+
+// send sends the request of an outcome to a daemon and completes the outcome.
+func (c *caller) send(p *process, o outcome) outcome {
 	start := time.Now()
-	o := outcome{id: id, kind: k, sent: start}
+	o.sent = start
 	o.key, o.keyIndex = c.teams.keyOf(c.name, c.rng.IntN)
 	stableAtStart := p.stable(start)
 	c.reconnectOnce()
-	c.arrivals.recordRequest(k.service())
+	c.arrivals.recordRequest(o.kind.service())
 	conn := c.conns[p]
 	if conn == nil {
 		dialled, err := net.DialTimeout("tcp", p.callerProxy.Address(), time.Second)
@@ -161,7 +196,7 @@
 		}
 		conn = dialled
 	}
-	keep := c.roundTrip(conn, k, &o)
+	keep := c.roundTrip(conn, &o)
 	o.elapsed = time.Since(start)
 	o.stable = stableAtStart && p.stable(time.Now())
 	if keep {
@@ -175,11 +210,11 @@
 
 // roundTrip sends a request and reads the response. It reports whether the
 // connection can be reused.
-func (c *caller) roundTrip(conn net.Conn, k requestKind, o *outcome) (keep bool) {
+func (c *caller) roundTrip(conn net.Conn, o *outcome) (keep bool) {
 	if err := conn.SetDeadline(time.Now().Add(callerTimeout)); err != nil {
 		return false
 	}
-	if _, err := io.WriteString(conn, k.request(o.id, o.key)); err != nil {
+	if _, err := io.WriteString(conn, o.request()); err != nil {
 		return false
 	}
 	if c.rng.IntN(abandonEvery) == 0 {
--- a/cmd/internal/soak/checker.go
+++ b/cmd/internal/soak/checker.go
@@ -46,6 +46,10 @@
 type outcome struct {
 	id   string
 	kind requestKind
+	// after is the last event that the caller has of the stream which the request takes
+	// up, resumes its request that brought the first one; 0 and empty for a new request.
+	after   int
+	resumes string
 	// sent is when the request was sent and key the key it carried; keyIndex is the
 	// index of the key among those of rotatingTeam, -1 for another team.
 	sent     time.Time
@@ -99,7 +103,7 @@
 		c.violation("mixed: %s (%s) got a successful response without a signature", o.id, o.kind.name)
 	case o.answer.Request != o.id:
 		c.violation("mixed: %s (%s) got the response to %q", o.id, o.kind.name, o.answer.Request)
-	case o.answer.Body != o.kind.body(o.id):
+	case o.answer.Body != o.kind.body(o.id, o.after):
 		c.violation("mixed or order: %s (%s) got a whole response with an unexpected body of %d bytes: %.200q", o.id, o.kind.name, len(o.answer.Body), o.answer.Body)
 	}
 }
--- a/cmd/internal/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -250,6 +250,7 @@
 	for _, line := range r.simulation.arrivals.summary() {
 		fmt.Fprintln(r.cfg.Out, line)
 	}
+	fmt.Fprintln(r.cfg.Out, r.simulation.versions.summary())
 	var outcomes []string
 	for label, n := range r.checker.outcomes {
 		outcomes = append(outcomes, fmt.Sprintf("%s: %d", label, n))
--- a/cmd/internal/soak/simulation.go
+++ b/cmd/internal/soak/simulation.go
@@ -57,6 +57,7 @@
 	checker   *checker
 	teams     *teams
 	arrivals  *arrivals
+	versions  *versions
 	// overloaded is set while runners refuse nearly all requests.
 	overloaded atomic.Bool
 }
@@ -65,15 +66,16 @@
 // refusals by design take away the capacity for requests that must be served.
 func plainRunners(daemons int) int { return max(4, daemons*3/4) }
 
-// engineRunners returns the number of engines for a fleet, for the same reason.
-func engineRunners(daemons int) int { return max(6, daemons) }
+// engineRunners returns the number of engines for a fleet, for the same reason. A stream
+// may go on at the engines of its version only.
+func engineRunners(daemons int) int { return len(softwareVersions) * max(6, daemons) }
 
 func newSimulation(c *checker, daemons int) (*simulation, error) {
 	store, err := platformtest.StartStore()
 	if err != nil {
 		return nil, err
 	}
-	s := &simulation{store: store, runCounts: map[string]int{}, checker: c, version: 1, teams: newTeams(), arrivals: newArrivals()}
+	s := &simulation{store: store, runCounts: map[string]int{}, checker: c, version: 1, teams: newTeams(), arrivals: newArrivals(), versions: newVersions()}
 	s.routes = []any{
 		route("idempotent", pathIdem, "idempotent", plainSvc, false),
 		route("once", pathOnce, "non_idempotent", plainSvc, false),
@@ -134,6 +136,7 @@
 		return err
 	}
 	r.Slots, r.Events, r.Gap = 16, streamSize, eventGap
+	r.Software = softwareVersions[s.started%len(softwareVersions)]
 	proxy, err := platformtest.StartProxy(r.Address())
 	if err != nil {
 		return err
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
 
 	"github.com/samphirequay/samphirequay/platform/platformtest"
 )
@@ -15,7 +16,7 @@
 func TestCheckerFindsViolations(t *testing.T) {
 	whole := func(kind int, id string) outcome {
 		k := kinds[kind]
-		return outcome{id: id, kind: k, keyIndex: -1, answer: platformtest.Answer{Status: 200, Signed: true, Complete: true, Request: id, Body: k.body(id)}}
+		return outcome{id: id, kind: k, keyIndex: -1, answer: platformtest.Answer{Status: 200, Signed: true, Complete: true, Request: id, Body: k.body(id, 0)}}
 	}
 	cases := map[string]struct {
 		alter func(o *outcome)
@@ -123,3 +124,26 @@
 	is.Equal(plan(7), plan(7))
 	is.True(len(plan(7)) > 50)
 }
+
+// The simulation must report a stream that goes on at another version, whether its daemon
+// continues it or its caller takes it up.
+func TestVersionsFindStreamsThatGoOnElsewhere(t *testing.T) {
+	is := is.New(t)
+	v, check := newVersions(), newChecker()
+	run := func(software, request, after, resumes string) {
+		var req fasthttp.Request
+		req.Header.Set("Request-Id", request)
+		req.Header.Set("Last-Event-Id", after)
+		req.Header.Set("Resumes", resumes)
+		r := &platformtest.Runner{ID: "i-" + software, Software: software}
+		v.recordRun(check, &runner{Runner: r}, &platformtest.Exchange{Runner: r, Request: &req})
+	}
+	run("v1", "a", "", "")
+	run("v1", "a", "5", "")
+	run("v1", "b", "7", "a")
+	run("v1", "c", "9", "a")
+	is.Equal(len(check.violations), 0)
+	run("v2", "a", "7", "")
+	run("v2", "d", "7", "a")
+	is.Equal(len(check.violations), 2)
+}
