--- a/cmd/internal/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -250,14 +250,13 @@
 	for _, line := range r.simulation.arrivals.summary() {
 		fmt.Fprintln(r.cfg.Out, line)
 	}
-	fmt.Fprintln(r.cfg.Out, r.simulation.versions.summary())
 	var outcomes []string
 	for label, n := range r.checker.outcomes {
 		outcomes = append(outcomes, fmt.Sprintf("%s: %d", label, n))
 	}
 	slices.Sort(outcomes)
-	fmt.Fprintf(r.cfg.Out, "seed=%d daemons=%d requests=%d served=%d broken=%d (%s)\n", r.cfg.Seed, r.cfg.Daemons,
-		r.expected.Load(), r.served.Load(), len(r.checker.violations), strings.Join(outcomes, ", "))
+	fmt.Fprintf(r.cfg.Out, "seed=%d daemons=%d requests=%d served=%d %s broken=%d (%s)\n", r.cfg.Seed, r.cfg.Daemons,
+		r.expected.Load(), r.served.Load(), r.simulation.versions.summary(), len(r.checker.violations), strings.Join(outcomes, ", "))
 	if n := len(r.checker.violations); n > 0 {
 		return eris.Errorf("%d guarantees were violated with seed %d", n, r.cfg.Seed)
 	}
--- a/cmd/internal/soak/versions.go
+++ b/cmd/internal/soak/versions.go
@@ -52,8 +52,9 @@
 	}
 }
 
+// summary returns how many streams callers took up, and how many of them went on.
 func (v *versions) summary() string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return fmt.Sprintf("streams taken up by their callers: %d, %d went on", v.takenUp, v.wentOn)
+	return fmt.Sprintf("taken_up=%d went_on=%d", v.takenUp, v.wentOn)
 }
