Bound what a daemon keeps of an endpoint's event, and pass other bodies on as they arrive

An event without an end was kept until the deadline, whatever its size; an answer that is no series of events was kept whole. An event of more than 256 KiB counts as broken off now, and the bytes of another format are passed on at once: they have no event to wait for.

--- a/daemon/forward/answerend.go
+++ b/daemon/forward/answerend.go
@@ -15,18 +15,19 @@
 )
 
 // checkEnd returns an error if a stream whose body has ended was broken off. begun is set
-// if a whole event has arrived, and rest holds the bytes after the last one.
+// if a whole event has arrived, and rest holds the bytes after the last one; a body that is
+// no series of events has no rest.
 //
 // The end of an unframed answer is that of its connection, which a process that crashes
 // brings about as well. It is trusted after a whole event, unless the endpoint seems to have
 // crashed.
 func (f *Forwarder) checkEnd(s EventStream, e registry.Endpoint, begun bool, rest []byte) error {
 	switch {
-	case !s.NotEvents() && len(rest) > 0:
+	case len(rest) > 0:
 		return errInsideEvent
 	case !s.Unframed():
 		return nil
-	case !begun && len(rest) == 0:
+	case !begun:
 		return errNoEvent
 	case f.seemsCrashed(e):
 		return errEndpointGone
--- a/daemon/forward/events.go
+++ b/daemon/forward/events.go
@@ -1,9 +1,21 @@
 package forward
 
-import "bytes"
+import (
+	"bytes"
+	"errors"
+)
+
+// maxEventBytes bounds one event of a stream, and with it the memory that an endpoint can
+// take by an event without an end.
+const maxEventBytes = 256 << 10
+
+// errEventTooLarge reports an event of more than maxEventBytes.
+var errEventTooLarge = errors.New("an event of the stream is too large")
 
 // eventBuffer holds the bytes of a stream that do not make up a whole event yet.
 type eventBuffer struct {
+	// opaque is set for a body that is no series of events: all its bytes count as whole.
+	opaque  bool
 	partial []byte
 	// whole is the length of the whole events at the start of partial, which add has
 	// returned.
@@ -15,15 +27,22 @@
 func (b *eventBuffer) add(p []byte) []byte {
 	b.partial = append(b.partial[:0], b.partial[b.whole:]...)
 	b.partial = append(b.partial, p...)
-	b.whole = completeEventsLen(b.partial)
+	b.whole = len(b.partial)
+	if !b.opaque {
+		b.whole = completeEventsLen(b.partial)
+	}
 	return b.partial[:b.whole]
 }
 
 // rest returns the bytes of an event that is not whole, valid until the next call of add.
 func (b *eventBuffer) rest() []byte { return b.partial[b.whole:] }
 
-// reset drops all bytes.
-func (b *eventBuffer) reset() {
+// tooLarge reports whether the event that is not whole exceeds maxEventBytes.
+func (b *eventBuffer) tooLarge() bool { return len(b.rest()) > maxEventBytes }
+
+// reset drops all bytes, for another body.
+func (b *eventBuffer) reset(opaque bool) {
+	b.opaque = opaque
 	b.partial = b.partial[:0]
 	b.whole = 0
 }
--- a/daemon/forward/events_test.go
+++ b/daemon/forward/events_test.go
@@ -62,3 +62,14 @@
 		}
 	})
 }
+
+// TestABodyThatIsNoSeriesOfEventsIsPassedOnAsItArrives checks that such a body is neither
+// held back nor kept.
+func TestABodyThatIsNoSeriesOfEventsIsPassedOnAsItArrives(t *testing.T) {
+	is := is.New(t)
+	b := eventBuffer{opaque: true}
+	for _, part := range []string{`{"text":`, `"a"`, "}"} {
+		is.Equal(string(b.add([]byte(part))), part)
+		is.Equal(len(b.rest()), 0)
+	}
+}
--- a/daemon/forward/plainstream.go
+++ b/daemon/forward/plainstream.go
@@ -69,6 +69,7 @@
 	f.recordOrigin(r, t, e.Software)
 	f.done(e, startedAt, balance.OK)
 	body := &plainBody{EventStream: opened.Events, f: f, ctx: ctx, cancel: cancel, request: r, trace: t, endpoint: e, status: opened.Status}
+	body.buffer.reset(opened.Events.NotEvents())
 	return &Reply{Status: opened.Status, Header: opened.Header, Events: body}
 }
 
@@ -103,8 +104,11 @@
 		b.firstPartAt = b.f.Now()
 	}
 	b.begun = len(b.buffer.add(p[:n])) > 0 || b.begun
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
 		err = b.endOfBody()
+	case err == nil && b.buffer.tooLarge():
+		err = errEventTooLarge
 	}
 	b.ended = err
 	return n, err
--- a/daemon/forward/relay.go
+++ b/daemon/forward/relay.go
@@ -53,6 +53,7 @@
 			s.finish(sched.PhaseFailed)
 			return nil
 		}
+		s.buffer.reset(opened.Events.NotEvents())
 		cause := s.fill()
 		if cause == nil || errors.Is(cause, io.EOF) || len(s.ready) > 0 {
 			s.fillErr = cause
@@ -124,6 +125,7 @@
 		return errors.New("the engine that was to go on answered with an error")
 	}
 	s.opened.Events = opened.Events
+	s.buffer.reset(opened.Events.NotEvents())
 	s.f.stats.resumedStreams.Inc()
 	s.f.Log.Event("stream_resumed", "request", s.request.ID, "behind", s.lastEvent, "endpoint", s.trace.endpoint,
 		"software", s.trace.software, "tokens", s.request.PromptTokens)
@@ -161,6 +163,8 @@
 			return err
 		case len(events) > 0:
 			return nil
+		case s.buffer.tooLarge():
+			return errEventTooLarge
 		}
 	}
 }
@@ -171,7 +175,6 @@
 	if err := s.f.checkEnd(s.opened.Events, s.engine, s.engineEventAt > 0, s.buffer.rest()); err != nil {
 		return err
 	}
-	s.ready = append(s.ready, s.buffer.rest()...)
 	s.complete()
 	return io.EOF
 }
@@ -214,7 +217,6 @@
 func (s *relay) dropEngine(cause error) {
 	_ = s.opened.Events.Close()
 	s.trace.tailBytes = len(s.buffer.rest())
-	s.buffer.reset()
 	if s.ctx.Err() != nil {
 		s.finish(sched.PhaseCancelled)
 		return
