Do not continue a stream whose events have no ids

A resumable stream that broke after events without ids was begun anew at another engine, within the same answer: its caller got the events twice. Nothing tells an engine where to go on there, so that the stream is cut. TestAStreamWithoutIDsIsNotContinued got two events for one before.

--- a/daemon/forward/relay.go
+++ b/daemon/forward/relay.go
@@ -133,8 +133,11 @@
 }
 
 // mayResume reports whether a broken stream may be resumed, and counts the retry
-// if so.
+// if so. Without an id nothing tells an engine where to go on.
 func (s *relay) mayResume() bool {
+	if s.eventAt > 0 && s.lastEvent == "" {
+		return false
+	}
 	if !s.resumable() || s.f.timeLeft(s.request, s.trace.route) < minTimeForPrefill {
 		return false
 	}
