--- /dev/null
+++ b/core/kvsched/choose.go
@@ -0,0 +1,75 @@
+package kvsched
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/live"
+)
+
+// sameDomainBonus is added to the score of a decode engine in the prefill
+// engine's failure domain, as a share of an engine's memory: the transfer of
+// the KV cache takes half as long within a domain.
+const sameDomainBonus = 0.15
+
+// chooseDecode returns the engine with the most free memory that the request
+// fits on, preferring one in the failure domain of the prefill engine if that
+// is known; otherwise nil and the cause.
+func (l *Ledger) chooseDecode(w *waiting, prefill *endpoint) (*endpoint, string) {
+	cause := causeNoEngine
+	var best *endpoint
+	bestScore := 0.0
+	for _, e := range l.order {
+		if !e.decodesHere() || !l.usable(e, w) {
+			continue
+		}
+		score, ok := l.fits(e, w)
+		if !ok {
+			cause = causeNoMemory
+			continue
+		}
+		if prefill != nil && prefill.domain == e.domain {
+			score += sameDomainBonus
+		}
+		if best == nil || score > bestScore {
+			best, bestScore = e, score
+		}
+	}
+	return best, cause
+}
+
+// choosePrefill returns the prefill engine that would finish first, among those
+// free within the horizon, preferring the decode engine's failure domain.
+func (l *Ledger) choosePrefill(w *waiting, decode *endpoint) *endpoint {
+	var best *endpoint
+	var bestAt time.Duration
+	for _, e := range l.order {
+		if e.role != live.RolePrefill || !l.usable(e, w) || len(e.prefills) >= max(1, e.slots) {
+			continue
+		}
+		start := e.startAt(l.now)
+		if start > l.now+l.options.Horizon {
+			continue
+		}
+		at := start + e.prefillTime(w.want.PromptTokens)
+		if e.domain == decode.domain {
+			at -= sameDomainLead
+		}
+		if best == nil || at < bestAt {
+			best, bestAt = e, at
+		}
+	}
+	return best
+}
+
+// sameDomainLead is how much later a prefill engine in the decode engine's
+// failure domain may finish and still be preferred.
+const sameDomainLead = 5 * time.Millisecond
+
+// usable reports whether an endpoint may serve this request at all.
+func (l *Ledger) usable(e *endpoint, w *waiting) bool {
+	if e.setAside || !e.available(l.now) || slices.Contains(w.want.Avoid, e.name) || !e.mayContinue(w.want.Software) {
+		return false
+	}
+	return l.options.Health == nil || l.options.Health.Allowed(e.name)
+}
