Prefer a prefill and a decode engine of one software version

A pair of one version is preferred now, and a pair of two taken where there is no other in time: a version without a prefill engine, as at the start of a release, would otherwise read all its prompts at its decode engines. With one version nothing changes. TestAPairOfOneVersionIsPreferred fails without it.

--- a/core/kvsched/choose.go
+++ b/core/kvsched/choose.go
@@ -12,6 +12,15 @@
 // the KV cache takes half as long within a domain.
 const sameDomainBonus = 0.15
 
+// otherSoftwareMalus is taken off the score of a decode engine whose software version is not
+// that of the prefill engine, as a share of an engine's memory: what two versions write may
+// not fit together, a KV cache neither.
+const otherSoftwareMalus = 0.5
+
+// otherSoftwareDelay is how much sooner a prefill engine of another software version than
+// the decode engine's must finish to be preferred.
+const otherSoftwareDelay = 100 * time.Millisecond
+
 // chooseDecode returns the engine with the most free memory that the request
 // fits on, preferring one in the failure domain of the prefill engine if that
 // is known; otherwise nil and the cause.
@@ -31,6 +40,9 @@
 		if prefill != nil && prefill.domain == e.domain {
 			score += sameDomainBonus
 		}
+		if prefill != nil && prefill.software != e.software {
+			score -= otherSoftwareMalus
+		}
 		if best == nil || score > bestScore {
 			best, bestScore = e, score
 		}
@@ -55,6 +67,9 @@
 		if e.domain == decode.domain {
 			at -= sameDomainLead
 		}
+		if e.software != decode.software {
+			at += otherSoftwareDelay
+		}
 		if best == nil || at < bestAt {
 			best, bestAt = e, at
 		}
--- a/core/kvsched/versions_test.go
+++ b/core/kvsched/versions_test.go
@@ -80,3 +80,26 @@
 	is.Equal(len(l.Want(start, w)), 0)
 	is.Equal(len(grants(l.Want(start, want("new", 4000, 10)))), 1)
 }
+
+// TestAPairOfOneVersionIsPreferred checks that a KV cache mostly goes to the software version
+// that made it, and that a version without a free prefill engine is served all the same.
+func TestAPairOfOneVersionIsPreferred(t *testing.T) {
+	is := is.New(t)
+	doc := versionsDocument()
+	doc.Endpoints[0].Labels[live.LabelSoftware] = "v2"
+	l := newLedger(t, doc)
+	software := map[id.Endpoint]string{}
+	for _, e := range doc.Endpoints {
+		software[e.Name] = e.Labels[live.LabelSoftware]
+	}
+	for _, name := range []string{"a", "b", "c"} {
+		got := grants(l.Want(start, want(name, 200, 10)))
+		is.Equal(len(got), 1)
+		is.Equal(software[got[0].Prefill], software[got[0].Decode])
+	}
+
+	doc = versionsDocument() // no prefill engine of v2
+	doc.Endpoints[2].Labels[live.LabelLeaving] = "true"
+	l = newLedger(t, doc)
+	is.Equal(len(grants(l.Want(start, want("a", 200, 10)))), 1)
+}
