--- a/daemon/forward/record.go
+++ b/daemon/forward/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"slices"
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/poison"
@@ -14,8 +15,47 @@
 func (f *Forwarder) record(r *Request, t *trace, reply *Reply, err *verdict.Error) {
 	f.returnUnused(t)
 	took := f.Now() - r.Arrived
-	outcome, status := "answered", 0
-	kv := []any{"request", r.ID}
+	outcome, status := resultOf(reply, err)
+	kv := slices.Concat([]any{"request", r.ID}, t.decisionFields(r), t.servingFields())
+	if err != nil {
+		kv = append(kv, "verdict", err.Verdict, "why", err.Error(), "retry_after", err.RetryAfter)
+	}
+	if outcome == outcomeAnswered && t.route != nil {
+		kv = append(kv, "in_time", inTime(t, took))
+	}
+	kv = append(kv, "outcome", outcome, "status", status, "took", took, "reason", t.reason)
+	f.stats.recordOutcome(outcome, took)
+	if err == nil && !reply.Failed() {
+		f.Log.Routine("request", kv...)
+		return
+	}
+	f.Log.Event("request", kv...)
+}
+
+// Outcomes of requests that endpoints have answered; the others are those of verdict.Code.
+const (
+	outcomeAnswered       = "answered"
+	outcomeEndpointFailed = "endpoint_failed"
+)
+
+// resultOf returns the outcome of a request as logged, and the status of its answer; 0 if no
+// endpoint answered.
+func resultOf(reply *Reply, err *verdict.Error) (outcome string, status int) {
+	outcome = outcomeAnswered
+	if reply != nil {
+		status = reply.Status
+		if reply.Failed() {
+			outcome = outcomeEndpointFailed
+		}
+	}
+	if err != nil {
+		outcome = string(err.Code)
+	}
+	return outcome, status
+}
+
+// decisionFields are the fields of a request's log line that say by what it was decided.
+func (t *trace) decisionFields(r *Request) (kv []any) {
 	if t.route != nil {
 		kv = append(kv, "route", t.route.Name, "service", t.service, "kind", t.route.Kind,
 			"target", t.route.TargetLatency, "print", shortFingerprint(r, t))
@@ -23,19 +63,25 @@
 	if t.team != nil {
 		kv = append(kv, "team", t.team.Name, "config_age", t.configAge)
 	}
-	kv = append(kv, "config", t.config, "registry", t.registry, "attempts", t.attempts, "endpoint", t.endpoint)
+	kv = append(kv, "config", t.config, "registry", t.registry)
+	if r.LastEvent != "" {
+		kv = append(kv, "behind", r.LastEvent, "resumes", r.Resumes, "began", t.began)
+	}
+	return kv
+}
+
+// servingFields are the fields that say which endpoints served the request, and how.
+func (t *trace) servingFields() []any {
+	kv := []any{"attempts", t.attempts, "endpoint", t.endpoint}
+	if t.software != "" {
+		kv = append(kv, "software", t.software)
+	}
 	if t.prefill != "" {
 		kv = append(kv, "prefill", t.prefill, "waited", t.engineWait, "read", t.prefillTime, "first", t.firstEventTime)
 	}
 	if t.firstEventTime > 0 {
 		kv = append(kv, "framed", !t.unframed, "tail_bytes", t.tailBytes)
 	}
-	if t.software != "" {
-		kv = append(kv, "software", t.software)
-	}
-	if r.LastEvent != "" {
-		kv = append(kv, "behind", r.LastEvent, "resumes", r.Resumes, "began", t.began)
-	}
 	if t.arrivals.repeats() > 0 || t.arrivals.paid > 0 {
 		kv = append(kv, "repeats", t.arrivals.repeats(), "repeats_paid", t.arrivals.paid,
 			"repeats_sharers", t.arrivals.sharers, "repeats_account_age", t.arrivals.accountAge)
@@ -43,26 +89,7 @@
 	if t.unlisted > 0 {
 		kv = append(kv, "unlisted", t.unlisted)
 	}
-	if reply != nil {
-		status = reply.Status
-		if reply.Failed() {
-			outcome = "endpoint_failed"
-		}
-	}
-	if err != nil {
-		outcome = string(err.Code)
-		kv = append(kv, "verdict", err.Verdict, "why", err.Error(), "retry_after", err.RetryAfter)
-	}
-	if outcome == "answered" && t.route != nil {
-		kv = append(kv, "in_time", inTime(t, took))
-	}
-	kv = append(kv, "outcome", outcome, "status", status, "took", took, "reason", t.reason)
-	f.stats.recordOutcome(outcome, took)
-	if err == nil && !reply.Failed() {
-		f.Log.Routine("request", kv...)
-		return
-	}
-	f.Log.Event("request", kv...)
+	return kv
 }
 
 // countUnlisted counts an attempt if the store no longer lists its endpoint.
