Take up a stream of a split route at the service that began it

A route that is split over services chooses by the id of the request, and a caller that takes its stream up sends another id: the stream could go on at another service, and its origin was not found, since the record has the service. The choice goes by the attempt that began the stream now, where the caller names it. TestAStreamOfASplitRouteIsTakenUpAtItsService fails with the request's own id.

--- a/daemon/forward/forward.go
+++ b/daemon/forward/forward.go
@@ -154,7 +154,7 @@
 	if err := f.authenticate(r, t, view.Routes); err != nil {
 		return nil, err
 	}
-	t.service = t.route.Choose(r.ID)
+	t.service = chooseService(t.route, r)
 	service := view.Routes.Service(t.service)
 	if t.route.Kind == route.Stream && f.StopsTooSoon() {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeLeaving, "this daemon is stopping")
--- a/daemon/forward/origin.go
+++ b/daemon/forward/origin.go
@@ -6,6 +6,7 @@
 
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/origin"
+	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
@@ -27,13 +28,27 @@
 	originRetryAfter = time.Second
 )
 
+// firstAttempt returns the caller's attempt that began the stream of a request: the request
+// itself, or the one that it takes up; empty if its caller doesn't name that one.
+func firstAttempt(r *Request) id.Request {
+	if r.LastEvent != "" {
+		return r.Resumes
+	}
+	return r.ID
+}
+
 // streamOf identifies the stream that a request begins or takes up.
 func streamOf(r *Request, t *trace) origin.Stream {
-	s := origin.Stream{Request: r.ID, Service: t.service, Team: t.teamName()}
-	if r.LastEvent != "" {
-		s.Request = r.Resumes
+	return origin.Stream{Request: firstAttempt(r), Service: t.service, Team: t.teamName()}
+}
+
+// chooseService chooses among the services of a route that is split. A stream stays at the
+// service that began it while the split is the same.
+func chooseService(rt *route.Route, r *Request) id.Service {
+	if first := firstAttempt(r); first != "" {
+		return rt.Choose(first)
 	}
-	return s
+	return rt.Choose(r.ID)
 }
 
 // findOrigin sets the software version to which a request that takes a stream up is tied.
@@ -52,7 +67,7 @@
 	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "%s", t.reason).WithRetryAfter(originRetryAfter)
 }
 
-// recordOrigin records what has just begun, or gone on with, a request's stream.
+// recordOrigin records the software version that begins a request's stream or goes on with it.
 func (f *Forwarder) recordOrigin(r *Request, t *trace, software id.Software) {
 	s := streamOf(r, t)
 	if s.Request == "" {
--- a/daemon/forward/origin_test.go
+++ b/daemon/forward/origin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -9,6 +10,7 @@
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/origin"
 	"github.com/samphirequay/samphirequay/core/registry"
+	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
@@ -97,3 +99,20 @@
 		is.True(e.Name == "a" || e.Name == "d")
 	}
 }
+
+// TestAStreamOfASplitRouteIsTakenUpAtItsService guards against a caller's new attempt that
+// is sent to another service of the route.
+func TestAStreamOfASplitRouteIsTakenUpAtItsService(t *testing.T) {
+	is := is.New(t)
+	rt := &route.Route{Targets: []route.Target{{Service: "s", Weight: 1}, {Service: "other", Weight: 1}}}
+	chosen := map[id.Service]bool{}
+	for i := range 64 {
+		first := &Request{ID: id.Request(fmt.Sprint("first-", i))}
+		again := &Request{ID: id.Request(fmt.Sprint("again-", i)), LastEvent: "3", Resumes: first.ID}
+		is.Equal(chooseService(rt, again), chooseService(rt, first))
+		chosen[chooseService(rt, first)] = true
+	}
+	is.Equal(len(chosen), 2)
+	unnamed := &Request{ID: "again-0", LastEvent: "3"}
+	is.Equal(chooseService(rt, unnamed), rt.Choose("again-0"))
+}
