Drop the records of streams' origins as they expire

Only a second version or a planned stop dropped them, so that a daemon's records grew to their bound, some 8 MB. TestExpiredRecordsTakeNoMemory fails without it.

--- a/core/origin/ledger.go
+++ b/core/origin/ledger.go
@@ -61,6 +61,18 @@
 		k.expires = max(k.expires, known.expires)
 	}
 	l.records.Add(r.Stream, k)
+	l.dropExpired(now)
+}
+
+// dropExpired drops the oldest records up to one that has not expired.
+func (l *Ledger) dropExpired(now time.Duration) {
+	for {
+		_, oldest, ok := l.records.GetOldest()
+		if !ok || now < oldest.expires {
+			return
+		}
+		l.records.RemoveOldest()
+	}
 }
 
 // Find returns the record of a stream; ok is false if there is none.
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -53,6 +53,16 @@
 	is.Equal(got.Software, id.Software("v3"))
 }
 
+// TestExpiredRecordsTakeNoMemory guards against a daemon whose records only ever grow.
+func TestExpiredRecordsTakeNoMemory(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger()
+	for i := range 100 {
+		l.Add(time.Duration(i)*time.Second, record(fmt.Sprint(i), "v1", 10*time.Second))
+		is.True(l.records.Len() <= 10)
+	}
+}
+
 func TestRecordsAreBounded(t *testing.T) {
 	is := is.New(t)
 	l := NewLedger()
