Let no stream that waits for room at its version hold up the pool

Once more than a fifth of the decode engines are set aside, the first request that finds no room holds up all behind it. A stream that is tied to one version did so with the engines of the other versions free. It passes them by now; where one version serves nothing changes. TestRequestsThatWaitForTheRoomOfAVersionHoldNobodyUp fails without it.

--- a/core/kvsched/grant.go
+++ b/core/kvsched/grant.go
@@ -103,9 +103,8 @@
 	decode, cause := l.chooseInitialDecode(w)
 	if decode == nil {
 		w.blocked = cause
-		if cause == causeNoEngine && w.want.Software != "" {
-			// Only its own version can't be used: the others need not wait for it.
-			return nil, true
+		if cause == causeNoEngine {
+			return nil, l.tied(w)
 		}
 		return nil, cause == causeNoMemory && l.passable(w)
 	}
@@ -139,7 +138,8 @@
 // passable reports whether other requests may bypass one that fits on no
 // engine. During the bypass time they may; after it an engine is set aside for
 // the request, so that the others can use the free memory of the rest without
-// starving it. If too many engines are set aside already, nothing bypasses it.
+// starving it. If too many engines are set aside already, nothing bypasses it, unless
+// it is tied to some of the engines only.
 func (l *Ledger) passable(w *waiting) bool {
 	if l.now-w.arrived < l.options.BypassAfter && !w.want.Prefilled || !l.enabled(KeptEngine) {
 		return true
@@ -154,16 +154,24 @@
 		}
 	}
 	if setAside >= max(1, int(maxSetAsideShare*float64(decoding))) {
-		return false
+		return l.tied(w)
 	}
 	candidate := l.mostFree(w)
 	if candidate == nil {
-		return false
+		return l.tied(w)
 	}
 	candidate.setAside = true
 	return true
 }
 
+// tied reports whether a request may go to engines of one software version only while others
+// decode as well, which the requests behind it need not wait for.
+func (l *Ledger) tied(w *waiting) bool {
+	return w.want.Software != "" && slices.ContainsFunc(l.order, func(e *endpoint) bool {
+		return e.decodesHere() && e.software != w.want.Software
+	})
+}
+
 // mostFree returns the usable decode engine with the most free memory, which
 // will fit the request first.
 func (l *Ledger) mostFree(w *waiting) *endpoint {
--- a/core/kvsched/versions_test.go
+++ b/core/kvsched/versions_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/sched"
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
@@ -66,6 +67,28 @@
 	is.Equal(len(grants(l.Want(start, want("new", 1000, 10)))), 1)
 }
 
+// TestRequestsThatWaitForTheRoomOfAVersionHoldNobodyUp covers more of them than engines that
+// may be set aside, for longer than others may pass requests that wait.
+func TestRequestsThatWaitForTheRoomOfAVersionHoldNobodyUp(t *testing.T) {
+	is := is.New(t)
+	doc := versionsDocument()
+	doc.Endpoints[3].Labels[live.LabelSoftware] = "v1" // two engines of it
+	l := newLedger(t, doc)
+	for _, name := range []string{"full-1", "full-2"} {
+		w := want(name, 9000, 10)
+		w.Software = "v1"
+		l.Progress(start, done(grants(l.Want(start, w))[0], sched.PhaseDecoding))
+	}
+	for _, name := range []string{"a", "b", "c"} {
+		w := want(name, 3000, 10)
+		w.Software, w.Priority = "v1", 9
+		is.Equal(len(l.Want(start, w)), 0)
+	}
+	later := start + DefaultBypassAfter + time.Millisecond
+	is.Equal(len(l.Tick(later)), 0)
+	is.Equal(len(grants(l.Want(later, want("new", 4000, 10)))), 1)
+}
+
 // TestAVersionWithoutRoomDoesNotCountAsAPoolWithoutRoom checks that what does not fit on the
 // engines of one version is still tried on those of the others.
 func TestAVersionWithoutRoomDoesNotCountAsAPoolWithoutRoom(t *testing.T) {
