Do not take the version of a former process for that of its successor

An engine that reports a restart before its entry does was given the version of its old entry. That of the new process is not known until its entry tells: nothing is recorded of the streams that it begins, and they go on as those of unknown origin do, where one version serves. Tests: TestTheSoftwareOfARestartedEndpointIsNotKnown (fails without it), TestAStreamOfAnUnknownVersionIsContinuedOnlyBesideOneVersion, TestAnUnknownVersionIsNotRecorded.

--- a/core/registry/endpoint.go
+++ b/core/registry/endpoint.go
@@ -27,7 +27,7 @@
 	Slots int
 	// Role of a model engine; empty for a plain endpoint.
 	Role live.Role
-	// Software is the version of the endpoint's software.
+	// Software is the version of the endpoint's software; empty while it is not known.
 	Software id.Software
 	// Leaving is set once the endpoint has announced that it accepts no new work.
 	Leaving bool
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -174,6 +174,8 @@
 	entry.StartedUnixMS = startedUnixMS
 	entry.Name = Incarnation(instance, startedUnixMS)
 	entry.Role = role
+	// The new process may run other software than the one that wrote the entry.
+	entry.Software = ""
 	l.restarted[instance] = entry
 	return true
 }
--- a/daemon/forward/origin.go
+++ b/daemon/forward/origin.go
@@ -67,8 +67,12 @@
 	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "%s", t.reason).WithRetryAfter(originRetryAfter)
 }
 
-// recordOrigin records the software version that begins a request's stream or goes on with it.
+// recordOrigin records the software version that begins a request's stream or goes on with
+// it, if that is known.
 func (f *Forwarder) recordOrigin(r *Request, t *trace, software id.Software) {
+	if software == "" {
+		return
+	}
 	s := streamOf(r, t)
 	if s.Request == "" {
 		// Its caller may name this attempt from now on.
--- a/daemon/forward/origin_test.go
+++ b/daemon/forward/origin_test.go
@@ -116,3 +116,37 @@
 	unnamed := &Request{ID: "again-0", LastEvent: "3"}
 	is.Equal(chooseService(rt, unnamed), rt.Choose("again-0"))
 }
+
+// TestAStreamOfAnUnknownVersionIsContinuedOnlyBesideOneVersion guards against joining events
+// of an engine that has just started again, perhaps with other software, and of another one.
+func TestAStreamOfAnUnknownVersionIsContinuedOnlyBesideOneVersion(t *testing.T) {
+	is := is.New(t)
+	f, r, _ := newStreamTest(t, &recordingEngines{}, &staleOwner{})
+	s := &relay{generation: &generation{f: f, request: r, trace: &trace{}}, ctx: context.Background()}
+	f.Origins = knownOrigin{}
+	is.True(!s.knowsOrigin())
+	f.Origins = knownOrigin{software: "v1"} // the only one
+	is.True(s.knowsOrigin())
+	is.Equal(s.began, id.Software("v1"))
+}
+
+// recordingOrigins keeps what it is told.
+type recordingOrigins struct {
+	sameVersion
+	records []origin.Record
+}
+
+// Began implements Origins.
+func (o *recordingOrigins) Began(r origin.Record) { o.records = append(o.records, r) }
+
+func TestAnUnknownVersionIsNotRecorded(t *testing.T) {
+	is := is.New(t)
+	f, r, _ := newStreamTest(t, &recordingEngines{}, &staleOwner{})
+	told := &recordingOrigins{}
+	f.Origins = told
+	tr := &trace{route: f.View().Routes.Match(r.Host, r.Path)}
+	f.recordOrigin(r, tr, "")
+	is.Equal(len(told.records), 0)
+	f.recordOrigin(r, tr, "v1")
+	is.Equal(told.records[0].Software, id.Software("v1"))
+}
--- a/daemon/forward/relay.go
+++ b/daemon/forward/relay.go
@@ -135,7 +135,7 @@
 // mayResume reports whether a broken stream may be resumed, and counts the retry
 // if so. Without an id nothing tells an engine where to go on.
 func (s *relay) mayResume() bool {
-	if s.eventAt > 0 && s.lastEvent == "" {
+	if s.eventAt > 0 && (s.lastEvent == "" || !s.knowsOrigin()) {
 		return false
 	}
 	if !s.resumable() || s.f.timeLeft(s.request, s.trace.route) < minTimeForPrefill {
@@ -147,6 +147,17 @@
 	return s.f.payRepeats(s.trace, s.service.Name, s.trace.arrivals.arrivalsOfPair())
 }
 
+// knowsOrigin reports whether it is known which software version began the stream. That of
+// an engine that has just started again is not, until its entry tells.
+func (s *relay) knowsOrigin() bool {
+	if s.began != "" {
+		return true
+	}
+	began, ok := s.f.Origins.Find(s.ctx, streamOf(s.request, s.trace))
+	s.began = began
+	return ok
+}
+
 // fill reads until at least one more event is complete. It returns io.EOF at the
 // regular end of the stream.
 func (s *relay) fill() error {
--- a/daemon/forward/stream.go
+++ b/daemon/forward/stream.go
@@ -60,7 +60,7 @@
 	// engine is the decode engine of the last attempt.
 	engine registry.Endpoint
 	// began is the software version that wrote the first event that was passed on: only
-	// that version may write the others. Empty before.
+	// that version may write the others. Empty before, and if it is not known.
 	began id.Software
 	// worstErr is the error so far whose verdict guarantees least.
 	worstErr *verdict.Error
--- a/daemon/gateway/origins.go
+++ b/daemon/gateway/origins.go
@@ -58,10 +58,13 @@
 	return &r, nil
 }
 
-// listedVersions returns the software versions of each service's endpoints.
+// listedVersions returns the known software versions of each service's endpoints.
 func listedVersions(entries []registry.Endpoint) map[id.Service]map[id.Software]bool {
 	out := map[id.Service]map[id.Software]bool{}
 	for _, e := range entries {
+		if e.Software == "" {
+			continue
+		}
 		if out[e.Service] == nil {
 			out[e.Service] = map[id.Software]bool{}
 		}
