Keep the platform's names in its folder, and call a caller's first attempt one

TestThePlatformsNamesStandHereOnly found two header names in the soak; the stand-ins build and read them now. The request's field says what it holds.

--- a/cmd/internal/soak/caller.go
+++ b/cmd/internal/soak/caller.go
@@ -63,7 +63,7 @@
 		r.Fields = platformtest.Generation(o.id)
 	}
 	if o.after > 0 {
-		r.Fields = append(r.Fields, fmt.Sprintf("Last-Event-Id: %d", o.after), "Resumes: "+o.resumes)
+		r.Fields = append(r.Fields, platformtest.TakeUp(o.resumes, o.after)...)
 	}
 	r.Fields = append(r.Fields, platformtest.KeyField(o.key))
 	return r.Text()
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/valyala/fasthttp"
 
 	"github.com/samphirequay/samphirequay/platform/platformtest"
 )
@@ -130,20 +129,22 @@
 func TestVersionsFindStreamsThatGoOnElsewhere(t *testing.T) {
 	is := is.New(t)
 	v, check := newVersions(), newChecker()
-	run := func(software, request, after, resumes string) {
-		var req fasthttp.Request
-		req.Header.Set("Request-Id", request)
-		req.Header.Set("Last-Event-Id", after)
-		req.Header.Set("Resumes", resumes)
+	run := func(software, id string, after int, resumes string) {
+		request := platformtest.Request{Method: "POST", Target: pathResume, Host: callHost, ID: id}
+		if after > 0 {
+			request.Fields = platformtest.TakeUp(resumes, after)
+		}
 		r := &platformtest.Runner{ID: "i-" + software, Software: software}
-		v.recordRun(check, &runner{Runner: r}, &platformtest.Exchange{Runner: r, Request: &req})
+		x, err := request.At(r)
+		is.NoErr(err)
+		v.recordRun(check, &runner{Runner: r}, x)
 	}
-	run("v1", "a", "", "")
-	run("v1", "a", "5", "")
-	run("v1", "b", "7", "a")
-	run("v1", "c", "9", "a")
+	run("v1", "a", 0, "")
+	run("v1", "a", 5, "")
+	run("v1", "b", 7, "a")
+	run("v1", "c", 9, "a")
 	is.Equal(len(check.violations), 0)
-	run("v2", "a", "7", "")
-	run("v2", "d", "7", "a")
+	run("v2", "a", 7, "")
+	run("v2", "d", 7, "a")
 	is.Equal(len(check.violations), 2)
 }
--- a/cmd/internal/soak/versions.go
+++ b/cmd/internal/soak/versions.go
@@ -34,7 +34,7 @@
 	}
 	began, known := v.began[request]
 	if !known {
-		began = v.began[string(x.Request.Header.Peek("Resumes"))]
+		began = v.began[x.Resumes()]
 		v.began[request] = began
 	}
 	if began != r.Software {
--- a/daemon/forward/origin.go
+++ b/daemon/forward/origin.go
@@ -28,24 +28,24 @@
 	originRetryAfter = time.Second
 )
 
-// firstAttempt returns the caller's attempt that began the stream of a request: the request
+// streamID returns the caller's attempt that began the stream of a request: the request
 // itself, or the one that it takes up; empty if its caller doesn't name that one.
-func firstAttempt(r *Request) id.Request {
+func streamID(r *Request) id.Request {
 	if r.LastEvent != "" {
-		return r.Resumes
+		return r.FirstAttempt
 	}
 	return r.ID
 }
 
 // streamOf identifies the stream that a request begins or takes up.
 func streamOf(r *Request, t *trace) origin.Stream {
-	return origin.Stream{Request: firstAttempt(r), Service: t.service, Team: t.teamName()}
+	return origin.Stream{Request: streamID(r), Service: t.service, Team: t.teamName()}
 }
 
 // chooseService chooses among the services of a route that is split. A stream stays at the
 // service that began it while the split is the same.
 func chooseService(rt *route.Route, r *Request) id.Service {
-	if first := firstAttempt(r); first != "" {
+	if first := streamID(r); first != "" {
 		return rt.Choose(first)
 	}
 	return rt.Choose(r.ID)
--- a/daemon/forward/origin_test.go
+++ b/daemon/forward/origin_test.go
@@ -44,7 +44,7 @@
 	f, r, _ := newStreamTest(t, engines, owner)
 	setVersions(f, map[id.Endpoint]id.Software{"d1": "v2", "d2": "v1"})
 	f.Origins = knownOrigin{software: "v1"}
-	r.LastEvent, r.Resumes = "3", "first"
+	r.LastEvent, r.FirstAttempt = "3", "first"
 	reply, err := f.Run(context.Background(), r)
 	is.True(err == nil)
 	is.NoErr(reply.Events.Close())
@@ -62,7 +62,7 @@
 	setVersions(f, map[id.Endpoint]id.Software{"d1": "v1", "d2": "v1"})
 	engines.afterPrefill = func() { setVersions(f, map[id.Endpoint]id.Software{"d1": "v2"}) }
 	f.Origins = knownOrigin{software: "v1"}
-	r.LastEvent, r.Resumes = "3", "first"
+	r.LastEvent, r.FirstAttempt = "3", "first"
 	_, err := f.Run(context.Background(), r)
 	is.Equal(err.Verdict, verdict.NotRun)
 	is.Equal(len(engines.decoded), 0)
@@ -108,7 +108,7 @@
 	chosen := map[id.Service]bool{}
 	for i := range 64 {
 		first := &Request{ID: id.Request(fmt.Sprint("first-", i))}
-		again := &Request{ID: id.Request(fmt.Sprint("again-", i)), LastEvent: "3", Resumes: first.ID}
+		again := &Request{ID: id.Request(fmt.Sprint("again-", i)), LastEvent: "3", FirstAttempt: first.ID}
 		is.Equal(chooseService(rt, again), chooseService(rt, first))
 		chosen[chooseService(rt, first)] = true
 	}
--- a/daemon/forward/record.go
+++ b/daemon/forward/record.go
@@ -65,7 +65,7 @@
 	}
 	kv = append(kv, "config", t.config, "registry", t.registry)
 	if r.LastEvent != "" {
-		kv = append(kv, "behind", r.LastEvent, "resumes", r.Resumes, "began", t.began)
+		kv = append(kv, "behind", r.LastEvent, "resumes", r.FirstAttempt, "began", t.began)
 	}
 	return kv
 }
--- a/daemon/forward/types.go
+++ b/daemon/forward/types.go
@@ -53,9 +53,9 @@
 	// LastEvent is the id of the event after which a stream is to continue; empty
 	// to start at the beginning.
 	LastEvent string
-	// Resumes is the ID of the caller's attempt that brought the first event of the
+	// FirstAttempt is the ID of the caller's attempt that brought the first event of the
 	// stream that is to continue; empty if not stated.
-	Resumes id.Request
+	FirstAttempt id.Request
 }
 
 // Reply is an endpoint's answer, which is passed on unchanged.
