--- a/cmd/internal/soak/answers.go
+++ b/cmd/internal/soak/answers.go
@@ -38,7 +38,7 @@
 		return
 	}
 	if r.Stage() == "" {
-		respondPlain(x, number%unframedEvery == 0)
+		respondPlain(x, s.isUnframed(number))
 		return
 	}
 	s.versions.recordRun(s.checker, r, x)
@@ -46,13 +46,16 @@
 	if number%breakEvery == 0 && runs == 1 {
 		to = streamSize / 2
 	}
-	if number%unframedEvery == 0 {
+	if s.isUnframed(number) {
 		streamUnframed(x, to)
 		return
 	}
 	x.Stream(x.FirstEvent(), to, to == streamSize)
 }
 
+// isUnframed reports whether the answer to a request ends with its connection.
+func (s *simulation) isUnframed(number int) bool { return s.unframed && number%unframedEvery == 0 }
+
 // respondPlain answers a plain call, without a length if unframed is set.
 func respondPlain(x *platformtest.Exchange, unframed bool) {
 	body := plainBody(x.RequestID())
--- a/cmd/internal/soak/caller.go
+++ b/cmd/internal/soak/caller.go
@@ -84,6 +84,8 @@
 	// expected counts the requests that must be served, served those of them that
 	// were served.
 	served, expected *atomic.Int64
+	// takesUp is set if the caller goes on with streams that have broken off.
+	takesUp bool
 	// reconnect is set once all callers must open new connections; reconnected is
 	// set once this caller has closed its old ones.
 	reconnect   *atomic.Bool
@@ -98,6 +100,7 @@
 		teams:     r.simulation.teams,
 		arrivals:  r.simulation.arrivals,
 		versions:  r.simulation.versions,
+		takesUp:   r.cfg.Scenario != Restarts,
 		conns:     map[*process]net.Conn{},
 		served:    &r.served,
 		expected:  &r.expected,
@@ -119,7 +122,9 @@
 		o := c.call(p, kinds[c.rng.IntN(len(kinds))], c.nextID())
 		c.count(o)
 		c.checker.check(o)
-		c.takeUp(o, processes)
+		if c.takesUp {
+			c.takeUp(o, processes)
+		}
 	}
 }
 
--- a/cmd/internal/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -101,7 +101,7 @@
 func (r *run) provision() error {
 	free := portsForSeed(r.cfg.Seed)
 	var err error
-	if r.simulation, err = newSimulation(r.checker, r.cfg.Daemons); err != nil {
+	if r.simulation, err = newSimulation(r.checker, r.cfg.Daemons, r.cfg.Scenario); err != nil {
 		return err
 	}
 	for i := range r.cfg.Daemons {
--- a/cmd/internal/soak/simulation.go
+++ b/cmd/internal/soak/simulation.go
@@ -58,6 +58,10 @@
 	teams     *teams
 	arrivals  *arrivals
 	versions  *versions
+	// software holds the versions of the runners' software.
+	software []string
+	// unframed is set if some answers end with their connection.
+	unframed bool
 	// overloaded is set while runners refuse nearly all requests.
 	overloaded atomic.Bool
 }
@@ -67,15 +71,19 @@
 func plainRunners(daemons int) int { return max(4, daemons*3/4) }
 
 // engineRunners returns the number of engines for a fleet, for the same reason. A stream
-// may go on at the engines of its version only.
-func engineRunners(daemons int) int { return len(softwareVersions) * max(6, daemons) }
+// may go on at the engines of its version only, so that each version has as many.
+func engineRunners(daemons, versions int) int { return versions * max(6, daemons) }
 
-func newSimulation(c *checker, daemons int) (*simulation, error) {
+func newSimulation(c *checker, daemons int, scenario Scenario) (*simulation, error) {
 	store, err := platformtest.StartStore()
 	if err != nil {
 		return nil, err
 	}
-	s := &simulation{store: store, runCounts: map[string]int{}, checker: c, version: 1, teams: newTeams(), arrivals: newArrivals(), versions: newVersions()}
+	s := &simulation{store: store, runCounts: map[string]int{}, checker: c, version: 1, teams: newTeams(), arrivals: newArrivals(), versions: newVersions(), software: softwareVersions, unframed: true}
+	if scenario == Restarts {
+		// Retries alone: what its seeds have shown must stay as it was.
+		s.software, s.unframed = softwareVersions[:1], false
+	}
 	s.routes = []any{
 		route("idempotent", pathIdem, "idempotent", plainSvc, false),
 		route("once", pathOnce, "non_idempotent", plainSvc, false),
@@ -88,7 +96,7 @@
 			return nil, err
 		}
 	}
-	for i := range engineRunners(daemons) {
+	for i := range engineRunners(daemons, len(s.software)) {
 		if err := s.addRunner(engineSvc, []string{"prefill", "decode", "decode"}[i%3]); err != nil {
 			return nil, err
 		}
@@ -136,7 +144,7 @@
 		return err
 	}
 	r.Slots, r.Events, r.Gap = 16, streamSize, eventGap
-	r.Software = softwareVersions[s.started%len(softwareVersions)]
+	r.Software = s.software[s.started%len(s.software)]
 	proxy, err := platformtest.StartProxy(r.Address())
 	if err != nil {
 		return err
