--- a/core/origin/ledger.go
+++ b/core/origin/ledger.go
@@ -28,8 +28,8 @@
 	Left time.Duration `cbor:"3,keyasint"`
 }
 
-// maxRecords bounds the records of a daemon, and with them its memory to some 8 MB: more
-// than the streams that a large fleet begins within a minute and shares with one daemon.
+// maxRecords bounds the records of a daemon, and with them its memory to some 9 MB. Beyond
+// it the oldest are dropped, and the streams that they are of count as unknown.
 const maxRecords = 1 << 15
 
 // kept is what is known of one stream.
