Keep an engine that is silent before its header until another one answers

What callers saw: a stream that may run again, and whose sound engine was silent for over two seconds before its header, ended with an error of the daemon's own (504) where no other engine could take it. The users' rule: a silence is no reason to end an answer sooner.

Cause: the wait for the header of such a stream was a time limit of the exchange.

The order now stays under way for as long as the stream may take. After two seconds without a header another engine is sought beside it; the first one that begins to answer writes the stream, and the other is left. The silent order counts as one that may have run as soon as the search begins, so that it is paid for by the retry limit; if it refuses in the end, it counts as not run again.

--- a/daemon/forward/decode.go
+++ b/daemon/forward/decode.go
@@ -55,7 +55,6 @@
 	if err != nil {
 		return nil, err
 	}
-	startedAt := f.Now()
 	g.trace.attempts++
 	g.trace.endpoint = engine.Name
 	g.trace.software = engine.Software
@@ -63,24 +62,35 @@
 	f.countUnlisted(g.trace, engine)
 	attempt := g.newAttempt(engine)
 	attempt.AtMostOnce = !g.trace.route.Resumable
+	endBound := g.boundOverlap()
+	defer endBound()
 	if g.trace.route.Resumable && g.runs+1 < g.trace.route.MaxAttempts {
-		attempt.Until = min(attempt.Until, startedAt+headerTimeout)
+		return g.decodeOrElsewhere(ctx, g.order(ctx, attempt, kv))
 	}
-	endBound := g.boundOverlap()
-	opened, err := f.Endpoints.Decode(ctx, attempt, kv)
-	endBound()
-	f.countArrival(g.trace, stepDecode, err)
-	if err != nil {
-		if err.Verdict != verdict.NotRun {
+	o := &decodeOrder{engine: engine, startedAt: f.Now()}
+	o.opened, o.err = f.Endpoints.Decode(ctx, attempt, kv)
+	return g.decoded(o)
+}
+
+// decoded records the result of a decode order.
+func (g *generation) decoded(o *decodeOrder) (*Opened, *verdict.Error) {
+	f, opened, err := g.f, o.opened, o.err
+	ran := err == nil || err.Verdict != verdict.NotRun
+	switch {
+	case !o.counted:
+		f.countArrival(g.trace, stepDecode, err)
+		if ran {
 			g.runs++
 			g.trace.mayHaveRun = true
 		}
-		g.reportEngineFailure(engine, err, stepDecode, f.Now()-startedAt)
+	case !ran:
+		g.runs--
+	}
+	if err != nil {
+		g.reportEngineFailure(o.engine, err, stepDecode, f.Now()-o.startedAt)
 		return nil, err
 	}
-	g.runs++
-	g.trace.mayHaveRun = true
 	g.trace.unframed = opened.Events != nil && opened.Events.Unframed()
-	g.progress(sched.Progress{Phase: sched.PhaseDecoding, Endpoint: engine.Name})
+	g.progress(sched.Progress{Phase: sched.PhaseDecoding, Endpoint: o.engine.Name})
 	return opened, nil
 }
--- a/daemon/forward/stream.go
+++ b/daemon/forward/stream.go
@@ -29,8 +29,8 @@
 	// stallTimeout is the silence after which another engine is sought for a resumable
 	// stream.
 	stallTimeout = 1500 * time.Millisecond
-	// headerTimeout bounds the wait for the response header of a stream that may run at
-	// another engine afterwards.
+	// headerTimeout is the wait for the response header after which another engine is
+	// sought for a stream that may run again.
 	headerTimeout = 2 * time.Second
 	// freeTimeout bounds the call that frees a KV cache.
 	freeTimeout = 500 * time.Millisecond
--- a/daemon/forward/takeover.go
+++ b/daemon/forward/takeover.go
@@ -195,31 +195,32 @@
 
 // copyForSearch returns a copy of the stream's state for the search for another engine.
 // dropHeld is called if the silent engine has to be given up during the search.
-func (s *relay) copyForSearch(dropHeld func()) *generation {
-	g := *s.generation
-	t := *s.trace
-	g.trace = &t
-	g.grant = sched.Grant{}
-	held := s.engine
-	g.held, g.dropHeld = &held, dropHeld
-	g.avoid = append(slices.Clone(s.avoid), held.Name)
-	return &g
+func (g *generation) copyForSearch(dropHeld func()) *generation {
+	search := *g
+	t := *g.trace
+	search.trace = &t
+	search.grant = sched.Grant{}
+	held := g.engine
+	search.held, search.dropHeld = &held, dropHeld
+	search.avoid = append(slices.Clone(g.avoid), held.Name)
+	return &search
 }
 
 // keepAccounts takes over what a search without a result has cost.
-func (s *relay) keepAccounts(search *generation) {
-	s.pairings, s.runs, s.avoid = search.pairings, search.runs, search.avoid
-	s.trace.arrivals = search.trace.arrivals
-	s.trace.attempts, s.trace.unlisted = search.trace.attempts, search.trace.unlisted
-	s.f.returnUnused(s.trace)
+func (g *generation) keepAccounts(search *generation) {
+	g.pairings, g.runs, g.avoid = search.pairings, search.runs, search.avoid
+	g.trace.arrivals = search.trace.arrivals
+	g.trace.attempts, g.trace.unlisted = search.trace.attempts, search.trace.unlisted
+	g.f.returnUnused(g.trace)
 }
 
-// takeState goes on with the state of a search that has found another engine.
-func (s *relay) takeState(search *generation) {
-	*s.trace = *search.trace
-	search.trace = s.trace
-	search.held, search.dropHeld = nil, nil
-	*s.generation = *search
+// takeState goes on with the state of a search that has found another engine. What the
+// search itself was made for is kept, if it began within another one.
+func (g *generation) takeState(search *generation) {
+	*g.trace = *search.trace
+	search.trace = g.trace
+	search.held, search.dropHeld = g.held, g.dropHeld
+	*g = *search
 }
 
 // boundOverlap bounds the time for which a silent engine is kept while a decode order is
