Leave a stream that went elsewhere before its header its connection

The end of a headerSearch cancelled the context to which the stream that it had found is bound. The context now ends with the request, as in a takeover; a search that is withdrawn or finds nothing cancels it.

--- a/daemon/forward/headerwait.go
+++ b/daemon/forward/headerwait.go
@@ -61,9 +61,7 @@
 	case <-timer.C:
 	}
 	g.countSilentOrder(o)
-	search := g.searchBeside(ctx, o)
-	defer search.end()
-	return search.await()
+	return g.searchBeside(ctx, o).await()
 }
 
 // countSilentOrder counts an order that is silent as one that may have run, since the search
@@ -83,7 +81,8 @@
 	generation *generation
 	order      *decodeOrder
 	// copy is the state that the search works on. It may be used once found has delivered.
-	copy   *generation
+	copy *generation
+	// cancel ends the search, and with it the stream that it has found.
 	cancel context.CancelFunc
 	// found delivers the other engine's answer, nil if there is none; it is nil once it has
 	// delivered.
@@ -142,7 +141,8 @@
 	return g.decoded(s.order)
 }
 
-// adopt goes on with the search's engine, and reports that the silent one has failed.
+// adopt goes on with the search's engine, and reports that the silent one has failed. The
+// search's context is left to end with the request: the engine's stream is bound to it.
 func (s *headerSearch) adopt(opened *Opened) (*Opened, *verdict.Error) {
 	s.found = nil
 	_, _ = s.generation.decoded(s.order)
@@ -166,6 +166,7 @@
 
 // fail records that no other engine was found.
 func (s *headerSearch) fail() {
+	s.cancel()
 	s.found, s.dropped = nil, nil
 	s.keepAccounts()
 	g := s.generation
@@ -182,9 +183,3 @@
 	g.trace.mayHaveRun = g.trace.mayHaveRun || s.copy.trace.mayHaveRun
 	g.worstErr = worseError(g.worstErr, s.copy.worstErr)
 }
-
-// end waits for the search's end, since it reads the request.
-func (s *headerSearch) end() {
-	s.withdraw()
-	s.cancel()
-}
