Count and report what a search beside a silent order has found out

An error answer of the other engine counts as a run for the verdict; a search that is withdrawn leaves no error behind; a late refusal is no run although the search has found an engine; the silent order's failure is reported at once, not after the search; an answer that has come is not given up at the overlap's end.

The test of the late refusal needed a third engine, without which it failed for another reason; its engines count as crashed only in the test of the crash.

--- a/daemon/forward/decode.go
+++ b/daemon/forward/decode.go
@@ -87,10 +87,19 @@
 		g.runs--
 	}
 	if err != nil {
-		g.reportEngineFailure(o.engine, err, stepDecode, f.Now()-o.startedAt)
+		g.reportOrderFailure(o)
 		return nil, err
 	}
 	g.trace.unframed = opened.Events != nil && opened.Events.Unframed()
 	g.progress(sched.Progress{Phase: sched.PhaseDecoding, Endpoint: o.engine.Name})
 	return opened, nil
 }
+
+// reportOrderFailure reports the failure of a decode order once.
+func (g *generation) reportOrderFailure(o *decodeOrder) {
+	if o.reported {
+		return
+	}
+	o.reported = true
+	g.reportEngineFailure(o.engine, o.err, stepDecode, g.f.Now()-o.startedAt)
+}
--- a/daemon/forward/headerwait.go
+++ b/daemon/forward/headerwait.go
@@ -26,6 +26,8 @@
 	// counted is set once the order was counted as an arrival that may have run because it
 	// is silent.
 	counted bool
+	// reported is set once the order's failure was reported.
+	reported bool
 }
 
 // order sends a decode order to an engine.
@@ -50,6 +52,15 @@
 	o.err = verdict.New(verdict.MayHaveRun, verdict.CodeDeadline, "engine %s did not begin to answer", o.engine.Name)
 }
 
+// abandonIfSilent abandons the order unless it has ended.
+func (o *decodeOrder) abandonIfSilent() {
+	select {
+	case <-o.done:
+	default:
+		o.abandon()
+	}
+}
+
 // decodeOrElsewhere waits for the answer to an order that may run at another engine as well:
 // one is sought if the answer does not begin within headerTimeout.
 func (g *generation) decodeOrElsewhere(ctx context.Context, o *decodeOrder) (*Opened, *verdict.Error) {
@@ -117,7 +128,7 @@
 			s.fail()
 		case <-s.dropped:
 			s.dropped = nil
-			s.order.abandon()
+			s.order.abandonIfSilent()
 		}
 	}
 }
@@ -132,6 +143,8 @@
 			"silent", g.f.Now()-s.order.startedAt, "before_header", true)
 		return g.decoded(s.order)
 	}
+	// At once, since it may be a crash: the evidence counts for what the search sends.
+	g.reportOrderFailure(s.order)
 	if s.found != nil {
 		if opened := <-s.found; opened != nil {
 			return s.adopt(opened)
@@ -145,8 +158,12 @@
 // search's context is left to end with the request: the engine's stream is bound to it.
 func (s *headerSearch) adopt(opened *Opened) (*Opened, *verdict.Error) {
 	s.found = nil
-	_, _ = s.generation.decoded(s.order)
-	s.generation.takeState(s.copy)
+	g := s.generation
+	g.reportOrderFailure(s.order)
+	g.takeState(s.copy)
+	if s.order.err.Verdict == verdict.NotRun {
+		g.runs--
+	}
 	return opened, nil
 }
 
@@ -170,6 +187,7 @@
 	s.found, s.dropped = nil, nil
 	s.keepAccounts()
 	g := s.generation
+	g.worstErr = worseError(g.worstErr, s.copy.worstErr)
 	g.f.Log.Event("stream_kept", "request", g.request.ID, "endpoint", s.order.engine.Name, "runs", g.runs, "before_header", true,
 		"why", s.copy.trace.reason)
 }
@@ -181,5 +199,4 @@
 	g.f.returnUnused(s.copy.trace)
 	g.keepAccounts(s.copy)
 	g.trace.mayHaveRun = g.trace.mayHaveRun || s.copy.trace.mayHaveRun
-	g.worstErr = worseError(g.worstErr, s.copy.worstErr)
 }
--- a/daemon/forward/headerwait_verdict_test.go
+++ b/daemon/forward/headerwait_verdict_test.go
@@ -13,10 +13,11 @@
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
-// scriptedEngines answers each decode order as its script says. Engines that broke off have
-// crashed.
+// scriptedEngines answers each decode order as its script says. crashed is set if engines that
+// broke off have crashed.
 type scriptedEngines struct {
 	silentEngines
+	crashed bool
 	script []func(ctx context.Context) (*Opened, *verdict.Error)
 }
 
@@ -30,7 +31,7 @@
 }
 
 // Reachable implements Endpoints.
-func (e *scriptedEngines) Reachable(context.Context, registry.Endpoint) bool { return false }
+func (e *scriptedEngines) Reachable(context.Context, registry.Endpoint) bool { return !e.crashed }
 
 // Free implements Endpoints.
 func (e *scriptedEngines) Free(context.Context, registry.Endpoint, KV) {}
@@ -110,7 +111,8 @@
 func TestARefusalDuringTheSearchIsNoRun(t *testing.T) {
 	is := is.New(t)
 	asked, refused := make(chan struct{}), make(chan struct{})
-	f, r, engines := newScriptedTest(t, &lockedOwner{}, 2,
+	owner := &lockedOwner{}
+	f, r, engines := newScriptedTest(t, owner, 2,
 		func(context.Context) (*Opened, *verdict.Error) {
 			<-asked
 			defer close(refused)
@@ -118,6 +120,10 @@
 		},
 		signalling(asked, after(refused, &Opened{Status: 200, Events: brokenStream{}}, nil)),
 		answering(&Opened{Status: 200, Events: emptyStream{}}))
+	third := f.View().Endpoints["d1"]
+	third.Name, third.Address = "d3", "d3"
+	f.View().Endpoints["d3"] = third
+	owner.decodes = append(owner.decodes, "d3")
 	reply, err := f.Run(context.Background(), r)
 	is.True(err == nil)
 	is.NoErr(reply.Events.Close())
@@ -147,8 +153,9 @@
 	is := is.New(t)
 	owner := &waitingOwner{lockedOwner: lockedOwner{refuseFrom: 2}, held: make(chan bool, 1)}
 	searching := make(chan struct{})
-	f, r, _ := newScriptedTest(t, &owner.lockedOwner, 2,
+	f, r, engines := newScriptedTest(t, &owner.lockedOwner, 2,
 		after(searching, nil, verdict.New(verdict.MayHaveRun, verdict.CodeEndpointFailed, "broke")))
+	engines.crashed = true
 	f.Pairer = owner
 	var once sync.Once
 	owner.holds = func() bool {
--- a/daemon/forward/takeover.go
+++ b/daemon/forward/takeover.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/sched"
+	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
 // maxOverlap bounds how long a decode order may be under way at another engine while the
@@ -120,6 +121,7 @@
 	}
 	if opened.Events == nil {
 		g.trace.reason = "the other engine answered with an error"
+		g.worstErr = worseError(g.worstErr, verdict.New(verdict.Ran, verdict.CodeEndpointFailed, "engine %s answered with status %d", g.engine.Name, opened.Status))
 		g.progress(sched.Progress{Phase: sched.PhaseFailed})
 		return nil
 	}
