Let a silent engine that was given up be asked again

What callers saw: a stream was cut after some four seconds although its engine, silent for two, would have gone on. The engine had been given up 0.3 s after another one was ordered, as both must not work; that one refused later, and the first one was avoided like one that has failed.

Giving up for the overlap says nothing about an engine. It is now avoided only while it is kept, and may be asked again behind the last event if the other one refuses. One that broke or failed is avoided as before. What a silent engine needs is a type of its own.

If the other engine runs the stream and then breaks, both runs are used up and the stream still ends.

--- a/daemon/forward/decode.go
+++ b/daemon/forward/decode.go
@@ -62,7 +62,7 @@
 	f.countUnlisted(g.trace, engine)
 	attempt := g.newAttempt(engine)
 	attempt.AtMostOnce = !g.trace.route.Resumable
-	endBound := g.boundOverlap()
+	endBound := g.held.bound()
 	defer endBound()
 	if g.trace.route.Resumable && g.runs+1 < g.trace.route.MaxAttempts {
 		return g.decodeOrElsewhere(ctx, g.order(ctx, attempt, kv))
--- a/daemon/forward/headerwait.go
+++ b/daemon/forward/headerwait.go
@@ -52,11 +52,19 @@
 	o.err = verdict.New(verdict.MayHaveRun, verdict.CodeDeadline, "engine %s did not begin to answer", o.engine.Name)
 }
 
-// abandonIfSilent abandons the order unless it has ended.
-func (o *decodeOrder) abandonIfSilent() {
+// ended reports whether the order has a result.
+func (o *decodeOrder) ended() bool {
 	select {
 	case <-o.done:
+		return true
 	default:
+		return false
+	}
+}
+
+// abandonIfSilent abandons the order unless it has ended.
+func (o *decodeOrder) abandonIfSilent() {
+	if !o.ended() {
 		o.abandon()
 	}
 }
@@ -108,7 +116,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	dropped := make(chan struct{})
 	s := &headerSearch{generation: g, order: o, cancel: cancel, found: make(chan *Opened, 1), dropped: dropped}
-	s.copy = g.copyForSearch(sync.OnceFunc(func() { close(dropped) }))
+	s.copy = g.copyForSearch(sync.OnceValue(func() bool { close(dropped); return !o.ended() }))
 	found := s.found
 	go func() { found <- s.copy.openElsewhere(ctx, false) }()
 	return s
--- a/daemon/forward/headerwait_verdict_test.go
+++ b/daemon/forward/headerwait_verdict_test.go
@@ -18,7 +18,7 @@
 type scriptedEngines struct {
 	silentEngines
 	crashed bool
-	script []func(ctx context.Context) (*Opened, *verdict.Error)
+	script  []func(ctx context.Context) (*Opened, *verdict.Error)
 }
 
 // Decode implements Endpoints.
--- a/daemon/forward/pairing.go
+++ b/daemon/forward/pairing.go
@@ -37,7 +37,7 @@
 		PromptTokens: r.PromptTokens,
 		OutputTokens: expectedOutput(r),
 		Priority:     g.priority(),
-		Avoid:        slices.Concat(g.avoid, f.blockedEngines()),
+		Avoid:        slices.Concat(g.unusableEngines(), f.blockedEngines()),
 		Domain:       f.Domain,
 		Attempt:      g.pairings,
 		Target:       rt.TargetLatency,
--- a/daemon/forward/stream.go
+++ b/daemon/forward/stream.go
@@ -63,10 +63,9 @@
 	// began is the software version that wrote the first event that was passed on: only
 	// that version may write the others. Empty before, and if it is not known.
 	began id.Software
-	// held is the silent engine that is kept while this generation looks for another one,
-	// which dropHeld gives up; nil if there is none.
-	held     *registry.Endpoint
-	dropHeld func()
+	// held is the silent engine that is kept while this generation looks for another one;
+	// nil if there is none.
+	held *heldEngine
 	// worstErr is the error so far whose verdict guarantees least.
 	worstErr *verdict.Error
 }
--- a/daemon/forward/takeover.go
+++ b/daemon/forward/takeover.go
@@ -12,10 +12,6 @@
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
-// maxOverlap bounds how long a decode order may be under way at another engine while the
-// silent one is kept: if both run, the work is done twice.
-const maxOverlap = 300 * time.Millisecond
-
 // expired is a deadline that has passed.
 var expired = time.Unix(1, 0)
 
@@ -98,7 +94,7 @@
 
 	g := t.search
 	g.f.stats.silentStreams.Inc()
-	g.f.Log.Event("stream_silent", "request", g.request.ID, "endpoint", g.held.Name, "software", g.held.Software, "behind", g.lastEvent,
+	g.f.Log.Event("stream_silent", "request", g.request.ID, "endpoint", s.engine.Name, "software", s.engine.Software, "behind", g.lastEvent,
 		"silent", stallTimeout, "runs", g.runs)
 	if opened := g.openElsewhere(ctx, begun); opened != nil {
 		t.adopt(opened)
@@ -106,7 +102,7 @@
 	}
 	// The silent engine may be waited for until the stream's time limit.
 	g.f.returnUnused(g.trace)
-	g.f.Log.Event("stream_kept", "request", g.request.ID, "endpoint", g.held.Name, "runs", g.runs, "why", g.trace.reason)
+	g.f.Log.Event("stream_kept", "request", g.request.ID, "endpoint", g.held.name, "runs", g.runs, "why", g.trace.reason)
 }
 
 // openElsewhere opens a stream at another engine, if it may go on there; nil if there is
@@ -152,16 +148,17 @@
 	t.broken = true
 }
 
-// drop gives the silent engine up before another one has answered, unless it has gone on or
-// broken.
-func (t *takeover) drop() {
+// drop gives the silent engine up before another one has answered. It returns false if that
+// engine has gone on or broken.
+func (t *takeover) drop() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.withdrawn || t.broken {
-		return
+		return false
 	}
 	t.dropped = true
 	t.interrupt()
+	return true
 }
 
 // withdraw ends the search since the silent engine has gone on. It returns false if that
@@ -196,21 +193,20 @@
 }
 
 // copyForSearch returns a copy of the stream's state for the search for another engine.
-// dropHeld is called if the silent engine has to be given up during the search.
-func (g *generation) copyForSearch(dropHeld func()) *generation {
+// drop is called if the silent engine has to be given up during the search.
+func (g *generation) copyForSearch(drop func() bool) *generation {
 	search := *g
 	t := *g.trace
 	search.trace = &t
 	search.grant = sched.Grant{}
-	held := g.engine
-	search.held, search.dropHeld = &held, dropHeld
-	search.avoid = append(slices.Clone(g.avoid), held.Name)
+	search.held = &heldEngine{name: g.engine.Name, drop: drop}
+	search.avoid = slices.Clone(g.avoid)
 	return &search
 }
 
 // keepAccounts takes over what a search without a result has cost.
 func (g *generation) keepAccounts(search *generation) {
-	g.pairings, g.runs, g.avoid = search.pairings, search.runs, search.avoid
+	g.pairings, g.runs, g.avoid = search.pairings, search.runs, search.avoided()
 	g.trace.arrivals = search.trace.arrivals
 	g.trace.attempts, g.trace.unlisted = search.trace.attempts, search.trace.unlisted
 	g.f.returnUnused(g.trace)
@@ -221,16 +217,6 @@
 func (g *generation) takeState(search *generation) {
 	*g.trace = *search.trace
 	search.trace = g.trace
-	search.held, search.dropHeld = g.held, g.dropHeld
+	search.avoid, search.held = search.avoided(), g.held
 	*g = *search
 }
-
-// boundOverlap bounds the time for which a silent engine is kept while a decode order is
-// under way at another one: if the answer has not come within maxOverlap, the silent engine is
-// given up. The returned function ends the bound.
-func (g *generation) boundOverlap() (end func() bool) {
-	if g.held == nil {
-		return func() bool { return true }
-	}
-	return time.AfterFunc(maxOverlap, g.dropHeld).Stop
-}
