--- a/daemon/forward/headerwait_verdict_test.go
+++ b/daemon/forward/headerwait_verdict_test.go
@@ -56,11 +56,6 @@
 	}
 }
 
-// failing answers with err.
-func failing(err *verdict.Error) func(context.Context) (*Opened, *verdict.Error) {
-	return func(context.Context) (*Opened, *verdict.Error) { return nil, err }
-}
-
 // answering answers with opened.
 func answering(opened *Opened) func(context.Context) (*Opened, *verdict.Error) {
 	return func(context.Context) (*Opened, *verdict.Error) { return opened, nil }
