Log and count endpoints that say in their answers that they leave

Callers saw requests run at an endpoint more than two seconds after an answer that this daemon had passed on bore "Server-Leaving: 1". Nothing in the product read that header, so that neither logs nor metrics could tell an endpoint whose word was not read from one whose entry came late.

The adapter decodes the header once, from all answers of the endpoint itself: calls, streams' headers, prefills, errors, refusals, reports, orders, freed handles and health answers. The word of somebody else says nothing: a 421, an answer that is neither signed nor a refusal, an encoded one, one to another request, a health answer of another instance. Values other than 1 are counted and ignored.

New line endpoint_leaving, once for each start of an endpoint, with what the daemon's view of the registry had of it; counters endpoints_said_leaving and endpoint_leaving_invalid. No decision changes yet.

--- a/cmd/internal/logstory/timeline_test.go
+++ b/cmd/internal/logstory/timeline_test.go
@@ -102,6 +102,7 @@
 	is := is.New(t)
 	l := &Logs{}
 	text := `ts=2026-01-02T03:04:05Z daemon=city level=info event=endpoint_limit endpoint=i-1 per_second=5.3 origin=answer
+ts=2026-01-02T03:04:05Z daemon=city level=info event=endpoint_leaving endpoint=i-1 origin=answer request=c
 ts=2026-01-02T03:04:05Z daemon=port level=info event=crash_recorded request=b print=d9 endpoint=i-1 crashes=3 standing=held
 ts=2026-01-02T03:04:05Z daemon=port level=info event=crash_recorded request=b print=d9 endpoint=i-2 crashes=2 standing=isolated
 ts=2026-01-02T03:04:06Z daemon=city level=info event=request request=a attempts=1 endpoint=i-1 outcome=endpoint_failed status=0
@@ -109,5 +110,5 @@
 	is.NoErr(l.Read("all.log", strings.NewReader(text)))
 	s, err := l.Explain("a")
 	is.NoErr(err)
-	is.Equal(eventNames(s.Beside), "endpoint_limit crash_recorded")
+	is.Equal(eventNames(s.Beside), "endpoint_limit endpoint_leaving crash_recorded")
 }
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -36,21 +36,30 @@
 	restarted map[id.Instance]Endpoint
 	// displaced holds the locations at which another process responded.
 	displaced *simplelru.LRU[location, struct{}]
-	outage    outage
+	// saidLeaving holds the endpoints that have said that they leave.
+	saidLeaving *simplelru.LRU[id.Endpoint, struct{}]
+	outage      outage
 }
 
 // New returns an empty List.
 func New() *List {
-	displaced, err := simplelru.NewLRU[location, struct{}](maxDisplaced, nil)
-	if err != nil {
-		panic("registry: cache of displaced endpoints: " + err.Error())
-	}
 	return &List{
-		listed:    map[id.Endpoint]Endpoint{},
-		lapsed:    map[id.Endpoint]lapsedEntry{},
-		restarted: map[id.Instance]Endpoint{},
-		displaced: displaced,
+		listed:      map[id.Endpoint]Endpoint{},
+		lapsed:      map[id.Endpoint]lapsedEntry{},
+		restarted:   map[id.Instance]Endpoint{},
+		displaced:   newCache[location](maxDisplaced),
+		saidLeaving: newCache[id.Endpoint](maxSaidLeaving),
+	}
+}
+
+// newCache returns an empty set of at most size keys, which forgets the one that was not
+// used for longest.
+func newCache[K comparable](size int) *simplelru.LRU[K, struct{}] {
+	cache, err := simplelru.NewLRU[K, struct{}](size, nil)
+	if err != nil {
+		panic("registry: cache of endpoints: " + err.Error())
 	}
+	return cache
 }
 
 // Set replaces the list by the store's whole list as of a position. Entries of
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -82,6 +82,7 @@
 	Engines   Engines
 	Inspector Inspector
 	Paths     Paths
+	Notices   Notices
 }
 
 // Options are the inputs of a daemon apart from its settings.
@@ -145,6 +146,7 @@
 	// helper is the daemon through which a tunnel was last opened; nil if there is none.
 	helper       atomic.Pointer[id.Daemon]
 	tunnelCounts tunnelCounts
+	noticeCounts noticeCounts
 	// fleet is nil until the daemon has enrolled.
 	fleet    atomic.Pointer[fleet]
 	stopping atomic.Pointer[leaving.Stop]
@@ -245,6 +247,7 @@
 	d.origins = d.newOrigins()
 	d.forwarder = d.newForwarder()
 	d.provisionTunnels()
+	d.provisionNotices()
 	return nil
 }
 
--- /dev/null
+++ b/daemon/gateway/leaving_test.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/registry"
+	"github.com/samphirequay/samphirequay/core/revision/table"
+	"github.com/samphirequay/samphirequay/daemon/feed"
+	"github.com/samphirequay/samphirequay/daemon/metrics"
+	"github.com/samphirequay/samphirequay/daemon/upstream"
+)
+
+// tableEndpoints is the name of the table of endpoints in these tests.
+const tableEndpoints = "endpoints"
+
+// rowAdapter reads endpoints from rows whose value is the word of their entry.
+type rowAdapter struct{ Adapter }
+
+// Tables implements Adapter.
+func (rowAdapter) Tables() Tables { return Tables{Config: "config", Endpoints: tableEndpoints} }
+
+// Endpoint implements Adapter.
+func (rowAdapter) Endpoint(row table.Row) (registry.Endpoint, error) {
+	return registry.Endpoint{
+		Name: id.Endpoint(row.Key), Instance: id.Instance(row.Key), Service: "s", Address: "address of " + row.Key,
+		Leaving: string(row.Value) == "leaving",
+	}, nil
+}
+
+// noticePaths and notices are the parts of a platform that a Daemon is created with.
+type noticePaths struct{ Paths }
+
+// UseTunnels implements Paths.
+func (noticePaths) UseTunnels(upstream.Tunnels) {}
+
+// CutPaths implements Paths.
+func (noticePaths) CutPaths() int { return 0 }
+
+type notices struct{ report func(LeavingNotice) }
+
+// ReportLeaving implements Notices.
+func (n *notices) ReportLeaving(report func(LeavingNotice)) { n.report = report }
+
+// logText is a log that may be read while it is written.
+type logText struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *logText) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// lines counts the lines of an event.
+func (l *logText) lines(event string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.text.String(), "event="+event+" ")
+}
+
+// leavingTest is a daemon that has not enrolled, with endpoints and their notices.
+type leavingTest struct {
+	*Daemon
+	notices notices
+	log     logText
+	version uint64
+}
+
+func newLeavingTest(t *testing.T) *leavingTest {
+	t.Helper()
+	l := &leavingTest{}
+	d, err := New(&Settings{Daemon: "d1"}, Platform{Adapter: rowAdapter{}, Paths: noticePaths{}, Notices: &l.notices},
+		Options{Log: &l.log, Metrics: metrics.New("d1")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Daemon = d
+	t.Cleanup(d.cancel)
+	return l
+}
+
+// list sets the table of endpoints: keys and the words of their entries.
+func (l *leavingTest) list(entries map[string]string) {
+	l.version++
+	s := feed.State{Name: tableEndpoints, Version: l.version, Position: l.version}
+	for key, value := range entries {
+		s.Rows = append(s.Rows, table.Row{Key: key, Value: []byte(value), Version: l.version})
+	}
+	l.endpointsChanged(s)
+}
+
+// say reports an answer in which a listed endpoint says that it leaves.
+func (l *leavingTest) say(e id.Endpoint) {
+	l.notices.report(LeavingNotice{Endpoint: l.tables.current().Endpoints[e], Request: "r-1"})
+}
+
+// ended returns the log after all of it was written.
+func (l *leavingTest) ended() *logText {
+	l.logger.Close()
+	return &l.log
+}
+
+// TestAnEndpointThatSaysThatItLeavesIsLoggedOnce checks the line and the counters for an
+// endpoint that says so in each of its answers, and for a notice that can't be used.
+func TestAnEndpointThatSaysThatItLeavesIsLoggedOnce(t *testing.T) {
+	is := is.New(t)
+	l := newLeavingTest(t)
+	l.list(map[string]string{"a": "ready", "b": "ready"})
+	l.say("a")
+	l.say("a")
+	l.notices.report(LeavingNotice{Endpoint: l.tables.current().Endpoints["b"], Invalid: "soon"})
+	is.Equal(l.noticeCounts.leaving.Value(), int64(1))
+	is.Equal(l.noticeCounts.invalid.Value(), int64(1))
+	log := l.ended()
+	is.Equal(log.lines("endpoint_leaving"), 1)
+	is.True(strings.Contains(log.text.String(), "endpoint=a origin=answer registry=1 known=true entry_leaving=false instance=a address=\"address of a\" request=r-1"))
+}
