Send nothing to an endpoint that says in its answers that it leaves

What callers saw: a request ran at an endpoint 2.1 s after this daemon had passed on an answer in which that endpoint said that it leaves; it may end at any moment and take the request with it.

Cause: an endpoint's leaving was read from its registry entry only.

Change: the registry list keeps an endpoint's own word beside the entries, by the name of its start, and gives it precedence: it is final for that start, whether the entry is written again as ready, lapses or comes back, or says nothing yet. A new start has a new name and begins without it. An entry that goes missing after such a word is not kept as lapsed, as after an entry that says so. The daemon marks the endpoint and publishes a new view before the answer is passed on, so that each choice after that excludes it: balancer, waits for rate limits, retries, engines granted by an owner that knows an older entry, and the pools that this daemon owns.

Why it works: every request is chosen from that view, and one that was chosen before was sent by its caller before the answer was passed on. Requests under way go on.

--- a/core/registry/endpoint.go
+++ b/core/registry/endpoint.go
@@ -29,7 +29,8 @@
 	Role live.Role
 	// Software is the version of the endpoint's software; empty while it is not known.
 	Software id.Software
-	// Leaving is set once the endpoint has announced that it accepts no new work.
+	// Leaving is set once the endpoint has announced, in its entry or by its own word,
+	// that it accepts no new work.
 	Leaving bool
 	// UnlistedSince is since when, by the daemon's clock, the store no longer has
 	// the entry while it is kept because it may have lapsed in an outage of the
--- a/core/registry/leaving.go
+++ b/core/registry/leaving.go
@@ -14,3 +14,10 @@
 	l.saidLeaving.Add(name, struct{}{})
 	return !known
 }
+
+// leaves reports whether an endpoint leaves, by its entry or by its own word. An endpoint
+// that is looked up is the last to be forgotten.
+func (l *List) leaves(e *Endpoint) bool {
+	_, said := l.saidLeaving.Get(e.Name)
+	return said || e.Leaving
+}
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -3,9 +3,8 @@
 // until its endpoint has had time to register again; an endpoint that announced its
 // leaving, or whose address another endpoint has taken, is dropped at once. Outages
 // are derived from the times at which the store responded to any daemon
-// (core/uptime). An endpoint's own report takes precedence over its entry: a late
-// heartbeat may rewrite the entry of a process that has ended. The package is
-// deterministic.
+// (core/uptime). An endpoint's own word takes precedence over its entry, which may be
+// late: that it leaves, or that it has restarted. The package is deterministic.
 package registry
 
 import (
@@ -104,7 +103,7 @@
 // their leaving, to the lapsed entries.
 func (l *List) keepLapsed(now time.Duration, old map[id.Endpoint]Endpoint, after uint64) {
 	for name, e := range old {
-		if _, still := l.listed[name]; !still && !e.Leaving {
+		if _, still := l.listed[name]; !still && !l.leaves(&e) {
 			e.UnlistedSince = now
 			l.lapsed[name] = lapsedEntry{entry: e, after: after, upTo: l.position}
 		}
@@ -201,6 +200,7 @@
 			restarted.UnlistedSince = e.UnlistedSince
 			e = restarted
 		}
+		e.Leaving = l.leaves(&e)
 		if !l.displaced.Contains(e.location()) {
 			out = append(out, e)
 		}
--- a/daemon/gateway/leaving.go
+++ b/daemon/gateway/leaving.go
@@ -37,8 +37,9 @@
 	d.platform.Notices.ReportLeaving(d.handleLeaving)
 }
 
-// handleLeaving records an endpoint's own word that it leaves. It runs before the answer
-// is passed on.
+// handleLeaving records an endpoint's own word that it leaves: from when the answer is
+// passed on, this daemon sends it no new request, whatever its entry says. Requests under
+// way go on.
 func (d *Daemon) handleLeaving(n LeavingNotice) {
 	if n.Invalid != "" {
 		d.noticeCounts.invalid.Inc()
@@ -52,6 +53,7 @@
 	}
 	d.noticeCounts.leaving.Inc()
 	d.logLeaving(n.Endpoint.Name, originAnswer, "instance", n.Endpoint.Instance, "address", n.Endpoint.Address, "request", n.Request)
+	d.publish()
 }
 
 // originAnswer is the origin of a word that came in an answer to this daemon.
--- a/daemon/gateway/leaving_test.go
+++ b/daemon/gateway/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -33,7 +34,8 @@
 	}, nil
 }
 
-// noticePaths and notices are the parts of a platform that a Daemon is created with.
+// noticePaths, noConnections and notices are the parts of a platform that a Daemon is
+// created with.
 type noticePaths struct{ Paths }
 
 // UseTunnels implements Paths.
@@ -42,6 +44,12 @@
 // CutPaths implements Paths.
 func (noticePaths) CutPaths() int { return 0 }
 
+// noConnections implements Inspector for a daemon without connections.
+type noConnections struct{ Inspector }
+
+// Forget implements Inspector.
+func (noConnections) Forget(string) {}
+
 type notices struct{ report func(LeavingNotice) }
 
 // ReportLeaving implements Notices.
@@ -78,7 +86,7 @@
 func newLeavingTest(t *testing.T) *leavingTest {
 	t.Helper()
 	l := &leavingTest{}
-	d, err := New(&Settings{Daemon: "d1"}, Platform{Adapter: rowAdapter{}, Paths: noticePaths{}, Notices: &l.notices},
+	d, err := New(&Settings{Daemon: "d1"}, Platform{Adapter: rowAdapter{}, Paths: noticePaths{}, Inspector: noConnections{}, Notices: &l.notices},
 		Options{Log: &l.log, Metrics: metrics.New("d1")})
 	if err != nil {
 		t.Fatal(err)
@@ -124,3 +132,45 @@
 	is.Equal(log.lines("endpoint_leaving"), 1)
 	is.True(strings.Contains(log.text.String(), "endpoint=a origin=answer registry=1 known=true entry_leaving=false instance=a address=\"address of a\" request=r-1"))
 }
+
+// leaving lists the endpoints that the view in force has as leaving.
+func (l *leavingTest) leaving() []id.Endpoint {
+	var out []id.Endpoint
+	for name, e := range l.tables.current().Endpoints {
+		if e.Leaving {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// TestAnEndpointThatSaysThatItLeavesLeavesTheView guards against requests to an endpoint
+// that has said in an answer that it leaves, while the store is away or its entry says
+// ready. The view has it before the answer is passed on.
+func TestAnEndpointThatSaysThatItLeavesLeavesTheView(t *testing.T) {
+	is := is.New(t)
+	l := newLeavingTest(t)
+	l.list(map[string]string{"a": "ready", "b": "ready"})
+	l.say("a")
+	is.Equal(l.leaving(), []id.Endpoint{"a"})
+	l.list(map[string]string{"a": "ready", "b": "ready", "c": "ready"})
+	is.Equal(l.leaving(), []id.Endpoint{"a"})
+	l.list(map[string]string{"b": "ready"})
+	l.list(map[string]string{"a": "ready", "b": "leaving"})
+	is.Equal(l.leaving(), []id.Endpoint{"a", "b"})
+	l.notices.report(LeavingNotice{Endpoint: registry.Endpoint{Name: "c"}, Invalid: "0"})
+	l.list(map[string]string{"a-2": "ready", "c": "ready"})
+	is.Equal(len(l.leaving()), 0) // a new start, and one that has said nothing usable
+}
+
+// TestAnEntryThatSaysLeavingDoesNotHideTheEndpointsOwnWord checks an endpoint that says
+// that it leaves after its entry has, and whose entry is then written by a late heartbeat.
+func TestAnEntryThatSaysLeavingDoesNotHideTheEndpointsOwnWord(t *testing.T) {
+	is := is.New(t)
+	l := newLeavingTest(t)
+	l.list(map[string]string{"a": "leaving"})
+	l.say("a")
+	l.list(map[string]string{"a": "ready"})
+	is.Equal(l.leaving(), []id.Endpoint{"a"})
+}
