Tell the other daemons once that an endpoint has said that it leaves

What callers saw: an endpoint that has said in an answer that it leaves got new requests from each daemon that had not heard it itself, and those that it no longer finishes are lost on their callers.

Cause: the word counted only at the daemon that was answered. With many daemons each finds out alone, at the cost of one request or more.

Change: the daemon that hears the word first sends it to the others as one message a start of an endpoint, in the manner of rate limits; in a large fleet it goes to the daemons that broadcast, which pass it on if it was new to them. A daemon that knows it from another one counts it like its own and sends nothing when it hears it as well. Messages are not repeated: one that is lost leaves the daemon with the endpoint's entry and answers, as before. A new view is published only if the endpoint's entry is known and does not say it already.

Line endpoint_leaving has origin=peer and the peer; counter endpoints_leaving_received.

--- a/daemon/gateway/leaving_test.go
+++ b/daemon/gateway/leaving_test.go
@@ -13,7 +13,9 @@
 	"github.com/samphirequay/samphirequay/core/registry"
 	"github.com/samphirequay/samphirequay/core/revision/table"
 	"github.com/samphirequay/samphirequay/daemon/feed"
+	"github.com/samphirequay/samphirequay/daemon/link"
 	"github.com/samphirequay/samphirequay/daemon/metrics"
+	"github.com/samphirequay/samphirequay/daemon/peer"
 	"github.com/samphirequay/samphirequay/daemon/upstream"
 )
 
@@ -130,7 +132,7 @@
 	is.Equal(l.noticeCounts.invalid.Value(), int64(1))
 	log := l.ended()
 	is.Equal(log.lines("endpoint_leaving"), 1)
-	is.True(strings.Contains(log.text.String(), "endpoint=a origin=answer registry=1 known=true entry_leaving=false instance=a address=\"address of a\" request=r-1"))
+	is.True(strings.Contains(log.text.String(), "endpoint=a registry=1 known=true entry_leaving=false origin=answer instance=a address=\"address of a\" request=r-1"))
 }
 
 // leaving lists the endpoints that the view in force has as leaving.
@@ -174,3 +176,62 @@
 	l.list(map[string]string{"a": "ready"})
 	is.Equal(l.leaving(), []id.Endpoint{"a"})
 }
+
+// receive handles a message of the daemon d2 that an endpoint has said that it leaves.
+func (l *leavingTest) receive(t *testing.T, e id.Endpoint) {
+	t.Helper()
+	body, err := peer.Encode(&leavingNews{Endpoint: e})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ready := make(chan struct{})
+	close(ready)
+	h := &peerHandler{Handler: link.Handler{Receiver: receiver{d: l.Daemon}, Ready: ready}, d: l.Daemon}
+	h.HandleOneWay("d2", kindLeaving, body)
+}
+
+// TestALeavingThatAnotherDaemonHeardCounts checks a word that another daemon passes on,
+// also before the endpoint's entry is known, and that it is not new when it comes again.
+func TestALeavingThatAnotherDaemonHeardCounts(t *testing.T) {
+	is := is.New(t)
+	l := newLeavingTest(t)
+	l.list(map[string]string{"a": "ready"})
+	l.receive(t, "a")
+	l.receive(t, "b")
+	l.receive(t, "a")
+	is.Equal(l.leaving(), []id.Endpoint{"a"})
+	l.list(map[string]string{"a": "ready", "b": "ready"})
+	is.Equal(l.leaving(), []id.Endpoint{"a", "b"})
+	l.say("a")
+	is.Equal(l.noticeCounts.received.Value(), int64(3))
+	is.Equal(l.noticeCounts.leaving.Value(), int64(0))
+	log := l.ended()
+	is.Equal(log.lines("endpoint_leaving"), 2)
+	is.True(strings.Contains(log.text.String(), "endpoint=a registry=1 known=true entry_leaving=false origin=peer peer=d2"))
+}
+
+// TestWordsOfEndpointsAndChangesOfEntriesMeet checks that words that come at the same time
+// as changes of the entries are not lost.
+func TestWordsOfEndpointsAndChangesOfEntriesMeet(t *testing.T) {
+	is := is.New(t)
+	l := newLeavingTest(t)
+	all := map[string]string{}
+	var names []id.Endpoint
+	for _, name := range strings.Fields("a b c d e f g h") {
+		all[name] = "ready"
+		names = append(names, id.Endpoint(name))
+	}
+	l.list(all)
+	var words sync.WaitGroup
+	for _, name := range names {
+		for range 3 {
+			words.Go(func() { l.say(name) })
+		}
+	}
+	for range 20 {
+		l.list(all)
+	}
+	words.Wait()
+	is.Equal(l.leaving(), names)
+	is.Equal(l.noticeCounts.leaving.Value(), int64(len(names)))
+}
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -43,11 +43,14 @@
 	// kindOriginPlace carries records of what began streams and is answered once they are
 	// kept: a call, origins.Batch -> nothing.
 	kindOriginPlace
+	// kindLeaving carries an endpoint's own word that it leaves: one-way, leavingNews.
+	kindLeaving
 )
 
 var kindNames = map[peer.Kind]string{
 	kindTables: "tables", kindNews: "news", kindProof: "proof", kindUptime: "uptime", kindLimit: "limit",
 	kindOrigins: "origins", kindOriginQuery: "origin_query", kindOriginPlace: "origin_place",
+	kindLeaving: "leaving",
 }
 
 // tablesReply holds a daemon's states of the store's tables.
@@ -219,6 +222,11 @@
 		if h.decode(from, body, &n) {
 			h.d.learnLimit(n)
 		}
+	case kindLeaving:
+		var n leavingNews
+		if h.decode(from, body, &n) {
+			h.d.learnLeaving(from, n)
+		}
 	case kindOrigins:
 		var b origins.Batch
 		if h.decode(from, body, &b) {
