Open no tunnel to an endpoint that leaves

What callers saw: nothing yet in a record of theirs. A daemon that does not reach an endpoint sends its requests through another daemon.

The asking daemon may not know of the leaving: a message between daemons may be lost, and its view may be older.

The asker has sent nothing then and tries another endpoint.

Cost: the check whether an endpoint has crashed takes the same way. An exchange that a cut breaks off at an endpoint that leaves counts as a crash of it; docs/design/tunnels.md says so under "Weak".

Evidence: TestNoTunnelLeadsToAnEndpointThatLeaves and TestATunnelLeadsToTheSuccessorOfAnEndpointThatLeaves fail without the check of the leaving and pass with it; daemon/gateway and the tests of cuts in platform pass with -race.

--- a/daemon/gateway/leaving_test.go
+++ b/daemon/gateway/leaving_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"context"
+	"net"
 	"slices"
 	"strings"
 	"sync"
@@ -13,6 +15,7 @@
 	"github.com/samphirequay/samphirequay/core/registry"
 	"github.com/samphirequay/samphirequay/core/revision/table"
 	"github.com/samphirequay/samphirequay/daemon/feed"
+	"github.com/samphirequay/samphirequay/daemon/forward"
 	"github.com/samphirequay/samphirequay/daemon/link"
 	"github.com/samphirequay/samphirequay/daemon/metrics"
 	"github.com/samphirequay/samphirequay/daemon/peer"
@@ -22,7 +25,8 @@
 // tableEndpoints is the name of the table of endpoints in these tests.
 const tableEndpoints = "endpoints"
 
-// rowAdapter reads endpoints from rows whose value is the word of their entry.
+// rowAdapter reads endpoints from rows whose value is the state of their entry and their
+// address.
 type rowAdapter struct{ Adapter }
 
 // Tables implements Adapter.
@@ -30,21 +34,33 @@
 
 // Endpoint implements Adapter.
 func (rowAdapter) Endpoint(row table.Row) (registry.Endpoint, error) {
+	state, address, _ := strings.Cut(string(row.Value), " at ")
+	if address == "" {
+		address = "address of " + row.Key
+	}
 	return registry.Endpoint{
-		Name: id.Endpoint(row.Key), Instance: id.Instance(row.Key), Service: "s", Address: "address of " + row.Key,
-		Leaving: string(row.Value) == "leaving",
+		Name: id.Endpoint(row.Key), Instance: id.Instance(row.Key), Service: "s", Address: address, Leaving: state == "leaving",
 	}, nil
 }
 
 // noticePaths, noConnections and notices are the parts of a platform that a Daemon is
 // created with.
-type noticePaths struct{ Paths }
+type noticePaths struct {
+	Paths
+	dialled []string
+}
 
 // UseTunnels implements Paths.
-func (noticePaths) UseTunnels(upstream.Tunnels) {}
+func (*noticePaths) UseTunnels(upstream.Tunnels) {}
 
 // CutPaths implements Paths.
-func (noticePaths) CutPaths() int { return 0 }
+func (*noticePaths) CutPaths() int { return 0 }
+
+// DialDirect implements Paths.
+func (p *noticePaths) DialDirect(_ context.Context, address string) (net.Conn, error) {
+	p.dialled = append(p.dialled, address)
+	return nil, nil
+}
 
 // noConnections implements Inspector for a daemon without connections.
 type noConnections struct{ Inspector }
@@ -80,6 +96,7 @@
 // leavingTest is a daemon that has not enrolled, with endpoints and their notices.
 type leavingTest struct {
 	*Daemon
+	paths   noticePaths
 	notices notices
 	log     logText
 	version uint64
@@ -88,7 +105,7 @@
 func newLeavingTest(t *testing.T) *leavingTest {
 	t.Helper()
 	l := &leavingTest{}
-	d, err := New(&Settings{Daemon: "d1"}, Platform{Adapter: rowAdapter{}, Paths: noticePaths{}, Inspector: noConnections{}, Notices: &l.notices},
+	d, err := New(&Settings{Daemon: "d1"}, Platform{Adapter: rowAdapter{}, Paths: &l.paths, Inspector: noConnections{}, Notices: &l.notices},
 		Options{Log: &l.log, Metrics: metrics.New("d1")})
 	if err != nil {
 		t.Fatal(err)
@@ -105,6 +122,7 @@
 	for key, value := range entries {
 		s.Rows = append(s.Rows, table.Row{Key: key, Value: []byte(value), Version: l.version})
 	}
+	slices.SortFunc(s.Rows, func(a, b table.Row) int { return strings.Compare(a.Key, b.Key) })
 	l.endpointsChanged(s)
 }
 
@@ -235,3 +253,31 @@
 	is.Equal(l.leaving(), names)
 	is.Equal(l.noticeCounts.leaving.Value(), int64(len(names)))
 }
+
+// TestNoTunnelLeadsToAnEndpointThatLeaves guards against requests that reach an endpoint
+// from a host that knows that it leaves, on behalf of a daemon that does not know it.
+func TestNoTunnelLeadsToAnEndpointThatLeaves(t *testing.T) {
+	is := is.New(t)
+	l := newLeavingTest(t)
+	l.list(map[string]string{"a": "ready at x", "b": "leaving at y", "c": "ready at z"})
+	l.say("a")
+	for _, address := range []string{"x", "y", "z", "unknown"} {
+		_, err := l.serveTunnel(context.Background(), "d2", address)
+		is.Equal(err == nil, address == "z")
+	}
+	is.Equal(l.paths.dialled, []string{"z"})
+	is.Equal(l.tunnelCounts.refused.Value(), int64(3))
+}
+
+// TestATunnelLeadsToTheSuccessorOfAnEndpointThatLeaves checks an address that a new
+// endpoint has taken before the entry of the former one is gone.
+func TestATunnelLeadsToTheSuccessorOfAnEndpointThatLeaves(t *testing.T) {
+	is := is.New(t)
+	l := newLeavingTest(t)
+	l.list(map[string]string{"a": "leaving at x"})
+	is.True(!l.takesWorkAt("x"))
+	l.tables.view.Store(&forward.View{Endpoints: map[id.Endpoint]registry.Endpoint{
+		"a": {Name: "a", Address: "x", Leaving: true}, "a-2": {Name: "a-2", Address: "x"},
+	}})
+	is.True(l.takesWorkAt("x"))
+}
--- a/daemon/gateway/tunnel.go
+++ b/daemon/gateway/tunnel.go
@@ -220,7 +220,8 @@
 }
 
 // serveTunnel opens a connection to an endpoint for another daemon. Only addresses of
-// registered endpoints are connected to.
+// registered endpoints that don't leave are connected to: the other daemon may not know
+// yet that an endpoint leaves, and its request would reach the endpoint from this host.
 func (d *Daemon) serveTunnel(ctx context.Context, from id.Daemon, address string) (net.Conn, error) {
 	c, err := d.dialRegistered(ctx, address)
 	if err != nil {
@@ -234,8 +235,18 @@
 }
 
 func (d *Daemon) dialRegistered(ctx context.Context, address string) (net.Conn, error) {
-	if d.endpointAt(address) == "" {
-		return nil, eris.Errorf("no registered endpoint has the address %s", address)
+	if !d.takesWorkAt(address) {
+		return nil, eris.Errorf("no registered endpoint that takes work has the address %s", address)
 	}
 	return d.platform.Paths.DialDirect(ctx, address)
 }
+
+// takesWorkAt reports whether a registered endpoint that doesn't leave has an address.
+func (d *Daemon) takesWorkAt(address string) bool {
+	for _, e := range d.tables.current().Endpoints {
+		if e.Address == address && !e.Leaving {
+			return true
+		}
+	}
+	return false
+}
