Show when an endpoint wants no requests of a daemon for a time

An endpoint that turns a request away may add how long it wants nothing of that daemon.

The adapter decodes the field once, of refusals only (503, not run): seconds, with a fraction; what is no such number, or contradicts itself, counts as invalid and the refusal as one without it. core/ratelimit keeps it by endpoint. No decision follows it yet.

Sight: endpoint_backoff, endpoint_backoff_invalid, endpoint_backoff_ended, forward_endpoints_backoff, forward_backoffs, forward_backoffs_invalid; explain shows them beside a request.

Evidence: table and fuzz test of the decoding (10 s, 122,882 inputs), answers of a listener to a call, a prefill and a decode; go test -race of daemon/forward passes.

--- a/cmd/internal/logstory/timeline.go
+++ b/cmd/internal/logstory/timeline.go
@@ -24,7 +24,7 @@
 
 // endpointEvents are the events that report changes of an endpoint.
 var endpointEvents = []string{
-	"endpoint_changed", "endpoint_gone", "endpoint_leaving", "endpoint_limit", "endpoint_path_cut", "endpoint_path_healed", "crash_recorded", "health_changed", "role_change_begun", "role_ordered",
+	"endpoint_changed", "endpoint_gone", "endpoint_leaving", "endpoint_limit", "endpoint_backoff", "endpoint_backoff_ended", "endpoint_path_cut", "endpoint_path_healed", "crash_recorded", "health_changed", "role_change_begun", "role_ordered",
 	"role_change_ended",
 }
 
--- a/cmd/internal/logstory/timeline_test.go
+++ b/cmd/internal/logstory/timeline_test.go
@@ -112,3 +112,18 @@
 	is.NoErr(err)
 	is.Equal(eventNames(s.Beside), "endpoint_limit endpoint_leaving crash_recorded")
 }
+
+// TestBackoffsOfItsEndpointsAreRelated checks that a request is explained beside the time in
+// which its endpoint wanted no requests, as another request was told.
+func TestBackoffsOfItsEndpointsAreRelated(t *testing.T) {
+	is := is.New(t)
+	l := &Logs{}
+	text := `ts=2026-01-02T03:04:05Z daemon=city level=info event=endpoint_backoff endpoint=i-1 request=b step=call asked=3s until=2026-01-02T03:04:08Z began=true
+ts=2026-01-02T03:04:05Z daemon=city level=info event=endpoint_backoff endpoint=i-2 request=b step=call asked=3s until=2026-01-02T03:04:08Z began=true
+ts=2026-01-02T03:04:06Z daemon=city level=info event=request request=a attempts=1 endpoint=i-1 outcome=endpoint_failed status=0
+`
+	is.NoErr(l.Read("all.log", strings.NewReader(text)))
+	s, err := l.Explain("a")
+	is.NoErr(err)
+	is.Equal(eventNames(s.Beside), "endpoint_backoff")
+}
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -2,11 +2,13 @@
 // that an endpoint takes from all daemons together. Each daemon keeps its share without
 // asking the others. So that shares stay larger than single requests, only some of the
 // daemons send to a limited endpoint, chosen by rendezvous hashing; the others leave it
-// alone. See docs/design/endpoint-limits.md.
+// alone. The package also keeps the backoffs that endpoints ask this daemon for, which
+// concern no other daemon. See docs/design/endpoint-limits.md.
 package ratelimit
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -49,8 +51,9 @@
 // Limiter decides when this daemon may send a request to a limited endpoint. It is not
 // safe for concurrent use.
 type Limiter struct {
-	self   id.Daemon
-	limits map[id.Endpoint]*limit
+	self     id.Daemon
+	limits   map[id.Endpoint]*limit
+	backoffs map[id.Endpoint]*backoff
 	// daemons is the fleet, this daemon included; version counts its changes.
 	daemons []id.Daemon
 	version uint64
@@ -77,9 +80,15 @@
 	chosen  bool
 }
 
-// New returns a Limiter without limits for a daemon.
+// New returns a Limiter without limits and backoffs for a daemon.
 func New(self id.Daemon) *Limiter {
-	return &Limiter{self: self, limits: map[id.Endpoint]*limit{}, daemons: []id.Daemon{self}, size: 1}
+	return &Limiter{
+		self:     self,
+		limits:   map[id.Endpoint]*limit{},
+		backoffs: map[id.Endpoint]*backoff{},
+		daemons:  []id.Daemon{self},
+		size:     1,
+	}
 }
 
 // SetDaemons sets the fleet; this daemon is added if it is missing.
@@ -141,13 +150,10 @@
 	return changed
 }
 
-// Retain drops the limits of all endpoints but the given ones.
+// Retain drops the limits and backoffs of all endpoints but the given ones.
 func (l *Limiter) Retain(known func(id.Endpoint) bool) {
-	for e := range l.limits {
-		if !known(e) {
-			delete(l.limits, e)
-		}
-	}
+	maps.DeleteFunc(l.limits, func(e id.Endpoint, _ *limit) bool { return !known(e) })
+	maps.DeleteFunc(l.backoffs, func(e id.Endpoint, _ *backoff) bool { return !known(e) })
 }
 
 // Wait returns how long this daemon must wait before it may send a request to an
@@ -181,6 +187,9 @@
 		l.refill(now, lim)
 		lim.tokens--
 	}
+	if b := l.backoffs[e]; b != nil {
+		b.takeFirst(now)
+	}
 }
 
 // Blocked returns the endpoints to which this daemon may not send a request now, in a
--- a/daemon/forward/callattempts.go
+++ b/daemon/forward/callattempts.go
@@ -125,6 +125,7 @@
 		Team:        t.teamName(),
 		Credentials: t.credentials(c.request),
 		OnLimit:     f.onLimit(e),
+		OnBackoff:   f.onBackoff(c.request, e, stepCall),
 	}
 	c.avoid = append(c.avoid, e.Name)
 	c.pending = append(c.pending, a)
--- a/daemon/forward/decode.go
+++ b/daemon/forward/decode.go
@@ -60,7 +60,7 @@
 	g.trace.software = engine.Software
 	g.engine = engine
 	f.countUnlisted(g.trace, engine)
-	attempt := g.newAttempt(engine)
+	attempt := g.newAttempt(engine, stepDecode)
 	attempt.AtMostOnce = !g.trace.route.Resumable
 	endBound := g.held.bound()
 	defer endBound()
--- a/daemon/forward/forward.go
+++ b/daemon/forward/forward.go
@@ -79,6 +79,7 @@
 		startedAt: d.Now(),
 	}
 	d.Metrics.GaugeFunc("forward_endpoints_limited", metrics.UnitCount, "Endpoints that name a rate limit.", f.limited)
+	d.Metrics.GaugeFunc("forward_endpoints_backoff", metrics.UnitCount, "Endpoints that want no requests of this daemon now.", f.backoffs)
 	return f
 }
 
--- a/daemon/forward/grant.go
+++ b/daemon/forward/grant.go
@@ -76,8 +76,8 @@
 	return err
 }
 
-// newAttempt returns the attempt to send to the engine e now.
-func (g *generation) newAttempt(e registry.Endpoint) *Attempt {
+// newAttempt returns the attempt to send to the engine e now, for a prefill or a decode.
+func (g *generation) newAttempt(e registry.Endpoint, step string) *Attempt {
 	f := g.f
 	f.recordSend(g.trace)
 	limit := f.deadline(g.request, g.trace.route)
@@ -92,5 +92,6 @@
 		Team:        g.trace.teamName(),
 		Credentials: g.trace.credentials(g.request),
 		OnLimit:     f.onLimit(e),
+		OnBackoff:   f.onBackoff(g.request, e, step),
 	}
 }
--- a/daemon/forward/limits.go
+++ b/daemon/forward/limits.go
@@ -28,7 +28,10 @@
 // onLimit returns the function that an attempt at e calls with the limit of each
 // answer.
 func (f *Forwarder) onLimit(e registry.Endpoint) func(EndpointLimit) {
-	return func(l EndpointLimit) { f.observeLimit(e.Name, l) }
+	return func(l EndpointLimit) {
+		f.observeLimit(e.Name, l)
+		f.endBackoff(e)
+	}
 }
 
 func (f *Forwarder) observeLimit(e id.Endpoint, l EndpointLimit) {
--- a/daemon/forward/pairing.go
+++ b/daemon/forward/pairing.go
@@ -107,7 +107,7 @@
 	f.countUnlisted(g.trace, engine)
 	g.progress(sched.Progress{Phase: sched.PhasePrefilling})
 	startedAt := f.Now()
-	attempt := g.newAttempt(engine)
+	attempt := g.newAttempt(engine, stepPrefill)
 	attempt.Until = min(attempt.Until, startedAt+minPrefillTimeout+time.Duration(g.request.PromptTokens)*prefillTimeoutPerToken)
 	kv, err := f.Endpoints.Prefill(ctx, attempt)
 	f.countArrival(g.trace, stepPrefill, err)
--- a/daemon/forward/types.go
+++ b/daemon/forward/types.go
@@ -123,6 +123,8 @@
 	// OnLimit, if set, is called for each answer of the endpoint, a refusal included,
 	// with the rate limit that the answer names.
 	OnLimit func(l EndpointLimit)
+	// OnBackoff, if set, is called for each refusal of the endpoint that names a backoff.
+	OnBackoff func(b EndpointBackoff)
 }
 
 // EndpointLimit is what an answer says of how much its endpoint takes.
@@ -135,6 +137,16 @@
 	Invalid string
 }
 
+// EndpointBackoff is what a refusal says of how long its endpoint wants no request of this
+// daemon.
+type EndpointBackoff struct {
+	// For is how long; unused if Invalid is set.
+	For time.Duration
+	// Invalid is the text of a backoff that can't be used; empty if there is none. The
+	// refusal counts as one without a backoff.
+	Invalid string
+}
+
 // EventStream is the body of a stream from an endpoint. Read returns io.EOF at its end,
 // and any other error if it is certainly broken off.
 type EventStream interface {
