Leave an endpoint alone for as long as its refusal asks

Cause: nobody read the time that a refusal names. The balancer leaves a full endpoint out for 50 ms, however long it wants nothing; streams and prefills don't even do that.

core/ratelimit keeps the backoff of each endpoint beside its rate limit: the latest end stands, 30 s at most. Wait, Blocked and NextFree follow both, so that all that choose or send (calls, retries, the endpoint asked beside a silent one, plain streams, prefill, decode, takeovers) leave it out, and a call that waits asks again behind its wait. Behind the backoff one request goes first. Where all endpoints are in backoff a request waits as long as it could for a rate limit, or is refused at once with the end of the first one; so are streams whose decode engines all are, which the pool's owner would hold. An engine that is given back for its limit or backoff is avoided only as long as that holds: streams behind the first one would have waited in vain. Nobody is blamed: the balancer and the pool's owner hear of a full endpoint.

--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -7,7 +7,6 @@
 package ratelimit
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -157,21 +156,21 @@
 }
 
 // Wait returns how long this daemon must wait before it may send a request to an
-// endpoint; 0 if it need not. ok is false if it must leave the endpoint to others.
+// endpoint, for its limit and its backoff; 0 if it need not. ok is false if it must leave the endpoint to others.
 func (l *Limiter) Wait(now time.Duration, e id.Endpoint) (wait time.Duration, ok bool) {
+	wait = l.BackoffWait(now, e)
 	lim := l.inForce(now, e)
 	if lim == nil {
-		return 0, true
+		return wait, true
 	}
 	if !l.sends(lim) {
 		return 0, false
 	}
 	l.refill(now, lim)
-	missing := 1 - lim.tokens
-	if missing <= 0 {
-		return 0, true
+	if missing := 1 - lim.tokens; missing > 0 {
+		wait = max(wait, timeFor(missing, l.share(lim)))
 	}
-	return timeFor(missing, l.share(lim)), true
+	return wait, true
 }
 
 // timeFor returns the time in which a rate allows a number of requests. It is at most
@@ -201,8 +200,18 @@
 			out = append(out, e)
 		}
 	}
-	slices.SortFunc(out, cmp.Compare[id.Endpoint])
-	return out
+	for e := range l.backoffs {
+		if l.BackoffWait(now, e) > 0 {
+			out = append(out, e)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// Idle reports whether no endpoint holds requests of this daemon up.
+func (l *Limiter) Idle(now time.Duration) bool {
+	return len(l.backoffs) == 0 && l.Limited(now) == 0
 }
 
 // NextFree returns after what time some daemon may send the endpoint a request: this
--- a/daemon/forward/forward.go
+++ b/daemon/forward/forward.go
@@ -130,6 +130,7 @@
 func (f *Forwarder) Run(ctx context.Context, r *Request) (*Reply, *verdict.Error) {
 	t := &trace{}
 	reply, err := f.dispatch(ctx, r, t)
+	err = f.adviseBackoff(t, err)
 	f.refund(t, err)
 	if reply != nil && reply.Events != nil {
 		// The stream writes its log line when it ends.
--- a/daemon/forward/grant.go
+++ b/daemon/forward/grant.go
@@ -23,6 +23,7 @@
 		why = "is leaving"
 	}
 	g.giveBack(name, why)
+	g.avoid = append(g.avoid, name)
 	return engine, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "engine %s %s", name, why)
 }
 
@@ -36,11 +37,12 @@
 	}
 	why := fmt.Sprintf("runs software %s, and %s began the stream", engine.Software, g.began)
 	g.giveBack(engine.Name, why)
+	g.avoid = append(g.avoid, engine.Name)
 	return engine, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "engine %s %s", engine.Name, why)
 }
 
 // takeEngine checks the request again, right before it is sent to a granted engine, and
-// counts it against the engine's rate limit.
+// counts it against the engine's rate limit, unless the engine is in backoff.
 func (g *generation) takeEngine(name id.Endpoint) *verdict.Error {
 	if err := g.recheck(); err != nil {
 		return err
@@ -49,21 +51,22 @@
 }
 
 // takeEngineLimit counts a request to a granted engine against the engine's rate limit.
-// If the limit leaves none, it gives the grant back.
+// If the engine takes no request now, for its limit or its backoff, it gives the grant back.
+// The engine is not avoided beyond that: pair asks for others only as long as it must.
 func (g *generation) takeEngineLimit(name id.Endpoint) *verdict.Error {
-	if g.f.takeLimit(name) {
+	why := g.f.takeLimit(name)
+	if why == "" {
 		return nil
 	}
-	g.giveBack(name, "has reached its rate limit")
-	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "engine %s has reached its rate limit", name)
+	g.giveBack(name, why)
+	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "engine %s %s", name, why)
 }
 
-// giveBack returns a grant to the pool's owner, and avoids one of its engines.
+// giveBack returns a grant to the pool's owner since one of its engines can't be used.
 func (g *generation) giveBack(name id.Endpoint, why string) {
 	g.f.Log.Event("grant_given_back", "request", g.request.ID, "endpoint", name, "owner", g.grant.Owner,
 		"reservation", g.grant.Reservation, "why", why)
 	g.progress(sched.Progress{Phase: sched.PhaseCancelled})
-	g.avoid = append(g.avoid, name)
 }
 
 // recheck checks the request again and returns the grant if it may no longer be sent:
--- a/daemon/forward/limits.go
+++ b/daemon/forward/limits.go
@@ -81,43 +81,52 @@
 // lock must be held.
 func (f *Forwarder) blocked() []id.Endpoint {
 	now := f.Now()
-	if f.limiter.Limited(now) == 0 {
+	if f.limiter.Idle(now) {
 		return nil
 	}
 	f.limiter.SetDaemons(now, f.RateLimits.Fleet())
 	return f.limiter.Blocked(now)
 }
 
-// blockedEngines returns the engines that a request is to avoid since their limits
-// leave this daemon no request now.
+// blockedEngines returns the engines that a request is to avoid since their limits or
+// backoffs leave this daemon no request now.
 func (f *Forwarder) blockedEngines() []id.Endpoint {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.blocked()
 }
 
-// takeLimit counts a request to an endpoint against the endpoint's limit; false if the
-// limit leaves this daemon none now.
-func (f *Forwarder) takeLimit(e id.Endpoint) bool {
+// takeLimit counts a request to an endpoint against the endpoint's limit. It returns why
+// the endpoint leaves this daemon none now; nothing if it does.
+func (f *Forwarder) takeLimit(e id.Endpoint) (why string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if wait, ok := f.limiter.Wait(f.Now(), e); wait > 0 || !ok {
+	now := f.Now()
+	wait, ok := f.limiter.Wait(now, e)
+	switch {
+	case f.limiter.BackoffWait(now, e) > 0:
+		f.stats.backoffAvoided.Inc()
+		return "is in backoff"
+	case wait > 0 || !ok:
 		f.stats.limitAvoided.Inc()
-		return false
+		return "has reached its rate limit"
 	}
-	f.limiter.Take(f.Now(), e)
-	return true
+	f.limiter.Take(now, e)
+	return ""
 }
 
-// choose chooses an endpoint for a call and waits for its rate limit if that is the
-// only way. The request's key and the crash evidence are checked again last, and so is the
-// endpoint after a wait: it may have begun to leave.
+// choose chooses an endpoint for a call and waits for its rate limit or backoff if that is
+// the only way. The request's key and the crash evidence are checked again last, and so is
+// the endpoint after a wait: it may have begun to leave, or another backoff.
 func (f *Forwarder) choose(ctx context.Context, r *Request, t *trace, service id.Service, avoid []id.Endpoint) (registry.Endpoint, *verdict.Error) {
 	for {
 		if err := f.recheck(r, t); err != nil {
 			return registry.Endpoint{}, err
 		}
 		e, wait, err := f.pickWithin(service, avoid, f.limitWait(r, t.route))
+		if err != nil && refusedForBackoff(err) {
+			t.reason = reasonBackoff
+		}
 		if err != nil || wait == 0 {
 			return e, err
 		}
@@ -125,19 +134,20 @@
 			f.done(e, f.Now(), balance.Neutral)
 			return e, err
 		}
-		if now, known := f.View().Endpoints[e.Name]; known && !now.Leaving && f.recheck(r, t) == nil {
+		if now, known := f.View().Endpoints[e.Name]; known && !now.Leaving && !f.inBackoff(e.Name) && f.recheck(r, t) == nil {
 			return now, nil
 		}
 		f.done(e, f.Now(), balance.Neutral)
 	}
 }
 
-// pickWithin chooses an endpoint whose limit leaves this daemon a request now or, if
-// there is none, after at most maxWait; the request is counted against the limit.
+// pickWithin chooses an endpoint whose limit and backoff leave this daemon a request now or,
+// if there is none, after at most maxWait; the request is counted against the limit.
 func (f *Forwarder) pickWithin(service id.Service, avoid []id.Endpoint, maxWait time.Duration) (registry.Endpoint, time.Duration, *verdict.Error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	blocked := f.blocked()
+	f.countBackoffAvoided(service, blocked)
 	e, err := f.pick(service, slices.Concat(avoid, blocked))
 	if err == nil {
 		f.limiter.Take(f.Now(), e.Name)
@@ -150,8 +160,10 @@
 	if len(blocked) == 0 {
 		return e, 0, err
 	}
-	f.stats.limitAvoided.Inc()
 	next, wait, ok := f.soonest(blocked)
+	if !f.anyInBackoff(blocked) {
+		f.stats.limitAvoided.Inc()
+	}
 	if !ok || wait > maxWait {
 		return e, 0, f.limitReached(service, blocked)
 	}
@@ -174,20 +186,26 @@
 }
 
 // limitReached returns the refusal of a request since all endpoints of its service have
-// reached their limits. Its Retry-After is when the first of them takes another one.
+// reached their limits or are in backoff. Its Retry-After is when the first of them takes
+// another one. The lock must be held.
 func (f *Forwarder) limitReached(service id.Service, blocked []id.Endpoint) *verdict.Error {
-	f.stats.limitRefusals.Inc()
 	next := time.Duration(0)
 	for i, name := range blocked {
 		if free := f.limiter.NextFree(f.Now(), name); i == 0 || free < next {
 			next = free
 		}
 	}
+	next = max(next, callRetryAfter)
+	if f.anyInBackoff(blocked) {
+		f.stats.backoffRefusals.Inc()
+		return backoffRefusal(service, next)
+	}
+	f.stats.limitRefusals.Inc()
 	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the endpoints of service %s have reached their rate limits", service).
-		WithRetryAfter(max(next, callRetryAfter))
+		WithRetryAfter(next)
 }
 
-// limitWait is how long a call may wait for an endpoint's limit: as long as it can
+// limitWait is how long a request may wait for an endpoint's limit or backoff: as long as it can
 // still be answered within its target latency, or else in half of the time left.
 func (f *Forwarder) limitWait(r *Request, rt *route.Route) time.Duration {
 	if rt.TargetLatency > 0 {
@@ -211,6 +229,6 @@
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			code = verdict.CodeDeadline
 		}
-		return verdict.New(verdict.NotRun, code, "the request waited for an endpoint's rate limit")
+		return verdict.New(verdict.NotRun, code, "the request waited for an endpoint's rate limit or backoff")
 	}
 }
--- a/daemon/forward/pairing.go
+++ b/daemon/forward/pairing.go
@@ -15,6 +15,9 @@
 // KV cache, which is kept for kvLeft. kvLeft is 0 without one.
 func (g *generation) pair(ctx context.Context, kvLeft time.Duration) *verdict.Error {
 	f, r, rt := g.f, g.request, g.trace.route
+	if err := g.awaitBackoff(ctx, g.backoffPatience(kvLeft)); err != nil {
+		return err
+	}
 	g.pairings++
 	age := f.Now() - r.Arrived
 	patience := max(rt.Patience-firstEventReserve, rt.TargetLatency)
@@ -37,7 +40,7 @@
 		PromptTokens: r.PromptTokens,
 		OutputTokens: expectedOutput(r),
 		Priority:     g.priority(),
-		Avoid:        slices.Concat(g.unusableEngines(), f.blockedEngines()),
+		Avoid:        slices.Concat(g.unusableEngines(), g.blockedEngines()),
 		Domain:       f.Domain,
 		Attempt:      g.pairings,
 		Target:       rt.TargetLatency,
@@ -60,6 +63,21 @@
 	return nil
 }
 
+// backoffPatience is how long the stream may wait for the backoffs of all engines: as long
+// as for a rate limit or, if its caller already has events, in its patience between them.
+// kvLeft bounds it if there is a KV cache.
+func (g *generation) backoffPatience(kvLeft time.Duration) time.Duration {
+	f, r, rt := g.f, g.request, g.trace.route
+	longest := f.limitWait(r, rt)
+	if g.lastEvent != r.LastEvent {
+		longest = min(rt.Patience, f.timeLeft(r, rt)) / 2
+	}
+	if kvLeft > 0 {
+		longest = min(longest, kvLeft)
+	}
+	return longest
+}
+
 // expectedOutput is the caller's estimate of the output, in tokens, at most the
 // caller's limit.
 func expectedOutput(r *Request) int {
--- a/daemon/forward/stats.go
+++ b/daemon/forward/stats.go
@@ -26,6 +26,8 @@
 	limitRefusals   *metrics.Counter
 	backoffs        *metrics.Counter
 	invalidBackoffs *metrics.Counter
+	backoffAvoided  *metrics.Counter
+	backoffRefusals *metrics.Counter
 	requestTime     *metrics.Latency
 	firstEvent      *metrics.Latency
 	engineWait      *metrics.Latency
@@ -51,6 +53,8 @@
 		limitRefusals:   r.Counter("forward_limit_refusals", metrics.UnitCount, "Requests refused since all endpoints of their service had reached their rate limits."),
 		backoffs:        r.Counter("forward_backoffs", metrics.UnitCount, "Refusals of endpoints that want no requests of this daemon for a time."),
 		invalidBackoffs: r.Counter("forward_backoffs_invalid", metrics.UnitCount, "Refusals of endpoints that name a backoff which can't be used."),
+		backoffAvoided:  r.Counter("forward_backoff_avoided", metrics.UnitCount, "Requests that left out an endpoint of their service, or gave an engine back, since it was in backoff."),
+		backoffRefusals: r.Counter("forward_backoff_refusals", metrics.UnitCount, "Requests refused since the endpoints of their service that are not at their rate limits were in backoff."),
 		requestTime:     r.Latency("forward_request_time", "Time from a request's arrival to its end."),
 		firstEvent:      r.Latency("forward_first_event_time", "Time from a stream's arrival to its first event."),
 		engineWait:      r.Latency("forward_wait_time", "Time that a stream waited for its engines."),
--- a/daemon/forward/stream.go
+++ b/daemon/forward/stream.go
@@ -125,6 +125,8 @@
 		g.trace.reason = "its key is no longer good"
 	case refusedByOwner(err):
 		g.trace.reason = "the pool's owner refused"
+	case refusedForBackoff(err):
+		g.trace.reason = reasonBackoff
 	case g.pairings >= maxPairings:
 		g.trace.reason = "too many engines failed"
 	case !f.payRepeats(g.trace, g.service.Name, g.trace.arrivals.arrivalsOfPair()):
