Ask again for an endpoint's backoff once there is a connection to it

Opening one may take longer than the half second that requests under way have, just while the endpoint is busy.

Cause: the choice and the count against limits come before the connection. Now each attempt asks right before its request is written, and is refused as by a full endpoint if a backoff has begun; the unused connection is kept.

--- a/daemon/forward/backoffsends_test.go
+++ b/daemon/forward/backoffsends_test.go
@@ -425,6 +425,24 @@
 	}
 }
 
+// TestABackoffThatBeginsBeforeTheSendIsKept checks what each attempt asks right before it is
+// written, after the endpoint was chosen.
+func TestABackoffThatBeginsBeforeTheSendIsKept(t *testing.T) {
+	is := is.New(t)
+	var f *Forwarder
+	var r *Request
+	s := &fakeEndpoints{answer: func(a *Attempt) (*Reply, *verdict.Error) {
+		is.True(a.MaySend())
+		askFor(f, time.Second, a.Endpoint.Name)
+		is.True(!a.MaySend())
+		return nil, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "it was not sent")
+	}}
+	f, r = newTest(t, s)
+	_, err := f.Run(context.Background(), r)
+	is.Equal(err.Verdict, verdict.NotRun)
+	is.Equal(len(s.sent), maxRefusals)
+}
+
 // TestARefusalWithoutABackoffIsAsBefore checks that the endpoint is left out only for as
 // long as the balancer does after any refusal.
 func TestARefusalWithoutABackoffIsAsBefore(t *testing.T) {
--- a/daemon/forward/backoffwait.go
+++ b/daemon/forward/backoffwait.go
@@ -9,6 +9,7 @@
 
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/live"
+	"github.com/samphirequay/samphirequay/core/registry"
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
@@ -44,6 +45,18 @@
 	return f.limiter.InBackoff(f.Now(), e)
 }
 
+// maySend returns the function that an attempt at e asks right before it is sent: a backoff
+// may have begun since e was chosen.
+func (f *Forwarder) maySend(e registry.Endpoint) func() bool {
+	return func() bool {
+		if f.inBackoff(e.Name) {
+			f.stats.backoffAvoided.Inc()
+			return false
+		}
+		return true
+	}
+}
+
 // anyInBackoff reports whether backoffs hold up requests to any of the given endpoints. The
 // lock must be held.
 func (f *Forwarder) anyInBackoff(names []id.Endpoint) bool {
--- a/daemon/forward/callattempts.go
+++ b/daemon/forward/callattempts.go
@@ -124,6 +124,7 @@
 		AtMostOnce:  !t.route.Repeatable(),
 		Team:        t.teamName(),
 		Credentials: t.credentials(c.request),
+		MaySend:     f.maySend(e),
 		OnLimit:     f.onLimit(e),
 		OnBackoff:   f.onBackoff(c.request, e, stepCall),
 	}
--- a/daemon/forward/grant.go
+++ b/daemon/forward/grant.go
@@ -94,6 +94,7 @@
 		Urgency:     g.trace.urgency(),
 		Team:        g.trace.teamName(),
 		Credentials: g.trace.credentials(g.request),
+		MaySend:     f.maySend(e),
 		OnLimit:     f.onLimit(e),
 		OnBackoff:   f.onBackoff(g.request, e, step),
 	}
--- a/daemon/forward/plainstream.go
+++ b/daemon/forward/plainstream.go
@@ -35,7 +35,7 @@
 		limit := f.deadline(r, t.route)
 		opened, err := f.Endpoints.Decode(ctx, &Attempt{
 			Request: r, Endpoint: endpoint, Left: limit - startedAt, Until: limit, MaxConns: f.maxConns(s), AtMostOnce: true, LastEvent: r.LastEvent,
-			Team: t.teamName(), Credentials: t.credentials(r), OnLimit: f.onLimit(endpoint),
+			Team: t.teamName(), Credentials: t.credentials(r), MaySend: f.maySend(endpoint), OnLimit: f.onLimit(endpoint),
 			OnBackoff: f.onBackoff(r, endpoint, stepCall),
 		}, KV{})
 		f.countArrival(t, stepCall, err)
--- a/daemon/forward/types.go
+++ b/daemon/forward/types.go
@@ -120,6 +120,9 @@
 	Team id.Team
 	// Credentials are the caller's, passed on only if there are no teams.
 	Credentials []Field
+	// MaySend, if set, is asked right before the request is written, once there is a
+	// connection. If it returns false, the request is refused instead, with CodeOverloaded.
+	MaySend func() bool
 	// OnLimit, if set, is called for each answer of the endpoint, a refusal included,
 	// with the rate limit that the answer names.
 	OnLimit func(l EndpointLimit)
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -130,6 +130,9 @@
 	// AvoidStaleConn prefers a new connection to an idle one that its endpoint may be
 	// closing right now. It is set for requests that must not run more than once.
 	AvoidStaleConn bool
+	// MaySend, if set, is asked once there is a connection, right before the request is
+	// written: opening one may take long. If it returns false, the request is not sent.
+	MaySend func() bool
 	// Stream leaves the body to be read with Answer.Read as it arrives.
 	Stream bool
 }
@@ -149,6 +152,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.MaySend != nil && !c.MaySend() {
+		p.keep(c.Address, used)
+		return nil, notRun(c, verdict.CodeOverloaded, errors.New("it wants no requests by now"))
+	}
 	a := &Answer{pool: p, address: c.Address, conn: used, resp: fasthttp.AcquireResponse()}
 	a.stopWatching = used.BindContext(ctx)
 	if err := a.exchange(ctx, c); err != nil {
@@ -189,13 +196,18 @@
 		return false
 	}
 	p.dialled.Inc()
-	if opened.tunnelled {
-		_ = opened.Close()
+	p.keep(address, opened)
+	return true
+}
+
+// keep keeps a connection on which nothing was sent for reuse, unless it is tunnelled.
+func (p *Pool) keep(address string, unused *conn) {
+	if unused.tunnelled {
+		_ = unused.Close()
 		p.releaseSlot(address)
-		return true
+		return
 	}
-	p.putIdle(address, opened, p.opts.IdleLife)
-	return true
+	p.putIdle(address, unused, p.opts.IdleLife)
 }
 
 func isTimeout(err error) bool {
