Show that a tunnel ends with a silence of its target

Connections between daemons have no keepalives: in a fleet of more than maxMeshPeers not all exchange heartbeats, and a tunnel over such a connection ends after peerIdle (5 s) of silence.

--- a/daemon/peer/tunnel_test.go
+++ b/daemon/peer/tunnel_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -125,3 +126,27 @@
 	_, err = none.OpenTunnel(testContext(t), "b", "target")
 	is.True(err != nil)
 }
+
+// TestATunnelOutlivesASilenceOfItsTarget guards against an answer that is cut since its
+// endpoint was silent for longer than an unused connection between daemons is kept.
+func TestATunnelOutlivesASilenceOfItsTarget(t *testing.T) {
+	is := is.New(t)
+	const idle = 500 * time.Millisecond
+	speak := make(chan struct{})
+	a := tunnelThrough(t, func(c *Config) { c.Keepalive, c.IdleTimeout = -1, idle }, func(c *net.TCPConn) {
+		_, _ = c.Read(make([]byte, 1))
+		<-speak
+		_, _ = c.Write([]byte("answer"))
+		_ = c.Close()
+	})
+	a.cfg.Keepalive, a.cfg.IdleTimeout = -1, idle
+	c, err := a.OpenTunnel(testContext(t), "b", "target")
+	is.NoErr(err)
+	defer c.Close()
+	_, err = c.Write([]byte("x"))
+	is.NoErr(err)
+	time.AfterFunc(4*idle, func() { close(speak) })
+	all, err := io.ReadAll(c)
+	is.NoErr(err)
+	is.Equal(string(all), "answer")
+}
