Keep the connection under a tunnel open while its endpoint is silent

What callers saw: an exchange over a tunnel, through another daemon, ended after five seconds without a byte, and looked like a break of the endpoint. In a fleet of more than 25 daemons not all exchange heartbeats, so that nothing else keeps the connection between two of them open.

The daemon that opened a tunnel now sends an empty datagram three times in an idle timeout for as long as the tunnel is open; receivers ignore it.

That the five seconds acted in the users' fleet is inferred: no record has such an exchange.

--- a/daemon/peer/tunnel.go
+++ b/daemon/peer/tunnel.go
@@ -27,6 +27,9 @@
 	tunnelFailed byte = 1
 	// tunnelBuffer is the size of the buffer for each direction of a tunnel, in bytes.
 	tunnelBuffer = 4 << 10
+	// idleFraction divides the idle timeout into the interval of a tunnel's keepalive
+	// datagrams: two of them may be lost.
+	idleFraction = 3
 	// maxTunnelTarget bounds the length of a target, in bytes.
 	maxTunnelTarget = 256
 )
@@ -64,9 +67,31 @@
 	if !stop() {
 		return nil, ctx.Err()
 	}
+	if !t.spawn(func() { keepOpen(c.quic, stream, t.cfg.IdleTimeout/idleFraction) }) {
+		resetStream(stream, streamCancelled)
+		return nil, ErrClosed
+	}
 	return &tunnel{Stream: stream, quic: c.quic}, nil
 }
 
+// keepOpen sends empty datagrams, which the peer ignores, for as long as a tunnel is open.
+// Otherwise the connection would end after the idle timeout, although the tunnel's target may
+// be silent for longer and then go on.
+func keepOpen(connection *quic.Conn, stream *quic.Stream, interval time.Duration) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stream.Context().Done():
+			return
+		case <-ticker.C:
+			if connection.SendDatagram(nil) != nil {
+				return // the connection has ended, which the tunnel's reader notices
+			}
+		}
+	}
+}
+
 // negotiate sends the target and reads the peer's answer.
 func negotiate(stream *quic.Stream, target string) error {
 	request := binary.BigEndian.AppendUint16([]byte{tunnelMark}, uint16(len(target)))
