--- a/daemon/forward/pairing.go
+++ b/daemon/forward/pairing.go
@@ -15,6 +15,9 @@
 // KV cache, which is kept for kvLeft. kvLeft is 0 without one.
 func (g *generation) pair(ctx context.Context, kvLeft time.Duration) *verdict.Error {
 	f, r, rt := g.f, g.request, g.trace.route
+	if err := f.checkEngines(g.service.Name); err != nil {
+		return err
+	}
 	if err := g.awaitBackoff(ctx, g.backoffPatience(kvLeft)); err != nil {
 		return err
 	}
--- a/daemon/forward/stream.go
+++ b/daemon/forward/stream.go
@@ -125,6 +125,8 @@
 		g.trace.reason = "its key is no longer good"
 	case refusedByOwner(err):
 		g.trace.reason = "the pool's owner refused"
+	case refusedAsAllLeave(err):
+		g.trace.reason = reasonAllLeave
 	case refusedForBackoff(err):
 		g.trace.reason = reasonBackoff
 	case g.pairings >= maxPairings:
