Refuse what arrives behind a daemon's decision to close

What callers saw: a call on a kept connection that arrived as a stopping daemon closed was passed on to a sound endpoint and ended with 502 half a second later, though most of the stop's grace was left.

Cause: a stopping daemon looked at the requests in flight once, and then closed whatever came: it handed its records and its account of retries on (a store call of up to 250 ms), waited 300 ms for its servers and cancelled the rest. Nothing was refused meanwhile, so that a call could arrive between the look and the end. Only streams were refused, from 2.8 s on.

Change: the decision to close is a state of the stop (leaving.Stop.Closing). From then on each new request is refused as not run, with the error `leaving`, as new streams were already. The stop looks at those in flight once more behind the decision, and waits for what crossed it until the time limit of the stop; daemon_closing is logged behind that, and the records and the account are handed on only when nothing runs any more.

Why it works: a request is counted as in flight before it asks whether the daemon closes, and the daemon sets the state before it counts. So each request is either refused or seen by that count. A caller that is refused doesn't put off the end, and the limit bounds all of it: the part of the grace behind it is as before.

New tests of daemon/leaving hold the crossing request and its bound. daemon/gateway, daemon/leaving, daemon/peer, daemon/forward, core/entry and the platform tests 'PlannedStop|Tunnel|Closes|Stop' pass with -race.

--- a/core/entry/stop.go
+++ b/core/entry/stop.go
@@ -70,10 +70,15 @@
 	return max(p.lastNamed+p.cfg.Lifetime, p.lastCaller+p.cfg.QuietPeriod)
 }
 
+// Over reports whether the time limit of the stop is over.
+func (p *StopPlan) Over(now time.Duration) bool {
+	return p.cfg.MaxDuration > 0 && now-p.startedAt >= p.cfg.MaxDuration
+}
+
 // MayClose reports whether the daemon may close, and the reason.
 func (p *StopPlan) MayClose(now time.Duration, inFlight int) (bool, StopReason) {
 	switch {
-	case p.cfg.MaxDuration > 0 && now-p.startedAt >= p.cfg.MaxDuration:
+	case p.Over(now):
 		return true, StopLimit
 	case now < p.lastNamed+p.cfg.Lifetime:
 		return false, StopAnswers
--- a/daemon/forward/forward.go
+++ b/daemon/forward/forward.go
@@ -42,9 +42,9 @@
 	// Freshness and Payer are used only if the configuration has teams.
 	Freshness Freshness
 	Payer     QuotaCharger
-	// StopsTooSoon reports whether the daemon stops so soon that a new stream may not
-	// end before.
-	StopsTooSoon func() bool
+	// StopsTooSoon reports whether the daemon stops so soon that a new request of a kind
+	// may not end before.
+	StopsTooSoon func(k route.Kind) bool
 	// Daemons returns how many daemons are alive; they share the connections that an
 	// endpoint takes.
 	Daemons func() int
@@ -160,7 +160,7 @@
 	f.identifyParts(r, t)
 	t.service = chooseService(t.route, r)
 	service := view.Routes.Service(t.service)
-	if t.route.Kind == route.Stream && f.StopsTooSoon() {
+	if f.StopsTooSoon(t.route.Kind) {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeLeaving, "this daemon is stopping")
 	}
 	f.awaitEvidence(ctx, r, t)
--- a/daemon/gateway/forwarder.go
+++ b/daemon/gateway/forwarder.go
@@ -46,7 +46,7 @@
 		Stale:             func() bool { return d.configs.Lost() },
 		Freshness:         freshnessAdapter{d},
 		Payer:             quotaCharger{d},
-		StopsTooSoon:      d.streamCutoffPassed,
+		StopsTooSoon:      d.stopsTooSoon,
 		Daemons:           d.daemons,
 		RetrySharers:      d.retrySharers,
 		Log:               d.logger,
--- a/daemon/gateway/stop.go
+++ b/daemon/gateway/stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/entry"
+	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/daemon/leaving"
 )
 
@@ -25,11 +26,14 @@
 	shutdownTimeout = 300 * time.Millisecond
 )
 
-// streamCutoffPassed reports whether a planned stop has lasted for so long that a new
-// stream might not finish before the process ends.
-func (d *Daemon) streamCutoffPassed() bool {
+// stopsTooSoon reports whether a planned stop has come so far that a new request of this
+// kind might not finish before the process ends.
+func (d *Daemon) stopsTooSoon(k route.Kind) bool {
 	s := d.stopping.Load()
-	return s != nil && d.now()-s.Began() >= streamCutoff
+	if s == nil {
+		return false
+	}
+	return s.Closing() || k == route.Stream && d.now()-s.Began() >= streamCutoff
 }
 
 // recordCaller records the arrival of a request during a planned stop.
--- a/daemon/leaving/leaving.go
+++ b/daemon/leaving/leaving.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/entry"
@@ -15,6 +16,10 @@
 	began time.Duration
 	mu    sync.Mutex
 	plan  *entry.StopPlan
+	// reason is why the daemon closes; empty until it does.
+	reason entry.StopReason
+	// closing is set once the daemon has decided to close.
+	closing atomic.Bool
 }
 
 // Begin starts a planned stop at now.
@@ -39,14 +44,30 @@
 	s.plan.RecordCaller(now)
 }
 
-func (s *Stop) mayClose(now time.Duration, inFlight int) (bool, entry.StopReason) {
+// Closing reports whether the daemon has decided to close. It must refuse new requests from
+// then on. A request must be counted as in flight before it asks.
+func (s *Stop) Closing() bool { return s.closing.Load() }
+
+// mayEnd reports whether the daemon may end, and the reason. A request may arrive between the
+// look at those in flight and the decision to close: mayEnd looks once more behind the
+// decision, and the daemon waits for it until the time limit of the stop is over.
+func (s *Stop) mayEnd(now func() time.Duration, inFlight func() int) (entry.StopReason, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.plan.MayClose(now, inFlight)
+	if s.reason == "" {
+		ok, reason := s.plan.MayClose(now(), inFlight())
+		if !ok {
+			return "", false
+		}
+		s.reason = reason
+		s.closing.Store(true)
+	}
+	return s.reason, inFlight() == 0 || s.plan.Over(now())
 }
 
-// Wait checks at the given interval whether the daemon may close, and returns the
-// reason once it may. ok is false if ctx ended first.
+// Wait checks at the given interval whether the daemon may end, and returns the reason once
+// it may: no request is in flight and new ones are refused (see Closing), or the time limit
+// of the stop is over. ok is false if ctx ended first.
 func (s *Stop) Wait(ctx context.Context, interval time.Duration, now func() time.Duration, inFlight func() int) (reason entry.StopReason, ok bool) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
@@ -56,7 +77,7 @@
 			return "", false
 		case <-ticker.C:
 		}
-		if ok, reason := s.mayClose(now(), inFlight()); ok {
+		if reason, ok := s.mayEnd(now, inFlight); ok {
 			return reason, true
 		}
 	}
--- /dev/null
+++ b/daemon/leaving/leaving_test.go
@@ -0,0 +1,56 @@
+package leaving
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/entry"
+)
+
+// testConfig lets a daemon close at once, and bounds its stop.
+var testConfig = entry.StopConfig{MaxDuration: 5 * time.Second}
+
+// TestADaemonThatClosesWaitsForARequestThatCrossesItsDecision guards against a request that is
+// cut since it arrived between the look at those in flight and the decision to close.
+func TestADaemonThatClosesWaitsForARequestThatCrossesItsDecision(t *testing.T) {
+	is := is.New(t)
+	now := func() time.Duration { return time.Second }
+	s := Begin(testConfig, 0)
+	looks := 0
+	crossing := func() int {
+		looks++
+		if looks == 1 {
+			is.True(!s.Closing())
+			return 0
+		}
+		is.True(s.Closing()) // later requests are refused
+		return 1
+	}
+	_, ended := s.mayEnd(now, crossing)
+	is.True(!ended)
+	_, ended = s.mayEnd(now, crossing)
+	is.True(!ended)
+	// A caller that is refused meanwhile doesn't put off the end.
+	s.RecordCaller(now())
+	reason, ended := s.mayEnd(now, func() int { return 0 })
+	is.True(ended)
+	is.Equal(reason, entry.StopDone)
+}
+
+// TestARequestThatCrossesADecisionToCloseIsBoundedByTheStop guards against a planned stop that
+// lasts longer than its grace.
+func TestARequestThatCrossesADecisionToCloseIsBoundedByTheStop(t *testing.T) {
+	is := is.New(t)
+	s := Begin(testConfig, 0)
+	inFlight := 0
+	crossing := func() int {
+		defer func() { inFlight = 1 }()
+		return inFlight
+	}
+	_, ended := s.mayEnd(func() time.Duration { return time.Second }, crossing)
+	is.True(!ended)
+	_, ended = s.mayEnd(func() time.Duration { return testConfig.MaxDuration }, crossing)
+	is.True(ended)
+}
