Let a planned stop wait for the tunnels that the daemon carries

What callers saw: a lively stream of a daemon that is cut off from its endpoints ended without its last events, since another daemon, which carried its tunnel, stopped as planned.

Cause: a stopping daemon waited for its own callers' requests only. Those that other daemons serve over a tunnel through it were not counted, and it closed its connections under them about 3.5 s after the stop began, whatever was left of its grace.

Change: the stop counts the tunnels that the daemon carries beside the requests of its callers.

Why it works: a tunnel is used for one request and closed behind it, so none is open that nobody needs. It is counted before the daemon looks whether it stops too soon, like a request, so that one which crosses the decision to close is waited for. The time limit of the stop bounds it.

--- a/daemon/gateway/stop.go
+++ b/daemon/gateway/stop.go
@@ -57,7 +57,7 @@
 	if !d.stopping.CompareAndSwap(nil, s) {
 		return
 	}
-	d.logger.Event("daemon_leaving", "in_flight", d.inFlight.Load())
+	d.logger.Event("daemon_leaving", "in_flight", d.inFlight.Load(), "tunnels", d.carriedTunnels())
 	if f := d.fleet.Load(); f != nil {
 		f.members.Leave()
 		f.orderer.Release()
@@ -65,14 +65,18 @@
 	go d.leave(s)
 }
 
+// dependents returns the number of requests that need this daemon: those of its own callers,
+// and those that other daemons serve over a tunnel through this one. A tunnel is used for one
+// request.
+func (d *Daemon) dependents() int { return int(d.inFlight.Load()) + d.carriedTunnels() }
+
 // leave waits until the daemon may close, and shuts it down.
 func (d *Daemon) leave(s *leaving.Stop) {
-	inFlight := func() int { return int(d.inFlight.Load()) }
-	why, ok := s.Wait(d.ctx, stopCheckInterval, d.now, inFlight)
+	why, ok := s.Wait(d.ctx, stopCheckInterval, d.now, d.dependents)
 	if !ok {
 		return
 	}
-	d.logger.Event("daemon_closing", "why", why, "in_flight", inFlight())
+	d.logger.Event("daemon_closing", "why", why, "in_flight", d.inFlight.Load(), "tunnels", d.carriedTunnels())
 	d.origins.HandOver()
 	d.handOnRetries()
 	d.shutdown()
--- a/daemon/gateway/tunnel.go
+++ b/daemon/gateway/tunnel.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/daemon/metrics"
 	"github.com/samphirequay/samphirequay/daemon/upstream"
 )
@@ -234,7 +235,19 @@
 	return c, nil
 }
 
+// carriedTunnels returns how many tunnels this daemon carries for others at the moment.
+func (d *Daemon) carriedTunnels() int {
+	if f := d.fleet.Load(); f != nil {
+		return f.transport.CarriedTunnels()
+	}
+	return 0
+}
+
 func (d *Daemon) dialRegistered(ctx context.Context, address string) (net.Conn, error) {
+	// What the tunnel is for is not known here: it may be a stream.
+	if d.stopsTooSoon(route.Stream) {
+		return nil, eris.New("this daemon is stopping")
+	}
 	if !d.takesWorkAt(address) {
 		return nil, eris.Errorf("no registered endpoint that takes work has the address %s", address)
 	}
--- a/daemon/peer/tunnel.go
+++ b/daemon/peer/tunnel.go
@@ -126,6 +126,10 @@
 // RemoteAddr implements net.Conn. It is the peer's address.
 func (t *tunnel) RemoteAddr() net.Addr { return t.quic.RemoteAddr() }
 
+// CarriedTunnels returns how many tunnels this daemon carries for its peers at the moment,
+// those that are being opened included.
+func (t *Transport) CarriedTunnels() int { return len(t.tunnels) }
+
 // acquireTunnel reserves one of the tunnels that the daemon carries for its peers.
 func (t *Transport) acquireTunnel() bool {
 	select {
