Count a tunnel as carried until its user has read the end

What callers could see: an answer over a tunnel whose endpoint closes its connection behind it, cut before its last bytes as the daemon that carries the tunnel stops. Not seen at a caller; found by reading, behind the wait for tunnels.

Cause: the carrier took a tunnel for ended as soon as it had queued the last bytes of a regular end, sent or not, read or not. A stop that waits for tunnels then closes the connection between the daemons, and with it go the bytes that are not read yet.

Change: behind a regular end of the endpoint's connection, the tunnel lasts until the daemon that asked for it closes it, or is lost. A reset still ends both directions at once.

Why it works: a tunnel's user closes it behind the answer, and only then the carrier counts it no more. An endpoint that has closed one direction only also gets the rest of a body now.

--- a/daemon/peer/tunnel.go
+++ b/daemon/peer/tunnel.go
@@ -196,20 +196,21 @@
 
 // carry passes bytes on in both directions until one side ends. The end of the target's
 // connection becomes the end of the stream only if it was regular: an answer that was
-// broken off must not look complete.
+// broken off must not look complete. Behind a regular end the tunnel lasts until the caller
+// closes it: a daemon that stops meanwhile would take away what the caller has not read.
 func carry(stream *quic.Stream, conn net.Conn) {
 	upward := make(chan struct{})
 	go func() {
 		defer close(upward)
 		_ = copyBytes(conn, stream) // ends when the caller has closed or lost the tunnel
+		stream.CancelRead(streamFailed)
 		_ = conn.Close()
 	}()
 	if err := copyBytes(stream, conn); err != nil {
-		stream.CancelWrite(streamFailed)
+		resetStream(stream, streamFailed)
 	} else {
 		_ = stream.Close() // fails only if the caller has gone
 	}
-	stream.CancelRead(streamFailed)
 	<-upward
 }
 
--- a/daemon/peer/tunnel_test.go
+++ b/daemon/peer/tunnel_test.go
@@ -16,6 +16,13 @@
 // tunnelThrough returns a transport whose tunnels lead over another one to connections
 // that serve handles.
 func tunnelThrough(t *testing.T, change func(*Config), serve func(*net.TCPConn)) *Transport {
+	t.Helper()
+	a, _ := tunnelAndCarrier(t, change, serve)
+	return a
+}
+
+// tunnelAndCarrier is tunnelThrough; it also returns the other transport.
+func tunnelAndCarrier(t *testing.T, change func(*Config), serve func(*net.TCPConn)) (a, b *Transport) {
 	t.Helper()
 	is := is.New(t)
 	target, err := net.Listen("tcp", "127.0.0.1:0")
@@ -31,8 +38,8 @@
 		}
 	}()
 	f := newFleet(t)
-	a, _ := f.listen("a", nil)
-	b, _ := f.listen("b", func(c *Config) {
+	a, _ = f.listen("a", nil)
+	b, _ = f.listen("b", func(c *Config) {
 		c.OpenTarget = func(_ context.Context, from id.Daemon, name string) (net.Conn, error) {
 			if from != "a" || name != "target" {
 				return nil, errors.New("unknown target")
@@ -44,7 +51,7 @@
 		}
 	})
 	is.NoErr(a.SetPeer("b", b.Address()))
-	return a
+	return a, b
 }
 
 // TestATunnelCarriesBothDirectionsToTheRegularEnd checks that all bytes arrive and that
@@ -106,6 +113,30 @@
 	is.True(<-gone != nil)
 }
 
+// TestATunnelLastsUntilItsUserHasReadTheEnd guards against an answer that is cut since the
+// daemon that carries it believes the tunnel ended while its last bytes are still unread.
+func TestATunnelLastsUntilItsUserHasReadTheEnd(t *testing.T) {
+	is := is.New(t)
+	got := make(chan string, 1)
+	a, carrier := tunnelAndCarrier(t, nil, func(c *net.TCPConn) {
+		_, _ = c.Write([]byte("answer"))
+		_ = c.CloseWrite()
+		rest, _ := io.ReadAll(c)
+		got <- string(rest)
+		_ = c.Close()
+	})
+	c, err := a.OpenTunnel(testContext(t), "b", "target")
+	is.NoErr(err)
+	answer, err := io.ReadAll(c)
+	is.NoErr(err)
+	is.Equal(string(answer), "answer")
+	is.Equal(carrier.CarriedTunnels(), 1)
+	_, err = c.Write([]byte("read"))
+	is.NoErr(err)
+	is.NoErr(c.(*tunnel).Stream.Close())
+	is.Equal(<-got, "read")
+}
+
 // TestTunnelsAreRefusedAtOnce checks that a target that the peer does not reach, a peer
 // that carries none, and one that carries as many as it may, fail without a wait.
 func TestTunnelsAreRefusedAtOnce(t *testing.T) {
