Refuse calls that a stopping daemon may not finish

What callers saw: a call that came to a stopping daemon shortly before the limit of its stop was passed on to a sound endpoint and cut with 502 at that limit.

Cause: new streams are refused from 2.8 s on, but calls were taken until the very end, whatever was left of the stop.

Why it works: a call taken before has that second and the 300 ms in which the servers are shut down; one that comes later is told at once to go elsewhere. It concerns only daemons at which callers or requests hold the stop up until then: others have closed by that time. A call of longer than a second may still be cut.

--- a/core/entry/stop.go
+++ b/core/entry/stop.go
@@ -70,6 +70,13 @@
 	return max(p.lastNamed+p.cfg.Lifetime, p.lastCaller+p.cfg.QuietPeriod)
 }
 
+// Near reports whether less than reserve is left of the time limit of the stop. The reserve is
+// a quarter of the limit at most, so that a short stop serves for most of its time.
+func (p *StopPlan) Near(now, reserve time.Duration) bool {
+	limit := p.cfg.MaxDuration
+	return limit > 0 && p.startedAt+limit-now < min(reserve, limit/4)
+}
+
 // Over reports whether the time limit of the stop is over.
 func (p *StopPlan) Over(now time.Duration) bool {
 	return p.cfg.MaxDuration > 0 && now-p.startedAt >= p.cfg.MaxDuration
--- a/daemon/gateway/stop.go
+++ b/daemon/gateway/stop.go
@@ -22,6 +22,9 @@
 	// streamCutoff is the time after the start of a planned stop from which new
 	// streams are refused, since they might not finish before the process ends.
 	streamCutoff = 2800 * time.Millisecond
+	// callReserve is the time before the limit of a planned stop in which new calls are
+	// refused, since they might not finish before the process ends.
+	callReserve = time.Second
 	// shutdownTimeout bounds the shutdown of idle servers.
 	shutdownTimeout = 300 * time.Millisecond
 )
@@ -33,7 +36,8 @@
 	if s == nil {
 		return false
 	}
-	return s.Closing() || k == route.Stream && d.now()-s.Began() >= streamCutoff
+	now := d.now()
+	return s.Closing() || s.NearLimit(now, callReserve) || k == route.Stream && now-s.Began() >= streamCutoff
 }
 
 // recordCaller records the arrival of a request during a planned stop.
--- a/daemon/leaving/leaving.go
+++ b/daemon/leaving/leaving.go
@@ -48,6 +48,14 @@
 // then on. A request must be counted as in flight before it asks.
 func (s *Stop) Closing() bool { return s.closing.Load() }
 
+// NearLimit reports whether less than reserve is left of the time limit of the stop; of a
+// short stop, less than a quarter.
+func (s *Stop) NearLimit(now, reserve time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.plan.Near(now, reserve)
+}
+
 // mayEnd reports whether the daemon may end, and the reason. A request may arrive between the
 // look at those in flight and the decision to close: mayEnd looks once more behind the
 // decision, and the daemon waits for it until the time limit of the stop is over.
--- a/daemon/leaving/leaving_test.go
+++ b/daemon/leaving/leaving_test.go
@@ -54,3 +54,24 @@
 	_, ended = s.mayEnd(func() time.Duration { return testConfig.MaxDuration }, crossing)
 	is.True(ended)
 }
+
+// TestTheReserveOfAStopIsAQuarterOfItAtMost guards against a short stop that serves nobody, and
+// against one without a limit that ends for its reserve.
+func TestTheReserveOfAStopIsAQuarterOfItAtMost(t *testing.T) {
+	const reserve = time.Second
+	for name, c := range map[string]struct {
+		limit, age time.Duration
+		near       bool
+	}{
+		"long, before":  {5 * time.Second, 4 * time.Second, false},
+		"long, in it":   {5 * time.Second, 4*time.Second + 1, true},
+		"short, before": {2 * time.Second, 1500 * time.Millisecond, false},
+		"short, in it":  {2 * time.Second, 1500*time.Millisecond + 1, true},
+		"no limit":      {0, time.Hour, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := Begin(entry.StopConfig{MaxDuration: c.limit}, time.Minute)
+			is.New(t).Equal(s.NearLimit(time.Minute+c.age, reserve), c.near)
+		})
+	}
+}
