--- a/core/ratelimit/backoff.go
+++ b/core/ratelimit/backoff.go
@@ -24,7 +24,7 @@
 	// refusals counts the answers that named a backoff.
 	refusals int
 	// openAt is when all requests may be sent again; 0 until the first one after the
-	// backoff was chosen for the endpoint.
+	// backoff is assigned to the endpoint.
 	openAt time.Duration
 }
 
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -156,7 +156,8 @@
 }
 
 // Wait returns how long this daemon must wait before it may send a request to an
-// endpoint, for its limit and its backoff; 0 if it need not. ok is false if it must leave the endpoint to others.
+// endpoint, for its limit and its backoff; 0 if it need not. ok is false if it must leave
+// the endpoint to others.
 func (l *Limiter) Wait(now time.Duration, e id.Endpoint) (wait time.Duration, ok bool) {
 	wait = l.BackoffWait(now, e)
 	lim := l.inForce(now, e)
