--- a/daemon/forward/headerwait_verdict_test.go
+++ b/daemon/forward/headerwait_verdict_test.go
@@ -161,3 +161,13 @@
 	is.True(err != nil)
 	is.True(<-owner.held)
 }
+
+// TestAStreamThatBrokeBeforeItsFirstEventMayHaveRun guards against a refusal that promises
+// "not run" although an engine has begun to answer the stream.
+func TestAStreamThatBrokeBeforeItsFirstEventMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	f, r, _ := newScriptedTest(t, &lockedOwner{refuseFrom: 2}, 2, answering(&Opened{Status: 200, Events: brokenStream{}}))
+	_, err := f.Run(context.Background(), r)
+	is.True(err != nil)
+	is.Equal(err.Verdict, verdict.MayHaveRun)
+}
