Settle the interfaces of queues, learned limits and admission under scarce capacity

Two deployments have more calls at times than their plain endpoints and engines take, and endpoints that are not alike. Nothing is in force yet.

--- a/core/kvsched/options.go
+++ b/core/kvsched/options.go
@@ -48,6 +48,11 @@
 	// MaxEnded bounds the number of records of ended requests, which keep a late
 	// duplicate of a Want from being granted again.
 	MaxEnded int
+	// ForecastRefusal refuses a request at once if the forecast of when the requests in
+	// progress end shows no room for it in time.
+	ForecastRefusal bool
+	// UrgentReserve keeps memory free for the requests of the highest priority.
+	UrgentReserve bool
 	// Disabled lists mechanisms to switch off for measurements.
 	Disabled []Mechanism
 	// Health reports the allowed endpoints; nil allows every endpoint.
--- a/core/sched/messages.go
+++ b/core/sched/messages.go
@@ -154,6 +154,12 @@
 	// Unreachable is set with PhaseFailed when no connection to the endpoint could
 	// be made.
 	Unreachable bool `cbor:"14,keyasint"`
+	// ServiceTime is how long the endpoint took for a plain call, from the sending of the
+	// call to its answer or failure; zero if unknown.
+	ServiceTime time.Duration `cbor:"15,keyasint,omitempty"`
+	// TimedOut is set with PhaseFailed when the endpoint of a plain call gave no answer
+	// within the call's time limit.
+	TimedOut bool `cbor:"16,keyasint,omitempty"`
 }
 
 // Adopt reports to a pool's new owner a grant of a former owner that is still in
--- a/daemon/gateway/pools.go
+++ b/daemon/gateway/pools.go
@@ -26,6 +26,8 @@
 				// numbers of its predecessor.
 				FirstReservation: uint64(d.now()),
 				Disabled:         d.set.Disable,
+				ForecastRefusal:  d.set.Scheduling.ForecastRefusal,
+				UrgentReserve:    d.set.Scheduling.UrgentReserve,
 				Health:           view,
 				Violation:        d.metrics.Violation,
 			})
--- a/daemon/gateway/settings.go
+++ b/daemon/gateway/settings.go
@@ -33,10 +33,29 @@
 	// Disable lists scheduler mechanisms to disable, to measure their effect; not for
 	// production. Default: none.
 	Disable []kvsched.Mechanism `json:"disable,omitempty" validate:"dive,oneof=learned-lead arrival-refusal prefilled-wait whole-reading pause-bound kept-engine guess-shrink team-shares"`
+	// Scheduling switches parts of the scheduling on. Default: all off.
+	Scheduling Scheduling `json:"scheduling"`
 	// Log configures the log, which goes to standard output.
 	Log settings.Log `json:"log"`
 }
 
+// Scheduling switches parts of the scheduling on and off. All daemons of a fleet should have
+// the same values; they may change while a daemon runs.
+type Scheduling struct {
+	// CallQueue makes one owner queue the calls of each plain service for all daemons.
+	// Without it each daemon chooses endpoints from its own calls alone. Default: false.
+	CallQueue bool `json:"call_queue"`
+	// LearnedLimits bounds the calls in flight at an endpoint by the number that it has
+	// been seen to take well, instead of by its slots. It needs call_queue. Default: false.
+	LearnedLimits bool `json:"learned_limits"`
+	// ForecastRefusal refuses a stream at once if memory or prefill capacity will not be
+	// free in time by the forecast of when the requests in progress end. Default: false.
+	ForecastRefusal bool `json:"forecast_refusal"`
+	// UrgentReserve keeps engine memory free for the requests of the most urgent priority,
+	// as much as they have been needing. Default: false.
+	UrgentReserve bool `json:"urgent_reserve"`
+}
+
 // Listen holds addresses as IP:port.
 type Listen struct {
 	// Callers is the TCP address for callers' requests.
