Let a want say what it asks for, whatever its id

A refused caller that comes back at the time it was told is to find the room that was booked for it, and its next attempt has another id. Not set by any daemon yet.

--- a/core/sched/messages.go
+++ b/core/sched/messages.go
@@ -60,6 +60,9 @@
 	Pause time.Duration `cbor:"20,keyasint,omitempty"`
 	// Software requires a decode engine of this software version; empty for any.
 	Software id.Software `cbor:"21,keyasint,omitempty"`
+	// Content identifies what the request's team asks for, whatever the request's id: a
+	// caller's next attempt has the same. 0 if unknown.
+	Content uint64 `cbor:"22,keyasint,omitempty"`
 }
 
 // Grant answers a Want with the endpoints for the prefill and the decode. For a
