Let a stream that broke before its first event count as one that may have run

Callers saw: a stream whose engine had sent its header and then broke was refused with 503, which promises that it has not run, if the pool's owner refused another pair.

Cause: the break was not among the errors of which the worst is told; only a stream that may not go on elsewhere told it. A later refusal, which says not run, was then the only one. It holds since the break is recorded before another engine is sought, whoever refuses later.

Callers that were told to come back get 502 without advice then; they may ask again, as the stream may run again.

--- a/daemon/forward/relay.go
+++ b/daemon/forward/relay.go
@@ -63,8 +63,11 @@
 			return nil
 		}
 		s.dropEngine(cause)
+		// The engine has begun to answer: whatever refuses the stream later, it may have run.
+		broke := s.failedBeforeFirstEvent(cause)
+		s.worstErr = worseError(s.worstErr, broke)
 		if opened, err = s.openAgain(); opened == nil && err == nil {
-			return s.failedBeforeFirstEvent(cause)
+			return broke
 		}
 	}
 }
