Prefer engines that lose less work than their peers

Callers lost: while every second engine lost 4 in 10 answers, the detector could eject 40% of a group at most, after five outcomes each; the other half took its share of a burst all along.

With scheduling.avoid_lossy, off by default, core/kvsched chooses a doubted engine only while no other has room.

Tests: core/health, core/kvsched, core/sched, core/pool, core/overload, daemon/forward and daemon/gateway pass with -race.

--- a/core/health/detector.go
+++ b/core/health/detector.go
@@ -28,6 +28,8 @@
 	endpoints map[id.Endpoint]*endpoint
 	groups    map[group][]*endpoint
 	next      time.Duration
+	// lossCounts holds the recent outcomes of each group.
+	lossCounts map[group]*lossCount
 }
 
 // New returns a Detector without endpoints.
@@ -36,6 +38,8 @@
 		cfg:       cfg.withDefaults(),
 		endpoints: map[id.Endpoint]*endpoint{},
 		groups:    map[group][]*endpoint{},
+
+		lossCounts: map[group]*lossCount{},
 	}
 }
 
@@ -111,6 +115,7 @@
 		return nil
 	}
 	d.recordOutcome(now, e, r)
+	d.countLoss(now, e, r.Kind != OK)
 	switch e.state {
 	case Healthy:
 		return d.evaluate(now, e, r)
--- a/core/health/endpoint.go
+++ b/core/health/endpoint.go
@@ -32,6 +32,8 @@
 	// healthySince is the time at which the endpoint last became healthy.
 	healthySince time.Duration
 	probes       int
+	// losses is the evidence that the endpoint loses more work than its peers.
+	losses evidence
 }
 
 // decay reduces the outcome counts by their age at now.
--- a/core/kvsched/choose.go
+++ b/core/kvsched/choose.go
@@ -37,6 +37,7 @@
 			cause = causeNoMemory
 			continue
 		}
+		score -= lossyMalus * l.doubt(e)
 		if prefill != nil && prefill.domain == e.domain {
 			score += sameDomainBonus
 		}
@@ -64,6 +65,7 @@
 			continue
 		}
 		at := start + e.prefillTime(w.want.PromptTokens)
+		at += time.Duration(l.doubt(e) * float64(lostPrefillCost))
 		if e.domain == decode.domain {
 			at -= sameDomainLead
 		}
@@ -77,6 +79,25 @@
 	return best
 }
 
+const (
+	// lossyMalus is taken off the score of a decode engine that certainly loses more work
+	// than its peers, as a share of an engine's memory: at a fifth of that doubt it is chosen
+	// only if no other engine has room.
+	lossyMalus = 5.0
+	// lostPrefillCost is what a prefill that is certainly lost costs its request: the time
+	// until it is given up and read elsewhere.
+	lostPrefillCost = time.Second
+)
+
+// doubt returns by how much more often than its peers an engine has lost work of late; 0
+// unless lossy engines are to be avoided.
+func (l *Ledger) doubt(e *endpoint) float64 {
+	if !l.options.AvoidLossy || l.options.Health == nil {
+		return 0
+	}
+	return l.options.Health.Doubt(l.now, e.name)
+}
+
 // sameDomainLead is how much later a prefill engine in the decode engine's
 // failure domain may finish and still be preferred.
 const sameDomainLead = 5 * time.Millisecond
--- a/core/kvsched/options.go
+++ b/core/kvsched/options.go
@@ -53,6 +53,9 @@
 	ForecastRefusal bool
 	// UrgentReserve keeps memory free for the requests of the highest priority.
 	UrgentReserve bool
+	// AvoidLossy prefers engines that have lost less work of late than their peers, while
+	// these have room.
+	AvoidLossy bool
 	// Disabled lists mechanisms to switch off for measurements.
 	Disabled []Mechanism
 	// Health reports the allowed endpoints; nil allows every endpoint.
--- a/core/overload/engines.go
+++ b/core/overload/engines.go
@@ -122,6 +122,8 @@
 	// planVersion counts the scheduled checks: an event of an earlier version
 	// is stale.
 	planVersion int
+	// lossy is set if the engine loses answers in the time of Engines.Lossy.
+	lossy bool
 }
 
 func newDecodeEngine(w *simulation) *decodeEngine {
@@ -182,12 +184,29 @@
 		return
 	}
 	r.started = true
+	if e.losesAnswer() {
+		r.caller.outcome = lost
+		w.lostAt = append(w.lostAt, w.now-warmup)
+		w.progress(r, sched.PhaseFailed)
+		return
+	}
 	e.runs = append(e.runs, r)
 	w.firstEvent(r.caller)
 	w.report(r, sched.Progress{Phase: sched.PhaseDecoding, TransferTime: r.transfer})
 	e.scheduleNext()
 }
 
+// losesAnswer reports whether the engine loses the answer that it begins now.
+func (e *decodeEngine) losesAnswer() bool {
+	w := e.w
+	lossy := w.Engines.Lossy
+	since := w.now - warmup - lossy.At
+	if since < 0 || since >= lossy.For || !e.lossy {
+		return false
+	}
+	return w.rng.Float64() < lossy.Share
+}
+
 func (e *decodeEngine) held() float64 {
 	sum := 0.0
 	for _, r := range e.runs {
--- a/core/overload/load.go
+++ b/core/overload/load.go
@@ -109,6 +109,16 @@
 	// Slowdowns are the periods in which all engines are slow; they must not
 	// overlap.
 	Slowdowns []Slowdown
+	// Lossy is a time in which some decode engines lose answers; zero for none.
+	Lossy Lossy
+}
+
+// Lossy is a time in which the decode engines of even number, or all of them, lose a share of
+// the answers that they begin: the connection is reset at the first event.
+type Lossy struct {
+	At, For time.Duration
+	Share   float64
+	All     bool
 }
 
 // Slowdown multiplies the time of everything that engines do.
--- a/core/overload/result.go
+++ b/core/overload/result.go
@@ -17,6 +17,7 @@
 	late
 	refused
 	abandoned
+	lost
 )
 
 // Result summarizes a replay.
@@ -35,6 +36,8 @@
 	WastedTokens int
 	// Preempted counts the preemptions of requests for lack of memory.
 	Preempted int
+	// LostAt are the times at which engines lost answers, from the start of the load.
+	LostAt []time.Duration
 	// LargestShare and LargeShare are the served shares of the largest tenth of
 	// requests, and of the next fifth, relative to the served share of all.
 	LargestShare, LargeShare float64
@@ -79,7 +82,7 @@
 
 // result sums up the outcomes of the callers.
 func (w *simulation) result() *Result {
-	r := &Result{Requests: len(w.callers), RefusedPermanently: w.refusedPermanently, WastedTokens: w.wastedTokens, Preempted: w.preempted}
+	r := &Result{Requests: len(w.callers), RefusedPermanently: w.refusedPermanently, WastedTokens: w.wastedTokens, Preempted: w.preempted, LostAt: w.lostAt}
 	for _, c := range w.callers {
 		second := int(c.arrived / time.Second)
 		for len(r.Seconds) <= second {
--- a/core/overload/simulation.go
+++ b/core/overload/simulation.go
@@ -77,6 +77,8 @@
 	refusedPermanently int
 	wastedTokens       int
 	preempted          int
+	// lostAt are the times at which answers were lost.
+	lostAt []time.Duration
 }
 
 // Run replays the load with the given seed.
@@ -128,6 +130,7 @@
 				continue
 			}
 			w.decodes[name] = newDecodeEngine(w)
+			w.decodes[name].lossy = i%2 == 0 || w.Engines.Lossy.All
 		}
 	}
 	add(live.RolePrefill, w.Engines.Prefills)
--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -11,6 +11,9 @@
 // HealthView reports which endpoints may get new work; core/health implements it.
 type HealthView interface {
 	Allowed(e id.Endpoint) bool
+	// Doubt returns by how much more often than its peers the endpoint has lost work of
+	// late, from 0 to 1. It leaves out no endpoint.
+	Doubt(now time.Duration, e id.Endpoint) float64
 }
 
 // Reservation selects when a decode slot is reserved.
--- a/core/sched/plugins_test.go
+++ b/core/sched/plugins_test.go
@@ -58,6 +58,9 @@
 
 func (a ejectingView) Allowed(e id.Endpoint) bool { return e != a.ejected }
 
+// Doubt implements HealthView.
+func (a ejectingView) Doubt(time.Duration, id.Endpoint) float64 { return 0 }
+
 // keeps asserts whether a filter keeps an endpoint.
 func keeps(is *is.I, f endpointFilter, c *cycle, e *endpoint, want bool) {
 	is.Helper()
--- a/daemon/gateway/pools.go
+++ b/daemon/gateway/pools.go
@@ -28,6 +28,7 @@
 				Disabled:         d.set.Disable,
 				ForecastRefusal:  d.set.Scheduling.ForecastRefusal,
 				UrgentReserve:    d.set.Scheduling.UrgentReserve,
+				AvoidLossy:       d.set.Scheduling.AvoidLossy,
 				Health:           view,
 				Violation:        d.metrics.Violation,
 			})
--- a/daemon/gateway/settings.go
+++ b/daemon/gateway/settings.go
@@ -54,6 +54,9 @@
 	// UrgentReserve keeps engine memory free for the requests of the most urgent priority,
 	// as much as they have been needing. Default: false.
 	UrgentReserve bool `json:"urgent_reserve"`
+	// AvoidLossy prefers endpoints that have lost less work of late than their peers, while
+	// these have room. Default: false.
+	AvoidLossy bool `json:"avoid_lossy"`
 }
 
 // Listen holds addresses as IP:port.
