--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -132,6 +132,13 @@
 	return best.Endpoint, true
 }
 
+// Begin counts a call that was not chosen by Pick as in flight at an endpoint until Done.
+func (b *Balancer) Begin(name id.Endpoint) {
+	if e := b.endpoints[name]; e != nil {
+		e.inFlight++
+	}
+}
+
 // ejectedCost is added for ejected endpoints: they are chosen only if all are
 // ejected.
 const ejectedCost = 1e6
--- a/core/pairing/requester.go
+++ b/core/pairing/requester.go
@@ -64,6 +64,7 @@
 	phase    sched.Phase
 	// phaseStart is the time at which the phase started.
 	phaseStart time.Duration
+	call       callWait
 }
 
 // Requester holds the requests of one daemon that wait for endpoints or hold a grant.
@@ -72,6 +73,8 @@
 	opts    Options
 	members []id.Daemon
 	entries map[id.Request]*entry
+	// owners holds what is known of the owners that calls were sent to.
+	owners map[id.Daemon]*ownerWatch
 	// now is the time of the newest event.
 	now time.Duration
 	// due is at or before the earliest time at which an entry is due.
@@ -94,6 +97,7 @@
 		opts:    opts,
 		members: []id.Daemon{self.Daemon},
 		entries: make(map[id.Request]*entry),
+		owners:  make(map[id.Daemon]*ownerWatch),
 	}
 }
 
@@ -113,6 +117,9 @@
 // that does not answer is stalled or dead.
 func (a *Requester) Request(now time.Duration, w sched.Want, patience time.Duration) Output {
 	a.now = max(a.now, now)
+	if a.leaveToCaller(now, &w) {
+		return Output{Answers: []Answer{{Request: w.Request, Err: undecided(a.Owner(w.Pool), w.Pool)}}}
+	}
 	e := &entry{want: w, requestedAt: now, deadline: now + max(patience+a.opts.Margin, ownerTimeout(&w))}
 	a.entries[w.Request] = e
 	return a.sendWant(now, e, a.opts.Resend)
@@ -121,8 +128,9 @@
 // ownerTimeout returns the minimum time for which a request waits for an owner that
 // does not answer.
 func ownerTimeout(w *sched.Want) time.Duration {
-	if w.Prefilled {
-		// The request's KV cache expires at the end of its patience.
+	if w.Prefilled || w.AnswerIn > 0 {
+		// The request's KV cache expires at the end of its patience, and a call's daemon
+		// chooses itself.
 		return 0
 	}
 	return min(maxOwnerTimeout, w.Lifetime-w.Age)
@@ -134,6 +142,7 @@
 	e.owner = a.Owner(e.want.Pool)
 	e.sentAt = now
 	e.resend = resend
+	a.expectAnswer(now, e)
 	a.due = min(a.due, a.entryDue(e))
 	w := e.want
 	w.Age += now - e.requestedAt
@@ -200,6 +209,10 @@
 		return a.rejectSecondGrant(e, g)
 	}
 	e.grant = &g
+	if e.isCall() {
+		// A call is sent at once, and its daemon reports only its end.
+		e.phase, e.phaseStart = sched.PhaseDecoding, a.now
+	}
 	return Output{Answers: []Answer{{Request: g.Request, Grant: &g}}}
 }
 
@@ -262,6 +275,9 @@
 	case verdict.CodeUnknownService, verdict.CodeForbidden:
 		err := verdict.New(verdict.NotRun, verdict.CodeUnavailable,
 			"%s, which schedules pool %s, has another configuration: %s", e.owner, e.want.Pool, r.Reason)
+		if e.isCall() {
+			err = err.WithCause(ErrUndecided)
+		}
 		return err.WithRetryAfter(verdict.TransientRetryAfter)
 	default:
 		return verdict.New(verdict.NotRun, r.Code, "%s", r.Reason).WithRetryAfter(r.RetryAfter)
@@ -273,14 +289,24 @@
 func (a *Requester) SetMembers(now time.Duration, members []id.Daemon) Output {
 	a.now = max(a.now, now)
 	a.members = slices.Clone(members)
+	a.forgetOwners()
 	var out Output
+	calls := 0
 	for _, r := range a.sortedRequests() {
 		e := a.entries[r]
 		if a.Owner(e.want.Pool) == e.owner {
 			continue
 		}
+		if e.isCall() && e.grant == nil {
+			a.moveCall(now, e, calls)
+			calls++
+			continue
+		}
 		out.append(a.sendToNewOwner(now, e))
 	}
+	if calls > 0 {
+		out.append(a.Tick(now))
+	}
 	return out
 }
 
@@ -293,7 +319,12 @@
 }
 
 // entryDue returns the time at which an unanswered entry is resent or times out.
-func (a *Requester) entryDue(e *entry) time.Duration { return min(e.sentAt+e.resend, e.deadline) }
+func (a *Requester) entryDue(e *entry) time.Duration {
+	if e.isCall() {
+		return min(e.callDue(), e.deadline)
+	}
+	return min(e.sentAt+e.resend, e.deadline)
+}
 
 // Next returns the time at which Tick is due, or never if no request waits for an
 // answer.
@@ -310,6 +341,7 @@
 	}
 	stalled := now > a.due+stallThreshold
 	a.due = never
+	out.append(a.checkOwners(now, stalled))
 	for _, r := range a.sortedRequests() {
 		e := a.entries[r]
 		if e.grant != nil {
@@ -323,6 +355,10 @@
 			e.extended = true
 			e.deadline = now + stallGrace
 		}
+		if e.isCall() {
+			out.append(a.tickCall(now, e))
+			continue
+		}
 		if now-e.sentAt >= e.resend {
 			out.append(a.sendWant(now, e, min(2*e.resend, max(maxResend, e.resend))))
 		}
@@ -335,10 +371,22 @@
 	out := a.Withdraw(e.want.Request)
 	err := verdict.New(verdict.NotRun, verdict.CodeUnavailable,
 		"no answer from %s, which schedules pool %s", e.owner, e.want.Pool)
+	if e.isCall() {
+		err = err.WithCause(ErrUndecided)
+	}
 	out.Answers = append(out.Answers, Answer{Request: e.want.Request, Err: err.WithRetryAfter(verdict.TransientRetryAfter)})
 	return out
 }
 
+func (a *Requester) sortedOwners() []id.Daemon {
+	out := make([]id.Daemon, 0, len(a.owners))
+	for name := range a.owners {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
+
 func (a *Requester) sortedRequests() []id.Request {
 	rs := make([]id.Request, 0, len(a.entries))
 	for r := range a.entries {
--- a/core/pool/actions.go
+++ b/core/pool/actions.go
@@ -19,7 +19,7 @@
 			m.recordBinding(now, a.Binding)
 		case a.Refusal != nil:
 			m.refused++
-			m.dropRefused(a.Refusal.Request)
+			m.dropRefused(now, a.Refusal.Request)
 		}
 	}
 	return actions
@@ -27,7 +27,11 @@
 
 // dropRefused removes a refused request unless its work has started: a Want that
 // is sent again after its grant expired can be refused while the work continues.
-func (m *Manager) dropRefused(r id.Request) {
+func (m *Manager) dropRefused(now time.Duration, r id.Request) {
+	if m.opts.Calls {
+		m.endRequest(now, r, health.Neutral)
+		return
+	}
 	if t, ok := m.requests[r]; ok && t.phase == 0 {
 		delete(m.requests, r)
 	}
@@ -51,6 +55,10 @@
 }
 
 func (m *Manager) recordGrant(now time.Duration, g *sched.Grant) {
+	if m.opts.Calls {
+		m.recordCallGrant(now, g)
+		return
+	}
 	t, ok := m.requests[g.Request]
 	if !ok || t.phase != 0 {
 		return
--- a/core/pool/manager.go
+++ b/core/pool/manager.go
@@ -47,6 +47,9 @@
 // Options configure a Manager.
 type Options struct {
 	Pool id.Pool
+	// Calls is set for the pool of a plain service whose daemons report only the end of a
+	// call: a granted call counts as sent.
+	Calls bool
 	// NewScheduler creates the scheduler; the view reports which endpoints are
 	// allowed.
 	NewScheduler func(view sched.HealthView) sched.Scheduler
@@ -69,6 +72,7 @@
 	endpoints          map[id.Endpoint]*endpointState
 	unconfirmedCrashes map[poison.Fingerprint][]unconfirmedCrash
 	lastSweep          time.Duration
+	lastCallSweep      time.Duration
 	// newlyUnreachable holds unreachable endpoints that were not yet reported to
 	// the scheduler.
 	newlyUnreachable []id.Endpoint
@@ -195,6 +199,9 @@
 	m.endRequest(now, a.Want.Request, health.Neutral)
 	fingerprint, _ := poison.ParseFingerprint(a.Want.Fingerprint)
 	t := &trackedRequest{want: a.Want, fingerprint: fingerprint, prefill: a.Grant.Prefill, decode: a.Grant.Decode, reservation: a.Grant.Reservation, adopted: true, phase: a.Phase, updatedAt: now}
+	if m.opts.Calls {
+		t.phase = sched.PhaseDecoding
+	}
 	m.requests[a.Want.Request] = t
 	m.startWork(now, t)
 	return m.recordActions(now, m.sched.Adopt(now, a))
@@ -244,6 +251,7 @@
 
 // Tick runs due timers; call it at Next or earlier.
 func (m *Manager) Tick(now time.Duration) []sched.Action {
+	m.endLapsedCalls(now)
 	m.reportHealth(m.health.Tick(now))
 	m.expireUnconfirmed(now)
 	if m.usage.due(now) {
--- a/core/pool/progress.go
+++ b/core/pool/progress.go
@@ -107,7 +107,11 @@
 	if e == "" {
 		return
 	}
-	m.health.RecordStart(now, e, t.want.Request, t.expectedFirstOutput())
+	expected := t.expectedFirstOutput()
+	if m.opts.Calls {
+		expected = t.expectedAnswer()
+	}
+	m.health.RecordStart(now, e, t.want.Request, expected)
 	m.endpoint(e).running[t.want.Request] = poison.Suspect{Fingerprint: t.fingerprint, Team: t.want.Team}
 }
 
@@ -179,6 +183,8 @@
 		return health.Neutral
 	case p.Crashed:
 		return health.Crashed
+	case p.TimedOut:
+		return health.TimedOut
 	default:
 		return health.Failed
 	}
--- a/core/sched/messages.go
+++ b/core/sched/messages.go
@@ -63,6 +63,9 @@
 	// Content identifies what the request's team asks for, whatever the request's id: a
 	// caller's next attempt has the same. 0 if unknown.
 	Content uint64 `cbor:"22,keyasint,omitempty"`
+	// AnswerIn is set on a plain call: how long its daemon waits for a first answer of the
+	// owner, which is a grant, a refusal or word that the call is queued.
+	AnswerIn time.Duration `cbor:"23,keyasint,omitempty"`
 }
 
 // Grant answers a Want with the endpoints for the prefill and the decode. For a
--- a/daemon/broker/broker.go
+++ b/daemon/broker/broker.go
@@ -31,6 +31,9 @@
 	// missed.
 	Spread func(s poison.State)
 	Relay  func(s poison.State)
+	// OwnerChanged, if set, is called when an owner of a pool of calls stops or starts
+	// answering.
+	OwnerChanged func(c pairing.OwnerChange)
 	// Epoch is the wall clock time at time zero of Now.
 	Epoch time.Time
 	// OnDelay, if set, is called with the time for which work waited for the broker.
--- a/daemon/broker/deliver.go
+++ b/daemon/broker/deliver.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"slices"
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
@@ -19,6 +20,11 @@
 	for _, m := range out.Messages {
 		b.send(now, m)
 	}
+	for _, c := range out.Owners {
+		if b.cfg.OwnerChanged != nil {
+			b.cfg.OwnerChanged(c)
+		}
+	}
 }
 
 func (b *Broker) answer(a pairing.Answer) {
@@ -79,9 +85,12 @@
 		b.unknownPools.Inc()
 		return
 	}
+	if e.answers() {
+		b.output(now, b.requester.Heard(now, from))
+	}
 	switch {
 	case e.Want != nil:
-		b.actions(now, e.Want.Pool, b.manager(now, e.Want.Pool).Want(now, *e.Want))
+		b.want(now, e.Want)
 	case e.Withdraw != nil:
 		p := e.Withdraw.Pool
 		b.actions(now, p, b.manager(now, p).Withdraw(now, e.Withdraw.Request))
@@ -100,5 +109,24 @@
 		b.output(now, b.requester.Bound(*e.Binding))
 	case e.Refusal != nil:
 		b.output(now, b.requester.Refused(from, *e.Refusal))
+	case e.Queued != nil:
+		b.requester.Queued(from, *e.Queued)
+	}
+}
+
+// want passes a Want to its pool's manager. The daemon of a plain call hears at once if the
+// call is queued.
+func (b *Broker) want(now time.Duration, w *sched.Want) {
+	actions := b.manager(now, w.Pool).Want(now, *w)
+	b.actions(now, w.Pool, actions)
+	if w.AnswerIn > 0 && !answered(w.Request, actions) {
+		b.sendTo(now, w.From.Daemon, &Envelope{Queued: &pairing.Queued{Pool: w.Pool, Request: w.Request}})
 	}
 }
+
+// answered reports whether one of the actions answers a request's Want.
+func answered(r id.Request, actions []sched.Action) bool {
+	return slices.ContainsFunc(actions, func(a sched.Action) bool {
+		return (a.Grant != nil && a.Grant.Request == r) || (a.Refusal != nil && a.Refusal.Request == r)
+	})
+}
--- a/daemon/broker/messages.go
+++ b/daemon/broker/messages.go
@@ -20,6 +20,12 @@
 	Refusal  *sched.Refusal        `cbor:"6,keyasint,omitempty"`
 	Drain    *Drain                `cbor:"7,keyasint,omitempty"`
 	Binding  *sched.Binding        `cbor:"8,keyasint,omitempty"`
+	Queued   *pairing.Queued       `cbor:"9,keyasint,omitempty"`
+}
+
+// answers reports whether an envelope is an owner's answer.
+func (e *Envelope) answers() bool {
+	return e.Grant != nil || e.Refusal != nil || e.Queued != nil
 }
 
 // pool returns the pool for which the receiver must schedule; false for an envelope
--- a/daemon/broker/pair.go
+++ b/daemon/broker/pair.go
@@ -11,7 +11,8 @@
 )
 
 // Pair requests the endpoints for a request and waits for them. If ctx ends first,
-// the request is withdrawn.
+// the request is withdrawn. The error of a plain call that no owner has decided on has the
+// cause pairing.ErrUndecided.
 func (b *Broker) Pair(ctx context.Context, w sched.Want, patience time.Duration) (sched.Grant, *verdict.Error) {
 	answers := make(chan pairing.Answer, 1)
 	request := func(now time.Duration) {
--- a/daemon/forward/call.go
+++ b/daemon/forward/call.go
@@ -53,15 +53,22 @@
 // be held.
 func (f *Forwarder) pick(service id.Service, avoid []id.Endpoint) (registry.Endpoint, *verdict.Error) {
 	e, ok := f.Balancer.Pick(f.Now(), service, avoid)
-	if !ok && len(avoid) == 0 {
-		return e, verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "service %s has no endpoint", service).WithRetryAfter(callRetryAfter)
-	}
 	if !ok {
-		return e, verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "service %s has no other endpoint", service).WithRetryAfter(callRetryAfter)
+		return e, noEndpoint(service, avoid)
 	}
 	return e, nil
 }
 
+// noEndpoint returns the refusal of a request for a service without an endpoint that takes
+// work, apart from those to avoid.
+func noEndpoint(service id.Service, avoid []id.Endpoint) *verdict.Error {
+	other := ""
+	if len(avoid) > 0 {
+		other = "other "
+	}
+	return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "service %s has no %sendpoint", service, other).WithRetryAfter(callRetryAfter)
+}
+
 // outcomeOf maps the result of an attempt to the balancer's outcome for its
 // endpoint.
 func outcomeOf(reply *Reply, err *verdict.Error) balance.Outcome {
--- a/daemon/forward/callattempts.go
+++ b/daemon/forward/callattempts.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/registry"
 	"github.com/samphirequay/samphirequay/core/route"
+	"github.com/samphirequay/samphirequay/core/sched"
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
@@ -24,8 +26,14 @@
 	sentUnixMS int64
 	// counted is set once the attempt was counted as an arrival because it is silent.
 	counted bool
-	reply   *Reply
-	err     *verdict.Error
+	// grant is the owner's grant; nil if this daemon chose the endpoint, which fallback
+	// says was for the owner's silence.
+	grant    *sched.Grant
+	fallback bool
+	// withheld is set if the request was not written since the endpoint began a backoff.
+	withheld atomic.Bool
+	reply    *Reply
+	err      *verdict.Error
 }
 
 // callAttempts is the state of one plain call.
@@ -36,6 +44,10 @@
 	trace   *trace
 	service *route.Service
 	avoid   []id.Endpoint
+	// queued is set if the owner of the service's pool grants the endpoints; pairings
+	// counts the Wants.
+	queued   bool
+	pairings int
 	// pending holds the attempts under way, the newest last. Their results come over
 	// results, which never blocks the sender.
 	pending []*callAttempt
@@ -58,7 +70,7 @@
 // the request has certainly not run, or may run more than once.
 func (f *Forwarder) call(ctx context.Context, r *Request, t *trace, s *route.Service) (*Reply, *verdict.Error) {
 	ctx, cancel := context.WithCancel(ctx)
-	c := &callAttempts{f: f, ctx: ctx, request: r, trace: t, service: s, results: make(chan *callAttempt, max(1, t.route.MaxAttempts)+maxRefusals)}
+	c := &callAttempts{f: f, ctx: ctx, request: r, trace: t, service: s, queued: f.CallQueue != nil && f.CallQueue(), results: make(chan *callAttempt, max(1, t.route.MaxAttempts)+maxRefusals)}
 	reply, err := c.run()
 	cancel()
 	c.release()
@@ -67,11 +79,11 @@
 
 func (c *callAttempts) run() (*Reply, *verdict.Error) {
 	for {
-		endpoint, err := c.f.choose(c.ctx, c.request, c.trace, c.service.Name, c.avoid)
+		next, err := c.next()
 		if err != nil {
 			return finalResult(c.last, c.failure, err)
 		}
-		c.send(endpoint)
+		c.send(next)
 		if reply, err := c.await(); reply != nil || err != nil {
 			return reply, err
 		}
@@ -107,14 +119,14 @@
 }
 
 // send sends the request to an endpoint.
-func (c *callAttempts) send(e registry.Endpoint) {
-	f, t := c.f, c.trace
+func (c *callAttempts) send(to chosen) {
+	f, t, e := c.f, c.trace, to.endpoint
 	limit := f.deadline(c.request, t.route)
 	t.attempts++
 	t.endpoint = e.Name
 	f.countUnlisted(t, e)
 	f.recordSend(t)
-	a := &callAttempt{number: t.attempts, endpoint: e, startedAt: f.Now(), sentUnixMS: t.sentUnixMS}
+	a := &callAttempt{number: t.attempts, endpoint: e, startedAt: f.Now(), sentUnixMS: t.sentUnixMS, grant: to.grant, fallback: to.fallback}
 	attempt := &Attempt{
 		Request:     c.request,
 		Endpoint:    e,
@@ -124,7 +136,7 @@
 		AtMostOnce:  !t.route.Repeatable(),
 		Team:        t.teamName(),
 		Credentials: t.credentials(c.request),
-		MaySend:     f.maySend(e),
+		MaySend:     a.maySend(f.maySend(e)),
 		OnLimit:     f.onLimit(e),
 		OnBackoff:   f.onBackoff(c.request, e, stepCall),
 	}
@@ -178,7 +190,7 @@
 		f.returnUnused(t)
 		return
 	}
-	c.send(endpoint)
+	c.send(chosen{endpoint: endpoint})
 }
 
 // allSilent reports whether all attempts under way are known to be silent.
--- a/daemon/forward/callresults.go
+++ b/daemon/forward/callresults.go
@@ -19,6 +19,7 @@
 	c.keep(a)
 	took := f.Now() - a.startedAt
 	f.done(a.endpoint, a.startedAt, outcomeOf(a.reply, a.err))
+	c.reportEnd(a)
 	t.sentUnixMS = a.sentUnixMS
 	switch {
 	case a.err != nil:
@@ -67,6 +68,7 @@
 			c.f.countArrival(c.trace, stepCall, a.err)
 		}
 		c.f.done(a.endpoint, a.startedAt, outcomeOf(a.reply, a.err))
+		c.reportEnd(a)
 		c.f.Log.Routine("attempt_released", "request", c.request.ID, "attempt", a.number, "endpoint", a.endpoint.Name, "took", c.f.Now()-a.startedAt)
 	}
 }
--- a/daemon/forward/forward.go
+++ b/daemon/forward/forward.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/balance"
+	"github.com/samphirequay/samphirequay/core/fallback"
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/poison"
 	"github.com/samphirequay/samphirequay/core/ratelimit"
@@ -51,19 +52,25 @@
 	// RetrySharers returns among how many daemons the slack of RetryLimit is divided; 0
 	// while this daemon may use none of it. It must not call the Forwarder.
 	RetrySharers func() int
-	Log          Log
-	Metrics      *metrics.Registry
-	Now          func() time.Duration
+	// CallQueue reports whether the owners of pools grant endpoints to plain calls; nil if
+	// they never do.
+	CallQueue func() bool
+	Log       Log
+	Metrics   *metrics.Registry
+	Now       func() time.Duration
 }
 
 // Forwarder serves requests. It is safe for concurrent use.
 type Forwarder struct {
 	Deps
-	// mu guards the balancer, windows and limiter.
+	// mu guards the balancer, windows, limiter and fallbacks.
 	mu      sync.Mutex
 	windows map[id.Service]*retry.Window
 	limiter *ratelimit.Limiter
-	stats   stats
+	// fallbacks counts the calls under way for which this daemon chose the endpoints since
+	// no owner answered.
+	fallbacks *fallback.Gate
+	stats     stats
 	// startedAt is when the Forwarder was created.
 	startedAt time.Duration
 }
@@ -76,6 +83,8 @@
 		limiter: ratelimit.New(d.Self().Daemon),
 		stats:   newStats(d.Metrics),
 
+		fallbacks: fallback.NewGate(),
+
 		startedAt: d.Now(),
 	}
 	d.Metrics.GaugeFunc("forward_endpoints_limited", metrics.UnitCount, "Endpoints that name a rate limit.", f.limited)
@@ -105,10 +114,14 @@
 	endpoint id.Endpoint
 	// software is the version of the endpoint's software at the last attempt, began the one
 	// that began the stream which the caller takes up; empty if it takes none up.
-	software       id.Software
-	began          id.Software
-	prefill        id.Endpoint
-	engineWait     time.Duration
+	software   id.Software
+	began      id.Software
+	prefill    id.Endpoint
+	engineWait time.Duration
+	// queueWait is how long a call waited for the owners of its pool, and fallbacks how
+	// often its daemon chose an endpoint itself since none answered.
+	queueWait      time.Duration
+	fallbacks      int
 	prefillTime    time.Duration
 	firstEventTime time.Duration
 	// maxGap is the longest pause between a stream's events.
--- a/daemon/forward/pairing.go
+++ b/daemon/forward/pairing.go
@@ -42,7 +42,7 @@
 		Age:          age,
 		PromptTokens: r.PromptTokens,
 		OutputTokens: expectedOutput(r),
-		Priority:     g.priority(),
+		Priority:     g.trace.priority(),
 		Avoid:        slices.Concat(g.unusableEngines(), g.blockedEngines()),
 		Domain:       f.Domain,
 		Attempt:      g.pairings,
@@ -52,6 +52,7 @@
 		Prefilled:    prefilled,
 		Pause:        rt.TargetGap,
 		Software:     g.began,
+		Content:      contentOf(fingerprintOf(r, g.trace)),
 	}
 	grant, err := f.Pairer.Pair(ctx, want, max(patience-age, 0))
 	if err != nil {
@@ -94,7 +95,8 @@
 // count the other way: 0 is the most urgent.
 const highestPriority = 9
 
-func (g *generation) priority() int { return highestPriority - g.trace.urgency() }
+// priority is the request's priority in the scheduler's count.
+func (t *trace) priority() int { return highestPriority - t.urgency() }
 
 // pairAndPrefill gets engines and runs the prefill, unless the decode engine is
 // to prefill the prompt itself.
--- a/daemon/forward/stats.go
+++ b/daemon/forward/stats.go
@@ -31,6 +31,12 @@
 	requestTime     *metrics.Latency
 	firstEvent      *metrics.Latency
 	engineWait      *metrics.Latency
+	callGrants      *metrics.CounterMap
+	callRefusals    *metrics.CounterMap
+	callTeams       *metrics.CounterMap
+	callGivenBack   *metrics.Counter
+	callFallbacks   *metrics.CounterMap
+	callWait        *metrics.Latency
 }
 
 func newStats(r *metrics.Registry) stats {
@@ -58,6 +64,12 @@
 		requestTime:     r.Latency("forward_request_time", "Time from a request's arrival to its end."),
 		firstEvent:      r.Latency("forward_first_event_time", "Time from a stream's arrival to its first event."),
 		engineWait:      r.Latency("forward_wait_time", "Time that a stream waited for its engines."),
+		callGrants:      r.CounterMap("forward_call_grants", metrics.UnitCount, "Plain calls to which owners of queues granted endpoints, by service and priority, 0 to 9 (first)."),
+		callRefusals:    r.CounterMap("forward_call_refusals", metrics.UnitCount, "Plain calls that owners of queues refused, by service, priority and code."),
+		callTeams:       r.CounterMap("forward_call_teams", metrics.UnitCount, "Plain calls that owners of queues decided on, by team and result: granted or refused."),
+		callGivenBack:   r.Counter("forward_call_grants_given_back", metrics.UnitCount, "Grants of plain calls whose endpoints this daemon may not or could not use."),
+		callFallbacks:   r.CounterMap("forward_call_fallbacks", metrics.UnitCount, "Plain calls that no owner decided on in time, by service and result: sent or refused."),
+		callWait:        r.Latency("forward_call_wait_time", "Time that a plain call waited for the owner of its service's queue."),
 	}
 }
 
--- a/daemon/forward/types.go
+++ b/daemon/forward/types.go
@@ -191,7 +191,8 @@
 	Reachable(ctx context.Context, e registry.Endpoint) bool
 }
 
-// Pairer requests engines from the owners of pools; daemon/broker implements it.
+// Pairer requests endpoints from the owners of pools; daemon/broker implements it. The error
+// of a plain call on which no owner has decided has the cause pairing.ErrUndecided.
 type Pairer interface {
 	Pair(ctx context.Context, w sched.Want, patience time.Duration) (sched.Grant, *verdict.Error)
 	Progress(p sched.Progress)
--- a/daemon/gateway/document.go
+++ b/daemon/gateway/document.go
@@ -25,9 +25,24 @@
 	return names
 }
 
+// callPoolNames returns the names of the pools of plain services, if their calls are queued.
+func callPoolNames(routes *route.Table, callQueue bool) []id.Pool {
+	if routes == nil || !callQueue {
+		return nil
+	}
+	var names []id.Pool
+	for _, s := range routes.Config().Services {
+		if s.Engine == nil {
+			names = append(names, id.Pool(s.Name))
+		}
+	}
+	return names
+}
+
 // document builds the configuration of the schedulers: one pool for each service
-// that runs on engines, and the registered engines as its endpoints.
-func document(routes *route.Table, entries []registry.Endpoint) *live.Document {
+// that runs on engines and, if calls are queued, for each plain one, and the registered
+// endpoints.
+func document(routes *route.Table, entries []registry.Endpoint, callQueue bool) *live.Document {
 	doc := &live.Document{}
 	if routes == nil {
 		return doc
@@ -36,18 +51,25 @@
 	doc.Teams = teamWeights(config.Teams)
 	for i := range config.Services {
 		s := &config.Services[i]
-		if s.Engine == nil {
+		if s.Engine == nil && !callQueue {
 			continue
 		}
-		doc.Services = append(doc.Services, live.Service{Name: s.Name, Type: live.ServiceModel, Pool: id.Pool(s.Name)})
+		kind := live.ServiceModel
+		if s.Engine == nil {
+			kind = live.ServicePlain
+		}
+		doc.Services = append(doc.Services, live.Service{Name: s.Name, Type: kind, Pool: id.Pool(s.Name)})
 		doc.Pools = append(doc.Pools, live.Pool{Name: id.Pool(s.Name), EndpointSelector: labelService + "=" + string(s.Name)})
 	}
 	for _, e := range entries {
 		s := routes.Service(e.Service)
-		if s == nil || s.Engine == nil || e.Role == "" {
-			continue
+		switch {
+		case s == nil || (s.Engine == nil) != (e.Role == ""):
+		case s.Engine != nil:
+			doc.Endpoints = append(doc.Endpoints, engine(e, s))
+		case callQueue:
+			doc.Endpoints = append(doc.Endpoints, plainEndpoint(e))
 		}
-		doc.Endpoints = append(doc.Endpoints, engine(e, s))
 	}
 	return doc
 }
@@ -71,6 +93,16 @@
 	return out
 }
 
+// plainEndpoint returns an endpoint of a plain service. One that states no slots runs one call
+// at a time, as far as is known.
+func plainEndpoint(e registry.Endpoint) live.Endpoint {
+	labels := live.Labels{labelService: string(e.Service), live.LabelRole: string(live.RolePlain)}
+	if e.Leaving {
+		labels[live.LabelLeaving] = "true"
+	}
+	return live.Endpoint{Name: e.Name, Labels: labels, Address: e.Address, Domain: e.Domain, Slots: max(1, e.Slots)}
+}
+
 func engine(e registry.Endpoint, s *route.Service) live.Endpoint {
 	labels := live.Labels{labelService: string(e.Service), live.LabelRole: string(e.Role)}
 	if e.Software != "" {
--- a/daemon/gateway/enroll.go
+++ b/daemon/gateway/enroll.go
@@ -144,17 +144,18 @@
 		return err
 	}
 	f.broker = broker.New(broker.Config{
-		Self:       self,
-		NewManager: func(p id.Pool) *pool.Manager { return d.newManager(f, p) },
-		Sender:     f.links(),
-		Poison:     d.poison,
-		Spread:     func(s poison.State) { d.spreadEvidence(f, s) },
-		Relay:      func(s poison.State) { d.relayEvidence(f, s) },
-		Epoch:      *d.epoch.Load(),
-		OnDelay:    d.logDelay("broker"),
-		Metrics:    d.metrics,
-		Now:        d.now,
-		Ready:      ready,
+		Self:         self,
+		NewManager:   func(p id.Pool) *pool.Manager { return d.newManager(f, p) },
+		Sender:       f.links(),
+		Poison:       d.poison,
+		Spread:       func(s poison.State) { d.spreadEvidence(f, s) },
+		Relay:        func(s poison.State) { d.relayEvidence(f, s) },
+		Epoch:        *d.epoch.Load(),
+		OwnerChanged: d.logOwnerChange,
+		OnDelay:      d.logDelay("broker"),
+		Metrics:      d.metrics,
+		Now:          d.now,
+		Ready:        ready,
 	})
 	f.quotas = d.newQuotas(f, ready)
 	f.members = members.Start(members.Config{
--- a/daemon/gateway/forwarder.go
+++ b/daemon/gateway/forwarder.go
@@ -49,6 +49,7 @@
 		StopsTooSoon:      d.stopsTooSoon,
 		Daemons:           d.daemons,
 		RetrySharers:      d.retrySharers,
+		CallQueue:         d.callQueue,
 		Log:               d.logger,
 		Metrics:           d.metrics,
 		Now:               d.now,
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -109,6 +109,8 @@
 	set      *Settings
 	platform Platform
 	opts     Options
+	// scheduling holds the switches in force, which may change while the daemon runs.
+	scheduling atomic.Pointer[Scheduling]
 	// epoch is the wall clock time at the daemon's time zero, by which evidence is
 	// dated. It comes from the host's clock until the first answer of the store, and
 	// then from the store's clock, which all daemons share and which does not jump.
@@ -199,6 +201,8 @@
 
 		evidenceGate: newEvidenceGate(),
 	}
+	scheduling := set.Scheduling
+	d.scheduling.Store(&scheduling)
 	d.setEpoch(opts.Wall())
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	if err := d.provision(); err != nil {
--- a/daemon/gateway/hub.go
+++ b/daemon/gateway/hub.go
@@ -45,7 +45,8 @@
 	for _, c := range able {
 		names = append(names, c.Daemon)
 	}
-	for _, pool := range poolNames(d.tables.current().Routes) {
+	routes := d.tables.current().Routes
+	for _, pool := range slices.Concat(poolNames(routes), callPoolNames(routes, d.callQueue())) {
 		ranked := rendezvous.Ranked(string(pool), names)
 		if len(ranked) > 1 && ranked[1] == self {
 			return true
--- a/daemon/gateway/orderer.go
+++ b/daemon/gateway/orderer.go
@@ -121,7 +121,7 @@
 			owned[name] = true
 		}
 	}
-	o.f.owner.Store(len(owned) > 0)
+	o.f.owner.Store(len(owned) > 0 || o.d.ownsCallPool(o.f))
 	for name := range o.pools {
 		if !owned[name] {
 			delete(o.pools, name)
--- a/daemon/gateway/pools.go
+++ b/daemon/gateway/pools.go
@@ -4,9 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/samphirequay/samphirequay/core/callsched"
 	"github.com/samphirequay/samphirequay/core/health"
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/kvsched"
+	"github.com/samphirequay/samphirequay/core/pairing"
 	"github.com/samphirequay/samphirequay/core/poison"
 	"github.com/samphirequay/samphirequay/core/pool"
 	"github.com/samphirequay/samphirequay/core/sched"
@@ -15,22 +17,16 @@
 
 // newManager creates the manager of a pool that this daemon owns.
 func (d *Daemon) newManager(f *fleet, p id.Pool) *pool.Manager {
-	return pool.New(pool.Options{
-		Pool: p,
+	calls := d.isCallPool(p)
+	o := pool.Options{
+		Pool:  p,
+		Calls: calls,
 		NewScheduler: func(view sched.HealthView) sched.Scheduler {
 			d.logger.Event("pool_taken", "pool", p)
-			return kvsched.New(kvsched.Options{
-				Pool: p,
-				Self: f.self,
-				// A manager that is created again must not reuse the reservation
-				// numbers of its predecessor.
-				FirstReservation: uint64(d.now()),
-				Disabled:         d.set.Disable,
-				ForecastRefusal:  d.set.Scheduling.ForecastRefusal,
-				UrgentReserve:    d.set.Scheduling.UrgentReserve,
-				Health:           view,
-				Violation:        d.metrics.Violation,
-			})
+			if calls {
+				return d.newCallScheduler(f, p, view)
+			}
+			return d.newEngineScheduler(f, p, view)
 		},
 		// The ledger stays empty. Endpoints restart under other names on this
 		// platform, so that a pool cannot tell them from new endpoints. The
@@ -44,6 +40,57 @@
 			},
 			Probe: func(e id.Endpoint) { d.probe(f, p, e) },
 		},
+	}
+	if calls {
+		o.Health = callHealth
+	}
+	return pool.New(o)
+}
+
+// callHealth are the thresholds for endpoints of plain services. Their calls take
+// milliseconds, so that a fault shows, and ends, much sooner than at an engine.
+var callHealth = health.Config{
+	HalfLife:   2 * time.Second,
+	StuckAfter: time.Second,
+	EjectMin:   time.Second,
+	EjectMax:   8 * time.Second,
+}
+
+// isCallPool reports whether a pool is that of a plain service.
+func (d *Daemon) isCallPool(p id.Pool) bool {
+	routes := d.tables.current().Routes
+	if routes == nil {
+		return false
+	}
+	s := routes.Service(id.Service(p))
+	return s != nil && s.Engine == nil
+}
+
+// newEngineScheduler creates the scheduler of a pool of engines.
+func (d *Daemon) newEngineScheduler(f *fleet, p id.Pool, view sched.HealthView) sched.Scheduler {
+	set := d.scheduling.Load()
+	return kvsched.New(kvsched.Options{
+		Pool: p,
+		Self: f.self,
+		// A manager that is created again must not reuse the reservation
+		// numbers of its predecessor.
+		FirstReservation: uint64(d.now()),
+		Disabled:         d.set.Disable,
+		ForecastRefusal:  set.ForecastRefusal,
+		UrgentReserve:    set.UrgentReserve,
+		Health:           view,
+		Violation:        d.metrics.Violation,
+	})
+}
+
+// newCallScheduler creates the scheduler of a plain service's pool.
+func (d *Daemon) newCallScheduler(f *fleet, p id.Pool, view sched.HealthView) sched.Scheduler {
+	return callsched.New(callsched.Options{
+		Pool:             p,
+		Self:             f.self,
+		FirstReservation: uint64(d.now()),
+		Health:           view,
+		Violation:        d.metrics.Violation,
 	})
 }
 
@@ -54,7 +101,8 @@
 func (p pairer) Pair(ctx context.Context, w sched.Want, patience time.Duration) (sched.Grant, *verdict.Error) {
 	f := p.d.fleet.Load()
 	if f == nil {
-		return sched.Grant{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this daemon is not enrolled in the fleet yet")
+		return sched.Grant{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this daemon is not enrolled in the fleet yet").
+			WithCause(pairing.ErrUndecided)
 	}
 	return f.broker.Pair(ctx, w, patience)
 }
--- a/daemon/gateway/settings.go
+++ b/daemon/gateway/settings.go
@@ -47,7 +47,7 @@
 	CallQueue bool `json:"call_queue"`
 	// LearnedLimits bounds the calls in flight at an endpoint by the number that it has
 	// been seen to take well, instead of by its slots. It needs call_queue. Default: false.
-	LearnedLimits bool `json:"learned_limits"`
+	LearnedLimits bool `json:"learned_limits" validate:"excluded_without=CallQueue"`
 	// ForecastRefusal refuses a stream at once if memory or prefill capacity will not be
 	// free in time by the forecast of when the requests in progress end. Default: false.
 	ForecastRefusal bool `json:"forecast_refusal"`
