Move the order of waiting requests to a package of its own

Engines and plain services are to use one order: rank, then team's share, then age.

A copy of the fair queue beside the first one was weighed and left: two orders drift apart.

--- a/core/kvsched/admission.go
+++ b/core/kvsched/admission.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/samphirequay/samphirequay/core/fairshare"
 	"github.com/samphirequay/samphirequay/core/sched"
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
@@ -33,8 +34,8 @@
 	shared := l.sharesByTeam()
 	if shared {
 		queue := append(slices.Clone(l.queue), w)
-		byAge(queue)
-		l.fairQueue.assignStartTags(queue)
+		fairshare.SortByAge(queue)
+		fairshare.AssignTags(queue, l.shares)
 	}
 	ahead := w.tokens
 	for _, other := range l.queue {
--- a/core/kvsched/grant.go
+++ b/core/kvsched/grant.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/samphirequay/samphirequay/core/fairshare"
 	"github.com/samphirequay/samphirequay/core/live"
 	"github.com/samphirequay/samphirequay/core/sched"
 )
@@ -44,47 +45,16 @@
 	for _, w := range l.queue {
 		w.tooLate = !w.want.Prefilled && l.late(w)
 	}
-	l.sortByShares(l.queue)
-}
-
-// sortByShares sorts requests into the order in which they are granted.
-func (l *Ledger) sortByShares(queue []*waiting) {
-	byAge(queue)
-	if !l.sharesByTeam() {
+	if l.sharesByTeam() {
+		fairshare.Sort(l.queue, l.shares)
 		return
 	}
-	l.fairQueue.assignStartTags(queue)
-	slices.SortStableFunc(queue, func(a, b *waiting) int { return cmp.Or(byRank(a, b), cmp.Compare(a.startTag, b.startTag)) })
-}
-
-// byAge sorts requests by rank, then by age.
-func byAge(queue []*waiting) {
-	slices.SortStableFunc(queue, func(a, b *waiting) int { return cmp.Or(byRank(a, b), cmp.Compare(a.arrived, b.arrived)) })
-}
-
-// byRank compares requests by the criteria that precede team share and age.
-func byRank(a, b *waiting) int {
-	return cmp.Or(
-		falseFirst(!a.want.Prefilled, !b.want.Prefilled),
-		falseFirst(a.tooLate, b.tooLate),
-		cmp.Compare(b.want.Priority, a.want.Priority),
-	)
+	fairshare.SortByAge(l.queue)
 }
 
 // sharesByTeam reports whether team shares affect the order: the mechanism is
 // enabled and there are teams.
-func (l *Ledger) sharesByTeam() bool { return l.enabled(TeamShares) && l.fairQueue.hasTeams() }
-
-func falseFirst(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
+func (l *Ledger) sharesByTeam() bool { return l.enabled(TeamShares) && l.shares.HasTeams() }
 
 // late reports whether a request granted now would miss its target.
 func (l *Ledger) late(w *waiting) bool {
@@ -285,7 +255,7 @@
 		w.tokens, len(decode.decodes), l.held(decode), decode.memory)
 	decode.addDecode(r)
 	l.addReservation(r)
-	l.fairQueue.granted(w)
+	l.shares.Granted(w.Team(), w.startTag, w.Cost())
 	if l.waiting[w.want.Request] != nil {
 		l.unqueue(w)
 		l.serviceRate.granted(w.tokens)
--- a/core/kvsched/ledger.go
+++ b/core/kvsched/ledger.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"github.com/samphirequay/samphirequay/core/fairshare"
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/live"
 	"github.com/samphirequay/samphirequay/core/sched"
@@ -40,7 +41,7 @@
 	ended   *simplelru.LRU[id.Request, *sched.Refusal]
 	serial  uint64
 
-	fairQueue   fairQueue
+	shares      *fairshare.Shares
 	releaseRate releaseRate
 	serviceRate serviceRate
 	decodeRate  decodeRate
@@ -119,7 +120,7 @@
 		granted:   map[id.Request]*reservation{},
 		ended:     ended,
 		serial:    o.FirstReservation,
-		fairQueue: newFairQueue(),
+		shares:    fairshare.NewShares(),
 
 		nextExpiry: never,
 	}
@@ -158,7 +159,7 @@
 			l.services[doc.Services[i].Name] = &doc.Services[i]
 		}
 	}
-	l.fairQueue.configure(doc)
+	l.shares.Configure(doc.Teams)
 	l.configureEndpoints(doc)
 	l.scanDue = true
 	return l.finish(nil)
