--- a/core/pairing/calls.go
+++ b/core/pairing/calls.go
@@ -18,6 +18,9 @@
 var ErrUndecided = errors.New("the pool's owner has not decided")
 
 const (
+	// silenceFactor times the time for a first answer without any answer is the silence of
+	// an owner: one late answer concerns one call only.
+	silenceFactor = 2
 	// silentProbe is the time between two calls that are sent to an owner which does not
 	// answer: often enough that its queue is used again soon after it is back.
 	silentProbe = 250 * time.Millisecond
@@ -114,7 +117,7 @@
 	e.call = callWait{answerBy: now + e.want.AnswerIn}
 	o := a.watch(e.owner)
 	if o.dueAt == 0 {
-		o.dueAt, o.grace = e.call.answerBy, e.want.AnswerIn
+		o.dueAt, o.grace = now+silenceFactor*e.want.AnswerIn, e.want.AnswerIn
 	}
 }
 
@@ -167,15 +170,15 @@
 }
 
 // tickCall advances a call that waits for its owner.
-func (a *Requester) tickCall(now time.Duration, e *entry) Output {
+func (a *Requester) tickCall(now time.Duration, e *entry, stalled bool) Output {
 	var out Output
 	o := a.watch(e.owner)
 	switch {
 	case e.call.unsent && now >= e.call.sendAt:
 		out = a.sendWant(now, e, a.opts.Resend)
 	case e.call.unsent:
-	case e.call.answerBy > 0 && now >= e.call.answerBy && o.dueAt > now && !e.call.extended:
-		e.call.answerBy, e.call.extended = o.dueAt, true
+	case e.call.answerBy > 0 && now >= e.call.answerBy && stalled && !e.call.extended:
+		e.call.answerBy, e.call.extended = now+e.want.AnswerIn, true
 	case e.call.answerBy > 0 && now >= e.call.answerBy, e.call.answerBy == 0 && o.silent:
 		return a.timeOut(e)
 	case e.call.answerBy == 0 && now-e.sentAt >= e.resend:
--- a/core/pairing/requester.go
+++ b/core/pairing/requester.go
@@ -356,7 +356,7 @@
 			e.deadline = now + stallGrace
 		}
 		if e.isCall() {
-			out.append(a.tickCall(now, e))
+			out.append(a.tickCall(now, e, stalled))
 			continue
 		}
 		if now-e.sentAt >= e.resend {
--- a/daemon/forward/callqueue.go
+++ b/daemon/forward/callqueue.go
@@ -64,7 +64,7 @@
 			return c.chooseInstead()
 		}
 		if err != nil {
-			return chosen{}, c.refused(err)
+			return chosen{}, c.notGranted(err)
 		}
 		if err := f.recheck(c.request, c.trace); err != nil {
 			c.giveBack(&grant, "the request may no longer be sent")
@@ -139,9 +139,9 @@
 	return fmt.Sprintf("%s/%d", c.service.Name, c.trace.priority())
 }
 
-// refused returns the error of a call that was not granted an endpoint, and counts it if the
+// notGranted returns the error of a call that was not granted an endpoint, and counts it if the
 // pool's owner has refused it.
-func (c *callAttempts) refused(err *verdict.Error) *verdict.Error {
+func (c *callAttempts) notGranted(err *verdict.Error) *verdict.Error {
 	if errors.Is(c.ctx.Err(), context.DeadlineExceeded) {
 		return verdict.New(verdict.NotRun, verdict.CodeDeadline, "the call waited for the queue of service %s", c.service.Name)
 	}
--- a/daemon/settings/check.go
+++ b/daemon/settings/check.go
@@ -7,6 +7,7 @@
 	"reflect"
 	"strings"
 	"sync"
+	"unicode"
 
 	"github.com/go-playground/validator/v10"
 
@@ -79,6 +80,8 @@
 		return fmt.Sprintf("is %s, must be at least %s", size(e), e.Param())
 	case "max":
 		return fmt.Sprintf("is %s, must be at most %s", size(e), e.Param())
+	case "excluded_without":
+		return fmt.Sprintf("needs %s", snakeCase(e.Param()))
 	case "len", "hexadecimal", "lowercase":
 		return "is not a SHA-256 hash in lower-case hex"
 	default:
@@ -86,6 +89,18 @@
 	}
 }
 
+// snakeCase returns the JSON name of a field whose Go name has no initialisms.
+func snakeCase(name string) string {
+	var out strings.Builder
+	for i, r := range name {
+		if unicode.IsUpper(r) && i > 0 {
+			out.WriteByte('_')
+		}
+		out.WriteRune(unicode.ToLower(r))
+	}
+	return out.String()
+}
+
 // size formats the value that min and max compare: the length of strings and
 // lists, and the value of numbers.
 func size(e validator.FieldError) string {
