Queue, grant and refuse a plain service's calls

One owner orders the calls of all daemons by what can be in time, priority, team share and age, bounds the calls in flight at each endpoint and refuses at arrival what a forecast shows to be too late.

--- a/core/callsched/ledger.go
+++ b/core/callsched/ledger.go
@@ -1,51 +1,144 @@
 package callsched
 
 import (
+	"fmt"
+	"math"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/samphirequay/samphirequay/core/concurrency"
+	"github.com/samphirequay/samphirequay/core/fairshare"
 	"github.com/samphirequay/samphirequay/core/id"
-	"github.com/samphirequay/samphirequay/core/live"
 	"github.com/samphirequay/samphirequay/core/sched"
-	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
+// never is the due time of an event that is not scheduled.
+const never = time.Duration(math.MaxInt64)
+
+// queuePollInterval is the interval at which waiting calls are looked at again: their
+// targets and the holds of endpoints pass without an event.
+const queuePollInterval = 5 * time.Millisecond
+
 // Ledger is the scheduler of one pool. It is not safe for concurrent use.
 type Ledger struct {
 	options Options
+	limiter concurrency.Limiter
+	now     time.Duration
+	settled time.Duration
+	started bool
+
+	services  map[id.Service]*service
+	endpoints map[id.Endpoint]*endpoint
+	// order lists the endpoints by name, so that no decision depends on map order.
+	order []*endpoint
+	// room is the capacity of the endpoints as of roomAt.
+	room   capacity
+	roomAt time.Duration
+
+	shares *fairshare.Shares
+	teams  teams
+	// queue is sorted as of the last dispatch; calls that came since are at its end.
+	queue   []*waiting
+	waiting map[id.Request]*waiting
+	granted map[id.Request]*grant
+	// nextExpiry is no later than the earliest expiry of a grant's lease.
+	nextExpiry time.Duration
+	// ended holds the refusals of refused calls and nil for other ended ones.
+	ended *simplelru.LRU[id.Request, *sched.Refusal]
+	// lapsed holds the grants whose leases have expired without a report of their end.
+	lapsed *simplelru.LRU[id.Request, *grant]
+	serial uint64
+	// dispatchDue is set after an event that may let a waiting call be granted, or keep
+	// it from being served in time.
+	dispatchDue bool
+
+	overload  overload
+	forecasts forecasts
+	stats     Stats
 }
 
 // New returns the scheduler of a pool's owner.
-func New(o Options) *Ledger { return &Ledger{options: o.withDefaults()} }
-
-// Configure implements sched.Scheduler.
-func (l *Ledger) Configure(time.Duration, *live.Document) []sched.Action { return nil }
+func New(o Options) *Ledger {
+	o = o.withDefaults()
+	l := &Ledger{
+		options:    o,
+		limiter:    o.Limiter,
+		services:   map[id.Service]*service{},
+		endpoints:  map[id.Endpoint]*endpoint{},
+		shares:     fairshare.NewShares(),
+		teams:      newTeams(),
+		waiting:    map[id.Request]*waiting{},
+		granted:    map[id.Request]*grant{},
+		nextExpiry: never,
+		ended:      newMemory[*sched.Refusal](o.MaxEnded),
+		lapsed:     newMemory[*grant](o.MaxEnded),
+		serial:     o.FirstReservation,
+	}
+	if l.limiter == nil {
+		l.limiter = concurrency.NewFixed()
+	}
+	return l
+}
 
-// Want implements sched.Scheduler; the queue isn't built yet, so it refuses every call.
-func (l *Ledger) Want(_ time.Duration, w sched.Want) []sched.Action {
-	refusal := &sched.Refusal{Request: w.Request, Code: verdict.CodeUnavailable, Reason: "the call queue isn't built yet"}
-	return []sched.Action{{To: w.From, Refusal: refusal}}
+// newMemory returns a bounded memory of requests.
+func newMemory[T any](size int) *simplelru.LRU[id.Request, T] {
+	memory, err := simplelru.NewLRU[id.Request, T](max(1, size), nil)
+	if err != nil {
+		panic("callsched: memory of requests: " + err.Error())
+	}
+	return memory
 }
 
-// Withdraw implements sched.Scheduler.
-func (l *Ledger) Withdraw(time.Duration, id.Request) []sched.Action { return nil }
+// begin advances the ledger's time to that of an event.
+func (l *Ledger) begin(now time.Duration) {
+	if !l.started {
+		l.started = true
+		l.settled = now + l.options.Settle
+	}
+	l.now = max(l.now, now)
+}
 
-// Progress implements sched.Scheduler.
-func (l *Ledger) Progress(time.Duration, sched.Progress) []sched.Action { return nil }
+// finish carries out the consequences of an event.
+func (l *Ledger) finish(actions []sched.Action) []sched.Action {
+	l.expireLeases()
+	if l.dispatchDue {
+		l.dispatchDue = false
+		actions = l.dispatch(actions)
+	}
+	l.judgeRefusals()
+	l.checkInvariants()
+	return actions
+}
 
-// Adopt implements sched.Scheduler.
-func (l *Ledger) Adopt(time.Duration, sched.Adopt) []sched.Action { return nil }
+// Tick implements sched.Scheduler.
+func (l *Ledger) Tick(now time.Duration) []sched.Action {
+	l.begin(now)
+	l.dispatchDue = true
+	return l.finish(nil)
+}
 
-// Load implements sched.Scheduler.
-func (l *Ledger) Load(time.Duration, sched.Load) []sched.Action { return nil }
+// Next implements sched.Scheduler.
+func (l *Ledger) Next() time.Duration {
+	if len(l.queue) > 0 {
+		return min(l.now+queuePollInterval, l.nextExpiry)
+	}
+	return l.nextExpiry
+}
 
 // Cache implements sched.Scheduler; calls have no cache.
 func (l *Ledger) Cache(time.Duration, id.Endpoint, []sched.CacheEvent, bool) {}
 
-// ProcessGone implements sched.Scheduler.
-func (l *Ledger) ProcessGone(time.Duration, id.Process) []sched.Action { return nil }
-
-// Tick implements sched.Scheduler.
-func (l *Ledger) Tick(time.Duration) []sched.Action { return nil }
-
-// Next implements sched.Scheduler.
-func (l *Ledger) Next() time.Duration { return 1<<63 - 1 }
+// checkInvariants compares the endpoints' counts with the grants.
+func (l *Ledger) checkInvariants() {
+	if l.options.Violation == nil {
+		return
+	}
+	held := 0
+	for _, e := range l.order {
+		held += e.inFlight
+	}
+	if held > len(l.granted) {
+		l.options.Violation("callsched_in_flight", fmt.Sprintf("endpoints hold %d calls for %d grants", held, len(l.granted)))
+	}
+}
