--- a/core/pool/calls.go
+++ b/core/pool/calls.go
@@ -22,6 +22,7 @@
 	t.reservation = g.Reservation
 	t.phase = sched.PhaseDecoding
 	t.updatedAt = now
+	m.nextLapse = min(m.nextLapse, t.lapsesAt())
 	m.startWork(now, t)
 }
 
@@ -40,17 +41,24 @@
 // endLapsedCalls ends the calls whose callers have gone and whose end was not reported,
 // since they would otherwise make their endpoints seem stuck.
 func (m *Manager) endLapsedCalls(now time.Duration) {
-	if !m.opts.Calls || now-m.lastCallSweep < callSweepInterval {
+	if !m.opts.Calls || now < m.nextLapse {
 		return
 	}
-	m.lastCallSweep = now
+	m.nextLapse = health.Never
 	for _, r := range m.sortedRequests() {
-		t := m.requests[r]
-		if t.want.Lifetime > 0 && now-t.updatedAt >= t.want.Lifetime {
+		lapses := m.requests[r].lapsesAt()
+		if now >= lapses {
 			m.endRequest(now, r, health.Neutral)
+			continue
 		}
+		m.nextLapse = min(m.nextLapse, lapses)
 	}
 }
 
-// callSweepInterval is the time between two searches for such calls.
-const callSweepInterval = 250 * time.Millisecond
+// lapsesAt returns when the caller of a call has certainly gone.
+func (t *trackedRequest) lapsesAt() time.Duration {
+	if t.want.Lifetime <= 0 {
+		return t.updatedAt + callTimeout
+	}
+	return t.updatedAt + t.want.Lifetime
+}
--- a/core/pool/manager.go
+++ b/core/pool/manager.go
@@ -72,7 +72,8 @@
 	endpoints          map[id.Endpoint]*endpointState
 	unconfirmedCrashes map[poison.Fingerprint][]unconfirmedCrash
 	lastSweep          time.Duration
-	lastCallSweep      time.Duration
+	// nextLapse is at or before the time at which the next call lapses.
+	nextLapse time.Duration
 	// newlyUnreachable holds unreachable endpoints that were not yet reported to
 	// the scheduler.
 	newlyUnreachable []id.Endpoint
@@ -169,6 +170,7 @@
 	}
 	if _, ok := m.requests[w.Request]; !ok {
 		m.requests[w.Request] = &trackedRequest{want: w, fingerprint: fingerprint, updatedAt: now}
+		m.nextLapse = min(m.nextLapse, m.requests[w.Request].lapsesAt())
 	}
 	return m.recordActions(now, m.sched.Want(now, w))
 }
@@ -203,6 +205,7 @@
 		t.phase = sched.PhaseDecoding
 	}
 	m.requests[a.Want.Request] = t
+	m.nextLapse = min(m.nextLapse, t.lapsesAt())
 	m.startWork(now, t)
 	return m.recordActions(now, m.sched.Adopt(now, a))
 }
--- a/daemon/gateway/disable_test.go
+++ b/daemon/gateway/disable_test.go
@@ -15,13 +15,19 @@
 // settingsWith writes complete settings with the given disable list and returns the
 // file's path.
 func settingsWith(t *testing.T, disable string) string {
+	t.Helper()
+	return writeSettings(t, `"disable": `+disable)
+}
+
+// writeSettings writes complete settings with one more field and returns the file's path.
+func writeSettings(t *testing.T, field string) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "settings.json")
 	text := `{
   "daemon": "d1", "domain": "north", "store": "127.0.0.1:1", "memory_mb": 64,
   "listen": {"callers": "127.0.0.1:2", "ready": "127.0.0.1:3", "entry": "127.0.0.1:4", "peers": "127.0.0.1:5"},
   "bounds": {"grace_s": 8, "entry_lifetime_s": 5, "lease_ms": 3000, "repeat_ratio": 0.2, "repeat_slack": 58, "repeat_window_s": 10},
-  "disable": ` + disable + `,
+  ` + field + `,
 }`
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
