--- a/daemon/forward/record.go
+++ b/daemon/forward/record.go
@@ -87,7 +87,7 @@
 		kv = append(kv, "prefill", t.prefill, "waited", t.engineWait, "read", t.prefillTime, "first", t.firstEventTime)
 	}
 	if t.queueWait > 0 || t.fallbacks > 0 {
-		kv = append(kv, "queue_wait", t.queueWait, "fallbacks", t.fallbacks)
+		kv = append(kv, "waited", t.queueWait, "fallbacks", t.fallbacks)
 	}
 	if t.firstEventTime > 0 {
 		kv = append(kv, "framed", !t.unframed, "tail_bytes", t.tailBytes)
