--- a/core/pairing/requester.go
+++ b/core/pairing/requester.go
@@ -112,6 +112,15 @@
 	return rendezvous.Owner(string(pool), a.members)
 }
 
+// NextOwner returns the daemon that would schedule pool without its owner; empty if there is
+// none.
+func (a *Requester) NextOwner(pool id.Pool) id.Daemon {
+	if a.opts.Local || len(a.members) < 2 {
+		return ""
+	}
+	return rendezvous.Ranked(string(pool), a.members)[1]
+}
+
 // Request sends a Want; patience is how long from now the request can wait for
 // capacity. The owner refuses a request that gets none in that time, so an owner
 // that does not answer is stalled or dead.
--- a/core/pool/manager.go
+++ b/core/pool/manager.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/samphirequay/samphirequay/core/concurrency"
 	"github.com/samphirequay/samphirequay/core/health"
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/live"
@@ -53,7 +54,10 @@
 	// NewScheduler creates the scheduler; the view reports which endpoints are
 	// allowed.
 	NewScheduler func(view sched.HealthView) sched.Scheduler
-	Health       health.Config
+	// Limiter is the one of the scheduler, if that bounds the calls in flight by what it
+	// learns.
+	Limiter concurrency.Limiter
+	Health  health.Config
 	// Poison is shared by the daemon's pools and merged with the ledgers of other
 	// daemons.
 	Poison *poison.Ledger
--- a/daemon/broker/broker.go
+++ b/daemon/broker/broker.go
@@ -57,7 +57,11 @@
 	waiting    map[id.Request]chan<- pairing.Answer
 	// bindings holds, by request, the channel that delivers the binding of a
 	// provisional grant.
-	bindings     map[id.Request]chan sched.Binding
+	bindings map[id.Request]chan sched.Binding
+	// learned holds what owners have learned of pools that this daemon may own next;
+	// tellAt is when this daemon tells others next.
+	learned      map[id.Pool]learnedAt
+	tellAt       time.Duration
 	lostMessages *metrics.Counter
 	unknownPools *metrics.Counter
 	// evidence is pending for other daemons and is sent at spreadAt or later.
@@ -74,6 +78,7 @@
 		doc:          &live.Document{},
 		waiting:      make(map[id.Request]chan<- pairing.Answer),
 		bindings:     make(map[id.Request]chan sched.Binding),
+		learned:      make(map[id.Pool]learnedAt),
 		evidence:     &evidence{ledger: cfg.Poison},
 		lostMessages: cfg.Metrics.Counter("broker_messages_lost", metrics.UnitCount, "messages to other daemons that could not be queued"),
 	}
@@ -96,7 +101,7 @@
 		}
 		next = min(next, m.Next())
 	}
-	return min(next, b.spread(now))
+	return min(next, b.spread(now), b.tellLearned(now))
 }
 
 // spreadInterval is the interval at which evidence is sent, in batches. It is well
--- a/daemon/broker/deliver.go
+++ b/daemon/broker/deliver.go
@@ -103,6 +103,8 @@
 	case e.Drain != nil:
 		p := e.Drain.Pool
 		b.actions(now, p, b.manager(now, p).Drain(now, e.Drain.Endpoint, e.Drain.On))
+	case e.Learned != nil:
+		b.learn(now, e.Learned)
 	case e.Grant != nil:
 		b.output(now, b.requester.Granted(e.Grant.Pool, e.Grant.Grant))
 	case e.Binding != nil:
--- a/daemon/broker/messages.go
+++ b/daemon/broker/messages.go
@@ -21,6 +21,7 @@
 	Drain    *Drain                `cbor:"7,keyasint,omitempty"`
 	Binding  *sched.Binding        `cbor:"8,keyasint,omitempty"`
 	Queued   *pairing.Queued       `cbor:"9,keyasint,omitempty"`
+	Learned  *Learned              `cbor:"10,keyasint,omitempty"`
 }
 
 // answers reports whether an envelope is an owner's answer.
@@ -42,6 +43,8 @@
 		return e.Adopt.Want.Pool, true
 	case e.Drain != nil:
 		return e.Drain.Pool, true
+	case e.Learned != nil:
+		return e.Learned.Pool, true
 	default:
 		return "", false
 	}
--- a/daemon/broker/pools.go
+++ b/daemon/broker/pools.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -17,6 +18,7 @@
 		b.output(now, b.requester.SetMembers(now, members))
 		for _, p := range b.sortedPools() {
 			if !b.owns(p) {
+				b.sendLearned(now, b.requester.Owner(p), p)
 				delete(b.managers, p)
 			}
 		}
@@ -49,6 +51,7 @@
 	b.duty.Post(func(now time.Duration) {
 		b.doc = doc
 		b.configured = poolNames(doc)
+		maps.DeleteFunc(b.learned, func(p id.Pool, _ learnedAt) bool { return !b.configured[p] })
 		for _, p := range b.sortedPools() {
 			if !b.configured[p] {
 				delete(b.managers, p)
@@ -166,6 +169,7 @@
 	m = b.cfg.NewManager(p)
 	b.managers[p] = m
 	b.actions(now, p, m.Configure(now, b.doc))
+	b.restore(now, p, m)
 	return m
 }
 
--- a/daemon/gateway/callqueue_test.go
+++ b/daemon/gateway/callqueue_test.go
@@ -76,7 +76,7 @@
 	is.Equal(callPoolNames(routes, true), []id.Pool{"desk"})
 	found, err := sched.PoolEndpoints(on, sched.FindPool(on, "desk"))
 	is.NoErr(err)
-	is.Equal(fmt.Sprint(names(found)), "[i-1 i-2]")
+	is.Equal(fmt.Sprint(endpointNames(found)), "[i-1 i-2]")
 	is.Equal(found[0].Slots, 6)
 	is.Equal(found[1].Slots, 1)
 	is.Equal(sched.LabelledRole(found[0]), live.RolePlain)
@@ -84,10 +84,10 @@
 	is.True(live.IsLeaving(found[1]))
 	found, err = sched.PoolEndpoints(on, sched.FindPool(on, "reader"))
 	is.NoErr(err)
-	is.Equal(fmt.Sprint(names(found)), "[e-1]")
+	is.Equal(fmt.Sprint(endpointNames(found)), "[e-1]")
 }
 
-func names(endpoints []*live.Endpoint) []id.Endpoint {
+func endpointNames(endpoints []*live.Endpoint) []id.Endpoint {
 	var out []id.Endpoint
 	for _, e := range endpoints {
 		out = append(out, e.Name)
--- a/daemon/gateway/orderer.go
+++ b/daemon/gateway/orderer.go
@@ -55,6 +55,8 @@
 	work  *workpool.Pool
 	store *store.Store
 	pools map[id.Pool]*poolRoles
+	// calls logs the states of the pools of plain services.
+	calls *callStates
 	// idleSince is the last time at which an order was outstanding.
 	idleSince time.Duration
 	// releaseSafeAt is the time from which another holder may send orders at once,
@@ -83,6 +85,7 @@
 		work:    work,
 		store:   store.New(d.platform.Store, work, d.metrics),
 		pools:   map[id.Pool]*poolRoles{},
+		calls:   newCallStates(d, f),
 		results: d.metrics.CounterMap("role_orders", metrics.UnitCount, "Orders to engines to change their role, by result."),
 		fence:   d.metrics.Gauge("role_lease_fence", metrics.UnitCount, "Fencing number of the lease for role orders that this daemon holds; 0 for none."),
 	}
@@ -109,6 +112,7 @@
 func (o *orderer) tick(now time.Duration) time.Duration {
 	if !o.stopped {
 		o.updatePools(now)
+		o.calls.log(now)
 	}
 	o.tickLease(now)
 	return now + rolesInterval
--- a/daemon/gateway/pools.go
+++ b/daemon/gateway/pools.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/callsched"
+	"github.com/samphirequay/samphirequay/core/concurrency"
 	"github.com/samphirequay/samphirequay/core/health"
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/kvsched"
@@ -18,13 +19,18 @@
 // newManager creates the manager of a pool that this daemon owns.
 func (d *Daemon) newManager(f *fleet, p id.Pool) *pool.Manager {
 	calls := d.isCallPool(p)
+	var limiter concurrency.Limiter
+	if calls && d.scheduling.Load().LearnedLimits {
+		limiter = concurrency.New(concurrency.Options{Allowance: callAllowance})
+	}
 	o := pool.Options{
-		Pool:  p,
-		Calls: calls,
+		Pool:    p,
+		Calls:   calls,
+		Limiter: limiter,
 		NewScheduler: func(view sched.HealthView) sched.Scheduler {
 			d.logger.Event("pool_taken", "pool", p)
 			if calls {
-				return d.newCallScheduler(f, p, view)
+				return d.newCallScheduler(f, p, view, limiter)
 			}
 			return d.newEngineScheduler(f, p, view)
 		},
@@ -83,12 +89,19 @@
 	})
 }
 
-// newCallScheduler creates the scheduler of a plain service's pool.
-func (d *Daemon) newCallScheduler(f *fleet, p id.Pool, view sched.HealthView) sched.Scheduler {
+// callAllowance is the number of calls above its slots that an endpoint is sent, since the
+// messages between the end of one and the arrival of the next take a part of the time of a
+// call.
+const callAllowance = 1
+
+// newCallScheduler creates the scheduler of a plain service's pool; limiter is nil for fixed
+// limits.
+func (d *Daemon) newCallScheduler(f *fleet, p id.Pool, view sched.HealthView, limiter concurrency.Limiter) sched.Scheduler {
 	return callsched.New(callsched.Options{
 		Pool:             p,
 		Self:             f.self,
 		FirstReservation: uint64(d.now()),
+		Limiter:          limiter,
 		Health:           view,
 		Violation:        d.metrics.Violation,
 	})
--- a/daemon/metrics/metrics.go
+++ b/daemon/metrics/metrics.go
@@ -32,6 +32,7 @@
 	TypeCounter    Type = "counter"
 	TypeCounterMap Type = "counter map"
 	TypeGauge      Type = "gauge"
+	TypeGaugeMap   Type = "gauge map"
 	TypeLatency    Type = "latency"
 )
 
--- a/daemon/metrics/types.go
+++ b/daemon/metrics/types.go
@@ -106,6 +106,24 @@
 	declare(r, Description{name, TypeGauge, unit, help}, func() expvar.Var { return &gaugeFunc{read: read} })
 }
 
+// gaugeMapFunc computes its values at each access.
+type gaugeMapFunc struct{ read func() map[string]float64 }
+
+func (g *gaugeMapFunc) String() string {
+	text, err := json.Marshal(g.read())
+	if err != nil {
+		return "{}"
+	}
+	return string(text)
+}
+
+// GaugeMapFunc declares a set of gauges by key whose values are the result of read at each
+// access. The keys must come from a bounded set. Later declarations of the same name have no
+// effect.
+func (r *Registry) GaugeMapFunc(name string, unit Unit, help string, read func() map[string]float64) {
+	declare(r, Description{name, TypeGaugeMap, unit, help}, func() expvar.Var { return &gaugeMapFunc{read: read} })
+}
+
 // Range and resolution of latencies: a duration beyond the range is recorded as
 // the closest bound.
 const (
