--- a/cmd/internal/account/ends_test.go
+++ b/cmd/internal/account/ends_test.go
@@ -58,3 +58,18 @@
 	is.NoErr(err)
 	is.Equal(a.Wasted, []WastedPrompts{{Cause: "decode failed: endpoint_failed", Count: 1, Tokens: 3000}})
 }
+
+// A call that was granted an endpoint is known although its daemon was killed before the
+// end, and keeps the kind of its route. Its wait for the owner counts as time in the queue.
+func TestAGrantedCallWithoutAnEndIsCounted(t *testing.T) {
+	is := is.New(t)
+	text := "ts=2026-12-03T10:00:01Z daemon=d1 level=info event=call_granted request=x route=r kind=idempotent print=x service=s endpoint=i-1 waited=5ms\n" +
+		"ts=2026-12-03T10:00:02Z daemon=d1 level=info event=daemon_started\n" +
+		"ts=2026-12-03T10:00:03Z daemon=d1 level=info event=request request=y route=r service=s kind=idempotent target=100ms print=y took=200ms waited=150ms outcome=answered status=200 in_time=false\n"
+	a, err := Summarize(readLogs(t, text), Options{})
+	is.NoErr(err)
+	is.Equal(a.Routes[0].Kind, "idempotent")
+	is.Equal(a.Routes[0].Counts, Counts{Requests: 2, Late: 1, NoEnd: 1})
+	is.Equal(a.Routes[0].LateTime.Queue, 150.0)
+	is.Equal(a.Reasons[0].Reason, reasonRestarted)
+}
--- a/cmd/internal/account/read.go
+++ b/cmd/internal/account/read.go
@@ -11,13 +11,15 @@
 
 // Log events that a summary evaluates.
 const (
-	eventRequest   = "request"
-	eventGranted   = "granted"
-	eventFailed    = "attempt_failed"
-	eventWasted    = "prefill_wasted"
-	eventResumed   = "stream_resumed"
-	eventPoolState = "pool_state"
-	eventStarted   = "daemon_started"
+	eventRequest = "request"
+	eventGranted = "granted"
+	// eventCallGranted is a plain call's, for which the daemons queue calls.
+	eventCallGranted = "call_granted"
+	eventFailed      = "attempt_failed"
+	eventWasted      = "prefill_wasted"
+	eventResumed     = "stream_resumed"
+	eventPoolState   = "pool_state"
+	eventStarted     = "daemon_started"
 )
 
 // Values of log fields.
@@ -100,7 +102,7 @@
 	switch l.Event {
 	case eventRequest:
 		b.addAttempt(l, &f)
-	case eventGranted:
+	case eventGranted, eventCallGranted:
 		b.addGrant(l, &f)
 	case eventFailed:
 		b.addFailure(l, &f)
@@ -116,15 +118,19 @@
 	}
 }
 
-// addGrant adds an attempt that was granted engines. It is used if the end of the
+// addGrant adds an attempt that was granted endpoints. It is used if the end of the
 // attempt is not logged.
 func (b *builder) addGrant(l *logstory.Line, f *fields) {
 	id := f.text("request")
 	if b.granted[id] != nil || f.text("route") == "" || !b.inSpan(l.At) {
 		return
 	}
+	kind := f.text("kind")
+	if l.Event == eventGranted {
+		kind = kindStream
+	}
 	b.granted[id] = &attempt{
-		id: id, route: f.text("route"), kind: kindStream, fingerprint: f.text("print"), arrived: l.At, outcome: outcomeNoEnd,
+		id: id, route: f.text("route"), kind: kind, fingerprint: f.text("print"), arrived: l.At, outcome: outcomeNoEnd,
 		daemon: l.Daemon,
 	}
 }
--- a/cmd/internal/logstory/timeline.go
+++ b/cmd/internal/logstory/timeline.go
@@ -28,10 +28,13 @@
 	"role_change_ended",
 }
 
+// poolEvents are the events that report the state of a pool.
+var poolEvents = []string{"pool_state", "call_pool_state"}
+
 // daemonEvents are the events that report the state of a daemon, its peers and its
 // dependencies.
 var daemonEvents = []string{
-	"dependency_lost", "dependency_regained", "config_in_force", "tables_learnt", "member_stalled", "member_declared_dead",
+	"dependency_lost", "dependency_regained", "config_in_force", "tables_learnt", "member_stalled", "member_declared_dead", "call_owner_silent", "call_owner_back",
 	"daemon_leaving", "daemon_closing", "daemon_stopped", "daemon_started",
 }
 
@@ -120,7 +123,7 @@
 			}
 			seen[key] = true
 		case slices.Contains(daemonEvents, line.Event) && daemons[line.Daemon]:
-		case line.Event == "pool_state" && line.Fields["pool"] == s.service() && !line.At.Before(from.Add(contextWindow-time.Second)):
+		case slices.Contains(poolEvents, line.Event) && line.Fields["pool"] == s.service() && !line.At.Before(from.Add(contextWindow-time.Second)):
 		default:
 			continue
 		}
--- a/cmd/internal/logstory/timeline_test.go
+++ b/cmd/internal/logstory/timeline_test.go
@@ -127,3 +127,23 @@
 	is.NoErr(err)
 	is.Equal(eventNames(s.Beside), "endpoint_backoff")
 }
+
+// TestACallsQueueIsExplained checks that the state of a call's queue and the silence of its
+// owner stand beside the call.
+func TestACallsQueueIsExplained(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	text := `ts=2026-01-02T03:04:04.9Z daemon=city level=info event=call_owner_silent owner=port
+ts=2026-01-02T03:04:05Z daemon=port level=info event=call_pool_state pool=s queued=7 refused_forecast=3
+ts=2026-01-02T03:04:05Z daemon=port level=info event=call_pool_state pool=other queued=1
+ts=2026-01-02T03:04:05.1Z daemon=city level=info event=call_granted request=a route=r service=s endpoint=i-2 owner=port#1 waited=30ms
+ts=2026-01-02T03:04:05.7Z daemon=city level=info event=request request=a service=s outcome=answered status=200 took=90ms waited=30ms
+`
+	is.NoErr(os.WriteFile(filepath.Join(dir, "all.log"), []byte(text), 0o600))
+	var l Logs
+	is.NoErr(l.ReadPath(dir, nil))
+	s, err := l.Explain("a")
+	is.NoErr(err)
+	is.Equal(eventNames(s.Own), "call_granted request")
+	is.Equal(eventNames(s.Beside), "call_owner_silent call_pool_state")
+}
--- a/daemon/forward/callqueue.go
+++ b/daemon/forward/callqueue.go
@@ -118,7 +118,7 @@
 	}
 	f.stats.callGrants.Add(c.queueKey(), 1)
 	f.stats.callTeams.Add(string(want.Team)+"/granted", 1)
-	f.Log.Routine("call_granted", "request", r.ID, "service", c.service.Name, "team", want.Team, "pairing", c.pairings, "endpoint", grant.Decode,
+	f.Log.Routine("call_granted", "request", r.ID, "route", rt.Name, "kind", rt.Kind, "print", shortFingerprint(r, c.trace), "service", c.service.Name, "team", want.Team, "pairing", c.pairings, "endpoint", grant.Decode,
 		"owner", grant.Owner, "reservation", grant.Reservation, "waited", waited, "reason", grant.Reason)
 	return grant, nil
 }
--- a/daemon/gateway/settings.go
+++ b/daemon/gateway/settings.go
@@ -40,7 +40,8 @@
 }
 
 // Scheduling switches parts of the scheduling on and off. All daemons of a fleet should have
-// the same values; they may change while a daemon runs.
+// the same values. They may change while a daemon runs: SIGHUP applies those of calls at
+// once, those of engines when a pool gets its next owner.
 type Scheduling struct {
 	// CallQueue makes one owner queue the calls of each plain service for all daemons.
 	// Without it each daemon chooses endpoints from its own calls alone. Default: false.
