--- a/daemon/forward/callfleet_test.go
+++ b/daemon/forward/callfleet_test.go
@@ -269,6 +269,55 @@
 	return n
 }
 
+// TestCallsWithOneNameAreServedEach checks callers that give all their calls the same name,
+// at one daemon and at two: each is a call of its own.
+func TestCallsWithOneNameAreServedEach(t *testing.T) {
+	is := is.New(t)
+	f := newCallFleet(t, 3)
+	owner, others := f.split()
+	close(f.endpoints.open)
+	var wg sync.WaitGroup
+	for i := range 60 {
+		d := others[i%2]
+		wg.Go(func() {
+			r := &Request{ID: "same", Method: "POST", Host: "h", Path: "/once/x", Target: "/once/x", Arrived: d.Now(), CallerTimeout: 20 * time.Second}
+			if _, err := d.Run(context.Background(), r); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(f.endpoints.arrived(), 60)
+	clear(f.endpoints.ran)
+	f.checkAtRest(owner)
+}
+
+// TestCallersThatLeaveKeepNoSlot checks callers that hang up while their calls wait in the
+// queue, or run.
+func TestCallersThatLeaveKeepNoSlot(t *testing.T) {
+	is := is.New(t)
+	f := newCallFleet(t, 3)
+	owner, others := f.split()
+	ctx, leave := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for i := range 60 {
+		d := others[i%2]
+		wg.Go(func() {
+			r := &Request{ID: id.Request(fmt.Sprint(i)), Method: "POST", Host: "h", Path: "/once/x", Target: "/once/x", Arrived: d.Now(), CallerTimeout: 20 * time.Second}
+			_, err := d.Run(ctx, r)
+			if err == nil || err.Code != verdict.CodeCallerGone {
+				t.Errorf("%v", err)
+			}
+		})
+	}
+	waitUntil(t, "calls run and wait", func() bool { return f.endpoints.arrived() > 0 && owner.queued() > 0 })
+	leave()
+	wg.Wait()
+	f.checkAtRest(owner)
+	close(f.endpoints.open)
+	is.Equal(f.callers(others[0], "/once/x", 5)(), 5)
+}
+
 // TestCallsOfAKilledOwnerGoOn checks an owner that is killed while calls wait in its queue,
 // and the membership's verdict.
 func TestCallsOfAKilledOwnerGoOn(t *testing.T) {
--- a/daemon/forward/callqueue.go
+++ b/daemon/forward/callqueue.go
@@ -93,7 +93,7 @@
 		patience = min(patience, max(rt.Patience-firstEventReserve, rt.TargetLatency))
 	}
 	want := sched.Want{
-		Request:  id.Request(fmt.Sprintf("%s.%d", r.ID, c.pairings)),
+		Request:  f.wantID(r.ID, c.pairings),
 		Team:     c.trace.fairShareTeam(),
 		Service:  c.service.Name,
 		Pool:     id.Pool(c.service.Name),
@@ -123,6 +123,12 @@
 	return grant, nil
 }
 
+// wantID returns the name of a Want, unique in the fleet whatever names its callers give to
+// their requests.
+func (f *Forwarder) wantID(r id.Request, pairing int) id.Request {
+	return id.Request(fmt.Sprintf("%s.%d.%s.%d", r, pairing, f.Self(), f.wants.Add(1)))
+}
+
 // answerIn returns how long a call waits for a first answer of its pool's owner.
 func answerIn(target, lifetime time.Duration) time.Duration {
 	if target <= 0 {
--- a/daemon/forward/forward.go
+++ b/daemon/forward/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/balance"
@@ -70,7 +71,9 @@
 	// fallbacks counts the calls under way for which this daemon chose the endpoints since
 	// no owner answered.
 	fallbacks *fallback.Gate
-	stats     stats
+	// wants counts the Wants of plain calls.
+	wants atomic.Uint64
+	stats stats
 	// startedAt is when the Forwarder was created.
 	startedAt time.Duration
 }
