--- a/core/fallback/fallback_test.go
+++ b/core/fallback/fallback_test.go
@@ -42,3 +42,30 @@
 	g.End("s")
 	is.True(g.Begin("s", 1))
 }
+
+// TestAWaitingCallTakesTheNextPlace checks calls that wait for the daemon's own: they go in
+// their order, not all of them wait, and one that leaves takes no place.
+func TestAWaitingCallTakesTheNextPlace(t *testing.T) {
+	is := is.New(t)
+	g := NewGate()
+	is.True(g.Begin("s", 1))
+	first, ok := g.Wait("s", 1)
+	is.True(ok)
+	second, ok := g.Wait("s", 1)
+	is.True(ok)
+	_, ok = g.Wait("s", 1)
+	is.True(!ok)
+	is.True(g.Leave("s", first))
+	g.End("s")
+	select {
+	case <-second:
+	default:
+		t.Fatal("the second call does not go")
+	}
+	is.True(!g.Leave("s", second)) // it has the place
+	is.Equal(g.InFlight(), 1)
+	is.True(!g.Begin("s", 1))
+	g.End("s")
+	is.Equal(g.InFlight(), 0)
+	is.Equal(len(g.waiting), 0)
+}
--- a/daemon/forward/callfallback.go
+++ b/daemon/forward/callfallback.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/samphirequay/samphirequay/core/fallback"
 	"github.com/samphirequay/samphirequay/core/id"
@@ -19,8 +20,8 @@
 func (c *callAttempts) chooseInstead() (chosen, *verdict.Error) {
 	f, t, service := c.f, c.trace, c.service.Name
 	t.fallbacks++
-	share, ok := f.beginFallback(service)
-	if !ok {
+	share := f.shareOf(service)
+	if !c.beginFallback(share) {
 		f.stats.callFallbacks.Add(string(service)+"/refused", 1)
 		f.Log.Event("call_fallback_refused", "request", c.request.ID, "service", service, "share", share)
 		t.reason = reasonFallbackFull
@@ -37,19 +38,48 @@
 	return chosen{endpoint: e, fallback: true}, nil
 }
 
-// beginFallback counts a call for which this daemon chooses itself, unless its share of the
-// service's slots is in use.
-func (f *Forwarder) beginFallback(service id.Service) (share int, ok bool) {
+// shareOf returns how many calls of a service this daemon may choose endpoints for at a time.
+func (f *Forwarder) shareOf(service id.Service) int {
 	slots := 0
 	for _, e := range f.View().Endpoints {
 		if e.Service == service && !e.Leaving {
 			slots += max(1, e.Slots)
 		}
 	}
-	share = fallback.Share(slots, f.Daemons())
+	return fallback.Share(slots, f.Daemons())
+}
+
+// beginFallback counts a call for which this daemon chooses itself. If its share is in use,
+// the call waits as long as for a rate limit: it can still be answered in time then.
+func (c *callAttempts) beginFallback(share int) bool {
+	f, service := c.f, c.service.Name
+	turn, mayWait := c.queueFallback(share)
+	if turn == nil {
+		return mayWait
+	}
+	timer := time.NewTimer(f.limitWait(c.request, c.trace.route))
+	defer timer.Stop()
+	select {
+	case <-turn:
+		return true
+	case <-timer.C:
+	case <-c.ctx.Done():
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return share, f.fallbacks.Begin(service, share)
+	return !f.fallbacks.Leave(service, turn)
+}
+
+// queueFallback begins a fallback at once, or returns the turn to wait for. It returns false
+// without a turn if too many calls wait.
+func (c *callAttempts) queueFallback(share int) (fallback.Waiter, bool) {
+	f, service := c.f, c.service.Name
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fallbacks.Begin(service, share) {
+		return nil, true
+	}
+	return f.fallbacks.Wait(service, share)
 }
 
 func (f *Forwarder) endFallback(service id.Service) {
--- a/daemon/forward/callqueue_test.go
+++ b/daemon/forward/callqueue_test.go
@@ -313,11 +313,12 @@
 
 // TestASilentOwnersCallsStayWithinTheDaemonsPart checks that calls go on without the owner,
 // no more of them at a time than the daemon's part of the slots, and that the others are
-// refused at once, with a time to come back.
+// refused once they can't be in time, with a time to come back.
 func TestASilentOwnersCallsStayWithinTheDaemonsPart(t *testing.T) {
 	is := is.New(t)
 	s := &heldEndpoints{hold: make(chan struct{}), begun: make(chan struct{}, 100)}
 	f, r := newQueueTest(t, s, &queueOwner{err: undecidedError})
+	f.View().Routes.Match("h", "/again/x").TargetLatency = 20 * time.Millisecond
 	const part = 4 * 6 / 2 // four endpoints of six slots, two daemons
 	var wg sync.WaitGroup
 	for range part {
