--- a/core/pool/manager.go
+++ b/core/pool/manager.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/samphirequay/samphirequay/core/concurrency"
 	"github.com/samphirequay/samphirequay/core/health"
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/live"
@@ -47,10 +48,16 @@
 // Options configure a Manager.
 type Options struct {
 	Pool id.Pool
+	// Calls is set for the pool of a plain service whose daemons report only the end of a
+	// call: a granted call counts as sent.
+	Calls bool
 	// NewScheduler creates the scheduler; the view reports which endpoints are
 	// allowed.
 	NewScheduler func(view sched.HealthView) sched.Scheduler
-	Health       health.Config
+	// Limiter is the one of the scheduler, if that bounds the calls in flight by what it
+	// learns.
+	Limiter concurrency.Limiter
+	Health  health.Config
 	// Poison is shared by the daemon's pools and merged with the ledgers of other
 	// daemons.
 	Poison *poison.Ledger
@@ -69,6 +76,8 @@
 	endpoints          map[id.Endpoint]*endpointState
 	unconfirmedCrashes map[poison.Fingerprint][]unconfirmedCrash
 	lastSweep          time.Duration
+	// nextLapse is at or before the time at which the next call lapses.
+	nextLapse time.Duration
 	// newlyUnreachable holds unreachable endpoints that were not yet reported to
 	// the scheduler.
 	newlyUnreachable []id.Endpoint
@@ -165,6 +174,7 @@
 	}
 	if _, ok := m.requests[w.Request]; !ok {
 		m.requests[w.Request] = &trackedRequest{want: w, fingerprint: fingerprint, updatedAt: now}
+		m.nextLapse = min(m.nextLapse, m.requests[w.Request].lapsesAt())
 	}
 	return m.recordActions(now, m.sched.Want(now, w))
 }
@@ -195,7 +205,11 @@
 	m.endRequest(now, a.Want.Request, health.Neutral)
 	fingerprint, _ := poison.ParseFingerprint(a.Want.Fingerprint)
 	t := &trackedRequest{want: a.Want, fingerprint: fingerprint, prefill: a.Grant.Prefill, decode: a.Grant.Decode, reservation: a.Grant.Reservation, adopted: true, phase: a.Phase, updatedAt: now}
+	if m.opts.Calls {
+		t.phase = sched.PhaseDecoding
+	}
 	m.requests[a.Want.Request] = t
+	m.nextLapse = min(m.nextLapse, t.lapsesAt())
 	m.startWork(now, t)
 	return m.recordActions(now, m.sched.Adopt(now, a))
 }
@@ -244,6 +258,7 @@
 
 // Tick runs due timers; call it at Next or earlier.
 func (m *Manager) Tick(now time.Duration) []sched.Action {
+	m.endLapsedCalls(now)
 	m.reportHealth(m.health.Tick(now))
 	m.expireUnconfirmed(now)
 	if m.usage.due(now) {
--- a/daemon/broker/messages.go
+++ b/daemon/broker/messages.go
@@ -20,6 +20,13 @@
 	Refusal  *sched.Refusal        `cbor:"6,keyasint,omitempty"`
 	Drain    *Drain                `cbor:"7,keyasint,omitempty"`
 	Binding  *sched.Binding        `cbor:"8,keyasint,omitempty"`
+	Queued   *pairing.Queued       `cbor:"9,keyasint,omitempty"`
+	Learned  *Learned              `cbor:"10,keyasint,omitempty"`
+}
+
+// answers reports whether an envelope is an owner's answer.
+func (e *Envelope) answers() bool {
+	return e.Grant != nil || e.Refusal != nil || e.Queued != nil
 }
 
 // pool returns the pool for which the receiver must schedule; false for an envelope
@@ -36,6 +43,8 @@
 		return e.Adopt.Want.Pool, true
 	case e.Drain != nil:
 		return e.Drain.Pool, true
+	case e.Learned != nil:
+		return e.Learned.Pool, true
 	default:
 		return "", false
 	}
--- a/daemon/gateway/settings.go
+++ b/daemon/gateway/settings.go
@@ -40,14 +40,15 @@
 }
 
 // Scheduling switches parts of the scheduling on and off. All daemons of a fleet should have
-// the same values; they may change while a daemon runs.
+// the same values. They may change while a daemon runs: SIGHUP applies those of calls at
+// once, those of engines when a pool gets its next owner.
 type Scheduling struct {
 	// CallQueue makes one owner queue the calls of each plain service for all daemons.
 	// Without it each daemon chooses endpoints from its own calls alone. Default: false.
 	CallQueue bool `json:"call_queue"`
 	// LearnedLimits bounds the calls in flight at an endpoint by the number that it has
 	// been seen to take well, instead of by its slots. It needs call_queue. Default: false.
-	LearnedLimits bool `json:"learned_limits"`
+	LearnedLimits bool `json:"learned_limits" validate:"excluded_without=CallQueue"`
 	// ForecastRefusal refuses a stream at once if memory or prefill capacity will not be
 	// free in time by the forecast of when the requests in progress end. Default: false.
 	ForecastRefusal bool `json:"forecast_refusal"`
