Let a fixed limit allow for as many messages as are under way

One request above an endpoint's slots left slots idle: ends cluster, and of short calls several end while the messages of one are under way. The allowance is now what ends in the time of the messages and a standard deviation more, at least one. Tested by go test -race ./core/concurrency.

--- a/core/concurrency/fixed.go
+++ b/core/concurrency/fixed.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -9,10 +10,9 @@
 )
 
 const (
-	// underWay is the number of requests above its slots that an endpoint holds, so that
-	// a slot isn't idle while the messages between one request's end and the next one's
-	// arrival are under way.
-	underWay = 1
+	// roundTrip is the time of the messages between a request's end and the arrival of
+	// the next one: the end to the owner, the grant to a daemon, and the call itself.
+	roundTrip = 6 * time.Millisecond
 	// initialServiceTime is assumed while no request of any endpoint has ended.
 	initialServiceTime = 20 * time.Millisecond
 	// fixedSmoothing is the weight of a new sample in the moving average.
@@ -57,7 +57,15 @@
 	if e == nil {
 		return 1
 	}
-	return e.slots + underWay
+	return e.slots + f.underWay(e)
+}
+
+// underWay returns how many requests an endpoint holds above its slots, so that none is idle
+// for the time of the messages: as many as end in this time, and a standard deviation more
+// since they end independently of each other.
+func (f *Fixed) underWay(e *fixedEndpoint) int {
+	ending := float64(e.slots) * float64(roundTrip) / float64(max(roundTrip, f.base(e)))
+	return int(math.Ceil(ending + math.Sqrt(ending)))
 }
 
 // Expected implements Limiter: requests above the slots share them.
@@ -66,11 +74,16 @@
 	if e == nil {
 		return f.typical()
 	}
-	base := e.base
+	return time.Duration(e.crowding(inFlight) * float64(f.base(e)))
+}
+
+// base returns the endpoint's average time in service, or that of the others while it has
+// none.
+func (f *Fixed) base(e *fixedEndpoint) time.Duration {
 	if e.samples == 0 {
-		base = f.typical()
+		return f.typical()
 	}
-	return time.Duration(e.crowding(inFlight) * float64(base))
+	return e.base
 }
 
 // crowding is the factor on the time in service with so many requests in flight.
