--- a/core/callsched/capacity.go
+++ b/core/callsched/capacity.go
@@ -34,7 +34,7 @@
 func (l *Ledger) computeCapacity() capacity {
 	places, perSecond := 0.0, 0.0
 	for _, e := range l.order {
-		if !l.mayServe(e) || e.silent() {
+		if !l.mayServe(e) {
 			continue
 		}
 		limit := l.limit(e)
--- a/core/callsched/forecast.go
+++ b/core/callsched/forecast.go
@@ -1,10 +1,13 @@
 package callsched
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // forecastRounds bounds the iterations of a forecast; each adds what arrives during the
 // wait found by the one before.
-const forecastRounds = 6
+const forecastRounds = 10
 
 // unknownWait is the forecast of a wait that has no end at the present load.
 const unknownWait = time.Hour
@@ -15,6 +18,8 @@
 	queued float64
 	// higher is the arriving work that always goes first, in seconds a second.
 	higher float64
+	// perCall is the work of one call, in seconds.
+	perCall float64
 	// others are the arrivals of the same priority that may go first.
 	others []overtaking
 }
@@ -34,11 +39,12 @@
 	}
 	wait := a.queued / free
 	for range forecastRounds {
-		work := a.queued
+		others := 0.0
 		for _, o := range a.others {
-			work += min(o.perSecond*wait, o.most)
+			others += min(o.perSecond*wait, o.most)
 		}
-		next := work / free
+		surge := surgeDeviations * math.Sqrt((a.higher*wait+others)*a.perCall)
+		next := (a.queued + others + surge) / free
 		if next <= wait {
 			break
 		}
@@ -47,10 +53,15 @@
 	return min(unknownWait, seconds(wait))
 }
 
+// surgeDeviations is the number of standard deviations by which more calls than usual may
+// arrive and go first: calls that come independently of each other deviate by the root of
+// their number.
+const surgeDeviations = 2
+
 // waitInTime forecasts the wait of a new call that is served in the order of those that can
 // be in time. It sets the call's start tag.
 func (l *Ledger) waitInTime(w *waiting) time.Duration {
-	a := ahead{queued: w.Cost(), higher: l.teams.load(l.now, w.want.Priority+1)}
+	a := ahead{queued: w.Cost(), perCall: w.Cost(), higher: l.teams.load(l.now, w.want.Priority+1)}
 	shared := l.shares.HasTeams()
 	if shared {
 		l.assignTag(w)
@@ -67,9 +78,10 @@
 }
 
 // waitLate forecasts the wait of a late call: behind all that can be in time, those that
-// still arrive included, and the late ones before it.
+// still arrive included, and the late ones before it. Refused calls count as arriving:
+// while there are any, they have the better claim to a place.
 func (l *Ledger) waitLate(w *waiting) time.Duration {
-	a := ahead{queued: w.Cost(), higher: l.teams.load(l.now, 0)}
+	a := ahead{queued: w.Cost(), perCall: w.Cost(), higher: l.offered.at(l.now)}
 	for _, other := range l.queue {
 		if other != w {
 			a.queued += other.Cost()
--- a/core/callsched/grant.go
+++ b/core/callsched/grant.go
@@ -71,6 +71,9 @@
 	g.inFlight = g.endpoint.inFlight
 	g.team.granted++
 	g.lease = max(minLease, leaseFactor*expected)
+	if g.service.pace.samples == 0 {
+		g.lease = max(minLease, g.lifetime-l.now) // nothing is known of how long calls take
+	}
 	l.granted[g.want.Request] = g
 	l.renew(g)
 }
--- a/core/callsched/ledger.go
+++ b/core/callsched/ledger.go
@@ -38,6 +38,9 @@
 
 	shares *fairshare.Shares
 	teams  teams
+	// offered is the load of all calls, whether admitted or not; usual is its average.
+	offered load
+	usual   usualLoad
 	// queue is sorted as of the last dispatch; calls that came since are at its end.
 	queue   []*waiting
 	waiting map[id.Request]*waiting
@@ -53,9 +56,12 @@
 	// it from being served in time.
 	dispatchDue bool
 
-	overload  overload
-	forecasts forecasts
-	stats     Stats
+	overload overload
+	// bookedUntil is when all the refused calls that were told to return are served, if
+	// they come as told.
+	bookedUntil time.Duration
+	forecasts   forecasts
+	stats       Stats
 }
 
 // New returns the scheduler of a pool's owner.
--- a/core/callsched/refuse.go
+++ b/core/callsched/refuse.go
@@ -53,10 +53,8 @@
 
 const (
 	// minRetryAfter and maxRetryAfter bound the advised delay.
-	minRetryAfter = time.Second
+	minRetryAfter = 500 * time.Millisecond
 	maxRetryAfter = 8 * time.Second
-	// calmAfter is how long after its last refusal an overload has ended.
-	calmAfter = time.Second
 	// minFreeShare is the least share of the places that refused calls are spread over
 	// when they return.
 	minFreeShare = 0.1
@@ -67,39 +65,18 @@
 	retryJitterSteps = 1000
 )
 
-// overload tracks a period in which calls are refused.
-type overload struct {
-	began, last time.Duration
-	active      bool
-	// bookedUntil is when all the refused calls that were told to return are served, if
-	// they come as told.
-	bookedUntil time.Duration
-}
-
-// refused records a refusal and returns how long the overload has lasted.
-func (o *overload) refused(now time.Duration) time.Duration {
-	if !o.active || now-o.last > calmAfter {
-		o.active, o.began = true, now
-	}
-	o.last = now
-	return now - o.began
-}
-
-// retryAfter returns when a refused call should return: once the calls before it are
-// served, and an overload that has lasted for some time is expected to last as long again.
-// Returning calls are spread over the places that the load leaves free, so that no more are
-// told to come than fit.
+// retryAfter returns when a refused call should return: once the calls before it are served
+// and the overload is expected to have ended. Returning calls are spread over the places
+// that the usual load leaves free, so that no more are told to come than fit.
 func (l *Ledger) retryAfter(w *waiting, wait time.Duration) time.Duration {
-	lasted := l.overload.refused(l.now)
 	excess := l.now + wait - w.latestStart()
 	if wait >= unknownWait {
 		excess = 0
 	}
-	due := l.now + max(minRetryAfter, lasted, excess)
-	l.overload.bookedUntil = max(l.overload.bookedUntil, due) + l.timeToServe(w)
-	after := min(l.overload.bookedUntil-l.now, maxRetryAfter)
-	l.overload.bookedUntil = min(l.overload.bookedUntil, l.now+maxRetryAfter)
-	return jitter(after, w.want.Request)
+	due := l.now + max(minRetryAfter, l.overload.refused(l.now), excess)
+	l.bookedUntil = max(l.bookedUntil, due) + l.timeToServe(w)
+	l.bookedUntil = min(l.bookedUntil, l.now+maxRetryAfter)
+	return jitter(l.bookedUntil-l.now, w.want.Request)
 }
 
 // timeToServe returns how long the places that are usually free take for one more call.
@@ -108,7 +85,7 @@
 	if places == 0 {
 		return 0
 	}
-	free := max(minFreeShare*places, places-l.teams.load(l.now, 0))
+	free := max(minFreeShare*places, places-l.usual.at(l.now))
 	return seconds(w.Cost() / free)
 }
 
--- a/core/callsched/stats.go
+++ b/core/callsched/stats.go
@@ -1,9 +1,11 @@
 package callsched
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
+	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/sched"
 )
 
@@ -28,6 +30,15 @@
 	Forecasts Forecasts
 	// ByPriority counts calls by priority, 0 to 9.
 	ByPriority [maxPriority + 1]Answered
+	// ByTeam counts calls by team, sorted by name. Of more than 1024 teams, those that
+	// send nothing are left out.
+	ByTeam []TeamAnswered
+}
+
+// TeamAnswered counts the calls of a team.
+type TeamAnswered struct {
+	Team id.Team
+	Answered
 }
 
 // Refused counts refused calls by cause.
@@ -63,6 +74,7 @@
 		s.GrantedLate++
 	}
 	s.ByPriority[w.want.Priority].Granted++
+	w.team.answered.Granted++
 }
 
 func (s *Stats) refused(w *waiting, c cause, now time.Duration) {
@@ -81,6 +93,7 @@
 		s.RefusedAfterWait++
 	}
 	s.ByPriority[w.want.Priority].Refused++
+	w.team.answered.Refused++
 }
 
 // judged records whether a call that was said to be in time was late.
@@ -93,7 +106,15 @@
 }
 
 // Stats returns the totals since the start.
-func (l *Ledger) Stats() Stats { return l.stats }
+func (l *Ledger) Stats() Stats {
+	s := l.stats
+	s.ByTeam = make([]TeamAnswered, 0, len(l.teams.list))
+	for _, t := range l.teams.list {
+		s.ByTeam = append(s.ByTeam, TeamAnswered{Team: t.name, Answered: t.answered})
+	}
+	slices.SortFunc(s.ByTeam, func(a, b TeamAnswered) int { return cmp.Compare(a.Team, b.Team) })
+	return s
+}
 
 // Snapshot implements sched.Snapshotter.
 func (l *Ledger) Snapshot() sched.Snapshot {
@@ -117,41 +138,6 @@
 	return s
 }
 
-// maxPendingForecasts bounds the refusals whose forecasts are still to be judged.
-const maxPendingForecasts = 1024
-
-// forecasts holds the ends of the waits that were forecast for refused calls, in the order
-// of the refusals.
-type forecasts struct{ pending []time.Duration }
-
-// refused records the wait that was forecast for a refused call.
-func (f *forecasts) refused(now, wait time.Duration) {
-	if len(f.pending) >= maxPendingForecasts {
-		f.pending = slices.DeleteFunc(f.pending, func(until time.Duration) bool { return until <= now })
-	}
-	if len(f.pending) < maxPendingForecasts {
-		f.pending = append(f.pending, now+wait)
-	}
-}
-
-// judge returns how many refusals were in vain if a place is free now and no call waits.
-func (f *forecasts) judge(now time.Duration) (inVain uint64) {
-	for _, until := range f.pending {
-		if until > now {
-			inVain++
-		}
-	}
-	f.pending = f.pending[:0]
-	return inVain
-}
-
-// judgeRefusals judges the forecasts for which calls were refused, once there is room again.
-func (l *Ledger) judgeRefusals() {
-	if len(l.forecasts.pending) > 0 && len(l.queue) == 0 && l.anyRoom() {
-		l.stats.Forecasts.InVain += l.forecasts.judge(l.now)
-	}
-}
-
 var (
 	_ sched.Scheduler   = (*Ledger)(nil)
 	_ sched.Snapshotter = (*Ledger)(nil)
--- a/core/callsched/teams.go
+++ b/core/callsched/teams.go
@@ -1,9 +1,8 @@
 package callsched
 
 import (
-	"math"
+	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
@@ -13,35 +12,12 @@
 const (
 	// maxPriority is the highest priority.
 	maxPriority = 9
-	// loadSpan is the time constant of the measured load: a burst counts within a
-	// fraction of a second, single calls average out.
-	loadSpan = 400 * time.Millisecond
 	// maxTeams is the number of teams above which those without calls are forgotten.
 	maxTeams = 1024
 	// forgetAfter is how long a forgotten team has sent nothing.
 	forgetAfter = 10 * loadSpan
 )
 
-// load is the decaying sum of the work that has arrived, in time in service.
-type load struct {
-	work      float64
-	updatedAt time.Duration
-}
-
-// at returns the load at a time, in seconds of work a second.
-func (d *load) at(now time.Duration) float64 {
-	if d.work == 0 {
-		return 0
-	}
-	return d.work * math.Exp(-float64(now-d.updatedAt)/float64(loadSpan)) / loadSpan.Seconds()
-}
-
-// add adds the work of a call.
-func (d *load) add(now, work time.Duration) {
-	d.work = d.at(now)*loadSpan.Seconds() + work.Seconds()
-	d.updatedAt = now
-}
-
 // team is what the ledger knows of a team.
 type team struct {
 	name id.Team
@@ -50,6 +26,7 @@
 	seenAt time.Duration
 	// queued and granted count calls, for the status.
 	queued, granted int
+	answered        Answered
 	// nextTag is scratch for a forecast: the start tag of the team's next call.
 	nextTag float64
 }
@@ -108,6 +85,6 @@
 			out = append(out, sched.TeamSnapshot{Team: x.name, Queued: x.queued, Running: x.granted})
 		}
 	}
-	slices.SortFunc(out, func(a, b sched.TeamSnapshot) int { return strings.Compare(string(a.Team), string(b.Team)) })
+	slices.SortFunc(out, func(a, b sched.TeamSnapshot) int { return cmp.Compare(a.Team, b.Team) })
 	return out
 }
--- a/core/callsched/want.go
+++ b/core/callsched/want.go
@@ -13,6 +13,10 @@
 // forecast wait: those that can be in time go first, also if more of them come than now.
 const lateMargin = 2
 
+// waitMargin is the factor by which the time left before the last safe start must exceed the
+// forecast wait.
+const waitMargin = 1.2
+
 // Want implements sched.Scheduler.
 func (l *Ledger) Want(now time.Duration, w sched.Want) []sched.Action {
 	l.begin(now)
@@ -51,6 +55,8 @@
 	if !l.servable(w) {
 		return l.refuse(w, causeNoEndpoint, verdict.TransientRetryAfter)
 	}
+	l.offered.add(l.now, w.cost)
+	l.usual.add(l.now, w.cost)
 	if len(l.queue) == 0 {
 		if e := l.choose(w); e != nil {
 			return l.grantAtOnce(w, e)
@@ -60,7 +66,7 @@
 	switch {
 	case len(l.queue) >= l.options.MaxQueue:
 		return l.refuse(w, causeQueueFull, l.retryAfter(w, wait))
-	case l.now+wait <= w.safeStart(l.capacity().perCall):
+	case l.now+time.Duration(waitMargin*float64(wait)) <= w.safeStart(l.capacity().perCall):
 		l.promise(w)
 	case l.worthWaiting(w, lateMargin):
 		w.late = true
