Let an endpoint that others reach serve calls again at once

One daemon that doesn't reach an endpoint took it from all others for half a second each time it tried; a report that it is reachable ends the hold now.

--- a/core/callsched/dispatch.go
+++ b/core/callsched/dispatch.go
@@ -73,22 +73,19 @@
 }
 
 // refuseOvertaken refuses the waiting calls that no endpoint serves any more, and the late
-// ones that are no longer forecast to be granted within their patience.
+// ones that are no longer forecast to be granted within their patience: the last one in the
+// order first, which leaves more room to those before it.
 func (l *Ledger) refuseOvertaken(actions []sched.Action) []sched.Action {
-	kept := l.queue[:0]
-	for _, w := range l.queue {
+	for i := len(l.queue) - 1; i >= 0; i-- {
+		w := l.queue[i]
 		switch {
 		case !l.servable(w):
+			l.unqueue(w)
 			actions = append(actions, l.refuse(w, causeNoEndpoint, l.retryAfter(w, unknownWait))...)
 		case w.late && !l.worthWaiting(w, 1):
+			l.unqueue(w)
 			actions = append(actions, l.refuse(w, causeOvertaken, l.retryAfter(w, l.waitLate(w)))...)
-		default:
-			kept = append(kept, w)
-			continue
 		}
-		l.forgetWaiting(w)
 	}
-	clear(l.queue[len(kept):])
-	l.queue = kept
 	return actions
 }
--- a/core/callsched/endpoint.go
+++ b/core/callsched/endpoint.go
@@ -14,7 +14,7 @@
 	// new ones: about the time in which some of its calls end.
 	fullHold = 40 * time.Millisecond
 	// unreachableHold is how long an endpoint that could not be reached gets no new
-	// calls, unless it reports before.
+	// calls, unless a report shows before that only one daemon doesn't reach it.
 	unreachableHold = 500 * time.Millisecond
 	// crossDomainCost is the time that a call to another failure domain takes more.
 	crossDomainCost = 3 * time.Millisecond
@@ -31,9 +31,9 @@
 	slots  int
 	// leaving is set by a label or a refusal, drained and down by reports.
 	leaving, drained, down bool
-	// heldUntil is when the endpoint may get calls again after a refusal or a failed
-	// connection.
-	heldUntil time.Duration
+	// fullUntil and unreachableUntil are when the endpoint may get calls again after a
+	// refusal or a failed connection.
+	fullUntil, unreachableUntil time.Duration
 	// inFlight counts the grants in use.
 	inFlight int
 	// lapses counts the leases that have lapsed since a call last ended here.
@@ -55,16 +55,17 @@
 	e.down = !r.Reachable
 	if r.Reachable {
 		e.drained = r.Leaving
+		e.unreachableUntil = 0
 	}
 }
 
 // failed applies the failure of a call.
 func (e *endpoint) failed(now time.Duration, p *sched.Progress) {
 	if p.Full {
-		e.heldUntil = max(e.heldUntil, now+fullHold)
+		e.fullUntil = now + fullHold
 	}
 	if p.Unreachable || p.Crashed {
-		e.heldUntil = max(e.heldUntil, now+unreachableHold)
+		e.unreachableUntil = now + unreachableHold
 	}
 	if p.Leaving {
 		e.leaving = true
@@ -95,7 +96,7 @@
 // is left for the calls that a former owner granted: the endpoint would queue or refuse
 // what is too much, but a target may be shorter than the time to settle.
 func (l *Ledger) hasRoom(e *endpoint) bool {
-	if !l.mayServe(e) || l.now < e.heldUntil {
+	if !l.mayServe(e) || l.now < max(e.fullUntil, e.unreachableUntil) {
 		return false
 	}
 	limit := l.limit(e)
--- a/core/callsched/grant.go
+++ b/core/callsched/grant.go
@@ -57,7 +57,7 @@
 		Reservation: l.serial,
 		Owner:       l.options.Self,
 		ExpiresIn:   g.lease,
-		Reason: fmt.Sprintf("waited %v, %d of %d in flight, %d behind it",
+		Reason: fmt.Sprintf("waited %v, %d of %d in flight, %d calls in the queue",
 			(l.now - w.queuedAt).Round(time.Millisecond), g.inFlight, l.limit(e), len(l.queue)),
 	}
 	l.lapsed.Remove(w.want.Request)
--- a/core/callsched/ledger_test.go
+++ b/core/callsched/ledger_test.go
@@ -171,6 +171,16 @@
 	is.Equal(f.granted(f.Tick(start+fullHold)).Request, id.Request("b"))
 }
 
+// TestOneDaemonIsCutOff: one daemon doesn't reach an endpoint, others do. Once a report shows
+// that, the endpoint serves their calls again.
+func TestOneDaemonIsCutOff(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, document(1))
+	f.fail(start, f.granted(f.Want(start, want("cut"))), sched.Progress{Unreachable: true})
+	is.Equal(len(f.Want(start+ms, want("b"))), 0) // waits
+	is.Equal(f.granted(f.Load(start+5*ms, sched.Load{Endpoint: "e0", Reachable: true})).Request, id.Request("b"))
+}
+
 // TestNoEndpoint: with all endpoints gone, calls are refused at once, the waiting ones as
 // well; the caller may come back.
 func TestNoEndpoint(t *testing.T) {
