--- a/core/callsched/ledger.go
+++ b/core/callsched/ledger.go
@@ -20,6 +20,10 @@
 // targets and the holds of endpoints pass without an event.
 const queuePollInterval = 5 * time.Millisecond
 
+// stallThreshold is the delay of an expiry from which the owner counts as having been
+// stalled.
+const stallThreshold = 100 * time.Millisecond
+
 // Ledger is the scheduler of one pool. It is not safe for concurrent use.
 type Ledger struct {
 	options Options
@@ -38,6 +42,9 @@
 
 	shares *fairshare.Shares
 	teams  teams
+	// offered is the load of all calls, whether admitted or not; usual is its average.
+	offered load
+	usual   usualLoad
 	// queue is sorted as of the last dispatch; calls that came since are at its end.
 	queue   []*waiting
 	waiting map[id.Request]*waiting
@@ -53,9 +60,12 @@
 	// it from being served in time.
 	dispatchDue bool
 
-	overload  overload
-	forecasts forecasts
-	stats     Stats
+	overload overload
+	// bookedUntil is when all the refused calls that were told to return are served, if
+	// they come as told.
+	bookedUntil time.Duration
+	forecasts   forecasts
+	stats       Stats
 }
 
 // New returns the scheduler of a pool's owner.
@@ -97,6 +107,9 @@
 		l.settled = now + l.options.Settle
 	}
 	l.now = max(l.now, now)
+	if l.now > l.nextExpiry && l.now-l.nextExpiry > stallThreshold {
+		l.extendLeases()
+	}
 }
 
 // finish carries out the consequences of an event.
