--- a/core/concurrency/concurrency.go
+++ b/core/concurrency/concurrency.go
@@ -17,6 +17,9 @@
 	// Slots is the number of requests that the endpoint says it runs at once. A limit
 	// is never higher than its slots and a small allowance for messages under way.
 	Slots int
+	// Bound is the number that an operator allows in flight; 0 if none is set. No limit
+	// is higher, whatever was learned.
+	Bound int
 }
 
 // Outcome is the result of a request, as far as it says something about the endpoint.
