--- a/core/concurrency/loss_test.go
+++ b/core/concurrency/loss_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,22 +35,13 @@
 		a.now += 20 * time.Millisecond
 		out := a.Suspect(a.now)
 		for i, name := range a.names {
-			if !contains(out, name) {
+			if !slices.Contains(out, name) {
 				a.Record(a.now, name, a.rng.Float64() < loss(i))
 			}
 		}
 	}
 }
 
-func contains(names []id.Endpoint, name id.Endpoint) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
-
 func none(int) float64 { return 0 }
 
 // firstHalf loses a share of the answers at the first n endpoints.
--- a/core/concurrency/serve_test.go
+++ b/core/concurrency/serve_test.go
@@ -58,6 +58,8 @@
 
 func ours([]*server) Limiter { return New(Options{}) }
 
+func slotsOnly([]*server) Limiter { return alikeSlots{New(Options{})} }
+
 func knowing(s []*server) Limiter { return perfect{New(Options{}), s} }
 
 // Load: each of the loads above, against an owner that knows every speed and knee.
@@ -80,10 +82,20 @@
 func TestAlikeEndpointsAreServedAsWithFixedLimits(t *testing.T) {
 	for _, l := range loads[:2] {
 		is := is.New(t)
-		fixed := play(l, func([]*server) Limiter { return alikeSlots{New(Options{})} }, 1)
-		learned := play(l, ours, 1)
-		is.True(learned.share() >= fixed.share()-0.005)
+		fixed, learned := 0.0, 0.0
+		for seed := range uint64(4) {
+			fixed += play(l, slotsOnly, seed).share()
+			learned += play(l, ours, seed).share()
+		}
+		t.Logf("%s: in time %.3f, with fixed limits %.3f", l.name, learned/4, fixed/4)
+		is.True(learned/4 >= fixed/4-0.005)
+	}
+}
 
+// Load: alike endpoints, free and nearly full: no limit falls, and trials are rare.
+func TestLimitsOfAlikeEndpointsStayAtTheSlots(t *testing.T) {
+	for _, l := range loads[:2] {
+		is := is.New(t)
 		servers := l.servers()
 		f := newFleet(New(Options{}), l.rate, servers...)
 		lowered, tried := 0, 0
@@ -112,7 +124,7 @@
 		name string
 		new  func([]*server) Limiter
 	}{
-		{"slots, all thought alike", func([]*server) Limiter { return alikeSlots{New(Options{})} }},
+		{"slots, all thought alike", slotsOnly},
 		{"slots, learned pace", func([]*server) Limiter { return fixedLimit{New(Options{}), 1} }},
 		{"half of the slots", func([]*server) Limiter { return fixedLimit{New(Options{}), 0.5} }},
 		{"latency gradient", func([]*server) Limiter { return newGradient() }},
