--- a/core/concurrency/learner_test.go
+++ b/core/concurrency/learner_test.go
@@ -70,7 +70,7 @@
 	is.Equal(f.learned(3*time.Second, s[1]), 6)
 }
 
-// Load: a call a second takes a minute at an endpoint whose others take 60 ms.
+// Load: one call takes a minute at an endpoint where the others take 60 ms.
 func TestOneSlowSampleDoesNotMatter(t *testing.T) {
 	is := is.New(t)
 	s := three(1, 1, 1)
