--- a/core/callsched/endpoint.go
+++ b/core/callsched/endpoint.go
@@ -120,6 +120,7 @@
 			continue
 		}
 		end := l.expected(w, e)
+		end += time.Duration(lossyFactor * l.doubt(e) * float64(end))
 		if w.want.Domain != "" && e.domain != w.want.Domain {
 			end += crossDomainCost
 		}
@@ -131,6 +132,19 @@
 	return best
 }
 
+// lossyFactor is how many times as long a call counts as taking at an endpoint that certainly
+// loses more calls than its peers.
+const lossyFactor = 10
+
+// doubt returns how surely an endpoint loses more calls than its peers; 0 unless lossy
+// endpoints are to be avoided.
+func (l *Ledger) doubt(e *endpoint) float64 {
+	if !l.options.AvoidLossy || l.options.Health == nil {
+		return 0
+	}
+	return l.options.Health.Doubt(l.now, e.name)
+}
+
 // expected returns the expected time in service of a call that is sent to an endpoint now.
 func (l *Ledger) expected(w *waiting, e *endpoint) time.Duration {
 	return w.service.pace.scale(l.limiter.Expected(l.now, e.name, e.inFlight+1))
--- a/core/callsched/ledger_test.go
+++ b/core/callsched/ledger_test.go
@@ -48,10 +48,16 @@
 	t *testing.T
 	// unhealthy endpoints are not allowed.
 	unhealthy map[id.Endpoint]bool
+	// doubts are how surely endpoints lose calls.
+	doubts map[id.Endpoint]float64
 }
 
+// Allowed implements sched.HealthView.
 func (f *fixture) Allowed(e id.Endpoint) bool { return !f.unhealthy[e] }
 
+// Doubt implements sched.HealthView.
+func (f *fixture) Doubt(_ time.Duration, e id.Endpoint) float64 { return f.doubts[e] }
+
 func newFixture(t *testing.T, doc *live.Document) *fixture {
 	t.Helper()
 	limiter := concurrency.NewFixed()
--- a/core/callsched/options.go
+++ b/core/callsched/options.go
@@ -25,6 +25,9 @@
 	Limiter concurrency.Limiter
 	// Health reports the allowed endpoints; nil allows every endpoint.
 	Health sched.HealthView
+	// AvoidLossy prefers endpoints that have lost fewer calls of late than their peers, while
+	// these have room.
+	AvoidLossy bool
 	// Settle is how long a new owner keeps half of each endpoint free for the calls of
 	// a former owner's grants that it doesn't know of yet.
 	Settle time.Duration
--- a/core/concurrency/fixed.go
+++ b/core/concurrency/fixed.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// roundTrip is the time of the messages between a request's end and the arrival of
-	// the next one: the end to the owner, the grant to a daemon, and the call itself.
-	roundTrip = 6 * time.Millisecond
+	// DefaultRoundTrip is the time of the messages between a request's end and the arrival
+	// of the next one: the end to the owner, the grant to a daemon, and the call itself.
+	DefaultRoundTrip = 6 * time.Millisecond
 	// initialServiceTime is assumed while no request of any endpoint has ended.
 	initialServiceTime = 20 * time.Millisecond
 	// fixedSmoothing is the weight of a new sample in the moving average.
@@ -64,7 +64,7 @@
 // for the time of the messages: as many as end in this time, and a standard deviation more
 // since they end independently of each other.
 func (f *Fixed) underWay(e *fixedEndpoint) int {
-	ending := float64(e.slots) * float64(roundTrip) / float64(max(roundTrip, f.base(e)))
+	ending := float64(e.slots) * float64(DefaultRoundTrip) / float64(max(DefaultRoundTrip, f.base(e)))
 	return int(math.Ceil(ending + math.Sqrt(ending)))
 }
 
--- a/core/concurrency/limit.go
+++ b/core/concurrency/limit.go
@@ -7,13 +7,35 @@
 	"github.com/samphirequay/samphirequay/core/id"
 )
 
-// ceiling is the highest possible limit of an endpoint.
+// unlimited is the learned limit of an endpoint that takes all that it has slots for.
+var unlimited = math.Inf(1)
+
+// ceiling is the highest possible limit of an endpoint: its slots and as many requests more
+// as are under way in messages, so that no slot waits for them.
 func (l *Learner) ceiling(e *endpoint) int {
-	most := e.Slots + l.options.Allowance
+	most := max(1, e.Slots)
+	if l.options.RoundTrip > 0 {
+		most += underWay(most, l.options.RoundTrip, l.service(e))
+	}
 	if e.Bound > 0 {
 		most = min(most, e.Bound)
 	}
-	return max(1, most)
+	return most
+}
+
+// underWay is how many of the running requests end within a round trip, and a standard
+// deviation more since they end independently of each other.
+func underWay(running int, roundTrip, service time.Duration) int {
+	ending := float64(running) * float64(roundTrip) / float64(max(roundTrip, service))
+	return int(math.Ceil(ending + math.Sqrt(ending)))
+}
+
+// service is the time in service that counts for the messages under way.
+func (l *Learner) service(e *endpoint) time.Duration {
+	if e.pace.samples == 0 {
+		return l.options.Initial
+	}
+	return e.pace.expected(0)
 }
 
 // Limit implements Limiter.
@@ -33,7 +55,11 @@
 
 // settled is the limit outside of a trial.
 func (l *Learner) settled(now time.Duration, e *endpoint) int {
-	return min(max(1, int(math.Floor(e.aged(now)+rounding))), l.ceiling(e))
+	ceiling := l.ceiling(e)
+	if e.limit == unlimited {
+		return ceiling
+	}
+	return min(max(1, int(math.Floor(e.aged(now)+rounding))), ceiling)
 }
 
 // aged is the learned limit as far as it still holds. One that no request has reached for a
@@ -43,6 +69,20 @@
 	return float64(e.Slots) + keep*(e.limit-float64(e.Slots))
 }
 
+// reached records that a request has met the limit: what has aged meanwhile is that limit.
+func (e *endpoint) reached(now time.Duration, limit int) {
+	e.reachedAt = now
+	e.setLimit(limit)
+}
+
+// setLimit sets the learned limit.
+func (e *endpoint) setLimit(limit int) {
+	e.limit = float64(limit)
+	if limit >= e.Slots {
+		e.limit = unlimited
+	}
+}
+
 // rounding makes a limit whole that misses the next whole number by little.
 const rounding = 0.05
 
@@ -53,12 +93,12 @@
 	if now-s.Took < e.loweredAt {
 		return
 	}
-	limit := float64(l.settled(now, e))
-	lowered := max(float64(s.InFlight-1), limit*refusalFactor, 1)
+	limit := l.settled(now, e)
+	lowered := max(s.InFlight-1, int(float64(limit)*refusalFactor), 1)
 	if lowered >= limit {
 		return
 	}
-	e.limit, e.reachedAt, e.loweredAt = lowered, now, now
+	e.limit, e.reachedAt, e.loweredAt = float64(lowered), now, now
 	e.near = newArm()
 }
 
--- a/core/concurrency/schedule.go
+++ b/core/concurrency/schedule.go
@@ -10,32 +10,31 @@
 	// lastInterval with each that fails.
 	firstInterval = 500 * time.Millisecond
 	lastInterval  = 16 * time.Second
+	// lowerInterval is the least time between trials downward once one has clearly failed:
+	// an endpoint that takes longer with more requests and completes more is sound.
+	lowerInterval = 8 * time.Second
 	// paceChange is the factor in the time in service from which an endpoint has changed.
 	paceChange = 1.6
 )
 
-// schedule says when an endpoint is due for its next trial.
+// schedule says when an endpoint is due for its next trial in one direction.
 type schedule struct {
 	next     time.Duration
 	interval time.Duration
-	// failures counts the trials that have failed in a row, took is the logarithm of the
-	// time in service near the limit when the last one did.
+	// failures counts the trials that have failed in a row.
 	failures int
-	took     float64
 }
 
-func (s *schedule) failed(now time.Duration, took float64) {
+// postpone puts the next trial off, by the least time at least.
+func (s *schedule) postpone(now, least time.Duration) {
+	s.interval = max(s.interval, firstInterval, least)
 	s.next = now + s.interval
 	s.interval = min(2*s.interval, lastInterval)
 	s.failures++
-	s.took = took
 }
 
-func (s *schedule) succeeded(now time.Duration) {
-	s.next = now
-	s.interval = firstInterval
-	s.failures = 0
-}
+// reset makes a trial due at once.
+func (s *schedule) reset(now time.Duration) { *s = schedule{next: now} }
 
 // step is the part of the limit by which the next trial upward exceeds it. Behind a large
 // step that failed there may be a small one that does not: 0 stands for one request.
@@ -49,12 +48,13 @@
 // noticeChange makes trials due again once the endpoint's speed has changed: what the
 // failed ones have shown no longer holds.
 func (e *endpoint) noticeChange(now time.Duration) {
-	if e.trials.failures == 0 {
+	if e.lower.failures+e.higher.failures == 0 {
 		return
 	}
-	change := math.Abs(e.near.took.mean - e.trials.took)
+	change := math.Abs(e.near.took.mean - e.triedAt)
 	if change > math.Log(paceChange)+math.Sqrt(e.near.took.errorSquared()) {
-		e.trials = schedule{next: now, interval: firstInterval}
+		e.lower.reset(now)
+		e.higher.reset(now)
 	}
 }
 
@@ -71,11 +71,11 @@
 )
 
 // next returns the check that follows a trial.
-func (c check) next(up, better bool) check {
+func (c check) next(up bool, o outcome) check {
 	switch {
-	case better && !up:
+	case o == succeeded && !up:
 		return checkHigher
-	case !better && c == checkHigher:
+	case o != succeeded && c == checkHigher:
 		return checkLower
 	default:
 		return noCheck
--- a/core/concurrency/status.go
+++ b/core/concurrency/status.go
@@ -86,7 +86,7 @@
 		return ReasonProbing
 	case e.trial != nil && !e.trial.over(now):
 		return ReasonTrial
-	case l.settled(now, e) < min(e.Slots, l.ceiling(e)):
+	case l.settled(now, e) < l.ceiling(e):
 		return ReasonKnee
 	default:
 		return ""
--- a/daemon/gateway/pools.go
+++ b/daemon/gateway/pools.go
@@ -21,7 +21,7 @@
 	calls := d.isCallPool(p)
 	var limiter concurrency.Limiter
 	if calls && d.scheduling.Load().LearnedLimits {
-		limiter = concurrency.New(concurrency.Options{Allowance: callAllowance})
+		limiter = concurrency.New(concurrency.Options{RoundTrip: concurrency.DefaultRoundTrip})
 	}
 	o := pool.Options{
 		Pool:    p,
@@ -90,11 +90,6 @@
 	})
 }
 
-// callAllowance is the number of calls above its slots that an endpoint is sent, since the
-// messages between the end of one and the arrival of the next take a part of the time of a
-// call.
-const callAllowance = 1
-
 // newCallScheduler creates the scheduler of a plain service's pool; limiter is nil for fixed
 // limits.
 func (d *Daemon) newCallScheduler(f *fleet, p id.Pool, view sched.HealthView, limiter concurrency.Limiter) sched.Scheduler {
@@ -103,6 +98,7 @@
 		Self:             f.self,
 		FirstReservation: uint64(d.now()),
 		Limiter:          limiter,
+		AvoidLossy:       d.scheduling.Load().AvoidLossy,
 		Health:           view,
 		Violation:        d.metrics.Violation,
 	})
