--- a/core/callsched/grant.go
+++ b/core/callsched/grant.go
@@ -57,7 +57,7 @@
 		Reservation: l.serial,
 		Owner:       l.options.Self,
 		ExpiresIn:   g.lease,
-		Reason: fmt.Sprintf("waited %v, %d of %d in flight, %d behind it",
+		Reason: fmt.Sprintf("waited %v, %d of %d in flight, %d calls in the queue",
 			(l.now - w.queuedAt).Round(time.Millisecond), g.inFlight, l.limit(e), len(l.queue)),
 	}
 	l.lapsed.Remove(w.want.Request)
@@ -71,6 +71,9 @@
 	g.inFlight = g.endpoint.inFlight
 	g.team.granted++
 	g.lease = max(minLease, leaseFactor*expected)
+	if g.service.pace.samples == 0 {
+		g.lease = max(minLease, g.lifetime-l.now) // nothing is known of how long calls take
+	}
 	l.granted[g.want.Request] = g
 	l.renew(g)
 }
@@ -110,6 +113,15 @@
 	}
 }
 
+// extendLeases extends the leases that ended while the owner was stalled: the reports of the
+// calls' ends may have arrived and not been processed.
+func (l *Ledger) extendLeases() {
+	for _, g := range l.granted {
+		g.expires = max(g.expires, l.now+minLease)
+	}
+	l.nextExpiry = l.now + minLease
+}
+
 // Progress implements sched.Scheduler.
 func (l *Ledger) Progress(now time.Duration, p sched.Progress) []sched.Action {
 	l.begin(now)
