--- a/core/concurrency/handover.go
+++ b/core/concurrency/handover.go
@@ -11,7 +11,7 @@
 		}
 		learned = append(learned, Learned{
 			Endpoint: e.Endpoint,
-			Limit:    max(1, e.aged(now)),
+			Limit:    l.handedOver(now, e),
 			Base:     e.pace.expected(0),
 			Current:  e.pace.expected(crowding(e.Slots, e.Slots)),
 			AgeMS:    (now - e.lastSample).Milliseconds(),
@@ -20,6 +20,14 @@
 	return learned
 }
 
+// handedOver is the limit that the next owner is told.
+func (l *Learner) handedOver(now time.Duration, e *endpoint) float64 {
+	if e.limit == unlimited {
+		return float64(max(1, e.Slots))
+	}
+	return max(1, e.aged(now))
+}
+
 // Restore implements Limiter.
 func (l *Learner) Restore(now time.Duration, learned []Learned) {
 	for _, known := range learned {
@@ -45,7 +53,9 @@
 	base := logSeconds(known.Base)
 	slope := min(max(0, logSeconds(known.Current)-base), mostSlope)
 	e.pace = pace{base: base, slope: slope, samples: restoredSamples, at: at}
-	e.limit = min(known.Limit, float64(e.Slots))
+	if known.Limit < float64(e.Slots) {
+		e.limit = known.Limit
+	}
 	e.lastSample, e.reachedAt = at, at
 }
 
--- a/core/concurrency/learner.go
+++ b/core/concurrency/learner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -19,9 +20,9 @@
 
 // Options are the settings of a Learner.
 type Options struct {
-	// Allowance is how many requests above an endpoint's slots may be in flight: as many
-	// as are under way in messages. The default is none.
-	Allowance int
+	// RoundTrip is the time of the messages between the end of a request and the arrival
+	// of the next one. As many requests as end in it may be in flight above the slots.
+	RoundTrip time.Duration
 	// Initial is the expected time in service while nothing is known of any endpoint.
 	// The default is 20 ms.
 	Initial time.Duration
@@ -44,7 +45,7 @@
 type endpoint struct {
 	Member
 	pace pace
-	// limit is what was learned; it ages towards the slots.
+	// limit is the learned limit, which ages; unlimited if there is none.
 	limit float64
 	// near holds the samples that were sent close to the limit, floor the times in
 	// service at up to half of it.
@@ -60,7 +61,10 @@
 	// lastSample is when the newest sample came, lastInFlight its number in flight.
 	lastSample   time.Duration
 	lastInFlight int
-	trials       schedule
+	// lower and higher are the schedules of the trials downward and upward, triedAt is the
+	// logarithm of the time in service near the limit when the last one ended.
+	lower, higher schedule
+	triedAt       float64
 	// settledAt is when the last trial ended.
 	settledAt time.Duration
 	// check is the trial that is due next, if any is.
@@ -103,20 +107,19 @@
 func newEndpoint(now time.Duration, m Member) *endpoint {
 	return &endpoint{
 		Member:     m,
-		limit:      float64(m.Slots),
+		limit:      unlimited,
 		near:       newArm(),
 		floor:      average{memory: floorMemory, most: floorSamples},
 		full:       average{memory: nearMemory, most: nearSamples},
 		reachedAt:  now,
 		lastSample: now,
-		trials:     schedule{interval: firstInterval},
 	}
 }
 
 // resize takes over the slots and the bound, which may have changed.
 func (e *endpoint) resize(m Member) {
 	if m.Slots != e.Slots {
-		e.limit = float64(m.Slots)
+		e.limit = unlimited
 		e.trial = nil
 	}
 	e.Member = m
@@ -129,7 +132,8 @@
 	if e := l.endpoints[name]; e != nil && e.pace.samples > 0 {
 		keep := decay(now-e.lastSample-idleAfter, idleMemory)
 		log += keep * beyondNoise(e.pace.base-usual.base)
-		log += keep * beyondNoise(e.pace.slope) * crowding(inFlight, e.Slots)
+		log += keep * beyondNoise(e.pace.slope) * crowding(min(inFlight, e.Slots), e.Slots)
+		log += logQueueing(inFlight, e.Slots)
 	}
 	return seconds(log)
 }
@@ -162,27 +166,49 @@
 // measure takes over the time in service. That of a request that timed out is a lower
 // bound, and all there is where every request does.
 func (l *Learner) measure(now time.Duration, e *endpoint, s Sample) {
-	logTook := logSeconds(s.Took)
 	limit := l.settled(now, e)
-	e.pace.add(now, logTook, crowding(s.InFlight, e.Slots))
+	m := e.normalise(s)
+	e.pace.add(now, m.logTook, crowding(m.running, e.Slots))
 	e.lastSample, e.lastInFlight = now, s.InFlight
 	if s.InFlight >= limit {
-		// What has aged meanwhile is the limit that this request has met.
-		e.limit, e.reachedAt = float64(limit), now
+		e.reached(now, limit)
 	}
-	e.addFloor(now, s, limit)
-	l.observe(now, e, s, logTook)
+	e.addFloor(now, m, limit)
+	l.observe(now, e, m)
+}
+
+// measured is a sample without the effect of a queue at the endpoint.
+type measured struct {
+	Sample
+	// running is how many requests the endpoint ran, as far as it has slots.
+	running int
+	// logTook is the logarithm of the time in service without waiting for a slot.
+	logTook float64
+}
+
+func (e *endpoint) normalise(s Sample) measured {
+	return measured{
+		Sample:  s,
+		running: min(s.InFlight, max(1, e.Slots)),
+		logTook: logSeconds(s.Took) - logQueueing(s.InFlight, e.Slots),
+	}
+}
+
+// logQueueing is the logarithm of the factor on the time in service where requests above the
+// slots wait for one.
+func logQueueing(inFlight, slots int) float64 {
+	return math.Log(max(1, float64(inFlight)/float64(max(1, slots))))
 }
 
 // addFloor records a request that was sent while the endpoint had little to do, and that
 // did not share it with requests sent while it had more.
-func (e *endpoint) addFloor(now time.Duration, s Sample, limit int) {
-	if s.InFlight > max(1, limit/2) {
+func (e *endpoint) addFloor(now time.Duration, m measured, limit int) {
+	if m.running > max(1, min(limit, e.Slots)/2) {
 		e.crowdedAt = now
 		return
 	}
-	if now-s.Took > e.crowdedAt {
-		e.floor.add(now, logSeconds(s.Took))
+	if now-m.Took > e.crowdedAt {
+		e.floor.add(now, m.logTook)
 	}
 }
 
