--- a/core/pool/calls_test.go
+++ b/core/pool/calls_test.go
@@ -92,12 +92,10 @@
 	for range 400 {
 		r.now += 10 * ms
 		r.Tick(r.now)
-		// Nearly all slots are used at once, so that the slow endpoint gets calls too.
+		// All slots are used, so that the slow endpoint gets calls too.
 		var grants []*sched.Grant
-		for range 8 {
-			if g := r.ask(); g != nil {
-				grants = append(grants, g)
-			}
+		for g := r.ask(); g != nil; g = r.ask() {
+			grants = append(grants, g)
 		}
 		for _, g := range grants {
 			if g.Decode == "e1" {
--- a/daemon/gateway/pools.go
+++ b/daemon/gateway/pools.go
@@ -21,7 +21,7 @@
 	calls := d.isCallPool(p)
 	var limiter concurrency.Limiter
 	if calls && d.scheduling.Load().LearnedLimits {
-		limiter = concurrency.New(concurrency.Options{Allowance: callAllowance})
+		limiter = concurrency.New(concurrency.Options{RoundTrip: callRoundTrip})
 	}
 	o := pool.Options{
 		Pool:    p,
@@ -89,10 +89,9 @@
 	})
 }
 
-// callAllowance is the number of calls above its slots that an endpoint is sent, since the
-// messages between the end of one and the arrival of the next take a part of the time of a
-// call.
-const callAllowance = 1
+// callRoundTrip is the time of the messages between the end of a call and the arrival of the
+// next one at its endpoint: the end to the owner, the grant to a daemon, and the call itself.
+const callRoundTrip = 6 * time.Millisecond
 
 // newCallScheduler creates the scheduler of a plain service's pool; limiter is nil for fixed
 // limits.
