--- a/core/pairing/calls.go
+++ b/core/pairing/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
@@ -225,3 +226,12 @@
 	err := verdict.New(verdict.NotRun, verdict.CodeUnavailable, "%s, which schedules pool %s, does not answer", owner, pool)
 	return err.WithRetryAfter(verdict.TransientRetryAfter).WithCause(ErrUndecided)
 }
+
+func (a *Requester) sortedOwners() []id.Daemon {
+	out := make([]id.Daemon, 0, len(a.owners))
+	for name := range a.owners {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
--- a/core/pairing/requester.go
+++ b/core/pairing/requester.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
-	"github.com/samphirequay/samphirequay/core/rendezvous"
 	"github.com/samphirequay/samphirequay/core/sched"
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
@@ -104,23 +103,6 @@
 // Len returns the number of requests that wait or hold a grant.
 func (a *Requester) Len() int { return len(a.entries) }
 
-// Owner returns the daemon that schedules pool.
-func (a *Requester) Owner(pool id.Pool) id.Daemon {
-	if a.opts.Local || len(a.members) == 0 {
-		return a.self.Daemon
-	}
-	return rendezvous.Owner(string(pool), a.members)
-}
-
-// NextOwner returns the daemon that would schedule pool without its owner; empty if there is
-// none.
-func (a *Requester) NextOwner(pool id.Pool) id.Daemon {
-	if a.opts.Local || len(a.members) < 2 {
-		return ""
-	}
-	return rendezvous.Ranked(string(pool), a.members)[1]
-}
-
 // Request sends a Want; patience is how long from now the request can wait for
 // capacity. The owner refuses a request that gets none in that time, so an owner
 // that does not answer is stalled or dead.
@@ -293,40 +275,6 @@
 	}
 }
 
-// SetMembers sets the live daemons. Requests of pools whose owner changed are sent
-// to the new owner: waiting ones as Wants, granted ones as Adopts.
-func (a *Requester) SetMembers(now time.Duration, members []id.Daemon) Output {
-	a.now = max(a.now, now)
-	a.members = slices.Clone(members)
-	a.forgetOwners()
-	var out Output
-	calls := 0
-	for _, r := range a.sortedRequests() {
-		e := a.entries[r]
-		if a.Owner(e.want.Pool) == e.owner {
-			continue
-		}
-		if e.isCall() && e.grant == nil {
-			a.moveCall(now, e, calls)
-			calls++
-			continue
-		}
-		out.append(a.sendToNewOwner(now, e))
-	}
-	if calls > 0 {
-		out.append(a.Tick(now))
-	}
-	return out
-}
-
-func (a *Requester) sendToNewOwner(now time.Duration, e *entry) Output {
-	if e.grant == nil {
-		return a.sendWant(now, e, a.opts.Resend)
-	}
-	e.owner = a.Owner(e.want.Pool)
-	return Output{Messages: []Message{a.adoptMessage(e)}}
-}
-
 // entryDue returns the time at which an unanswered entry is resent or times out.
 func (a *Requester) entryDue(e *entry) time.Duration {
 	if e.isCall() {
@@ -387,15 +335,6 @@
 	return out
 }
 
-func (a *Requester) sortedOwners() []id.Daemon {
-	out := make([]id.Daemon, 0, len(a.owners))
-	for name := range a.owners {
-		out = append(out, name)
-	}
-	slices.Sort(out)
-	return out
-}
-
 func (a *Requester) sortedRequests() []id.Request {
 	rs := make([]id.Request, 0, len(a.entries))
 	for r := range a.entries {
