--- a/daemon/gateway/callstates.go
+++ b/daemon/gateway/callstates.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/samphirequay/samphirequay/core/callsched"
 	"github.com/samphirequay/samphirequay/core/concurrency"
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/pool"
@@ -115,10 +116,23 @@
 		} {
 			out[string(s.Pool)+"/"+figure] = float64(value)
 		}
+		for priority, n := range n.ByPriority {
+			addAnswered(out, fmt.Sprintf("%s/priority/%d", s.Pool, priority), n)
+		}
+		for _, t := range n.ByTeam {
+			addAnswered(out, fmt.Sprintf("%s/team/%s", s.Pool, t.Team), t.Answered)
+		}
 	}
 	return out
 }
 
+// addAnswered adds the counts of calls, unless there are none.
+func addAnswered(out map[string]float64, key string, n callsched.Answered) {
+	if n.Granted+n.Refused > 0 {
+		out[key+"/granted"], out[key+"/refused"] = float64(n.Granted), float64(n.Refused)
+	}
+}
+
 // endpoints returns the figures of the endpoints, by ENDPOINT/FIGURE.
 func (c *callStates) endpoints() map[string]float64 {
 	out := map[string]float64{}
