--- a/daemon/gateway/callqueue_test.go
+++ b/daemon/gateway/callqueue_test.go
@@ -87,6 +87,20 @@
 	is.Equal(fmt.Sprint(endpointNames(found)), "[e-1]")
 }
 
+// TestAServiceOfAnotherKindGetsAnotherScheduler checks which pools a configuration changes
+// so that their schedulers no longer fit.
+func TestAServiceOfAnotherKindGetsAnotherScheduler(t *testing.T) {
+	is := is.New(t)
+	before := queueRoutes(t)
+	config := *before.Config()
+	config.Services = []route.Service{{Name: "desk", Engine: &route.Engine{Slots: 8, KVTokens: 1000}}, {Name: "reader", Engine: &route.Engine{Slots: 4, KVTokens: 1000}}, {Name: "new"}}
+	now, err := route.NewTable(config)
+	is.NoErr(err)
+	is.Equal(otherKind(before, now), []id.Pool{"desk"})
+	is.Equal(otherKind(before, before), nil)
+	is.Equal(otherKind(nil, now), nil)
+}
+
 func endpointNames(endpoints []*live.Endpoint) []id.Endpoint {
 	var out []id.Endpoint
 	for _, e := range endpoints {
--- a/daemon/gateway/tables.go
+++ b/daemon/gateway/tables.go
@@ -203,7 +203,7 @@
 	d.forwarder.Configure(entries)
 	d.origins.Observe(listedVersions(entries))
 	if f := d.fleet.Load(); f != nil {
-		f.broker.SetDocument(document(k.routes, entries, d.callQueue()))
+		d.setDocument(f, old.Routes, entries)
 		if old.Routes != k.routes {
 			f.quotas.SetKey(keeperKey(k.routes))
 		}
