Try an endpoint again that one daemon could not reach

A failed connection of one daemon took an endpoint of a plain service from all daemons until the owner's own check found it healthy. That never comes if the service has no health path, or if the owner is the one that doesn't reach it: after one failed connection to each endpoint the service was gone. Now the hold counts; after it the endpoint gets one call at a time until one reaches it. The check is still asked for, and ends the hold at once if it succeeds. A failed connection no longer counts as an end at a silent endpoint.

Weighed: only asking other daemons to check as well, which does nothing without a health path. Pools of engines are as before.

--- a/core/callsched/endpoint.go
+++ b/core/callsched/endpoint.go
@@ -34,6 +34,9 @@
 	// fullUntil and unreachableUntil are when the endpoint may get calls again after a
 	// refusal or a failed connection.
 	fullUntil, unreachableUntil time.Duration
+	// unreached is set once a connection has failed, until a call or a report shows that
+	// the endpoint is reached.
+	unreached bool
 	// inFlight counts the grants in use.
 	inFlight int
 	// lapses counts the leases that have lapsed since a call last ended here.
@@ -55,7 +58,7 @@
 	e.down = !r.Reachable
 	if r.Reachable {
 		e.drained = r.Leaving
-		e.unreachableUntil = 0
+		e.unreachableUntil, e.unreached = 0, false
 	}
 }
 
@@ -65,13 +68,16 @@
 		e.fullUntil = now + fullHold
 	}
 	if p.Unreachable || p.Crashed {
-		e.unreachableUntil = now + unreachableHold
+		e.unreachableUntil, e.unreached = now+unreachableHold, true
 	}
 	if p.Leaving {
 		e.leaving = true
 	}
 }
 
+// ended applies that a call reached the endpoint and ended.
+func (e *endpoint) ended() { e.lapses, e.unreached = 0, false }
+
 // silent reports whether the endpoint takes calls without ending any.
 func (e *endpoint) silent() bool { return e.lapses >= silentAfter }
 
@@ -83,10 +89,10 @@
 	return l.options.Health == nil || l.options.Health.Allowed(e.name)
 }
 
-// limit returns how many calls may be in flight at an endpoint. A silent one gets single
-// calls, by which it can show that it works again.
+// limit returns how many calls may be in flight at an endpoint. One that is silent or was not
+// reached gets single calls, by which it can show that it works again.
 func (l *Ledger) limit(e *endpoint) int {
-	if e.silent() {
+	if e.silent() || e.unreached {
 		return 1
 	}
 	return max(1, l.limiter.Limit(l.now, e.name))
--- a/core/callsched/grant.go
+++ b/core/callsched/grant.go
@@ -167,8 +167,9 @@
 	l.limiter.Record(l.now, concurrency.Sample{
 		Endpoint: e.name, Took: p.ServiceTime, InFlight: g.inFlight, Outcome: outcome,
 	})
-	if outcome == concurrency.Completed || outcome == concurrency.Refused || outcome == concurrency.Failed {
-		e.lapses = 0
+	reached := outcome == concurrency.Completed || outcome == concurrency.Refused || outcome == concurrency.Failed
+	if reached && !p.Unreachable {
+		e.ended()
 	}
 	if outcome != concurrency.Completed {
 		return
--- a/core/pool/calls_test.go
+++ b/core/pool/calls_test.go
@@ -172,3 +172,20 @@
 	}
 	r.is.Equal(r.Status(r.now).Tracked, 0)
 }
+
+// TestAnEndpointThatOneDaemonMissedServesAgain checks a connection of one daemon that fails,
+// at an endpoint of which no report comes: its service has no health path, or the owner does
+// not reach it. Calls are tried there again after a moment, one at a time until one ends.
+func TestAnEndpointThatOneDaemonMissedServesAgain(t *testing.T) {
+	r := newCallRig(t, 1)
+	r.end(r.grant(), sched.Progress{Phase: sched.PhaseDone, ServiceTime: 20 * ms})
+	r.end(r.grant(), sched.Progress{Phase: sched.PhaseFailed, Endpoint: "e0", Unreachable: true, ServiceTime: 3 * ms})
+	r.is.True(r.ask() == nil)
+	r.now += time.Second
+	r.Tick(r.now)
+	tried := r.grant()
+	r.is.True(r.ask() == nil)
+	r.end(tried, sched.Progress{Phase: sched.PhaseDone, ServiceTime: 20 * ms})
+	r.grant()
+	r.grant()
+}
--- a/core/pool/progress.go
+++ b/core/pool/progress.go
@@ -169,9 +169,13 @@
 }
 
 // markUnreachable stops new work at an endpoint that accepted no connection, until
-// a report shows that it is reachable again, and requests a report at once.
+// a report shows that it is reachable again, and requests a report at once. The scheduler of
+// calls holds the endpoint for a moment by itself: if the service has no health path, or this
+// daemon doesn't reach the endpoint either, no report comes.
 func (m *Manager) markUnreachable(now time.Duration, e id.Endpoint) {
-	m.newlyUnreachable = append(m.newlyUnreachable, e)
+	if !m.opts.Calls {
+		m.newlyUnreachable = append(m.newlyUnreachable, e)
+	}
 	if m.opts.Events.Probe != nil {
 		m.opts.Events.Probe(e)
 	}
