Answer a call whose pool is not configured at its owner

Each call then waited for its first answer in vain, and its daemon took the owner for dead: the calls that waited in the owner's other queues chose endpoints themselves. That is so while a switch or a new service reaches the daemons one after another, and when the queue is switched off while calls wait. Now the Want is refused as unknown, and the call's daemon chooses at once. Wants of streams are dropped as before: their daemons send them again.

The new test fails without the change. go test -race ./daemon/broker ./core/pairing ./daemon/forward passes.

--- a/daemon/broker/calls_test.go
+++ b/daemon/broker/calls_test.go
@@ -14,6 +14,7 @@
 	"github.com/samphirequay/samphirequay/core/poison"
 	"github.com/samphirequay/samphirequay/core/pool"
 	"github.com/samphirequay/samphirequay/core/sched"
+	"github.com/samphirequay/samphirequay/core/verdict"
 	"github.com/samphirequay/samphirequay/daemon/metrics"
 )
 
@@ -153,3 +154,23 @@
 		Request: r, Reservation: reservation, Phase: sched.PhaseDone, ServiceTime: 70 * time.Millisecond,
 	}}
 }
+
+// TestACallOfAPoolThatIsNotConfiguredIsAnsweredAtOnce checks an owner that does not queue the
+// calls of a service, or does not know it yet: the calls' daemons choose endpoints themselves
+// at once and don't take the owner of their other pools for dead.
+func TestACallOfAPoolThatIsNotConfiguredIsAnsweredAtOnce(t *testing.T) {
+	is := is.New(t)
+	b, sent := newCallBroker(t, "a", "b")
+	w := callWant("1", "b")
+	w.Pool = "elsewhere"
+	b.handle(time.Second, "b", &Envelope{Want: w})
+	answers := sent.take()
+	is.Equal(len(answers), 1)
+	is.Equal(answers[0].Refusal.Request, w.Request)
+	is.Equal(answers[0].Refusal.Code, verdict.CodeUnknownService)
+
+	stream := callWant("2", "b")
+	stream.Pool, stream.AnswerIn = "elsewhere", 0
+	b.handle(time.Second, "b", &Envelope{Want: stream})
+	is.Equal(len(sent.take()), 0) // its daemon sends it again
+}
--- a/daemon/broker/deliver.go
+++ b/daemon/broker/deliver.go
@@ -7,6 +7,7 @@
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/pairing"
 	"github.com/samphirequay/samphirequay/core/sched"
+	"github.com/samphirequay/samphirequay/core/verdict"
 )
 
 // output delivers the requester's answers and bindings, and sends its messages.
@@ -79,10 +80,12 @@
 }
 
 // handle processes an envelope from this or another daemon. An envelope about a pool
-// that is not configured here is dropped: its sender resends it.
+// that is not configured here is dropped: its sender resends it. Only plain calls are answered,
+// since they can't wait for that.
 func (b *Broker) handle(now time.Duration, from id.Daemon, e *Envelope) {
 	if p, ok := e.pool(); ok && !b.configured[p] {
 		b.unknownPools.Inc()
+		b.refuseUnknown(now, e.Want)
 		return
 	}
 	if e.answers() {
@@ -126,6 +129,17 @@
 	}
 }
 
+// refuseUnknown refuses the Want of a plain call, if it is one, whose pool is not configured
+// here: its daemon then chooses the endpoint itself. Without an answer it would take this
+// daemon for dead, and with it the queues of its other pools.
+func (b *Broker) refuseUnknown(now time.Duration, w *sched.Want) {
+	if w == nil || w.AnswerIn <= 0 {
+		return
+	}
+	refusal := &sched.Refusal{Request: w.Request, Code: verdict.CodeUnknownService, Reason: "its calls are not queued here"}
+	b.sendTo(now, w.From.Daemon, &Envelope{Refusal: refusal})
+}
+
 // answered reports whether one of the actions answers a request's Want.
 func answered(r id.Request, actions []sched.Action) bool {
 	return slices.ContainsFunc(actions, func(a sched.Action) bool {
