Don't refuse a late call for those behind it

The check of waiting late calls counted the work of the whole queue for each of them, also of the calls behind it. The first late call, whose patience ends first, was refused after its wait although it was the next to be granted. Each is now forecast with the work before it, which also makes the check linear in the length of the queue.

--- a/core/callsched/dispatch.go
+++ b/core/callsched/dispatch.go
@@ -74,18 +74,20 @@
 
 // refuseOvertaken refuses the waiting calls that no endpoint serves any more, and the late
 // ones that are no longer forecast to be granted within their patience: the last one in the
-// order first, which leaves more room to those before it.
+// order first, which leaves more room to those before it. Each waits only for those before it.
 func (l *Ledger) refuseOvertaken(actions []sched.Action) []sched.Action {
+	queued := l.queuedWork()
 	for i := len(l.queue) - 1; i >= 0; i-- {
 		w := l.queue[i]
 		switch {
 		case !l.servable(w):
 			l.unqueue(w)
 			actions = append(actions, l.refuse(w, causeNoEndpoint, l.retryAfter(w, unknownWait))...)
-		case w.late && !l.worthWaiting(w, 1):
+		case w.late && !l.worthWaiting(w, queued, 1):
 			l.unqueue(w)
-			actions = append(actions, l.refuse(w, causeOvertaken, l.retryAfter(w, l.waitLate(w)))...)
+			actions = append(actions, l.refuse(w, causeOvertaken, l.retryAfter(w, l.waitLate(w, queued)))...)
 		}
+		queued -= w.Cost()
 	}
 	return actions
 }
--- a/core/callsched/forecast.go
+++ b/core/callsched/forecast.go
@@ -78,18 +78,23 @@
 }
 
 // waitLate forecasts the wait of a late call: behind all that can be in time, those that
-// still arrive included, and the late ones before it. Refused calls count as arriving:
-// while there are any, they have the better claim to a place.
-func (l *Ledger) waitLate(w *waiting) time.Duration {
-	a := ahead{queued: w.Cost(), perCall: w.Cost(), higher: l.offered.at(l.now)}
-	for _, other := range l.queue {
-		if other != w {
-			a.queued += other.Cost()
-		}
-	}
+// still arrive included, and the late ones before it. queued is the work of the waiting calls
+// before it and of the call itself, in seconds of time in service. Refused calls count as
+// arriving: while there are any, they have the better claim to a place.
+func (l *Ledger) waitLate(w *waiting, queued float64) time.Duration {
+	a := ahead{queued: queued, perCall: w.Cost(), higher: l.offered.at(l.now)}
 	return a.wait(l.capacity().places)
 }
 
+// queuedWork returns the work of all waiting calls, in seconds of time in service.
+func (l *Ledger) queuedWork() float64 {
+	work := 0.0
+	for _, w := range l.queue {
+		work += w.Cost()
+	}
+	return work
+}
+
 // goesBefore reports whether a queued call is served before a new one, if both are in time.
 func goesBefore(queued, w *waiting, shared bool) bool {
 	if queued.want.Priority != w.want.Priority {
--- a/core/callsched/forecast_test.go
+++ b/core/callsched/forecast_test.go
@@ -202,3 +202,32 @@
 	f.end(start+ms, running[0])
 	is.Equal(f.Stats().Forecasts, Forecasts{Refused: 1, InVain: 1, InTime: 1})
 }
+
+// TestTheFirstLateCallIsNotRefusedForThoseBehindIt: several late calls wait. The first one,
+// whose patience ends first, is the next to be granted, however many wait behind it.
+func TestTheFirstLateCallIsNotRefusedForThoseBehindIt(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, document(1))
+	now := start + 2*time.Second // the load of the calls that follow counts alone
+	running := f.fill(now)
+	hold := func(until time.Duration) { // the calls under way take long, and nothing else comes
+		for ; now < until; now += 5 * ms {
+			for _, g := range running {
+				is.Equal(len(f.Progress(now, sched.Progress{Request: g.Request, Reservation: g.Reservation, Phase: sched.PhaseDecoding})), 0)
+			}
+			is.Equal(len(f.Tick(now)), 0)
+		}
+	}
+	ends := now + 800*ms
+	for n := range 4 {
+		hold(now + 100*ms)
+		late := want(fmt.Sprintf("late-%d", n))
+		late.Target, late.Patience, late.Lifetime = 20*ms, 4*time.Second, 5*time.Second
+		if n == 0 {
+			late.Patience = ends + 60*ms - now
+		}
+		is.Equal(len(f.Want(now, late)), 0)
+	}
+	hold(ends)
+	is.Equal(f.granted(f.end(ends, running[0])).Request, id.Request("late-0"))
+}
--- a/core/callsched/want.go
+++ b/core/callsched/want.go
@@ -68,7 +68,7 @@
 		return l.refuse(w, causeQueueFull, l.retryAfter(w, wait))
 	case l.now+time.Duration(waitMargin*float64(wait)) <= w.safeStart(l.capacity().perCall):
 		l.promise(w)
-	case l.worthWaiting(w, lateMargin):
+	case l.worthWaiting(w, l.queuedWork()+w.Cost(), lateMargin):
 		w.late = true
 	default:
 		l.forecasts.refused(l.now, min(wait, w.patience-l.now))
@@ -96,9 +96,9 @@
 }
 
 // worthWaiting reports whether a late call is forecast to be granted within its patience,
-// with a margin, and answered within its lifetime.
-func (l *Ledger) worthWaiting(w *waiting, margin float64) bool {
-	wait := time.Duration(margin * float64(l.waitLate(w)))
+// with a margin, and answered within its lifetime; queued is as for waitLate.
+func (l *Ledger) worthWaiting(w *waiting, queued, margin float64) bool {
+	wait := time.Duration(margin * float64(l.waitLate(w, queued)))
 	return l.now+wait <= w.patience && l.now+wait+w.cost+messageTime <= w.lifetime
 }
 
