Don't count an endpoint that one daemon can't reach as losing answers

The limiter took each failed connection for a lost answer. One daemon that is cut off from an endpoint made it a suspect with learned limits, which then got one call at a time from all daemons. The detector of the pool doesn't count failed connections either.

--- a/core/callsched/grant.go
+++ b/core/callsched/grant.go
@@ -167,8 +167,7 @@
 	l.limiter.Record(l.now, concurrency.Sample{
 		Endpoint: e.name, Took: p.ServiceTime, InFlight: g.inFlight, Outcome: outcome,
 	})
-	reached := outcome == concurrency.Completed || outcome == concurrency.Refused || outcome == concurrency.Failed
-	if reached && !p.Unreachable {
+	if outcome == concurrency.Completed || outcome == concurrency.Refused || outcome == concurrency.Failed {
 		e.ended()
 	}
 	if outcome != concurrency.Completed {
@@ -181,12 +180,13 @@
 }
 
 // outcomeOf translates the end of a call for the limiter. A failure that no endpoint has
-// caused, or a call without a time, says nothing about the endpoint.
+// caused, a call without a time, or a daemon that doesn't reach the endpoint, says nothing
+// about the endpoint.
 func outcomeOf(p *sched.Progress) concurrency.Outcome {
 	switch {
 	case p.Phase == sched.PhaseDone && p.ServiceTime > 0:
 		return concurrency.Completed
-	case p.Phase != sched.PhaseFailed || p.Endpoint == "" || p.Leaving:
+	case p.Phase != sched.PhaseFailed || p.Endpoint == "" || p.Leaving || p.Unreachable:
 		return concurrency.Unknown
 	case p.Full:
 		return concurrency.Refused
