Put avoid_lossy in force for calls at SIGHUP

The settings say that switches of calls are applied at once, but the schedulers of plain services were only created anew for changed limits, and the log line left the switch out. The test of reloads now also changes avoid_lossy alone and expects another scheduler; it fails without the change. go test -race -run 'CallQueue|Switched' ./platform passes.

--- a/daemon/gateway/reload.go
+++ b/daemon/gateway/reload.go
@@ -26,10 +26,11 @@
 		return
 	}
 	d.logger.Event("scheduling_changed", "call_queue", now.CallQueue, "learned_limits", now.LearnedLimits,
-		"forecast_refusal", now.ForecastRefusal, "urgent_reserve", now.UrgentReserve,
-		"engines_at_next_owner", before.ForecastRefusal != now.ForecastRefusal || before.UrgentReserve != now.UrgentReserve)
-	if before.LearnedLimits != now.LearnedLimits && before.CallQueue && now.CallQueue {
-		// Without their pools, the schedulers that were created with the former limits end.
+		"forecast_refusal", now.ForecastRefusal, "urgent_reserve", now.UrgentReserve, "avoid_lossy", now.AvoidLossy,
+		"engines_at_next_owner", before.ForecastRefusal != now.ForecastRefusal || before.UrgentReserve != now.UrgentReserve || before.AvoidLossy != now.AvoidLossy)
+	callsDiffer := before.LearnedLimits != now.LearnedLimits || before.AvoidLossy != now.AvoidLossy
+	if callsDiffer && before.CallQueue && now.CallQueue {
+		// Without their pools, the schedulers that were created with the former switches end.
 		d.scheduling.Store(&Scheduling{})
 		d.publish()
 	}
