Judge an owner's silence when it is due

Whether an owner's answer is overdue was looked at only when some request was due. After a single lost Want the mark stayed, and the next call, however much later, found the owner overdue at once: an owner that had had no time to answer counted as silent, and all calls that waited in its queue chose endpoints themselves. The time is now due by itself.

Weighed: starting the time anew with the next Want. Under a steady load it would begin again and again, and silence would never show.

The new test fails without the change. go test -race ./core/pairing ./daemon/broker passes.

--- a/core/pairing/calls.go
+++ b/core/pairing/calls.go
@@ -118,6 +118,7 @@
 	o := a.watch(e.owner)
 	if o.dueAt == 0 {
 		o.dueAt, o.grace = now+silenceFactor*e.want.AnswerIn, e.want.AnswerIn
+		a.due = min(a.due, o.dueAt)
 	}
 }
 
@@ -152,11 +153,16 @@
 	var out Output
 	for _, name := range a.sortedOwners() {
 		o := a.owners[name]
-		if o.dueAt == 0 || now < o.dueAt {
+		if o.dueAt == 0 {
+			continue
+		}
+		if now < o.dueAt {
+			a.due = min(a.due, o.dueAt)
 			continue
 		}
 		if stalled && o.grace > 0 {
 			o.dueAt, o.grace = now+o.grace, 0
+			a.due = min(a.due, o.dueAt)
 			continue
 		}
 		o.dueAt = 0
--- a/core/pairing/calls_test.go
+++ b/core/pairing/calls_test.go
@@ -175,3 +175,19 @@
 	is.Equal(out.Messages[0].Adopt.Phase, sched.PhaseDecoding)
 	is.Equal(out.Messages[0].Adopt.Grant.Reservation, uint64(4))
 }
+
+// TestALostWantIsNoSilenceLater checks a single call whose Want was lost, long before the
+// next one: the owner is given its time for the new call before it counts as silent.
+func TestALostWantIsNoSilenceLater(t *testing.T) {
+	is := is.New(t)
+	a := newCallRequester(is, 1)
+	run(a, time.Second)
+	is.Equal(a.Len(), 0) // its daemon chose
+
+	now := 10 * time.Second
+	stream := want("stream") // due now and then, whatever the calls are
+	a.Request(now-DefaultResend, stream, patience)
+	is.Equal(len(a.Request(now-ms, call("later"), patience).Messages), 1)
+	out := a.Tick(now)
+	is.Equal(len(out.Owners), 0)
+}
--- a/core/pairing/requester.go
+++ b/core/pairing/requester.go
@@ -77,7 +77,7 @@
 	owners map[id.Daemon]*ownerWatch
 	// now is the time of the newest event.
 	now time.Duration
-	// due is at or before the earliest time at which an entry is due.
+	// due is at or before the earliest time at which an entry, or the answer of an owner, is due.
 	due time.Duration
 }
 
