Choose an endpoint itself where the owner grants only unknown ones

After four grants that this daemon couldn't use, a call was refused though endpoints that it knows had room. Five endpoints that start together are enough: the owner prefers the empty ones, and a daemon learns of them some hundred milliseconds after it. Such a call is now chosen for within the daemon's part, like one whose owner has another configuration.

A caller that leaves while its call waits for that part was refused as overloaded and counted as such; it counts as gone now.

--- a/daemon/forward/callfallback.go
+++ b/daemon/forward/callfallback.go
@@ -22,6 +22,9 @@
 	t.fallbacks++
 	share := f.shareOf(service)
 	if !c.beginFallback(share) {
+		if err := ended(c.ctx, "this daemon's part of the service"); err != nil {
+			return chosen{}, err
+		}
 		f.stats.callFallbacks.Add(string(service)+"/refused", 1)
 		f.Log.Event("call_fallback_refused", "request", c.request.ID, "service", service, "share", share)
 		t.reason = reasonFallbackFull
--- a/daemon/forward/callqueue.go
+++ b/daemon/forward/callqueue.go
@@ -28,7 +28,8 @@
 	minAnswerIn = 40 * time.Millisecond
 	maxAnswerIn = 250 * time.Millisecond
 	// maxGivenBack bounds the grants that one attempt gives back: an owner that grants so
-	// many endpoints which this daemon can't use knows another registry.
+	// many endpoints which this daemon can't use knows another registry, and this daemon
+	// chooses among those that it knows.
 	maxGivenBack = 4
 )
 
@@ -78,8 +79,7 @@
 		c.giveBack(&grant, why)
 		avoid = append(avoid, grant.Decode)
 	}
-	return chosen{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "service %s was granted no endpoint that this daemon may use", c.service.Name).
-		WithRetryAfter(callRetryAfter)
+	return c.chooseInstead()
 }
 
 // pair sends a Want to the pool's owner and waits for its decision.
--- a/daemon/forward/limits.go
+++ b/daemon/forward/limits.go
@@ -225,10 +225,19 @@
 	case <-timer.C:
 		return nil
 	case <-ctx.Done():
-		code := verdict.CodeCallerGone
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			code = verdict.CodeDeadline
-		}
-		return verdict.New(verdict.NotRun, code, "the request waited for an endpoint's rate limit or backoff")
+		return ended(ctx, "an endpoint's rate limit or backoff")
+	}
+}
+
+// ended returns the error of a request that has not run and whose time has ended, or whose
+// caller has left, while it waited for something; nil if neither is so.
+func ended(ctx context.Context, waitedFor string) *verdict.Error {
+	switch {
+	case ctx.Err() == nil:
+		return nil
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return verdict.New(verdict.NotRun, verdict.CodeDeadline, "the request waited for %s", waitedFor)
+	default:
+		return verdict.New(verdict.NotRun, verdict.CodeCallerGone, "the request waited for %s", waitedFor)
 	}
 }
