Name the cause of each refusal of a stream that waited

A request behind one that nothing may bypass is not tried by any scan. Its refusal at the end of its patience said "no room in time: " and nothing more. It now names what the request at which the scan stopped waits for, or that the owner has just started.

Not behind a switch: only the text of a refusal changes.

--- a/core/kvsched/grant.go
+++ b/core/kvsched/grant.go
@@ -16,6 +16,8 @@
 	causeNoMemory        = "no decode engine has memory"
 	causeNoEngine        = "no engine can be used"
 	causeLate            = "late requests wait until the pool has room to spare"
+	causeSettling        = "the pool's owner has just started"
+	causeUntried         = "its patience ended before it was tried"
 )
 
 // grantWaiting scans the queue and grants the requests that can be granted.
@@ -32,6 +34,7 @@
 			actions = append(actions, *action)
 		}
 		if !passable {
+			l.scan.stoppedBy = w.blocked
 			break
 		}
 	}
--- a/core/kvsched/scan.go
+++ b/core/kvsched/scan.go
@@ -13,6 +13,9 @@
 	// byFreeShare caches the decoding engines sorted by free memory; empty
 	// until computed.
 	byFreeShare []*endpoint
+	// stoppedBy is the cause for which the last scan tried no more requests; empty if it
+	// tried all.
+	stoppedBy string
 }
 
 // begin starts a scan.
@@ -20,6 +23,7 @@
 	k.queue = append(k.queue[:0], queue...)
 	k.tooLarge = k.tooLarge[:0]
 	k.byFreeShare = k.byFreeShare[:0]
+	k.stoppedBy = ""
 }
 
 // fitsNowhere reports whether a footprint is known to fit on no engine.
--- a/core/kvsched/want.go
+++ b/core/kvsched/want.go
@@ -163,6 +163,21 @@
 	return []sched.Action{{To: w.From, Refusal: refusal}}
 }
 
+// causeOf returns the cause for which a waiting request was not granted. One that no scan has
+// tried waits for those before it.
+func (l *Ledger) causeOf(w *waiting) string {
+	switch {
+	case w.blocked != "":
+		return w.blocked
+	case l.now < l.settled:
+		return causeSettling
+	case l.scan.stoppedBy != "":
+		return "those before it wait: " + l.scan.stoppedBy
+	default:
+		return causeUntried
+	}
+}
+
 // refuseExpired refuses the requests whose patience has expired.
 func (l *Ledger) refuseExpired(actions []sched.Action) []sched.Action {
 	kept := l.queue[:0]
@@ -173,7 +188,7 @@
 		}
 		delete(l.waiting, w.want.Request)
 		after := jitter(l.releaseRate.retryAfter(l.now, l.backlog()), w.want.Request)
-		actions = append(actions, l.refuse(w.want, verdict.CodeOverloaded, after, "no room in time: "+w.blocked)...)
+		actions = append(actions, l.refuse(w.want, verdict.CodeOverloaded, after, "no room in time: "+l.causeOf(w))...)
 	}
 	clear(l.queue[len(kept):])
 	l.queue = kept
