Let the replay of loads tell kinds of request apart

Kinds differ in priority, target and worth. Results count each kind, the worth earned, and the refusals after a wait of over an eighth of the target.

Loads without kinds draw the same random numbers as before.

--- a/core/overload/load.go
+++ b/core/overload/load.go
@@ -33,6 +33,20 @@
 	// GuessError is the standard deviation of the logarithm of a guess relative
 	// to the actual size.
 	GuessError float64
+	// Kinds are the kinds of request, drawn by their shares; empty for one kind with the
+	// callers' target.
+	Kinds []Kind
+}
+
+// Kind is one kind of request.
+type Kind struct {
+	// Share is the kind's share of the arrivals; the shares sum to 1.
+	Share    float64
+	Priority int
+	// Target is the time until the first event is due.
+	Target time.Duration
+	// Worth is what an answer in time of mean size is worth, LateWorth what a late one is.
+	Worth, LateWorth float64
 }
 
 // arrival is one caller's request.
@@ -40,6 +54,8 @@
 	at             time.Duration
 	prompt, output int
 	guess          int
+	// kind is the index of the request's kind; 0 without kinds.
+	kind int
 }
 
 // arrivals draws random arrivals of a load.
@@ -50,11 +66,27 @@
 		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
 		a := arrival{at: at, prompt: l.size(rng, l.Prompt), output: l.size(rng, l.Output)}
 		a.guess = max(1, int(float64(a.output)*math.Exp(l.GuessError*rng.NormFloat64())))
+		a.kind = l.drawKind(rng)
 		out = append(out, a)
 	}
 	return out
 }
 
+// drawKind draws the kind of an arrival.
+func (l *Load) drawKind(rng *rand.Rand) int {
+	if len(l.Kinds) == 0 {
+		return 0
+	}
+	at := rng.Float64()
+	for i, k := range l.Kinds {
+		at -= k.Share
+		if at < 0 {
+			return i
+		}
+	}
+	return len(l.Kinds) - 1
+}
+
 // rate returns the arrivals a second at a time.
 func (l *Load) rate(at time.Duration) float64 {
 	rate := l.PerSecond
--- a/core/overload/result.go
+++ b/core/overload/result.go
@@ -8,6 +8,9 @@
 // atOnceLimit is the time within which a refusal counts as immediate.
 const atOnceLimit = 120 * time.Millisecond
 
+// longWaitShare is the share of its target after which a refused request has waited long.
+const longWaitShare = 1.0 / 8
+
 // outcome is the outcome of a caller's request.
 type outcome int
 
@@ -27,6 +30,8 @@
 	Retried, RefusedAgain int
 	// Refusals counts all refusals, ImmediateRefusals those within 120 ms.
 	Refusals, ImmediateRefusals int
+	// LongRefusals counts the refusals after a wait of over an eighth of the target.
+	LongRefusals int
 	// RefusedPermanently counts the callers that were refused with a code that
 	// rules out a retry.
 	RefusedPermanently int
@@ -40,6 +45,47 @@
 	LargestShare, LargeShare float64
 	// Seconds holds the requests by the second of their arrival.
 	Seconds []Second
+	// Kinds holds the requests by their kind.
+	Kinds []KindResult
+}
+
+// KindResult counts the requests of one kind.
+type KindResult struct {
+	Requests, InTime, Late int
+	// Owed is the worth of all answers if in time, Earned that of the answers given. The
+	// worth of an answer grows with its size.
+	Owed, Earned float64
+}
+
+// Served is the share of the kind's requests that were answered.
+func (k *KindResult) Served() float64 { return share(k.InTime+k.Late, k.Requests) }
+
+// Worth is the share of the owed worth that was earned.
+func (r *Result) Worth() float64 {
+	owed, earned := 0.0, 0.0
+	for _, k := range r.Kinds {
+		owed += k.Owed
+		earned += k.Earned
+	}
+	return earned / max(owed, 1e-9)
+}
+
+// fixedWorth is the share of an answer's worth that does not depend on its size.
+const fixedWorth = 0.3
+
+// add counts a request of the kind.
+func (k *KindResult) add(kind Kind, o outcome, size float64) {
+	factor := fixedWorth + (1-fixedWorth)*size
+	k.Requests++
+	k.Owed += kind.Worth * factor
+	switch o {
+	case inTime:
+		k.InTime++
+		k.Earned += kind.Worth * factor
+	case late:
+		k.Late++
+		k.Earned += kind.LateWorth * factor
+	}
 }
 
 // Second counts the requests that arrived in one second.
@@ -80,6 +126,8 @@
 // result sums up the outcomes of the callers.
 func (w *simulation) result() *Result {
 	r := &Result{Requests: len(w.callers), RefusedPermanently: w.refusedPermanently, WastedTokens: w.wastedTokens, Preempted: w.preempted}
+	r.LongRefusals = w.longRefusals
+	r.Kinds = make([]KindResult, max(1, len(w.Load.Kinds)))
 	for _, c := range w.callers {
 		second := int(c.arrived / time.Second)
 		for len(r.Seconds) <= second {
@@ -87,6 +135,8 @@
 		}
 		s := &r.Seconds[second]
 		s.Requests++
+		size := float64(c.prompt+c.output) / (w.Load.Prompt + w.Load.Output)
+		r.Kinds[c.kind].add(w.kind(c), c.outcome, size)
 		switch c.outcome {
 		case inTime:
 			r.InTime++
--- a/core/overload/simulation.go
+++ b/core/overload/simulation.go
@@ -76,7 +76,9 @@
 	// rules out a retry.
 	refusedPermanently int
 	wastedTokens       int
-	preempted          int
+	// longRefusals counts the refusals after a long wait.
+	longRefusals int
+	preempted    int
 }
 
 // Run replays the load with the given seed.
@@ -163,14 +165,22 @@
 	w.schedule(w.now+w.Callers.Patience, func() { w.abandon(c, attempt) })
 	want := sched.Want{
 		Request: c.attempt, Team: teamName, Service: serviceName, Pool: poolName, From: process,
-		PromptTokens: c.prompt, OutputTokens: c.guess, Priority: 5, Attempt: 1,
-		Target: w.Callers.Target, Patience: w.Callers.Patience - 500*time.Millisecond, Lifetime: w.Callers.Deadline,
+		PromptTokens: c.prompt, OutputTokens: c.guess, Priority: w.kind(c).Priority, Attempt: 1,
+		Target: w.kind(c).Target, Content: uint64(c.number + 1), Patience: w.Callers.Patience - 500*time.Millisecond, Lifetime: w.Callers.Deadline,
 		Pause: w.Callers.Pause,
 	}
 	c.requester = pairing.New(process, pairing.Options{Local: true})
 	w.send(c, c.requester.Request(w.now, want, want.Patience))
 }
 
+// kind returns the kind of a caller's request.
+func (w *simulation) kind(c *caller) Kind {
+	if len(w.Load.Kinds) == 0 {
+		return Kind{Share: 1, Priority: 5, Target: w.Callers.Target, Worth: 1}
+	}
+	return w.Load.Kinds[c.kind]
+}
+
 // send delivers the output of a caller's requester and schedules the
 // requester's next tick, so that an unanswered Want is repeated.
 func (w *simulation) send(c *caller, out pairing.Output) {
@@ -259,7 +269,11 @@
 	if c == nil || c.attempt != r.Request || c.outcome != unserved {
 		return
 	}
-	w.refusalWaits = append(w.refusalWaits, w.now-c.attemptAt)
+	waited := w.now - c.attemptAt
+	w.refusalWaits = append(w.refusalWaits, waited)
+	if float64(waited) > longWaitShare*float64(w.kind(c).Target) {
+		w.longRefusals++
+	}
 	c.refusals++
 	if r.Code == verdict.CodeTooLarge {
 		w.refusedPermanently++
@@ -283,7 +297,7 @@
 // firstEvent records the first event of a caller's answer.
 func (w *simulation) firstEvent(c *caller) {
 	c.outcome = late
-	if w.now-warmup-c.arrived <= w.Callers.Target {
+	if w.now-warmup-c.arrived <= w.kind(c).Target {
 		c.outcome = inTime
 	}
 }
