Refuse streams by a forecast of free memory, and serve the urgent first

Behind forecast_refusal: after each scan the queue is reviewed against a forecast of when memory and prefill engines become free, made from the answers in progress. A request that would get room only beyond its target is refused within 100 ms, or a tenth of its target, with a cause (memory, prefill, queue, engines) and an appointment to come back. One that the forecast lets wait keeps its turn; it is refused only if engines are lost. Late ones wait only where room is left over beside all that is expected to arrive. A caller that comes at its appointment keeps the place of its first arrival. Admission() counts the forecast's errors both ways and what became of the appointments.

Behind urgent_reserve: within one priority, the shorter target goes first, and room is kept for the most urgent, as much as arrives of them while none becomes free.

--- a/core/kvsched/admission.go
+++ b/core/kvsched/admission.go
@@ -15,7 +15,7 @@
 // The caller learns of the refusal within milliseconds and can retry after the
 // burst. No engine is left idle by it, since other requests wait.
 func (l *Ledger) refuseAtArrival(w *waiting) []sched.Action {
-	if !l.enabled(ArrivalRefusal) || l.memoryForLate() {
+	if l.options.ForecastRefusal || !l.enabled(ArrivalRefusal) || l.memoryForLate() {
 		return nil
 	}
 	wait, ok := l.serviceRate.predictWait(l.now, l.tokensAhead(w))
@@ -33,7 +33,7 @@
 	shared := l.sharesByTeam()
 	if shared {
 		queue := append(slices.Clone(l.queue), w)
-		byAge(queue)
+		l.byAge(queue)
 		l.fairQueue.assignStartTags(queue)
 	}
 	ahead := w.tokens
--- a/core/kvsched/endpoint.go
+++ b/core/kvsched/endpoint.go
@@ -44,6 +44,8 @@
 	// decode engine.
 	localPrefillUntil time.Duration
 
+	// given is the memory that the requests of decodes hold at their ends.
+	given int
 	// decodes are the requests whose memory is, or will be, on this engine.
 	decodes []*reservation
 	// footprints are the memory footprints of decodes at footprintsAt, largest
@@ -144,6 +146,7 @@
 // addDecode adds a request to those on this engine.
 func (e *endpoint) addDecode(r *reservation) {
 	e.decodes = append(e.decodes, r)
+	e.given += r.tokens
 	e.footprintsStale = true
 }
 
@@ -151,6 +154,7 @@
 func (e *endpoint) removeDecode(r *reservation) {
 	if i := slices.Index(e.decodes, r); i >= 0 {
 		e.decodes = slices.Delete(e.decodes, i, i+1)
+		e.given -= r.tokens
 		e.footprintsStale = true
 	}
 }
--- a/core/kvsched/grant.go
+++ b/core/kvsched/grant.go
@@ -45,33 +45,40 @@
 // in time, then by priority, team share and age.
 func (l *Ledger) sortQueue() {
 	for _, w := range l.queue {
-		w.tooLate = !w.want.Prefilled && l.late(w)
+		late := !w.want.Prefilled && l.late(w)
+		// One that the forecast let wait has been promised its turn.
+		w.tooLate, w.overdue = late && !w.promised, late && w.promised
 	}
 	l.sortByShares(l.queue)
 }
 
 // sortByShares sorts requests into the order in which they are granted.
 func (l *Ledger) sortByShares(queue []*waiting) {
-	byAge(queue)
+	l.byAge(queue)
 	if !l.sharesByTeam() {
 		return
 	}
 	l.fairQueue.assignStartTags(queue)
-	slices.SortStableFunc(queue, func(a, b *waiting) int { return cmp.Or(byRank(a, b), cmp.Compare(a.startTag, b.startTag)) })
+	slices.SortStableFunc(queue, func(a, b *waiting) int { return cmp.Or(l.byRank(a, b), cmp.Compare(a.startTag, b.startTag)) })
 }
 
 // byAge sorts requests by rank, then by age.
-func byAge(queue []*waiting) {
-	slices.SortStableFunc(queue, func(a, b *waiting) int { return cmp.Or(byRank(a, b), cmp.Compare(a.arrived, b.arrived)) })
+func (l *Ledger) byAge(queue []*waiting) {
+	slices.SortStableFunc(queue, func(a, b *waiting) int { return cmp.Or(l.byRank(a, b), cmp.Compare(a.place, b.place)) })
 }
 
 // byRank compares requests by the criteria that precede team share and age.
-func byRank(a, b *waiting) int {
-	return cmp.Or(
+func (l *Ledger) byRank(a, b *waiting) int {
+	rank := cmp.Or(
 		falseFirst(!a.want.Prefilled, !b.want.Prefilled),
 		falseFirst(a.tooLate, b.tooLate),
 		cmp.Compare(b.want.Priority, a.want.Priority),
+		falseFirst(!a.overdue, !b.overdue),
 	)
+	if rank == 0 && l.options.UrgentReserve {
+		return moreUrgentFirst(a.urgency, b.urgency)
+	}
+	return rank
 }
 
 // sharesByTeam reports whether team shares affect the order: the mechanism is
@@ -118,6 +125,10 @@
 		w.blocked = causeLate
 		return nil, false
 	}
+	if l.reserved(w) {
+		w.blocked = causeReserved
+		return nil, false
+	}
 	if decode.role == live.RoleWhole {
 		return l.grant(w, nil, decode), true
 	}
@@ -289,6 +300,8 @@
 	decode.addDecode(r)
 	l.addReservation(r)
 	l.fairQueue.granted(w)
+	l.outlook.granted += float64(w.tokens) / max(1, l.outlook.size)
+	l.forecastError.granted(l.now, w, l.late(w))
 	if l.waiting[w.want.Request] != nil {
 		l.unqueue(w)
 		l.serviceRate.granted(w.tokens)
--- a/core/kvsched/ledger.go
+++ b/core/kvsched/ledger.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"github.com/samphirequay/samphirequay/core/booking"
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/live"
 	"github.com/samphirequay/samphirequay/core/sched"
@@ -45,6 +46,16 @@
 	serviceRate serviceRate
 	decodeRate  decodeRate
 	firstToken  firstToken
+	answers     answerLengths
+	arrivals    arrivals
+	// enginesReviewed is the number of decode engines at the last review of the queue.
+	enginesReviewed int
+	// book holds the callers that were told when to come back.
+	book        *booking.Book
+	teamWeights map[id.Team]float64
+	outlook     outlook
+	// forecastError counts and learns from the errors of the forecasts.
+	forecastError forecastError
 	// outputMean covers the guesses of all requests received.
 	outputMean outputMean
 	// nextExpiry is no later than the earliest expiry of a reservation.
@@ -79,6 +90,19 @@
 	target, patience, lifetime time.Duration
 	// blocked is the cause for which the last scan did not grant the request.
 	blocked string
+	urgency urgency
+	// place is the arrival by which the request is ordered: its own, or the first one of a
+	// caller that came back at its time, for which booked is set.
+	place  time.Duration
+	booked bool
+	// promised is set once the forecast has let the request wait beyond its second look.
+	promised bool
+	// overdue reports whether a promised request would miss its target, as of the last scan.
+	overdue bool
+	// reviewed is set once a forecast has let the request wait; forecast is the wait that it
+	// predicted.
+	reviewed bool
+	forecast time.Duration
 }
 
 // limited reports whether the request may not use all engines, so that the engines it finds
@@ -120,6 +144,7 @@
 		ended:     ended,
 		serial:    o.FirstReservation,
 		fairQueue: newFairQueue(),
+		book:      booking.New(booking.Options{}),
 
 		nextExpiry: never,
 	}
@@ -142,9 +167,11 @@
 	if l.scanDue {
 		actions = l.grantWaiting(actions)
 		l.scanDue = false
+		actions = l.reviewQueue(actions)
 	}
 	actions = l.refuseExpired(actions)
 	l.serviceRate.observe(l.now, len(l.queue) > 0)
+	l.arrivals.observe(l.now, len(l.queue) > 0)
 	l.checkInvariants()
 	return actions
 }
@@ -159,7 +186,9 @@
 		}
 	}
 	l.fairQueue.configure(doc)
+	l.configureTeams(doc)
 	l.configureEndpoints(doc)
+	l.outlook.stale = true
 	l.scanDue = true
 	return l.finish(nil)
 }
@@ -241,6 +270,7 @@
 		if report.Reachable {
 			e.drained = report.Leaving
 		}
+		l.outlook.stale = true
 		l.scanDue = true
 	}
 	return l.finish(nil)
--- a/core/kvsched/progress.go
+++ b/core/kvsched/progress.go
@@ -70,6 +70,7 @@
 	if p.Phase == sched.PhaseDone {
 		l.releaseRate.add(l.now, r.tokens)
 		if r.decodingAt > 0 && !r.adopted {
+			l.answers.add((l.now - r.decodingAt).Seconds() * l.decodeRate.perSecond() / max(1, r.output))
 			l.decodeRate.add(max(1, r.want.OutputTokens), l.now-r.decodingAt)
 		}
 	}
--- a/core/kvsched/want.go
+++ b/core/kvsched/want.go
@@ -60,15 +60,23 @@
 func (l *Ledger) newWaiting(w sched.Want, s *live.Service) *waiting {
 	arrived := l.now - max(0, w.Age)
 	l.outputMean.add(float64(max(1, w.OutputTokens)))
-	return &waiting{
+	fresh := &waiting{
 		want:     w,
 		tokens:   l.finalTokens(&w),
 		output:   l.expectedOutput(&w),
 		arrived:  arrived,
+		place:    arrived,
 		target:   arrived + orDefault(w.Target, s.FirstTokenTarget()),
 		patience: arrived + orDefault(w.Patience, s.Patience()),
 		lifetime: arrived + orDefault(w.Lifetime, s.Timeout()),
 	}
+	fresh.urgency = urgencyOf(&w, fresh.target-arrived)
+	l.claim(fresh)
+	if !fresh.booked {
+		l.arrivals.add(l.now, fresh.urgency)
+	}
+	l.arrivals.addSize(fresh.footprint())
+	return fresh
 }
 
 func orDefault(d, otherwise time.Duration) time.Duration {
