--- a/core/fairshare/order.go
+++ b/core/fairshare/order.go
@@ -16,6 +16,12 @@
 	Late bool
 	// Priority is from 0 (lowest) to 9.
 	Priority int
+	// Overdue requests were promised their turn and would miss their target now; they go
+	// before the others of their priority.
+	Overdue bool
+	// Target is the time within which an answer is due; the shortest goes first. 0 for all
+	// requests of a queue in which it doesn't count.
+	Target time.Duration
 	// Arrived is when the request arrived.
 	Arrived time.Duration
 	// StartTag is the request's place among the teams' shares, set by AssignTags.
@@ -76,6 +82,8 @@
 		trueFirst(r.Begun, other.Begun),
 		trueFirst(other.Late, r.Late),
 		cmp.Compare(other.Priority, r.Priority),
+		trueFirst(r.Overdue, other.Overdue),
+		cmp.Compare(r.Target, other.Target),
 	)
 }
 
--- a/core/kvsched/fairqueue.go
+++ b/core/kvsched/fairqueue.go
@@ -11,7 +11,9 @@
 		Begun:    w.want.Prefilled,
 		Late:     w.tooLate,
 		Priority: w.want.Priority,
-		Arrived:  w.arrived,
+		Overdue:  w.overdue,
+		Target:   w.rankTarget,
+		Arrived:  w.place,
 		StartTag: w.startTag,
 	}
 }
--- a/core/kvsched/grant.go
+++ b/core/kvsched/grant.go
@@ -17,6 +17,8 @@
 	causeNoMemory        = "no decode engine has memory"
 	causeNoEngine        = "no engine can be used"
 	causeLate            = "late requests wait until the pool has room to spare"
+	causeSettling        = "the pool's owner has just started"
+	causeUntried         = "its patience ended before it was tried"
 )
 
 // grantWaiting scans the queue and grants the requests that can be granted.
@@ -33,6 +35,7 @@
 			actions = append(actions, *action)
 		}
 		if !passable {
+			l.scan.stoppedBy = w.blocked
 			break
 		}
 	}
@@ -43,7 +46,9 @@
 // in time, then by priority, team share and age.
 func (l *Ledger) sortQueue() {
 	for _, w := range l.queue {
-		w.tooLate = !w.want.Prefilled && l.late(w)
+		late := !w.want.Prefilled && l.late(w)
+		// One that the forecast let wait has been promised its turn.
+		w.tooLate, w.overdue = late && !w.promised, late && w.promised
 	}
 	if l.sharesByTeam() {
 		fairshare.Sort(l.queue, l.shares)
@@ -85,6 +90,10 @@
 		w.blocked = causeLate
 		return nil, false
 	}
+	if l.reserved(w) {
+		w.blocked = causeReserved
+		return nil, false
+	}
 	if decode.role == live.RoleWhole {
 		return l.grant(w, nil, decode), true
 	}
@@ -256,6 +265,8 @@
 	decode.addDecode(r)
 	l.addReservation(r)
 	l.shares.Granted(w.Team(), w.startTag, w.Cost())
+	l.outlook.granted += float64(w.tokens) / max(1, l.outlook.size)
+	l.forecastError.granted(l.now, w, l.late(w))
 	if l.waiting[w.want.Request] != nil {
 		l.unqueue(w)
 		l.serviceRate.granted(w.tokens)
--- a/core/kvsched/want.go
+++ b/core/kvsched/want.go
@@ -60,15 +60,26 @@
 func (l *Ledger) newWaiting(w sched.Want, s *live.Service) *waiting {
 	arrived := l.now - max(0, w.Age)
 	l.outputMean.add(float64(max(1, w.OutputTokens)))
-	return &waiting{
+	fresh := &waiting{
 		want:     w,
 		tokens:   l.finalTokens(&w),
 		output:   l.expectedOutput(&w),
 		arrived:  arrived,
+		place:    arrived,
 		target:   arrived + orDefault(w.Target, s.FirstTokenTarget()),
 		patience: arrived + orDefault(w.Patience, s.Patience()),
 		lifetime: arrived + orDefault(w.Lifetime, s.Timeout()),
 	}
+	fresh.urgency = urgencyOf(&w, fresh.target-arrived)
+	if l.options.UrgentReserve {
+		fresh.rankTarget = fresh.urgency.target
+	}
+	l.claim(fresh)
+	if !fresh.booked {
+		l.arrivals.add(l.now, fresh.urgency)
+	}
+	l.arrivals.addSize(fresh.footprint())
+	return fresh
 }
 
 func orDefault(d, otherwise time.Duration) time.Duration {
@@ -163,6 +174,21 @@
 	return []sched.Action{{To: w.From, Refusal: refusal}}
 }
 
+// causeOf returns the cause for which a waiting request was not granted. One that no scan has
+// tried waits for those before it.
+func (l *Ledger) causeOf(w *waiting) string {
+	switch {
+	case w.blocked != "":
+		return w.blocked
+	case l.now < l.settled:
+		return causeSettling
+	case l.scan.stoppedBy != "":
+		return "those before it wait: " + l.scan.stoppedBy
+	default:
+		return causeUntried
+	}
+}
+
 // refuseExpired refuses the requests whose patience has expired.
 func (l *Ledger) refuseExpired(actions []sched.Action) []sched.Action {
 	kept := l.queue[:0]
@@ -173,7 +199,7 @@
 		}
 		delete(l.waiting, w.want.Request)
 		after := jitter(l.releaseRate.retryAfter(l.now, l.backlog()), w.want.Request)
-		actions = append(actions, l.refuse(w.want, verdict.CodeOverloaded, after, "no room in time: "+w.blocked)...)
+		actions = append(actions, l.refuse(w.want, verdict.CodeOverloaded, after, "no room in time: "+l.causeOf(w))...)
 	}
 	clear(l.queue[len(kept):])
 	l.queue = kept
