Hold answers and what waits for callers within one budget of bytes

Eight plain answers without end took 288.5 MB of heap, since each was read into a buffer that doubles up to its bound of 16 MB, whatever the others held. A budget of a fifth of memory_mb now bounds them together:

- Bodies are read into segments that grow with what arrives; each segment is taken from the request's account first.
Nothing is allocated for a promised length.
The account is closed once the caller has read the answer.
- An answer that can't be held ends as memory_short (may have run, 502); it says nothing of the endpoint's health, and a call that may run again goes elsewhere.
- Answers to prefills, reports, orders and frees are bounded by 64 KB, to health checks by 1 MB; late answers to other requests by the bound of a plain answer.
- Answers are passed to the caller's connection without a copy.
- A caller that takes nothing of its answer for 6 s is ended with its endpoint's run; for 1 s if bytes are short.
- The buffer of an event counts above 8 KB.
Now it looks at each byte once.

No check was eased.

Tested: go test -race ./daemon/{bytebudget,callerconn,upstream,forward,gateway} and go test -race -run 'WithoutEnd|DoNotRead' ./platform

--- a/core/verdict/verdict.go
+++ b/core/verdict/verdict.go
@@ -65,6 +65,7 @@
 	CodeLeaving          Code = "leaving"
 	CodeConflict         Code = "conflict"
 	CodeUnavailable      Code = "unavailable"
+	CodeMemoryShort      Code = "memory_short"
 	CodeInternal         Code = "internal"
 )
 
@@ -92,7 +93,7 @@
 func (c Code) Transient() bool {
 	switch c {
 	case CodeKVGone, CodeDeadline, CodeUnavailable, CodeLeaving, // an engine or this daemon is unavailable for a time
-		CodeOverloaded, CodeTeamLimit, // capacity that other requests will release
+		CodeOverloaded, CodeTeamLimit, CodeMemoryShort, // capacity that other requests will release
 		CodeEndpointFailed, CodeSuperseded, CodeClaimUnavailable: // another attempt uses another endpoint or daemon
 		return true
 	default:
--- a/daemon/bytebudget/account.go
+++ b/daemon/bytebudget/account.go
@@ -99,6 +99,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-deadline.C:
+			if granted, err := a.try(n); granted || err != nil {
+				return err
+			}
 			return ErrShort
 		}
 	}
--- a/daemon/forward/call.go
+++ b/daemon/forward/call.go
@@ -70,7 +70,7 @@
 		return balance.Failed
 	case err == nil:
 		return balance.OK
-	case err.Code == verdict.CodeCallerGone:
+	case err.Code == verdict.CodeCallerGone, err.Code == verdict.CodeMemoryShort:
 		return balance.Neutral
 	case err.Code == verdict.CodeDeadline:
 		return balance.Slow
--- a/daemon/forward/events_test.go
+++ b/daemon/forward/events_test.go
@@ -5,8 +5,33 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/daemon/bytebudget"
 )
 
+// completeEventsLen is the length of the complete events at the start of b, which starts
+// between two events. It looks at all of b at once, as a reference for eventBuffer.
+func completeEventsLen(b []byte) int {
+	complete := 0
+	inEvent := false
+	for rest := b; ; {
+		line, after, ended := cutLine(rest)
+		if !ended {
+			return complete
+		}
+		rest = after
+		switch {
+		case len(line) == 0:
+			inEvent = false
+		case line[0] != ':':
+			inEvent = true
+		}
+		if !inEvent {
+			complete = len(b) - len(rest)
+		}
+	}
+}
+
 func TestCompleteEvents(t *testing.T) {
 	cases := []struct {
 		name, whole, rest string
@@ -73,3 +98,38 @@
 		is.Equal(len(b.rest()), 0)
 	}
 }
+
+// TestAnEventInManyPartsIsLookedAtOnce guards against an endpoint that keeps a processor busy
+// with an event in tiny parts: what was looked at for each part would grow with the event.
+func TestAnEventInManyPartsIsLookedAtOnce(t *testing.T) {
+	is := is.New(t)
+	for _, part := range []string{"data: x\n", "xxxxxxxx", "data: x\r\n"} {
+		var b eventBuffer
+		for !b.tooLarge() {
+			is.Equal(len(b.add([]byte(part))), 0)
+			is.True(len(b.partial)-b.searched <= len(part)+1)
+		}
+	}
+}
+
+// TestALargeEventIsChargedToItsRequest guards against many streams that each hold a large
+// event.
+func TestALargeEventIsChargedToItsRequest(t *testing.T) {
+	is := is.New(t)
+	budget := bytebudget.New(256<<10, nil)
+	account := budget.Open()
+	ctx := bytebudget.NewContext(t.Context(), account)
+	var b eventBuffer
+	b.add(make([]byte, 1000))
+	is.NoErr(b.charge(ctx))
+	is.Equal(account.Held(), int64(0))
+	b.add(make([]byte, 64<<10))
+	is.NoErr(b.charge(ctx))
+	is.Equal(account.Held(), int64(cap(b.partial)-freeEventBytes))
+	for !b.tooLarge() {
+		b.add(make([]byte, 64<<10))
+	}
+	is.Equal(b.charge(ctx), bytebudget.ErrShort)
+	account.Close()
+	is.Equal(budget.Held(), int64(0))
+}
--- a/daemon/forward/outcome.go
+++ b/daemon/forward/outcome.go
@@ -35,6 +35,9 @@
 	case verdict.CodeDeadline:
 		// An engine that doesn't answer gets no work until it answers again.
 		p.Unreachable = step == stepPrefill
+	case verdict.CodeMemoryShort:
+		// The engine has answered; this daemon could not hold the answer.
+		p.Endpoint = ""
 	case verdict.CodeKVGone:
 		// The fault is at the engine that holds the KV cache, not at the decode
 		// engine that failed to fetch it.
--- a/daemon/forward/plainstream.go
+++ b/daemon/forward/plainstream.go
@@ -13,6 +13,7 @@
 	"github.com/samphirequay/samphirequay/core/registry"
 	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/bytebudget"
 )
 
 // plainStream serves a stream of a service without engines. It tries endpoints
@@ -103,6 +104,8 @@
 		code = verdict.CodeCallerGone
 	case ctx.Err() != nil, errors.Is(cause, os.ErrDeadlineExceeded):
 		code = verdict.CodeDeadline
+	case errors.Is(cause, bytebudget.ErrShort):
+		code = verdict.CodeMemoryShort
 	}
 	return verdict.New(verdict.MayHaveRun, code, "the stream broke before its first byte").WithCause(cause)
 }
@@ -172,6 +175,8 @@
 		err = b.endOfBody()
 	case err == nil && b.buffer.tooLarge():
 		err = errEventTooLarge
+	case err == nil:
+		err = b.buffer.charge(b.ctx)
 	}
 	b.ended = err
 	return n, err
--- a/daemon/forward/relay.go
+++ b/daemon/forward/relay.go
@@ -8,6 +8,7 @@
 
 	"github.com/samphirequay/samphirequay/core/sched"
 	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/bytebudget"
 )
 
 // readSize is the size of the read buffer of a stream, in bytes.
@@ -104,6 +105,8 @@
 		code = verdict.CodeDeadline
 	case s.ctx.Err() != nil:
 		code = verdict.CodeCallerGone
+	case errors.Is(cause, bytebudget.ErrShort):
+		code = verdict.CodeMemoryShort
 	}
 	return verdict.New(verdict.MayHaveRun, code, "the stream broke before its first event").WithCause(cause)
 }
@@ -179,6 +182,9 @@
 		case s.buffer.tooLarge():
 			return errEventTooLarge
 		}
+		if err := s.buffer.charge(s.ctx); err != nil {
+			return err
+		}
 	}
 }
 
--- a/daemon/forward/types.go
+++ b/daemon/forward/types.go
@@ -67,9 +67,10 @@
 type Reply struct {
 	Status int
 	Header []Field
-	// Body is the whole body; unused if Events is set. Unframed is set if only the end of
-	// the endpoint's connection marked its end.
+	// Body is the body, and More what follows it of a large one; unused if Events is set.
+	// Unframed is set if only the end of the endpoint's connection marked its end.
 	Body     []byte
+	More     [][]byte
 	Unframed bool
 	// Events is the body of a stream. It returns io.EOF only at the regular end of
 	// the stream, and must be closed.
--- a/daemon/gateway/front.go
+++ b/daemon/gateway/front.go
@@ -12,7 +12,10 @@
 
 	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/bytebudget"
+	"github.com/samphirequay/samphirequay/daemon/callerconn"
 	"github.com/samphirequay/samphirequay/daemon/forward"
+	"github.com/samphirequay/samphirequay/daemon/metrics"
 	"github.com/samphirequay/samphirequay/daemon/upstream"
 )
 
@@ -47,6 +50,7 @@
 	callers := &fasthttp.Server{
 		Handler:            d.handle,
 		HeaderReceived:     d.headerReceived,
+		ConnState:          callerconn.State,
 		ErrorHandler:       d.platform.Adapter.ProtocolError,
 		ReadBufferSize:     maxHeaderBytes,
 		MaxRequestBodySize: defaultMaxBodyBytes,
@@ -91,6 +95,9 @@
 	s.NoDefaultContentType = true
 	s.NoDefaultDate = true
 	s.Logger = httpLogger{d}
+	if field == "callers" {
+		ln = d.callers.Listen(ln)
+	}
 	d.servers = append(d.servers, s)
 	d.listeners = append(d.listeners, ln)
 	go func() {
@@ -157,7 +164,7 @@
 		return
 	}
 	request.Arrived = d.now()
-	caller, unwatch := d.watcher.Watch(d.ctx, ctx.Conn())
+	caller, unwatch := d.watcher.Watch(d.charged(ctx), ctx.Conn())
 	ended := func() {
 		unwatch()
 		d.inFlight.Add(-1)
@@ -176,6 +183,32 @@
 	d.refuse(ctx, caller, request, err)
 }
 
+// charged returns the context of a request, to whose account is charged what is held for
+// it until its answer has been written.
+func (d *Daemon) charged(ctx *fasthttp.RequestCtx) context.Context {
+	caller, ok := ctx.Conn().(*callerconn.Conn)
+	if !ok || d.platform.Budget == nil {
+		return d.ctx
+	}
+	account := d.platform.Budget.Open()
+	caller.Charge(account)
+	return bytebudget.NewContext(d.ctx, account)
+}
+
+// newCallers returns the record of callers that have an answer to read. Those that don't
+// read are let go first when bytes are short.
+func (d *Daemon) newCallers() *callerconn.Callers {
+	unread := d.metrics.Counter("callers_not_reading", metrics.UnitCount, "Connections of callers that were ended since they did not read their answers.")
+	c := callerconn.New(d.now, func(u callerconn.Unread) {
+		unread.Inc()
+		d.logger.Event("caller_not_reading", "caller", u.Caller, "unread", u.For, "held", u.Held)
+	})
+	if d.platform.Budget != nil {
+		d.platform.Budget.OnShort(c.EndUnread)
+	}
+	return c
+}
+
 // refuse answers a request with an error. If the caller has disconnected, it also
 // closes the connection.
 func (d *Daemon) refuse(ctx *fasthttp.RequestCtx, caller context.Context, r *forward.Request, err *verdict.Error) {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -25,6 +25,8 @@
 	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/core/verdict"
 	"github.com/samphirequay/samphirequay/daemon/broker"
+	"github.com/samphirequay/samphirequay/daemon/bytebudget"
+	"github.com/samphirequay/samphirequay/daemon/callerconn"
 	"github.com/samphirequay/samphirequay/daemon/evidence"
 	"github.com/samphirequay/samphirequay/daemon/feed"
 	"github.com/samphirequay/samphirequay/daemon/forward"
@@ -83,6 +85,8 @@
 	Inspector Inspector
 	Paths     Paths
 	Notices   Notices
+	// Budget bounds the bytes that are held for requests; nil for no bound.
+	Budget *bytebudget.Budget
 }
 
 // Options are the inputs of a daemon apart from its settings.
@@ -130,11 +134,13 @@
 	// retryShare is this daemon's share of the slack of the retry limit.
 	retryShare *retryShare
 	watcher    *hangup.Watcher
-	servers    []*fasthttp.Server
-	listeners  []net.Listener
-	inFlight   atomic.Int64
-	probes     activeChecks
-	inspected  activeChecks
+	// callers are those that have an answer to read.
+	callers   *callerconn.Callers
+	servers   []*fasthttp.Server
+	listeners []net.Listener
+	inFlight  atomic.Int64
+	probes    activeChecks
+	inspected activeChecks
 	// unusable counts registered entries that describe no usable endpoint, by reason.
 	unusable *metrics.CounterMap
 	endOnce  sync.Once
@@ -234,6 +240,7 @@
 	d.metrics.GaugeFunc("evidence_breaks", metrics.UnitCount, "Crashes of endpoints that are recorded as evidence against the requests that they ran, from all daemons.", func() float64 {
 		return float64(d.poison.Len())
 	})
+	d.callers = d.newCallers()
 	d.tables = newTableCache()
 	d.unusable = d.metrics.CounterMap("registry_entries_unusable", metrics.UnitCount, "Changed registry entries that describe no usable endpoint, by reason.")
 	d.metrics.GaugeFunc("registry_unlisted", metrics.UnitCount, "Endpoints that the store no longer lists and that are kept, since they may have lapsed with it.", func() float64 {
--- a/daemon/upstream/answer.go
+++ b/daemon/upstream/answer.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -13,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/bytebudget"
 )
 
 // Answer is an endpoint's answer. It must be closed.
@@ -22,8 +22,12 @@
 	conn         *conn
 	resp         *fasthttp.Response
 	stopWatching func() bool
-	// body is the body of an answer that is not streamed.
-	body []byte
+	// until is when the answer must have arrived.
+	until time.Time
+	// segments is the body of an answer that is not streamed.
+	segments [][]byte
+	// own is charged with the body if nothing else is; nil before there is one.
+	own *bytebudget.Account
 	// complete is set once the answer was read to its end.
 	complete bool
 	once     sync.Once
@@ -42,9 +46,6 @@
 // unframedLength is the content length that fasthttp reports for such an answer.
 const unframedLength = -2
 
-// Body is the whole body of an answer that is not streamed; it belongs to the caller.
-func (a *Answer) Body() []byte { return a.body }
-
 // exchange writes the request and reads the answer that belongs to it.
 func (a *Answer) exchange(ctx context.Context, c *Call) *verdict.Error {
 	if err := a.conn.SetDeadline(c.Until); err != nil {
@@ -63,30 +64,12 @@
 	if c.Stream {
 		return nil
 	}
-	if err := a.readBody(); err != nil {
+	if err := a.readBody(ctx, c.maxBodyBytes(a.pool)); err != nil {
 		return mayHaveRun(ctx, c, err)
 	}
 	return nil
 }
 
-// readBody reads the body of an answer that is not streamed.
-func (a *Answer) readBody() error {
-	limit := a.pool.opts.MaxBodyBytes
-	length := a.resp.Header.ContentLength()
-	if length > limit {
-		return fasthttp.ErrBodyTooLarge
-	}
-	body := bytes.NewBuffer(make([]byte, 0, max(0, length)+bytes.MinRead))
-	if _, err := body.ReadFrom(io.LimitReader(a, int64(limit)+1)); err != nil {
-		return err
-	}
-	if body.Len() > limit {
-		return fasthttp.ErrBodyTooLarge
-	}
-	a.body = body.Bytes()
-	return nil
-}
-
 // read reads the header of the answer that belongs to the request: a late answer to an
 // earlier request may precede it. The body is left unread, since the library forgets
 // whether a body that it has read was unframed.
@@ -121,15 +104,6 @@
 	return len(returned) > 0 && string(returned) != c.ID
 }
 
-// discardBody reads a streamed body to its end and discards it.
-func (a *Answer) discardBody() error {
-	if a.resp.BodyStream() == nil {
-		return nil
-	}
-	_, err := io.Copy(io.Discard, a.resp.BodyStream())
-	return err
-}
-
 // Read reads the body of a stream as it arrives. It returns io.EOF only at the
 // regular end of the body, or when the connection of an Unframed answer ends.
 func (a *Answer) Read(b []byte) (int, error) {
@@ -144,16 +118,6 @@
 	return n, err
 }
 
-// ReadRest reads the remaining body of a short stream, at most limit bytes. It
-// returns an error if the body is longer.
-func (a *Answer) ReadRest(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		err = errors.New("the body is too large")
-	}
-	return body, err
-}
-
 // SetReadDeadline bounds the next reads of a stream.
 func (a *Answer) SetReadDeadline(t time.Time) error { return a.conn.SetReadDeadline(t) }
 
@@ -162,6 +126,7 @@
 // open as well.
 func (a *Answer) Close() {
 	a.once.Do(func() {
+		a.own.Close()
 		life, reusable := a.idleLife()
 		stopped := a.stopWatching()
 		if reusable && stopped && a.conn.SetDeadline(time.Time{}) == nil {
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -7,6 +7,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -19,6 +20,7 @@
 
 	"github.com/samphirequay/samphirequay/core/defaults"
 	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/bytebudget"
 	"github.com/samphirequay/samphirequay/daemon/metrics"
 	"github.com/samphirequay/samphirequay/endpoint/netconn"
 )
@@ -38,6 +40,9 @@
 	IDHeader string
 	// Dial opens a connection to an address within the given time. Default: over TCP.
 	Dial DialFunc
+	// Budget bounds the bytes of the answers that are held whole. An answer is charged to
+	// the account of its context, if that has one. Default: no bound.
+	Budget *bytebudget.Budget
 	// Metrics is the registry for the pool's counters.
 	Metrics *metrics.Registry
 }
@@ -135,8 +140,13 @@
 	MaySend func() bool
 	// Stream leaves the body to be read with Answer.Read as it arrives.
 	Stream bool
+	// MaxBodyBytes bounds the body of an answer that is not streamed; 0 for the pool's
+	// bound.
+	MaxBodyBytes int
 }
 
+func (c *Call) maxBodyBytes(p *Pool) int { return cmp.Or(c.MaxBodyBytes, p.opts.MaxBodyBytes) }
+
 // maxForeignAnswers is how many answers to other requests are skipped on a
 // connection.
 const maxForeignAnswers = 2
@@ -156,7 +166,7 @@
 		p.keep(c.Address, used)
 		return nil, notRun(c, verdict.CodeOverloaded, errors.New("it wants no requests by now"))
 	}
-	a := &Answer{pool: p, address: c.Address, conn: used, resp: fasthttp.AcquireResponse()}
+	a := &Answer{pool: p, address: c.Address, conn: used, resp: fasthttp.AcquireResponse(), until: c.Until}
 	a.stopWatching = used.BindContext(ctx)
 	if err := a.exchange(ctx, c); err != nil {
 		a.Close()
@@ -243,6 +253,8 @@
 	switch {
 	case ctx.Err() != nil:
 		code = contextErrorCode(ctx.Err())
+	case errors.Is(cause, bytebudget.ErrShort):
+		code = verdict.CodeMemoryShort
 	case errors.Is(cause, os.ErrDeadlineExceeded), errors.Is(cause, fasthttp.ErrTimeout):
 		code = verdict.CodeDeadline
 	}
