Read callers' bodies as they arrive, within the budget

The HTTP library allocated what a caller's Content-Length promises, so callers that promise 4 MB and send nothing could take a daemon's memory. Bodies are now read by the daemon into a buffer that grows with what arrives and is charged to the request's account. A request that finds no bytes within 200 ms is refused as not run with 503 and Retry-After; its body is read and discarded, so that the caller gets the answer. Limits and forms of bodies are as before, except that a chunk over the limit gets its 413 when it has arrived, where the connection was reset before.

--- a/daemon/bytebudget/account.go
+++ b/daemon/bytebudget/account.go
@@ -57,6 +57,11 @@
 	return err
 }
 
+// TakeWithin is Take with a bound on the wait.
+func (a *Account) TakeWithin(ctx context.Context, n int, patience time.Duration) error {
+	return a.Take(ctx, n, time.Now().Add(patience))
+}
+
 // try takes the bytes if they are free. It fails if they can never be had.
 func (a *Account) try(n int64) (granted bool, err error) {
 	b := a.budget
--- a/daemon/gateway/front.go
+++ b/daemon/gateway/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"syscall"
@@ -15,7 +16,6 @@
 	"github.com/samphirequay/samphirequay/daemon/bytebudget"
 	"github.com/samphirequay/samphirequay/daemon/callerconn"
 	"github.com/samphirequay/samphirequay/daemon/forward"
-	"github.com/samphirequay/samphirequay/daemon/metrics"
 	"github.com/samphirequay/samphirequay/daemon/upstream"
 )
 
@@ -57,6 +57,8 @@
 		ReadTimeout:        readTimeout,
 		IdleTimeout:        idleTimeout,
 		CloseOnShutdown:    true,
+		// Bodies are read by readBody: the library takes the memory that a length promises.
+		StreamRequestBody: true,
 		// A body that looks like a form is passed on as it is.
 		DisablePreParseMultipartForm: true,
 	}
@@ -133,8 +135,12 @@
 	return routes.Config().Limits
 }
 
-// headerReceived returns the limit on the body of a request whose header was read.
-func (d *Daemon) headerReceived(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+// headerReceived returns the limit on the body of a request whose header was read. A body
+// that exceeds it is not awaited; readBody refuses it.
+func (d *Daemon) headerReceived(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	if h.ContentLength() > d.bodyLimit() {
+		h.SetContentLength(0)
+	}
 	return fasthttp.RequestConfig{MaxRequestBodySize: d.limits().BodyBytes}
 }
 
@@ -151,6 +157,16 @@
 		d.platform.Adapter.ProtocolError(ctx, &fasthttp.ErrSmallBuffer{})
 		return
 	}
+	charged := d.charged(ctx)
+	if err := d.readBody(charged, ctx); err != nil {
+		ctx.SetConnectionClose()
+		if errors.Is(err, bytebudget.ErrShort) {
+			d.refuseForMemory(ctx)
+			return
+		}
+		d.platform.Adapter.ProtocolError(ctx, err)
+		return
+	}
 	d.inFlight.Add(1)
 	d.recordCaller()
 	if d.stopping.Load() != nil {
@@ -164,7 +180,7 @@
 		return
 	}
 	request.Arrived = d.now()
-	caller, unwatch := d.watcher.Watch(d.charged(ctx), ctx.Conn())
+	caller, unwatch := d.watcher.Watch(charged, ctx.Conn())
 	ended := func() {
 		unwatch()
 		d.inFlight.Add(-1)
@@ -183,32 +199,6 @@
 	d.refuse(ctx, caller, request, err)
 }
 
-// charged returns the context of a request, to whose account is charged what is held for
-// it until its answer has been written.
-func (d *Daemon) charged(ctx *fasthttp.RequestCtx) context.Context {
-	caller, ok := ctx.Conn().(*callerconn.Conn)
-	if !ok || d.platform.Budget == nil {
-		return d.ctx
-	}
-	account := d.platform.Budget.Open()
-	caller.Charge(account)
-	return bytebudget.NewContext(d.ctx, account)
-}
-
-// newCallers returns the record of callers that have an answer to read. Those that don't
-// read are let go first when bytes are short.
-func (d *Daemon) newCallers() *callerconn.Callers {
-	unread := d.metrics.Counter("callers_not_reading", metrics.UnitCount, "Connections of callers that were ended since they did not read their answers.")
-	c := callerconn.New(d.now, func(u callerconn.Unread) {
-		unread.Inc()
-		d.logger.Event("caller_not_reading", "caller", u.Caller, "unread", u.For, "held", u.Held)
-	})
-	if d.platform.Budget != nil {
-		d.platform.Budget.OnShort(c.EndUnread)
-	}
-	return c
-}
-
 // refuse answers a request with an error. If the caller has disconnected, it also
 // closes the connection.
 func (d *Daemon) refuse(ctx *fasthttp.RequestCtx, caller context.Context, r *forward.Request, err *verdict.Error) {
