--- a/daemon/gateway/front.go
+++ b/daemon/gateway/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"syscall"
@@ -12,6 +13,8 @@
 
 	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/bytebudget"
+	"github.com/samphirequay/samphirequay/daemon/callerconn"
 	"github.com/samphirequay/samphirequay/daemon/forward"
 	"github.com/samphirequay/samphirequay/daemon/upstream"
 )
@@ -47,12 +50,15 @@
 	callers := &fasthttp.Server{
 		Handler:            d.handle,
 		HeaderReceived:     d.headerReceived,
+		ConnState:          callerconn.State,
 		ErrorHandler:       d.platform.Adapter.ProtocolError,
 		ReadBufferSize:     maxHeaderBytes,
 		MaxRequestBodySize: defaultMaxBodyBytes,
 		ReadTimeout:        readTimeout,
 		IdleTimeout:        idleTimeout,
 		CloseOnShutdown:    true,
+		// Bodies are read by readBody: the library takes the memory that a length promises.
+		StreamRequestBody: true,
 		// A body that looks like a form is passed on as it is.
 		DisablePreParseMultipartForm: true,
 	}
@@ -91,6 +97,9 @@
 	s.NoDefaultContentType = true
 	s.NoDefaultDate = true
 	s.Logger = httpLogger{d}
+	if field == "callers" {
+		ln = d.callers.Listen(ln)
+	}
 	d.servers = append(d.servers, s)
 	d.listeners = append(d.listeners, ln)
 	go func() {
@@ -126,8 +135,12 @@
 	return routes.Config().Limits
 }
 
-// headerReceived returns the limit on the body of a request whose header was read.
-func (d *Daemon) headerReceived(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+// headerReceived returns the limit on the body of a request whose header was read. A body
+// that exceeds it is not awaited; readBody refuses it.
+func (d *Daemon) headerReceived(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	if h.ContentLength() > d.bodyLimit() {
+		h.SetContentLength(0)
+	}
 	return fasthttp.RequestConfig{MaxRequestBodySize: d.limits().BodyBytes}
 }
 
@@ -144,6 +157,16 @@
 		d.platform.Adapter.ProtocolError(ctx, &fasthttp.ErrSmallBuffer{})
 		return
 	}
+	charged := d.charged(ctx)
+	if err := d.readBody(charged, ctx); err != nil {
+		ctx.SetConnectionClose()
+		if errors.Is(err, bytebudget.ErrShort) {
+			d.refuseForMemory(ctx)
+			return
+		}
+		d.platform.Adapter.ProtocolError(ctx, err)
+		return
+	}
 	d.inFlight.Add(1)
 	d.recordCaller()
 	if d.stopping.Load() != nil {
@@ -157,7 +180,7 @@
 		return
 	}
 	request.Arrived = d.now()
-	caller, unwatch := d.watcher.Watch(d.ctx, ctx.Conn())
+	caller, unwatch := d.watcher.Watch(charged, ctx.Conn())
 	ended := func() {
 		unwatch()
 		d.inFlight.Add(-1)
