Bound the forecast wait before it becomes a Duration

Where urgent calls leave hardly any place free, the forecast wait exceeded what a Duration holds and came out negative: a call that would never be served was admitted as if it had no wait. The new test fails without the change. go test -race ./core/callsched passes.

--- a/core/callsched/forecast.go
+++ b/core/callsched/forecast.go
@@ -50,7 +50,7 @@
 		}
 		wait = next
 	}
-	return min(unknownWait, seconds(wait))
+	return seconds(min(unknownWait.Seconds(), wait)) // a longer one may not fit a Duration
 }
 
 // surgeDeviations is the number of standard deviations by which more calls than usual may
--- a/core/callsched/forecast_test.go
+++ b/core/callsched/forecast_test.go
@@ -231,3 +231,10 @@
 	hold(ends)
 	is.Equal(f.granted(f.end(ends, running[0])).Request, id.Request("late-0"))
 }
+
+// TestAWaitWithoutEndIsLong: the arriving work that goes first leaves hardly any place free.
+func TestAWaitWithoutEndIsLong(t *testing.T) {
+	is := is.New(t)
+	a := ahead{queued: 100, higher: 3 - 1e-9, perCall: 0.05}
+	is.Equal(a.wait(3), unknownWait)
+}
