Give a service that changes to engines another scheduler

With the call queue, a plain service has a pool by its name already. Changed by the live configuration to a service on engines, it kept the scheduler of calls, which refused each stream as one of an unknown service until another daemon became the owner; the other way round as well. The scheduler is created anew if the kind of the service changes.

The new test fails without the change. go test -race ./daemon/broker passes.

--- a/daemon/broker/calls_test.go
+++ b/daemon/broker/calls_test.go
@@ -174,3 +174,19 @@
 	b.handle(time.Second, "b", &Envelope{Want: stream})
 	is.Equal(len(sent.take()), 0) // its daemon sends it again
 }
+
+// TestAServiceThatGetsEnginesGetsAnotherScheduler checks a plain service that the
+// configuration changes to one on engines: its pool keeps its name, but not its scheduler.
+func TestAServiceThatGetsEnginesGetsAnotherScheduler(t *testing.T) {
+	is := is.New(t)
+	b, _ := newCallBroker(t, "a", "b")
+	b.owner(t, "a")
+	b.setDocument(time.Second, b.doc)
+	before := b.managers["p"]
+	b.setDocument(time.Second, b.doc)
+	is.Equal(b.managers["p"], before)
+	changed := *b.doc
+	changed.Services = []live.Service{{Name: "p", Type: live.ServiceModel, Pool: "p"}}
+	b.setDocument(time.Second, &changed)
+	is.True(b.managers["p"] != before)
+}
--- a/daemon/broker/pools.go
+++ b/daemon/broker/pools.go
@@ -48,19 +48,28 @@
 
 // SetDocument applies a new configuration.
 func (b *Broker) SetDocument(doc *live.Document) {
-	b.duty.Post(func(now time.Duration) {
-		b.doc = doc
-		b.configured = poolNames(doc)
-		maps.DeleteFunc(b.learned, func(p id.Pool, _ learnedAt) bool { return !b.configured[p] })
-		for _, p := range b.sortedPools() {
-			if !b.configured[p] {
-				delete(b.managers, p)
-				continue
-			}
-			b.actions(now, p, b.managers[p].Configure(now, doc))
+	b.duty.Post(func(now time.Duration) { b.setDocument(now, doc) })
+}
+
+func (b *Broker) setDocument(now time.Duration, doc *live.Document) {
+	former := b.doc
+	b.doc = doc
+	b.configured = poolNames(doc)
+	maps.DeleteFunc(b.learned, func(p id.Pool, _ learnedAt) bool { return !b.configured[p] })
+	for _, p := range b.sortedPools() {
+		if !b.configured[p] || isPlain(former, p) != isPlain(doc, p) {
+			delete(b.managers, p)
+			continue
 		}
-		b.createOwnedManagers(now)
-	})
+		b.actions(now, p, b.managers[p].Configure(now, doc))
+	}
+	b.createOwnedManagers(now)
+}
+
+// isPlain reports whether a pool has a plain service, whose scheduler differs from that of
+// engines.
+func isPlain(doc *live.Document, p id.Pool) bool {
+	return slices.ContainsFunc(doc.Services, func(s live.Service) bool { return s.Pool == p && s.Type == live.ServicePlain })
 }
 
 // Drain makes a pool's owner stop new work for an endpoint, or allow it again.
