--- a/daemon/forward/record.go
+++ b/daemon/forward/record.go
@@ -86,9 +86,6 @@
 	if t.prefill != "" {
 		kv = append(kv, "prefill", t.prefill, "waited", t.engineWait, "read", t.prefillTime, "first", t.firstEventTime)
 	}
-	if t.queueWait > 0 || t.fallbacks > 0 {
-		kv = append(kv, "waited", t.queueWait, "fallbacks", t.fallbacks)
-	}
 	if t.firstEventTime > 0 {
 		kv = append(kv, "framed", !t.unframed, "tail_bytes", t.tailBytes)
 	}
@@ -99,6 +96,9 @@
 	if t.unlisted > 0 {
 		kv = append(kv, "unlisted", t.unlisted)
 	}
+	if t.queueWait > 0 || t.fallbacks > 0 {
+		kv = append(kv, "waited", t.queueWait, "fallbacks", t.fallbacks)
+	}
 	return kv
 }
 
