--- a/core/kvsched/grant.go
+++ b/core/kvsched/grant.go
@@ -1,7 +1,6 @@
 package kvsched
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"time"
