--- a/core/callsched/refuse.go
+++ b/core/callsched/refuse.go
@@ -52,7 +52,7 @@
 }
 
 const (
-	// minRetryAfter and maxRetryAfter bound the advised delay.
+	// minRetryAfter and maxRetryAfter bound the advised delay before its jitter.
 	minRetryAfter = 500 * time.Millisecond
 	maxRetryAfter = 8 * time.Second
 	// minFreeShare is the least share of the places that refused calls are spread over
--- a/core/health/doubt.go
+++ b/core/health/doubt.go
@@ -11,8 +11,8 @@
 	// usualHalfLife is the half-life of the outcomes by which a group's usual loss rate
 	// is known.
 	usualHalfLife = 2 * time.Second
-	// minUsualLoss bounds the usual loss rate from below: one loss in a calm group is no
-	// proof.
+	// minUsualLoss bounds the usual loss rate from below, so that a single loss in a group
+	// that loses nothing else is no proof.
 	minUsualLoss = 0.05
 	// priorOutcomes is how many outcomes at minUsualLoss a group begins with.
 	priorOutcomes = 4.0
--- a/daemon/gateway/probe.go
+++ b/daemon/gateway/probe.go
@@ -8,7 +8,7 @@
 	"github.com/samphirequay/samphirequay/core/sched"
 )
 
-// probeInterval is the pause between two probes of an engine that could not be
+// probeInterval is the pause between two probes of an endpoint that could not be
 // reached.
 const probeInterval = 400 * time.Millisecond
 
@@ -39,7 +39,7 @@
 	delete(a.active, e)
 }
 
-// probe checks an unreachable engine in the background until it answers as the
+// probe checks an unreachable endpoint in the background until it answers as the
 // registered process, or is no longer registered. It does not block, since the pool's
 // manager calls it within the broker's duty.
 func (d *Daemon) probe(f *fleet, p id.Pool, e id.Endpoint) {
