Log full reads of the store's tables and the store's era

A daemon that dropped what it read from the store had no line of it: the hypotheses of the incident could be told apart only by the callers' side. table_read says which table was read, at which position and era, why, and whether the read was dropped; the metric table_reads counts them.

--- a/daemon/feed/calls.go
+++ b/daemon/feed/calls.go
@@ -30,10 +30,10 @@
 	return followed
 }
 
-// answered reports an answer of the store.
-func (f *Follower) answered(begun, limit time.Duration, newest uint64, clock time.Duration) {
-	unbroken := f.calls.answered(begun, f.now(), limit)
+// answered reports an answer a of the store; a.Unbroken is not set yet.
+func (f *Follower) answered(begun, limit time.Duration, a Answer) {
+	a.Unbroken = f.calls.answered(begun, f.now(), limit)
 	if f.cfg.Answered != nil {
-		f.cfg.Answered(Answer{Newest: newest, Clock: clock, Unbroken: unbroken})
+		f.cfg.Answered(a)
 	}
 }
--- a/daemon/feed/read.go
+++ b/daemon/feed/read.go
@@ -52,11 +52,16 @@
 		return err
 	}
 	f.reportReachability(nil)
-	f.answered(begun, readTimeout, snapshot.Position, snapshot.Clock)
+	f.answered(begun, readTimeout, Answer{Newest: snapshot.Position, Era: snapshot.Era, Clock: snapshot.Clock})
 	defer f.confirm(begun)
 	f.mu.Lock()
 	f.fullRead = false
-	if f.known && snapshot.Position < f.state.Position {
+	report := FullRead{Known: f.state.Position, Position: snapshot.Position, Era: snapshot.Era, HistoryGone: f.historyGone}
+	report.Older = f.known && snapshot.Position < f.state.Position
+	if f.cfg.OnRead != nil {
+		defer f.cfg.OnRead(report)
+	}
+	if report.Older {
 		// News from another daemon was applied while this read was in flight.
 		f.mu.Unlock()
 		return nil
@@ -120,7 +125,7 @@
 		return false, err
 	}
 	f.reportReachability(nil)
-	f.answered(begun, limit, delta.Position, delta.Clock)
+	f.answered(begun, limit, Answer{Newest: delta.Position, Era: delta.Era, Clock: delta.Clock})
 	if len(delta.Changes) == 0 {
 		f.confirm(begun)
 		return false, nil
--- a/daemon/feed/types.go
+++ b/daemon/feed/types.go
@@ -25,6 +25,8 @@
 	Rows []table.Row
 	// Position is the position of the snapshot; later changes follow it.
 	Position uint64
+	// Era is the store's era; 0 if the store names none.
+	Era uint64
 	// Clock is the store's time at the answer.
 	Clock time.Duration
 }
@@ -33,14 +35,31 @@
 type Delta struct {
 	Changes  []Change
 	Position uint64
+	// Era is the store's era; 0 if the store names none.
+	Era uint64
 	// Clock is the store's time at the answer.
 	Clock time.Duration
 }
 
+// FullRead describes a full read of a table, for the log.
+type FullRead struct {
+	// Known is the position before the read; 0 for the first read. Position is that of
+	// the read.
+	Known, Position uint64
+	// Era is the store's era; 0 if the store names none.
+	Era uint64
+	// HistoryGone is set if the read followed ErrHistoryGone.
+	HistoryGone bool
+	// Older is set if the read was dropped, since it was older than the known state.
+	Older bool
+}
+
 // Answer is the state of the store as reported by one of its answers.
 type Answer struct {
 	// Newest is the version of the store's newest change.
 	Newest uint64
+	// Era is the store's era; 0 if the store names none.
+	Era uint64
 	// Clock is the store's time at the answer.
 	Clock time.Duration
 	// Unbroken reports that the previous call was answered or was interrupted
@@ -103,6 +122,8 @@
 	// including those that the store had discarded and that a full read revealed.
 	// May be nil.
 	OnNews func(n News)
+	// OnRead, if set, is called for each full read of the table that was answered.
+	OnRead func(r FullRead)
 	// Answered, if set, is called for each answer of the store, before Changed.
 	Answered func(a Answer)
 	// Confirmed, if set, is called after Changed with the time, by Now, at which a
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -147,6 +147,9 @@
 	unusable *metrics.CounterMap
 	endOnce  sync.Once
 
+	// fullReads counts the full reads of the store's tables, by table.
+	fullReads *metrics.CounterMap
+
 	// queryingUptime is set while peers are queried for the store's uptime.
 	queryingUptime atomic.Bool
 	// freshness tracks how old the configuration may be.
@@ -247,6 +250,7 @@
 	d.callers = d.newCallers()
 	d.tables = newTableCache()
 	d.unusable = d.metrics.CounterMap("registry_entries_unusable", metrics.UnitCount, "Changed registry entries that describe no usable endpoint, by reason.")
+	d.fullReads = d.metrics.CounterMap("table_reads", metrics.UnitCount, "Full reads of the store's tables that were answered, by table.")
 	d.metrics.GaugeFunc("registry_unlisted", metrics.UnitCount, "Endpoints that the store no longer lists and that are kept, since they may have lapsed with it.", func() float64 {
 		return float64(d.tables.current().Lapsed)
 	})
--- a/daemon/gateway/tables.go
+++ b/daemon/gateway/tables.go
@@ -86,6 +86,7 @@
 		IdleRetry:  idleRetry,
 		Changed:    changed,
 		OnNews:     d.sendNews,
+		OnRead:     func(r feed.FullRead) { d.tableRead(name, r) },
 		Now:        d.now,
 		Idle:       true,
 		Lost: func(err error) {
@@ -100,6 +101,13 @@
 	}
 }
 
+// tableRead logs a full read of a table.
+func (d *Daemon) tableRead(name string, r feed.FullRead) {
+	d.fullReads.Add(name, 1)
+	d.logger.Event("table_read", "table", name, "era", r.Era, "position", r.Position, "known", r.Known,
+		"history_gone", r.HistoryGone, "dropped", r.Older)
+}
+
 // outdated reports whether a table's state is older than the one in force, and
 // otherwise records its version; the lock must be held. States of one follower may
 // arrive out of order.
