Read on from a store that came back from an older copy

What callers saw: a configuration that the store had accepted was not in force within its bound, and an endpoint that had said that it leaves got requests after three seconds, at any daemon.

Cause: versions and positions were compared across the eras of the store, whose numbers go back when it comes back from an older copy. A call for changes from the old position was refused (410), the full read that followed was dropped because its position was lower, and the next call asked from the old position again, without a pause, until the store's numbers had passed the old ones. News, adoption and the heartbeats' revision dropped all lower versions too.

A version now holds the store's era in its upper bits, put there by the adapter, which reads Store-Era: versions are ordered across eras everywhere that compares them, and equal to the store's numbers in era 0. A full read of a later era replaces the state; readers send what differs, or that nothing does; such news apply at exactly their begin only. Spans of the store's uptime end with an era. No answer is followed by a call without a pause.

--- a/core/revision/table/table.go
+++ b/core/revision/table/table.go
@@ -5,7 +5,8 @@
 
 import "time"
 
-// Row is one row; Version 0 means that the row does not exist.
+// Row is one row; Version 0 means that the row does not exist. Versions are ordered
+// across the eras of a store that comes back from older copies (VersionIn).
 type Row struct {
 	Key     string `cbor:"1,keyasint"`
 	Value   []byte `cbor:"2,keyasint"`
@@ -81,6 +82,8 @@
 	Failed []string
 	// Versions are the versions of the written rows, in the order of the puts.
 	Versions []uint64
+	// Era is the table's era at the reply; 0 if it names none.
+	Era uint64
 	// Clock is the table's own monotonic clock at the time of the reply; 0 if the
 	// table reports none.
 	Clock time.Duration
--- a/core/uptime/uptime.go
+++ b/core/uptime/uptime.go
@@ -8,6 +8,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/samphirequay/samphirequay/core/revision/table"
 )
 
 // ReturnGrace is how long after the store's return entries that lapsed in an outage
@@ -31,10 +33,11 @@
 func (s Span) Known() bool { return s.Last > 0 }
 
 // Extend returns the span extended by a response of the store, or a new span if the
-// response does not continue s. Set unbroken if no call since the previous response
+// response does not continue s: a span lies within one era of the store. Set unbroken if no call since the previous response
 // failed and the calls followed each other.
 func (s Span) Extend(newest uint64, clock time.Duration, unbroken bool) Span {
-	if !unbroken || !s.Known() || clock < s.Last || newest < s.Until {
+	sameEra := table.Era(newest) == table.Era(s.Until)
+	if !unbroken || !s.Known() || clock < s.Last || newest < s.Until || !sameEra {
 		return Span{Until: newest, Since: clock, Last: clock}
 	}
 	s.Until, s.Last = newest, clock
@@ -66,7 +69,9 @@
 	return a
 }
 
-func (s Span) overlaps(o Span) bool { return s.Since <= o.Last && o.Since <= s.Last }
+func (s Span) overlaps(o Span) bool {
+	return s.Since <= o.Last && o.Since <= s.Last && table.Era(s.Until) == table.Era(o.Until)
+}
 
 // maxSpans is how many spans a History holds: one that follows an outage, and those
 // needed for removals before it.
--- a/daemon/feed/feed.go
+++ b/daemon/feed/feed.go
@@ -29,6 +29,9 @@
 	// reason is ErrHistoryGone.
 	fullRead, historyGone bool
 	lost                  bool
+	// historyGoneInRow counts the calls for changes that returned ErrHistoryGone since
+	// the last one that returned changes or none.
+	historyGoneInRow int
 	// idle is set while other daemons send the changes.
 	idle bool
 	// skipWait is set when the follower stops being idle or is polled: the next
@@ -119,8 +122,19 @@
 	return f.lost
 }
 
-// replaceRows replaces all rows; the lock must be held.
+// recovering reports whether the store no longer had the changes at the last call for
+// them: until it has some, no answer shortens the pause between calls.
+func (f *Follower) recovering() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.historyGoneInRow > 0
+}
+
+// replaceRows replaces all rows; the lock must be held. In a later era the version is at
+// least the first one of that era, so that it is above that of any daemon which has not
+// heard of the era.
 func (f *Follower) replaceRows(rows []table.Row, position uint64) {
+	f.state.Version = max(f.state.Version, firstOf(position))
 	f.rows = make(map[string]table.Row, len(rows))
 	for _, r := range rows {
 		f.rows[r.Key] = r
@@ -130,6 +144,9 @@
 	f.known = true
 }
 
+// firstOf returns the first version of the era of a position.
+func firstOf(position uint64) uint64 { return table.VersionIn(table.Era(position), 0) }
+
 // snapshot copies the state; the lock must be held.
 func (f *Follower) snapshot() State {
 	s := f.state
@@ -146,7 +163,9 @@
 	for f.ctx.Err() == nil {
 		changed, err := f.step()
 		if err == nil {
-			pause = firstRetry
+			if !f.recovering() {
+				pause = firstRetry
+			}
 			if changed && !f.fullReadDue() && !f.pause(f.cfg.BatchDelay, nil) {
 				return
 			}
--- a/daemon/feed/news.go
+++ b/daemon/feed/news.go
@@ -87,9 +87,10 @@
 
 // ApplyNews applies another daemon's news; fresh reports whether there were any new
 // changes. It returns ErrGap if changes before the news are missing. News without
-// changes makes the follower read the table.
+// changes makes the follower read the table, unless the store came back with the same
+// rows.
 func (f *Follower) ApplyNews(n News) (fresh bool, err error) {
-	if len(n.Changes) > 0 {
+	if len(n.Changes) > 0 || n.Restored {
 		return f.apply(n)
 	}
 	f.mu.Lock()
@@ -105,21 +106,22 @@
 // another daemon. Changes that are already known are skipped.
 func (f *Follower) apply(n News) (fresh bool, err error) {
 	f.mu.Lock()
-	known := f.state.Position
-	if !f.known || n.After > known {
-		f.mu.Unlock()
-		return false, ErrGap
-	}
-	if n.Position <= known {
+	if ok, err := f.applicable(n); !ok {
 		f.mu.Unlock()
-		return false, nil
+		return false, err
 	}
+	known := f.state.Position
 	for _, c := range n.Changes {
 		if c.Version > known {
 			f.applyChange(c)
 			fresh = true
 		}
 	}
+	if n.Restored {
+		// The same at all daemons: the versions of removals are not known exactly.
+		f.state.Version = max(n.Version, firstOf(n.Position))
+		fresh = true
+	}
 	f.state.Position = n.Position
 	state := f.snapshot()
 	f.mu.Unlock()
@@ -129,6 +131,26 @@
 	return fresh, nil
 }
 
+// applicable reports whether news contains unknown changes and all that are needed; the
+// lock must be held. News that lead into a later era list only what differs from the
+// state at their begin. They help no follower that is in that era already: it may have
+// come there by a state between.
+func (f *Follower) applicable(n News) (bool, error) {
+	known := f.state.Position
+	switch {
+	case !f.known || n.After > known:
+		return false, ErrGap
+	case n.Position <= known:
+		return false, nil
+	case table.Era(n.Position) > table.Era(known) && n.After < known:
+		return false, ErrGap
+	case table.Era(n.After) < table.Era(known):
+		return false, nil
+	default:
+		return true, nil
+	}
+}
+
 // applyChange applies one changed row; the lock must be held.
 func (f *Follower) applyChange(c Change) {
 	f.state.Version = max(f.state.Version, c.Version)
--- a/daemon/feed/read.go
+++ b/daemon/feed/read.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"maps"
@@ -36,6 +37,9 @@
 		f.calls.callEnded(f.now())
 		return changed, nil
 	}
+	if errors.Is(err, errNoProgress) {
+		return changed, err
+	}
 	if err != nil {
 		f.calls.interrupted()
 	}
@@ -52,48 +56,78 @@
 		return err
 	}
 	f.reportReachability(nil)
-	f.answered(begun, readTimeout, Answer{Newest: snapshot.Position, Era: snapshot.Era, Clock: snapshot.Clock})
-	defer f.confirm(begun)
+	f.answered(begun, readTimeout, Answer{Newest: snapshot.Position, Clock: snapshot.Clock})
+	state, news, err := f.install(snapshot)
+	if err != nil {
+		return err
+	}
+	if state != nil {
+		f.cfg.Changed(*state)
+	}
+	if news != nil && f.cfg.OnNews != nil {
+		f.cfg.OnNews(*news)
+	}
+	f.confirm(begun)
+	return nil
+}
+
+// install replaces the state by a full read, unless that is older. It returns the new
+// state, and the news for daemons that rely on this follower; nil for none.
+func (f *Follower) install(s Snapshot) (state *State, news *News, err error) {
 	f.mu.Lock()
-	f.fullRead = false
-	report := FullRead{Known: f.state.Position, Position: snapshot.Position, Era: snapshot.Era, HistoryGone: f.historyGone}
-	report.Older = f.known && snapshot.Position < f.state.Position
+	defer f.mu.Unlock()
+	older := f.known && s.Position < f.state.Position
 	if f.cfg.OnRead != nil {
-		defer f.cfg.OnRead(report)
+		f.cfg.OnRead(FullRead{Known: f.state.Position, Position: s.Position, HistoryGone: f.historyGone, Older: older})
+	}
+	if older && f.historyGone {
+		// The store has lost the changes after the known position and is not at that
+		// position either.
+		return nil, nil, errNoProgress
 	}
-	if report.Older {
+	f.fullRead = false
+	if older {
 		// News from another daemon was applied while this read was in flight.
-		f.mu.Unlock()
-		return nil
+		return nil, nil, nil
 	}
-	news := f.diff(snapshot)
+	news = f.diff(s)
 	f.historyGone = false
-	f.replaceRows(snapshot.Rows, snapshot.Position)
-	for _, c := range news.Changes {
-		f.state.Version = max(f.state.Version, c.Version)
+	f.replaceRows(s.Rows, s.Position)
+	if news != nil {
+		f.completeNews(news)
 	}
-	state := f.snapshot()
-	f.mu.Unlock()
-	f.cfg.Changed(state)
-	if len(news.Changes) > 0 && f.cfg.OnNews != nil {
-		f.cfg.OnNews(news)
+	copied := f.snapshot()
+	return &copied, news, nil
+}
+
+// completeNews adds the version to news of a full read, or the versions of the news to
+// the follower's; the lock must be held.
+func (f *Follower) completeNews(n *News) {
+	if n.Restored {
+		n.Version = f.state.Version
+		return
+	}
+	for _, c := range n.Changes {
+		f.state.Version = max(f.state.Version, c.Version)
 	}
-	return nil
 }
 
-// diff returns the changes that lead from the known rows to a full read. It returns
-// changes only if the store has discarded them and other daemons rely on this
-// follower, as they learn of a removed row from no other source. In other full
-// reads the follower catches up with changes that the other daemons already have.
-// The lock must be held.
-func (f *Follower) diff(s Snapshot) News {
-	n := News{Name: f.cfg.Name, After: f.state.Position, Position: s.Position}
-	if !f.known || f.idle || !f.historyGone {
-		return n
+// diff returns the changes that lead from the known rows to a full read; nil for none.
+// It returns changes only if the store has discarded them, or came back from an older
+// copy, and other daemons rely on this follower: they learn of a removed row, or of the
+// store's return, from no other source. In other full reads the follower catches up with
+// changes that the other daemons already have. The lock must be held.
+func (f *Follower) diff(s Snapshot) *News {
+	restored := table.Era(s.Position) > table.Era(f.state.Position)
+	if !f.known || f.idle || !(f.historyGone || restored) {
+		return nil
 	}
+	n := &News{Name: f.cfg.Name, After: f.state.Position, Position: s.Position, Restored: restored}
 	gone := maps.Clone(f.rows)
 	for _, row := range s.Rows {
-		if row.Version > f.rows[row.Key].Version {
+		known, kept := f.rows[row.Key]
+		// After a return all versions are new, and few rows differ.
+		if row.Version > known.Version && !(restored && kept && bytes.Equal(row.Value, known.Value)) {
 			n.Changes = append(n.Changes, Change{Row: row})
 		}
 		delete(gone, row.Key)
@@ -102,6 +136,9 @@
 		// The version of the removal is not known.
 		n.Changes = append(n.Changes, Change{Row: table.Row{Key: key, Version: s.Position}, Removed: true})
 	}
+	if len(n.Changes) == 0 && !restored {
+		return nil
+	}
 	return n
 }
 
@@ -115,17 +152,17 @@
 	begun := f.now()
 	delta, err := f.cfg.Source.Changes(ctx, f.cfg.Name, after, wait)
 	if errors.Is(err, ErrHistoryGone) {
-		f.mu.Lock()
-		f.fullRead, f.historyGone = true, true
-		f.mu.Unlock()
 		f.calls.callEnded(f.now())
-		return false, nil
+		return false, f.requestReadOfAll()
 	}
 	if err != nil {
 		return false, err
 	}
 	f.reportReachability(nil)
-	f.answered(begun, limit, Answer{Newest: delta.Position, Era: delta.Era, Clock: delta.Clock})
+	f.answered(begun, limit, Answer{Newest: delta.Position, Clock: delta.Clock})
+	if err := f.checkProgress(delta, after, wait, f.now()-begun); err != nil {
+		return false, err
+	}
 	if len(delta.Changes) == 0 {
 		f.confirm(begun)
 		return false, nil
@@ -141,6 +178,36 @@
 	return changed, nil
 }
 
+// requestReadOfAll makes the next call read the whole table, since the store no longer
+// has the changes. It returns errNoProgress if the store did not have them after the
+// last full read either.
+func (f *Follower) requestReadOfAll() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fullRead, f.historyGone = true, true
+	f.historyGoneInRow++
+	if f.historyGoneInRow > 1 {
+		return errNoProgress
+	}
+	return nil
+}
+
+// checkProgress returns errNoProgress for changes that end where they begin, and for an
+// answer without changes that came long before the wait was over: the next call would
+// be answered the same at once.
+func (f *Follower) checkProgress(d Delta, after uint64, wait, took time.Duration) error {
+	f.mu.Lock()
+	f.historyGoneInRow = 0
+	f.mu.Unlock()
+	if len(d.Changes) > 0 && d.Position <= after {
+		return errNoProgress
+	}
+	if len(d.Changes) == 0 && f.cfg.Now != nil && took < wait/2 {
+		return errNoProgress
+	}
+	return nil
+}
+
 // now returns the daemon's time, or 0 if Config.Now is nil.
 func (f *Follower) now() time.Duration {
 	if f.cfg.Now == nil {
--- a/daemon/feed/types.go
+++ b/daemon/feed/types.go
@@ -20,13 +20,15 @@
 	Removed bool `cbor:"4,keyasint,omitempty"`
 }
 
+// errNoProgress means that the store answered, but not with what would bring the
+// follower on: the next call is made after a pause.
+var errNoProgress = errors.New("the store's answer brings nothing new")
+
 // Snapshot is the content of a whole table.
 type Snapshot struct {
 	Rows []table.Row
 	// Position is the position of the snapshot; later changes follow it.
 	Position uint64
-	// Era is the store's era; 0 if the store names none.
-	Era uint64
 	// Clock is the store's time at the answer.
 	Clock time.Duration
 }
@@ -35,8 +37,6 @@
 type Delta struct {
 	Changes  []Change
 	Position uint64
-	// Era is the store's era; 0 if the store names none.
-	Era uint64
 	// Clock is the store's time at the answer.
 	Clock time.Duration
 }
@@ -46,8 +46,6 @@
 	// Known is the position before the read; 0 for the first read. Position is that of
 	// the read.
 	Known, Position uint64
-	// Era is the store's era; 0 if the store names none.
-	Era uint64
 	// HistoryGone is set if the read followed ErrHistoryGone.
 	HistoryGone bool
 	// Older is set if the read was dropped, since it was older than the known state.
@@ -58,8 +56,6 @@
 type Answer struct {
 	// Newest is the version of the store's newest change.
 	Newest uint64
-	// Era is the store's era; 0 if the store names none.
-	Era uint64
 	// Clock is the store's time at the answer.
 	Clock time.Duration
 	// Unbroken reports that the previous call was answered or was interrupted
@@ -67,7 +63,8 @@
 	Unbroken bool
 }
 
-// Source reads the store's tables.
+// Source reads the store's tables. Versions and positions are those of package table:
+// ordered across the eras of a store that comes back from older copies.
 type Source interface {
 	// Read reads a whole table as of one point in time.
 	Read(ctx context.Context, name string) (Snapshot, error)
@@ -95,6 +92,13 @@
 	// Changes, oldest first. Empty if they are too large to be sent: the receiver
 	// must then read the table.
 	Changes []Change `cbor:"4,keyasint,omitempty"`
+	// Restored is set if the store came back from an older copy between the two
+	// positions. Changes then lists the rows that differ, of which there may be none,
+	// and only a follower at exactly After can apply them.
+	Restored bool `cbor:"5,keyasint,omitempty"`
+	// Version is, if Restored is set, the version of the newest change that the sender
+	// has received.
+	Version uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Config of a Follower.
@@ -110,7 +114,8 @@
 	// BatchDelay is the pause after changes, so that changes in quick succession are
 	// read by one more call and not by one call each.
 	BatchDelay time.Duration
-	// Retry is the maximum pause after a failed call; the pause doubles up to it.
+	// Retry is the maximum pause after a failed call, and after an answer that brings
+	// nothing new; the pause doubles up to it.
 	Retry time.Duration
 	// IdleRetry replaces Retry once the table is known and while other daemons send
 	// the changes: if the store serves them and refuses this daemon, calls are
--- a/daemon/gateway/reading.go
+++ b/daemon/gateway/reading.go
@@ -8,6 +8,7 @@
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/member"
 	"github.com/samphirequay/samphirequay/core/readers"
+	"github.com/samphirequay/samphirequay/core/revision/table"
 	"github.com/samphirequay/samphirequay/daemon/feed"
 )
 
@@ -116,7 +117,7 @@
 		size += len(c.Value)
 	}
 	if size > newsMaxBytes {
-		n.Changes = nil
+		n.Changes, n.Restored = nil, false
 	}
 	news := tableNews{News: n}
 	if n.Name == d.endpoints.Name() {
@@ -138,9 +139,9 @@
 	fresh, err := follower.ApplyNews(n.News)
 	switch {
 	case eris.Is(err, feed.ErrGap):
-		d.logger.Event("table_news_missed", "peer", from, "table", n.News.Name, "position", n.News.Position)
+		d.logger.Event("table_news_missed", "peer", from, "table", n.News.Name, "position", table.FormatVersion(n.News.Position))
 		follower.Refresh()
 	case fresh:
-		d.logger.Event("table_news", "peer", from, "table", n.News.Name, "position", n.News.Position)
+		d.logger.Event("table_news", "peer", from, "table", n.News.Name, "position", table.FormatVersion(n.News.Position))
 	}
 }
--- a/daemon/gateway/tables.go
+++ b/daemon/gateway/tables.go
@@ -7,6 +7,7 @@
 
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/registry"
+	"github.com/samphirequay/samphirequay/core/revision/table"
 	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/daemon/feed"
 	"github.com/samphirequay/samphirequay/daemon/forward"
@@ -104,7 +105,7 @@
 // tableRead logs a full read of a table.
 func (d *Daemon) tableRead(name string, r feed.FullRead) {
 	d.fullReads.Add(name, 1)
-	d.logger.Event("table_read", "table", name, "era", r.Era, "position", r.Position, "known", r.Known,
+	d.logger.Event("table_read", "table", name, "position", table.FormatVersion(r.Position), "known", table.FormatVersion(r.Known),
 		"history_gone", r.HistoryGone, "dropped", r.Older)
 }
 
@@ -143,7 +144,7 @@
 	}
 	k.routes = routes
 	d.freshness.setVersion(config.Version)
-	d.logger.Event("config_in_force", "version", config.Version, "row", s.Version,
+	d.logger.Event("config_in_force", "version", config.Version, "row", table.FormatVersion(s.Version),
 		"routes", len(config.Routes), "services", len(config.Services), "teams", len(config.Teams))
 	d.publish()
 }
