Keep what endpoints said before the store came back from an older copy

The copy lists an endpoint as ready that had said that it leaves, and one that has ended; and it lacks one that has registered since. That an endpoint leaves is now final for its incarnation, by its entry as by its own word. One that is missing is kept as after an outage.

--- a/core/registry/lapse.go
+++ b/core/registry/lapse.go
@@ -133,13 +133,18 @@
 // DropRemoved drops the kept entries that the spans prove to be removed, and reports
 // whether there were any.
 func (l *List) DropRemoved() bool {
-	spans, before := l.Uptime(), len(l.lapsed)
+	spans, former := l.Uptime(), l.entries()
+	before := len(l.lapsed)
 	maps.DeleteFunc(l.lapsed, func(_ id.Endpoint, p lapsedEntry) bool {
 		return slices.ContainsFunc(spans, func(s uptime.Span) bool {
 			return s.Covers(p.after, p.upTo) || l.overdue(s, p)
 		})
 	})
-	return len(l.lapsed) < before
+	if len(l.lapsed) == before {
+		return false
+	}
+	l.recordEnded(former)
+	return true
 }
 
 // overdue reports whether an entry is still missing at the end of the return grace.
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -37,6 +37,7 @@
 	displaced *simplelru.LRU[location, struct{}]
 	// saidLeaving holds the endpoints that have said that they leave.
 	saidLeaving *simplelru.LRU[id.Endpoint, struct{}]
+	restores    restores
 	outage      outage
 }
 
@@ -48,6 +49,7 @@
 		restarted:   map[id.Instance]Endpoint{},
 		displaced:   newCache[location](maxDisplaced),
 		saidLeaving: newCache[id.Endpoint](maxSaidLeaving),
+		restores:    newRestores(),
 	}
 }
 
@@ -65,16 +67,28 @@
 // unreadable instances, those whose entry can't be decoded, are dropped. Entries
 // missing from the new list are kept for a while if they may have lapsed because of
 // an outage of the store. An entry of an earlier start than the latest known one of
-// its instance belongs to a process that has ended.
+// its instance belongs to a process that has ended. That an endpoint leaves is final for
+// its incarnation, also if the store comes back from a copy in which it does not.
 func (l *List) Set(now time.Duration, position uint64, entries []Endpoint, unreadable ...id.Instance) {
 	old, after := l.listed, l.position
-	latest := latestStarts(l.entries())
+	former := l.entries()
+	if l.isRestore(position) {
+		// Entries may be missing until their endpoints write them again.
+		l.SuspectOutage(now)
+		l.holdReturned(now, entries)
+	}
+	entries = l.withoutHeld(now, entries)
+	latest := latestStarts(former)
 	l.listed = make(map[id.Endpoint]Endpoint, len(entries))
 	for _, e := range entries {
 		if known, ok := latest[e.Instance]; ok && e.older(&known) {
 			e = known
 			e.UnlistedSince = 0
 		}
+		if e.Leaving {
+			l.MarkLeaving(e.Name)
+		}
+		l.restores.ended.Remove(e.Name)
 		l.listed[e.Name] = e
 	}
 	l.position = position
@@ -85,6 +99,7 @@
 	l.DropRemoved()
 	l.dropReplaced()
 	l.dropAppliedRestarts()
+	l.recordEnded(former)
 }
 
 // latestStarts returns the entry with the latest start of each instance that reports
--- a/daemon/gateway/endpointtable.go
+++ b/daemon/gateway/endpointtable.go
@@ -64,7 +64,7 @@
 // store and other daemons for the information that this decision needs.
 func (d *Daemon) watchRegistry() {
 	d.every(registryCheckInterval, func() {
-		if d.tables.current().Lapsed == 0 {
+		if d.registrySettled() {
 			return
 		}
 		upTo, query, due := d.settleRegistry()
@@ -77,14 +77,22 @@
 	})
 }
 
-// settleRegistry drops lapsed entries that are certainly gone. query reports whether
+// registrySettled reports whether no entry waits for a decision.
+func (d *Daemon) registrySettled() (settled bool) {
+	d.withRegistry(func(l *registry.List) { settled = l.Lapsed() == 0 && l.Held() == 0 })
+	return settled
+}
+
+// settleRegistry drops lapsed entries that are certainly gone, and lists returned ones
+// whose endpoints live. query reports whether
 // to query other daemons for the store's uptime, up to the store's version upTo; due
 // reports whether the next answer of the store may decide about the remaining ones.
 func (d *Daemon) settleRegistry() (upTo uint64, query, due bool) {
 	k, now, pause := d.tables, d.now(), d.uptimeQueryInterval()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.list.DropRemoved() {
+	released := k.list.ReleaseReturned(now)
+	if k.list.DropRemoved() || released {
 		d.publish()
 	}
 	upTo, query = k.list.ShouldQuery(now, pause)
