End a lease with the era of the store

A store that came back from an older copy shows the lease row of seconds ago: it is free, or names a former holder, and its fencing number is one that has been used since. A contender took it at once, beside the holder that still trusted its lease, and with the holder's fencing number; engines that had seen a higher one would refuse all orders.

The row names the era in which it was written. The first reply of a later era ends the lease, and what a row of a former era says of its holder doesn't count: a contender waits as for a lease that was just renewed. Fencing numbers of an era lie above all those of earlier ones.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -3,7 +3,9 @@
 // number that increases with every acquisition. The holder stops acting by its own
 // monotonic clock well before the lease can lapse for others. A contender waits by
 // its own monotonic clock until the row has been unchanged for the TTL and a margin.
-// Clocks of different processes are never compared.
+// Clocks of different processes are never compared. A lease ends with the era of the
+// table: after the table came back from an older copy, the row may name a former holder,
+// and each contender waits as for a lease that was just renewed.
 package lease
 
 import (
@@ -35,8 +37,18 @@
 	// Quiet, in a released row, is set if no order of the former holder can
 	// still be in flight.
 	Quiet bool `json:"quiet,omitempty"`
+	// Era is the table's era in which the row was written. A row of a former era is from
+	// a copy of the table: another process may have held the lease since.
+	Era uint64 `json:"era,omitempty"`
 }
 
+// eraFenceBits is how far the fencing numbers of two eras are apart, in bits: more than
+// an era has acquisitions. The numbers stay exact as JSON numbers.
+const eraFenceBits = 32
+
+// firstFence returns a number that no fencing number of an earlier era reaches.
+func firstFence(era uint64) uint64 { return era << eraFenceBits }
+
 // Config configures the timing of a lease.
 type Config struct {
 	// TTL is the time after which an unrenewed lease lapses.
@@ -139,9 +151,11 @@
 	seen           Row
 	version        uint64
 	unchangedSince time.Duration
-	// observed is set once the row was read or written, so that unchangedSince is
-	// valid.
+	// observed is set once the row was read or written in the present era, so that
+	// unchangedSince is valid.
 	observed bool
+	// era is the latest era of the table that a reply named.
+	era uint64
 
 	// heldFence is the fencing number of the lease held; 0 for none. trustedUntil
 	// is when the holder stops acting unless the lease is renewed.
@@ -279,9 +293,9 @@
 }
 
 func (l *Lease) acquire(now time.Duration) Action {
-	l.acquiringFence = l.seen.Fence + 1
+	l.acquiringFence = max(l.seen.Fence, firstFence(l.era)) + 1
 	l.previousRow = l.seen
-	return l.write(now, phaseAcquire, Row{Holder: l.self, Fence: l.acquiringFence, TTL: l.cfg.TTL, Beat: l.seen.Beat + 1})
+	return l.write(now, phaseAcquire, Row{Holder: l.self, Fence: l.acquiringFence, TTL: l.cfg.TTL, Beat: l.seen.Beat + 1, Era: l.era})
 }
 
 func (l *Lease) renew(now time.Duration) Action {
@@ -292,7 +306,7 @@
 }
 
 func (l *Lease) release(now time.Duration) Action {
-	return l.write(now, phaseRelease, Row{Fence: l.seen.Fence, Beat: l.seen.Beat + 1, Quiet: l.quiet})
+	return l.write(now, phaseRelease, Row{Fence: l.seen.Fence, Beat: l.seen.Beat + 1, Quiet: l.quiet, Era: l.era})
 }
 
 // wait schedules the next read or renewal after a success.
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -46,7 +46,9 @@
 	dropConditions bool
 	fences         []uint64
 	overlaps       int
-	maxOrderDelay  time.Duration
+	// restores is how often the table came back from an older copy.
+	restores      int
+	maxOrderDelay time.Duration
 }
 
 func newSimulation(seed uint64, cfg Config, n int) *simulation {
@@ -194,6 +196,53 @@
 	w.clock.After(w.clock.RandomDuration(6*time.Second), func() { w.injectFaults(cfg, until) })
 }
 
+// maxCopyAge is the greatest age of a copy from which the table comes back.
+const maxCopyAge = 8 * time.Second
+
+// injectRestores brings the table back from older copies, at random until a time. Some
+// follow each other closely.
+func (w *simulation) injectRestores(until time.Duration) {
+	if w.clock.Now() >= until {
+		return
+	}
+	w.model.Restore(w.clock.RandomDuration(maxCopyAge))
+	w.restores++
+	w.clock.After(w.clock.RandomDuration(12*time.Second), func() { w.injectRestores(until) })
+}
+
+// simulateRestores is simulate with a table that comes back from older copies.
+func simulateRestores(seed uint64, cfg Config) *simulation {
+	w := newSimulation(seed, cfg, 3)
+	w.model.Faults = tabletest.Faults{LoseRequest: 0.08, LoseReply: 0.1, Late: 0.08}
+	w.injectFaults(cfg, 60*time.Second)
+	w.clock.After(w.clock.RandomDuration(10*time.Second), func() { w.injectRestores(60 * time.Second) })
+	w.clock.Run(90 * time.Second)
+	w.model.Faults = tabletest.Faults{}
+	for _, p := range w.processes {
+		p.paused = 0
+	}
+	w.clock.Run(120 * time.Second)
+	return w
+}
+
+// TestARestoredTableNeverGivesTheLeaseToTwo guards against a lease that is taken by the
+// word of an older copy, and against fencing numbers that are given out again.
+func TestARestoredTableNeverGivesTheLeaseToTwo(t *testing.T) {
+	is := is.New(t)
+	acquired, restores := 0, 0
+	for seed := range tabletest.Seeds(120) {
+		w := simulateRestores(seed, DefaultConfig())
+		is.Equal(w.overlaps, 0)
+		is.True(w.fencesIncrease())
+		is.Equal(w.endpoint.staleOrders, 0)
+		is.True(w.holder() != nil) // one process holds the lease after the faults have ended
+		acquired += len(w.fences)
+		restores += w.restores
+	}
+	is.True(acquired > 120*2 && restores > 120*4) // the histories have enough of both
+	t.Logf("%d acquisitions, %d restores", acquired, restores)
+}
+
 func simulate(seed uint64, cfg Config, dropConditions bool) *simulation {
 	w := newSimulation(seed, cfg, 3)
 	w.dropConditions = dropConditions
--- a/core/lease/reply.go
+++ b/core/lease/reply.go
@@ -13,6 +13,9 @@
 	if r.Seq != l.seq {
 		return nil
 	}
+	if r.Era > l.era {
+		return l.onRestored(now, r)
+	}
 	switch l.phase {
 	case phaseRead:
 		return l.onRead(now, r)
@@ -25,6 +28,22 @@
 	}
 }
 
+// onRestored handles the first reply of a later era, in which the table came back from an
+// older copy. The lease of the former era ends. A write is not relied upon: its condition
+// may have held for another row that got the same number.
+func (l *Lease) onRestored(now time.Duration, r table.Reply) []Action {
+	var out []Action
+	if l.heldFence != 0 {
+		out = append(out, l.lose("the table came back from an older copy"))
+	}
+	l.era, l.observed, l.version, l.seen = r.Era, false, 0, Row{}
+	l.acquiringFence, l.uncertain = 0, false
+	if l.phase == phaseRead {
+		return append(out, l.onRead(now, r)...)
+	}
+	return append(out, l.read())
+}
+
 // onWrite handles the reply to an acquisition or a renewal. If its effect is
 // unknown, or it failed because the row had changed, the row is read.
 func (l *Lease) onWrite(now time.Duration, r table.Reply) []Action {
@@ -71,12 +90,20 @@
 	return &Acquired{
 		Fence:    l.heldFence,
 		Previous: former,
-		Own:      former != (id.Process{}) && l.isFormerSelf(former),
-		Quiet:    former == (id.Process{}) && l.previousRow.Quiet,
-		Lapsed:   former != (id.Process{}) && former != l.self && !l.isFormerSelf(former),
+		Own:      l.previousRow.Era == l.era && former != (id.Process{}) && l.isFormerSelf(former),
+		Quiet:    former == (id.Process{}) && l.previousRow.Quiet && l.previousRow.Era == l.era,
+		Lapsed:   l.hasLapsed(former),
 	}
 }
 
+// hasLapsed reports whether this process waited for the former holder's lease to lapse.
+func (l *Lease) hasLapsed(former id.Process) bool {
+	if l.previousRow.Era != l.era {
+		return true
+	}
+	return former != (id.Process{}) && former != l.self && !l.isFormerSelf(former)
+}
+
 // isFormerSelf reports whether a process is an earlier one of this daemon that has
 // certainly ended.
 func (l *Lease) isFormerSelf(p id.Process) bool {
@@ -128,20 +155,31 @@
 
 // available reports whether this process may acquire the lease: it was never held,
 // was released, belongs to this process or to an earlier process of this daemon that
-// has ended, or its row was unchanged for TTL and Margin by this process's clock.
+// has ended, or its row was unchanged for TTL and Margin by this process's clock. What a
+// row of a former era says of its holder does not count.
 func (l *Lease) available(now time.Duration) bool {
-	if l.seen.Holder == (id.Process{}) || l.seen.Holder == l.self || l.isFormerSelf(l.seen.Holder) {
+	free := l.seen.Holder == (id.Process{}) || l.seen.Holder == l.self || l.isFormerSelf(l.seen.Holder)
+	if free && l.seen.Era == l.era {
 		return true
 	}
-	return now-l.unchangedSince >= l.seen.TTL+l.cfg.Margin
+	return now >= l.lapsesAt()
+}
+
+// lapsesAt returns the time, by this process's clock, at which the lease lapses unless its
+// row changes.
+func (l *Lease) lapsesAt() time.Duration {
+	ttl := l.seen.TTL
+	if l.seen.Era != l.era {
+		ttl = max(ttl, l.cfg.TTL)
+	}
+	return l.unchangedSince + ttl + l.cfg.Margin
 }
 
 // watchPause returns the time until the next read: WatchEvery, or less if the lease
 // lapses earlier, so that a lapsed lease is acquired without delay, but at least
 // WatchEvery/8.
 func (l *Lease) watchPause(now time.Duration) time.Duration {
-	left := l.unchangedSince + l.seen.TTL + l.cfg.Margin - now
-	return max(min(l.cfg.WatchEvery, left), l.cfg.WatchEvery/8)
+	return max(min(l.cfg.WatchEvery, l.lapsesAt()-now), l.cfg.WatchEvery/8)
 }
 
 // finishRelease releases the lease if the row belongs to this process; otherwise it
--- a/core/revision/table/tabletest/model.go
+++ b/core/revision/table/tabletest/model.go
@@ -8,6 +8,7 @@
 	"container/heap"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -123,12 +124,15 @@
 	row table.Row
 }
 
-// Model is a model of the table.
+// Model is a model of the table. It keeps the rows with the numbers that it gives out,
+// and replies with versions of its era.
 type Model struct {
-	Faults      Faults
-	clock       *Clock
-	rows        map[string][]versionedRow
-	lastVersion uint64
+	Faults     Faults
+	clock      *Clock
+	rows       map[string][]versionedRow
+	lastNumber uint64
+	// era counts the calls of Restore.
+	era uint64
 }
 
 // New returns an empty table.
@@ -141,12 +145,31 @@
 	versions := m.rows[key]
 	for i := len(versions) - 1; i >= 0; i-- {
 		if versions[i].at <= at {
-			return versions[i].row
+			row := versions[i].row
+			if row.Version != 0 {
+				row.Version = table.VersionIn(m.era, row.Version)
+			}
+			return row
 		}
 	}
 	return table.Row{Key: key}
 }
 
+// Restore brings the table back from a copy of a given age: later changes are lost, and
+// their numbers are given out again.
+func (m *Model) Restore(age time.Duration) {
+	at := max(0, m.clock.now-age)
+	m.era++
+	m.lastNumber = 0
+	for key, versions := range m.rows {
+		kept := slices.DeleteFunc(versions, func(v versionedRow) bool { return v.at > at })
+		m.rows[key] = kept
+		for _, v := range kept {
+			m.lastNumber = max(m.lastNumber, v.row.Version)
+		}
+	}
+}
+
 // Do runs a request with the current faults and calls done with the reply.
 func (m *Model) Do(q table.Request, done func(table.Reply)) {
 	f, r := m.Faults, m.clock.Random
@@ -185,7 +208,7 @@
 	if m.clock.Random.Float64() < m.Faults.Stale {
 		at -= m.clock.RandomDuration(maxLag)
 	}
-	r := table.Reply{Seq: q.Seq, Status: table.Done}
+	r := table.Reply{Seq: q.Seq, Status: table.Done, Era: m.era}
 	for _, k := range q.Keys {
 		r.Rows = append(r.Rows, m.rowAt(k, at))
 	}
@@ -193,24 +216,29 @@
 }
 
 func (m *Model) transact(q table.Request) table.Reply {
-	r := table.Reply{Seq: q.Seq, Status: table.Done}
+	r := table.Reply{Seq: q.Seq, Status: table.Done, Era: m.era}
 	for _, c := range q.Transaction.Conditions {
-		if m.Row(c.Key).Version != c.Version {
+		// The table compares numbers only.
+		if table.Number(m.Row(c.Key).Version) != table.Number(c.Version) {
 			r.Failed = append(r.Failed, c.Key)
 		}
+		if c.Version != 0 && table.Era(c.Version) < m.era {
+			r.Status = table.Unknown
+		}
 	}
 	if len(r.Failed) > 0 {
+		r.Status = table.Done
 		return r
 	}
-	r.Applied = true
+	r.Applied = r.Status == table.Done
 	for _, p := range q.Transaction.Puts {
-		m.lastVersion++
-		row := table.Row{Key: p.Key, Value: p.Value, Version: m.lastVersion}
+		m.lastNumber++
+		row := table.Row{Key: p.Key, Value: p.Value, Version: m.lastNumber}
 		if p.Delete {
 			row = table.Row{Key: p.Key}
 		}
 		m.rows[p.Key] = append(m.rows[p.Key], versionedRow{at: m.clock.now, row: row})
-		r.Versions = append(r.Versions, row.Version)
+		r.Versions = append(r.Versions, table.VersionIn(m.era, row.Version))
 	}
 	return r
 }
