Leave the lease row of a former era alone at a stop

A process that stops after the store came back from an older copy could find itself as the holder in the copy, and released the lease in the present era's name. The next contender took it at once, beside the holder of the former era.

--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -395,3 +396,19 @@
 	is.Equal(w.overlaps, 0)
 	is.True(w.holder().lease.Fence() > 1 || w.holder() == h)
 }
+
+// TestAStoppingProcessLeavesALeaseOfAFormerEraAlone guards against a release in a row
+// that an older copy brought back: it would free the lease of a later holder.
+func TestAStoppingProcessLeavesALeaseOfAFormerEraAlone(t *testing.T) {
+	is := is.New(t)
+	self := id.Process{Daemon: "d1", Incarnation: 1}
+	l := New(DefaultConfig(), "placement", self, 0, tabletest.NewClock(1).Random)
+	l.phase, l.stopping, l.era = phaseRead, true, 1
+	row, err := json.Marshal(Row{Holder: self, Fence: 5, Era: 1})
+	is.NoErr(err)
+	actions := l.Handle(time.Second, table.Reply{Status: table.Done, Era: 2, Rows: []table.Row{
+		{Key: Key("placement"), Value: row, Version: table.VersionIn(2, 3)},
+	}})
+	is.Equal(len(actions), 0)
+	is.True(l.Stopped())
+}
--- a/core/lease/reply.go
+++ b/core/lease/reply.go
@@ -183,9 +183,10 @@
 }
 
 // finishRelease releases the lease if the row belongs to this process; otherwise it
-// stops.
+// stops. A row of a former era is left alone: another process may have taken the lease
+// since it was written.
 func (l *Lease) finishRelease(now time.Duration) []Action {
-	if l.seen.Holder == l.self {
+	if l.seen.Holder == l.self && l.seen.Era == l.era {
 		return []Action{l.release(now)}
 	}
 	l.phase = phaseStopped
