Write the fleet's own rows again after the store came back older

What the daemons themselves wrote since the copy is gone, and nobody else writes it again: their rows, the CA that they trust one another by, and the account of retries that a stopped process handed on, of which the copy may have one that was used since.

In each era every daemon checks its row and the CA once, spread over the fleet, and writes what is missing. A starting daemon that finds the others' rows and no CA waits for it; two CAs end as that of the daemons that hear each other. Daemons that were listed once stay listed, so that no share of the retries grows. Incarnations name their era, so that a later start is later. An account of retries counts in the era in which it was written only, and a stop after a return writes it under the row's present version.

--- a/daemon/gateway/authority.go
+++ b/daemon/gateway/authority.go
@@ -1,11 +1,20 @@
 package gateway
 
 import (
+	"context"
+	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirequay/samphirequay/core/revision/table"
 	"github.com/samphirequay/samphirequay/daemon/keys"
 )
 
+// authorityRestoreWait is how long a starting daemon waits for others to write the CA
+// again that the store has lost.
+const authorityRestoreWait = 4 * time.Second
+
 // authority reads the fleet's CA, or creates it if there is none yet.
 func (d *Daemon) authority() (*keys.DevCA, error) {
 	row, err := d.readRow(keyAuthority)
@@ -18,10 +27,30 @@
 	if err != nil {
 		return nil, err
 	}
-	if row.Version == 0 {
-		return d.createAuthority()
+	if row.Version != 0 {
+		return keys.LoadCA(row.Value, d.opts.Wall())
 	}
-	return keys.LoadCA(row.Value, d.opts.Wall())
+	if d.now() < d.authorityDue {
+		return nil, eris.New("the store lists daemons and has no CA: one of them is to write it again")
+	}
+	if d.authorityDue == 0 && d.fleetExists() {
+		d.authorityDue = d.now() + authorityRestoreWait
+		return nil, eris.New("the store lists daemons and has no CA: one of them is to write it again")
+	}
+	return d.createAuthority()
+}
+
+// fleetExists reports whether the store lists other daemons. They have a CA that the
+// store has lost, if it has none.
+func (d *Daemon) fleetExists() bool {
+	ctx, cancel := context.WithTimeout(d.ctx, enrollTimeout)
+	defer cancel()
+	hosts, err := d.platform.Source.Read(ctx, tableDaemons)
+	if err != nil {
+		d.logger.Warn("daemons_not_read", "why", err)
+		return true
+	}
+	return slices.ContainsFunc(hosts.Rows, func(r table.Row) bool { return r.Key != string(d.set.Daemon) })
 }
 
 // createAuthority writes a new CA. If another daemon wrote one first, it returns
--- a/daemon/gateway/enroll.go
+++ b/daemon/gateway/enroll.go
@@ -10,6 +10,7 @@
 	"github.com/samphirequay/samphirequay/core/member"
 	"github.com/samphirequay/samphirequay/core/poison"
 	"github.com/samphirequay/samphirequay/core/pool"
+	"github.com/samphirequay/samphirequay/core/revision/table"
 	"github.com/samphirequay/samphirequay/daemon/broker"
 	"github.com/samphirequay/samphirequay/daemon/feed"
 	"github.com/samphirequay/samphirequay/daemon/keys"
@@ -82,13 +83,9 @@
 		d.retryShare.setFirstStart(d.retryShare.startedAt + Seconds(d.set.Bounds.RepeatWindowS))
 	}
 	if former != nil {
-		d.adoptRetries(former.Retries)
+		d.adoptRetries(former.Retries, incarnation)
 	}
-	material, err := authority.Peer(d.set.Daemon)
-	if err != nil {
-		return err
-	}
-	return d.join(id.Process{Daemon: d.set.Daemon, Incarnation: incarnation}, keys.FromMaterial(material))
+	return d.join(id.Process{Daemon: d.set.Daemon, Incarnation: incarnation}, authority)
 }
 
 // rowKey is the key of this daemon's row; row is its value.
@@ -130,10 +127,20 @@
 // join starts the components that need the fleet: the peer transport, the broker,
 // the quotas, the membership, the role orders, and the follower of the daemons'
 // table. Messages of peers are dropped until all are assembled.
-func (d *Daemon) join(self id.Process, material *keys.Store) error {
+func (d *Daemon) join(self id.Process, authority *keys.DevCA) error {
 	f := &fleet{self: self}
+	f.rowsChecked.Store(table.Era(uint64(self.Incarnation)))
+	var err error
+	if f.authority, err = authority.Marshal(); err != nil {
+		return err
+	}
+	material, err := authority.Peer(d.set.Daemon)
+	if err != nil {
+		return err
+	}
 	ready := make(chan struct{})
-	transport, err := peer.Listen(d.peerConfig(f, material, ready))
+	f.keys = keys.FromMaterial(material)
+	transport, err := peer.Listen(d.peerConfig(f, f.keys, ready))
 	if err != nil {
 		return eris.Wrapf(err, "listen.peers %s", d.set.Listen.Peers)
 	}
@@ -192,6 +199,9 @@
 	go d.openEvidenceGate(f)
 	go d.updateReading(f)
 	go d.syncStoreClock()
+	if f.rowsChecked.Load() > 0 {
+		go d.confirmAuthority(f)
+	}
 	go d.logUsage(f)
 	d.logger.Event("daemon_enrolled", "incarnation", self.Incarnation)
 	d.tables.mu.Lock()
@@ -225,12 +235,7 @@
 const hostsBatchDelay = time.Second
 
 func (d *Daemon) hostsConfig(f *fleet) feed.Config {
-	cfg := d.followerConfig(tableDaemons, func(s feed.State) {
-		hosts := d.hosts(s)
-		f.alone.Store(len(hosts) == 0)
-		f.listed.Store(int64(len(hosts)) + 1)
-		f.members.SetHosts(hosts)
-	})
+	cfg := d.followerConfig(tableDaemons, func(s feed.State) { d.hostsChanged(f, s) })
 	cfg.Wait = hostsWait
 	cfg.BatchDelay = hostsBatchDelay
 	return cfg
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/samphirequay/samphirequay/daemon/feed"
 	"github.com/samphirequay/samphirequay/daemon/forward"
 	"github.com/samphirequay/samphirequay/daemon/hangup"
+	"github.com/samphirequay/samphirequay/daemon/keys"
 	"github.com/samphirequay/samphirequay/daemon/leaving"
 	"github.com/samphirequay/samphirequay/daemon/logline"
 	"github.com/samphirequay/samphirequay/daemon/members"
@@ -147,6 +148,9 @@
 	unusable *metrics.CounterMap
 	endOnce  sync.Once
 
+	// authorityDue is when this daemon may create a CA although others have enrolled; 0
+	// until it has found that they have. Used only during enrolment.
+	authorityDue time.Duration
 	// fullReads counts the full reads of the store's tables, by table.
 	fullReads *metrics.CounterMap
 
@@ -174,8 +178,16 @@
 	broker    *broker.Broker
 	quotas    *quotas.Quotas
 	hosts     *feed.Follower
-	orderer   *orderer
-	evidence  *evidence.Syncer
+	hostList  hostList
+	// authority is the encoded CA of the fleet, authorityMu guards it, and keys holds
+	// this daemon's certificate by it.
+	authorityMu sync.Mutex
+	authority   []byte
+	keys        *keys.Store
+	// rowsChecked is the latest era of the store in which the fleet's rows were checked.
+	rowsChecked atomic.Uint64
+	orderer     *orderer
+	evidence    *evidence.Syncer
 	// alone is set while the store lists no other daemon.
 	alone atomic.Bool
 	// listed is the number of daemons that the store lists, this one included; 0 until
--- a/daemon/gateway/retryaccount.go
+++ b/daemon/gateway/retryaccount.go
@@ -1,12 +1,16 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/retry"
+	"github.com/samphirequay/samphirequay/core/revision/table"
 )
 
 // retryAccount is what a process hands on to the next one of its daemon at a planned stop,
@@ -15,6 +19,9 @@
 type retryAccount struct {
 	// AtUnixMS is when it was written, in milliseconds since 1970 by the store's clock.
 	AtUnixMS int64 `json:"at_ms"`
+	// Era is the store's era in which it was written. In a later one it may be from a copy
+	// of the store, and older than what a process has retried since.
+	Era uint64 `json:"era,omitempty"`
 	// Windows are the requests and retries of each service that still count.
 	Windows map[id.Service]retry.WindowState `json:"windows,omitempty"`
 }
@@ -33,7 +40,7 @@
 	}
 	d.retryShare.handOn()
 	row := d.row()
-	row.Retries = &retryAccount{AtUnixMS: d.wall().UnixMilli(), Windows: d.forwarder.RetryWindows()}
+	row.Retries = &retryAccount{AtUnixMS: d.wall().UnixMilli(), Era: f.rowsChecked.Load(), Windows: d.forwarder.RetryWindows()}
 	value, err := json.Marshal(row)
 	if err != nil {
 		d.logger.Warn("retries_not_handed_on", "why", err)
@@ -41,7 +48,12 @@
 	}
 	ctx, cancel := context.WithTimeout(d.ctx, handOnTimeout)
 	defer cancel()
-	_, written, err := d.replaceRow(ctx, d.rowKey(), uint64(f.self.Incarnation), value)
+	version, err := d.ownRowVersion(ctx, f)
+	if err != nil {
+		d.logger.Warn("retries_not_handed_on", "why", err)
+		return
+	}
+	_, written, err := d.replaceRow(ctx, d.rowKey(), version, value)
 	if err != nil || !written {
 		d.logger.Warn("retries_not_handed_on", "written", written, "why", err)
 		return
@@ -49,12 +61,38 @@
 	d.logger.Event("retries_handed_on", "services", len(row.Retries.Windows))
 }
 
-// adoptRetries takes over the account of the former process. It must have been written
-// within the window: later, the other daemons may have taken over the share.
-func (d *Daemon) adoptRetries(a *retryAccount) {
+// ownRowVersion returns the version of this process's row: its incarnation, until the
+// store has come back from an older copy.
+func (d *Daemon) ownRowVersion(ctx context.Context, f *fleet) (uint64, error) {
+	incarnation := uint64(f.self.Incarnation)
+	if f.rowsChecked.Load() == table.Era(incarnation) {
+		return incarnation, nil
+	}
+	row, err := d.readRowWithin(ctx, d.rowKey())
+	if err != nil {
+		return 0, err
+	}
+	value, err := json.Marshal(d.row())
+	if err != nil {
+		return 0, eris.Wrap(err, "encode the daemon's row")
+	}
+	if !bytes.Equal(row.Value, value) {
+		return 0, eris.New("the store has another row of this daemon")
+	}
+	return row.Version, nil
+}
+
+// adoptRetries takes over the account of the former process, in the row that the given
+// incarnation has replaced. It must have been written within the window, and in the
+// same era of the store: later, the other daemons may have taken over the share.
+func (d *Daemon) adoptRetries(a *retryAccount, incarnation id.Incarnation) {
 	if a == nil {
 		return
 	}
+	if era := table.Era(uint64(incarnation)); a.Era != era {
+		d.logger.Event("retries_not_adopted", "era", era, "written_in", a.Era, "why", "the store has come back from an older copy")
+		return
+	}
 	age := d.wall().Sub(time.UnixMilli(a.AtUnixMS))
 	left := Seconds(d.set.Bounds.RepeatWindowS) - age
 	if age < 0 || left < 0 {
--- a/daemon/gateway/rows.go
+++ b/daemon/gateway/rows.go
@@ -14,6 +14,11 @@
 func (d *Daemon) readRow(key string) (table.Row, error) {
 	ctx, cancel := context.WithTimeout(d.ctx, enrollTimeout)
 	defer cancel()
+	return d.readRowWithin(ctx, key)
+}
+
+// readRowWithin is readRow within ctx.
+func (d *Daemon) readRowWithin(ctx context.Context, key string) (table.Row, error) {
 	sent := d.now()
 	reply := d.platform.Store.Run(ctx, table.Request{Keys: []string{key}})
 	if reply.Status != table.Done {
