Spread the store's return to all followers, and keep earlier releases out of it

The first follower that notices the return has the others polled.

A daemon of an earlier release compares versions with the store's numbers. After a return, news and states go in fields that it doesn't know; it goes on as before.

--- a/daemon/feed/calls_test.go
+++ b/daemon/feed/calls_test.go
@@ -112,3 +112,24 @@
 		}
 	}
 }
+
+// A call that waits may hear nothing of the store's return. Whoever notices it has the
+// others polled, however soon after their last poll.
+func TestPollNowIgnoresTheIntervalBetweenPolls(t *testing.T) {
+	is := is.New(t)
+	s := newSource()
+	f := followTimed(t, s)
+	serve(t, s.reads, read(9, row("a", 3)))
+	next(t, f.answers)
+	s.awaitCalls(t, 1)
+	f.Poll()
+	s.awaitCalls(t, 2)
+	is.Equal(s.lastWait(), time.Duration(0))
+	serve(t, s.changes, delta(9, time.Minute, noop))
+	s.awaitCalls(t, 3)
+	f.Poll()
+	is.True(s.lastWait() > 0) // too soon
+	f.PollNow()
+	s.awaitCalls(t, 4)
+	is.Equal(s.lastWait(), time.Duration(0))
+}
--- a/daemon/feed/news.go
+++ b/daemon/feed/news.go
@@ -45,8 +45,21 @@
 func (f *Follower) Poll() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.now()
-	if f.idle || f.fullRead || f.lost || f.skipWait || now < f.nextPoll {
+	if now := f.now(); now >= f.nextPoll {
+		f.poll(now)
+	}
+}
+
+// PollNow is Poll without minPollInterval, for what happens rarely.
+func (f *Follower) PollNow() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.poll(f.now())
+}
+
+// poll calls the store for changes at once, if that is of use; the lock must be held.
+func (f *Follower) poll(now time.Duration) {
+	if f.idle || f.fullRead || f.lost || f.skipWait {
 		return
 	}
 	f.nextPoll = now + minPollInterval
--- a/daemon/feed/read.go
+++ b/daemon/feed/read.go
@@ -57,6 +57,7 @@
 	}
 	f.reportReachability(nil)
 	f.answered(begun, readTimeout, Answer{Newest: snapshot.Position, Clock: snapshot.Clock})
+	f.reportRead(snapshot)
 	state, news, err := f.install(snapshot)
 	if err != nil {
 		return err
@@ -71,15 +72,24 @@
 	return nil
 }
 
+// reportRead reports a full read before it is installed.
+func (f *Follower) reportRead(s Snapshot) {
+	if f.cfg.OnRead == nil {
+		return
+	}
+	f.mu.Lock()
+	r := FullRead{Known: f.state.Position, Position: s.Position, HistoryGone: f.historyGone}
+	r.Older = f.known && s.Position < r.Known
+	f.mu.Unlock()
+	f.cfg.OnRead(r)
+}
+
 // install replaces the state by a full read, unless that is older. It returns the new
 // state, and the news for daemons that rely on this follower; nil for none.
 func (f *Follower) install(s Snapshot) (state *State, news *News, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	older := f.known && s.Position < f.state.Position
-	if f.cfg.OnRead != nil {
-		f.cfg.OnRead(FullRead{Known: f.state.Position, Position: s.Position, HistoryGone: f.historyGone, Older: older})
-	}
 	if older && f.historyGone {
 		// The store has lost the changes after the known position and is not at that
 		// position either.
--- a/daemon/gateway/authority.go
+++ b/daemon/gateway/authority.go
@@ -28,7 +28,7 @@
 		return nil, err
 	}
 	if row.Version != 0 {
-		return keys.LoadCA(row.Value, d.opts.Wall())
+		return d.loadAuthority(row.Value)
 	}
 	if d.now() < d.authorityDue {
 		return nil, eris.New("the store lists daemons and has no CA: one of them is to write it again")
@@ -75,5 +75,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return keys.LoadCA(row.Value, d.opts.Wall())
+	return d.loadAuthority(row.Value)
+}
+
+// loadAuthority decodes a CA. Certificates are dated by the wall clock.
+func (d *Daemon) loadAuthority(encoded []byte) (*keys.DevCA, error) {
+	return keys.LoadCA(encoded, d.opts.Wall())
 }
--- a/daemon/gateway/catchup.go
+++ b/daemon/gateway/catchup.go
@@ -153,7 +153,7 @@
 		return
 	}
 	d.handleStoreStatus(from, reply.Store)
-	if d.adopt(reply.States) {
+	if d.adopt(reply.all()) {
 		d.logger.Event("tables_learnt", "peer", from, "revision", d.revision())
 	}
 }
--- a/daemon/gateway/clock_test.go
+++ b/daemon/gateway/clock_test.go
@@ -13,7 +13,7 @@
 var allowedWallClockReads = map[string]int{
 	"../upstream/idle.go":     3, // idle connections, by the monotonic part
 	"../gateway/gateway.go":   3, // the default of Options.Wall, named twice; evidence until the store's clock is known
-	"../gateway/authority.go": 3, // certificates' dates
+	"../gateway/authority.go": 2, // certificates' dates
 }
 
 // TestDaemonsUseTheBootClock guards against new reads of the wall clock, which may
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -11,6 +12,7 @@
 	"github.com/samphirequay/samphirequay/core/member"
 	"github.com/samphirequay/samphirequay/core/poison"
 	"github.com/samphirequay/samphirequay/core/ratelimit"
+	"github.com/samphirequay/samphirequay/core/revision/table"
 	"github.com/samphirequay/samphirequay/daemon/broker"
 	"github.com/samphirequay/samphirequay/daemon/feed"
 	"github.com/samphirequay/samphirequay/daemon/keys"
@@ -58,8 +60,27 @@
 	States []feed.State `cbor:"1,keyasint"`
 	// Store is the store's status as the daemon knows it.
 	Store storeStatus `cbor:"2,keyasint"`
+	// Restored holds the states of a store that has come back from an older copy. Earlier
+	// releases don't know the field: they would take the versions for the store's numbers.
+	Restored []feed.State `cbor:"3,keyasint,omitempty"`
 }
 
+// newTablesReply returns the reply with these states.
+func newTablesReply(states []feed.State, status storeStatus) *tablesReply {
+	r := &tablesReply{Store: status}
+	for _, s := range states {
+		if table.Era(s.Position) > 0 {
+			r.Restored = append(r.Restored, s)
+		} else {
+			r.States = append(r.States, s)
+		}
+	}
+	return r
+}
+
+// all returns the states of all tables.
+func (r *tablesReply) all() []feed.State { return slices.Concat(r.States, r.Restored) }
+
 // tablesQuery has no parameters.
 type tablesQuery struct{}
 
@@ -197,7 +218,7 @@
 	case kind == link.KindEvidenceQuery:
 		return link.AnswerEvidence(h.d.fleet.Load().evidence, body)
 	case kind == kindTables:
-		return peer.Encode(&tablesReply{States: h.d.tableStates(), Store: *h.d.storeStatus()})
+		return peer.Encode(newTablesReply(h.d.tableStates(), *h.d.storeStatus()))
 	case kind == kindUptime && h.decode(from, body, &q):
 		return peer.Encode(h.d.answerUptime(q))
 	case kind == kindOriginQuery && h.decode(from, body, &stream):
--- a/daemon/gateway/reading.go
+++ b/daemon/gateway/reading.go
@@ -30,6 +30,25 @@
 	// Store is the store's status as the sender knows it; set on news of the
 	// endpoints.
 	Store *storeStatus `cbor:"2,keyasint,omitempty"`
+	// Restored replaces News after the store has come back from an older copy. Earlier
+	// releases don't know the field: they would take the versions for the store's numbers.
+	Restored *feed.News `cbor:"3,keyasint,omitempty"`
+}
+
+// newTableNews returns the message with news.
+func newTableNews(n feed.News) tableNews {
+	if table.Era(n.Position) > 0 {
+		return tableNews{Restored: &n}
+	}
+	return tableNews{News: n}
+}
+
+// news returns the message's news.
+func (n *tableNews) news() feed.News {
+	if n.Restored != nil {
+		return *n.Restored
+	}
+	return n.News
 }
 
 // followers returns the followers of the tables; the follower of the daemons' table
@@ -119,7 +138,7 @@
 	if size > newsMaxBytes {
 		n.Changes, n.Restored = nil, false
 	}
-	news := tableNews{News: n}
+	news := newTableNews(n)
 	if n.Name == d.endpoints.Name() {
 		news.Store = d.storeStatus()
 	}
@@ -132,16 +151,17 @@
 	if n.Store != nil {
 		d.handleStoreStatus(from, *n.Store)
 	}
-	follower := d.follower(n.News.Name)
+	news := n.news()
+	follower := d.follower(news.Name)
 	if follower == nil {
 		return
 	}
-	fresh, err := follower.ApplyNews(n.News)
+	fresh, err := follower.ApplyNews(news)
 	switch {
 	case eris.Is(err, feed.ErrGap):
-		d.logger.Event("table_news_missed", "peer", from, "table", n.News.Name, "position", table.FormatVersion(n.News.Position))
+		d.logger.Event("table_news_missed", "peer", from, "table", news.Name, "position", table.FormatVersion(news.Position))
 		follower.Refresh()
 	case fresh:
-		d.logger.Event("table_news", "peer", from, "table", n.News.Name, "position", table.FormatVersion(n.News.Position))
+		d.logger.Event("table_news", "peer", from, "table", news.Name, "position", table.FormatVersion(news.Position))
 	}
 }
--- a/daemon/gateway/restore.go
+++ b/daemon/gateway/restore.go
@@ -15,7 +15,6 @@
 	"github.com/samphirequay/samphirequay/core/member"
 	"github.com/samphirequay/samphirequay/core/revision/table"
 	"github.com/samphirequay/samphirequay/daemon/feed"
-	"github.com/samphirequay/samphirequay/daemon/keys"
 )
 
 // restoreSpread is the part of the time before the check of the fleet's rows that each
@@ -156,7 +155,7 @@
 
 // adoptAuthority makes this daemon trust others by another CA.
 func (d *Daemon) adoptAuthority(f *fleet, encoded []byte) {
-	authority, err := keys.LoadCA(encoded, d.opts.Wall())
+	authority, err := d.loadAuthority(encoded)
 	if err != nil {
 		d.logger.Error("authority_not_adopted", "why", err)
 		return
--- a/daemon/gateway/tables.go
+++ b/daemon/gateway/tables.go
@@ -102,11 +102,20 @@
 	}
 }
 
-// tableRead logs a full read of a table.
+// tableRead logs a full read of a table. If the store has come back from an older copy
+// since the last one, calls that wait for changes of other tables may wait in vain.
 func (d *Daemon) tableRead(name string, r feed.FullRead) {
 	d.fullReads.Add(name, 1)
 	d.logger.Event("table_read", "table", name, "position", table.FormatVersion(r.Position), "known", table.FormatVersion(r.Known),
 		"history_gone", r.HistoryGone, "dropped", r.Older)
+	if r.Known == 0 || table.Era(r.Position) <= table.Era(r.Known) {
+		return
+	}
+	for _, other := range d.followers() {
+		if other.Name() != name {
+			other.PollNow()
+		}
+	}
 }
 
 // outdated reports whether a table's state is older than the one in force, and
