--- a/cmd/internal/cli/soakcmd/soak.go
+++ b/cmd/internal/cli/soakcmd/soak.go
@@ -3,6 +3,7 @@
 package soakcmd
 
 import (
+	"slices"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -33,8 +34,8 @@
 		Example: "  scripts/soak.sh 1 2 3",
 		Args:    common.Args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if cfg.Scenario != soak.Mixed && cfg.Scenario != soak.Restarts {
-				return exit.Errorf(exit.Usage, "--scenario %q is neither %s nor %s", cfg.Scenario, soak.Mixed, soak.Restarts)
+			if !slices.Contains(soak.Scenarios, cfg.Scenario) {
+				return exit.Errorf(exit.Usage, "--scenario %q is none of %v", cfg.Scenario, soak.Scenarios)
 			}
 			if cfg.Dir == "" || cfg.Daemons < 1 || cfg.Callers < 1 || cfg.Duration <= 0 {
 				return exit.Errorf(exit.Usage, "--dir DIR is missing, or --daemons, --callers or --length is not above 0")
@@ -46,7 +47,7 @@
 	fs := cmd.Flags()
 	fs.StringVar(&cfg.Dir, "dir", "", "folder shared with the script")
 	fs.Uint64Var(&cfg.Seed, "seed", 1, "seed of the faults and requests")
-	fs.StringVar((*string)(&cfg.Scenario), "scenario", string(soak.Mixed), "faults: "+string(soak.Mixed)+" draws single faults of all kinds, "+string(soak.Restarts)+" kills most daemons again and again while endpoints refuse requests")
+	fs.StringVar((*string)(&cfg.Scenario), "scenario", string(soak.Mixed), "faults: "+string(soak.Mixed)+" draws single faults of all kinds, "+string(soak.Restarts)+" kills most daemons again and again while endpoints refuse requests, "+string(soak.Restores)+" is "+string(soak.Mixed)+" with a store that comes back from older copies")
 	fs.IntVar(&cfg.Daemons, "daemons", defaultDaemons, "number of daemons")
 	fs.IntVar(&cfg.Callers, "callers", defaultCallers, "number of concurrent callers")
 	fs.DurationVar(&cfg.Duration, "length", defaultLength, "time during which faults are injected")
--- a/cmd/internal/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -82,6 +82,9 @@
 	var out []fault
 	for at := time.Duration(0); at < length; at += time.Duration(rng.Int64N(int64(2 * meanInterval))) {
 		f := r.randomFault(rng)
+		if r.cfg.Scenario == Restores && rng.IntN(restoreEvery) == 0 {
+			f = r.restoreFault(rng)
+		}
 		f.start = at
 		f.duration = min(minFaultDuration+time.Duration(rng.Int64N(int64(maxFaultDuration-minFaultDuration))), length-at)
 		out = append(out, f)
--- a/cmd/internal/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -57,8 +57,13 @@
 	// Restarts kills most daemons at once, again and again, while the runners refuse
 	// nearly all requests.
 	Restarts Scenario = "restarts"
+	// Restores is Mixed with a store that comes back from older copies.
+	Restores Scenario = "restores"
 )
 
+// Scenarios lists all scenarios.
+var Scenarios = []Scenario{Mixed, Restarts, Restores}
+
 type run struct {
 	cfg        Config
 	simulation *simulation
@@ -85,6 +90,7 @@
 	var callers sync.WaitGroup
 	r.startCallers(done, &callers)
 	callers.Go(func() { r.rotateKeys(done) })
+	callers.Go(func() { r.simulation.keepCopies(done) })
 	err := r.inject(ctx)
 	if err == nil {
 		r.checkRecovery(ctx)
--- a/cmd/internal/soak/simulation.go
+++ b/cmd/internal/soak/simulation.go
@@ -52,6 +52,8 @@
 	started int
 	routes  []any
 	version int
+	// copies are the latest copies of the store, oldest first.
+	copies []platformtest.Copy
 	// runCounts is the number of runs of each request id.
 	runCounts map[string]int
 	checker   *checker
@@ -111,6 +113,11 @@
 // configure writes the configuration to the store with a higher version.
 func (s *simulation) configure() {
 	s.version += 1 + s.version%3
+	s.writeConfig()
+}
+
+// writeConfig writes the present configuration to the store.
+func (s *simulation) writeConfig() {
 	services := []any{platformtest.PlainService(plainSvc, 200), platformtest.EngineService(engineSvc, 200, 16, 3)}
 	s.store.Configure(platformtest.Config(s.version, s.routes, services, s.teams.rows()))
 }
