Take no proof of a configuration from an older copy of the store

A daemon that the store has just come back to may read a configuration in which a key is valid that the newest one has revoked, and took the read as proof that there is no newer one. For the time in which rows are written again, reads after a return prove nothing; a daemon then checks keys by its last proof, or sends their callers to others.

TestAnOlderCopyProvesNoConfiguration.

--- a/daemon/gateway/freshness.go
+++ b/daemon/gateway/freshness.go
@@ -34,6 +34,16 @@
 	tracker freshness.Tracker
 	// refreshAt is the earliest time of the next read for unknown keys.
 	refreshAt time.Duration
+	// heldUntil is until when the store's configuration proves nothing: it may be from an
+	// older copy, and the operator has not written the newest one again.
+	heldUntil time.Duration
+}
+
+// hold makes the store's configuration prove nothing until a time.
+func (c *configFreshness) hold(until time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heldUntil = max(c.heldUntil, until)
 }
 
 func (c *configFreshness) setVersion(version uint64) {
@@ -51,7 +61,9 @@
 func (c *configFreshness) confirm(since time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.tracker.Confirm(since)
+	if since >= c.heldUntil {
+		c.tracker.Confirm(since)
+	}
 }
 
 func (c *configFreshness) learn(now time.Duration, p freshness.Proof) {
--- a/daemon/gateway/freshness_test.go
+++ b/daemon/gateway/freshness_test.go
@@ -40,3 +40,21 @@
 	is.True(c.outdated()) // 11 is not in force here yet
 	is.Equal(c.proof().Version, uint64(7))
 }
+
+// In an older copy of the store a key may be valid that the newest configuration has
+// revoked: until the operator could write that again, the copy proves nothing.
+func TestAnOlderCopyProvesNoConfiguration(t *testing.T) {
+	is := is.New(t)
+	var c configFreshness
+	c.sample(0, time.Millisecond, time.Hour)
+	c.setVersion(9)
+	c.confirm(time.Second)
+	c.hold(4 * time.Second)
+	c.confirm(3 * time.Second)
+	age, ok := c.age(5 * time.Second)
+	is.True(ok)
+	is.Equal(age, 4*time.Second)
+	c.confirm(4 * time.Second)
+	age, _ = c.age(5 * time.Second)
+	is.Equal(age, time.Second)
+}
--- a/daemon/gateway/tables.go
+++ b/daemon/gateway/tables.go
@@ -9,6 +9,7 @@
 	"github.com/samphirequay/samphirequay/core/registry"
 	"github.com/samphirequay/samphirequay/core/revision/table"
 	"github.com/samphirequay/samphirequay/core/route"
+	"github.com/samphirequay/samphirequay/core/uptime"
 	"github.com/samphirequay/samphirequay/daemon/feed"
 	"github.com/samphirequay/samphirequay/daemon/forward"
 )
@@ -103,7 +104,8 @@
 }
 
 // tableRead logs a full read of a table. If the store has come back from an older copy
-// since the last one, calls that wait for changes of other tables may wait in vain.
+// since the last one, calls that wait for changes of other tables may wait in vain, and a
+// key that the newest configuration has revoked may be in the store's again.
 func (d *Daemon) tableRead(name string, r feed.FullRead) {
 	d.fullReads.Add(name, 1)
 	d.logger.Event("table_read", "table", name, "position", table.FormatVersion(r.Position), "known", table.FormatVersion(r.Known),
@@ -111,6 +113,7 @@
 	if r.Known == 0 || table.Era(r.Position) <= table.Era(r.Known) {
 		return
 	}
+	d.freshness.hold(d.now() + uptime.ReturnGrace)
 	for _, other := range d.followers() {
 		if other.Name() != name {
 			other.PollNow()
