--- a/daemon/forward/record.go
+++ b/daemon/forward/record.go
@@ -7,6 +7,7 @@
 
 	"github.com/samphirequay/samphirequay/core/poison"
 	"github.com/samphirequay/samphirequay/core/registry"
+	"github.com/samphirequay/samphirequay/core/revision/table"
 	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/core/verdict"
 )
@@ -70,7 +71,7 @@
 	if t.team != nil {
 		kv = append(kv, "team", t.team.Name, "config_age", t.configAge)
 	}
-	kv = append(kv, "config", t.config, "registry", t.registry)
+	kv = append(kv, "config", t.config, "registry", table.FormatVersion(t.registry))
 	if r.LastEvent != "" {
 		kv = append(kv, "behind", r.LastEvent, "resumes", r.FirstAttempt, "began", t.began)
 	}
--- a/daemon/gateway/leaving.go
+++ b/daemon/gateway/leaving.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/registry"
+	"github.com/samphirequay/samphirequay/core/revision/table"
 	"github.com/samphirequay/samphirequay/daemon/metrics"
 )
 
@@ -93,7 +94,7 @@
 	}
 	view := d.tables.current()
 	entry, known := view.Endpoints[name]
-	fields := []any{"endpoint", name, "registry", view.Registry, "known", known, "entry_leaving", entry.Leaving}
+	fields := []any{"endpoint", name, "registry", table.FormatVersion(view.Registry), "known", known, "entry_leaving", entry.Leaving}
 	d.logger.Event("endpoint_leaving", append(fields, more...)...)
 	if known && !entry.Leaving {
 		d.publish()
--- a/daemon/gateway/tables.go
+++ b/daemon/gateway/tables.go
@@ -172,7 +172,7 @@
 		clear(bad)
 	}
 	bad[name] = version
-	d.logger.Error("store_row_unreadable", "row", name, "version", version, "why", err)
+	d.logger.Error("store_row_unreadable", "row", name, "version", table.FormatVersion(version), "why", err)
 	return true
 }
 
