--- a/daemon/gateway/authority.go
+++ b/daemon/gateway/authority.go
@@ -30,14 +30,19 @@
 	if row.Version != 0 {
 		return d.loadAuthority(row.Value)
 	}
-	if d.now() < d.authorityDue {
+	if d.awaitsAuthority() {
 		return nil, eris.New("the store lists daemons and has no CA: one of them is to write it again")
 	}
+	return d.createAuthority()
+}
+
+// awaitsAuthority reports whether other daemons may still write the CA again that the
+// store has lost. They have authorityRestoreWait for it.
+func (d *Daemon) awaitsAuthority() bool {
 	if d.authorityDue == 0 && d.fleetExists() {
 		d.authorityDue = d.now() + authorityRestoreWait
-		return nil, eris.New("the store lists daemons and has no CA: one of them is to write it again")
 	}
-	return d.createAuthority()
+	return d.now() < d.authorityDue
 }
 
 // fleetExists reports whether the store lists other daemons. They have a CA that the
