Test pauses behind the store's answers without a clock

TestNoAnswerIsFollowedByEndlessCalls slept for half a second and counted calls. It now takes the pauses from the follower, lets 90 calls pass, and demands a pause after three calls at most and that pauses grow: with any of the four guards taken out it fails. A fifth guard, for a table older than known after lost history, changed nothing and is gone: the next call for changes is paused anyway. An empty table of a later era has a test of its own.

--- a/daemon/feed/feed.go
+++ b/daemon/feed/feed.go
@@ -65,6 +65,9 @@
 
 // Start starts a follower of a table.
 func Start(cfg Config) *Follower {
+	if cfg.newTimer == nil {
+		cfg.newTimer = time.NewTimer
+	}
 	f := &Follower{
 		cfg:      cfg,
 		rows:     map[string]table.Row{},
@@ -191,7 +194,7 @@
 // pause waits for d or until a signal on wake. It returns false once the follower
 // is closed.
 func (f *Follower) pause(d time.Duration, wake <-chan struct{}) bool {
-	timer := time.NewTimer(d)
+	timer := f.cfg.newTimer(d)
 	defer timer.Stop()
 	select {
 	case <-f.ctx.Done():
--- a/daemon/feed/fullread.go
+++ b/daemon/feed/fullread.go
@@ -20,10 +20,7 @@
 	f.reportReachability(nil)
 	f.answered(begun, readTimeout, Answer{Newest: snapshot.Position, Clock: snapshot.Clock})
 	f.reportRead(snapshot)
-	state, news, err := f.install(snapshot)
-	if err != nil {
-		return err
-	}
+	state, news := f.install(snapshot)
 	if state != nil {
 		f.cfg.Changed(*state)
 	}
@@ -48,19 +45,13 @@
 
 // install replaces the state by a full read, unless that is older. It returns the new
 // state, and the news for daemons that rely on this follower; nil for none.
-func (f *Follower) install(s Snapshot) (state *State, news *News, err error) {
+func (f *Follower) install(s Snapshot) (state *State, news *News) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	older := f.known && s.Position < f.state.Position
-	if older && f.historyGone {
-		// The store has lost the changes after the known position and is not at that
-		// position either.
-		return nil, nil, errNoProgress
-	}
 	f.fullRead = false
-	if older {
+	if f.known && s.Position < f.state.Position {
 		// News from another daemon was applied while this read was in flight.
-		return nil, nil, nil
+		return nil, nil
 	}
 	news = f.diff(s)
 	f.historyGone = false
@@ -69,7 +60,7 @@
 		f.completeNews(news)
 	}
 	copied := f.snapshot()
-	return &copied, news, nil
+	return &copied, news
 }
 
 // completeNews adds the version to news of a full read, or the versions of the news to
--- a/daemon/feed/restore_test.go
+++ b/daemon/feed/restore_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -38,6 +40,23 @@
 	is.Equal(keys(next(t, f.states)), map[string]uint64{"a": later(3), "c": later(5)})
 }
 
+// In an empty table no row tells the era. Its state must still be above that of a daemon
+// which has not heard of it.
+func TestAnEmptyTableOfALaterEraIsNewer(t *testing.T) {
+	is := is.New(t)
+	s := newSource()
+	f := follow(t, s)
+	serve(t, s.reads, read(9, row("a", 3)))
+	next(t, f.states)
+	f.Refresh()
+	serve(t, s.reads, read(later(2)))
+	is.Equal(len(next(t, f.states).Rows), 0)
+	is.Equal(f.Version(), later(0))
+	other := idleAt(t, newSource(), 12, row("a", 12))
+	state, _ := f.State()
+	is.True(other.Adopt(state))
+}
+
 // An answer of the former era may be delayed until the follower is in the later one.
 func TestADelayedAnswerOfAFormerEraIsDropped(t *testing.T) {
 	is := is.New(t)
@@ -117,27 +136,61 @@
 	is.Equal(f.Position(), later(4))
 }
 
-// endless is a store that gives the same kind of answer to all calls, at once.
+// endless is a store that gives the same kind of answer to all calls, at once. It blocks
+// after the last call that a test waits for.
 type endless struct {
-	calls   atomic.Int64
 	read    func(call uint64) (Snapshot, error)
 	changes func(call uint64) (Delta, error)
+	calls   atomic.Uint64
+	last    chan struct{}
+}
+
+// endlessCalls is how many calls a test waits for.
+const endlessCalls = 90
+
+// count counts a call and blocks after the last one.
+func (s *endless) count(ctx context.Context) uint64 {
+	call := s.calls.Add(1)
+	if call == endlessCalls {
+		close(s.last)
+	}
+	if call >= endlessCalls {
+		<-ctx.Done()
+	}
+	return call
 }
 
 // Read implements Source.
-func (s *endless) Read(context.Context, string) (Snapshot, error) {
-	return s.read(uint64(s.calls.Add(1)))
+func (s *endless) Read(ctx context.Context, _ string) (Snapshot, error) {
+	return s.read(s.count(ctx))
 }
 
 // Changes implements Source.
-func (s *endless) Changes(context.Context, string, uint64, time.Duration) (Delta, error) {
-	return s.changes(uint64(s.calls.Add(1)))
+func (s *endless) Changes(ctx context.Context, _ string, _ uint64, _ time.Duration) (Delta, error) {
+	return s.changes(s.count(ctx))
+}
+
+// pauses records pauses and ends them at once.
+type pauses struct {
+	mu   sync.Mutex
+	each []time.Duration
 }
 
-// A follower calls no store without a pause, whatever the store answers. Without one each
-// of these stores would be called tens of thousands of times.
+func (p *pauses) newTimer(d time.Duration) *time.Timer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.each = append(p.each, d)
+	return time.NewTimer(0)
+}
+
+// A follower calls no store without a pause, whatever the store answers, and the pauses
+// grow. A store that no longer has the changes is called three times at most between two
+// pauses: for changes, for the table, and for changes again.
 func TestNoAnswerIsFollowedByEndlessCalls(t *testing.T) {
-	const maxCalls = 40
+	const (
+		maxCallsBetweenPauses = 3
+		longest               = time.Minute
+	)
 	same := func(uint64) (Snapshot, error) { return Snapshot{Position: 9, Rows: []table.Row{row("a", 3)}}, nil }
 	gone := func(uint64) (Delta, error) { return Delta{}, ErrHistoryGone }
 	stores := map[string]*endless{
@@ -150,6 +203,9 @@
 		"changes without progress": {read: same, changes: func(uint64) (Delta, error) {
 			return Delta{Position: 9, Changes: []Change{{Row: row("a", 3)}}}, nil
 		}},
+		"older changes": {read: same, changes: func(uint64) (Delta, error) {
+			return Delta{Position: 8, Changes: []Change{{Row: row("a", 8)}}}, nil
+		}},
 		"no wait for changes": {read: same, changes: func(uint64) (Delta, error) { return Delta{Position: 9}, nil }},
 		"failures": {
 			read:    func(uint64) (Snapshot, error) { return Snapshot{}, errors.New("refused") },
@@ -158,17 +214,18 @@
 	}
 	for name, s := range stores {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			is := is.New(t)
-			begun := time.Now()
+			s.last = make(chan struct{})
+			var p pauses
 			f := Start(Config{
-				Name: "t", Source: s, Wait: testBound, Retry: testBound,
+				Name: "t", Source: s, Wait: testBound, Retry: longest, newTimer: p.newTimer,
 				Changed: func(State) {}, Lost: func(error) {}, Regained: func() {}, Rand: testRand(),
-				Now: func() time.Duration { return time.Since(begun) },
+				Now: func() time.Duration { return time.Hour },
 			})
-			t.Cleanup(f.Close)
-			time.Sleep(500 * time.Millisecond)
-			is.True(s.calls.Load() <= maxCalls)
+			await(t, s.last)
+			f.Close()
+			is.True(len(p.each) >= endlessCalls/maxCallsBetweenPauses-1)
+			is.True(slices.Max(p.each) >= longest/2)
 		})
 	}
 }
--- a/daemon/feed/types.go
+++ b/daemon/feed/types.go
@@ -144,4 +144,6 @@
 	Lost     func(err error)
 	Regained func()
 	Rand     *rand.Rand
+	// newTimer starts the timer of a pause, for tests. Default time.NewTimer.
+	newTimer func(d time.Duration) *time.Timer
 }
