--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 export GOFLAGS=-mod=readonly
-go build -o target/standins ./review/standins/*.go
+go build -o target/standins ./review/platform/*.go
