--- a/review/platform/versions.go
+++ b/review/platform/versions.go
@@ -88,15 +88,14 @@
 	// The release: runners of the new version start, the old ones leave. They never report
 	// that they drain: their entries are removed, and they serve on.
 	fresh := []*platformtest.Runner{engine("i-p3", "prefill", "42"), engine("i-d3", "decode", "42"), engine("i-d4", "decode", "42")}
-	for _, r := range fresh {
+	for i, r := range fresh {
 		w.store.Register(r, platformtest.StateReady, r.Address())
+		w.log("release: runner %s of software 42 is registered", r.ID)
+		time.Sleep(200 * time.Millisecond)
+		w.store.Remove("servers", old[i].ID)
+		w.log("release: the entry of runner %s of software 41 is removed", old[i].ID)
+		time.Sleep(200 * time.Millisecond)
 	}
-	w.log("release: runners of software 42 are registered")
-	time.Sleep(500 * time.Millisecond)
-	for _, r := range old {
-		w.store.Remove("servers", r.ID)
-	}
-	w.log("release: the entries of software 41 are removed")
 	time.Sleep(500 * time.Millisecond)
 	if !w.quiet {
 		w.killAll()
