Log from whom it is known what began a stream that its caller takes up

The lines could not tell a record from the conclusion that the only listed version began the stream, nor how long the daemon that drew it, or those that replied, had run. origin_found and origin_unknown say the source, for how long this daemon has seen the versions and how many others replied; origins_found counts by source.

TestADaemonThatStartsAgainAsksWhatBeganAStream compared the whole line: it compares the two whole lines that there are now. No logic changes.

--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -74,4 +74,7 @@
 
 // Complete reports whether the History has lasted long enough to hold all versions that may
 // have begun a stream.
-func (h *History) Complete(now time.Duration) bool { return now-h.startedAt > versionMemory }
+func (h *History) Complete(now time.Duration) bool { return h.Lasts(now) > versionMemory }
+
+// Lasts returns for how long the History has lasted.
+func (h *History) Lasts(now time.Duration) time.Duration { return now - h.startedAt }
--- a/daemon/origins/find.go
+++ b/daemon/origins/find.go
@@ -9,6 +9,16 @@
 	"github.com/samphirequay/samphirequay/core/origin"
 )
 
+// source says from where it is known what began a stream.
+type source string
+
+const (
+	sourceOwnRecord  source = "own_record"
+	sourcePeerRecord source = "peer_record"
+	// sourceOneVersion: the service has had one version of late.
+	sourceOneVersion source = "one_version"
+)
+
 // Find returns the software version that began a stream. Without a record it is known only
 // if the service has had one version of late. ok is false if it is not known.
 func (o *Origins) Find(ctx context.Context, s origin.Stream) (software id.Software, ok bool) {
@@ -20,32 +30,46 @@
 	o.mu.Unlock()
 	switch {
 	case found:
-		return record.Software, true
+		return o.known(s, record.Software, sourceOwnRecord, told{})
 	case len(versions) == 1 && complete && o.cfg.Current():
-		return versions[0], true
+		return o.known(s, versions[0], sourceOneVersion, told{})
 	}
 	told := o.askHolders(ctx, s)
 	versions = union(versions, told.versions)
 	switch {
 	case told.record != nil:
 		o.keep([]origin.Record{*told.record})
-		return told.record.Software, true
-	case len(versions) == 1 && (told.answered || o.cfg.Current()):
-		return versions[0], true
+		return o.known(s, told.record.Software, sourcePeerRecord, told)
+	case len(versions) == 1 && (told.answered > 0 || o.cfg.Current()):
+		return o.known(s, versions[0], sourceOneVersion, told)
 	}
 	o.unknown.Inc()
-	o.cfg.Log("origin_unknown", "resumes", s.Request, "service", s.Service, "versions", fmt.Sprint(versions))
+	o.log("origin_unknown", s, told, "versions", fmt.Sprint(versions))
 	return "", false
 }
 
+// known logs what began a stream and from whom that is known, and returns it.
+func (o *Origins) known(s origin.Stream, software id.Software, from source, t told) (id.Software, bool) {
+	o.found.Add(string(from), 1)
+	o.log("origin_found", s, t, "software", software, "source", string(from))
+	return software, true
+}
+
+// log writes a line about a search: what this daemon and those that replied could know.
+func (o *Origins) log(event string, s origin.Stream, t told, kv ...any) {
+	o.mu.Lock()
+	lasts := o.history.Lasts(o.cfg.Now())
+	o.mu.Unlock()
+	o.cfg.Log(event, append([]any{"resumes", s.Request, "service", s.Service, "history", lasts, "answered", t.answered}, kv...)...)
+}
+
 // told is what other daemons have said of a stream.
 type told struct {
 	// record is nil if none of them has one.
 	record *origin.Record
-	// versions are those of the service that they have seen, answered is set if any daemon
-	// has replied.
+	// versions are those of the service that they have seen, answered counts the replies.
 	versions []id.Software
-	answered bool
+	answered int
 }
 
 // askHolders asks other daemons for the record of a stream until one has it or all have
@@ -73,7 +97,7 @@
 		if reply == nil {
 			continue
 		}
-		out.answered = true
+		out.answered++
 		out.versions = union(out.versions, reply.Versions)
 		if reply.Record != nil {
 			out.record = reply.Record
--- a/daemon/origins/origins.go
+++ b/daemon/origins/origins.go
@@ -76,6 +76,7 @@
 	history *origin.History
 
 	sent, received, asked, unknown *metrics.Counter
+	found                          *metrics.CounterMap
 }
 
 // New returns an Origins without records.
@@ -88,6 +89,7 @@
 		received: cfg.Metrics.Counter("origins_received", metrics.UnitCount, "Records of what began a stream that other daemons have sent."),
 		asked:    cfg.Metrics.Counter("origins_asked", metrics.UnitCount, "Streams taken up by callers for which other daemons were asked."),
 		unknown:  cfg.Metrics.Counter("origins_unknown", metrics.UnitCount, "Streams taken up by callers of which nobody knew what began them."),
+		found:    cfg.Metrics.CounterMap("origins_found", metrics.UnitCount, "Streams taken up by callers of which it was known what began them, by source."),
 	}
 }
 
--- a/daemon/origins/origins_test.go
+++ b/daemon/origins/origins_test.go
@@ -223,7 +223,8 @@
 	f.listAt("d3", "v1", "v2")
 	_, ok = f.find("d2")
 	is.True(!ok) // d3 knows that v1 may have begun it
-	is.Equal(f.logged.String(), `resumes=r service=s versions="[v1 v2]"`)
+	is.Equal(f.logged.String(), `resumes=r service=s history=0s answered=1 software=v1 source=peer_record`+
+		` resumes=r service=s history=0s answered=1 versions="[v1 v2]"`)
 }
 
 func TestOneVersionNeedsNoRecord(t *testing.T) {
