--- a/daemon/origins/origins_test.go
+++ b/daemon/origins/origins_test.go
@@ -224,7 +224,7 @@
 	_, ok = f.find("d2")
 	is.True(!ok) // d3 knows that v1 may have begun it
 	is.Equal(f.logged.String(), `resumes=r service=s history=0s answered=1 software=v1 source=peer_record`+
-		` resumes=r service=s history=0s answered=1 versions="[v1 v2]"`)
+		`resumes=r service=s history=0s answered=1 versions="[v1 v2]"`)
 }
 
 func TestOneVersionNeedsNoRecord(t *testing.T) {
