Keep what began streams beyond the life of all daemons

What callers saw: while engines of two software versions served, or had just served, all daemons were killed at once and came back. Callers took their streams up; many answers were 200 and ran to the end, joined from two versions. Where both versions were still listed, every take-up was refused.

Cause: which versions a service has had, and what began each stream, lived in the memory of daemons only. A daemon that sees one version asked others and took any reply for knowledge of what was before; after a kill of all, those that reply are as young as it (origin_found source=one_version history=0.5s answered=2). With two versions nobody has a record (origin_unknown).

The store now has a row for each service with its versions and when each left the list, and a row for each daemon with what began the streams under way that it serves while their service has several versions. A daemon counts as knowing all versions only if it has seen the list for a minute without a break, or has read the store's record since the last one; a reply counts only if it says so. Otherwise the rows of all daemons are read. First streams of a version wait until it is recorded, 1 s at most.

Changed in existing tests: History.Complete takes the service; the fleet of daemon/origins gets a fake store and records versions as a daemon's timer would; the line that TestADaemonThatStartsAgainAsksWhatBeganAStream compares is taken from the lines of searches, since others are logged now. No expectation was dropped.

--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -12,22 +12,32 @@
 // the callers of the streams that it began have given up.
 const versionMemory = time.Minute
 
-// History remembers which software versions of each service have been listed of late. It is
-// not safe for concurrent use.
+// History remembers which software versions of each service have been listed of late: those
+// that this daemon has seen, and those that the store has recorded. It is not safe for
+// concurrent use.
 type History struct {
-	startedAt time.Duration
+	// since is from when on this daemon has seen all versions.
+	since time.Duration
 	// listed holds the versions of the last observation, gone when the others were last
 	// listed.
 	listed map[id.Service]map[id.Software]bool
 	gone   map[id.Service]map[id.Software]time.Duration
+	// recorded is what the store has, offset the store's clock minus the daemon's, and
+	// recordedAt as of when it was read; recordedAt counts if read is set.
+	recorded   map[id.Service]Recorded
+	offset     time.Duration
+	recordedAt time.Duration
+	read       bool
+	// unused is set if a service of which nothing is recorded has begun no stream before.
+	unused bool
 }
 
 // NewHistory returns a History that begins now.
 func NewHistory(now time.Duration) *History {
 	return &History{
-		startedAt: now,
-		listed:    map[id.Service]map[id.Software]bool{},
-		gone:      map[id.Service]map[id.Software]time.Duration{},
+		since:  now,
+		listed: map[id.Service]map[id.Software]bool{},
+		gone:   map[id.Service]map[id.Software]time.Duration{},
 	}
 }
 
@@ -58,23 +68,72 @@
 	h.gone[service][v] = now
 }
 
+// SetUnused tells that a service of which the store has recorded nothing has begun no
+// stream before this daemon started.
+func (h *History) SetUnused() { h.unused = true }
+
+// SetRecorded replaces what the store has recorded. offset is the store's clock minus the
+// daemon's.
+func (h *History) SetRecorded(recorded map[id.Service]Recorded, offset time.Duration) {
+	h.recorded, h.offset = recorded, offset
+}
+
+// Confirm tells that the recorded versions are those that the store had at a time.
+func (h *History) Confirm(at time.Duration) {
+	h.recordedAt = max(h.recordedAt, at)
+	h.read = true
+}
+
+// Interrupt tells that versions may have come and gone unseen until now.
+func (h *History) Interrupt(now time.Duration) { h.since = now }
+
+// Listed returns the versions of a service that are listed, and Gone those that have left
+// the list within the memory, in milliseconds by the store's clock. The caller must not
+// change them.
+func (h *History) Listed(service id.Service) map[id.Software]bool { return h.listed[service] }
+
+// Gone is described with Listed.
+func (h *History) Gone(now time.Duration, service id.Service) map[id.Software]int64 {
+	out := map[id.Software]int64{}
+	for v, at := range h.gone[service] {
+		if now-at <= versionMemory && !h.listed[service][v] {
+			out[v] = storeMS(at, h.offset)
+		}
+	}
+	return out
+}
+
+// Services returns the services that have or had endpoints, sorted.
+func (h *History) Services() []id.Service {
+	all := slices.Collect(maps.Keys(h.listed))
+	all = slices.AppendSeq(all, maps.Keys(h.recorded))
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 // Versions returns the versions of a service that may have begun a stream, sorted.
 func (h *History) Versions(now time.Duration, service id.Service) []id.Software {
 	gone := h.gone[service]
 	maps.DeleteFunc(gone, func(_ id.Software, at time.Duration) bool { return now-at > versionMemory })
 	out := slices.Collect(maps.Keys(h.listed[service]))
-	for v := range gone {
-		if !h.listed[service][v] {
-			out = append(out, v)
-		}
-	}
+	out = slices.AppendSeq(out, maps.Keys(gone))
+	out = append(out, h.recorded[service].counting(storeMS(now, h.offset))...)
 	slices.Sort(out)
-	return out
+	return slices.Compact(out)
 }
 
-// Complete reports whether the History has lasted long enough to hold all versions that may
-// have begun a stream.
-func (h *History) Complete(now time.Duration) bool { return h.Lasts(now) > versionMemory }
+// Complete reports whether the History holds all versions of a service that may have begun
+// a stream: it has lasted long enough, or what the store has recorded reaches back.
+func (h *History) Complete(now time.Duration, service id.Service) bool {
+	if h.Lasts(now) > versionMemory {
+		return true
+	}
+	if !h.read || h.recordedAt < h.since {
+		return false
+	}
+	recorded, ok := h.recorded[service]
+	return !ok && h.unused || ok && recorded.covers(storeMS(now, h.offset))
+}
 
-// Lasts returns for how long the History has lasted.
-func (h *History) Lasts(now time.Duration) time.Duration { return now - h.startedAt }
+// Lasts returns for how long this daemon has seen all versions.
+func (h *History) Lasts(now time.Duration) time.Duration { return now - h.since }
--- a/daemon/forward/bench_test.go
+++ b/daemon/forward/bench_test.go
@@ -54,6 +54,9 @@
 // Began implements Origins.
 func (sameVersion) Began(origin.Record) {}
 
+// Ended implements Origins.
+func (sameVersion) Ended(origin.Stream) {}
+
 // Find implements Origins.
 func (sameVersion) Find(context.Context, origin.Stream) (id.Software, bool) { return "", true }
 
--- a/daemon/forward/origin.go
+++ b/daemon/forward/origin.go
@@ -15,6 +15,8 @@
 type Origins interface {
 	// Began records what began a stream, before its first event is passed on.
 	Began(r origin.Record)
+	// Ended tells that the whole answer of a stream was written.
+	Ended(s origin.Stream)
 	// Find returns the version that began a stream; ok is false if it is not known.
 	Find(ctx context.Context, s origin.Stream) (software id.Software, ok bool)
 }
@@ -73,12 +75,17 @@
 	if software == "" {
 		return
 	}
+	f.Origins.Began(origin.Record{Stream: servedStream(r, t), Software: software, Left: f.timeLeft(r, t.route) + originGrace})
+}
+
+// servedStream identifies the stream that a request serves as its caller names it from now
+// on: by this attempt if it names none.
+func servedStream(r *Request, t *trace) origin.Stream {
 	s := streamOf(r, t)
 	if s.Request == "" {
-		// Its caller may name this attempt from now on.
 		s.Request = r.ID
 	}
-	f.Origins.Began(origin.Record{Stream: s, Software: software, Left: f.timeLeft(r, t.route) + originGrace})
+	return s
 }
 
 // otherVersions returns the endpoints of a service that may not go on with a stream that a
--- a/daemon/forward/record.go
+++ b/daemon/forward/record.go
@@ -31,6 +31,9 @@
 	if outcome == outcomeAnswered && t.route != nil {
 		kv = append(kv, "in_time", inTime(t, took))
 	}
+	if outcome == outcomeAnswered && t.route != nil && t.route.Kind == route.Stream {
+		f.Origins.Ended(servedStream(r, t))
+	}
 	kv = append(kv, "outcome", outcome, "status", status, "took", took, "reason", t.reason)
 	f.stats.recordOutcome(outcome, took)
 	if err == nil && !reply.Failed() {
--- a/daemon/gateway/enroll.go
+++ b/daemon/gateway/enroll.go
@@ -193,12 +193,14 @@
 	})
 	f.orderer = startOrderer(d, f, work, ready)
 	f.hosts = feed.Start(d.hostsConfig(f))
+	f.versions = d.followVersions()
 	f.evidence = d.syncEvidence(f)
 	d.fleet.Store(f)
 	close(ready)
 	go d.openEvidenceGate(f)
 	go d.updateReading(f)
 	go d.syncStoreClock()
+	go d.keepOrigins(f)
 	if f.rowsChecked.Load() > 0 {
 		go d.confirmAuthority(f)
 	}
--- a/daemon/gateway/fleet.go
+++ b/daemon/gateway/fleet.go
@@ -22,7 +22,9 @@
 	broker    *broker.Broker
 	quotas    *quotas.Quotas
 	hosts     *feed.Follower
-	hostList  hostList
+	// versions follows the recorded software versions.
+	versions *feed.Follower
+	hostList hostList
 	// authority is the encoded CA of the fleet, authorityMu guards it, and keys holds
 	// this daemon's certificate by it.
 	authorityMu sync.Mutex
--- a/daemon/gateway/origins.go
+++ b/daemon/gateway/origins.go
@@ -2,18 +2,44 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
+	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/origin"
 	"github.com/samphirequay/samphirequay/core/registry"
 	"github.com/samphirequay/samphirequay/core/rendezvous"
+	"github.com/samphirequay/samphirequay/core/revision/table"
+	"github.com/samphirequay/samphirequay/daemon/feed"
 	"github.com/samphirequay/samphirequay/daemon/origins"
 )
 
+const (
+	// versionsWait is how long one call to the store waits for changes of the recorded
+	// versions.
+	versionsWait = 15 * time.Second
+	// versionsBatchDelay is the pause after changes of the recorded versions.
+	versionsBatchDelay = 50 * time.Millisecond
+)
+
 // newOrigins returns this daemon's knowledge of what began streams.
 func (d *Daemon) newOrigins() *origins.Origins {
 	return origins.New(origins.Config{
+		Self:       d.set.Daemon,
+		Store:      originStore{d},
+		FirstStart: d.set.FirstStart,
+		WritesPerS: d.set.StoreWritesPerS,
+		Daemons:    d.daemons,
+		Serves: func(s id.Service) bool {
+			routes := d.tables.current().Routes
+			return routes != nil && routes.Service(s) != nil
+		},
+		Refresh: func() {
+			if f := d.fleet.Load(); f != nil {
+				f.versions.Refresh()
+			}
+		},
 		Holders: d.originHolders,
 		Current: d.registryIsCurrent,
 		Send: func(to id.Daemon, b *origins.Batch) {
@@ -29,6 +55,55 @@
 	})
 }
 
+// originStore lets the origins use the platform's store.
+type originStore struct{ d *Daemon }
+
+// Rows implements origins.Store.
+func (s originStore) Rows(ctx context.Context, name string) ([]table.Row, error) {
+	snapshot, err := s.d.platform.Source.Read(ctx, name)
+	return snapshot.Rows, err
+}
+
+// Row implements origins.Store.
+func (s originStore) Row(ctx context.Context, key string) (table.Row, error) {
+	return s.d.readRowWithin(ctx, key)
+}
+
+// Replace implements origins.Store.
+func (s originStore) Replace(ctx context.Context, rows []table.Row) ([]uint64, bool, error) {
+	return s.d.replaceRows(ctx, rows)
+}
+
+// Wall implements origins.Store.
+func (s originStore) Wall() time.Time { return s.d.wall() }
+
+// followVersions follows the software versions that the store has recorded. Changes are few,
+// and streams of a new version wait until its record is known.
+func (d *Daemon) followVersions() *feed.Follower {
+	cfg := d.followerConfig(origins.TableVersions, func(s feed.State) { d.origins.SetRecorded(s.Rows) })
+	cfg.Wait = versionsWait
+	cfg.BatchDelay = versionsBatchDelay
+	cfg.Confirmed = d.origins.Confirmed
+	return feed.Start(cfg)
+}
+
+// keepOrigins keeps in the store what must outlast all daemons to know what began streams.
+func (d *Daemon) keepOrigins(f *fleet) {
+	go d.origins.Run(d.ctx)
+	d.every(origins.CheckInterval, func() { d.origins.Check(f.versionsDuty()) })
+}
+
+// versionsDuty returns this daemon's part in recording software versions: those that read
+// the store for all also record them.
+func (f *fleet) versionsDuty() origins.Duty {
+	chosen := f.readers.Load()
+	if chosen == nil {
+		return origins.Duty{}
+	}
+	rank := slices.Index(*chosen, f.self.Daemon)
+	return origins.Duty{Records: rank >= 0, Rank: rank}
+}
+
 // originHolders returns the daemons that keep the record of a stream, the best first. In a
 // large fleet these are the ones that broadcast, to which all are connected: a connection to
 // another daemon for each stream would cost more than the stream's record.
--- a/daemon/gateway/reading.go
+++ b/daemon/gateway/reading.go
@@ -51,12 +51,12 @@
 	return n.News
 }
 
-// followers returns the followers of the tables; the follower of the daemons' table
-// is included once the daemon has enrolled.
+// followers returns the followers of the tables; those of the fleet's own tables are
+// included once the daemon has enrolled.
 func (d *Daemon) followers() []*feed.Follower {
 	all := []*feed.Follower{d.configs, d.endpoints}
 	if f := d.fleet.Load(); f != nil {
-		all = append(all, f.hosts)
+		all = append(all, f.hosts, f.versions)
 	}
 	return all
 }
--- a/daemon/gateway/restore.go
+++ b/daemon/gateway/restore.go
@@ -69,6 +69,7 @@
 		}
 	}
 	d.logger.Event("store_restored", "era", era)
+	d.origins.Restored()
 	go d.restoreRows(f, era)
 }
 
--- a/daemon/gateway/rows.go
+++ b/daemon/gateway/rows.go
@@ -41,15 +41,27 @@
 
 // replaceRow is writeRow within ctx.
 func (d *Daemon) replaceRow(ctx context.Context, key string, version uint64, value []byte) (uint64, bool, error) {
-	reply := d.platform.Store.Run(ctx, table.Request{Transaction: &table.Transaction{
-		Conditions: []table.Condition{{Key: key, Version: version}},
-		Puts:       []table.Put{{Key: key, Value: value}},
-	}})
+	versions, written, err := d.replaceRows(ctx, []table.Row{{Key: key, Value: value, Version: version}})
+	if err != nil || !written {
+		return 0, false, err
+	}
+	return versions[0], true, nil
+}
+
+// replaceRows replaces rows at once if all still have the version given with them. It returns
+// the new versions, or false if one has another version.
+func (d *Daemon) replaceRows(ctx context.Context, rows []table.Row) (versions []uint64, written bool, err error) {
+	var t table.Transaction
+	for _, row := range rows {
+		t.Conditions = append(t.Conditions, table.Condition{Key: row.Key, Version: row.Version})
+		t.Puts = append(t.Puts, table.Put{Key: row.Key, Value: row.Value})
+	}
+	reply := d.platform.Store.Run(ctx, table.Request{Transaction: &t})
 	if reply.Status != table.Done {
-		return 0, false, eris.Errorf("write row %s: store status %s", key, reply.Status)
+		return nil, false, eris.Errorf("write row %s: store status %s", rows[0].Key, reply.Status)
 	}
-	if !reply.Applied || len(reply.Versions) == 0 {
-		return 0, false, nil
+	if !reply.Applied || len(reply.Versions) < len(rows) {
+		return nil, false, nil
 	}
-	return reply.Versions[0], true, nil
+	return reply.Versions, true, nil
 }
--- a/daemon/gateway/settings.go
+++ b/daemon/gateway/settings.go
@@ -20,6 +20,9 @@
 	Listen Listen `json:"listen"`
 	// Store is the platform's metadata store, as IP:port.
 	Store string `json:"store" validate:"required"`
+	// StoreWritesPerS is how many writes a second of the fleet's own rows the store takes
+	// from all daemons. What they write while they serve stays well below. Default: 100.
+	StoreWritesPerS float64 `json:"store_writes_per_s" validate:"min=0"`
 	// FirstStart is set while the whole fleet starts for the first time, so that no
 	// former process of any daemon has sent requests. Default: false.
 	FirstStart bool `json:"first_start"`
--- a/daemon/gateway/stop.go
+++ b/daemon/gateway/stop.go
@@ -112,6 +112,7 @@
 		f.evidence.Close()
 		f.orderer.Close()
 		f.hosts.Close()
+		f.versions.Close()
 		f.members.Close()
 		f.broker.Close()
 		f.quotas.Close()
--- a/daemon/origins/find.go
+++ b/daemon/origins/find.go
@@ -15,23 +15,26 @@
 const (
 	sourceOwnRecord  source = "own_record"
 	sourcePeerRecord source = "peer_record"
+	// sourceStoredRecord: a daemon's row in the store.
+	sourceStoredRecord source = "stored_record"
 	// sourceOneVersion: the service has had one version of late.
 	sourceOneVersion source = "one_version"
 )
 
 // Find returns the software version that began a stream. Without a record it is known only
-// if the service has had one version of late. ok is false if it is not known.
+// if the service has had one version of late, by a daemon or the store that knows all which
+// it has had. ok is false if it is not known.
 func (o *Origins) Find(ctx context.Context, s origin.Stream) (software id.Software, ok bool) {
-	now := o.cfg.Now()
+	now, current := o.cfg.Now(), o.cfg.Current()
 	o.mu.Lock()
 	record, found := o.ledger.Find(now, s)
 	versions := o.history.Versions(now, s.Service)
-	complete := o.history.Complete(now)
+	complete := o.history.Complete(now, s.Service)
 	o.mu.Unlock()
 	switch {
 	case found:
 		return o.known(s, record.Software, sourceOwnRecord, told{})
-	case len(versions) == 1 && complete && o.cfg.Current():
+	case len(versions) == 1 && complete && current:
 		return o.known(s, versions[0], sourceOneVersion, told{})
 	}
 	told := o.askHolders(ctx, s)
@@ -40,9 +43,12 @@
 	case told.record != nil:
 		o.keep([]origin.Record{*told.record})
 		return o.known(s, told.record.Software, sourcePeerRecord, told)
-	case len(versions) == 1 && (told.answered > 0 || o.cfg.Current()):
+	case len(versions) == 1 && (told.complete || complete && (current || told.unanimous)):
 		return o.known(s, versions[0], sourceOneVersion, told)
 	}
+	if software, ok := o.findStored(ctx, s); ok {
+		return o.known(s, software, sourceStoredRecord, told)
+	}
 	o.unknown.Inc()
 	o.log("origin_unknown", s, told, "versions", fmt.Sprint(versions))
 	return "", false
@@ -70,6 +76,10 @@
 	// versions are those of the service that they have seen, answered counts the replies.
 	versions []id.Software
 	answered int
+	// complete is set if one of them knows all versions that can have begun a stream.
+	// unanimous is set if all that were asked do, as far as their lists go: while the store
+	// answers nobody, no version comes that one of them does not know.
+	complete, unanimous bool
 }
 
 // askHolders asks other daemons for the record of a stream until one has it or all have
@@ -91,13 +101,16 @@
 			replies <- reply
 		}()
 	}
-	var out told
+	out := told{unanimous: len(holders) > 0}
 	for range holders {
 		reply := <-replies
 		if reply == nil {
+			out.unanimous = false
 			continue
 		}
 		out.answered++
+		out.complete = out.complete || reply.Complete && reply.Current
+		out.unanimous = out.unanimous && reply.Complete
 		out.versions = union(out.versions, reply.Versions)
 		if reply.Record != nil {
 			out.record = reply.Record
--- a/daemon/origins/origins.go
+++ b/daemon/origins/origins.go
@@ -1,6 +1,8 @@
 // Package origins keeps known, beyond the life of the daemon that serves a stream, which
 // software version began it. While a service has several versions, each daemon sends what
-// it begins to a few others, and a daemon whose caller takes a stream up asks these.
+// it begins to a few others, and a daemon whose caller takes a stream up asks these. Beyond
+// the life of all daemons it is in the platform's store: which versions each service has had
+// of late, and in a row of each daemon what began the streams that it serves.
 package origins
 
 import (
@@ -46,10 +48,31 @@
 	Record *origin.Record `cbor:"1,keyasint,omitempty"`
 	// Versions are those of the service that the daemon has seen of late.
 	Versions []id.Software `cbor:"2,keyasint,omitempty"`
+	// Complete is set if the daemon knows all versions that the service has had of late, as
+	// far as its list of endpoints goes; one that has just started may not. Current is set if
+	// that list is up to date.
+	Complete bool `cbor:"3,keyasint,omitempty"`
+	Current  bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Config sets up an Origins.
 type Config struct {
+	// Self is this daemon.
+	Self id.Daemon
+	// Store keeps what must outlast all daemons.
+	Store Store
+	// FirstStart is set while the whole fleet starts for the first time.
+	FirstStart bool
+	// WritesPerS is how many writes a second of the fleet's own rows the store takes from
+	// all daemons; 0 if that is not known.
+	WritesPerS float64
+	// Daemons is the number of daemons in the fleet.
+	Daemons func() int
+	// Serves reports whether the configuration has a service.
+	Serves func(s id.Service) bool
+	// Refresh reads the table of versions again, without blocking. SetRecorded and Confirmed
+	// follow.
+	Refresh func()
 	// Holders returns the other daemons that keep the record of a stream, the best first.
 	Holders func(s origin.Stream) []id.Daemon
 	// Current reports whether this daemon's list of endpoints is up to date. Otherwise a
@@ -74,23 +97,37 @@
 	mu      sync.Mutex
 	ledger  *origin.Ledger
 	history *origin.History
+	archive *origin.Archive
+	// recorder records the versions, rows holds what was read of the daemons' rows.
+	recorder recorder
+	rows     storedRows
+	// due wakes the writer of this daemon's row.
+	due chan struct{}
 
-	sent, received, asked, unknown *metrics.Counter
-	found                          *metrics.CounterMap
+	sent, received, asked, unknown, stored *metrics.Counter
+	found                                  *metrics.CounterMap
 }
 
 // New returns an Origins without records.
 func New(cfg Config) *Origins {
-	return &Origins{
+	o := &Origins{
 		cfg:      cfg,
 		ledger:   origin.NewLedger(),
 		history:  origin.NewHistory(cfg.Now()),
+		archive:  origin.NewArchive(),
+		recorder: recorder{news: make(chan struct{}), noticed: map[id.Service]map[id.Software]time.Duration{}},
+		due:      make(chan struct{}, 1),
+		stored:   cfg.Metrics.Counter("origins_stored", metrics.UnitCount, "Records of what began this daemon's streams that the store has taken."),
 		sent:     cfg.Metrics.Counter("origins_sent", metrics.UnitCount, "Records of what began a stream that were sent to other daemons."),
 		received: cfg.Metrics.Counter("origins_received", metrics.UnitCount, "Records of what began a stream that other daemons have sent."),
 		asked:    cfg.Metrics.Counter("origins_asked", metrics.UnitCount, "Streams taken up by callers for which other daemons were asked."),
 		unknown:  cfg.Metrics.Counter("origins_unknown", metrics.UnitCount, "Streams taken up by callers of which nobody knew what began them."),
 		found:    cfg.Metrics.CounterMap("origins_found", metrics.UnitCount, "Streams taken up by callers of which it was known what began them, by source."),
 	}
+	if cfg.FirstStart {
+		o.history.SetUnused()
+	}
+	return o
 }
 
 // Observe tells which software versions of each service are listed. When a second one
@@ -105,6 +142,9 @@
 	}
 	o.mu.Unlock()
 	o.send(records)
+	if added {
+		o.wakeWriter()
+	}
 }
 
 // shared returns the records of services with several versions; the lock must be held.
@@ -115,17 +155,31 @@
 }
 
 // Began records what began a stream. It is called before the caller gets the first event
-// and returns once another daemon has the record, so that no caller can take up a stream
-// that others do not know. If none confirms that in time the stream goes on all the same.
+// and returns once another daemon has the record and the store knows the version, so that
+// no caller can take up a stream that others do not know, or that a version began of which
+// no trace would be left if all daemons died. If that takes too long the stream goes on all
+// the same.
 func (o *Origins) Began(r origin.Record) {
 	now := o.cfg.Now()
 	o.mu.Lock()
 	o.ledger.Add(now, r)
-	several := len(o.history.Versions(now, r.Stream.Service)) > 1
+	o.archive.Add(now, r)
+	several := o.several(r.Stream.Service)
 	o.mu.Unlock()
-	if several {
-		o.place(r)
+	if !several {
+		return
 	}
+	o.wakeWriter()
+	o.place(r)
+	o.awaitRecorded(r.Stream.Service, r.Software)
+}
+
+// Ended tells that the whole answer of a stream was written: its caller has no reason to
+// take it up.
+func (o *Origins) Ended(s origin.Stream) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.archive.End(o.cfg.Now(), s)
 }
 
 // place gives a record to its holders and waits until one of them has it: a message that
@@ -230,10 +284,14 @@
 
 // Answer answers another daemon's query.
 func (o *Origins) Answer(q *Query) *Reply {
-	now := o.cfg.Now()
+	now, current := o.cfg.Now(), o.cfg.Current()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	r := &Reply{Versions: o.history.Versions(now, q.Stream.Service)}
+	r := &Reply{
+		Versions: o.history.Versions(now, q.Stream.Service),
+		Complete: o.history.Complete(now, q.Stream.Service),
+		Current:  current,
+	}
 	if record, ok := o.ledger.Find(now, q.Stream); ok {
 		r.Record = &record
 	}
--- a/daemon/origins/origins_test.go
+++ b/daemon/origins/origins_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/origin"
+	"github.com/samphirequay/samphirequay/core/revision/table"
 	"github.com/samphirequay/samphirequay/daemon/metrics"
 )
 
@@ -33,7 +34,12 @@
 	// queued holds back what is sent without a confirmation; refuses makes all daemons
 	// refuse what asks for one.
 	queued, refuses bool
-	// logged holds the log lines of all daemons.
+	// firstStart is set until the fleet has started for the first time.
+	firstStart bool
+	// rows are those of the store, by key; version is that of its newest change.
+	rows    map[string]table.Row
+	version uint64
+	// logged holds the log lines of all daemons about searches for what began a stream.
 	logged bytes.Buffer
 }
 
@@ -59,17 +65,27 @@
 func (f *fleet) cut(name id.Daemon)    { f.set(func() { f.stale[name] = true }) }
 
 func newFleet(names ...id.Daemon) *fleet {
-	f := &fleet{daemons: map[id.Daemon]*Origins{}, names: names, dead: map[id.Daemon]bool{}, stale: map[id.Daemon]bool{}}
+	f := &fleet{
+		daemons: map[id.Daemon]*Origins{}, names: names, dead: map[id.Daemon]bool{}, stale: map[id.Daemon]bool{},
+		rows: map[string]table.Row{}, firstStart: true,
+	}
 	for _, name := range names {
 		f.start(name)
 	}
+	f.firstStart = false
 	return f
 }
 
 // start starts a daemon, or starts it again without what it knew.
 func (f *fleet) start(name id.Daemon) {
 	o := New(Config{
-		Holders: func(origin.Stream) []id.Daemon { return f.others(name) },
+		Self:       name,
+		Store:      &fakeStore{fleet: f, daemon: name},
+		FirstStart: f.firstStart,
+		Daemons:    func() int { return len(f.names) },
+		Serves:     func(id.Service) bool { return true },
+		Refresh:    func() { f.readRecorded(name) },
+		Holders:    func(origin.Stream) []id.Daemon { return f.others(name) },
 		Current: func() (current bool) {
 			f.set(func() { current = !f.stale[name] })
 			return current
@@ -97,8 +113,10 @@
 			}
 			return nil, errors.New("dead")
 		},
-		Log: func(_ string, kv ...any) {
-			f.set(func() { _ = logfmt.NewEncoder(&f.logged).EncodeKeyvals(kv...) })
+		Log: func(event string, kv ...any) {
+			if event == "origin_found" || event == "origin_unknown" {
+				f.set(func() { _ = logfmt.NewEncoder(&f.logged).EncodeKeyvals(kv...) })
+			}
 		},
 		Metrics: metrics.New(string(name)),
 		Now: func() (now time.Duration) {
@@ -107,6 +125,7 @@
 		},
 	})
 	f.set(func() { f.daemons[name] = o })
+	f.readRecorded(name)
 }
 
 func (f *fleet) others(self id.Daemon) []id.Daemon {
@@ -132,6 +151,7 @@
 		all[v] = true
 	}
 	f.daemons[name].Observe(map[id.Service]map[id.Software]bool{"s": all})
+	f.check(name)
 }
 
 var stream = origin.Stream{Request: "r", Service: "s", Team: "t"}
--- /dev/null
+++ b/daemon/origins/versions.go
@@ -0,0 +1,265 @@
+package origins
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/origin"
+	"github.com/samphirequay/samphirequay/core/revision/table"
+)
+
+const (
+	// CheckInterval is the interval at which Check is to be called.
+	CheckInterval = 100 * time.Millisecond
+	// rankDelay is how much later each further daemon records a change that the ones before
+	// it have not recorded.
+	rankDelay = 300 * time.Millisecond
+	// stallLimit is the pause between two checks from which versions may have come and gone
+	// unseen.
+	stallLimit = 2 * time.Second
+	// recordTimeout bounds a write of versions.
+	recordTimeout = time.Second
+	// recordWait bounds how long the first streams of a new version wait until that version
+	// is recorded. The store may refuse writes for long.
+	recordWait = time.Second
+	// maxRowsWritten bounds the rows of one write.
+	maxRowsWritten = 100
+)
+
+// recorder brings the store's rows of versions up to date. Its fields are guarded by the
+// lock of Origins.
+type recorder struct {
+	// rows are those that the store has, known is set once they were read.
+	rows  map[id.Service]recordedRow
+	known bool
+	// dueSince is since when a row is not up to date; 0 if all are.
+	dueSince time.Duration
+	// checkedAt is when Check was last called, current whether the list was up to date then.
+	checkedAt time.Duration
+	current   bool
+	writing   bool
+	// news is closed when the rows change.
+	news chan struct{}
+	// noticed is since when a version waits for being recorded.
+	noticed map[id.Service]map[id.Software]time.Duration
+}
+
+// recordedRow is a row of the table of versions.
+type recordedRow struct {
+	origin.Recorded
+	version uint64
+}
+
+// SetRecorded replaces the rows of the table of versions. Rows that can't be decoded are
+// logged and left out.
+func (o *Origins) SetRecorded(rows []table.Row) {
+	decoded := make(map[id.Service]recordedRow, len(rows))
+	for _, row := range rows {
+		r := recordedRow{version: row.Version}
+		if err := json.Unmarshal(row.Value, &r.Recorded); err != nil {
+			o.cfg.Log("store_row_unreadable", "row", TableVersions+"/"+row.Key, "version", table.FormatVersion(row.Version), "why", err)
+			continue
+		}
+		decoded[id.Service(row.Key)] = r
+	}
+	offset := o.offset()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for service, r := range o.recorder.rows {
+		if decoded[service].version < r.version && table.Era(decoded[service].version) == table.Era(r.version) {
+			decoded[service] = r // this daemon has written it since
+		}
+	}
+	o.recorder.rows, o.recorder.known = decoded, true
+	o.publishRecorded(offset)
+}
+
+// publishRecorded passes the rows to the history and wakes what waits for them; the lock
+// must be held.
+func (o *Origins) publishRecorded(offset time.Duration) {
+	all := make(map[id.Service]origin.Recorded, len(o.recorder.rows))
+	for service, r := range o.recorder.rows {
+		all[service] = r.Recorded
+	}
+	o.history.SetRecorded(all, offset)
+	close(o.recorder.news)
+	o.recorder.news = make(chan struct{})
+}
+
+// Confirmed tells that the rows last set are those that the store had at a time.
+func (o *Origins) Confirmed(at time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.history.Confirm(at)
+}
+
+// Check notices whether versions may have come and gone unseen, and records changes of the
+// versions that are listed. It is to be called every CheckInterval.
+func (o *Origins) Check(duty Duty) {
+	if o.interrupted() {
+		o.cfg.Refresh()
+	}
+	rows := o.dueRows(duty)
+	if len(rows) > 0 {
+		go o.record(rows)
+	}
+}
+
+// interrupted reports whether versions may have come and gone since the last check: the
+// process stood still, or its list was behind until now.
+func (o *Origins) interrupted() bool {
+	now, current := o.cfg.Now(), o.cfg.Current()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r := &o.recorder
+	missed := r.checkedAt > 0 && (now-r.checkedAt > stallLimit || current && !r.current)
+	r.checkedAt, r.current = now, current
+	if missed {
+		o.history.Interrupt(now)
+	}
+	return missed
+}
+
+// dueRows returns the rows that this daemon is to write now, at most maxRowsWritten.
+func (o *Origins) dueRows(duty Duty) []table.Row {
+	now, offset := o.cfg.Now(), o.offset()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r := &o.recorder
+	if !duty.Records || !r.known || r.writing {
+		return nil
+	}
+	rows := o.outdatedRows(now, offset)
+	if len(rows) == 0 {
+		r.dueSince = 0
+		return nil
+	}
+	if r.dueSince == 0 {
+		r.dueSince = now
+	}
+	if now-r.dueSince < time.Duration(duty.Rank)*rankDelay {
+		return nil
+	}
+	r.writing = true
+	return rows[:min(len(rows), maxRowsWritten)]
+}
+
+// outdatedRows returns the rows that differ from what is to be recorded; the lock must be
+// held.
+func (o *Origins) outdatedRows(now, offset time.Duration) []table.Row {
+	nowMS := (now + offset).Milliseconds()
+	var out []table.Row
+	for _, service := range o.history.Services() {
+		had, known := o.recorder.rows[service]
+		if !o.cfg.Serves(service) {
+			continue
+		}
+		if !known {
+			had.SinceMS = o.recordedSince(now, service, nowMS)
+		}
+		updated, changed := had.Update(nowMS, o.history.Listed(service), o.history.Gone(now, service))
+		if !changed {
+			continue
+		}
+		value, err := json.Marshal(updated)
+		if err != nil {
+			o.cfg.Log("versions_not_recorded", "service", service, "why", err)
+			continue
+		}
+		out = append(out, table.Row{Key: string(service), Value: value, Version: had.version})
+	}
+	return out
+}
+
+// recordedSince returns from when on a new row holds all versions: always, if the whole
+// fleet has just started for the first time or this daemon has seen all that count; the lock
+// must be held.
+func (o *Origins) recordedSince(now time.Duration, service id.Service, nowMS int64) int64 {
+	if o.cfg.FirstStart || o.history.Complete(now, service) {
+		return 0
+	}
+	return nowMS
+}
+
+// record writes rows of versions.
+func (o *Origins) record(rows []table.Row) {
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancel()
+	keyed := slices.Clone(rows)
+	for i := range keyed {
+		keyed[i].Key = TableVersions + "/" + rows[i].Key
+	}
+	versions, written, err := o.cfg.Store.Replace(ctx, keyed)
+	offset := o.offset()
+	o.mu.Lock()
+	o.recorder.writing = false
+	if written {
+		for i, row := range rows {
+			o.keepRecorded(row, versions[i])
+		}
+		o.publishRecorded(offset)
+	}
+	o.mu.Unlock()
+	switch {
+	case err != nil:
+		o.cfg.Log("versions_not_recorded", "services", len(rows), "why", err)
+	case !written:
+		o.cfg.Refresh() // another daemon has written them
+	default:
+		o.cfg.Log("versions_recorded", "services", len(rows))
+	}
+}
+
+// keepRecorded notes a row that was written; the lock must be held.
+func (o *Origins) keepRecorded(row table.Row, version uint64) {
+	r := recordedRow{version: version}
+	if err := json.Unmarshal(row.Value, &r.Recorded); err != nil {
+		o.cfg.Log("versions_not_recorded", "service", row.Key, "why", err)
+		return
+	}
+	o.recorder.rows[id.Service(row.Key)] = r
+}
+
+// awaitRecorded waits until the store has a version of a service that has several: from
+// then on no daemon that starts can take another one for the only one. It stops waiting
+// recordWait after the first stream of the version began to wait.
+func (o *Origins) awaitRecorded(service id.Service, software id.Software) {
+	for {
+		o.mu.Lock()
+		news, left := o.recorder.news, o.waitLeft(service, software)
+		o.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		select {
+		case <-news:
+		case <-time.After(left):
+			o.cfg.Log("version_not_recorded", "service", service, "software", software)
+			return
+		}
+	}
+}
+
+// waitLeft returns for how long streams of a version still wait for its record; 0 if it is
+// recorded. The lock must be held.
+func (o *Origins) waitLeft(service id.Service, software id.Software) time.Duration {
+	noticed := o.recorder.noticed[service]
+	if o.recorder.rows[service].Lists(software) {
+		delete(noticed, software)
+		return 0
+	}
+	now := o.cfg.Now()
+	since, waits := noticed[software]
+	if !waits {
+		if noticed == nil {
+			noticed = map[id.Software]time.Duration{}
+			o.recorder.noticed[service] = noticed
+		}
+		since = now
+		noticed[software] = now
+	}
+	return since + recordWait - now
+}
