List blocked engines and wait for backoffs by one look

What callers saw: of streams that wait for the backoffs of all engines some were refused as not run when these ended, though they had time left.

Cause: whether an engine is free and which ones are not were read one after the other; another stream took the last free engine in between, and the owner refused a want that avoids all. Both are read under one hold of the lock now.

--- a/daemon/forward/backoffwait.go
+++ b/daemon/forward/backoffwait.go
@@ -78,14 +78,19 @@
 	}
 }
 
-// blockedEngines returns the engines that leave this daemon no request now, and counts the
-// request if one of its service is in backoff.
-func (g *generation) blockedEngines() []id.Endpoint {
-	blocked := g.f.blockedEngines()
-	g.f.mu.Lock()
-	defer g.f.mu.Unlock()
-	g.f.countBackoffAvoided(g.service.Name, blocked)
-	return blocked
+// blockedEngines returns the engines that leave this daemon no request now, and how long the
+// stream must wait since these are all that could decode; 0 if it need not. Both are of one
+// moment: another stream may take the last free engine.
+func (g *generation) blockedEngines() (blocked []id.Endpoint, wait time.Duration) {
+	f, unusable := g.f, g.unusableEngines()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if wait := f.backoffWait(g.service.Name, unusable); wait > 0 {
+		return nil, wait
+	}
+	blocked = f.blocked()
+	f.countBackoffAvoided(g.service.Name, blocked)
+	return blocked, 0
 }
 
 // serviceBackoff returns how long a request for a service must wait at least since all its
@@ -94,6 +99,11 @@
 func (f *Forwarder) serviceBackoff(service id.Service, avoid []id.Endpoint) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.backoffWait(service, avoid)
+}
+
+// backoffWait is serviceBackoff with the lock held.
+func (f *Forwarder) backoffWait(service id.Service, avoid []id.Endpoint) time.Duration {
 	now := f.Now()
 	if f.limiter.Idle(now) {
 		return 0
@@ -116,20 +126,21 @@
 
 // awaitBackoff waits for the first backoff to end if all engines that could decode are in
 // one: the pool's owner, which doesn't know of them, would hold the request until it is too
-// late. If that takes too long for the request it is refused at once.
-func (g *generation) awaitBackoff(ctx context.Context, maxWait time.Duration) *verdict.Error {
+// late. If that takes too long for the request it is refused at once. It returns the engines
+// that leave this daemon no request when the wait ends.
+func (g *generation) awaitBackoff(ctx context.Context, maxWait time.Duration) ([]id.Endpoint, *verdict.Error) {
 	waited := time.Duration(0)
 	for {
-		next := g.f.serviceBackoff(g.service.Name, g.unusableEngines())
+		blocked, next := g.blockedEngines()
 		if next == 0 {
-			return nil
+			return blocked, nil
 		}
 		if waited+next > maxWait {
 			g.f.stats.backoffRefusals.Inc()
-			return backoffRefusal(g.service.Name, next)
+			return nil, backoffRefusal(g.service.Name, next)
 		}
 		if err := sleep(ctx, next); err != nil {
-			return err
+			return nil, err
 		}
 		waited += next
 	}
--- a/daemon/forward/pairing.go
+++ b/daemon/forward/pairing.go
@@ -18,7 +18,8 @@
 	if err := f.checkEngines(g.service.Name); err != nil {
 		return err
 	}
-	if err := g.awaitBackoff(ctx, g.backoffPatience(kvLeft)); err != nil {
+	blocked, err := g.awaitBackoff(ctx, g.backoffPatience(kvLeft))
+	if err != nil {
 		return err
 	}
 	g.pairings++
@@ -43,7 +44,7 @@
 		PromptTokens: r.PromptTokens,
 		OutputTokens: expectedOutput(r),
 		Priority:     g.trace.priority(),
-		Avoid:        slices.Concat(g.unusableEngines(), g.blockedEngines()),
+		Avoid:        slices.Concat(g.unusableEngines(), blocked),
 		Domain:       f.Domain,
 		Attempt:      g.pairings,
 		Target:       rt.TargetLatency,
