Let the soak release software versions while all daemons are killed

Scenario releases: engines of one version are replaced by those of another, at once or one after the other, announced or not, and versions come back; beside it all daemons, or all but one, are killed, single ones are stopped as planned, and all are suspended. Callers take their streams up until their deadline.

Two checks from outside, in all scenarios. Events name the version that wrote them, so that a caller sees a stream joined from two versions; the check at the runners stays as it was. And of the streams that are taken up at daemons left alone while two decode engines of their version are ready, at least half as large a share must go on as of the new streams begin, from 12 on.

The test of the checker gives its simulation the versions that it now checks, and has two cases more. A run that both is silent and breaks off, one in 589 streams, now does both; it only was silent before.

--- a/cmd/internal/cli/soakcmd/soak.go
+++ b/cmd/internal/cli/soakcmd/soak.go
@@ -47,7 +47,7 @@
 	fs := cmd.Flags()
 	fs.StringVar(&cfg.Dir, "dir", "", "folder shared with the script")
 	fs.Uint64Var(&cfg.Seed, "seed", 1, "seed of the faults and requests")
-	fs.StringVar((*string)(&cfg.Scenario), "scenario", string(soak.Mixed), "faults: "+string(soak.Mixed)+" draws single faults of all kinds, "+string(soak.Restarts)+" kills most daemons again and again while endpoints refuse requests, "+string(soak.Restores)+" is "+string(soak.Mixed)+" with a store that comes back from older copies")
+	fs.StringVar((*string)(&cfg.Scenario), "scenario", string(soak.Mixed), "faults: "+string(soak.Mixed)+" draws single faults of all kinds, "+string(soak.Restarts)+" kills most daemons again and again while endpoints refuse requests, "+string(soak.Restores)+" is "+string(soak.Mixed)+" with a store that comes back from older copies, "+string(soak.Releases)+" replaces engines by others of another software version while daemons are killed all at once")
 	fs.IntVar(&cfg.Daemons, "daemons", defaultDaemons, "number of daemons")
 	fs.IntVar(&cfg.Callers, "callers", defaultCallers, "number of concurrent callers")
 	fs.DurationVar(&cfg.Duration, "length", defaultLength, "time during which faults are injected")
--- a/cmd/internal/soak/answers.go
+++ b/cmd/internal/soak/answers.go
@@ -50,11 +50,7 @@
 		streamUnframed(x, to)
 		return
 	}
-	if number%silentEvery == 0 && runs == 1 {
-		streamWithSilence(x)
-		return
-	}
-	x.Stream(x.FirstEvent(), to, to == streamSize)
+	streamFramed(x, to, number%silentEvery == 0 && runs == 1)
 }
 
 // isUnframed reports whether the answer to a request ends with its connection.
@@ -76,28 +72,33 @@
 func streamUnframed(x *platformtest.Exchange, to int) {
 	x.BeginUnframedStream()
 	for n := x.FirstEvent(); n <= to; n++ {
-		x.Write(platformtest.Event(n))
+		x.Write(event(x.Runner, n))
 		time.Sleep(x.Gap)
 	}
 	if to < streamSize {
-		next := platformtest.Event(to + 1)
+		next := event(x.Runner, to+1)
 		x.Write(next[:len(next)-1])
 	}
 	_ = x.Conn.Close()
 }
 
-// streamWithSilence answers with all events and is silent before the middle one, for longer
-// or shorter than daemons wait before they look for another runner.
-func streamWithSilence(x *platformtest.Exchange) {
+// streamFramed answers with the events up to one, in chunks. If more would follow, it breaks
+// off. With a silence it is silent before the middle event, for longer or shorter than
+// daemons wait before they look for another runner.
+func streamFramed(x *platformtest.Exchange, to int, silence bool) {
 	x.BeginStream()
-	for n := x.FirstEvent(); n <= streamSize; n++ {
-		if n == streamSize/2 {
+	for n := x.FirstEvent(); n <= to; n++ {
+		if silence && n == streamSize/2 {
 			x.Silence(minSilence + rand.N(maxSilence-minSilence))
 		}
-		x.Chunk(platformtest.Event(n))
+		x.Chunk(event(x.Runner, n))
 		time.Sleep(x.Gap)
 	}
-	x.Write("0\r\n\r\n")
+	if to == streamSize {
+		x.Write("0\r\n\r\n")
+		return
+	}
+	_ = x.Conn.Close()
 }
 
 // refuses reports whether a runner refuses a request by design.
--- a/cmd/internal/soak/caller.go
+++ b/cmd/internal/soak/caller.go
@@ -58,7 +58,7 @@
 // request returns the bytes of the HTTP request of an outcome.
 func (o *outcome) request() string {
 	k := o.kind
-	r := platformtest.Request{Method: k.method, Target: k.path + "x", Host: callHost, ID: o.id, Body: o.id, Patience: callerTimeout}
+	r := platformtest.Request{Method: k.method, Target: k.path + "x", Host: callHost, ID: o.id, Body: o.id, Patience: o.patience}
 	if k.stream {
 		r.Fields = platformtest.Generation(o.id)
 	}
@@ -77,15 +77,18 @@
 	checker *checker
 	teams   *teams
 	// arrivals counts the requests that are sent.
-	arrivals *arrivals
-	versions *versions
-	conns    map[*process]net.Conn
-	sent     int
+	arrivals   *arrivals
+	simulation *simulation
+	versions   *versions
+	conns      map[*process]net.Conn
+	sent       int
 	// expected counts the requests that must be served, served those of them that
 	// were served.
 	served, expected *atomic.Int64
-	// takesUp is set if the caller goes on with streams that have broken off.
-	takesUp bool
+	// kinds are those of its requests.
+	kinds []requestKind
+	// takeUps is how it goes on with streams that have broken off.
+	takeUps takeUpPolicy
 	// reconnect is set once all callers must open new connections; reconnected is
 	// set once this caller has closed its old ones.
 	reconnect   *atomic.Bool
@@ -94,17 +97,19 @@
 
 func newCaller(r *run, number int) *caller {
 	return &caller{
-		name:      fmt.Sprintf("c%d", number),
-		rng:       rand.New(rand.NewPCG(r.cfg.Seed, uint64(number+2))),
-		checker:   r.checker,
-		teams:     r.simulation.teams,
-		arrivals:  r.simulation.arrivals,
-		versions:  r.simulation.versions,
-		takesUp:   r.cfg.Scenario != Restarts,
-		conns:     map[*process]net.Conn{},
-		served:    &r.served,
-		expected:  &r.expected,
-		reconnect: &r.reconnect,
+		name:       fmt.Sprintf("c%d", number),
+		rng:        rand.New(rand.NewPCG(r.cfg.Seed, uint64(number+2))),
+		checker:    r.checker,
+		teams:      r.simulation.teams,
+		arrivals:   r.simulation.arrivals,
+		versions:   r.simulation.versions,
+		simulation: r.simulation,
+		kinds:      kindsOf(r.cfg.Scenario),
+		takeUps:    takeUpsOf(r.cfg.Scenario),
+		conns:      map[*process]net.Conn{},
+		served:     &r.served,
+		expected:   &r.expected,
+		reconnect:  &r.reconnect,
 	}
 }
 
@@ -119,12 +124,11 @@
 		case <-time.After(time.Duration(c.rng.Int64N(int64(2 * pause)))):
 		}
 		p := processes[c.rng.IntN(len(processes))]
-		o := c.call(p, kinds[c.rng.IntN(len(kinds))], c.nextID())
+		o := c.call(p, c.kinds[c.rng.IntN(len(c.kinds))], c.nextID())
 		c.count(o)
+		c.versions.recordNew(o)
 		c.checker.check(o)
-		if c.takesUp {
-			c.takeUp(o, processes)
-		}
+		c.takeUp(o, processes)
 	}
 }
 
@@ -133,24 +137,6 @@
 	return fmt.Sprintf("%s-%d", c.name, c.sent)
 }
 
-// maxTakeUps bounds how often a caller takes one stream up.
-const maxTakeUps = 3
-
-// takeUp goes on with a stream that has broken off, at random daemons.
-func (c *caller) takeUp(o outcome, processes []*process) {
-	first, after := o.id, 0
-	for range maxTakeUps {
-		after += platformtest.CountEvents(o.answer.Body)
-		if !o.kind.stream || !o.kind.repeatable || o.answered() || after == 0 || after == streamSize {
-			return
-		}
-		p := processes[c.rng.IntN(len(processes))]
-		o = c.send(p, outcome{id: c.nextID(), kind: o.kind, after: after, resumes: first})
-		c.checker.check(o)
-		c.versions.recordTakeUp(o.answered())
-	}
-}
-
 // count counts a request if working daemons must serve it: the caller did not
 // abandon it, the runners do not fail it by design, and it belongs to steadyTeam.
 func (c *caller) count(o outcome) {
@@ -182,7 +168,7 @@
 
 // call sends one request to a daemon and returns the outcome.
 func (c *caller) call(p *process, k requestKind, id string) outcome {
-	return c.send(p, outcome{id: id, kind: k})
+	return c.send(p, outcome{id: id, kind: k, patience: c.takeUps.patience})
 }
 
 // send sends the request of an outcome to a daemon and completes the outcome.
@@ -190,7 +176,7 @@
 	start := time.Now()
 	o.sent = start
 	o.key, o.keyIndex = c.teams.keyOf(c.name, c.rng.IntN)
-	stableAtStart := p.stable(start)
+	stableAtStart, calmAtStart := p.stable(start), c.simulation.stable(start)
 	c.reconnectOnce()
 	c.arrivals.recordRequest(o.kind.service())
 	conn := c.conns[p]
@@ -204,6 +190,7 @@
 	keep := c.roundTrip(conn, &o)
 	o.elapsed = time.Since(start)
 	o.stable = stableAtStart && p.stable(time.Now())
+	o.alone = o.stable && calmAtStart && c.simulation.stable(time.Now())
 	if keep {
 		c.conns[p] = conn
 		return o
@@ -216,7 +203,7 @@
 // roundTrip sends a request and reads the response. It reports whether the
 // connection can be reused.
 func (c *caller) roundTrip(conn net.Conn, o *outcome) (keep bool) {
-	if err := conn.SetDeadline(time.Now().Add(callerTimeout)); err != nil {
+	if err := conn.SetDeadline(time.Now().Add(o.patience)); err != nil {
 		return false
 	}
 	if _, err := io.WriteString(conn, o.request()); err != nil {
@@ -231,6 +218,9 @@
 	if err != nil {
 		return false
 	}
+	var software []string
+	answer.Body, software = splitSoftware(answer.Body)
+	o.software = union(o.software, software)
 	o.answer = answer
 	return answer.Complete && !answer.Close
 }
--- a/cmd/internal/soak/checker.go
+++ b/cmd/internal/soak/checker.go
@@ -50,6 +50,11 @@
 	// up, resumes its request that brought the first one; 0 and empty for a new request.
 	after   int
 	resumes string
+	// patience is how long the caller waits for the response.
+	patience time.Duration
+	// software are the versions that have written the events which the caller has of the
+	// stream, the one that began it first.
+	software []string
 	// sent is when the request was sent and key the key it carried; keyIndex is the
 	// index of the key among those of rotatingTeam, -1 for another team.
 	sent     time.Time
@@ -63,6 +68,8 @@
 	// stable is set if the daemon was stable at the start and at the end of the
 	// request.
 	stable bool
+	// alone is set if the platform had no fault then either.
+	alone bool
 }
 
 // answered reports whether the caller received a whole successful response.
@@ -86,7 +93,10 @@
 	if o.answered() {
 		c.checkAnswer(o)
 	}
-	if o.stable && o.elapsed > callerTimeout+slack {
+	if len(o.software) > 1 {
+		c.violation("order: the caller of %s, which goes on after event %d of %q, has events of software %v", o.id, o.after, o.resumes, o.software)
+	}
+	if o.stable && o.elapsed > o.patience+slack {
 		c.violation("time: %s (%s) took %v", o.id, o.kind.name, o.elapsed)
 	}
 	if o.answer.Status == http.StatusNotFound || o.answer.Status == http.StatusBadRequest {
@@ -122,6 +132,7 @@
 		}
 	}
 	sim.arrivals.check(c)
+	sim.versions.check(c)
 	sim.teams.checkFinal(c, sim, c.rotating)
 	for _, p := range c.processes {
 		for _, exit := range p.unexpectedExits() {
--- a/cmd/internal/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -36,10 +36,14 @@
 
 // plan draws the faults of a run.
 func (r *run) plan(rng *rand.Rand, length time.Duration) []fault {
-	if r.cfg.Scenario == Restarts {
+	switch r.cfg.Scenario {
+	case Restarts:
 		return r.planRestarts(rng, length)
+	case Releases:
+		return r.planReleases(rng, length)
+	default:
+		return r.planMixed(rng, length)
 	}
-	return r.planMixed(rng, length)
 }
 
 // The pause between two kills of most daemons: long enough for the daemons to start
@@ -65,16 +69,20 @@
 	all := len(r.processes)
 	least := (2*all + 2) / 3
 	killed := least + rng.IntN(all-least+1)
-	f := fault{name: fmt.Sprintf("kill %d of %d daemons", killed, all)}
+	var processes []*process
 	for _, i := range rng.Perm(all)[:killed] {
-		f.processes = append(f.processes, r.processes[i])
+		processes = append(processes, r.processes[i])
 	}
-	f.inject = func() {
-		for _, p := range f.processes {
-			p.signal(syscall.SIGKILL)
+	return signalFault(fmt.Sprintf("kill %d of %d daemons", killed, all), syscall.SIGKILL, processes...)
+}
+
+// signalFault returns a fault that sends a signal to daemons.
+func signalFault(name string, s syscall.Signal, processes ...*process) fault {
+	return fault{name: name, processes: processes, inject: func() {
+		for _, p := range processes {
+			p.signal(s)
 		}
-	}
-	return f
+	}}
 }
 
 // planMixed draws single faults of all kinds.
@@ -100,16 +108,13 @@
 	mode := modes[rng.IntN(len(modes))]
 	switch rng.IntN(9) {
 	case 0:
-		return fault{name: "kill " + p.name, processes: []*process{p}, inject: func() { p.signal(syscall.SIGKILL) }}
+		return signalFault("kill "+p.name, syscall.SIGKILL, p)
 	case 1:
-		return fault{name: "stop " + p.name, processes: []*process{p}, inject: func() { p.signal(syscall.SIGTERM) }}
+		return signalFault("stop "+p.name, syscall.SIGTERM, p)
 	case 2:
-		return fault{
-			name:      "pause " + p.name,
-			processes: []*process{p},
-			inject:    func() { p.signal(syscall.SIGSTOP) },
-			revert:    func() { p.signal(syscall.SIGCONT) },
-		}
+		f := signalFault("pause "+p.name, syscall.SIGSTOP, p)
+		f.revert = signalFault("", syscall.SIGCONT, p).inject
+		return f
 	case 3:
 		return proxyFault("store connections of "+p.name, p.storeProxy, mode, p)
 	case 4:
--- a/cmd/internal/soak/restore.go
+++ b/cmd/internal/soak/restore.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
-
-	"github.com/samphirequay/samphirequay/platform/platformtest"
 )
 
 const (
@@ -49,11 +47,7 @@
 	s.store.Restore(s.copies[rng.IntN(len(s.copies))])
 	s.writeConfig()
 	for _, r := range s.runners {
-		state := platformtest.StateReady
-		if !r.leaving.IsZero() {
-			state = platformtest.StateLeaving
-		}
-		s.register(r, state)
+		s.register(r)
 	}
 }
 
--- a/cmd/internal/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -59,10 +59,13 @@
 	Restarts Scenario = "restarts"
 	// Restores is Mixed with a store that comes back from older copies.
 	Restores Scenario = "restores"
+	// Releases replaces the engines by others of new and former versions while it kills,
+	// suspends or stops all, nearly all or single daemons.
+	Releases Scenario = "releases"
 )
 
 // Scenarios lists all scenarios.
-var Scenarios = []Scenario{Mixed, Restarts, Restores}
+var Scenarios = []Scenario{Mixed, Restarts, Restores, Releases}
 
 type run struct {
 	cfg        Config
--- a/cmd/internal/soak/simulation.go
+++ b/cmd/internal/soak/simulation.go
@@ -37,10 +37,16 @@
 type runner struct {
 	*platformtest.Runner
 	proxy *platformtest.Proxy
-	// leaving is when the runner was registered as leaving; zero if it was not.
+	// state is that of its entry in the store.
+	state string
+	// leaving is when the runner was registered as leaving, or lost its entry; zero if
+	// neither.
 	leaving time.Time
 }
 
+// stateGone is the state of a runner without an entry in the store.
+const stateGone = ""
+
 // simulation is the simulated platform of a run: the store and the runners.
 type simulation struct {
 	// stability tracks the faults of the store and of the runners' proxies.
@@ -64,6 +70,8 @@
 	software []string
 	// unframed is set if some answers end with their connection.
 	unframed bool
+	// gap is the pause between the events of a stream.
+	gap time.Duration
 	// overloaded is set while runners refuse nearly all requests.
 	overloaded atomic.Bool
 }
@@ -81,10 +89,13 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &simulation{store: store, runCounts: map[string]int{}, checker: c, version: 1, teams: newTeams(), arrivals: newArrivals(), versions: newVersions(), software: softwareVersions, unframed: true}
-	if scenario == Restarts {
+	s := &simulation{store: store, runCounts: map[string]int{}, checker: c, version: 1, teams: newTeams(), arrivals: newArrivals(), versions: newVersions(), software: softwareVersions, unframed: true, gap: eventGap}
+	switch scenario {
+	case Restarts:
 		// Retries alone: what its seeds have shown must stay as it was.
 		s.software, s.unframed = softwareVersions[:1], false
+	case Releases:
+		s.software, s.gap = softwareVersions[:1], releaseGap
 	}
 	s.routes = []any{
 		route("idempotent", pathIdem, "idempotent", plainSvc, false),
@@ -141,8 +152,16 @@
 	accepted()
 }
 
-// addRunner starts and registers a runner.
+// addRunner starts and registers a runner. The versions take turns.
 func (s *simulation) addRunner(service, stage string) error {
+	s.mu.Lock()
+	software := s.software[(s.started+1)%len(s.software)]
+	s.mu.Unlock()
+	return s.addRunnerOf(service, stage, software)
+}
+
+// addRunnerOf starts and registers a runner of a version.
+func (s *simulation) addRunnerOf(service, stage, software string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.started++
@@ -150,21 +169,25 @@
 	if err != nil {
 		return err
 	}
-	r.Slots, r.Events, r.Gap = 16, streamSize, eventGap
-	r.Software = s.software[s.started%len(s.software)]
+	r.Slots, r.Events, r.Gap, r.Software = 16, streamSize, s.gap, software
 	proxy, err := platformtest.StartProxy(r.Address())
 	if err != nil {
 		return err
 	}
-	added := &runner{Runner: r, proxy: proxy}
+	added := &runner{Runner: r, proxy: proxy, state: platformtest.StateReady}
 	r.Answer(func(x *platformtest.Exchange) { s.answer(added, x) })
 	s.runners = append(s.runners, added)
-	s.register(added, platformtest.StateReady)
+	s.register(added)
 	return nil
 }
 
-func (s *simulation) register(r *runner, state string) {
-	s.store.Register(r.Runner, state, r.proxy.Address())
+// register writes the entry of a runner to the store, or removes it.
+func (s *simulation) register(r *runner) {
+	if r.state == stateGone {
+		s.store.Unregister(r.Runner)
+		return
+	}
+	s.store.Register(r.Runner, r.state, r.proxy.Address())
 }
 
 // registerStage updates the registration of a runner that has changed its stage.
@@ -173,11 +196,7 @@
 func (s *simulation) registerStage(r *runner) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	state := platformtest.StateReady
-	if !r.leaving.IsZero() {
-		state = platformtest.StateLeaving
-	}
-	s.register(r, state)
+	s.register(r)
 }
 
 // replaceRunner registers a random runner as leaving and adds a new runner of the
@@ -191,8 +210,8 @@
 		}
 	}
 	r := active[rng.IntN(len(active))]
-	r.leaving = time.Now()
-	s.register(r, platformtest.StateLeaving)
+	r.leaving, r.state = time.Now(), platformtest.StateLeaving
+	s.register(r)
 	s.mu.Unlock()
 	return s.addRunner(r.Service, r.Stage())
 }
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -38,6 +38,8 @@
 		"a valid key refused":       {func(o *outcome) { o.answer.Status = 401 }, 0, 0, true},
 		"refused without a limit":   {func(o *outcome) { o.answer.Status = 429 }, 0, 0, true},
 		"too late during a fault":   {func(o *outcome) { o.elapsed = time.Minute }, 0, 1, false},
+		"events of one version":     {func(o *outcome) { o.software = []string{"v1"} }, 3, 1, false},
+		"events of two versions":    {func(o *outcome) { o.software = []string{"v1", "v2"} }, 3, 1, true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -46,7 +48,7 @@
 			o := whole(c.kind, "c5-5")
 			c.alter(&o)
 			check.check(o)
-			check.checkFinal(&simulation{runCounts: map[string]int{"c5-5": c.runs}, arrivals: newArrivals(), teams: newTeams()})
+			check.checkFinal(&simulation{runCounts: map[string]int{"c5-5": c.runs}, arrivals: newArrivals(), teams: newTeams(), versions: newVersions()})
 			is.Equal(len(check.violations) > 0, c.found)
 		})
 	}
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -7,7 +7,7 @@
 #   scripts/soak.sh SEED...
 #
 # Environment: DAEMONS (default 5), CALLERS (default 16), LENGTH (default 15s),
-# SCENARIO (mixed, the default, restarts or restores), OUT (default: a new temporary directory).
+# SCENARIO (mixed, the default, restarts, restores or releases), OUT (default: a new temporary directory).
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
