Let a daemon that starts from an older copy take its peers' configuration

What callers saw: a daemon that starts as the store comes back from an older copy accepted a key that had been revoked, 5.7 s to 7.6 s after the operator's acknowledgement with a bound of 5 s, until the operator wrote the newest configuration again. All other daemons refused it.

Cause: the first read of a process counted as proof that its configuration is the newest, although the era showed that the store had come back from a copy. The rule that such a store proves nothing for 2.3 s held only for a daemon that had read the table before; and nothing told a starting daemon which configuration the others have in force, since their tables are those of the copy as well. Dropped routes acted in the same way.

Now, in a later era, a daemon holds the first configuration until the others have told what they have in force (core/freshness.Start), and takes the newest; one that hears nobody with a configuration waits 2.3 s, in which the operator writes again. Heartbeats name the version in force: one that is ahead is asked for its configuration, also by a daemon that runs. The store's configuration proves nothing for 2.3 s behind the first read either, and no proof counts that is later than a newer configuration which is known to have been accepted.

Run: go test -race ./core/freshness ./core/member ./daemon/members ./daemon/gateway; ./platform with -run of all tests that name returns, copies, starts, keys, configurations and the store, -count=2. No test or check was changed.

--- a/core/freshness/freshness.go
+++ b/core/freshness/freshness.go
@@ -23,6 +23,9 @@
 	// newer is the newest proof of a configuration that is not in force here yet.
 	newer      Proof
 	newerSince time.Duration
+	// newerFrom is the earliest time, by the daemon's clock, at which a newer configuration
+	// is known to have been accepted.
+	newerFrom time.Duration
 }
 
 // Sample records the time of the store's clock that the reply to a call contained.
@@ -66,14 +69,18 @@
 		t.accept(p, since)
 		return
 	}
-	if t.newer.Version == 0 || since > t.newerSince {
+	if !t.Outdated() || since < t.newerFrom {
+		t.newerFrom = since
+	}
+	if p.Version > t.newer.Version || p.Version == t.newer.Version && since > t.newerSince {
 		t.newer, t.newerSince = p, since
 	}
 }
 
-// accept records a proof that holds for the configuration in force.
+// accept records a proof that holds for the configuration in force. One that is later than a
+// newer configuration comes from a store that has lost the newer one.
 func (t *Tracker) accept(p Proof, since time.Duration) {
-	if t.confirmed && since <= t.since {
+	if t.confirmed && since <= t.since || t.Outdated() && since >= t.newerFrom {
 		return
 	}
 	t.confirmed, t.since = true, since
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -17,6 +17,8 @@
 	halted  bool
 	leaving bool
 	proof   *freshness.Proof
+	// configVersion is that of the configuration in force here.
+	configVersion uint64
 
 	peers map[id.Daemon]*peer
 	// order holds the names of peers, sorted, so that results do not depend on
@@ -202,6 +204,7 @@
 	}
 	msg.From = m.self
 	msg.Proof = m.proof
+	msg.ConfigVersion = m.configVersion
 	if p.seen && m.mustNotify(p) {
 		known := p.entry
 		if known.State == Paused {
--- a/core/member/messages.go
+++ b/core/member/messages.go
@@ -129,6 +129,9 @@
 	Digest uint64 `cbor:"7,keyasint,omitempty"`
 	// Proof is the sender's newest proof of a configuration's freshness.
 	Proof *freshness.Proof `cbor:"8,keyasint,omitempty"`
+	// ConfigVersion is that of the configuration in force at the sender. Unlike a Revision
+	// it is the operator's, and does not change when the store comes back from an older copy.
+	ConfigVersion uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Host is one entry of the platform's host list.
--- a/core/member/status.go
+++ b/core/member/status.go
@@ -23,6 +23,8 @@
 	// Proof of a configuration's freshness is sent with each message; nil for
 	// none.
 	Proof *freshness.Proof
+	// ConfigVersion is that of the configuration in force; it is sent with each message.
+	ConfigVersion uint64
 }
 
 // SetLocalStatus sets the status that the next messages report.
@@ -48,6 +50,7 @@
 	}
 	m.self.Stale = l.Stale
 	m.proof = l.Proof
+	m.configVersion = l.ConfigVersion
 }
 
 // expediteHeartbeat brings the next heartbeats forward to the base period, since
--- a/daemon/gateway/enroll.go
+++ b/daemon/gateway/enroll.go
@@ -183,6 +183,8 @@
 				StoreLost: d.storeLost(),
 				Stale:     d.stale(),
 				Proof:     d.proofToSend(),
+
+				ConfigVersion: d.configVersion(),
 			}
 		},
 		Log:     d.logger.Event,
--- a/daemon/gateway/evidence.go
+++ b/daemon/gateway/evidence.go
@@ -50,7 +50,7 @@
 func (d *Daemon) syncEvidence(f *fleet) *evidence.Syncer {
 	return evidence.Start(evidence.Config{
 		Ledger: d.poison,
-		Others: f.evidencePeers,
+		Others: f.peersToAsk,
 		Alone:  f.alone.Load,
 		Ask:    f.links().AskEvidence,
 		Adopt:  f.broker.AdoptEvidence,
@@ -58,10 +58,10 @@
 	})
 }
 
-// evidencePeers returns the daemons that this one asks for evidence: all others or, in a
-// large fleet, those that broadcast, since a connection to another daemon for each
-// comparison would cost more than all that is compared.
-func (f *fleet) evidencePeers() []id.Daemon {
+// peersToAsk returns the daemons that this one asks for what the fleet knows: all others or,
+// in a large fleet, those that broadcast, since a connection to another daemon for each
+// question would cost more than all that is learnt.
+func (f *fleet) peersToAsk() []id.Daemon {
 	if f.members.Large() {
 		return f.otherReaders()
 	}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -152,6 +152,8 @@
 	queryingUptime atomic.Bool
 	// freshness tracks how old the configuration may be.
 	freshness configFreshness
+	// catchingUpConfig is set while a peer that has a newer configuration is asked for it.
+	catchingUpConfig atomic.Bool
 	// helper is the daemon through which a tunnel was last opened; nil if there is none.
 	helper       atomic.Pointer[id.Daemon]
 	tunnelCounts tunnelCounts
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -47,12 +47,15 @@
 	kindOriginPlace
 	// kindLeaving carries an endpoint's own word that it leaves: one-way, leavingNews.
 	kindLeaving
+	// kindConfig asks a daemon for the configuration that it has in force: a call,
+	// configQuery -> configReply.
+	kindConfig
 )
 
 var kindNames = map[peer.Kind]string{
 	kindTables: "tables", kindNews: "news", kindProof: "proof", kindUptime: "uptime", kindLimit: "limit",
 	kindOrigins: "origins", kindOriginQuery: "origin_query", kindOriginPlace: "origin_place",
-	kindLeaving: "leaving",
+	kindLeaving: "leaving", kindConfig: "config",
 }
 
 // tablesReply holds a daemon's states of the store's tables.
@@ -190,6 +193,7 @@
 	if m.Proof != nil {
 		r.d.learnProof(*m.Proof)
 	}
+	r.d.learnConfigVersion(m.From.Process.Daemon, m.ConfigVersion)
 	r.f.members.Receive(m)
 }
 
@@ -213,6 +217,7 @@
 	var q uptimeQuery
 	var stream origins.Query
 	var records origins.Batch
+	var config configQuery
 	switch {
 	case !h.Accepting():
 	case kind == link.KindEvidenceQuery:
@@ -221,6 +226,8 @@
 		return peer.Encode(newTablesReply(h.d.tableStates(), *h.d.storeStatus()))
 	case kind == kindUptime && h.decode(from, body, &q):
 		return peer.Encode(h.d.answerUptime(q))
+	case kind == kindConfig && h.decode(from, body, &config):
+		return peer.Encode(h.d.answerConfig(config))
 	case kind == kindOriginQuery && h.decode(from, body, &stream):
 		return peer.Encode(h.d.origins.Answer(&stream))
 	case kind == kindOriginPlace && h.decode(from, body, &records):
--- a/daemon/gateway/tables.go
+++ b/daemon/gateway/tables.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/samphirequay/samphirequay/core/freshness"
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/registry"
 	"github.com/samphirequay/samphirequay/core/revision/table"
@@ -45,6 +46,14 @@
 	list     *registry.List
 	routes   *route.Table
 	versions map[string]uint64
+	// inForce holds the rows of the configuration in force. The follower's rows may be those
+	// of an older copy of the store.
+	inForce []table.Row
+	// start decides when the first configuration of a store that came back from an older
+	// copy may be put in force; held is the newest one until then.
+	start       freshness.Start
+	held        feed.State
+	heldVersion uint64
 	// entries caches the parsed rows of the table of endpoints.
 	entries entryCache
 	// badRows maps each row that could not be decoded to its version, so that each
@@ -57,6 +66,7 @@
 		list:     registry.New(),
 		versions: map[string]uint64{},
 		badRows:  map[string]uint64{},
+		start:    newConfigStart(),
 	}
 	k.view.Store(&forward.View{})
 	return k
@@ -104,16 +114,20 @@
 }
 
 // tableRead logs a full read of a table. If the store has come back from an older copy
-// since the last one, calls that wait for changes of other tables may wait in vain, and a
-// key that the newest configuration has revoked may be in the store's again.
+// since the last one, or at any time before the first one, a key that the newest
+// configuration has revoked may be in the store's again. Calls that wait for changes of other
+// tables may wait in vain.
 func (d *Daemon) tableRead(name string, r feed.FullRead) {
 	d.fullReads.Add(name, 1)
 	d.logger.Event("table_read", "table", name, "position", table.FormatVersion(r.Position), "known", table.FormatVersion(r.Known),
 		"history_gone", r.HistoryGone, "dropped", r.Older)
-	if r.Known == 0 || table.Era(r.Position) <= table.Era(r.Known) {
+	if table.Era(r.Position) <= table.Era(r.Known) {
 		return
 	}
 	d.freshness.hold(d.now() + uptime.ReturnGrace)
+	if r.Known == 0 {
+		return
+	}
 	for _, other := range d.followers() {
 		if other.Name() != name {
 			other.PollNow()
@@ -132,35 +146,6 @@
 	return false
 }
 
-// configChanged puts a newer configuration in force. If it is invalid, the previous
-// one stays in force.
-func (d *Daemon) configChanged(s feed.State) {
-	k := d.tables
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.outdated(s) {
-		return
-	}
-	config, ok, err := d.platform.Adapter.Config(s.Rows)
-	if err != nil {
-		d.badRow(s.Name, s.Version, err)
-		return
-	}
-	if !ok || (k.routes != nil && config.Version <= k.routes.Config().Version) {
-		return
-	}
-	routes, err := route.NewTable(config)
-	if err != nil {
-		d.badRow(s.Name, s.Version, err)
-		return
-	}
-	k.routes = routes
-	d.freshness.setVersion(config.Version)
-	d.logger.Event("config_in_force", "version", config.Version, "row", table.FormatVersion(s.Version),
-		"routes", len(config.Routes), "services", len(config.Services), "teams", len(config.Teams))
-	d.publish()
-}
-
 // badRow logs a row that cannot be decoded, once for each version, and reports
 // whether it logged it; the lock must be held.
 func (d *Daemon) badRow(name string, version uint64, err error) bool {
