Let a planned stop wait until each answer has been written whole

What callers saw: a daemon that was stopped as planned ended in the middle of an answer of 12 MiB that its caller read slowly, 4.5 s before the end of the grace. The caller had some 8 MiB and the end of its connection.

Cause: a request counted as served when its handler handed the answer to the HTTP library, which writes it after the handler has returned. Only streams counted until they were closed. The stop found nothing in flight, and gave connections that were still open 0.3 s. The daemon with the product's own interface counted its plain answers in the same way.

callerconn.Answers counts the requests whose answer is not written whole, from the moment that the request has been read until the HTTP library says that the connection is idle or closed: answers, refusals and streams alike, at both kinds of daemon. A planned stop waits for these instead of the requests in flight, up to its limit. The requests in flight keep their meaning in heartbeats, logs and metrics; answers_owed stands beside them in the log and, as a gauge, on the metrics address of the gateway. Tunnels were counted until their user had read the end before.

Run: go test -race ./daemon/callerconn ./daemon/front ./daemon/gateway ./daemon/leaving ./cmd/internal/cli/docscmd; ./daemon/app -run 'Stop|TLS'; ./platform -run 'Stop|Clos|Overlap|Tunnel|NotRead|Memory|Body|Large|SlowRead|Leaves'. No existing test or check was changed.

--- a/daemon/app/stop.go
+++ b/daemon/app/stop.go
@@ -40,11 +40,11 @@
 
 // finishStop waits until the daemon may close and shuts it down.
 func (d *Daemon) finishStop(s *leaving.Stop) {
-	why, ok := s.Wait(d.ctx, stopPollInterval, d.now, d.inFlight)
+	why, ok := s.Wait(d.ctx, stopPollInterval, d.now, d.front.Owed)
 	if !ok {
 		return
 	}
-	d.logger.Event("daemon_closing", "why", why, "in_flight", d.inFlight())
+	d.logger.Event("daemon_closing", "why", why, "in_flight", d.inFlight(), "answers_owed", d.front.Owed())
 	d.shutdown()
 }
 
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -16,6 +16,7 @@
 	"github.com/samphirequay/samphirequay/core/live"
 	"github.com/samphirequay/samphirequay/core/resume"
 	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/daemon/callerconn"
 	"github.com/samphirequay/samphirequay/daemon/completion"
 	"github.com/samphirequay/samphirequay/daemon/hangup"
 	"github.com/samphirequay/samphirequay/daemon/httpjson"
@@ -98,6 +99,8 @@
 	Deps
 	http  *fasthttp.Server
 	stats stats
+	// answers counts the requests whose answer has not been written whole.
+	answers callerconn.Answers
 	// baseCtx is the parent of all requests' contexts; Kill cancels it.
 	baseCtx    context.Context
 	cancelBase context.CancelFunc
@@ -110,6 +113,7 @@
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
 		ErrorHandler:          s.protocolError,
+		ConnState:             s.answers.State,
 		Name:                  "samphirequay",
 		MaxRequestBodySize:    d.MaxBodyBytes + maxBodyOverrun,
 		Concurrency:           d.MaxConns + max(minOverLimit, d.MaxConns/overLimitDivisor),
@@ -146,7 +150,12 @@
 // InFlight returns how many requests are being served.
 func (s *Server) InFlight() int { return int(s.stats.inFlight.Value()) }
 
+// Owed returns how many requests wait for their answer, or for the rest of it: more than
+// InFlight, since a caller may read slowly what has been served.
+func (s *Server) Owed() int { return s.answers.Owed() }
+
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	s.answers.Owe(ctx.Conn())
 	path := string(ctx.Path())
 	if s.OverLimit(ctx.Conn()) {
 		s.refuseConn(ctx)
--- a/daemon/gateway/front.go
+++ b/daemon/gateway/front.go
@@ -14,7 +14,6 @@
 	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/core/verdict"
 	"github.com/samphirequay/samphirequay/daemon/bytebudget"
-	"github.com/samphirequay/samphirequay/daemon/callerconn"
 	"github.com/samphirequay/samphirequay/daemon/forward"
 	"github.com/samphirequay/samphirequay/daemon/upstream"
 )
@@ -50,7 +49,7 @@
 	callers := &fasthttp.Server{
 		Handler:            d.handle,
 		HeaderReceived:     d.headerReceived,
-		ConnState:          callerconn.State,
+		ConnState:          d.callerState,
 		ErrorHandler:       d.platform.Adapter.ProtocolError,
 		ReadBufferSize:     maxHeaderBytes,
 		MaxRequestBodySize: defaultMaxBodyBytes,
@@ -153,18 +152,21 @@
 // handle serves one request from a caller.
 func (d *Daemon) handle(ctx *fasthttp.RequestCtx) {
 	if d.headerTooLarge(&ctx.Request.Header) {
+		d.answers.Owe(ctx.Conn())
 		d.logger.Event("request_refused", "verdict", verdict.NotRun, "code", verdict.CodeTooLarge, "why", "the request header is too large")
 		d.platform.Adapter.ProtocolError(ctx, &fasthttp.ErrSmallBuffer{})
 		return
 	}
 	charged := d.charged(ctx)
-	if err := d.readBody(charged, ctx); err != nil {
+	bodyErr := d.readBody(charged, ctx)
+	d.answers.Owe(ctx.Conn())
+	if bodyErr != nil {
 		ctx.SetConnectionClose()
-		if errors.Is(err, bytebudget.ErrShort) {
+		if errors.Is(bodyErr, bytebudget.ErrShort) {
 			d.refuseForMemory(ctx)
 			return
 		}
-		d.platform.Adapter.ProtocolError(ctx, err)
+		d.platform.Adapter.ProtocolError(ctx, bodyErr)
 		return
 	}
 	d.inFlight.Add(1)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -132,7 +132,9 @@
 	retryShare *retryShare
 	watcher    *hangup.Watcher
 	// callers are those that have an answer to read.
-	callers   *callerconn.Callers
+	callers *callerconn.Callers
+	// answers counts the requests of callers whose answer has not been written whole.
+	answers   callerconn.Answers
 	servers   []*fasthttp.Server
 	listeners []net.Listener
 	inFlight  atomic.Int64
--- a/daemon/gateway/heldbytes.go
+++ b/daemon/gateway/heldbytes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 
 	"github.com/valyala/fasthttp"
 
@@ -22,9 +23,19 @@
 	return bytebudget.NewContext(d.ctx, account)
 }
 
-// newCallers returns the record of callers that have an answer to read. Those that don't
+// callerState is called when the state of a caller's connection changes.
+func (d *Daemon) callerState(c net.Conn, state fasthttp.ConnState) {
+	callerconn.State(c, state)
+	d.answers.State(c, state)
+}
+
+// newCallers returns the record of callers that have an answer to read, and shows how many
+// there are. Those that don't
 // read are let go first when bytes are short.
 func (d *Daemon) newCallers() *callerconn.Callers {
+	d.metrics.GaugeFunc("answers_owed", metrics.UnitCount, "Requests of callers whose answer has not been written whole yet.", func() float64 {
+		return float64(d.answers.Owed())
+	})
 	unread := d.metrics.Counter("callers_not_reading", metrics.UnitCount, "Connections of callers that were ended since they did not read their answers.")
 	c := callerconn.New(d.now, func(u callerconn.Unread) {
 		unread.Inc()
--- a/daemon/gateway/stop.go
+++ b/daemon/gateway/stop.go
@@ -61,7 +61,7 @@
 	if !d.stopping.CompareAndSwap(nil, s) {
 		return
 	}
-	d.logger.Event("daemon_leaving", "in_flight", d.inFlight.Load(), "tunnels", d.carriedTunnels())
+	d.logger.Event("daemon_leaving", "in_flight", d.inFlight.Load(), "answers_owed", d.answers.Owed(), "tunnels", d.carriedTunnels())
 	if f := d.fleet.Load(); f != nil {
 		f.members.Leave()
 		f.orderer.Release()
@@ -70,9 +70,9 @@
 }
 
 // dependents returns the number of requests that need this daemon: those of its own callers,
-// and those that other daemons serve over a tunnel through this one. A tunnel is used for one
-// request.
-func (d *Daemon) dependents() int { return int(d.inFlight.Load()) + d.carriedTunnels() }
+// until the last byte of the answer is written, and those that other daemons serve over a
+// tunnel through this one. A tunnel is used for one request.
+func (d *Daemon) dependents() int { return d.answers.Owed() + d.carriedTunnels() }
 
 // leave waits until the daemon may close, and shuts it down.
 func (d *Daemon) leave(s *leaving.Stop) {
@@ -80,7 +80,7 @@
 	if !ok {
 		return
 	}
-	d.logger.Event("daemon_closing", "why", why, "in_flight", d.inFlight.Load(), "tunnels", d.carriedTunnels())
+	d.logger.Event("daemon_closing", "why", why, "in_flight", d.inFlight.Load(), "answers_owed", d.answers.Owed(), "tunnels", d.carriedTunnels())
 	d.origins.HandOver()
 	d.handOnRetries()
 	d.shutdown()
