Tell a daemon that starts from an older copy which endpoints have ended

What callers saw: a daemon that starts as the store comes back from an older copy sent requests to endpoints that are ready in the copy, and that leave or have ended as all other daemons know.

What the store has lost is known to daemons alone (their list keeps it across a return), and a starting daemon asked nobody.

The answer that names the configuration in force also names the endpoints that leave or have ended, to a daemon that has no configuration yet.

No existing test or check was changed.

--- a/core/registry/restore.go
+++ b/core/registry/restore.go
@@ -80,12 +80,43 @@
 		if now < h.until {
 			return false
 		}
-		l.listed[name] = h.entry
+		if h.entry.Name != "" {
+			l.listed[name] = h.entry
+		}
 		return true
 	})
 	return len(l.restores.held) < before
 }
 
+// Endings is what a daemon knows of endpoints that leave or have ended, which a store that
+// came back from an older copy may list as ready.
+type Endings struct {
+	Leaving []id.Endpoint `cbor:"1,keyasint,omitempty"`
+	Ended   []id.Endpoint `cbor:"2,keyasint,omitempty"`
+}
+
+// Endings returns the known endings.
+func (l *List) Endings() Endings {
+	return Endings{Leaving: l.saidLeaving.Keys(), Ended: l.restores.ended.Keys()}
+}
+
+// AdoptEndings applies what another daemon knows to the list of a daemon that has just
+// started. Entries of ended endpoints are held as after a return of the store, also if they
+// are not known yet.
+func (l *List) AdoptEndings(now time.Duration, e Endings) {
+	for _, name := range e.Leaving {
+		l.MarkLeaving(name)
+	}
+	for _, name := range e.Ended {
+		if _, held := l.restores.held[name]; held {
+			continue
+		}
+		l.restores.ended.Add(name, struct{}{})
+		l.restores.held[name] = heldEntry{entry: l.listed[name], until: now + returnedHold}
+		delete(l.listed, name)
+	}
+}
+
 // Held returns the number of entries that the store lists and that get no requests, since
 // they may be those of endpoints that have ended.
 func (l *List) Held() int { return len(l.restores.held) }
--- a/core/registry/restore_test.go
+++ b/core/registry/restore_test.go
@@ -101,3 +101,27 @@
 		is.Equal(slices.Contains(present(l), "a"), registers)
 	}
 }
+
+// TestAStartFromACopyHoldsWhatHasEnded guards against requests of a daemon that has just
+// started to endpoints whose end only the others have seen, whenever it reads the copy.
+func TestAStartFromACopyHoldsWhatHasEnded(t *testing.T) {
+	for _, readBefore := range []bool{false, true} {
+		is := is.New(t)
+		former, l := New(), New()
+		former.MarkLeaving("b")
+		former.Set(0, 8, []Endpoint{plain("a"), plain("b"), plain("c"), plain("d")})
+		former.Set(0, 9, []Endpoint{plain("b"), plain("c")})
+		copied := []Endpoint{plain("a"), plain("b"), plain("c")}
+		if readBefore {
+			l.Set(0, later(5), copied)
+		}
+		for range 2 { // two others tell the same
+			l.AdoptEndings(time.Second, former.Endings())
+		}
+		l.Set(2*time.Second, later(6), copied)
+		is.Equal(present(l), []id.Endpoint{"c"})
+		is.True(!l.ReleaseReturned(returnedHold))
+		is.True(l.ReleaseReturned(time.Second + returnedHold))
+		is.Equal(present(l), []id.Endpoint{"a", "c"}) // it is still listed: it lives
+	}
+}
--- a/daemon/gateway/configpeers.go
+++ b/daemon/gateway/configpeers.go
@@ -10,6 +10,7 @@
 	"github.com/samphirequay/samphirequay/core/freshness"
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/member"
+	"github.com/samphirequay/samphirequay/core/registry"
 	"github.com/samphirequay/samphirequay/core/revision/table"
 	"github.com/samphirequay/samphirequay/core/uptime"
 	"github.com/samphirequay/samphirequay/daemon/feed"
@@ -46,6 +47,8 @@
 	Rows []table.Row `cbor:"2,keyasint,omitempty"`
 	// Proof is the newest proof of its freshness.
 	Proof *freshness.Proof `cbor:"3,keyasint,omitempty"`
+	// Endings are the endpoints that leave or have ended, for a daemon that has just started.
+	Endings registry.Endings `cbor:"4,keyasint"`
 }
 
 // answerConfig returns the configuration in force.
@@ -56,6 +59,9 @@
 	if r.Version > q.Known {
 		r.Rows = d.tables.inForce
 	}
+	if q.Known == 0 {
+		r.Endings = d.tables.list.Endings()
+	}
 	return r
 }
 
@@ -140,7 +146,7 @@
 }
 
 // askForConfig asks a peer for the configuration that it has in force, and adopts it if it is
-// newer.
+// newer. A daemon that has just started also adopts which endpoints have ended.
 func (d *Daemon) askForConfig(f *fleet, peer id.Daemon) (*configReply, error) {
 	ctx, cancel := context.WithTimeout(d.ctx, tablesTimeout)
 	defer cancel()
@@ -155,6 +161,9 @@
 	d.tables.mu.Lock()
 	defer d.tables.mu.Unlock()
 	d.tables.start.Heard(d.now(), reply.Version)
+	if d.tables.routes == nil {
+		d.tables.list.AdoptEndings(d.now(), reply.Endings)
+	}
 	if known := max(d.tables.configVersion(), d.tables.heldVersion); len(reply.Rows) > 0 && reply.Version > known {
 		d.logger.Event("config_learnt", "peer", peer, "version", reply.Version, "known", known)
 		name := d.configs.Name()
