--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -132,7 +132,9 @@
 	retryShare *retryShare
 	watcher    *hangup.Watcher
 	// callers are those that have an answer to read.
-	callers   *callerconn.Callers
+	callers *callerconn.Callers
+	// answers counts the requests of callers whose answer has not been written whole.
+	answers   callerconn.Answers
 	servers   []*fasthttp.Server
 	listeners []net.Listener
 	inFlight  atomic.Int64
@@ -152,6 +154,8 @@
 	queryingUptime atomic.Bool
 	// freshness tracks how old the configuration may be.
 	freshness configFreshness
+	// catchingUpConfig is set while a peer that has a newer configuration is asked for it.
+	catchingUpConfig atomic.Bool
 	// helper is the daemon through which a tunnel was last opened; nil if there is none.
 	helper       atomic.Pointer[id.Daemon]
 	tunnelCounts tunnelCounts
