Refuse a request whose body ends before its stated length

Callers that left in the middle of a long body had the part that arrived run as a whole request, orders that may run once among them.

Cause: the HTTP library's stream of a request's body returns io.EOF at the end of a connection too, and bodyReader.readAll took that for the regular end. Only the first 8 KiB, which the library reads by itself, were checked. Bodies in chunks end regularly only behind their last chunk.

A body that is shorter than its length is now refused as one that can't be read, with a closed connection; a refusal of a body writes request_refused, and requests_incomplete counts the bodies that could not be read whole. That holds for all ways out, since requests are passed on only after they were read whole.

Evidence: TestABodyThatIsCutIsNeverRunAsAWholeOne (platform) failed on the untouched code: of the bodies with a length, on four routes, all 24 that were cut at 8,192 bytes or later were taken as whole, 11 plain ones were seen at an endpoint; every cut of a body in chunks was refused. TestACallerThatLeavesInABodyHasNothingRun failed with the half of a body behind `Expect: 100-continue`. The test of the product's own interface (daemon/front) passed before as well, but for its first form, which demanded a 400 where the library closes without an answer.

--- a/daemon/gateway/front.go
+++ b/daemon/gateway/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"syscall"
@@ -13,7 +12,6 @@
 
 	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/core/verdict"
-	"github.com/samphirequay/samphirequay/daemon/bytebudget"
 	"github.com/samphirequay/samphirequay/daemon/callerconn"
 	"github.com/samphirequay/samphirequay/daemon/forward"
 	"github.com/samphirequay/samphirequay/daemon/upstream"
@@ -159,12 +157,7 @@
 	}
 	charged := d.charged(ctx)
 	if err := d.readBody(charged, ctx); err != nil {
-		ctx.SetConnectionClose()
-		if errors.Is(err, bytebudget.ErrShort) {
-			d.refuseForMemory(ctx)
-			return
-		}
-		d.platform.Adapter.ProtocolError(ctx, err)
+		d.refuseUnread(ctx, err)
 		return
 	}
 	d.inFlight.Add(1)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -138,6 +138,8 @@
 	inFlight  atomic.Int64
 	probes    activeChecks
 	inspected activeChecks
+	// incomplete counts requests whose bodies could not be read whole.
+	incomplete *metrics.Counter
 	// unusable counts registered entries that describe no usable endpoint, by reason.
 	unusable *metrics.CounterMap
 	endOnce  sync.Once
@@ -216,6 +218,7 @@
 		return float64(d.poison.Len())
 	})
 	d.callers = d.newCallers()
+	d.incomplete = d.metrics.Counter("requests_incomplete", metrics.UnitCount, "Requests that were refused since their bodies could not be read whole.")
 	d.tables = newTableCache()
 	d.unusable = d.metrics.CounterMap("registry_entries_unusable", metrics.UnitCount, "Changed registry entries that describe no usable endpoint, by reason.")
 	d.fullReads = d.metrics.CounterMap("table_reads", metrics.UnitCount, "Full reads of the store's tables that were answered, by table.")
--- a/daemon/gateway/requestbody.go
+++ b/daemon/gateway/requestbody.go
@@ -8,6 +8,7 @@
 	"io"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
 	"github.com/samphirequay/samphirequay/core/verdict"
@@ -26,6 +27,9 @@
 	memoryRetryAfter = time.Second
 )
 
+// errIncompleteBody reports a caller that ended its connection within a body.
+var errIncompleteBody = eris.New("the caller's connection ended within the body")
+
 // bodyReader reads the body of one request.
 type bodyReader struct {
 	account *bytebudget.Account
@@ -103,13 +107,23 @@
 		case total > r.limit:
 			return fasthttp.ErrBodyTooLarge
 		case errors.Is(err, io.EOF):
-			return nil
+			return r.checkWhole(total)
 		case err != nil:
 			return err
 		}
 	}
 }
 
+// checkWhole checks that a body which has ended has the length that its caller states: the
+// stream of such a body ends in the same way when the caller's connection does. That of a
+// body in chunks ends only behind its last chunk.
+func (r *bodyReader) checkWhole(total int) error {
+	if total < r.length {
+		return eris.Wrapf(errIncompleteBody, "%d of %d bytes", total, r.length)
+	}
+	return nil
+}
+
 // grow doubles the buffer, up to what the caller states.
 func (r *bodyReader) grow(ctx context.Context) {
 	size := max(firstBodyBuffer, 2*cap(r.body))
@@ -131,3 +145,21 @@
 	d.logger.Event("bytes_refused", "verdict", err.Verdict, "code", err.Code, "held", d.platform.Budget.Held(), "why", err.Error())
 	d.platform.Adapter.Error(rc, err, 0)
 }
+
+// refuseUnread answers a request whose body can't be read whole. What follows on its
+// connection is no request.
+func (d *Daemon) refuseUnread(rc *fasthttp.RequestCtx, err error) {
+	rc.SetConnectionClose()
+	if errors.Is(err, bytebudget.ErrShort) {
+		d.refuseForMemory(rc)
+		return
+	}
+	code := verdict.CodeBadRequest
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		code = verdict.CodeTooLarge
+	} else {
+		d.incomplete.Inc()
+	}
+	d.logger.Event("request_refused", "verdict", verdict.NotRun, "code", code, "why", err)
+	d.platform.Adapter.ProtocolError(rc, err)
+}
