Close the connection behind a header that is too large

A request with a header over the configured limit was refused, and its connection kept. If its body was over the limit too, the body is not awaited, so that its bytes were read as the next request: a request inside the body of another one was answered, and could be run.

The connection is closed behind the refusal, as behind each other request whose body may be left unread.

--- a/daemon/gateway/front.go
+++ b/daemon/gateway/front.go
@@ -152,6 +152,7 @@
 func (d *Daemon) handle(ctx *fasthttp.RequestCtx) {
 	if d.headerTooLarge(&ctx.Request.Header) {
 		d.logger.Event("request_refused", "verdict", verdict.NotRun, "code", verdict.CodeTooLarge, "why", "the request header is too large")
+		ctx.SetConnectionClose() // its body may be left unread
 		d.platform.Adapter.ProtocolError(ctx, &fasthttp.ErrSmallBuffer{})
 		return
 	}
