Reset the connection of a request that is broken off

Where a daemon gave up a request while it still wrote it, since its caller had left or its time was over, the endpoint saw the regular end of the connection behind a part of the request.

netconn.Conn resets its connection if it is closed while a request is written or after that failed. A daemon that carries a tunnel for another one can't tell where a request was; it resets the endpoint's connection unless the tunnel's bytes ended regularly. An endpoint that has the whole request drops it as before.

Evidence: TestARequestThatIsBrokenOffIsReset and TestARequestThatIsBrokenOffInATunnelIsReset failed before: the endpoint's read ended without an error.

--- a/daemon/peer/tunnel.go
+++ b/daemon/peer/tunnel.go
@@ -194,6 +194,18 @@
 	return string(target), err
 }
 
+// breakOff closes the target's connection. Unless the caller's bytes ended regularly, it is
+// reset where it can be: the target must not take a part of a request for one that ended with
+// its connection.
+func breakOff(conn net.Conn, err error) {
+	broken, ok := conn.(interface{ Reset() error })
+	if err == nil || !ok {
+		_ = conn.Close()
+		return
+	}
+	_ = broken.Reset()
+}
+
 // carry passes bytes on in both directions until one side ends. The end of the target's
 // connection becomes the end of the stream only if it was regular: an answer that was
 // broken off must not look complete. Behind a regular end the tunnel lasts until the caller
@@ -202,9 +214,10 @@
 	upward := make(chan struct{})
 	go func() {
 		defer close(upward)
-		_ = copyBytes(conn, stream) // ends when the caller has closed or lost the tunnel
+		// It ends when the caller has closed or lost the tunnel, perhaps within a request.
+		err := copyBytes(conn, stream)
 		stream.CancelRead(streamFailed)
-		_ = conn.Close()
+		breakOff(conn, err)
 	}()
 	if err := copyBytes(stream, conn); err != nil {
 		resetStream(stream, streamFailed)
--- a/daemon/peer/tunnel_test.go
+++ b/daemon/peer/tunnel_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/endpoint/netconn"
 )
 
 // tunnelThrough returns a transport whose tunnels lead over another one to connections
@@ -44,7 +45,11 @@
 			if from != "a" || name != "target" {
 				return nil, errors.New("unknown target")
 			}
-			return net.Dial("tcp", target.Addr().String())
+			c, err := net.Dial("tcp", target.Addr().String())
+			if err != nil {
+				return nil, err
+			}
+			return netconn.New(c), nil // as daemons open it
 		}
 		if change != nil {
 			change(c)
@@ -181,3 +186,24 @@
 	is.NoErr(err)
 	is.Equal(string(all), "answer")
 }
+
+// TestARequestThatIsBrokenOffInATunnelIsReset guards against a part of a request that looks like
+// one which ended with its connection: the daemon that carries it can't tell.
+func TestARequestThatIsBrokenOffInATunnelIsReset(t *testing.T) {
+	is := is.New(t)
+	began, ended := make(chan struct{}), make(chan error, 1)
+	a := tunnelThrough(t, nil, func(c *net.TCPConn) {
+		_, _ = c.Read(make([]byte, 1))
+		close(began)
+		_, err := io.ReadAll(c)
+		ended <- err
+		_ = c.Close()
+	})
+	c, err := a.OpenTunnel(testContext(t), "b", "target")
+	is.NoErr(err)
+	_, err = c.Write([]byte("half of it"))
+	is.NoErr(err)
+	<-began
+	is.NoErr(c.Close())
+	is.True(<-ended != nil)
+}
--- a/endpoint/netconn/conn.go
+++ b/endpoint/netconn/conn.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -27,6 +28,9 @@
 type Conn struct {
 	net.Conn
 
+	// writing is set while a part of a request is written.
+	writing atomic.Bool
+
 	mu      sync.Mutex
 	expired bool
 	// lateBytes is the number of bytes that were read after the current deadline.
@@ -122,6 +126,24 @@
 	return c.Conn.SetDeadline(t)
 }
 
+// Close implements net.Conn. A connection on which a part of a request was written is reset:
+// the part must not be taken for a request that ended with its connection.
+func (c *Conn) Close() error {
+	if c.writing.Load() {
+		return c.Reset()
+	}
+	return c.Conn.Close()
+}
+
+// Reset closes the connection so that its peer sees it broken off and not ended, where the
+// wrapped connection can do so. What was not sent yet is dropped.
+func (c *Conn) Reset() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails on a closed connection only
+	}
+	return c.Conn.Close()
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	inner, ok := c.Conn.(syscall.Conn)
--- a/endpoint/netconn/write.go
+++ b/endpoint/netconn/write.go
@@ -8,14 +8,19 @@
 )
 
 // WriteRequest writes a request. sent reports whether any byte of it was written to
-// the connection: if none was, the request has certainly not run.
+// the connection: if none was, the request has certainly not run. Until all of it is
+// written, Close resets the connection.
 func (c *Conn) WriteRequest(req *fasthttp.Request) (sent bool, err error) {
+	c.writing.Store(true)
 	counter := &countingWriter{dst: c}
 	writer := bufio.NewWriter(counter)
 	err = req.Write(writer)
 	if err == nil {
 		err = writer.Flush()
 	}
+	if err == nil {
+		c.writing.Store(false)
+	}
 	return counter.written > 0, err
 }
 
