--- a/daemon/gateway/front.go
+++ b/daemon/gateway/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"syscall"
@@ -13,7 +12,6 @@
 
 	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/core/verdict"
-	"github.com/samphirequay/samphirequay/daemon/bytebudget"
 	"github.com/samphirequay/samphirequay/daemon/forward"
 	"github.com/samphirequay/samphirequay/daemon/upstream"
 )
@@ -154,6 +152,7 @@
 	if d.headerTooLarge(&ctx.Request.Header) {
 		d.answers.Owe(ctx.Conn())
 		d.logger.Event("request_refused", "verdict", verdict.NotRun, "code", verdict.CodeTooLarge, "why", "the request header is too large")
+		ctx.SetConnectionClose() // its body may be left unread
 		d.platform.Adapter.ProtocolError(ctx, &fasthttp.ErrSmallBuffer{})
 		return
 	}
@@ -161,12 +160,7 @@
 	bodyErr := d.readBody(charged, ctx)
 	d.answers.Owe(ctx.Conn())
 	if bodyErr != nil {
-		ctx.SetConnectionClose()
-		if errors.Is(bodyErr, bytebudget.ErrShort) {
-			d.refuseForMemory(ctx)
-			return
-		}
-		d.platform.Adapter.ProtocolError(ctx, bodyErr)
+		d.refuseUnread(ctx, bodyErr)
 		return
 	}
 	d.inFlight.Add(1)
