Take no answer whose head was read on in another answer's head

Callers got a 200 whose status and id were those of their answer and whose body was another request's, or the body of an error of their own request: framed as whole, and signed.

Cause: a head that breaks off inside a value has no end of line. What the endpoint writes next on the connection, a late answer to another request or the error that follows, goes on in that value, and its fields are added to the first head's. daemon/upstream compared the first Request-Id only, and the adapter looked at the first signature only.

Not told apart: heads of one request that are joined before the first signature, and of answers that bear neither ids nor signatures.

--- a/daemon/upstream/answer.go
+++ b/daemon/upstream/answer.go
@@ -1,9 +1,11 @@
 package upstream
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -84,6 +86,9 @@
 			return err
 		}
 		a.complete = a.resp.BodyStream() == nil
+		if a.hasTwoIDs() {
+			return errJoinedHeads
+		}
 		if !a.isForeign(c) {
 			return nil
 		}
@@ -95,6 +100,19 @@
 	return errors.New("only answers to other requests came")
 }
 
+// errJoinedHeads reports a head that broke off and was read on in the head of another answer:
+// it can't be told whose body follows.
+var errJoinedHeads = errors.New("the answer names two requests")
+
+// hasTwoIDs reports whether the answer names more than one request.
+func (a *Answer) hasTwoIDs() bool {
+	if a.pool.opts.IDHeader == "" {
+		return false
+	}
+	ids := a.resp.Header.PeekAll(a.pool.opts.IDHeader)
+	return slices.ContainsFunc(ids, func(id []byte) bool { return !bytes.Equal(id, ids[0]) })
+}
+
 // isForeign reports whether the answer has another request's id.
 func (a *Answer) isForeign(c *Call) bool {
 	if c.ID == "" || a.pool.opts.IDHeader == "" {
