Pass no interim answer on as the last one

A caller was answered 101, with a signature and no body, if its endpoint sent that and closed the connection: an answer that is none, and behind which a client waits for another.

Cause: the HTTP library skips 100, 102 and 103 and waits for the answer behind them, but returns 101 as an answer without a body, and anything below 100 as well. Nobody asks an endpoint to change the protocol. Such an answer is a failure of its endpoint now, and the request may have run.

TestAnInterimAnswerIsNoAnswer, through a whole daemon: 101 for a call, a plain stream and an engine's stream before, 502 now; 100, 102 and 103 were 502 before as well. TestAnInterimAnswerIsNeverTheAnswer: all eight ways failed before. A status of 000, which the library reports as 200, is not told apart and not tested: the status line is gone by then.

Run with -race: daemon/upstream, and the new tests of platform.

--- a/daemon/upstream/answer.go
+++ b/daemon/upstream/answer.go
@@ -86,8 +86,8 @@
 			return err
 		}
 		a.complete = a.resp.BodyStream() == nil
-		if a.hasTwoIDs() {
-			return errJoinedHeads
+		if err := a.checkHead(); err != nil {
+			return err
 		}
 		if !a.isForeign(c) {
 			return nil
@@ -100,10 +100,24 @@
 	return errors.New("only answers to other requests came")
 }
 
+// errInterimAnswer reports an interim answer that nobody asked for, with nothing behind it.
+var errInterimAnswer = errors.New("the answer is an interim one")
+
 // errJoinedHeads reports a head that broke off and was read on in the head of another answer:
 // it can't be told whose body follows.
 var errJoinedHeads = errors.New("the answer names two requests")
 
+// checkHead returns an error if the head is not that of one final answer.
+func (a *Answer) checkHead() error {
+	switch {
+	case a.resp.StatusCode() < fasthttp.StatusOK:
+		return errInterimAnswer
+	case a.hasTwoIDs():
+		return errJoinedHeads
+	}
+	return nil
+}
+
 // hasTwoIDs reports whether the answer names more than one request.
 func (a *Answer) hasTwoIDs() bool {
 	if a.pool.opts.IDHeader == "" {
