--- a/daemon/gateway/requestbody.go
+++ b/daemon/gateway/requestbody.go
@@ -106,9 +106,6 @@
 		switch {
 		case total > r.limit:
 			return fasthttp.ErrBodyTooLarge
-		case errors.Is(err, io.EOF) && total < r.length:
-			// The library takes the end of the connection for the end of the body.
-			return io.ErrUnexpectedEOF
 		case errors.Is(err, io.EOF):
 			return r.checkWhole(total)
 		case err != nil:
