Let streams of a version that just left begin at once

The first event of a stream whose engine left the list while it read the prompt waited up to 1 s, and with it all streams of that version that began within this second: the wait ended only for versions that the store's row has as listed, while one that has just left counts for a minute and so needs no further record. TestAStreamOfAVersionThatJustLeftBeginsAtOnce failed before (1s left to wait). The wait now ends for each version that counts by the row.

--- a/core/origin/recorded.go
+++ b/core/origin/recorded.go
@@ -90,6 +90,12 @@
 	return known && at == 0
 }
 
+// Counts reports whether a version is recorded as one that may have begun a stream. nowMS is
+// the time by the store's clock.
+func (r Recorded) Counts(nowMS int64, v id.Software) bool {
+	return slices.Contains(r.counting(nowMS), v)
+}
+
 // counting returns the recorded versions that may have begun a stream, sorted. nowMS is the
 // time by the store's clock.
 func (r Recorded) counting(nowMS int64) []id.Software {
--- a/daemon/origins/outlast_test.go
+++ b/daemon/origins/outlast_test.go
@@ -289,3 +289,13 @@
 	is.True(ok)
 	is.Equal(got, id.Software("v1"))
 }
+
+// TestAStreamOfAVersionThatJustLeftBeginsAtOnce guards against a first event that waits for a
+// record which says already that its version counts.
+func TestAStreamOfAVersionThatJustLeftBeginsAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFleet("d1")
+	f.list("v1", "v2")
+	f.list("v2")
+	is.Equal(f.daemons["d1"].waitLeft("s", "v1"), time.Duration(0))
+}
--- a/daemon/origins/versions.go
+++ b/daemon/origins/versions.go
@@ -247,11 +247,11 @@
 // recorded. The lock must be held.
 func (o *Origins) waitLeft(service id.Service, software id.Software) time.Duration {
 	noticed := o.recorder.noticed[service]
-	if o.recorder.rows[service].Lists(software) {
+	now := o.cfg.Now()
+	if o.recorder.rows[service].Counts((now + o.offset()).Milliseconds(), software) {
 		delete(noticed, software)
 		return 0
 	}
-	now := o.cfg.Now()
 	since, waits := noticed[software]
 	if !waits {
 		if noticed == nil {
