Record when a version left for the last time

Where a version came again and left again while the store took no writes, or while its row was lost with an older copy, the row kept the first time at which it had left: Update took a leave into the row only where the version was unknown to it. After a kill of all daemons the version then stopped counting up to a minute too early, and its streams went on at the one that was left. TestTheLastTimeThatAVersionLeftCounts failed before (no change). A leave that is more than 5 s later than the recorded one is now written; within that daemons notice the same leave one after the other, and would write again and again. Run: go test -race ./core/origin ./daemon/origins.

--- a/core/origin/recorded.go
+++ b/core/origin/recorded.go
@@ -13,6 +13,10 @@
 // of any version.
 const maxRecorded = 64
 
+// leaveTolerance is by how much the recorded time at which a version left may be too early:
+// daemons notice it one after the other.
+const leaveTolerance = 5 * time.Second
+
 // Recorded holds the software versions that a service has had of late. It outlasts all
 // daemons, so that one that starts knows what may have begun streams before. Times are in
 // milliseconds by the clock of the store that keeps it.
@@ -38,7 +42,9 @@
 		updated.GoneMS[v] = 0
 	}
 	for v, at := range gone {
-		if _, known := updated.GoneMS[v]; !known && at > oldest {
+		had, known := updated.GoneMS[v]
+		later := !known || had != 0 && at-had > leaveTolerance.Milliseconds()
+		if later && at > oldest {
 			changed = true
 			updated.GoneMS[v] = at
 		}
--- a/core/origin/recorded_test.go
+++ b/core/origin/recorded_test.go
@@ -124,3 +124,16 @@
 	h.Confirm(time.Second)
 	is.True(h.Complete(time.Second, "s"))
 }
+
+// TestTheLastTimeThatAVersionLeftCounts guards against a version that came again and left
+// again while the store took no writes, and that counts from the first time on.
+func TestTheLastTimeThatAVersionLeftCounts(t *testing.T) {
+	is := is.New(t)
+	const left = 155_000
+	r := Recorded{GoneMS: map[id.Software]int64{"v1": 100_000, "v2": 0}}
+	r, changed := r.Update(160_000, versions("v2"), map[id.Software]int64{"v1": left})
+	is.True(changed)
+	is.Equal(r.counting(left+versionMemory.Milliseconds()), []id.Software{"v1", "v2"})
+	_, changed = r.Update(161_000, versions("v2"), map[id.Software]int64{"v1": left + leaveTolerance.Milliseconds()})
+	is.True(!changed) // another daemon noticed it a little later
+}
