Keep the newer row of versions when a write's answer comes late

A daemon that wrote a row of versions noted it once the answer was there, also if the news of a later write by another daemon had come before. It then lacked what the later row has, until the next change: a version that began streams could be unknown to it. TestARecordedVersionIsNotReplacedByAnOlderOne failed before (v2 of row 5 was gone after the answer for row 4). A row is now replaced by a later one only. Run: go test -race ./core/origin ./daemon/origins.

--- /dev/null
+++ b/daemon/origins/recorder_test.go
@@ -0,0 +1,30 @@
+package origins
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirequay/samphirequay/core/id"
+	"github.com/samphirequay/samphirequay/core/origin"
+	"github.com/samphirequay/samphirequay/core/revision/table"
+)
+
+// TestARecordedVersionIsNotReplacedByAnOlderOne guards against a write whose answer comes
+// after the news of a later one.
+func TestARecordedVersionIsNotReplacedByAnOlderOne(t *testing.T) {
+	is := is.New(t)
+	f := newFleet("d1")
+	o := f.daemons["d1"]
+	row := func(version uint64, versions map[id.Software]int64) table.Row {
+		value, err := json.Marshal(origin.Recorded{GoneMS: versions})
+		is.NoErr(err)
+		return table.Row{Key: "s", Version: version, Value: value}
+	}
+	o.SetRecorded([]table.Row{row(5, map[id.Software]int64{"v1": 0, "v2": 0})})
+	o.mu.Lock()
+	o.keepRecorded(row(4, map[id.Software]int64{"v1": 0}), 4)
+	o.mu.Unlock()
+	is.True(o.recorder.rows["s"].Lists("v2"))
+}
--- a/daemon/origins/versions.go
+++ b/daemon/origins/versions.go
@@ -213,8 +213,12 @@
 	}
 }
 
-// keepRecorded notes a row that was written; the lock must be held.
+// keepRecorded notes a row that was written, unless a later one is known; the lock must be
+// held.
 func (o *Origins) keepRecorded(row table.Row, version uint64) {
+	if o.recorder.rows[id.Service(row.Key)].version > version {
+		return
+	}
 	r := recordedRow{version: version}
 	if err := json.Unmarshal(row.Value, &r.Recorded); err != nil {
 		o.cfg.Log("versions_not_recorded", "service", row.Key, "why", err)
