Read no records for a caller that names no attempt

Each stream that was taken up without Resumes, while its service had several versions, made its daemon read the rows of all daemons, as often as the pause allows, though no row can name such a stream. TestACallerThatNamesNoAttemptCausesNoRead failed before (1 read). Run: go test -race ./core/origin ./daemon/origins.

--- a/daemon/origins/find.go
+++ b/daemon/origins/find.go
@@ -46,8 +46,10 @@
 	case len(versions) == 1 && (told.complete || complete && (current || told.unanimous)):
 		return o.known(s, versions[0], sourceOneVersion, told)
 	}
-	if software, ok := o.findStored(ctx, s); ok {
-		return o.known(s, software, sourceStoredRecord, told)
+	if s.Request != "" { // else there is no record
+		if software, ok := o.findStored(ctx, s); ok {
+			return o.known(s, software, sourceStoredRecord, told)
+		}
 	}
 	o.unknown.Inc()
 	o.log("origin_unknown", s, told, "versions", fmt.Sprint(versions))
--- a/daemon/origins/reading_test.go
+++ b/daemon/origins/reading_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/samphirequay/samphirequay/core/origin"
 	"github.com/samphirequay/samphirequay/core/revision/table"
 )
 
@@ -46,3 +47,17 @@
 	_, ok = f.find("d2")
 	is.True(ok)
 }
+
+// TestACallerThatNamesNoAttemptCausesNoRead guards against reads of all daemons' rows for a
+// stream that no row can name.
+func TestACallerThatNamesNoAttemptCausesNoRead(t *testing.T) {
+	is := is.New(t)
+	f := newFleet("d1")
+	f.list("v1", "v2")
+	o := f.daemons["d1"]
+	store := &failingRows{Store: o.cfg.Store}
+	o.cfg.Store = store
+	_, ok := o.Find(context.Background(), origin.Stream{Service: "s"})
+	is.True(!ok)
+	is.Equal(store.reads, 0)
+}
