Remember the recorded versions that an older copy of the store lacks

A daemon that has started after a version left knows it from the store's row only. Where the store then came back from a copy of before that version came, the daemon took the copy's row for all that there is and forgot the version, so that its streams went on at the one that was left. TestAVersionThatOnlyTheStoreKnewIsWrittenAgain failed before ([v2] in place of [v1 v2]). The versions that counted until then are now kept as ones that have just left, and written again. Run: go test -race ./core/origin ./daemon/origins.

--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -72,6 +72,18 @@
 // stream before this daemon started.
 func (h *History) SetUnused() { h.unused = true }
 
+// KeepLost remembers the recorded versions that count and that the store is about to lack:
+// it came back from an older copy.
+func (h *History) KeepLost(now time.Duration, recorded map[id.Service]Recorded) {
+	for service, had := range h.recorded {
+		for _, v := range had.counting(storeMS(now, h.offset)) {
+			if _, known := recorded[service].GoneMS[v]; !known {
+				h.recordGone(now, service, v)
+			}
+		}
+	}
+}
+
 // SetRecorded replaces what the store has recorded. offset is the store's clock minus the
 // daemon's.
 func (h *History) SetRecorded(recorded map[id.Service]Recorded, offset time.Duration) {
--- a/daemon/origins/versions.go
+++ b/daemon/origins/versions.go
@@ -84,6 +84,7 @@
 	for service, r := range o.recorder.rows {
 		all[service] = r.Recorded
 	}
+	o.history.KeepLost(o.cfg.Now(), all)
 	o.history.SetRecorded(all, offset)
 	close(o.recorder.news)
 	o.recorder.news = make(chan struct{})
