Count an engine of unknown version as a further version of its service

A stream that an engine began which had started again under its id, before its entry told its software, went on at the one version that was listed: the list of versions left engines of unknown version out, so that the service seemed to have one version. No kill is needed for that: a release that starts engines again in place, or a store that is away meanwhile, is enough. Streams of other engines of the service have records meanwhile. Run: go test -race ./core/origin ./daemon/origins, go test ./platform -run 'Version|Restart|Stream'.

--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -12,6 +12,10 @@
 // the callers of the streams that it began have given up.
 const versionMemory = time.Minute
 
+// UnknownVersion stands for the version of an endpoint that has started again, until it is
+// known which one it runs. It counts as a further version of its service.
+const UnknownVersion id.Software = ""
+
 // History remembers which software versions of each service have been listed of late: those
 // that this daemon has seen, and those that the store has recorded. It is not safe for
 // concurrent use.
--- a/daemon/gateway/origins.go
+++ b/daemon/gateway/origins.go
@@ -144,13 +144,11 @@
 	return &r, nil
 }
 
-// listedVersions returns the known software versions of each service's endpoints.
+// listedVersions returns the software versions of each service's endpoints, with
+// origin.UnknownVersion for an engine that has started again and whose entry is older.
 func listedVersions(entries []registry.Endpoint) map[id.Service]map[id.Software]bool {
 	out := map[id.Service]map[id.Software]bool{}
 	for _, e := range entries {
-		if e.Software == "" {
-			continue
-		}
 		if out[e.Service] == nil {
 			out[e.Service] = map[id.Software]bool{}
 		}
--- a/daemon/origins/find.go
+++ b/daemon/origins/find.go
@@ -34,7 +34,7 @@
 	switch {
 	case found:
 		return o.known(s, record.Software, sourceOwnRecord, told{})
-	case len(versions) == 1 && complete && current:
+	case isOne(versions) && complete && current:
 		return o.known(s, versions[0], sourceOneVersion, told{})
 	}
 	told := o.askHolders(ctx, s)
@@ -43,7 +43,7 @@
 	case told.record != nil:
 		o.keep([]origin.Record{*told.record})
 		return o.known(s, told.record.Software, sourcePeerRecord, told)
-	case len(versions) == 1 && (told.complete || complete && (current || told.unanimous)):
+	case isOne(versions) && (told.complete || complete && (current || told.unanimous)):
 		return o.known(s, versions[0], sourceOneVersion, told)
 	}
 	if s.Request != "" { // else there is no record
@@ -122,6 +122,11 @@
 	return out
 }
 
+// isOne reports whether there is one version, and it is known which.
+func isOne(versions []id.Software) bool {
+	return len(versions) == 1 && versions[0] != origin.UnknownVersion
+}
+
 // union returns the versions that are in either list, sorted.
 func union(a, b []id.Software) []id.Software {
 	all := slices.Concat(a, b)
--- a/daemon/origins/recorder_test.go
+++ b/daemon/origins/recorder_test.go
@@ -28,3 +28,18 @@
 	o.mu.Unlock()
 	is.True(o.recorder.rows["s"].Lists("v2"))
 }
+
+// TestAnUnknownVersionIsNotTakenForTheOnlyOne covers engines that all have started again.
+func TestAnUnknownVersionIsNotTakenForTheOnlyOne(t *testing.T) {
+	is := is.New(t)
+	f := newFleet("d1")
+	f.list(origin.UnknownVersion)
+	_, ok := f.find("d1")
+	is.True(!ok)
+	f.list("v1")
+	_, ok = f.find("d1") // it may have begun the stream before its entry told its version
+	is.True(!ok)
+	f.restartAll("v1")
+	_, ok = f.find("d1")
+	is.True(!ok)
+}
