Pause after a write of versions that failed

While the store refused writes, each of the daemons that record versions called it ten times a second, and logged as many lines. TestARefusedWriteIsNotRepeatedAtOnce failed before (100 writes in 10 s). A write is now repeated after 0.3 s. Run: go test -race ./core/origin ./daemon/origins.

--- a/daemon/origins/recorder_test.go
+++ b/daemon/origins/recorder_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -43,3 +44,23 @@
 	_, ok = f.find("d1")
 	is.True(!ok)
 }
+
+// TestARefusedWriteIsNotRepeatedAtOnce guards against a store that refuses writes and gets
+// ten calls a second of each writer.
+func TestARefusedWriteIsNotRepeatedAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFleet("d1")
+	o := f.daemons["d1"]
+	f.sleep(time.Second)
+	o.Observe(map[id.Service]map[id.Software]bool{"s": versionSet("v1")})
+	f.cut("d1")
+	writes := 0
+	for range 100 {
+		f.sleep(CheckInterval)
+		if rows := o.dueRows(Duty{Records: true}); len(rows) > 0 {
+			writes++
+			o.record(rows)
+		}
+	}
+	is.True(writes <= 40)
+}
--- a/daemon/origins/versions.go
+++ b/daemon/origins/versions.go
@@ -22,6 +22,8 @@
 	stallLimit = 2 * time.Second
 	// recordTimeout bounds a write of versions.
 	recordTimeout = time.Second
+	// recordRetry is the pause after a write of versions that failed.
+	recordRetry = 300 * time.Millisecond
 	// recordWait bounds how long the first streams of a new version wait until that version
 	// is recorded. The store may refuse writes for long.
 	recordWait = time.Second
@@ -41,6 +43,8 @@
 	checkedAt time.Duration
 	current   bool
 	writing   bool
+	// pausedUntil is until when nothing is written after a write that failed.
+	pausedUntil time.Duration
 	// news is closed when the rows change.
 	news chan struct{}
 	// noticed is since when a version waits for being recorded.
@@ -130,7 +134,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	r := &o.recorder
-	if !duty.Records || !r.known || r.writing {
+	if !duty.Records || !r.known || r.writing || now < r.pausedUntil {
 		return nil
 	}
 	rows := o.outdatedRows(now, offset)
@@ -197,6 +201,9 @@
 	offset := o.offset()
 	o.mu.Lock()
 	o.recorder.writing = false
+	if err != nil {
+		o.recorder.pausedUntil = o.cfg.Now() + recordRetry
+	}
 	if written {
 		for i, row := range rows {
 			o.keepRecorded(row, versions[i])
