Trust no list of before a standstill until the next check

A host that stood still answers the callers that wait as soon as it runs, before the check that notices the standstill, and took the version that it had listed before for the only one: a stream that another version began meanwhile went on at it, and other daemons got the same reply. A search now asks itself when the last check was. Run: go test -race ./core/origin ./daemon/origins.

--- a/daemon/origins/find.go
+++ b/daemon/origins/find.go
@@ -29,7 +29,7 @@
 	o.mu.Lock()
 	record, found := o.ledger.Find(now, s)
 	versions := o.history.Versions(now, s.Service)
-	complete := o.history.Complete(now, s.Service)
+	complete := o.complete(now, s.Service)
 	o.mu.Unlock()
 	switch {
 	case found:
--- a/daemon/origins/origins.go
+++ b/daemon/origins/origins.go
@@ -289,7 +289,7 @@
 	defer o.mu.Unlock()
 	r := &Reply{
 		Versions: o.history.Versions(now, q.Stream.Service),
-		Complete: o.history.Complete(now, q.Stream.Service),
+		Complete: o.complete(now, q.Stream.Service),
 		Current:  current,
 	}
 	if record, ok := o.ledger.Find(now, q.Stream); ok {
--- a/daemon/origins/versions.go
+++ b/daemon/origins/versions.go
@@ -128,6 +128,14 @@
 	return missed
 }
 
+// complete reports whether this daemon knows all versions of a service that may have begun a
+// stream. One that has stood still does not until it has checked; the lock must be held.
+func (o *Origins) complete(now time.Duration, service id.Service) bool {
+	checked := o.recorder.checkedAt
+	stoodStill := checked > 0 && now-checked > stallLimit
+	return !stoodStill && o.history.Complete(now, service)
+}
+
 // dueRows returns the rows that this daemon is to write now, at most maxRowsWritten.
 func (o *Origins) dueRows(duty Duty) []table.Row {
 	now, offset := o.cfg.Now(), o.offset()
