--- a/daemon/origins/versions.go
+++ b/daemon/origins/versions.go
@@ -22,6 +22,8 @@
 	stallLimit = 2 * time.Second
 	// recordTimeout bounds a write of versions.
 	recordTimeout = time.Second
+	// recordRetry is the pause after a write of versions that failed.
+	recordRetry = 300 * time.Millisecond
 	// recordWait bounds how long the first streams of a new version wait until that version
 	// is recorded. The store may refuse writes for long.
 	recordWait = time.Second
@@ -41,6 +43,8 @@
 	checkedAt time.Duration
 	current   bool
 	writing   bool
+	// pausedUntil is until when nothing is written after a write that failed.
+	pausedUntil time.Duration
 	// news is closed when the rows change.
 	news chan struct{}
 	// noticed is since when a version waits for being recorded.
@@ -84,6 +88,7 @@
 	for service, r := range o.recorder.rows {
 		all[service] = r.Recorded
 	}
+	o.history.KeepLost(o.cfg.Now(), all)
 	o.history.SetRecorded(all, offset)
 	close(o.recorder.news)
 	o.recorder.news = make(chan struct{})
@@ -123,13 +128,21 @@
 	return missed
 }
 
+// complete reports whether this daemon knows all versions of a service that may have begun a
+// stream. One that has stood still does not until it has checked; the lock must be held.
+func (o *Origins) complete(now time.Duration, service id.Service) bool {
+	checked := o.recorder.checkedAt
+	stoodStill := checked > 0 && now-checked > stallLimit
+	return !stoodStill && o.history.Complete(now, service)
+}
+
 // dueRows returns the rows that this daemon is to write now, at most maxRowsWritten.
 func (o *Origins) dueRows(duty Duty) []table.Row {
 	now, offset := o.cfg.Now(), o.offset()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	r := &o.recorder
-	if !duty.Records || !r.known || r.writing {
+	if !duty.Records || !r.known || r.writing || now < r.pausedUntil {
 		return nil
 	}
 	rows := o.outdatedRows(now, offset)
@@ -196,6 +209,9 @@
 	offset := o.offset()
 	o.mu.Lock()
 	o.recorder.writing = false
+	if err != nil {
+		o.recorder.pausedUntil = o.cfg.Now() + recordRetry
+	}
 	if written {
 		for i, row := range rows {
 			o.keepRecorded(row, versions[i])
@@ -213,8 +229,12 @@
 	}
 }
 
-// keepRecorded notes a row that was written; the lock must be held.
+// keepRecorded notes a row that was written, unless a later one is known; the lock must be
+// held.
 func (o *Origins) keepRecorded(row table.Row, version uint64) {
+	if o.recorder.rows[id.Service(row.Key)].version > version {
+		return
+	}
 	r := recordedRow{version: version}
 	if err := json.Unmarshal(row.Value, &r.Recorded); err != nil {
 		o.cfg.Log("versions_not_recorded", "service", row.Key, "why", err)
@@ -247,11 +267,11 @@
 // recorded. The lock must be held.
 func (o *Origins) waitLeft(service id.Service, software id.Software) time.Duration {
 	noticed := o.recorder.noticed[service]
-	if o.recorder.rows[service].Lists(software) {
+	now := o.cfg.Now()
+	if o.recorder.rows[service].Counts((now + o.offset()).Milliseconds(), software) {
 		delete(noticed, software)
 		return 0
 	}
-	now := o.cfg.Now()
 	since, waits := noticed[software]
 	if !waits {
 		if noticed == nil {
