Let engines of the soak's releases break nothing off by design

Engines that leave and daemons that die interrupt enough streams in this scenario; refusals and breaks by design stay in all others, and no bound changes.

--- a/cmd/internal/soak/answers.go
+++ b/cmd/internal/soak/answers.go
@@ -43,7 +43,7 @@
 	}
 	s.versions.recordRun(s.checker, r, x)
 	to := streamSize
-	if number%breakEvery == 0 && runs == 1 {
+	if s.troubles(number, breakEvery) && runs == 1 {
 		to = streamSize / 2
 	}
 	if s.isUnframed(number) {
@@ -109,9 +109,12 @@
 	if s.overloaded.Load() && rand.IntN(acceptEvery) != 0 {
 		return true
 	}
-	return x.ShouldRun() && requestNumber(x.RequestID())%refuseEvery == 0
+	return x.ShouldRun() && s.troubles(requestNumber(x.RequestID()), refuseEvery)
 }
 
+// troubles reports whether runners refuse or interrupt a request, one in so many, by design.
+func (s *simulation) troubles(number, every int) bool { return !s.sound && number%every == 0 }
+
 // recordArrival records what reaches a runner that does not refuse it by design.
 func (s *simulation) recordArrival(r *runner, x *platformtest.Exchange) {
 	switch {
--- a/cmd/internal/soak/simulation.go
+++ b/cmd/internal/soak/simulation.go
@@ -70,6 +70,8 @@
 	software []string
 	// unframed is set if some answers end with their connection.
 	unframed bool
+	// sound is set if runners neither refuse requests nor interrupt streams by design.
+	sound bool
 	// gap is the pause between the events of a stream.
 	gap time.Duration
 	// overloaded is set while runners refuse nearly all requests.
@@ -95,7 +97,8 @@
 		// Retries alone: what its seeds have shown must stay as it was.
 		s.software, s.unframed = softwareVersions[:1], false
 	case Releases:
-		s.software, s.gap = softwareVersions[:1], releaseGap
+		// Those that leave interrupt streams already, and the limit on retries holds.
+		s.software, s.gap, s.sound = softwareVersions[:1], releaseGap, true
 	}
 	s.routes = []any{
 		route("idempotent", pathIdem, "idempotent", plainSvc, false),
