--- a/cmd/internal/soak/releases.go
+++ b/cmd/internal/soak/releases.go
@@ -74,6 +74,7 @@
 			out = append(out, f)
 		}
 	}
+	out = slices.DeleteFunc(out, func(f fault) bool { return f.start >= length })
 	slices.SortStableFunc(out, func(a, b fault) int { return int(a.start - b.start) })
 	return out
 }
--- a/cmd/internal/soak/releases_test.go
+++ b/cmd/internal/soak/releases_test.go
@@ -43,6 +43,7 @@
 	is := is.New(t)
 	plan := planOf(7)
 	is.True(slices.IsSortedFunc(plan, func(a, b fault) int { return int(a.start - b.start) }))
+	is.True(plan[len(plan)-1].start < time.Minute) // no fault after the end
 	for _, f := range plan {
 		is.Equal(f.planned, len(f.processes) == 0)
 	}
