Keep listeners in service and bound their connections

A daemon that had no free descriptor for a moment never took callers again, said that it was ready, and went on being named to callers until somebody restarted it.

Cause: the HTTP library's Serve returns at the first error of accept, and Daemon.serveOn only logged that. All four listeners of the gateway, and the three of the product's own interface, had the same fate; the accept loop of connections between daemons ended without a line.

daemon/listener now stands before each server: errors of accept that pass by themselves are waited out, from 5 ms to 500 ms, with accept_failed (at most once a second), accept_recovered and accepts_failed. A daemon that can't accept callers is not ready meanwhile. One that has lost a listener for good leaves as planned, that of the other daemons included.

On the platform the open connections of each listener are bounded by a share of the descriptors, the smaller one of the new setting max_descriptors (from the platform, in the template) and the process's own limit. Beyond it the connection that has been idle longest makes room; if none is idle, the new one is closed unread and the daemon is not ready. A request that crosses the end of its idle connection is not passed on.

--- a/daemon/app/fleet.go
+++ b/daemon/app/fleet.go
@@ -133,9 +133,11 @@
 		return false, "leaving"
 	case !d.configs.Ready():
 		return false, "no configuration yet"
-	default:
-		return true, "ready"
 	}
+	if ok, why := d.callersAccepted(); !ok {
+		return false, why
+	}
+	return true, "ready"
 }
 
 // recordCaller records for a planned stop that a caller's request still arrived.
--- a/daemon/app/start.go
+++ b/daemon/app/start.go
@@ -22,6 +22,7 @@
 	"github.com/samphirequay/samphirequay/daemon/evidence"
 	"github.com/samphirequay/samphirequay/daemon/keys"
 	"github.com/samphirequay/samphirequay/daemon/link"
+	"github.com/samphirequay/samphirequay/daemon/listener"
 	"github.com/samphirequay/samphirequay/daemon/members"
 	"github.com/samphirequay/samphirequay/daemon/peer"
 	"github.com/samphirequay/samphirequay/daemon/placer"
@@ -54,14 +55,14 @@
 func (d *Daemon) listen() error {
 	var err error
 	keepalive, idle := ConnectionTimeouts(member.Mode(d.settings.Membership.Mode))
-	if d.callerLn, err = listenTCP("callers", d.settings.Listen.Callers); err != nil {
+	if d.callerLn, err = d.listenTCP("callers", d.settings.Listen.Callers); err != nil {
 		return err
 	}
-	if d.operatorLn, err = listenTCP("operators", d.settings.Listen.Operators); err != nil {
+	if d.operatorLn, err = d.listenTCP("operators", d.settings.Listen.Operators); err != nil {
 		return err
 	}
 	if d.settings.Listen.Debug != "" {
-		if d.debugLn, err = listenTCP("debug", d.settings.Listen.Debug); err != nil {
+		if d.debugLn, err = d.listenTCP("debug", d.settings.Listen.Debug); err != nil {
 			return err
 		}
 	}
@@ -75,6 +76,7 @@
 		RingSize:  d.settings.Limits.PeerRing,
 		Report:    d.logger.Debug,
 		Keepalive: keepalive,
+		Lost:      d.peersLost,
 
 		IdleTimeout: idle,
 	})
@@ -84,12 +86,12 @@
 	return nil
 }
 
-func listenTCP(field, address string) (net.Listener, error) {
+func (d *Daemon) listenTCP(field, address string) (net.Listener, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen.%s", field)
 	}
-	return ln, nil
+	return listener.New(ln, d.listenerConfig(field)), nil
 }
 
 func (d *Daemon) closeListeners() {
@@ -258,10 +260,7 @@
 }
 
 func (d *Daemon) serveOn(name string, ln net.Listener, serve func(net.Listener) error) {
-	err := serve(ln)
-	if err != nil && d.ctx.Err() == nil {
-		d.logger.Error("server_ended", "server", name, "err", err)
-	}
+	d.listenerEnded(name, serve(ln))
 }
 
 // watchKeys polls the files of a key store, so that keys are replaced without a
--- a/daemon/callerconn/callerconn.go
+++ b/daemon/callerconn/callerconn.go
@@ -88,6 +88,9 @@
 	ended bool
 }
 
+// NetConn returns the wrapped connection.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // SyscallConn implements syscall.Conn.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	inner, ok := c.Conn.(syscall.Conn)
@@ -160,7 +163,7 @@
 // reset closes the connection and drops what was not sent: the caller must not take what it
 // has of the answer for all of it. Errors leave nothing to be done.
 func (c *Conn) reset() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = c.Close()
--- a/daemon/gateway/entry.go
+++ b/daemon/gateway/entry.go
@@ -25,9 +25,11 @@
 		return false, "not enrolled in the fleet yet"
 	case !d.evidenceGate.isOpen():
 		return false, "crash evidence of the other daemons not known yet"
-	default:
-		return true, "ready"
 	}
+	if ok, why := d.accepting(); !ok {
+		return false, why
+	}
+	return true, "ready"
 }
 
 // entryAnswer returns the addresses that a caller should use. It returns false if the
--- a/daemon/gateway/front.go
+++ b/daemon/gateway/front.go
@@ -2,19 +2,14 @@
 
 import (
 	"context"
-	"fmt"
-	"net"
-	"syscall"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
 	"github.com/samphirequay/samphirequay/core/route"
 	"github.com/samphirequay/samphirequay/core/verdict"
-	"github.com/samphirequay/samphirequay/daemon/callerconn"
 	"github.com/samphirequay/samphirequay/daemon/forward"
-	"github.com/samphirequay/samphirequay/daemon/upstream"
+	"github.com/samphirequay/samphirequay/daemon/listener"
 )
 
 const (
@@ -31,16 +26,6 @@
 	// smallReadBuffer is the size of the read buffer of the other listeners, in bytes.
 	// They receive short requests.
 	smallReadBuffer = 4 << 10
-	// callerProbeIdle, callerProbeEvery and callerProbeCount set the TCP keepalive
-	// probes that detect dead connections of callers, within callerTimeout. The first
-	// and the last probe are two seconds apart, so that a host which loses packets for
-	// less answers one of them.
-	callerProbeIdle  = 2 * time.Second
-	callerProbeEvery = time.Second
-	callerProbeCount = 3
-	// callerTimeout is how long bytes sent to a caller may stay unacknowledged, and how
-	// long nothing may arrive from it while probes are sent.
-	callerTimeout = 5 * time.Second
 )
 
 // serve opens the listeners and starts the HTTP servers.
@@ -48,7 +33,6 @@
 	callers := &fasthttp.Server{
 		Handler:            d.handle,
 		HeaderReceived:     d.headerReceived,
-		ConnState:          callerconn.State,
 		ErrorHandler:       d.platform.Adapter.ProtocolError,
 		ReadBufferSize:     maxHeaderBytes,
 		MaxRequestBodySize: defaultMaxBodyBytes,
@@ -62,65 +46,20 @@
 	}
 	ready := &fasthttp.Server{Handler: d.platform.Adapter.Ready(d.ready), ReadBufferSize: smallReadBuffer, IdleTimeout: idleTimeout}
 	entryAnswers := &fasthttp.Server{Handler: d.platform.Adapter.Entry(d.entryAnswer), ReadBufferSize: smallReadBuffer, IdleTimeout: idleTimeout}
-	if err := d.serveOn("callers", d.set.Listen.Callers, callers); err != nil {
+	if err := d.serveOn(listenCallers, d.set.Listen.Callers, callers); err != nil {
 		return err
 	}
-	if err := d.serveOn("ready", d.set.Listen.Ready, ready); err != nil {
+	if err := d.serveOn(listenReady, d.set.Listen.Ready, ready); err != nil {
 		return err
 	}
-	if err := d.serveOn("entry", d.set.Listen.Entry, entryAnswers); err != nil {
+	if err := d.serveOn(listenEntry, d.set.Listen.Entry, entryAnswers); err != nil {
 		return err
 	}
 	if d.set.Listen.Metrics == "" {
 		return nil
 	}
 	metricsServer := &fasthttp.Server{Handler: d.metrics.Handler(), ReadBufferSize: smallReadBuffer}
-	return d.serveOn("metrics", d.set.Listen.Metrics, metricsServer)
-}
-
-// serveOn opens one listener and serves on it in the background. field is the name
-// of the address in the listen settings.
-func (d *Daemon) serveOn(field, address string, s *fasthttp.Server) error {
-	listen := net.ListenConfig{
-		Control: func(_, _ string, raw syscall.RawConn) error { return upstream.SetUserTimeout(raw, callerTimeout) },
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: callerProbeIdle, Interval: callerProbeEvery, Count: callerProbeCount,
-		},
-	}
-	ln, err := listen.Listen(d.ctx, "tcp", address)
-	if err != nil {
-		return eris.Wrapf(err, "listen.%s", field)
-	}
-	s.NoDefaultServerHeader = true
-	s.NoDefaultContentType = true
-	s.NoDefaultDate = true
-	s.Logger = httpLogger{d}
-	if field == "callers" {
-		ln = d.callers.Listen(ln)
-	}
-	d.servers = append(d.servers, s)
-	d.listeners = append(d.listeners, ln)
-	go func() {
-		if err := s.Serve(ln); err != nil && d.ctx.Err() == nil {
-			d.logger.Error("server_ended", "server", field, "why", err)
-		}
-	}()
-	return nil
-}
-
-func (d *Daemon) closeListeners() {
-	for _, ln := range d.listeners {
-		// The error is ignored: nothing can be done about it.
-		_ = ln.Close()
-	}
-}
-
-// httpLogger writes the messages of the HTTP library to the daemon's log.
-type httpLogger struct{ d *Daemon }
-
-// Printf implements fasthttp.Logger.
-func (l httpLogger) Printf(format string, args ...any) {
-	l.d.logger.Debug("http", "says", fmt.Sprintf(format, args...))
+	return d.serveOn(listenMetrics, d.set.Listen.Metrics, metricsServer)
 }
 
 // limits returns the limits on callers' requests in the configuration; zero before
@@ -150,6 +89,10 @@
 
 // handle serves one request from a caller.
 func (d *Daemon) handle(ctx *fasthttp.RequestCtx) {
+	if listener.Ended(ctx.Conn()) {
+		ctx.SetConnectionClose() // the request crossed the close; nobody can be answered
+		return
+	}
 	if d.headerTooLarge(&ctx.Request.Header) {
 		d.logger.Event("request_refused", "verdict", verdict.NotRun, "code", verdict.CodeTooLarge, "why", "the request header is too large")
 		ctx.SetConnectionClose() // its body may be left unread
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -8,7 +8,6 @@
 	"context"
 	"io"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -132,9 +131,12 @@
 	retryShare *retryShare
 	watcher    *hangup.Watcher
 	// callers are those that have an answer to read.
-	callers   *callerconn.Callers
-	servers   []*fasthttp.Server
-	listeners []net.Listener
+	callers *callerconn.Callers
+	// serversMu guards servers.
+	serversMu    sync.Mutex
+	servers      []server
+	acceptCounts acceptCounts
+
 	inFlight  atomic.Int64
 	probes    activeChecks
 	inspected activeChecks
@@ -218,6 +220,7 @@
 		return float64(d.poison.Len())
 	})
 	d.callers = d.newCallers()
+	d.provisionListeners()
 	d.incomplete = d.metrics.Counter("requests_incomplete", metrics.UnitCount, "Requests that were refused since their bodies could not be read whole.")
 	d.tables = newTableCache()
 	d.unusable = d.metrics.CounterMap("registry_entries_unusable", metrics.UnitCount, "Changed registry entries that describe no usable endpoint, by reason.")
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -160,6 +160,7 @@
 		RingSize:    peerRing,
 		CallWorkers: peerCalls,
 		MaxMessage:  peerMaxMessage,
+		Lost:        func(err error) { d.listenerEnded(listenPeers, err) },
 		OpenTarget:  d.serveTunnel,
 		MaxTunnels:  maxTunnels,
 		Keepalive:   peerKeepalive,
--- a/daemon/gateway/settings.go
+++ b/daemon/gateway/settings.go
@@ -30,6 +30,9 @@
 	Capacity capacity.Capacity `json:"capacity"`
 	// MemoryMB is the memory limit of the process, in MB.
 	MemoryMB float64 `json:"memory_mb" validate:"min=16"`
+	// MaxDescriptors is the limit on open files and sockets of the process. Callers'
+	// connections take a part of it only. Default: the limit that the process has.
+	MaxDescriptors int `json:"max_descriptors,omitempty" validate:"omitempty,min=256"`
 	// Disable lists scheduler mechanisms to disable, to measure their effect; not for
 	// production. Default: none.
 	Disable []kvsched.Mechanism `json:"disable,omitempty" validate:"dive,oneof=learned-lead arrival-refusal prefilled-wait whole-reading pause-bound kept-engine guess-shrink team-shares"`
--- a/daemon/gateway/stop.go
+++ b/daemon/gateway/stop.go
@@ -91,8 +91,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, s := range d.servers {
-		wg.Go(func() { _ = s.ShutdownWithContext(ctx) })
+	for _, s := range d.openServers() {
+		wg.Go(func() { _ = s.http.ShutdownWithContext(ctx) })
 	}
 	wg.Wait()
 	d.Kill()
--- a/daemon/peer/peer.go
+++ b/daemon/peer/peer.go
@@ -100,6 +100,9 @@
 	// Report receives events of connections that begin and end, and of datagrams
 	// that exceed the path's packet size; may be nil.
 	Report func(event string, kv ...any)
+	// Lost is called if no more connections of peers can be accepted although the
+	// transport is not closed; may be nil.
+	Lost func(err error)
 
 	// RingSize is the number of one-way messages that can be queued for one peer.
 	RingSize int
@@ -161,6 +164,9 @@
 	if c.Registry == nil {
 		c.Registry = metrics.New(string(c.Self.Daemon))
 	}
+	if c.Lost == nil {
+		c.Lost = func(error) {}
+	}
 	if c.Report == nil {
 		c.Report = func(string, ...any) {}
 	}
--- a/daemon/peer/peer_test.go
+++ b/daemon/peer/peer_test.go
@@ -123,3 +123,23 @@
 	}
 	is.Equal(b.Traffic()[kindNote].ReceivedBytes < bound, true)
 }
+
+// TestALostSocketIsTold guards against a daemon that goes on although no peer can reach it.
+func TestALostSocketIsTold(t *testing.T) {
+	is := is.New(t)
+	lost := make(chan error, 1)
+	f := newFleet(t)
+	a, _ := f.listen("a", func(c *Config) { c.Lost = func(err error) { lost <- err } })
+	is.NoErr(a.socket.Close())
+	is.True(<-lost != nil)
+}
+
+// TestAClosedTransportIsNotLost checks the regular end.
+func TestAClosedTransportIsNotLost(t *testing.T) {
+	is := is.New(t)
+	lost := make(chan error, 1)
+	f := newFleet(t)
+	a, _ := f.listen("a", func(c *Config) { c.Lost = func(err error) { lost <- err } })
+	a.Close()
+	is.Equal(len(lost), 0)
+}
--- a/daemon/peer/transport.go
+++ b/daemon/peer/transport.go
@@ -193,6 +193,9 @@
 	for {
 		accepted, err := t.listener.Accept(t.ctx)
 		if err != nil {
+			if t.ctx.Err() == nil {
+				t.cfg.Lost(err)
+			}
 			return
 		}
 		name, err := keys.PeerName(accepted.ConnectionState().TLS)
