--- a/daemon/gateway/heldbytes.go
+++ b/daemon/gateway/heldbytes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 
 	"github.com/valyala/fasthttp"
 
@@ -23,12 +22,6 @@
 	return bytebudget.NewContext(d.ctx, account)
 }
 
-// callerState is called when the state of a caller's connection changes.
-func (d *Daemon) callerState(c net.Conn, state fasthttp.ConnState) {
-	callerconn.State(c, state)
-	d.answers.State(c, state)
-}
-
 // newCallers returns the record of callers that have an answer to read, and shows how many
 // there are. Those that don't
 // read are let go first when bytes are short.
