Take no empty answer without a length for a whole one

Callers of plain services got an empty 200, framed as whole, although their endpoint had stopped in the middle of its answer's head: the symptom that other operators report.

Cause: an endpoint that gives up may still end its head with an empty line. A head that lost the line with the length that way reads as one of an answer that ends with its connection. For plain calls the daemon asked only whether the endpoint still accepts connections, which this one does. Streams asked for a first event already.

Such an answer with no byte of a body is a failure of its endpoint now; it may have run, and another endpoint is asked if it may run again. An endpoint that means an empty answer says so by Content-Length: 0, as nearly all do. Answers that have no body by their status or method are framed: they were taken for unframed ones before.

--- a/daemon/forward/answerend.go
+++ b/daemon/forward/answerend.go
@@ -12,6 +12,7 @@
 var (
 	errInsideEvent  = errors.New("the stream ended inside an event")
 	errNoEvent      = errors.New("the connection ended before the first event")
+	errNoBody       = errors.New("the connection ended before the first byte of the body, and no length was stated")
 	errEndpointGone = errors.New("the connection ended, and the endpoint accepts no new one")
 )
 
@@ -37,13 +38,23 @@
 }
 
 // checkReply returns an error in place of a success that may have been broken off: its body
-// ended with the connection of an endpoint that seems to have crashed. timeLeft is how long
-// the caller waits for the answer.
+// ended with its connection, before the first byte or as the endpoint seems to have crashed.
+// timeLeft is how long the caller waits for the answer.
 func (f *Forwarder) checkReply(r *Reply, e registry.Endpoint, timeLeft time.Duration) (*Reply, *verdict.Error) {
-	if !r.Unframed || r.Failed() || !f.seemsCrashed(e, min(silentEndpointTimeout, max(crashCheckTimeout, timeLeft/2))) {
+	if !r.Unframed || r.Failed() {
 		return r, nil
 	}
-	return nil, verdict.New(verdict.MayHaveRun, verdict.CodeEndpointFailed, "the answer of %s may be incomplete", e.Name).WithCause(errEndpointGone)
+	var cause error
+	switch {
+	case r.empty():
+		// What is left of a head that lost its length reads as such an answer.
+		cause = errNoBody
+	case f.seemsCrashed(e, min(silentEndpointTimeout, max(crashCheckTimeout, timeLeft/2))):
+		cause = errEndpointGone
+	default:
+		return r, nil
+	}
+	return nil, verdict.New(verdict.MayHaveRun, verdict.CodeEndpointFailed, "the answer of %s may be incomplete", e.Name).WithCause(cause)
 }
 
 // silentEndpointTimeout is how long an endpoint may be silent before it counts as crashed
--- a/daemon/forward/types.go
+++ b/daemon/forward/types.go
@@ -80,6 +80,9 @@
 // Failed reports whether the endpoint answered with an error of its own.
 func (r *Reply) Failed() bool { return r.Status >= 500 }
 
+// empty reports whether the answer has no byte of a body.
+func (r *Reply) empty() bool { return len(r.Body) == 0 && len(r.More) == 0 }
+
 // Succeeded reports whether the endpoint answered with success, and so has worked on the
 // request.
 func (r *Reply) Succeeded() bool { return r.Status >= 200 && r.Status < 300 }
--- a/daemon/upstream/answer.go
+++ b/daemon/upstream/answer.go
@@ -43,9 +43,12 @@
 
 // Unframed reports whether the answer has neither a length nor chunks: it ends with its
 // connection, so that a break can look like the regular end.
-func (a *Answer) Unframed() bool { return a.resp.Header.ContentLength() == unframedLength }
+func (a *Answer) Unframed() bool {
+	return a.resp.BodyStream() != nil && a.resp.Header.ContentLength() == unframedLength
+}
 
-// unframedLength is the content length that fasthttp reports for such an answer.
+// unframedLength is the content length that fasthttp reports for such an answer, and for one
+// that has no body.
 const unframedLength = -2
 
 // exchange writes the request and reads the answer that belongs to it.
