--- a/daemon/gateway/settings.go
+++ b/daemon/gateway/settings.go
@@ -32,7 +32,7 @@
 	MemoryMB float64 `json:"memory_mb" validate:"min=16"`
 	// MaxDescriptors is the limit on open files and sockets of the process. Callers'
 	// connections take a part of it only. Default: the limit that the process has.
-	MaxDescriptors int `json:"max_descriptors,omitempty" validate:"omitempty,min=256"`
+	MaxDescriptors int `json:"max_descriptors,omitempty" validate:"min=0"`
 	// Disable lists scheduler mechanisms to disable, to measure their effect; not for
 	// production. Default: none.
 	Disable []kvsched.Mechanism `json:"disable,omitempty" validate:"dive,oneof=learned-lead arrival-refusal prefilled-wait whole-reading pause-bound kept-engine guess-shrink team-shares"`
