Let lines of known origins go first when the log is full

origin_found tells of a success, and callers decide how many there are: it is a routine line now, as those of answered requests are.

--- a/daemon/gateway/origins.go
+++ b/daemon/gateway/origins.go
@@ -50,6 +50,7 @@
 		Place:   d.placeOrigin,
 		Ask:     d.askOrigin,
 		Log:     d.logger.Event,
+		Routine: d.logger.Routine,
 		Metrics: d.metrics,
 		Now:     d.now,
 	})
--- a/daemon/origins/find.go
+++ b/daemon/origins/find.go
@@ -52,23 +52,24 @@
 		}
 	}
 	o.unknown.Inc()
-	o.log("origin_unknown", s, told, "versions", fmt.Sprint(versions))
+	o.cfg.Log("origin_unknown", o.searchFields(s, told, "versions", fmt.Sprint(versions))...)
 	return "", false
 }
 
 // known logs what began a stream and from whom that is known, and returns it.
 func (o *Origins) known(s origin.Stream, software id.Software, from source, t told) (id.Software, bool) {
 	o.found.Add(string(from), 1)
-	o.log("origin_found", s, t, "software", software, "source", string(from))
+	o.cfg.Routine("origin_found", o.searchFields(s, t, "software", software, "source", string(from))...)
 	return software, true
 }
 
-// log writes a line about a search: what this daemon and those that replied could know.
-func (o *Origins) log(event string, s origin.Stream, t told, kv ...any) {
+// searchFields are the fields of a line about a search: what this daemon and those that
+// replied could know, and its outcome.
+func (o *Origins) searchFields(s origin.Stream, t told, outcome ...any) []any {
 	o.mu.Lock()
 	lasts := o.history.Lasts(o.cfg.Now())
 	o.mu.Unlock()
-	o.cfg.Log(event, append([]any{"resumes", s.Request, "service", s.Service, "history", lasts, "answered", t.answered}, kv...)...)
+	return append([]any{"resumes", s.Request, "service", s.Service, "history", lasts, "answered", t.answered}, outcome...)
 }
 
 // told is what other daemons have said of a stream.
--- a/daemon/origins/origins.go
+++ b/daemon/origins/origins.go
@@ -83,8 +83,10 @@
 	// Place sends records to a daemon and returns nil once it has them.
 	Place func(ctx context.Context, to id.Daemon, b *Batch) error
 	// Ask sends a query to a daemon.
-	Ask     func(ctx context.Context, to id.Daemon, q *Query) (*Reply, error)
+	Ask func(ctx context.Context, to id.Daemon, q *Query) (*Reply, error)
+	// Log writes a line, Routine one that tells of success.
 	Log     func(event string, kv ...any)
+	Routine func(event string, kv ...any)
 	Metrics *metrics.Registry
 	Now     func() time.Duration
 }
--- a/daemon/origins/origins_test.go
+++ b/daemon/origins/origins_test.go
@@ -113,11 +113,8 @@
 			}
 			return nil, errors.New("dead")
 		},
-		Log: func(event string, kv ...any) {
-			if event == "origin_found" || event == "origin_unknown" {
-				f.set(func() { _ = logfmt.NewEncoder(&f.logged).EncodeKeyvals(kv...) })
-			}
-		},
+		Log:     f.log,
+		Routine: f.log,
 		Metrics: metrics.New(string(name)),
 		Now: func() (now time.Duration) {
 			f.set(func() { now = f.now })
@@ -128,6 +125,13 @@
 	f.readRecorded(name)
 }
 
+// log keeps a line about a search.
+func (f *fleet) log(event string, kv ...any) {
+	if event == "origin_found" || event == "origin_unknown" {
+		f.set(func() { _ = logfmt.NewEncoder(&f.logged).EncodeKeyvals(kv...) })
+	}
+}
+
 func (f *fleet) others(self id.Daemon) []id.Daemon {
 	var out []id.Daemon
 	for _, name := range f.names {
