Let tests lose packets between daemons

The proxies of the tests carry TCP only, so that no test could cut a daemon off from the others.

No behaviour changes: without a wrapper the socket is the same.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -100,6 +101,9 @@
 	// FleetIsComplete makes a daemon that starts take all daemons that it knows for the
 	// whole fleet at once, and not when others have had the time to join, for tests.
 	FleetIsComplete bool
+	// WrapPeerSocket replaces the UDP socket for other daemons by one that uses it, for
+	// tests; may be nil.
+	WrapPeerSocket func(net.PacketConn) net.PacketConn
 }
 
 // Daemon is one running daemon.
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -154,6 +154,7 @@
 	return peer.Config{
 		Self:        f.self,
 		Listen:      d.set.Listen.Peers,
+		WrapSocket:  d.opts.WrapPeerSocket,
 		Keys:        material,
 		Handler:     &peerHandler{Handler: link.Handler{Receiver: receiver{d, f}, Ready: ready}, d: d},
 		KindName:    link.KindName(kindNames),
--- a/daemon/peer/peer.go
+++ b/daemon/peer/peer.go
@@ -83,6 +83,8 @@
 	Self id.Process
 	// Listen is the UDP address, IP:port; port 0 selects a free port.
 	Listen string
+	// WrapSocket replaces the UDP socket by one that uses it, for tests; may be nil.
+	WrapSocket func(net.PacketConn) net.PacketConn
 	// Keys holds the certificates for mutual TLS.
 	Keys *keys.Store
 	// Handler handles the messages of peers.
--- a/daemon/peer/transport.go
+++ b/daemon/peer/transport.go
@@ -35,7 +35,7 @@
 // UDP socket.
 type Transport struct {
 	cfg      Config
-	socket   *net.UDPConn
+	socket   net.PacketConn
 	quic     *quic.Transport
 	listener *quic.Listener
 	calls    *workpool.Pool
@@ -68,6 +68,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if cfg.WrapSocket != nil {
+		socket = cfg.WrapSocket(socket)
+	}
 	calls, err := workpool.New("peer_calls", cfg.CallWorkers, cfg.Registry)
 	if err != nil {
 		_ = socket.Close()
@@ -96,7 +99,7 @@
 	return t, nil
 }
 
-func openSocket(address string) (*net.UDPConn, error) {
+func openSocket(address string) (net.PacketConn, error) {
 	udp, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "peer: listen address %q", address)
