Prove the one version by the store before a stream of unknown origin goes on

Callers saw: during a release one host was cut off for a moment. A stream that had begun elsewhere at an engine of the new version was taken up there and went on at one of the old version, as 200, with nothing in the answer to show it (ORDER).

Cause: where one version is listed, Find asked nobody as long as the daemon had noticed neither a failed call to the store nor the loss of the others. Both are noticed 1.3 s to 4.2 s after a cut, and a standstill below 2 s was not counted at all: the check was as old as the list that it vouched for. Peers vouched for themselves by the same flags.

Why this works: a version begins no stream before the store has recorded it, so that an answer of the store to a call which began after the request came names each version that can have begun the stream, whatever the daemon has missed. Feed followers get Verify, a call that doesn't wait, also while idle. Others are asked at the same time, and prove it themselves if this daemon can't. While the store answers nobody, all must agree and none may have died within the last minute.

Weighed: asking others always and counting silence as unknown (refuses while any daemon is dead and unnoticed); a bound on the age of the list (no bound is shorter than the fastest release).

Cost: calls to the store, at most one in 20 ms and 0.5 ms more a daemon, for take-ups without a record only.

The literal of TestADaemonThatStartsAgainAsksWhatBeganAStream gets the new field record_age. No assertion is loosened.

--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -8,9 +8,9 @@
 	"github.com/samphirequay/samphirequay/core/id"
 )
 
-// versionMemory is how long a version counts after its last endpoint was listed. By then
+// VersionMemory is how long a version counts after its last endpoint was listed. By then
 // the callers of the streams that it began have given up.
-const versionMemory = time.Minute
+const VersionMemory = time.Minute
 
 // UnknownVersion stands for the version of an endpoint that has started again, until it is
 // known which one it runs. It counts as a further version of its service.
@@ -124,7 +124,7 @@
 func (h *History) Gone(now time.Duration, service id.Service) map[id.Software]int64 {
 	out := map[id.Software]int64{}
 	for v, at := range h.gone[service] {
-		if now-at <= versionMemory && !h.listed[service][v] {
+		if now-at <= VersionMemory && !h.listed[service][v] {
 			out[v] = storeMS(at, h.offset)
 		}
 	}
@@ -142,7 +142,7 @@
 // Versions returns the versions of a service that may have begun a stream, sorted.
 func (h *History) Versions(now time.Duration, service id.Service) []id.Software {
 	gone := h.gone[service]
-	maps.DeleteFunc(gone, func(_ id.Software, at time.Duration) bool { return now-at > versionMemory })
+	maps.DeleteFunc(gone, func(_ id.Software, at time.Duration) bool { return now-at > VersionMemory })
 	out := slices.Collect(maps.Keys(h.listed[service]))
 	out = slices.AppendSeq(out, maps.Keys(gone))
 	out = append(out, h.recorded[service].counting(storeMS(now, h.offset))...)
@@ -153,10 +153,26 @@
 // Complete reports whether the History holds all versions of a service that may have begun
 // a stream: it has lasted long enough, or what the store has recorded reaches back.
 func (h *History) Complete(now time.Duration, service id.Service) bool {
-	if h.covered[service] || h.Lasts(now) > versionMemory {
+	if h.covered[service] || h.Lasts(now) > VersionMemory {
 		return true
 	}
-	if !h.read || h.recordedAt < h.since {
+	return h.Proven(now, h.since, service)
+}
+
+// RecordedAt returns as of when the recorded versions are those of the store; 0 if they were
+// never read.
+func (h *History) RecordedAt() time.Duration {
+	if !h.read {
+		return 0
+	}
+	return h.recordedAt
+}
+
+// Proven reports whether the store has shown that the History holds all versions of a service
+// that may have begun a stream before a time. Complete may rest on the list of endpoints, which
+// may lag unnoticed.
+func (h *History) Proven(now, before time.Duration, service id.Service) bool {
+	if !h.read || h.recordedAt < before {
 		return false
 	}
 	recorded, ok := h.recorded[service]
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -110,6 +110,6 @@
 func TestAHistoryIsCompleteOnceItHasLasted(t *testing.T) {
 	is := is.New(t)
 	h := NewHistory(time.Second)
-	is.True(!h.Complete(time.Second+versionMemory, "s"))
-	is.True(h.Complete(time.Second+versionMemory+1, "s"))
+	is.True(!h.Complete(time.Second+VersionMemory, "s"))
+	is.True(h.Complete(time.Second+VersionMemory+1, "s"))
 }
--- a/core/origin/recorded.go
+++ b/core/origin/recorded.go
@@ -39,7 +39,7 @@
 	if updated.GoneMS == nil {
 		updated.GoneMS = map[id.Software]int64{}
 	}
-	oldest := nowMS - versionMemory.Milliseconds()
+	oldest := nowMS - VersionMemory.Milliseconds()
 	for v := range listed {
 		at, known := updated.GoneMS[v]
 		changed = changed || !known || at != 0
@@ -111,7 +111,7 @@
 func (r Recorded) counting(nowMS int64) []id.Software {
 	var out []id.Software
 	for v, at := range r.GoneMS {
-		if at == 0 || nowMS-at <= versionMemory.Milliseconds() {
+		if at == 0 || nowMS-at <= VersionMemory.Milliseconds() {
 			out = append(out, v)
 		}
 	}
@@ -121,7 +121,7 @@
 
 // covers reports whether all versions that may have begun a stream are recorded.
 func (r Recorded) covers(nowMS int64) bool {
-	return !r.Older && (r.SinceMS == 0 || nowMS-r.SinceMS > versionMemory.Milliseconds())
+	return !r.Older && (r.SinceMS == 0 || nowMS-r.SinceMS > VersionMemory.Milliseconds())
 }
 
 // storeMS returns a time of the daemon's clock by the store's clock, in milliseconds; offset
--- a/core/origin/recorded_test.go
+++ b/core/origin/recorded_test.go
@@ -110,8 +110,8 @@
 	is.True(!h.Complete(2*time.Second, "other"))
 	h.Interrupt(30 * time.Second)
 	h.Confirm(31 * time.Second)
-	is.True(!h.Complete(time.Second+versionMemory, "s"))
-	is.True(h.Complete(time.Second+versionMemory+time.Millisecond, "s"))
+	is.True(!h.Complete(time.Second+VersionMemory, "s"))
+	is.True(h.Complete(time.Second+VersionMemory+time.Millisecond, "s"))
 }
 
 // TestAnUnrecordedServiceIsCompleteAtTheFirstStartOnly covers a fleet that starts for the
@@ -134,7 +134,7 @@
 	r := Recorded{GoneMS: map[id.Software]int64{"v1": 100_000, "v2": 0}}
 	r, changed := r.Update(160_000, versions("v2"), map[id.Software]int64{"v1": left})
 	is.True(changed)
-	is.Equal(r.counting(left+versionMemory.Milliseconds()), []id.Software{"v1", "v2"})
+	is.Equal(r.counting(left+VersionMemory.Milliseconds()), []id.Software{"v1", "v2"})
 	_, changed = r.Update(161_000, versions("v2"), map[id.Software]int64{"v1": left + leaveTolerance.Milliseconds()})
 	is.True(!changed) // another daemon noticed it a little later
 }
--- a/daemon/feed/feed.go
+++ b/daemon/feed/feed.go
@@ -38,6 +38,9 @@
 	// call does not wait for changes, so that an unresponsive store is detected
 	// soon.
 	skipWait bool
+	// verify is set until the call that Verify asks for has begun; waiting while a call
+	// that waits for changes is under way.
+	verify, waiting bool
 	// nextPoll is the earliest time of the next poll.
 	nextPoll time.Duration
 	// wake ends the wait of an idle follower or the pause after a failed call.
--- a/daemon/feed/read.go
+++ b/daemon/feed/read.go
@@ -10,13 +10,14 @@
 // returned changes. An interrupted call is not an error.
 func (f *Follower) step() (changed bool, err error) {
 	f.mu.Lock()
-	if f.idle && !f.fullRead && !f.lost {
+	if f.idle && !f.fullRead && !f.lost && !f.verify {
 		f.mu.Unlock()
 		f.calls.interrupted()
 		f.waitWhileIdle()
 		return false, nil
 	}
 	whole, after := f.fullRead, f.state.Position
+	f.verify = false
 	ctx, cancel := context.WithCancel(f.ctx)
 	if !whole {
 		f.interrupt = cancel
@@ -130,7 +131,8 @@
 func (f *Follower) callTimeouts() (wait, limit time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.lost || f.skipWait {
+	f.waiting = !f.lost && !f.skipWait
+	if !f.waiting {
 		f.skipWait = false
 		return 0, lostTimeout
 	}
--- a/daemon/gateway/catchup.go
+++ b/daemon/gateway/catchup.go
@@ -46,6 +46,7 @@
 
 // Gone implements members.Listener.
 func (l fleetListener) Gone(p id.Process) {
+	l.d.origins.PeerGone()
 	time.AfterFunc(goneGrace, func() { l.f.broker.ProcessGone(p) })
 }
 
--- a/daemon/gateway/origins.go
+++ b/daemon/gateway/origins.go
@@ -40,6 +40,15 @@
 				f.versions.Refresh()
 			}
 		},
+		Verify: func() {
+			if f := d.fleet.Load(); f != nil {
+				f.versions.Verify()
+			}
+		},
+		StoreLost: func() bool {
+			f := d.fleet.Load()
+			return f == nil || f.versions.Lost()
+		},
 		Holders: d.originHolders,
 		Current: d.registryIsCurrent,
 		Send: func(to id.Daemon, b *origins.Batch) {
@@ -121,7 +130,7 @@
 }
 
 // registryIsCurrent reports whether a new endpoint would be listed here as soon as at the
-// other daemons.
+// other daemons, as far as this one has noticed: a cut shows only after a while.
 func (d *Daemon) registryIsCurrent() bool {
 	f := d.fleet.Load()
 	return f != nil && !d.storeLost() && !f.members.Isolated()
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -215,7 +215,7 @@
 }
 
 // HandleCall implements peer.Handler.
-func (h *peerHandler) HandleCall(_ context.Context, from id.Daemon, kind peer.Kind, body []byte) ([]byte, error) {
+func (h *peerHandler) HandleCall(ctx context.Context, from id.Daemon, kind peer.Kind, body []byte) ([]byte, error) {
 	var q uptimeQuery
 	var stream origins.Query
 	var records origins.Batch
@@ -231,7 +231,7 @@
 	case kind == kindConfig && h.decode(from, body, &config):
 		return peer.Encode(h.d.answerConfig(config))
 	case kind == kindOriginQuery && h.decode(from, body, &stream):
-		return peer.Encode(h.d.origins.Answer(&stream))
+		return peer.Encode(h.d.origins.Answer(ctx, &stream))
 	case kind == kindOriginPlace && h.decode(from, body, &records):
 		h.d.origins.Receive(&records)
 		return nil, nil
--- a/daemon/origins/find.go
+++ b/daemon/origins/find.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/origin"
@@ -22,54 +23,100 @@
 )
 
 // Find returns the software version that began a stream. Without a record it is known only
-// if the service has had one version of late, by a daemon or the store that knows all which
-// it has had. ok is false if it is not known.
+// if the service has had one version of late, and that is proven. ok is false if it is not
+// known.
 func (o *Origins) Find(ctx context.Context, s origin.Stream) (software id.Software, ok bool) {
-	now, current := o.cfg.Now(), o.cfg.Current()
-	o.mu.Lock()
-	record, found := o.ledger.Find(now, s)
-	versions := o.history.Versions(now, s.Service)
-	complete := o.complete(now, s.Service)
-	o.mu.Unlock()
-	switch {
-	case found:
-		return o.known(s, record.Software, sourceOwnRecord, told{})
-	case isOne(versions) && complete && current:
-		return o.known(s, versions[0], sourceOneVersion, told{})
+	asked := o.cfg.Now()
+	if record, ok := o.ownRecord(s); ok {
+		return o.known(s, record.Software, outcome{source: sourceOwnRecord})
 	}
-	told := o.askHolders(ctx, s)
-	versions = union(versions, told.versions)
-	switch {
-	case told.record != nil:
+	told := o.search(ctx, s, asked)
+	k := o.knowledgeOf(s.Service, asked).with(told)
+	if told.record == nil && isOne(k.versions) && !k.proven {
+		told = o.askHolders(ctx, s, true)
+		k = o.knowledgeOf(s.Service, asked).with(told) // the store may have answered meanwhile
+	}
+	if told.record != nil {
 		o.keep([]origin.Record{*told.record})
-		return o.known(s, told.record.Software, sourcePeerRecord, told)
-	case isOne(versions) && (told.complete || complete && (current || told.unanimous)):
-		return o.known(s, versions[0], sourceOneVersion, told)
+		return o.known(s, told.record.Software, outcome{source: sourcePeerRecord, told: told})
+	}
+	if p := k.proofWith(told); isOne(k.versions) && p != proofNone {
+		return o.known(s, k.versions[0], outcome{source: sourceOneVersion, proof: p, told: told})
 	}
 	if s.Request != "" { // else there is no record
 		if software, ok := o.findStored(ctx, s); ok {
-			return o.known(s, software, sourceStoredRecord, told)
+			return o.known(s, software, outcome{source: sourceStoredRecord, told: told})
 		}
 	}
 	o.unknown.Inc()
-	o.cfg.Log("origin_unknown", o.searchFields(s, told, "versions", fmt.Sprint(versions))...)
+	o.cfg.Log("origin_unknown", o.searchFields(s, told, "versions", fmt.Sprint(k.versions))...)
 	return "", false
 }
 
-// known logs what began a stream and from whom that is known, and returns it.
-func (o *Origins) known(s origin.Stream, software id.Software, from source, t told) (id.Software, bool) {
-	o.found.Add(string(from), 1)
-	o.cfg.Routine("origin_found", o.searchFields(s, t, "software", software, "source", string(from))...)
+// search asks other daemons for the record of a stream and, where one version is known, the store
+// for a proof that it is the only one, at the same time. Once that is proven, replies still
+// matter, since a version may have begun streams that the store could not record; silent daemons
+// are waited for no longer than replyGrace.
+func (o *Origins) search(ctx context.Context, s origin.Stream, asked time.Duration) told {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	replies := make(chan told, 1)
+	go func() { replies <- o.askHolders(ctx, s, false) }()
+	if isOne(o.knowledgeOf(s.Service, asked).versions) {
+		o.prove(ctx, asked)
+	}
+	if o.knowledgeOf(s.Service, asked).proven {
+		defer time.AfterFunc(replyGrace, cancel).Stop()
+	}
+	return <-replies
+}
+
+// with adds the versions that other daemons know.
+func (k knowledge) with(t told) knowledge {
+	k.versions = union(k.versions, t.versions)
+	return k
+}
+
+// proofWith returns why no other version can have begun the stream, after other daemons were
+// asked.
+func (k knowledge) proofWith(t told) proof {
+	switch {
+	case k.proven:
+		return proofStore
+	case t.proven:
+		return proofPeer
+	case k.complete && t.unanimous && k.allHere:
+		return proofAll
+	}
+	return proofNone
+}
+
+// outcome says from where it is known what began a stream.
+type outcome struct {
+	source source
+	proof  proof
+	told   told
+}
+
+// known logs what began a stream and from where that is known, and returns it.
+func (o *Origins) known(s origin.Stream, software id.Software, by outcome) (id.Software, bool) {
+	o.found.Add(string(by.source), 1)
+	fields := []any{"software", software, "source", string(by.source)}
+	if by.proof != proofNone {
+		fields = append(fields, "proof", string(by.proof))
+	}
+	o.cfg.Routine("origin_found", o.searchFields(s, by.told, fields...)...)
 	return software, true
 }
 
 // searchFields are the fields of a line about a search: what this daemon and those that
 // replied could know, and its outcome.
-func (o *Origins) searchFields(s origin.Stream, t told, outcome ...any) []any {
+func (o *Origins) searchFields(s origin.Stream, t told, more ...any) []any {
+	now := o.cfg.Now()
 	o.mu.Lock()
-	lasts := o.history.Lasts(o.cfg.Now())
+	lasts, age := o.history.Lasts(now), now-o.history.RecordedAt()
 	o.mu.Unlock()
-	return append([]any{"resumes", s.Request, "service", s.Service, "history", lasts, "answered", t.answered}, outcome...)
+	return append([]any{"resumes", s.Request, "service", s.Service, "history", lasts, "record_age", age, "answered", t.answered}, more...)
 }
 
 // told is what other daemons have said of a stream.
@@ -79,15 +126,15 @@
 	// versions are those of the service that they have seen, answered counts the replies.
 	versions []id.Software
 	answered int
-	// complete is set if one of them knows all versions that can have begun a stream.
-	// unanimous is set if all that were asked do, as far as their lists go: while the store
-	// answers nobody, no version comes that one of them does not know.
-	complete, unanimous bool
+	// proven is set if the store has told one of them all versions that can have begun a
+	// stream. unanimous is set if all that were asked know all, as far as their lists go: while
+	// the store answers nobody, no version comes that one of them does not know.
+	proven, unanimous bool
 }
 
 // askHolders asks other daemons for the record of a stream until one has it or all have
-// replied.
-func (o *Origins) askHolders(ctx context.Context, s origin.Stream) told {
+// replied. If prove is set they are to ask the store as well.
+func (o *Origins) askHolders(ctx context.Context, s origin.Stream, prove bool) told {
 	holders := o.cfg.Holders(s)
 	holders = holders[:min(maxAsked, len(holders))]
 	o.asked.Inc()
@@ -97,7 +144,7 @@
 	replies := make(chan *Reply, len(holders))
 	for _, to := range holders {
 		go func() {
-			reply, err := o.cfg.Ask(ctx, to, &Query{Stream: s})
+			reply, err := o.cfg.Ask(ctx, to, &Query{Stream: s, Prove: prove})
 			if err != nil {
 				reply = nil
 			}
@@ -112,7 +159,7 @@
 			continue
 		}
 		out.answered++
-		out.complete = out.complete || reply.Complete && reply.Current
+		out.proven = out.proven || reply.Proven
 		out.unanimous = out.unanimous && reply.Complete
 		out.versions = union(out.versions, reply.Versions)
 		if reply.Record != nil {
--- a/daemon/origins/origins.go
+++ b/daemon/origins/origins.go
@@ -40,6 +40,8 @@
 // Query asks a daemon what began a stream.
 type Query struct {
 	Stream origin.Stream `cbor:"1,keyasint"`
+	// Prove asks for a Reply that is proven by the store, if it can be had at once.
+	Prove bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Reply answers a Query.
@@ -50,9 +52,12 @@
 	Versions []id.Software `cbor:"2,keyasint,omitempty"`
 	// Complete is set if the daemon knows all versions that the service has had of late, as
 	// far as its list of endpoints goes; one that has just started may not. Current is set if
-	// that list is up to date.
+	// it has not noticed that this list lags; daemons of earlier releases rely on it.
 	Complete bool `cbor:"3,keyasint,omitempty"`
 	Current  bool `cbor:"4,keyasint,omitempty"`
+	// Proven is set if Versions are all that can have begun a stream before the Query came,
+	// by an answer of the store since then.
+	Proven bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Config sets up an Origins.
@@ -73,10 +78,15 @@
 	// Refresh reads the table of versions again, without blocking. SetRecorded and Confirmed
 	// follow.
 	Refresh func()
+	// Verify asks the store for changes of the table of versions, without blocking. Confirmed
+	// follows an answer.
+	Verify func()
+	// StoreLost reports whether the store did not answer the last call for that table.
+	StoreLost func() bool
 	// Holders returns the other daemons that keep the record of a stream, the best first.
 	Holders func(s origin.Stream) []id.Daemon
-	// Current reports whether this daemon's list of endpoints is up to date. Otherwise a
-	// version may have begun streams that it has never seen.
+	// Current reports whether this daemon's list of endpoints is up to date as far as it has
+	// noticed. Otherwise a version may have begun streams that it has never seen.
 	Current func() bool
 	// Send sends records to a daemon, without blocking. Lost ones are not sent again.
 	Send func(to id.Daemon, b *Batch)
@@ -103,28 +113,31 @@
 	// recorder records the versions, rows holds what was read of the daemons' rows.
 	recorder recorder
 	rows     storedRows
+	proofs   proofs
 	// due wakes the writer of this daemon's row.
 	due chan struct{}
 
-	sent, received, asked, unknown, stored *metrics.Counter
-	found                                  *metrics.CounterMap
+	sent, received, asked, unknown, stored, proofCalls *metrics.Counter
+	found                                              *metrics.CounterMap
 }
 
 // New returns an Origins without records.
 func New(cfg Config) *Origins {
 	o := &Origins{
-		cfg:      cfg,
-		ledger:   origin.NewLedger(),
-		history:  origin.NewHistory(cfg.Now()),
-		archive:  origin.NewArchive(),
-		recorder: recorder{news: make(chan struct{}), noticed: map[id.Service]map[id.Software]time.Duration{}},
-		due:      make(chan struct{}, 1),
-		stored:   cfg.Metrics.Counter("origins_stored", metrics.UnitCount, "Records of what began this daemon's streams that the store has taken."),
-		sent:     cfg.Metrics.Counter("origins_sent", metrics.UnitCount, "Records of what began a stream that were sent to other daemons."),
-		received: cfg.Metrics.Counter("origins_received", metrics.UnitCount, "Records of what began a stream that other daemons have sent."),
-		asked:    cfg.Metrics.Counter("origins_asked", metrics.UnitCount, "Streams taken up by callers for which other daemons were asked."),
-		unknown:  cfg.Metrics.Counter("origins_unknown", metrics.UnitCount, "Streams taken up by callers of which nobody knew what began them."),
-		found:    cfg.Metrics.CounterMap("origins_found", metrics.UnitCount, "Streams taken up by callers of which it was known what began them, by source."),
+		cfg:        cfg,
+		ledger:     origin.NewLedger(),
+		history:    origin.NewHistory(cfg.Now()),
+		archive:    origin.NewArchive(),
+		recorder:   recorder{news: make(chan struct{}), noticed: map[id.Service]map[id.Software]time.Duration{}},
+		due:        make(chan struct{}, 1),
+		proofs:     proofs{confirmed: make(chan struct{})},
+		stored:     cfg.Metrics.Counter("origins_stored", metrics.UnitCount, "Records of what began this daemon's streams that the store has taken."),
+		sent:       cfg.Metrics.Counter("origins_sent", metrics.UnitCount, "Records of what began a stream that were sent to other daemons."),
+		received:   cfg.Metrics.Counter("origins_received", metrics.UnitCount, "Records of what began a stream that other daemons have sent."),
+		asked:      cfg.Metrics.Counter("origins_asked", metrics.UnitCount, "Streams taken up by callers for which other daemons were asked."),
+		unknown:    cfg.Metrics.Counter("origins_unknown", metrics.UnitCount, "Streams taken up by callers of which nobody knew what began them."),
+		proofCalls: cfg.Metrics.Counter("origins_proof_calls", metrics.UnitCount, "Calls to the store that prove which versions a service has had."),
+		found:      cfg.Metrics.CounterMap("origins_found", metrics.UnitCount, "Streams taken up by callers of which it was known what began them, by source."),
 	}
 	if cfg.FirstStart {
 		o.history.SetUnused()
@@ -199,17 +212,24 @@
 }
 
 // Answer answers another daemon's query.
-func (o *Origins) Answer(q *Query) *Reply {
-	now, current := o.cfg.Now(), o.cfg.Current()
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	r := &Reply{
-		Versions: o.history.Versions(now, q.Stream.Service),
-		Complete: o.complete(now, q.Stream.Service),
-		Current:  current,
+func (o *Origins) Answer(ctx context.Context, q *Query) *Reply {
+	asked, service := o.cfg.Now(), q.Stream.Service
+	k := o.knowledgeOf(service, asked)
+	if q.Prove && isOne(k.versions) {
+		o.prove(ctx, asked)
+		k = o.knowledgeOf(service, asked)
 	}
-	if record, ok := o.ledger.Find(now, q.Stream); ok {
+	r := &Reply{Versions: k.versions, Complete: k.complete, Current: o.cfg.Current(), Proven: k.proven}
+	if record, ok := o.ownRecord(q.Stream); ok {
 		r.Record = &record
 	}
 	return r
 }
+
+// ownRecord returns the record of a stream, if this daemon has one.
+func (o *Origins) ownRecord(s origin.Stream) (origin.Record, bool) {
+	now := o.cfg.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.ledger.Find(now, s)
+}
--- a/daemon/origins/origins_test.go
+++ b/daemon/origins/origins_test.go
@@ -28,8 +28,10 @@
 	now     time.Duration
 	daemons map[id.Daemon]*Origins
 	// dead daemons answer nothing, and get nothing.
-	dead    map[id.Daemon]bool
-	stale   map[id.Daemon]bool
+	dead  map[id.Daemon]bool
+	stale map[id.Daemon]bool
+	// hung daemons get no answer of the store and have not noticed.
+	hung    map[id.Daemon]bool
 	batches int
 	// queued holds back what is sent without a confirmation; refuses makes all daemons
 	// refuse what asks for one.
@@ -66,7 +68,7 @@
 
 func newFleet(names ...id.Daemon) *fleet {
 	f := &fleet{
-		daemons: map[id.Daemon]*Origins{}, names: names, dead: map[id.Daemon]bool{}, stale: map[id.Daemon]bool{},
+		daemons: map[id.Daemon]*Origins{}, names: names, dead: map[id.Daemon]bool{}, stale: map[id.Daemon]bool{}, hung: map[id.Daemon]bool{},
 		rows: map[string]table.Row{}, firstStart: true,
 	}
 	for _, name := range names {
@@ -85,6 +87,8 @@
 		Daemons:    func() int { return len(f.names) },
 		Serves:     func(id.Service) bool { return true },
 		Refresh:    func() { f.readRecorded(name) },
+		Verify:     func() { f.readRecorded(name) },
+		StoreLost:  func() bool { return false },
 		Holders:    func(origin.Stream) []id.Daemon { return f.others(name) },
 		Current: func() (current bool) {
 			f.set(func() { current = !f.stale[name] })
@@ -109,7 +113,7 @@
 		},
 		Ask: func(_ context.Context, to id.Daemon, q *Query) (*Reply, error) {
 			if o := f.reached(to); o != nil {
-				return o.Answer(q), nil
+				return o.Answer(context.Background(), q), nil
 			}
 			return nil, errors.New("dead")
 		},
@@ -248,8 +252,8 @@
 	f.listAt("d3", "v1", "v2")
 	_, ok = f.find("d2")
 	is.True(!ok) // d3 knows that v1 may have begun it
-	is.Equal(f.logged.String(), `resumes=r service=s history=0s answered=1 software=v1 source=peer_record`+
-		`resumes=r service=s history=0s answered=1 versions="[v1 v2]"`)
+	is.Equal(f.logged.String(), `resumes=r service=s history=0s record_age=0s answered=1 software=v1 source=peer_record`+
+		`resumes=r service=s history=0s record_age=0s answered=1 versions="[v1 v2]"`)
 }
 
 func TestOneVersionNeedsNoRecord(t *testing.T) {
--- a/daemon/origins/store_test.go
+++ b/daemon/origins/store_test.go
@@ -24,7 +24,7 @@
 }
 
 func (s *fakeStore) check() error {
-	if s.fleet.stale[s.daemon] || s.fleet.dead[s.daemon] {
+	if s.fleet.stale[s.daemon] || s.fleet.hung[s.daemon] || s.fleet.dead[s.daemon] {
 		return errors.New("the store does not answer")
 	}
 	return nil
--- a/daemon/origins/versions.go
+++ b/daemon/origins/versions.go
@@ -68,13 +68,6 @@
 	o.recorder.news = make(chan struct{})
 }
 
-// Confirmed tells that the rows last set are those that the store had at a time.
-func (o *Origins) Confirmed(at time.Duration) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.history.Confirm(at)
-}
-
 // Check notices whether versions may have come and gone unseen, and records changes of the
 // versions that are listed. It is to be called every CheckInterval.
 func (o *Origins) Check(duty Duty) {
