Replace rows of versions that can't be decoded or name none

Found while looking for the odd entry's cause in the other tables. Callers would have seen: streams of unknown origin refused for as long as the row stands, or, beside an empty row, taken for those of the one listed version.

Cause: SetRecorded left such a row out, so that the writer knew no version of it; each write was refused as the row existed, and followed by another one and a read of the table each 100 ms. A row that names no version counted as covering all that there had been.

Why this works: such a row is kept with its version as one of a former era, which proves nothing and which the writers replace. Proven asks for a row that names a version; Complete, by which a daemon dates a new row, asks as before.

--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -156,7 +156,7 @@
 	if h.covered[service] || h.Lasts(now) > VersionMemory {
 		return true
 	}
-	return h.Proven(now, h.since, service)
+	return h.coveredSince(now, h.since, service)
 }
 
 // RecordedAt returns as of when the recorded versions are those of the store; 0 if they were
@@ -170,9 +170,19 @@
 
 // Proven reports whether the store has shown that the History holds all versions of a service
 // that may have begun a stream before a time. Complete may rest on the list of endpoints, which
-// may lag unnoticed.
+// may lag unnoticed. A row that names no version shows nothing.
 func (h *History) Proven(now, before time.Duration, service id.Service) bool {
-	if !h.read || h.recordedAt < before {
+	recorded, ok := h.recorded[service]
+	if ok && len(recorded.counting(storeMS(now, h.offset))) == 0 {
+		return false
+	}
+	return h.coveredSince(now, before, service)
+}
+
+// coveredSince reports whether the records of a service were read at a time or later, and reach
+// back to all versions that may have begun a stream.
+func (h *History) coveredSince(now, at time.Duration, service id.Service) bool {
+	if !h.read || h.recordedAt < at {
 		return false
 	}
 	recorded, ok := h.recorded[service]
--- a/daemon/origins/recorder.go
+++ b/daemon/origins/recorder.go
@@ -1,6 +1,7 @@
 package origins
 
 import (
+	"encoding/json"
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/id"
@@ -34,6 +35,17 @@
 	version uint64
 }
 
+// decodeRecorded decodes a row of a version. One that can't be decoded counts as of a former
+// era.
+func decodeRecorded(value []byte, version uint64) (recordedRow, error) {
+	r := recordedRow{version: version}
+	if err := json.Unmarshal(value, &r.Recorded); err != nil {
+		return recordedRow{version: version, Recorded: origin.Recorded{Older: true}}, err
+	}
+	r.Older = r.Era != table.Era(version)
+	return r, nil
+}
+
 // era returns the store's latest era, as far as the rows tell.
 func (r *recorder) era() uint64 {
 	era := uint64(0)
--- a/daemon/origins/versions.go
+++ b/daemon/origins/versions.go
@@ -30,17 +30,15 @@
 	maxRowsWritten = 100
 )
 
-// SetRecorded replaces the rows of the table of versions. Rows that can't be decoded are
-// logged and left out.
+// SetRecorded replaces the rows of the table of versions. A row that can't be decoded is
+// logged. It proves nothing, and is written again.
 func (o *Origins) SetRecorded(rows []table.Row) {
 	decoded := make(map[id.Service]recordedRow, len(rows))
 	for _, row := range rows {
-		r := recordedRow{version: row.Version}
-		if err := json.Unmarshal(row.Value, &r.Recorded); err != nil {
+		r, err := decodeRecorded(row.Value, row.Version)
+		if err != nil {
 			o.cfg.Log("store_row_unreadable", "row", TableVersions+"/"+row.Key, "version", table.FormatVersion(row.Version), "why", err)
-			continue
 		}
-		r.Older = r.Era != table.Era(row.Version)
 		decoded[id.Service(row.Key)] = r
 	}
 	offset := o.offset()
@@ -207,11 +205,10 @@
 	if o.recorder.rows[id.Service(row.Key)].version > version {
 		return
 	}
-	r := recordedRow{version: version}
-	if err := json.Unmarshal(row.Value, &r.Recorded); err != nil {
+	r, err := decodeRecorded(row.Value, version)
+	if err != nil {
 		o.cfg.Log("versions_not_recorded", "service", row.Key, "why", err)
 		return
 	}
-	r.Older = r.Era != table.Era(version)
 	o.recorder.rows[id.Service(row.Key)] = r
 }
