Let a repeated SIGTERM change nothing during a planned stop

Callers saw: beside two SIGTERMs to one daemon, 1.2 s apart, answers that were under way ended in the middle, 3 s and more before the end of the grace (LOST).

Cause: after the first signal the default handling was restored for SIGTERM too, so that the second one ended the process at once (status 143).

TestARepeatedSIGTERMDoesNotEndAPlannedStop before: "signal: terminated" after 0.3 s.

Why this works: SIGTERM stays handled for the life of the process; a stop ends by its own limit, and the platform has SIGKILL. The interrupt of a terminal still ends the process at once when it comes second.

--- a/cmd/internal/cli/daemoncmd/daemon.go
+++ b/cmd/internal/cli/daemoncmd/daemon.go
@@ -27,8 +27,8 @@
 		Use:   "samphirequayd --settings FILE",
 		Short: "The samphirequay daemon",
 		Long: `The daemon that runs on every entry host. SIGTERM or an interrupt begins a
-planned stop, which interrupts no request; a second signal ends the process
-immediately.
+planned stop, which interrupts no request. A repeated SIGTERM changes nothing; an
+interrupt after the first signal ends the process immediately.
 
 Exit codes:
   0  stopped as planned, or the settings are valid
@@ -97,9 +97,14 @@
 func Main(args []string, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	// Restores the default handling, so that a second signal ends the process
+	// Restores the default handling, so that a second interrupt ends the process
 	// immediately.
 	context.AfterFunc(ctx, stop)
+	// A supervisor may repeat SIGTERM, which must not cut the answers that a planned stop
+	// waits for.
+	repeated := make(chan os.Signal, 1)
+	signal.Notify(repeated, syscall.SIGTERM)
+	defer signal.Stop(repeated)
 	cmd := New()
 	cmd.SetArgs(args)
 	cmd.SetOut(stdout)
