Play callers that leave in a body, read slowly and flood, in the soak

SCENARIO=callers sends half bodies, reads answers of 8 MiB slowly, stops daemons also twice in a row, opens 400 connections to one, and starts daemons while the store comes back from an older copy; DESCRIPTORS bounds what each daemon may open. Two promises are new: half a request never runs, and a long answer that has begun arrives whole beside planned stops. The checker's tests cover both.

--- a/cmd/internal/soak/answers.go
+++ b/cmd/internal/soak/answers.go
@@ -59,6 +59,9 @@
 // respondPlain answers a plain call, without a length if unframed is set.
 func respondPlain(x *platformtest.Exchange, unframed bool) {
 	body := plainBody(x.RequestID())
+	if strings.HasPrefix(string(x.Request.URI().Path()), pathLong) {
+		body = longBody(x.RequestID())
+	}
 	if !unframed {
 		x.Respond(http.StatusOK, body, x.Signed(), "Content-Type: text/plain")
 		return
--- a/cmd/internal/soak/checker.go
+++ b/cmd/internal/soak/checker.go
@@ -19,6 +19,8 @@
 	// reported as not run, and those that may run at most once.
 	refused    []string
 	atMostOnce []string
+	// left are requests of which only a part of the body was sent; they must not run.
+	left []string
 	// rotating are the requests of rotatingTeam.
 	rotating []keyedRequest
 }
@@ -32,6 +34,13 @@
 	c.violations = append(c.violations, fmt.Sprintf(format, args...))
 }
 
+// recordLeft records a request whose caller has left in the middle of its body.
+func (c *checker) recordLeft(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.left = append(c.left, id)
+}
+
 // allStable reports whether all daemons were stable at the given time.
 func (c *checker) allStable(at time.Time) bool {
 	for _, p := range c.processes {
@@ -131,6 +140,11 @@
 			c.violation("refused: %s was reported as not run and ran %d times", id, n)
 		}
 	}
+	for _, id := range c.left {
+		if n := sim.runs(id); n > 0 {
+			c.violation("unasked: of %s half of the body was sent, and it ran %d times", id, n)
+		}
+	}
 	sim.arrivals.check(c)
 	sim.versions.check(c)
 	sim.teams.checkFinal(c, sim, c.rotating)
--- a/cmd/internal/soak/process.go
+++ b/cmd/internal/soak/process.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -33,10 +34,12 @@
 	storeProxy  *platformtest.Proxy
 	callerProxy *platformtest.Proxy
 
-	// signalledMu guards signalled, the ids of the processes that were sent a
-	// SIGTERM or SIGKILL.
+	// signalledMu guards the fields below. signalled holds the ids of the processes that were
+	// sent a SIGTERM or SIGKILL.
 	signalledMu sync.Mutex
 	signalled   map[int]bool
+	// killed is when a process of the daemon was last sent a SIGKILL.
+	killed time.Time
 }
 
 // Settings of the daemons.
@@ -113,6 +116,9 @@
 	if s == syscall.SIGKILL || s == syscall.SIGTERM {
 		p.signalledMu.Lock()
 		p.signalled[pid] = true
+		if s == syscall.SIGKILL {
+			p.killed = time.Now()
+		}
 		p.signalledMu.Unlock()
 	}
 	// The error is ignored: the process may just have exited, and then the fault
@@ -120,6 +126,13 @@
 	_ = syscall.Kill(pid, s)
 }
 
+// killedSince reports whether a process of the daemon was killed since the given time.
+func (p *process) killedSince(at time.Time) bool {
+	p.signalledMu.Lock()
+	defer p.signalledMu.Unlock()
+	return p.killed.After(at)
+}
+
 // unexpectedExits describes the processes that exited without a SIGTERM or SIGKILL
 // from this run.
 func (p *process) unexpectedExits() []string {
--- a/cmd/internal/soak/releases.go
+++ b/cmd/internal/soak/releases.go
@@ -74,9 +74,14 @@
 			out = append(out, f)
 		}
 	}
-	out = slices.DeleteFunc(out, func(f fault) bool { return f.start >= length })
-	slices.SortStableFunc(out, func(a, b fault) int { return int(a.start - b.start) })
-	return out
+	return inOrder(out, length)
+}
+
+// inOrder returns the faults that start before the end of a run, in the order of their starts.
+func inOrder(faults []fault, length time.Duration) []fault {
+	faults = slices.DeleteFunc(faults, func(f fault) bool { return f.start >= length })
+	slices.SortStableFunc(faults, func(a, b fault) int { return int(a.start - b.start) })
+	return faults
 }
 
 // planRelease draws the steps of one release: of all engines or half of them, at once or one
--- a/cmd/internal/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -62,10 +62,14 @@
 	// Releases replaces the engines by others of new and former versions while it kills,
 	// suspends or stops all, nearly all or single daemons.
 	Releases Scenario = "releases"
+	// HardCallers has callers that leave in the middle of a body, read slowly and open more
+	// connections than a daemon may have, beside planned stops and starts during returns of
+	// the store.
+	HardCallers Scenario = "callers"
 )
 
 // Scenarios lists all scenarios.
-var Scenarios = []Scenario{Mixed, Restarts, Restores, Releases}
+var Scenarios = []Scenario{Mixed, Restarts, Restores, Releases, HardCallers}
 
 type run struct {
 	cfg        Config
@@ -74,6 +78,7 @@
 	processes  []*process
 	served     atomic.Int64
 	expected   atomic.Int64
+	hard       hardCallers
 	// reconnect is set once all callers must open new connections.
 	reconnect atomic.Bool
 }
@@ -92,6 +97,9 @@
 	done := make(chan struct{})
 	var callers sync.WaitGroup
 	r.startCallers(done, &callers)
+	if cfg.Scenario == HardCallers {
+		r.startHardCallers(done, &callers)
+	}
 	callers.Go(func() { r.rotateKeys(done) })
 	callers.Go(func() { r.simulation.keepCopies(done) })
 	err := r.inject(ctx)
@@ -264,8 +272,8 @@
 		outcomes = append(outcomes, fmt.Sprintf("%s: %d", label, n))
 	}
 	slices.Sort(outcomes)
-	fmt.Fprintf(r.cfg.Out, "seed=%d daemons=%d requests=%d served=%d %s broken=%d (%s)\n", r.cfg.Seed, r.cfg.Daemons,
-		r.expected.Load(), r.served.Load(), r.simulation.versions.summary(), len(r.checker.violations), strings.Join(outcomes, ", "))
+	fmt.Fprintf(r.cfg.Out, "seed=%d daemons=%d requests=%d served=%d %s %s broken=%d (%s)\n", r.cfg.Seed, r.cfg.Daemons,
+		r.expected.Load(), r.served.Load(), r.simulation.versions.summary(), r.hard.summary(), len(r.checker.violations), strings.Join(outcomes, ", "))
 	if n := len(r.checker.violations); n > 0 {
 		return eris.Errorf("%d guarantees were violated with seed %d", n, r.cfg.Seed)
 	}
--- a/cmd/internal/soak/simulation.go
+++ b/cmd/internal/soak/simulation.go
@@ -106,6 +106,9 @@
 		route("stream", pathStream, "stream", engineSvc, false),
 		route("resume", pathResume, "stream", engineSvc, true),
 	}
+	if scenario == HardCallers {
+		s.routes = append(s.routes, route("long", pathLong, "idempotent", plainSvc, false))
+	}
 	s.configure()
 	for range plainRunners(daemons) {
 		if err := s.addRunner(plainSvc, ""); err != nil {
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -54,6 +54,42 @@
 	}
 }
 
+// TestCheckerFindsHalfBodiesThatRan checks that a request of which half was sent must not run.
+func TestCheckerFindsHalfBodiesThatRan(t *testing.T) {
+	is := is.New(t)
+	for _, runs := range []int{0, 1} {
+		check := newChecker()
+		check.recordLeft("leaver0-1")
+		check.checkFinal(&simulation{runCounts: map[string]int{"leaver0-1": runs}, arrivals: newArrivals(), teams: newTeams(), versions: newVersions()})
+		is.Equal(len(check.violations), runs)
+	}
+}
+
+// TestCheckerFindsLongAnswersThatWereCut checks that a long answer which has begun must arrive
+// whole, and its own, unless its daemon was killed or its caller was too slow.
+func TestCheckerFindsLongAnswersThatWereCut(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	whole := platformtest.Answer{Body: longBody("slow0-1"), Complete: true}
+	for _, c := range []struct {
+		answer platformtest.Answer
+		killed time.Time
+		start  time.Time
+		broken int
+	}{
+		{whole, time.Time{}, now, 0},
+		{platformtest.Answer{Body: longBody("slow0-2"), Complete: true}, time.Time{}, now, 1},
+		{platformtest.Answer{Body: whole.Body[:1000]}, time.Time{}, now, 1},
+		{platformtest.Answer{Body: whole.Body[:1000]}, now.Add(-time.Second), now, 1},
+		{platformtest.Answer{Body: whole.Body[:1000]}, now.Add(time.Second), now, 0},
+		{platformtest.Answer{Body: whole.Body[:1000]}, time.Time{}, now.Add(-time.Minute), 0},
+	} {
+		r := &run{checker: newChecker()}
+		r.checkLongAnswer(&process{name: "d1", killed: c.killed}, "slow0-1", c.answer, c.start)
+		is.Equal(len(r.checker.violations), c.broken)
+	}
+}
+
 // The checker must report requests that run too long after their key was revoked,
 // and a team that exceeds its limit beyond the tolerance.
 func TestCheckerFindsRevokedKeysAndExceededLimits(t *testing.T) {
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -7,7 +7,9 @@
 #   scripts/soak.sh SEED...
 #
 # Environment: DAEMONS (default 5), CALLERS (default 16), LENGTH (default 15s),
-# SCENARIO (mixed, the default, restarts, restores or releases), OUT (default: a new temporary directory).
+# SCENARIO (mixed, the default, restarts, restores, releases or callers), DESCRIPTORS (the most that
+# a daemon may have; default: as many as this shell), OUT (default: a new temporary
+# directory), KEEP (set to keep the logs of all seeds).
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -33,7 +35,10 @@
     sleep 0.05
   done
   while [ ! -e "$dir/stop" ]; do
-    "$out/bin/samphirequayd" platform --settings "$dir/$name.json" >>"$dir/$name.log" 2>&1 &
+    (
+      [ -z "${DESCRIPTORS:-}" ] || ulimit -n "$DESCRIPTORS"
+      exec "$out/bin/samphirequayd" platform --settings "$dir/$name.json"
+    ) >>"$dir/$name.log" 2>&1 &
     pid=$!
     echo "$pid" >"$dir/$name.pid"
     status=0
@@ -76,7 +81,7 @@
     --callers "$callers" --length "$length" --scenario "$scenario" >"$dir/soak.log" 2>&1; then
     tail -n 1 "$dir/soak.log"
     stop_daemons
-    rm -rf "$out/seed-$seed"
+    [ -n "${KEEP:-}" ] || rm -rf "$out/seed-$seed"
   else
     grep -E "^(BROKEN|seed=|samphirequay:)" "$dir/soak.log" || true
     stop_daemons
