Let a first start vouch for nothing behind a standstill

Callers would have seen: in the first life of a fleet a daemon stands still or is cut off while a version comes, begins streams and leaves; the store comes back from an older copy without it. Streams of that version, taken up there, go on at the one that is listed (ORDER).

Cause: recordedSince dated each new row of versions from the beginning if the daemon belongs to a fleet's first start, for as long as it ran, and SetUnused held as long, whatever had been missed since.

Evidence: TestAFirstStartProvesNothingAfterAStandstill fails before (the stream is taken for one of v1), passes now under -race.

Why this works: an interruption of the history ends what the first start vouches for; from then on a row is dated as at any other start.

--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -80,6 +80,9 @@
 // stream before this daemon started.
 func (h *History) SetUnused() { h.unused = true }
 
+// Unused reports whether SetUnused was called and no version can have come unseen since.
+func (h *History) Unused() bool { return h.unused }
+
 // KeepLost remembers the recorded versions that count and that the store is about to lack:
 // it came back from an older copy.
 func (h *History) KeepLost(now time.Duration, recorded map[id.Service]Recorded) {
@@ -112,6 +115,7 @@
 // Interrupt tells that versions may have come and gone unseen until now.
 func (h *History) Interrupt(now time.Duration) {
 	h.since = now
+	h.unused = false
 	clear(h.covered)
 }
 
--- a/daemon/origins/oldercopy_test.go
+++ b/daemon/origins/oldercopy_test.go
@@ -43,3 +43,24 @@
 	f.sleep(time.Minute + time.Second)
 	is.Equal(f.daemons["d1"].history.Versions(f.now, "s"), []id.Software{"v2"})
 }
+
+// TestAFirstStartProvesNothingAfterAStandstill guards against a daemon of a fleet's first start
+// that stood still, and records versions behind a return of the store as if it had seen all.
+func TestAFirstStartProvesNothingAfterAStandstill(t *testing.T) {
+	is := is.New(t)
+	f := newFleet("d1", "d2")
+	f.sleep(time.Second)
+	f.list("v1")
+	copied := maps.Clone(f.rows)
+	f.hang("d1") // it stands still
+	f.listAt("d2", "v1", "v2")
+	f.listAt("d2", "v1")
+	f.kill("d2")
+	f.sleep(stallLimit + time.Second)
+	f.set(func() { f.hung["d1"] = false })
+	f.returnFrom(copied)
+	f.check("d1")
+	f.sleep(time.Second)
+	_, ok := f.find("d1")
+	is.True(!ok)
+}
--- a/daemon/origins/versions.go
+++ b/daemon/origins/versions.go
@@ -158,10 +158,10 @@
 }
 
 // recordedSince returns from when on a new row holds all versions: always, if the whole
-// fleet has just started for the first time or this daemon has seen all that count; the lock
-// must be held.
+// fleet has started for the first time and this daemon has missed nothing since, or if it has
+// seen all that count; the lock must be held.
 func (o *Origins) recordedSince(now time.Duration, service id.Service, nowMS int64) int64 {
-	if o.cfg.FirstStart || o.history.Complete(now, service) {
+	if o.history.Unused() || o.history.Complete(now, service) {
 		return 0
 	}
 	return nowMS
