Let the soak's slow readers count only where a caller would come

Trace: SIGTERM 47.7 s, request 51.7 s, "the time limit is over" with answers_owed=1 at 53.0 s, the end of the grace. Callers keep an answer that names a daemon for 2 s and this one came 4.0 s after the SIGTERM: the soak's callers choose daemons without asking. The check leaves out what is asked for later than that, until the grace is over; a second SIGTERM does not move it.

--- a/cmd/internal/soak/hardcallers.go
+++ b/cmd/internal/soak/hardcallers.go
@@ -156,7 +156,7 @@
 }
 
 // readSlowly reads a long answer slowly. One that has begun must arrive whole, unless its daemon
-// is killed.
+// is killed, or was being stopped for so long that no caller should have come.
 func (r *run) readSlowly(rng *rand.Rand, id string) {
 	p := r.processes[rng.IntN(len(r.processes))]
 	start := time.Now()
@@ -191,7 +191,7 @@
 		r.checker.violation("mixed: %s got a whole answer of %d bytes that is not its own", id, len(answer.Body))
 	case answer.Complete:
 		r.hard.whole.Add(1)
-	case p.killedSince(start) || took > slowLimit:
+	case p.killedSince(start) || p.stopsWithoutCallers(start) || took > slowLimit:
 		r.hard.cut.Add(1)
 	default:
 		r.checker.violation("cut: %s at %s, which was not killed, ended after %d of %d bytes and %v", id, p.name, len(answer.Body), longAnswer, took)
--- a/cmd/internal/soak/process.go
+++ b/cmd/internal/soak/process.go
@@ -38,8 +38,9 @@
 	// sent a SIGTERM or SIGKILL.
 	signalledMu sync.Mutex
 	signalled   map[int]bool
-	// killed is when a process of the daemon was last sent a SIGKILL.
-	killed time.Time
+	// killed is when a process of the daemon was last sent a SIGKILL, and stopped when the last
+	// one that was sent a SIGTERM got its first.
+	killed, stopped time.Time
 }
 
 // Settings of the daemons.
@@ -47,6 +48,8 @@
 	// gracePeriodS is the time between SIGTERM and SIGKILL on the platform, in
 	// seconds.
 	gracePeriodS = 6
+	// entryLifetimeS is how long callers keep an answer with a daemon's address, in seconds.
+	entryLifetimeS = 2
 	// leaseMS is the minimum time between the role orders of two lease holders, in
 	// milliseconds. It is short so that the lease changes hands within a run.
 	leaseMS = 1000
@@ -76,7 +79,7 @@
 		Store:    p.storeProxy.Address(),
 		MemoryMB: memoryMB,
 		Bounds: gateway.Bounds{
-			GraceS: gracePeriodS, EntryLifetimeS: 2, LeaseMS: leaseMS,
+			GraceS: gracePeriodS, EntryLifetimeS: entryLifetimeS, LeaseMS: leaseMS,
 		},
 		Log: settings.Log{Level: "info"},
 	}
@@ -115,10 +118,13 @@
 	}
 	if s == syscall.SIGKILL || s == syscall.SIGTERM {
 		p.signalledMu.Lock()
-		p.signalled[pid] = true
-		if s == syscall.SIGKILL {
+		switch {
+		case s == syscall.SIGKILL:
 			p.killed = time.Now()
+		case !p.signalled[pid]:
+			p.stopped = time.Now()
 		}
+		p.signalled[pid] = true
 		p.signalledMu.Unlock()
 	}
 	// The error is ignored: the process may just have exited, and then the fault
@@ -133,6 +139,14 @@
 	return p.killed.After(at)
 }
 
+// stopsWithoutCallers reports whether the daemon is being stopped, for longer than callers keep an
+// answer that names it.
+func (p *process) stopsWithoutCallers(at time.Time) bool {
+	p.signalledMu.Lock()
+	defer p.signalledMu.Unlock()
+	return at.After(p.stopped.Add(entryLifetimeS*time.Second)) && at.Before(p.stopped.Add(gracePeriodS*time.Second))
+}
+
 // unexpectedExits describes the processes that exited without a SIGTERM or SIGKILL
 // from this run.
 func (p *process) unexpectedExits() []string {
