Let no runner break streams off by design beside hard callers

Trace, the daemons' lines of the last 4 s: what failed are the numbers of callers in step that runners refuse (68, 85) or break off (76) by design, the latter not continued for "the service's bound on repeats is reached". The bound on the served share stays.

--- a/cmd/internal/soak/simulation.go
+++ b/cmd/internal/soak/simulation.go
@@ -99,6 +99,9 @@
 	case Releases:
 		// Those that leave interrupt streams already, and the limit on retries holds.
 		s.software, s.gap, s.sound = softwareVersions[:1], releaseGap, true
+	case HardCallers:
+		// The limit on retries holds, and stops leave many to retry.
+		s.sound = true
 	}
 	s.routes = []any{
 		route("idempotent", pathIdem, "idempotent", plainSvc, false),
