--- a/cmd/internal/cli/daemoncmd/daemon.go
+++ b/cmd/internal/cli/daemoncmd/daemon.go
@@ -27,8 +27,8 @@
 		Use:   "samphirequayd --settings FILE",
 		Short: "The samphirequay daemon",
 		Long: `The daemon that runs on every entry host. SIGTERM or an interrupt begins a
-planned stop, which interrupts no request. A repeated SIGTERM changes nothing; an
-interrupt after the first signal ends the process immediately.
+planned stop, which interrupts no request. A repeated SIGTERM changes nothing;
+an interrupt after the first signal ends the process immediately.
 
 Exit codes:
   0  stopped as planned, or the settings are valid
--- a/cmd/internal/cli/daemoncmd/platform.go
+++ b/cmd/internal/cli/daemoncmd/platform.go
@@ -40,9 +40,10 @@
 are read from the platform's store. The platform renders the settings from
 deploy/settings.json.tmpl; the path of the settings is in ` + platform.SettingsVariable + `.
 
-SIGTERM or an interrupt begins a planned stop. A repeated SIGTERM changes nothing; an
-interrupt after the first signal ends the process immediately. On SIGHUP, the settings are read and checked again; changed
-scheduling switches apply at once, other changes at the next start.`,
+SIGTERM or an interrupt begins a planned stop. A repeated SIGTERM changes nothing;
+an interrupt after the first signal ends the process immediately. On SIGHUP, the
+settings are read and checked again; changed scheduling switches apply at once,
+other changes at the next start.`,
 		Example: "  samphirequayd platform --settings /etc/samphirequay/settings.toml --check",
 		Args:    common.Args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
