Take no endpoint for crashed for a lack of descriptors of this host

Callers saw: whole answers without a length declared incomplete, streams after their last event and calls that had run, at a daemon out of descriptors.

Cause: Pool.Reachable answered "no" for each dial that failed, also for EMFILE and its like. The end of an answer without a length is then taken for a crash, and a crash is evidence against the request. The path counted as cut, too.

Why this works: an error that tells of what this host lacks (descriptors, memory, buffers, ports) says nothing of an endpoint, so that nothing is held against it; a refused connection still does.

--- a/daemon/upstream/paths.go
+++ b/daemon/upstream/paths.go
@@ -181,8 +181,10 @@
 	if otherErr != nil {
 		return nil, err
 	}
-	p.paths.begin(address, err)
-	p.closeIdle(address)
+	if !isLack(err) {
+		p.paths.begin(address, err)
+		p.closeIdle(address)
+	}
 	return c, nil
 }
 
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -194,7 +194,8 @@
 
 // Reachable reports whether a process at the address accepts connections, of this host
 // or of another one. A direct connection that tells is kept for reuse. A dial without an
-// answer, which tells nothing, is repeated until ctx ends.
+// answer, which tells nothing, is repeated until ctx ends. If this host lacks what a
+// connection takes, nothing is known against the process.
 func (p *Pool) Reachable(ctx context.Context, address string) bool {
 	p.reserveSlot(&Call{Address: address})
 	opened, err := p.open(ctx, address)
@@ -203,7 +204,7 @@
 	}
 	if err != nil {
 		p.releaseSlot(address)
-		return false
+		return isLack(err)
 	}
 	p.dialled.Inc()
 	p.keep(address, opened)
