Leave one daemon alone during releases, in the soak

SCENARIO=outofstep: the streams, callers and checks of releases; during each release one daemon lags, suspended or with the store silent, and is then left alone, without the store and with all others suspended or killed.

--- a/cmd/internal/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -41,6 +41,8 @@
 		return r.planRestarts(rng, length)
 	case Releases:
 		return r.planReleases(rng, length)
+	case OutOfStep:
+		return r.planOutOfStep(rng, length)
 	case HardCallers:
 		return r.planHardCallers(rng, length)
 	default:
--- a/cmd/internal/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -66,10 +66,13 @@
 	// connections than a daemon may have, beside planned stops and starts during returns of
 	// the store.
 	HardCallers Scenario = "callers"
+	// OutOfStep replaces the engines by others of new versions while one daemon lags behind
+	// and is then left alone without the store.
+	OutOfStep Scenario = "outofstep"
 )
 
 // Scenarios lists all scenarios.
-var Scenarios = []Scenario{Mixed, Restarts, Restores, Releases, HardCallers}
+var Scenarios = []Scenario{Mixed, Restarts, Restores, Releases, HardCallers, OutOfStep}
 
 type run struct {
 	cfg        Config
--- a/cmd/internal/soak/simulation.go
+++ b/cmd/internal/soak/simulation.go
@@ -96,7 +96,7 @@
 	case Restarts:
 		// Retries alone: what its seeds have shown must stay as it was.
 		s.software, s.unframed = softwareVersions[:1], false
-	case Releases:
+	case Releases, OutOfStep:
 		// Those that leave interrupt streams already, and the limit on retries holds.
 		s.software, s.gap, s.sound = softwareVersions[:1], releaseGap, true
 	case HardCallers:
--- a/cmd/internal/soak/takeup.go
+++ b/cmd/internal/soak/takeup.go
@@ -27,7 +27,7 @@
 	switch s {
 	case Restarts:
 		return takeUpPolicy{patience: callerTimeout}
-	case Releases:
+	case Releases, OutOfStep:
 		return patientTakeUps
 	default:
 		return quickTakeUps
