--- a/cmd/internal/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -41,10 +41,10 @@
 		return r.planRestarts(rng, length)
 	case Releases:
 		return r.planReleases(rng, length)
-	case OutOfStep:
-		return r.planOutOfStep(rng, length)
-	case HardCallers:
-		return r.planHardCallers(rng, length)
+	case Lagging:
+		return r.planLagging(rng, length)
+	case MisbehavingCallers:
+		return r.planMisbehavingCallers(rng, length)
 	default:
 		return r.planMixed(rng, length)
 	}
--- a/cmd/internal/soak/outofstep.go
+++ b/cmd/internal/soak/lagging.go
@@ -9,7 +9,7 @@
 	"github.com/samphirequay/samphirequay/platform/platformtest"
 )
 
-// Bounds of a run with hosts out of step.
+// Bounds of a run with lagging hosts.
 const (
 	// minLag and maxLag bound how long a daemon misses what the others learn of a release.
 	minLag = 300 * time.Millisecond
@@ -19,8 +19,8 @@
 	maxAlone = 2500 * time.Millisecond
 )
 
-// planOutOfStep draws a series of releases, during each of which one daemon lags behind.
-func (r *run) planOutOfStep(rng *rand.Rand, length time.Duration) []fault {
+// planLagging draws a series of releases, during each of which one daemon lags behind.
+func (r *run) planLagging(rng *rand.Rand, length time.Duration) []fault {
 	engines := engineRunners(r.cfg.Daemons, 1)
 	var out []fault
 	for at, version := minReleasePause, 2; at < length; version++ {
--- a/cmd/internal/soak/hardcallers.go
+++ b/cmd/internal/soak/misbehaving.go
@@ -15,11 +15,11 @@
 	"github.com/samphirequay/samphirequay/platform/platformtest"
 )
 
-// Bounds of a run with hard callers.
+// Bounds of a run with misbehaving callers.
 const (
-	// minHardPause and maxHardPause bound the time between the starts of two faults.
-	minHardPause = 300 * time.Millisecond
-	maxHardPause = 1500 * time.Millisecond
+	// minMisbehavingPause and maxMisbehavingPause bound the time between the starts of two faults.
+	minMisbehavingPause = 300 * time.Millisecond
+	maxMisbehavingPause = 1500 * time.Millisecond
 	// floodConns is how many connections a flood opens: more than a daemon may have.
 	floodConns = 400
 	// leavers and slowReaders are the numbers of callers that leave in the middle of a body and
@@ -39,12 +39,12 @@
 	pathLong  = "/long/"
 )
 
-// planHardCallers draws planned stops, floods of connections, and starts beside returns of the
+// planMisbehavingCallers draws planned stops, floods of connections, and starts beside returns of the
 // store, which overlap.
-func (r *run) planHardCallers(rng *rand.Rand, length time.Duration) []fault {
+func (r *run) planMisbehavingCallers(rng *rand.Rand, length time.Duration) []fault {
 	var out []fault
-	for at := minHardPause; at < length; at += between(rng, minHardPause, maxHardPause) {
-		for _, f := range r.hardFaults(rng) {
+	for at := minMisbehavingPause; at < length; at += between(rng, minMisbehavingPause, maxMisbehavingPause) {
+		for _, f := range r.misbehavingFaults(rng) {
 			f.start += at
 			if f.duration == 0 {
 				f.duration = between(rng, minFaultDuration, maxFaultDuration)
@@ -55,8 +55,8 @@
 	return inOrder(out, length)
 }
 
-// hardFaults draws one fault, or a return of the store and the starts beside it.
-func (r *run) hardFaults(rng *rand.Rand) []fault {
+// misbehavingFaults draws one fault, or a return of the store and the starts beside it.
+func (r *run) misbehavingFaults(rng *rand.Rand) []fault {
 	p := r.processes[rng.IntN(len(r.processes))]
 	switch rng.IntN(6) {
 	case 0, 1:
@@ -104,15 +104,15 @@
 	}
 }
 
-// hardCallers counts what callers that leave early or read slowly have seen.
-type hardCallers struct{ left, whole, cut, refused atomic.Int64 }
+// misbehavingCallers counts what callers that leave early or read slowly have seen.
+type misbehavingCallers struct{ left, whole, cut, refused atomic.Int64 }
 
-func (h *hardCallers) summary() string {
+func (h *misbehavingCallers) summary() string {
 	return fmt.Sprintf("bodies_broken_off=%d long_answers=%d cut_by_faults=%d not_begun=%d", h.left.Load(), h.whole.Load(), h.cut.Load(), h.refused.Load())
 }
 
-// startHardCallers starts the callers that leave in the middle of a body and that read slowly.
-func (r *run) startHardCallers(done <-chan struct{}, wg *sync.WaitGroup) {
+// startMisbehavingCallers starts the callers that leave in the middle of a body and that read slowly.
+func (r *run) startMisbehavingCallers(done <-chan struct{}, wg *sync.WaitGroup) {
 	for i := range leavers {
 		wg.Go(func() { r.repeat(done, fmt.Sprintf("leaver%d", i), r.leave) })
 	}
@@ -151,7 +151,7 @@
 		return
 	}
 	time.Sleep(time.Duration(rng.Int64N(int64(maxAbandonDelay))))
-	r.hard.left.Add(1)
+	r.misbehaving.left.Add(1)
 	r.checker.recordLeft(id)
 }
 
@@ -178,7 +178,7 @@
 	}
 	answer, err := platformtest.ReadAnswer(&pacedReader{conn})
 	if err != nil || answer.Status != http.StatusOK {
-		r.hard.refused.Add(1)
+		r.misbehaving.refused.Add(1)
 		return
 	}
 	r.checkLongAnswer(p, id, answer, start)
@@ -190,9 +190,9 @@
 	case answer.Complete && answer.Body != longBody(id):
 		r.checker.violation("mixed: %s got a whole answer of %d bytes that is not its own", id, len(answer.Body))
 	case answer.Complete:
-		r.hard.whole.Add(1)
+		r.misbehaving.whole.Add(1)
 	case p.killedSince(start) || p.stopsWithoutCallers(start) || took > slowLimit:
-		r.hard.cut.Add(1)
+		r.misbehaving.cut.Add(1)
 	default:
 		r.checker.violation("cut: %s at %s, which was not killed, ended after %d of %d bytes and %v", id, p.name, len(answer.Body), longAnswer, took)
 	}
--- a/cmd/internal/soak/releases.go
+++ b/cmd/internal/soak/releases.go
@@ -42,7 +42,7 @@
 
 // kindsOf returns the requests of a scenario's callers.
 func kindsOf(s Scenario) []requestKind {
-	if s == Releases || s == OutOfStep {
+	if s == Releases || s == Lagging {
 		return streamKinds
 	}
 	return kinds
--- a/cmd/internal/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -62,26 +62,26 @@
 	// Releases replaces the engines by others of new and former versions while it kills,
 	// suspends or stops all, nearly all or single daemons.
 	Releases Scenario = "releases"
-	// HardCallers has callers that leave in the middle of a body, read slowly and open more
+	// MisbehavingCallers has callers that leave in the middle of a body, read slowly and open more
 	// connections than a daemon may have, beside planned stops and starts during returns of
 	// the store.
-	HardCallers Scenario = "callers"
-	// OutOfStep replaces the engines by others of new versions while one daemon lags behind
+	MisbehavingCallers Scenario = "callers"
+	// Lagging replaces the engines by others of new versions while one daemon lags behind
 	// and is then left alone without the store.
-	OutOfStep Scenario = "outofstep"
+	Lagging Scenario = "lagging"
 )
 
 // Scenarios lists all scenarios.
-var Scenarios = []Scenario{Mixed, Restarts, Restores, Releases, HardCallers, OutOfStep}
+var Scenarios = []Scenario{Mixed, Restarts, Restores, Releases, MisbehavingCallers, Lagging}
 
 type run struct {
-	cfg        Config
-	simulation *simulation
-	checker    *checker
-	processes  []*process
-	served     atomic.Int64
-	expected   atomic.Int64
-	hard       hardCallers
+	cfg         Config
+	simulation  *simulation
+	checker     *checker
+	processes   []*process
+	served      atomic.Int64
+	expected    atomic.Int64
+	misbehaving misbehavingCallers
 	// reconnect is set once all callers must open new connections.
 	reconnect atomic.Bool
 }
@@ -100,8 +100,8 @@
 	done := make(chan struct{})
 	var callers sync.WaitGroup
 	r.startCallers(done, &callers)
-	if cfg.Scenario == HardCallers {
-		r.startHardCallers(done, &callers)
+	if cfg.Scenario == MisbehavingCallers {
+		r.startMisbehavingCallers(done, &callers)
 	}
 	callers.Go(func() { r.rotateKeys(done) })
 	callers.Go(func() { r.simulation.keepCopies(done) })
@@ -276,7 +276,7 @@
 	}
 	slices.Sort(outcomes)
 	fmt.Fprintf(r.cfg.Out, "seed=%d daemons=%d requests=%d served=%d %s %s broken=%d (%s)\n", r.cfg.Seed, r.cfg.Daemons,
-		r.expected.Load(), r.served.Load(), r.simulation.versions.summary(), r.hard.summary(), len(r.checker.violations), strings.Join(outcomes, ", "))
+		r.expected.Load(), r.served.Load(), r.simulation.versions.summary(), r.misbehaving.summary(), len(r.checker.violations), strings.Join(outcomes, ", "))
 	if n := len(r.checker.violations); n > 0 {
 		return eris.Errorf("%d guarantees were violated with seed %d", n, r.cfg.Seed)
 	}
--- a/cmd/internal/soak/simulation.go
+++ b/cmd/internal/soak/simulation.go
@@ -96,10 +96,10 @@
 	case Restarts:
 		// Retries alone: what its seeds have shown must stay as it was.
 		s.software, s.unframed = softwareVersions[:1], false
-	case Releases, OutOfStep:
+	case Releases, Lagging:
 		// Those that leave interrupt streams already, and the limit on retries holds.
 		s.software, s.gap, s.sound = softwareVersions[:1], releaseGap, true
-	case HardCallers:
+	case MisbehavingCallers:
 		// The limit on retries holds, and stops leave many to retry.
 		s.sound = true
 	}
@@ -109,7 +109,7 @@
 		route("stream", pathStream, "stream", engineSvc, false),
 		route("resume", pathResume, "stream", engineSvc, true),
 	}
-	if scenario == HardCallers {
+	if scenario == MisbehavingCallers {
 		s.routes = append(s.routes, route("long", pathLong, "idempotent", plainSvc, false))
 	}
 	s.configure()
--- a/cmd/internal/soak/takeup.go
+++ b/cmd/internal/soak/takeup.go
@@ -27,7 +27,7 @@
 	switch s {
 	case Restarts:
 		return takeUpPolicy{patience: callerTimeout}
-	case Releases, OutOfStep:
+	case Releases, Lagging:
 		return patientTakeUps
 	default:
 		return quickTakeUps
--- a/daemon/origins/find.go
+++ b/daemon/origins/find.go
@@ -85,7 +85,7 @@
 		return proofStore
 	case t.proven:
 		return proofPeer
-	case k.complete && t.unanimous && k.allHere:
+	case k.complete && t.unanimous && k.noneLost:
 		return proofAll
 	}
 	return proofNone
--- a/daemon/origins/outofstep_test.go
+++ b/daemon/origins/lagging_test.go
@@ -15,8 +15,8 @@
 	f.set(func() { f.hung[name] = true })
 }
 
-// startInStep starts daemons that have listed one version for long, until just now.
-func startInStep(names ...id.Daemon) *fleet {
+// startUpToDate starts daemons that have listed one version for long, until just now.
+func startUpToDate(names ...id.Daemon) *fleet {
 	f := newFleet(names...)
 	f.list("v1")
 	f.sleep(2 * time.Minute)
@@ -32,7 +32,7 @@
 func TestAListThatLagsUnnoticedIsNoProof(t *testing.T) {
 	t.Run("from the store and the others", func(t *testing.T) {
 		is := is.New(t)
-		f := startInStep("d1", "d2")
+		f := startUpToDate("d1", "d2")
 		f.hang("d1")
 		f.listAt("d2", "v1", "v2")
 		f.kill("d2")
@@ -41,7 +41,7 @@
 	})
 	t.Run("from the store", func(t *testing.T) {
 		is := is.New(t)
-		f := startInStep("d1", "d2")
+		f := startUpToDate("d1", "d2")
 		f.hang("d1")
 		f.listAt("d2", "v1", "v2")
 		_, ok := f.find("d1")
@@ -53,7 +53,7 @@
 	})
 	t.Run("from the others", func(t *testing.T) {
 		is := is.New(t)
-		f := startInStep("d1", "d2")
+		f := startUpToDate("d1", "d2")
 		f.hang("d1") // nothing comes by itself
 		f.listAt("d2", "v1", "v2")
 		f.kill("d2")
@@ -63,10 +63,10 @@
 	})
 }
 
-// TestAPeerThatLagsUnnoticedIsNoProof guards against a reply of a host that is out of step too.
+// TestAPeerThatLagsUnnoticedIsNoProof guards against a reply of a host that lags too.
 func TestAPeerThatLagsUnnoticedIsNoProof(t *testing.T) {
 	is := is.New(t)
-	f := startInStep("d1", "d2", "d3")
+	f := startUpToDate("d1", "d2", "d3")
 	f.hang("d1")
 	f.hang("d2")
 	f.listAt("d3", "v1", "v2")
@@ -79,7 +79,7 @@
 // those which the store serves dead, and take their own agreement for all there is to know.
 func TestThePartOfAFleetThatTheStoreRefusesDoesNotAgreeByItself(t *testing.T) {
 	is := is.New(t)
-	f := startInStep("d1", "d2", "d3")
+	f := startUpToDate("d1", "d2", "d3")
 	f.hang("d1")
 	f.hang("d2")
 	f.listAt("d3", "v1", "v2")
@@ -102,7 +102,7 @@
 // finds an old answer of the store when it goes on.
 func TestARequestDoesNotTrustAnAnswerOfBeforeItCame(t *testing.T) {
 	is := is.New(t)
-	f := startInStep("d1")
+	f := startUpToDate("d1")
 	o := f.daemons["d1"]
 	f.hang("d1")
 	calls := 0
@@ -118,7 +118,7 @@
 // TestRequestsShareTheCallsForAProof checks that many take-ups cost few calls to the store.
 func TestRequestsShareTheCallsForAProof(t *testing.T) {
 	is := is.New(t)
-	f := startInStep("d1")
+	f := startUpToDate("d1")
 	o := f.daemons["d1"]
 	calls := 0
 	o.cfg.Verify = func() { calls++ }
@@ -140,7 +140,7 @@
 // that takes no writes, so that a new version has begun streams without a record.
 func TestAVersionThatIsNotRecordedCountsWhereADaemonHasSeenIt(t *testing.T) {
 	is := is.New(t)
-	f := startInStep("d1", "d2")
+	f := startUpToDate("d1", "d2")
 	f.daemons["d2"].Observe(map[id.Service]map[id.Software]bool{"s": versionSet("v1", "v2")})
 	_, ok := f.find("d1")
 	is.True(!ok)
--- a/daemon/origins/oddrow_test.go
+++ b/daemon/origins/oddrow_test.go
@@ -24,7 +24,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			f := startInStep("d1", "d2")
+			f := startUpToDate("d1", "d2")
 			f.set(func() {
 				f.version++
 				f.rows[TableVersions+"/s"] = table.Row{Value: []byte(value), Version: f.version}
--- a/daemon/origins/proof.go
+++ b/daemon/origins/proof.go
@@ -115,8 +115,8 @@
 	// proven is set if no other version can have begun a stream of before, by an answer of the
 	// store; complete if none has that this daemon can have seen.
 	proven, complete bool
-	// allHere is set if no other daemon was lost of late.
-	allHere bool
+	// noneLost is set if no other daemon was considered dead of late.
+	noneLost bool
 }
 
 // knowledgeOf returns what this daemon knows of the versions that can have begun a stream before asked.
@@ -129,6 +129,6 @@
 		versions: o.history.Versions(now, service),
 		proven:   o.history.Proven(now, asked, service),
 		complete: o.complete(now, service),
-		allHere:  gone == 0 || now-gone > origin.VersionMemory,
+		noneLost: gone == 0 || now-gone > origin.VersionMemory,
 	}
 }
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -7,7 +7,7 @@
 #   scripts/soak.sh SEED...
 #
 # Environment: DAEMONS (default 5), CALLERS (default 16), LENGTH (default 15s),
-# SCENARIO (mixed, the default, restarts, restores, releases, callers or outofstep), DESCRIPTORS (the most that
+# SCENARIO (mixed, the default, restarts, restores, releases, callers or lagging), DESCRIPTORS (the most that
 # a daemon may have; default: as many as this shell), OUT (default: a new temporary
 # directory), KEEP (set to keep the logs of all seeds).
 set -euo pipefail
