Keep all stops of a daemon in the soak's check of long answers

The answer was asked for at 16.05 s, 3.6 s after the SIGTERM, and the check should have left it out. It knew only the latest stop: at 19.0 s the next process of that daemon was sent a SIGTERM as well. Now all stops are kept; the checker's test has such a case. Answers are dated by when they were asked for, as before.

--- a/cmd/internal/soak/misbehaving.go
+++ b/cmd/internal/soak/misbehaving.go
@@ -156,7 +156,7 @@
 }
 
 // readSlowly reads a long answer slowly. One that has begun must arrive whole, unless its daemon
-// is killed, or was being stopped for so long when it began that no caller should be there.
+// is killed, or was being stopped for so long that no caller should have come.
 func (r *run) readSlowly(rng *rand.Rand, id string) {
 	p := r.processes[rng.IntN(len(r.processes))]
 	start := time.Now()
@@ -176,24 +176,22 @@
 	if _, err := io.WriteString(conn, request.Text()); err != nil {
 		return
 	}
-	reader := &pacedReader{from: conn}
-	answer, err := platformtest.ReadAnswer(reader)
+	answer, err := platformtest.ReadAnswer(&pacedReader{conn})
 	if err != nil || answer.Status != http.StatusOK {
 		r.misbehaving.refused.Add(1)
 		return
 	}
-	r.checkLongAnswer(p, id, answer, reader.begun)
+	r.checkLongAnswer(p, id, answer, start)
 }
 
-// checkLongAnswer checks an answer that began at a time.
-func (r *run) checkLongAnswer(p *process, id string, answer platformtest.Answer, begun time.Time) {
-	took := time.Since(begun)
+func (r *run) checkLongAnswer(p *process, id string, answer platformtest.Answer, start time.Time) {
+	took := time.Since(start)
 	switch {
 	case answer.Complete && answer.Body != longBody(id):
 		r.checker.violation("mixed: %s got a whole answer of %d bytes that is not its own", id, len(answer.Body))
 	case answer.Complete:
 		r.misbehaving.whole.Add(1)
-	case p.killedSince(begun) || p.stopsWithoutCallers(begun) || took > slowLimit:
+	case p.killedSince(start) || p.stopsWithoutCallers(start) || took > slowLimit:
 		r.misbehaving.cut.Add(1)
 	default:
 		r.checker.violation("cut: %s at %s, which was not killed, ended after %d of %d bytes and %v", id, p.name, len(answer.Body), longAnswer, took)
@@ -203,18 +201,11 @@
 // longBody returns the body of a long answer to a request.
 func longBody(id string) string { return strings.Repeat(id+"\n", longAnswer/(len(id)+1)) }
 
-// pacedReader reads slowly. It records when the first bytes arrived.
-type pacedReader struct {
-	from  io.Reader
-	begun time.Time
-}
+// pacedReader reads slowly.
+type pacedReader struct{ from io.Reader }
 
 // Read implements io.Reader.
 func (p *pacedReader) Read(b []byte) (int, error) {
 	time.Sleep(slowPause)
-	n, err := p.from.Read(b[:min(len(b), slowPiece)])
-	if p.begun.IsZero() {
-		p.begun = time.Now()
-	}
-	return n, err
+	return p.from.Read(b[:min(len(b), slowPiece)])
 }
--- a/cmd/internal/soak/process.go
+++ b/cmd/internal/soak/process.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -38,9 +39,10 @@
 	// sent a SIGTERM or SIGKILL.
 	signalledMu sync.Mutex
 	signalled   map[int]bool
-	// killed is when a process of the daemon was last sent a SIGKILL, and stopped when the last
-	// one that was sent a SIGTERM got its first.
-	killed, stopped time.Time
+	// killed is when a process of the daemon was last sent a SIGKILL, and stopped when each one
+	// that was sent a SIGTERM got its first.
+	killed  time.Time
+	stopped []time.Time
 }
 
 // Settings of the daemons.
@@ -122,7 +124,7 @@
 		case s == syscall.SIGKILL:
 			p.killed = time.Now()
 		case !p.signalled[pid]:
-			p.stopped = time.Now()
+			p.stopped = append(p.stopped, time.Now())
 		}
 		p.signalled[pid] = true
 		p.signalledMu.Unlock()
@@ -139,12 +141,14 @@
 	return p.killed.After(at)
 }
 
-// stopsWithoutCallers reports whether the daemon is being stopped, for longer than callers keep an
-// answer that names it.
+// stopsWithoutCallers reports whether the daemon was being stopped at a time, for longer than
+// callers keep an answer that names it.
 func (p *process) stopsWithoutCallers(at time.Time) bool {
 	p.signalledMu.Lock()
 	defer p.signalledMu.Unlock()
-	return at.After(p.stopped.Add(entryLifetimeS*time.Second)) && at.Before(p.stopped.Add(gracePeriodS*time.Second))
+	return slices.ContainsFunc(p.stopped, func(stop time.Time) bool {
+		return at.After(stop.Add(entryLifetimeS*time.Second)) && at.Before(stop.Add(gracePeriodS*time.Second))
+	})
 }
 
 // unexpectedExits describes the processes that exited without a SIGTERM or SIGKILL
