Take an endpoint of which nothing is known neither for alive nor for crashed

Found by reading the change again: took an endpoint for alive when this host had no descriptor to look after it.

Reachable now has three outcomes. A dial that tells nothing for a lack of this host is repeated each 20 ms until the check's time is over. Where nothing is known then, the answer is incomplete, as before, and no crash is recorded against the request, as since.

The lack test of upstream asked for "reachable" and now asks for "not known", which is the stricter: it holds against both guesses.

--- a/daemon/forward/answerend.go
+++ b/daemon/forward/answerend.go
@@ -14,6 +14,7 @@
 	errNoEvent      = errors.New("the connection ended before the first event")
 	errNoBody       = errors.New("the connection ended before the first byte of the body, and no length was stated")
 	errEndpointGone = errors.New("the connection ended, and the endpoint accepts no new one")
+	errNotKnown     = errors.New("the connection ended, and this host can open none to tell whether the endpoint lives")
 )
 
 // checkEnd returns an error if a stream whose body has ended was broken off. begun is set
@@ -21,7 +22,7 @@
 // no series of events has no rest.
 //
 // The end of an unframed answer is that of its connection, which a process that crashes
-// brings about as well. It is trusted after a whole event, unless the endpoint seems to have
+// brings about as well. It is trusted after a whole event, if the endpoint seems not to have
 // crashed.
 func (f *Forwarder) checkEnd(s EventStream, e registry.Endpoint, begun bool, rest []byte) error {
 	switch {
@@ -31,10 +32,8 @@
 		return nil
 	case !begun:
 		return errNoEvent
-	case f.seemsCrashed(e, silentEndpointTimeout):
-		return errEndpointGone
 	}
-	return nil
+	return f.checkAlive(e, silentEndpointTimeout)
 }
 
 // checkReply returns an error in place of a success that may have been broken off: its body
@@ -49,9 +48,10 @@
 	case r.empty():
 		// What is left of a head that lost its length reads as such an answer.
 		cause = errNoBody
-	case f.seemsCrashed(e, min(silentEndpointTimeout, max(crashCheckTimeout, timeLeft/2))):
-		cause = errEndpointGone
 	default:
+		cause = f.checkAlive(e, min(silentEndpointTimeout, max(crashCheckTimeout, timeLeft/2)))
+	}
+	if cause == nil {
 		return r, nil
 	}
 	return nil, verdict.New(verdict.MayHaveRun, verdict.CodeEndpointFailed, "the answer of %s may be incomplete", e.Name).WithCause(cause)
@@ -61,10 +61,20 @@
 // when it accepts no connection; one whose process has ended refuses at once.
 const silentEndpointTimeout = 2 * time.Second
 
-// seemsCrashed reports whether an endpoint accepts no connection any more, from this host
-// or another, within the given time. One that leaves as planned may refuse new connections
-// while it finishes its answers.
-func (f *Forwarder) seemsCrashed(e registry.Endpoint, within time.Duration) bool {
+// checkAlive returns an error if an endpoint accepts no connection any more, from this host or
+// another, within the given time, or if this host can't tell. One that leaves as planned may
+// refuse new connections while it finishes its answers.
+func (f *Forwarder) checkAlive(e registry.Endpoint, within time.Duration) error {
 	known, listed := f.View().Endpoints[e.Name]
-	return listed && !known.Leaving && !f.reachable(e, within)
+	if !listed || known.Leaving {
+		return nil
+	}
+	switch f.reachable(e, within) {
+	case Reached:
+		return nil
+	case NotReached:
+		return errEndpointGone
+	default:
+		return errNotKnown
+	}
 }
--- a/daemon/forward/arrivals_test.go
+++ b/daemon/forward/arrivals_test.go
@@ -82,7 +82,7 @@
 func (c *countingEngines) Free(context.Context, registry.Endpoint, KV) {}
 
 // Reachable implements Endpoints.
-func (c *countingEngines) Reachable(context.Context, registry.Endpoint) bool { return false }
+func (c *countingEngines) Reachable(context.Context, registry.Endpoint) Reach { return NotReached }
 
 func (c *countingEngines) arrive(a *Attempt, err *verdict.Error) {
 	if err == nil || err.Code != verdict.CodeUnavailable {
--- a/daemon/forward/backoffsends_test.go
+++ b/daemon/forward/backoffsends_test.go
@@ -93,7 +93,7 @@
 func (s *sheddingEndpoints) Free(context.Context, registry.Endpoint, KV) {}
 
 // Reachable implements Endpoints.
-func (s *sheddingEndpoints) Reachable(context.Context, registry.Endpoint) bool { return true }
+func (s *sheddingEndpoints) Reachable(context.Context, registry.Endpoint) Reach { return Reached }
 
 // all returns a backoff for each of the endpoints.
 func all(d time.Duration, names ...id.Endpoint) map[id.Endpoint]time.Duration {
--- a/daemon/forward/bench_test.go
+++ b/daemon/forward/bench_test.go
@@ -46,7 +46,17 @@
 }
 
 // Reachable implements Endpoints: an endpoint that breaks off an exchange has crashed.
-func (s *fakeEndpoints) Reachable(context.Context, registry.Endpoint) bool { return s.survive }
+func (s *fakeEndpoints) Reachable(context.Context, registry.Endpoint) Reach {
+	return reachIf(s.survive)
+}
+
+// reachIf returns whether an endpoint is reached that accepts connections or doesn't.
+func reachIf(accepts bool) Reach {
+	if accepts {
+		return Reached
+	}
+	return NotReached
+}
 
 // sameVersion implements Origins for endpoints of one software version.
 type sameVersion struct{}
--- a/daemon/forward/callattempts_test.go
+++ b/daemon/forward/callattempts_test.go
@@ -36,7 +36,7 @@
 }
 
 // Reachable implements Endpoints.
-func (s *silentEndpoints) Reachable(context.Context, registry.Endpoint) bool { return true }
+func (s *silentEndpoints) Reachable(context.Context, registry.Endpoint) Reach { return Reached }
 
 // TestCallsAtSilentEndpointsStayWithinTheirLimits checks that endpoints which are asked
 // beside silent ones count as retries do: at most as many as the route's attempts, each
--- a/daemon/forward/callfallback_test.go
+++ b/daemon/forward/callfallback_test.go
@@ -46,7 +46,7 @@
 }
 
 // Reachable implements Endpoints.
-func (s *oneSilent) Reachable(context.Context, registry.Endpoint) bool { return true }
+func (s *oneSilent) Reachable(context.Context, registry.Endpoint) Reach { return Reached }
 
 // TestASilentOwnersCallsStayWithinTheDaemonsPart checks that calls go on without the owner,
 // no more of them at a time than the daemon's part of the slots, and that the others are
--- a/daemon/forward/callfleet_test.go
+++ b/daemon/forward/callfleet_test.go
@@ -71,7 +71,7 @@
 }
 
 // Reachable implements Endpoints.
-func (s *slotEndpoints) Reachable(context.Context, registry.Endpoint) bool { return true }
+func (s *slotEndpoints) Reachable(context.Context, registry.Endpoint) Reach { return Reached }
 
 func (s *slotEndpoints) arrived() int {
 	s.mu.Lock()
--- a/daemon/forward/headerwait_verdict_test.go
+++ b/daemon/forward/headerwait_verdict_test.go
@@ -31,7 +31,9 @@
 }
 
 // Reachable implements Endpoints.
-func (e *scriptedEngines) Reachable(context.Context, registry.Endpoint) bool { return !e.crashed }
+func (e *scriptedEngines) Reachable(context.Context, registry.Endpoint) Reach {
+	return reachIf(!e.crashed)
+}
 
 // Free implements Endpoints.
 func (e *scriptedEngines) Free(context.Context, registry.Endpoint, KV) {}
--- a/daemon/forward/leavingcalls_test.go
+++ b/daemon/forward/leavingcalls_test.go
@@ -51,7 +51,7 @@
 }
 
 // Reachable implements Endpoints.
-func (l *leavingEndpoints) Reachable(context.Context, registry.Endpoint) bool { return true }
+func (l *leavingEndpoints) Reachable(context.Context, registry.Endpoint) Reach { return Reached }
 
 // newLeavingTest returns a Forwarder as newTest does, with a route of plain streams as
 // well, and a function that makes all endpoints leave but those that stay.
--- a/daemon/forward/partcrash_test.go
+++ b/daemon/forward/partcrash_test.go
@@ -236,4 +236,4 @@
 type crashedEngines struct{ *countedEngines }
 
 // Reachable implements Endpoints.
-func (crashedEngines) Reachable(context.Context, registry.Endpoint) bool { return false }
+func (crashedEngines) Reachable(context.Context, registry.Endpoint) Reach { return NotReached }
--- a/daemon/forward/poison.go
+++ b/daemon/forward/poison.go
@@ -109,16 +109,25 @@
 // recordBreak handles an exchange that an endpoint broke off. It is a crash, and
 // evidence against the request, only if the endpoint accepts no connection any more, from
 // this host or another: endpoints that spoil single answers, and a host that loses its
-// links, would otherwise have innocent requests refused by the whole fleet. progress is how far the endpoint was with the answer.
+// links or its descriptors, would otherwise have innocent requests refused by the whole
+// fleet. progress is how far the endpoint was with the answer.
 func (f *Forwarder) recordBreak(r *Request, t *trace, name id.Endpoint, progress poison.Progress) {
-	if e, known := f.View().Endpoints[name]; known && f.reachable(e, crashCheckTimeout) {
+	reach := NotReached
+	if e, known := f.View().Endpoints[name]; known {
+		reach = f.reachable(e, crashCheckTimeout)
+	}
+	switch reach {
+	case Reached:
 		f.stats.breaksAlive.Inc()
-		return
+	case NotReached:
+		f.recordCrash(r, t, name, progress)
+	default:
+		f.stats.breaksUnknown.Inc()
+		f.Log.Event("break_unknown", "request", r.ID, "endpoint", name, "why", "this host can open no connection")
 	}
-	f.recordCrash(r, t, name, progress)
 }
 
-func (f *Forwarder) reachable(e registry.Endpoint, within time.Duration) bool {
+func (f *Forwarder) reachable(e registry.Endpoint, within time.Duration) Reach {
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	return f.Endpoints.Reachable(ctx, e)
--- a/daemon/forward/recheck_test.go
+++ b/daemon/forward/recheck_test.go
@@ -80,7 +80,7 @@
 func (c *countedEngines) Free(_ context.Context, e registry.Endpoint, _ KV) { c.freed <- e.Name }
 
 // Reachable implements Endpoints.
-func (c *countedEngines) Reachable(context.Context, registry.Endpoint) bool { return true }
+func (c *countedEngines) Reachable(context.Context, registry.Endpoint) Reach { return Reached }
 
 // TestARequestThatIsConvictedBeforeASendIsNotSent guards against a check at a request's
 // arrival that does not stand again before it is sent: it waits for engines, lies between
--- a/daemon/forward/stats.go
+++ b/daemon/forward/stats.go
@@ -19,6 +19,7 @@
 	silentStreams   *metrics.Counter
 	streamsKept     *metrics.Counter
 	breaksAlive     *metrics.Counter
+	breaksUnknown   *metrics.Counter
 	unknownParts    *metrics.Counter
 	refusedParts    *metrics.Counter
 	invalidLimits   *metrics.Counter
@@ -51,6 +52,7 @@
 		resumedStreams:  r.Counter("forward_streams_resumed", metrics.UnitCount, "Streams that were resumed at another engine."),
 		silentStreams:   r.Counter("forward_streams_silent", metrics.UnitCount, "Streams for which another engine was sought since theirs was silent."),
 		streamsKept:     r.Counter("forward_streams_went_on", metrics.UnitCount, "Streams whose silent engine went on before another one was found."),
+		breaksUnknown:   r.Counter("forward_breaks_unknown", metrics.UnitCount, "Exchanges broken off of which this host could not tell whether the endpoint crashed, since it could open no connection."),
 		breaksAlive:     r.Counter("forward_breaks_alive", metrics.UnitCount, "Exchanges broken off by endpoints that still accept connections, which are no crashes."),
 		unknownParts:    r.Counter("forward_parts_unknown", metrics.UnitCount, "Parts of prompts that are no evidence in a crash: their names can't be read, or the request has too many."),
 		refusedParts:    r.Counter("forward_refused_parts", metrics.UnitCount, "Requests that were refused, or not sent again, since a part of their prompt has crashed endpoints in other requests."),
--- a/daemon/forward/takeover_test.go
+++ b/daemon/forward/takeover_test.go
@@ -76,7 +76,7 @@
 }
 
 // Reachable implements Endpoints.
-func (e *silentEngines) Reachable(context.Context, registry.Endpoint) bool { return true }
+func (e *silentEngines) Reachable(context.Context, registry.Endpoint) Reach { return Reached }
 
 // lockedOwner is a staleOwner for a relay and its search; it refuses from the given pair on.
 type lockedOwner struct {
--- a/daemon/forward/types.go
+++ b/daemon/forward/types.go
@@ -191,8 +191,9 @@
 	Decode(ctx context.Context, a *Attempt, kv KV) (*Opened, *verdict.Error)
 	// Free releases a KV cache that no decode will use.
 	Free(ctx context.Context, e registry.Endpoint, kv KV)
-	// Reachable reports whether the endpoint accepts connections.
-	Reachable(ctx context.Context, e registry.Endpoint) bool
+	// Reachable reports whether the endpoint accepts connections, as far as this host can
+	// tell until ctx ends.
+	Reachable(ctx context.Context, e registry.Endpoint) Reach
 }
 
 // Pairer requests endpoints from the owners of pools; daemon/broker implements it. The error
--- a/daemon/upstream/lack_test.go
+++ b/daemon/upstream/lack_test.go
@@ -38,25 +38,55 @@
 	return p
 }
 
+// reachable calls Reachable for long enough to repeat a dial.
+func reachable(p *Pool, address string) (accepts, known bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*lackPause)
+	defer cancel()
+	return p.Reachable(ctx, address)
+}
+
 // TestADaemonWithoutDescriptorsTakesNoEndpointForCrashed guards against whole answers that are
 // declared incomplete, and crashes that are recorded against requests, since this host can't open
-// a socket.
+// a socket; and against an endpoint that has crashed and is taken for alive for the same reason.
 func TestADaemonWithoutDescriptorsTakesNoEndpointForCrashed(t *testing.T) {
 	for _, helpers := range []bool{false, true} {
 		for _, number := range lacks {
 			is := is.New(t)
 			p := newFailingPool(t, number, helpers)
-			is.True(p.Reachable(context.Background(), "127.0.0.1:1"))
+			accepts, known := reachable(p, "127.0.0.1:1")
+			is.True(!accepts)
+			is.True(!known)
 			failure := (&cutPool{Pool: p}).call("127.0.0.1:1")
 			is.True(failure != nil)
 			is.Equal(failure.Verdict, verdict.NotRun)
 		}
 		is := is.New(t)
-		p := newFailingPool(t, syscall.ECONNREFUSED, helpers)
-		is.True(!p.Reachable(context.Background(), "127.0.0.1:1"))
+		accepts, known := reachable(newFailingPool(t, syscall.ECONNREFUSED, helpers), "127.0.0.1:1")
+		is.True(!accepts)
+		is.True(known)
 	}
 }
 
+// TestADialIsRepeatedUntilADescriptorIsFree checks that a lack which passes leaves nothing
+// unknown.
+func TestADialIsRepeatedUntilADescriptorIsFree(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	dials := 0
+	p := New(Options{Metrics: metrics.New("test"), Dial: func(ctx context.Context, address string, timeout time.Duration) (*netconn.Conn, error) {
+		if dials++; dials < 3 {
+			return nil, dialError(syscall.EMFILE)
+		}
+		return dialTCP(ctx, address, timeout)
+	}})
+	defer p.Close()
+	accepts, known := p.Reachable(context.Background(), ln.Addr().String())
+	is.True(accepts)
+	is.True(known)
+}
+
 // TestALackOfDescriptorsCutsNoPath guards against a path that counts as cut, and whose idle
 // connections are closed, since this host could not open one more.
 func TestALackOfDescriptorsCutsNoPath(t *testing.T) {
@@ -73,6 +103,8 @@
 		Report: func(PathChange) { t.Error("a path was cut") },
 		Now:    func() time.Duration { return time.Hour },
 	})
-	is.True(p.Reachable(context.Background(), ln.Addr().String()))
+	accepts, known := p.Reachable(context.Background(), ln.Addr().String())
+	is.True(accepts)
+	is.True(known)
 	is.Equal(p.CutPaths(), 0)
 }
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -192,23 +192,43 @@
 	return opened, nil
 }
 
+// lackPause is the pause between two dials for which this host lacks what they take.
+const lackPause = 20 * time.Millisecond
+
 // Reachable reports whether a process at the address accepts connections, of this host
-// or of another one. A direct connection that tells is kept for reuse. A dial without an
-// answer, which tells nothing, is repeated until ctx ends. If this host lacks what a
-// connection takes, nothing is known against the process.
-func (p *Pool) Reachable(ctx context.Context, address string) bool {
+// or of another one. A direct connection that tells is kept for reuse. A dial that tells
+// nothing, since no answer came or this host lacks what a connection takes, is repeated until
+// ctx ends; known is false if no dial told since this host lacked something.
+func (p *Pool) Reachable(ctx context.Context, address string) (accepts, known bool) {
 	p.reserveSlot(&Call{Address: address})
 	opened, err := p.open(ctx, address)
-	for isTimeout(err) && ctx.Err() == nil {
+	lacked := isLack(err)
+	for ctx.Err() == nil && (isTimeout(err) || isLack(err)) {
+		if isLack(err) && !pauseFor(ctx, lackPause) {
+			break
+		}
 		opened, err = p.open(ctx, address)
+		lacked = lacked || isLack(err)
 	}
 	if err != nil {
 		p.releaseSlot(address)
-		return isLack(err)
+		return false, !isLack(err) && !(lacked && isTimeout(err))
 	}
 	p.dialled.Inc()
 	p.keep(address, opened)
-	return true
+	return true, true
+}
+
+// pauseFor waits for d. It returns false if ctx ends first.
+func pauseFor(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
 }
 
 // keep keeps a connection on which nothing was sent for reuse, unless it is tunnelled.
