Take no answer whose status is none

Callers got a signed, whole 200 from an endpoint whose answer said 000, and statuses of 600 to 999 as they came.

Cause: the HTTP library keeps 0 for "not set" and reports it as 200, so that no check of the status behind it can see it. Every reader of answers uses the library: daemon/upstream (callers' answers, reports, orders, health checks, prefills, the store) and both connections of the product's own clients.

Why it works: endpoint/httphead checks the bytes of a head in the reader's buffer before the library reads them, so that no value of the library stands between. It is the one place for all readers; clients that read by themselves (fasthttp.HostClient) get it as a connection whose reads fail. 101, which daemon/upstream refused by a check of its own, is refused there too.

An answer that is none is a failure of its endpoint, as one that breaks off: verdict and code are the same. New: the metric answers_malformed by rule, the rule and the beginning of the line in the line that tells of the failure, and answer_malformed where there was no such line.

600 to 999 are three digits and no status (RFC 9110, section 15): refused. A status line without the blank behind the status is against the grammar and sent by sound servers: read as before.

--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -42,6 +42,7 @@
 	"github.com/samphirequay/samphirequay/daemon/store"
 	"github.com/samphirequay/samphirequay/daemon/workpool"
 	"github.com/samphirequay/samphirequay/endpoint/client"
+	"github.com/samphirequay/samphirequay/endpoint/httphead"
 )
 
 // Options are the parameters of a daemon that its settings do not hold.
@@ -69,8 +70,10 @@
 	epoch time.Time
 	rand  *rand.Rand
 
-	metrics   *metrics.Registry
-	logger    *logline.Logger
+	metrics *metrics.Registry
+	logger  *logline.Logger
+	// malformed counts answers by the httphead.Rule that they break.
+	malformed *metrics.CounterMap
 	decisions *logline.Decisions
 	work      *workpool.Pool
 	endpoints *endpoints.Set
@@ -167,6 +170,7 @@
 	if err != nil {
 		return err
 	}
+	d.malformed = d.metrics.CounterMap("answers_malformed", metrics.UnitCount, "Answers whose head breaks the grammar, by the rule that it breaks; each counts as a failure of its endpoint.")
 	d.metrics.OnViolation(func(name, detail string) {
 		d.logger.Error("invariant_violated", "name", name, "detail", detail)
 	})
@@ -257,5 +261,13 @@
 
 // platformOptions returns the options of the clients of the platform's services.
 func (d *Daemon) platformOptions() client.Options {
-	return client.Options{Timeout: d.settings.Timings.StoreTimeoutMS.Duration()}
+	return client.Options{Timeout: d.settings.Timings.StoreTimeoutMS.Duration(), OnMalformed: d.reportMalformed}
+}
+
+// reportMalformed counts and logs an answer whose head is malformed.
+func (d *Daemon) reportMalformed(address string, err error) {
+	if rule, ok := httphead.RuleOf(err); ok {
+		d.malformed.Add(string(rule), 1)
+	}
+	d.logger.Event("answer_malformed", "address", address, "why", err)
 }
--- a/daemon/app/start.go
+++ b/daemon/app/start.go
@@ -105,6 +105,7 @@
 // startStore starts the components that call the platform and the endpoints.
 func (d *Daemon) startStore() {
 	d.endpoints = endpoints.New(nil)
+	d.endpoints.OnMalformed(d.reportMalformed)
 	table := client.NewTable(d.settings.Platform.Table, d.platformOptions())
 	d.store = store.New(store.TableService{Client: table}, d.work, d.metrics)
 	d.retries = newRetrier(d.now, d.newRand())
--- a/daemon/endpoints/endpoints.go
+++ b/daemon/endpoints/endpoints.go
@@ -36,6 +36,7 @@
 // Set holds the clients. It is safe for concurrent use.
 type Set struct {
 	onIncarnation func(address string, incarnation id.Incarnation)
+	onMalformed   func(address string, err error)
 
 	mu      sync.Mutex
 	engines map[string]*client.Engine
@@ -55,10 +56,15 @@
 	}
 }
 
+// OnMalformed sets the function that is called with the error of each response that is none
+// (see client.Options). It must be called before the first client is used.
+func (s *Set) OnMalformed(report func(address string, err error)) { s.onMalformed = report }
+
 func (s *Set) options() client.Options {
-	return client.Options{OnIncarnation: func(address string, n uint64) {
-		s.onIncarnation(address, id.Incarnation(n))
-	}}
+	return client.Options{
+		OnIncarnation: func(address string, n uint64) { s.onIncarnation(address, id.Incarnation(n)) },
+		OnMalformed:   s.onMalformed,
+	}
 }
 
 // Engine returns the client of the model engine at address.
--- a/daemon/gateway/inspect.go
+++ b/daemon/gateway/inspect.go
@@ -6,6 +6,7 @@
 
 	"github.com/samphirequay/samphirequay/core/id"
 	"github.com/samphirequay/samphirequay/core/registry"
+	"github.com/samphirequay/samphirequay/endpoint/httphead"
 )
 
 // inspectTimeout bounds the queries to an endpoint. If it does not answer in that
@@ -61,6 +62,7 @@
 	defer cancel()
 	who, err := d.platform.Inspector.Instance(ctx, e, path)
 	if err != nil {
+		d.logMalformed(e, err)
 		return identityUnknown
 	}
 	if who != e.Instance {
@@ -73,6 +75,7 @@
 	state, err := d.platform.Engines.State(ctx, e)
 	switch {
 	case err != nil:
+		d.logMalformed(e, err)
 		return identityUnknown
 	case state.StartedUnixMS > e.StartedUnixMS:
 		d.markRestarted(e, state)
@@ -118,3 +121,11 @@
 	d.logger.Event("endpoint_restarted", "endpoint", e.Name, "born", state.StartedUnixMS, "role", state.Role)
 	d.publish()
 }
+
+// logMalformed logs that an endpoint answered with a malformed head. Other failures to ask an
+// endpoint for its identity repeat for as long as it is unreachable.
+func (d *Daemon) logMalformed(e registry.Endpoint, err error) {
+	if _, ok := httphead.RuleOf(err); ok {
+		d.logger.Event("answer_malformed", "endpoint", e.Name, "address", e.Address, "why", err)
+	}
+}
--- a/daemon/upstream/answer.go
+++ b/daemon/upstream/answer.go
@@ -15,6 +15,7 @@
 
 	"github.com/samphirequay/samphirequay/core/verdict"
 	"github.com/samphirequay/samphirequay/daemon/bytebudget"
+	"github.com/samphirequay/samphirequay/endpoint/httphead"
 )
 
 // Answer is an endpoint's answer. It must be closed.
@@ -82,15 +83,15 @@
 	for range maxForeignAnswers + 1 {
 		a.resp.Reset()
 		a.resp.SkipBody = c.Request.Header.IsHead()
-		a.resp.StreamBody = true
 		// Without it the library reports a type for an answer that states none.
 		a.resp.Header.SetNoDefaultContentType(true)
-		if err := a.resp.ReadLimitBody(a.conn.reader, a.pool.opts.MaxBodyBytes); err != nil {
+		if err := httphead.ReadResponse(a.conn.reader, a.resp); err != nil {
+			a.pool.countMalformed(err)
 			return err
 		}
 		a.complete = a.resp.BodyStream() == nil
-		if err := a.checkHead(); err != nil {
-			return err
+		if a.hasTwoIDs() {
+			return errJoinedHeads
 		}
 		if !a.isForeign(c) {
 			return nil
@@ -103,24 +104,10 @@
 	return errors.New("only answers to other requests came")
 }
 
-// errInterimAnswer reports an interim answer that nobody asked for, with nothing behind it.
-var errInterimAnswer = errors.New("the answer is an interim one")
-
 // errJoinedHeads reports a head that broke off and was read on in the head of another answer:
 // it can't be told whose body follows.
 var errJoinedHeads = errors.New("the answer names two requests")
 
-// checkHead returns an error if the head is not that of one final answer.
-func (a *Answer) checkHead() error {
-	switch {
-	case a.resp.StatusCode() < fasthttp.StatusOK:
-		return errInterimAnswer
-	case a.hasTwoIDs():
-		return errJoinedHeads
-	}
-	return nil
-}
-
 // hasTwoIDs reports whether the answer names more than one request.
 func (a *Answer) hasTwoIDs() bool {
 	if a.pool.opts.IDHeader == "" {
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -22,6 +22,7 @@
 	"github.com/samphirequay/samphirequay/core/verdict"
 	"github.com/samphirequay/samphirequay/daemon/bytebudget"
 	"github.com/samphirequay/samphirequay/daemon/metrics"
+	"github.com/samphirequay/samphirequay/endpoint/httphead"
 	"github.com/samphirequay/samphirequay/endpoint/netconn"
 )
 
@@ -82,6 +83,8 @@
 	dialled *metrics.Counter
 	reused  *metrics.Counter
 	foreign *metrics.Counter
+	// malformed counts by httphead.Rule.
+	malformed *metrics.CounterMap
 }
 
 // addressConns holds the connections to one address: the number of open ones,
@@ -116,6 +119,7 @@
 		dialled:   o.Metrics.Counter("upstream_dialled", metrics.UnitCount, "Connections opened to endpoints."),
 		reused:    o.Metrics.Counter("upstream_kept", metrics.UnitCount, "Requests sent on a reused connection."),
 		foreign:   o.Metrics.Counter("upstream_foreign", metrics.UnitCount, "Answers dropped because they belong to no pending request."),
+		malformed: o.Metrics.CounterMap("answers_malformed", metrics.UnitCount, "Answers whose head breaks the grammar, by the rule that it breaks; each counts as a failure of its endpoint."),
 	}
 }
 
@@ -255,6 +259,13 @@
 	return verdict.CodeUnavailable
 }
 
+// countMalformed counts an answer whose head is malformed, if err says so.
+func (p *Pool) countMalformed(err error) {
+	if rule, ok := httphead.RuleOf(err); ok {
+		p.malformed.Add(string(rule), 1)
+	}
+}
+
 func notRun(c *Call, code verdict.Code, cause error) *verdict.Error {
 	return verdict.New(verdict.NotRun, code, "the request was not sent to %s", c.Address).WithCause(cause)
 }
--- a/endpoint/client/dedicated.go
+++ b/endpoint/client/dedicated.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/endpoint/httphead"
 	"github.com/samphirequay/samphirequay/endpoint/netconn"
 	"github.com/valyala/fasthttp"
 )
@@ -45,6 +46,7 @@
 	d.stop = conn.BindContext(ctx)
 	req.SetHost(e.address)
 	if err := d.send(req, deadline); err != nil {
+		e.reportMalformed(err)
 		d.Close()
 		return nil, d.classifyError(err)
 	}
@@ -78,8 +80,7 @@
 	if err != nil {
 		return err
 	}
-	d.resp.StreamBody = true
-	return d.resp.ReadLimitBody(d.reader, 0)
+	return httphead.ReadResponse(d.reader, d.resp)
 }
 
 // classifyError returns an error with a verdict. If the context has ended, its
--- a/endpoint/client/options.go
+++ b/endpoint/client/options.go
@@ -33,6 +33,9 @@
 	// OnIncarnation, if set, is called with the incarnation in each response of the
 	// address. It must not block.
 	OnIncarnation func(address string, incarnation uint64)
+	// OnMalformed, if set, is called with the *httphead.Error of each response of the address
+	// that is none. It must not block.
+	OnMalformed func(address string, err error)
 }
 
 // withDefaults returns the options with zero fields set to their defaults.
@@ -52,5 +55,8 @@
 	if o.OnIncarnation == nil {
 		o.OnIncarnation = func(string, uint64) {}
 	}
+	if o.OnMalformed == nil {
+		o.OnMalformed = func(string, error) {}
+	}
 	return o
 }
--- a/endpoint/client/pooled.go
+++ b/endpoint/client/pooled.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/samphirequay/samphirequay/core/verdict"
+	"github.com/samphirequay/samphirequay/endpoint/httphead"
 	"github.com/samphirequay/samphirequay/endpoint/netconn"
 	"github.com/samphirequay/samphirequay/endpoint/wire"
 	"github.com/valyala/fasthttp"
@@ -38,7 +39,7 @@
 			if err != nil {
 				return nil, err // returning conn would give a non-nil net.Conn with a nil *Conn
 			}
-			return conn, nil
+			return httphead.NewConn(conn, func(err error) { options.OnMalformed(address, err) }), nil
 		},
 	}
 	return &pooled{address: address, options: options, host: host}
@@ -110,6 +111,13 @@
 	}
 }
 
+// reportMalformed passes the error of a response that is none to OnMalformed.
+func (p *pooled) reportMalformed(err error) {
+	if _, ok := httphead.RuleOf(err); ok {
+		p.options.OnMalformed(p.address, err)
+	}
+}
+
 // incarnationOf returns the incarnation in a response; 0 if it has none.
 func incarnationOf(resp *fasthttp.Response) uint64 {
 	n, err := strconv.ParseUint(string(resp.Header.Peek(wire.HeaderIncarnation)), 10, 64)
