Take no answer whose fields have no name

Callers got a signed 200 from an endpoint in whose head the name of a field held a blank, with that line passed on, or cut off and taken for another field; where it was a framing field, the body was not the endpoint's.

Cause: the HTTP library is lenient with names by design. It cuts blanks and tabs before the colon off, and passes names with a blank inside on unchanged. `Content-Length : 12` is a length to it and no field to others; `Content Length: 12` is the reverse.

Why it works: endpoint/httphead requires a token and a colon (RFC 9112, section 5.1: no whitespace before the colon; RFC 9110, section 5.6.2) of each line before the library reads it. Control bytes in values and in the reason phrase, which the library refuses in fields, have a rule of their own, so that the line and the metric name it.

--- a/endpoint/client/malformed_test.go
+++ b/endpoint/client/malformed_test.go
@@ -18,6 +18,8 @@
 	"a status of 000":                       "HTTP/1.1 000 OK\r\n",
 	"000 behind an interim response":        "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 000 OK\r\n",
 	"a status that changes to another form": "HTTP/1.1 101 Switching Protocols\r\n",
+	"a blank in a name":                     "HTTP/1.1 200 OK\r\nSome Field: a\r\n",
+	"a blank behind a name":                 "HTTP/1.1 200 OK\r\nSome-Field : a\r\n",
 }
 
 // clientCalls are calls of each client.
--- a/endpoint/httphead/head.go
+++ b/endpoint/httphead/head.go
@@ -32,6 +32,10 @@
 	// RuleStatus: the status is one that a response can have: 100 to 599 without 101, for
 	// which a client has to ask.
 	RuleStatus Rule = "status"
+	// RuleFieldName: each line of a field begins with a name, which is a token, and a colon.
+	RuleFieldName Rule = "field_name"
+	// RuleFieldValue: the value of a field, and a reason phrase, have no control bytes but tabs.
+	RuleFieldValue Rule = "field_value"
 	// RuleInterim: after few interim responses comes a final one.
 	RuleInterim Rule = "interim"
 	// RuleSize: a head fits into the buffer of its reader.
@@ -96,6 +100,9 @@
 			h.size = s.size
 			return h, nil
 		}
+		if err := checkField(line); err != nil {
+			return head{}, err
+		}
 	}
 }
 
--- a/endpoint/httphead/head_test.go
+++ b/endpoint/httphead/head_test.go
@@ -45,6 +45,15 @@
 		"HTTP/1.1 000 OK\r\n", "HTTP/1.1 000\r\n", "HTTP/1.0 000 \r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/1.1 999 OK\r\n",
 		"HTTP/1.1 101 Switching Protocols\r\nUpgrade: h2c\r\nConnection: upgrade\r\n", "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 000 OK\r\n",
 	},
+	RuleFieldName: {
+		"HTTP/1.1 200 OK\r\nSome Field: a\r\n", "HTTP/1.1 200 OK\r\nId : a\r\n", "HTTP/1.1 200 OK\r\nId\t: a\r\n", "HTTP/1.1 200 OK\r\nId: a\r\n: b\r\n",
+		"HTTP/1.1 200 OK\r\nId\r\n", "HTTP/1.1 200 OK\r\n\xc3\xa9: a\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n", "HTTP/1.1 200 OK\r\n{\"a\": 1}\r\n",
+		"HTTP/1.1 103 Early\r\nId : a\r\n\r\nHTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nHTTP/1.1 200 OK\r\n",
+	},
+	RuleFieldValue: {
+		"HTTP/1.1 200 OK\r\nId: \x00a\r\n", "HTTP/1.1 200 OK\r\nId: a\x7f\r\n", "HTTP/1.1 200 OK\r\nId: a\rb\r\n", "HTTP/1.1 200 OK\r\nId: a\r\r\n",
+		"HTTP/1.1 200 O\x1bK\r\nId: a\r\n", "HTTP/1.1 200 OK\r\r\nId: a\r\n",
+	},
 	RuleSize: {"HTTP/1.1 200 OK\r\nId: " + strings.Repeat("a", 8<<10) + "\r\n"},
 }
 
--- a/endpoint/httphead/statusline.go
+++ b/endpoint/httphead/statusline.go
@@ -33,5 +33,8 @@
 	if status < fasthttp.StatusContinue || status > maxStatus || status == fasthttp.StatusSwitchingProtocols {
 		return 0, newError(RuleStatus, line)
 	}
+	if !isText(line[end:]) {
+		return 0, newError(RuleFieldValue, line)
+	}
 	return status, nil
 }
