Take no answer whose lines end or go on as none may

Callers got a signed 200 whose body was the rest of the head, from an endpoint in whose head a line began with a line feed: the head ended there, the length was lost. Where a line began with a tab or a blank it became part of the field before it, such as the signature.

Cause: the HTTP library ends lines and heads at a bare LF as well, if CR LF CR LF comes anywhere behind it, joins folded lines, and skips empty lines before the status line. Each makes a head readable in two ways.

Why it works: endpoint/httphead takes a line only if it ends in CR LF, a first line only if it is a status line, and no field that begins with a blank. Weighed: RFC 9112 lets a recipient take a bare LF for a line's end (2.2) and replace line folding by blanks (5.2). No sender may generate either; heads whose lines all end in a bare LF were never accepted here, since the library wants a CR LF CR LF; a gateway may answer 502 to folding. Both are refused.

--- a/endpoint/client/malformed_test.go
+++ b/endpoint/client/malformed_test.go
@@ -19,6 +19,8 @@
 	"000 behind an interim response":        "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 000 OK\r\n",
 	"a status that changes to another form": "HTTP/1.1 101 Switching Protocols\r\n",
 	"a blank in a name":                     "HTTP/1.1 200 OK\r\nSome Field: a\r\n",
+	"an empty line without CR":              "HTTP/1.1 200 OK\r\n\nSome-Field: a\r\n",
+	"a folded line":                         "HTTP/1.1 200 OK\r\nSome-Field: a\r\n b\r\n",
 	"a blank behind a name":                 "HTTP/1.1 200 OK\r\nSome-Field : a\r\n",
 }
 
--- a/endpoint/httphead/fields.go
+++ b/endpoint/httphead/fields.go
@@ -36,10 +36,12 @@
 	return true
 }
 
-// checkField checks a line that holds a field.
+// checkField checks a line that holds a field; it is not empty.
 func checkField(line []byte) error {
 	name, value, found := bytes.Cut(line, []byte{':'})
 	switch {
+	case line[0] == ' ' || line[0] == '\t':
+		return newError(RuleFolding, line)
 	case !found || !isToken(name):
 		return newError(RuleFieldName, line)
 	case !isText(value):
--- a/endpoint/httphead/head.go
+++ b/endpoint/httphead/head.go
@@ -32,6 +32,10 @@
 	// RuleStatus: the status is one that a response can have: 100 to 599 without 101, for
 	// which a client has to ask.
 	RuleStatus Rule = "status"
+	// RuleLineEnd: each line ends in CR LF.
+	RuleLineEnd Rule = "line_end"
+	// RuleFolding: no field goes on in the next line.
+	RuleFolding Rule = "line_folding"
 	// RuleFieldName: each line of a field begins with a name, which is a token, and a colon.
 	RuleFieldName Rule = "field_name"
 	// RuleFieldValue: the value of a field, and a reason phrase, have no control bytes but tabs.
@@ -133,7 +137,11 @@
 
 // cutEnd cuts the end of a line off.
 func cutEnd(line []byte) ([]byte, error) {
-	return bytes.TrimSuffix(line[:len(line)-1], []byte{'\r'}), nil
+	content, found := bytes.CutSuffix(line, []byte("\r\n"))
+	if !found {
+		return nil, newError(RuleLineEnd, line)
+	}
+	return content, nil
 }
 
 // unfinished returns the error for a head that ends in a line without an end. io.EOF means
--- a/endpoint/httphead/head_test.go
+++ b/endpoint/httphead/head_test.go
@@ -39,12 +39,20 @@
 	RuleStatusLine: {
 		"HTTP/1.1\r\n", "HTTP/1.1 \r\n", "HTTP/1.1 20\r\n", "HTTP/1.1 2000 OK\r\n", "HTTP/1.1 2x0 OK\r\n", "HTTP/1.1 +20 OK\r\n",
 		"200 OK\r\n", "http/1.1 200 OK\r\n", "ICY 200 OK\r\n", "GET / HTTP/1.1\r\n", "SSH-2.0-server\r\n", "<html>a longer line</html>\r\n",
-		"HTTP/1.1 200OK\r\n", "HTTP/1.1 200\tOK\r\n", "HTTP/1.1\t200 OK\r\n",
+		"HTTP/1.1 200OK\r\n", "\r\nHTTP/1.1 200 OK\r\n", " HTTP/1.1 200 OK\r\n", "bodyHTTP/1.1 200 OK\r\n", "HTTP/1.1  200 OK\r\n",
+		"HTTP/1.1 103 Early\r\n\r\n\r\nHTTP/1.1 200 OK\r\n", "HTTP/1.1 200\tOK\r\n", "HTTP/1.1\t200 OK\r\n",
 	},
 	RuleStatus: {
 		"HTTP/1.1 000 OK\r\n", "HTTP/1.1 000\r\n", "HTTP/1.0 000 \r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/1.1 999 OK\r\n",
 		"HTTP/1.1 101 Switching Protocols\r\nUpgrade: h2c\r\nConnection: upgrade\r\n", "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 000 OK\r\n",
 	},
+	RuleLineEnd: {
+		"HTTP/1.1 200 OK\nId: a\r\n", "HTTP/1.1 200 OK\r\nId: a\n", "HTTP/1.1 200 OK\r\nId: a\r\n\n", "HTTP/1.1 200 OK\r\n\nId: a\r\n", "HTTP/1.1 200 OK\n\n",
+		"HTTP/1.1 200 OK\r\n\nId: a\r\n", "\nHTTP/1.1 200 OK\r\n",
+	},
+	RuleFolding: {
+		"HTTP/1.1 200 OK\r\nId: a\r\n b\r\n", "HTTP/1.1 200 OK\r\nId:\r\n\ta\r\n", "HTTP/1.1 200 OK\r\n Id: a\r\n", "HTTP/1.1 200 OK\r\nId: a\r\n \r\n",
+	},
 	RuleFieldName: {
 		"HTTP/1.1 200 OK\r\nSome Field: a\r\n", "HTTP/1.1 200 OK\r\nId : a\r\n", "HTTP/1.1 200 OK\r\nId\t: a\r\n", "HTTP/1.1 200 OK\r\nId: a\r\n: b\r\n",
 		"HTTP/1.1 200 OK\r\nId\r\n", "HTTP/1.1 200 OK\r\n\xc3\xa9: a\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n", "HTTP/1.1 200 OK\r\n{\"a\": 1}\r\n",
@@ -173,3 +181,20 @@
 	rule, _ := RuleOf(err)
 	is.New(t).Equal(rule, RuleInterim)
 }
+
+// TestAByteOfANameIsOneOfATokenOrNone checks each byte at the beginning of a name, within, and
+// at its end.
+func TestAByteOfANameIsOneOfATokenOrNone(t *testing.T) {
+	const token = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+	for b := range 256 {
+		for _, name := range []string{string([]byte{byte(b)}) + "Field", "Fi" + string([]byte{byte(b)}) + "eld", "Field" + string([]byte{byte(b)})} {
+			isName := strings.IndexByte(token, byte(b)) >= 0
+			for reader, read := range readers {
+				_, _, err := read("HTTP/1.1 200 OK\r\nId: a\r\n" + name + ": b\r\nContent-Length: 0\r\n\r\n")
+				if isName != (err == nil) && b != ':' {
+					t.Errorf("%s, %q: %v", reader, name, err)
+				}
+			}
+		}
+	}
+}
