Take no answer that frames its body in two ways

The same class as the reports on heads, found by going through RFC 9112, section 6: callers got 200 with a body that was not the endpoint's.

Cause: the HTTP library takes any version but 1.1 for 1.0 and ignores Transfer-Encoding there, so that chunk lines became the body (also of "1.2"); prefers chunks where there is a length too; and takes lengths and chunks of statuses that have no body.

Why it works: endpoint/httphead follows the fields as they come and refuses the first that contradicts the version, the status or another one. RFC 9112 leaves a recipient to take chunks in place of a length; it calls that an error all the same (6.3), and no sender may send both (6.2). Repeated or unreadable lengths and other codings were refused by the library; they have the rule's name now.

Not refused: trailers, which the library reads leniently too. No trailer reaches a caller or tells a daemon anything, and the body is whole by its chunks when they come. 204 with a length of 0 and 304 with any length.

--- a/endpoint/client/malformed_test.go
+++ b/endpoint/client/malformed_test.go
@@ -21,6 +21,8 @@
 	"a blank in a name":                     "HTTP/1.1 200 OK\r\nSome Field: a\r\n",
 	"an empty line without CR":              "HTTP/1.1 200 OK\r\n\nSome-Field: a\r\n",
 	"a folded line":                         "HTTP/1.1 200 OK\r\nSome-Field: a\r\n b\r\n",
+	"another version":                       "HTTP/1.2 200 OK\r\n",
+	"two lengths":                           "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n",
 	"a blank behind a name":                 "HTTP/1.1 200 OK\r\nSome-Field : a\r\n",
 }
 
--- a/endpoint/httphead/head.go
+++ b/endpoint/httphead/head.go
@@ -40,6 +40,10 @@
 	RuleFieldName Rule = "field_name"
 	// RuleFieldValue: the value of a field, and a reason phrase, have no control bytes but tabs.
 	RuleFieldValue Rule = "field_value"
+	// RuleVersion: the version is 1.0 or 1.1.
+	RuleVersion Rule = "version"
+	// RuleFraming: the body is framed in one way, which the version and the status have.
+	RuleFraming Rule = "framing"
 	// RuleInterim: after few interim responses comes a final one.
 	RuleInterim Rule = "interim"
 	// RuleSize: a head fits into the buffer of its reader.
@@ -91,21 +95,28 @@
 	if err != nil {
 		return head{}, err
 	}
-	h := head{}
-	if h.status, err = checkStatusLine(line); err != nil {
+	v, status, err := checkStatusLine(line)
+	if err != nil {
+		return head{}, err
+	}
+	if err := checkFields(&s, newFraming(v, status)); err != nil {
 		return head{}, err
 	}
+	return head{size: s.size, status: status}, nil
+}
+
+// checkFields checks the fields up to the empty line.
+func checkFields(s *scanner, f framing) error {
 	for {
 		line, err := s.next()
-		if err != nil {
-			return head{}, err
-		}
-		if len(line) == 0 {
-			h.size = s.size
-			return h, nil
+		if err != nil || len(line) == 0 {
+			return err
 		}
 		if err := checkField(line); err != nil {
-			return head{}, err
+			return err
+		}
+		if err := f.add(line); err != nil {
+			return err
 		}
 	}
 }
--- a/endpoint/httphead/head_test.go
+++ b/endpoint/httphead/head_test.go
@@ -58,6 +58,16 @@
 		"HTTP/1.1 200 OK\r\nId\r\n", "HTTP/1.1 200 OK\r\n\xc3\xa9: a\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n", "HTTP/1.1 200 OK\r\n{\"a\": 1}\r\n",
 		"HTTP/1.1 103 Early\r\nId : a\r\n\r\nHTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nHTTP/1.1 200 OK\r\n",
 	},
+	RuleVersion: {
+		"HTTP/1.2 200 OK\r\n", "HTTP/0.9 200 OK\r\n", "HTTP/2.0 200 OK\r\n", "HTTP/1.x 200 OK\r\n",
+	},
+	RuleFraming: {
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n", "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n", "HTTP/1.1 200 OK\r\nContent-Length:\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 4, 4\r\n", "HTTP/1.1 200 OK\r\ncontent-length: 4\r\nCONTENT-LENGTH: 4\r\n", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n", "HTTP/1.1 204 No Content\r\nContent-Length: 4\r\n",
+		"HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n", "HTTP/1.1 103 Early\r\nContent-Length: 4\r\n\r\nHTTP/1.1 200 OK\r\n",
+	},
 	RuleFieldValue: {
 		"HTTP/1.1 200 OK\r\nId: \x00a\r\n", "HTTP/1.1 200 OK\r\nId: a\x7f\r\n", "HTTP/1.1 200 OK\r\nId: a\rb\r\n", "HTTP/1.1 200 OK\r\nId: a\r\r\n",
 		"HTTP/1.1 200 O\x1bK\r\nId: a\r\n", "HTTP/1.1 200 OK\r\r\nId: a\r\n",
@@ -134,6 +144,29 @@
 	}
 }
 
+// TestSoundFramingsAreRead checks the framings of bodies, and statuses without one.
+func TestSoundFramingsAreRead(t *testing.T) {
+	answers := map[string]string{
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n":                        "body",
+		"HTTP/1.1 200 OK\r\ntransfer-encoding:Chunked \r\n\r\n4;a=b\r\nbody\r\n0\r\nSum: a\r\n\r\n":          "body",
+		"HTTP/1.1 200 OK\r\nContent-Length: 0004\r\n\r\nbody":                                                "body",
+		"HTTP/1.1 200 OK\r\nCONTENT-LENGTH:4\r\n\r\nbody":                                                    "body",
+		"HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nbody":                                                   "body",
+		"HTTP/1.1 204 No Content\r\n\r\n":                                                                    "",
+		"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n":                                               "",
+		"HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\n":                                             "",
+		"HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody": "body",
+	}
+	for reader, read := range readers {
+		for answer, want := range answers {
+			body, _, err := read(answer)
+			if err != nil || body != want {
+				t.Errorf("%s: %q: %q, %v", reader, answer, body, err)
+			}
+		}
+	}
+}
+
 // TestMalformedHeadsAreRefused checks each rule.
 func TestMalformedHeadsAreRefused(t *testing.T) {
 	for reader, read := range readers {
