Tell a reset from the end beside a writer that was told of it

Callers got a part of an answer as the whole one: a 200 with neither length nor chunks, to a long upload that was still being written through another daemon when the endpoint reset the connection. Straight from a daemon it can't happen: the write fails first, and the answer isn't read.

Cause: Linux tells the error of a connection once, to whoever asks first. A tunnel's carrier reads and writes the endpoint's connection on two goroutines. Where the writer was told of the reset, the reader saw what looks like the regular end, and passed it on as the end of the stream.

Why it works: netconn.Conn, which all connections to endpoints are, keeps the error that a write was told. A reader that sees the end asks the kernel whether the connection is closed both ways. If the peer only ended its direction, it is not, and the end is the end: no write is waited for, also where one hangs (TestAPeerThatOnlyEndsItsDirectionIsRead). If it is closed, a write in progress returns at once, and what it was told decides. EPIPE is no such error: there the peer had ended before (TestTheEndBeforeAResetIsTheEnd).

Others that read and write one connection at a time, looked through: requests are written before their answers are read (upstream, both own clients; a failed write ends the exchange); the peek at idle connections closes what is not quiet; callers' requests state their length, so that no end of a connection ends them.

--- a/endpoint/netconn/conn.go
+++ b/endpoint/netconn/conn.go
@@ -31,6 +31,11 @@
 	// writing is set while a part of a request is written.
 	writing atomic.Bool
 
+	// writes is held while bytes are written. broken is the error of the connection that a
+	// write was told.
+	writes sync.Mutex
+	broken error
+
 	mu      sync.Mutex
 	expired bool
 	// lateBytes is the number of bytes that were read after the current deadline.
@@ -44,12 +49,15 @@
 // received, up to maxLateBytes per deadline, and then the deadline error.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if err == io.EOF {
+		return n, c.endOrBreak()
+	}
 	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return n, err
 	}
 	if n, ready := c.readAvailable(b); ready {
 		if n == 0 {
-			return 0, io.EOF
+			return 0, c.endOrBreak()
 		}
 		return n, nil
 	}
