Keep the reset that the look for late data was told

Where that look was told of a reset it dropped the error and reported the deadline; the next read then saw what looks like the regular end.

Evidence: TestAResetBehindADeadlineIsNoEnd, io.EOF at the second read before. Not seen at callers: it needs a reader that goes on behind a deadline's error.

Why it works: the look returns the error and keeps it where a write's error is kept, so that later reads are told too.

--- a/endpoint/netconn/conn.go
+++ b/endpoint/netconn/conn.go
@@ -32,7 +32,7 @@
 	writing atomic.Bool
 
 	// writes is held while bytes are written. broken is the error of the connection that a
-	// write was told.
+	// write, or a read behind a deadline, was told.
 	writes sync.Mutex
 	broken error
 
@@ -49,46 +49,47 @@
 // received, up to maxLateBytes per deadline, and then the deadline error.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if err == io.EOF {
-		return n, c.endOrBreak()
-	}
-	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
-		return n, err
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = c.readAvailable(b, err)
 	}
-	if n, ready := c.readAvailable(b); ready {
-		if n == 0 {
-			return 0, c.endOrBreak()
-		}
-		return n, nil
+	if err == io.EOF {
+		err = c.endOrBreak()
 	}
-	return 0, err
+	return n, err
 }
 
-// readAvailable reads once without blocking. ready is false if nothing could be
-// read; if ready is true, n = 0 means the end of the connection.
-func (c *Conn) readAvailable(b []byte) (n int, ready bool) {
+// readAvailable reads once without blocking. It returns none if there was nothing to read, and
+// io.EOF at the end of the connection.
+func (c *Conn) readAvailable(b []byte, none error) (int, error) {
 	raw, err := c.SyscallConn()
 	if err != nil || len(b) == 0 {
-		return 0, false
+		return 0, none
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// The read below fails as well while an expired deadline is set.
 	if c.lateBytes == maxLateBytes || c.Conn.SetReadDeadline(time.Time{}) != nil {
-		return 0, false
+		return 0, none
 	}
 	defer func() { _ = c.Conn.SetReadDeadline(pastDeadline) }()
 	b = b[:min(len(b), maxLateBytes-c.lateBytes)]
+	var n int
 	var failed error
 	err = raw.Read(func(fd uintptr) bool {
 		n, failed = syscall.Read(int(fd), b)
 		return true
 	})
-	if err != nil || failed != nil {
-		return 0, false
+	switch {
+	case err != nil, failed == syscall.EAGAIN, failed == syscall.EINTR:
+		return 0, none
+	case failed != nil:
+		c.recordBreak(failed)
+		return 0, failed
+	case n == 0:
+		return 0, io.EOF
 	}
 	c.lateBytes += n
-	return n, true
+	return n, nil
 }
 
 // Expire expires the deadline of all pending and future reads and writes. Reads
--- a/endpoint/netconn/reset.go
+++ b/endpoint/netconn/reset.go
@@ -9,7 +9,8 @@
 )
 
 // The kernel tells the error of a connection once, to whoever asks first. If a writer is told
-// that the peer has reset it, a reader beside it sees what looks like the regular end.
+// that the peer has reset it, a reader beside it sees what looks like the regular end; if a read
+// was told, the next one does.
 
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
@@ -47,6 +48,14 @@
 	return io.EOF
 }
 
+// recordBreak keeps the error of the connection that a read was told. A write in progress returns
+// at once.
+func (c *Conn) recordBreak(cause error) {
+	c.writes.Lock()
+	defer c.writes.Unlock()
+	c.broken = cause
+}
+
 // mayBeBroken reports whether both directions of the connection are closed, as after a reset, or
 // by a writer that was told of it. A connection that only the peer has ended is still open for
 // writes.
--- a/endpoint/netconn/reset_test.go
+++ b/endpoint/netconn/reset_test.go
@@ -4,8 +4,10 @@
 	"errors"
 	"io"
 	"net"
+	"runtime"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -83,3 +85,30 @@
 	is.NoErr(c.Reset())
 	is.True(errors.Is(c.endOrBreak(), syscall.ECONNRESET))
 }
+
+// TestAResetBehindADeadlineIsNoEnd guards against the same where the look for late data behind an
+// expired deadline was told of the reset.
+func TestAResetBehindADeadlineIsNoEnd(t *testing.T) {
+	is := is.New(t)
+	c, peer := pair(t)
+	resetAfter(t, c, peer)
+	awaitClosed(t, c)
+	is.NoErr(c.SetReadDeadline(pastDeadline))
+	for range 3 {
+		_, err := c.Read(make([]byte, 1))
+		is.True(err != nil)
+		is.True(err != io.EOF)
+	}
+	is.NoErr(c.SetReadDeadline(time.Time{}))
+	_, err := c.Read(make([]byte, 1))
+	is.True(err != nil)
+	is.True(err != io.EOF)
+}
+
+// awaitClosed waits until the kernel has closed the connection, without asking for its error.
+func awaitClosed(t *testing.T, c *Conn) {
+	t.Helper()
+	for !c.mayBeBroken() {
+		runtime.Gosched()
+	}
+}
