Take no call late in a planned stop that might not end within it

Callers whose calls came late in the grace of a planned stop, up to 1 s before its limit, were passed on and cut at its end (502, run), calls that may not be repeated among them.

Cause: new calls were refused for the last second only, whatever time they had; a call may take all of its route's timeout. A call that waited in the queue, or was sent a second time, was not looked at again.

Why it works: from 2.8 s on (three quarters of a short stop) a call is taken only if its answer is due, by the route's timeout and its caller's deadline, 0.2 s before the limit: then it has ended, with an answer or at its deadline. The same is asked again behind each wait, before a further attempt and right before the request is written. What has not run is refused as not run.

Ways compared by what callers lose: (1) the last second, as it was: cuts. (2) What a route's calls have taken: serves more, and cuts those that take longer than usual; it can't be known. (3) Route's timeout alone: refuses calls whose callers wait 1 s only. (4) the earlier of both, taken. Callers that wait 1 s, as the users' do, are refused 1.2 s before the limit in place of 1 s.

Checks: the soak left out what is asked for later than 2 s after a SIGTERM; now it leaves out only what is asked for between 2 s and 3 s. TestTheReserveOfAStopIsA- QuarterOfItAtMost is replaced by two tests, since the reserve is gone: from when on a stop is late, also a short one and one without a limit, and the bound to the nanosecond.

--- a/cmd/internal/soak/misbehaving.go
+++ b/cmd/internal/soak/misbehaving.go
@@ -36,7 +36,9 @@
 	// slowLimit is the time within which a slow reader that is not kept from it has read all; a
 	// daemon that stops waits for longer.
 	slowLimit = (gracePeriodS - 1) * time.Second
-	pathLong  = "/long/"
+	// lateStop is the time after a SIGTERM from which a daemon may cut no request that it takes.
+	lateStop = 3 * time.Second
+	pathLong = "/long/"
 )
 
 // planMisbehavingCallers draws planned stops, floods of connections, and starts beside returns of the
@@ -156,7 +158,8 @@
 }
 
 // readSlowly reads a long answer slowly. One that has begun must arrive whole, unless its daemon
-// is killed, or was being stopped for so long that no caller should have come.
+// is killed, or was being stopped for so long that no caller should have come; late in a stop,
+// one is refused or arrives whole.
 func (r *run) readSlowly(rng *rand.Rand, id string) {
 	p := r.processes[rng.IntN(len(r.processes))]
 	start := time.Now()
--- a/cmd/internal/soak/process.go
+++ b/cmd/internal/soak/process.go
@@ -142,12 +142,12 @@
 }
 
 // stopsWithoutCallers reports whether the daemon was being stopped at a time, for longer than
-// callers keep an answer that names it.
+// callers keep an answer that names it, and not for so long that it takes only what it can end.
 func (p *process) stopsWithoutCallers(at time.Time) bool {
 	p.signalledMu.Lock()
 	defer p.signalledMu.Unlock()
 	return slices.ContainsFunc(p.stopped, func(stop time.Time) bool {
-		return at.After(stop.Add(entryLifetimeS*time.Second)) && at.Before(stop.Add(gracePeriodS*time.Second))
+		return at.After(stop.Add(entryLifetimeS*time.Second)) && at.Before(stop.Add(lateStop))
 	})
 }
 
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -85,9 +85,10 @@
 		{cut, &process{killed: now.Add(time.Second)}, now, 0},
 		{cut, &process{}, now.Add(-time.Minute), 0},
 		{cut, &process{stopped: []time.Time{now.Add(-time.Second)}}, now, 1},
-		{cut, &process{stopped: []time.Time{now.Add(-3 * time.Second)}}, now, 0},
+		{cut, &process{stopped: []time.Time{now.Add(-2900 * time.Millisecond)}}, now, 0},
+		{cut, &process{stopped: []time.Time{now.Add(-3 * time.Second)}}, now, 1},
 		{cut, &process{stopped: []time.Time{now.Add(-7 * time.Second)}}, now, 1},
-		{cut, &process{stopped: []time.Time{now.Add(-3 * time.Second), now.Add(3 * time.Second)}}, now, 0},
+		{cut, &process{stopped: []time.Time{now.Add(-2900 * time.Millisecond), now.Add(3 * time.Second)}}, now, 0},
 	} {
 		r := &run{checker: newChecker()}
 		r.checkLongAnswer(c.p, "slow0-1", c.answer, c.start)
--- a/core/entry/stop.go
+++ b/core/entry/stop.go
@@ -70,11 +70,17 @@
 	return max(p.lastNamed+p.cfg.Lifetime, p.lastCaller+p.cfg.QuietPeriod)
 }
 
-// Near reports whether less than reserve is left of the time limit of the stop. The reserve is
-// a quarter of the limit at most, so that a short stop serves for most of its time.
-func (p *StopPlan) Near(now, reserve time.Duration) bool {
+// Late reports whether the stop has lasted for cutoff, or for three quarters of its time limit
+// if that is shorter, so that a short stop serves for most of its time. From then on only
+// requests are taken that end within it.
+func (p *StopPlan) Late(now, cutoff time.Duration) bool {
 	limit := p.cfg.MaxDuration
-	return limit > 0 && p.startedAt+limit-now < min(reserve, limit/4)
+	return limit > 0 && now-p.startedAt >= min(cutoff, limit-limit/4)
+}
+
+// EndsBefore reports whether the stop's time limit is over before until.
+func (p *StopPlan) EndsBefore(until time.Duration) bool {
+	return p.cfg.MaxDuration > 0 && p.startedAt+p.cfg.MaxDuration < until
 }
 
 // Over reports whether the time limit of the stop is over.
--- a/daemon/forward/bench_test.go
+++ b/daemon/forward/bench_test.go
@@ -117,7 +117,7 @@
 		Daemons:      func() int { return 2 },
 		RetrySharers: func() int { return 2 },
 		Stale:        func() bool { return false },
-		StopsTooSoon: func(route.Kind) bool { return false },
+		StopsTooSoon: func(route.Kind, time.Duration) bool { return false },
 		Log:          discardLog{},
 		Metrics:      metrics.New("d"),
 		Now:          func() time.Duration { return time.Hour },
--- a/daemon/forward/call.go
+++ b/daemon/forward/call.go
@@ -105,6 +105,10 @@
 		t.reason = "too many endpoints refused"
 		return false
 	}
+	if f.recheckStop(r, t) != nil {
+		t.reason = "this daemon is stopping"
+		return false
+	}
 	if f.checkQuarantine(r, t) != nil {
 		return false
 	}
--- a/daemon/forward/forward.go
+++ b/daemon/forward/forward.go
@@ -44,9 +44,9 @@
 	// Freshness and Payer are used only if the configuration has teams.
 	Freshness Freshness
 	Payer     QuotaCharger
-	// StopsTooSoon reports whether the daemon stops so soon that a new request of a kind
-	// may not end before.
-	StopsTooSoon func(k route.Kind) bool
+	// StopsTooSoon reports whether the daemon stops so soon that a request of a kind, whose
+	// answer is due at until, may not end before.
+	StopsTooSoon func(k route.Kind, until time.Duration) bool
 	// Daemons returns how many daemons are alive; they share the connections that an
 	// endpoint takes.
 	Daemons func() int
@@ -176,8 +176,8 @@
 	f.identifyParts(r, t)
 	t.service = chooseService(t.route, r)
 	service := view.Routes.Service(t.service)
-	if f.StopsTooSoon(t.route.Kind) {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeLeaving, "this daemon is stopping")
+	if err := f.checkStop(r, t); err != nil {
+		return nil, err
 	}
 	f.awaitEvidence(ctx, r, t)
 	if err := f.checkQuarantine(r, t); err != nil {
--- a/daemon/forward/poison.go
+++ b/daemon/forward/poison.go
@@ -82,11 +82,14 @@
 func refusedAsPoison(err *verdict.Error) bool { return err.Code == verdict.CodeQuarantined }
 
 // recheck checks again, right before a request is sent, what may have changed while it
-// waited: its key and the crash evidence.
+// waited: its key, a planned stop and the crash evidence.
 func (f *Forwarder) recheck(r *Request, t *trace) *verdict.Error {
 	if err := f.recheckKey(r, t); err != nil {
 		return err
 	}
+	if err := f.recheckStop(r, t); err != nil {
+		return err
+	}
 	return f.checkQuarantine(r, t)
 }
 
--- a/daemon/gateway/stop.go
+++ b/daemon/gateway/stop.go
@@ -19,25 +19,25 @@
 	stopPropagation = 500 * time.Millisecond
 	// stopQuietPeriod is the time without a new request after which the daemon may close.
 	stopQuietPeriod = 300 * time.Millisecond
-	// streamCutoff is the time after the start of a planned stop from which new
-	// streams are refused, since they might not finish before the process ends.
-	streamCutoff = 2800 * time.Millisecond
-	// callReserve is the time before the limit of a planned stop in which new calls are
-	// refused, since they might not finish before the process ends.
-	callReserve = time.Second
+	// lateCutoff is the time after the start of a planned stop from which new streams are
+	// refused, and calls that might not be answered before the process ends.
+	lateCutoff = 2800 * time.Millisecond
+	// answerReserve is the time that the last bytes of an answer take to its caller.
+	answerReserve = 200 * time.Millisecond
 	// shutdownTimeout bounds the shutdown of idle servers.
 	shutdownTimeout = 300 * time.Millisecond
 )
 
-// stopsTooSoon reports whether a planned stop has come so far that a new request of this
-// kind might not finish before the process ends.
-func (d *Daemon) stopsTooSoon(k route.Kind) bool {
+// stopsTooSoon reports whether a planned stop has come so far that a request of this kind, whose
+// answer is due at until, might not be answered before the process ends. How long a stream lasts
+// is up to its caller.
+func (d *Daemon) stopsTooSoon(k route.Kind, until time.Duration) bool {
 	s := d.stopping.Load()
 	if s == nil {
 		return false
 	}
-	now := d.now()
-	return s.Closing() || s.NearLimit(now, callReserve) || k == route.Stream && now-s.Began() >= streamCutoff
+	late := s.Late(d.now(), lateCutoff) && (k == route.Stream || s.EndsBefore(until+answerReserve))
+	return s.Closing() || late
 }
 
 // recordCaller records the arrival of a request during a planned stop.
--- a/daemon/gateway/tunnel.go
+++ b/daemon/gateway/tunnel.go
@@ -245,7 +245,7 @@
 
 func (d *Daemon) dialRegistered(ctx context.Context, address string) (net.Conn, error) {
 	// What the tunnel is for is not known here: it may be a stream.
-	if d.stopsTooSoon(route.Stream) {
+	if d.stopsTooSoon(route.Stream, 0) {
 		return nil, eris.New("this daemon is stopping")
 	}
 	if !d.takesWorkAt(address) {
--- a/daemon/leaving/leaving.go
+++ b/daemon/leaving/leaving.go
@@ -48,12 +48,19 @@
 // then on. A request must be counted as in flight before it asks.
 func (s *Stop) Closing() bool { return s.closing.Load() }
 
-// NearLimit reports whether less than reserve is left of the time limit of the stop; of a
-// short stop, less than a quarter.
-func (s *Stop) NearLimit(now, reserve time.Duration) bool {
+// Late reports whether the stop has lasted for cutoff; a short stop, for three quarters of its
+// time limit.
+func (s *Stop) Late(now, cutoff time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.plan.Near(now, reserve)
+	return s.plan.Late(now, cutoff)
+}
+
+// EndsBefore reports whether the time limit of the stop is over before until.
+func (s *Stop) EndsBefore(until time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.plan.EndsBefore(until)
 }
 
 // mayEnd reports whether the daemon may end, and the reason. A request may arrive between the
--- a/daemon/leaving/leaving_test.go
+++ b/daemon/leaving/leaving_test.go
@@ -55,23 +55,33 @@
 	is.True(ended)
 }
 
-// TestTheReserveOfAStopIsAQuarterOfItAtMost guards against a short stop that serves nobody, and
-// against one without a limit that ends for its reserve.
-func TestTheReserveOfAStopIsAQuarterOfItAtMost(t *testing.T) {
-	const reserve = time.Second
+// TestAStopIsLateFromThreeQuartersOfItAtTheLatest guards against a short stop that serves nobody,
+// one that takes requests to its end, and one without a limit that ends for its cutoff.
+func TestAStopIsLateFromThreeQuartersOfItAtTheLatest(t *testing.T) {
+	const cutoff = 3 * time.Second
 	for name, c := range map[string]struct {
 		limit, age time.Duration
-		near       bool
+		late       bool
 	}{
-		"long, before":  {5 * time.Second, 4 * time.Second, false},
-		"long, in it":   {5 * time.Second, 4*time.Second + 1, true},
-		"short, before": {2 * time.Second, 1500 * time.Millisecond, false},
-		"short, in it":  {2 * time.Second, 1500*time.Millisecond + 1, true},
+		"long, before":  {5 * time.Second, cutoff - 1, false},
+		"long, late":    {5 * time.Second, cutoff, true},
+		"short, before": {2 * time.Second, 1500*time.Millisecond - 1, false},
+		"short, late":   {2 * time.Second, 1500 * time.Millisecond, true},
 		"no limit":      {0, time.Hour, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := Begin(entry.StopConfig{MaxDuration: c.limit}, time.Minute)
-			is.New(t).Equal(s.NearLimit(time.Minute+c.age, reserve), c.near)
+			is.New(t).Equal(s.Late(time.Minute+c.age, cutoff), c.late)
 		})
 	}
 }
+
+// TestAStopEndsBeforeWhatLastsLonger checks the bound to the nanosecond.
+func TestAStopEndsBeforeWhatLastsLonger(t *testing.T) {
+	is := is.New(t)
+	s := Begin(testConfig, time.Minute)
+	limit := time.Minute + testConfig.MaxDuration
+	is.True(!s.EndsBefore(limit))
+	is.True(s.EndsBefore(limit + 1))
+	is.True(!Begin(entry.StopConfig{}, time.Minute).EndsBefore(time.Hour)) // no limit
+}
