--- a/daemon/forward/call.go
+++ b/daemon/forward/call.go
@@ -105,11 +105,7 @@
 		t.reason = "too many endpoints refused"
 		return false
 	}
-	if f.recheckStop(r, t) != nil {
-		t.reason = "this daemon is stopping"
-		return false
-	}
-	if f.checkQuarantine(r, t) != nil {
+	if f.recheckStop(r, t) != nil || f.checkQuarantine(r, t) != nil {
 		return false
 	}
 	if !f.payRepeats(t, s.Name, 1) {
--- a/daemon/forward/stop.go
+++ b/daemon/forward/stop.go
@@ -10,6 +10,7 @@
 	if !f.StopsTooSoon(t.route.Kind, f.deadline(r, t.route)) {
 		return nil
 	}
+	t.reason = "this daemon is stopping"
 	v := verdict.NotRun
 	if t.mayHaveRun {
 		v = verdict.MayHaveRun
