--- a/endpoint/httphead/head.go
+++ b/endpoint/httphead/head.go
@@ -3,7 +3,8 @@
 // them leniently: it takes a status of 000 for 200, cuts off or passes on what stands around
 // the name of a field, and skips what stands before the status line. Bytes that are no
 // response must not reach a caller as one, nor tell a daemon anything. The package checks a
-// head before the library reads it; it doesn't interpret it.
+// head before the library reads it; it doesn't interpret it. Trailers are not checked, and are
+// no fields of the head.
 //
 // Of what the RFCs let a recipient tolerate, only a status line without the blank behind the
 // status is accepted, since sound servers send it. Lines that end in a bare LF, obsolete line
