--- a/review/standins-2/bench.go
+++ b/review/standins-2/bench.go
@@ -17,6 +17,8 @@
 // bench is one play of a case: the store, the processes that were started, and the record.
 type bench struct {
 	trouble bool
+	// teams is set if the configuration has teams.
+	teams   bool
 	dir     string
 	started time.Time
 	store   *platformtest.Store
@@ -125,6 +127,8 @@
 		_ = p.cmd.Wait()
 		close(p.done)
 	}()
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.processes = append(b.processes, p)
 	return p
 }
@@ -134,7 +138,8 @@
 // daemon is a daemon that was started as the deploy file does.
 type daemon struct {
 	*process
-	name, callers, ready string
+	name, callers, ready, entry string
+	settings                    string
 }
 
 // startDaemons starts daemons with the settings of a small deployment, and waits until all
@@ -142,10 +147,10 @@
 func (b *bench) startDaemons(n int) []*daemon {
 	var out []*daemon
 	for i := range n {
-		d := &daemon{name: fmt.Sprintf("edge-%d", i+1), callers: b.free(), ready: b.free()}
+		d := &daemon{name: fmt.Sprintf("edge-%d", i+1), callers: b.free(), ready: b.free(), entry: b.free()}
 		settings := map[string]any{
 			"daemon": d.name, "domain": []string{"aktau-port", "kuryk", "bautino", "aktau-city"}[i%4],
-			"listen": map[string]any{"callers": d.callers, "ready": d.ready, "entry": b.free(), "peers": b.free(), "metrics": b.free()},
+			"listen": map[string]any{"callers": d.callers, "ready": d.ready, "entry": d.entry, "peers": b.free(), "metrics": b.free()},
 			"store":  b.store.Address(), "store_writes_per_s": 200,
 			"capacity":    map[string]any{"cores": 0.4, "link_mbps": 1000},
 			"first_start": true, "memory_mb": 134, "max_descriptors": 4100,
@@ -153,11 +158,16 @@
 			"bounds": map[string]any{"grace_s": 8, "entry_lifetime_s": 5, "lease_ms": 3000, "repeat_ratio": 0.2,
 				"repeat_slack": 58, "repeat_window_s": 10},
 		}
+		if b.teams {
+			bounds := settings["bounds"].(map[string]any) //nolint:forcetypeassert // see above
+			bounds["revoke_ms"], bounds["quota_window_s"], bounds["quota_overshoot"], bounds["quota_slack"] = 5000, quotaWindow.Seconds(), quotaOver, quotaSlack
+		}
 		text, err := json.Marshal(settings)
 		if err != nil {
 			b.fail("%v", err)
 		}
 		file := filepath.Join(b.dir, d.name+".json")
+		d.settings = file
 		if err := os.WriteFile(file, text, 0o600); err != nil {
 			b.fail("%v", err)
 		}
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -18,6 +18,7 @@
 	cases := map[string]func(*bench){
 		"leaving-unframed": leavingUnframed,
 		"unread-coding":    unreadCoding,
+		"quota-roll":       quotaRoll,
 	}
 	if len(os.Args) > 1 && os.Args[1] == "runner" {
 		runRunner(os.Args[2:])
