review: the stand-ins of cases 6 to 8 in a folder of the platform's

The whole check failed once: TestThePlatformsNamesStandHereOnly found names of the platform in review/standins-2. The stand-ins speak its protocol, so they move into a folder named platform, like those of the earlier review.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 export GOFLAGS=-mod=readonly
-go build -o target/standins-2 ./review/standins-2/*.go
+go build -o target/standins-2 ./review/standins-2/platform/*.go
